Lay out the workspace, shared types and the catalogue's entries

Cause: an empty repository; every part needs the same ids, times, entries and protocols. Change: workspace with one crate a concern, types, entry types, view, protocols at the edges, design page. Conclusion: the interfaces stand on which the parts are built side by side.

--- /dev/null
+++ b/bench/src/cmd.rs
@@ -0,0 +1,1 @@
+//! One module an experiment.
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,14 @@
+//! `buckthorncross-bench`: measures the router and its decisions.
+
+mod cli;
+mod cmd;
+mod report;
+
+fn main() -> eyre::Result<()> {
+    let args: cli::Args = argh::from_env();
+    match args.command {
+        cli::Command::Overhead(options) => {
+            report::Report::new("overhead", options.seed).print(options.json)
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/report.rs
@@ -0,0 +1,68 @@
+//! What an experiment found, and its printed form.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// Figures of one arm by name; units are part of the name.
+pub type Figures = BTreeMap<String, f64>;
+
+/// One experiment's outcome.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Name of the experiment.
+    pub experiment: String,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// Figures of each arm.
+    pub arms: BTreeMap<String, Figures>,
+    /// Broken promises counted, over all arms.
+    pub violations: u64,
+    /// Curves to plot.
+    #[serde(skip)]
+    pub curves: Vec<Curve>,
+}
+
+/// One line of a plot.
+#[derive(Debug, Clone)]
+pub struct Curve {
+    /// The plot that it belongs to.
+    pub plot: String,
+    /// Its label.
+    pub label: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Report {
+    /// An empty report.
+    pub fn new(experiment: &str, seed: u64) -> Self {
+        Self {
+            experiment: experiment.to_owned(),
+            seed,
+            arms: BTreeMap::new(),
+            violations: 0,
+            curves: Vec::new(),
+        }
+    }
+
+    /// Notes a figure of an arm.
+    pub fn note(&mut self, arm: &str, figure: &str, value: f64) {
+        let figures = self.arms.entry(arm.to_owned()).or_default();
+        figures.insert(figure.to_owned(), value);
+    }
+
+    /// Prints a table for people, then one line of JSON.
+    pub fn print(&self, json_only: bool) -> eyre::Result<()> {
+        if !json_only {
+            for (arm, figures) in &self.arms {
+                println!("{arm}");
+                for (figure, value) in figures {
+                    println!("  {figure:<36} {value:>14.4}");
+                }
+            }
+        }
+        println!("{}", serde_json::to_string(self)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers' HTTP API.
--- /dev/null
+++ b/components/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of model engines and plain services.
--- /dev/null
+++ b/components/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bills, sealed batches, roll-up and export.
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Customers' limits, queues and overload.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of daemons and the facts they share.
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon assembled: tables, systems and threads.
--- /dev/null
+++ b/components/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' HTTP API.
--- /dev/null
+++ b/components/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections between daemons.
--- /dev/null
+++ b/components/quality/src/lib.rs
@@ -0,0 +1,1 @@
+//! Evidence, estimates, choice of version and suspension.
--- /dev/null
+++ b/components/requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Life cycle of a request, its attempts and claims.
--- /dev/null
+++ b/components/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Roll-out steps, gates and orders.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of upstream.
--- /dev/null
+++ b/components/sessions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pins of sessions to versions.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon settings: load and check.
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics and logs.
--- /dev/null
+++ b/components/types/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that nearly every module needs.
+
+pub use crate::amount::{ByteSize, Cost, Rate, Share, Tokens};
+pub use crate::id::{
+    ClassName, ClusterName, CustomerId, DaemonId, EditId, EntryName, FailureDomain, Incarnation,
+    OperatorName, Region, RequestId, Revision, SessionId, UpstreamId,
+};
+pub use crate::run::{Priority, RunState};
+pub use crate::time::{Clock, Span, Time, WallTime};
+pub use crate::version::{ModelName, VersionId, VersionName};
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder while the workspace is laid out.
+fn main() {}
