Begin the daemon: arguments, refusals, resolving names, pool of traffic threads

Cause: the thin path needs its skeleton before the engine client lands. Change: node's traffic modules that stand alone; not wired yet.

--- /dev/null
+++ b/components/node/src/error.rs
@@ -0,0 +1,18 @@
+//! Why a daemon could not start.
+
+/// Why a daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// Callers' address cannot be listened on.
+    #[error(transparent)]
+    Callers(#[from] callers::CallersError),
+    /// A thread cannot be started.
+    #[error("node: cannot start a thread: {0}")]
+    Thread(#[from] std::io::Error),
+    /// Operators' API cannot be started.
+    #[error("operators: {0}")]
+    Operators(String),
+    /// Connections between daemons cannot be started.
+    #[error("peers: {0}")]
+    Peers(String),
+}
--- /dev/null
+++ b/components/node/src/traffic/ask.rs
@@ -0,0 +1,152 @@
+//! What a caller asks for, read from its head and body.
+
+use callers::HeaderMap;
+use serde_json::{Map, Value};
+use types::prelude::*;
+
+use super::refusal::Refusal;
+
+/// What the headers say of any request.
+#[derive(Debug, Clone)]
+pub struct HeadAsk {
+    /// The request's id, given or made.
+    pub request: RequestId,
+    /// Whether the caller chose the id, and so may repeat it.
+    pub named: bool,
+    /// The session, as the caller sent it.
+    pub session: Option<String>,
+    /// Which offer is meant.
+    pub offer: Option<EntryName>,
+    /// Asks to be treated as less urgent.
+    pub priority: Option<Priority>,
+    /// Time that the caller gives.
+    pub deadline: Option<Span>,
+    /// Must run at most once.
+    pub non_idempotent: bool,
+}
+
+impl HeadAsk {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    /// Names the header that is malformed.
+    pub fn from_headers(headers: &HeaderMap) -> Result<Self, Refusal> {
+        let id = text(headers, "idempotency-key")?.or(text(headers, "x-request-id")?);
+        let named = id.is_some();
+        let request = match id {
+            Some(id) => parse("Idempotency-Key", id)?,
+            None => RequestId::random(&mut rand::rng()),
+        };
+        let offer = text(headers, "x-offer")?.map(|text| parse("X-Offer", text)).transpose()?;
+        let priority = text(headers, "x-priority")?;
+        let priority = priority.map(|text| parse("X-Priority", text)).transpose()?;
+        let deadline = text(headers, "x-deadline-ms")?;
+        let deadline = deadline.map(|text| parse::<u64>("X-Deadline-Ms", text)).transpose()?;
+        let mark = text(headers, "x-non-idempotent")?;
+        Ok(Self {
+            request,
+            named,
+            session: text(headers, "x-session-id")?.map(str::to_owned),
+            offer,
+            priority,
+            deadline: deadline.map(Span::from_millis),
+            non_idempotent: mark.map_or(Ok(false), |text| parse("X-Non-Idempotent", text))?,
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let value = headers.get(name).map(|value| value.to_str());
+    value.transpose().map_err(|_| Refusal::bad_request(format!("{name} is not plain text")))
+}
+
+fn parse<T>(name: &str, text: &str) -> Result<T, Refusal>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error| Refusal::bad_request(format!("{name}: {error}")))
+}
+
+/// The bearer key of a head.
+#[must_use]
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get("authorization")?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+}
+
+/// The body of `POST /v1/chat/completions`.
+#[derive(Debug, Clone)]
+pub struct ChatAsk {
+    /// `model` as sent.
+    pub model: String,
+    /// Answer as a stream of events.
+    pub stream: bool,
+    /// Longest answer, if the caller bounds it.
+    pub max_output: Option<Tokens>,
+    /// The whole body, passed on with the fields that we set replaced.
+    pub fields: Map<String, Value>,
+    /// Estimated length of the prompt.
+    pub input: Tokens,
+}
+
+/// Bytes of text that a token stands for on the average, for estimates made
+/// before the engine has counted.
+const BYTES_PER_TOKEN: u64 = 4;
+const MAX_MESSAGES: usize = 4096;
+
+impl ChatAsk {
+    /// Reads the body.
+    ///
+    /// # Errors
+    /// Says which field is missing or of the wrong kind.
+    pub fn from_body(body: &[u8]) -> Result<Self, Refusal> {
+        let parsed: Value = serde_json::from_slice(body)
+            .map_err(|error| Refusal::bad_request(format!("the body is not JSON: {error}")))?;
+        let Value::Object(fields) = parsed else {
+            return Err(Refusal::bad_request("the body must be a JSON object"));
+        };
+        let model = fields.get("model").and_then(Value::as_str);
+        let model = model.ok_or_else(|| Refusal::bad_request("model must be a string"))?;
+        let messages = fields.get("messages").and_then(Value::as_array);
+        let messages = messages.ok_or_else(|| Refusal::bad_request("messages must be an array"))?;
+        if messages.is_empty() || messages.len() > MAX_MESSAGES {
+            let message = format!("messages must hold 1 to {MAX_MESSAGES}");
+            return Err(Refusal::bad_request(message));
+        }
+        let text: usize = messages.iter().map(message_bytes).sum();
+        let limit = fields.get("max_completion_tokens").or_else(|| fields.get("max_tokens"));
+        Ok(Self {
+            model: model.to_owned(),
+            stream: flag(&fields, "stream")?,
+            max_output: limit.map(count).transpose()?,
+            input: Tokens((text as u64).div_ceil(BYTES_PER_TOKEN)),
+            fields,
+        })
+    }
+}
+
+fn message_bytes(message: &Value) -> usize {
+    match message.get("content") {
+        Some(Value::String(text)) => text.len(),
+        Some(Value::Array(parts)) => {
+            let texts = parts.iter().filter_map(|part| part.get("text")?.as_str());
+            texts.map(str::len).sum()
+        }
+        _ => 0,
+    }
+}
+
+fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Refusal> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(Refusal::bad_request(format!("{name} must be true or false"))),
+    }
+}
+
+fn count(value: &Value) -> Result<Tokens, Refusal> {
+    let count = value.as_u64().filter(|count| *count > 0);
+    count.map(Tokens).ok_or_else(|| Refusal::bad_request("max_tokens must be a positive number"))
+}
--- /dev/null
+++ b/components/node/src/traffic/models.rs
@@ -0,0 +1,73 @@
+//! `GET /v1/models`: what a customer may name.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use callers::{Head, HeaderMap, Request, StatusCode, header};
+use serde::Serialize;
+
+use super::Context;
+use super::refusal::Refusal;
+
+#[derive(Serialize)]
+struct List {
+    object: &'static str,
+    data: Vec<Item>,
+}
+
+#[derive(Serialize, Clone)]
+struct Item {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: String,
+}
+
+/// Everything that the customer may name: offers, models, versions.
+pub(crate) fn list(cx: &Context, req: Request) -> Result<(), (Refusal, Request)> {
+    let data = items(cx).into_values().collect();
+    answer(&req, &List { object: "list", data });
+    Ok(())
+}
+
+/// One of them.
+pub(crate) fn get(cx: &Context, req: Request) -> Result<(), (Refusal, Request)> {
+    let id = req.path.trim_start_matches("/v1/models/");
+    match items(cx).get(id) {
+        Some(item) => {
+            answer(&req, item);
+            Ok(())
+        }
+        None => {
+            let message = format!("there is no model {id} for customer {}", cx.customer);
+            Err((Refusal::not_found("model_not_found", message), req))
+        }
+    }
+}
+
+fn items(cx: &Context) -> BTreeMap<String, Item> {
+    let mut items = BTreeMap::new();
+    let mut add = |id: String, owned_by: String| {
+        items.entry(id.clone()).or_insert(Item { id, object: "model", created: 0, owned_by });
+    };
+    for (name, offer) in &cx.snapshot.view.offers {
+        let versions = cx.snapshot.view.permitted(offer, &cx.customer);
+        if versions.is_empty() {
+            continue;
+        }
+        add(name.to_string(), offer.class.to_string());
+        for version in versions {
+            add(version.model.to_string(), name.to_string());
+            add(version.to_string(), name.to_string());
+        }
+    }
+    items
+}
+
+fn answer(req: &Request, body: &impl Serialize) {
+    let mut headers = HeaderMap::new();
+    let json = callers::header::HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    req.responder.answer(Head { status: StatusCode::OK, headers }, Bytes::from(body));
+}
--- /dev/null
+++ b/components/node/src/traffic/refusal.rs
@@ -0,0 +1,165 @@
+//! Refusals and errors, in OpenAI's published shape with our `run` beside it.
+
+use bytes::Bytes;
+use callers::{Frame, Gone, Head, HeaderMap, Responder, StatusCode, header};
+use serde::Serialize;
+use types::prelude::*;
+
+use callers::header::HeaderValue;
+
+/// Why a request got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: u16,
+    /// OpenAI's `type`.
+    pub kind: &'static str,
+    /// OpenAI's `code`: stable, for programs.
+    pub code: &'static str,
+    /// For people: what is wrong and what to do.
+    pub message: String,
+    /// Whether any of the work was done.
+    pub run: RunState,
+    /// When to come back.
+    pub retry_after: Option<Span>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'a str,
+    param: Option<&'a str>,
+    code: &'a str,
+    run: RunState,
+}
+
+impl Refusal {
+    fn not_run(status: u16, kind: &'static str, code: &'static str, message: String) -> Self {
+        Self { status, kind, code, message, run: RunState::No, retry_after: None }
+    }
+
+    /// The request is malformed.
+    #[must_use]
+    pub fn bad_request(message: impl Into<String>) -> Self {
+        Self::not_run(400, "invalid_request_error", "bad_request", message.into())
+    }
+
+    /// No key, or one that no customer has.
+    #[must_use]
+    pub fn unauthorized() -> Self {
+        let message = "the key is missing or unknown; send Authorization: Bearer KEY";
+        Self::not_run(401, "invalid_request_error", "invalid_api_key", message.to_owned())
+    }
+
+    /// The customer may not use it.
+    #[must_use]
+    pub fn forbidden(message: impl Into<String>) -> Self {
+        Self::not_run(403, "permission_error", "permission_denied", message.into())
+    }
+
+    /// No such model, offer, service or path.
+    #[must_use]
+    pub fn not_found(code: &'static str, message: impl Into<String>) -> Self {
+        Self::not_run(404, "invalid_request_error", code, message.into())
+    }
+
+    /// A limit is reached; come back later.
+    #[must_use]
+    pub fn too_many(message: impl Into<String>, retry_after: Span) -> Self {
+        let refusal =
+            Self::not_run(429, "rate_limit_error", "rate_limit_exceeded", message.into());
+        Self { retry_after: Some(retry_after), ..refusal }
+    }
+
+    /// This daemon or its upstreams cannot take it now.
+    #[must_use]
+    pub fn unavailable(
+        code: &'static str,
+        message: impl Into<String>,
+        retry_after: Span,
+    ) -> Self {
+        let refusal = Self::not_run(503, "server_error", code, message.into());
+        Self { retry_after: Some(retry_after), ..refusal }
+    }
+
+    /// The deadline passed or cannot be met.
+    #[must_use]
+    pub fn past_deadline(run: RunState) -> Self {
+        let message = "the deadline passed before an answer was whole".to_owned();
+        let refusal = Self::not_run(504, "server_error", "deadline_exceeded", message);
+        Self { run, ..refusal }
+    }
+
+    /// Upstreams failed after work may have been done.
+    #[must_use]
+    pub fn upstream_failed(message: impl Into<String>, run: RunState) -> Self {
+        Self { run, ..Self::not_run(502, "server_error", "upstream_failed", message.into()) }
+    }
+
+    /// Non-idempotent work whose outcome is not known.
+    #[must_use]
+    pub fn outcome_unknown(message: impl Into<String>) -> Self {
+        let refusal = Self::not_run(504, "server_error", "outcome_unknown", message.into());
+        Self { run: RunState::Unknown, ..refusal }
+    }
+
+    /// As JSON.
+    #[must_use]
+    pub fn body(&self) -> Bytes {
+        let error = ErrorFields {
+            message: &self.message,
+            kind: self.kind,
+            param: None,
+            code: self.code,
+            run: self.run,
+        };
+        let text = serde_json::to_vec(&ErrorBody { error });
+        Bytes::from(text.unwrap_or_default())
+    }
+
+    /// Answers a request that has had no other answer.
+    pub fn send(&self, responder: &Responder, request_id: Option<&RequestId>) {
+        responder.answer(self.head(request_id), self.body());
+    }
+
+    /// Ends a stream that has begun: an error event and no `[DONE]`.
+    ///
+    /// # Errors
+    /// When the caller is gone.
+    pub fn end_stream(&self, responder: &Responder) -> Result<(), Gone> {
+        let mut event = Vec::from(&b"data: "[..]);
+        event.extend_from_slice(&self.body());
+        event.extend_from_slice(b"\n\n");
+        responder.send(Frame::Data(Bytes::from(event)))?;
+        responder.send(Frame::End)
+    }
+
+    fn head(&self, request_id: Option<&RequestId>) -> Head {
+        let status = StatusCode::from_u16(self.status);
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        set(&mut headers, "x-run", &self.run.to_string());
+        if let Some(id) = request_id {
+            set(&mut headers, "x-request-id", id.as_str());
+        }
+        if let Some(span) = self.retry_after {
+            // Whole seconds, rounded up: coming back earlier would be refused again.
+            let seconds = span.as_micros().div_ceil(1_000_000).max(1);
+            set(&mut headers, "retry-after", &seconds.to_string());
+        }
+        Head { status: status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), headers }
+    }
+}
+
+/// Sets a header if the text can be one.
+pub fn set(headers: &mut HeaderMap, name: &'static str, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/daemon/src/cli.rs
@@ -0,0 +1,72 @@
+//! Arguments of the daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Entry daemon of the buckthorncross router.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What the daemon can do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Serves.
+    Run(Run),
+    /// Tries it out.
+    Dev(Dev),
+}
+
+/// Serves with the settings of a file.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// settings, in YAML
+    #[argh(positional)]
+    pub settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Serves a sample catalogue from stand-ins in this process, with no set-up.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dev")]
+pub struct Dev {
+    /// address for callers (default 127.0.0.1:7080)
+    #[argh(option, default = "([127, 0, 0, 1], 7080).into()")]
+    pub callers: SocketAddr,
+    /// address for operators (default 127.0.0.1:7081)
+    #[argh(option, default = "([127, 0, 0, 1], 7081).into()")]
+    pub operators: SocketAddr,
+    /// sample catalogue: kochi or clasach (default kochi)
+    #[argh(option, default = "Sample::Kochi")]
+    pub sample: Sample,
+}
+
+/// The sample catalogues.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sample {
+    /// Price lists and notices.
+    Kochi,
+    /// Cover teachers and bookings.
+    Clasach,
+}
+
+impl std::str::FromStr for Sample {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "kochi" => Ok(Self::Kochi),
+            "clasach" => Ok(Self::Clasach),
+            _ => Err(format!("{text:?} is not a sample; kochi and clasach are")),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/cmd.rs
@@ -0,0 +1,5 @@
+//! One module a command.
+
+pub mod dev;
+pub mod run;
+mod serve;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,2 +1,12 @@
-//! Placeholder while the workspace is laid out.
-fn main() {}
+//! `buckthorncrossd`: the entry daemon.
+
+mod cli;
+mod cmd;
+
+fn main() -> eyre::Result<()> {
+    let args: cli::Args = argh::from_env();
+    match args.command {
+        cli::Command::Run(options) => cmd::run::run(&options),
+        cli::Command::Dev(options) => cmd::dev::run(&options),
+    }
+}
