Call the key-value service through its JSON gateway

Cause: decisions describe calls as data; a thread at the edge has to make them and say truthfully how each ended. Change: trait Store with call and watch; EtcdClient over attohttpc: several endpoints in turn, bounded replies and lines, nested transactions, leases, watch as one long call. A write is 'not sent' only while no byte of its body was handed to a connection. Conclusion: guards tried by removal: without the body's mark, errors_unknown_once_a_write_may_have_been_read fails; with 5xx taken as refusal, errors_refused_only_when_nothing_was_done fails; without the bound on size or on the whole call, errors_unknown_when_a_reply_trickles_or_has_no_end fails.

--- /dev/null
+++ b/components/store/src/etcd.rs
@@ -0,0 +1,10 @@
+//! The published etcd v3 JSON gateway, over HTTP.
+
+mod body;
+mod client;
+mod decode;
+mod encode;
+mod stream;
+mod wire;
+
+pub use crate::etcd::client::{Config, EtcdClient, EtcdError};
--- /dev/null
+++ b/components/store/src/etcd/encode.rs
@@ -0,0 +1,106 @@
+//! Requests as paths and JSON bodies.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use keyvalue::{Compare, ModRevision, Op, Put, Range, Request, Txn};
+use serde_json::{Value, json};
+use types::prelude::Span;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// The path and the body of a call.
+pub(crate) fn request(req: &Request) -> (&'static str, Value) {
+    match req {
+        Request::Range(read) => ("/v3/kv/range", range(read)),
+        Request::Txn(steps) => ("/v3/kv/txn", txn(steps)),
+        Request::LeaseGrant { ttl } => ("/v3/lease/grant", json!({"TTL": seconds(*ttl)})),
+        Request::LeaseKeepAlive(id) => ("/v3/lease/keepalive", json!({"ID": id.0.to_string()})),
+        Request::LeaseRevoke(id) => ("/v3/lease/revoke", json!({"ID": id.0.to_string()})),
+    }
+}
+
+/// The body of a watch of a prefix.
+pub(crate) fn watch(prefix: &str, from: ModRevision) -> Value {
+    json!({"create_request": {
+        "key": text(prefix),
+        "range_end": bytes(&prefix_end(prefix)),
+        "start_revision": from.0.to_string(),
+        "progress_notify": true,
+    }})
+}
+
+/// Leases count whole seconds: rounded up, so that a lease never lapses early.
+fn seconds(ttl: Span) -> String {
+    ttl.as_micros().div_ceil(MICROS_PER_SECOND).to_string()
+}
+
+fn range(read: &Range) -> Value {
+    let first = match &read.after {
+        Some(after) => format!("{after}\0"),
+        None => read.key.clone(),
+    };
+    let mut body = json!({"key": text(&first), "limit": read.limit.to_string()});
+    if read.prefix {
+        body["range_end"] = bytes(&prefix_end(&read.key));
+    }
+    body
+}
+
+fn txn(steps: &Txn) -> Value {
+    json!({
+        "compare": steps.compare.iter().map(compare).collect::<Vec<_>>(),
+        "success": steps.success.iter().map(op).collect::<Vec<_>>(),
+        "failure": steps.failure.iter().map(op).collect::<Vec<_>>(),
+    })
+}
+
+fn compare(condition: &Compare) -> Value {
+    let (key, revision) = match condition {
+        Compare::Absent(key) => (key, ModRevision(0)),
+        Compare::ModRevision(key, revision) => (key, *revision),
+    };
+    json!({
+        "key": text(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": revision.0.to_string(),
+    })
+}
+
+fn op(step: &Op) -> Value {
+    match step {
+        Op::Put(write) => json!({"request_put": put(write)}),
+        Op::Delete(key) => json!({"request_delete_range": {"key": text(key)}}),
+        Op::Range(read) => json!({"request_range": range(read)}),
+        Op::Txn(steps) => json!({"request_txn": txn(steps)}),
+    }
+}
+
+fn put(write: &Put) -> Value {
+    let lease = write.lease.map_or(0, |lease| lease.0);
+    json!({
+        "key": text(&write.key),
+        "value": bytes(&write.value),
+        "lease": lease.to_string(),
+    })
+}
+
+fn text(plain: &str) -> Value {
+    bytes(plain.as_bytes())
+}
+
+fn bytes(plain: &[u8]) -> Value {
+    Value::String(STANDARD.encode(plain))
+}
+
+/// The first key after all that begin with `prefix`.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
--- /dev/null
+++ b/components/store/src/etcd/stream.rs
@@ -0,0 +1,66 @@
+//! A watch's stream of JSON objects, a line each.
+
+use std::io::{self, BufRead, BufReader, Read};
+
+use attohttpc::Response;
+use types::prelude::ByteSize;
+
+use crate::etcd::decode;
+use crate::{Watch, WatchEnd};
+
+/// Passes on changes until the stream ends or the watch is told to stop.
+pub(crate) fn follow(answer: Response, watch: &Watch, max_line: ByteSize) -> WatchEnd {
+    if !answer.is_success() {
+        return WatchEnd::Broken(format!("HTTP status {}", answer.status()));
+    }
+    let (_, _, reader) = answer.split();
+    let mut reader = BufReader::new(reader);
+    loop {
+        if watch.is_stopped() {
+            return WatchEnd::Stopped;
+        }
+        let line = match read_line(&mut reader, max_line) {
+            Ok(line) => line,
+            Err(e) => return end_of(&e),
+        };
+        if let Err(end) = take_line(&line, watch) {
+            return end;
+        }
+    }
+}
+
+fn take_line(line: &[u8], watch: &Watch) -> Result<(), WatchEnd> {
+    let reply = decode::watch_line(line).map_err(WatchEnd::Broken)?;
+    if reply.compact_revision.0 > 0 {
+        let oldest = keyvalue::ModRevision(reply.compact_revision.0);
+        return Err(WatchEnd::Compacted(oldest));
+    }
+    if reply.canceled {
+        return Err(WatchEnd::Broken(format!(
+            "canceled: {}",
+            reply.cancel_reason
+        )));
+    }
+    let batch = decode::batch(reply).map_err(WatchEnd::Broken)?;
+    watch.sink.send(batch).map_err(|_| WatchEnd::Stopped)
+}
+
+/// One line without end would fill the memory: cut off past `max`.
+fn read_line(reader: &mut impl BufRead, max: ByteSize) -> io::Result<Vec<u8>> {
+    let mut line = Vec::new();
+    reader.take(max.0).read_until(b'\n', &mut line)?;
+    if line.last() == Some(&b'\n') {
+        Ok(line)
+    } else if line.len() >= max.as_usize() {
+        Err(io::Error::other(format!("a line is longer than {max}")))
+    } else {
+        Err(io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
+fn end_of(error: &io::Error) -> WatchEnd {
+    match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => WatchEnd::Idle,
+        _ => WatchEnd::Broken(error.to_string()),
+    }
+}
