--- /dev/null
+++ b/components/requests/tests/claims.rs
@@ -0,0 +1,321 @@
+//! Claims against lost replies, delayed writes, other daemons and a store that is down.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use keyvalue::{
+    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, OpReply, Outcome, Reply,
+    Request, Txn, TxnReply,
+};
+use requests::claim::*;
+use types::prelude::*;
+
+const NOW: Time = Time(1_000);
+
+/// A store that a test calls by hand.
+#[derive(Default)]
+struct FakeStore {
+    keys: BTreeMap<String, (Bytes, ModRevision)>,
+    revision: i64,
+}
+
+impl FakeStore {
+    fn call(&mut self, request: &Request) -> Outcome {
+        self.revision += 1;
+        let reply = match request {
+            Request::Txn(txn) => Reply::Txn(self.txn(txn)),
+            Request::Range(range) => Reply::Range(self.read(&range.key)),
+            Request::LeaseGrant { .. } => Reply::LeaseGranted(LeaseId(self.revision)),
+            _ => panic!("not used by claims"),
+        };
+        Ok(Answer {
+            revision: ModRevision(self.revision),
+            reply,
+        })
+    }
+
+    fn read(&self, key: &str) -> Vec<KeyValue> {
+        let found = self.keys.get(key).map(|(value, revision)| KeyValue {
+            key: key.to_owned(),
+            value: value.clone(),
+            mod_revision: *revision,
+            lease: None,
+        });
+        found.into_iter().collect()
+    }
+
+    fn txn(&mut self, txn: &Txn) -> TxnReply {
+        let succeeded = txn.compare.iter().all(|compare| {
+            let (key, wanted) = match compare {
+                Compare::Absent(key) => (key, ModRevision(0)),
+                Compare::ModRevision(key, revision) => (key, *revision),
+            };
+            self.keys.get(key).map_or(ModRevision(0), |held| held.1) == wanted
+        });
+        let ops = if succeeded {
+            &txn.success
+        } else {
+            &txn.failure
+        };
+        let replies = ops.iter().map(|op| self.op(op)).collect();
+        TxnReply { succeeded, replies }
+    }
+
+    fn op(&mut self, op: &Op) -> OpReply {
+        match op {
+            Op::Put(put) => {
+                let written = (put.value.clone(), ModRevision(self.revision));
+                self.keys.insert(put.key.clone(), written);
+                OpReply::Put
+            }
+            Op::Range(range) => OpReply::Range(self.read(&range.key)),
+            Op::Txn(txn) => OpReply::Txn(self.txn(txn)),
+            Op::Delete(key) => OpReply::Delete(u64::from(self.keys.remove(key).is_some())),
+        }
+    }
+}
+
+fn lost() -> Outcome {
+    Err(CallError::Unknown("no reply".to_owned()))
+}
+
+fn down() -> Outcome {
+    Err(CallError::NotSent("no connection".to_owned()))
+}
+
+fn spec(daemon: &str, counter: u64) -> ClaimSpec {
+    let nonce = Nonce {
+        daemon: daemon.parse().unwrap(),
+        incarnation: Incarnation(1),
+        counter,
+    };
+    let lease = ClaimLease {
+        id: LeaseId(7),
+        use_until: NOW + Span::from_secs(60),
+    };
+    ClaimSpec {
+        key: "claims/kochi/r1".to_owned(),
+        nonce,
+        fingerprint: 9,
+        lease,
+        deadline: NOW + Span::from_secs(5),
+    }
+}
+
+/// Drives a claim with a store that answers.
+fn drive(store: &mut FakeStore, claim: &mut Claim, mut call: Request) -> ClaimStep {
+    loop {
+        match claim.on_outcome(store.call(&call), NOW) {
+            ClaimStep::Call(next) => call = next,
+            step => return step,
+        }
+    }
+}
+
+fn claim(store: &mut FakeStore, spec: ClaimSpec) -> ClaimStep {
+    let (mut claim, call) = Claim::start(spec);
+    drive(store, &mut claim, call)
+}
+
+fn held(step: ClaimStep) -> Held {
+    match step {
+        ClaimStep::Mine(held) => held,
+        other => panic!("not mine: {other:?}"),
+    }
+}
+
+fn settle(store: &mut FakeStore, start: (Settle, Request)) -> SettleStep {
+    let (mut settle, mut call) = start;
+    loop {
+        match settle.on_outcome(store.call(&call)) {
+            SettleStep::Call(next) => call = next,
+            step => return step,
+        }
+    }
+}
+
+fn recorded() -> Recorded {
+    Recorded::new(200, vec![("a".to_owned(), "b".to_owned())], "yes\n".into())
+}
+
+#[test]
+fn can_give_a_repeat_the_recorded_answer() {
+    let mut store = FakeStore::default();
+    let mine = held(claim(&mut store, spec("d1", 1)));
+    let open = claim(&mut store, spec("d2", 1));
+    assert!(matches!(open, ClaimStep::Duplicate(Standing::Open)));
+    let step = settle(&mut store, Settle::record(mine, recorded()));
+    assert!(matches!(step, SettleStep::Done));
+    let ClaimStep::Duplicate(Standing::Recorded(again)) = claim(&mut store, spec("d2", 2)) else {
+        panic!("no recorded answer");
+    };
+    assert_eq!(again, recorded());
+    let mut other = spec("d2", 3);
+    other.fingerprint = 10;
+    let reused = claim(&mut store, other);
+    assert!(matches!(reused, ClaimStep::Duplicate(Standing::Reused)));
+}
+
+// A booking fails although nobody made it: the daemon took its own claim for another's. The
+// claim's write took effect and its reply was lost. Cause: no nonce compared on read-back.
+#[test]
+fn can_recognize_its_own_write_after_a_lost_reply() {
+    let mut store = FakeStore::default();
+    let (mut claim, call) = Claim::start(spec("d1", 1));
+    let _ = store.call(&call);
+    let ClaimStep::Call(read) = claim.on_outcome(lost(), NOW) else {
+        panic!("not read back");
+    };
+    let mine = held(drive(&mut store, &mut claim, read));
+    let step = settle(&mut store, Settle::record(mine, recorded()));
+    assert!(matches!(step, SettleStep::Done));
+}
+
+// Two teachers are booked. The first daemon's claim hung in the store; the read-back found
+// nothing and another daemon claimed and ran; then the first write landed. Cause: a read-back
+// that found nothing was taken for "mine" or the write was not conditional.
+#[test]
+fn errors_of_delayed_claims_do_not_run_twice() {
+    let mut store = FakeStore::default();
+    let (mut slow, delayed) = Claim::start(spec("d1", 1));
+    let ClaimStep::Call(read) = slow.on_outcome(lost(), NOW) else {
+        panic!("not read back");
+    };
+    let ClaimStep::Call(write) = slow.on_outcome(store.call(&read), NOW) else {
+        panic!("absent is written again");
+    };
+    held(claim(&mut store, spec("d2", 1)));
+    let _ = store.call(&delayed);
+    let step = drive(&mut store, &mut slow, write);
+    assert!(matches!(step, ClaimStep::Duplicate(Standing::Open)));
+}
+
+// A principal is told "not run", repeats, and is told "outcome unknown" until the next day.
+// The refused claim's write landed after the refusal. Cause: the release deleted the key or
+// found nothing to delete, and left an empty place for the write to land in.
+#[test]
+fn errors_of_abandoned_claims_leave_no_phantom() {
+    for taken_over in [false, true] {
+        let mut store = FakeStore::default();
+        if taken_over {
+            let mine = held(claim(&mut store, spec("d0", 1)));
+            settle(&mut store, Settle::release(mine));
+        }
+        let (mut slow, mut call) = Claim::start(spec("d1", 1));
+        if taken_over {
+            let ClaimStep::Call(next) = slow.on_outcome(store.call(&call), NOW) else {
+                panic!("a released claim is taken over");
+            };
+            call = next;
+        }
+        let delayed = call;
+        let mut step = slow.on_outcome(lost(), NOW);
+        while let ClaimStep::Call(_) = step {
+            step = slow.on_outcome(down(), NOW);
+        }
+        let ClaimStep::Unavailable(Some(doubtful)) = step else {
+            panic!("given up without a doubt: {step:?}");
+        };
+        settle(&mut store, Settle::release(doubtful));
+        let _ = store.call(&delayed);
+        held(claim(&mut store, spec("d2", 1)));
+    }
+}
+
+#[test]
+fn errors_of_a_store_that_is_down_make_no_claim() {
+    let (mut claim, _) = Claim::start(spec("d1", 1));
+    let mut step = claim.on_outcome(down(), NOW);
+    while let ClaimStep::Call(_) = step {
+        step = claim.on_outcome(down(), NOW);
+    }
+    assert!(matches!(step, ClaimStep::Unavailable(None)));
+}
+
+// A booking is made again a day later: its claim lapsed early. The daemon was paused between
+// the grant of the lease and the claim. Cause: a lease used past its slot.
+#[test]
+fn errors_of_late_claims_are_not_used() {
+    let mut store = FakeStore::default();
+    let mut late = spec("d1", 1);
+    late.deadline = Time::NEVER;
+    let (mut claim, call) = Claim::start(late);
+    let step = claim.on_outcome(store.call(&call), NOW + Span::from_secs(61));
+    assert!(matches!(step, ClaimStep::Unavailable(Some(_))));
+}
+
+#[test]
+fn can_keep_one_lease_for_a_slot() {
+    let mut store = FakeStore::default();
+    let mut slots = LeaseSlots::new(Windows::default());
+    let call = slots.poll(NOW).unwrap();
+    assert_eq!(slots.poll(NOW), None);
+    slots.on_outcome(&store.call(&call));
+    let lease = slots.current(NOW).unwrap();
+    assert_eq!(slots.poll(NOW + Span::from_secs(2_000)), None);
+    let later = NOW + Span::from_secs(3_000);
+    let call = slots.poll(later).unwrap();
+    assert_eq!(slots.current(later), Some(lease));
+    slots.on_outcome(&lost());
+    assert_eq!(slots.current(NOW + Span::from_secs(3_700)), None);
+    assert_eq!(slots.poll(later + Span::from_secs(2)), Some(call));
+}
+
+// Requests of two customers share one claim, and one of them is told of the other's booking.
+// Cause: names hold `/`, and the key was built by joining them.
+#[test]
+fn errors_of_slashes_do_not_join_two_keys() {
+    let key = |customer: &str, id: &str| {
+        claim_key("claims/", &customer.parse().unwrap(), &id.parse().unwrap())
+    };
+    assert_ne!(key("a/b", "c"), key("a", "b/c"));
+}
+
+#[test]
+fn can_pack_claims_in_one_call() {
+    let mut store = FakeStore::default();
+    let mut batcher = Batcher::default();
+    let mut claims: Vec<Claim> = Vec::new();
+    for n in 0..10 {
+        let mut spec = spec("d1", n);
+        spec.key = format!("claims/kochi/r{}", n % 9);
+        let (claim, call) = Claim::start(spec);
+        batcher.push(Ticket(n), call).unwrap();
+        claims.push(claim);
+    }
+    let first = batcher.next_call().unwrap();
+    assert_eq!(batcher.next_call(), None);
+    assert_eq!(batcher.waiting(), 1);
+    let outcomes = batcher.on_outcome(store.call(&first));
+    assert_eq!(outcomes.len(), 9);
+    for (ticket, outcome) in outcomes {
+        held(claims[ticket.0 as usize].on_outcome(outcome, NOW));
+    }
+    let second = batcher.next_call().unwrap();
+    let (ticket, outcome) = batcher.on_outcome(store.call(&second)).remove(0);
+    let step = claims[ticket.0 as usize].on_outcome(outcome, NOW);
+    assert!(matches!(step, ClaimStep::Duplicate(Standing::Open)));
+}
+
+// Nobody can book through a daemon although the store is up: one waiting call's lease is gone
+// and the store refuses the whole batch, again and again. Cause: a batch kept together.
+#[test]
+fn errors_of_one_call_do_not_fail_its_batch() {
+    let mut store = FakeStore::default();
+    let mut batcher = Batcher::default();
+    for n in 0..3 {
+        let mut spec = spec("d1", n);
+        spec.key = format!("claims/kochi/r{n}");
+        batcher.push(Ticket(n), Claim::start(spec).1).unwrap();
+    }
+    let _ = batcher.next_call().unwrap();
+    let refused = Err(CallError::Refused("lease not found".to_owned()));
+    assert!(batcher.on_outcome(refused.clone()).is_empty());
+    let _ = batcher.next_call().unwrap();
+    assert_eq!(batcher.on_outcome(refused).len(), 1);
+    for _ in 0..2 {
+        let call = batcher.next_call().unwrap();
+        let outcomes = batcher.on_outcome(store.call(&call));
+        assert!(outcomes[0].1.is_ok());
+    }
+}
