--- /dev/null
+++ b/components/routing/src/pick.rs
@@ -0,0 +1,266 @@
+//! The choice itself.
+
+use rand::{Rng, RngExt};
+use types::prelude::*;
+
+use crate::affinity::key_of;
+use crate::demand::{Demand, NoUpstream, PrefixHash, UpstreamIndex};
+use crate::lists::{Candidates, DISTANCES, Distance, HashOrder};
+use crate::router::{Entry, Router};
+
+/// Homes of a prefix on the ring.
+pub const PREFIX_HOMES: usize = 2;
+/// Levels of a prefix, shortest first, that have homes.
+const HOME_LEVELS: usize = 2;
+/// Load at which the next distance is looked at too.
+const SPILL_LOAD: f64 = 0.9;
+/// Cost of a request that must wait for a slot, for each request per slot ahead of it.
+const QUEUE_COST: f64 = 4.0;
+/// Cost of another failure domain of the region.
+const REGION_COST: f64 = 0.02;
+/// Cost of another region.
+const FAR_COST: f64 = 0.5;
+/// Cost of a failure point.
+const POINT_COST: f64 = 0.3;
+/// Cost of a suspected failure domain.
+const SUSPECT_COST: f64 = 2.0;
+/// Rounds of samples while the best candidate is in trouble.
+const TROUBLE_ROUNDS: usize = 4;
+/// Upstreams looked at when no candidate was fit, at most.
+const MAX_SCAN: usize = 256;
+
+/// Numbers that trade cost of a choice against its quality.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tuning {
+    /// Random candidates at each distance.
+    pub samples: usize,
+    /// Upstreams of a target at each distance that this daemon samples from and polls.
+    pub subset: usize,
+    /// Cost of a prefix that must be computed anew, in requests per slot.
+    pub miss_cost: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            samples: 2,
+            subset: 32,
+            miss_cost: 0.5,
+        }
+    }
+}
+
+/// The best candidate so far.
+#[derive(Debug, Clone, Copy)]
+struct Best {
+    index: UpstreamIndex,
+    cost: f64,
+    load: f64,
+    in_trouble: bool,
+}
+
+/// One choice under way.
+struct Choice<'a> {
+    router: &'a Router,
+    now: Time,
+    demand: &'a Demand<'a>,
+    pool: &'a Candidates,
+    best: Option<Best>,
+}
+
+impl Router {
+    /// Chooses an upstream for a request; tell [`Router::started`] when it is used.
+    ///
+    /// # Errors
+    /// Says why none is fit; nothing has been sent then.
+    pub fn pick(
+        &mut self,
+        now: Time,
+        demand: &Demand<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<UpstreamIndex, NoUpstream> {
+        self.settle(now);
+        let pool = self.candidates.get(demand.target.slot());
+        let pool = pool.ok_or(NoUpstream::UnknownTarget)?;
+        let mut choice = Choice {
+            router: self,
+            now,
+            demand,
+            pool,
+            best: None,
+        };
+        choice.consider_holders();
+        choice.consider_homes();
+        choice.consider_samples(rng);
+        choice.escape_trouble(rng);
+        if choice.best.is_none() {
+            choice.consider_all();
+        }
+        let best = choice.best.ok_or(NoUpstream::NoneLive)?;
+        if demand.priority == Priority::Batch && best.load >= 1.0 {
+            return Err(NoUpstream::Full);
+        }
+        Ok(best.index)
+    }
+}
+
+impl Choice<'_> {
+    /// Upstreams that this daemon sent the longest known prefix to.
+    fn consider_holders(&mut self) {
+        let router = self.router;
+        let target = self.demand.target;
+        let prefixes = self.demand.prefix.iter().rev();
+        let mut held = prefixes.filter_map(|prefix| router.prefixes.holders(target, *prefix));
+        if let Some(holders) = held.next() {
+            for index in holders.iter() {
+                self.consider(index);
+            }
+        }
+    }
+
+    /// Homes of the prefix, the same for every daemon of the region.
+    fn consider_homes(&mut self) {
+        let ring = self.pool.near_ring();
+        for prefix in self.demand.prefix.iter().take(HOME_LEVELS) {
+            for home in 0..PREFIX_HOMES {
+                if let Some(index) = ring.at_point(self.home_point(*prefix, home)) {
+                    self.consider(index);
+                }
+            }
+        }
+    }
+
+    fn home_point(&self, prefix: PrefixHash, home: usize) -> u64 {
+        let key = key_of(self.demand.target, prefix);
+        xxhash_rust::xxh3::xxh3_64_with_seed(&key.to_le_bytes(), home as u64)
+    }
+
+    /// Random ones of the daemon's subset; farther ones only when the nearer are busy.
+    fn consider_samples(&mut self, rng: &mut impl Rng) {
+        for distance in DISTANCES {
+            let busy = self.best.is_none_or(|best| best.load >= SPILL_LOAD);
+            if distance == Distance::Far && !busy {
+                return;
+            }
+            self.consider_sample(self.pool.at(distance), rng);
+        }
+    }
+
+    /// Samples again while the best has failed of late or stands in a suspected domain: with
+    /// a failure domain lost, both of two samples often stand in it.
+    fn escape_trouble(&mut self, rng: &mut impl Rng) {
+        for _ in 0..TROUBLE_ROUNDS {
+            if !self.best.is_some_and(|best| best.in_trouble) {
+                return;
+            }
+            self.consider_samples(rng);
+        }
+    }
+
+    fn consider_sample(&mut self, list: &HashOrder, rng: &mut impl Rng) {
+        let size = list.len().min(self.router.tuning.subset);
+        if size == 0 {
+            return;
+        }
+        for _ in 0..self.router.tuning.samples {
+            let index = list.get(rng.random_range(0..size));
+            if rng.random::<f64>() <= self.ramp(index) {
+                self.consider(index);
+            }
+        }
+    }
+
+    /// Part of its work that one let back a moment ago gets.
+    fn ramp(&self, index: UpstreamIndex) -> f64 {
+        let entry = self.router.entry(index);
+        entry.map_or(0.0, |entry| entry.upstream.health.ramp(self.now))
+    }
+
+    /// Whatever is eligible, when sampling found nothing: most have been tried before.
+    fn consider_all(&mut self) {
+        let pool = self.pool;
+        for distance in DISTANCES {
+            for index in pool.at(distance).first(MAX_SCAN) {
+                self.consider(index);
+            }
+        }
+    }
+
+    fn consider(&mut self, index: UpstreamIndex) {
+        let Some(entry) = self.router.entry(index) else {
+            return;
+        };
+        if !self.is_fit(index, entry) {
+            return;
+        }
+        let load = entry.upstream.load(self.now, self.pool.usual_others);
+        let trouble = self.trouble(entry);
+        let cost = self.cost(index, entry, load) + trouble;
+        if self.best.is_none_or(|best| cost < best.cost) {
+            self.best = Some(Best {
+                index,
+                cost,
+                load,
+                in_trouble: trouble > 0.0,
+            });
+        }
+    }
+
+    fn is_fit(&self, index: UpstreamIndex, entry: &Entry) -> bool {
+        !entry.removed
+            && entry.upstream.health.is_eligible()
+            && entry.upstream.loaded.contains(&self.demand.target)
+            && !self.demand.avoid.contains(&index)
+    }
+
+    /// Cost of a candidate, in requests per slot of a usual upstream.
+    fn cost(&self, index: UpstreamIndex, entry: &Entry, load: f64) -> f64 {
+        let upstream = &entry.upstream;
+        let after = load + 1.0 / f64::from(upstream.slots);
+        let queued = QUEUE_COST * (after - 1.0).max(0.0);
+        let slowness = upstream.slowness(self.pool.per_token);
+        let distance = match entry.ranks.distance {
+            Distance::SameDomain => 0.0,
+            Distance::SameRegion => REGION_COST,
+            Distance::Far => FAR_COST,
+        };
+        (after + queued) * slowness + self.miss_cost(index) + distance
+    }
+
+    /// Cost of recent failures, its own or its failure domain's.
+    fn trouble(&self, entry: &Entry) -> f64 {
+        let own = POINT_COST * f64::from(entry.upstream.health.points());
+        let domain = &self.router.domains[usize::from(entry.upstream.domain)];
+        let suspect = if domain.is_suspect() {
+            SUSPECT_COST
+        } else {
+            0.0
+        };
+        own + suspect
+    }
+
+    /// Cost of the part of the prompt that the candidate is not known to hold.
+    fn miss_cost(&self, index: UpstreamIndex) -> f64 {
+        let levels = self.demand.prefix.len();
+        if levels == 0 {
+            return 0.0;
+        }
+        let prefixes = self.demand.prefix.iter().enumerate().rev();
+        let held = prefixes
+            .filter(|(_, prefix)| self.is_held(**prefix, index))
+            .map(|(level, _)| level + 1)
+            .next();
+        let missing = (levels - held.unwrap_or(0)) as f64 / levels as f64;
+        self.router.tuning.miss_cost * missing
+    }
+
+    /// Sent there by this daemon, or at home there, where the other daemons send it.
+    fn is_held(&self, prefix: PrefixHash, index: UpstreamIndex) -> bool {
+        let holders = self.router.prefixes.holders(self.demand.target, prefix);
+        if holders.is_some_and(|holders| holders.contains(index)) {
+            return true;
+        }
+        let ring = self.pool.near_ring();
+        (0..PREFIX_HOMES).any(|home| ring.at_point(self.home_point(prefix, home)) == Some(index))
+    }
+}
