--- a/components/catalogue/src/entry.rs
+++ b/components/catalogue/src/entry.rs
@@ -160,6 +160,9 @@
     pub address: SocketAddr,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// The region of the failure domain; by default the daemon's own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<Region>,
     /// Requests that it runs at once.
     #[serde(default = "default_slots")]
     pub slots: u32,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,1 +1,18 @@
 //! The daemon assembled: tables, systems and threads.
+//!
+//! Data flows one way: settings are loaded and checked, a [`Node`] is built from them
+//! and serves. The control thread owns the tables and publishes a [`snapshot::Snapshot`];
+//! traffic reads it and tells the control thread what happened as [`event::Event`]s.
+
+mod control;
+mod error;
+pub mod event;
+mod shared;
+pub mod snapshot;
+mod start;
+mod storage;
+pub mod systems;
+pub mod traffic;
+
+pub use error::NodeError;
+pub use start::Node;
--- /dev/null
+++ b/components/node/src/shared.rs
@@ -0,0 +1,70 @@
+//! What the threads of a daemon share.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use requests::budget::RetryBudget;
+use routing::Router;
+use settings::Settings;
+use store::Store;
+use telemetry::metrics::Metrics;
+use types::prelude::*;
+
+use crate::event::Event;
+use crate::snapshot::Snapshot;
+use crate::traffic::pool::Pool;
+
+/// Entries with a retry budget, at most; the catalogue's own bound is lower.
+const MAX_BUDGETS: usize = 4096;
+
+/// What the threads of a daemon share. Locks are held for microseconds, never across
+/// a call of anything outside the process.
+pub struct Shared {
+    /// As loaded.
+    pub settings: Settings,
+    /// The process's clocks.
+    pub clock: Clock,
+    /// Tells this start of the daemon from others.
+    pub incarnation: Incarnation,
+    /// What requests are served from; replaced by the control thread.
+    pub snapshot: ArcSwap<Snapshot>,
+    /// The picture of the upstreams.
+    pub router: Mutex<Router>,
+    /// Threads for requests in flight.
+    pub pool: Pool,
+    /// Keys that sign session tokens.
+    pub session_keys: sessions::token::Keys,
+    /// The platform's key-value service.
+    pub store: Arc<dyn Store>,
+    /// To the control thread.
+    pub events: flume::Sender<Event>,
+    /// What is measured.
+    pub metrics: Arc<Metrics>,
+    /// Retry budgets by entry.
+    pub budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
+}
+
+impl Shared {
+    /// The present moment.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Acts on an entry's retry budget.
+    pub fn with_budget<T>(&self, entry: &EntryName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        if budgets.len() >= MAX_BUDGETS && !budgets.contains_key(entry) {
+            budgets.pop_first();
+        }
+        act(budgets.entry(entry.clone()).or_insert_with(|| RetryBudget::new(now)))
+    }
+}
+
+/// Locks a table. A panic elsewhere does not make the table unusable: each change to a
+/// table is a step that leaves it whole.
+pub fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/components/node/src/start.rs
@@ -0,0 +1,115 @@
+//! Starting and stopping a daemon.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+use arc_swap::ArcSwap;
+use callers::{Callers, Limits};
+use routing::{Place, Router, Tuning};
+use sessions::token::{Key, Keys};
+use settings::Settings;
+use store::{EtcdClient, Store};
+use telemetry::metrics::Metrics;
+use types::prelude::*;
+
+use crate::control::Control;
+use crate::error::NodeError;
+use crate::event::{EVENTS_WAITING, Event};
+use crate::shared::Shared;
+use crate::snapshot::Snapshot;
+use crate::storage::Storage;
+use crate::traffic::Traffic;
+use crate::traffic::pool::Pool;
+
+/// A running daemon.
+pub struct Node {
+    shared: Arc<Shared>,
+    callers: Callers,
+    control: JoinHandle<()>,
+}
+
+impl Node {
+    /// Builds a daemon from checked settings and serves.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on or a thread cannot be started.
+    pub fn start(settings: Settings) -> Result<Self, NodeError> {
+        let (events, events_rx) = flume::bounded(EVENTS_WAITING);
+        let shared = Arc::new(build(settings, events.clone())?);
+        let storage = Storage::start(&shared.store, events)?;
+        let control = Control::new(shared.clone(), storage);
+        let thread = std::thread::Builder::new().name("control".to_owned());
+        let control = thread.spawn(move || control.run(&events_rx))?;
+        let traffic = Arc::new(Traffic::new(shared.clone()));
+        let cfg = &shared.settings.callers;
+        let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
+        tracing::info!("node: {} serves callers on {}", shared.settings.daemon, callers.address());
+        Ok(Self { shared, callers, control })
+    }
+
+    /// Where callers are served.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Leaves: readiness off, serves on while the balancer notices, ends what is in
+    /// flight, then goes.
+    pub fn shutdown(self) {
+        let _ = self.shared.events.send(Event::Leave);
+        std::thread::sleep(self.shared.settings.shutdown.notice.to_duration());
+        self.callers.close();
+        let _ = self.shared.events.send(Event::Stop);
+        let _ = self.control.join();
+        tracing::info!("node: gone");
+    }
+}
+
+fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Shared, NodeError> {
+    let clock = Clock::new();
+    let place = Place {
+        failure_domain: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+    };
+    let router = Router::new(&settings.daemon, place, Tuning::default());
+    Ok(Shared {
+        clock,
+        incarnation: Incarnation(clock.wall().0),
+        snapshot: ArcSwap::from_pointee(Snapshot::default()),
+        router: Mutex::new(router),
+        pool: Pool::new(settings.callers.max_in_flight),
+        session_keys: session_keys(&settings)?,
+        store: open_store(&settings)?,
+        events,
+        metrics: Arc::new(Metrics::new()),
+        budgets: Mutex::new(BTreeMap::new()),
+        settings,
+    })
+}
+
+fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
+    let mut cfg = store::Config::new(settings.store.endpoints.clone());
+    cfg.read_timeout = settings.store.timeout;
+    let client = EtcdClient::new(cfg).map_err(|error| NodeError::Store(error.to_string()))?;
+    Ok(Arc::new(client))
+}
+
+fn session_keys(settings: &Settings) -> Result<Keys, NodeError> {
+    let keys = settings.peers.keys.iter();
+    let keys = keys.map(|key| Key::new(&key.id, key.secret.as_bytes()));
+    let keys = keys.collect::<Result<Vec<_>, _>>().and_then(Keys::new);
+    keys.map_err(|error| NodeError::Keys(error.to_string()))
+}
+
+fn limits(cfg: &settings::model::Callers) -> Limits {
+    Limits {
+        connections: cfg.max_connections,
+        head: cfg.max_head,
+        body: cfg.max_body,
+        head_timeout: cfg.head_timeout,
+        body_timeout: cfg.body_timeout,
+        write_timeout: cfg.write_timeout,
+    }
+}
--- /dev/null
+++ b/components/node/src/systems.rs
@@ -0,0 +1,4 @@
+//! The systems that run over the control thread's tables, one file each.
+
+pub mod catalogue;
+pub mod routing;
