Stand in for the key-value service and the model engines

Change: standins::store (pure Table, StoreServer speaking the etcd v3 JSON gateway, faults, counters) and standins::engine (continuous batching, prefix cache with late and gappy events, orders with fencing, cancel, resume, thirteen faults). Both run on hyper, one thread each: rouille holds streams back and neither it nor tiny_http tells that a client left.

--- /dev/null
+++ b/components/standins/src/engine/cache.rs
@@ -0,0 +1,125 @@
+//! The prefix cache: which beginnings of chats need not be read again.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde_json::{Value, json};
+use types::prelude::*;
+
+use super::text::{Message, prefix_hash};
+
+/// Events kept for readers that come late.
+const MAX_EVENTS: usize = 4096;
+
+#[derive(Debug)]
+struct Cached {
+    tokens: u64,
+    last_used: u64,
+}
+
+#[derive(Debug)]
+struct Event {
+    seq: u64,
+    prefix: u64,
+    stored: bool,
+    told_from: Time,
+}
+
+/// A bounded cache that forgets what was used longest ago.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    max_tokens: u64,
+    lag: Span,
+    gap: u64,
+    tokens: u64,
+    uses: u64,
+    next_seq: u64,
+    prefixes: BTreeMap<u64, Cached>,
+    events: VecDeque<Event>,
+}
+
+impl PrefixCache {
+    pub(super) fn new(max_tokens: u64, lag: Span, gap: u64) -> Self {
+        Self {
+            max_tokens,
+            lag,
+            gap,
+            tokens: 0,
+            uses: 0,
+            next_seq: 1,
+            prefixes: BTreeMap::new(),
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Tokens of a chat's beginning that are cached.
+    pub(super) fn cached_tokens(&self, messages: &[Message]) -> u64 {
+        let mut hash = 0;
+        let mut tokens = 0;
+        for message in messages {
+            hash = prefix_hash(hash, message);
+            if !self.prefixes.contains_key(&hash) {
+                break;
+            }
+            tokens += message.tokens();
+        }
+        tokens
+    }
+
+    /// Holds a chat's beginnings from now on.
+    pub(super) fn store(&mut self, now: Time, messages: &[Message]) {
+        self.uses += 1;
+        let mut hash = 0;
+        for message in messages {
+            hash = prefix_hash(hash, message);
+            let tokens = message.tokens();
+            let last_used = self.uses;
+            let old = self.prefixes.insert(hash, Cached { tokens, last_used });
+            if old.is_none() {
+                self.tokens += tokens;
+                self.event(now, hash, true);
+            }
+        }
+        while self.tokens > self.max_tokens {
+            self.evict(now);
+        }
+    }
+
+    fn evict(&mut self, now: Time) {
+        let oldest = self.prefixes.iter().min_by_key(|(_, c)| c.last_used);
+        let Some((hash, tokens)) = oldest.map(|(hash, c)| (*hash, c.tokens)) else {
+            return;
+        };
+        self.prefixes.remove(&hash);
+        self.tokens -= tokens;
+        self.event(now, hash, false);
+    }
+
+    fn event(&mut self, now: Time, prefix: u64, stored: bool) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        if self.gap > 0 && seq.is_multiple_of(self.gap) {
+            return;
+        }
+        self.events.push_back(Event {
+            seq,
+            prefix,
+            stored,
+            told_from: now + self.lag,
+        });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events after a number that may be told by now.
+    pub(super) fn events_after(&self, now: Time, after: u64) -> Value {
+        let told = self.events.iter().filter(|e| now.has_reached(e.told_from));
+        let told = told.filter(|e| e.seq > after).collect::<Vec<_>>();
+        let next = told.last().map_or(after, |e| e.seq);
+        let events = told.iter().map(|e| {
+            let kind = if e.stored { "stored" } else { "evicted" };
+            json!({ "seq": e.seq, "prefix": format!("{:016x}", e.prefix), "kind": kind })
+        });
+        json!({ "next": next, "events": events.collect::<Vec<_>>() })
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/job.rs
@@ -0,0 +1,161 @@
+//! One request's way from its slot to its answer.
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot};
+
+use super::config::EngineFault;
+use super::text;
+use super::wire::{DONE, Head, Usage};
+use crate::server::{Broken, Piece, break_soon};
+
+/// Changes an answer's hash into that of a request which never was.
+const OTHER_ANSWER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// How an answer that is not streamed ended.
+#[derive(Debug)]
+pub(super) enum Whole {
+    /// With its last token.
+    Finished(String),
+    /// A fault cut it.
+    Cut(String),
+}
+
+/// Where tokens go.
+#[derive(Debug)]
+pub(super) enum Output {
+    Stream(mpsc::UnboundedSender<Piece>),
+    Whole(Option<oneshot::Sender<Whole>>, String),
+}
+
+/// Whether a request goes on after a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    GoesOn,
+    Finished,
+    /// By a fault, or since its client left.
+    Cut,
+    Left,
+}
+
+/// A request that waits or runs, as its answer sees it.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) head: Head,
+    pub(super) answer: u64,
+    /// The next token's place in the answer.
+    pub(super) index: u32,
+    pub(super) length: u32,
+    pub(super) reason: &'static str,
+    pub(super) wants_usage: bool,
+    pub(super) usage: Usage,
+    pub(super) fault: EngineFault,
+    pub(super) output: Output,
+    pub(super) started: Option<oneshot::Sender<bool>>,
+}
+
+impl Task {
+    /// Whether its client left.
+    pub(super) fn is_left(&self) -> bool {
+        let unstarted = self.started.as_ref();
+        if unstarted.is_some_and(oneshot::Sender::is_closed) {
+            return true;
+        }
+        match &self.output {
+            Output::Stream(pieces) => pieces.is_closed(),
+            Output::Whole(done, _) => done.as_ref().is_some_and(oneshot::Sender::is_closed),
+        }
+    }
+
+    /// Makes the next token.
+    pub(super) fn emit(&mut self, bad: bool) -> Progress {
+        if self.cut() {
+            return Progress::Cut;
+        }
+        let token = self.next_token(bad);
+        let first = self.usage.completion == 0;
+        self.usage.completion += 1;
+        let left = match &mut self.output {
+            Output::Stream(pieces) => pieces.send(Ok(self.head.token(&token, first))).is_err(),
+            Output::Whole(_, text) => {
+                text.push_str(&token);
+                false
+            }
+        };
+        if left {
+            return Progress::Left;
+        }
+        if self.index < self.length {
+            return Progress::GoesOn;
+        }
+        self.finish();
+        Progress::Finished
+    }
+
+    fn next_token(&mut self, bad: bool) -> String {
+        if self.fault == EngineFault::CrossedAfter(self.usage.completion) {
+            self.cross();
+        }
+        let index = self.index;
+        self.index += 1;
+        if bad && self.index == self.length {
+            return text::bad_marker();
+        }
+        text::token(self.answer, index, self.length)
+    }
+
+    /// Goes on as if it were another request's answer.
+    pub(super) fn cross(&mut self) {
+        self.head = self.head.of_other();
+        self.answer ^= OTHER_ANSWER;
+    }
+
+    /// Ends it when its fault says so.
+    fn cut(&mut self) -> bool {
+        let done = self.usage.completion;
+        match self.fault {
+            EngineFault::Truncate(after) if done >= after => {}
+            EngineFault::Break(after) if done >= after => {
+                if let Output::Stream(pieces) = &self.output {
+                    break_soon(pieces.clone());
+                }
+            }
+            _ => return false,
+        }
+        if let Output::Whole(sender, text) = &mut self.output
+            && let Some(sender) = sender.take()
+        {
+            let _ = sender.send(Whole::Cut(std::mem::take(text)));
+        }
+        true
+    }
+
+    /// A client that left meanwhile gets nothing more: sends may fail.
+    fn finish(&mut self) {
+        let usage = self.usage;
+        match &mut self.output {
+            Output::Stream(pieces) => {
+                if self.fault != EngineFault::NoFinish {
+                    let _ = pieces.send(Ok(self.head.finish(self.reason)));
+                }
+                let mut end = Vec::new();
+                if self.wants_usage {
+                    end.extend_from_slice(&self.head.usage(usage));
+                }
+                end.extend_from_slice(&DONE);
+                let _ = pieces.send(Ok(Bytes::from(end)));
+            }
+            Output::Whole(sender, text) => {
+                if let Some(sender) = sender.take() {
+                    let _ = sender.send(Whole::Finished(std::mem::take(text)));
+                }
+            }
+        }
+    }
+
+    /// Breaks the connection.
+    pub(super) fn sever(self) {
+        if let Output::Stream(pieces) = self.output {
+            let _ = pieces.send(Err(Broken));
+        }
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/orders.rs
@@ -0,0 +1,131 @@
+//! Orders: which versions are loaded, the role, and the fencing number.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Deserialize;
+use serde_json::json;
+use types::prelude::*;
+
+use super::config::EngineConfig;
+use crate::server::Reply;
+
+/// An order as sent.
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct Order {
+    #[serde(default)]
+    version: Option<VersionId>,
+    #[serde(default)]
+    role: Option<String>,
+    #[serde(default)]
+    fencing: u64,
+}
+
+/// What is loaded, and by whose order.
+#[derive(Debug)]
+pub(super) struct Loaded {
+    versions: BTreeSet<VersionId>,
+    loading: BTreeMap<VersionId, Time>,
+    leaving: bool,
+    fencing: u64,
+    checks_fencing: bool,
+    max_versions: usize,
+    load_time: Span,
+}
+
+impl Loaded {
+    pub(super) fn new(cfg: &EngineConfig) -> Self {
+        Self {
+            versions: cfg.versions.iter().cloned().collect(),
+            loading: BTreeMap::new(),
+            leaving: false,
+            fencing: 0,
+            checks_fencing: cfg.checks_fencing,
+            max_versions: cfg.max_versions,
+            load_time: cfg.load_time,
+        }
+    }
+
+    pub(super) fn has(&self, version: &VersionId) -> bool {
+        self.versions.contains(version)
+    }
+
+    pub(super) fn versions(&self) -> impl Iterator<Item = &VersionId> {
+        self.versions.iter()
+    }
+
+    pub(super) fn loading(&self) -> impl Iterator<Item = &VersionId> {
+        self.loading.keys()
+    }
+
+    pub(super) fn is_loading(&self) -> bool {
+        !self.loading.is_empty()
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    pub(super) fn fencing(&self) -> u64 {
+        self.fencing
+    }
+
+    /// Takes up the versions that have finished loading.
+    pub(super) fn settle(&mut self, now: Time) {
+        let ready = self
+            .loading
+            .extract_if(.., |_, ready| now.has_reached(*ready));
+        self.versions.extend(ready.map(|(version, _)| version));
+    }
+
+    /// Carries out an order; whether it did, and the answer.
+    pub(super) fn order(&mut self, now: Time, kind: &str, order: &Order) -> (bool, Reply) {
+        self.settle(now);
+        if self.checks_fencing && order.fencing < self.fencing {
+            let body = json!({ "fencing": self.fencing });
+            return (false, Reply::json(409, &body));
+        }
+        let reply = match (kind, &order.version, &order.role) {
+            ("load", Some(version), _) => self.load(now, version),
+            ("unload", Some(version), _) => self.unload(version),
+            ("role", _, Some(role)) => self.role(role),
+            _ => Err((400, "the order lacks its version or role")),
+        };
+        match reply {
+            Ok(status) => {
+                self.fencing = order.fencing;
+                (
+                    true,
+                    Reply::json(status, &json!({ "fencing": self.fencing })),
+                )
+            }
+            Err((status, message)) => (false, Reply::json(status, &json!({ "error": message }))),
+        }
+    }
+
+    fn load(&mut self, now: Time, version: &VersionId) -> Result<u16, (u16, &'static str)> {
+        if self.versions.contains(version) || self.loading.contains_key(version) {
+            return Ok(202);
+        }
+        if self.versions.len() + self.loading.len() >= self.max_versions {
+            return Err((507, "no room for another version"));
+        }
+        let ready = now + self.load_time;
+        self.loading.insert(version.clone(), ready);
+        Ok(202)
+    }
+
+    fn unload(&mut self, version: &VersionId) -> Result<u16, (u16, &'static str)> {
+        self.versions.remove(version);
+        self.loading.remove(version);
+        Ok(202)
+    }
+
+    fn role(&mut self, role: &str) -> Result<u16, (u16, &'static str)> {
+        self.leaving = match role {
+            "serve" => false,
+            "leaving" => true,
+            _ => return Err((400, "a role is serve or leaving")),
+        };
+        Ok(200)
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/wire.rs
@@ -0,0 +1,161 @@
+//! OpenAI's chat completions as the stand-in engine reads and writes them.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use types::prelude::*;
+
+use super::text::{Message, partial_tokens};
+
+/// The fields of a request that the engine heeds.
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct ChatRequest {
+    pub(super) model: String,
+    pub(super) messages: Vec<Message>,
+    #[serde(default)]
+    pub(super) stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    pub(super) priority: i64,
+    #[serde(default)]
+    pub(super) continue_final_message: bool,
+    #[serde(default)]
+    stream_options: StreamOptions,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+impl ChatRequest {
+    /// Takes the partial answer off the messages: how many of its tokens are there.
+    pub(super) fn take_partial(&mut self) -> u32 {
+        let is_partial = |m: &Message| m.role == "assistant";
+        if !self.continue_final_message || !self.messages.last().is_some_and(is_partial) {
+            return 0;
+        }
+        let partial = self.messages.pop();
+        partial.map_or(0, |partial| partial_tokens(&partial.text()))
+    }
+
+    /// Tokens asked for, at least one.
+    pub(super) fn tokens(&self, natural: u32) -> u32 {
+        let max = self.max_completion_tokens.or(self.max_tokens);
+        max.unwrap_or(natural).min(natural).max(1)
+    }
+
+    pub(super) fn wants_usage(&self) -> bool {
+        self.stream_options.include_usage
+    }
+}
+
+/// Tokens of one answer, for its usage.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Usage {
+    pub(super) prompt: u64,
+    pub(super) cached: u64,
+    pub(super) completion: u32,
+}
+
+impl Usage {
+    fn json(self) -> Value {
+        let completion = u64::from(self.completion);
+        json!({
+            "prompt_tokens": self.prompt,
+            "completion_tokens": completion,
+            "total_tokens": self.prompt + completion,
+            "prompt_tokens_details": { "cached_tokens": self.cached },
+        })
+    }
+}
+
+/// What is the same in every chunk of an answer.
+#[derive(Debug, Clone)]
+pub(super) struct Head {
+    /// JSON text of the id, with its quotes.
+    id: String,
+    model: String,
+}
+
+impl Head {
+    pub(super) fn new(id: &str, version: &VersionId) -> Self {
+        Self {
+            id: Value::from(id).to_string(),
+            model: Value::from(version.to_string()).to_string(),
+        }
+    }
+
+    /// The head of another request's answer.
+    pub(super) fn of_other(&self) -> Self {
+        Self {
+            id: OTHER_ID.to_owned(),
+            model: self.model.clone(),
+        }
+    }
+
+    /// A chunk with a piece of text. The text needs no escapes.
+    pub(super) fn token(&self, text: &str, first: bool) -> Bytes {
+        let role = if first { r#""role":"assistant","# } else { "" };
+        self.chunk(&format!(
+            r#"[{{"index":0,"delta":{{{role}"content":"{text}"}},"finish_reason":null}}]"#
+        ))
+    }
+
+    pub(super) fn finish(&self, reason: &str) -> Bytes {
+        self.chunk(&format!(
+            r#"[{{"index":0,"delta":{{}},"finish_reason":"{reason}"}}]"#
+        ))
+    }
+
+    pub(super) fn usage(&self, usage: Usage) -> Bytes {
+        self.chunk(&format!(r#"[],"usage":{}"#, usage.json()))
+    }
+
+    fn chunk(&self, choices: &str) -> Bytes {
+        let (id, model) = (&self.id, &self.model);
+        Bytes::from(format!(
+            "data: {{\"id\":{id},\"object\":\"chat.completion.chunk\",\"created\":0,\
+             \"model\":{model},\"choices\":{choices}}}\n\n"
+        ))
+    }
+}
+
+/// JSON text of the id in a crossed answer.
+const OTHER_ID: &str = "\"of-another-request\"";
+/// The id in a crossed answer.
+pub(super) const OTHER_REQUEST: &str = "of-another-request";
+
+/// Ends a stream.
+pub(super) const DONE: Bytes = Bytes::from_static(b"data: [DONE]\n\n");
+
+/// A whole answer's body.
+pub(super) fn completion(
+    id: &str,
+    version: &VersionId,
+    text: &str,
+    reason: &str,
+    usage: Usage,
+) -> Value {
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "created": 0,
+        "model": version.to_string(),
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": reason,
+        }],
+        "usage": usage.json(),
+    })
+}
+
+/// An error in OpenAI's shape.
+pub(super) fn error(kind: &str, code: &str, message: &str) -> Value {
+    json!({ "error": { "message": message, "type": kind, "param": null, "code": code } })
+}
--- /dev/null
+++ b/components/standins/tests/engine.rs
@@ -0,0 +1,207 @@
+//! The stand-in engine over HTTP.
+
+use serde_json::{Value, json};
+use standins::engine::text::{self, Message};
+use standins::engine::{Engine, EngineConfig, EngineFault};
+use types::prelude::*;
+
+fn version() -> VersionId {
+    "brief-large@2026-11".parse().unwrap()
+}
+
+fn config() -> EngineConfig {
+    EngineConfig {
+        versions: vec![version()],
+        ..EngineConfig::default()
+    }
+}
+
+fn start() -> Engine {
+    Engine::start(config()).unwrap()
+}
+
+fn chat(stream: bool) -> Value {
+    json!({
+        "model": version(),
+        "messages": [{ "role": "user", "content": "tag-1 write a brief" }],
+        "max_tokens": 6,
+        "stream": stream,
+    })
+}
+
+fn send(engine: &Engine, path: &str, body: &Value) -> attohttpc::Result<attohttpc::Response> {
+    let url = format!("http://{}{path}", engine.address());
+    let request = attohttpc::post(url).header("X-Request-Id", "attempt-1");
+    request.json(body)?.send()
+}
+
+fn ask(engine: &Engine, body: &Value) -> attohttpc::Result<attohttpc::Response> {
+    send(engine, "/v1/chat/completions", body)
+}
+
+fn expected() -> String {
+    let messages = [Message::new("user", "tag-1 write a brief")];
+    text::answer(&version(), &messages, 6)
+}
+
+/// A stream's text and whether it had its end marker.
+fn streamed(body: &str) -> (String, bool) {
+    let data = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.clone().filter(|data| *data != "[DONE]");
+    let texts = chunks.filter_map(|data| {
+        let chunk = serde_json::from_str::<Value>(data).unwrap();
+        let text = chunk["choices"][0]["delta"]["content"].as_str();
+        text.map(str::to_owned)
+    });
+    let text = texts.collect::<String>();
+    (text, data.clone().next_back() == Some("[DONE]"))
+}
+
+#[test]
+fn can_answer_whole_and_streamed() {
+    let engine = start();
+    let whole = ask(&engine, &chat(false)).unwrap();
+    assert_eq!(whole.headers()["x-request-id"], "attempt-1");
+    assert_eq!(whole.headers()["x-engine-load"], "0/16/0");
+    let whole = whole.json::<Value>().unwrap();
+    assert_eq!(whole["id"], "attempt-1");
+    assert_eq!(whole["choices"][0]["message"]["content"], expected());
+    assert_eq!(whole["usage"]["completion_tokens"], 6);
+    let stream = ask(&engine, &chat(true)).unwrap().text().unwrap();
+    assert_eq!(streamed(&stream), (expected(), true));
+    assert_eq!(engine.runs().len(), 2);
+    assert_eq!(engine.runs()[0].tag, "tag-1");
+}
+
+#[test]
+fn can_resume_a_partial_answer() {
+    let engine = start();
+    let partial = expected().split_inclusive(' ').take(2).collect::<String>();
+    let mut body = chat(false);
+    body["continue_final_message"] = json!(true);
+    body["max_tokens"] = json!(4);
+    let messages = body["messages"].as_array_mut().unwrap();
+    messages.push(json!({ "role": "assistant", "content": partial }));
+    let rest = ask(&engine, &body).unwrap().json::<Value>().unwrap();
+    let rest = rest["choices"][0]["message"]["content"].as_str().unwrap();
+    assert_eq!(partial + rest, expected());
+    assert!(engine.runs()[0].resumed);
+}
+
+#[test]
+fn errors_before_and_after_a_run() {
+    let engine = start();
+    let faults = [
+        EngineFault::RefuseNotRun,
+        EngineFault::Refuse,
+        EngineFault::RefuseAfterRun,
+    ];
+    let refused = faults.map(|fault| {
+        engine.fail_next(fault);
+        let response = ask(&engine, &chat(true)).unwrap();
+        let not_run = response.headers().contains_key("x-not-run");
+        (response.status().as_u16(), not_run, engine.counters().runs)
+    });
+    assert_eq!(refused, [(503, true, 0), (503, false, 0), (503, false, 1)]);
+    for (fault, runs) in [(EngineFault::ResetBefore, 1), (EngineFault::ResetAfter, 2)] {
+        engine.fail_next(fault);
+        assert!(ask(&engine, &chat(true)).is_err());
+        assert_eq!(engine.counters().runs, runs);
+    }
+}
+
+#[test]
+fn errors_by_cut_and_crossed_answers() {
+    let engine = start();
+    engine.fail_next(EngineFault::Truncate(2));
+    let cut = ask(&engine, &chat(true)).unwrap().text().unwrap();
+    assert!(matches!(streamed(&cut), (text, false) if expected().starts_with(&text)));
+    engine.fail_next(EngineFault::Break(2));
+    assert!(ask(&engine, &chat(true)).unwrap().text().is_err());
+    engine.fail_next(EngineFault::Break(2));
+    let whole = ask(&engine, &chat(false)).unwrap();
+    let announced = whole.headers()["content-length"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    assert!(whole.bytes().unwrap().len() < announced.parse::<usize>().unwrap());
+    engine.fail_next(EngineFault::Crossed);
+    let crossed = ask(&engine, &chat(false)).unwrap().json::<Value>().unwrap();
+    assert_ne!(crossed["id"], "attempt-1");
+    assert_ne!(crossed["choices"][0]["message"]["content"], expected());
+    engine.fail_next(EngineFault::CrossedAfter(3));
+    let crossed = ask(&engine, &chat(true)).unwrap().text().unwrap();
+    assert!(crossed.contains("attempt-1") && crossed.contains("of-another-request"));
+}
+
+#[test]
+fn can_free_the_slot_of_a_client_that_left() {
+    // A caller leaves in the middle of a stalled stream and of a queued request; the next
+    // caller is served although the engine has a single slot.
+    let engine = Engine::start(EngineConfig {
+        slots: 1,
+        ..config()
+    })
+    .unwrap();
+    engine.fail_next(EngineFault::Stall(1));
+    let stalled = ask(&engine, &chat(true)).unwrap();
+    drop(stalled);
+    let next = ask(&engine, &chat(false)).unwrap();
+    assert_eq!(next.status().as_u16(), 200);
+    assert_eq!(engine.counters().cancelled, 1);
+}
+
+#[test]
+fn can_take_orders_and_refuse_old_ones() {
+    let engine = Engine::start(EngineConfig {
+        load_time: Span::ZERO,
+        ..config()
+    })
+    .unwrap();
+    let load = |fencing: u64| json!({ "version": "brief-large@2026-12", "fencing": fencing });
+    let status = |response: attohttpc::Response| response.status().as_u16();
+    assert_eq!(
+        status(send(&engine, "/orders/load", &load(7)).unwrap()),
+        202
+    );
+    let old = send(&engine, "/orders/unload", &load(6)).unwrap();
+    assert_eq!(old.status().as_u16(), 409);
+    assert_eq!(old.json::<Value>().unwrap(), json!({ "fencing": 7 }));
+    let mut body = chat(false);
+    body["model"] = json!("brief-large@2026-12");
+    assert_eq!(status(ask(&engine, &body).unwrap()), 200);
+    let leaving = json!({ "role": "leaving", "fencing": 8 });
+    assert_eq!(
+        status(send(&engine, "/orders/role", &leaving).unwrap()),
+        200
+    );
+    let refused = ask(&engine, &body).unwrap();
+    assert_eq!(refused.headers()["x-not-run"], "true");
+    body["model"] = json!("brief-large@2020-01");
+    let url = format!("http://{}/load", engine.address());
+    let report = attohttpc::get(url).send().unwrap().json::<Value>().unwrap();
+    assert_eq!(report["leaving"], true);
+    assert_eq!(report["versions"].as_array().unwrap().len(), 2);
+}
+
+#[test]
+fn can_tell_cache_events_with_gaps() {
+    let engine = Engine::start(EngineConfig {
+        cache_event_lag: Span::ZERO,
+        cache_event_gap: 3,
+        cache_tokens: 12,
+        ..config()
+    })
+    .unwrap();
+    for n in 0..4 {
+        let mut body = chat(false);
+        body["messages"][0]["content"] = json!(format!("prompt number {n} of four"));
+        ask(&engine, &body).unwrap();
+    }
+    let url = format!("http://{}/cache/events?after=1", engine.address());
+    let events = attohttpc::get(url).send().unwrap().json::<Value>().unwrap();
+    let events = events["events"].as_array().unwrap();
+    let seqs = events.iter().map(|e| e["seq"].as_u64().unwrap());
+    assert!(seqs.clone().all(|seq| seq % 3 != 0));
+    assert!(events.iter().any(|e| e["kind"] == "evicted"));
+}
