--- /dev/null
+++ b/components/standins/src/hosts.rs
@@ -0,0 +1,147 @@
+//! Stand-in of the platform's list of live and leaving hosts, which lags.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde_json::{Value, json};
+use types::prelude::*;
+
+use crate::server::{Call, Handler, Reply, Server};
+
+/// How a stand-in host list is started.
+#[derive(Debug, Clone)]
+pub struct HostsConfig {
+    /// Where to listen; port 0 lets the kernel choose.
+    pub address: SocketAddr,
+    /// Changes show so much later.
+    pub lag: Span,
+    /// Live hosts at the start.
+    pub live: Vec<SocketAddr>,
+}
+
+impl Default for HostsConfig {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            lag: Span::from_secs(1),
+            live: Vec::new(),
+        }
+    }
+}
+
+/// What the list says of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostState {
+    /// It is up.
+    Live,
+    /// It will go soon.
+    Leaving,
+    /// It is not listed.
+    Gone,
+}
+
+/// A running stand-in host list.
+#[derive(Debug)]
+pub struct HostList {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl HostList {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub fn start(cfg: &HostsConfig) -> io::Result<Self> {
+        let live = cfg.live.iter().map(|host| (*host, HostState::Live));
+        let shared = Arc::new(Shared {
+            clock: Clock::new(),
+            lag: cfg.lag,
+            state: Mutex::new(State {
+                shown: live.collect(),
+                ..State::default()
+            }),
+        });
+        let server = Server::start("hosts", cfg.address, Arc::clone(&shared))?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes a host's state, seen by readers after the lag.
+    pub fn set(&self, host: SocketAddr, state: HostState) {
+        let shown_from = self.shared.clock.now() + self.shared.lag;
+        let mut held = self.shared.lock();
+        held.coming.push_back((shown_from, host, state));
+    }
+
+    /// Closes connections without an answer, or no longer.
+    pub fn set_down(&self, down: bool) {
+        self.shared.lock().down = down;
+    }
+
+    /// Stops at once.
+    pub fn stop(&mut self) {
+        self.server.stop();
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    lag: Span,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    shown: BTreeMap<SocketAddr, HostState>,
+    coming: VecDeque<(Time, SocketAddr, HostState)>,
+    down: bool,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn settle(&mut self, now: Time) {
+        while self.coming.front().is_some_and(|c| now.has_reached(c.0)) {
+            if let Some((_, host, state)) = self.coming.pop_front() {
+                self.shown.insert(host, state);
+            }
+        }
+    }
+
+    fn list(&self) -> Value {
+        let hosts = self.shown.iter().filter_map(|(host, state)| {
+            let state = match state {
+                HostState::Live => "live",
+                HostState::Leaving => "leaving",
+                HostState::Gone => return None,
+            };
+            Some(json!({ "address": host, "state": state }))
+        });
+        json!({ "hosts": hosts.collect::<Vec<_>>() })
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(self: Arc<Self>, _: Call) -> Option<Reply> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.down {
+            return None;
+        }
+        state.settle(now);
+        Some(Reply::json(200, &state.list()))
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -7,5 +7,10 @@
 //! and to send each event of a stream at once; rouille does neither.
 
 pub mod engine;
+pub mod hosts;
+mod limit;
+pub mod plain;
+pub mod rater;
 pub mod server;
 pub mod store;
+pub mod weights;
--- /dev/null
+++ b/components/standins/src/limit.rs
@@ -0,0 +1,46 @@
+//! Rate caps of the stand-in services.
+
+use serde_json::json;
+use types::prelude::*;
+
+use crate::server::Reply;
+
+/// So many calls in each second of the stand-in's clock.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RateCap {
+    max: u32,
+    second: u64,
+    calls: u32,
+}
+
+impl RateCap {
+    /// Calls a second, 0 for no cap.
+    pub(crate) fn new(max: u32) -> Self {
+        Self {
+            max,
+            ..Self::default()
+        }
+    }
+
+    /// Counts a call; false when it is one too many.
+    pub(crate) fn take(&mut self, now: Time) -> bool {
+        let second = now.since(Time::ZERO).as_millis() / 1_000;
+        if second != self.second {
+            self.second = second;
+            self.calls = 0;
+        }
+        self.calls += 1;
+        self.max == 0 || self.calls <= self.max
+    }
+
+    /// Changes the cap.
+    pub(crate) fn set(&mut self, max: u32) {
+        self.max = max;
+    }
+}
+
+/// 429 with a time to come back.
+pub(crate) fn too_many() -> Reply {
+    let body = json!({ "error": "too many requests" });
+    Reply::json(429, &body).with("retry-after", 1)
+}
--- a/components/standins/src/store/server.rs
+++ b/components/standins/src/store/server.rs
@@ -12,6 +12,7 @@
 
 use super::json::{self, BadRequest};
 use super::table::{Change, LEASE_NOT_FOUND, RawOp, RawReply, RawTxn, Table};
+use crate::limit::RateCap;
 use crate::server::{Call, Handler, Piece, Reply, Server};
 
 /// How often lapsed leases and left watches are looked for.
@@ -162,7 +163,8 @@
     counters: StoreCounters,
     watchers: Vec<Watcher>,
     published: i64,
-    caps: Caps,
+    reads: RateCap,
+    writes: RateCap,
 }
 
 #[derive(Debug)]
@@ -172,14 +174,6 @@
     lines: mpsc::UnboundedSender<Piece>,
 }
 
-/// Calls of the present second.
-#[derive(Debug, Default)]
-struct Caps {
-    second: u64,
-    reads: u32,
-    writes: u32,
-}
-
 /// One call, understood.
 #[derive(Debug, Clone)]
 enum Command {
@@ -291,20 +285,13 @@
     }
 
     fn is_capped(&mut self, writes: bool, now: Time) -> bool {
-        let second = now.since(Time::ZERO).as_millis() / 1_000;
-        if second != self.caps.second {
-            self.caps = Caps {
-                second,
-                ..Caps::default()
-            };
-        }
-        let (count, max) = if writes {
-            (&mut self.caps.writes, self.faults.max_writes)
+        let (cap, max) = if writes {
+            (&mut self.writes, self.faults.max_writes)
         } else {
-            (&mut self.caps.reads, self.faults.max_reads)
+            (&mut self.reads, self.faults.max_reads)
         };
-        *count += 1;
-        max > 0 && *count > max
+        cap.set(max);
+        !cap.take(now)
     }
 
     fn run(&mut self, now: Time, command: &Command) -> Reply {
