Call engines and plain services, and tell exactly what is known of a failure

Cause: a retry after a false 'not run' doubles work, and a cut or crossed answer taken for whole reaches a caller. Change: components/engine: Client::chat (whole and streamed), plain, load_report, order_*, cache_events over attohttpc. Each call has a connection of its own. Guards: the first written byte is marked, redirects and environment proxies are off, announced length, finish reason, end marker and echoed id are checked.

--- /dev/null
+++ b/components/engine/src/orders.rs
@@ -0,0 +1,230 @@
+//! Load reports, orders and cache events of engines.
+
+use std::net::SocketAddr;
+
+use attohttpc::Method;
+use attohttpc::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use types::prelude::*;
+
+use crate::call::{Call, Client, ends};
+use crate::chat::read_json;
+use crate::error::{AttemptError, Doubt, OrderError};
+
+/// What an engine says of its load.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+    /// Versions that it can run.
+    pub versions: Vec<VersionId>,
+    /// Versions that it is loading.
+    #[serde(default)]
+    pub loading: Vec<VersionId>,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// The fencing number of the last order.
+    #[serde(default)]
+    pub fencing: u64,
+}
+
+/// What an engine is told to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Takes work.
+    Serve,
+    /// Ends what it has and takes nothing new.
+    Leaving,
+}
+
+/// Changes of an engine's prefix cache; some may be missing.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct CacheEvents {
+    /// To ask after next time.
+    pub next: u64,
+    /// In order.
+    pub events: Vec<CacheEvent>,
+}
+
+/// A change of an engine's prefix cache.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct CacheEvent {
+    /// Its number; a gap means lost events.
+    pub seq: u64,
+    /// Hash of the prefix, hexadecimal.
+    pub prefix: String,
+    /// What happened.
+    pub kind: CacheEventKind,
+}
+
+/// What happened to a prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheEventKind {
+    /// It is cached now.
+    Stored,
+    /// It is no longer cached.
+    Evicted,
+}
+
+#[derive(Debug, Serialize)]
+struct VersionOrder<'a> {
+    version: &'a VersionId,
+    fencing: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct RoleOrder {
+    role: Role,
+    fencing: u64,
+}
+
+impl Client {
+    /// Asks an engine for its load.
+    ///
+    /// # Errors
+    /// When no readable report comes in time.
+    pub fn load_report(
+        &self,
+        upstream: SocketAddr,
+        timeout: Span,
+    ) -> Result<LoadReport, AttemptError> {
+        self.get(upstream, "/load", timeout)
+    }
+
+    /// Asks an engine for the changes of its prefix cache after a number.
+    ///
+    /// # Errors
+    /// When no readable list comes in time.
+    pub fn cache_events(
+        &self,
+        upstream: SocketAddr,
+        after: u64,
+        timeout: Span,
+    ) -> Result<CacheEvents, AttemptError> {
+        self.get(upstream, &format!("/cache/events?after={after}"), timeout)
+    }
+
+    /// Orders an engine to load a version. Safe to repeat.
+    ///
+    /// # Errors
+    /// When it refuses, or nothing is known.
+    pub fn order_load(
+        &self,
+        upstream: SocketAddr,
+        version: &VersionId,
+        fencing: u64,
+        timeout: Span,
+    ) -> Result<(), OrderError> {
+        let order = VersionOrder { version, fencing };
+        self.order(upstream, "/orders/load", &order, timeout)
+    }
+
+    /// Orders an engine to unload a version. Safe to repeat.
+    ///
+    /// # Errors
+    /// When it refuses, or nothing is known.
+    pub fn order_unload(
+        &self,
+        upstream: SocketAddr,
+        version: &VersionId,
+        fencing: u64,
+        timeout: Span,
+    ) -> Result<(), OrderError> {
+        let order = VersionOrder { version, fencing };
+        self.order(upstream, "/orders/unload", &order, timeout)
+    }
+
+    /// Orders an engine to change its role. Safe to repeat.
+    ///
+    /// # Errors
+    /// When it refuses, or nothing is known.
+    pub fn order_role(
+        &self,
+        upstream: SocketAddr,
+        role: Role,
+        fencing: u64,
+        timeout: Span,
+    ) -> Result<(), OrderError> {
+        let order = RoleOrder { role, fencing };
+        self.order(upstream, "/orders/role", &order, timeout)
+    }
+
+    fn get<T: serde::de::DeserializeOwned>(
+        &self,
+        upstream: SocketAddr,
+        path: &str,
+        timeout: Span,
+    ) -> Result<T, AttemptError> {
+        let ends = ends(timeout);
+        let response = self.send(&short_call(
+            upstream,
+            Method::GET,
+            path,
+            Bytes::new(),
+            timeout,
+        ))?;
+        match read_json::<Value>(response, ends).map_err(AttemptError::Unknown)? {
+            (200, value) => serde_json::from_value(value)
+                .map_err(|e| AttemptError::Unknown(Doubt::Malformed(e.to_string()))),
+            (status, value) => Err(AttemptError::Status {
+                status,
+                message: value.to_string(),
+                retry_after: None,
+            }),
+        }
+    }
+
+    fn order(
+        &self,
+        upstream: SocketAddr,
+        path: &str,
+        order: &impl Serialize,
+        timeout: Span,
+    ) -> Result<(), OrderError> {
+        let no_answer = |e: &dyn std::fmt::Display| OrderError::NoAnswer(e.to_string());
+        let ends = ends(timeout);
+        let body = serde_json::to_vec(order).map_err(|e| no_answer(&e))?;
+        let call = short_call(upstream, Method::POST, path, body.into(), timeout);
+        let response = self.send(&call).map_err(|e| no_answer(&e))?;
+        let answer = read_json::<Value>(response, ends);
+        match answer.map_err(|e| no_answer(&e))? {
+            (200 | 202, _) => Ok(()),
+            (409, value) if value["fencing"].is_u64() => Err(OrderError::Fenced {
+                held: value["fencing"].as_u64().unwrap_or(0),
+            }),
+            (status, value) => Err(OrderError::Refused {
+                status,
+                message: value.to_string(),
+            }),
+        }
+    }
+}
+
+fn short_call(
+    upstream: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    timeout: Span,
+) -> Call<'_> {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Call {
+        upstream,
+        method,
+        path,
+        headers,
+        body,
+        read_timeout: timeout.to_duration(),
+        deadline: timeout.to_duration(),
+    }
+}
--- /dev/null
+++ b/components/engine/tests/attempts.rs
@@ -0,0 +1,316 @@
+//! What the client says of an attempt under each fault of an engine.
+
+use std::net::{SocketAddr, TcpListener};
+
+use bytes::Bytes;
+use engine::{
+    AttemptError, ChatAnswer, ChatRequest, Client, ClientConfig, Doubt, Event, Stream, rewrite_id,
+};
+use serde_json::json;
+use standins::engine::text::{self, Message};
+use standins::engine::{Engine, EngineConfig, EngineFault};
+use types::prelude::*;
+
+const ATTEMPT: &str = "attempt-7";
+const TOKENS: u32 = 6;
+
+fn version() -> VersionId {
+    "tariff-large@2026-11".parse().unwrap()
+}
+
+fn start() -> Engine {
+    Engine::start(EngineConfig {
+        versions: vec![version()],
+        ..EngineConfig::default()
+    })
+    .unwrap()
+}
+
+fn body(stream: bool) -> Bytes {
+    let body = json!({
+        "model": version(),
+        "messages": [{ "role": "user", "content": "notice-1 draft" }],
+        "max_tokens": TOKENS,
+        "stream": stream,
+        "stream_options": if stream { json!({ "include_usage": true }) } else { json!({}) },
+    });
+    body.to_string().into()
+}
+
+fn expected() -> String {
+    text::answer(
+        &version(),
+        &[Message::new("user", "notice-1 draft")],
+        TOKENS,
+    )
+}
+
+fn request<'a>(body: Bytes, stream: bool) -> ChatRequest<'a> {
+    ChatRequest {
+        attempt: ATTEMPT,
+        body,
+        deadline: Span::from_secs(20),
+        stall: Span::from_secs(20),
+        stream,
+    }
+}
+
+fn ask(address: SocketAddr, stream: bool) -> Result<ChatAnswer, AttemptError> {
+    Client::default().chat(address, &request(body(stream), stream))
+}
+
+fn ask_whole(address: SocketAddr) -> Result<engine::Answer, AttemptError> {
+    match ask(address, false)? {
+        ChatAnswer::Whole(answer) => Ok(answer),
+        ChatAnswer::Stream(_) => panic!("no stream was asked for"),
+    }
+}
+
+fn ask_stream(address: SocketAddr) -> Result<Stream, AttemptError> {
+    match ask(address, true)? {
+        ChatAnswer::Stream(stream) => Ok(stream),
+        ChatAnswer::Whole(_) => panic!("a stream was asked for"),
+    }
+}
+
+/// A stream's text, and how it ended.
+fn drain(mut stream: Stream) -> (String, Result<(), AttemptError>) {
+    let mut all = String::new();
+    loop {
+        match stream.next_event() {
+            Ok(Event::Delta { text, .. } | Event::Finish { text, .. }) => all.push_str(&text),
+            Ok(Event::Usage { usage, .. }) => assert_eq!(usage.completion, Tokens(6)),
+            Ok(Event::Done) => return (all, Ok(())),
+            Err(e) => return (all, Err(e)),
+        }
+    }
+}
+
+fn failed(engine: &Engine, fault: EngineFault) -> AttemptError {
+    engine.fail_next(fault);
+    ask_whole(engine.address()).unwrap_err()
+}
+
+fn failed_stream(engine: &Engine, fault: EngineFault) -> (String, AttemptError) {
+    engine.fail_next(fault);
+    let (text, end) = drain(ask_stream(engine.address()).unwrap());
+    (text, end.unwrap_err())
+}
+
+#[test]
+fn can_take_whole_answers() {
+    let engine = start();
+    let answer = ask_whole(engine.address()).unwrap();
+    assert_eq!(answer.text, expected());
+    assert_eq!(answer.usage.completion, Tokens(6));
+    assert_eq!(answer.finish, "length");
+    assert_eq!(answer.load.unwrap().slots, 16);
+    let rewritten = rewrite_id(&answer.body, ATTEMPT, "req-1");
+    let rewritten = serde_json::from_slice::<serde_json::Value>(&rewritten).unwrap();
+    assert_eq!(rewritten["id"], "req-1");
+}
+
+#[test]
+fn can_take_streams() {
+    let engine = start();
+    let (text, end) = drain(ask_stream(engine.address()).unwrap());
+    assert_eq!((text, end), (expected(), Ok(())));
+}
+
+#[test]
+fn errors_as_not_sent_without_connection() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = ask_whole(address).unwrap_err();
+    assert!(matches!(error, AttemptError::NotSent(_)), "{error}");
+    assert_eq!(error.run(), RunState::No);
+}
+
+#[test]
+fn errors_as_not_run_only_when_the_engine_says_so() {
+    // A booking is made twice: the engine's 503 came after it had run, and was taken for
+    // "not run" and tried elsewhere. Only the engine's own mark says that it was not begun.
+    let engine = start();
+    let marked = failed(&engine, EngineFault::RefuseNotRun);
+    assert!(matches!(marked, AttemptError::NotRun { .. }), "{marked}");
+    assert_eq!(marked.run(), RunState::No);
+    for fault in [EngineFault::Refuse, EngineFault::RefuseAfterRun] {
+        let error = failed(&engine, fault);
+        assert!(matches!(error, AttemptError::Status { status: 503, .. }));
+        assert_eq!(error.run(), RunState::Unknown);
+    }
+    assert_eq!(engine.counters().runs, 1);
+}
+
+#[test]
+fn errors_as_not_run_when_the_version_is_not_loaded() {
+    let engine = Engine::start(EngineConfig::default()).unwrap();
+    let error = ask_whole(engine.address()).unwrap_err();
+    assert_eq!(error, AttemptError::NotLoaded);
+    assert_eq!(error.run(), RunState::No);
+}
+
+#[test]
+fn errors_as_unknown_after_a_reset() {
+    // The connection closes after the request was written, before or after the run: from
+    // here the two look the same, so neither may be called "not run".
+    let engine = start();
+    for fault in [EngineFault::ResetBefore, EngineFault::ResetAfter] {
+        let error = failed(&engine, fault);
+        assert_eq!(error, AttemptError::Unknown(Doubt::Closed));
+        assert_eq!(error.run(), RunState::Unknown);
+    }
+    assert_eq!(engine.counters().runs, 1);
+}
+
+#[test]
+fn errors_as_unknown_after_a_timeout() {
+    let engine = start();
+    engine.fail_next(EngineFault::Late(Span::from_secs(60)));
+    let hasty = ChatRequest {
+        deadline: Span::from_millis(100),
+        ..request(body(false), false)
+    };
+    let error = Client::default().chat(engine.address(), &hasty);
+    assert_eq!(error.unwrap_err(), AttemptError::Unknown(Doubt::TimedOut));
+}
+
+#[test]
+fn errors_on_cut_streams() {
+    // An inspector signs half a notice: the stream stopped in its middle and the end was
+    // taken for its proper one. Each way of stopping early is told from the end marker.
+    let engine = start();
+    let cuts = [
+        (EngineFault::Truncate(3), Doubt::NoEnd),
+        (EngineFault::Break(3), Doubt::Closed),
+    ];
+    for (fault, cause) in cuts {
+        let (text, error) = failed_stream(&engine, fault);
+        assert!(expected().starts_with(&text));
+        let delivered = 3;
+        assert_eq!(error, AttemptError::Truncated { delivered, cause });
+        assert_eq!(error.run(), RunState::Yes);
+    }
+}
+
+#[test]
+fn errors_on_streams_without_finish_reason() {
+    // The engine loses an answer's last chunk but sends the end marker: the text may lack
+    // its end, and only the missing finish reason shows it.
+    let engine = start();
+    let (_, error) = failed_stream(&engine, EngineFault::NoFinish);
+    let cause = Doubt::NoEnd;
+    assert!(matches!(error, AttemptError::Truncated { cause: c, .. } if c == cause));
+}
+
+#[test]
+fn errors_on_stalled_streams() {
+    let engine = start();
+    engine.fail_next(EngineFault::Stall(2));
+    let impatient = ChatRequest {
+        stall: Span::from_millis(100),
+        ..request(body(true), true)
+    };
+    let answer = Client::default()
+        .chat(engine.address(), &impatient)
+        .unwrap();
+    let ChatAnswer::Stream(stream) = answer else {
+        panic!("a stream was asked for");
+    };
+    let (_, end) = drain(stream);
+    let delivered = 2;
+    let cause = Doubt::TimedOut;
+    assert_eq!(end, Err(AttemptError::Truncated { delivered, cause }));
+}
+
+#[test]
+fn errors_on_whole_answers_cut_short() {
+    // A caller gets half a JSON text with status 200: the connection closed early, and the
+    // HTTP library ends a body of announced length quietly.
+    let engine = start();
+    let error = failed(&engine, EngineFault::Break(2));
+    let cause = Doubt::Closed;
+    assert_eq!(
+        error,
+        AttemptError::Truncated {
+            delivered: 0,
+            cause
+        }
+    );
+}
+
+#[test]
+fn errors_on_crossed_answers() {
+    // A principal reads another school's brief: the engine answered on the wrong
+    // connection, at once or in the middle of a stream. The echoed id tells.
+    let engine = start();
+    let error = failed(&engine, EngineFault::Crossed);
+    assert!(matches!(error, AttemptError::Crossed { delivered: 0, .. }));
+    engine.fail_next(EngineFault::Crossed);
+    let error = ask_stream(engine.address()).unwrap_err();
+    assert!(matches!(error, AttemptError::Crossed { delivered: 0, .. }));
+    let (text, error) = failed_stream(&engine, EngineFault::CrossedAfter(2));
+    assert!(matches!(error, AttemptError::Crossed { delivered: 2, .. }));
+    assert!(expected().starts_with(&text));
+}
+
+#[test]
+fn errors_on_answers_beyond_the_bound() {
+    let engine = start();
+    let client = Client::new(ClientConfig {
+        max_answer: ByteSize(64),
+        max_event: ByteSize(64),
+        ..ClientConfig::default()
+    });
+    for stream in [false, true] {
+        let answer = client.chat(engine.address(), &request(body(stream), stream));
+        let error = match answer {
+            Ok(ChatAnswer::Stream(stream)) => drain(stream).1.unwrap_err(),
+            Ok(ChatAnswer::Whole(_)) => panic!("the answer is larger than the bound"),
+            Err(error) => error,
+        };
+        let cause = Doubt::TooLarge(ByteSize(64));
+        assert_eq!(
+            error,
+            AttemptError::Truncated {
+                delivered: 0,
+                cause
+            }
+        );
+    }
+}
+
+#[test]
+fn errors_when_the_engine_dies_in_a_stream() {
+    let engine = start();
+    engine.fail_next(EngineFault::Stall(2));
+    let mut stream = ask_stream(engine.address()).unwrap();
+    stream.next_event().unwrap();
+    stream.next_event().unwrap();
+    engine.set_faults(|faults| faults.down = true);
+    let error = stream.next_event().unwrap_err();
+    assert!(matches!(
+        error,
+        AttemptError::Truncated { delivered: 2, .. }
+    ));
+    let error = ask_whole(engine.address()).unwrap_err();
+    assert_eq!(error, AttemptError::Unknown(Doubt::Closed));
+}
+
+#[test]
+fn can_cancel_by_dropping_a_stream() {
+    let engine = Engine::start(EngineConfig {
+        slots: 1,
+        versions: vec![version()],
+        ..EngineConfig::default()
+    })
+    .unwrap();
+    engine.fail_next(EngineFault::Stall(1));
+    let mut stream = ask_stream(engine.address()).unwrap();
+    stream.next_event().unwrap();
+    drop(stream);
+    // The only slot is free again.
+    ask_whole(engine.address()).unwrap();
+    assert_eq!(engine.counters().cancelled, 1);
+}
--- /dev/null
+++ b/components/engine/tests/calls.rs
@@ -0,0 +1,97 @@
+//! Load reports, orders, cache events and plain services.
+
+use bytes::Bytes;
+use engine::{
+    AttemptError, Client, Doubt, HeaderMap, HeaderValue, Method, OrderError, PlainRequest, Role,
+};
+use standins::engine::{Engine, EngineConfig};
+use standins::plain::{PlainConfig, PlainFault, PlainService};
+use types::prelude::*;
+
+const TIMEOUT: Span = Span::from_secs(20);
+
+fn version() -> VersionId {
+    "tariff-large@2026-12".parse().unwrap()
+}
+
+#[test]
+fn can_order_engines_and_read_their_load() {
+    let engine = Engine::start(EngineConfig {
+        load_time: Span::ZERO,
+        ..EngineConfig::default()
+    })
+    .unwrap();
+    let client = Client::default();
+    let address = engine.address();
+    client.order_load(address, &version(), 4, TIMEOUT).unwrap();
+    client.order_load(address, &version(), 4, TIMEOUT).unwrap();
+    let report = client.load_report(address, TIMEOUT).unwrap();
+    assert_eq!(report.versions, [version()]);
+    assert_eq!(report.fencing, 4);
+    client
+        .order_role(address, Role::Leaving, 5, TIMEOUT)
+        .unwrap();
+    assert!(client.load_report(address, TIMEOUT).unwrap().leaving);
+    let events = client.cache_events(address, 0, TIMEOUT).unwrap();
+    assert!(events.events.is_empty());
+}
+
+#[test]
+fn errors_when_another_driver_has_taken_over() {
+    // A driver pauses, its lease lapses and another goes on; then the first wakes and
+    // unloads the version just loaded. The engine refuses its old fencing number.
+    let engine = Engine::start(EngineConfig::default()).unwrap();
+    let client = Client::default();
+    let address = engine.address();
+    client.order_load(address, &version(), 9, TIMEOUT).unwrap();
+    let late = client.order_unload(address, &version(), 8, TIMEOUT);
+    assert_eq!(late, Err(OrderError::Fenced { held: 9 }));
+}
+
+fn booking(method: Method, path: &str) -> PlainRequest {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-request-id", HeaderValue::from_static("req-1"));
+    headers.insert("connection", HeaderValue::from_static("x-secret"));
+    headers.insert("x-secret", HeaderValue::from_static("1"));
+    PlainRequest {
+        method,
+        path: path.to_owned(),
+        headers,
+        body: Bytes::from_static(b"booking-1 confirm"),
+        timeout: TIMEOUT,
+    }
+}
+
+#[test]
+fn can_pass_requests_to_plain_services() {
+    let service = PlainService::start(&PlainConfig::default()).unwrap();
+    let client = Client::default();
+    let post = booking(Method::POST, "/bookings?day=monday");
+    let answer = client.plain(service.address(), &post).unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.headers["x-request-id"], "req-1");
+    assert!(!answer.headers.contains_key("content-length"));
+    let body = serde_json::from_slice::<serde_json::Value>(&answer.body).unwrap();
+    assert_eq!(body["path"], "/bookings");
+    let head = booking(Method::HEAD, "/bookings");
+    assert!(
+        client
+            .plain(service.address(), &head)
+            .unwrap()
+            .body
+            .is_empty()
+    );
+    assert_eq!(service.effects()["booking-1"], 1);
+}
+
+#[test]
+fn errors_as_unknown_when_a_plain_service_resets() {
+    let service = PlainService::start(&PlainConfig::default()).unwrap();
+    let client = Client::default();
+    for fault in [PlainFault::ResetBefore, PlainFault::ResetAfter] {
+        service.fail_next(fault);
+        let error = client.plain(service.address(), &booking(Method::POST, "/bookings"));
+        assert_eq!(error.unwrap_err(), AttemptError::Unknown(Doubt::Closed));
+    }
+    assert_eq!(service.effects()["booking-1"], 1);
+}
