Check entries, read a catalogue from YAML, and give both users an example

Cause: a mistaken entry has to be told to its author with file, entry, key and what is expected, and must not reach a daemon unchecked. Conclusion: edits and records can be checked by the same rules.

--- a/components/catalogue/src/lib.rs
+++ b/components/catalogue/src/lib.rs
@@ -5,6 +5,8 @@
 //! records in any order, any number of times, ends in the same catalogue, since a
 //! record only ever replaces one of a lower revision.
 
+pub mod check;
 pub mod entry;
+pub mod file;
 pub mod record;
 pub mod view;
--- /dev/null
+++ b/components/catalogue/tests/rules.rs
@@ -0,0 +1,186 @@
+//! The file, the rules and the catalogue that daemons hold.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use catalogue::check::{self, Entries};
+use catalogue::entry::{Body, Entry, KeyHash, Permit, Protocol};
+use catalogue::file;
+use types::prelude::*;
+
+const KOCHI: &str = include_str!("../../../examples/kochi.yaml");
+const CLASACH: &str = include_str!("../../../examples/clasach.yaml");
+
+fn kochi() -> BTreeMap<EntryName, Arc<Entry>> {
+    file::parse("kochi.yaml", KOCHI).unwrap()
+}
+
+fn name(text: &str) -> EntryName {
+    EntryName::new(text).unwrap()
+}
+
+#[test]
+fn can_load_both_examples_and_write_them_back() {
+    for text in [KOCHI, CLASACH] {
+        let entries = file::parse("example", text).unwrap_or_else(|e| panic!("{e}"));
+        let written = file::write(&entries).unwrap();
+        assert_eq!(file::parse("written", &written).unwrap(), entries);
+        let dev = CustomerId::new("dev").unwrap();
+        for entry in entries.values() {
+            match &entry.body {
+                Body::Offer(offer) => assert_eq!(offer.customers[&dev], offer.candidates),
+                Body::Service(s) if s.protocol == Protocol::Plain => {
+                    assert!(s.customers.contains(&dev));
+                }
+                _ => {}
+            }
+        }
+        let Body::Customer(dev) = &entries[&name("customers/dev")].body else {
+            panic!("dev is no customer");
+        };
+        assert_eq!(dev.key_sha256, [KeyHash::from_key("dev-customer")]);
+    }
+}
+
+/// An operator mistypes a file. Without place and expectation in the message the
+/// mistake is searched for by hand while the roll-out waits.
+#[test]
+fn errors_name_file_entry_key_and_expectation() {
+    let cases = [
+        ("entries: [1]", "f.yaml: entries: invalid type"),
+        ("entries:\n  a b: {}", "a name holds ' '"),
+        (
+            "entries:\n  x: {kind: salon, owner: o}",
+            "x: kind: salon; expected customer, service",
+        ),
+        ("entries:\n  x: {kind: model}", "x: owner: missing"),
+        (
+            "entries:\n  customers/a: {kind: customer, owner: o, key_sha256: [abc]}",
+            "customers/a: key_sha256[0]: \"abc\" is not an id",
+        ),
+        (
+            "entries:\n  models/a: {kind: model, owner: o, service: s, versions: {}, more: 1}",
+            "models/a: more: unknown field `more`",
+        ),
+        (
+            "entries:\n  models/a: {kind: model, owner: o, service: s, versions: {}}",
+            "models/a: versions: 0 items; expected 1 to 64",
+        ),
+    ];
+    for (text, expected) in cases {
+        let error = file::parse("f.yaml", text).unwrap_err().to_string();
+        assert!(error.starts_with("f.yaml"), "{error}");
+        assert!(error.contains(expected), "{error} lacks {expected}");
+    }
+}
+
+/// Applies a change to one entry of Kochi's and gives the problems as text.
+fn problems_after(entry: &str, change: impl FnOnce(&mut Entry)) -> String {
+    let entries = kochi().into_iter().zip(1..);
+    let mut entries: Entries = entries
+        .map(|((name, entry), revision)| (name, (Revision(revision), entry)))
+        .collect();
+    let (revision, held) = entries.get_mut(&name(entry)).unwrap();
+    *revision = Revision(100);
+    change(Arc::make_mut(held));
+    let problems = check::all(&entries).into_iter();
+    problems.map(|problem| format!("{problem}\n")).collect()
+}
+
+macro_rules! body {
+    ($entry:expr, $kind:ident) => {{
+        let Body::$kind(body) = &mut $entry.body else {
+            panic!("another kind");
+        };
+        body
+    }};
+}
+
+#[test]
+fn errors_for_rules_inside_an_entry() {
+    let text = problems_after("models/tariff-large", |entry| {
+        let rollout = body!(entry, Model).rollout.as_mut().unwrap();
+        rollout.steps = vec![Share::new(0.5).unwrap(), Share::new(0.2).unwrap()];
+        rollout.step = 2;
+        rollout.to = "2026-05".parse().unwrap();
+    });
+    assert!(
+        text.contains("rollout.steps: steps that do not rise to 1"),
+        "{text}"
+    );
+    assert!(text.contains("rollout.step: 2; expected 0 to 1"), "{text}");
+    assert!(
+        text.contains("rollout.to: 2026-05, which is withdrawn"),
+        "{text}"
+    );
+    let text = problems_after("offers/price-answers", |entry| {
+        let offer = body!(entry, Offer);
+        offer.weights.cost = f64::NAN;
+        offer.deadline = Span::ZERO;
+        let permit: Permit = "tariff-huge".parse().unwrap();
+        offer.customers.values_mut().next().unwrap().push(permit);
+    });
+    assert!(text.contains("weights: [NaN"), "{text}");
+    assert!(text.contains("deadline: 0s"), "{text}");
+    assert!(
+        text.contains("tariff-huge, which is no candidate"),
+        "{text}"
+    );
+    let text = problems_after("services/tariff-llm", |entry| {
+        let service = body!(entry, Service);
+        service.upstreams = (0..2049).map(|_| service.upstreams[0].clone()).collect();
+        service.upstreams[0].slots = 0;
+    });
+    assert!(
+        text.contains("upstreams: 2049 items; expected 0 to 2048"),
+        "{text}"
+    );
+    assert!(text.contains("upstreams[0].slots: 0"), "{text}");
+}
+
+/// A customer is allowed a version that no model has, two customers share a key, two
+/// services an upstream: each entry is fine alone, together requests go astray.
+#[test]
+fn errors_for_rules_across_entries_blame_the_later_edit() {
+    let text = problems_after("offers/price-answers", |entry| {
+        let offer = body!(entry, Offer);
+        offer
+            .candidates
+            .push("tariff-large@2030-01".parse().unwrap());
+        offer.candidates.push("tariff-huge".parse().unwrap());
+        let stranger = CustomerId::new("stranger").unwrap();
+        offer.customers.insert(stranger, offer.candidates.clone());
+    });
+    assert!(
+        text.contains("tariff-large@2030-01, which the model does not have"),
+        "{text}"
+    );
+    assert!(
+        text.contains("tariff-huge, whose model does not exist"),
+        "{text}"
+    );
+    assert!(text.contains("stranger, which does not exist"), "{text}");
+    let text = problems_after("customers/audit-cell", |entry| {
+        body!(entry, Customer).key_sha256 = vec![KeyHash::from_key("dev-customer")];
+    });
+    assert!(
+        text.starts_with("customers/audit-cell: key_sha256[0]: a key that"),
+        "{text}"
+    );
+    assert_eq!(text.lines().count(), 1, "{text}");
+    let text = problems_after("services/counter-app", |entry| {
+        let service = body!(entry, Service);
+        service.upstreams[1].id = service.upstreams[0].id.clone();
+        service.upstreams[2].id = UpstreamId::new("tariff-llm-kaloor-1").unwrap();
+    });
+    assert!(text.contains("counter-app: upstreams[1].id"), "{text}");
+    assert!(text.contains("counter-app: upstreams[2].id"), "{text}");
+    assert!(!text.contains("services/tariff-llm:"), "{text}");
+    let text = problems_after("models/tariff-tags", |entry| {
+        body!(entry, Model).service = name("services/counter-app");
+    });
+    assert!(
+        text.contains("service: services/counter-app, which is no engine service"),
+        "{text}"
+    );
+}
