Record, hold, seal, roll up and export bills

Cause: a daemon has no disk and may die between an answer and its batch. Change: the pure crate ledger.

--- /dev/null
+++ b/components/ledger/src/message.rs
@@ -0,0 +1,39 @@
+//! What ledgers of two daemons say to each other.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use types::prelude::*;
+
+use crate::journal::Origin;
+
+/// A message between ledgers. At most [`crate::MAX_BATCH_BYTES`] of charges each.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Hold these charges until they are sealed.
+    Hold {
+        /// Whose they are.
+        origin: Origin,
+        /// All up to this one are sealed.
+        sealed: u64,
+        /// Number of the first one below.
+        first: u64,
+        /// Packed charges; empty to say only how far `sealed` is.
+        charges: Bytes,
+    },
+    /// Held up to here.
+    Held {
+        /// Whose charges.
+        origin: Origin,
+        /// The last one held without a gap; below the sender's view after a restart.
+        upto: u64,
+        /// Which run of the holder says so.
+        by: Incarnation,
+        /// The holder has no room: choose another.
+        full: bool,
+    },
+    /// Another daemon holds them now; forget them.
+    Drop {
+        /// Whose charges.
+        origin: Origin,
+    },
+}
--- /dev/null
+++ b/components/ledger/src/rollup/commit.rs
@@ -0,0 +1,168 @@
+//! Writing of a roll-up: one transaction in place of many bills.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use keyvalue::{Answer, Compare, ModRevision, Op, Reply, Request, Txn};
+use types::prelude::*;
+
+use super::Counts;
+use super::scan::{Batch, Head, Scan, Segment};
+use super::seen::Seen;
+use crate::bill::Fingerprint;
+use crate::codec;
+use crate::keys::Keys;
+use crate::seal::put;
+use crate::totals::{Hour, Sum, Totals};
+
+/// Batches of one roll-up: a transaction takes 128 compares and 128 steps.
+pub const MAX_BATCHES_PER_ROLLUP: u32 = 40;
+/// Expired segments deleted by one roll-up.
+const MAX_EXPIRED: usize = 16;
+
+/// Where and when a roll-up is done.
+pub(super) struct Context<'a> {
+    pub(super) keys: &'a Keys,
+    pub(super) shard: u16,
+    pub(super) wall: WallTime,
+    pub(super) interval: Span,
+    pub(super) seen_for: Span,
+}
+
+/// A roll-up whose transaction is under way.
+#[derive(Debug)]
+pub(super) struct Commit {
+    segment: u64,
+    fingerprints: Vec<Fingerprint>,
+    repeats: u64,
+    set_aside: u64,
+    was_full: bool,
+}
+
+impl Commit {
+    /// Adds up what was read and writes it.
+    pub(super) fn prepare(scan: Scan, seen: &Seen, cx: &Context<'_>) -> (Self, Request) {
+        let mut compare = compares(&scan, cx);
+        let mut totals = scan.totals;
+        let new = add_up(&scan.batches, seen, &mut totals);
+        let is_damaged = |batch: &&Batch| batch.charges.is_none();
+        let commit = Self {
+            segment: scan.head.next,
+            repeats: new.repeats,
+            fingerprints: new.fingerprints.into_iter().collect(),
+            set_aside: scan.batches.iter().filter(is_damaged).count() as u64,
+            was_full: scan.batches.len() >= MAX_BATCHES_PER_ROLLUP as usize,
+        };
+        let mut writes = vec![];
+        for batch in &scan.batches {
+            writes.push(Op::Delete(batch.key.clone()));
+            if batch.charges.is_none() {
+                writes.push(put(cx.keys.damaged(&batch.key), batch.value.clone()));
+            }
+        }
+        let touched = totals.iter().filter(|(_, (_, sums))| !sums.is_empty());
+        for (hour, (revision, sums)) in touched {
+            let key = cx.keys.totals(*hour, cx.shard);
+            compare.push(Compare::ModRevision(key.clone(), *revision));
+            writes.push(put(key, codec::encode(sums)));
+        }
+        writes.extend(commit.turn_head(scan.head, cx));
+        let request = Request::Txn(Txn {
+            compare,
+            success: writes,
+            failure: Vec::new(),
+        });
+        (commit, request)
+    }
+
+    /// Advances the head's clock, drops expired segments and adds this one.
+    fn turn_head(&self, mut head: Head, cx: &Context<'_>) -> Vec<Op> {
+        let elapsed = Span::from_millis(cx.wall.0.saturating_sub(head.at.0));
+        let elapsed = elapsed.min(cx.interval.times(2));
+        head.clock = head.clock.saturating_add(elapsed.as_micros());
+        head.at = cx.wall;
+        let is_expired = |segment: &Segment| segment.expires <= head.clock;
+        let expired = head.segments.iter().filter(|segment| is_expired(segment));
+        let expired: BTreeSet<_> = expired
+            .map(|segment| segment.number)
+            .take(MAX_EXPIRED)
+            .collect();
+        let deletes = expired
+            .iter()
+            .map(|number| Op::Delete(cx.keys.segment(cx.shard, *number)));
+        let mut writes: Vec<_> = deletes.collect();
+        head.segments
+            .retain(|segment| !expired.contains(&segment.number));
+        if !self.fingerprints.is_empty() {
+            head.segments.push(Segment {
+                number: self.segment,
+                expires: head.clock.saturating_add(cx.seen_for.as_micros()),
+            });
+            head.next += 1;
+            let key = cx.keys.segment(cx.shard, self.segment);
+            writes.push(put(key, codec::encode(&self.fingerprints)));
+        }
+        writes.push(put(cx.keys.head(cx.shard), codec::encode(&head)));
+        writes
+    }
+
+    /// Takes the outcome; says whether more batches wait.
+    pub(super) fn finish(
+        self,
+        answer: Answer,
+        seen: &mut Seen,
+        counts: &mut Counts,
+    ) -> Option<bool> {
+        let Reply::Txn(reply) = answer.reply else {
+            return None;
+        };
+        if !reply.succeeded {
+            return None;
+        }
+        counts.rolled += self.fingerprints.len() as u64;
+        counts.repeats += self.repeats;
+        counts.set_aside += self.set_aside;
+        if !self.fingerprints.is_empty() {
+            seen.add(self.segment, self.fingerprints);
+        }
+        Some(self.was_full)
+    }
+}
+
+fn compares(scan: &Scan, cx: &Context<'_>) -> Vec<Compare> {
+    let head = Compare::ModRevision(cx.keys.head(cx.shard), scan.head_revision);
+    let batches = scan.batches.iter();
+    let batches = batches.map(|batch| Compare::ModRevision(batch.key.clone(), batch.revision));
+    std::iter::once(head).chain(batches).collect()
+}
+
+struct New {
+    fingerprints: BTreeSet<Fingerprint>,
+    repeats: u64,
+}
+
+/// Adds charges to totals, each id once.
+///
+/// Guards against a request billed twice: a caller's repeat through another daemon leaves
+/// a second bill in another batch. Its fingerprint is among those of this roll-up or of
+/// an earlier one, and it is passed over.
+fn add_up(
+    batches: &[Batch],
+    seen: &Seen,
+    totals: &mut BTreeMap<Hour, (ModRevision, Totals)>,
+) -> New {
+    let mut new = New {
+        fingerprints: BTreeSet::new(),
+        repeats: 0,
+    };
+    let charges = batches.iter().filter_map(|batch| batch.charges.as_ref());
+    for charge in charges.flatten() {
+        let is_known = seen.contains(&charge.fingerprint);
+        if is_known || !new.fingerprints.insert(charge.fingerprint) {
+            new.repeats += 1;
+            continue;
+        }
+        let (_, sums) = totals.entry(Hour::of(charge.at)).or_default();
+        *sums.entry((*charge.account).clone()).or_default() += Sum::from(charge);
+    }
+    new
+}
