--- a/components/callers/src/answer.rs
+++ b/components/callers/src/answer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_core::Stream;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 
 /// Frames that wait for a caller to read before the writer must wait.
@@ -86,7 +87,9 @@
     }
 
     /// Sends a whole answer. Never waits: a fresh responder has room for it.
-    pub fn answer(&self, head: Head, body: Bytes) {
+    pub fn answer(&self, mut head: Head, body: Bytes) {
+        head.headers
+            .insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
         for frame in [Frame::Head(head), Frame::Data(body), Frame::End] {
             let _ = self.frames.try_send(frame);
         }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -12,7 +12,7 @@
 use crate::systems;
 
 /// The tables and what they reach out through.
-pub struct Control {
+pub(crate) struct Control {
     shared: Arc<Shared>,
     storage: Storage,
     catalogue: systems::catalogue::Table,
@@ -22,13 +22,18 @@
 impl Control {
     /// Empty tables.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, storage: Storage) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, storage: Storage) -> Self {
         let catalogue = systems::catalogue::Table::new(&shared.settings.cluster);
-        Self { shared, storage, catalogue, leaving: false }
+        Self {
+            shared,
+            storage,
+            catalogue,
+            leaving: false,
+        }
     }
 
     /// Runs until told to stop.
-    pub fn run(mut self, events: &flume::Receiver<Event>) {
+    pub(crate) fn run(mut self, events: &flume::Receiver<Event>) {
         let tick = self.shared.settings.control.tick.to_duration();
         let mut next_tick = Instant::now();
         loop {
@@ -74,7 +79,11 @@
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
         tracing::info!("catalogue: revision {} is in force", view.revision);
         let readiness = self.readiness(view.revision);
-        let snapshot = Snapshot { readiness, view, ..Snapshot::default() };
+        let snapshot = Snapshot {
+            readiness,
+            view,
+            ..Snapshot::default()
+        };
         self.shared.snapshot.store(Arc::new(snapshot));
     }
 
--- a/components/node/src/error.rs
+++ b/components/node/src/error.rs
@@ -9,6 +9,12 @@
     /// A thread cannot be started.
     #[error("node: cannot start a thread: {0}")]
     Thread(#[from] std::io::Error),
+    /// The key-value service's addresses cannot be used.
+    #[error("store: {0}")]
+    Store(String),
+    /// Keys cannot be used.
+    #[error("peers.keys: {0}")]
+    Keys(String),
     /// Operators' API cannot be started.
     #[error("operators: {0}")]
     Operators(String),
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -20,51 +20,57 @@
 
 /// What the threads of a daemon share. Locks are held for microseconds, never across
 /// a call of anything outside the process.
-pub struct Shared {
+pub(crate) struct Shared {
     /// As loaded.
-    pub settings: Settings,
+    pub(crate) settings: Settings,
     /// The process's clocks.
-    pub clock: Clock,
+    pub(crate) clock: Clock,
     /// Tells this start of the daemon from others.
-    pub incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     /// What requests are served from; replaced by the control thread.
-    pub snapshot: ArcSwap<Snapshot>,
+    pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The picture of the upstreams.
-    pub router: Mutex<Router>,
+    pub(crate) router: Mutex<Router>,
     /// Threads for requests in flight.
-    pub pool: Pool,
+    pub(crate) pool: Pool,
     /// Keys that sign session tokens.
-    pub session_keys: sessions::token::Keys,
+    pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
-    pub store: Arc<dyn Store>,
+    pub(crate) store: Arc<dyn Store>,
     /// To the control thread.
-    pub events: flume::Sender<Event>,
+    pub(crate) events: flume::Sender<Event>,
     /// What is measured.
-    pub metrics: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     /// Retry budgets by entry.
-    pub budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
+    pub(crate) budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
 }
 
 impl Shared {
     /// The present moment.
     #[must_use]
-    pub fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
 
     /// Acts on an entry's retry budget.
-    pub fn with_budget<T>(&self, entry: &EntryName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    pub(crate) fn with_budget<T>(
+        &self,
+        entry: &EntryName,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let now = self.now();
         let mut budgets = lock(&self.budgets);
         if budgets.len() >= MAX_BUDGETS && !budgets.contains_key(entry) {
             budgets.pop_first();
         }
-        act(budgets.entry(entry.clone()).or_insert_with(|| RetryBudget::new(now)))
+        act(budgets
+            .entry(entry.clone())
+            .or_insert_with(|| RetryBudget::new(now)))
     }
 }
 
 /// Locks a table. A panic elsewhere does not make the table unusable: each change to a
 /// table is a step that leaves it whole.
-pub fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
     table.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -45,8 +45,16 @@
         let traffic = Arc::new(Traffic::new(shared.clone()));
         let cfg = &shared.settings.callers;
         let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
-        tracing::info!("node: {} serves callers on {}", shared.settings.daemon, callers.address());
-        Ok(Self { shared, callers, control })
+        tracing::info!(
+            "node: {} serves callers on {}",
+            shared.settings.daemon,
+            callers.address()
+        );
+        Ok(Self {
+            shared,
+            callers,
+            control,
+        })
     }
 
     /// Where callers are served.
@@ -91,7 +99,7 @@
 
 fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
     let mut cfg = store::Config::new(settings.store.endpoints.clone());
-    cfg.read_timeout = settings.store.timeout;
+    cfg.call_timeout = settings.store.timeout;
     let client = EtcdClient::new(cfg).map_err(|error| NodeError::Store(error.to_string()))?;
     Ok(Arc::new(client))
 }
--- a/components/node/src/storage.rs
+++ b/components/node/src/storage.rs
@@ -14,7 +14,7 @@
 
 /// Takes calls from the control thread.
 #[derive(Clone)]
-pub struct Storage {
+pub(crate) struct Storage {
     calls: flume::Sender<(StoreUse, Request)>,
     events: flume::Sender<Event>,
 }
@@ -24,7 +24,10 @@
     ///
     /// # Errors
     /// When a thread cannot be started.
-    pub fn start(store: &Arc<dyn Store>, events: flume::Sender<Event>) -> std::io::Result<Self> {
+    pub(crate) fn start(
+        store: &Arc<dyn Store>,
+        events: flume::Sender<Event>,
+    ) -> std::io::Result<Self> {
         let (calls, rx) = flume::bounded::<(StoreUse, Request)>(CALLS_WAITING);
         for index in 0..THREADS {
             let (rx, store, events) = (rx.clone(), store.clone(), events.clone());
@@ -40,7 +43,7 @@
     }
 
     /// Makes a call; its outcome comes as an event.
-    pub fn call(&self, used: StoreUse, request: Request) {
+    pub(crate) fn call(&self, used: StoreUse, request: Request) {
         if self.calls.try_send((used, request)).is_err() {
             let full = CallError::NotSent("too many calls wait".to_owned());
             let _ = self.events.try_send(Event::Store(used, Err(full)));
--- a/components/node/src/systems/catalogue.rs
+++ b/components/node/src/systems/catalogue.rs
@@ -23,7 +23,11 @@
     #[must_use]
     pub fn new(cluster: &ClusterName) -> Self {
         let prefix = format!("/buckthorncross/{cluster}/catalogue/entries/");
-        Self { prefix, held: Catalogue::default(), next_read: Time::ZERO }
+        Self {
+            prefix,
+            held: Catalogue::default(),
+            next_read: Time::ZERO,
+        }
     }
 
     /// The catalogue's revision.
@@ -50,7 +54,9 @@
     /// Takes a read's outcome; true if the catalogue changed.
     pub fn on_store(&mut self, outcome: Outcome) -> bool {
         let Ok(answer) = outcome else { return false };
-        let Reply::Range(found) = answer.reply else { return false };
+        let Reply::Range(found) = answer.reply else {
+            return false;
+        };
         let mut changed = false;
         for kv in &found {
             changed |= self.apply(kv);
@@ -59,7 +65,10 @@
     }
 
     fn apply(&mut self, kv: &KeyValue) -> bool {
-        let name = kv.key.strip_prefix(&self.prefix).and_then(|name| name.parse().ok());
+        let name = kv
+            .key
+            .strip_prefix(&self.prefix)
+            .and_then(|name| name.parse().ok());
         let record = serde_json::from_slice::<Record>(&kv.value);
         match (name, record) {
             (Some(name), Ok(record)) => self.held.apply(name, Arc::new(record)),
--- a/components/node/src/systems/routing.rs
+++ b/components/node/src/systems/routing.rs
@@ -28,15 +28,19 @@
         Protocol::Plain => vec![Target::Service(name.clone())],
         Protocol::Engine => versions_on(view, name).map(Target::Version).collect(),
     };
-    targets.iter().filter_map(|target| router.add_target(target)).collect()
+    targets
+        .iter()
+        .filter_map(|target| router.add_target(target))
+        .collect()
 }
 
 /// Versions that a service's engines run, as far as the catalogue knows; engines'
 /// own reports are more exact and replace this.
 fn versions_on<'a>(view: &'a View, service: &'a EntryName) -> impl Iterator<Item = VersionId> + 'a {
     let models = view.models.iter();
-    let models = models
-        .filter(|(_, model)| short_name::<EntryName>(&model.service, SERVICES).as_ref() == Some(service));
+    let models = models.filter(|(_, model)| {
+        short_name::<EntryName>(&model.service, SERVICES).as_ref() == Some(service)
+    });
     models.flat_map(|(name, model)| {
         let versions = model.versions.iter();
         let usable = versions.filter(|(_, version)| version.state != VersionState::Withdrawn);
@@ -45,11 +49,17 @@
 }
 
 fn spec(upstream: &Upstream, presumed: &[TargetIndex], own_region: &Region) -> UpstreamSpec {
-    let region = upstream.region.clone().unwrap_or_else(|| own_region.clone());
+    let region = upstream
+        .region
+        .clone()
+        .unwrap_or_else(|| own_region.clone());
     UpstreamSpec {
         id: upstream.id.clone(),
         address: upstream.address,
-        place: Place { failure_domain: upstream.failure_domain.clone(), region },
+        place: Place {
+            failure_domain: upstream.failure_domain.clone(),
+            region,
+        },
         slots: upstream.slots,
         presumed: presumed.to_vec(),
     }
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -24,6 +24,8 @@
 const CHAT: &str = "/v1/chat/completions";
 const MODELS: &str = "/v1/models";
 const SERVICES: &str = "/services/";
+/// Pause that a caller is told when every thread is taken.
+const BUSY_RETRY: Span = Span::from_secs(1);
 const STARTING_RETRY: Span = Span::from_secs(1);
 
 /// Takes callers' requests.
@@ -34,28 +36,39 @@
 impl Traffic {
     /// Serves from what the control thread shares.
     #[must_use]
-    pub fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
 
-    fn route(&self, req: Request) -> Result<(), (Refusal, Request)> {
+    fn route(&self, req: Request) -> Routed {
         let snapshot = self.shared.snapshot.load_full();
         let customer = match admitted_customer(&snapshot, &req) {
             Ok(customer) => customer,
-            Err(refusal) => return Err((refusal, req)),
+            Err(refusal) => return Err(Rejected::boxed(refusal, req)),
+        };
+        let cx = Context {
+            shared: self.shared.clone(),
+            snapshot,
+            customer,
         };
-        let cx = Context { shared: self.shared.clone(), snapshot, customer };
         match (req.method.clone(), req.path.as_str()) {
             (Method::POST, CHAT) => chat::serve(cx, req),
             (Method::GET, MODELS) => models::list(&cx, req),
             (Method::GET, path) if path.starts_with("/v1/models/") => models::get(&cx, req),
             (_, path) if path.starts_with(SERVICES) => plain::serve(cx, req),
-            (_, CHAT | MODELS) => {
-                Err((Refusal { status: 405, ..Refusal::bad_request("wrong method") }, req))
-            }
+            (_, CHAT | MODELS) => Err(Rejected::boxed(
+                Refusal {
+                    status: 405,
+                    ..Refusal::bad_request("wrong method")
+                },
+                req,
+            )),
             (_, path) => {
                 let message = format!("there is no {path}");
-                Err((Refusal::not_found("unknown_url", message), req))
+                Err(Rejected::boxed(
+                    Refusal::not_found("unknown_url", message),
+                    req,
+                ))
             }
         }
     }
@@ -63,13 +76,28 @@
 
 impl Serve for Traffic {
     fn serve(&self, req: Request) {
-        if let Err((refusal, req)) = self.route(req) {
-            self.shared.metrics.refusal(refusal.code);
-            refusal.send(&req.responder, None);
+        if let Err(rejected) = self.route(req) {
+            self.shared.metrics.refusal(rejected.refusal.code);
+            rejected.refusal.send(&rejected.req.responder, None);
         }
     }
 }
 
+/// A request that is refused before it took a thread.
+pub(crate) struct Rejected {
+    refusal: Refusal,
+    req: Request,
+}
+
+impl Rejected {
+    fn boxed(refusal: Refusal, req: Request) -> Box<Self> {
+        Box::new(Self { refusal, req })
+    }
+}
+
+/// A request handed on, or given back with its refusal.
+pub(crate) type Routed = Result<(), Box<Rejected>>;
+
 /// What every request needs.
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
@@ -86,3 +114,33 @@
     let customer = snapshot.view.customer_of_key(key);
     customer.cloned().ok_or_else(Refusal::unauthorized)
 }
+
+/// Runs a job on a thread of the pool. When none is free the request comes back with a
+/// refusal, so that it is never left without an answer.
+fn dispatch(
+    pool: &pool::Pool,
+    req: Request,
+    job: impl FnOnce(&callers::Responder) + Send + 'static,
+) -> Routed {
+    let (give, returned) = flume::bounded(1);
+    let _ = give.send(req);
+    let rx = returned.clone();
+    let run = move || {
+        if let Ok(req) = rx.try_recv() {
+            job(&req.responder);
+        }
+    };
+    if pool.run(run).is_ok() {
+        return Ok(());
+    }
+    match returned.try_recv() {
+        Ok(req) => {
+            let message = "this daemon has as many requests in flight as it may";
+            Err(Rejected::boxed(
+                Refusal::unavailable("overloaded", message, BUSY_RETRY),
+                req,
+            ))
+        }
+        Err(_) => Ok(()),
+    }
+}
--- a/components/node/src/traffic/ask.rs
+++ b/components/node/src/traffic/ask.rs
@@ -37,11 +37,15 @@
             Some(id) => parse("Idempotency-Key", id)?,
             None => RequestId::random(&mut rand::rng()),
         };
-        let offer = text(headers, "x-offer")?.map(|text| parse("X-Offer", text)).transpose()?;
+        let offer = text(headers, "x-offer")?
+            .map(|text| parse("X-Offer", text))
+            .transpose()?;
         let priority = text(headers, "x-priority")?;
         let priority = priority.map(|text| parse("X-Priority", text)).transpose()?;
         let deadline = text(headers, "x-deadline-ms")?;
-        let deadline = deadline.map(|text| parse::<u64>("X-Deadline-Ms", text)).transpose()?;
+        let deadline = deadline
+            .map(|text| parse::<u64>("X-Deadline-Ms", text))
+            .transpose()?;
         let mark = text(headers, "x-non-idempotent")?;
         Ok(Self {
             request,
@@ -57,7 +61,9 @@
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
     let value = headers.get(name).map(|value| value.to_str());
-    value.transpose().map_err(|_| Refusal::bad_request(format!("{name} is not plain text")))
+    value
+        .transpose()
+        .map_err(|_| Refusal::bad_request(format!("{name} is not plain text")))
 }
 
 fn parse<T>(name: &str, text: &str) -> Result<T, Refusal>
@@ -65,7 +71,8 @@
     T: std::str::FromStr,
     T::Err: std::fmt::Display,
 {
-    text.parse().map_err(|error| Refusal::bad_request(format!("{name}: {error}")))
+    text.parse()
+        .map_err(|error| Refusal::bad_request(format!("{name}: {error}")))
 }
 
 /// The bearer key of a head.
@@ -116,7 +123,9 @@
             return Err(Refusal::bad_request(message));
         }
         let text: usize = messages.iter().map(message_bytes).sum();
-        let limit = fields.get("max_completion_tokens").or_else(|| fields.get("max_tokens"));
+        let limit = fields
+            .get("max_completion_tokens")
+            .or_else(|| fields.get("max_tokens"));
         Ok(Self {
             model: model.to_owned(),
             stream: flag(&fields, "stream")?,
@@ -142,11 +151,15 @@
     match fields.get(name) {
         None | Some(Value::Null) => Ok(false),
         Some(Value::Bool(flag)) => Ok(*flag),
-        Some(_) => Err(Refusal::bad_request(format!("{name} must be true or false"))),
+        Some(_) => Err(Refusal::bad_request(format!(
+            "{name} must be true or false"
+        ))),
     }
 }
 
 fn count(value: &Value) -> Result<Tokens, Refusal> {
     let count = value.as_u64().filter(|count| *count > 0);
-    count.map(Tokens).ok_or_else(|| Refusal::bad_request("max_tokens must be a positive number"))
+    count
+        .map(Tokens)
+        .ok_or_else(|| Refusal::bad_request("max_tokens must be a positive number"))
 }
--- /dev/null
+++ b/components/node/src/traffic/chat/answer.rs
@@ -0,0 +1,269 @@
+//! Carries the answer of an engine to the caller, whole or as a stream.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use callers::{Frame, Gone, Head, HeaderMap, Responder, StatusCode, header};
+use catalogue::entry::Price;
+use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, Doubt, EngineLoad};
+use requests::attempt::{self, AttemptEnd, Usage};
+use requests::life::{Attempted, Request};
+use routing::{LoadReport, Outcome};
+use serde_json::{Value, json};
+use types::prelude::*;
+
+use super::body::engine_body;
+use super::run::outcome_of;
+use super::version::Chosen;
+use super::{Job, STALL};
+use crate::traffic::refusal::{Refusal, set};
+
+/// The answer under way, over all attempts.
+pub(crate) struct Relay<'a> {
+    pub(super) job: &'a Job,
+    pub(super) responder: &'a Responder,
+    chosen: &'a Chosen,
+    client: Client,
+    attempts: u32,
+    whole: Option<Answer>,
+    pub(super) usage: Usage,
+    pub(super) load: Option<EngineLoad>,
+    /// Text that the caller has seen.
+    pub(super) text: String,
+    pub(super) pieces: u64,
+    pub(super) has_begun: bool,
+    pub(super) not_loaded: bool,
+    pub(super) first_token: Option<Time>,
+}
+
+impl<'a> Relay<'a> {
+    pub(crate) fn new(job: &'a Job, chosen: &'a Chosen, responder: &'a Responder) -> Self {
+        Self {
+            job,
+            responder,
+            chosen,
+            client: Client::default(),
+            attempts: 0,
+            whole: None,
+            usage: Usage::default(),
+            load: None,
+            text: String::new(),
+            pieces: 0,
+            has_begun: false,
+            not_loaded: false,
+            first_token: None,
+        }
+    }
+
+    /// Tokens of the answer at hand.
+    pub(crate) fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    /// The engine's load, for routing.
+    pub(crate) fn load(&self) -> Option<LoadReport> {
+        let load = self.load?;
+        let (running, waiting, slots) = (load.running, load.waiting, load.slots);
+        Some(LoadReport {
+            running,
+            waiting,
+            slots,
+            loaded: None,
+            leaving: false,
+        })
+    }
+
+    /// What routing learns from the attempt's end.
+    pub(crate) fn outcome(&self, end: &AttemptEnd, began: Time) -> Outcome {
+        if self.not_loaded {
+            return Outcome::NotLoaded;
+        }
+        let now = self.job.cx.shared.now();
+        let first = self.first_token.unwrap_or(now);
+        let gaps = self.usage.output.0.saturating_sub(1).max(1);
+        let per_token = Span::from_micros(now.since(first).as_micros() / gaps);
+        outcome_of(end, first.since(began), per_token)
+    }
+
+    /// Makes one attempt; a stream goes to the caller as it comes.
+    pub(crate) fn attempt(
+        &mut self,
+        address: SocketAddr,
+        request: &mut Request<Attempted>,
+    ) -> AttemptEnd {
+        self.attempts += 1;
+        self.first_token = None;
+        self.not_loaded = false;
+        let shared = &self.job.cx.shared;
+        let name = format!(
+            "{}.{}.{}",
+            self.job.head.request, shared.incarnation, self.attempts
+        );
+        let deadline = request.time_left(shared.now());
+        let stall = if self.job.ask.stream { STALL } else { deadline };
+        let body = self.body();
+        let stream = self.job.ask.stream;
+        let call = ChatRequest {
+            attempt: &name,
+            body,
+            deadline,
+            stall,
+            stream,
+        };
+        match self.client.chat(address, &call) {
+            Ok(ChatAnswer::Whole(answer)) => self.take_whole(answer, &name),
+            Ok(ChatAnswer::Stream(stream)) => {
+                self.load = stream.load();
+                self.take_stream(stream, &name, request)
+            }
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    fn body(&self) -> Bytes {
+        let offered = self.job.resolved.offer.max_output;
+        let max = self
+            .job
+            .ask
+            .max_output
+            .map_or(offered, |asked| asked.min(offered));
+        let left = Tokens(max.0.saturating_sub(self.pieces).max(1));
+        let (fields, version) = (&self.job.ask.fields, &self.chosen.version);
+        engine_body(fields, version, left, self.job.priority, &self.text)
+    }
+
+    fn take_whole(&mut self, answer: Answer, attempt: &str) -> AttemptEnd {
+        let usage = Usage {
+            input: answer.usage.prompt,
+            output: answer.usage.completion,
+        };
+        self.usage = usage;
+        self.load = answer.load;
+        let body = engine::rewrite_id(&answer.body, attempt, &self.answer_id());
+        self.whole = Some(Answer { body, ..answer });
+        AttemptEnd::Whole {
+            usage,
+            adequate: true,
+        }
+    }
+
+    /// What a failed attempt says of the work.
+    pub(super) fn failed(&mut self, error: &AttemptError) -> AttemptEnd {
+        tracing::debug!("traffic: an attempt failed: {error}");
+        match error {
+            AttemptError::NotSent(_) => AttemptEnd::NotSent,
+            AttemptError::NotRun { retry_after, .. } => AttemptEnd::RefusedNotRun {
+                retry_after: *retry_after,
+            },
+            AttemptError::NotLoaded => {
+                self.not_loaded = true;
+                AttemptEnd::RefusedNotRun { retry_after: None }
+            }
+            AttemptError::Unknown(Doubt::TimedOut) => AttemptEnd::Unknown(attempt::Doubt::TimedOut),
+            AttemptError::Unknown(_) => AttemptEnd::Unknown(attempt::Doubt::Reset),
+            AttemptError::Truncated { .. } => AttemptEnd::Truncated {
+                received: Tokens(self.pieces),
+                shown: self.has_begun,
+            },
+            AttemptError::Crossed { .. } => AttemptEnd::Crossed,
+            AttemptError::Status { status, .. } => AttemptEnd::UpstreamError(*status),
+        }
+    }
+
+    /// The id that the caller sees, the same over all attempts.
+    pub(super) fn answer_id(&self) -> String {
+        format!("chatcmpl-{}", self.job.head.request)
+    }
+
+    /// The head of an answer of success.
+    pub(super) fn head(&self, kind: &'static str) -> Head {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+        set(&mut headers, "x-request-id", self.job.head.request.as_str());
+        set(
+            &mut headers,
+            "x-served-by",
+            &self.chosen.version.to_string(),
+        );
+        set(&mut headers, "x-attempts", &self.attempts.to_string());
+        if let Some(token) = &self.chosen.token {
+            set(&mut headers, "x-session-token", token);
+        }
+        if let Some(from) = &self.chosen.moved_from {
+            set(&mut headers, "x-session-moved-from", &from.to_string());
+        }
+        Head {
+            status: StatusCode::OK,
+            headers,
+        }
+    }
+
+    /// What the answer costs.
+    pub(super) fn cost(&self, usage: Usage) -> Cost {
+        let view = &self.job.cx.snapshot.view;
+        let id = &self.chosen.version;
+        let version = view
+            .models
+            .get(&id.model)
+            .and_then(|model| model.versions.get(&id.version));
+        let price: Option<Price> = version.map(|version| version.price);
+        price.map_or(Cost(0), |price| price.of(usage.input, usage.output))
+    }
+
+    /// Gives the caller the end of its answer.
+    pub(crate) fn finish(self, usage: Usage, attempts: usize) {
+        let cost = self.cost(usage);
+        if let Some(answer) = &self.whole {
+            let mut head = self.head("application/json");
+            set(&mut head.headers, "x-cost", &cost.to_string());
+            self.responder.answer(head, answer.body.clone());
+        } else if self.finish_stream(usage, attempts, cost).is_err() {
+            tracing::debug!("traffic: the caller of {} left", self.job.head.request);
+        }
+    }
+
+    fn finish_stream(&self, usage: Usage, attempts: usize, cost: Cost) -> Result<(), Gone> {
+        let last = self.last_chunk(usage, attempts, cost);
+        self.responder.send(Frame::Data(event(&last)))?;
+        self.responder
+            .send(Frame::Data(Bytes::from_static(b"data: [DONE]\n\n")))?;
+        self.responder.send(Frame::End)
+    }
+
+    fn last_chunk(&self, usage: Usage, attempts: usize, cost: Cost) -> Value {
+        let total = usage.input + usage.output;
+        json!({
+            "id": self.answer_id(),
+            "object": "chat.completion.chunk",
+            "created": self.job.cx.shared.clock.wall().0 / 1000,
+            "model": self.chosen.version,
+            "choices": [],
+            "usage": {
+                "prompt_tokens": usage.input,
+                "completion_tokens": usage.output,
+                "total_tokens": total,
+            },
+            "buckthorncross": {
+                "served_by": self.chosen.version,
+                "attempts": attempts,
+                "cost": cost.to_string(),
+            },
+        })
+    }
+
+    /// Tells the caller no: as a status if it has seen nothing, else as the stream's end.
+    pub(crate) fn refuse(&self, refusal: &requests::refusal::Refusal) {
+        let refusal = Refusal::from_decision(refusal);
+        self.job.cx.shared.metrics.refusal(refusal.code);
+        if self.has_begun {
+            let _ = refusal.end_stream(self.responder);
+        } else {
+            refusal.send(self.responder, Some(&self.job.head.request));
+        }
+    }
+}
+
+/// One server-sent event.
+fn event(data: &Value) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -23,9 +23,15 @@
 /// Chooses; nothing when no permitted version takes new work.
 pub(crate) fn choose_version(job: &Job) -> Option<Chosen> {
     let shared = &job.cx.shared;
-    let sent = read_header(&shared.session_keys, &job.cx.customer, job.head.session.as_deref());
+    let sent = read_header(
+        &shared.session_keys,
+        &job.cx.customer,
+        job.head.session.as_deref(),
+    );
     let (hash, pin) = match &sent {
-        Sent::Token(pinned) if pinned.offer == job.resolved.name => (0, Some(&pinned.version)),
+        Sent::Token(pinned) if pinned.offer == job.resolved.name => {
+            (0, Some((&pinned.version, pinned.revision)))
+        }
         Sent::Name(name) => (name_hash(job, name), None),
         _ => (rand::rng().random(), None),
     };
@@ -33,14 +39,27 @@
     let preferred = by_price(job);
     let suspended = BTreeSet::new();
     let permitted = &job.resolved.versions;
-    let options = Options { view, permitted, suspended: &suspended, preferred: &preferred };
+    let options = Options {
+        view,
+        permitted,
+        suspended: &suspended,
+        preferred: &preferred,
+    };
     let choice = choose(hash, pin, &options)?;
-    let token = token_for(job, &sent, choice.version());
     let (version, moved_from) = match choice {
         Choice::Kept(version) => (version, None),
-        Choice::New { version, moved_from } => (version, moved_from),
+        Choice::New {
+            version,
+            moved_from,
+        } => (version, moved_from),
+        Choice::Behind => return None,
     };
-    Some(Chosen { version, token, moved_from })
+    let token = token_for(job, &sent, &version);
+    Some(Chosen {
+        version,
+        token,
+        moved_from,
+    })
 }
 
 fn name_hash(job: &Job, name: &SessionId) -> u64 {
@@ -57,7 +76,10 @@
     let view = &job.cx.snapshot.view;
     let mut priced = Vec::new();
     for id in &job.resolved.versions {
-        let Some(version) = view.models.get(&id.model).and_then(|m| m.versions.get(&id.version))
+        let Some(version) = view
+            .models
+            .get(&id.model)
+            .and_then(|m| m.versions.get(&id.version))
         else {
             continue;
         };
@@ -83,6 +105,13 @@
         }
     };
     let offer = job.resolved.name.clone();
-    let pinned = Pinned { session, offer, version: version.clone(), start };
+    let revision = job.cx.snapshot.view.revision;
+    let pinned = Pinned {
+        session,
+        offer,
+        version: version.clone(),
+        revision,
+        start,
+    };
     Some(shared.session_keys.sign(&job.cx.customer, &pinned))
 }
--- a/components/node/src/traffic/models.rs
+++ b/components/node/src/traffic/models.rs
@@ -6,8 +6,8 @@
 use callers::{Head, HeaderMap, Request, StatusCode, header};
 use serde::Serialize;
 
-use super::Context;
 use super::refusal::Refusal;
+use super::{Context, Rejected, Routed};
 
 #[derive(Serialize)]
 struct List {
@@ -24,14 +24,20 @@
 }
 
 /// Everything that the customer may name: offers, models, versions.
-pub(crate) fn list(cx: &Context, req: Request) -> Result<(), (Refusal, Request)> {
+pub(crate) fn list(cx: &Context, req: Request) -> Routed {
     let data = items(cx).into_values().collect();
-    answer(&req, &List { object: "list", data });
+    answer(
+        &req,
+        &List {
+            object: "list",
+            data,
+        },
+    );
     Ok(())
 }
 
 /// One of them.
-pub(crate) fn get(cx: &Context, req: Request) -> Result<(), (Refusal, Request)> {
+pub(crate) fn get(cx: &Context, req: Request) -> Routed {
     let id = req.path.trim_start_matches("/v1/models/");
     match items(cx).get(id) {
         Some(item) => {
@@ -40,7 +46,10 @@
         }
         None => {
             let message = format!("there is no model {id} for customer {}", cx.customer);
-            Err((Refusal::not_found("model_not_found", message), req))
+            Err(Rejected::boxed(
+                Refusal::not_found("model_not_found", message),
+                req,
+            ))
         }
     }
 }
@@ -48,7 +57,12 @@
 fn items(cx: &Context) -> BTreeMap<String, Item> {
     let mut items = BTreeMap::new();
     let mut add = |id: String, owned_by: String| {
-        items.entry(id.clone()).or_insert(Item { id, object: "model", created: 0, owned_by });
+        items.entry(id.clone()).or_insert(Item {
+            id,
+            object: "model",
+            created: 0,
+            owned_by,
+        });
     };
     for (name, offer) in &cx.snapshot.view.offers {
         let versions = cx.snapshot.view.permitted(offer, &cx.customer);
@@ -69,5 +83,11 @@
     let json = callers::header::HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
     let body = serde_json::to_vec(body).unwrap_or_default();
-    req.responder.answer(Head { status: StatusCode::OK, headers }, Bytes::from(body));
+    req.responder.answer(
+        Head {
+            status: StatusCode::OK,
+            headers,
+        },
+        Bytes::from(body),
+    );
 }
--- /dev/null
+++ b/components/node/src/traffic/plain.rs
@@ -0,0 +1,274 @@
+//! `ANY /services/ENTRY/PATH`: plain services, passed through.
+
+use bytes::Bytes;
+use callers::{Head, Method, Request, Responder, StatusCode};
+use engine::{AttemptError, Client, Doubt, PlainAnswer, PlainRequest};
+use requests::attempt::{self, AttemptEnd, Usage};
+use requests::life::{Admitted, Arrived, Facts, Next};
+use requests::refusal::Code;
+use routing::{Demand, Outcome, Target, TargetIndex, UpstreamIndex};
+use types::prelude::*;
+
+use super::ask::HeadAsk;
+use super::refusal::{Refusal, set};
+use super::{Context, Rejected, Routed};
+use crate::shared::{Shared, lock};
+
+const BUSY_RETRY: Span = Span::from_secs(1);
+
+/// A call ready to run on a thread of its own.
+struct Job {
+    cx: Context,
+    head: HeadAsk,
+    service: EntryName,
+    call: PlainRequest,
+    idempotent: bool,
+    deadline: Time,
+}
+
+/// Checks a call and hands it to a thread.
+pub(crate) fn serve(cx: Context, req: Request) -> Routed {
+    let job = match prepare(cx, &req) {
+        Ok(job) => job,
+        Err(refusal) => return Err(Rejected::boxed(refusal, req)),
+    };
+    let pool = job.cx.shared.pool.clone();
+    super::dispatch(&pool, req, move |responder| run(&job, responder))
+}
+
+fn prepare(cx: Context, req: &Request) -> Result<Job, Refusal> {
+    let head = HeadAsk::from_headers(&req.headers)?;
+    let rest = req.path.trim_start_matches(super::SERVICES);
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let unknown = || Refusal::not_found("service_not_found", format!("there is no service {name}"));
+    let name: EntryName = name.parse().map_err(|_| unknown())?;
+    let service = cx
+        .snapshot
+        .view
+        .services
+        .get(&name)
+        .ok_or_else(unknown)?
+        .clone();
+    if service.protocol != catalogue::entry::Protocol::Plain {
+        return Err(unknown());
+    }
+    if !service.customers.contains(&cx.customer) {
+        let message = format!("customer {} may not use {name}", cx.customer);
+        return Err(Refusal::forbidden(message));
+    }
+    if let Some(reason) = cx.snapshot.stale.get(&name) {
+        return Err(Refusal::unavailable(
+            "stale_catalogue",
+            reason.clone(),
+            BUSY_RETRY,
+        ));
+    }
+    let safe = matches!(req.method, Method::GET | Method::HEAD | Method::OPTIONS);
+    let idempotent = (safe || service.idempotent) && !head.non_idempotent;
+    let timeout = head
+        .deadline
+        .unwrap_or(service.timeout)
+        .min(service.timeout);
+    let deadline = cx.shared.now() + timeout;
+    let query = if req.query.is_empty() {
+        String::new()
+    } else {
+        format!("?{}", req.query)
+    };
+    let mut headers = req.headers.clone();
+    headers.remove("authorization");
+    let call = PlainRequest {
+        method: req.method.clone(),
+        path: format!("/{path}{query}"),
+        headers,
+        body: req.body.clone(),
+        timeout,
+    };
+    Ok(Job {
+        cx,
+        head,
+        service: name,
+        call,
+        idempotent,
+        deadline,
+    })
+}
+
+struct Taken {
+    index: UpstreamIndex,
+    target: TargetIndex,
+    id: UpstreamId,
+    address: std::net::SocketAddr,
+}
+
+fn run(job: &Job, responder: &Responder) {
+    let admitted = Arrived::new().admit(Facts {
+        customer: job.cx.customer.clone(),
+        id: job.head.request.clone(),
+        entry: job.service.clone(),
+        idempotent: job.idempotent,
+        resumable: false,
+        deadline: job.deadline,
+    });
+    if job.idempotent {
+        attempts(job, admitted, responder);
+    } else {
+        refuse(
+            job,
+            responder,
+            &admitted.refuse(Code::ClaimUnavailable).refusal(),
+        );
+    }
+}
+
+fn attempts(job: &Job, admitted: requests::life::Request<Admitted>, responder: &Responder) {
+    let mut avoid = Vec::new();
+    let Some(mut taken) = take_upstream(job, &avoid) else {
+        return refuse(job, responder, &admitted.refuse(Code::NoUpstream).refusal());
+    };
+    let mut request = match admitted.attempt(taken.id.clone()) {
+        Ok(request) => request,
+        Err(request) => {
+            let refused = request.refuse(Code::ClaimUnavailable);
+            return refuse(job, responder, &refused.refusal());
+        }
+    };
+    loop {
+        let (end, answer) = attempt(job, &taken, request.time_left(job.cx.shared.now()));
+        avoid.push(taken.index);
+        let now = job.cx.shared.now();
+        let next = job.cx.shared.with_budget(&job.service, |budget| {
+            request.end(&taken.id, &end, now, budget)
+        });
+        let waiting = match (next, answer) {
+            (Next::Answered(request), Some(answer)) => {
+                let attempts = request.progress().attempts();
+                let _ = request.bill();
+                return answered(job, responder, answer, &taken.id, attempts);
+            }
+            (Next::Retry(waiting, _), _) => waiting,
+            (Next::Refused(request), _) => return refuse(job, responder, &request.refusal()),
+            (Next::Unknown(request), _) => return refuse(job, responder, &request.refusal()),
+            _ => return,
+        };
+        taken = match take_upstream(job, &avoid) {
+            Some(taken) => taken,
+            None => {
+                return refuse(job, responder, &waiting.refuse(Code::NoUpstream).refusal());
+            }
+        };
+        request = waiting.attempt(taken.id.clone());
+    }
+}
+
+fn attempt(job: &Job, taken: &Taken, time_left: Span) -> (AttemptEnd, Option<PlainAnswer>) {
+    let shared = &job.cx.shared;
+    let began = shared.now();
+    let call = PlainRequest {
+        timeout: time_left,
+        ..job.call.clone()
+    };
+    let result = Client::default().plain(taken.address, &call);
+    let (end, answer) = match result {
+        Ok(answer) if says_not_run(&answer) => {
+            (AttemptEnd::RefusedNotRun { retry_after: None }, None)
+        }
+        // A gateway's error on a call that may be repeated is worth another upstream.
+        Ok(answer) if answer.status >= 502 && job.idempotent => {
+            (AttemptEnd::UpstreamError(answer.status), None)
+        }
+        Ok(answer) => (
+            AttemptEnd::Whole {
+                usage: Usage::default(),
+                adequate: true,
+            },
+            Some(answer),
+        ),
+        Err(error) => (end_of(&error), None),
+    };
+    finished(shared, taken, &end, began);
+    (end, answer)
+}
+
+fn says_not_run(answer: &PlainAnswer) -> bool {
+    answer.status == 503
+        && answer
+            .headers
+            .get("x-not-run")
+            .is_some_and(|value| value == "true")
+}
+
+fn finished(shared: &Shared, taken: &Taken, end: &AttemptEnd, began: Time) {
+    let now = shared.now();
+    let outcome = match end {
+        AttemptEnd::Whole { .. } => Outcome::Answered {
+            first_token: now.since(began),
+            per_token: Span::ZERO,
+        },
+        AttemptEnd::NotSent => Outcome::Unreachable,
+        AttemptEnd::RefusedNotRun { .. } => Outcome::Busy,
+        _ => Outcome::Failed,
+    };
+    let mut router = lock(&shared.router);
+    router.finished(now, taken.index, taken.target, outcome, &mut rand::rng());
+}
+
+fn end_of(error: &AttemptError) -> AttemptEnd {
+    match error {
+        AttemptError::NotSent(_) => AttemptEnd::NotSent,
+        AttemptError::NotRun { .. } | AttemptError::NotLoaded => {
+            AttemptEnd::RefusedNotRun { retry_after: None }
+        }
+        AttemptError::Unknown(Doubt::TimedOut) => AttemptEnd::Unknown(attempt::Doubt::TimedOut),
+        AttemptError::Truncated { .. } => AttemptEnd::Truncated {
+            received: Tokens(0),
+            shown: false,
+        },
+        AttemptError::Crossed { .. } => AttemptEnd::Crossed,
+        AttemptError::Status { status, .. } => AttemptEnd::UpstreamError(*status),
+        AttemptError::Unknown(_) => AttemptEnd::Unknown(attempt::Doubt::Reset),
+    }
+}
+
+fn take_upstream(job: &Job, avoid: &[UpstreamIndex]) -> Option<Taken> {
+    let shared = &job.cx.shared;
+    let mut router = lock(&shared.router);
+    let target = router.target_index(&Target::Service(job.service.clone()))?;
+    let demand = Demand {
+        target,
+        prefix: &[],
+        priority: Priority::Interactive,
+        avoid,
+    };
+    let index = router.pick(shared.now(), &demand, &mut rand::rng()).ok()?;
+    router.started(index, &demand);
+    let spec = router.upstream(index)?.spec();
+    Some(Taken {
+        index,
+        target,
+        id: spec.id.clone(),
+        address: spec.address,
+    })
+}
+
+fn answered(
+    job: &Job,
+    responder: &Responder,
+    answer: PlainAnswer,
+    upstream: &UpstreamId,
+    attempts: usize,
+) {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut headers = answer.headers;
+    set(&mut headers, "x-request-id", job.head.request.as_str());
+    set(&mut headers, "x-served-by", upstream.as_str());
+    set(&mut headers, "x-attempts", &attempts.to_string());
+    let body: Bytes = answer.body;
+    responder.answer(Head { status, headers }, body);
+}
+
+fn refuse(job: &Job, responder: &Responder, decision: &requests::refusal::Refusal) {
+    let refusal = Refusal::from_decision(decision);
+    job.cx.shared.metrics.refusal(refusal.code);
+    refusal.send(responder, Some(&job.head.request));
+}
--- a/components/node/src/traffic/pool.rs
+++ b/components/node/src/traffic/pool.rs
@@ -36,7 +36,12 @@
     #[must_use]
     pub fn new(max: usize) -> Self {
         let (jobs, rx) = flume::bounded(max);
-        Self { jobs, rx, counts: Arc::new(Counts::default()), max }
+        Self {
+            jobs,
+            rx,
+            counts: Arc::new(Counts::default()),
+            max,
+        }
     }
 
     /// Runs a job on a thread of its own.
@@ -78,7 +83,9 @@
         }
         self.counts.threads.fetch_add(1, Ordering::AcqRel);
         let (rx, counts) = (self.rx.clone(), self.counts.clone());
-        let thread = std::thread::Builder::new().name("traffic".to_owned()).stack_size(STACK_BYTES);
+        let thread = std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .stack_size(STACK_BYTES);
         let spawned = thread.spawn(move || work(&rx, &counts));
         if let Err(error) = &spawned {
             self.counts.threads.fetch_sub(1, Ordering::AcqRel);
--- a/components/node/src/traffic/refusal.rs
+++ b/components/node/src/traffic/refusal.rs
@@ -41,7 +41,14 @@
 
 impl Refusal {
     fn not_run(status: u16, kind: &'static str, code: &'static str, message: String) -> Self {
-        Self { status, kind, code, message, run: RunState::No, retry_after: None }
+        Self {
+            status,
+            kind,
+            code,
+            message,
+            run: RunState::No,
+            retry_after: None,
+        }
     }
 
     /// The request is malformed.
@@ -54,7 +61,12 @@
     #[must_use]
     pub fn unauthorized() -> Self {
         let message = "the key is missing or unknown; send Authorization: Bearer KEY";
-        Self::not_run(401, "invalid_request_error", "invalid_api_key", message.to_owned())
+        Self::not_run(
+            401,
+            "invalid_request_error",
+            "invalid_api_key",
+            message.to_owned(),
+        )
     }
 
     /// The customer may not use it.
@@ -72,20 +84,26 @@
     /// A limit is reached; come back later.
     #[must_use]
     pub fn too_many(message: impl Into<String>, retry_after: Span) -> Self {
-        let refusal =
-            Self::not_run(429, "rate_limit_error", "rate_limit_exceeded", message.into());
-        Self { retry_after: Some(retry_after), ..refusal }
+        let refusal = Self::not_run(
+            429,
+            "rate_limit_error",
+            "rate_limit_exceeded",
+            message.into(),
+        );
+        Self {
+            retry_after: Some(retry_after),
+            ..refusal
+        }
     }
 
     /// This daemon or its upstreams cannot take it now.
     #[must_use]
-    pub fn unavailable(
-        code: &'static str,
-        message: impl Into<String>,
-        retry_after: Span,
-    ) -> Self {
+    pub fn unavailable(code: &'static str, message: impl Into<String>, retry_after: Span) -> Self {
         let refusal = Self::not_run(503, "server_error", code, message.into());
-        Self { retry_after: Some(retry_after), ..refusal }
+        Self {
+            retry_after: Some(retry_after),
+            ..refusal
+        }
     }
 
     /// The deadline passed or cannot be met.
@@ -99,14 +117,20 @@
     /// Upstreams failed after work may have been done.
     #[must_use]
     pub fn upstream_failed(message: impl Into<String>, run: RunState) -> Self {
-        Self { run, ..Self::not_run(502, "server_error", "upstream_failed", message.into()) }
+        Self {
+            run,
+            ..Self::not_run(502, "server_error", "upstream_failed", message.into())
+        }
     }
 
     /// Non-idempotent work whose outcome is not known.
     #[must_use]
     pub fn outcome_unknown(message: impl Into<String>) -> Self {
         let refusal = Self::not_run(504, "server_error", "outcome_unknown", message.into());
-        Self { run: RunState::Unknown, ..refusal }
+        Self {
+            run: RunState::Unknown,
+            ..refusal
+        }
     }
 
     /// As JSON.
@@ -143,7 +167,10 @@
     fn head(&self, request_id: Option<&RequestId>) -> Head {
         let status = StatusCode::from_u16(self.status);
         let mut headers = HeaderMap::new();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         set(&mut headers, "x-run", &self.run.to_string());
         if let Some(id) = request_id {
             set(&mut headers, "x-request-id", id.as_str());
@@ -153,7 +180,10 @@
             let seconds = span.as_micros().div_ceil(1_000_000).max(1);
             set(&mut headers, "retry-after", &seconds.to_string());
         }
-        Head { status: status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), headers }
+        Head {
+            status: status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+            headers,
+        }
     }
 }
 
@@ -163,3 +193,92 @@
         headers.insert(name, value);
     }
 }
+
+impl Refusal {
+    /// What the decision on a request's life comes to in HTTP.
+    #[must_use]
+    pub fn from_decision(decision: &requests::refusal::Refusal) -> Self {
+        let (status, kind, code, message) = words(decision.code());
+        Self {
+            status,
+            kind,
+            code,
+            message: message.to_owned(),
+            run: decision.run(),
+            retry_after: decision.retry_after().or_else(|| default_retry(status)),
+        }
+    }
+}
+
+/// Pause told with statuses that are worth a repeat when nothing better is known.
+fn default_retry(status: u16) -> Option<Span> {
+    (status == 503 || status == 429).then_some(Span::from_secs(1))
+}
+
+type Words = (u16, &'static str, &'static str, &'static str);
+
+const INVALID: &str = "invalid_request_error";
+const SERVER: &str = "server_error";
+
+fn words(code: requests::refusal::Code) -> Words {
+    use requests::refusal::Code;
+    match code {
+        Code::Invalid => (400, INVALID, "bad_request", "the request is malformed"),
+        Code::Unauthorized => (401, INVALID, "invalid_api_key", "the key is unknown"),
+        Code::NotPermitted => (
+            403,
+            "permission_error",
+            "permission_denied",
+            "not permitted",
+        ),
+        Code::NotFound => (
+            404,
+            INVALID,
+            "model_not_found",
+            "there is nothing of that name",
+        ),
+        Code::Limited => (
+            429,
+            "rate_limit_error",
+            "rate_limit_exceeded",
+            "a limit is reached",
+        ),
+        Code::UpstreamStatus(status) if (400..500).contains(&status) => (
+            status,
+            INVALID,
+            "upstream_refused",
+            "the upstream refused the request",
+        ),
+        Code::AnswerNotKept => (
+            409,
+            INVALID,
+            "answer_not_kept",
+            "it ran before; its answer was too long to keep",
+        ),
+        Code::IdReused => (409, INVALID, "id_reused", "the id names another request"),
+        Code::CallerGone => (499, INVALID, "caller_gone", "the caller left"),
+        other => server_words(other),
+    }
+}
+
+fn server_words(code: requests::refusal::Code) -> Words {
+    use requests::refusal::Code;
+    let (status, name, message) = match code {
+        Code::Overloaded => (503, "overloaded", "too much work waits"),
+        Code::Stale => (503, "stale_catalogue", "the catalogue may be out of date"),
+        Code::NoUpstream => (503, "no_upstream", "no upstream can take the work now"),
+        Code::ClaimUnavailable => (503, "claim_unavailable", "no claim can be made now"),
+        Code::LedgerFull => (503, "ledger_full", "too many bills wait for the store"),
+        Code::ShuttingDown => (503, "shutting_down", "this daemon is leaving"),
+        Code::DeadlinePassed => (504, "deadline_exceeded", "the deadline has passed"),
+        Code::OutcomeUnknown => (
+            504,
+            "outcome_unknown",
+            "it may have run; it is not run again",
+        ),
+        Code::StreamCut => (502, "stream_cut", "the answer broke off"),
+        Code::AttemptsFailed => (502, "upstream_failed", "the upstreams tried failed"),
+        _ => (502, "upstream_failed", "the upstream failed"),
+    };
+    (status, SERVER, name, message)
+}
--- a/components/node/src/traffic/resolve.rs
+++ b/components/node/src/traffic/resolve.rs
@@ -36,15 +36,23 @@
         return found(view, name, offer, versions, customer);
     }
     let only = only_versions(view, model)?;
-    let offers = view.offers.iter().filter(|(name, _)| wanted.is_none_or(|only| only == *name));
+    let offers = view
+        .offers
+        .iter()
+        .filter(|(name, _)| wanted.is_none_or(|only| only == *name));
     for (name, offer) in offers {
         let permitted = view.permitted(offer, customer);
-        let versions = permitted.intersection(&only).cloned().collect::<BTreeSet<_>>();
+        let versions = permitted
+            .intersection(&only)
+            .cloned()
+            .collect::<BTreeSet<_>>();
         if !versions.is_empty() {
             return found(view, name, offer, versions, customer);
         }
     }
-    Err(Refusal::forbidden(format!("customer {customer} may not use {model}")))
+    Err(Refusal::forbidden(format!(
+        "customer {customer} may not use {model}"
+    )))
 }
 
 fn by_offer_name<'a>(view: &'a View, text: &str) -> Option<(&'a EntryName, &'a Arc<Offer>)> {
@@ -58,17 +66,23 @@
     let permit: catalogue::entry::Permit = text.parse().map_err(|_| unknown())?;
     let name = permit.model();
     let model = view.models.get(name).ok_or_else(unknown)?;
-    let ids = model.versions.iter().map(|(version, body)| {
-        (VersionId::new(name.clone(), version.clone()), body.state)
-    });
+    let ids = model
+        .versions
+        .iter()
+        .map(|(version, body)| (VersionId::new(name.clone(), version.clone()), body.state));
     let covered = ids.filter(|(id, _)| permit.covers(id)).collect::<Vec<_>>();
     if covered.is_empty() {
         return Err(unknown());
     }
-    let usable = covered.into_iter().filter(|(_, state)| *state != VersionState::Withdrawn);
+    let usable = covered
+        .into_iter()
+        .filter(|(_, state)| *state != VersionState::Withdrawn);
     let usable = usable.map(|(id, _)| id).collect::<BTreeSet<_>>();
     if usable.is_empty() {
-        return Err(Refusal::not_found("model_withdrawn", format!("{text} is withdrawn")));
+        return Err(Refusal::not_found(
+            "model_withdrawn",
+            format!("{text} is withdrawn"),
+        ));
     }
     Ok(usable)
 }
@@ -81,12 +95,22 @@
     customer: &CustomerId,
 ) -> Result<Resolved, Refusal> {
     if !offer.customers.contains_key(customer) {
-        return Err(Refusal::forbidden(format!("customer {customer} may not use {name}")));
+        return Err(Refusal::forbidden(format!(
+            "customer {customer} may not use {name}"
+        )));
     }
     let live = versions.iter().any(|id| view.version_state(id).is_some());
     if !live {
         let message = format!("no version of {name} may serve customer {customer} now");
-        return Err(Refusal::unavailable("no_version", message, Span::from_secs(5)));
+        return Err(Refusal::unavailable(
+            "no_version",
+            message,
+            Span::from_secs(5),
+        ));
     }
-    Ok(Resolved { name: name.clone(), offer: offer.clone(), versions })
+    Ok(Resolved {
+        name: name.clone(),
+        offer: offer.clone(),
+        versions,
+    })
 }
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -7,6 +7,7 @@
 use crate::model::Settings;
 
 const MIN_SECRET: usize = 16;
+const MIN_TOKEN: usize = 8;
 const MIN_TICK: Span = Span::from_millis(10);
 const MAX_TICK: Span = Span::from_secs(2);
 
@@ -25,102 +26,108 @@
     }
 }
 
+type Rule = (bool, &'static str, &'static str);
+
 /// Finds every broken rule.
 pub(crate) fn check(settings: &Settings) -> Vec<Problem> {
-    let mut problems = Vec::new();
-    let mut rule = |holds: bool, key: &'static str, expected: &str| {
-        if !holds {
-            problems.push(Problem {
-                key,
-                expected: expected.to_owned(),
-            });
-        }
-    };
+    let rules = callers(settings).into_iter().chain(edges(settings));
+    let broken = rules.filter(|(holds, _, _)| !holds);
+    broken
+        .map(|(_, key, expected)| Problem {
+            key,
+            expected: expected.to_owned(),
+        })
+        .collect()
+}
+
+fn callers(settings: &Settings) -> Vec<Rule> {
     let callers = &settings.callers;
-    rule(
-        (1..=64).contains(&callers.threads),
-        "callers.threads",
-        "1 to 64",
-    );
-    rule(
-        callers.max_connections > 0,
-        "callers.max_connections",
-        "at least 1",
-    );
-    rule(
-        callers.max_in_flight > 0,
-        "callers.max_in_flight",
-        "at least 1",
-    );
-    rule(
-        callers.max_head.0 >= 8192,
-        "callers.max_head",
-        "at least 8KiB",
-    );
-    rule(
-        callers.max_body.0 > 0,
-        "callers.max_body",
-        "more than nothing",
-    );
-    rule(
-        callers.head_timeout > Span::ZERO,
-        "callers.head_timeout",
-        "more than 0s",
-    );
-    rule(
-        callers.body_timeout > Span::ZERO,
-        "callers.body_timeout",
-        "more than 0s",
-    );
-    rule(
-        callers.write_timeout > Span::ZERO,
-        "callers.write_timeout",
-        "more than 0s",
-    );
-    rule(
-        !settings.operators.tokens.is_empty(),
-        "operators.tokens",
-        "a token for an operator",
-    );
-    let tokens = settings.operators.tokens.values();
-    rule(
-        tokens.clone().all(|token| token.len() >= 8),
-        "operators.tokens",
-        "8 characters or more",
-    );
-    rule(
-        !settings.store.endpoints.is_empty(),
-        "store.endpoints",
-        "at least one address",
-    );
-    rule(
-        settings.store.timeout > Span::ZERO,
-        "store.timeout",
-        "more than 0s",
-    );
-    rule(
-        !settings.peers.keys.is_empty(),
-        "peers.keys",
-        "at least one key",
-    );
-    let mut secrets = settings.peers.keys.iter().map(|key| key.secret.len());
-    rule(
-        secrets.all(|len| len >= MIN_SECRET),
-        "peers.keys",
-        "secrets of 16 characters or more",
-    );
-    let unreachable =
-        settings.peers.advertise.is_none() && settings.peers.listen.ip().is_unspecified();
-    rule(
-        !unreachable,
-        "peers.advertise",
-        "an address, since peers.listen has none to give",
-    );
+    vec![
+        (
+            (1..=64).contains(&callers.threads),
+            "callers.threads",
+            "1 to 64",
+        ),
+        (
+            callers.max_connections > 0,
+            "callers.max_connections",
+            "at least 1",
+        ),
+        (
+            callers.max_in_flight > 0,
+            "callers.max_in_flight",
+            "at least 1",
+        ),
+        (
+            callers.max_head.0 >= 8192,
+            "callers.max_head",
+            "at least 8KiB",
+        ),
+        (
+            callers.max_body.0 > 0,
+            "callers.max_body",
+            "more than nothing",
+        ),
+        (
+            callers.head_timeout > Span::ZERO,
+            "callers.head_timeout",
+            "more than 0s",
+        ),
+        (
+            callers.body_timeout > Span::ZERO,
+            "callers.body_timeout",
+            "more than 0s",
+        ),
+        (
+            callers.write_timeout > Span::ZERO,
+            "callers.write_timeout",
+            "more than 0s",
+        ),
+    ]
+}
+
+fn edges(settings: &Settings) -> Vec<Rule> {
+    let tokens = &settings.operators.tokens;
+    let peers = &settings.peers;
+    let secrets_are_long = peers.keys.iter().all(|key| key.secret.len() >= MIN_SECRET);
+    let is_reachable = peers.advertise.is_some() || !peers.listen.ip().is_unspecified();
     let tick = settings.control.tick;
-    rule(
-        (MIN_TICK..=MAX_TICK).contains(&tick),
-        "control.tick",
-        "10ms to 2s",
-    );
-    problems
+    vec![
+        (
+            !tokens.is_empty(),
+            "operators.tokens",
+            "a token for an operator",
+        ),
+        (
+            tokens.values().all(|t| t.len() >= MIN_TOKEN),
+            "operators.tokens",
+            "8 characters or more",
+        ),
+        (
+            !settings.store.endpoints.is_empty(),
+            "store.endpoints",
+            "at least one address",
+        ),
+        (
+            settings.store.timeout > Span::ZERO,
+            "store.timeout",
+            "more than 0s",
+        ),
+        (!peers.keys.is_empty(), "peers.keys", "at least one key"),
+        (
+            secrets_are_long,
+            "peers.keys",
+            "secrets of 16 characters or more",
+        ),
+        (
+            is_reachable,
+            "peers.advertise",
+            "an address, since peers.listen has none to give",
+        ),
+        (
+            (MIN_TICK..=MAX_TICK).contains(&tick),
+            "control.tick",
+            "10ms to 2s",
+        ),
+    ]
 }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 mod limit;
 pub mod plain;
+pub mod platform;
 pub mod rater;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/daemon/src/cmd/run.rs
@@ -0,0 +1,24 @@
+//! `run`: serves with the settings of a file.
+
+use eyre::Context;
+use node::Node;
+
+use super::serve;
+use crate::cli::Run;
+
+/// Loads, checks, builds, serves.
+pub fn run(options: &Run) -> eyre::Result<()> {
+    let settings = settings::load(&options.settings)?;
+    logs_filter(&settings.log.filter)?;
+    if options.check {
+        println!("{}: the settings are good", options.settings.display());
+        return Ok(());
+    }
+    serve::start_logs(&settings)?;
+    let node = Node::start(settings).wrap_err("the daemon cannot start")?;
+    serve::until_signal(node)
+}
+
+fn logs_filter(filter: &str) -> eyre::Result<()> {
+    telemetry::logs::check_filter(filter).wrap_err("log.filter")
+}
