--- a/components/requests/tests/claims.rs
+++ b/components/requests/tests/claims.rs
@@ -1,78 +1,21 @@
 //! Claims against lost replies, delayed writes, other daemons and a store that is down.
 
-use std::collections::BTreeMap;
-
-use bytes::Bytes;
-use keyvalue::{
-    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, OpReply, Outcome, Reply,
-    Request, Txn, TxnReply,
-};
+use keyvalue::{CallError, LeaseId, Outcome, Request};
 use requests::claim::*;
 use types::prelude::*;
 
-const NOW: Time = Time(1_000);
+use support::Store;
 
-/// A store that a test calls by hand.
-#[derive(Default)]
-struct FakeStore {
-    keys: BTreeMap<String, (Bytes, ModRevision)>,
-    revision: i64,
-}
+#[path = "support/store.rs"]
+mod support;
 
-impl FakeStore {
-    fn call(&mut self, request: &Request) -> Outcome {
-        self.revision += 1;
-        let reply = match request {
-            Request::Txn(txn) => Reply::Txn(self.txn(txn)),
-            Request::Range(range) => Reply::Range(self.read(&range.key)),
-            Request::LeaseGrant { .. } => Reply::LeaseGranted(LeaseId(self.revision)),
-            _ => panic!("not used by claims"),
-        };
-        Ok(Answer {
-            revision: ModRevision(self.revision),
-            reply,
-        })
-    }
-
-    fn read(&self, key: &str) -> Vec<KeyValue> {
-        let found = self.keys.get(key).map(|(value, revision)| KeyValue {
-            key: key.to_owned(),
-            value: value.clone(),
-            mod_revision: *revision,
-            lease: None,
-        });
-        found.into_iter().collect()
-    }
-
-    fn txn(&mut self, txn: &Txn) -> TxnReply {
-        let succeeded = txn.compare.iter().all(|compare| {
-            let (key, wanted) = match compare {
-                Compare::Absent(key) => (key, ModRevision(0)),
-                Compare::ModRevision(key, revision) => (key, *revision),
-            };
-            self.keys.get(key).map_or(ModRevision(0), |held| held.1) == wanted
-        });
-        let ops = if succeeded {
-            &txn.success
-        } else {
-            &txn.failure
-        };
-        let replies = ops.iter().map(|op| self.op(op)).collect();
-        TxnReply { succeeded, replies }
-    }
+const NOW: Time = Time(1_000);
 
-    fn op(&mut self, op: &Op) -> OpReply {
-        match op {
-            Op::Put(put) => {
-                let written = (put.value.clone(), ModRevision(self.revision));
-                self.keys.insert(put.key.clone(), written);
-                OpReply::Put
-            }
-            Op::Range(range) => OpReply::Range(self.read(&range.key)),
-            Op::Txn(txn) => OpReply::Txn(self.txn(txn)),
-            Op::Delete(key) => OpReply::Delete(u64::from(self.keys.remove(key).is_some())),
-        }
-    }
+fn store() -> Store {
+    let mut store = Store::default();
+    let ttl = Span::from_secs(700);
+    let _ = store.call(&Request::LeaseGrant { ttl });
+    store
 }
 
 fn lost() -> Outcome {
@@ -90,7 +33,7 @@
         counter,
     };
     let lease = ClaimLease {
-        id: LeaseId(7),
+        id: LeaseId(1),
         use_until: NOW + Span::from_secs(60),
     };
     ClaimSpec {
@@ -103,7 +46,7 @@
 }
 
 /// Drives a claim with a store that answers.
-fn drive(store: &mut FakeStore, claim: &mut Claim, mut call: Request) -> ClaimStep {
+fn drive(store: &mut Store, claim: &mut Claim, mut call: Request) -> ClaimStep {
     loop {
         match claim.on_outcome(store.call(&call), NOW) {
             ClaimStep::Call(next) => call = next,
@@ -112,7 +55,7 @@
     }
 }
 
-fn claim(store: &mut FakeStore, spec: ClaimSpec) -> ClaimStep {
+fn claim(store: &mut Store, spec: ClaimSpec) -> ClaimStep {
     let (mut claim, call) = Claim::start(spec);
     drive(store, &mut claim, call)
 }
@@ -124,7 +67,7 @@
     }
 }
 
-fn settle(store: &mut FakeStore, start: (Settle, Request)) -> SettleStep {
+fn settle(store: &mut Store, start: (Settle, Request)) -> SettleStep {
     let (mut settle, mut call) = start;
     loop {
         match settle.on_outcome(store.call(&call)) {
@@ -140,7 +83,7 @@
 
 #[test]
 fn can_give_a_repeat_the_recorded_answer() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let mine = held(claim(&mut store, spec("d1", 1)));
     let open = claim(&mut store, spec("d2", 1));
     assert!(matches!(open, ClaimStep::Duplicate(Standing::Open)));
@@ -160,7 +103,7 @@
 // claim's write took effect and its reply was lost. Cause: no nonce compared on read-back.
 #[test]
 fn can_recognize_its_own_write_after_a_lost_reply() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let (mut claim, call) = Claim::start(spec("d1", 1));
     let _ = store.call(&call);
     let ClaimStep::Call(read) = claim.on_outcome(lost(), NOW) else {
@@ -176,7 +119,7 @@
 // that found nothing was taken for "mine" or the write was not conditional.
 #[test]
 fn errors_of_delayed_claims_do_not_run_twice() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let (mut slow, delayed) = Claim::start(spec("d1", 1));
     let ClaimStep::Call(read) = slow.on_outcome(lost(), NOW) else {
         panic!("not read back");
@@ -196,7 +139,7 @@
 #[test]
 fn errors_of_abandoned_claims_leave_no_phantom() {
     for taken_over in [false, true] {
-        let mut store = FakeStore::default();
+        let mut store = store();
         if taken_over {
             let mine = held(claim(&mut store, spec("d0", 1)));
             settle(&mut store, Settle::release(mine));
@@ -236,7 +179,7 @@
 // the grant of the lease and the claim. Cause: a lease used past its slot.
 #[test]
 fn errors_of_late_claims_are_not_used() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let mut late = spec("d1", 1);
     late.deadline = Time::NEVER;
     let (mut claim, call) = Claim::start(late);
@@ -246,7 +189,7 @@
 
 #[test]
 fn can_keep_one_lease_for_a_slot() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let mut slots = LeaseSlots::new(Windows::default());
     let call = slots.poll(NOW).unwrap();
     assert_eq!(slots.poll(NOW), None);
@@ -261,6 +204,22 @@
     assert_eq!(slots.poll(later + Span::from_secs(2)), Some(call));
 }
 
+#[test]
+fn can_claim_again_once_the_lease_lapsed() {
+    let mut store = store();
+    held(claim(&mut store, spec("d1", 1)));
+    store.advance(Time::ZERO + Span::from_secs(701));
+    let refused = claim(&mut store, spec("d2", 1));
+    assert!(matches!(refused, ClaimStep::Unavailable(None)));
+    let ttl = Span::from_secs(700);
+    let mut fresh = spec("d2", 2);
+    fresh.lease.id = match store.call(&Request::LeaseGrant { ttl }).unwrap().reply {
+        keyvalue::Reply::LeaseGranted(id) => id,
+        other => panic!("no lease: {other:?}"),
+    };
+    held(claim(&mut store, fresh));
+}
+
 // Requests of two customers share one claim, and one of them is told of the other's booking.
 // Cause: names hold `/`, and the key was built by joining them.
 #[test]
@@ -273,7 +232,7 @@
 
 #[test]
 fn can_pack_claims_in_one_call() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let mut batcher = Batcher::default();
     let mut claims: Vec<Claim> = Vec::new();
     for n in 0..10 {
@@ -301,7 +260,7 @@
 // and the store refuses the whole batch, again and again. Cause: a batch kept together.
 #[test]
 fn errors_of_one_call_do_not_fail_its_batch() {
-    let mut store = FakeStore::default();
+    let mut store = store();
     let mut batcher = Batcher::default();
     for n in 0..3 {
         let mut spec = spec("d1", n);
