--- a/components/ledger/src/keys.rs
+++ b/components/ledger/src/keys.rs
@@ -25,7 +25,12 @@
             daemon,
             incarnation,
         } = origin;
-        format!("{}/origins/{daemon}/{:016x}", self.prefix, incarnation.0)
+        format!("{}{daemon}/{:016x}", self.marks(), incarnation.0)
+    }
+
+    /// All origins' marks.
+    pub(crate) fn marks(&self) -> String {
+        format!("{}/origins/", self.prefix)
     }
 
     /// A shard's part of a batch.
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -14,6 +14,7 @@
 use crate::message::Message;
 use crate::rollup::Roller;
 use crate::seal;
+use crate::sweep::Sweep;
 
 mod call;
 mod hold;
@@ -177,6 +178,7 @@
     calls: BTreeMap<CallId, call::Call>,
     next_call: u64,
     roller: Roller,
+    sweep: Sweep,
     counters: Fill,
 }
 
@@ -200,6 +202,7 @@
             waiting: VecDeque::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            sweep: Sweep::default(),
             counters: Fill::default(),
             cfg,
         }
@@ -239,6 +242,7 @@
         let mut effects = self.flush(now);
         effects.extend(self.seal_due(now, wall));
         effects.extend(self.roll_due(now, wall));
+        effects.extend(self.sweep_due(now, wall));
         effects
     }
 
--- a/components/ledger/src/ledger/call.rs
+++ b/components/ledger/src/ledger/call.rs
@@ -9,6 +9,8 @@
     Seal(Origin),
     /// A roll-up of this shard.
     Roll(u16),
+    /// Old marks.
+    Sweep,
 }
 
 impl Ledger {
@@ -25,6 +27,12 @@
                     .into_iter()
                     .collect()
             }
+            Some(Call::Sweep) => {
+                let next = self.sweep.on_outcome(&self.keys, outcome);
+                next.map(|request| self.call(Call::Sweep, request))
+                    .into_iter()
+                    .collect()
+            }
             None => Vec::new(),
         }
     }
@@ -98,4 +106,13 @@
             .map(|(shard, request)| self.call(Call::Roll(shard), request))
             .collect()
     }
+
+    /// Starts a sweep when it is due and falls to this daemon, as the first shard does.
+    pub(super) fn sweep_due(&mut self, now: Time, wall: WallTime) -> Option<Effect> {
+        if !self.roller.has_shard(0) {
+            return None;
+        }
+        let request = self.sweep.tick(now, wall, &self.keys)?;
+        Some(self.call(Call::Sweep, request))
+    }
 }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -23,6 +23,7 @@
 mod message;
 mod rollup;
 mod seal;
+mod sweep;
 mod totals;
 
 pub use crate::bill::{Account, Bill, BillId, Charge, Fingerprint, Item};
--- a/components/ledger/src/rollup.rs
+++ b/components/ledger/src/rollup.rs
@@ -84,6 +84,10 @@
         self.counts
     }
 
+    pub(crate) fn has_shard(&self, number: u16) -> bool {
+        self.shards.contains_key(&number)
+    }
+
     pub(crate) fn fingerprints(&self) -> usize {
         self.shards.values().map(|shard| shard.seen.len()).sum()
     }
--- a/components/ledger/src/seal.rs
+++ b/components/ledger/src/seal.rs
@@ -4,7 +4,8 @@
 //! written in one transaction that compares the mark's revision, writes one part for
 //! each shard and moves the mark. So a batch is created once whoever writes it: a lost
 //! reply, a late effect, a paused origin or a second holder finds the mark moved. The
-//! mark outlives the batch, which a roll-up deletes.
+//! mark outlives the batch, which a roll-up deletes. A batch written again after a lost
+//! reply may have grown: of the two writes only one can happen.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,17 +35,17 @@
     mark: ModRevision,
     /// Last number of the batch sent and not yet answered.
     pub(crate) in_flight: Option<u64>,
-    /// Last number of a batch whose outcome is not known: its content is kept.
-    frozen: Option<u64>,
     /// Not before.
     pub(crate) due: Time,
     backoff: Span,
 }
 
+/// How far an origin's charges are sealed.
 #[derive(Debug, Serialize, Deserialize)]
-struct Mark {
+pub(crate) struct Mark {
     sealed: u64,
-    at: WallTime,
+    /// When it was last moved, by the calendar of the daemon that moved it.
+    pub(crate) at: WallTime,
 }
 
 /// Cuts and sends the next batch.
@@ -59,7 +60,6 @@
     }
     let (upto, parts) = cut(journal);
     journal.seal.in_flight = Some(upto);
-    journal.seal.frozen = Some(upto);
     let first = journal.sealed() + 1;
     let mark = keys.mark(origin);
     let writes = parts
@@ -86,11 +86,7 @@
 
 /// The next batch: its last number and its parts, at most [`MAX_BATCH_BYTES`] in all.
 fn cut(journal: &Journal) -> (u64, BTreeMap<u16, bytes::Bytes>) {
-    let frozen = journal.seal.frozen.filter(|upto| *upto > journal.sealed());
-    let mut limit = match frozen {
-        Some(upto) => (upto - journal.sealed()) as usize,
-        None => charges_of_few_hours(journal),
-    };
+    let mut limit = charges_of_few_hours(journal);
     loop {
         let parts = parts(journal, limit);
         let size: usize = parts.values().map(bytes::Bytes::len).sum();
@@ -138,7 +134,6 @@
     };
     if reply.succeeded {
         journal.seal.mark = answer.revision;
-        journal.seal.frozen = None;
         journal.advance(upto);
         return;
     }
@@ -150,7 +145,6 @@
 
 /// Another holder, or an earlier try whose reply was lost, has moved the mark.
 fn take_mark(journal: &mut Journal, now: Time, found: Vec<KeyValue>) {
-    journal.seal.frozen = None;
     journal.seal.due = now;
     let Some(found) = found.into_iter().next() else {
         journal.seal.mark = ModRevision(0);
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -251,6 +251,37 @@
     assert_eq!(fleet.daemons[0].ledger.fill().own, 0);
 }
 
+// A daemon reaches its peers and not the store. Its holder does and seals in its place, long
+// before the callers' retry window and the fingerprints of a repeat are over.
+#[test]
+fn can_seal_for_a_daemon_that_is_cut_off_from_the_store() {
+    let mut fleet = fleet(3);
+    fleet.daemons[0].is_cut_off = true;
+    fleet.serve(0, 1);
+    fleet.run(SECOND.times(120));
+    assert_eq!(fleet.bills_of(1), 1);
+}
+
+// Marks of runs that ended more than a week ago go; that of a live daemon stays.
+#[test]
+fn can_bound_the_marks_of_past_runs() {
+    let mut fleet = fleet(2);
+    fleet.serve(0, 1);
+    fleet.run(SECOND.times(60));
+    fleet.crash(0);
+    fleet.now = fleet.now + SECOND.times(8 * 24 * 3600);
+    fleet.serve(1, 2);
+    fleet.run(SECOND.times(60));
+    fleet.now = fleet.now + SECOND.times(3600);
+    fleet.run(SECOND.times(60));
+    let marks = fleet
+        .store
+        .keys
+        .keys()
+        .filter(|key| key.contains("/origins/"));
+    assert_eq!(marks.count(), 1);
+}
+
 // A holder is replaced while it is slow, and both it and the new one hold bills when the
 // daemon dies. Both seal; the mark moves once.
 #[test]
--- a/components/ledger/tests/support/fleet.rs
+++ b/components/ledger/tests/support/fleet.rs
@@ -37,6 +37,8 @@
     /// Crashed daemons stay in the table: the index names one run of one host.
     pub(crate) is_alive: bool,
     pub(crate) is_paused: bool,
+    /// Reaches its peers and not the store.
+    pub(crate) is_cut_off: bool,
     waiting: BTreeMap<Receipt, u32>,
 }
 
@@ -111,6 +113,7 @@
             ledger: Ledger::new(cfg),
             is_alive: true,
             is_paused: false,
+            is_cut_off: false,
             waiting: BTreeMap::new(),
         });
         self.daemons.len() - 1
@@ -200,7 +203,7 @@
                 self.take(index, effects);
             }
             Pending::Call { from, id, request } => {
-                let outcome = match self.is_store_down {
+                let outcome = match self.is_store_down || self.daemons[*from].is_cut_off {
                     true => Err(CallError::NotSent("down".into())),
                     false => Ok(self.store.call(request)),
                 };
@@ -280,6 +283,7 @@
         self.is_store_down = false;
         for daemon in &mut self.daemons {
             daemon.is_paused = false;
+            daemon.is_cut_off = false;
         }
         for request in std::mem::take(&mut self.delayed) {
             self.store.call(&request);
--- a/components/ledger/tests/support/fuzz.rs
+++ b/components/ledger/tests/support/fuzz.rs
@@ -23,6 +23,8 @@
     /// One of the delayed writes takes effect.
     TakeEffect,
     Store(bool),
+    /// A daemon reaches its peers and not the store, or reaches it again.
+    CutOff(usize, bool),
     Pause(usize),
     Resume(usize),
     /// A host is lost and replaced.
@@ -51,6 +53,7 @@
             1 => pick.prop_map(Step::DropMessage),
             1 => Just(Step::TakeEffect),
             1 => any::<bool>().prop_map(Step::Store),
+            1 => (daemon.clone(), any::<bool>()).prop_map(|(on, is)| Step::CutOff(on, is)),
             1 => daemon.clone().prop_map(Step::Pause),
             1 => daemon.clone().prop_map(Step::Resume),
             1 => daemon.prop_map(Step::Replace),
@@ -136,6 +139,7 @@
                 }
             }
             Step::Store(is_down) => fleet.is_store_down = is_down,
+            Step::CutOff(host, is) => fleet.daemons[state.runs[host]].is_cut_off = is,
             Step::Pause(host) => fleet.daemons[state.runs[host]].is_paused = true,
             Step::Resume(host) => fleet.daemons[state.runs[host]].is_paused = false,
             Step::Replace(host) => state.replace(host),
