--- a/components/quality/src/detector.rs
+++ b/components/quality/src/detector.rs
@@ -14,10 +14,12 @@
 const ALTERNATIVES: usize = DROPS.len();
 const LOWEST_SHARE: f64 = 0.02;
 const HIGHEST_SHARE: f64 = 0.995;
-const GRID: usize = 400;
-const SWEEPS: usize = 4000;
-const SETTLED: f64 = 1e-9;
-const BISECTIONS: usize = 30;
+const GRID: usize = 256;
+const SWEEPS: usize = 2000;
+const SETTLED: f64 = 1e-4;
+const PRECISION: f64 = 0.05;
+/// Null shares are rounded down to a multiple of one part of this many.
+const NULL_STEPS: f64 = 200.0;
 
 /// What a rating adds to one CUSUM.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
@@ -48,6 +50,7 @@
     /// For a null share and the mean number of ratings before a false alarm.
     #[must_use]
     pub fn new(null: f64, run_length: f64) -> Self {
+        let null = (null * NULL_STEPS).floor() / NULL_STEPS;
         let null = null.clamp(2.0 * LOWEST_SHARE, HIGHEST_SHARE);
         let steps = DROPS.map(|drop| Steps::new(null, (null - drop).max(LOWEST_SHARE)));
         let each = run_length * ALTERNATIVES as f64;
@@ -82,20 +85,18 @@
     }
 }
 
-/// Smallest threshold at which the mean run length is reached.
+/// Smallest threshold at which the mean run length is reached, within a small error upwards.
 fn height(null: f64, steps: Steps, run_length: f64) -> f64 {
-    // Wald's bound: a CUSUM with threshold h runs for at least e^h ratings.
-    let (mut low, mut high) = (1.0, run_length.ln());
-    for _ in 0..BISECTIONS {
+    // Wald's bound: a CUSUM with threshold h runs for at least e^h ratings on average.
+    let mut high = run_length.ln().max(1.0);
+    let mut low = high / 2.0;
+    while high - low > PRECISION {
         let middle = (low + high) / 2.0;
         if run_length_of(null, steps, middle) < run_length {
             low = middle;
         } else {
             high = middle;
         }
-        if high - low < 0.02 {
-            break;
-        }
     }
     high
 }
@@ -112,26 +113,18 @@
 
 fn run_length_of(null: f64, steps: Steps, threshold: f64) -> f64 {
     let cell = threshold / GRID as f64;
-    let mut hit = vec![0.0; GRID];
-    let mut length = vec![0.0; GRID];
-    let after = |values: &[f64], at: f64, beyond: f64| {
-        if at <= 0.0 {
-            0.0
-        } else if at >= threshold {
-            beyond
-        } else {
-            interpolate(values, at / cell)
-        }
-    };
+    let moves: Vec<[Place; 2]> = (0..GRID)
+        .map(|index| [steps.bad, steps.good].map(|step| Place::new(index as f64 + step / cell)))
+        .collect();
+    let mut hit = [0.0; GRID];
+    let mut length = [0.0; GRID];
     for _ in 0..SWEEPS {
         let mut change = 0.0_f64;
-        for index in 0..GRID {
-            let at = index as f64 * cell;
-            let (up, down) = (at + steps.bad, at + steps.good);
-            let next_hit = (1.0 - null) * after(&hit, up, 1.0) + null * after(&hit, down, 1.0);
-            let next_length =
-                1.0 + (1.0 - null) * after(&length, up, 0.0) + null * after(&length, down, 0.0);
-            change = change.max((next_length - length[index]).abs());
+        for (index, [up, down]) in moves.iter().enumerate() {
+            let mean = |up: f64, down: f64| (1.0 - null) * up + null * down;
+            let next_hit = mean(up.value(&hit, 1.0), down.value(&hit, 1.0));
+            let next_length = 1.0 + mean(up.value(&length, 0.0), down.value(&length, 0.0));
+            change = change.max((next_length - length[index]).abs() / next_length);
             change = change.max((next_hit - hit[index]).abs() / next_hit.max(f64::MIN_POSITIVE));
             hit[index] = next_hit;
             length[index] = next_length;
@@ -143,9 +136,33 @@
     length[0] / hit[0].max(f64::MIN_POSITIVE)
 }
 
-fn interpolate(values: &[f64], at: f64) -> f64 {
-    let index = at as usize;
-    let low = values[index.min(values.len() - 1)];
-    let high = values[(index + 1).min(values.len() - 1)];
-    low + (high - low) * (at - index as f64).clamp(0.0, 1.0)
+/// Where a rating leads on the grid.
+#[derive(Clone, Copy)]
+enum Place {
+    Zero,
+    Between(usize, f64),
+    Beyond,
+}
+
+impl Place {
+    fn new(at: f64) -> Self {
+        if at <= 0.0 {
+            Self::Zero
+        } else if at >= GRID as f64 {
+            Self::Beyond
+        } else {
+            Self::Between(at as usize, at.fract())
+        }
+    }
+
+    fn value(self, values: &[f64; GRID], beyond: f64) -> f64 {
+        match self {
+            Self::Zero => 0.0,
+            Self::Beyond => beyond,
+            Self::Between(index, part) => {
+                let next = values[(index + 1).min(GRID - 1)];
+                values[index] + (next - values[index]) * part
+            }
+        }
+    }
 }
