Decide admission: shares of limits by demand, fair queues, early refusals

Cause: limits hold for the fleet, but a call per request is too dear; a batch must not hold up interactive work. Conclusion: each request has one answer in stateful fuzzing (200 cases); it found that shrinking slots left interactive work its old allowance, and that batch could start on slots that interactive work had taken since the last tick.

--- /dev/null
+++ b/components/limits/src/account.rs
@@ -0,0 +1,108 @@
+//! What one customer or offer may take at this daemon.
+
+use types::prelude::*;
+
+use crate::ask::Bounds;
+use crate::bucket::{Bucket, Meter};
+use crate::demand::KeyId;
+use crate::shares::Shares;
+
+/// A customer's or an offer's use and bounds.
+#[derive(Debug, Clone)]
+pub(crate) struct Account {
+    pub(crate) key: KeyId,
+    pub(crate) weight: f64,
+    pub(crate) demand: Meter,
+    pub(crate) in_flight: u32,
+    bounds: Bounds,
+    requests: Option<Bucket>,
+    tokens: Option<Bucket>,
+    concurrent: Option<u32>,
+}
+
+impl Account {
+    pub(crate) fn new(key: KeyId) -> Self {
+        Self {
+            key,
+            weight: 1.0,
+            demand: Meter::default(),
+            in_flight: 0,
+            bounds: Bounds::default(),
+            requests: None,
+            tokens: None,
+            concurrent: None,
+        }
+    }
+
+    pub(crate) fn configure(&mut self, bounds: Bounds, weight: u32) {
+        self.bounds = bounds;
+        self.weight = f64::from(weight.max(1));
+    }
+
+    /// Takes this daemon's part of the bounds.
+    pub(crate) fn share(&mut self, now: Time, shares: &Shares) {
+        let part = shares.part(now, self.key);
+        let concurrent = self.bounds.concurrent.map(f64::from);
+        self.concurrent = concurrent.map(|limit| shares.allotment(now, self.key, limit));
+        set_rate(&mut self.requests, now, self.bounds.requests, part);
+        set_rate(&mut self.tokens, now, self.bounds.tokens, part);
+    }
+
+    /// Whether a request may start now.
+    pub(crate) fn is_open(&mut self, now: Time, tokens: Tokens) -> bool {
+        let concurrent = self.concurrent.is_none_or(|limit| self.in_flight < limit);
+        let tokens = tokens.0 as f64;
+        concurrent
+            && self.requests.as_mut().is_none_or(|b| b.is_open(now, 1.0))
+            && self.tokens.as_mut().is_none_or(|b| b.is_open(now, tokens))
+    }
+
+    pub(crate) fn take(&mut self, tokens: Tokens) {
+        self.in_flight += 1;
+        if let Some(bucket) = &mut self.requests {
+            bucket.take(1.0);
+        }
+        if let Some(bucket) = &mut self.tokens {
+            bucket.take(tokens.0 as f64);
+        }
+    }
+
+    pub(crate) fn settle(&mut self, reserved: Tokens, used: Tokens) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(bucket) = &mut self.tokens {
+            bucket.settle(reserved.0 as f64, used.0 as f64);
+        }
+    }
+
+    /// Time until its buckets let pass what waits and one more.
+    pub(crate) fn wait(&self, waiting: usize, tokens: Tokens) -> Span {
+        let count = waiting as f64 + 1.0;
+        let requests = self.requests.map_or(Span::ZERO, |b| b.wait_for(count));
+        let amount = count * tokens.0 as f64;
+        let tokens = self.tokens.map_or(Span::ZERO, |b| b.wait_for(amount));
+        requests.max(tokens)
+    }
+
+    pub(crate) fn is_bounded(&self) -> bool {
+        self.bounds != Bounds::default()
+    }
+
+    pub(crate) fn is_idle(&self, now: Time) -> bool {
+        !self.is_bounded() && self.in_flight == 0 && self.demand.rate(now) < IDLE_RATE
+    }
+}
+
+/// Requests a second below which an account may be forgotten.
+const IDLE_RATE: f64 = 1e-3;
+
+fn set_rate(bucket: &mut Option<Bucket>, now: Time, limit: Option<Rate>, part: f64) {
+    let Some(limit) = limit else {
+        *bucket = None;
+        return;
+    };
+    let rate = limit.0 * part;
+    match bucket {
+        Some(bucket) => bucket.set_rate(now, rate),
+        None => *bucket = Some(Bucket::new(now, rate)),
+    }
+}
--- /dev/null
+++ b/components/limits/src/admission.rs
@@ -0,0 +1,211 @@
+//! What starts, waits or is refused.
+
+use rand::{Rng, RngExt};
+use types::prelude::*;
+
+use crate::account::Account;
+use crate::ask::{Admission, Ask, Code, Grant, Refusal, Ticket, Verdict};
+use crate::limiter::{Limiter, Position, customer, offer, pool};
+use crate::pool::{Lane, Pool};
+use crate::queue::Waiting;
+
+/// Shortest time after which a refused request should come again.
+const MIN_RETRY: Span = Span::from_secs(1);
+/// Longest time over which returns are spread.
+const MAX_SPREAD_SECONDS: f64 = 60.0;
+/// Seconds of refusals whose return is reckoned with.
+const STORM_SECONDS: f64 = 10.0;
+
+impl Limiter {
+    /// Decides on a request. A refusal comes at once: nothing of the request was run.
+    pub fn admit(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Admission {
+        let customer = customer(&mut self.customers, &ask.customer);
+        let offer = offer(&mut self.offers, &ask.offer);
+        let pool = pool(&mut self.pools, &ask.pool);
+        let (Some(customer), Some(offer), Some(pool)) = (customer, offer, pool) else {
+            return Admission::Refuse(Refusal {
+                code: Code::QueueFull,
+                retry_after: MIN_RETRY,
+            });
+        };
+        customer.demand.count(now, 1.0);
+        offer.demand.count(now, 1.0);
+        if may_start_first(now, &ask, customer, offer, pool) {
+            return Admission::Start(start(now, ask, customer, offer, pool));
+        }
+        let no_upstream = pool.slots == 0;
+        let lane = pool.lane(ask.priority);
+        if no_upstream {
+            return Admission::Refuse(spread(now, (Code::Overloaded, MIN_RETRY), lane, rng));
+        }
+        if let Some(refusal) = refusal(now, &ask, customer, offer, lane, self.config.limit_wait) {
+            return Admission::Refuse(spread(now, refusal, lane, rng));
+        }
+        let weight = customer.weight;
+        Admission::Wait(self.enqueue(now, ask, weight, rng))
+    }
+
+    fn enqueue(&mut self, now: Time, ask: Ask, weight: f64, rng: &mut impl Rng) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        let position = Position {
+            pool: ask.pool.clone(),
+            priority: ask.priority,
+            customer: ask.customer.clone(),
+        };
+        self.waiting.insert(ticket, position);
+        if let Some(pool) = self.pools.get_mut(&ask.pool) {
+            let lane = pool.lane(ask.priority);
+            let evicted = lane.queue.push(Waiting { ticket, ask }, weight);
+            if let Some(evicted) = evicted {
+                let refusal = spread(now, (Code::QueueFull, MIN_RETRY), lane, rng);
+                self.settle(evicted.ticket, Verdict::Refuse(refusal));
+            }
+        }
+        ticket
+    }
+
+    fn settle(&mut self, ticket: Ticket, verdict: Verdict) {
+        self.waiting.remove(&ticket);
+        self.verdicts.push((ticket, verdict));
+    }
+
+    /// Ends the waits that can be ended: starts what there is room for, refuses what has no
+    /// time left. To be called after each release and each tick.
+    pub fn pump(&mut self, now: Time, rng: &mut impl Rng) -> Vec<(Ticket, Verdict)> {
+        let names: Vec<_> = self.pools.keys().cloned().collect();
+        for name in names {
+            self.expire(now, &name, rng);
+            self.start_waiting(now, &name, Priority::Interactive);
+            self.start_waiting(now, &name, Priority::Batch);
+        }
+        std::mem::take(&mut self.verdicts)
+    }
+
+    fn expire(&mut self, now: Time, name: &EntryName, rng: &mut impl Rng) {
+        let Some(pool) = self.pools.get_mut(name) else {
+            return;
+        };
+        let mut refused = Vec::new();
+        for lane in [&mut pool.interactive, &mut pool.batch] {
+            let late = lane.queue.expire(|ask| now.has_reached(ask.deadline));
+            for waiting in late {
+                let refusal = spread(now, (Code::Overloaded, MIN_RETRY), lane, rng);
+                refused.push((waiting.ticket, refusal));
+            }
+        }
+        for (ticket, refusal) in refused {
+            self.settle(ticket, Verdict::Refuse(refusal));
+        }
+    }
+
+    fn start_waiting(&mut self, now: Time, name: &EntryName, priority: Priority) {
+        while let Some((ticket, grant)) = self.start_next(now, name, priority) {
+            self.settle(ticket, Verdict::Start(grant));
+        }
+    }
+
+    fn start_next(
+        &mut self,
+        now: Time,
+        name: &EntryName,
+        priority: Priority,
+    ) -> Option<(Ticket, Grant)> {
+        let pool = self.pools.get_mut(name)?;
+        if !pool.has_room(priority) {
+            return None;
+        }
+        let (customers, offers) = (&mut self.customers, &mut self.offers);
+        let waiting = pool.lane(priority).queue.pop(|ask| {
+            let customer = customers.get_mut(&ask.customer);
+            let offer = offers.get_mut(&ask.offer);
+            customer.is_none_or(|account| account.is_open(now, ask.tokens))
+                && offer.is_none_or(|account| account.is_open(now, ask.tokens))
+        })?;
+        let customer = customer(customers, &waiting.ask.customer)?;
+        let offer = offer(offers, &waiting.ask.offer)?;
+        let grant = start(now, waiting.ask, customer, offer, pool);
+        Some((waiting.ticket, grant))
+    }
+}
+
+/// Whether a request may start at once, before any that waits: those are held by limits of
+/// their own, or there would be no room.
+fn may_start_first(
+    now: Time,
+    ask: &Ask,
+    customer: &mut Account,
+    offer: &mut Account,
+    pool: &mut Pool,
+) -> bool {
+    pool.has_room(ask.priority)
+        && pool.lane(ask.priority).queue.flow_len(&ask.customer) == 0
+        && customer.is_open(now, ask.tokens)
+        && offer.is_open(now, ask.tokens)
+}
+
+fn start(
+    now: Time,
+    ask: Ask,
+    customer: &mut Account,
+    offer: &mut Account,
+    pool: &mut Pool,
+) -> Grant {
+    customer.take(ask.tokens);
+    offer.take(ask.tokens);
+    pool.lane(ask.priority).running += 1;
+    pool.retries.earn();
+    Grant {
+        customer: ask.customer,
+        offer: ask.offer,
+        pool: ask.pool,
+        priority: ask.priority,
+        tokens: ask.tokens,
+        started: now,
+    }
+}
+
+/// Why a request should not even wait, and how long the cause will last.
+fn refusal(
+    now: Time,
+    ask: &Ask,
+    customer: &Account,
+    offer: &Account,
+    lane: &Lane,
+    limit_wait: Span,
+) -> Option<(Code, Span)> {
+    let left = now.until(ask.deadline);
+    let waiting = lane.queue.flow_len(&ask.customer);
+    let limits = [
+        (Code::CustomerLimit, customer.wait(waiting, ask.tokens)),
+        (Code::OfferLimit, offer.wait(lane.queue.len(), ask.tokens)),
+    ];
+    let over = limits
+        .into_iter()
+        .find(|(_, wait)| *wait > limit_wait.min(left));
+    if over.is_some() {
+        return over;
+    }
+    let wait = lane.wait(&ask.customer, customer.weight);
+    if wait + lane.held() > left {
+        return Some((Code::Overloaded, wait));
+    }
+    let full = !lane.queue.has_room(&ask.customer);
+    full.then_some((Code::QueueFull, wait))
+}
+
+/// Spreads the return of what was refused over the time in which it can be served.
+///
+/// Without it, all that were refused in one bad moment come back in one later moment and are
+/// refused again.
+fn spread(now: Time, why: (Code, Span), lane: &mut Lane, rng: &mut impl Rng) -> Refusal {
+    let (code, wait) = why;
+    lane.refused.count(now, 1.0);
+    let storm = lane.refused.rate(now) * STORM_SECONDS;
+    let spread = (storm / lane.drain_rate()).min(MAX_SPREAD_SECONDS);
+    let jitter = Span::from_secs_f64(spread * rng.random::<f64>());
+    Refusal {
+        code,
+        retry_after: wait.max(MIN_RETRY) + jitter,
+    }
+}
--- /dev/null
+++ b/components/limits/src/limiter.rs
@@ -0,0 +1,264 @@
+//! The tables of accounts, pools and waiting requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use types::prelude::*;
+
+use crate::account::Account;
+use crate::ask::{Bounds, Grant, Ticket, Verdict};
+use crate::demand::{DemandFact, KeyId};
+use crate::pool::Pool;
+use crate::shares::Shares;
+
+/// Customers and offers, at most, each.
+pub(crate) const MAX_ACCOUNTS: usize = 4_096;
+/// Pools, at most.
+pub(crate) const MAX_POOLS: usize = 1_024;
+
+/// Numbers that trade headroom against use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Part of all slots that batch work leaves free.
+    pub reserve: f64,
+    /// Slots that batch work leaves free besides, for the square root of interactive work:
+    /// so much do arrivals vary.
+    pub reserve_root: f64,
+    /// Part of the free slots that one daemon's interactive work may take at once.
+    pub borrow: f64,
+    /// Longest wait for the own limit; a request that would wait longer is refused.
+    pub limit_wait: Span,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            reserve: 0.01,
+            reserve_root: 0.25,
+            borrow: 0.5,
+            limit_wait: Span::from_secs(2),
+        }
+    }
+}
+
+/// How full the tables are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub struct Fill {
+    /// Customers known.
+    pub customers: usize,
+    /// Offers known.
+    pub offers: usize,
+    /// Pools known.
+    pub pools: usize,
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Other daemons whose demand is known.
+    pub peers: usize,
+}
+
+/// Where a waiting request waits.
+#[derive(Debug, Clone)]
+pub(crate) struct Position {
+    pub(crate) pool: EntryName,
+    pub(crate) priority: Priority,
+    pub(crate) customer: CustomerId,
+}
+
+/// Decides for one daemon what starts, waits or is refused.
+#[derive(Debug)]
+pub struct Limiter {
+    pub(crate) config: Config,
+    pub(crate) shares: Shares,
+    pub(crate) customers: BTreeMap<CustomerId, Account>,
+    pub(crate) offers: BTreeMap<EntryName, Account>,
+    pub(crate) pools: BTreeMap<EntryName, Pool>,
+    pub(crate) waiting: BTreeMap<Ticket, Position>,
+    pub(crate) verdicts: Vec<(Ticket, Verdict)>,
+    pub(crate) last_ticket: u64,
+}
+
+impl Limiter {
+    /// Empty tables for a daemon.
+    #[must_use]
+    pub fn new(me: DaemonId, config: Config) -> Self {
+        Self {
+            config,
+            shares: Shares::new(me),
+            customers: BTreeMap::new(),
+            offers: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            verdicts: Vec::new(),
+            last_ticket: 0,
+        }
+    }
+
+    /// Sets a customer's bounds and weight.
+    pub fn set_customer(&mut self, now: Time, id: &CustomerId, bounds: Bounds, weight: u32) {
+        if let Some(account) = customer(&mut self.customers, id) {
+            account.configure(bounds, weight);
+            account.share(now, &self.shares);
+        }
+    }
+
+    /// Sets an offer's or plain service's bounds.
+    pub fn set_offer(&mut self, now: Time, name: &EntryName, bounds: Bounds) {
+        if let Some(account) = offer(&mut self.offers, name) {
+            account.configure(bounds, 1);
+            account.share(now, &self.shares);
+        }
+    }
+
+    /// Sets the slots of all upstreams of a pool that are fit for work.
+    pub fn set_slots(&mut self, now: Time, name: &EntryName, slots: u32) {
+        let pool = pool(&mut self.pools, name);
+        if let Some(pool) = pool.filter(|pool| pool.slots != slots) {
+            pool.slots = slots;
+            pool.share(now, &self.shares, &self.config);
+        }
+    }
+
+    /// Takes over who is live and how many daemons the fleet is known to have.
+    pub fn fleet(&mut self, now: Time, live: &BTreeSet<DaemonId>, known: usize) {
+        self.shares.fleet(now, live, known);
+    }
+
+    /// Takes another daemon's demand.
+    pub fn peer_fact(&mut self, daemon: &DaemonId, fact: DemandFact) {
+        self.shares.peer_fact(daemon, fact);
+    }
+
+    /// Shares anew, drops what is late; to be called several times a second. Returns the
+    /// demand to tell the other daemons, when it has changed enough.
+    pub fn tick(&mut self, now: Time) -> Option<DemandFact> {
+        for account in self.customers.values_mut().chain(self.offers.values_mut()) {
+            account.share(now, &self.shares);
+        }
+        for pool in self.pools.values_mut() {
+            pool.share(now, &self.shares, &self.config);
+        }
+        self.forget_idle(now);
+        let demands = self.demands(now);
+        self.shares.publish(now, demands)
+    }
+
+    fn demands(&self, now: Time) -> Vec<(KeyId, f64)> {
+        let accounts = self.customers.values().chain(self.offers.values());
+        let accounts = accounts.filter(|account| account.is_bounded());
+        let accounts = accounts.map(|account| (account.key, account.demand.rate(now)));
+        let lanes = self.pools.values().flat_map(|p| [&p.interactive, &p.batch]);
+        let lanes = lanes.map(|lane| (lane.key, lane.wanted.level()));
+        accounts.chain(lanes).collect()
+    }
+
+    /// Accounts without bounds come with their first request and go when idle.
+    fn forget_idle(&mut self, now: Time) {
+        self.customers.retain(|_, account| !account.is_idle(now));
+        self.offers.retain(|_, account| !account.is_idle(now));
+    }
+
+    /// Takes a waiting request out, when its caller has gone; says whether it waited.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let Some(at) = self.waiting.remove(&ticket) else {
+            return false;
+        };
+        let lane = self.pools.get_mut(&at.pool).map(|p| p.lane(at.priority));
+        lane.is_some_and(|lane| lane.queue.remove(&at.customer, ticket).is_some())
+    }
+
+    /// Gives a grant back after its request has ended, with the tokens that it used.
+    pub fn release(&mut self, now: Time, grant: Grant, used: Tokens) {
+        if let Some(account) = self.customers.get_mut(&grant.customer) {
+            account.settle(grant.tokens, used);
+        }
+        if let Some(account) = self.offers.get_mut(&grant.offer) {
+            account.settle(grant.tokens, used);
+        }
+        if let Some(pool) = self.pools.get_mut(&grant.pool) {
+            let lane = pool.lane(grant.priority);
+            lane.running = lane.running.saturating_sub(1);
+            lane.note_held(now.since(grant.started));
+        }
+    }
+
+    /// Whether an attempt at a pool may be repeated; counts it as repeated then.
+    pub fn may_retry(&mut self, pool: &EntryName) -> bool {
+        let pool = self.pools.get_mut(pool);
+        pool.is_some_and(|pool| pool.retries.spend())
+    }
+
+    /// The parts of limits.
+    #[must_use]
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// How full the tables are.
+    #[must_use]
+    pub fn fill(&self) -> Fill {
+        Fill {
+            customers: self.customers.len(),
+            offers: self.offers.len(),
+            pools: self.pools.len(),
+            waiting: self.waiting.len(),
+            peers: self.shares.peers(),
+        }
+    }
+
+    /// Requests running and waiting of a pool by priority, and the slots allowed to each.
+    #[must_use]
+    pub fn lane(&self, pool: &EntryName, priority: Priority) -> Option<LaneFill> {
+        let pool = self.pools.get(pool)?;
+        let lane = match priority {
+            Priority::Interactive => &pool.interactive,
+            Priority::Batch => &pool.batch,
+        };
+        Some(LaneFill {
+            running: lane.running,
+            waiting: lane.queue.len(),
+            allowance: lane.allowance,
+        })
+    }
+}
+
+/// Work of one priority in a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub struct LaneFill {
+    /// Requests with a grant.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Grants allowed to this daemon at present.
+    pub allowance: u32,
+}
+
+pub(crate) fn customer<'a>(
+    accounts: &'a mut BTreeMap<CustomerId, Account>,
+    id: &CustomerId,
+) -> Option<&'a mut Account> {
+    if !accounts.contains_key(id) && accounts.len() >= MAX_ACCOUNTS {
+        return None;
+    }
+    let account = accounts.entry(id.clone());
+    Some(account.or_insert_with(|| Account::new(KeyId::customer(id))))
+}
+
+pub(crate) fn offer<'a>(
+    accounts: &'a mut BTreeMap<EntryName, Account>,
+    name: &EntryName,
+) -> Option<&'a mut Account> {
+    if !accounts.contains_key(name) && accounts.len() >= MAX_ACCOUNTS {
+        return None;
+    }
+    let account = accounts.entry(name.clone());
+    Some(account.or_insert_with(|| Account::new(KeyId::offer(name))))
+}
+
+pub(crate) fn pool<'a>(
+    pools: &'a mut BTreeMap<EntryName, Pool>,
+    name: &EntryName,
+) -> Option<&'a mut Pool> {
+    if !pools.contains_key(name) && pools.len() >= MAX_POOLS {
+        return None;
+    }
+    Some(pools.entry(name.clone()).or_insert_with(|| Pool::new(name)))
+}
--- /dev/null
+++ b/components/limits/src/pool.rs
@@ -0,0 +1,154 @@
+//! Slots of one service's upstreams, and what waits for them.
+
+use types::prelude::*;
+
+use crate::bucket::Meter;
+use crate::demand::KeyId;
+use crate::limiter::Config;
+use crate::queue::FairQueue;
+use crate::retry::RetryBudget;
+use crate::shares::Shares;
+
+/// Weight of the newest request in the mean time that a slot is held.
+const HELD_WEIGHT: f64 = 0.05;
+
+/// Work of one priority.
+#[derive(Debug, Clone)]
+pub(crate) struct Lane {
+    pub(crate) key: KeyId,
+    pub(crate) queue: FairQueue,
+    pub(crate) running: u32,
+    pub(crate) allowance: u32,
+    pub(crate) wanted: Meter,
+    pub(crate) refused: Meter,
+    held: Span,
+}
+
+impl Lane {
+    fn new(key: KeyId) -> Self {
+        Self {
+            key,
+            queue: FairQueue::default(),
+            running: 0,
+            allowance: 0,
+            wanted: Meter::default(),
+            refused: Meter::default(),
+            held: Span::ZERO,
+        }
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        self.running < self.allowance
+    }
+
+    /// Requests wait for want of room, not for their customers' limits.
+    pub(crate) fn is_starving(&self) -> bool {
+        !self.has_room() && self.queue.len() > 0
+    }
+
+    pub(crate) fn note_held(&mut self, held: Span) {
+        let old = self.held.as_secs_f64();
+        let weight = if self.held == Span::ZERO {
+            1.0
+        } else {
+            HELD_WEIGHT
+        };
+        self.held = Span::from_secs_f64(old + weight * (held.as_secs_f64() - old));
+    }
+
+    /// Mean time that a slot is held.
+    pub(crate) fn held(&self) -> Span {
+        self.held
+    }
+
+    /// Requests that end in a second when all of the lane's slots are in use.
+    pub(crate) fn drain_rate(&self) -> f64 {
+        let slots = f64::from(self.allowance.max(self.running)).max(1.0);
+        slots / self.held.as_secs_f64().max(MIN_HELD_SECONDS)
+    }
+
+    /// Estimated wait of one more request of a customer.
+    pub(crate) fn wait(&self, customer: &CustomerId, weight: f64) -> Span {
+        let all = self.queue.len() as f64 + 1.0;
+        let own = self.queue.flow_len(customer) as f64 + 1.0;
+        let fair = own * self.queue.weight_with(customer, weight) / weight;
+        Span::from_secs_f64(all.min(fair) / self.drain_rate())
+    }
+}
+
+/// Least time that a slot is reckoned to be held.
+const MIN_HELD_SECONDS: f64 = 0.001;
+
+/// Slots of one service's upstreams, and what waits for them.
+#[derive(Debug, Clone)]
+pub(crate) struct Pool {
+    pub(crate) interactive: Lane,
+    pub(crate) batch: Lane,
+    pub(crate) retries: RetryBudget,
+    /// Slots of all healthy upstreams, for the fleet.
+    pub(crate) slots: u32,
+    /// Interactive requests running when the parts were last reckoned.
+    shared_at: u32,
+}
+
+impl Pool {
+    pub(crate) fn new(name: &EntryName) -> Self {
+        Self {
+            interactive: Lane::new(KeyId::interactive(name)),
+            batch: Lane::new(KeyId::batch(name)),
+            retries: RetryBudget::default(),
+            slots: 0,
+            shared_at: 0,
+        }
+    }
+
+    pub(crate) fn lane(&mut self, priority: Priority) -> &mut Lane {
+        match priority {
+            Priority::Interactive => &mut self.interactive,
+            Priority::Batch => &mut self.batch,
+        }
+    }
+
+    /// Whether the priority's next request may start, limits of its customer aside.
+    pub(crate) fn has_room(&self, priority: Priority) -> bool {
+        match priority {
+            Priority::Interactive => self.interactive.has_room(),
+            Priority::Batch => self.has_room_for_batch() && !self.interactive.is_starving(),
+        }
+    }
+
+    /// Interactive work begun since the parts were reckoned counts against batch at once.
+    fn has_room_for_batch(&self) -> bool {
+        let begun = self.interactive.running.saturating_sub(self.shared_at);
+        self.batch.running + begun < self.batch.allowance
+    }
+
+    /// Takes this daemon's part of the slots.
+    ///
+    /// Interactive work may take whatever interactive work of other daemons leaves; only when
+    /// all of it together does not fit, each daemon keeps to its part. Batch work gets its
+    /// part of what interactive work leaves, less a reserve that takes the next interactive
+    /// requests while slots held by batch come free.
+    pub(crate) fn share(&mut self, now: Time, shares: &Shares, config: &Config) {
+        for lane in [&mut self.interactive, &mut self.batch] {
+            let level = lane.running as usize + lane.queue.len();
+            lane.wanted.follow(now, level as f64);
+        }
+        self.shared_at = self.interactive.running;
+        let slots = f64::from(self.slots);
+        let own = f64::from(self.interactive.running);
+        let others = shares.others(self.interactive.key);
+        let part = shares.allotment(now, self.interactive.key, slots);
+        let free = slots - others - own;
+        let borrowed = if free > 0.0 {
+            own + free * config.borrow
+        } else {
+            0.0
+        };
+        self.interactive.allowance = part.max(borrowed as u32);
+        let reserve = config.reserve * slots + config.reserve_root * (own + others).sqrt();
+        let wanted = own.max(self.interactive.wanted.level());
+        let left = (slots - reserve - others - wanted).max(0.0);
+        self.batch.allowance = shares.allotment(now, self.batch.key, left);
+    }
+}
