Bound the shutdown; retry where all upstreams failed once; test the daemon over sockets

Cause: found by the first tests over real sockets: after each upstream of a small pool had failed once, the request was refused as no upstream although attempts were left; shutdown had no deadline. Conclusion: resumption needs the fallback whenever the pool is smaller than the attempts.

--- a/components/callers/src/listener.rs
+++ b/components/callers/src/listener.rs
@@ -3,8 +3,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 use tokio::net::TcpListener;
@@ -42,7 +41,8 @@
     counts: Arc<Counts>,
     closing: Arc<AtomicBool>,
     close: Vec<flume::Sender<()>>,
-    threads: Vec<JoinHandle<()>>,
+    /// One for each thread; disconnected once it has ended.
+    ended: Vec<flume::Receiver<()>>,
 }
 
 impl Callers {
@@ -67,7 +67,7 @@
             counts,
             closing,
             close: Vec::new(),
-            threads: Vec::new(),
+            ended: Vec::new(),
         };
         for index in 0..threads {
             let listener = listener.try_clone();
@@ -92,10 +92,14 @@
             counts: self.counts.clone(),
             closing: self.closing.clone(),
         };
+        let (running, ended) = flume::bounded::<()>(0);
         let thread = std::thread::Builder::new().name(format!("callers-{index}"));
-        let spawned = thread.spawn(move || acceptor.run(listener, closed));
+        let spawned = thread.spawn(move || {
+            acceptor.run(listener, closed);
+            drop(running);
+        });
         match spawned {
-            Ok(thread) => self.threads.push(thread),
+            Ok(_) => self.ended.push(ended),
             Err(error) => tracing::error!("callers: cannot start a thread: {error}"),
         }
     }
@@ -113,13 +117,16 @@
     }
 
     /// Takes no new connections, ends each open one after its present answer, and
-    /// returns once all have ended.
-    pub fn close(mut self) {
+    /// returns once all have ended or `patience` is over: how many were cut.
+    #[must_use]
+    pub fn close(mut self, patience: Duration) -> usize {
+        let deadline = Instant::now() + patience;
         self.closing.store(true, Ordering::Release);
         self.close.clear();
-        for thread in self.threads.drain(..) {
-            let _ = thread.join();
+        for ended in self.ended.drain(..) {
+            let _ = ended.recv_deadline(deadline);
         }
+        self.counts.open.load(Ordering::Acquire)
     }
 }
 
--- a/components/callers/tests/bounds.rs
+++ b/components/callers/tests/bounds.rs
@@ -278,6 +278,6 @@
         .unwrap();
     let mut first = [0; 12];
     idle.read_exact(&mut first).unwrap();
-    callers.close();
+    assert_eq!(callers.close(PATIENCE), 0);
     assert!(TcpStream::connect(address).is_err());
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -64,14 +64,21 @@
     }
 
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
-    /// flight, then goes.
-    pub fn shutdown(self) {
+    /// flight, then goes. Says how many connections the deadline cut.
+    #[must_use]
+    pub fn shutdown(self) -> usize {
         let _ = self.shared.events.send(Event::Leave);
         std::thread::sleep(self.shared.settings.shutdown.notice.to_duration());
-        self.callers.close();
+        let cut = self
+            .callers
+            .close(self.shared.settings.shutdown.deadline.to_duration());
+        if cut > 0 {
+            tracing::warn!("node: the deadline came with {cut} connections open, cut");
+        }
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
+        cut
     }
 }
 
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -120,8 +120,11 @@
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
         let target = router.target_index(&Target::Version(self.chosen.version.clone()))?;
+        let fresh = router.pick(now, &self.demand(target, avoid), &mut rand::rng());
+        // Better one that failed before than none: its fault may have passed.
+        let mut again = || router.pick(now, &self.demand(target, &[]), &mut rand::rng());
+        let index = fresh.or_else(|_| again()).ok()?;
         let demand = self.demand(target, avoid);
-        let index = router.pick(now, &demand, &mut rand::rng()).ok()?;
         router.started(index, &demand);
         let spec = router.upstream(index)?.spec();
         Some(Taken {
--- /dev/null
+++ b/components/node/tests/it/harness.rs
@@ -0,0 +1,183 @@
+//! Daemons and a platform for one test.
+
+use std::io::{BufRead, BufReader, Read};
+use std::time::Duration;
+
+use attohttpc::{RequestBuilder, Response, ResponseReader};
+use node::Node;
+use serde_json::{Value, json};
+use standins::platform::{Platform, PlatformConfig};
+use types::prelude::*;
+
+/// Long enough that only a failure waits for it.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One offer on one engine service, and a plain service.
+pub const CATALOGUE: &str = "
+entries:
+  customers/ward:
+    kind: customer
+    owner: licensing
+    key_sha256: [KEY]
+  customers/other:
+    kind: customer
+    owner: licensing
+    key_sha256: [OTHER]
+  services/engines:
+    kind: service
+    owner: licensing
+    protocol: engine
+    upstreams:
+      - {id: e1, address: '10.0.0.1:80', failure_domain: kaloor, slots: 256}
+      - {id: e2, address: '10.0.0.2:80', failure_domain: vyttila, slots: 256}
+  services/desk:
+    kind: service
+    owner: licensing
+    protocol: plain
+    customers: [ward]
+    upstreams:
+      - {id: d1, address: '10.0.0.3:80', failure_domain: kaloor}
+      - {id: d2, address: '10.0.0.4:80', failure_domain: vyttila}
+  models/small:
+    kind: model
+    owner: licensing
+    service: services/engines
+    versions:
+      v1: {state: offered, price: {input: '1.0', output: '2.0'}}
+      v2: {state: withdrawn, price: {input: '1.0', output: '2.0'}}
+  offers/answers:
+    kind: offer
+    owner: licensing
+    class: answer
+    candidates: [small]
+    customers: {ward: [small]}
+    quality_target: '0.9'
+";
+
+/// A platform and daemons in front of it.
+pub struct Harness {
+    pub platform: Platform,
+    pub nodes: Vec<Node>,
+}
+
+impl Harness {
+    /// One daemon.
+    pub fn start(cfg: &PlatformConfig) -> Self {
+        Self::with_daemons(cfg, 1)
+    }
+
+    /// Several daemons that know each other.
+    pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
+        let hash = |key: &str| catalogue::entry::KeyHash::from_key(key).to_string();
+        let text = CATALOGUE
+            .replace("KEY", &hash("ward-key"))
+            .replace("OTHER", &hash("other-key"));
+        let entries = catalogue::file::parse("test", &text).unwrap();
+        let platform = Platform::start(cfg, &entries).unwrap();
+        platform.seed(
+            &"test".parse().unwrap(),
+            &"test".parse().unwrap(),
+            WallTime(0),
+        );
+        let mut harness = Self {
+            platform,
+            nodes: Vec::new(),
+        };
+        for index in 0..count {
+            harness.add_daemon(index);
+        }
+        harness
+    }
+
+    fn add_daemon(&mut self, index: usize) {
+        let node = Node::start(self.settings(index)).unwrap();
+        self.nodes.push(node);
+        let index = self.nodes.len() - 1;
+        self.wait_ready(index);
+    }
+
+    fn settings(&self, index: usize) -> settings::Settings {
+        let platform = &self.platform;
+        let yaml = format!(
+            "cluster: test\n\
+             daemon: entry-{index}\n\
+             failure_domain: domain-{index}\n\
+             region: here\n\
+             callers: {{listen: '127.0.0.1:0'}}\n\
+             operators: {{listen: '127.0.0.1:0', tokens: {{test: test-token}}}}\n\
+             peers: {{listen: '127.0.0.1:0', keys: [{{id: test, secret: not-secret-in-tests}}]}}\n\
+             store: {{endpoints: ['{}']}}\n\
+             platform: {{rater: '{}', weights: '{}', hosts: '{}'}}\n\
+             control: {{tick: 20ms}}\n\
+             shutdown: {{notice: 0s, deadline: 30s}}\n",
+            platform.store.address(),
+            platform.rater.address(),
+            platform.weights.address(),
+            platform.hosts.address(),
+        );
+        settings::from_yaml("test", &yaml).unwrap()
+    }
+
+    fn wait_ready(&self, index: usize) {
+        let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
+        let is_ready = || {
+            let answer = attohttpc::get(&url).bearer_auth("ward-key").send();
+            answer.is_ok_and(|answer| answer.is_success())
+        };
+        while !is_ready() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// A request to the callers' API of a daemon with the usual key.
+    pub fn post(&self, index: usize, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.nodes[index].callers_address());
+        attohttpc::post(url)
+            .bearer_auth("ward-key")
+            .read_timeout(PATIENCE)
+    }
+
+    /// Asks daemon 0 for a chat.
+    pub fn chat(&self, body: &Value) -> Response {
+        self.post(0, "/v1/chat/completions")
+            .json(body)
+            .unwrap()
+            .send()
+            .unwrap()
+    }
+}
+
+/// A chat's body.
+pub fn ask(model: &str, stream: bool, tokens: u32) -> Value {
+    json!({
+        "model": model,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "What may a salon charge?"}],
+    })
+}
+
+/// The data of a stream's events, until it closes.
+pub fn events(reader: ResponseReader) -> Vec<String> {
+    let lines = BufReader::new(reader).lines().map_while(Result::ok);
+    lines
+        .filter_map(|line| line.strip_prefix("data: ").map(str::to_owned))
+        .collect()
+}
+
+/// The text of a stream's chunks.
+pub fn text_of(events: &[String]) -> String {
+    let chunks = events
+        .iter()
+        .filter_map(|event| serde_json::from_str::<Value>(event).ok());
+    let texts = chunks
+        .filter_map(|chunk| Some(chunk["choices"][0]["delta"]["content"].as_str()?.to_owned()));
+    texts.collect()
+}
+
+/// A body as JSON.
+pub fn json_of(mut reader: ResponseReader) -> Value {
+    let mut body = Vec::new();
+    reader.read_to_end(&mut body).unwrap();
+    serde_json::from_slice(&body).unwrap()
+}
--- /dev/null
+++ b/components/node/tests/it/serve.rs
@@ -0,0 +1,100 @@
+//! Requests from end to end.
+
+use standins::engine::EngineFault;
+use standins::platform::PlatformConfig;
+
+use super::harness::{Harness, ask, events, json_of, text_of};
+
+#[test]
+fn can_answer_whole() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let (status, headers, reader) = harness.chat(&ask("answers", false, 5)).split();
+    assert_eq!(status.as_u16(), 200);
+    assert_eq!(headers["x-served-by"], "small@v1");
+    let body = json_of(reader);
+    assert_eq!(body["usage"]["completion_tokens"], 5);
+    assert_eq!(
+        body["id"],
+        format!("chatcmpl-{}", headers["x-request-id"].to_str().unwrap())
+    );
+}
+
+#[test]
+fn can_stream_to_the_end_marker() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let (_, _, reader) = harness.chat(&ask("answers", true, 5)).split();
+    let events = events(reader);
+    assert_eq!(events.last().unwrap(), "[DONE]");
+    let last: serde_json::Value = serde_json::from_str(&events[events.len() - 2]).unwrap();
+    assert_eq!(last["usage"]["completion_tokens"], 5);
+    assert_eq!(last["buckthorncross"]["served_by"], "small@v1");
+}
+
+#[test]
+fn can_resume_a_broken_stream_with_the_same_text() {
+    // A caller reads a stream; the engine's host dies after three tokens. The answer
+    // goes on from another engine, and the caller sees the text that it would have had.
+    let harness = Harness::start(&PlatformConfig::default());
+    let (_, _, reader) = harness.chat(&ask("answers", true, 12)).split();
+    let expected = text_of(&events(reader));
+    for engine in harness.platform.engines.values() {
+        engine.fail_next(EngineFault::Break(3));
+    }
+    let (_, _, reader) = harness.chat(&ask("answers", true, 12)).split();
+    let events = events(reader);
+    assert_eq!(text_of(&events), expected);
+    assert_eq!(events.last().unwrap(), "[DONE]");
+}
+
+#[test]
+fn errors_for_a_withdrawn_version() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let (status, _, reader) = harness.chat(&ask("small@v2", false, 5)).split();
+    assert_eq!(status.as_u16(), 404);
+    assert_eq!(json_of(reader)["error"]["run"], "no");
+    let runs: u64 = harness
+        .platform
+        .engines
+        .values()
+        .map(|e| e.counters().runs)
+        .sum();
+    assert_eq!(runs, 0);
+}
+
+#[test]
+fn errors_for_a_customer_without_permission() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let builder = harness
+        .post(0, "/v1/chat/completions")
+        .bearer_auth("other-key");
+    let answer = builder
+        .json(&ask("answers", false, 5))
+        .unwrap()
+        .send()
+        .unwrap();
+    assert_eq!(answer.status().as_u16(), 403);
+}
+
+#[test]
+fn can_retry_where_an_engine_refused_before_beginning() {
+    let harness = Harness::start(&PlatformConfig::default());
+    for engine in harness.platform.engines.values() {
+        engine.fail_next(EngineFault::RefuseNotRun);
+    }
+    let mut statuses = (0..3).map(|_| harness.chat(&ask("answers", false, 5)).status().as_u16());
+    assert!(statuses.all(|status| status == 200 || status == 503));
+}
+
+#[test]
+fn errors_truthfully_when_an_engine_reset_after_the_work_was_sent() {
+    // Both engines run the work and close without an answer. "Not run" would be false.
+    let harness = Harness::start(&PlatformConfig::default());
+    for engine in harness.platform.engines.values() {
+        for _ in 0..8 {
+            engine.fail_next(EngineFault::ResetAfter);
+        }
+    }
+    let (status, headers, _) = harness.chat(&ask("answers", false, 5)).split();
+    assert_eq!(status.as_u16(), 502);
+    assert_ne!(headers["x-run"], "no");
+}
--- a/daemon/src/cmd/serve.rs
+++ b/daemon/src/cmd/serve.rs
@@ -33,6 +33,10 @@
                 std::process::exit(CUT_SHORT);
             }
         })?;
-    node.shutdown();
+    let cut = node.shutdown();
+    eyre::ensure!(
+        cut == 0,
+        "{cut} connections were cut at the shutdown's deadline"
+    );
     Ok(())
 }
