Measure the daemon's cost beside the straight path: load generator, plots, report page

Change: bench: open-loop load by intended start, closed loops, keep-alive caller connections, daemons as child processes, SVG plots, 'overhead', 'report DIR'. Conclusion: compiles and lints; to be run once the path is there.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// Every experiment, as one page.
+    Report(ReportPage),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
@@ -31,4 +33,19 @@
     /// folder for plots
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
+    /// length of each load in seconds
+    #[argh(option, default = "8.0")]
+    pub seconds: f64,
+}
+
+/// Runs every experiment and writes one HTML page with its figures and plots.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportPage {
+    /// folder for the page
+    #[argh(positional)]
+    pub folder: std::path::PathBuf,
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
 }
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,1 +1,4 @@
 //! One module an experiment.
+
+pub mod overhead;
+pub mod report;
--- /dev/null
+++ b/bench/src/cmd/report.rs
@@ -0,0 +1,125 @@
+//! All experiments, one after another, as one page.
+//!
+//! Each runs as a process of its own, so that one that fails or leaves memory behind does
+//! not disturb the next; its figures are those of its last line of output.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::process::Command;
+
+use eyre::Context;
+use serde_json::Value;
+
+use crate::cli::ReportPage;
+
+/// Experiments, in the page's order, with further arguments.
+const EXPERIMENTS: &[(&str, &[&str])] = &[("overhead", &[])];
+
+/// Runs all and writes `index.html`.
+pub fn run(options: &ReportPage) -> eyre::Result<()> {
+    std::fs::create_dir_all(&options.folder)?;
+    let mut page = String::from(HEAD);
+    for (name, further) in EXPERIMENTS {
+        eprintln!("report: running {name}");
+        let found = experiment(name, further, options);
+        section(&mut page, name, &found, &options.folder)?;
+    }
+    page.push_str("</body></html>\n");
+    let path = options.folder.join("index.html");
+    std::fs::write(&path, page)?;
+    println!("{}", path.display());
+    Ok(())
+}
+
+fn experiment(name: &str, further: &[&str], options: &ReportPage) -> eyre::Result<Value> {
+    let output = Command::new(std::env::current_exe()?)
+        .arg(name)
+        .args(["--seed", &options.seed.to_string(), "--json", "--plot"])
+        .arg(&options.folder)
+        .args(further)
+        .output()
+        .wrap_err("starting the experiment")?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let line = text.lines().last().unwrap_or_default();
+    if !output.status.success() {
+        let errors = String::from_utf8_lossy(&output.stderr);
+        eyre::bail!("{}: {}", output.status, errors.trim());
+    }
+    serde_json::from_str(line).wrap_err("its last line is not JSON")
+}
+
+const HEAD: &str = "<!doctype html>\n<html><head><meta charset=\"utf-8\">\
+<title>buckthorncross: measurements</title>\n<style>\
+body{font-family:sans-serif;max-width:60em;margin:2em auto}\
+table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:.2em .6em;text-align:right}\
+td:first-child,th:first-child{text-align:left}</style></head><body>\n\
+<h1>buckthorncross: measurements</h1>\n";
+
+fn section(
+    page: &mut String,
+    name: &str,
+    found: &eyre::Result<Value>,
+    folder: &Path,
+) -> eyre::Result<()> {
+    writeln!(page, "<h2>{}</h2>", escape(name))?;
+    let report = match found {
+        Ok(report) => report,
+        Err(e) => {
+            writeln!(page, "<p><b>failed</b>: {}</p>", escape(&format!("{e:#}")))?;
+            return Ok(());
+        }
+    };
+    let (seed, violations) = (&report["seed"], &report["violations"]);
+    writeln!(page, "<p>Seed {seed}, violations {violations}.</p>")?;
+    table(page, &report["arms"])?;
+    plots(page, name, folder)
+}
+
+/// A row for each figure, a column for each arm.
+fn table(page: &mut String, arms: &Value) -> eyre::Result<()> {
+    let Some(arms) = arms.as_object() else {
+        return Ok(());
+    };
+    let figures = arms.values().filter_map(Value::as_object);
+    let figures = figures.flat_map(|figures| figures.keys());
+    let figures = figures.collect::<std::collections::BTreeSet<_>>();
+    write!(page, "<table><tr><th></th>")?;
+    for arm in arms.keys() {
+        write!(page, "<th>{}</th>", escape(arm))?;
+    }
+    writeln!(page, "</tr>")?;
+    for figure in figures {
+        write!(page, "<tr><td>{}</td>", escape(figure))?;
+        for values in arms.values() {
+            let value = values.get(figure).and_then(Value::as_f64);
+            let text = value.map(|v| format!("{v:.4}")).unwrap_or_default();
+            write!(page, "<td>{text}</td>")?;
+        }
+        writeln!(page, "</tr>")?;
+    }
+    writeln!(page, "</table>")?;
+    Ok(())
+}
+
+fn plots(page: &mut String, name: &str, folder: &Path) -> eyre::Result<()> {
+    let prefix = format!("{name}-");
+    let mut paths = Vec::new();
+    for file in std::fs::read_dir(folder)? {
+        let path = file?.path();
+        let file_name = path.file_name().unwrap_or_default().to_string_lossy();
+        if file_name.starts_with(&prefix) && file_name.ends_with(".svg") {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    for path in paths {
+        page.push_str(&std::fs::read_to_string(path)?);
+        page.push('\n');
+    }
+    Ok(())
+}
+
+fn escape(text: &str) -> String {
+    let text = text.replace('&', "&amp;");
+    text.replace('<', "&lt;").replace('>', "&gt;")
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,13 +2,17 @@
 
 mod cli;
 mod cmd;
+mod daemons;
+mod load;
+mod plot;
 mod report;
 
 fn main() -> eyre::Result<()> {
     let args: cli::Args = argh::from_env();
     match args.command {
         cli::Command::Overhead(options) => {
-            report::Report::new("overhead", options.seed).print(options.json)
+            cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Report(options) => cmd::report::run(&options),
     }
 }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -1,6 +1,7 @@
 //! What an experiment found, and its printed form.
 
 use std::collections::BTreeMap;
+use std::path::Path;
 
 use serde::Serialize;
 
@@ -52,6 +53,14 @@
         figures.insert(figure.to_owned(), value);
     }
 
+    /// Writes the plots, if a folder is given, and prints the figures.
+    pub fn finish(&self, json_only: bool, plot: Option<&Path>) -> eyre::Result<()> {
+        if let Some(folder) = plot {
+            crate::plot::write(self, folder)?;
+        }
+        self.print(json_only)
+    }
+
     /// Prints a table for people, then one line of JSON.
     pub fn print(&self, json_only: bool) -> eyre::Result<()> {
         if !json_only {
