Edit the catalogue truthfully and spread it between daemons

Cause: a lost reply may hide a write that lands later, two operators may both believe they won, and a late, lagging or restored copy may bring an older entry back. Change: catalogue::edit (edits and questions by id as pure machines, fencing by the head's last write, ids given up for good), catalogue::head (dense revisions), catalogue::table (complete revision, entries in force, last good one kept), catalogue::sync (watchers by rendezvous hash, announcements, asking, paged transfers, freshness as an age, repair of a restored store, who has which revision in force).

--- /dev/null
+++ b/components/catalogue/src/edit/reading.rs
@@ -0,0 +1,93 @@
+//! What a read of the head and some entries found.
+
+use std::collections::BTreeMap;
+
+use keyvalue::{KeyValue, OpReply, TxnReply};
+use types::prelude::*;
+
+use crate::head::{Change, HeadError, Keys, ReadHead};
+use crate::record::{Held, RecordError, WireRecord};
+
+/// The head and entries at one moment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Reading {
+    pub(crate) head: ReadHead,
+    /// Entries asked for that exist, with their last writes.
+    pub(crate) entries: BTreeMap<EntryName, (keyvalue::ModRevision, Held)>,
+}
+
+/// Why a reading makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum ReadingError {
+    #[error(transparent)]
+    Head(#[from] HeadError),
+    #[error(transparent)]
+    Record(#[from] RecordError),
+    #[error("the store's reply does not fit the call")]
+    Shape,
+}
+
+impl Reading {
+    /// From the replies to [`Keys::read_ops`].
+    pub(crate) fn parse(keys: &Keys, reply: &TxnReply) -> Result<Self, ReadingError> {
+        let mut ranges = reply.replies.iter().map(|reply| match reply {
+            OpReply::Range(found) => Ok(found),
+            _ => Err(ReadingError::Shape),
+        });
+        let head = ranges.next().ok_or(ReadingError::Shape)??;
+        let mut reading = Self {
+            head: ReadHead::from_range(head)?,
+            entries: BTreeMap::new(),
+        };
+        for found in ranges {
+            for pair in found? {
+                reading.add(keys, pair)?;
+            }
+        }
+        Ok(reading)
+    }
+
+    fn add(&mut self, keys: &Keys, pair: &KeyValue) -> Result<(), ReadingError> {
+        let name = keys.name_of(&pair.key).ok_or(ReadingError::Shape)?;
+        let json = pair.value.clone();
+        let held = WireRecord {
+            name: name.clone(),
+            json,
+        }
+        .parse()?;
+        self.entries.insert(name, (pair.mod_revision, held));
+        Ok(())
+    }
+
+    pub(crate) fn held(&self, name: &EntryName) -> Option<&Held> {
+        self.entries.get(name).map(|(_, held)| held)
+    }
+
+    /// Where an edit's id stands: in the head's list or in a record read.
+    pub(crate) fn revision_of(&self, id: EditId) -> Option<Revision> {
+        let recent = &self.head.head.recent;
+        let listed = recent.iter().find(|change| change.edit_id == id);
+        listed.map(|change| change.revision).or_else(|| {
+            let mut held = self.entries.values();
+            held.find_map(|(_, held)| held.record.revision_of(id))
+        })
+    }
+
+    /// The edit that made a revision, if the head or a record read names it.
+    pub(crate) fn change(&self, revision: Revision) -> Option<EditId> {
+        let recent = &self.head.head.recent;
+        let listed = recent.iter().find(|change| change.revision == revision);
+        let listed = listed.map(|Change { edit_id, .. }| *edit_id);
+        listed.or_else(|| {
+            let mut records = self.entries.values().map(|(_, held)| &held.record);
+            records.find_map(|record| {
+                let past = record
+                    .history
+                    .iter()
+                    .map(|past| (past.revision, past.edit_id));
+                let mut all = std::iter::once(record.rank()).chain(past);
+                all.find(|(made, _)| *made == revision).map(|(_, id)| id)
+            })
+        })
+    }
+}
--- a/components/catalogue/src/lib.rs
+++ b/components/catalogue/src/lib.rs
@@ -6,7 +6,12 @@
 //! record only ever replaces one of a lower revision.
 
 pub mod check;
+pub mod diff;
+pub mod edit;
 pub mod entry;
 pub mod file;
+pub mod head;
 pub mod record;
+pub mod sync;
+pub mod table;
 pub mod view;
--- a/components/catalogue/src/record.rs
+++ b/components/catalogue/src/record.rs
@@ -1,13 +1,16 @@
-//! Entries with their revisions: what the store keeps and daemons exchange.
+//! Records: what the store keeps of an entry and what daemons exchange.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::check::MAX_ENTRY_SIZE;
 use crate::entry::Entry;
 
+pub use crate::table::Catalogue;
+
 /// Past edits kept with a record.
 pub const HISTORY_LENGTH: usize = 16;
 
@@ -42,55 +45,161 @@
     pub at: WallTime,
 }
 
-/// The latest record of every entry.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Catalogue {
-    revision: Revision,
-    records: BTreeMap<EntryName, Arc<Record>>,
+/// Why bytes are no record.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// Not even the revision can be read.
+    #[error("{name}: no record: {message}")]
+    Malformed {
+        /// The entry.
+        name: EntryName,
+        /// What the parser says.
+        message: String,
+    },
+    /// Longer than the store takes.
+    #[error("{name}: {size} bytes, at most {MAX_ENTRY_SIZE} are allowed")]
+    TooLong {
+        /// The entry.
+        name: EntryName,
+        /// Its size in bytes.
+        size: usize,
+    },
 }
 
-impl Catalogue {
-    /// The highest revision applied.
+impl Record {
+    /// What outranks what: the higher revision, and between two of the same revision
+    /// (only a store restored from an old copy makes these) the higher edit id, so
+    /// that all daemons choose the same.
     #[must_use]
-    pub fn revision(&self) -> Revision {
-        self.revision
+    pub fn rank(&self) -> (Revision, EditId) {
+        (self.revision, self.edit_id)
     }
 
-    /// Takes a record unless one as new is held; says whether it was taken.
-    ///
-    /// Guards against reverting: a late watch event, a paused peer or a lagging
-    /// replica offers an older record, which is dropped since its revision is lower.
-    pub fn apply(&mut self, name: EntryName, record: Arc<Record>) -> bool {
-        let held = self.records.get(&name).map(|held| held.revision);
-        if held.is_some_and(|held| held >= record.revision) {
-            return false;
+    /// The history of the edit that follows this one.
+    #[must_use]
+    pub fn history_of_next(&self) -> Vec<PastEdit> {
+        let own = PastEdit {
+            revision: self.revision,
+            edit_id: self.edit_id,
+            author: self.author.clone(),
+            at: self.at,
+        };
+        let all = std::iter::once(own).chain(self.history.iter().cloned());
+        all.take(HISTORY_LENGTH).collect()
+    }
+
+    /// The revision that an edit made, if this record remembers it.
+    #[must_use]
+    pub fn revision_of(&self, id: EditId) -> Option<Revision> {
+        if self.edit_id == id {
+            return Some(self.revision);
         }
-        self.revision = self.revision.max(record.revision);
-        self.records.insert(name, record);
-        true
+        let past = self.history.iter().find(|past| past.edit_id == id);
+        past.map(|past| past.revision)
     }
 
-    /// The record of an entry, a removal marker included.
+    /// As the store keeps it.
+    ///
+    /// # Panics
+    /// Never: every entry has a form in JSON.
+    #[must_use]
+    pub fn to_json(&self) -> Bytes {
+        Bytes::from(serde_json::to_vec(self).unwrap_or_default())
+    }
+}
+
+/// A record as it travels: the store's bytes, so that a daemon passes on unchanged
+/// what a newer release wrote and this one cannot read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRecord {
+    /// The entry.
+    pub name: EntryName,
+    /// The record in JSON.
+    pub json: Bytes,
+}
+
+/// A record with the bytes that it came from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    /// The record; without its entry when that cannot be read.
+    pub record: Arc<Record>,
+    /// The record in JSON.
+    pub json: Bytes,
+    /// Why the entry cannot be read.
+    pub unreadable: Option<String>,
+}
+
+impl Held {
+    /// From a record made here.
     #[must_use]
-    pub fn record(&self, name: &EntryName) -> Option<&Arc<Record>> {
-        self.records.get(name)
+    pub fn new(record: Arc<Record>) -> Self {
+        let json = record.to_json();
+        Self {
+            record,
+            json,
+            unreadable: None,
+        }
     }
 
-    /// The entry as it stands.
+    /// True for the marker of a removed entry.
     #[must_use]
-    pub fn entry(&self, name: &EntryName) -> Option<&Arc<Entry>> {
-        self.records.get(name)?.entry.as_ref()
+    pub fn is_marker(&self) -> bool {
+        self.record.entry.is_none() && self.unreadable.is_none()
+    }
+}
+
+/// A record whose entry is not looked at.
+#[derive(Deserialize)]
+struct Envelope {
+    revision: Revision,
+    edit_id: EditId,
+    author: OperatorName,
+    at: WallTime,
+    #[serde(default)]
+    history: Vec<PastEdit>,
+}
+
+impl WireRecord {
+    /// Reads the record. An entry that this release cannot read keeps its revision, so
+    /// that it still outranks older copies.
+    ///
+    /// # Errors
+    /// When the revision cannot be read either, or the size is past the bound.
+    pub fn parse(&self) -> Result<Held, RecordError> {
+        let size = self.json.len();
+        if size > MAX_ENTRY_SIZE.as_usize() {
+            let name = self.name.clone();
+            return Err(RecordError::TooLong { name, size });
+        }
+        match serde_json::from_slice::<Record>(&self.json) {
+            Ok(record) => Ok(self.held(record, None)),
+            Err(e) => self.parse_envelope(&e.to_string()),
+        }
     }
 
-    /// All records, removal markers included.
-    pub fn records(&self) -> impl Iterator<Item = (&EntryName, &Arc<Record>)> {
-        self.records.iter()
+    fn parse_envelope(&self, message: &str) -> Result<Held, RecordError> {
+        let envelope: Envelope =
+            serde_json::from_slice(&self.json).map_err(|_| RecordError::Malformed {
+                name: self.name.clone(),
+                message: message.to_owned(),
+            })?;
+        let record = Record {
+            revision: envelope.revision,
+            edit_id: envelope.edit_id,
+            author: envelope.author,
+            at: envelope.at,
+            entry: None,
+            history: envelope.history,
+        };
+        Ok(self.held(record, Some(message.to_owned())))
     }
 
-    /// All entries that stand.
-    pub fn entries(&self) -> impl Iterator<Item = (&EntryName, &Arc<Entry>)> {
-        self.records
-            .iter()
-            .filter_map(|(name, record)| Some((name, record.entry.as_ref()?)))
+    fn held(&self, mut record: Record, unreadable: Option<String>) -> Held {
+        record.history.truncate(HISTORY_LENGTH);
+        Held {
+            record: Arc::new(record),
+            json: self.json.clone(),
+            unreadable,
+        }
     }
 }
--- /dev/null
+++ b/components/catalogue/tests/fleet/world.rs
@@ -0,0 +1,399 @@
+//! Daemons, a network and a store in one thread, with faults on demand.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use catalogue::edit::*;
+use catalogue::entry::Entry;
+use catalogue::file;
+use catalogue::head::{Head, Keys};
+use catalogue::record::Record;
+use catalogue::sync::{Config, Effect, Member, Message, Sync};
+use keyvalue::{CallError, Outcome, Range, Reply, Request, Txn};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standins::store::Table;
+use types::prelude::*;
+
+pub(crate) const STEP: Span = Span::from_millis(50);
+pub(crate) const LONG: Span = Span::from_secs(10);
+
+/// What becomes of an editor's next write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Fine,
+    /// Done, and the reply lost.
+    Lost,
+    /// The reply lost, and done at [`Fleet::land`].
+    Delayed,
+    NotSent,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) sync: Sync,
+    pub(crate) editor: Editor,
+    pub(crate) paused: bool,
+    watch_from: Option<i64>,
+    calls: VecDeque<Request>,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) table: Table,
+    pub(crate) now: Time,
+    pub(crate) rng: StdRng,
+    pub(crate) members: Vec<Member>,
+    pub(crate) daemons: BTreeMap<DaemonId, Daemon>,
+    pub(crate) store_up: bool,
+    /// Daemons that reach only each other.
+    pub(crate) cut: BTreeSet<DaemonId>,
+    pub(crate) fates: VecDeque<Fate>,
+    pub(crate) delayed: Vec<Request>,
+    pub(crate) verdicts: BTreeMap<Ticket, Verdict>,
+    /// Every edit that ever stood in the store.
+    pub(crate) landed: BTreeMap<Revision, EditId>,
+    pub(crate) store_calls: u64,
+    messages: VecDeque<(DaemonId, DaemonId, Message)>,
+    tickets: u64,
+}
+
+pub(crate) fn cluster() -> ClusterName {
+    ClusterName::new("test").unwrap()
+}
+
+pub(crate) fn keys() -> Keys {
+    Keys::new(&cluster())
+}
+
+pub(crate) fn id(place: usize) -> DaemonId {
+    DaemonId::new(&format!("d{place}")).unwrap()
+}
+
+pub(crate) fn name(text: &str) -> EntryName {
+    EntryName::new(text).unwrap()
+}
+
+/// A customer whose key and weight are told apart by numbers.
+pub(crate) fn customer(key: usize, weight: usize) -> Arc<Entry> {
+    let text = format!("{{kind: customer, owner: o, weight: {weight}, key_sha256: [{key:064x}]}}");
+    let value = serde_norway::from_str(&text).unwrap();
+    Arc::new(file::parse_entry(&name("customers/x"), value).unwrap())
+}
+
+impl Fleet {
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
+        let members = (0..count).map(|place| Member {
+            id: id(place),
+            failure_domain: FailureDomain::new(&format!("f{}", place % 4)).unwrap(),
+        });
+        let mut fleet = Self {
+            table: Table::new(),
+            now: Time(1_000_000),
+            rng: StdRng::seed_from_u64(seed),
+            members: members.collect(),
+            daemons: BTreeMap::new(),
+            store_up: true,
+            cut: BTreeSet::new(),
+            fates: VecDeque::new(),
+            delayed: Vec::new(),
+            verdicts: BTreeMap::new(),
+            landed: BTreeMap::new(),
+            store_calls: 0,
+            messages: VecDeque::new(),
+            tickets: 0,
+        };
+        (0..count).for_each(|place| fleet.restart(place));
+        fleet
+    }
+
+    /// A fresh process in the place of another.
+    pub(crate) fn restart(&mut self, place: usize) {
+        let daemon = Daemon {
+            sync: Sync::new(Config::new(id(place), &cluster())),
+            editor: Editor::default(),
+            paused: false,
+            watch_from: None,
+            calls: VecDeque::new(),
+        };
+        self.daemons.insert(id(place), daemon);
+        self.messages.retain(|(_, to, _)| *to != id(place));
+    }
+
+    pub(crate) fn daemon(&self, place: usize) -> &Daemon {
+        &self.daemons[&id(place)]
+    }
+
+    pub(crate) fn pause(&mut self, place: usize, paused: bool) {
+        self.daemons.get_mut(&id(place)).unwrap().paused = paused;
+    }
+
+    pub(crate) fn revision(&self, place: usize) -> Revision {
+        self.daemon(place).sync.catalogue().revision()
+    }
+
+    pub(crate) fn head(&self) -> Head {
+        let mut table = self.table.clone();
+        let Ok(answer) = table.call(self.now, &Request::Range(Range::key(keys().head()))) else {
+            unreachable!()
+        };
+        let Reply::Range(found) = answer.reply else {
+            unreachable!()
+        };
+        found.first().map_or_else(Head::default, |pair| {
+            serde_json::from_slice(&pair.value).unwrap()
+        })
+    }
+
+    /// The records in the store.
+    pub(crate) fn stored(&self) -> BTreeMap<EntryName, Record> {
+        let mut table = self.table.clone();
+        let range = Request::Range(Range::prefix(keys().entries()));
+        let Ok(answer) = table.call(self.now, &range) else {
+            unreachable!()
+        };
+        let Reply::Range(found) = answer.reply else {
+            unreachable!()
+        };
+        let records = found.iter().map(|pair| {
+            let name = keys().name_of(&pair.key).unwrap();
+            (name, serde_json::from_slice(&pair.value).unwrap())
+        });
+        records.collect()
+    }
+
+    /// Proposes through a daemon; gives the edit's id and ticket.
+    pub(crate) fn edit(
+        &mut self,
+        place: usize,
+        entry_name: &str,
+        if_match: IfMatch,
+        entry: Option<Arc<Entry>>,
+        patience: Span,
+    ) -> (EditId, Ticket) {
+        let edit_id = make_id(self.revision(place), &mut self.rng);
+        let proposal = Proposal {
+            id: edit_id,
+            name: name(entry_name),
+            if_match,
+            entry,
+            author: OperatorName::new("op").unwrap(),
+            at: WallTime(0),
+        };
+        let edit = Edit::new(proposal, keys(), self.now + patience);
+        (edit_id, self.submit(place, Task::Edit(Box::new(edit))))
+    }
+
+    pub(crate) fn query(&mut self, place: usize, edit_id: EditId, entry: Option<&str>) -> Ticket {
+        let query = Query::new(edit_id, entry.map(name), keys(), self.now + LONG);
+        self.submit(place, Task::Query(query))
+    }
+
+    fn submit(&mut self, place: usize, task: Task) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let daemon = self.daemons.get_mut(&id(place)).unwrap();
+        assert!(daemon.editor.submit(ticket, task));
+        ticket
+    }
+
+    /// Runs until a task has ended and gives its verdict.
+    pub(crate) fn verdict(&mut self, ticket: Ticket) -> Verdict {
+        let end = self.now + Span::from_secs(60);
+        while !self.verdicts.contains_key(&ticket) && self.now < end {
+            self.step();
+        }
+        self.verdicts
+            .get(&ticket)
+            .expect("a verdict in a minute")
+            .clone()
+    }
+
+    /// Proposes and waits for the verdict.
+    pub(crate) fn put(
+        &mut self,
+        place: usize,
+        entry: &str,
+        if_match: IfMatch,
+        weight: usize,
+    ) -> Verdict {
+        let key = entry.bytes().map(usize::from).sum();
+        let ticket = self
+            .edit(place, entry, if_match, Some(customer(key, weight)), LONG)
+            .1;
+        self.verdict(ticket)
+    }
+
+    pub(crate) fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets the delayed writes take effect now.
+    pub(crate) fn land(&mut self) {
+        for req in std::mem::take(&mut self.delayed) {
+            let _ = self.call_table(&req);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for (from, to, message) in std::mem::take(&mut self.messages) {
+            if self.daemons[&to].paused {
+                self.messages.push_back((from, to, message));
+                continue;
+            }
+            if self.cut.contains(&from) != self.cut.contains(&to) {
+                continue;
+            }
+            let bytes = serde_json::to_vec(&message).unwrap();
+            let message = serde_json::from_slice(&bytes).unwrap();
+            let (now, daemon) = (self.now, self.daemons.get_mut(&to).unwrap());
+            let effects = daemon.sync.on_message(now, &from, message, &mut self.rng);
+            self.perform(&to, effects);
+        }
+        let ids: Vec<DaemonId> = self.daemons.keys().cloned().collect();
+        for id in ids {
+            if !self.daemons[&id].paused {
+                self.step_daemon(&id);
+            }
+        }
+    }
+
+    fn step_daemon(&mut self, id: &DaemonId) {
+        self.deliver_watch(id);
+        let now = self.now;
+        let live: Vec<Member> = self
+            .members
+            .iter()
+            .filter(|member| self.cut.contains(&member.id) == self.cut.contains(id))
+            .cloned()
+            .collect();
+        let daemon = self.daemons.get_mut(id).unwrap();
+        let effects = daemon.sync.tick(now, &live, &mut self.rng);
+        let outputs = daemon.editor.tick(now);
+        self.perform(id, effects);
+        self.perform_edits(id, outputs);
+        while let Some(req) = self.daemons.get_mut(id).unwrap().calls.pop_front() {
+            let outcome = self.call(id, &req, Fate::Fine);
+            let (now, daemon) = (self.now, self.daemons.get_mut(id).unwrap());
+            let effects = daemon.sync.on_store(now, outcome, &mut self.rng);
+            self.perform(id, effects);
+        }
+    }
+
+    fn deliver_watch(&mut self, id: &DaemonId) {
+        let reaches = self.reaches_store(id);
+        let daemon = self.daemons.get_mut(id).unwrap();
+        let Some(from) = daemon.watch_from.filter(|_| reaches) else {
+            return;
+        };
+        let is_new = from == 0 || from > self.table.revision() + 1;
+        let events = if is_new {
+            Vec::new()
+        } else {
+            let changes = self
+                .table
+                .changes(from, keys().all(), Some("/buckthorncross/test/d"));
+            changes.unwrap().into_iter().map(Into::into).collect()
+        };
+        daemon.watch_from = Some(self.table.revision() + 1);
+        if is_new || !events.is_empty() {
+            let effects = daemon.sync.on_watch(self.now, &events, &mut self.rng);
+            self.perform(id, effects);
+        }
+    }
+
+    fn perform(&mut self, from: &DaemonId, effects: Vec<Effect>) {
+        for effect in effects {
+            let daemon = self.daemons.get_mut(from).unwrap();
+            match effect {
+                Effect::Send { to, message } => {
+                    self.messages.push_back((from.clone(), to, message));
+                }
+                Effect::Store(req) => daemon.calls.push_back(req),
+                Effect::Watch => daemon.watch_from = Some(0),
+                Effect::StopWatch => daemon.watch_from = None,
+                Effect::Applied(_) => {}
+            }
+        }
+    }
+
+    fn perform_edits(&mut self, id: &DaemonId, outputs: Vec<Output>) {
+        let mut outputs = VecDeque::from(outputs);
+        while let Some(output) = outputs.pop_front() {
+            let req = match output {
+                Output::Done(ticket, verdict) => {
+                    self.verdicts.insert(ticket, verdict);
+                    continue;
+                }
+                Output::Call(req) => req,
+            };
+            let is_write = matches!(&req, Request::Txn(txn) if !txn.compare.is_empty());
+            let fate = is_write.then(|| self.fates.pop_front()).flatten();
+            let outcome = self.call(id, &req, fate.unwrap_or(Fate::Fine));
+            let daemon = self.daemons.get_mut(id).unwrap();
+            let known = Known {
+                catalogue: daemon.sync.catalogue(),
+                fleet: daemon.sync.fleet_revision(),
+            };
+            let now = self.now;
+            let more = daemon.editor.on_outcome(now, outcome, known, &mut self.rng);
+            let learned = daemon.editor.take_learned();
+            let effects = daemon.sync.learn(learned, &mut self.rng);
+            outputs.extend(more);
+            self.perform(id, effects);
+        }
+    }
+
+    fn reaches_store(&self, id: &DaemonId) -> bool {
+        self.store_up && !self.cut.contains(id)
+    }
+
+    fn call(&mut self, id: &DaemonId, req: &Request, fate: Fate) -> Outcome {
+        self.store_calls += 1;
+        let lost = Err(CallError::Unknown("lost".to_owned()));
+        match fate {
+            _ if !self.reaches_store(id) => Err(CallError::NotSent("down".to_owned())),
+            Fate::Fine => self.call_table(req),
+            Fate::NotSent => Err(CallError::NotSent("refused".to_owned())),
+            Fate::Lost => self.call_table(req).and(lost),
+            Fate::Delayed => {
+                self.delayed.push(req.clone());
+                lost
+            }
+        }
+    }
+
+    pub(crate) fn sync(&mut self, place: usize) -> &mut Sync {
+        &mut self.daemons.get_mut(&id(place)).unwrap().sync
+    }
+
+    /// Writes a record past all checks, as a hand might, with the head.
+    pub(crate) fn write_by_hand(&mut self, entry: &str, json: Bytes, revision: u64) {
+        let head = Head {
+            revision: Revision(revision),
+            ..Head::default()
+        };
+        let success = vec![keys().put_entry(&name(entry), json), keys().put_head(&head)];
+        self.write_raw(Txn {
+            success,
+            ..Txn::default()
+        });
+    }
+
+    /// Writes that are no edit's.
+    pub(crate) fn write_raw(&mut self, txn: Txn) {
+        self.call_table(&Request::Txn(txn)).unwrap();
+    }
+
+    fn call_table(&mut self, req: &Request) -> Outcome {
+        let outcome = self.table.call(self.now, req);
+        for change in self.head().recent {
+            let id = self.landed.entry(change.revision).or_insert(change.edit_id);
+            assert_eq!(*id, change.edit_id, "two edits at {}", change.revision);
+        }
+        outcome
+    }
+}
