Count a claim lease's slot from its own grant

Cause: a daemon paused between the grant of a lease and its reply took the reply for one to a later call and used a lease that had lapsed; found by the fuzz (crash, 15 minutes' sleep, non-idempotent request: claims refused for a minute).

--- a/components/requests/src/claim.rs
+++ b/components/requests/src/claim.rs
@@ -121,6 +121,12 @@
         (claim, call)
     }
 
+    /// The lease that it is made with.
+    #[must_use]
+    pub fn lease(&self) -> LeaseId {
+        self.spec.lease.id
+    }
+
     /// Takes the outcome of the last call.
     #[must_use]
     pub fn on_outcome(&mut self, outcome: Outcome, now: Time) -> ClaimStep {
--- a/components/requests/src/claim/lease.rs
+++ b/components/requests/src/claim/lease.rs
@@ -69,14 +69,15 @@
         self.current.filter(|lease| now < lease.use_until)
     }
 
-    /// Forgets a lease that the store says is gone.
+    /// Forgets a lease that the store may no longer have; to be called when it refuses a
+    /// claim's write, or claims would be refused until the slot's end.
     pub fn forget(&mut self, id: LeaseId) {
         self.current = self.current.filter(|lease| lease.id != id);
     }
 
-    /// The call to make now, if any. One is outstanding at a time.
+    /// The call to make now, if any, with the moment to be given back with its outcome.
     #[must_use]
-    pub fn poll(&mut self, now: Time) -> Option<keyvalue::Request> {
+    pub fn poll(&mut self, now: Time) -> Option<(Time, keyvalue::Request)> {
         let ahead = Span(self.windows.slot.0 / ASK_AHEAD);
         let is_fresh = self.current(now + ahead).is_some();
         let is_asked = self.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN);
@@ -85,22 +86,26 @@
         }
         self.asked_at = Some(now);
         let ttl = self.windows.retry + self.windows.slot;
-        Some(keyvalue::Request::LeaseGrant { ttl })
+        Some((now, keyvalue::Request::LeaseGrant { ttl }))
     }
 
-    /// Takes the outcome of the last call.
+    /// Takes the outcome of a call made at `asked_at`.
     ///
-    /// The slot is counted from when the call was made, not from its reply: the lease may have
-    /// been running since then. A grant whose reply was lost lapses by itself.
-    pub fn on_outcome(&mut self, outcome: &Outcome) {
-        let Some(asked_at) = self.asked_at else {
+    /// Guards against claims that lapse early: the lease runs from the grant, which may be as
+    /// early as the call. A daemon paused in between would take the reply, when it wakes, for
+    /// one to a call that it has just made, and use a lease that is nearly or quite over. So
+    /// the slot is counted from the call that this reply belongs to. A grant whose reply was
+    /// lost lapses by itself.
+    pub fn on_outcome(&mut self, asked_at: Time, outcome: &Outcome) {
+        let Ok(answer) = outcome else {
             return;
         };
-        if let Ok(answer) = outcome
-            && let Reply::LeaseGranted(id) = answer.reply
-        {
-            self.asked_at = None;
-            let use_until = asked_at + self.windows.slot;
+        let Reply::LeaseGranted(id) = answer.reply else {
+            return;
+        };
+        let use_until = asked_at + self.windows.slot;
+        let is_longer = |held: ClaimLease| held.use_until < use_until;
+        if self.current.is_none_or(is_longer) {
             self.current = Some(ClaimLease { id, use_until });
         }
     }
--- a/components/requests/tests/fuzz/oracle.rs
+++ b/components/requests/tests/fuzz/oracle.rs
@@ -33,6 +33,8 @@
     /// Whose bill may be lost: both daemons that held it crashed before it was sealed.
     pub(crate) excused: BTreeSet<u8>,
     pub(crate) bills_lost: usize,
+    /// Claimed by a daemon that crashed before it could release the claim.
+    pub(crate) stranded: BTreeSet<u8>,
     /// Answered, and the bill is not yet known to be sealed.
     pub(crate) unsealed: BTreeSet<u8>,
     /// Of these, answered while no second daemon could hold the bill.
