--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// Bad answers before a bad version is suspended.
+    BadVersion(BadVersion),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
@@ -32,3 +34,27 @@
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
 }
+
+/// Bad answers served before a bad version is suspended everywhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bad-version")]
+pub struct BadVersion {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// runs of each arm, seeds following each other
+    #[argh(option, default = "20")]
+    pub runs: u64,
+    /// ratings in the long run of the test alone
+    #[argh(option, default = "50_000_000")]
+    pub ratings: u64,
+    /// requests in the long run of the whole loop
+    #[argh(option, default = "1_000_000")]
+    pub loop_requests: u64,
+}
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,1 +1,4 @@
 //! One module an experiment.
+
+pub mod bad_version;
+pub mod cascade;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod fleet;
 mod report;
 
 fn main() -> eyre::Result<()> {
@@ -10,5 +11,7 @@
         cli::Command::Overhead(options) => {
             report::Report::new("overhead", options.seed).print(options.json)
         }
+
+        cli::Command::BadVersion(options) => cmd::bad_version::run(&options)?.print(options.json),
     }
 }
--- a/components/quality/src/detector.rs
+++ b/components/quality/src/detector.rs
@@ -102,16 +102,16 @@
 }
 
 /// Mean number of ratings before a CUSUM for `alternative` against `null` reaches `threshold`
-/// while the true share is `null`.
+/// while the true share is `share`.
 ///
 /// A run is a series of cycles that begin at zero and end at zero or at the threshold, so
 /// the mean is the mean length of a cycle over the probability that it ends at the threshold.
 #[must_use]
-pub fn mean_run_length(null: f64, alternative: f64, threshold: f64) -> f64 {
-    run_length_of(null, Steps::new(null, alternative), threshold)
+pub fn mean_run_length(share: f64, null: f64, alternative: f64, threshold: f64) -> f64 {
+    run_length_of(share, Steps::new(null, alternative), threshold)
 }
 
-fn run_length_of(null: f64, steps: Steps, threshold: f64) -> f64 {
+fn run_length_of(share: f64, steps: Steps, threshold: f64) -> f64 {
     let cell = threshold / GRID as f64;
     let moves: Vec<[Place; 2]> = (0..GRID)
         .map(|index| [steps.bad, steps.good].map(|step| Place::new(index as f64 + step / cell)))
@@ -121,7 +121,7 @@
     for _ in 0..SWEEPS {
         let mut change = 0.0_f64;
         for (index, [up, down]) in moves.iter().enumerate() {
-            let mean = |up: f64, down: f64| (1.0 - null) * up + null * down;
+            let mean = |up: f64, down: f64| (1.0 - share) * up + share * down;
             let next_hit = mean(up.value(&hit, 1.0), down.value(&hit, 1.0));
             let next_length = 1.0 + mean(up.value(&length, 0.0), down.value(&length, 0.0));
             change = change.max((next_length - length[index]).abs() / next_length);
--- a/components/quality/src/stream.rs
+++ b/components/quality/src/stream.rs
@@ -10,6 +10,8 @@
 use crate::detector::{Detector, Thresholds};
 use crate::estimate::Estimate;
 
+/// How far above its target a version is still held to its claim.
+const HEADROOM: f64 = 0.03;
 const LOWEST_REFERENCE: f64 = 0.1;
 /// Deviations by which the evidence must contradict a reference before it moves.
 const CONTRADICTION: f64 = 2.5;
@@ -78,10 +80,10 @@
 }
 
 impl Terms {
-    /// The share below which the version is worse than the operators were told.
+    /// What the version is compared with: its claim, but not much more than is asked for.
     fn reference(&self) -> f64 {
         let claim = self.claim.unwrap_or(self.target);
-        claim.min(self.target).max(LOWEST_REFERENCE)
+        claim.min(self.target + HEADROOM).max(LOWEST_REFERENCE)
     }
 
     pub(crate) fn prior(&self) -> f64 {
@@ -203,7 +205,7 @@
 
     /// The lowest share at which it may serve in a mixture.
     fn floor(&self, cfg: &Config) -> f64 {
-        self.terms.reference() - cfg.slack
+        self.terms.reference().min(self.terms.target) - cfg.slack
     }
 
     /// Learns what to compare the version with, when the catalogue expects too much.
--- a/components/quality/tests/evidence.rs
+++ b/components/quality/tests/evidence.rs
@@ -199,7 +199,7 @@
         }
     }
     let simulated = ratings as f64 / f64::from(runs);
-    let stated = mean_run_length(null, alternative, threshold);
+    let stated = mean_run_length(null, null, alternative, threshold);
     assert!(
         (stated / simulated - 1.0).abs() < 0.08,
         "{stated} {simulated}"
