--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,4 +1,6 @@
 //! One module an experiment.
 
+pub mod bad_version;
+pub mod cascade;
 pub mod overhead;
 pub mod report;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod cmd;
 mod daemons;
+mod fleet;
 mod load;
 mod plot;
 mod report;
@@ -14,5 +15,9 @@
             cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
         cli::Command::Report(options) => cmd::report::run(&options),
+
+        cli::Command::BadVersion(options) => {
+            cmd::bad_version::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
