--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,1 +1,5 @@
 //! One module an experiment.
+
+pub mod balance;
+pub mod burst;
+pub mod decide;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod fake;
 mod report;
 
 fn main() -> eyre::Result<()> {
@@ -10,5 +11,8 @@
         cli::Command::Overhead(options) => {
             report::Report::new("overhead", options.seed).print(options.json)
         }
+        cli::Command::Balance(options) => cmd::balance::run(&options)?.print(options.json),
+        cli::Command::Burst(options) => cmd::burst::run(&options)?.print(options.json),
+        cli::Command::Decide(options) => cmd::decide::run(&options)?.print(options.json),
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -27,6 +27,6 @@
     Demand, LoadReport, NoUpstream, Outcome, PrefixHash, Target, TargetIndex, UpstreamIndex,
 };
 pub use health::LeavingSign;
-pub use pick::{PREFIX_HOMES, Tuning};
+pub use pick::Tuning;
 pub use router::Router;
 pub use upstream::{Place, Upstream, UpstreamSpec};
--- a/components/routing/src/lists.rs
+++ b/components/routing/src/lists.rs
@@ -55,11 +55,12 @@
         self.0.iter().take(count).map(|member| member.index)
     }
 
-    /// The first member at or after a point of the ring.
-    pub(crate) fn at_point(&self, point: u64) -> Option<UpstreamIndex> {
+    /// One of the `window` members from a point of the ring on.
+    pub(crate) fn after(&self, point: u64, offset: u64, window: usize) -> Option<UpstreamIndex> {
+        let window = window.min(self.0.len()) as u64;
+        let offset = offset.checked_rem(window)? as usize;
         let place = self.0.partition_point(|member| member.hash < point);
-        let member = self.0.get(place).or(self.0.first());
-        member.map(|member| member.index)
+        Some(self.get((place + offset) % self.0.len()))
     }
 }
 
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -4,14 +4,17 @@
 use types::prelude::*;
 
 use crate::affinity::key_of;
-use crate::demand::{Demand, NoUpstream, PrefixHash, UpstreamIndex};
+use crate::demand::{Demand, NoUpstream, UpstreamIndex};
 use crate::lists::{Candidates, DISTANCES, Distance, HashOrder};
 use crate::router::{Entry, Router};
 
-/// Homes of a prefix on the ring.
-pub const PREFIX_HOMES: usize = 2;
-/// Levels of a prefix, shortest first, that have homes.
-const HOME_LEVELS: usize = 2;
+/// Homes of a prompt: members of the ring after the point of its first level, among which
+/// the second level decides; and the trust that what is cached is found there.
+///
+/// All daemons send a session to its first home until that is busy, then to the next, so
+/// that its next request finds its cache whichever daemon it comes through. What many
+/// sessions begin with is cached by a few upstreams, more of them as they get busy.
+const HOMES: [(usize, f64); 2] = [(4, 1.0), (16, 0.7)];
 /// Load at which the next distance is looked at too.
 const SPILL_LOAD: f64 = 0.9;
 /// Cost of a request that must wait for a slot, for each request per slot ahead of it.
@@ -42,10 +45,16 @@
 
 impl Default for Tuning {
     fn default() -> Self {
+        let e = |n: &str, d: f64| {
+            std::env::var(n)
+                .ok()
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(d)
+        };
         Self {
-            samples: 2,
+            samples: e("S", 2.0) as usize,
             subset: 32,
-            miss_cost: 0.5,
+            miss_cost: e("M", 0.5),
         }
     }
 }
@@ -65,6 +74,7 @@
     now: Time,
     demand: &'a Demand<'a>,
     pool: &'a Candidates,
+    homes: [Option<UpstreamIndex>; HOMES.len()],
     best: Option<Best>,
 }
 
@@ -87,6 +97,7 @@
             now,
             demand,
             pool,
+            homes: homes_of(pool, demand),
             best: None,
         };
         choice.consider_holders();
@@ -118,23 +129,15 @@
         }
     }
 
-    /// Homes of the prefix, the same for every daemon of the region.
+    /// Homes of the prompt, the same for every daemon of the region.
     fn consider_homes(&mut self) {
-        let ring = self.pool.near_ring();
-        for prefix in self.demand.prefix.iter().take(HOME_LEVELS) {
-            for home in 0..PREFIX_HOMES {
-                if let Some(index) = ring.at_point(self.home_point(*prefix, home)) {
-                    self.consider(index);
-                }
+        for home in self.homes {
+            if let Some(index) = home {
+                self.consider(index);
             }
         }
     }
 
-    fn home_point(&self, prefix: PrefixHash, home: usize) -> u64 {
-        let key = key_of(self.demand.target, prefix);
-        xxhash_rust::xxh3::xxh3_64_with_seed(&key.to_le_bytes(), home as u64)
-    }
-
     /// Random ones of the daemon's subset; farther ones only when the nearer are busy.
     fn consider_samples(&mut self, rng: &mut impl Rng) {
         for distance in DISTANCES {
@@ -245,22 +248,39 @@
         if levels == 0 {
             return 0.0;
         }
-        let prefixes = self.demand.prefix.iter().enumerate().rev();
-        let held = prefixes
-            .filter(|(_, prefix)| self.is_held(**prefix, index))
-            .map(|(level, _)| level + 1)
-            .next();
-        let missing = (levels - held.unwrap_or(0)) as f64 / levels as f64;
+        let held = self.held_levels(index) as f64 / levels as f64;
+        let missing = 1.0 - held.max(self.home_part(index));
         self.router.tuning.miss_cost * missing
     }
 
-    /// Sent there by this daemon, or at home there, where the other daemons send it.
-    fn is_held(&self, prefix: PrefixHash, index: UpstreamIndex) -> bool {
-        let holders = self.router.prefixes.holders(self.demand.target, prefix);
-        if holders.is_some_and(|holders| holders.contains(index)) {
-            return true;
-        }
-        let ring = self.pool.near_ring();
-        (0..PREFIX_HOMES).any(|home| ring.at_point(self.home_point(prefix, home)) == Some(index))
+    /// Levels that this daemon has sent there.
+    fn held_levels(&self, index: UpstreamIndex) -> usize {
+        let prefixes = self.demand.prefix.iter().enumerate().rev();
+        let mut held = prefixes.filter(|(_, prefix)| {
+            let holders = self.router.prefixes.holders(self.demand.target, **prefix);
+            holders.is_some_and(|holders| holders.contains(index))
+        });
+        held.next().map_or(0, |(level, _)| level + 1)
+    }
+
+    /// Part of the prompt that should be cached there since the other daemons send it there
+    /// too: all but its last level, which is new.
+    fn home_part(&self, index: UpstreamIndex) -> f64 {
+        let levels = self.demand.prefix.len() as f64;
+        let part = (levels - 1.0).max(1.0) / levels;
+        let homes = self.homes.iter().zip(HOMES);
+        let mut trusts = homes.filter(|(home, _)| **home == Some(index));
+        trusts.next().map_or(0.0, |(_, (_, trust))| trust * part)
     }
 }
+
+/// Where a prompt is at home.
+fn homes_of(pool: &Candidates, demand: &Demand<'_>) -> [Option<UpstreamIndex>; HOMES.len()] {
+    let Some(first) = demand.prefix.first() else {
+        return [None; HOMES.len()];
+    };
+    let second = demand.prefix.get(1).unwrap_or(first);
+    let point = key_of(demand.target, *first);
+    let offset = key_of(demand.target, *second);
+    HOMES.map(|(window, _)| pool.near_ring().after(point, offset, window))
+}
