--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -20,6 +20,12 @@
     Report(ReportPage),
     /// Bad answers before a bad version is suspended.
     BadVersion(BadVersion),
+    /// Choice of upstream beside simpler ways.
+    Balance(Balance),
+    /// A partner's batch on steady interactive work.
+    Burst(Burst),
+    /// Time and memory of a choice of upstream.
+    Decide(Decide),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
@@ -75,3 +81,48 @@
     #[argh(option, default = "1_000_000")]
     pub loop_requests: u64,
 }
+
+/// choice of upstream beside round robin, random and least loaded by report
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "balance")]
+pub struct Balance {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
+
+/// a batch of ten times the capacity on steady interactive work
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "burst")]
+pub struct Burst {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
+
+/// time of a choice and memory of an upstream at 12,000 upstreams and 10 versions
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "decide")]
+pub struct Decide {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod load;
 mod plot;
+mod fake;
 mod report;
 
 fn main() -> eyre::Result<()> {
@@ -19,5 +20,8 @@
         cli::Command::BadVersion(options) => {
             cmd::bad_version::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Balance(options) => cmd::balance::run(&options)?.print(options.json),
+        cli::Command::Burst(options) => cmd::burst::run(&options)?.print(options.json),
+        cli::Command::Decide(options) => cmd::decide::run(&options)?.print(options.json),
     }
 }
