Add the operators' tool

Cause: operators work from a command line. The API reads entries by the catalogue's own parser, so errors name the key.

--- a/components/operators/src/routes/catalogue.rs
+++ b/components/operators/src/routes/catalogue.rs
@@ -12,6 +12,7 @@
 use adminapi::error::{ErrorBody, ErrorCode};
 use adminapi::path;
 use catalogue::entry::Entry;
+use catalogue::file;
 use rouille::{Request, Response};
 use types::prelude::*;
 
@@ -72,7 +73,7 @@
         name: &str,
     ) -> Answer {
         let name = entry_name(kind, name)?;
-        let entry = parse_entry(&read_body(req)?)?;
+        let entry = parse_entry(&name, &read_body(req)?)?;
         let edit = Edit {
             name,
             entry: Some(Arc::new(entry)),
@@ -234,18 +235,27 @@
     })
 }
 
-fn parse_entry(body: &[u8]) -> Result<Entry, Box<ErrorBody>> {
-    serde_json::from_slice(body).or_else(|e| {
-        let code = if e.is_data() {
-            ErrorCode::InvalidEntry
-        } else {
-            ErrorCode::InvalidRequest
-        };
+fn parse_entry(name: &EntryName, body: &[u8]) -> Result<Entry, Box<ErrorBody>> {
+    let json: serde_json::Value = serde_json::from_slice(body).or_else(|e| {
         fail(
-            code,
-            format!("the body is not an entry: {e}"),
-            "`buckthorncross check FILE` shows the place; docs/OPERATIONS.md lists the fields",
+            ErrorCode::InvalidRequest,
+            format!("the body is not JSON: {e}"),
+            "send the entry as JSON; `buckthorncross catalogue put FILE` takes YAML",
+        )
+    })?;
+    let value = serde_norway::to_value(json).or_else(|e| {
+        fail(
+            ErrorCode::InvalidRequest,
+            format!("the body cannot be read: {e}"),
+            "mend the entry",
         )
+    })?;
+    file::parse_entry(name, value).map_err(|problem| {
+        let message = format!("{name} cannot be read; nothing was written");
+        let hint = "docs/OPERATIONS.md lists the fields of each kind";
+        let mut body = ErrorBody::new(ErrorCode::InvalidEntry, message, hint);
+        body.problems = vec![problem.to_string()];
+        Box::new(body)
     })
 }
 
--- a/components/operators/tests/api.rs
+++ b/components/operators/tests/api.rs
@@ -357,7 +357,7 @@
     let unknown = json!({"owner": "x", "kind": "customer", "key_sha256": [], "colour": 1});
     let (status, error) = error_of(server.put(path, &[], &unknown));
     assert_eq!(status, 422);
-    assert!(error.message.contains("colour"), "{error}");
+    assert!(error.problems[0].contains("colour"), "{error}");
     let large = json!({"owner": "x".repeat(2 << 20)});
     assert_eq!(error_of(server.put(path, &[], &large)).0, 413);
     assert_eq!(error_of(server.get("/bills?since=yesterday")).0, 400);
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,188 @@
+//! Calls of the operators' API.
+
+use std::thread;
+use std::time::Duration;
+
+use adminapi::edit::{EditReply, EditState};
+use adminapi::error::{ErrorBody, ErrorCode, ErrorReply};
+use adminapi::path;
+use attohttpc::{ErrorKind, Method, RequestBuilder, Response};
+use eyre::WrapErr;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use types::prelude::*;
+
+use crate::failure::Failure;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longer than the daemon waits for an edit's outcome.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+const ASK_AGAIN_TIMES: u32 = 10;
+const ASK_AGAIN_EVERY: Duration = Duration::from_secs(1);
+
+/// Speaks to one daemon.
+#[derive(Debug)]
+pub(crate) struct Client {
+    server: String,
+    token: String,
+}
+
+/// An edit as the API takes it.
+#[derive(Debug, Clone)]
+pub(crate) struct EditCall<T> {
+    /// How.
+    pub method: Method,
+    /// Where.
+    pub path: String,
+    /// The entry that it edits.
+    pub name: EntryName,
+    /// The revision that the entry must have.
+    pub if_match: Option<Revision>,
+    /// What is sent.
+    pub body: T,
+}
+
+impl Client {
+    /// Of a daemon's operators' address.
+    pub(crate) fn new(server: &str, token: String) -> Self {
+        let server = server.trim_end_matches('/');
+        let scheme = if server.contains("://") {
+            ""
+        } else {
+            "http://"
+        };
+        Self {
+            server: format!("{scheme}{server}"),
+            token,
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        RequestBuilder::new(method, format!("{}{path}", self.server))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(READ_TIMEOUT)
+            .bearer_auth(&self.token)
+    }
+
+    /// Reads.
+    pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        let response = self.fetch(path)?;
+        Ok(response
+            .json()
+            .wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
+    }
+
+    /// Reads as text.
+    pub(crate) fn get_text(&self, path: &str) -> Result<String, Failure> {
+        let response = self.fetch(path)?;
+        Ok(response
+            .text()
+            .wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
+    }
+
+    fn fetch(&self, path: &str) -> Result<Response, Failure> {
+        let sent = self.request(Method::GET, path).send();
+        let response = sent.map_err(|e| self.unreachable(&e))?;
+        accepted(response)
+    }
+
+    fn unreachable(&self, e: &attohttpc::Error) -> Failure {
+        Failure::Unreachable {
+            server: self.server.clone(),
+            reason: e.to_string(),
+        }
+    }
+
+    /// Makes an edit and follows it up until its outcome is known or asking is no use.
+    ///
+    /// The edit has an id of this tool's, so that a lost answer can be asked for again.
+    pub(crate) fn edit<T: Serialize>(&self, call: &EditCall<T>) -> Result<EditReply, Failure> {
+        let id = EditId::random(&mut rand::rng());
+        let mut req = self
+            .request(call.method.clone(), &call.path)
+            .header(path::EDIT_ID_HEADER, id.to_string());
+        if let Some(revision) = call.if_match {
+            req = req.header("If-Match", path::etag(revision));
+        }
+        let req = req
+            .json(&call.body)
+            .wrap_err("the entry cannot be written as JSON")?;
+        let reason = match req.send() {
+            Ok(response) => match accepted(response) {
+                Ok(response) => return read_edit(response),
+                Err(Failure::Refused(body)) if body.code == ErrorCode::OutcomeUnknown => {
+                    body.message
+                }
+                Err(failure) => return Err(failure),
+            },
+            Err(e) if was_never_sent(&e) => return Err(self.unreachable(&e)),
+            Err(e) => e.to_string(),
+        };
+        self.follow_up(id, &call.name, reason)
+    }
+
+    fn follow_up(
+        &self,
+        id: EditId,
+        name: &EntryName,
+        reason: String,
+    ) -> Result<EditReply, Failure> {
+        eprintln!("the outcome is not known yet, asking again for edit {id}");
+        for _ in 0..ASK_AGAIN_TIMES {
+            thread::sleep(ASK_AGAIN_EVERY);
+            match self.get::<EditReply>(&path::edit(id)) {
+                Ok(reply) if reply.state == EditState::Applied => return Ok(reply),
+                Ok(reply) if reply.state == EditState::NotApplied => {
+                    return Err(Failure::Refused(Box::new(not_applied(
+                        id,
+                        name,
+                        reply.reason,
+                    ))));
+                }
+                _ => {}
+            }
+        }
+        let (edit, name) = (id, name.clone());
+        Err(Failure::OutcomeUnknown { edit, name, reason })
+    }
+}
+
+fn not_applied(id: EditId, name: &EntryName, reason: Option<String>) -> ErrorBody {
+    let reason = reason.unwrap_or_else(|| "the store did not take it".to_owned());
+    let message = format!("{name} was not changed: {reason}");
+    let mut body = ErrorBody::new(ErrorCode::NotApplied, message, "make the edit again");
+    body.edit_id = Some(id);
+    body
+}
+
+/// Whether an error came before the first byte of a request was sent.
+fn was_never_sent(e: &attohttpc::Error) -> bool {
+    match e.kind() {
+        ErrorKind::ConnectError { .. } | ErrorKind::InvalidBaseUrl | ErrorKind::InvalidUrlHost => {
+            true
+        }
+        ErrorKind::Io(e) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn read_edit(response: Response) -> Result<EditReply, Failure> {
+    Ok(response
+        .json()
+        .wrap_err("the answer to the edit cannot be read")?)
+}
+
+fn accepted(response: Response) -> Result<Response, Failure> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let text = response.text().unwrap_or_default();
+    match serde_json::from_str::<ErrorReply>(&text) {
+        Ok(reply) => Err(Failure::Refused(Box::new(reply.error))),
+        Err(_) => Err(eyre::eyre!(
+            "the server answered {status} in a form that no daemon uses; check --server"
+        )
+        .into()),
+    }
+}
