--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,10 +3,10 @@
 mod cli;
 mod cmd;
 mod daemons;
+mod fake;
 mod fleet;
 mod load;
 mod plot;
-mod fake;
 mod report;
 
 fn main() -> eyre::Result<()> {
