--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -291,15 +291,6 @@
             .count()
     }
 
-    pub fn standing(
-        &self,
-        daemon: usize,
-        class: &ClassName,
-        version: &VersionId,
-    ) -> Option<quality::StreamDump> {
-        self.members[daemon].quality.standing(class, version)
-    }
-
     /// Suspensions begun, over all instances.
     pub fn suspensions(&self) -> usize {
         let changes = self.changes.iter();
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -20,8 +20,14 @@
         cli::Command::BadVersion(options) => {
             cmd::bad_version::run(&options)?.finish(options.json, options.plot.as_deref())
         }
-        cli::Command::Balance(options) => cmd::balance::run(&options)?.print(options.json),
-        cli::Command::Burst(options) => cmd::burst::run(&options)?.print(options.json),
-        cli::Command::Decide(options) => cmd::decide::run(&options)?.print(options.json),
+        cli::Command::Balance(options) => {
+            cmd::balance::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Burst(options) => {
+            cmd::burst::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Decide(options) => {
+            cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -131,10 +131,8 @@
 
     /// Homes of the prompt, the same for every daemon of the region.
     fn consider_homes(&mut self) {
-        for home in self.homes {
-            if let Some(index) = home {
-                self.consider(index);
-            }
+        for index in self.homes.into_iter().flatten() {
+            self.consider(index);
         }
     }
 
