Excuse bills released after their caller left in the fuzz's double crash

Cause: the oracle counted a bill as held only if its caller was still there. Change: a bill counts from the release of the answer's end. Conclusion: the pure request path keeps its promises outside the stated window.

--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -445,6 +445,7 @@
                 continue;
             };
             let body = Bytes::from(tokens.join(" "));
+            oracle.unsealed.insert(served.request);
             if alone {
                 oracle.alone.insert(served.request);
             }
--- a/components/requests/tests/fuzz/oracle.rs
+++ b/components/requests/tests/fuzz/oracle.rs
@@ -35,7 +35,7 @@
     pub(crate) bills_lost: usize,
     /// Claimed by a daemon that crashed before it could release the claim.
     pub(crate) stranded: BTreeSet<u8>,
-    /// Answered, and the bill is not yet known to be sealed.
+    /// The end of an answer was released, and the bill is not yet known to be sealed.
     pub(crate) unsealed: BTreeSet<u8>,
     /// Of these, answered while no second daemon could hold the bill.
     pub(crate) alone: BTreeSet<u8>,
@@ -67,7 +67,6 @@
             let whole = whole_answer(call.request);
             assert_eq!(*tokens, whole, "not the whole answer to its own request");
             self.answered.insert(call.request);
-            self.unsealed.insert(call.request);
         }
         call.saw = Some(saw);
     }
