--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,13 +2,26 @@
 
 mod cli;
 mod cmd;
+mod daemons;
+mod fake;
+mod fleet;
+mod load;
+mod plot;
 mod report;
 
 fn main() -> eyre::Result<()> {
     let args: cli::Args = argh::from_env();
     match args.command {
         cli::Command::Overhead(options) => {
-            report::Report::new("overhead", options.seed).print(options.json)
+            cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Report(options) => cmd::report::run(&options),
+
+        cli::Command::BadVersion(options) => {
+            cmd::bad_version::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Balance(options) => cmd::balance::run(&options)?.print(options.json),
+        cli::Command::Burst(options) => cmd::burst::run(&options)?.print(options.json),
+        cli::Command::Decide(options) => cmd::decide::run(&options)?.print(options.json),
     }
 }
