Serve work that runs only once, with a claim before its first byte

Cause: non-idempotent work was refused, since no claim could be made. Change: a claims thread packs calls into batches, keeps the lease and settles outcomes behind the answers; chat and plain services claim before the first attempt, answer repeats from the record, release claims of work that did not run; such work goes on when its caller leaves. Each attempt reads the catalogue anew, so a version withdrawn meanwhile gets nothing more. A reused id with another body is told run unknown, not no: found by the test of a crashed daemon's claim.

--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -11,6 +11,7 @@
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::claims::Claims;
 use crate::event::Event;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
@@ -37,6 +38,8 @@
     pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
+    /// Claims of work that runs only once.
+    pub(crate) claims: Claims,
     /// To the control thread.
     pub(crate) events: flume::Sender<Event>,
     /// What is measured.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use callers::{Callers, Limits};
+use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
 use sessions::token::{Key, Keys};
 use settings::Settings;
@@ -14,6 +16,7 @@
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::claims::{self, Claims};
 use crate::control::Control;
 use crate::error::NodeError;
 use crate::event::{EVENTS_WAITING, Event};
@@ -23,11 +26,15 @@
 use crate::traffic::Traffic;
 use crate::traffic::pool::Pool;
 
+/// Pause between two looks at what is still under way.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
     callers: Callers,
     control: JoinHandle<()>,
+    claims: JoinHandle<()>,
 }
 
 impl Node {
@@ -37,7 +44,8 @@
     /// When an address cannot be listened on or a thread cannot be started.
     pub fn start(settings: Settings) -> Result<Self, NodeError> {
         let (events, events_rx) = flume::bounded(EVENTS_WAITING);
-        let shared = Arc::new(build(settings, events.clone())?);
+        let (shared, claims) = build(settings, events.clone())?;
+        let shared = Arc::new(shared);
         let storage = Storage::start(&shared.store, events)?;
         let control = Control::new(shared.clone(), storage);
         let thread = std::thread::Builder::new().name("control".to_owned());
@@ -54,6 +62,7 @@
             shared,
             callers,
             control,
+            claims,
         })
     }
 
@@ -69,12 +78,16 @@
     pub fn shutdown(self) -> usize {
         let _ = self.shared.events.send(Event::Leave);
         std::thread::sleep(self.shared.settings.shutdown.notice.to_duration());
+        let deadline = self.shared.now() + self.shared.settings.shutdown.deadline;
         let cut = self
             .callers
             .close(self.shared.settings.shutdown.deadline.to_duration());
         if cut > 0 {
             tracing::warn!("node: the deadline came with {cut} connections open, cut");
         }
+        end_requests(&self.shared, deadline);
+        self.shared.claims.stop();
+        let _ = self.claims.join();
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -82,26 +95,57 @@
     }
 }
 
-fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Shared, NodeError> {
+/// Waits for requests whose callers have left: work that runs only once goes on, and its
+/// outcome is recorded for the caller's repeat.
+fn end_requests(shared: &Shared, deadline: Time) {
+    while shared.pool.load() > 0 && !shared.now().has_reached(deadline) {
+        std::thread::sleep(LOOK_AGAIN);
+    }
+    let left = shared.pool.load();
+    if left > 0 {
+        tracing::warn!("node: the deadline came with {left} requests under way, cut");
+    }
+}
+
+type Built = (Shared, JoinHandle<()>);
+
+fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
     let clock = Clock::new();
     let place = Place {
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
     };
     let router = Router::new(&settings.daemon, place, Tuning::default());
-    Ok(Shared {
+    let incarnation = Incarnation(clock.wall().0);
+    let store = open_store(&settings)?;
+    let (claims, thread) = Claims::start(&store, clock, claims_config(&settings, incarnation))?;
+    let shared = Shared {
         clock,
-        incarnation: Incarnation(clock.wall().0),
+        incarnation,
         snapshot: ArcSwap::from_pointee(Snapshot::default()),
         router: Mutex::new(router),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
-        store: open_store(&settings)?,
+        store,
+        claims,
         events,
         metrics: Arc::new(Metrics::new()),
         budgets: Mutex::new(BTreeMap::new()),
         settings,
-    })
+    };
+    Ok((shared, thread))
+}
+
+fn claims_config(settings: &Settings, incarnation: Incarnation) -> claims::Config {
+    claims::Config {
+        daemon: settings.daemon.clone(),
+        incarnation,
+        prefix: format!("/buckthorncross/{}/claims/", settings.cluster),
+        windows: Windows {
+            retry: settings.claims.retry_window,
+            slot: settings.claims.lease_slot,
+        },
+    }
 }
 
 fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -6,6 +6,7 @@
 
 pub mod ask;
 mod chat;
+mod claim;
 mod models;
 mod plain;
 pub mod pool;
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -4,6 +4,7 @@
 mod body;
 mod run;
 mod stream;
+mod transcript;
 mod version;
 
 use callers::Request;
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -7,6 +7,7 @@
 use catalogue::entry::Price;
 use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, Doubt, EngineLoad};
 use requests::attempt::{self, AttemptEnd, Usage};
+use requests::claim::Recorded;
 use requests::life::{Attempted, Request};
 use routing::{LoadReport, Outcome};
 use serde_json::{Value, json};
@@ -14,8 +15,10 @@
 
 use super::body::engine_body;
 use super::run::outcome_of;
+use super::transcript::Transcript;
 use super::version::Chosen;
 use super::{Job, STALL};
+use crate::traffic::claim::listed;
 use crate::traffic::refusal::{Refusal, set};
 
 /// The answer under way, over all attempts.
@@ -34,6 +37,8 @@
     pub(super) has_begun: bool,
     pub(super) not_loaded: bool,
     pub(super) first_token: Option<Time>,
+    pub(super) transcript: Transcript,
+    pub(super) caller_left: bool,
 }
 
 impl<'a> Relay<'a> {
@@ -52,6 +57,8 @@
             has_begun: false,
             not_loaded: false,
             first_token: None,
+            transcript: Transcript::new(job.head.non_idempotent),
+            caller_left: false,
         }
     }
 
@@ -210,23 +217,30 @@
         price.map_or(Cost(0), |price| price.of(usage.input, usage.output))
     }
 
-    /// Gives the caller the end of its answer.
-    pub(crate) fn finish(self, usage: Usage, attempts: usize) {
+    /// Gives the caller the end of its answer, and the answer as it is kept for a repeat.
+    pub(crate) fn finish(mut self, usage: Usage, attempts: usize) -> Recorded {
         let cost = self.cost(usage);
-        if let Some(answer) = &self.whole {
+        if let Some(answer) = self.whole.take() {
             let mut head = self.head("application/json");
             set(&mut head.headers, "x-cost", &cost.to_string());
+            let headers = listed(&head.headers);
             self.responder.answer(head, answer.body.clone());
-        } else if self.finish_stream(usage, attempts, cost).is_err() {
+            return Recorded::new(StatusCode::OK.as_u16(), headers, answer.body);
+        }
+        if self.finish_stream(usage, attempts, cost).is_err() {
             tracing::debug!("traffic: the caller of {} left", self.job.head.request);
         }
+        let headers = listed(&self.head("text/event-stream").headers);
+        self.transcript.into_recorded(headers)
     }
 
-    fn finish_stream(&self, usage: Usage, attempts: usize, cost: Cost) -> Result<(), Gone> {
-        let last = self.last_chunk(usage, attempts, cost);
-        self.responder.send(Frame::Data(event(&last)))?;
-        self.responder
-            .send(Frame::Data(Bytes::from_static(b"data: [DONE]\n\n")))?;
+    fn finish_stream(&mut self, usage: Usage, attempts: usize, cost: Cost) -> Result<(), Gone> {
+        let last = event(&self.last_chunk(usage, attempts, cost));
+        let end = Bytes::from_static(b"data: [DONE]\n\n");
+        self.transcript.push(&last);
+        self.transcript.push(&end);
+        self.responder.send(Frame::Data(last))?;
+        self.responder.send(Frame::Data(end))?;
         self.responder.send(Frame::End)
     }
 
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -2,7 +2,7 @@
 
 use callers::Responder;
 use requests::attempt::{AttemptEnd, Usage};
-use requests::life::{Admitted, Answered, Attempted, Next, Refused, Request, Waiting};
+use requests::life::{Answered, Attempted, Next, Refused, Request, Waiting};
 use requests::refusal::Code;
 use routing::{Demand, Outcome, PrefixHash, Target, TargetIndex, UpstreamIndex};
 use types::prelude::*;
@@ -12,6 +12,7 @@
 use super::body::prefix_hashes;
 use super::version::{Chosen, choose_version};
 use crate::shared::{Shared, lock};
+use crate::traffic::claim::{self, Entry};
 use crate::traffic::refusal::Refusal;
 
 /// Pause that a caller is told when no version or upstream can take the work.
@@ -30,7 +31,18 @@
         chosen: &chosen,
         prefix: &prefix,
     };
-    run.attempts(Relay::new(&job, &chosen, responder));
+    let relay = Relay::new(&job, &chosen, responder);
+    match claim::enter(&job.cx.shared, job.admit(), fingerprint(&job)) {
+        Entry::Ready(ready) => run.attempts(ready, relay),
+        Entry::Repeat(recorded) => claim::replay(responder, recorded),
+        Entry::Refused(refusal) => relay.refuse(&refusal),
+    }
+}
+
+/// The same for a repeat: what is asked, without how it is asked.
+fn fingerprint(job: &Job) -> u64 {
+    let body = serde_json::to_vec(&job.ask.fields).unwrap_or_default();
+    xxhash_rust::xxh3::xxh3_64(&body)
 }
 
 fn refuse(job: &Job, responder: &Responder, refusal: &Refusal) {
@@ -38,31 +50,6 @@
     refusal.send(responder, Some(&job.head.request));
 }
 
-/// A request that may go to an upstream.
-enum Ready {
-    First(Request<Admitted>),
-    Again(Request<Waiting>),
-}
-
-impl Ready {
-    fn refuse(self, code: Code) -> Request<Refused> {
-        match self {
-            Self::First(request) => request.refuse(code),
-            Self::Again(request) => request.refuse(code),
-        }
-    }
-
-    fn attempt(self, upstream: UpstreamId) -> Result<Request<Attempted>, Request<Refused>> {
-        match self {
-            // Non-idempotent work needs a claim, which the life cycle enforces.
-            Self::First(request) => request
-                .attempt(upstream)
-                .map_err(|request| request.refuse(Code::ClaimUnavailable)),
-            Self::Again(request) => Ok(request.attempt(upstream)),
-        }
-    }
-}
-
 /// An upstream taken for an attempt.
 struct Taken {
     index: UpstreamIndex,
@@ -82,23 +69,22 @@
         &self.job.cx.shared
     }
 
-    fn attempts(&self, mut relay: Relay<'_>) {
-        let mut ready = Ready::First(self.job.admit());
+    fn attempts(&self, mut ready: Request<Waiting>, mut relay: Relay<'_>) {
         let mut avoid = Vec::new();
         loop {
+            if !self.is_still_permitted() {
+                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
+            }
             let Some(taken) = self.take_upstream(&avoid) else {
-                return relay.refuse(&ready.refuse(Code::NoUpstream).refusal());
-            };
-            let request = match ready.attempt(taken.id.clone()) {
-                Ok(request) => request,
-                Err(refused) => return relay.refuse(&refused.refusal()),
+                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
             };
+            let request = ready.attempt(taken.id.clone());
             let (request, end) = self.attempt(request, &taken, &mut relay);
             avoid.push(taken.index);
             ready = match self.end(request, &taken, &end) {
-                Next::Retry(request, _) => Ready::Again(request),
+                Next::Retry(request, _) => request,
                 Next::Answered(request) => return self.answer(request, relay),
-                Next::Refused(request) => return relay.refuse(&request.refusal()),
+                Next::Refused(request) => return self.refuse(request, &relay),
                 Next::Unknown(request) => return relay.refuse(&request.refusal()),
                 // Neither hedged nor escalated as yet: what is at hand is the answer.
                 Next::Escalate(request) => {
@@ -109,6 +95,21 @@
         }
     }
 
+    /// Guards against new work for a version withdrawn while the request waited for its claim
+    /// or for another attempt: the catalogue is read again, not the copy from its arrival.
+    fn is_still_permitted(&self) -> bool {
+        let snapshot = self.shared().snapshot.load();
+        let job = self.job;
+        let permitted = snapshot
+            .view
+            .permitted(&job.resolved.offer, &job.cx.customer);
+        permitted.contains(&self.chosen.version)
+    }
+
+    fn refuse(&self, request: Request<Refused>, relay: &Relay<'_>) {
+        relay.refuse(&claim::refused(self.shared(), request));
+    }
+
     fn end(&self, request: Request<Attempted>, taken: &Taken, end: &AttemptEnd) -> Next {
         let now = self.shared().now();
         let entry = &self.job.resolved.name;
@@ -165,12 +166,13 @@
     fn answer(&self, request: Request<Answered>, relay: Relay<'_>) {
         let usage: Usage = request.usage();
         let attempts = request.progress().attempts();
-        let (_billed, facts) = request.bill();
+        let (billed, facts) = request.bill();
         tracing::debug!(
             "traffic: {} is answered after {attempts} attempts",
             facts.request
         );
-        relay.finish(usage, attempts);
+        let recorded = relay.finish(usage, attempts);
+        claim::answered(self.shared(), billed, recorded);
     }
 }
 
--- a/components/node/src/traffic/chat/stream.rs
+++ b/components/node/src/traffic/chat/stream.rs
@@ -5,6 +5,7 @@
 use engine::{Event, Stream};
 use requests::attempt::{AttemptEnd, Usage};
 use requests::life::{Attempted, Request};
+use requests::step::{OnCallerGone, on_caller_gone};
 use types::prelude::*;
 
 use super::answer::Relay;
@@ -71,8 +72,8 @@
         request: &mut Request<Attempted>,
     ) -> Result<(), Gone> {
         if !self.has_begun {
-            self.responder
-                .send(Frame::Head(self.head("text/event-stream")))?;
+            let head = Frame::Head(self.head("text/event-stream"));
+            self.give(head, request)?;
             self.has_begun = true;
             request.show();
         }
@@ -85,6 +86,23 @@
         event.extend_from_slice(DATA);
         event.extend_from_slice(data);
         event.extend_from_slice(END);
-        self.responder.send(Frame::Data(event.freeze()))
+        let event = event.freeze();
+        self.transcript.push(&event);
+        self.give(Frame::Data(event), request)
+    }
+
+    /// Sends a frame. Work that runs only once goes on when its caller has left, so that
+    /// the caller's repeat finds its outcome; other work is cancelled.
+    fn give(&mut self, frame: Frame, request: &Request<Attempted>) -> Result<(), Gone> {
+        let sent = if self.caller_left {
+            Err(Gone)
+        } else {
+            self.responder.send(frame)
+        };
+        self.caller_left = sent.is_err();
+        match on_caller_gone(request.facts()) {
+            OnCallerGone::Finish => Ok(()),
+            OnCallerGone::Cancel => sent,
+        }
     }
 }
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -4,12 +4,15 @@
 use callers::{Head, Method, Request, Responder, StatusCode};
 use engine::{AttemptError, Client, Doubt, PlainAnswer, PlainRequest};
 use requests::attempt::{self, AttemptEnd, Usage};
-use requests::life::{Admitted, Arrived, Facts, Next};
+use requests::claim::Recorded;
+use requests::life::{Answered, Arrived, Facts, Next, Refused, Waiting};
 use requests::refusal::Code;
 use routing::{Demand, Outcome, Target, TargetIndex, UpstreamIndex};
 use types::prelude::*;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::ask::HeadAsk;
+use super::claim::{self, Entry, listed};
 use super::refusal::{Refusal, set};
 use super::{Context, Rejected, Routed};
 use crate::shared::{Shared, lock};
@@ -110,54 +113,48 @@
         resumable: false,
         deadline: job.deadline,
     });
-    if job.idempotent {
-        attempts(job, admitted, responder);
-    } else {
-        refuse(
-            job,
-            responder,
-            &admitted.refuse(Code::ClaimUnavailable).refusal(),
-        );
+    match claim::enter(&job.cx.shared, admitted, job.fingerprint()) {
+        Entry::Ready(ready) => attempts(job, ready, responder),
+        Entry::Repeat(recorded) => claim::replay(responder, recorded),
+        Entry::Refused(refusal) => refuse(job, responder, &refusal),
     }
 }
 
-fn attempts(job: &Job, admitted: requests::life::Request<Admitted>, responder: &Responder) {
-    let mut avoid = Vec::new();
-    let Some(mut taken) = take_upstream(job, &avoid) else {
-        return refuse(job, responder, &admitted.refuse(Code::NoUpstream).refusal());
-    };
-    let mut request = match admitted.attempt(taken.id.clone()) {
-        Ok(request) => request,
-        Err(request) => {
-            let refused = request.refuse(Code::ClaimUnavailable);
-            return refuse(job, responder, &refused.refusal());
+impl Job {
+    /// The same for a repeat: what is asked, without how it is asked.
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for part in [self.call.method.as_str(), &self.call.path] {
+            hasher.update(part.as_bytes());
+            hasher.update(b"\0");
         }
-    };
+        hasher.update(&self.call.body);
+        hasher.digest()
+    }
+}
+
+fn attempts(job: &Job, mut ready: requests::life::Request<Waiting>, responder: &Responder) {
+    let mut avoid = Vec::new();
     loop {
+        let Some(taken) = take_upstream(job, &avoid) else {
+            return refused(job, responder, ready.refuse(Code::NoUpstream));
+        };
+        let request = ready.attempt(taken.id.clone());
         let (end, answer) = attempt(job, &taken, request.time_left(job.cx.shared.now()));
         avoid.push(taken.index);
         let now = job.cx.shared.now();
         let next = job.cx.shared.with_budget(&job.service, |budget| {
             request.end(&taken.id, &end, now, budget)
         });
-        let waiting = match (next, answer) {
+        ready = match (next, answer) {
             (Next::Answered(request), Some(answer)) => {
-                let attempts = request.progress().attempts();
-                let _ = request.bill();
-                return answered(job, responder, answer, &taken.id, attempts);
+                return answered(job, responder, answer, &taken.id, request);
             }
             (Next::Retry(waiting, _), _) => waiting,
-            (Next::Refused(request), _) => return refuse(job, responder, &request.refusal()),
+            (Next::Refused(request), _) => return refused(job, responder, request),
             (Next::Unknown(request), _) => return refuse(job, responder, &request.refusal()),
             _ => return,
         };
-        taken = match take_upstream(job, &avoid) {
-            Some(taken) => taken,
-            None => {
-                return refuse(job, responder, &waiting.refuse(Code::NoUpstream).refusal());
-            }
-        };
-        request = waiting.attempt(taken.id.clone());
     }
 }
 
@@ -256,15 +253,24 @@
     responder: &Responder,
     answer: PlainAnswer,
     upstream: &UpstreamId,
-    attempts: usize,
+    request: requests::life::Request<Answered>,
 ) {
+    let attempts = request.progress().attempts();
+    let (billed, _) = request.bill();
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut headers = answer.headers;
     set(&mut headers, "x-request-id", job.head.request.as_str());
     set(&mut headers, "x-served-by", upstream.as_str());
     set(&mut headers, "x-attempts", &attempts.to_string());
     let body: Bytes = answer.body;
+    let recorded = Recorded::new(answer.status, listed(&headers), body.clone());
     responder.answer(Head { status, headers }, body);
+    claim::answered(&job.cx.shared, billed, recorded);
+}
+
+fn refused(job: &Job, responder: &Responder, request: requests::life::Request<Refused>) {
+    let refusal = claim::refused(&job.cx.shared, request);
+    refuse(job, responder, &refusal);
 }
 
 fn refuse(job: &Job, responder: &Responder, decision: &requests::refusal::Refusal) {
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -1,6 +1,7 @@
 //! The daemon over real sockets, with stand-ins for everything around it.
 
 mod it {
+    mod claims;
     mod harness;
     mod serve;
     mod shutdown;
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use attohttpc::{RequestBuilder, Response, ResponseReader};
+use keyvalue::{Op, Put, Txn};
 use node::Node;
 use serde_json::{Value, json};
 use standins::platform::{Platform, PlatformConfig};
@@ -137,6 +138,23 @@
             .read_timeout(PATIENCE)
     }
 
+    /// Writes a key of the fleet into the store.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        let put = Put {
+            key: format!("/buckthorncross/test/{key}"),
+            value: bytes::Bytes::copy_from_slice(value),
+            lease: None,
+        };
+        let request = keyvalue::Request::Txn(Txn {
+            success: vec![Op::Put(put)],
+            ..Txn::default()
+        });
+        let store = &self.platform.store;
+        store
+            .with_table(|table| table.call(Time::ZERO, &request))
+            .unwrap();
+    }
+
     /// Asks daemon 0 for a chat.
     pub fn chat(&self, body: &Value) -> Response {
         self.post(0, "/v1/chat/completions")
--- a/components/requests/src/life.rs
+++ b/components/requests/src/life.rs
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 pub struct Attempted(());
 
-/// Between two attempts.
+/// May go to an upstream, for the first time or again.
 #[derive(Debug)]
 pub struct Waiting(());
 
@@ -195,7 +195,27 @@
     }
 }
 
+impl Request<Admitted> {
+    /// Readies it for an upstream.
+    ///
+    /// # Errors
+    /// Gives the request back when it is not idempotent: it needs a claim first.
+    pub fn ready(self) -> Result<Request<Waiting>, Self> {
+        if self.core.facts.idempotent {
+            Ok(self.turn(Waiting(())))
+        } else {
+            Err(self)
+        }
+    }
+}
+
 impl Request<Claimed> {
+    /// Readies it for an upstream.
+    #[must_use]
+    pub fn ready(self) -> Request<Waiting> {
+        self.turn(Waiting(()))
+    }
+
     /// Goes to an upstream.
     #[must_use]
     pub fn attempt(self, upstream: UpstreamId) -> Request<Attempted> {
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -43,6 +43,9 @@
     /// How the daemon leaves.
     #[serde(default)]
     pub shutdown: Shutdown,
+    /// Claims of work that runs only once.
+    #[serde(default)]
+    pub claims: Claims,
 }
 
 /// Callers' API.
@@ -251,3 +254,24 @@
         }
     }
 }
+
+/// Claims of work that runs only once.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Claims {
+    /// Callers may repeat such a request for so long; 10m to 7days. Default 1day.
+    #[schemars(with = "String")]
+    pub retry_window: Span,
+    /// Claims share a lease for so long. Default 1h.
+    #[schemars(with = "String")]
+    pub lease_slot: Span,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            retry_window: Span::from_secs(24 * 3600),
+            lease_slot: Span::from_secs(3600),
+        }
+    }
+}
