--- a/components/node/tests/it/claims.rs
+++ b/components/node/tests/it/claims.rs
@@ -4,7 +4,7 @@
 
 use requests::claim::{ClaimRecord, Nonce, State};
 use serde_json::Value;
-use standins::engine::EngineFault;
+use standins::engine::{EngineConfig, EngineFault};
 use standins::plain::PlainFault;
 use standins::platform::PlatformConfig;
 use types::prelude::*;
@@ -36,7 +36,15 @@
 
 /// Daemons that hold a lease for claims.
 fn start(daemons: usize) -> Harness {
-    let harness = Harness::with_daemons(&PlatformConfig::default(), daemons);
+    start_with(daemons, EngineConfig::default())
+}
+
+fn start_with(daemons: usize, engine: EngineConfig) -> Harness {
+    let cfg = PlatformConfig {
+        engine,
+        ..PlatformConfig::default()
+    };
+    let harness = Harness::with_daemons(&cfg, daemons);
     for daemon in 0..daemons {
         while book(&harness, daemon, &format!("warm-up-{daemon}")).status != 200 {
             std::thread::sleep(Duration::from_millis(5));
@@ -185,3 +193,36 @@
     let runs: u64 = engines.map(|engine| engine.counters().runs).sum();
     assert_eq!(runs, 1);
 }
+
+// A principal's connection breaks while a brief that may be written once is under way, and the
+// daemon that writes it is replaced at that moment. The repeat is told "outcome unknown" and
+// nobody has the brief. Cause: the work was cancelled with its caller, or cut at the shutdown.
+#[test]
+fn can_finish_work_that_runs_once_after_its_caller_left() {
+    let engine = EngineConfig {
+        token_time: Span::from_millis(20),
+        ..EngineConfig::default()
+    };
+    let mut harness = start_with(2, engine);
+    let chat = |harness: &Harness, daemon| {
+        let builder = harness.post(daemon, "/v1/chat/completions");
+        let builder = builder
+            .header("X-Non-Idempotent", "true")
+            .header("Idempotency-Key", "c1");
+        builder
+            .json(&ask("answers", true, 40))
+            .unwrap()
+            .send()
+            .unwrap()
+    };
+    drop(chat(&harness, 0));
+    let cut = harness.nodes.remove(0).shutdown();
+    assert_eq!(cut, 0);
+    let (status, headers, reader) = chat(&harness, 0).split();
+    assert_eq!(status.as_u16(), 200);
+    assert!(headers.contains_key("x-replayed"));
+    assert_eq!(events(reader).last().unwrap(), "[DONE]");
+    let engines = harness.platform.engines.values();
+    let runs: u64 = engines.map(|engine| engine.counters().runs).sum();
+    assert_eq!(runs, 1);
+}
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -1,9 +1,12 @@
 //! Daemons and a platform for one test.
 
 use std::io::{BufRead, BufReader, Read};
+use std::sync::Arc;
 use std::time::Duration;
 
 use attohttpc::{RequestBuilder, Response, ResponseReader};
+use catalogue::entry::{Body, VersionState};
+use catalogue::record::Record;
 use keyvalue::{Op, Put, Txn};
 use node::Node;
 use serde_json::{Value, json};
@@ -155,6 +158,32 @@
             .unwrap();
     }
 
+    /// Withdraws the only version offered and waits until that is in force.
+    pub fn withdraw_v1(&self) {
+        let name = "models/small".parse().unwrap();
+        let mut entry = (*self.platform.entries[&name]).clone();
+        let Body::Model(model) = &mut entry.body else {
+            unreachable!("models/small is a model");
+        };
+        let version = model.versions.get_mut(&"v1".parse().unwrap()).unwrap();
+        version.state = VersionState::Withdrawn;
+        let record = Record {
+            revision: Revision(1_000),
+            edit_id: EditId(1_000),
+            author: "test".parse().unwrap(),
+            at: WallTime(0),
+            entry: Some(Arc::new(entry)),
+            history: Vec::new(),
+        };
+        let value = serde_json::to_vec(&record).unwrap();
+        self.put("catalogue/entries/models/small", &value);
+        let url = format!("http://{}/v1/models", self.nodes[0].callers_address());
+        wait_until(|| {
+            let answer = attohttpc::get(&url).bearer_auth("ward-key").send().unwrap();
+            !answer.text().unwrap().contains("small@v1")
+        });
+    }
+
     /// Asks daemon 0 for a chat.
     pub fn chat(&self, body: &Value) -> Response {
         self.post(0, "/v1/chat/completions")
@@ -165,6 +194,15 @@
     }
 }
 
+/// Waits for something that only a failure holds up for long.
+pub fn wait_until(mut is_done: impl FnMut() -> bool) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while !is_done() {
+        assert!(std::time::Instant::now() < until, "waited in vain");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A chat's body.
 pub fn ask(model: &str, stream: bool, tokens: u32) -> Value {
     json!({
--- a/components/node/tests/it/serve.rs
+++ b/components/node/tests/it/serve.rs
@@ -2,8 +2,9 @@
 
 use standins::engine::EngineFault;
 use standins::platform::PlatformConfig;
+use types::prelude::*;
 
-use super::harness::{Harness, ask, events, json_of, text_of};
+use super::harness::{Harness, ask, events, json_of, text_of, wait_until};
 
 #[test]
 fn can_answer_whole() {
@@ -98,3 +99,29 @@
     assert_eq!(status.as_u16(), 502);
     assert_ne!(headers["x-run"], "no");
 }
+
+// A version is withdrawn while a request is at an engine, and the engine's host dies. The
+// request must not begin anew on the withdrawn version elsewhere. Cause: the retry used the
+// catalogue as it was when the request arrived.
+#[test]
+fn errors_of_engines_do_not_bring_a_withdrawn_version_back() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let engines = || harness.platform.engines.values();
+    let requests = || engines().map(|engine| engine.counters().requests);
+    for engine in engines() {
+        engine.set_faults(|faults| faults.delay = Span::from_secs(60));
+    }
+    let status = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| harness.chat(&ask("answers", false, 5)).status().as_u16());
+        wait_until(|| requests().sum::<u64>() == 1);
+        harness.withdraw_v1();
+        for engine in engines() {
+            engine.set_faults(|faults| faults.delay = Span::ZERO);
+            let is_busy = engine.counters().requests == 1;
+            engine.set_faults(|faults| faults.down = is_busy);
+        }
+        caller.join().unwrap()
+    });
+    assert_eq!(status, 503);
+    assert_eq!(requests().sum::<u64>(), 1);
+}
