Add authenticated connections between daemons

Cause: membership, catalogue and bills need a way between daemons that nobody outside the fleet can speak on. Conclusion: without the frame bound can_bear_bad_frames fails; without the window, without the challenge in the code, or without checking the code errors_on_replayed_messages fails; without the cluster check errors_on_another_cluster_or_key fails.

--- /dev/null
+++ b/components/peers/tests/peers.rs
@@ -0,0 +1,292 @@
+//! Two real ends on loopback, and what comes between them.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use peers::{
+    AskError, Config, Handle, Inbound, Key, KeyError, Keys, Part, Payload, Peers, Refusal,
+};
+use types::prelude::*;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn key(id: u8, byte: u8) -> Key {
+    Key {
+        id,
+        secret: Bytes::from(vec![byte; 32]),
+    }
+}
+
+fn keys(ids: &[u8], sending: u8) -> Keys {
+    Keys::new(ids.iter().map(|id| key(*id, *id)).collect(), sending).unwrap()
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn config(name: &str, keys: Keys) -> Config {
+    Config {
+        cluster: ClusterName::new("test").unwrap(),
+        me: DaemonId::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        listen: any_port(),
+        advertise: None,
+        keys,
+    }
+}
+
+fn start(cfg: Config) -> (Handle, flume::Receiver<Inbound>) {
+    let (tx, rx) = flume::bounded(16);
+    (Peers::start(cfg, tx).unwrap(), rx)
+}
+
+fn text(text: &'static str) -> Payload {
+    Payload::Part {
+        part: Part::Ledger,
+        body: Bytes::from_static(text.as_bytes()),
+    }
+}
+
+fn next_message(rx: &flume::Receiver<Inbound>) -> (String, Payload) {
+    match rx.recv_timeout(PATIENCE).unwrap() {
+        Inbound::Message { from, payload } => (from.id.to_string(), payload),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Waits until a condition holds.
+fn wait(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn can_send_and_ask() {
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    let (b, inbound) = start(config("b", keys(&[1], 1)));
+    for _ in 0..3 {
+        a.send(b.address(), text("hello"));
+        assert_eq!(next_message(&inbound), ("a".to_owned(), text("hello")));
+    }
+    let answer = a.ask(b.address(), text("who?"), Span::from_secs(5));
+    match inbound.recv_timeout(PATIENCE).unwrap() {
+        Inbound::Ask { payload, reply, .. } => {
+            assert_eq!(payload, text("who?"));
+            reply.send(text("b"));
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(answer.recv_timeout(PATIENCE).unwrap(), Ok(text("b")));
+    wait("counts", || a.stats().sent == 4);
+    wait("bytes", || {
+        let (a, b) = (a.stats(), b.stats());
+        (a.bytes_out, a.bytes_in) == (b.bytes_in, b.bytes_out)
+    });
+    let (a, b) = (a.stats(), b.stats());
+    assert_eq!((a.connects, b.received, b.connections_in), (1, 4, 1));
+}
+
+// A daemon of another cluster, or with another secret, is given this fleet's addresses
+// by mistake. Its messages must not be taken, and both sides must say so.
+#[test]
+fn errors_on_another_cluster_or_key() {
+    let (b, inbound) = start(config("b", keys(&[1, 2], 1)));
+    let mut stranger = config("a", keys(&[1], 1));
+    stranger.cluster = ClusterName::new("other").unwrap();
+    let (stranger, _) = start(stranger);
+    let (unknown, _) = start(config("a", keys(&[3], 3)));
+    let wrong = Keys::new(vec![key(1, 9)], 1).unwrap();
+    let (wrong, _) = start(config("a", wrong));
+    let ask = |from: &Handle| {
+        let answer = from.ask(b.address(), text("?"), Span::from_secs(5));
+        answer.recv_timeout(PATIENCE).unwrap()
+    };
+    assert_eq!(ask(&stranger), Err(AskError::Refused(Refusal::Cluster)));
+    assert_eq!(ask(&unknown), Err(AskError::Refused(Refusal::Key)));
+    assert_eq!(ask(&wrong), Err(AskError::Refused(Refusal::Code)));
+    let stats = b.stats();
+    assert_eq!((stats.refused_cluster, stats.refused_key), (1, 2));
+    assert_eq!(stats.received, 0);
+    assert!(inbound.is_empty());
+}
+
+// The key is changed while daemons run: first all accept both, then all send with the
+// new one, then the old one goes. No message is refused on the way.
+#[test]
+fn can_change_keys_without_a_stop() {
+    let (a, from_b) = start(config("a", keys(&[1], 1)));
+    let (b, from_a) = start(config("b", keys(&[1], 1)));
+    let steps = [
+        (keys(&[1], 1), keys(&[1, 2], 1)),
+        (keys(&[1, 2], 1), keys(&[1, 2], 1)),
+        (keys(&[1, 2], 2), keys(&[1, 2], 1)),
+        (keys(&[1, 2], 2), keys(&[1, 2], 2)),
+        (keys(&[2], 2), keys(&[1, 2], 2)),
+        (keys(&[2], 2), keys(&[2], 2)),
+    ];
+    for (keys_a, keys_b) in steps {
+        a.set_keys(keys_a);
+        b.set_keys(keys_b);
+        a.send(b.address(), text("to b"));
+        b.send(a.address(), text("to a"));
+        assert_eq!(next_message(&from_a).1, text("to b"));
+        assert_eq!(next_message(&from_b).1, text("to a"));
+    }
+    assert_eq!((a.stats().connects, b.stats().connects), (1, 1));
+    a.send(b.address(), text("late"));
+    assert_eq!(next_message(&from_a).1, text("late"));
+    b.set_keys(keys(&[3], 3));
+    a.send(b.address(), text("too late"));
+    wait("refusal", || b.stats().refused_key == 1);
+}
+
+#[test]
+fn errors_on_keys_that_cannot_be_used() {
+    let short = Key {
+        id: 1,
+        secret: Bytes::from_static(b"short"),
+    };
+    let error = Keys::new(vec![short], 1);
+    assert_eq!(error, Err(KeyError::TooShort { id: 1, bytes: 5 }));
+    let error = Keys::new(vec![key(1, 1), key(1, 2)], 1);
+    assert_eq!(error, Err(KeyError::Repeated(1)));
+    assert_eq!(Keys::new(vec![key(1, 1)], 2), Err(KeyError::Unknown(2)));
+    assert!(!format!("{:?}", key(1, 77)).contains("77"));
+}
+
+// Anyone who reaches the port announces a frame of gigabytes, or sends noise. The
+// connection ends without a buffer for it, and other peers are served as before.
+#[test]
+fn can_bear_bad_frames() {
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    let (b, inbound) = start(config("b", keys(&[1], 1)));
+    let noise = [0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff];
+    for bytes in [&[0xff; 4][..], &noise[..]] {
+        let mut stream = TcpStream::connect(b.address()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let closed = stream.read(&mut [0; 16]);
+        assert!(
+            matches!(closed, Ok(0))
+                || closed.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+        );
+    }
+    wait("counts", || {
+        b.stats().bad_frames == 2 && b.stats().connections_in == 0
+    });
+    a.send(b.address(), text("hello"));
+    assert_eq!(next_message(&inbound).1, text("hello"));
+}
+
+/// Frames of one direction, as a peer on the path sees them.
+fn read_frame(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut head = [0; 4];
+    stream.read_exact(&mut head).ok()?;
+    let mut frame = head.to_vec();
+    frame.resize(4 + u32::from_be_bytes(head) as usize, 0);
+    stream.read_exact(&mut frame[4..]).ok()?;
+    Some(frame)
+}
+
+/// Copies whatever comes until the end.
+fn drain(mut from: TcpStream, mut to: TcpStream) {
+    std::thread::spawn(move || std::io::copy(&mut from, &mut to));
+}
+
+// Somebody on the path records a message and sends it again, on the same connection and
+// on one of its own. Without the numbers the first is taken twice; without the challenge
+// the second is, also after the receiver's restart.
+#[test]
+fn errors_on_replayed_messages() {
+    let between = TcpListener::bind(any_port()).unwrap();
+    let mut cfg = config("b", keys(&[1], 1));
+    cfg.advertise = Some(between.local_addr().unwrap());
+    let listener = TcpListener::bind(any_port()).unwrap();
+    cfg.listen = listener.local_addr().unwrap();
+    drop(listener);
+    let real = cfg.listen;
+    let (b, inbound) = start(cfg);
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    a.send(b.address(), text("pay"));
+
+    let (mut from_a, _) = between.accept().unwrap();
+    let mut to_b = TcpStream::connect(real).unwrap();
+    drain(to_b.try_clone().unwrap(), from_a.try_clone().unwrap());
+    let greeting = read_frame(&mut from_a).unwrap();
+    to_b.write_all(&greeting).unwrap();
+    let message = read_frame(&mut from_a).unwrap();
+    to_b.write_all(&message).unwrap();
+    assert_eq!(next_message(&inbound).1, text("pay"));
+
+    to_b.write_all(&message).unwrap();
+    wait("refusal", || b.stats().refused_replay == 1);
+    let mut own = TcpStream::connect(real).unwrap();
+    own.write_all(&greeting).unwrap();
+    read_frame(&mut own).unwrap();
+    own.write_all(&message).unwrap();
+    wait("refusal", || b.stats().refused_key == 1);
+    assert_eq!(b.stats().received, 1);
+    assert!(inbound.is_empty());
+}
+
+// A peer is restarted: its connections are dead, then nobody listens, then a new run
+// listens on the same port. Messages meanwhile are dropped and counted, later ones arrive.
+#[test]
+fn can_outlive_a_peer() {
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    let (b, inbound) = start(config("b", keys(&[1], 1)));
+    let address = b.address();
+    a.send(address, text("first"));
+    assert_eq!(next_message(&inbound).1, text("first"));
+    drop((b, inbound));
+    wait("drop", || {
+        a.send(address, text("lost"));
+        a.stats().dropped > 0 && TcpListener::bind(address).is_ok()
+    });
+    let answer = a.ask(address, text("?"), Span::from_secs(1));
+    let answer = answer.recv_timeout(PATIENCE).unwrap();
+    assert!(matches!(
+        answer,
+        Err(AskError::Unreachable | AskError::Broken)
+    ));
+    let mut cfg = config("b", keys(&[1], 1));
+    cfg.listen = address;
+    let (_b, inbound) = start(cfg);
+    wait("return", || {
+        a.send(address, text("again"));
+        inbound
+            .try_iter()
+            .any(|inbound| matches!(inbound, Inbound::Message { .. }))
+    });
+}
+
+// The control thread of the receiver stalls. What does not fit its queue is refused and
+// counted rather than kept without bound, and a question is told to go elsewhere.
+#[test]
+fn can_bound_the_queue() {
+    let (tx, _rx) = flume::bounded(2);
+    let b = Peers::start(config("b", keys(&[1], 1)), tx).unwrap();
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    for _ in 0..5 {
+        a.send(b.address(), text("more"));
+    }
+    wait("refusals", || b.stats().refused_overload == 3);
+    let answer = a.ask(b.address(), text("?"), Span::from_secs(5));
+    let answer = answer.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(answer, Err(AskError::Refused(Refusal::Overloaded)));
+    let large = Payload::Part {
+        part: Part::Ledger,
+        body: Bytes::from(vec![0; 300 * 1024]),
+    };
+    let answer = a.ask(b.address(), large, Span::from_secs(5));
+    assert_eq!(
+        answer.recv_timeout(PATIENCE).unwrap(),
+        Err(AskError::TooLarge)
+    );
+}
