--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,10 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// Every experiment, as one page.
+    Report(ReportPage),
+    /// Bad answers before a bad version is suspended.
+    BadVersion(BadVersion),
     /// Choice of upstream beside simpler ways.
     Balance(Balance),
     /// A partner's batch on steady interactive work.
@@ -37,6 +41,45 @@
     /// folder for plots
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
+    /// length of each load in seconds
+    #[argh(option, default = "8.0")]
+    pub seconds: f64,
+}
+
+/// Runs every experiment and writes one HTML page with its figures and plots.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportPage {
+    /// folder for the page
+    #[argh(positional)]
+    pub folder: std::path::PathBuf,
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
+
+/// Bad answers served before a bad version is suspended everywhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bad-version")]
+pub struct BadVersion {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// runs of each arm, seeds following each other
+    #[argh(option, default = "20")]
+    pub runs: u64,
+    /// ratings in the long run of the test alone
+    #[argh(option, default = "50_000_000")]
+    pub ratings: u64,
+    /// requests in the long run of the whole loop
+    #[argh(option, default = "1_000_000")]
+    pub loop_requests: u64,
 }
 
 /// choice of upstream beside round robin, random and least loaded by report
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -45,8 +45,16 @@
         let traffic = Arc::new(Traffic::new(shared.clone()));
         let cfg = &shared.settings.callers;
         let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
-        tracing::info!("node: {} serves callers on {}", shared.settings.daemon, callers.address());
-        Ok(Self { shared, callers, control })
+        tracing::info!(
+            "node: {} serves callers on {}",
+            shared.settings.daemon,
+            callers.address()
+        );
+        Ok(Self {
+            shared,
+            callers,
+            control,
+        })
     }
 
     /// Where callers are served.
@@ -56,14 +64,21 @@
     }
 
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
-    /// flight, then goes.
-    pub fn shutdown(self) {
+    /// flight, then goes. Says how many connections the deadline cut.
+    #[must_use]
+    pub fn shutdown(self) -> usize {
         let _ = self.shared.events.send(Event::Leave);
         std::thread::sleep(self.shared.settings.shutdown.notice.to_duration());
-        self.callers.close();
+        let cut = self
+            .callers
+            .close(self.shared.settings.shutdown.deadline.to_duration());
+        if cut > 0 {
+            tracing::warn!("node: the deadline came with {cut} connections open, cut");
+        }
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
+        cut
     }
 }
 
@@ -91,7 +106,7 @@
 
 fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
     let mut cfg = store::Config::new(settings.store.endpoints.clone());
-    cfg.read_timeout = settings.store.timeout;
+    cfg.call_timeout = settings.store.timeout;
     let client = EtcdClient::new(cfg).map_err(|error| NodeError::Store(error.to_string()))?;
     Ok(Arc::new(client))
 }
