--- a/bench/src/cmd/balance/world.rs
+++ b/bench/src/cmd/balance/world.rs
@@ -197,7 +197,9 @@
         let group = zipf(&mut self.rng, self.workload.groups);
         let own = self.rng.random::<u64>();
         let mut rng = rng(own);
-        let turns_left = exponential(&mut rng, self.workload.turns - 0.5).as_secs_f64().ceil();
+        let turns_left = exponential(&mut rng, self.workload.turns - 0.5)
+            .as_secs_f64()
+            .ceil();
         let session = Session {
             rng,
             prompt: vec![
