--- a/components/catalogue/src/edit.rs
+++ b/components/catalogue/src/edit.rs
@@ -109,8 +109,13 @@
 pub struct Known<'a> {
     /// Its catalogue.
     pub catalogue: &'a Catalogue,
-    /// The highest revision that any daemon told of.
-    pub fleet: Revision,
+    /// The highest revision that any daemon told of; nothing while this daemon has not
+    /// heard from others lately though there are some.
+    ///
+    /// Guards against a store restored from an old copy, asked by a daemon that was
+    /// paused or cut off and so does not know that the copy is old: it would take an
+    /// edit for never made, or make one at a revision that the fleet has had.
+    pub fleet: Option<Revision>,
 }
 
 const BASE_SHIFT: u32 = 80;
--- a/components/catalogue/src/edit/attempt.rs
+++ b/components/catalogue/src/edit/attempt.rs
@@ -228,7 +228,10 @@
         // first. Judged now, an edit would conflict with what has long been replaced, or
         // take a revision that the fleet has seen already.
         let catalogue = known.catalogue;
-        if head.revision < known.fleet.max(catalogue.highest()) {
+        let Some(fleet) = known.fleet else {
+            return self.pause(now, "no other daemon is in touch", rng);
+        };
+        if head.revision < fleet.max(catalogue.highest()) {
             return self.pause(now, "the store is behind the daemons", rng);
         }
         if let Some(conflict) = judge::conflict(&self.proposal, reading) {
--- a/components/catalogue/src/edit/query.rs
+++ b/components/catalogue/src/edit/query.rs
@@ -8,7 +8,6 @@
 use crate::edit::reading::Reading;
 use crate::edit::{Known, Step, Verdict, base_of};
 use crate::head::Keys;
-use crate::record::Catalogue;
 
 const MIN_PAUSE: Span = Span::from_millis(20);
 const MAX_PAUSE: Span = Span::from_millis(200);
@@ -73,17 +72,32 @@
             return self.resume(now);
         }
         match Reading::parse(&self.keys, &reply) {
-            Ok(reading) => self.on_reading(&reading, known.catalogue),
+            Ok(reading) => self.on_reading(now, &reading, known, rng),
             Err(e) => self.pause(now, e.to_string(), rng),
         }
     }
 
-    fn on_reading(&self, reading: &Reading, catalogue: &Catalogue) -> Step {
+    fn on_reading(
+        &mut self,
+        now: Time,
+        reading: &Reading,
+        known: Known<'_>,
+        rng: &mut impl Rng,
+    ) -> Step {
         let head = &reading.head.head;
-        let known = reading.revision_of(self.id);
-        if let Some(revision) = known.or_else(|| catalogue.revision_of(self.id)) {
+        let catalogue = known.catalogue;
+        let found = reading.revision_of(self.id);
+        if let Some(revision) = found.or_else(|| catalogue.revision_of(self.id)) {
             return Step::Done(Verdict::Applied { revision });
         }
+        match known.fleet {
+            None => return self.pause(now, "no other daemon is in touch".to_owned(), rng),
+            // The edit may be among those that a restored store lost.
+            Some(fleet) if head.revision < fleet.max(catalogue.highest()) => {
+                return self.pause(now, "the store is behind the daemons".to_owned(), rng);
+            }
+            Some(_) => {}
+        }
         if head.void.contains(&self.id) {
             let reason = "it was given up and can never land".to_owned();
             return Step::Done(Verdict::NotApplied { reason });
--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -12,6 +12,7 @@
 mod repair;
 mod report;
 mod source;
+mod touch;
 mod transfer;
 mod watchers;
 
@@ -25,6 +26,7 @@
 use crate::record::{Catalogue, Held};
 use crate::sync::freshness::FleetSize;
 use crate::sync::source::Source;
+use crate::sync::touch::Touch;
 use crate::sync::transfer::Transfer;
 
 pub use crate::sync::freshness::{Decision, Reach, decide};
@@ -117,6 +119,7 @@
     heard: BTreeMap<DaemonId, Heard>,
     /// The moment of which the catalogue was last known to be current.
     confirmed: Option<Time>,
+    touch: Touch,
     /// The moment of which the store was last known to answer some daemon.
     store_answered: Option<Time>,
     fleet: FleetSize,
@@ -142,6 +145,7 @@
             members: Vec::new(),
             heard: BTreeMap::new(),
             confirmed: None,
+            touch: Touch::default(),
             store_answered: None,
             fleet: FleetSize::default(),
             transfer: None,
@@ -175,10 +179,11 @@
 
     /// Does what is due. `members` are the live daemons, this one included.
     pub fn tick(&mut self, now: Time, members: &[Member], rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.meet(now, members, &mut effects);
         self.members = members.to_vec();
         self.forget_silent(now);
         self.note_fleet_size(now);
-        let mut effects = Vec::new();
         self.choose_watching(&mut effects);
         self.tick_transfer(now);
         if now.has_reached(self.next_ask) {
@@ -212,6 +217,7 @@
                 token,
             } => {
                 self.hear(now, from, &told);
+                self.touch.note_answer(now, from, token);
                 self.note_store(now, store_age, token);
                 self.confirm(now, &told, age, token);
                 self.compare_whole(now, from, &told, &mut effects);
--- a/components/catalogue/tests/fleet/world.rs
+++ b/components/catalogue/tests/fleet/world.rs
@@ -10,7 +10,7 @@
 use catalogue::head::{Head, Keys};
 use catalogue::record::Record;
 use catalogue::sync::{Config, Effect, Member, Message, Sync};
-use keyvalue::{CallError, Outcome, Range, Reply, Request, Txn};
+use keyvalue::{CallError, Outcome, Request, Txn};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::store::Table;
@@ -132,31 +132,19 @@
     }
 
     pub(crate) fn head(&self) -> Head {
-        let mut table = self.table.clone();
-        let Ok(answer) = table.call(self.now, &Request::Range(Range::key(keys().head()))) else {
-            unreachable!()
-        };
-        let Reply::Range(found) = answer.reply else {
-            unreachable!()
-        };
-        found.first().map_or_else(Head::default, |pair| {
-            serde_json::from_slice(&pair.value).unwrap()
-        })
+        let (found, _) = self.table.range(&keys().head(), None, 0);
+        let head = found
+            .first()
+            .map(|(_, item)| serde_json::from_slice(&item.value).unwrap());
+        head.unwrap_or_default()
     }
 
     /// The records in the store.
     pub(crate) fn stored(&self) -> BTreeMap<EntryName, Record> {
-        let mut table = self.table.clone();
-        let range = Request::Range(Range::prefix(keys().entries()));
-        let Ok(answer) = table.call(self.now, &range) else {
-            unreachable!()
-        };
-        let Reply::Range(found) = answer.reply else {
-            unreachable!()
-        };
-        let records = found.iter().map(|pair| {
-            let name = keys().name_of(&pair.key).unwrap();
-            (name, serde_json::from_slice(&pair.value).unwrap())
+        let (found, _) = self.table.range(&keys().entries(), Some(&keys().head()), 0);
+        let records = found.iter().map(|(key, item)| {
+            let name = keys().name_of(key).unwrap();
+            (name, serde_json::from_slice(&item.value).unwrap())
         });
         records.collect()
     }
@@ -334,11 +322,8 @@
             let fate = is_write.then(|| self.fates.pop_front()).flatten();
             let outcome = self.call(id, &req, fate.unwrap_or(Fate::Fine));
             let daemon = self.daemons.get_mut(id).unwrap();
-            let known = Known {
-                catalogue: daemon.sync.catalogue(),
-                fleet: daemon.sync.fleet_revision(),
-            };
             let now = self.now;
+            let known = daemon.sync.known(now);
             let more = daemon.editor.on_outcome(now, outcome, known, &mut self.rng);
             let learned = daemon.editor.take_learned();
             let effects = daemon.sync.learn(learned, &mut self.rng);
@@ -390,7 +375,13 @@
 
     fn call_table(&mut self, req: &Request) -> Outcome {
         let outcome = self.table.call(self.now, req);
-        for change in self.head().recent {
+        let is_write = matches!(req, Request::Txn(txn) if !txn.success.is_empty());
+        let head = if is_write {
+            self.head()
+        } else {
+            Head::default()
+        };
+        for change in head.recent {
             let id = self.landed.entry(change.revision).or_insert(change.edit_id);
             assert_eq!(*id, change.edit_id, "two edits at {}", change.revision);
         }
