--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod affinity;
 mod configure;
+mod homes;
 mod learn;
 mod lists;
 mod pick;
@@ -27,6 +28,6 @@
     Demand, LoadReport, NoUpstream, Outcome, PrefixHash, Target, TargetIndex, UpstreamIndex,
 };
 pub use health::LeavingSign;
-pub use pick::{PREFIX_HOMES, Tuning};
+pub use pick::Tuning;
 pub use router::Router;
 pub use upstream::{Place, Upstream, UpstreamSpec};
--- a/components/routing/src/lists.rs
+++ b/components/routing/src/lists.rs
@@ -55,11 +55,16 @@
         self.0.iter().take(count).map(|member| member.index)
     }
 
-    /// The first member at or after a point of the ring.
-    pub(crate) fn at_point(&self, point: u64) -> Option<UpstreamIndex> {
+    /// The `window` members from a point of the ring on, with their hashes.
+    pub(crate) fn after(
+        &self,
+        point: u64,
+        window: usize,
+    ) -> impl Iterator<Item = (u64, UpstreamIndex)> {
         let place = self.0.partition_point(|member| member.hash < point);
-        let member = self.0.get(place).or(self.0.first());
-        member.map(|member| member.index)
+        let members = self.0[place..].iter().chain(&self.0[..place]);
+        let members = members.take(window);
+        members.map(|member| (member.hash, member.index))
     }
 }
 
