--- a/components/catalogue/src/lib.rs
+++ b/components/catalogue/src/lib.rs
@@ -5,6 +5,13 @@
 //! records in any order, any number of times, ends in the same catalogue, since a
 //! record only ever replaces one of a lower revision.
 
+pub mod check;
+pub mod diff;
+pub mod edit;
 pub mod entry;
+pub mod file;
+pub mod head;
 pub mod record;
+pub mod sync;
+pub mod table;
 pub mod view;
--- /dev/null
+++ b/components/node/src/traffic/chat.rs
@@ -0,0 +1,83 @@
+//! `POST /v1/chat/completions`.
+
+mod answer;
+mod body;
+mod run;
+mod stream;
+mod version;
+
+use callers::Request;
+use requests::life::{Arrived, Facts};
+use types::prelude::*;
+
+use super::ask::{ChatAsk, HeadAsk};
+use super::refusal::Refusal;
+use super::resolve::{Resolved, resolve};
+use super::{Context, Rejected, Routed};
+
+/// Pause that a caller is told when every thread is taken.
+const BUSY_RETRY: Span = Span::from_secs(1);
+/// Longest pause between two tokens before an engine counts as stalled.
+const STALL: Span = Span::from_secs(10);
+
+/// A request ready to run on a thread of its own.
+pub(crate) struct Job {
+    pub(crate) cx: Context,
+    pub(crate) head: HeadAsk,
+    pub(crate) ask: ChatAsk,
+    pub(crate) resolved: Resolved,
+    pub(crate) deadline: Time,
+    pub(crate) priority: Priority,
+}
+
+/// Checks a request and hands it to a thread.
+pub(crate) fn serve(cx: Context, req: Request) -> Routed {
+    let job = match prepare(cx, &req) {
+        Ok(job) => job,
+        Err(refusal) => return Err(Rejected::boxed(refusal, req)),
+    };
+    let pool = job.cx.shared.pool.clone();
+    super::dispatch(&pool, req, move |responder| run::run(job, responder))
+}
+
+fn prepare(cx: Context, req: &Request) -> Result<Job, Refusal> {
+    let head = HeadAsk::from_headers(&req.headers)?;
+    let ask = ChatAsk::from_body(&req.body)?;
+    let view = &cx.snapshot.view;
+    let resolved = resolve(view, &cx.customer, &ask.model, head.offer.as_ref())?;
+    if let Some(reason) = cx.snapshot.stale.get(&resolved.name) {
+        return Err(Refusal::unavailable(
+            "stale_catalogue",
+            reason.clone(),
+            BUSY_RETRY,
+        ));
+    }
+    let given = head.deadline.unwrap_or(resolved.offer.deadline);
+    let deadline = cx.shared.now() + given.min(resolved.offer.deadline);
+    let priority = head
+        .priority
+        .unwrap_or_default()
+        .min(resolved.offer.priority);
+    Ok(Job {
+        cx,
+        head,
+        ask,
+        resolved,
+        deadline,
+        priority,
+    })
+}
+
+impl Job {
+    /// Its start: nothing has left this daemon yet.
+    fn admit(&self) -> requests::life::Request<requests::life::Admitted> {
+        Arrived::new().admit(Facts {
+            customer: self.cx.customer.clone(),
+            id: self.head.request.clone(),
+            entry: self.resolved.name.clone(),
+            idempotent: !self.head.non_idempotent,
+            resumable: self.ask.stream,
+            deadline: self.deadline,
+        })
+    }
+}
