Add the driver of roll-outs and its experiment

Cause: roll-outs stop halfway, drivers are paused beyond their lease and act on. Change: rollout: lease with fencing number, level-triggered driver, gates, loads staged by the weight store. A step of share 0, in which the version only loads, goes before the others. bench rollout: every acting tick paused, with an operator's act, store outage, lost replies, slow weight store, domain lost; naive edge-triggered arm.

--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,1 +1,3 @@
 //! One module an experiment.
+
+pub mod rollout;
--- /dev/null
+++ b/bench/src/cmd/rollout/run.rs
@@ -0,0 +1,532 @@
+//! One run: a roll-out from its start to its end, with the troubles of a scenario.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use catalogue::entry::{Gate, Model, Price, Rollout, RolloutState, Version, VersionState};
+use rollout::edit::{self, Action, Start};
+use rollout::observed::{Demand, Evidence};
+use rollout::{Effect, Order, OrderKind};
+use types::prelude::*;
+
+use super::fleet::Daemon;
+use super::world::{Engine, Fencing, Store, Weights};
+use super::{Way, is_under_way};
+
+const TICK: Span = Span::from_millis(200);
+const DAEMONS: u32 = 3;
+const DOMAINS: usize = 4;
+/// Share of all slots that the demand takes on average.
+const LOAD: f64 = 0.6;
+/// The demand swings by this part of itself, once in so many seconds.
+const SWING: f64 = 0.12;
+const SWING_S: f64 = 150.0;
+/// What daemons know of the demand is so many ticks old.
+const DEMAND_LAG: usize = 50;
+/// Sessions move to another version within about this many seconds.
+const SESSION_S: f64 = 20.0;
+const RATINGS_PER_S: f64 = 4.0;
+const PAUSE: Span = Span::from_secs(45);
+const OPERATOR_AFTER: Span = Span::from_secs(22);
+const OUTAGE: Span = Span::from_secs(60);
+const LONGEST: Time = Time(3_600_000_000);
+const WEIGHTS_EVERY: Span = Span::from_millis(500);
+const SLOW_WEIGHTS_EVERY: Span = Span::from_secs(8);
+
+/// What an operator does while the driver is paused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Operator {
+    /// Nothing.
+    None,
+    /// Aborts the roll-out, or begins one back when it is done.
+    Aborts,
+    /// Withdraws the version that comes.
+    Withdraws,
+}
+
+/// What fails beside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Trouble {
+    /// Nothing.
+    None,
+    /// The store is down for a minute.
+    StoreDown,
+    /// A fifth of the store's replies is lost, from then on.
+    LostReplies,
+    /// The weight store gives leave every few seconds only.
+    SlowWeights,
+    /// The engines of a failure domain restart with the old version only.
+    DomainLost,
+}
+
+/// A run's conditions.
+#[derive(Debug, Clone)]
+pub(super) struct Scenario {
+    pub(super) way: Way,
+    pub(super) fencing: Fencing,
+    pub(super) seed: u64,
+    /// Engines in the pool.
+    pub(super) engines: usize,
+    /// Whoever drives then is paused.
+    pub(super) pause_at: Vec<Time>,
+    pub(super) operator: Operator,
+    pub(super) trouble: Trouble,
+    pub(super) trouble_at: Time,
+}
+
+impl Scenario {
+    /// Without troubles.
+    pub(super) fn new(way: Way, fencing: Fencing, seed: u64, engines: usize) -> Self {
+        Self {
+            way,
+            fencing,
+            seed,
+            engines,
+            pause_at: Vec::new(),
+            operator: Operator::None,
+            trouble: Trouble::None,
+            trouble_at: Time::NEVER,
+        }
+    }
+}
+
+/// What a run showed.
+#[derive(Debug, Default)]
+pub(super) struct Outcome {
+    pub(super) finished_s: Option<f64>,
+    pub(super) short_s: f64,
+    pub(super) both_short: bool,
+    pub(super) withdrawn_requests: f64,
+    pub(super) revived: bool,
+    pub(super) late_orders: u64,
+    pub(super) late_removals: u64,
+    pub(super) refused_orders: u64,
+    pub(super) unsafe_removals: u64,
+    pub(super) orders: u64,
+    pub(super) loads_without_leave: u64,
+    pub(super) store_calls: u64,
+    /// When whoever drives acted.
+    acted_at: Vec<Time>,
+}
+
+/// The moments at which the driver acts in a run without troubles.
+pub(super) fn actions(base: &Scenario) -> Vec<Time> {
+    run(base).acted_at
+}
+
+/// Runs a scenario to its end.
+pub(super) fn run(scenario: &Scenario) -> Outcome {
+    let mut run = Run::new(scenario);
+    let mut now = Time::ZERO;
+    while now < LONGEST && run.outcome.finished_s.is_none() {
+        run.tick(now);
+        now = now + TICK;
+    }
+    run.outcome.store_calls = run.store.calls;
+    run.outcome
+}
+
+struct Run<'a> {
+    scenario: &'a Scenario,
+    engines: Vec<Engine>,
+    daemons: Vec<Daemon>,
+    store: Store,
+    weights: Weights,
+    model: Model,
+    revision: Revision,
+    /// Slots taken by all.
+    total: f64,
+    /// Part of them by version 2.
+    part: f64,
+    /// Slots taken by versions 1 and 2 of late, latest last.
+    past: VecDeque<[f64; 2]>,
+    ratings: f64,
+    pauses: Vec<Time>,
+    operator_at: Option<Time>,
+    withdrawn: Option<VersionName>,
+    fencing: u64,
+    outcome: Outcome,
+}
+
+fn name(text: &str) -> VersionName {
+    text.parse().expect("a plain name")
+}
+
+fn gate() -> Gate {
+    Gate {
+        ratings: 5,
+        stay: Span::from_secs(10),
+    }
+}
+
+/// 0 for version 1, 1 for version 2.
+fn index_of(version: &VersionName) -> usize {
+    usize::from(version.as_str() == "2")
+}
+
+fn first_model() -> Model {
+    let price = Price {
+        input: Cost(1),
+        output: Cost(1),
+    };
+    let version = |state| Version {
+        state,
+        price,
+        expected_quality: BTreeMap::new(),
+    };
+    let steps = [0.0, 0.1, 0.5, 1.0]
+        .into_iter()
+        .map(Share::clamped)
+        .collect();
+    Model {
+        service: EntryName::new("services/engines").expect("a plain name"),
+        versions: BTreeMap::from([
+            (name("1"), version(VersionState::Offered)),
+            (name("2"), version(VersionState::Offered)),
+        ]),
+        rollout: Some(Rollout {
+            from: name("1"),
+            to: name("2"),
+            steps,
+            step: 0,
+            state: RolloutState::Running,
+            gate: gate(),
+        }),
+    }
+}
+
+impl<'a> Run<'a> {
+    fn new(scenario: &'a Scenario) -> Self {
+        let old = name("1");
+        let engine = |index| Engine::new(index, DOMAINS, &old, scenario.fencing);
+        let engines: Vec<Engine> = (0..scenario.engines).map(engine).collect();
+        let slots: f64 = engines.iter().map(|e| f64::from(e.slots)).sum();
+        let daemon = |rank| Daemon::new(scenario.way, rank, &engines);
+        let daemons = (0..DAEMONS).map(daemon).collect();
+        Self {
+            scenario,
+            engines,
+            daemons,
+            store: Store::new(scenario.seed),
+            weights: Weights::new(WEIGHTS_EVERY),
+            model: first_model(),
+            revision: Revision(1),
+            total: slots * LOAD,
+            part: 0.0,
+            past: VecDeque::new(),
+            ratings: 0.0,
+            pauses: scenario.pause_at.clone(),
+            operator_at: None,
+            withdrawn: None,
+            fencing: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.engines
+            .iter_mut()
+            .for_each(|engine| engine.settle(now));
+        self.trouble(now);
+        self.operate(now);
+        self.swing(now);
+        self.serve();
+        for index in 0..self.daemons.len() {
+            self.drive(now, index);
+        }
+        self.judge(now);
+    }
+
+    fn trouble(&mut self, now: Time) {
+        if now != self.scenario.trouble_at {
+            return;
+        }
+        match self.scenario.trouble {
+            Trouble::None => {}
+            Trouble::StoreDown => self.store.down_until = now + OUTAGE,
+            Trouble::LostReplies => self.store.lost = 0.2,
+            Trouble::SlowWeights => self.weights.every = SLOW_WEIGHTS_EVERY,
+            Trouble::DomainLost => {
+                let lost = self.engines.iter_mut().step_by(DOMAINS);
+                lost.for_each(|engine| engine.restart(&name("1")));
+            }
+        }
+    }
+
+    /// The operator's act during a pause, and the withdrawal that ends every roll-out.
+    fn operate(&mut self, now: Time) {
+        if self.operator_at.is_some_and(|at| now.has_reached(at)) {
+            self.operator_at = None;
+            self.operator_acts();
+        }
+        let drop = self.dropped();
+        let few = self
+            .engines
+            .iter()
+            .filter(|e| e.ready.contains(&drop))
+            .count()
+            <= 2;
+        let idle = self.on()[index_of(&drop)] < 0.5;
+        if !is_under_way(self.state()) && few && idle && self.withdrawn.is_none() {
+            self.withdraw(&drop);
+        }
+    }
+
+    fn operator_acts(&mut self) {
+        let under_way = is_under_way(self.state());
+        match self.scenario.operator {
+            Operator::Aborts if under_way => self.act(&Action::Abort),
+            Operator::Withdraws if under_way => self.withdraw(&name("2")),
+            // All the way back, while the old version's capacity is being removed.
+            Operator::Aborts if self.withdrawn.is_none() => self.act(&Action::Start(Start {
+                to: name("1"),
+                from: Some(name("2")),
+                steps: Some(vec![Share::ALL]),
+                gate: Some(gate()),
+            })),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: &Action) {
+        self.write(edit::act(&self.model, action));
+    }
+
+    fn withdraw(&mut self, version: &VersionName) {
+        self.write(edit::set_state(
+            &self.model,
+            version,
+            VersionState::Withdrawn,
+        ));
+        self.withdrawn = Some(version.clone());
+    }
+
+    fn write(&mut self, next: Result<Model, edit::EditError>) {
+        if let Ok(model) = next {
+            self.model = model;
+            self.revision = self.revision.next();
+        }
+    }
+
+    fn rollout(&self) -> &Rollout {
+        self.model
+            .rollout
+            .as_ref()
+            .expect("the run starts with one")
+    }
+
+    fn state(&self) -> RolloutState {
+        self.rollout().state
+    }
+
+    /// The version that goes in the end.
+    fn dropped(&self) -> VersionName {
+        let rollout = self.rollout();
+        match rollout.state {
+            RolloutState::Aborted => rollout.to.clone(),
+            _ => rollout.from.clone(),
+        }
+    }
+
+    /// Slots taken by versions 1 and 2.
+    fn on(&self) -> [f64; 2] {
+        [self.total * (1.0 - self.part), self.total * self.part]
+    }
+
+    /// The demand as daemons know it: some ticks old.
+    fn demand(&self) -> Demand {
+        let rollout = self.rollout();
+        let on = self.past.front().copied().unwrap_or_else(|| self.on());
+        Demand {
+            from: on[index_of(&rollout.from)],
+            to: on[index_of(&rollout.to)],
+        }
+    }
+
+    fn swing(&mut self, now: Time) {
+        let slots: u32 = self.engines.iter().map(|e| e.slots).sum();
+        let phase = now.since(Time::ZERO).as_secs_f64() / SWING_S * std::f64::consts::TAU;
+        self.total = f64::from(slots) * LOAD * (1.0 + SWING * phase.sin());
+        self.past.push_back(self.on());
+        if self.past.len() > DEMAND_LAG {
+            self.past.pop_front();
+        }
+    }
+
+    /// Sessions move to the versions that take new ones.
+    fn serve(&mut self) {
+        let rollout = self.rollout();
+        let takes = |version| self.model.versions[version].state == VersionState::Offered;
+        let share = match (takes(&rollout.from), takes(&rollout.to)) {
+            (true, true) => rollout.share().get(),
+            (false, true) => 1.0,
+            _ => 0.0,
+        };
+        let new_is_2 = index_of(&rollout.to) == 1;
+        let goal = if new_is_2 { share } else { 1.0 - share };
+        let moved = 1.0 - (-TICK.as_secs_f64() / SESSION_S).exp();
+        let mut part = self.part + (goal - self.part) * moved;
+        if self.is_withdrawn(&name("2")) {
+            part = 0.0;
+        } else if self.is_withdrawn(&name("1")) {
+            part = 1.0;
+        }
+        self.part = part;
+        let on_new = if new_is_2 { part } else { 1.0 - part };
+        self.ratings += RATINGS_PER_S * on_new * TICK.as_secs_f64();
+        if let Some(version) = self.withdrawn.clone() {
+            // New work on a version that an operator withdrew: it was made good again.
+            let revived = !self.is_withdrawn(&version);
+            self.outcome.revived |= revived;
+            if revived {
+                self.outcome.withdrawn_requests += self.on()[index_of(&version)] * moved;
+            }
+        }
+    }
+
+    fn is_withdrawn(&self, version: &VersionName) -> bool {
+        self.model.versions[version].state == VersionState::Withdrawn
+    }
+
+    fn drive(&mut self, now: Time, index: usize) {
+        if now < self.daemons[index].paused_until {
+            return;
+        }
+        // A daemon that wakes goes on in the middle of what it was doing.
+        let in_hand = std::mem::take(&mut self.daemons[index].in_hand);
+        self.carry_out(now, index, in_hand, true);
+        let evidence = Evidence {
+            ratings: self.ratings as u64,
+            ..Evidence::default()
+        };
+        let demand = self.demand();
+        let daemon = &mut self.daemons[index];
+        let effects = daemon.tick(now, &self.model, self.revision, evidence, demand);
+        let acts = |e: &Effect| matches!(e, Effect::Order(_) | Effect::Edit { .. });
+        let holds = daemon.fencing(now).is_some();
+        if holds && (effects.iter().any(acts) || effects.iter().any(is_store)) {
+            self.outcome.acted_at.push(now);
+        }
+        if holds && self.pauses.first().is_some_and(|at| now.has_reached(*at)) {
+            self.pauses.remove(0);
+            self.operator_at = Some(now + OPERATOR_AFTER);
+            let daemon = &mut self.daemons[index];
+            daemon.paused_until = now + PAUSE;
+            daemon.in_hand = effects;
+            return;
+        }
+        self.carry_out(now, index, effects, false);
+    }
+
+    fn carry_out(&mut self, now: Time, index: usize, effects: Vec<Effect>, late: bool) {
+        for effect in effects {
+            match effect {
+                Effect::Store(call) => {
+                    let outcome = self.store.call(now, call.request);
+                    self.daemons[index].outcomes.push((call.number, outcome));
+                }
+                Effect::Read(id) => {
+                    if let Some(engine) = self.engines.iter().find(|e| e.id == id) {
+                        self.daemons[index].read(now, engine);
+                    }
+                }
+                Effect::FetchSlot(version) => {
+                    let answer = self.weights.ask(now, &version);
+                    self.daemons[index].on_slot(now, answer);
+                }
+                Effect::Edit { model, if_match } => {
+                    if if_match == self.revision || !self.daemons[index].compares() {
+                        self.write(Ok(*model));
+                    }
+                }
+                Effect::Order(order) => self.order(now, &order, late),
+            }
+        }
+        if !self.daemons[index].compares() {
+            // The naive way reads once and counts on it.
+            let daemon = &mut self.daemons[index];
+            self.engines
+                .iter()
+                .for_each(|engine| daemon.read(now, engine));
+        }
+    }
+
+    /// Hands an order to its engine. A late one goes too, whatever its deadline: its sender
+    /// was paused between looking at the clock and sending.
+    fn order(&mut self, now: Time, order: &Order, late: bool) {
+        self.outcome.orders += 1;
+        let stale = late && order.fencing < self.fencing;
+        self.fencing = self.fencing.max(order.fencing);
+        let Some(engine) = self.engines.iter_mut().find(|e| e.id == order.engine) else {
+            return;
+        };
+        let had = (engine.ready.clone(), engine.loading.len());
+        if !engine.order(now, order) {
+            self.outcome.refused_orders += 1;
+            return;
+        }
+        let changed = had != (engine.ready.clone(), engine.loading.len());
+        if order.kind == OrderKind::Load && changed {
+            let without = u64::from(!self.weights.take(&order.version));
+            self.outcome.loads_without_leave += without;
+        }
+        if order.kind == OrderKind::Unload && changed && !late {
+            let is_unsafe = self.is_unsafe_without(&order.version);
+            self.outcome.unsafe_removals += u64::from(is_unsafe);
+        }
+        if stale && changed {
+            self.outcome.late_orders += 1;
+            self.outcome.late_removals += u64::from(order.kind == OrderKind::Unload);
+        }
+    }
+
+    fn ready(&self, version: &VersionName) -> f64 {
+        let able = self.engines.iter().filter(|e| e.ready.contains(version));
+        able.map(|e| f64::from(e.slots)).sum()
+    }
+
+    /// Whether the demand did not fit any more once a version lost an engine.
+    fn is_unsafe_without(&self, version: &VersionName) -> bool {
+        let removing = !is_under_way(self.state()) && *version == self.dropped();
+        let other = if version.as_str() == "1" {
+            name("2")
+        } else {
+            name("1")
+        };
+        let short = self.ready(version) < self.on()[index_of(version)] - 0.5;
+        short || (removing && self.ready(&other) < self.total - 0.5)
+    }
+
+    /// Whether the demand has its capacity, and whether all is done.
+    fn judge(&mut self, now: Time) {
+        let (old, new) = (name("1"), name("2"));
+        let on = self.on();
+        let old_short = self.ready(&old) < on[0] - 0.5;
+        let new_short = self.ready(&new) < on[1] - 0.5;
+        let any = self
+            .engines
+            .iter()
+            .filter(|e| e.ready.contains(&old) || e.ready.contains(&new));
+        let any: f64 = any.map(|e| f64::from(e.slots)).sum();
+        let short = old_short || new_short || any < self.total;
+        // Slots that a domain's loss takes are not the driver's.
+        if short && self.scenario.trouble != Trouble::DomainLost {
+            self.outcome.short_s += TICK.as_secs_f64();
+            self.outcome.both_short |= (old_short && new_short) || any < self.total;
+        }
+        let drop = self.dropped();
+        let gone = self.engines.iter().all(|e| !e.ready.contains(&drop));
+        if gone && !is_under_way(self.state()) && self.withdrawn.is_some() && self.all_awake(now) {
+            self.outcome.finished_s = Some(now.since(Time::ZERO).as_secs_f64());
+        }
+    }
+
+    fn all_awake(&self, now: Time) -> bool {
+        self.daemons
+            .iter()
+            .all(|daemon| now >= daemon.paused_until && daemon.in_hand.is_empty())
+    }
+}
+
+fn is_store(effect: &Effect) -> bool {
+    matches!(effect, Effect::Store(_))
+}
--- /dev/null
+++ b/bench/src/cmd/rollout/world.rs
@@ -0,0 +1,245 @@
+//! Engines, the store and the weight store, as little as the roll-out needs of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use keyvalue::{
+    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, OpReply, Outcome, Reply,
+    Request, Txn, TxnReply,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rollout::{Order, OrderKind};
+use types::prelude::*;
+
+/// Which engines refuse old fencing numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fencing {
+    /// None.
+    Ignored,
+    /// Every other.
+    Half,
+    /// All.
+    Checked,
+}
+
+const LOAD_TIME: Span = Span::from_secs(6);
+
+/// An engine.
+#[derive(Debug, Clone)]
+pub(super) struct Engine {
+    pub(super) id: UpstreamId,
+    pub(super) failure_domain: FailureDomain,
+    pub(super) slots: u32,
+    pub(super) ready: BTreeSet<VersionName>,
+    pub(super) loading: BTreeMap<VersionName, Time>,
+    pub(super) fencing: u64,
+    checks: bool,
+}
+
+impl Engine {
+    /// The `index`th engine, with one version loaded.
+    pub(super) fn new(index: usize, domains: usize, version: &VersionName, mode: Fencing) -> Self {
+        let id = format!("engine-{index:02}");
+        let domain = format!("domain-{}", index % domains);
+        Self {
+            id: UpstreamId::new(&id).expect("a plain name"),
+            failure_domain: FailureDomain::new(&domain).expect("a plain name"),
+            slots: 16,
+            ready: BTreeSet::from([version.clone()]),
+            loading: BTreeMap::new(),
+            fencing: 0,
+            checks: match mode {
+                Fencing::Ignored => false,
+                Fencing::Half => index.is_multiple_of(2),
+                Fencing::Checked => true,
+            },
+        }
+    }
+
+    /// Comes back with one version and no memory of orders.
+    pub(super) fn restart(&mut self, version: &VersionName) {
+        self.ready = BTreeSet::from([version.clone()]);
+        self.loading.clear();
+        self.fencing = 0;
+    }
+
+    /// Ends loads whose time has come.
+    pub(super) fn settle(&mut self, now: Time) {
+        let done = self
+            .loading
+            .extract_if(.., |_, ready| now.has_reached(*ready));
+        self.ready.extend(done.map(|(version, _)| version));
+    }
+
+    /// Carries out an order; false when it is refused for its fencing number.
+    pub(super) fn order(&mut self, now: Time, order: &Order) -> bool {
+        if self.checks && order.fencing < self.fencing {
+            return false;
+        }
+        self.fencing = order.fencing;
+        let version = &order.version;
+        match order.kind {
+            OrderKind::Load if self.ready.contains(version) => {}
+            OrderKind::Load => {
+                self.loading
+                    .entry(version.clone())
+                    .or_insert(now + LOAD_TIME);
+            }
+            OrderKind::Unload => {
+                self.ready.remove(version);
+                self.loading.remove(version);
+            }
+        }
+        true
+    }
+}
+
+/// The weight store: leave to load at a bounded rate.
+#[derive(Debug)]
+pub(super) struct Weights {
+    pub(super) every: Span,
+    next_at: Time,
+    unused: BTreeMap<VersionName, u64>,
+}
+
+impl Weights {
+    pub(super) fn new(every: Span) -> Self {
+        Self {
+            every,
+            next_at: Time::ZERO,
+            unused: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn ask(&mut self, now: Time, version: &VersionName) -> Result<(), Span> {
+        if !now.has_reached(self.next_at) {
+            return Err(now.until(self.next_at));
+        }
+        self.next_at = now + self.every;
+        *self.unused.entry(version.clone()).or_default() += 1;
+        Ok(())
+    }
+
+    /// Uses up a leave to load; false when there was none.
+    pub(super) fn take(&mut self, version: &VersionName) -> bool {
+        match self.unused.get_mut(version) {
+            Some(left) if *left > 0 => {
+                *left -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// The store: one key with leases.
+#[derive(Debug)]
+pub(super) struct Store {
+    rng: StdRng,
+    revision: i64,
+    key: Option<KeyValue>,
+    leases: BTreeMap<LeaseId, (Span, Time)>,
+    next_lease: i64,
+    /// Down until then.
+    pub(super) down_until: Time,
+    /// Share of replies that are lost.
+    pub(super) lost: f64,
+    /// Calls made.
+    pub(super) calls: u64,
+}
+
+impl Store {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            revision: 100,
+            key: None,
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            down_until: Time::ZERO,
+            lost: 0.0,
+            calls: 0,
+        }
+    }
+
+    pub(super) fn call(&mut self, now: Time, request: Request) -> Outcome {
+        self.calls += 1;
+        if now < self.down_until {
+            return Err(CallError::NotSent("down".to_owned()));
+        }
+        self.expire(now);
+        let reply = self.carry_out(now, request);
+        if self.rng.random_bool(self.lost) {
+            return Err(CallError::Unknown("lost".to_owned()));
+        }
+        let revision = ModRevision(self.revision);
+        Ok(Answer { revision, reply })
+    }
+
+    /// Leases run on while the store is down, as they would in a store that lost its front.
+    fn expire(&mut self, now: Time) {
+        self.leases.retain(|_, (_, end)| !now.has_reached(*end));
+        let held = self.key.as_ref().and_then(|key| key.lease);
+        if held.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            self.key = None;
+            self.revision += 1;
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, request: Request) -> Reply {
+        match request {
+            Request::Range(_) => Reply::Range(self.key.iter().cloned().collect()),
+            Request::LeaseGrant { ttl } => {
+                let lease = LeaseId(self.next_lease);
+                self.next_lease += 1;
+                self.leases.insert(lease, (ttl, now + ttl));
+                Reply::LeaseGranted(lease)
+            }
+            Request::LeaseKeepAlive(lease) => {
+                let kept = self.leases.get_mut(&lease).map(|(ttl, end)| {
+                    *end = now + *ttl;
+                    *ttl
+                });
+                Reply::LeaseKept(kept)
+            }
+            Request::LeaseRevoke(lease) => {
+                self.leases.remove(&lease);
+                self.expire(now);
+                Reply::LeaseRevoked
+            }
+            Request::Txn(txn) => Reply::Txn(self.txn(txn)),
+        }
+    }
+
+    fn txn(&mut self, txn: Txn) -> TxnReply {
+        let holds = |compare: &Compare| match compare {
+            Compare::Absent(_) => self.key.is_none(),
+            Compare::ModRevision(_, revision) => self
+                .key
+                .as_ref()
+                .is_some_and(|key| key.mod_revision == *revision),
+        };
+        let succeeded = txn.compare.iter().all(holds);
+        let ops = if succeeded { txn.success } else { txn.failure };
+        let replies = ops.into_iter().map(|op| self.op(op)).collect();
+        TxnReply { succeeded, replies }
+    }
+
+    fn op(&mut self, op: Op) -> OpReply {
+        match op {
+            Op::Put(put) => {
+                self.revision += 1;
+                self.key = Some(KeyValue {
+                    key: put.key,
+                    value: put.value,
+                    mod_revision: ModRevision(self.revision),
+                    lease: put.lease,
+                });
+                OpReply::Put
+            }
+            Op::Delete(_) => OpReply::Delete(u64::from(self.key.take().is_some())),
+            Op::Range(_) => OpReply::Range(self.key.iter().cloned().collect()),
+            Op::Txn(txn) => OpReply::Txn(self.txn(txn)),
+        }
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,5 +10,6 @@
         cli::Command::Overhead(options) => {
             report::Report::new("overhead", options.seed).print(options.json)
         }
+        cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
     }
 }
--- a/components/rollout/src/edit.rs
+++ b/components/rollout/src/edit.rs
@@ -10,7 +10,7 @@
 
 /// Steps of a roll-out started without any.
 pub const DEFAULT_STEPS: [f64; 4] = [0.05, 0.25, 0.5, 1.0];
-/// Most steps of a roll-out.
+/// Most steps of a roll-out, the first with nothing but loading included.
 pub const MAX_STEPS: usize = 32;
 
 /// Why an action on a model makes no sense.
@@ -43,7 +43,7 @@
         needs: &'static str,
     },
     /// Steps do not rise to 1, or are too many.
-    #[error("steps must rise to 1, be more than 0 and at most {MAX_STEPS}")]
+    #[error("steps must rise to 1, be more than 0 and fewer than {MAX_STEPS}")]
     BadSteps,
 }
 
@@ -54,7 +54,8 @@
     pub to: VersionName,
     /// The version that goes, or the only other one offered.
     pub from: Option<VersionName>,
-    /// Shares of new sessions; [`DEFAULT_STEPS`] unless given.
+    /// Shares of new sessions; [`DEFAULT_STEPS`] unless given. A step of share 0, in which
+    /// the new version is only loaded, goes before them.
     pub steps: Option<Vec<Share>>,
     /// Default unless given.
     pub gate: Option<Gate>,
@@ -115,8 +116,11 @@
     if from == start.to {
         return Err(EditError::SameVersion(from));
     }
-    let steps = start.steps.clone().unwrap_or_else(default_steps);
-    check_steps(&steps)?;
+    let shares = start.steps.clone().unwrap_or_else(default_steps);
+    check_steps(&shares)?;
+    // At the first step the new version is only loaded: a share of sessions before any
+    // engine is ready would have nowhere to go.
+    let steps = std::iter::once(Share::NONE).chain(shares).collect();
     let mut next = set_state(model, &start.to, VersionState::Offered)?;
     known(model, &from)?;
     next.rollout = Some(Rollout {
@@ -138,7 +142,7 @@
     let rise = steps.windows(2).all(|pair| pair[0].get() < pair[1].get());
     let first = steps.first().is_some_and(|share| share.get() > 0.0);
     let last = steps.last() == Some(&Share::ALL);
-    if rise && first && last && steps.len() <= MAX_STEPS {
+    if rise && first && last && steps.len() < MAX_STEPS {
         Ok(())
     } else {
         Err(EditError::BadSteps)
--- /dev/null
+++ b/components/rollout/src/goal.rs
@@ -0,0 +1,80 @@
+//! What a model's entry asks for.
+
+use catalogue::entry::{Model, Rollout, RolloutState, VersionState};
+use types::prelude::*;
+
+use crate::observed::Demand;
+
+/// What a roll-out asks for: one version to have, another to give up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Goal {
+    /// The version that stays in the end.
+    pub keep: VersionName,
+    /// The version that goes in the end.
+    pub drop: VersionName,
+    /// How far it has come.
+    pub phase: Phase,
+}
+
+/// How far a roll-out has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Phase {
+    /// The version that stays takes over step by step.
+    Bring {
+        /// Its share of new sessions.
+        share: Share,
+        /// The share to have capacity for: that of the next step while it moves.
+        next: Share,
+    },
+    /// The version that stays has everything; the other's capacity goes.
+    Remove {
+        /// Whether the other still serves its sessions.
+        drop_state: VersionState,
+    },
+}
+
+impl Goal {
+    /// What a model's entry asks for, if it has a roll-out.
+    #[must_use]
+    pub fn of(model: &Model) -> Option<Self> {
+        let rollout = model.rollout.as_ref()?;
+        let (keep, drop) = match rollout.state {
+            RolloutState::Aborted => (&rollout.from, &rollout.to),
+            _ => (&rollout.to, &rollout.from),
+        };
+        let phase = match rollout.state {
+            RolloutState::Running => bring(rollout, rollout.step + 1),
+            RolloutState::Paused => bring(rollout, rollout.step),
+            RolloutState::Aborted | RolloutState::Done => Phase::Remove {
+                drop_state: model.versions.get(drop)?.state,
+            },
+        };
+        Some(Self {
+            keep: keep.clone(),
+            drop: drop.clone(),
+            phase,
+        })
+    }
+
+    /// Demand on the version that stays and on the one that goes.
+    #[must_use]
+    pub fn demand(&self, model: &Model, demand: &Demand) -> (f64, f64) {
+        let aborted = model
+            .rollout
+            .as_ref()
+            .is_some_and(|rollout| rollout.to == self.drop);
+        if aborted {
+            (demand.from, demand.to)
+        } else {
+            (demand.to, demand.from)
+        }
+    }
+}
+
+fn bring(rollout: &Rollout, next: usize) -> Phase {
+    let last = rollout.steps.last().copied().unwrap_or(Share::ALL);
+    Phase::Bring {
+        share: rollout.share(),
+        next: rollout.steps.get(next).copied().unwrap_or(last),
+    }
+}
--- /dev/null
+++ b/components/rollout/src/waiting.rs
@@ -0,0 +1,80 @@
+//! What a roll-out waits for.
+
+use std::fmt;
+
+use types::prelude::*;
+
+/// What a roll-out waits for, for people.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Waiting {
+    /// The lease.
+    Lease,
+    /// A step's shortest stay.
+    Stay(Span),
+    /// Ratings of the new version.
+    Ratings {
+        /// So far at this step.
+        have: u64,
+        /// For the gate.
+        need: u64,
+    },
+    /// Engines with the version ready.
+    Capacity {
+        /// The version.
+        version: VersionName,
+        /// Slots ready.
+        ready: u64,
+        /// Slots needed.
+        needed: u64,
+    },
+    /// Engines have no room and none can be spared.
+    Room(VersionName),
+    /// The weight store.
+    WeightStore(Span),
+    /// An operator.
+    Operator,
+    /// Sessions of the version that goes, or an operator who withdraws it.
+    Sessions(VersionName),
+    /// An edit that was sent.
+    Edit,
+}
+
+impl fmt::Display for Waiting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lease => f.write_str("the driver's lease in the store"),
+            Self::Stay(left) => write!(f, "{left} more at this step"),
+            Self::Ratings { have, need } => write!(f, "ratings at this step, {have} of {need}"),
+            Self::Capacity {
+                version,
+                ready,
+                needed,
+            } => {
+                write!(f, "slots with {version} ready, {ready} of {needed}")
+            }
+            Self::Room(version) => {
+                write!(
+                    f,
+                    "room for {version}: engines are full and none can be spared"
+                )
+            }
+            Self::WeightStore(left) => write!(f, "the weight store for {left}"),
+            Self::Operator => f.write_str("an operator to resume or abort"),
+            Self::Sessions(version) => {
+                write!(f, "sessions of {version} to end, or `withdraw` of it")
+            }
+            Self::Edit => f.write_str("its edit of the catalogue"),
+        }
+    }
+}
+
+impl Waiting {
+    /// For a version that has too few slots ready.
+    pub(crate) fn short_of(version: &VersionName, ready: f64, needed: f64) -> Self {
+        Self::Capacity {
+            version: version.clone(),
+            ready: ready as u64,
+            needed: needed.ceil() as u64,
+        }
+    }
+}
--- a/components/rollout/tests/edit.rs
+++ b/components/rollout/tests/edit.rs
@@ -48,7 +48,8 @@
     now = act(&now, &Action::Pause).unwrap();
     now = act(&now, &Action::Advance).unwrap();
     now = act(&now, &Action::Resume).unwrap();
-    for _ in 0..2 {
+    assert_eq!(now.rollout.as_ref().unwrap().share(), Share::clamped(0.05));
+    for _ in 0..3 {
         now = act(&now, &Action::Advance).unwrap();
     }
     assert_eq!(act(&now, &Action::Advance), Err(EditError::LastStep));
