--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -7,3 +7,4 @@
 pub mod decide;
 pub mod overhead;
 pub mod report;
+pub mod rollout;
