Choose versions by evidence and have a sample of answers rated

Cause: the traffic path took the cheapest version whatever its answers were. Change: quality's choice, with pins, roll-out shares and the pace of each version; ratings on threads of their own, dropped rather than queued. Conclusion: escalation waits for an engine that states how sure it is.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -11,6 +11,9 @@
 use crate::storage::Storage;
 use crate::systems;
 
+/// Until members are known.
+const FLEET_OF_ONE: usize = 1;
+
 /// The tables and what they reach out through.
 pub(crate) struct Control {
     shared: Arc<Shared>,
@@ -70,6 +73,7 @@
         if let Some(request) = self.catalogue.tick(now) {
             self.storage.call(StoreUse::Catalogue, request);
         }
+        systems::quality::tick(&self.shared, now, FLEET_OF_ONE);
     }
 
     /// Makes the present state what traffic reads.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,8 @@
 mod control;
 mod error;
 pub mod event;
+mod pace;
+mod rating;
 mod shared;
 pub mod snapshot;
 mod start;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
 use settings::Settings;
@@ -13,6 +14,8 @@
 
 use crate::claims::Claims;
 use crate::event::Event;
+use crate::pace::Paces;
+use crate::rating::Rating;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
 
@@ -44,6 +47,12 @@
     pub(crate) events: flume::Sender<Event>,
     /// What is measured.
     pub(crate) metrics: Arc<Metrics>,
+    /// What is known of the versions' answers.
+    pub(crate) quality: Mutex<Quality>,
+    /// How long versions' answers take.
+    pub(crate) paces: Mutex<Paces>,
+    /// Has answers rated.
+    pub(crate) rating: Rating,
     /// Retry budgets by entry.
     pub(crate) budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use callers::{Callers, Limits};
+use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
 use sessions::token::{Key, Keys};
@@ -20,6 +21,7 @@
 use crate::control::Control;
 use crate::error::NodeError;
 use crate::event::{EVENTS_WAITING, Event};
+use crate::rating::Rating;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
@@ -130,12 +132,27 @@
         claims,
         events,
         metrics: Arc::new(Metrics::new()),
+        quality: Mutex::new(Quality::new(
+            quality_config(&settings),
+            incarnation,
+            clock.now(),
+        )),
+        paces: Mutex::default(),
+        rating: Rating::new(settings.platform.rater),
         budgets: Mutex::new(BTreeMap::new()),
         settings,
     };
     Ok((shared, thread))
 }
 
+fn quality_config(settings: &Settings) -> quality::Config {
+    let mut cfg = quality::Config::default();
+    if let Some(rate) = settings.platform.rater_rate {
+        cfg.ratings = rate;
+    }
+    cfg
+}
+
 fn claims_config(settings: &Settings, incarnation: Incarnation) -> claims::Config {
     claims::Config {
         daemon: settings.daemon.clone(),
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -27,6 +27,7 @@
     pub(crate) head: HeadAsk,
     pub(crate) ask: ChatAsk,
     pub(crate) resolved: Resolved,
+    pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     pub(crate) priority: Priority,
 }
@@ -54,7 +55,8 @@
         ));
     }
     let given = head.deadline.unwrap_or(resolved.offer.deadline);
-    let deadline = cx.shared.now() + given.min(resolved.offer.deadline);
+    let arrived = cx.shared.now();
+    let deadline = arrived + given.min(resolved.offer.deadline);
     let priority = head
         .priority
         .unwrap_or_default()
@@ -64,6 +66,7 @@
         head,
         ask,
         resolved,
+        arrived,
         deadline,
         priority,
     })
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -6,6 +6,7 @@
 use callers::{Frame, Gone, Head, HeaderMap, Responder, StatusCode, header};
 use catalogue::entry::Price;
 use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, Doubt, EngineLoad};
+use platform::Sample;
 use requests::attempt::{self, AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Attempted, Request};
@@ -18,6 +19,7 @@
 use super::transcript::Transcript;
 use super::version::Chosen;
 use super::{Job, STALL};
+use crate::rating;
 use crate::traffic::claim::listed;
 use crate::traffic::refusal::{Refusal, set};
 
@@ -217,6 +219,23 @@
         price.map_or(Cost(0), |price| price.of(usage.input, usage.output))
     }
 
+    /// The answer as it is rated, if this one is to be.
+    pub(crate) fn sample(&self) -> Option<Sample> {
+        let class = &self.job.resolved.offer.class;
+        let version = &self.chosen.version;
+        if !rating::wants(&self.job.cx.shared, class, version) {
+            return None;
+        }
+        let prompt = self.job.ask.fields.get("messages").map(Value::to_string);
+        let answer = self.whole.as_ref().map_or(&self.text, |whole| &whole.text);
+        Some(Sample {
+            class: class.clone(),
+            version: version.clone(),
+            prompt: prompt.unwrap_or_default(),
+            answer: answer.clone(),
+        })
+    }
+
     /// Gives the caller the end of its answer, and the answer as it is kept for a repeat.
     pub(crate) fn finish(mut self, usage: Usage, attempts: usize) -> Recorded {
         let cost = self.cost(usage);
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -10,7 +10,8 @@
 use super::Job;
 use super::answer::Relay;
 use super::body::prefix_hashes;
-use super::version::{Chosen, choose_version};
+use super::version::{Chosen, NoVersion, choose_version};
+use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::claim::{self, Entry};
 use crate::traffic::refusal::Refusal;
@@ -20,10 +21,9 @@
 
 /// Runs a request to its end.
 pub(crate) fn run(job: Job, responder: &Responder) {
-    let Some(chosen) = choose_version(&job) else {
-        let message = "no permitted version takes new work";
-        let refusal = Refusal::unavailable("no_version", message, NO_UPSTREAM_RETRY);
-        return refuse(&job, responder, &refusal);
+    let chosen = match choose_version(&job) {
+        Ok(chosen) => chosen,
+        Err(reason) => return refuse(&job, responder, &no_version(reason)),
     };
     let prefix = prefix_hashes(&job.ask.fields);
     let run = Run {
@@ -39,6 +39,17 @@
     }
 }
 
+fn no_version(reason: NoVersion) -> Refusal {
+    let (code, message) = match reason {
+        NoVersion::NoneOpen => ("no_version", "no permitted version takes new work"),
+        NoVersion::Behind => (
+            "stale_catalogue",
+            "the session's version is newer than this daemon's catalogue",
+        ),
+    };
+    Refusal::unavailable(code, message, NO_UPSTREAM_RETRY)
+}
+
 /// The same for a repeat: what is asked, without how it is asked.
 fn fingerprint(job: &Job) -> u64 {
     let body = serde_json::to_vec(&job.ask.fields).unwrap_or_default();
@@ -163,6 +174,11 @@
         (request, end)
     }
 
+    fn note_pace(&self) {
+        let took = self.shared().now().since(self.job.arrived);
+        lock(&self.shared().paces).note(&self.chosen.version, took);
+    }
+
     fn answer(&self, request: Request<Answered>, relay: Relay<'_>) {
         let usage: Usage = request.usage();
         let attempts = request.progress().attempts();
@@ -171,7 +187,12 @@
             "traffic: {} is answered after {attempts} attempts",
             facts.request
         );
+        self.note_pace();
+        let sample = relay.sample();
         let recorded = relay.finish(usage, attempts);
+        if let Some(sample) = sample {
+            rating::send(&self.job.cx.shared, sample);
+        }
         claim::answered(self.shared(), billed, recorded);
     }
 }
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -3,6 +3,7 @@
 mod it {
     mod claims;
     mod harness;
+    mod quality;
     mod serve;
     mod shutdown;
 }
