--- a/components/catalogue/src/check.rs
+++ b/components/catalogue/src/check.rs
@@ -22,8 +22,9 @@
 /// Most entries of a catalogue.
 pub const MAX_ENTRIES: usize = 4096;
 
-/// Longest entry in the store, its history included; the service takes a megabyte.
-pub const MAX_ENTRY_SIZE: ByteSize = ByteSize(960 << 10);
+/// Longest record of an entry, its history included. The store takes a megabyte, one
+/// message between daemons less, and every edit of an entry goes to every daemon.
+pub const MAX_ENTRY_SIZE: ByteSize = ByteSize(128 << 10);
 
 /// What is wrong with an entry, where, and what would be right.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
--- a/components/catalogue/src/check/alone.rs
+++ b/components/catalogue/src/check/alone.rs
@@ -14,13 +14,13 @@
 /// Most keys of a customer.
 pub const MAX_KEYS: usize = 16;
 /// Most upstreams of a service; larger pools are several services.
-pub const MAX_UPSTREAMS: usize = 2048;
+pub const MAX_UPSTREAMS: usize = 512;
 /// Most versions of a model.
 pub const MAX_VERSIONS: usize = 64;
 /// Most candidates of an offer, and most permits of a customer in it.
 pub const MAX_CANDIDATES: usize = 64;
 /// Most customers of an offer or a plain service.
-pub const MAX_CUSTOMERS: usize = 4096;
+pub const MAX_CUSTOMERS: usize = 1024;
 /// Most steps of a roll-out.
 pub const MAX_STEPS: usize = 32;
 
--- a/components/catalogue/src/record.rs
+++ b/components/catalogue/src/record.rs
@@ -160,6 +160,13 @@
 }
 
 impl WireRecord {
+    /// Its bytes in a message.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        const LENGTHS: usize = 16;
+        self.name.as_str().len() + self.json.len() + LENGTHS
+    }
+
     /// Reads the record. An entry that this release cannot read keeps its revision, so
     /// that it still outranks older copies.
     ///
--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -30,7 +30,7 @@
 use crate::sync::transfer::Transfer;
 
 pub use crate::sync::freshness::{Decision, Reach, decide};
-pub use crate::sync::message::{MAX_PAGE_RECORDS, Message};
+pub use crate::sync::message::{MAX_MESSAGE_SIZE, MAX_PAGE_RECORDS, Message, MessageError};
 pub use crate::sync::report::{Heard, InForce, Laggard};
 pub use crate::sync::watchers::watchers;
 
@@ -75,7 +75,7 @@
             ask_interval: Span::from_secs(1),
             poll_interval: Span::from_secs(2),
             patience: Span::from_secs(3),
-            page: ByteSize(64 << 10),
+            page: ByteSize(32 << 10),
             reach: Span::from_secs(30),
         }
     }
--- a/components/catalogue/src/sync/freshness.rs
+++ b/components/catalogue/src/sync/freshness.rs
@@ -12,6 +12,10 @@
 use crate::sync::message::Told;
 use crate::sync::{Message, Sync};
 
+/// What is in reach counts for so long. Guards against a process that was paused and
+/// goes on serving by what it found before.
+const REACH_HOLDS: Span = Span::from_secs(3);
+
 /// A larger fleet is remembered for so long.
 const FLEET_MEMORY: Span = Span::from_secs(600);
 
@@ -31,6 +35,8 @@
     pub reached: usize,
     /// Whether the store answered any of them lately.
     pub touches_store: bool,
+    /// When this was found.
+    pub at: Time,
 }
 
 impl Reach {
@@ -50,8 +56,10 @@
         /// The limit's end, by this daemon's clock.
         until: Time,
     },
-    /// Past its limit and served as known.
+    /// Past its limit and served as known, until then.
     ServeKnown {
+        /// When it is to be decided anew, by this daemon's clock.
+        until: Time,
         /// Why it may be.
         reason: String,
     },
@@ -79,23 +87,30 @@
     let state = format!("the catalogue was last confirmed {age} ago");
     let of = format!("{reached} of {fleet} daemons are in reach");
     match rule.past_limit {
-        PastLimit::Serve => serve(format!("{state}; its owner has it served all the same")),
+        PastLimit::Serve => {
+            let reason = format!("{state}; its owner has it served all the same");
+            let until = Time::NEVER;
+            Decision::ServeKnown { until, reason }
+        }
         PastLimit::Refuse => refuse(format!("{state}; its owner has it refused then")),
         // This daemon may be the one that is cut off while edits go on elsewhere.
+        PastLimit::ServeWithMajority if now.has_reached(reach.at + REACH_HOLDS) => refuse(format!(
+            "{state} and who is in reach was not looked at lately"
+        )),
         PastLimit::ServeWithMajority if !reach.is_majority() => {
             refuse(format!("{state} and only {of}"))
         }
         PastLimit::ServeWithMajority if reach.touches_store => {
             refuse(format!("{state} though a daemon in reach has the store"))
         }
-        PastLimit::ServeWithMajority => serve(format!("{state}; {of} and none has the store")),
+        PastLimit::ServeWithMajority => {
+            let reason = format!("{state}; {of} and none has the store");
+            let until = reach.at + REACH_HOLDS;
+            Decision::ServeKnown { until, reason }
+        }
     }
 }
 
-fn serve(reason: String) -> Decision {
-    Decision::ServeKnown { reason }
-}
-
 fn refuse(reason: String) -> Decision {
     Decision::Refuse { reason }
 }
--- a/components/catalogue/src/sync/message.rs
+++ b/components/catalogue/src/sync/message.rs
@@ -3,6 +3,8 @@
 //! Records travel as the store's bytes inside, so any codec serves, also one that does
 //! not describe itself.
 
+use bincode::Options;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
@@ -12,6 +14,9 @@
 /// Most records of a page.
 pub const MAX_PAGE_RECORDS: usize = 512;
 
+/// Longest message: what the connections between daemons carry.
+pub const MAX_MESSAGE_SIZE: ByteSize = ByteSize(192 << 10);
+
 /// How far a daemon is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
@@ -71,11 +76,35 @@
     pub to: Option<Revision>,
 }
 
+/// Why bytes are no message.
+#[derive(Debug, thiserror::Error)]
+#[error("a message about the catalogue cannot be read: {0}")]
+pub struct MessageError(#[from] bincode::Error);
+
+impl Message {
+    /// As bytes.
+    ///
+    /// # Errors
+    /// Never for messages made here.
+    pub fn encode(&self) -> Result<Bytes, MessageError> {
+        Ok(bincode::DefaultOptions::new().serialize(self)?.into())
+    }
+
+    /// From bytes of a peer.
+    ///
+    /// # Errors
+    /// When they are too many or no message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+        let options = bincode::DefaultOptions::new().with_limit(MAX_MESSAGE_SIZE.0);
+        Ok(options.deserialize(bytes)?)
+    }
+}
+
 impl Page {
     /// Whether a received page keeps the bounds; a longer one is dropped unread.
     #[must_use]
     pub fn is_bounded(&self, page: ByteSize) -> bool {
-        let size: usize = self.records.iter().map(|record| record.json.len()).sum();
+        let size: usize = self.records.iter().map(WireRecord::size).sum();
         let most = page.as_usize() + MAX_ENTRY_SIZE.as_usize();
         self.records.len() <= MAX_PAGE_RECORDS && size <= most
     }
--- a/components/catalogue/src/sync/transfer.rs
+++ b/components/catalogue/src/sync/transfer.rs
@@ -109,7 +109,7 @@
                 is_whole = false;
                 break;
             }
-            size += record.json.len();
+            size += record.size();
             last = revision;
             records.push(record);
         }
--- a/components/catalogue/tests/rules.rs
+++ b/components/catalogue/tests/rules.rs
@@ -128,11 +128,11 @@
     );
     let text = problems_after("services/tariff-llm", |entry| {
         let service = body!(entry, Service);
-        service.upstreams = (0..2049).map(|_| service.upstreams[0].clone()).collect();
+        service.upstreams = (0..513).map(|_| service.upstreams[0].clone()).collect();
         service.upstreams[0].slots = 0;
     });
     assert!(
-        text.contains("upstreams: 2049 items; expected 0 to 2048"),
+        text.contains("upstreams: 513 items; expected 0 to 512"),
         "{text}"
     );
     assert!(text.contains("upstreams[0].slots: 0"), "{text}");
--- a/components/store/src/etcd/client.rs
+++ b/components/store/src/etcd/client.rs
@@ -11,7 +11,7 @@
 
 use crate::etcd::body::MarkedBody;
 use crate::etcd::{decode, encode, stream};
-use crate::{Store, Watch, WatchEnd};
+use crate::{Sink, Store, Watch, WatchEnd};
 
 /// Where the service is and how long to wait for it.
 #[derive(Debug, Clone)]
@@ -104,14 +104,14 @@
             .follow_redirects(false)
     }
 
-    fn watch_at(&self, endpoint: SocketAddr, watch: &Watch) -> WatchEnd {
+    fn watch_at(&self, endpoint: SocketAddr, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
         let body = encode::watch(&watch.prefix, watch.from).to_string();
         let builder = self.post(endpoint, "/v3/watch");
         let builder = builder.read_timeout(self.cfg.watch_idle.to_duration());
         let begun = Arc::new(AtomicBool::new(false));
         let body = MarkedBody::new(body.into_bytes(), begun);
         match prepare(builder, body).and_then(|mut ready| ready.send()) {
-            Ok(answer) => stream::follow(answer, watch, self.cfg.max_reply),
+            Ok(answer) => stream::follow(answer, watch, sink, self.cfg.max_reply),
             Err(e) => WatchEnd::Broken(format!("{endpoint}: {e}")),
         }
     }
@@ -141,13 +141,13 @@
         last
     }
 
-    fn watch(&self, watch: &Watch) -> WatchEnd {
+    fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
         let mut end = WatchEnd::Stopped;
         for (_, endpoint) in self.endpoints() {
             if watch.is_stopped() {
                 return WatchEnd::Stopped;
             }
-            end = self.watch_at(endpoint, watch);
+            end = self.watch_at(endpoint, watch, sink);
             if !matches!(end, WatchEnd::Broken(_)) {
                 return end;
             }
--- a/components/store/src/etcd/stream.rs
+++ b/components/store/src/etcd/stream.rs
@@ -6,10 +6,15 @@
 use types::prelude::ByteSize;
 
 use crate::etcd::decode;
-use crate::{Watch, WatchEnd};
+use crate::{Sink, Watch, WatchEnd};
 
 /// Passes on changes until the stream ends or the watch is told to stop.
-pub(crate) fn follow(answer: Response, watch: &Watch, max_line: ByteSize) -> WatchEnd {
+pub(crate) fn follow(
+    answer: Response,
+    watch: &Watch,
+    sink: &mut Sink<'_>,
+    max_line: ByteSize,
+) -> WatchEnd {
     if !answer.is_success() {
         return WatchEnd::Broken(format!("HTTP status {}", answer.status()));
     }
@@ -23,13 +28,13 @@
             Ok(line) => line,
             Err(e) => return end_of(&e),
         };
-        if let Err(end) = take_line(&line, watch) {
+        if let Err(end) = take_line(&line, sink) {
             return end;
         }
     }
 }
 
-fn take_line(line: &[u8], watch: &Watch) -> Result<(), WatchEnd> {
+fn take_line(line: &[u8], sink: &mut Sink<'_>) -> Result<(), WatchEnd> {
     let reply = decode::watch_line(line).map_err(WatchEnd::Broken)?;
     if reply.compact_revision.0 > 0 {
         let oldest = keyvalue::ModRevision(reply.compact_revision.0);
@@ -42,7 +47,11 @@
         )));
     }
     let batch = decode::batch(reply).map_err(WatchEnd::Broken)?;
-    watch.sink.send(batch).map_err(|_| WatchEnd::Stopped)
+    if sink(batch) {
+        Ok(())
+    } else {
+        Err(WatchEnd::Stopped)
+    }
 }
 
 /// One line without end would fill the memory: cut off past `max`.
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use flume::Sender;
 use keyvalue::{ModRevision, Outcome, Request, WatchEvent};
 
 pub use crate::etcd::{Config, EtcdClient, EtcdError};
@@ -21,9 +20,12 @@
     fn call(&self, req: Request) -> Outcome;
 
     /// Follows a prefix until the stream ends or the watch is told to stop.
-    fn watch(&self, watch: &Watch) -> WatchEnd;
+    fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd;
 }
 
+/// Takes the changes of a watch; false ends it.
+pub type Sink<'a> = dyn FnMut(WatchBatch) -> bool + 'a;
+
 /// A watch of all keys under a prefix.
 #[derive(Debug, Clone)]
 pub struct Watch {
@@ -31,15 +33,13 @@
     pub prefix: String,
     /// First of the service's revisions to hear of; 0 from now on.
     pub from: ModRevision,
-    /// Takes the changes; the watch ends once nobody receives.
-    pub sink: Sender<WatchBatch>,
     /// Ends the watch once set, at its next sign of life or idle timeout.
     pub stop: Arc<AtomicBool>,
 }
 
 impl Watch {
     fn is_stopped(&self) -> bool {
-        self.stop.load(Ordering::Relaxed) || self.sink.is_disconnected()
+        self.stop.load(Ordering::Relaxed)
     }
 }
 
--- a/components/store/tests/client.rs
+++ b/components/store/tests/client.rs
@@ -275,11 +275,10 @@
     assert_eq!(client.call(read("a")).unwrap().revision, ModRevision(2));
 }
 
-fn watch(sink: Sender<WatchBatch>) -> Watch {
+fn watch() -> Watch {
     Watch {
         prefix: "p/".to_owned(),
         from: ModRevision(5),
-        sink,
         stop: Arc::new(AtomicBool::new(false)),
     }
 }
@@ -300,10 +299,13 @@
     let events = json!({"result": {"header": {"revision": "6"}, "events": [{"kv": pair}, gone]}});
     let gateway = gateway(vec![stream_of(&[created, events])]);
     let client = client(vec![gateway.address]);
-    let (tx, rx) = flume::unbounded();
-    let watch = watch(tx);
-    assert_eq!(client.watch(&watch), WatchEnd::Idle);
-    let batches: Vec<WatchBatch> = rx.drain().collect();
+    let watch = watch();
+    let mut batches: Vec<WatchBatch> = Vec::new();
+    let mut sink = |batch| {
+        batches.push(batch);
+        true
+    };
+    assert_eq!(client.watch(&watch, &mut sink), WatchEnd::Idle);
     assert_eq!(batches[0].events, []);
     assert_eq!(batches[1].revision, ModRevision(6));
     let event = &batches[1].events[0];
@@ -315,7 +317,7 @@
     let sent = gateway.requests.recv().unwrap();
     assert_eq!(sent["create_request"]["start_revision"], "5");
     watch.stop.store(true, Ordering::Relaxed);
-    assert_eq!(client.watch(&watch), WatchEnd::Stopped);
+    assert_eq!(client.watch(&watch, &mut |_| true), WatchEnd::Stopped);
 }
 
 #[test]
@@ -330,11 +332,13 @@
     ];
     let gateway = gateway(acts);
     let client = client(vec![gateway.address]);
-    let (tx, _rx) = flume::unbounded();
-    let watch = watch(tx);
-    assert_eq!(client.watch(&watch), WatchEnd::Compacted(ModRevision(40)));
+    let watch = watch();
+    assert_eq!(
+        client.watch(&watch, &mut |_| true),
+        WatchEnd::Compacted(ModRevision(40))
+    );
     for _ in 0..3 {
-        let end = client.watch(&watch);
+        let end = client.watch(&watch, &mut |_| true);
         assert!(matches!(end, WatchEnd::Broken(_)), "{end:?}");
     }
 }
