Serve by the catalogue that peers and the store keep current

Cause: the node read the whole catalogue every second and did not know how fresh it was. Change: systems/catalogue.rs runs catalogue::sync and catalogue::edit; a thread watches the store while this daemon is a watcher; traffic decides freshness for each request, so a paused process does not serve by what it knew before. A daemon that holds a catalogue it could not confirm since its start follows the entry's rule; fleet sizes travel with answers. Conclusion: messages to other daemons wait for the peers' wiring (Action::Send, on_peer, set_members); edits for the operators' API (Table::edit, Table::edit_state).

--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -214,11 +214,13 @@
                 told,
                 age,
                 store_age,
+                fleet,
                 token,
             } => {
                 self.hear(now, from, &told);
                 self.touch.note_answer(now, from, token);
                 self.note_store(now, store_age, token);
+                self.note_fleet(now, fleet, token);
                 self.confirm(now, &told, age, token);
                 self.compare_whole(now, from, &told, &mut effects);
                 self.want_newer(now, from, &told, &mut effects);
--- a/components/catalogue/src/sync/freshness.rs
+++ b/components/catalogue/src/sync/freshness.rs
@@ -10,7 +10,7 @@
 
 use crate::entry::{Freshness, PastLimit};
 use crate::sync::message::Told;
-use crate::sync::{Message, Sync};
+use crate::sync::{MAX_HEARD, Message, Sync};
 
 /// What is in reach counts for so long. Guards against a process that was paused and
 /// goes on serving by what it found before.
@@ -74,17 +74,15 @@
 /// last known to be current.
 #[must_use]
 pub fn decide(now: Time, rule: &Freshness, confirmed: Option<Time>, reach: Reach) -> Decision {
-    let Some(confirmed) = confirmed else {
-        let reason = "no catalogue was confirmed yet".to_owned();
-        return Decision::Refuse { reason };
-    };
-    let until = confirmed + rule.limit;
+    let until = confirmed.map_or(Time::ZERO, |at| at + rule.limit);
     if !now.has_reached(until) {
         return Decision::InForce { until };
     }
-    let age = now.since(confirmed);
+    let state = match confirmed {
+        Some(at) => format!("the catalogue was last confirmed {} ago", now.since(at)),
+        None => "the catalogue was never confirmed since this start".to_owned(),
+    };
     let Reach { fleet, reached, .. } = reach;
-    let state = format!("the catalogue was last confirmed {age} ago");
     let of = format!("{reached} of {fleet} daemons are in reach");
     match rule.past_limit {
         PastLimit::Serve => {
@@ -137,6 +135,7 @@
             told: self.told(),
             age: self.confirmed.map(|at| now.since(at)),
             store_age: self.store_answered.map(|at| now.since(at)),
+            fleet: (self.fleet.size, now.since(self.fleet.at)),
             token,
         }
     }
@@ -153,6 +152,16 @@
         self.store_answered = self.store_answered.max(moment(now, age, token));
     }
 
+    /// A daemon that starts inside a part that is cut off learns from others how large
+    /// the fleet was.
+    pub(super) fn note_fleet(&mut self, now: Time, fleet: (usize, Span), token: Time) {
+        let (size, age) = fleet;
+        if size > self.fleet.size && size <= MAX_HEARD {
+            let at = moment(now, Some(age), token).unwrap_or(Time::ZERO);
+            self.fleet = FleetSize { size, at };
+        }
+    }
+
     /// Guards against a daemon that is cut off with a few others and takes them for the
     /// whole fleet once the membership has declared the rest dead: the size counted
     /// falls only while the catalogue is fresh, and not at once.
--- a/components/catalogue/src/sync/message.rs
+++ b/components/catalogue/src/sync/message.rs
@@ -44,6 +44,8 @@
         age: Option<Span>,
         /// How long ago the store answered it or one it heard of; nothing if never.
         store_age: Option<Span>,
+        /// The largest fleet seen lately, and how long ago.
+        fleet: (usize, Span),
         /// The asker's moment.
         token: Time,
     },
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use catalogue::view::View;
 use types::prelude::*;
 
 use crate::event::{Event, StoreUse};
@@ -10,12 +11,16 @@
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
 use crate::systems;
+use crate::systems::catalogue::Action;
+use crate::watching::Watching;
 
 /// The tables and what they reach out through.
 pub(crate) struct Control {
     shared: Arc<Shared>,
     storage: Storage,
+    watching: Watching,
     catalogue: systems::catalogue::Table,
+    view: Arc<View>,
     leaving: bool,
 }
 
@@ -23,11 +28,17 @@
     /// Empty tables.
     #[must_use]
     pub(crate) fn new(shared: Arc<Shared>, storage: Storage) -> Self {
-        let catalogue = systems::catalogue::Table::new(&shared.settings.cluster);
+        let settings = &shared.settings;
+        let keys = catalogue::head::Keys::new(&settings.cluster);
+        let prefix = keys.all().to_owned();
+        let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
+        let catalogue = systems::catalogue::Table::new(settings, rand::random());
         Self {
             shared,
             storage,
+            watching,
             catalogue,
+            view: Arc::default(),
             leaving: false,
         }
     }
@@ -51,38 +62,63 @@
     }
 
     fn take(&mut self, event: Event) {
-        match event {
-            Event::Store(StoreUse::Catalogue, outcome) => {
-                if self.catalogue.on_store(outcome) {
-                    self.publish();
-                }
-            }
+        let now = self.shared.now();
+        let actions = match event {
+            Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
+            Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
+            Event::Watch(events) => self.catalogue.on_watch(now, &events),
             Event::Leave => {
                 self.leaving = true;
-                self.publish();
+                self.publish(now);
+                return;
             }
-            Event::Watch(_) | Event::Stop => {}
-        }
+            Event::Stop => return,
+        };
+        self.perform(now, actions);
     }
 
     fn tick(&mut self) {
         let now = self.shared.now();
-        if let Some(request) = self.catalogue.tick(now) {
-            self.storage.call(StoreUse::Catalogue, request);
+        let actions = self.catalogue.tick(now);
+        self.perform(now, actions);
+        // Every tick: how fresh the catalogue is changes without an event.
+        self.publish(now);
+    }
+
+    fn perform(&mut self, now: Time, actions: Vec<Action>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                Action::Store(used, request) => self.storage.call(used, request),
+                // No other daemon is known yet.
+                Action::Send(..) => {}
+                Action::Watch => self.watching.start(),
+                Action::StopWatch => self.watching.stop(),
+                Action::Changed => changed = true,
+            }
+        }
+        if changed {
+            self.put_in_force(now);
         }
     }
 
-    /// Makes the present state what traffic reads.
-    fn publish(&self) {
+    /// Serves by the catalogue as it is now.
+    fn put_in_force(&mut self, now: Time) {
         let view = self.catalogue.view();
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
         tracing::info!("catalogue: revision {} is in force", view.revision);
-        let readiness = self.readiness(view.revision);
+        self.view = Arc::new(view);
+        self.publish(now);
+    }
+
+    /// Makes the present state what traffic reads.
+    fn publish(&self, now: Time) {
         let snapshot = Snapshot {
-            readiness,
-            view,
-            ..Snapshot::default()
+            readiness: self.readiness(self.view.revision),
+            view: self.view.clone(),
+            confirmed: self.catalogue.sync().confirmed(),
+            reach: self.catalogue.sync().reach(now),
         };
         self.shared.snapshot.store(Arc::new(snapshot));
     }
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -12,7 +12,7 @@
 pub enum Event {
     /// A call of the store ended.
     Store(StoreUse, Outcome),
-    /// Watched keys changed.
+    /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
     /// Stop taking part: the process is leaving.
     Leave,
@@ -25,6 +25,8 @@
 pub enum StoreUse {
     /// Reading the catalogue.
     Catalogue,
+    /// A step of an edit.
+    Edit,
 }
 
 /// A request that ended, as traffic tells it.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod storage;
 pub mod systems;
 pub mod traffic;
+mod watching;
 
 pub use error::NodeError;
 pub use start::Node;
--- a/components/node/src/systems/catalogue.rs
+++ b/components/node/src/systems/catalogue.rs
@@ -3,7 +3,6 @@
 //! Tables of [`catalogue`] and what they ask for; the control thread does it.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
 use adminapi::edit::{EditReply, EditState};
 use adminapi::entry::EntryReply;
@@ -30,7 +29,7 @@
 
 /// What the tables ask the control thread to do.
 #[derive(Debug)]
-pub(crate) enum Action {
+pub enum Action {
     /// Call the store.
     Store(StoreUse, Request),
     /// Send bytes to a daemon; they may be lost.
@@ -44,7 +43,7 @@
 }
 
 /// The catalogue, its edits and who waits for them.
-pub(crate) struct Table {
+pub struct Table {
     keys: Keys,
     sync: Sync,
     editor: Editor,
@@ -64,7 +63,7 @@
 impl Table {
     /// Empty, for a daemon.
     #[must_use]
-    pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
+    pub fn new(settings: &Settings, seed: u64) -> Self {
         let me = Member {
             id: settings.daemon.clone(),
             failure_domain: settings.failure_domain.clone(),
@@ -83,39 +82,39 @@
 
     /// The catalogue held.
     #[must_use]
-    pub(crate) fn catalogue(&self) -> &Catalogue {
+    pub fn catalogue(&self) -> &Catalogue {
         self.sync.catalogue()
     }
 
     /// Spreading and freshness.
     #[must_use]
-    pub(crate) fn sync(&self) -> &Sync {
+    pub fn sync(&self) -> &Sync {
         &self.sync
     }
 
     /// Someone waits until a revision is in force everywhere.
-    pub(crate) fn wait_for(&mut self, now: Time, revision: Revision, patience: Span) {
+    pub fn wait_for(&mut self, now: Time, revision: Revision, patience: Span) {
         self.sync.wait_for(revision, now + patience);
     }
 
     /// The catalogue indexed for serving.
     #[must_use]
-    pub(crate) fn view(&self) -> View {
+    pub fn view(&self) -> View {
         View::from_catalogue(self.catalogue())
     }
 
     /// Takes the live daemons, this one included.
-    pub(crate) fn set_members(&mut self, members: Vec<Member>) {
+    pub fn set_members(&mut self, members: Vec<Member>) {
         self.members = members;
     }
 
     /// Takes another daemon's report, which came so long ago.
-    pub(crate) fn report(&mut self, now: Time, daemon: &DaemonId, revision: Revision, age: Span) {
+    pub fn report(&mut self, now: Time, daemon: &DaemonId, revision: Revision, age: Span) {
         self.sync.report(now, daemon, revision, age);
     }
 
     /// Does what is due.
-    pub(crate) fn tick(&mut self, now: Time) -> Vec<Action> {
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let effects = self.sync.tick(now, &self.members, &mut self.rng);
         let outputs = self.editor.tick(now);
         let mut actions = actions_of(effects);
@@ -124,7 +123,7 @@
     }
 
     /// Takes bytes of another daemon; what cannot be read is dropped.
-    pub(crate) fn on_peer(&mut self, now: Time, from: &DaemonId, bytes: &[u8]) -> Vec<Action> {
+    pub fn on_peer(&mut self, now: Time, from: &DaemonId, bytes: &[u8]) -> Vec<Action> {
         match Message::decode(bytes) {
             Ok(message) => {
                 let effects = self.sync.on_message(now, from, message, &mut self.rng);
@@ -138,17 +137,17 @@
     }
 
     /// Takes changes that a watch told of.
-    pub(crate) fn on_watch(&mut self, now: Time, events: &[WatchEvent]) -> Vec<Action> {
+    pub fn on_watch(&mut self, now: Time, events: &[WatchEvent]) -> Vec<Action> {
         actions_of(self.sync.on_watch(now, events, &mut self.rng))
     }
 
     /// Takes the outcome of a read.
-    pub(crate) fn on_store(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
+    pub fn on_store(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
         actions_of(self.sync.on_store(now, outcome, &mut self.rng))
     }
 
     /// Takes the outcome of a step of an edit.
-    pub(crate) fn on_edit_step(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
+    pub fn on_edit_step(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
         let known = self.sync.known(now);
         let outputs = self.editor.on_outcome(now, outcome, known, &mut self.rng);
         let learned = self.editor.take_learned();
@@ -158,7 +157,7 @@
     }
 
     /// Begins an edit; its outcome is sent to whoever waits.
-    pub(crate) fn edit(
+    pub fn edit(
         &mut self,
         now: Time,
         at: WallTime,
@@ -183,14 +182,11 @@
     }
 
     /// Asks what became of an edit; the answer is sent to whoever waits.
-    pub(crate) fn edit_state(
-        &mut self,
-        now: Time,
-        id: EditId,
-        reply: ReplyTo<Option<EditReply>>,
-    ) {
+    pub fn edit_state(&mut self, now: Time, id: EditId, reply: ReplyTo<Option<EditReply>>) {
         let mut remembered = self.remembered.iter();
-        let name = remembered.find(|(edit, _)| *edit == id).map(|(_, name)| name.clone());
+        let name = remembered
+            .find(|(edit, _)| *edit == id)
+            .map(|(_, name)| name.clone());
         let query = Query::new(id, name.clone(), self.keys.clone(), now + EDIT_PATIENCE);
         self.submit(Task::Query(query), Waiting::Query(id, name, reply));
     }
@@ -248,7 +244,7 @@
 
     /// The tables' state, for the dump.
     #[must_use]
-    pub(crate) fn dump(&self, now: Time) -> serde_json::Value {
+    pub fn dump(&self, now: Time) -> serde_json::Value {
         let catalogue = self.catalogue();
         let confirmed = self.sync.confirmed().map(|at| now.since(at).to_string());
         serde_json::json!({
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -46,12 +46,9 @@
     let ask = ChatAsk::from_body(&req.body)?;
     let view = &cx.snapshot.view;
     let resolved = resolve(view, &cx.customer, &ask.model, head.offer.as_ref())?;
-    if let Some(reason) = cx.snapshot.stale.get(&resolved.name) {
-        return Err(Refusal::unavailable(
-            "stale_catalogue",
-            reason.clone(),
-            BUSY_RETRY,
-        ));
+    let rule = &resolved.offer.freshness;
+    if let Some(reason) = cx.snapshot.stale(cx.shared.now(), rule) {
+        return Err(Refusal::unavailable("stale_catalogue", reason, BUSY_RETRY));
     }
     let given = head.deadline.unwrap_or(resolved.offer.deadline);
     let deadline = cx.shared.now() + given.min(resolved.offer.deadline);
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -59,12 +59,8 @@
         let message = format!("customer {} may not use {name}", cx.customer);
         return Err(Refusal::forbidden(message));
     }
-    if let Some(reason) = cx.snapshot.stale.get(&name) {
-        return Err(Refusal::unavailable(
-            "stale_catalogue",
-            reason.clone(),
-            BUSY_RETRY,
-        ));
+    if let Some(reason) = cx.snapshot.stale(cx.shared.now(), &service.freshness) {
+        return Err(Refusal::unavailable("stale_catalogue", reason, BUSY_RETRY));
     }
     let safe = matches!(req.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let idempotent = (safe || service.idempotent) && !head.non_idempotent;
--- a/components/node/src/watching.rs
+++ b/components/node/src/watching.rs
@@ -24,11 +24,7 @@
 impl Watching {
     /// Not watching yet.
     #[must_use]
-    pub(crate) fn new(
-        store: Arc<dyn Store>,
-        prefix: String,
-        events: flume::Sender<Event>,
-    ) -> Self {
+    pub(crate) fn new(store: Arc<dyn Store>, prefix: String, events: flume::Sender<Event>) -> Self {
         Self {
             store,
             prefix,
