--- a/components/catalogue/tests/rules.rs
+++ b/components/catalogue/tests/rules.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 
 use catalogue::check::{self, Entries};
-use catalogue::entry::{Body, Entry, KeyHash, Permit, Protocol};
+use catalogue::edit::change::{self, ChangeError, RolloutChange};
+use catalogue::entry::{Body, Entry, Gate, KeyHash, Permit, Protocol, RolloutState, VersionState};
 use catalogue::file;
+use catalogue::record::{Catalogue, Held, Record};
+use catalogue::table::MARKER_REVISIONS;
 use types::prelude::*;
 
 const KOCHI: &str = include_str!("../../../examples/kochi.yaml");
@@ -184,3 +187,93 @@
         "{text}"
     );
 }
+
+fn version(text: &str) -> VersionName {
+    text.parse().unwrap()
+}
+
+#[test]
+fn can_roll_out_step_by_step_and_withdraw() {
+    let entry = kochi().remove(&name("models/tariff-large")).unwrap();
+    let state = |entry: &Entry| {
+        let Body::Model(model) = &entry.body else {
+            panic!("another kind");
+        };
+        let rollout = model.rollout.clone().unwrap();
+        (rollout.step, rollout.state, rollout.share().get())
+    };
+    let begin = RolloutChange::Begin {
+        from: version("2026-08"),
+        to: version("2026-11"),
+        steps: vec![Share::new(0.1).unwrap(), Share::ALL],
+        gate: Gate::default(),
+    };
+    let busy = change::rollout(&entry, begin.clone());
+    assert_eq!(busy, Err(ChangeError::Busy(version("2026-11"))));
+    let entry = change::rollout(&entry, RolloutChange::Abort).unwrap();
+    assert_eq!(state(&entry), (0, RolloutState::Aborted, 0.0));
+    let mut entry = change::rollout(&entry, begin).unwrap();
+    let expected = [
+        (RolloutChange::Pause, (0, RolloutState::Paused, 0.1)),
+        (RolloutChange::Resume, (0, RolloutState::Running, 0.1)),
+        (RolloutChange::Advance, (1, RolloutState::Running, 1.0)),
+    ];
+    for (next, expected) in expected {
+        entry = change::rollout(&entry, next).unwrap();
+        assert_eq!(state(&entry), expected);
+    }
+    let done = change::rollout(&entry, RolloutChange::Advance).unwrap();
+    assert_eq!(state(&done), (1, RolloutState::Done, 1.0));
+    assert_eq!(
+        change::rollout(&done, RolloutChange::Advance),
+        Err(ChangeError::NoRollout)
+    );
+    let withdrawn =
+        change::set_state(&entry, &version("2026-11"), VersionState::Withdrawn).unwrap();
+    assert_eq!(state(&withdrawn).1, RolloutState::Aborted);
+    let unknown = change::set_state(&entry, &version("2030"), VersionState::Offered);
+    assert_eq!(unknown, Err(ChangeError::NoVersion(version("2030"))));
+}
+
+fn held(revision: u64, entry: Option<Arc<Entry>>) -> Held {
+    Held::new(Arc::new(Record {
+        revision: Revision(revision),
+        edit_id: EditId(u128::from(revision)),
+        author: OperatorName::new("op").unwrap(),
+        at: WallTime(0),
+        entry,
+        history: Vec::new(),
+    }))
+}
+
+/// An entry was removed so long ago that its marker is gone. A copy from before, out of
+/// a paused daemon or an old store, must not bring it back; and a daemon that slept
+/// since then has to lose it, though no marker tells it so.
+#[test]
+fn errors_nothing_brings_a_removed_entry_back() {
+    let entry = kochi().remove(&name("customers/dev"));
+    let dev = name("customers/dev");
+    let other = name("customers/other");
+    let far = MARKER_REVISIONS + 10;
+    let mut catalogue = Catalogue::default();
+    catalogue.apply_all([(dev.clone(), held(1, entry.clone()))], None);
+    let mut asleep = catalogue.clone();
+    assert_eq!(catalogue.entries().count(), 1);
+    catalogue.apply_all([(dev.clone(), held(2, None))], None);
+    assert!(
+        catalogue.record(&dev).is_some(),
+        "the marker is kept at first"
+    );
+    catalogue.apply_all([(other.clone(), held(far, None))], Some(Revision(far)));
+    assert!(
+        catalogue.record(&dev).is_none(),
+        "the marker goes in the end"
+    );
+    catalogue.apply_all([(dev.clone(), held(1, entry))], None);
+    assert_eq!(catalogue.entries().count(), 0);
+    assert!(asleep.revision() < catalogue.marker_floor());
+    asleep.drop_unnamed(&[other.clone()].into(), catalogue.revision());
+    asleep.apply_all([(other, held(far, None))], Some(catalogue.revision()));
+    assert_eq!(asleep.entries().count(), 0);
+    assert_eq!(asleep.digest(), catalogue.digest());
+}
