Give nothing new to upstreams that the list of hosts has as leaving

Cause: the list was not read. Conclusion: the upstream's own signs (refusal, closed connection) were taken before.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -57,6 +57,10 @@
                     self.publish();
                 }
             }
+            Event::Hosts(hosts) => {
+                let now = self.shared.now();
+                systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
+            }
             Event::Leave => {
                 self.leaving = true;
                 self.publish();
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -3,6 +3,8 @@
 use keyvalue::{Outcome, WatchEvent};
 use types::prelude::*;
 
+use crate::hosts::Host;
+
 /// Events that wait for the control thread. A sender that finds the queue full waits,
 /// which slows traffic rather than losing a bill or a rating.
 pub const EVENTS_WAITING: usize = 4096;
@@ -14,6 +16,8 @@
     Store(StoreUse, Outcome),
     /// Watched keys changed.
     Watch(Vec<WatchEvent>),
+    /// The platform's list of hosts.
+    Hosts(Vec<Host>),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Stop now.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod error;
 pub mod event;
+pub mod hosts;
 mod shared;
 pub mod snapshot;
 mod start;
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -46,6 +46,9 @@
         let (events, events_rx) = flume::bounded(EVENTS_WAITING);
         let (shared, claims) = build(settings, events.clone())?;
         let shared = Arc::new(shared);
+        if let Some(list) = shared.settings.platform.hosts {
+            crate::hosts::start(list, events.clone())?;
+        }
         let storage = Storage::start(&shared.store, events)?;
         let control = Control::new(shared.clone(), storage);
         let thread = std::thread::Builder::new().name("control".to_owned());
--- /dev/null
+++ b/components/node/src/systems/hosts.rs
@@ -0,0 +1,28 @@
+//! Tells the router which upstreams the platform's list has as leaving.
+
+use std::collections::HashMap;
+
+use routing::{LeavingSign, Router};
+use types::prelude::*;
+
+use crate::hosts::{Host, HostState};
+
+/// Applies a list. An upstream that it does not name is left as it is: the list lags, and a
+/// new host is served before it is listed.
+pub fn apply(router: &mut Router, now: Time, hosts: &[Host]) {
+    let states: HashMap<_, _> = hosts
+        .iter()
+        .map(|host| (host.address, host.state))
+        .collect();
+    let upstreams = router.upstreams();
+    let listed = upstreams.filter_map(|(index, upstream)| {
+        let state = states.get(&upstream.spec().address)?;
+        Some((index, *state))
+    });
+    for (index, state) in listed.collect::<Vec<_>>() {
+        match state {
+            HostState::Leaving => router.leaving(now, index, LeavingSign::HostList),
+            HostState::Live => router.listed_live(index),
+        }
+    }
+}
--- a/components/node/tests/it/serve.rs
+++ b/components/node/tests/it/serve.rs
@@ -1,6 +1,7 @@
 //! Requests from end to end.
 
 use standins::engine::EngineFault;
+use standins::hosts::HostState;
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
@@ -125,3 +126,22 @@
     assert_eq!(status, 503);
     assert_eq!(requests().sum::<u64>(), 1);
 }
+
+// A worker is about to be replaced and still gets new requests, which die with it. Cause: the
+// list of hosts is not read, or read once.
+#[test]
+fn can_leave_out_an_upstream_that_the_list_has_as_leaving() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let leaving = &harness.platform.engines[&"e1".parse().unwrap()];
+    let hosts = &harness.platform.hosts;
+    let requests_of_ten = || {
+        let before = leaving.counters().requests;
+        for _ in 0..10 {
+            assert!(harness.chat(&ask("answers", false, 5)).is_success());
+        }
+        leaving.counters().requests - before
+    };
+    hosts.set(leaving.address(), HostState::Leaving);
+    wait_until(|| requests_of_ten() == 0);
+    assert_eq!(requests_of_ten() + requests_of_ten(), 0);
+}
