Bound the store calls that claims make a second

Cause: batches followed each other as fast as the store answered, 200 a second for a daemon; the store takes several hundred for the fleet. Change: batches begin at least 50 ms apart; a lone call still waits for nothing. Figures: 2000 claims in 2 s make 40 calls (test can_bound_the_calls_a_second). Conclusion: nine daemons make at most 180 calls a second.

--- a/components/node/src/claims/keeper.rs
+++ b/components/node/src/claims/keeper.rs
@@ -14,6 +14,8 @@
 
 /// The lease is looked after at least so often.
 const TICK: Duration = Duration::from_millis(200);
+/// Batches begin at least so far apart: nine daemons make at most 180 calls a second.
+const GAP: Span = Span::from_millis(50);
 /// Pause before settlements that the store did not take are tried again.
 const SETTLE_AGAIN: Span = Span::from_secs(1);
 /// Settlements that wait out an outage; the oldest is left open when there are more.
@@ -51,7 +53,7 @@
             clock,
             slots: LeaseSlots::new(windows),
             lease,
-            batcher: Batcher::default(),
+            batcher: Batcher::new(GAP),
             waiting: BTreeMap::new(),
             next_ticket: 0,
             later: VecDeque::new(),
@@ -63,7 +65,7 @@
     pub(super) fn run(mut self, jobs: &flume::Receiver<Job>) {
         while !self.is_stopping {
             self.keep_lease();
-            match jobs.recv_timeout(TICK) {
+            match jobs.recv_timeout(self.wait()) {
                 Ok(job) => self.take(job),
                 Err(flume::RecvTimeoutError::Timeout) => {}
                 Err(flume::RecvTimeoutError::Disconnected) => break,
@@ -74,6 +76,12 @@
         self.finish(jobs);
     }
 
+    fn wait(&self) -> Duration {
+        let due = self.batcher.due_at();
+        let left = due.map(|due| self.clock.now().until(due).to_duration());
+        left.map_or(TICK, |left| left.min(TICK))
+    }
+
     fn take(&mut self, job: Job) {
         match job {
             Job::Call(request, tx) => self.push(request, Waiter::Traffic(tx)),
@@ -103,7 +111,7 @@
             for job in jobs.try_iter() {
                 self.take(job);
             }
-            let Some(call) = self.batcher.next_call() else {
+            let Some(call) = self.batcher.next_call(self.clock.now()) else {
                 return;
             };
             let outcome = self.store.call(call);
@@ -164,6 +172,10 @@
         self.publish_lease();
     }
 
+    fn has_work(&self) -> bool {
+        !self.later.is_empty() || !self.waiting.is_empty()
+    }
+
     fn publish_lease(&self) {
         *lock(&self.lease) = self.slots.current(self.clock.now());
     }
@@ -171,13 +183,13 @@
     fn finish(&mut self, jobs: &flume::Receiver<Job>) {
         let until = self.clock.now() + LAST_TRIES;
         self.call_all(jobs);
-        while !self.later.is_empty() && !self.clock.now().has_reached(until) {
-            std::thread::sleep(TICK);
+        while self.has_work() && !self.clock.now().has_reached(until) {
+            std::thread::sleep(self.wait());
             self.settle_later();
             self.call_all(jobs);
         }
-        if !self.later.is_empty() {
-            let left = self.later.len();
+        if self.has_work() {
+            let left = self.later.len() + self.waiting.len();
             tracing::warn!("claims: {left} outcomes are not recorded, repeats are told unknown");
         }
     }
--- a/components/requests/src/claim/batch.rs
+++ b/components/requests/src/claim/batch.rs
@@ -1,12 +1,14 @@
 //! Packs calls for many claims into one.
 //!
 //! The store counts calls, and one transaction may hold many, each with its own compare. One
-//! batch is under way at a time; calls that come meanwhile wait for the next, so that batches
-//! grow with the load by themselves and a lone call waits for nothing.
+//! batch is under way at a time, and batches begin at least a gap apart; calls that come
+//! meanwhile wait for the next. So batches grow with the load by themselves, a lone call waits
+//! for nothing, and the calls a second are bounded whatever the load.
 
 use std::collections::{BTreeSet, VecDeque};
 
 use keyvalue::{Answer, CallError, Op, OpReply, Outcome, Reply, Txn, TxnReply};
+use types::prelude::*;
 
 /// Most calls in one: under the 128 steps that the service allows in a transaction.
 pub const MAX_BATCH: usize = 64;
@@ -38,13 +40,26 @@
 }
 
 /// Calls waiting and under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Batcher {
+    gap: Span,
+    not_before: Time,
     waiting: VecDeque<Waiting>,
     under_way: Vec<Waiting>,
 }
 
 impl Batcher {
+    /// An empty one whose batches begin at least `gap` apart.
+    #[must_use]
+    pub fn new(gap: Span) -> Self {
+        Self {
+            gap,
+            not_before: Time::ZERO,
+            waiting: VecDeque::new(),
+            under_way: Vec::new(),
+        }
+    }
+
     /// Adds a read or a transaction.
     ///
     /// # Errors
@@ -72,16 +87,23 @@
         self.waiting.len()
     }
 
-    /// The next call, unless one is under way or none is waiting.
+    /// When the next call may be made, if any waits.
+    #[must_use]
+    pub fn due_at(&self) -> Option<Time> {
+        (!self.waiting.is_empty()).then_some(self.not_before)
+    }
+
+    /// The next call, unless one is under way, it is too early or none is waiting.
     #[must_use]
-    pub fn next_call(&mut self) -> Option<keyvalue::Request> {
-        if !self.under_way.is_empty() {
+    pub fn next_call(&mut self, now: Time) -> Option<keyvalue::Request> {
+        if !self.under_way.is_empty() || !now.has_reached(self.not_before) {
             return None;
         }
         self.under_way = self.take_batch();
         if self.under_way.is_empty() {
             return None;
         }
+        self.not_before = now + self.gap;
         let success = self.under_way.iter().map(|call| call.op.clone()).collect();
         Some(keyvalue::Request::Txn(Txn {
             success,
--- a/components/requests/tests/claims.rs
+++ b/components/requests/tests/claims.rs
@@ -251,7 +251,7 @@
 #[test]
 fn can_pack_claims_in_one_call() {
     let mut store = store();
-    let mut batcher = Batcher::default();
+    let mut batcher = Batcher::new(Span::ZERO);
     let mut claims: Vec<Claim> = Vec::new();
     for n in 0..10 {
         let mut spec = spec("d1", n);
@@ -260,38 +260,56 @@
         batcher.push(Ticket(n), call).unwrap();
         claims.push(claim);
     }
-    let first = batcher.next_call().unwrap();
-    assert_eq!(batcher.next_call(), None);
+    let first = batcher.next_call(NOW).unwrap();
+    assert_eq!(batcher.next_call(NOW), None);
     assert_eq!(batcher.waiting(), 1);
     let outcomes = batcher.on_outcome(store.call(&first));
     assert_eq!(outcomes.len(), 9);
     for (ticket, outcome) in outcomes {
         held(claims[ticket.0 as usize].on_outcome(outcome, NOW));
     }
-    let second = batcher.next_call().unwrap();
+    let second = batcher.next_call(NOW).unwrap();
     let (ticket, outcome) = batcher.on_outcome(store.call(&second)).remove(0);
     let step = claims[ticket.0 as usize].on_outcome(outcome, NOW);
     assert!(matches!(step, ClaimStep::Duplicate(Standing::Open)));
 }
 
+#[test]
+fn can_bound_the_calls_a_second() {
+    let mut batcher = Batcher::new(Span::from_millis(50));
+    let mut calls = 0;
+    for n in 0..2_000 {
+        let now = NOW + Span::from_millis(n);
+        let mut spec = spec("d1", n);
+        spec.key = format!("claims/kochi/r{n}");
+        batcher.push(Ticket(n), Claim::start(spec).1).unwrap();
+        if batcher.next_call(now).is_some() {
+            calls += 1;
+            let _ = batcher.on_outcome(lost());
+        }
+    }
+    assert_eq!(calls, 40);
+    assert_eq!(batcher.due_at(), Some(NOW + Span::from_secs(2)));
+}
+
 // Nobody can book through a daemon although the store is up: one waiting call's lease is gone
 // and the store refuses the whole batch, again and again. Cause: a batch kept together.
 #[test]
 fn errors_of_one_call_do_not_fail_its_batch() {
     let mut store = store();
-    let mut batcher = Batcher::default();
+    let mut batcher = Batcher::new(Span::ZERO);
     for n in 0..3 {
         let mut spec = spec("d1", n);
         spec.key = format!("claims/kochi/r{n}");
         batcher.push(Ticket(n), Claim::start(spec).1).unwrap();
     }
-    let _ = batcher.next_call().unwrap();
+    let _ = batcher.next_call(NOW).unwrap();
     let refused = Err(CallError::Refused("lease not found".to_owned()));
     assert!(batcher.on_outcome(refused.clone()).is_empty());
-    let _ = batcher.next_call().unwrap();
+    let _ = batcher.next_call(NOW).unwrap();
     assert_eq!(batcher.on_outcome(refused).len(), 1);
     for _ in 0..2 {
-        let call = batcher.next_call().unwrap();
+        let call = batcher.next_call(NOW).unwrap();
         let outcomes = batcher.on_outcome(store.call(&call));
         assert!(outcomes[0].1.is_ok());
     }
