--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -70,6 +70,10 @@
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
+            Event::Hosts(hosts) => {
+                systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
+                return;
+            }
             Event::Leave => {
                 self.leaving = true;
                 self.publish(now);
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -351,3 +351,18 @@
     let seldom = asked.values().filter(|count| **count == 10).count();
     assert_eq!((often, seldom), (32, 68));
 }
+
+// Callers are told that there is no upstream while one stands idle. One of two was ejected
+// after failures, then the other began to leave. Cause: an ejection counted as a certainty.
+#[test]
+fn can_use_an_ejected_upstream_when_the_others_left() {
+    let mut fixture = Fixture::new(&["a", "a"]);
+    let (first, second) = (UpstreamIndex(0), UpstreamIndex(1));
+    fixture.fail_next(first, 10);
+    let ejected = fixture.router.upstream(first).unwrap();
+    assert!(ejected.health().is_ejected());
+    fixture
+        .router
+        .leaving(fixture.now, second, LeavingSign::Refusal);
+    assert_eq!(fixture.pick(&[]), first);
+}
