Name offer and version in bills, bound messages, end lost calls

Cause: operators read bills by offer or service and version; a message between daemons may have 192 KiB; an outcome lost in a full queue would have stopped an origin's batches. Change: an item is a version under an offer, or a service; pages of 256 charges; Message::to_bytes and from_bytes; calls without an outcome end after 30 s. Conclusion: fits the API of operators and the connections between daemons.

--- a/components/ledger/src/bill.rs
+++ b/components/ledger/src/bill.rs
@@ -1,6 +1,5 @@
 //! Bills as recorded and the compact form that is held and stored.
 
-use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -23,16 +22,32 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Item {
     /// A version of a model.
-    Version(VersionId),
+    Version {
+        /// The offer that it was asked for by.
+        offer: EntryName,
+        /// The version that answered.
+        version: VersionId,
+    },
     /// A plain service.
     Service(EntryName),
 }
 
-impl fmt::Display for Item {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Item {
+    /// The offer or service.
+    #[must_use]
+    pub fn entry(&self) -> &EntryName {
+        match self {
+            Self::Version { offer, .. } => offer,
+            Self::Service(service) => service,
+        }
+    }
+
+    /// The version; nothing for a plain service.
+    #[must_use]
+    pub fn version(&self) -> Option<&VersionId> {
         match self {
-            Self::Version(version) => version.fmt(f),
-            Self::Service(service) => write!(f, "services/{service}"),
+            Self::Version { version, .. } => Some(version),
+            Self::Service(_) => None,
         }
     }
 }
--- a/components/ledger/src/custody.rs
+++ b/components/ledger/src/custody.rs
@@ -13,8 +13,8 @@
 use crate::ledger::{Config, Peer};
 use crate::message::Message;
 
-/// Charges in one message.
-const PAGE_CHARGES: usize = 2048;
+/// Charges in one message: with the longest names there are they take 160 KiB.
+const PAGE_CHARGES: usize = 256;
 /// Charges sent and not yet acknowledged.
 const WINDOW_CHARGES: u64 = 8192;
 /// A holder that says nothing is asked so often before another is chosen.
--- a/components/ledger/src/export.rs
+++ b/components/ledger/src/export.rs
@@ -50,20 +50,23 @@
 /// The total of one hour, customer and version or service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Row {
-    /// Such as `2026-12-02T17` (UTC).
-    pub hour: String,
+    /// The hour.
+    pub hour: Hour,
     /// Who pays.
     pub customer: CustomerId,
-    /// What was used.
-    pub item: String,
+    /// The offer or service.
+    pub entry: EntryName,
+    /// The version; nothing for a plain service.
+    pub version: Option<VersionId>,
     /// Bills.
     pub requests: u64,
     /// Tokens of prompts.
-    pub input_tokens: u64,
+    pub input_tokens: Tokens,
     /// Tokens of answers.
-    pub output_tokens: u64,
-    /// What is paid, such as `0.002500`.
-    pub cost: String,
+    pub output_tokens: Tokens,
+    /// What is paid, in the table such as `0.002500`.
+    #[serde(with = "serde_with::As::<serde_with::DisplayFromStr>")]
+    pub cost: Cost,
     /// Attempts that the answers took.
     pub attempts: u64,
 }
@@ -172,10 +175,10 @@
     /// One row for each hour and account, in order.
     pub fn rows(&self) -> impl Iterator<Item = Row> + '_ {
         self.totals.iter().flat_map(|(hour, totals)| {
-            let hour = hour.to_string();
+            let hour = *hour;
             totals
                 .iter()
-                .map(move |(account, sum)| row(&hour, account, sum))
+                .map(move |(account, sum)| row(hour, account, sum))
         })
     }
 
@@ -205,15 +208,16 @@
     }
 }
 
-fn row(hour: &str, account: &Account, sum: &Sum) -> Row {
+fn row(hour: Hour, account: &Account, sum: &Sum) -> Row {
     Row {
-        hour: hour.to_owned(),
+        hour,
         customer: account.customer.clone(),
-        item: account.item.to_string(),
+        entry: account.item.entry().clone(),
+        version: account.item.version().cloned(),
         requests: sum.requests,
-        input_tokens: sum.input.0,
-        output_tokens: sum.output.0,
-        cost: sum.cost.to_string(),
+        input_tokens: sum.input,
+        output_tokens: sum.output,
+        cost: sum.cost,
         attempts: sum.attempts,
     }
 }
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use keyvalue::{Outcome, Request};
+use keyvalue::{CallError, Outcome, Request};
 use serde::Serialize;
 use types::prelude::*;
 
@@ -174,7 +174,8 @@
     avoid: BTreeMap<DaemonId, Time>,
     /// Receipts not yet released and when they were given.
     waiting: VecDeque<(Receipt, Time)>,
-    calls: BTreeMap<CallId, call::Call>,
+    /// Calls under way and when their outcome is overdue.
+    calls: BTreeMap<CallId, (call::Call, Time)>,
     next_call: u64,
     roller: Roller,
     sweep: Sweep,
@@ -238,7 +239,8 @@
         self.members = members.to_vec();
         self.avoid.retain(|_, until| !now.has_reached(*until));
         self.forget_settled(now);
-        let mut effects = self.flush(now);
+        let mut effects = self.expire_calls(now);
+        effects.extend(self.flush(now));
         effects.extend(self.seal_due(now, wall));
         effects.extend(self.roll_due(now, wall));
         effects.extend(self.sweep_due(now, wall));
--- a/components/ledger/src/ledger/call.rs
+++ b/components/ledger/src/ledger/call.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A call without an outcome for so long counts as one without a reply.
+const CALL_TIMEOUT: Span = Span::from_secs(30);
+
 /// Whom a call's outcome goes to.
 #[derive(Debug)]
 pub(super) enum Call {
@@ -16,20 +19,20 @@
 impl Ledger {
     /// Takes the outcome of a call. Unknown numbers are passed over.
     pub fn on_store(&mut self, now: Time, id: CallId, outcome: Outcome) -> Vec<Effect> {
-        match self.calls.remove(&id) {
+        match self.calls.remove(&id).map(|(call, _)| call) {
             Some(Call::Seal(origin)) => {
                 self.on_sealed(now, &origin, outcome);
                 self.flush(now)
             }
             Some(Call::Roll(shard)) => {
                 let next = self.roller.on_outcome(now, shard, outcome);
-                next.map(|request| self.call(Call::Roll(shard), request))
+                next.map(|request| self.call(now, Call::Roll(shard), request))
                     .into_iter()
                     .collect()
             }
             Some(Call::Sweep) => {
                 let next = self.sweep.on_outcome(&self.keys, outcome);
-                next.map(|request| self.call(Call::Sweep, request))
+                next.map(|request| self.call(now, Call::Sweep, request))
                     .into_iter()
                     .collect()
             }
@@ -37,10 +40,27 @@
         }
     }
 
-    fn call(&mut self, call: Call, request: Request) -> Effect {
+    /// Ends calls whose outcome got lost inside this process.
+    ///
+    /// Guards against a part that waits for ever: an outcome is dropped where a queue is
+    /// full, and no batch of that origin would be sealed again.
+    pub(super) fn expire_calls(&mut self, now: Time) -> Vec<Effect> {
+        let expired = self
+            .calls
+            .iter()
+            .filter(|(_, (_, until))| now.has_reached(*until));
+        let expired: Vec<_> = expired.map(|(id, _)| *id).collect();
+        let lost = || Err(CallError::Unknown("no outcome".to_owned()));
+        let ended = expired.into_iter();
+        ended
+            .flat_map(|id| self.on_store(now, id, lost()))
+            .collect()
+    }
+
+    fn call(&mut self, now: Time, call: Call, request: Request) -> Effect {
         let id = CallId(self.next_call);
         self.next_call += 1;
-        self.calls.insert(id, call);
+        self.calls.insert(id, (call, now + CALL_TIMEOUT));
         Effect::Store { id, request }
     }
 
@@ -56,7 +76,7 @@
             let journal = self.journals.get_mut(&origin);
             let request =
                 journal.and_then(|journal| seal::request(&origin, journal, &self.keys, wall));
-            effects.extend(request.map(|request| self.call(Call::Seal(origin), request)));
+            effects.extend(request.map(|request| self.call(now, Call::Seal(origin), request)));
         }
         effects
     }
@@ -103,7 +123,7 @@
         let requests = self.roller.tick(now, wall, me, &members);
         let calls = requests.into_iter();
         calls
-            .map(|(shard, request)| self.call(Call::Roll(shard), request))
+            .map(|(shard, request)| self.call(now, Call::Roll(shard), request))
             .collect()
     }
 
@@ -113,6 +133,6 @@
             return None;
         }
         let request = self.sweep.tick(now, wall, &self.keys)?;
-        Some(self.call(Call::Sweep, request))
+        Some(self.call(now, Call::Sweep, request))
     }
 }
--- a/components/ledger/src/message.rs
+++ b/components/ledger/src/message.rs
@@ -4,9 +4,10 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::codec::{self, CodecError, MAX_BATCH_BYTES};
 use crate::journal::Origin;
 
-/// A message between ledgers. At most [`crate::MAX_BATCH_BYTES`] of charges each.
+/// A message between ledgers, at most 160 KiB.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Hold these charges until they are sealed.
@@ -39,3 +40,22 @@
         origin: Origin,
     },
 }
+
+impl Message {
+    /// As bytes.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        codec::encode(self)
+    }
+
+    /// From a peer's bytes.
+    ///
+    /// # Errors
+    /// When they are too many or no message.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
+        if bytes.len() > MAX_BATCH_BYTES {
+            return Err(CodecError::TooLarge(bytes.len()));
+        }
+        codec::decode(bytes)
+    }
+}
--- a/components/ledger/src/totals.rs
+++ b/components/ledger/src/totals.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
 use types::prelude::*;
 
 use crate::bill::{Account, Charge};
@@ -14,7 +15,9 @@
 const HOUR_LENGTH: usize = "2026-12-02T17".len();
 
 /// An hour of the calendar (UTC), written `2026-12-02T17`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct Hour(u64);
 
 impl Hour {
