Wake the ledger when something is due

Change: only what may be sent counts; the test fleet checks it on every tick. Conclusion: the control thread can sleep until then.

--- a/components/ledger/src/custody.rs
+++ b/components/ledger/src/custody.rs
@@ -62,13 +62,18 @@
 
     /// When something is to be done without a message having come.
     pub(crate) fn next_deadline(&self, end: u64) -> Time {
-        let send = if self.sent < end {
+        let may_send = self.sent < end && !self.is_window_full();
+        let send = if may_send {
             self.next_send
         } else {
             Time::NEVER
         };
         self.deadline.min(send)
     }
+
+    fn is_window_full(&self) -> bool {
+        self.sent - self.acked >= WINDOW_CHARGES
+    }
 }
 
 /// Chooses a holder: near but in another failure domain first, spread by hash.
@@ -141,7 +146,7 @@
     let waiting = journal.end() - replica.sent.min(journal.end());
     let has_page = waiting >= PAGE_CHARGES as u64;
     let has_some = waiting > 0 && now.has_reached(replica.next_send);
-    (has_page || has_some) && replica.sent - replica.acked < WINDOW_CHARGES
+    (has_page || has_some) && !replica.is_window_full()
 }
 
 /// The holder drops what is sealed, and learns that the sender still lives.
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -279,15 +279,18 @@
         }
     }
 
-    /// When something is due, if no message or outcome comes before.
+    /// When [`Ledger::flush`] has something to do, if no message or outcome comes before.
+    /// After a flush it lies ahead.
     #[must_use]
     pub fn next_deadline(&self) -> Time {
         let journals = self.journals.values();
-        let due = journals.map(|journal| {
-            let replica = journal.replica.as_ref();
-            replica.map_or(Time::NEVER, |replica| replica.next_deadline(journal.end()))
+        let due = journals.filter_map(|journal| {
+            let replica = journal.replica.as_ref()?;
+            Some(replica.next_deadline(journal.end()))
         });
-        due.min().unwrap_or(Time::NEVER)
+        let release = self.waiting.front();
+        let release = release.map(|(_, since)| *since + self.cfg.alone_after);
+        due.chain(release).min().unwrap_or(Time::NEVER)
     }
 
     /// What it holds.
--- a/components/ledger/src/ledger/hold.rs
+++ b/components/ledger/src/ledger/hold.rs
@@ -11,6 +11,8 @@
             if self.leads(&self.journals[&origin]) {
                 self.ensure_holder(&origin, now);
                 effects.extend(self.hold(&origin, now));
+            } else if let Some(journal) = self.journals.get_mut(&origin) {
+                journal.replica = None;
             }
         }
         effects
--- a/components/ledger/tests/support/fleet.rs
+++ b/components/ledger/tests/support/fleet.rs
@@ -187,7 +187,12 @@
             .iter()
             .filter(|other| other.is_alive && !other.is_paused && other.peer.id != *me);
         let members: Vec<_> = others.map(|other| other.peer.clone()).collect();
-        let effects = self.daemons[index].ledger.tick(self.now, wall, &members);
+        let ledger = &mut self.daemons[index].ledger;
+        let effects = ledger.tick(self.now, wall, &members);
+        assert!(
+            ledger.next_deadline() > self.now,
+            "nothing would be waited for"
+        );
         self.take(index, effects);
     }
 
