--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,12 +8,15 @@
 mod control;
 mod error;
 pub mod event;
+mod pace;
+mod rating;
 mod shared;
 pub mod snapshot;
 mod start;
 mod storage;
 pub mod systems;
 pub mod traffic;
+mod watching;
 
 pub use error::NodeError;
 pub use start::Node;
