Put real daemons under a fault a second and count broken promises

Change: bench faults: one fleet with both users' catalogues, callers that repeat under the same request id through another daemon, faults of engines, plain services, store and daemons, an oracle over the stand-ins' own records.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// The promises on requests under a fault a second.
+    Faults(Faults),
     /// Every experiment, as one page.
     Report(ReportPage),
     /// Bad answers before a bad version is suspended.
@@ -46,6 +48,33 @@
     pub seconds: f64,
 }
 
+/// Real daemons under steady load of both users with a fault a second, beside none.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub struct Faults {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of each arm in seconds
+    #[argh(option, default = "60.0")]
+    pub seconds: f64,
+    /// requests a second
+    #[argh(option, default = "100.0")]
+    pub rate: f64,
+    /// daemons
+    #[argh(option, default = "6")]
+    pub daemons: usize,
+    /// print each broken promise
+    #[argh(switch)]
+    pub verbose: bool,
+}
+
 /// Runs every experiment and writes one HTML page with its figures and plots.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -5,5 +5,6 @@
 pub mod burst;
 pub mod cascade;
 pub mod decide;
+pub mod faults;
 pub mod overhead;
 pub mod report;
--- /dev/null
+++ b/bench/src/cmd/faults.rs
@@ -0,0 +1,82 @@
+//! The promises on requests under a fault a second: real daemons, stand-ins, both users.
+//!
+//! One fleet serves both users' catalogues. Callers repeat what failed, under the same
+//! request id and through another daemon, as their clients do. What really ran is counted
+//! from the stand-ins' own records and compared with what callers were told.
+
+mod balancer;
+mod caller;
+mod fleet;
+mod mix;
+mod oracle;
+mod trouble;
+
+use std::time::Duration;
+
+use crate::cli::Faults;
+use crate::load::{self, Arrivals, Latencies, Seen};
+use crate::report::{Curve, Report};
+use caller::{Caller, Told};
+use fleet::Fleet;
+use mix::Mix;
+use oracle::Counts;
+
+const QUIET: &str = "no_faults";
+const FAULTY: &str = "fault_a_second";
+const WORKERS: usize = 512;
+/// After the load: for delayed effects and for bills to reach the store.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// Runs it.
+pub fn run(options: &Faults) -> eyre::Result<Report> {
+    let mut report = Report::new("faults", options.seed);
+    for (arm, is_faulty) in [(QUIET, false), (FAULTY, true)] {
+        let counts = arm_counts(options, is_faulty, arm, &mut report)?;
+        counts.note(arm, &mut report);
+        report.violations += counts.violations();
+    }
+    Ok(report)
+}
+
+fn arm_counts(
+    options: &Faults,
+    is_faulty: bool,
+    arm: &str,
+    report: &mut Report,
+) -> eyre::Result<Counts> {
+    let fleet = Fleet::start(options.daemons)?;
+    let mix = Mix::new(&fleet.platform.entries, options.seed);
+    let length = Duration::from_secs_f64(options.seconds);
+    let arrivals = Arrivals::poisson(options.seed, options.rate, length);
+    let balancer = fleet.balancer();
+    let seen = std::thread::scope(|scope| {
+        let troubles = scope.spawn(|| match is_faulty {
+            true => trouble::run(&fleet, options.seed, length),
+            false => Ok(Vec::new()),
+        });
+        let connect = || Caller::new(&balancer, &mix);
+        let seen = load::open_loop(&arrivals, WORKERS, connect, Caller::act);
+        (seen, troubles.join())
+    });
+    let (seen, troubles) = seen;
+    let seen: Vec<Seen<Vec<Told>>> = seen?;
+    let troubles = troubles.map_err(|_| eyre::eyre!("the thread of faults panicked"))??;
+    report.note(arm, "faults", troubles.len() as f64);
+    for (name, times) in trouble::tally(&troubles) {
+        report.note(arm, &format!("fault_{name}"), times as f64);
+    }
+    std::thread::sleep(SETTLE);
+    note_latencies(report, arm, &load::merged(&seen));
+    let told = seen.into_iter().flat_map(|s| s.notes).collect::<Vec<_>>();
+    oracle::count(&fleet, &told, &troubles, options.verbose)
+}
+
+fn note_latencies(report: &mut Report, arm: &str, latencies: &Latencies) {
+    report.note(arm, "idempotent_p50_ms", latencies.quantile_ms(0.5));
+    report.note(arm, "idempotent_p99_ms", latencies.quantile_ms(0.99));
+    report.curves.push(Curve {
+        plot: "answers to idempotent requests, ms by share".to_owned(),
+        label: arm.to_owned(),
+        points: latencies.curve(),
+    });
+}
--- a/bench/src/daemons.rs
+++ b/bench/src/daemons.rs
@@ -97,6 +97,7 @@
 pub struct Daemon {
     /// What it was told.
     pub plan: DaemonPlan,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -106,11 +107,22 @@
         let settings = scratch.join(format!("{}.yaml", plan.name));
         fs::write(&settings, yaml(&plan, platform))?;
         let child = spawn(&settings, scratch, &plan.name)?;
-        let mut daemon = Self { plan, child };
+        let mut daemon = Self {
+            plan,
+            settings,
+            child,
+        };
         daemon.wait_ready()?;
         Ok(daemon)
     }
 
+    /// Starts it again with the same settings, after it stopped or was killed.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        let scratch = self.settings.parent().unwrap_or(Path::new("."));
+        self.child = spawn(&self.settings, scratch, &self.plan.name)?;
+        self.wait_ready()
+    }
+
     fn wait_ready(&mut self) -> eyre::Result<()> {
         let ends = Instant::now() + READY_WITHIN;
         while Instant::now() < ends {
@@ -159,11 +171,45 @@
         Ok(ticks as f64 / TICKS_PER_SECOND)
     }
 
+    /// Asks it to leave; gives whether it ended in time and well.
+    pub fn terminate(&mut self, within: Duration) -> eyre::Result<bool> {
+        self.signal("TERM")?;
+        let ends = Instant::now() + within;
+        while Instant::now() < ends {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            std::thread::sleep(LOOK_AGAIN);
+        }
+        Ok(false)
+    }
+
+    /// Stops it for a while, as a paused host would.
+    pub fn pause(&self) -> eyre::Result<()> {
+        self.signal("STOP")
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) -> eyre::Result<()> {
+        self.signal("CONT")
+    }
+
     /// Ends it at once.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
         self.child.wait().map(|_| ())
     }
+
+    fn signal(&self, name: &str) -> eyre::Result<()> {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.pid().to_string()])
+            .status()
+            .wrap_err("kill")?;
+        if !status.success() {
+            bail!("signal {name} could not be sent to {}", self.plan.name);
+        }
+        Ok(())
+    }
 }
 
 /// The unit of processor time in `/proc`, on every Linux of today.
--- a/bench/src/load/http.rs
+++ b/bench/src/load/http.rs
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Connects if it is not connected.
+    pub fn connect(&mut self) -> io::Result<()> {
+        if self.stream.is_none() {
+            self.stream = Some(connect(self.address)?);
+        }
+        Ok(())
+    }
+
     /// Asks and reads the whole answer.
     pub fn ask(&mut self, ask: &Ask<'_>) -> io::Result<Got> {
         self.ask_stream(ask, |_| {})
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,6 +15,9 @@
         cli::Command::Overhead(options) => {
             cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Faults(options) => {
+            cmd::faults::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Report(options) => cmd::report::run(&options),
 
         cli::Command::BadVersion(options) => {
