--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -8,3 +8,4 @@
 pub mod faults;
 pub mod overhead;
 pub mod report;
+pub mod rollout;
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,15 +4,19 @@
 //! and serves. The control thread owns the tables and publishes a [`snapshot::Snapshot`];
 //! traffic reads it and tells the control thread what happened as [`event::Event`]s.
 
+mod claims;
 mod control;
 mod error;
 pub mod event;
+mod pace;
+mod rating;
 mod shared;
 pub mod snapshot;
 mod start;
 mod storage;
 pub mod systems;
 pub mod traffic;
+mod watching;
 
 pub use error::NodeError;
 pub use start::Node;
