--- a/bench/src/cmd/faults/caller.rs
+++ b/bench/src/cmd/faults/caller.rs
@@ -24,7 +24,7 @@
     /// An answer that is not ours or not whole though it looked so.
     Wrong(String),
     /// A stream that ended in due form without end marker or error.
-    QuietEnd,
+    NoMarker,
     /// Refused, with the status, code and what it says of the run.
     Refused(u16, String, String),
     /// A stream ended by an error event.
@@ -41,7 +41,7 @@
         Some(match self {
             Self::Answered(_) => return None,
             Self::Wrong(_) => "wrong".to_owned(),
-            Self::QuietEnd => "quiet_end".to_owned(),
+            Self::NoMarker => "quiet_end".to_owned(),
             Self::Refused(status, code, run) => format!("refused_{status}_{code}_run_{run}"),
             Self::ErrorEvent(code) => format!("error_event_{code}"),
             Self::Cut(_) => "cut".to_owned(),
@@ -166,7 +166,7 @@
             !wanted.kind.is_idempotent() && calls.len() > 1
         }
         End::Refused(status, _, _) => matches!(status, 400..=408 | 410..=422),
-        End::QuietEnd | End::ErrorEvent(_) | End::Cut(_) | End::NotThere => false,
+        End::NoMarker | End::ErrorEvent(_) | End::Cut(_) | End::NotThere => false,
     })
 }
 
@@ -235,7 +235,7 @@
         content.push_str(text.unwrap_or_default());
     }
     if events.last().is_none_or(|event| event != b"[DONE]") {
-        return End::QuietEnd;
+        return End::NoMarker;
     }
     compare(wanted, got, &content)
 }
--- a/bench/src/cmd/faults/oracle.rs
+++ b/bench/src/cmd/faults/oracle.rs
@@ -153,7 +153,7 @@
         }
         match &call.end {
             End::Wrong(_) => counts.crossed += 1,
-            End::QuietEnd => counts.quiet_ends += 1,
+            End::NoMarker => counts.quiet_ends += 1,
             End::ErrorEvent(_) => counts.error_events += 1,
             End::Cut(_) => {
                 counts.cut_calls += 1;
