--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod burst;
 pub mod cascade;
 pub mod decide;
+pub mod faults;
 pub mod overhead;
 pub mod report;
 pub mod rollout;
