--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,14 +2,35 @@
 
 mod cli;
 mod cmd;
+mod daemons;
+mod fake;
+mod fleet;
+mod load;
+mod plot;
 mod report;
 
 fn main() -> eyre::Result<()> {
     let args: cli::Args = argh::from_env();
     match args.command {
         cli::Command::Overhead(options) => {
-            report::Report::new("overhead", options.seed).print(options.json)
+            cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Report(options) => cmd::report::run(&options),
+
+        cli::Command::BadVersion(options) => {
+            cmd::bad_version::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Balance(options) => {
+            cmd::balance::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Burst(options) => {
+            cmd::burst::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Decide(options) => {
+            cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
+        cli::Command::Rollout(options) => {
+            cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
         }
-        cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
     }
 }
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -3,19 +3,15 @@
 use rand::{Rng, RngExt};
 use types::prelude::*;
 
-use crate::affinity::key_of;
-use crate::demand::{Demand, NoUpstream, PrefixHash, UpstreamIndex};
+use crate::demand::{Demand, NoUpstream, UpstreamIndex};
+use crate::homes::{HOME_TRUST, Homes};
 use crate::lists::{Candidates, DISTANCES, Distance, HashOrder};
 use crate::router::{Entry, Router};
 
-/// Homes of a prefix on the ring.
-pub const PREFIX_HOMES: usize = 2;
-/// Levels of a prefix, shortest first, that have homes.
-const HOME_LEVELS: usize = 2;
 /// Load at which the next distance is looked at too.
 const SPILL_LOAD: f64 = 0.9;
 /// Cost of a request that must wait for a slot, for each request per slot ahead of it.
-const QUEUE_COST: f64 = 4.0;
+const QUEUE_COST: f64 = 2.0;
 /// Cost of another failure domain of the region.
 const REGION_COST: f64 = 0.02;
 /// Cost of another region.
@@ -45,7 +41,7 @@
         Self {
             samples: 2,
             subset: 32,
-            miss_cost: 0.5,
+            miss_cost: 1.5,
         }
     }
 }
@@ -65,6 +61,7 @@
     now: Time,
     demand: &'a Demand<'a>,
     pool: &'a Candidates,
+    homes: Homes,
     best: Option<Best>,
 }
 
@@ -80,6 +77,7 @@
         rng: &mut impl Rng,
     ) -> Result<UpstreamIndex, NoUpstream> {
         self.settle(now);
+        let homes = self.homes(now, demand);
         let pool = self.candidates.get(demand.target.slot());
         let pool = pool.ok_or(NoUpstream::UnknownTarget)?;
         let mut choice = Choice {
@@ -87,6 +85,7 @@
             now,
             demand,
             pool,
+            homes,
             best: None,
         };
         choice.consider_holders();
@@ -118,23 +117,13 @@
         }
     }
 
-    /// Homes of the prefix, the same for every daemon of the region.
+    /// Homes of the prompt, the same for every daemon of the region.
     fn consider_homes(&mut self) {
-        let ring = self.pool.near_ring();
-        for prefix in self.demand.prefix.iter().take(HOME_LEVELS) {
-            for home in 0..PREFIX_HOMES {
-                if let Some(index) = ring.at_point(self.home_point(*prefix, home)) {
-                    self.consider(index);
-                }
-            }
+        for index in self.homes.into_iter().flatten() {
+            self.consider(index);
         }
     }
 
-    fn home_point(&self, prefix: PrefixHash, home: usize) -> u64 {
-        let key = key_of(self.demand.target, prefix);
-        xxhash_rust::xxh3::xxh3_64_with_seed(&key.to_le_bytes(), home as u64)
-    }
-
     /// Random ones of the daemon's subset; farther ones only when the nearer are busy.
     fn consider_samples(&mut self, rng: &mut impl Rng) {
         for distance in DISTANCES {
@@ -245,22 +234,28 @@
         if levels == 0 {
             return 0.0;
         }
-        let prefixes = self.demand.prefix.iter().enumerate().rev();
-        let held = prefixes
-            .filter(|(_, prefix)| self.is_held(**prefix, index))
-            .map(|(level, _)| level + 1)
-            .next();
-        let missing = (levels - held.unwrap_or(0)) as f64 / levels as f64;
+        let held = self.held_levels(index) as f64 / levels as f64;
+        let missing = 1.0 - held.max(self.home_part(index));
         self.router.tuning.miss_cost * missing
     }
 
-    /// Sent there by this daemon, or at home there, where the other daemons send it.
-    fn is_held(&self, prefix: PrefixHash, index: UpstreamIndex) -> bool {
-        let holders = self.router.prefixes.holders(self.demand.target, prefix);
-        if holders.is_some_and(|holders| holders.contains(index)) {
-            return true;
-        }
-        let ring = self.pool.near_ring();
-        (0..PREFIX_HOMES).any(|home| ring.at_point(self.home_point(prefix, home)) == Some(index))
+    /// Levels that this daemon has sent there.
+    fn held_levels(&self, index: UpstreamIndex) -> usize {
+        let prefixes = self.demand.prefix.iter().enumerate().rev();
+        let mut held = prefixes.filter(|(_, prefix)| {
+            let holders = self.router.prefixes.holders(self.demand.target, **prefix);
+            holders.is_some_and(|holders| holders.contains(index))
+        });
+        held.next().map_or(0, |(level, _)| level + 1)
+    }
+
+    /// Part of the prompt that should be cached there since the other daemons send it there
+    /// too: all but its last level, which is new.
+    fn home_part(&self, index: UpstreamIndex) -> f64 {
+        let levels = self.demand.prefix.len() as f64;
+        let part = (levels - 1.0).max(1.0) / levels;
+        let homes = self.homes.iter().zip(HOME_TRUST);
+        let mut trusts = homes.filter(|(home, _)| **home == Some(index));
+        trusts.next().map_or(0.0, |(_, trust)| trust * part)
     }
 }
