--- a/components/rollout/src/driver.rs
+++ b/components/rollout/src/driver.rs
@@ -23,7 +23,7 @@
     pub margin_engines: usize,
     /// Loads under way at once.
     pub loads_at_once: usize,
-    /// An order follows a report no older than this.
+    /// An order to load follows a report no older than this.
     pub just_read: Span,
     /// Reports no older than this count as capacity.
     pub recent: Span,
@@ -40,7 +40,7 @@
             margin_engines: 1,
             loads_at_once: 4,
             just_read: Span::from_secs(2),
-            recent: Span::from_secs(30),
+            recent: Span::from_secs(10),
             repeat_after: Span::from_secs(10),
             claim_first: false,
         }
@@ -85,6 +85,8 @@
     seen: Option<Seen>,
     slot: Slot,
     sent: BTreeMap<UpstreamId, Sent>,
+    /// The engine next to lose capacity, and when it was to be read anew.
+    reread: Option<(UpstreamId, Time)>,
     claimed: Claimed,
     edit_again_at: Option<(Revision, Time)>,
     waiting: Option<Waiting>,
@@ -116,6 +118,7 @@
             seen: None,
             slot: Slot::Free(Time::ZERO),
             sent: BTreeMap::new(),
+            reread: None,
             claimed: Claimed::default(),
             edit_again_at: None,
             waiting: None,
@@ -162,6 +165,7 @@
         let (Some(goal), Some(hold)) = (goal, self.lease.held(now)) else {
             self.seen = None;
             self.sent.clear();
+            self.reread = None;
             self.waiting = wanted.then_some(Waiting::Lease);
             return effects;
         };
--- a/components/rollout/src/driver/orders.rs
+++ b/components/rollout/src/driver/orders.rs
@@ -12,6 +12,8 @@
 
 /// Leave to load is used within.
 const SLOT_KEPT: Span = Span::from_secs(60);
+/// The weight store is asked again no sooner, whatever it says.
+const ASK_AGAIN: Span = Span::from_secs(1);
 
 impl Driver {
     /// Takes the weight store's answer: leave to load, or when to ask again.
@@ -21,7 +23,7 @@
         };
         self.slot = match answer {
             Ok(()) => Slot::Granted(version.clone(), now + SLOT_KEPT),
-            Err(retry_after) => Slot::Free(now + retry_after),
+            Err(retry_after) => Slot::Free(now + retry_after.max(ASK_AGAIN)),
         };
     }
 
@@ -105,9 +107,17 @@
         };
         if let Err(waiting) = self.may_lose(scene, engine) {
             self.waiting.get_or_insert(waiting);
-        } else if engine.is_fresh(scene.now, self.cfg.just_read) {
+            return;
+        }
+        // The order follows a report that was asked for on its account: what was true when
+        // an older one was read may have changed since.
+        let asked = self.reread.as_ref().filter(|(id, _)| *id == engine.id);
+        let asked_at = asked.map(|(_, at)| *at);
+        if asked_at.is_some_and(|at| engine.read_at >= Some(at)) {
+            self.reread = None;
             effects.push(self.send(scene, &engine.id, OrderKind::Unload, &scene.goal.drop));
         } else {
+            self.reread = Some((engine.id.clone(), asked_at.unwrap_or(scene.now)));
             effects.push(Effect::Read(engine.id.clone()));
         }
     }
@@ -117,9 +127,16 @@
     fn removable<'a>(&self, scene: &Scene<'a>) -> Option<&'a Engine> {
         let goal = scene.goal;
         let removing = matches!(goal.phase, Phase::Remove { .. });
-        // An engine without room for both gives up the old one, where it can be spared.
-        let should = |e: &&Engine| removing || (e.is_full && !e.has(&goal.keep));
+        // An engine that lost the version that stays, in a restart that other reports do not
+        // show yet, is not left with nothing: it loads first. One without room for both
+        // gives up the old one, where it can be spared.
+        let should = |e: &&Engine| match e.has_ready(&goal.keep) {
+            true => removing,
+            false => e.is_full || e.leaving,
+        };
         let engines = scene.seen.engines.iter().filter(|e| e.has(&goal.drop));
+        // One that does not answer must not hold up the others.
+        let engines = engines.filter(|e| e.is_fresh(scene.now, self.cfg.recent));
         let mut engines = engines.filter(should);
         engines.find(|e| !self.sent.contains_key(&e.id))
     }
