--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -18,6 +18,8 @@
     Overhead(Overhead),
     /// The promises on requests under a fault a second.
     Faults(Faults),
+    /// Roll-outs under faults.
+    Rollout(Rollout),
     /// Every experiment, as one page.
     Report(ReportPage),
     /// Bad answers before a bad version is suspended.
@@ -28,8 +30,6 @@
     Burst(Burst),
     /// Time and memory of a choice of upstream.
     Decide(Decide),
-    /// Roll-outs under faults.
-    Rollout(Rollout),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -32,6 +32,8 @@
         cli::Command::Decide(options) => {
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
-        cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
+        cli::Command::Rollout(options) => {
+            cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
