quality: hold each way to its own lower bound, try unproved versions within budgets

Cause: one uncertain version drove the mixture elsewhere and was never rated; exposure in the score starved unproved versions; claims a few hundredths too high caused suspensions. Change: per-way lower bounds, trials and explorations, budgets that bind once proved versions meet the target, references learnt at doublings, the account.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// Cost and quality of the choice of version.
+    Cascade(Cascade),
     /// Bad answers before a bad version is suspended.
     BadVersion(BadVersion),
 }
@@ -58,3 +60,21 @@
     #[argh(option, default = "1_000_000")]
     pub loop_requests: u64,
 }
+
+/// Cost at the quality target, beside simpler ways and an oracle.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cascade")]
+pub struct Cascade {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// requests in each arm
+    #[argh(option, default = "60_000")]
+    pub requests: usize,
+}
--- a/bench/src/cmd/bad_version.rs
+++ b/bench/src/cmd/bad_version.rs
@@ -14,6 +14,7 @@
 
 use crate::cli::BadVersion;
 use crate::fleet::{Fleet, Surroundings};
+use crate::parallel::in_parallel;
 use crate::report::{Curve, Report};
 
 const GOOD: f64 = 0.95;
@@ -140,9 +141,9 @@
     name: &str,
     surroundings: &Surroundings,
 ) -> f64 {
-    let runs: Vec<Outcome> = (0..options.runs)
-        .map(|run| run_once(case, surroundings, options.seed * 1000 + run))
-        .collect();
+    let runs = in_parallel(options.runs, |run| {
+        run_once(case, surroundings, options.seed * 1000 + run)
+    });
     let arm = format!("{}/{name}", case.name());
     let count = runs.len().max(1) as f64;
     let mean = |figure: fn(&Outcome) -> f64| runs.iter().map(figure).sum::<f64>() / count;
--- a/bench/src/cmd/bad_version/false_alarms.rs
+++ b/bench/src/cmd/bad_version/false_alarms.rs
@@ -63,6 +63,6 @@
     let suspensions = traffic.fleet.suspensions();
     report.note(&arm, "suspensions", suspensions as f64);
     report.violations += suspensions as u64;
-    let each = traffic.fleet.bytes as f64 / seconds / daemons as f64;
-    report.note(&arm, "fact_bytes_sent_a_second_per_daemon", each);
+    let published = traffic.fleet.bytes as f64 / seconds;
+    report.note(&arm, "fact_bytes_a_second_to_hear", published);
 }
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
 
 use quality::{Change, ChoiceInput, Config, Phase, Plan, Quality, Rating};
 use rand::rngs::StdRng;
@@ -49,19 +50,18 @@
 }
 
 /// One fact on its way: who said it, its key, its number and its value.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Fact {
     origin: usize,
     key: Vec<u8>,
     number: u64,
     value: Vec<u8>,
-    rounds_left: u32,
 }
 
 struct Member {
     quality: Quality,
     held: BTreeMap<(usize, Vec<u8>), u64>,
-    passing_on: Vec<Fact>,
+    passing_on: Vec<(Rc<Fact>, u32)>,
 }
 
 /// A rating on its way back.
@@ -92,7 +92,7 @@
     rater_busy: VecDeque<Time>,
     /// Changes of standing, with their moment.
     pub changes: Vec<(Time, usize, Change)>,
-    /// Bytes of facts sent, all instances.
+    /// Bytes of facts published, all instances: what each must hear once.
     pub bytes: u64,
 }
 
@@ -227,10 +227,10 @@
                     key: cell.key.to_vec(),
                     number: self.counter,
                     value: cell.value.to_vec(),
-                    rounds_left: rounds,
                 };
+                self.bytes += (fact.key.len() + fact.value.len()) as u64;
                 member.held.insert((origin, fact.key.clone()), fact.number);
-                member.passing_on.push(fact);
+                member.passing_on.push((Rc::new(fact), rounds));
             }
         }
     }
@@ -238,28 +238,29 @@
     fn gossip(&mut self) {
         self.next_round = self.now + ROUND;
         let fleet = self.members.len();
-        let mut mail: Vec<(usize, Fact)> = Vec::new();
+        let mut mail: Vec<(usize, Rc<Fact>)> = Vec::new();
         for (sender, member) in self.members.iter_mut().enumerate() {
             for _ in 0..FANOUT.min(fleet - 1) {
                 let peer = self.rng.random_range(0..fleet);
-                for fact in &member.passing_on {
-                    self.bytes += (fact.key.len() + fact.value.len()) as u64;
+                for (fact, _) in &member.passing_on {
                     if peer != sender && !self.rng.random_bool(self.surroundings.loss) {
                         mail.push((peer, fact.clone()));
                     }
                 }
             }
-            for fact in &mut member.passing_on {
-                fact.rounds_left -= 1;
+            for (_, rounds_left) in &mut member.passing_on {
+                *rounds_left -= 1;
             }
-            member.passing_on.retain(|fact| fact.rounds_left > 0);
+            member
+                .passing_on
+                .retain(|(_, rounds_left)| *rounds_left > 0);
         }
         for (peer, fact) in mail {
             self.receive(peer, fact);
         }
     }
 
-    fn receive(&mut self, peer: usize, mut fact: Fact) {
+    fn receive(&mut self, peer: usize, fact: Rc<Fact>) {
         let member = &mut self.members[peer];
         let held = member
             .held
@@ -277,11 +278,11 @@
             .quality
             .merge(self.now, &origin, key, value, &mut self.rng);
         debug_assert!(merged.is_ok());
-        fact.rounds_left = self.surroundings.daemons.ilog2() + EXTRA_ROUNDS;
+        let rounds = self.surroundings.daemons.ilog2() + EXTRA_ROUNDS;
         member
             .passing_on
-            .retain(|old| old.origin != fact.origin || old.key != fact.key);
-        member.passing_on.push(fact);
+            .retain(|(old, _)| old.origin != fact.origin || old.key != fact.key);
+        member.passing_on.push((fact, rounds));
     }
 
     /// Instances in which a version is suspended.
@@ -291,14 +292,7 @@
             .count()
     }
 
-    pub fn standing(
-        &self,
-        daemon: usize,
-        class: &ClassName,
-        version: &VersionId,
-    ) -> Option<quality::StreamDump> {
-        self.members[daemon].quality.standing(class, version)
-    }
+    pub fn dump(&self) -> quality::Dump { self.members[0].quality.dump() }
 
     /// Suspensions begun, over all instances.
     pub fn suspensions(&self) -> usize {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod cmd;
 mod fleet;
+mod parallel;
 mod report;
 
 fn main() -> eyre::Result<()> {
@@ -12,6 +13,7 @@
             report::Report::new("overhead", options.seed).print(options.json)
         }
 
+        cli::Command::Cascade(options) => cmd::cascade::run(&options)?.print(options.json),
         cli::Command::BadVersion(options) => cmd::bad_version::run(&options)?.print(options.json),
     }
 }
--- a/components/quality/src/budget.rs
+++ b/components/quality/src/budget.rs
@@ -22,6 +22,20 @@
     spent: f64,
 }
 
+/// Part of the base that an owner who does not mind at all allows.
+const MOST_BASE: f64 = 1.5;
+
+/// How far the judgement of a version has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Progress {
+    /// Ratings of the whole fleet seen.
+    pub(crate) seen: f64,
+    /// How near the test is to its alarm, 1 being there.
+    pub(crate) level: f64,
+    /// From 0 to 1: how much the owner minds answers that are not proved.
+    pub(crate) caution: f64,
+}
+
 /// What a budget is made of.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct BudgetTerms {
@@ -43,11 +57,17 @@
         }
     }
 
-    /// Whether one more answer fits, for the ratings `seen` and the size of the fleet.
-    pub(crate) fn allows(&self, now: Time, seen: f64, fleet: usize) -> bool {
-        let earned = self.per_rating * (seen - self.seen_before);
+    /// Whether one more answer fits, for what is known of the version and the size of the fleet.
+    ///
+    /// The nearer the test is to its alarm, the fewer ratings it still needs, and answers
+    /// that wait for theirs beyond that number only add to the harm.
+    pub(crate) fn allows(&self, now: Time, stream: &Progress, fleet: usize) -> bool {
+        let earned = self.per_rating * (stream.seen - self.seen_before);
         let free = self.trickle.over(now.since(self.since));
-        let part = (self.base + earned + free) / fleet.max(1) as f64;
+        let part = (self.base * (1.0 - stream.level).max(0.0) * (MOST_BASE - stream.caution)
+            + earned
+            + free)
+            / fleet.max(1) as f64;
         self.spent + 1.0 <= part + self.rounding
     }
 
--- a/components/quality/src/choice.rs
+++ b/components/quality/src/choice.rs
@@ -21,6 +21,14 @@
     pub exposure_weight: f64,
 }
 
+impl OfferTerms {
+    /// From 0 to 1: the part that exposure has of all weights.
+    pub(crate) fn caution(&self) -> f64 {
+        let all = self.cost_weight + self.latency_weight + self.exposure_weight;
+        (self.exposure_weight / all.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    }
+}
+
 /// The part of another version's new work that a version takes over.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutShare {
--- a/components/quality/src/config.rs
+++ b/components/quality/src/config.rs
@@ -13,6 +13,8 @@
     pub false_alarm_requests: f64,
     /// A version counts as bad only below its reference by more than this.
     pub tolerance: f64,
+    /// The same, while the reference is but the catalogue's claim.
+    pub claim_tolerance: f64,
     /// How far below the target a version may lie and still serve in a mixture.
     pub slack: f64,
     /// Ratings that the catalogue's expected quality counts for.
@@ -31,6 +33,10 @@
     pub answers_per_rating: f64,
     /// Share of an offer's requests spent on versions that might turn out cheaper.
     pub exploration: f64,
+    /// The same, on versions that have too few ratings yet.
+    pub trial: f64,
+    /// Ratings that a claim counts for when its uncertainty is weighed.
+    pub claim_ratings: f64,
     /// Part of the test's threshold from which a version is suspect.
     pub suspect_at: f64,
     /// Shortest time between two publications of one counter.
@@ -46,17 +52,20 @@
         Self {
             ratings: Rate(20.0),
             false_alarm_requests: 1e6,
-            tolerance: 0.02,
+            tolerance: 0.01,
+            claim_tolerance: 0.05,
             slack: 0.15,
             prior_ratings: 20.0,
-            memory: 4000.0,
+            memory: 8000.0,
             proof_ratings: 50.0,
             confidence: 1.0,
             unproved_base: 24.0,
-            suspect_base: 12.0,
+            suspect_base: 8.0,
             answers_per_rating: 1.25,
             exploration: 0.02,
-            suspect_at: 0.33,
+            trial: 0.15,
+            claim_ratings: 80.0,
+            suspect_at: 0.4,
             publish_every: Span::from_millis(250),
             refresh_every: Span::from_millis(250),
             fleet_memory: Span::from_secs(3600),
--- a/components/quality/src/detector.rs
+++ b/components/quality/src/detector.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 /// How far below the null share the alternatives lie.
-const DROPS: [f64; 3] = [0.10, 0.27, 0.50];
+const DROPS: [f64; 2] = [0.12, 0.33];
 const ALTERNATIVES: usize = DROPS.len();
 const LOWEST_SHARE: f64 = 0.02;
 const HIGHEST_SHARE: f64 = 0.995;
--- a/components/quality/src/quality.rs
+++ b/components/quality/src/quality.rs
@@ -128,6 +128,9 @@
     }
 
     /// Whether to have an answer rated; a yes counts against the rater's rate.
+    ///
+    /// To be asked of every answer, also of those that were discarded: an escalated answer is
+    /// counted here, since its choice did not know whether it would come to it.
     pub fn should_rate(
         &mut self,
         now: Time,
@@ -137,6 +140,9 @@
         rng: &mut impl Rng,
     ) -> bool {
         let id = StreamId::of(class, version, escalated);
+        if escalated {
+            self.serve(id, true);
+        }
         let Some(stream) = self.streams.get(&id) else {
             return false;
         };
@@ -300,11 +306,23 @@
         }
         self.generation += 1;
         if after == Phase::Suspended {
-            self.suspensions.begin(id);
+            self.suspend_version(now, id, rng);
         }
         self.note_change(id, before);
     }
 
+    /// A version that is bad after escalations is bad: its direct answers stop too.
+    fn suspend_version(&mut self, now: Time, id: StreamId, rng: &mut impl Rng) {
+        self.suspensions.begin(id);
+        let name = self.streams.get(&id).and_then(|stream| stream.name.clone());
+        let Some(name) = name.filter(|name| name.escalated) else {
+            return;
+        };
+        let direct = StreamId::new(&name.class, &name.version);
+        self.suspensions.begin(direct);
+        self.settle(now, direct, rng);
+    }
+
     fn note_change(&mut self, id: StreamId, from: Phase) {
         let stream = &self.streams[&id];
         let Some(name) = stream.name.clone() else {
@@ -359,6 +377,7 @@
             let terms = Terms {
                 claim: candidate.expected.map(Share::get),
                 target: offer.target.get(),
+                caution: offer.caution(),
             };
             stream.describe(name, terms);
         }
--- a/components/quality/src/quality/choose.rs
+++ b/components/quality/src/quality/choose.rs
@@ -4,7 +4,7 @@
 use types::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Quality, on_budget};
+use super::Quality;
 use crate::choice::{Candidate, ChoiceInput, Escalation, Plan};
 use crate::counts::Confidence;
 use crate::mixture::Mixture;
@@ -42,7 +42,7 @@
         if self.phase(id) == Some(Phase::Suspended) {
             return None;
         }
-        self.serve(id);
+        self.serve(id, true);
         Some(Plan {
             first: pin.clone(),
             escalation: None,
@@ -54,10 +54,13 @@
         self.streams.get(&id).map(|stream| stream.phase)
     }
 
-    fn serve(&mut self, id: StreamId) {
+    /// Counts a request, against the version's budget where that binds.
+    pub(super) fn serve(&mut self, id: StreamId, binds: bool) {
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.served += 1;
-            stream.budget.spend();
+            if binds {
+                stream.budget.spend();
+            }
         }
     }
 
@@ -101,82 +104,91 @@
         let way = if self.fits(now, table, wished, input) {
             wished
         } else {
-            self.fallback(now, table, input)?
+            self.fallback(now, table, input, rng)?
         };
         table.note(way);
         let way = table.ways[way].clone();
         let first = self.taken_over(now, table, way.first, rng);
-        let next = way
-            .next
-            .map(|(next, bin)| (self.taken_over(now, table, next, rng), bin));
-        self.serve(table.ids[first]);
-        Some(Plan {
-            first: table.candidates[first].version.clone(),
-            escalation: next.map(|(next, bin)| Escalation {
+        let binds = table.budgets_bind() || first != way.first;
+        self.serve(table.ids[first], binds);
+        let mut escalation = None;
+        if let Some((next, bin)) = way.next {
+            let next = self.taken_over(now, table, next, rng);
+            escalation = Some(Escalation {
                 to: table.candidates[next].version.clone(),
                 below: Confidence::lowest_of(bin),
-            }),
+            });
+        }
+        Some(Plan {
+            first: table.candidates[first].version.clone(),
+            escalation,
             repinned: input.pin.is_some(),
         })
     }
 
     /// The way that the mixture, or now and then an exploration, asks for.
     fn wished(&self, table: &Table, input: &ChoiceInput<'_>, rng: &mut impl Rng) -> Option<usize> {
-        if !table.explore.is_empty() && rng.random_bool(self.cfg.exploration) {
-            let index = rng.random_range(0..table.explore.len());
-            return Some(table.explore[index]);
+        for (ways, share) in [
+            (&table.trial, self.cfg.trial),
+            (&table.explore, self.cfg.exploration),
+        ] {
+            if !ways.is_empty() && rng.random_bool(share.clamp(0.0, 1.0)) {
+                return Some(ways[rng.random_range(0..ways.len())]);
+            }
         }
         let one_version = input.in_session || !input.may_escalate;
         let mixture = if one_version { table.direct } else { table.any };
-        mixture.map(|mixture: Mixture| {
-            if rng.random_bool(mixture.strong_share.clamp(0.0, 1.0)) {
-                mixture.strong
-            } else {
-                mixture.weak
-            }
-        })
+        mixture.map(|mixture| pick(&mixture, rng))
     }
 
     /// Whether a way is in time and within its versions' budgets.
     fn fits(&self, now: Time, table: &Table, way: usize, input: &ChoiceInput<'_>) -> bool {
         let way = &table.ways[way];
+        let bind = table.budgets_bind();
+        let within = |id: StreamId| self.within_budget(now, id, bind);
         let next = way.next.map(|(next, _)| next);
         way.latency <= input.time_left
-            && self.within_budget(now, table.ids[way.first])
-            && next.is_none_or(|next| self.within_budget(now, table.ids[next]))
+            && within(table.ids[way.first])
+            && next.is_none_or(|next| within(table.escalated_ids[next]))
     }
 
-    fn within_budget(&self, now: Time, id: StreamId) -> bool {
+    /// A suspect is always held to its budget, the unproved only where `bind` says so.
+    fn within_budget(&self, now: Time, id: StreamId, bind: bool) -> bool {
         self.streams.get(&id).is_some_and(|stream| {
-            let free = !on_budget(stream.phase);
-            free || stream.budget.allows(now, stream.seen, self.largest_fleet)
+            let held = match stream.phase {
+                Phase::Unproved => bind,
+                Phase::Suspect => true,
+                Phase::Proved => false,
+                Phase::Suspended => return false,
+            };
+            let progress = stream.progress();
+            !held || stream.budget.allows(now, &progress, self.largest_fleet)
         })
     }
 
-    /// The best version in time and within its budget; else the best in time, which
-    /// comes to pass when nothing is proved yet; else the fastest.
-    fn fallback(&self, now: Time, table: &Table, input: &ChoiceInput<'_>) -> Option<usize> {
-        let mut ways = table.fallback.iter().copied();
-        let fitting = ways.find(|way| self.fits(now, table, *way, input));
+    /// The proved versions' mixture; else the best version in time, which comes to pass
+    /// when nothing is proved; else the fastest.
+    fn fallback(
+        &self,
+        now: Time,
+        table: &Table,
+        input: &ChoiceInput<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let fits = |way: &usize| self.fits(now, table, *way, input);
+        let proved = table.proved.map(|mixture| pick(&mixture, rng));
         let in_time = |way: &usize| table.ways[*way].latency <= input.time_left;
         let trusted = |way: &usize| {
             let phase = self.phase(table.ids[table.ways[*way].first]);
             phase != Some(Phase::Suspect)
         };
-        let late = || {
-            let ways = table.fallback.iter().copied();
-            ways.min_by_key(|way| table.ways[*way].latency)
-        };
-        fitting
-            .or_else(|| {
-                table
-                    .fallback
-                    .iter()
-                    .copied()
-                    .find(|way| in_time(way) && trusted(way))
-            })
-            .or_else(|| table.fallback.iter().copied().find(in_time))
-            .or_else(late)
+        let direct = || table.fallback.iter().copied();
+        proved
+            .filter(fits)
+            .or_else(|| direct().find(fits))
+            .or_else(|| direct().find(|way| in_time(way) && trusted(way)))
+            .or_else(|| direct().find(in_time))
+            .or_else(|| direct().min_by_key(|way| table.ways[*way].latency))
     }
 
     /// The candidate itself, or the one that takes over from it.
@@ -184,7 +196,7 @@
         let Some((to, share)) = table.takeover.get(&index).copied() else {
             return index;
         };
-        if rng.random_bool(share.clamp(0.0, 1.0)) && self.within_budget(now, table.ids[to]) {
+        if rng.random_bool(share.clamp(0.0, 1.0)) && self.within_budget(now, table.ids[to], true) {
             to
         } else {
             index
@@ -192,6 +204,14 @@
     }
 }
 
+fn pick(mixture: &Mixture, rng: &mut impl Rng) -> usize {
+    if rng.random_bool(mixture.strong_share.clamp(0.0, 1.0)) {
+        mixture.strong
+    } else {
+        mixture.weak
+    }
+}
+
 /// Tells apart offers and sets of candidates.
 fn table_key(input: &ChoiceInput<'_>) -> u64 {
     let mut hash = Xxh3::new();
--- a/components/quality/src/quality/exchange.rs
+++ b/components/quality/src/quality/exchange.rs
@@ -150,6 +150,12 @@
     }
     stream.faded = view;
     stream.reference = told.reference;
+    stream.seen = stream.seen.max(stream.faded.sum());
+    stream.checked_at = if told.phase == Phase::Proved {
+        stream.seen
+    } else {
+        0.0
+    };
     stream.thresholds = None;
     if told.phase == Phase::Proved && stream.phase == Phase::Unproved {
         stream.phase = Phase::Proved;
--- a/components/quality/src/stream.rs
+++ b/components/quality/src/stream.rs
@@ -4,7 +4,7 @@
 use types::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::budget::Budget;
+use crate::budget::{Budget, Progress};
 use crate::config::Config;
 use crate::counts::{BINS, Faded, Totals};
 use crate::detector::{Detector, Thresholds};
@@ -13,11 +13,9 @@
 /// How far above its target a version is still held to its claim.
 const HEADROOM: f64 = 0.03;
 const LOWEST_REFERENCE: f64 = 0.1;
-/// Deviations by which the evidence must contradict a reference before it moves.
-const CONTRADICTION: f64 = 2.5;
 /// Deviations below the estimate at which a learned reference is set.
 const LEARNED_BELOW: f64 = 2.0;
-/// The reference of a proved version moves only while the test is calmer than this.
+/// The reference moves only while the test is calmer than this.
 const CALM: f64 = 0.15;
 /// Deviations by which a version must clear the floor to be proved.
 const PROOF: f64 = 1.64;
@@ -77,6 +75,8 @@
 pub(crate) struct Terms {
     pub(crate) claim: Option<f64>,
     pub(crate) target: f64,
+    /// From 0 to 1: how much the owner minds answers from versions not yet proved.
+    pub(crate) caution: f64,
 }
 
 impl Terms {
@@ -104,6 +104,8 @@
     /// Ratings of the whole fleet seen since start, never faded.
     pub(crate) seen: f64,
     pub(crate) reference: f64,
+    /// Ratings seen when the reference was last learnt; none while it is the claim.
+    pub(crate) checked_at: f64,
     pub(crate) thresholds: Option<Thresholds>,
     pub(crate) detector: Detector,
     pub(crate) phase: Phase,
@@ -122,6 +124,7 @@
         let terms = Terms {
             claim: None,
             target: 1.0,
+            caution: 0.0,
         };
         Self {
             name: None,
@@ -132,6 +135,7 @@
             next_publication: Time::ZERO,
             seen: 0.0,
             reference: terms.reference(),
+            checked_at: 0.0,
             thresholds: None,
             detector: Detector::default(),
             phase: Phase::Unproved,
@@ -148,6 +152,7 @@
         if self.name.is_none() || self.terms != terms {
             self.terms = terms;
             self.reference = terms.reference();
+            self.checked_at = 0.0;
             self.thresholds = None;
         }
         self.name = Some(name);
@@ -177,25 +182,29 @@
         (counts.good + counts.bad) / self.faded.sum().max(f64::MIN_POSITIVE)
     }
 
-    pub(crate) fn is_tested(&self) -> bool {
-        self.name.as_ref().is_some_and(|name| !name.escalated)
-    }
-
     pub(crate) fn level(&self) -> f64 {
         self.thresholds
             .as_ref()
             .map_or(0.0, |thresholds| self.detector.level(thresholds))
     }
 
+    pub(crate) fn progress(&self) -> Progress {
+        Progress {
+            seen: self.seen,
+            level: self.level(),
+            caution: self.terms.caution,
+        }
+    }
+
     /// Takes fresh ratings of the fleet.
     pub(crate) fn learn(&mut self, more: &Totals, cfg: &Config) {
         let (good, bad) = (more.good(), more.bad());
         self.faded.add(more, cfg.memory);
         self.seen += (good + bad) as f64;
-        if !self.is_tested() {
+        if self.name.is_none() {
             return;
         }
-        let null = self.reference - cfg.tolerance;
+        let null = self.null(cfg);
         let thresholds = self
             .thresholds
             .get_or_insert_with(|| Thresholds::new(null, cfg.false_alarm_requests));
@@ -203,35 +212,47 @@
         self.adjust_reference(cfg);
     }
 
+    /// The share below which the test calls the version bad.
+    ///
+    /// A claim may be off by more than a share that was learnt, and answers after an
+    /// escalation are to harder requests than the claim speaks of.
+    fn null(&self, cfg: &Config) -> f64 {
+        if self.checked_at > 0.0 {
+            return self.reference - cfg.tolerance;
+        }
+        self.reference - cfg.claim_tolerance - self.harder_by(cfg)
+    }
+
+    fn harder_by(&self, cfg: &Config) -> f64 {
+        let escalated = self.name.as_ref().is_some_and(|name| name.escalated);
+        if escalated { cfg.slack } else { 0.0 }
+    }
+
     /// The lowest share at which it may serve in a mixture.
     fn floor(&self, cfg: &Config) -> f64 {
-        self.terms.reference().min(self.terms.target) - cfg.slack
+        let asked = self.terms.reference().min(self.terms.target);
+        asked - cfg.slack - self.harder_by(cfg)
     }
 
-    /// Learns what to compare the version with, when the catalogue expects too much.
+    /// Learns what to compare the version with, whenever its ratings have doubled.
     ///
     /// Guards against suspending a cheap version that was never as good as its claim but
     /// serves well in a mixture. A drop must not move the reference after it, or it would
-    /// hide itself: so the reference of a proved version stands while the test is not calm.
+    /// hide itself: so the reference stands while the test is not calm.
     fn adjust_reference(&mut self, cfg: &Config) {
-        let estimate = self.estimate(cfg);
-        if self.faded.sum() < cfg.proof_ratings {
+        let due = (2.0 * self.checked_at).min(self.checked_at + cfg.memory);
+        if self.seen < due.max(cfg.proof_ratings) || self.phase != Phase::Proved {
             return;
         }
-        let unproved = self.phase == Phase::Unproved;
-        if !unproved && (self.phase != Phase::Proved || self.level() > CALM) {
+        if self.level() > CALM {
             return;
         }
-        let learned = estimate.below(LEARNED_BELOW);
-        let contradicted = estimate.above(CONTRADICTION) < self.reference;
-        let raised = learned.min(self.terms.reference()) > self.reference + cfg.tolerance;
-        if raised || (contradicted && learned >= self.floor(cfg)) {
-            self.reference = learned.min(self.terms.reference());
-            self.thresholds = None;
-            if unproved {
-                self.detector = Detector::default();
-            }
-        }
+        self.checked_at = self.seen;
+        let (good, bad) = (self.faded.good(), self.faded.bad());
+        let learned = Estimate::new(0.5, 2.0, good, bad).below(LEARNED_BELOW);
+        let learned = learned.clamp(self.floor(cfg).max(LOWEST_REFERENCE), 1.0);
+        self.reference = learned.min(self.terms.reference());
+        self.thresholds = None;
     }
 
     /// The phase that the evidence asks for.
@@ -262,6 +283,7 @@
         self.faded = Faded::default();
         self.detector = Detector::default();
         self.reference = self.terms.reference();
+        self.checked_at = 0.0;
         self.thresholds = None;
         self.enter(Phase::Unproved, budget);
     }
--- a/components/quality/src/table.rs
+++ b/components/quality/src/table.rs
@@ -9,6 +9,7 @@
 use crate::choice::{Candidate, OfferTerms};
 use crate::config::Config;
 use crate::counts::BINS;
+use crate::estimate::Estimate;
 use crate::mixture::{Alternative, Mixture, cheapest_mixture};
 use crate::stream::{Phase, Stream, StreamId};
 
@@ -24,8 +25,6 @@
 const OPTIMISM: f64 = 1.5;
 /// Part of the score that an exploration must promise to save.
 const WORTH_EXPLORING: f64 = 0.03;
-/// Part that an unproved version's exposure counts of a full unit of score.
-const SUSPECT_EXPOSURE: f64 = 1.0;
 
 /// Tells ways of serving apart across rebuilds.
 pub(crate) type WayKey = (StreamId, Option<(StreamId, usize)>);
@@ -48,12 +47,18 @@
 pub(crate) struct Table {
     pub(crate) candidates: Vec<Candidate>,
     pub(crate) ids: Vec<StreamId>,
+    /// The same versions' answers after an escalation.
+    pub(crate) escalated_ids: Vec<StreamId>,
     pub(crate) ways: Vec<Way>,
     /// Over all ways.
     pub(crate) any: Option<Mixture>,
     /// Over ways with one version.
     pub(crate) direct: Option<Mixture>,
-    /// Ways with one version that may turn out cheaper.
+    /// Over ways with one version that is proved.
+    pub(crate) proved: Option<Mixture>,
+    /// Ways with one unproved version that may serve in a mixture.
+    pub(crate) trial: Vec<usize>,
+    /// Ways with one proved version that may turn out cheaper.
     pub(crate) explore: Vec<usize>,
     /// Ways with one version, best quality first.
     pub(crate) fallback: Vec<usize>,
@@ -70,7 +75,6 @@
 struct Worth {
     cost: f64,
     latency: f64,
-    exposure: f64,
     quality: f64,
     deviation: f64,
 }
@@ -92,17 +96,21 @@
             candidate.takes_new && phase != Some(Phase::Suspended)
         };
         let candidates: Vec<Candidate> = candidates.iter().filter(usable).cloned().collect();
-        let ids = candidates
-            .iter()
-            .map(|candidate| StreamId::new(&offer.class, &candidate.version))
-            .collect();
+        let id = |candidate: &Candidate, escalated| {
+            StreamId::of(&offer.class, &candidate.version, escalated)
+        };
+        let ids = candidates.iter().map(|one| id(one, false)).collect();
+        let escalated_ids = candidates.iter().map(|one| id(one, true)).collect();
         let mut table = Self {
             takeover: takeover(&candidates),
             candidates,
             ids,
+            escalated_ids,
             ways: Vec::new(),
             any: None,
             direct: None,
+            proved: None,
+            trial: Vec::new(),
             explore: Vec::new(),
             fallback: Vec::new(),
             generation: 0,
@@ -110,7 +118,7 @@
             account,
         };
         table.add_ways(offer, streams, cfg);
-        table.solve(offer, cfg);
+        table.solve(offer, streams, cfg);
         table
     }
 
@@ -144,14 +152,13 @@
             return own;
         };
         let next = self.worth_alone(to, streams, cfg);
-        if next.exposure > 0.0 {
+        if streams[&self.ids[to]].phase != Phase::Proved {
             return own;
         }
         let blend = |own: f64, next: f64| own * (1.0 - share) + next * share;
         Worth {
             cost: blend(own.cost, next.cost),
             latency: blend(own.latency, next.latency),
-            exposure: own.exposure,
             quality: blend(own.quality, next.quality),
             deviation: blend(own.deviation, next.deviation),
         }
@@ -161,16 +168,11 @@
         let candidate = &self.candidates[index];
         let stream = &streams[&self.ids[index]];
         let estimate = stream.estimate(cfg);
-        let exposure = match stream.phase {
-            Phase::Proved => 0.0,
-            _ => SUSPECT_EXPOSURE,
-        };
         Worth {
             cost: candidate.cost.0 as f64,
             latency: candidate.latency.as_secs_f64(),
-            exposure,
             quality: estimate.mean(),
-            deviation: estimate.deviation(),
+            deviation: estimate.deviation_with(cfg.claim_ratings - cfg.prior_ratings),
         }
     }
 
@@ -187,7 +189,7 @@
         if stream.signalled() < SIGNAL_RATINGS {
             return;
         }
-        let escalated = self.escalated_worth(next, worth[next], streams, cfg);
+        let escalated = self.escalated_worth(next, worth[next], streams);
         for bin in 2..BINS {
             let worth = cascade_worth(stream, worth[first], escalated, bin, cfg);
             self.ways.push(scale.way(first, Some((next, bin)), worth));
@@ -195,24 +197,10 @@
     }
 
     /// Quality of a version on the requests that another was unsure of: harder ones.
-    fn escalated_worth(
-        &self,
-        next: usize,
-        direct: Worth,
-        streams: &Streams,
-        cfg: &Config,
-    ) -> Worth {
-        let candidate = &self.candidates[next];
-        let class = streams[&self.ids[next]]
-            .name
-            .as_ref()
-            .map(|name| &name.class);
-        let id = class.map(|class| StreamId::of(class, &candidate.version, true));
-        let stream = id.and_then(|id| streams.get(&id));
+    fn escalated_worth(&self, next: usize, direct: Worth, streams: &Streams) -> Worth {
+        let stream = streams.get(&self.escalated_ids[next]);
         let (good, bad) = stream.map_or((0.0, 0.0), |s| (s.faded.good(), s.faded.bad()));
-        let prior = direct.quality;
-        let estimate = crate::estimate::Estimate::new(prior, ESCALATED_PRIOR, good, bad);
-        debug_assert!(cfg.memory > 0.0);
+        let estimate = Estimate::new(direct.quality, ESCALATED_PRIOR, good, bad);
         Worth {
             quality: estimate.mean(),
             deviation: estimate.deviation(),
@@ -220,33 +208,30 @@
         }
     }
 
-    fn solve(&mut self, offer: &OfferTerms, cfg: &Config) {
+    fn solve(&mut self, offer: &OfferTerms, streams: &Streams, cfg: &Config) {
         let target = offer.target.get();
         let all: Vec<usize> = (0..self.ways.len()).collect();
         let single: Vec<usize> = self.fallback.clone();
+        let phase = |index: usize| streams[&self.ids[self.ways[index].first]].phase;
+        let proved = |index: &usize| phase(*index) == Phase::Proved;
+        let proved: Vec<usize> = single.iter().copied().filter(proved).collect();
         self.any = self.aimed(&all, target, cfg);
         self.direct = self.aimed(&single, target, cfg);
-        self.explore = self.worth_exploring(&single, target);
+        self.proved = self.aimed(&proved, target, cfg);
+        let unproved = |index: &usize| phase(*index) == Phase::Unproved;
+        self.trial = self.worth_trying(single.iter().copied().filter(unproved));
+        self.explore = self.worth_exploring(&proved, target);
     }
 
-    /// The cheapest mixture that clears the target by its own uncertainty, and makes good
-    /// what was served so far.
+    /// The cheapest mixture whose ways clear the target by their own uncertainty, and which
+    /// makes good what was served so far.
+    ///
+    /// Each way is held to its own lower bound: were the whole mixture held to the
+    /// uncertainty of the best guess's, one uncertain version would drive the choice to
+    /// other versions and never be rated.
     fn aimed(&self, among: &[usize], target: f64, cfg: &Config) -> Option<Mixture> {
-        let plain = self.mixture(among, target, 0.0)?;
-        let deviation = self.deviation_of(&plain);
-        let aim = target + cfg.confidence * deviation;
-        let corrected = (aim + self.correction(aim)).max(target);
-        self.mixture(among, corrected, 0.0)
-    }
-
-    /// Both options' shares are of the same requests, so their deviations add as variances.
-    fn deviation_of(&self, mixture: &Mixture) -> f64 {
-        if mixture.weak == mixture.strong {
-            return self.ways[mixture.strong].deviation;
-        }
-        let weak = (1.0 - mixture.strong_share) * self.ways[mixture.weak].deviation;
-        let strong = mixture.strong_share * self.ways[mixture.strong].deviation;
-        weak.hypot(strong)
+        let aim = (target + self.correction(target, cfg)).max(target);
+        self.mixture(among, aim, -cfg.confidence)
     }
 
     fn mixture(&self, among: &[usize], target: f64, optimism: f64) -> Option<Mixture> {
@@ -266,22 +251,21 @@
         })
     }
 
-    /// How far to move the aim for what was served below or above it.
-    fn correction(&self, aim: f64) -> f64 {
-        let deficit: f64 = self
-            .ways
-            .iter()
-            .map(|way| {
-                let served = self.account.get(&self.key(way)).copied().unwrap_or(0.0);
-                served * (aim - way.quality)
-            })
-            .sum();
-        (deficit / ACCOUNT_WINDOW).clamp(-LARGEST_CORRECTION, LARGEST_CORRECTION)
+    /// Unproved versions cheaper than the strongest in use: they may serve in a mixture
+    /// or begin a cascade.
+    fn worth_trying(&self, unproved: impl Iterator<Item = usize>) -> Vec<usize> {
+        let Some(present) = self.direct else {
+            return Vec::new();
+        };
+        let dearest = self.ways[present.strong].score;
+        let cheaper = |index: &usize| self.ways[*index].score < dearest;
+        unproved.filter(cheaper).collect()
     }
 
-    /// Versions that would make the mixture cheaper if they were as good as they may be.
-    fn worth_exploring(&self, single: &[usize], target: f64) -> Vec<usize> {
-        let Some(present) = self.mixture(single, target, 0.0) else {
+    /// Proved versions out of use that would make the mixture cheaper were they as good as
+    /// they may be.
+    fn worth_exploring(&self, proved: &[usize], target: f64) -> Vec<usize> {
+        let Some(present) = self.direct else {
             return Vec::new();
         };
         let score = present.average(|index| self.ways[index].score);
@@ -294,10 +278,27 @@
             let hoped = hopeful.average(|index| self.ways[index].score);
             uses && hoped < score * (1.0 - WORTH_EXPLORING)
         };
-        let others = single
-            .iter()
-            .filter(|index| **index != present.weak && **index != present.strong);
-        others.copied().filter(promises).collect()
+        let idle = |index: &&usize| **index != present.weak && **index != present.strong;
+        let idle = proved.iter().filter(idle);
+        idle.copied().filter(promises).collect()
+    }
+
+    /// Whether versions that are not proved are held to their budgets.
+    ///
+    /// Until the proved ones meet the target by themselves, as in a fleet that has just
+    /// started, there is nothing safer to serve from than what the catalogue claims.
+    pub(crate) fn budgets_bind(&self) -> bool {
+        self.proved.is_some_and(|mixture| mixture.met)
+    }
+
+    /// How far to move the aim for what was served below or above it.
+    fn correction(&self, target: f64, cfg: &Config) -> f64 {
+        let deficit = |way: &Way| {
+            let served = self.account.get(&self.key(way)).copied().unwrap_or(0.0);
+            served * (target - way.quality + cfg.confidence * way.deviation)
+        };
+        let deficit: f64 = self.ways.iter().map(deficit).sum();
+        (deficit / ACCOUNT_WINDOW).clamp(-LARGEST_CORRECTION, LARGEST_CORRECTION)
     }
 
     pub(crate) fn key(&self, way: &Way) -> WayKey {
@@ -345,22 +346,20 @@
     Worth {
         cost: own.cost + passed_on * next.cost,
         latency: own.latency + passed_on * next.latency,
-        exposure: own.exposure.max(next.exposure),
         quality: quality + passed_on * next.quality,
         deviation: (variance + (passed_on * next.deviation).powi(2)).sqrt(),
     }
 }
 
-/// Brings money, time and exposure to one scale by the offer's weights.
+/// Brings money and time to one scale by the offer's weights.
 struct Scale {
     cost: f64,
     latency: f64,
-    exposure: f64,
 }
 
 impl Scale {
     fn new(offer: &OfferTerms, worth: &[Worth]) -> Self {
-        let weights = offer.cost_weight + offer.latency_weight + offer.exposure_weight;
+        let weights = offer.cost_weight + offer.latency_weight;
         let unit = 1.0 / weights.max(f64::MIN_POSITIVE);
         let most = |figure: fn(&Worth) -> f64| {
             let all = worth.iter().map(figure);
@@ -369,13 +368,11 @@
         Self {
             cost: offer.cost_weight * unit / most(|worth| worth.cost),
             latency: offer.latency_weight * unit / most(|worth| worth.latency),
-            exposure: offer.exposure_weight * unit,
         }
     }
 
     fn way(&self, first: usize, next: Option<(usize, usize)>, worth: Worth) -> Way {
-        let score =
-            self.cost * worth.cost + self.latency * worth.latency + self.exposure * worth.exposure;
+        let score = self.cost * worth.cost + self.latency * worth.latency;
         Way {
             first,
             next,
