--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -22,6 +22,8 @@
     Rollout(Rollout),
     /// Every experiment, as one page.
     Report(ReportPage),
+    /// Cost and quality of the choice of version.
+    Cascade(Cascade),
     /// Bad answers before a bad version is suspended.
     BadVersion(BadVersion),
     /// Choice of upstream beside simpler ways.
@@ -190,3 +192,21 @@
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
 }
+
+/// Cost at the quality target, beside simpler ways and an oracle.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cascade")]
+pub struct Cascade {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// requests in each arm
+    #[argh(option, default = "60_000")]
+    pub requests: usize,
+}
