Compare bills with answers in bench faults

Cause: 'billed exactly once' was not counted. Change: the export of GET /bills is compared with each customer's whole answers.

--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -5,6 +5,7 @@
 //! from the stand-ins' own records and compared with what callers were told.
 
 mod balancer;
+mod bills;
 mod caller;
 mod fleet;
 mod mix;
--- a/bench/src/cmd/faults/oracle.rs
+++ b/bench/src/cmd/faults/oracle.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::bills;
 use super::caller::{End, OneCall, Told};
 use super::fleet::Fleet;
 use super::mix::Kind;
@@ -27,6 +28,10 @@
     false_not_run: u64,
     cut_without_kill: u64,
     moved_sessions: u64,
+    /// Requests that must be billed once; nothing when the export could not be had.
+    billable: u64,
+    not_billed: Option<u64>,
+    billed_twice: Option<u64>,
     /// Calls by how they ended, without those that were answered.
     ends: BTreeMap<String, u64>,
 }
@@ -41,6 +46,8 @@
             + self.false_not_run
             + self.cut_without_kill
             + self.moved_sessions
+            + self.not_billed.unwrap_or(0)
+            + self.billed_twice.unwrap_or(0)
     }
 
     /// Notes all as figures.
@@ -61,6 +68,7 @@
             ("false_not_run", self.false_not_run),
             ("cut_without_kill", self.cut_without_kill),
             ("moved_sessions", self.moved_sessions),
+            ("billable", self.billable),
         ];
         for (figure, count) in counts {
             report.note(arm, figure, count as f64);
@@ -68,6 +76,15 @@
         for (end, count) in &self.ends {
             report.note(arm, &format!("call_{end}"), *count as f64);
         }
+        let bills = [
+            ("not_billed", self.not_billed),
+            ("billed_twice", self.billed_twice),
+        ];
+        for (figure, count) in bills {
+            if let Some(count) = count {
+                report.note(arm, figure, count as f64);
+            }
+        }
         let first = share(self.idempotent_answered_first, self.idempotent);
         report.note(arm, "idempotent_success_first_call", first);
         let all = share(self.idempotent_answered, self.idempotent);
@@ -126,9 +143,39 @@
         }
     }
     counts.moved_sessions = moved_sessions(told);
+    count_bills(&mut counts, fleet, told, &ran);
     Ok(counts)
 }
 
+/// Compares the bills of each customer with its answers. Work that ran but whose answer its
+/// caller never saw whole may be billed or not; all other answers are billed exactly once.
+fn count_bills(counts: &mut Counts, fleet: &Fleet, told: &[Told], ran: &Ran) {
+    let mut answered = BTreeMap::<&str, u64>::new();
+    let mut doubtful = BTreeMap::<&str, u64>::new();
+    for request in told.iter().filter(|t| !t.wanted.kind.is_plain()) {
+        let customer = request.wanted.customer.as_str();
+        if request.is_answered() {
+            *answered.entry(customer).or_default() += 1;
+        } else if ran.of(request) > 0 {
+            *doubtful.entry(customer).or_default() += 1;
+        }
+    }
+    counts.billable = answered.values().sum();
+    let Some(billed) = bills::billed(fleet) else {
+        eprintln!("faults: the bills can't be read from the operators' API");
+        return;
+    };
+    let (mut missing, mut extra) = (0, 0);
+    for (customer, answered) in &answered {
+        let billed = billed.get(*customer).copied().unwrap_or(0);
+        let most = answered + doubtful.get(customer).copied().unwrap_or(0);
+        missing += answered.saturating_sub(billed);
+        extra += billed.saturating_sub(most);
+    }
+    counts.not_billed = Some(missing);
+    counts.billed_twice = Some(extra);
+}
+
 fn add(counts: &mut Counts, told: &Told, ran: &Ran, troubles: &[Trouble]) {
     let kind = told.wanted.kind;
     let is_answered = told.is_answered();
