--- a/bench/src/cmd/overhead.rs
+++ b/bench/src/cmd/overhead.rs
@@ -21,12 +21,13 @@
 const THROUGH: &str = "through";
 const ADDED: &str = "added";
 const RATIO: &str = "ratio";
+const MACHINE: &str = "machine";
 
 /// Modest rate of short requests a second.
 const MODEST_RATE: f64 = 200.0;
 const MODEST_WORKERS: usize = 64;
 /// Turns that the two arms take at the modest rate.
-const TURNS: u64 = 4;
+const TURNS: u64 = 8;
 const SHORT_WORKERS: usize = 96;
 const STREAM_WORKERS: usize = 600;
 const STREAM_TOKENS: u32 = 200;
@@ -36,6 +37,7 @@
 pub fn run(options: &Overhead) -> eyre::Result<Report> {
     let mut report = Report::new("overhead", options.seed);
     let length = Duration::from_secs_f64(options.seconds);
+    note_machine(&mut report);
     let setup = Setup::start(&setup::quick_engine())?;
     modest(&setup, options.seed, length, &mut report)?;
     most_requests(&setup, length, &mut report)?;
@@ -47,6 +49,15 @@
     Ok(report)
 }
 
+/// How busy the machine was with other work, by which the latencies are to be judged.
+fn note_machine(report: &mut Report) {
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load = load.split_whitespace().next().and_then(|n| n.parse().ok());
+    report.note(MACHINE, "load_before", load.unwrap_or(f64::NAN));
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    report.note(MACHINE, "cores", cores as f64);
+}
+
 /// An arm with the addresses that its workers use in turn.
 struct Arm {
     name: &'static str,
