Let a foreign whole answer show by its id, and the stand-in engine rest while it stalls

And a stalled or late request at an engine without token time kept its thread spinning. Change: such an answer carries the other id; the next tick is that of a request which goes on.

--- a/components/engine/tests/attempts.rs
+++ b/components/engine/tests/attempts.rs
@@ -252,7 +252,12 @@
     // A principal reads another school's brief: the engine answered on the wrong
     // connection, at once or in the middle of a stream. The echoed id tells.
     let engine = start();
-    for fault in [EngineFault::Crossed, EngineFault::CrossedBody] {
+    let crossed = [
+        EngineFault::Crossed,
+        EngineFault::CrossedBody,
+        EngineFault::CrossedAfter(2),
+    ];
+    for fault in crossed {
         let error = failed(&engine, fault);
         assert!(matches!(error, AttemptError::Crossed { delivered: 0, .. }));
     }
--- a/components/standins/src/engine/batch.rs
+++ b/components/standins/src/engine/batch.rs
@@ -33,6 +33,12 @@
     done: u32,
 }
 
+impl Running {
+    fn is_stalled(&self) -> bool {
+        self.job.stall_after.is_some_and(|n| self.done >= n)
+    }
+}
+
 /// Something that happened to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Event {
@@ -101,8 +107,13 @@
     /// When the next tick is due; nothing while no request is there.
     pub(super) fn next_tick(&self) -> Option<Time> {
         let deadline = self.waiting.values().map(|job| job.deadline).min();
-        let step = (!self.running.is_empty()).then_some(self.next_step);
-        deadline.into_iter().chain(step).min()
+        // Not for a request that stalled or still reads its prompt: the thread would spin.
+        let going = self
+            .running
+            .values()
+            .filter(|running| !running.is_stalled());
+        let step = going.map(|running| running.ready.max(self.next_step));
+        deadline.into_iter().chain(step.min()).min()
     }
 
     fn step_time(&self, pace: Pace) -> Span {
@@ -136,8 +147,7 @@
     fn step(&mut self, now: Time, events: &mut Vec<Event>) {
         let mut finished = Vec::new();
         for (id, running) in &mut self.running {
-            let stalled = running.job.stall_after.is_some_and(|n| running.done >= n);
-            if stalled || !now.has_reached(running.ready) {
+            if running.is_stalled() || !now.has_reached(running.ready) {
                 continue;
             }
             running.done += 1;
--- a/components/standins/src/engine/config.rs
+++ b/components/standins/src/engine/config.rs
@@ -124,6 +124,12 @@
         matches!(self, Self::Crossed | Self::CrossedBody)
     }
 
+    /// Whether the body of an answer that is not streamed is another request's. An answer
+    /// with our id and a foreign text could not be told from our own.
+    pub(super) fn crosses_body(self) -> bool {
+        self.is_crossed() || matches!(self, Self::CrossedAfter(_))
+    }
+
     /// Tokens after which nothing more comes.
     pub(super) fn stall_after(self) -> Option<u32> {
         match self {
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -73,6 +73,12 @@
         self.shared.lock().running()
     }
 
+    /// Requests that wait for a slot now.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.shared.lock().waiting()
+    }
+
     /// Every run so far, up to the configured number.
     #[must_use]
     pub fn runs(&self) -> Vec<RunRecord> {
@@ -205,7 +211,7 @@
             EngineFault::RefuseAfterRun => return Some(refuse(503, "failed", false)),
             _ => {}
         }
-        let echo = if fault.is_crossed() {
+        let echo = if fault.crosses_body() {
             OTHER_REQUEST
         } else {
             attempt
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -205,3 +205,46 @@
     assert!(seqs.clone().all(|seq| seq % 3 != 0));
     assert!(events.iter().any(|e| e["kind"] == "evicted"));
 }
+
+#[test]
+fn can_serve_interactive_work_first() {
+    let engine = Engine::start(EngineConfig {
+        slots: 1,
+        ..config()
+    })
+    .unwrap();
+    engine.fail_next(EngineFault::Stall(1));
+    let stalled = ask(&engine, &chat(true)).unwrap();
+    std::thread::scope(|scope| {
+        for (tag, priority) in [("batch", 1), ("person", 0)] {
+            let mut body = chat(false);
+            body["messages"][0]["content"] = json!(tag);
+            body["priority"] = json!(priority);
+            let engine = &engine;
+            scope.spawn(move || ask(engine, &body).unwrap());
+            while engine.waiting() < 2 - priority {
+                std::thread::sleep(std::time::Duration::from_millis(1));
+            }
+        }
+        drop(stalled);
+    });
+    let tags = engine.runs().into_iter().map(|run| run.tag);
+    assert_eq!(tags.collect::<Vec<_>>(), ["tag-1", "person", "batch"]);
+}
+
+#[test]
+fn errors_when_work_waits_past_its_deadline() {
+    let engine = Engine::start(EngineConfig {
+        slots: 1,
+        ..config()
+    })
+    .unwrap();
+    engine.fail_next(EngineFault::Stall(1));
+    let _stalled = ask(&engine, &chat(true)).unwrap();
+    let url = format!("http://{}/v1/chat/completions", engine.address());
+    let request = attohttpc::post(url).header("X-Deadline-Ms", "30");
+    let refused = request.json(&chat(true)).unwrap().send().unwrap();
+    assert_eq!(refused.status().as_u16(), 503);
+    assert_eq!(refused.headers()["x-not-run"], "true");
+    assert_eq!(engine.counters().runs, 1);
+}
