Make joins quick and the budget plain

Cause: daemons that start together formed an island round each seed until the first look at missing seeds after 10 s; own facts were paced although the queue of changes already coalesces them. Change: everyone joins by a seed at first in any case; the digest hurries while it brings unknown members; repairs have a budget of their own; no pacing.

--- a/components/membership/src/config.rs
+++ b/components/membership/src/config.rs
@@ -74,6 +74,11 @@
     pub rate: u64,
     /// Bytes saved up at most while quiet.
     pub burst: u64,
+    /// Bytes a second for digests, repairs and pages of members, which are few while
+    /// the fleet is at rest and many when it starts or a cut heals.
+    pub repair_rate: u64,
+    /// Of these saved up at most while quiet.
+    pub repair_burst: u64,
     /// Largest message in bytes.
     pub message: usize,
 }
@@ -83,6 +88,8 @@
         Self {
             rate: 1_400,
             burst: 8_192,
+            repair_rate: 512,
+            repair_burst: 65_536,
             message: 4_096,
         }
     }
@@ -107,10 +114,6 @@
         }
     }
 
-    pub(crate) fn set_rate(&mut self, rate: f64) {
-        self.rate = rate;
-    }
-
     pub(crate) fn fill(&mut self, now: Time) {
         let gained = self.rate * now.since(self.filled_at).as_secs_f64();
         self.bytes = (self.bytes + gained).min(self.burst);
@@ -122,11 +125,6 @@
         self.bytes.max(0.0) as usize
     }
 
-    /// How far overdrawn, in bytes.
-    pub(crate) fn debt(&self) -> f64 {
-        (-self.bytes).max(0.0)
-    }
-
     pub(crate) fn spend(&mut self, bytes: usize) {
         self.bytes -= bytes as f64;
     }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -1,6 +1,6 @@
 //! The membership of one daemon: its tables, and what others may ask of them.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use crate::fact::{Fact, PublishError, Topic};
 use crate::member::{Member, MemberTable, Stamp, State};
 use crate::message::{Envelope, MAX_ATTACHMENT_BYTES, MemberRecord};
-use crate::origin::{FactKey, OriginId, OriginTable};
+use crate::origin::{OriginId, OriginTable};
 use crate::probe::Prober;
 use crate::repair::Cursor;
 use crate::rumor::{Rumors, Subject, Urgency};
@@ -26,8 +26,6 @@
 const URGENT_TIMES: u8 = 13;
 /// Times that any other fact is told by each daemon.
 const FACT_TIMES: u8 = 3;
-/// Bytes of new facts that a daemon saves up while it says nothing.
-const ISSUE_BURST: f64 = 1_024.0;
 
 /// What happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -121,8 +119,6 @@
     pub facts: usize,
     /// Changes still to be told.
     pub rumors: usize,
-    /// Own facts that wait for their turn.
-    pub waiting: usize,
 }
 
 /// Moments of the next periodic actions.
@@ -148,9 +144,7 @@
     schedule: Schedule,
     pub(crate) cursor: Cursor,
     allowance: Allowance,
-    issue: Allowance,
-    waiting: VecDeque<FactKey>,
-    waiting_keys: BTreeSet<FactKey>,
+    repairs: Allowance,
     own_seq: u64,
     attachment: Bytes,
     ticked_at: Option<Time>,
@@ -175,7 +169,7 @@
         let budget = &cfg.budget;
         let mut membership = Self {
             allowance: Allowance::new(budget.rate as f64, budget.burst as f64),
-            issue: Allowance::new(budget.rate as f64, ISSUE_BURST),
+            repairs: Allowance::new(budget.repair_rate as f64, budget.repair_burst as f64),
             me,
             cfg,
             members: MemberTable::default(),
@@ -184,8 +178,6 @@
             prober: Prober::default(),
             schedule: Schedule::default(),
             cursor: Cursor::catching_up(),
-            waiting: VecDeque::new(),
-            waiting_keys: BTreeSet::new(),
             own_seq: 0,
             attachment: Bytes::new(),
             ticked_at: None,
@@ -232,7 +224,6 @@
             origins: self.origins.len(),
             facts: self.origins.fact_count(),
             rumors: self.rumors.len(),
-            waiting: self.waiting.len(),
         }
     }
 
--- a/components/membership/src/membership/news.rs
+++ b/components/membership/src/membership/news.rs
@@ -139,8 +139,18 @@
 
     /// Puts a message on the way and takes it from the budget.
     pub(crate) fn send(&mut self, to: SocketAddr, message: Message, outcome: &mut Outcome) {
+        self.allowance.spend(message.wire_len());
+        self.put(to, message, outcome);
+    }
+
+    /// Puts a message on the way and takes it from the budget of repairs.
+    pub(crate) fn send_repair(&mut self, to: SocketAddr, message: Message, outcome: &mut Outcome) {
+        self.repairs.spend(message.wire_len());
+        self.put(to, message, outcome);
+    }
+
+    fn put(&mut self, to: SocketAddr, message: Message, outcome: &mut Outcome) {
         let bytes = message.wire_len();
-        self.allowance.spend(bytes);
         self.counters.bytes_sent += bytes as u64;
         self.counters.messages_sent += 1;
         outcome.send.push(Envelope { to, message });
--- a/components/membership/src/membership/publish.rs
+++ b/components/membership/src/membership/publish.rs
@@ -1,23 +1,20 @@
-//! What this daemon itself says, and how much of it goes out.
+//! What this daemon itself says.
 
 use bytes::Bytes;
 use types::prelude::*;
 
 use super::{FACT_TIMES, Membership, URGENT_TIMES};
 use crate::fact::{MAX_FACTS_PER_ORIGIN, PublishError, Topic, check};
-use crate::message::{FactGroup, GROUP_ORIGIN, SharedFact};
+use crate::message::SharedFact;
 use crate::origin::{FactKey, OriginId};
 use crate::rumor::{Subject, Urgency};
 
-/// Part of the budget that goes to daemons' own new facts.
-const FACT_SHARE: f64 = 0.7;
-/// How often a daemon receives one change, as measured by `bench membership`.
-const REDUNDANCY: f64 = 2.0;
 impl Membership {
     /// Says a fact. An empty value retracts it.
     ///
     /// Urgent topics go out with the next [`Membership::flush`] or tick; others as the
-    /// budget allows, each key with its latest value only.
+    /// budget allows, always with the latest value: when facts change faster than the
+    /// budget carries them, values in between are left out.
     ///
     /// # Errors
     /// When a part is too long or there are too many keys.
@@ -54,12 +51,8 @@
 
     /// Queues an own fact for telling.
     fn announce(&mut self, id: OriginId, key: FactKey) {
-        if key.0.is_urgent() {
-            let subject = Subject::Fact(id, key);
-            self.rumors.add(subject, Urgency::Urgent, URGENT_TIMES);
-        } else if self.waiting_keys.insert(key.clone()) {
-            self.waiting.push_back(key);
-        }
+        let (urgency, times) = urgency_of(key.0);
+        self.rumors.add(Subject::Fact(id, key), urgency, times);
     }
 
     /// Queues every own fact for telling, after others may have dropped them.
@@ -71,37 +64,12 @@
             self.announce(id.clone(), key);
         }
     }
-
-    /// Lets own facts go as far as this daemon's part of the fleet's bytes allows.
-    ///
-    /// Every change reaches every daemon, so what one may say falls with their number.
-    /// Without this a large fleet's news would outgrow each daemon's budget and the
-    /// queues would be full of what has long been replaced.
-    pub(super) fn issue_waiting(&mut self, now: Time) {
-        let share = FACT_SHARE / (REDUNDANCY * self.fleet_size() as f64);
-        self.issue.set_rate(self.cfg.budget.rate as f64 * share);
-        self.issue.fill(now);
-        let id = self.my_origin();
-        while self.issue.available() > 0 {
-            let Some(key) = self.waiting.pop_front() else {
-                return;
-            };
-            self.waiting_keys.remove(&key);
-            let Some(held) = self.origins.held(&id, &key) else {
-                continue;
-            };
-            self.issue.spend(issue_cost(&key, &held.value));
-            let subject = Subject::Fact(id.clone(), key);
-            self.rumors.add(subject, Urgency::Normal, FACT_TIMES);
-        }
-    }
 }
 
-/// Bytes that one fact takes on the wire. Progress is mostly told in groups, since most
-/// daemons say the same.
-fn issue_cost(key: &FactKey, value: &Bytes) -> usize {
-    match key.0 {
-        Topic::Progress => GROUP_ORIGIN,
-        _ => FactGroup::head_len(&key.1, value) + GROUP_ORIGIN,
+/// How soon and how often facts on a topic are told.
+pub(super) fn urgency_of(topic: Topic) -> (Urgency, u8) {
+    match topic.is_urgent() {
+        true => (Urgency::Urgent, URGENT_TIMES),
+        false => (Urgency::Normal, FACT_TIMES),
     }
 }
--- a/components/membership/src/membership/receive.rs
+++ b/components/membership/src/membership/receive.rs
@@ -7,10 +7,6 @@
 use crate::member::State;
 use crate::message::{MemberRecord, Message, News, Sender};
 
-/// Debt of bytes beyond which pages and repairs are not answered, so that many daemons
-/// that join at once, or one that asks without end, cannot draw more than this.
-const MAX_DEBT: f64 = 65_536.0;
-
 impl Membership {
     /// Takes a message from an authenticated sender.
     pub fn receive(
@@ -25,6 +21,7 @@
             return outcome;
         }
         self.allowance.fill(now);
+        self.repairs.fill(now);
         let had_urgent = self.rumors.has_urgent();
         let replies = matches!(message, Message::Probe { .. });
         self.dispatch(now, from, message, rng, &mut outcome);
@@ -105,9 +102,13 @@
                 origins,
                 wanted,
             } => {
+                let known = self.members.present();
                 for record in &members {
                     self.take_record(now, record, rng, outcome);
                 }
+                if self.members.present() > known {
+                    self.cursor.note_newcomers();
+                }
                 for theirs in &origins {
                     self.take_origin(now, theirs, outcome);
                 }
@@ -194,7 +195,7 @@
 
     /// Sends members after one, as many as fit a message.
     fn send_page(&mut self, from: &Sender, after: Option<&DaemonId>, outcome: &mut Outcome) {
-        if self.allowance.debt() > MAX_DEBT {
+        if !self.may_repair() {
             return;
         }
         let mut members = Vec::new();
@@ -216,7 +217,7 @@
             room -= bytes;
             members.push(record.clone());
         }
-        self.send(from.address, Message::Page { members, next }, outcome);
+        self.send_repair(from.address, Message::Page { members, next }, outcome);
     }
 
     /// The later run of the sender's name that this daemon remembers.
@@ -226,7 +227,10 @@
     }
 
     /// Whether pages and repairs are answered now.
+    ///
+    /// Many daemons that join at once, or one that asks without end, must not draw more
+    /// than the budget of repairs; they try again.
     pub(crate) fn may_repair(&self) -> bool {
-        self.allowance.debt() <= MAX_DEBT
+        self.repairs.available() > 0
     }
 }
--- a/components/membership/src/membership/report.rs
+++ b/components/membership/src/membership/report.rs
@@ -3,13 +3,14 @@
 use rand::Rng;
 use types::prelude::*;
 
-use super::{Event, FACT_TIMES, Membership, Outcome, URGENT_TIMES};
+use super::publish::urgency_of;
+use super::{Event, Membership, Outcome};
 use crate::member::{Change, State};
 use crate::message::{FactGroup, MemberNews, MemberRecord, News, OriginFacts, SharedFact};
 use crate::origin::{OriginId, Taken};
 use crate::rumor::{Subject, Urgency};
 
-/// Times that a change of a member is told, besides the logarithm of the fleet's size.
+/// Times that a newcomer is told.
 const MEMBER_TIMES: u32 = 3;
 /// Suspicion is as configured in a fleet of this size.
 const SUSPICION_FLEET: f64 = 10.0;
@@ -175,9 +176,14 @@
     }
 
     /// Queues what is known of a member for telling.
+    ///
+    /// Deaths and refutations are short and race a suspicion's end, so they are told more
+    /// often than newcomers, whose records are long and whom the digest brings too.
     pub(super) fn tell_member(&mut self, id: DaemonId) {
-        let times = MEMBER_TIMES + self.fleet_size().ilog2();
-        let times = u8::try_from(times).unwrap_or(u8::MAX);
+        let held = self.members.get(&id).map_or(&self.me, |m| &m.record);
+        let is_new = held.state == State::Alive && held.stamp.refutation == 0;
+        let more = if is_new { 0 } else { self.fleet_size().ilog2() };
+        let times = u8::try_from(MEMBER_TIMES + more).unwrap_or(u8::MAX);
         self.rumors.add(Subject::Member(id), Urgency::Member, times);
     }
 
@@ -252,10 +258,7 @@
         match self.origins.take(now, id, fact) {
             Taken::New => {
                 self.counters.facts_new += 1;
-                let (urgency, times) = match fact.topic.is_urgent() {
-                    true => (Urgency::Urgent, URGENT_TIMES),
-                    false => (Urgency::Normal, FACT_TIMES),
-                };
+                let (urgency, times) = urgency_of(fact.topic);
                 if tell || fact.topic.is_urgent() {
                     self.rumors.add(subject(), urgency, times);
                 }
--- a/components/membership/src/membership/tick.rs
+++ b/components/membership/src/membership/tick.rs
@@ -14,6 +14,8 @@
 const JOIN_RETRY: Span = Span::from_millis(500);
 /// Joining is tried at least this often.
 const JOIN_RETRY_MAX: Span = Span::from_secs(10);
+/// Joins made whoever is known.
+const FIRST_JOINS: u32 = 3;
 /// Tables are tidied this often.
 const TIDY: Span = Span::from_secs(1);
 
@@ -22,8 +24,8 @@
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Outcome {
         let mut outcome = Outcome::default();
         self.allowance.fill(now);
+        self.repairs.fill(now);
         self.notice_pause(now);
-        self.issue_waiting(now);
         self.knock(now, &mut outcome);
         self.bury(now, rng, &mut outcome);
         self.probe(now, rng, &mut outcome);
@@ -179,7 +181,7 @@
         self.schedule.repair_at = now + pause;
         for peer in self.random_peers(1, None, rng) {
             let digest = self.next_digest();
-            self.send(peer.address, Message::Digest(digest), outcome);
+            self.send_repair(peer.address, Message::Digest(digest), outcome);
         }
     }
 
@@ -224,9 +226,14 @@
             .collect()
     }
 
-    /// Asks a seed for the members while none is known.
+    /// Asks a seed for the members while none is known, and at first in any case.
+    ///
+    /// Daemons that start together would otherwise form an island around each seed: the
+    /// seeds themselves know somebody already and would not ask each other.
     fn join(&mut self, now: Time, rng: &mut impl Rng, outcome: &mut Outcome) {
-        if self.members.present() > 0 || !now.has_reached(self.schedule.join_at) {
+        let is_lonely = self.members.present() == 0;
+        let is_new = self.schedule.join_tries < FIRST_JOINS;
+        if !(is_lonely || is_new) || !now.has_reached(self.schedule.join_at) {
             return;
         }
         let tries = self.schedule.join_tries.min(16);
--- a/components/membership/src/repair.rs
+++ b/components/membership/src/repair.rs
@@ -12,24 +12,41 @@
 /// Own origins compared with one digest; a peer that knows far fewer gets the rest later.
 const MAX_COMPARED: usize = 4 * PAGE;
 
+/// Rounds of the digest that must bring no unknown member before it slows down.
+const HURRY_ROUNDS: u32 = 4;
+
 /// Where the next digest begins.
 #[derive(Debug)]
 pub(crate) struct Cursor {
     after: Option<OriginId>,
-    catching_up: bool,
+    /// Rounds left in a hurry.
+    hurry: u32,
 }
 
 impl Cursor {
-    /// At the first origin, in a hurry until it has been round once.
+    /// At the first origin, in a hurry until a few rounds bring no member that was unknown.
     pub(crate) fn catching_up() -> Self {
         Self {
             after: None,
-            catching_up: true,
+            hurry: HURRY_ROUNDS,
+        }
+    }
+
+    /// Notes that a repair brought members: others may lack them too, so hurry.
+    pub(crate) fn note_newcomers(&mut self) {
+        self.hurry = HURRY_ROUNDS;
+    }
+
+    /// Goes on after an origin, or from the first.
+    fn advance(&mut self, until: Option<OriginId>) {
+        if until.is_none() {
+            self.hurry = self.hurry.saturating_sub(1);
         }
+        self.after = until;
     }
 
     pub(crate) fn is_catching_up(&self) -> bool {
-        self.catching_up
+        self.hurry > 0
     }
 }
 
@@ -83,8 +100,7 @@
         let more = ids.len() > PAGE;
         ids.truncate(PAGE);
         let until = if more { ids.last().cloned() } else { None };
-        self.cursor.after = until.clone();
-        self.cursor.catching_up &= more;
+        self.cursor.advance(until.clone());
         let entries = ids.iter().map(|id| self.digest_entry(id)).collect();
         Digest {
             after,
@@ -121,7 +137,7 @@
         let unknown = theirs.values().filter(|entry| counts(entry));
         parts.wanted.extend(unknown.map(|entry| entry.origin));
         if !parts.is_empty() {
-            self.send(from.address, parts.into_message(), outcome);
+            self.send_repair(from.address, parts.into_message(), outcome);
         }
     }
 
@@ -171,7 +187,7 @@
             self.add(id, &mut parts);
         }
         if !parts.is_empty() {
-            self.send(from.address, parts.into_message(), outcome);
+            self.send_repair(from.address, parts.into_message(), outcome);
         }
     }
 }
--- a/components/peers/src/config.rs
+++ b/components/peers/src/config.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use sha2::{Digest, Sha256};
 use types::prelude::*;
 
 /// Shortest secret accepted, in bytes.
-pub const MIN_SECRET_BYTES: usize = 32;
+pub const MIN_SECRET_BYTES: usize = 16;
 
 /// Settings of the edge between daemons.
 #[derive(Debug, Clone)]
@@ -30,11 +31,21 @@
 #[derive(Clone, PartialEq, Eq)]
 pub struct Key {
     /// Tells it from others while keys are changed; the same on every daemon.
-    pub id: u8,
+    pub id: u16,
     /// At least [`MIN_SECRET_BYTES`] random bytes.
     pub secret: Bytes,
 }
 
+impl Key {
+    /// A key known to operators by a name; its id is made of that.
+    #[must_use]
+    pub fn named(name: &str, secret: Bytes) -> Self {
+        let hash = Sha256::digest(name.as_bytes());
+        let id = u16::from_le_bytes([hash[0], hash[1]]);
+        Self { id, secret }
+    }
+}
+
 impl fmt::Debug for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Key({}, hidden)", self.id)
@@ -48,16 +59,16 @@
     #[error("peer key {id} has {bytes} bytes; give at least {MIN_SECRET_BYTES} random bytes")]
     TooShort {
         /// The key.
-        id: u8,
+        id: u16,
         /// Its length.
         bytes: usize,
     },
     /// Two secrets under one id.
     #[error("peer key {0} is given twice; give each key an id of its own")]
-    Repeated(u8),
+    Repeated(u16),
     /// The key to send with is not among those given.
     #[error("peer key {0} is to be sent with, but is not among the keys")]
-    Unknown(u8),
+    Unknown(u16),
 }
 
 /// The keys that are accepted, and the one that is sent with.
@@ -67,7 +78,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Keys {
     accepted: Vec<Key>,
-    sending: u8,
+    sending: u16,
 }
 
 impl Keys {
@@ -75,7 +86,7 @@
     ///
     /// # Errors
     /// Says which key is at fault.
-    pub fn new(accepted: Vec<Key>, sending: u8) -> Result<Self, KeyError> {
+    pub fn new(accepted: Vec<Key>, sending: u16) -> Result<Self, KeyError> {
         for (place, key) in accepted.iter().enumerate() {
             if key.secret.len() < MIN_SECRET_BYTES {
                 return Err(KeyError::TooShort {
@@ -94,14 +105,14 @@
     }
 
     /// The secret of a key that is accepted.
-    pub(crate) fn secret(&self, id: u8) -> Option<&Bytes> {
+    pub(crate) fn secret(&self, id: u16) -> Option<&Bytes> {
         let key = self.accepted.iter().find(|key| key.id == id);
         key.map(|key| &key.secret)
     }
 
     /// The id of the key that is sent with.
     #[must_use]
-    pub fn sending(&self) -> u8 {
+    pub fn sending(&self) -> u16 {
         self.sending
     }
 }
--- a/components/peers/src/handle.rs
+++ b/components/peers/src/handle.rs
@@ -100,13 +100,15 @@
     Reconnect,
 }
 
+/// Takes what came in, or says that there is no room. Must not wait.
+pub(crate) type Sink = Box<dyn Fn(Inbound) -> bool + Send + Sync>;
+
 /// What the tasks of the peers' thread share.
-#[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) cluster: ClusterName,
     pub(crate) address: SocketAddr,
     pub(crate) counts: Arc<Counts>,
-    pub(crate) inbound: flume::Sender<Inbound>,
+    pub(crate) sink: Sink,
     me: DaemonId,
     incarnation: RwLock<Incarnation>,
     keys: RwLock<Arc<Keys>>,
@@ -134,12 +136,15 @@
 impl Peers {
     /// Listens and starts the thread. It ends when the last handle is gone.
     ///
-    /// What arrives is put into `inbound`, whose bound is the caller's; what finds no
-    /// room there is refused and counted.
+    /// What arrives is given to `sink`, which must not wait: it puts it into a bounded
+    /// queue, or says no when there is no room. That is refused and counted.
     ///
     /// # Errors
     /// When the address cannot be listened on or the thread cannot be made.
-    pub fn start(cfg: Config, inbound: flume::Sender<Inbound>) -> Result<Handle, PeersError> {
+    pub fn start(
+        cfg: Config,
+        sink: impl Fn(Inbound) -> bool + Send + Sync + 'static,
+    ) -> Result<Handle, PeersError> {
         let listen = |source| PeersError::Listen {
             address: cfg.listen,
             source,
@@ -151,7 +156,7 @@
             cluster: cfg.cluster,
             address: cfg.advertise.unwrap_or(local),
             counts: Arc::new(Counts::default()),
-            inbound,
+            sink: Box::new(sink),
             me: cfg.me,
             incarnation: RwLock::new(cfg.incarnation),
             keys: RwLock::new(Arc::new(cfg.keys)),
@@ -190,12 +195,18 @@
 }
 
 /// A handle of the peers' thread.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Handle {
     commands: flume::Sender<Command>,
     shared: Arc<Shared>,
 }
 
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Handle({}, {:?})", self.shared.address, self.stats())
+    }
+}
+
 impl Handle {
     /// Where other daemons reach this one.
     #[must_use]
--- a/components/peers/src/seal.rs
+++ b/components/peers/src/seal.rs
@@ -32,7 +32,7 @@
 /// A message with the proof of its sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Sealed {
-    key: u8,
+    key: u16,
     /// Unique on its connection.
     pub(crate) number: u32,
     /// A payload's bytes.
@@ -79,11 +79,12 @@
 }
 
 impl Ends {
-    fn mac(&self, secret: &[u8], what: Use, key: u8, number: u32, body: &[u8]) -> Hmac<Sha256> {
+    fn mac(&self, secret: &[u8], what: Use, key: u16, number: u32, body: &[u8]) -> Hmac<Sha256> {
         // HMAC takes keys of any length.
         #[expect(clippy::expect_used, reason = "HMAC takes keys of any length")]
         let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("any key length");
-        mac.update(&[what as u8, key]);
+        mac.update(&[what as u8]);
+        mac.update(&key.to_le_bytes());
         mac.update(&number.to_le_bytes());
         mac.update(&self.challenge);
         mac.update(&self.from.incarnation.0.to_le_bytes());
--- a/components/peers/src/server.rs
+++ b/components/peers/src/server.rs
@@ -38,7 +38,7 @@
 }
 
 /// The calls of one connection.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 struct Server {
     shared: Arc<Shared>,
     session: Arc<Mutex<Session>>,
@@ -175,8 +175,9 @@
     }
 
     fn hand_over(&self, inbound: Inbound) -> Result<(), Refusal> {
-        let handed = self.shared.inbound.try_send(inbound);
-        handed.map_err(|_| Refusal::Overloaded)?;
+        if !(self.shared.sink)(inbound) {
+            return Err(Refusal::Overloaded);
+        }
         self.shared.counts.received.add(1);
         Ok(())
     }
