--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use keyvalue::{Outcome, Request};
+use keyvalue::{CallError, Outcome, Request};
 use serde::Serialize;
 use types::prelude::*;
 
@@ -24,6 +24,8 @@
 pub struct Peer {
     /// Its name.
     pub id: DaemonId,
+    /// Its run.
+    pub incarnation: Incarnation,
     /// Where it stands.
     pub failure_domain: FailureDomain,
     /// The failure domain's region.
@@ -35,8 +37,6 @@
 pub struct Config {
     /// This daemon.
     pub me: Peer,
-    /// Its run.
-    pub incarnation: Incarnation,
     /// Prefix of the cluster's keys in the store.
     pub prefix: String,
     /// Unsealed charges of this daemon; past it new work is refused.
@@ -71,10 +71,9 @@
 impl Config {
     /// The defaults for a small fleet.
     #[must_use]
-    pub fn new(me: Peer, incarnation: Incarnation, prefix: &str) -> Self {
+    pub fn new(me: Peer, prefix: &str) -> Self {
         Self {
             me,
-            incarnation,
             prefix: prefix.to_owned(),
             capacity: 400_000,
             custody_capacity: 800_000,
@@ -175,7 +174,8 @@
     avoid: BTreeMap<DaemonId, Time>,
     /// Receipts not yet released and when they were given.
     waiting: VecDeque<(Receipt, Time)>,
-    calls: BTreeMap<CallId, call::Call>,
+    /// Calls under way and when their outcome is overdue.
+    calls: BTreeMap<CallId, (call::Call, Time)>,
     next_call: u64,
     roller: Roller,
     sweep: Sweep,
@@ -188,7 +188,7 @@
     pub fn new(cfg: Config) -> Self {
         let origin = Origin {
             daemon: cfg.me.id.clone(),
-            incarnation: cfg.incarnation,
+            incarnation: cfg.me.incarnation,
         };
         let keys = Keys::new(&cfg.prefix);
         let own = Journal::new(0, None);
@@ -239,7 +239,8 @@
         self.members = members.to_vec();
         self.avoid.retain(|_, until| !now.has_reached(*until));
         self.forget_settled(now);
-        let mut effects = self.flush(now);
+        let mut effects = self.expire_calls(now);
+        effects.extend(self.flush(now));
         effects.extend(self.seal_due(now, wall));
         effects.extend(self.roll_due(now, wall));
         effects.extend(self.sweep_due(now, wall));
@@ -254,7 +255,11 @@
                 sealed,
                 first,
                 charges,
-            } => self.on_hold(now, from, origin, sealed, first, &charges),
+                by,
+            } => {
+                let keeper = Keeper::new(from, by, now);
+                self.on_hold(keeper, origin, sealed, first, &charges)
+            }
             Message::Held {
                 origin,
                 upto,
@@ -274,15 +279,18 @@
         }
     }
 
-    /// When something is due, if no message or outcome comes before.
+    /// When [`Ledger::flush`] has something to do, if no message or outcome comes before.
+    /// After a flush it lies ahead.
     #[must_use]
     pub fn next_deadline(&self) -> Time {
         let journals = self.journals.values();
-        let due = journals.map(|journal| {
-            let replica = journal.replica.as_ref();
-            replica.map_or(Time::NEVER, |replica| replica.next_deadline(journal.end()))
+        let due = journals.filter_map(|journal| {
+            let replica = journal.replica.as_ref()?;
+            Some(replica.next_deadline(journal.end()))
         });
-        due.min().unwrap_or(Time::NEVER)
+        let release = self.waiting.front();
+        let release = release.map(|(_, since)| *since + self.cfg.alone_after);
+        due.chain(release).min().unwrap_or(Time::NEVER)
     }
 
     /// What it holds.
--- a/components/node/tests/it/serve.rs
+++ b/components/node/tests/it/serve.rs
@@ -1,9 +1,11 @@
 //! Requests from end to end.
 
 use standins::engine::EngineFault;
+use standins::hosts::HostState;
 use standins::platform::PlatformConfig;
+use types::prelude::*;
 
-use super::harness::{Harness, ask, events, json_of, text_of};
+use super::harness::{Harness, ask, events, json_of, text_of, wait_until};
 
 #[test]
 fn can_answer_whole() {
@@ -98,3 +100,54 @@
     assert_eq!(status.as_u16(), 502);
     assert_ne!(headers["x-run"], "no");
 }
+
+// A version is withdrawn while a request is at an engine, and the engine's host dies. The
+// request must not begin anew on the withdrawn version elsewhere. Cause: the retry used the
+// catalogue as it was when the request arrived.
+#[test]
+fn errors_of_engines_do_not_bring_a_withdrawn_version_back() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let engines = || harness.platform.engines.values();
+    let requests = || engines().map(|engine| engine.counters().requests);
+    for engine in engines() {
+        engine.set_faults(|faults| faults.delay = Span::from_secs(60));
+    }
+    let status = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| harness.chat(&ask("answers", false, 5)).status().as_u16());
+        wait_until(|| requests().sum::<u64>() == 1);
+        harness.withdraw_v1();
+        for engine in engines() {
+            engine.set_faults(|faults| faults.delay = Span::ZERO);
+            let is_busy = engine.counters().requests == 1;
+            engine.set_faults(|faults| faults.down = is_busy);
+        }
+        caller.join().unwrap()
+    });
+    assert_eq!(status, 503);
+    assert_eq!(requests().sum::<u64>(), 1);
+}
+
+// A worker is about to be replaced and still gets new requests, which die with it. Cause: the
+// list of hosts is not read, or read once.
+#[test]
+fn can_leave_out_an_upstream_that_the_list_has_as_leaving() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let leaving = &harness.platform.engines[&"e1".parse().unwrap()];
+    let hosts = &harness.platform.hosts;
+    // Prompts differ, lest all have one home by chance.
+    let mut asked = 0;
+    let mut requests_of_twenty = || {
+        let before = leaving.counters().requests;
+        for _ in 0..20 {
+            asked += 1;
+            let mut body = ask("answers", false, 5);
+            body["messages"][0]["content"] = format!("What may salon {asked} charge?").into();
+            let (status, _, reader) = harness.chat(&body).split();
+            assert_eq!(status.as_u16(), 200, "{}", json_of(reader));
+        }
+        leaving.counters().requests - before
+    };
+    hosts.set(leaving.address(), HostState::Leaving);
+    wait_until(|| requests_of_twenty() == 0);
+    assert_eq!(requests_of_twenty() + requests_of_twenty(), 0);
+}
--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -76,11 +76,13 @@
     counter: u64,
 }
 
-fn peer(index: usize) -> Peer {
+fn peer(index: usize, run: u64) -> Peer {
     Peer {
         id: Run(index, 0).daemon(),
+        incarnation: Incarnation(run),
         failure_domain: format!("domain-{}", index % 2).parse().unwrap(),
         region: "ernakulam".parse().unwrap(),
+        incarnation: Incarnation(run),
     }
 }
 
@@ -98,7 +100,7 @@
             run: Run(index, run),
             is_paused: false,
             slots: LeaseSlots::new(windows),
-            ledger: Ledger::new(Config::new(peer(index), Incarnation(run), PREFIX)),
+            ledger: Ledger::new(Config::new(peer(index, run), PREFIX)),
             budget: RetryBudget::new(Time::ZERO),
             served: BTreeMap::new(),
             settling: BTreeMap::new(),
@@ -112,7 +114,7 @@
     }
 
     pub(crate) fn peer(&self) -> Peer {
-        peer(self.run.0)
+        peer(self.run.0, self.run.1)
     }
 
     pub(crate) fn has_sealed_all(&self) -> bool {
@@ -288,7 +290,7 @@
             }
             ClaimStep::Duplicate(standing) => {
                 if served.has_caller {
-                    oracle.saw(call, repeat(standing, req));
+                    oracle.saw(call, repeat(standing));
                 }
                 Vec::new()
             }
@@ -527,7 +529,7 @@
 }
 
 /// What a repeat is told.
-fn repeat(standing: Standing, req: Request<Admitted>) -> Saw {
+fn repeat(standing: Standing) -> Saw {
     match standing {
         Standing::Recorded(recorded) => {
             let body = recorded.body.unwrap_or_default();
@@ -535,7 +537,7 @@
             Saw::Answer(text.split(' ').map(str::to_owned).collect())
         }
         Standing::Open => Saw::Refusal(Refusal::unknown(Code::OutcomeUnknown)),
-        Standing::Reused => Saw::Refusal(req.refuse(Code::IdReused).refusal()),
+        Standing::Reused => Saw::Refusal(Refusal::unknown(Code::IdReused)),
     }
 }
 
@@ -547,7 +549,7 @@
             EngineReply::RefusedNotRun => return AttemptEnd::RefusedNotRun { retry_after: None },
             EngineReply::Reset => return AttemptEnd::Unknown(Doubt::Reset),
             EngineReply::TimedOut => return AttemptEnd::Unknown(Doubt::TimedOut),
-            EngineReply::Error => return AttemptEnd::UpstreamError(500),
+            EngineReply::Error(status) => return AttemptEnd::UpstreamError(status),
             EngineReply::Tokens {
                 echo,
                 tokens,
