--- a/components/catalogue/src/sync/freshness.rs
+++ b/components/catalogue/src/sync/freshness.rs
@@ -10,7 +10,11 @@
 
 use crate::entry::{Freshness, PastLimit};
 use crate::sync::message::Told;
-use crate::sync::{Message, Sync};
+use crate::sync::{MAX_HEARD, Message, Sync};
+
+/// What is in reach counts for so long. Guards against a process that was paused and
+/// goes on serving by what it found before.
+const REACH_HOLDS: Span = Span::from_secs(3);
 
 /// A larger fleet is remembered for so long.
 const FLEET_MEMORY: Span = Span::from_secs(600);
@@ -31,6 +35,8 @@
     pub reached: usize,
     /// Whether the store answered any of them lately.
     pub touches_store: bool,
+    /// When this was found.
+    pub at: Time,
 }
 
 impl Reach {
@@ -50,8 +56,10 @@
         /// The limit's end, by this daemon's clock.
         until: Time,
     },
-    /// Past its limit and served as known.
+    /// Past its limit and served as known, until then.
     ServeKnown {
+        /// When it is to be decided anew, by this daemon's clock.
+        until: Time,
         /// Why it may be.
         reason: String,
     },
@@ -66,36 +74,41 @@
 /// last known to be current.
 #[must_use]
 pub fn decide(now: Time, rule: &Freshness, confirmed: Option<Time>, reach: Reach) -> Decision {
-    let Some(confirmed) = confirmed else {
-        let reason = "no catalogue was confirmed yet".to_owned();
-        return Decision::Refuse { reason };
-    };
-    let until = confirmed + rule.limit;
+    let until = confirmed.map_or(Time::ZERO, |at| at + rule.limit);
     if !now.has_reached(until) {
         return Decision::InForce { until };
     }
-    let age = now.since(confirmed);
+    let state = match confirmed {
+        Some(at) => format!("the catalogue was last confirmed {} ago", now.since(at)),
+        None => "the catalogue was never confirmed since this start".to_owned(),
+    };
     let Reach { fleet, reached, .. } = reach;
-    let state = format!("the catalogue was last confirmed {age} ago");
     let of = format!("{reached} of {fleet} daemons are in reach");
     match rule.past_limit {
-        PastLimit::Serve => serve(format!("{state}; its owner has it served all the same")),
+        PastLimit::Serve => {
+            let reason = format!("{state}; its owner has it served all the same");
+            let until = Time::NEVER;
+            Decision::ServeKnown { until, reason }
+        }
         PastLimit::Refuse => refuse(format!("{state}; its owner has it refused then")),
         // This daemon may be the one that is cut off while edits go on elsewhere.
+        PastLimit::ServeWithMajority if now.has_reached(reach.at + REACH_HOLDS) => refuse(format!(
+            "{state} and who is in reach was not looked at lately"
+        )),
         PastLimit::ServeWithMajority if !reach.is_majority() => {
             refuse(format!("{state} and only {of}"))
         }
         PastLimit::ServeWithMajority if reach.touches_store => {
             refuse(format!("{state} though a daemon in reach has the store"))
         }
-        PastLimit::ServeWithMajority => serve(format!("{state}; {of} and none has the store")),
+        PastLimit::ServeWithMajority => {
+            let reason = format!("{state}; {of} and none has the store");
+            let until = reach.at + REACH_HOLDS;
+            Decision::ServeKnown { until, reason }
+        }
     }
 }
 
-fn serve(reason: String) -> Decision {
-    Decision::ServeKnown { reason }
-}
-
 fn refuse(reason: String) -> Decision {
     Decision::Refuse { reason }
 }
@@ -122,6 +135,7 @@
             told: self.told(),
             age: self.confirmed.map(|at| now.since(at)),
             store_age: self.store_answered.map(|at| now.since(at)),
+            fleet: (self.fleet.size, now.since(self.fleet.at)),
             token,
         }
     }
@@ -138,6 +152,16 @@
         self.store_answered = self.store_answered.max(moment(now, age, token));
     }
 
+    /// A daemon that starts inside a part that is cut off learns from others how large
+    /// the fleet was.
+    pub(super) fn note_fleet(&mut self, now: Time, fleet: (usize, Span), token: Time) {
+        let (size, age) = fleet;
+        if size > self.fleet.size && size <= MAX_HEARD {
+            let at = moment(now, Some(age), token).unwrap_or(Time::ZERO);
+            self.fleet = FleetSize { size, at };
+        }
+    }
+
     /// Guards against a daemon that is cut off with a few others and takes them for the
     /// whole fleet once the membership has declared the rest dead: the size counted
     /// falls only while the catalogue is fresh, and not at once.
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -14,7 +14,7 @@
 pub enum Event {
     /// A call of the store ended.
     Store(StoreUse, Outcome),
-    /// Watched keys changed.
+    /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
@@ -29,6 +29,8 @@
 pub enum StoreUse {
     /// Reading the catalogue.
     Catalogue,
+    /// A step of an edit.
+    Edit,
 }
 
 /// A request that ended, as traffic tells it.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,12 +9,15 @@
 mod error;
 pub mod event;
 pub mod hosts;
+mod pace;
+mod rating;
 mod shared;
 pub mod snapshot;
 mod start;
 mod storage;
 pub mod systems;
 pub mod traffic;
+mod watching;
 
 pub use error::NodeError;
 pub use start::Node;
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -2,4 +2,5 @@
 
 pub mod catalogue;
 pub mod hosts;
+pub mod quality;
 pub mod routing;
--- a/components/sessions/tests/sessions.rs
+++ b/components/sessions/tests/sessions.rs
@@ -3,10 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use catalogue::entry::{
-    Body, Entry, Gate, Model, Price, Rollout, RolloutState, Version, VersionState,
-};
-use catalogue::record::{Catalogue, Record};
+use catalogue::entry::{Gate, Model, Price, Rollout, RolloutState, Version, VersionState};
 use catalogue::view::View;
 use sessions::SessionKey;
 use sessions::choice::{Choice, Options, choose, choose_new};
@@ -45,20 +42,11 @@
         versions: names.into_iter().zip(states.map(make)).collect(),
         rollout: Some(rollout),
     };
-    let record = Record {
-        revision: Revision(1),
-        edit_id: EditId(1),
-        author: "ann".parse().unwrap(),
-        at: WallTime(0),
-        entry: Some(Arc::new(Entry {
-            owner: "team".parse().unwrap(),
-            body: Body::Model(model),
-        })),
-        history: Vec::new(),
-    };
-    let mut catalogue = Catalogue::default();
-    catalogue.apply("models/brief".parse().unwrap(), Arc::new(record));
-    View::from_catalogue(&catalogue)
+    let mut view = View::default();
+    view.revision = Revision(1);
+    view.models
+        .insert("brief".parse().unwrap(), Arc::new(model));
+    view
 }
 
 fn permitted(view: &View) -> BTreeSet<VersionId> {
