--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -7,6 +7,7 @@
 use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
+use sessions::pins::Pins;
 use settings::Settings;
 use store::Store;
 use telemetry::metrics::Metrics;
@@ -41,6 +42,8 @@
     pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
+    /// Pins of named sessions.
+    pub(crate) pins: Mutex<Pins>,
     /// Claims of work that runs only once.
     pub(crate) claims: Claims,
     /// To the control thread.
