Bill every answer in the daemon before its end is released

Cause: the thin path made no bills. Change: traffic threads hand the bill of a whole answer to the control thread and wait for its release; the ledger's calls go through the storage threads; with too many unsealed bills work is refused as not run; a leaving daemon seals its bills first. Messages to other daemons wait for the connections between daemons.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -23,6 +23,9 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
+    ledger: systems::ledger::Table,
+    /// Told once all bills are sealed.
+    sealed: Option<flume::Sender<()>>,
     view: Arc<View>,
     leaving: bool,
 }
@@ -36,11 +39,14 @@
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         Self {
             shared,
             storage,
             watching,
             catalogue,
+            ledger,
+            sealed: None,
             view: Arc::default(),
             leaving: false,
         }
@@ -51,10 +57,10 @@
         let tick = self.shared.settings.control.tick.to_duration();
         let mut next_tick = Instant::now();
         loop {
-            match events.recv_deadline(next_tick) {
+            match events.recv_deadline(self.wake_at(next_tick)) {
                 Ok(Event::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.take(event),
-                Err(flume::RecvTimeoutError::Timeout) => {}
+                Err(flume::RecvTimeoutError::Timeout) => self.flush_ledger(),
             }
             let now = Instant::now();
             if now >= next_tick {
@@ -64,12 +70,48 @@
         }
     }
 
+    /// The next tick, or what cannot wait for it.
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        let until = self.shared.now().until(self.ledger.next_deadline());
+        let due = Instant::now().checked_add(until.to_duration());
+        due.map_or(next_tick, |due| due.min(next_tick))
+    }
+
+    fn flush_ledger(&mut self) {
+        let actions = self.ledger.flush(self.shared.now());
+        self.perform_ledger(actions);
+    }
+
+    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
+        for action in actions {
+            match action {
+                systems::ledger::Action::Store(id, request) => {
+                    self.storage.call(StoreUse::Ledger(id), request);
+                }
+                // No other daemon is known yet.
+                systems::ledger::Action::Send(..) => {}
+            }
+        }
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
+            Event::Store(StoreUse::Ledger(id), outcome) => {
+                let actions = self.ledger.on_store(now, id, outcome);
+                return self.perform_ledger(actions);
+            }
+            Event::Bill(bill, end) => {
+                let actions = self.ledger.record(now, *bill, end);
+                return self.perform_ledger(actions);
+            }
+            Event::SealBills(sealed) => {
+                self.sealed = Some(sealed);
+                return;
+            }
             Event::Leave => {
                 self.leaving = true;
                 self.publish(now);
@@ -84,10 +126,22 @@
         let now = self.shared.now();
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        self.tick_ledger(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
+    fn tick_ledger(&mut self, now: Time) {
+        if let Some(sealed) = &self.sealed
+            && self.ledger.hand_on(now)
+        {
+            let _ = sealed.try_send(());
+        }
+        let wall = self.shared.clock.wall();
+        let actions = self.ledger.tick(now, wall);
+        self.perform_ledger(actions);
+    }
+
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
@@ -120,6 +174,7 @@
     fn publish(&self, now: Time) {
         let snapshot = Snapshot {
             readiness: self.readiness(self.view.revision),
+            is_ledger_full: self.ledger.is_full(),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
             reach: self.catalogue.sync().reach(now),
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,8 +1,12 @@
 //! What other threads tell the control thread.
 
 use keyvalue::{Outcome, WatchEvent};
+use ledger::{Bill, CallId};
 use types::prelude::*;
 
+/// Where the release of an answer's end goes.
+pub type ReleaseTo = flume::Sender<()>;
+
 /// Events that wait for the control thread. A sender that finds the queue full waits,
 /// which slows traffic rather than losing a bill or a rating.
 pub const EVENTS_WAITING: usize = 4096;
@@ -14,8 +18,12 @@
     Store(StoreUse, Outcome),
     /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
+    /// An answer is whole; its end waits for the release.
+    Bill(Box<Bill>, ReleaseTo),
     /// Stop taking part: the process is leaving.
     Leave,
+    /// Seal all bills as soon as may be and say when there is none left.
+    SealBills(flume::Sender<()>),
     /// Stop now.
     Stop,
 }
@@ -27,6 +35,8 @@
     Catalogue,
     /// A step of an edit.
     Edit,
+    /// A batch of bills or a roll-up.
+    Ledger(CallId),
 }
 
 /// A request that ended, as traffic tells it.
--- a/components/node/src/snapshot.rs
+++ b/components/node/src/snapshot.rs
@@ -24,6 +24,8 @@
 pub struct Snapshot {
     /// Whether this daemon takes requests.
     pub readiness: Readiness,
+    /// So many bills wait for the store that no more may come.
+    pub is_ledger_full: bool,
     /// The catalogue.
     pub view: Arc<View>,
     /// The moment of which the catalogue was last known to be current.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -31,6 +31,9 @@
 /// Pause between two looks at what is still under way.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// A leaving daemon waits so long for the store to take its bills.
+const SEAL_PATIENCE: Span = Span::from_secs(10);
+
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
@@ -90,6 +93,7 @@
         end_requests(&self.shared, deadline);
         self.shared.claims.stop();
         let _ = self.claims.join();
+        seal_bills(&self.shared, deadline);
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -109,6 +113,17 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -1,5 +1,6 @@
 //! The systems that run over the control thread's tables, one file each.
 
 pub mod catalogue;
+pub mod ledger;
 pub mod quality;
 pub mod routing;
--- /dev/null
+++ b/components/node/src/systems/ledger.rs
@@ -0,0 +1,174 @@
+//! Records bills, releases the ends of answers and carries the ledger's effects.
+
+use std::collections::BTreeMap;
+
+use keyvalue::{Outcome, Request};
+use ledger::{Bill, CallId, Config, Effect, Fill, Ledger, Message, Peer, Receipt};
+use settings::Settings;
+use types::prelude::*;
+
+use crate::event::ReleaseTo;
+
+/// How often a log line repeats that bills are held by this daemon alone.
+const ALONE_LOG_INTERVAL: Span = Span::from_secs(60);
+
+/// What the ledger wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Call the store; the outcome comes back by the number.
+    Store(CallId, Request),
+    /// Send to another daemon.
+    Send(DaemonId, Message),
+}
+
+/// The ledger and the answers whose ends it holds back.
+#[derive(Debug)]
+pub struct Table {
+    ledger: Ledger,
+    ends: BTreeMap<Receipt, ReleaseTo>,
+    members: Vec<Peer>,
+    /// Requests that may be in flight at once, each of which may still bring a bill.
+    max_in_flight: usize,
+    log_alone_at: Time,
+    was_full: bool,
+}
+
+impl Table {
+    /// Empty, for one run of a daemon.
+    #[must_use]
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+        let me = Peer {
+            id: settings.daemon.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            region: settings.region.clone(),
+        };
+        Self {
+            ledger: Ledger::new(Config::new(me, &prefix(&settings.cluster))),
+            ends: BTreeMap::new(),
+            members: Vec::new(),
+            max_in_flight: settings.callers.max_in_flight,
+            log_alone_at: Time::ZERO,
+            was_full: false,
+        }
+    }
+
+    /// Takes the other daemons that live and do not leave.
+    pub fn set_members(&mut self, members: Vec<Peer>) {
+        self.members = members;
+    }
+
+    /// Takes the bill of an answer; its end is released once the bill is safe.
+    pub fn record(&mut self, now: Time, bill: Bill, end: ReleaseTo) -> Vec<Action> {
+        let receipt = self.ledger.record(now, bill);
+        self.ends.insert(receipt, end);
+        self.flush(now)
+    }
+
+    /// Does what became due between two ticks.
+    pub fn flush(&mut self, now: Time) -> Vec<Action> {
+        let effects = self.ledger.flush(now);
+        self.perform(now, effects)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, wall: WallTime) -> Vec<Action> {
+        self.log_full();
+        let effects = self.ledger.tick(now, wall, &self.members);
+        self.perform(now, effects)
+    }
+
+    /// Takes the outcome of a call.
+    pub fn on_store(&mut self, now: Time, id: CallId, outcome: Outcome) -> Vec<Action> {
+        let effects = self.ledger.on_store(now, id, outcome);
+        self.perform(now, effects)
+    }
+
+    /// Takes a message of another daemon.
+    pub fn on_peer(&mut self, now: Time, from: &DaemonId, bytes: &[u8]) -> Vec<Action> {
+        match Message::from_bytes(bytes) {
+            Ok(message) => {
+                let effects = self.ledger.on_peer(now, from, message);
+                self.perform(now, effects)
+            }
+            Err(error) => {
+                tracing::warn!("ledger: a message of {from} is passed over: {error}");
+                Vec::new()
+            }
+        }
+    }
+
+    /// When [`Table::flush`] is due.
+    #[must_use]
+    pub fn next_deadline(&self) -> Time {
+        self.ledger.next_deadline()
+    }
+
+    /// Whether no more requests may start.
+    ///
+    /// Counted with as many in flight as there may ever be, so that none of them finds the
+    /// ledger full when its answer ends.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        !self.ledger.has_room(self.max_in_flight)
+    }
+
+    fn log_full(&mut self) {
+        let is_full = self.is_full();
+        match (self.was_full, is_full) {
+            (false, true) => tracing::error!(
+                "ledger: the bound of unsealed bills is reached, work is refused as not run \
+                 until the store answers"
+            ),
+            (true, false) => tracing::info!("ledger: bills are sealed again, work is taken"),
+            _ => {}
+        }
+        self.was_full = is_full;
+    }
+
+    /// Has everything sealed as soon as may be; says whether nothing is left to seal.
+    #[must_use]
+    pub fn hand_on(&mut self, now: Time) -> bool {
+        self.ledger.hurry(now);
+        let fill = self.ledger.fill();
+        fill.own == 0 && fill.adopted == 0
+    }
+
+    /// What it holds.
+    #[must_use]
+    pub fn fill(&self) -> Fill {
+        self.ledger.fill()
+    }
+
+    fn perform(&mut self, now: Time, effects: Vec<Effect>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => actions.push(Action::Send(to, message)),
+                Effect::Store { id, request } => actions.push(Action::Store(id, request)),
+                Effect::Released { upto, alone } => self.release(now, upto, alone),
+            }
+        }
+        actions
+    }
+
+    fn release(&mut self, now: Time, upto: Receipt, alone: bool) {
+        let later = self.ends.split_off(&Receipt(upto.0 + 1));
+        for end in std::mem::replace(&mut self.ends, later).into_values() {
+            // Fails only when the traffic thread is gone; the bill stands all the same.
+            let _ = end.try_send(());
+        }
+        if alone && now.has_reached(self.log_alone_at) {
+            self.log_alone_at = now + ALONE_LOG_INTERVAL;
+            tracing::warn!(
+                "ledger: no other daemon is in reach: bills of the last seconds would be lost \
+                 with this host"
+            );
+        }
+    }
+}
+
+/// Prefix of a fleet's keys in the store.
+pub(crate) fn prefix(cluster: &ClusterName) -> String {
+    format!("/buckthorncross/{cluster}")
+}
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -5,6 +5,7 @@
 //! writes are small tables behind locks held for microseconds.
 
 pub mod ask;
+mod billing;
 mod chat;
 mod claim;
 mod models;
@@ -27,6 +28,7 @@
 const SERVICES: &str = "/services/";
 /// Pause that a caller is told when every thread is taken.
 const BUSY_RETRY: Span = Span::from_secs(1);
+const LEDGER_RETRY: Span = Span::from_secs(5);
 const STARTING_RETRY: Span = Span::from_secs(1);
 
 /// Takes callers' requests.
@@ -47,6 +49,10 @@
             Ok(customer) => customer,
             Err(refusal) => return Err(Rejected::boxed(refusal, req)),
         };
+        let is_work = req.path == CHAT || req.path.starts_with(SERVICES);
+        if snapshot.is_ledger_full && is_work {
+            return Err(Rejected::boxed(ledger_full(), req));
+        }
         let cx = Context {
             shared: self.shared.clone(),
             snapshot,
@@ -116,6 +122,13 @@
     customer.cloned().ok_or_else(Refusal::unauthorized)
 }
 
+/// Guards against lost bills in a long outage of the store: their memory is bounded, and
+/// past the bound work is refused before any of it has run.
+fn ledger_full() -> Refusal {
+    let message = "too many bills wait for the store";
+    Refusal::unavailable("ledger_full", message, LEDGER_RETRY)
+}
+
 /// Runs a job on a thread of the pool. When none is free the request comes back with a
 /// refusal, so that it is never left without an answer.
 fn dispatch(
--- /dev/null
+++ b/components/node/src/traffic/billing.rs
@@ -0,0 +1,53 @@
+//! Between an answer and its end: the bill.
+
+use flume::bounded;
+use ledger::{Bill, BillId, Item};
+use requests::life::BillFacts;
+use types::prelude::*;
+
+use crate::event::Event;
+use crate::shared::Shared;
+
+/// The control thread is gone, so that no bill can be kept and no answer may end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NotBilled;
+
+/// Records a bill and waits until it is safe; then the answer may end.
+///
+/// Guards against an answer that nobody bills: were the end sent first, this host's loss in
+/// the next seconds would leave the caller with a whole answer and the ledger without it.
+pub(crate) fn bill(shared: &Shared, bill: Bill) -> Result<(), NotBilled> {
+    let (end, released) = bounded(1);
+    let event = Event::Bill(Box::new(bill), end);
+    shared.events.send(event).map_err(|_| NotBilled)?;
+    released.recv().map_err(|_| NotBilled)
+}
+
+/// The bill of an answer that ends now.
+pub(crate) fn bill_of(
+    shared: &Shared,
+    facts: BillFacts,
+    version: Option<&VersionId>,
+    cost: Cost,
+    attempts: usize,
+) -> Bill {
+    let item = match version.cloned() {
+        Some(version) => Item::Version {
+            offer: facts.entry,
+            version,
+        },
+        None => Item::Service(facts.entry),
+    };
+    Bill {
+        id: BillId {
+            customer: facts.customer,
+            request: facts.request,
+        },
+        item,
+        input: facts.usage.input,
+        output: facts.usage.output,
+        cost,
+        at: shared.clock.wall(),
+        attempts: u16::try_from(attempts).unwrap_or(u16::MAX),
+    }
+}
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -13,6 +13,7 @@
 use super::version::{Chosen, NoVersion, choose_version};
 use crate::rating;
 use crate::shared::{Shared, lock};
+use crate::traffic::billing;
 use crate::traffic::claim::{self, Entry};
 use crate::traffic::refusal::Refusal;
 
@@ -188,6 +189,11 @@
             facts.request
         );
         self.note_pace();
+        let (version, cost) = (&self.chosen.version, relay.cost(usage));
+        let bill = billing::bill_of(self.shared(), facts, Some(version), cost, attempts);
+        if billing::bill(self.shared(), bill).is_err() {
+            return relay.refuse(&requests::refusal::Refusal::ran(Code::ShuttingDown));
+        }
         let sample = relay.sample();
         let recorded = relay.finish(usage, attempts);
         if let Some(sample) = sample {
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::ask::HeadAsk;
+use super::billing;
 use super::claim::{self, Entry, listed};
 use super::refusal::{Refusal, set};
 use super::{Context, Rejected, Routed};
@@ -252,7 +253,13 @@
     request: requests::life::Request<Answered>,
 ) {
     let attempts = request.progress().attempts();
-    let (billed, _) = request.bill();
+    let (billed, facts) = request.bill();
+    let shared = &job.cx.shared;
+    let bill = billing::bill_of(shared, facts, None, Cost(0), attempts);
+    if billing::bill(shared, bill).is_err() {
+        let cut = requests::refusal::Refusal::ran(Code::ShuttingDown);
+        return refuse(job, responder, &cut);
+    }
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut headers = answer.headers;
     set(&mut headers, "x-request-id", job.head.request.as_str());
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -1,6 +1,7 @@
 //! The daemon over real sockets, with stand-ins for everything around it.
 
 mod it {
+    mod bills;
     mod claims;
     mod harness;
     mod quality;
--- /dev/null
+++ b/components/node/tests/it/bills.rs
@@ -0,0 +1,75 @@
+//! Bills from answers to totals.
+
+use keyvalue::Request;
+use ledger::{Config, Effect, Export, Ledger, Peer, Statement, Step};
+use standins::platform::PlatformConfig;
+use store::{EtcdClient, Store};
+use types::prelude::*;
+
+use super::harness::{Harness, ask, events};
+
+const PREFIX: &str = "/buckthorncross/test";
+
+fn client(harness: &Harness) -> EtcdClient {
+    let endpoints = vec![harness.platform.store.address()];
+    EtcdClient::new(store::Config::new(endpoints)).unwrap()
+}
+
+/// Rolls up what the store holds, as any daemon would in a minute, and exports it.
+fn statement(client: &EtcdClient) -> Statement {
+    let me = Peer {
+        id: "roller".parse().unwrap(),
+        incarnation: Incarnation(1),
+        failure_domain: "domain".parse().unwrap(),
+        region: "here".parse().unwrap(),
+    };
+    let mut ledger = Ledger::new(Config::new(me, PREFIX));
+    let mut now = Time::ZERO;
+    for _ in 0..60 {
+        now = now + Span::from_secs(1);
+        let mut effects = ledger.tick(now, WallTime(now.0 / 1000), &[]);
+        while let Some(Effect::Store { id, request }) = effects.pop() {
+            effects.extend(ledger.on_store(now, id, client.call(request)));
+        }
+    }
+    export(client)
+}
+
+fn export(client: &EtcdClient) -> Statement {
+    let mut export = Export::new(PREFIX, WallTime(0), WallTime(u64::MAX / 2));
+    let mut request: Request = export.start();
+    loop {
+        match export.on_store(client.call(request)).unwrap() {
+            Step::Call(next) => request = next,
+            Step::Done(statement) => return statement,
+        }
+    }
+}
+
+// A host is replaced right after its last answers, while their bills still wait for a
+// batch. The daemon seals them before it goes; a repeat of one of them is not billed again.
+#[test]
+fn can_bill_each_request_once_though_the_daemon_leaves() {
+    let mut harness = Harness::with_daemons(&PlatformConfig::default(), 2);
+    for (daemon, key) in [(0, "a"), (0, "b"), (1, "b"), (0, "c"), (0, "c")] {
+        let req = harness.post(daemon, "/v1/chat/completions");
+        let req = req.header("idempotency-key", key);
+        let sent = req.json(&ask("answers", true, 5)).unwrap().send().unwrap();
+        let (_, _, reader) = sent.split();
+        assert_eq!(events(reader).last().unwrap(), "[DONE]");
+    }
+    let desk = harness.post(0, "/services/desk/book");
+    assert!(desk.send().unwrap().is_success());
+    for node in std::mem::take(&mut harness.nodes) {
+        assert_eq!(node.shutdown(), 0);
+    }
+    let statement = statement(&client(&harness));
+    assert!(!statement.pending);
+    let rows: Vec<_> = statement.rows().collect();
+    let count = |entry: &str| {
+        let rows = rows.iter().filter(|row| row.entry.as_str() == entry);
+        rows.map(|row| row.requests).sum::<u64>()
+    };
+    assert_eq!((count("answers"), count("desk")), (3, 1));
+    assert!(rows.iter().all(|row| row.customer.as_str() == "ward"));
+}
