--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,6 +15,9 @@
         cli::Command::Overhead(options) => {
             cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Faults(options) => {
+            cmd::faults::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Report(options) => cmd::report::run(&options),
 
         cli::Command::BadVersion(options) => {
@@ -26,9 +29,14 @@
         cli::Command::Burst(options) => {
             cmd::burst::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Claims(options) => {
+            cmd::claims::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Decide(options) => {
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
-        cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
+        cli::Command::Rollout(options) => {
+            cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -112,6 +112,10 @@
                 self.sealed = Some(sealed);
                 return;
             }
+            Event::Hosts(hosts) => {
+                systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
+                return;
+            }
             Event::Leave => {
                 self.leaving = true;
                 self.publish(now);
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -2,6 +2,7 @@
 
 use keyvalue::{Outcome, WatchEvent};
 use ledger::{Bill, CallId};
+use platform::Host;
 use types::prelude::*;
 
 /// Where the release of an answer's end goes.
@@ -20,6 +21,8 @@
     Watch(Vec<WatchEvent>),
     /// An answer is whole; its end waits for the release.
     Bill(Box<Bill>, ReleaseTo),
+    /// The platform's list of hosts.
+    Hosts(Vec<Host>),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Seal all bills as soon as may be and say when there is none left.
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -1,6 +1,7 @@
 //! The systems that run over the control thread's tables, one file each.
 
 pub mod catalogue;
+pub mod hosts;
 pub mod ledger;
 pub mod quality;
 pub mod routing;
