quality: make surpluses and deficits good over ten times the horizon

Cause: a lasting surplus was only half made good, and 64 daemons never gathered one. Change: the account reaches back ten times as long as it corrects over, and is shared by the fleet's size; references learnt three deviations below.

--- a/bench/src/cmd/cascade.rs
+++ b/bench/src/cmd/cascade.rs
@@ -226,6 +226,13 @@
         let total = |figure: fn(&Sums) -> f64| self.all.iter().map(figure).sum::<f64>();
         let plain = total(|sums| sums.cost) / total(|sums| sums.oracle_without_cascades);
         report.note(arm, "cost_to_oracle_without_cascades", plain);
+        let first = |figure: fn(&Sums) -> f64| self.first.iter().map(figure).sum::<f64>();
+        let plain = first(|sums| sums.cost) / first(|sums| sums.oracle_without_cascades);
+        report.note(arm, "cost_to_oracle_without_cascades_first_2000", plain);
+        for (class, sums) in self.user.classes.iter().zip(&self.first) {
+            let name = class.offer.class.as_str();
+            report.note(arm, &format!("cost_to_oracle_first_2000/{name}"), sums.cost / sums.oracle);
+        }
         for (class, sums) in self.user.classes.iter().zip(&self.all) {
             let quality = sums.adequacy / sums.requests.max(1.0);
             let above = quality - class.offer.target.get();
@@ -240,7 +247,6 @@
                 report.violations += 1;
             }
         }
-        for st in self.fleet.dump().streams { eprintln!("{arm} {} {} esc={} {:?} q={:.3} sd={:.4} n={:.0} ref={:.3} lev={:.2} samp={:.2} served={}", st.class, st.version, st.escalated, st.phase, st.quality, st.deviation, st.ratings, st.reference, st.level, st.sampling, st.served); }
         report.note(arm, "suspensions", self.fleet.suspensions() as f64);
         report.curves.push(Curve {
             plot: format!("cascade-{}", self.user.name),
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -292,8 +292,6 @@
             .count()
     }
 
-    pub fn dump(&self) -> quality::Dump { self.members[0].quality.dump() }
-
     /// Suspensions begun, over all instances.
     pub fn suspensions(&self) -> usize {
         let changes = self.changes.iter();
--- a/components/quality/src/config.rs
+++ b/components/quality/src/config.rs
@@ -58,7 +58,7 @@
             prior_ratings: 20.0,
             memory: 8000.0,
             proof_ratings: 50.0,
-            confidence: 1.0,
+            confidence: 0.6,
             unproved_base: 24.0,
             suspect_base: 8.0,
             answers_per_rating: 1.25,
--- a/components/quality/src/quality/choose.rs
+++ b/components/quality/src/quality/choose.rs
@@ -87,6 +87,7 @@
             &self.streams,
             &self.cfg,
             account,
+            self.fleet,
         );
         table.generation = self.generation;
         table.rebuild_at = now + self.cfg.refresh_every;
--- a/components/quality/src/stream.rs
+++ b/components/quality/src/stream.rs
@@ -14,7 +14,7 @@
 const HEADROOM: f64 = 0.03;
 const LOWEST_REFERENCE: f64 = 0.1;
 /// Deviations below the estimate at which a learned reference is set.
-const LEARNED_BELOW: f64 = 2.0;
+const LEARNED_BELOW: f64 = 3.0;
 /// The reference moves only while the test is calmer than this.
 const CALM: f64 = 0.15;
 /// Deviations by which a version must clear the floor to be proved.
--- a/components/quality/src/table.rs
+++ b/components/quality/src/table.rs
@@ -17,10 +17,17 @@
 const SIGNAL_RATINGS: f64 = 60.0;
 /// Ratings that the direct quality counts for, as a guess of that after an escalation.
 const ESCALATED_PRIOR: f64 = 20.0;
-/// Requests over which a surplus or deficit of quality is made good.
+/// Requests of the whole fleet over which a surplus or deficit of quality is made good.
 const ACCOUNT_WINDOW: f64 = 2000.0;
-/// Largest correction of the target for past deficits or surpluses.
+/// How many times as long the account reaches back. Were it no longer than the time in which
+/// it is made good, only half of a lasting surplus would be.
+const ACCOUNT_MEMORY: f64 = 10.0;
+/// Fewest requests of one daemon for the same.
+const SHORTEST_WINDOW: f64 = 50.0;
+/// Largest correction of the target for past deficits.
 const LARGEST_CORRECTION: f64 = 0.02;
+/// Largest correction for past surpluses.
+const LARGEST_SAVING: f64 = 0.01;
 /// Deviations of optimism when looking for versions worth exploring.
 const OPTIMISM: f64 = 1.5;
 /// Part of the score that an exploration must promise to save.
@@ -64,6 +71,8 @@
     pub(crate) fallback: Vec<usize>,
     /// Candidate that takes over part of another's work, by the other's index.
     pub(crate) takeover: BTreeMap<usize, (usize, f64)>,
+    /// Requests of this daemon over which its account is made good.
+    window: f64,
     pub(crate) generation: u64,
     pub(crate) rebuild_at: Time,
     /// Requests served by each way, faded.
@@ -89,6 +98,7 @@
         streams: &Streams,
         cfg: &Config,
         account: BTreeMap<WayKey, f64>,
+        fleet: usize,
     ) -> Self {
         let usable = |candidate: &&Candidate| {
             let id = StreamId::new(&offer.class, &candidate.version);
@@ -113,6 +123,7 @@
             trial: Vec::new(),
             explore: Vec::new(),
             fallback: Vec::new(),
+            window: (ACCOUNT_WINDOW / fleet as f64).max(SHORTEST_WINDOW),
             generation: 0,
             rebuild_at: Time::ZERO,
             account,
@@ -230,7 +241,7 @@
     /// uncertainty of the best guess's, one uncertain version would drive the choice to
     /// other versions and never be rated.
     fn aimed(&self, among: &[usize], target: f64, cfg: &Config) -> Option<Mixture> {
-        let aim = (target + self.correction(target, cfg)).max(target);
+        let aim = target + self.correction(target, cfg);
         self.mixture(among, aim, -cfg.confidence)
     }
 
@@ -298,7 +309,7 @@
             served * (target - way.quality + cfg.confidence * way.deviation)
         };
         let deficit: f64 = self.ways.iter().map(deficit).sum();
-        (deficit / ACCOUNT_WINDOW).clamp(-LARGEST_CORRECTION, LARGEST_CORRECTION)
+        (deficit / self.window).clamp(-LARGEST_SAVING, LARGEST_CORRECTION)
     }
 
     pub(crate) fn key(&self, way: &Way) -> WayKey {
@@ -309,7 +320,7 @@
     /// Notes that a way served a request.
     pub(crate) fn note(&mut self, way: usize) {
         let key = self.key(&self.ways[way]);
-        let fade = 1.0 - 1.0 / ACCOUNT_WINDOW;
+        let fade = 1.0 - 1.0 / (ACCOUNT_MEMORY * self.window);
         for served in self.account.values_mut() {
             *served *= fade;
         }
