--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -1,4 +1,12 @@
 //! One module an experiment.
 
 pub mod bad_version;
+pub mod balance;
+pub mod burst;
 pub mod cascade;
+pub mod claims;
+pub mod decide;
+pub mod faults;
+pub mod overhead;
+pub mod report;
+pub mod rollout;
--- a/bench/src/cmd/cascade.rs
+++ b/bench/src/cmd/cascade.rs
@@ -231,7 +231,11 @@
         report.note(arm, "cost_to_oracle_without_cascades_first_2000", plain);
         for (class, sums) in self.user.classes.iter().zip(&self.first) {
             let name = class.offer.class.as_str();
-            report.note(arm, &format!("cost_to_oracle_first_2000/{name}"), sums.cost / sums.oracle);
+            report.note(
+                arm,
+                &format!("cost_to_oracle_first_2000/{name}"),
+                sums.cost / sums.oracle,
+            );
         }
         for (class, sums) in self.user.classes.iter().zip(&self.all) {
             let quality = sums.adequacy / sums.requests.max(1.0);
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -3,6 +3,8 @@
 use keyvalue::{Outcome, WatchEvent};
 use types::prelude::*;
 
+use platform::Host;
+
 /// Events that wait for the control thread. A sender that finds the queue full waits,
 /// which slows traffic rather than losing a bill or a rating.
 pub const EVENTS_WAITING: usize = 4096;
@@ -12,8 +14,10 @@
 pub enum Event {
     /// A call of the store ended.
     Store(StoreUse, Outcome),
-    /// Watched keys changed.
+    /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
+    /// The platform's list of hosts.
+    Hosts(Vec<Host>),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Stop now.
@@ -25,6 +29,8 @@
 pub enum StoreUse {
     /// Reading the catalogue.
     Catalogue,
+    /// A step of an edit.
+    Edit,
 }
 
 /// A request that ended, as traffic tells it.
--- /dev/null
+++ b/components/node/tests/it.rs
@@ -0,0 +1,9 @@
+//! The daemon over real sockets, with stand-ins for everything around it.
+
+mod it {
+    mod claims;
+    mod harness;
+    mod quality;
+    mod serve;
+    mod shutdown;
+}
