--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
 use settings::Settings;
@@ -11,7 +12,10 @@
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::claims::Claims;
 use crate::event::Event;
+use crate::pace::Paces;
+use crate::rating::Rating;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
 
@@ -37,10 +41,18 @@
     pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
+    /// Claims of work that runs only once.
+    pub(crate) claims: Claims,
     /// To the control thread.
     pub(crate) events: flume::Sender<Event>,
     /// What is measured.
     pub(crate) metrics: Arc<Metrics>,
+    /// What is known of the versions' answers.
+    pub(crate) quality: Mutex<Quality>,
+    /// How long versions' answers take.
+    pub(crate) paces: Mutex<Paces>,
+    /// Has answers rated.
+    pub(crate) rating: Rating,
     /// Retry budgets by entry.
     pub(crate) budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
 }
