--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod error;
 pub mod event;
+mod hosts;
 mod pace;
 mod rating;
 mod shared;
