Share differences and bills' rows with the catalogue and the ledger

Cause: differences of entries stood twice, and the ledger sums bills by the hour. Change: adminapi uses catalogue's differences; bills are the ledger's rows; commands are handed over by a closure; edit ids hold the revision that was seen.

--- a/components/adminapi/src/error.rs
+++ b/components/adminapi/src/error.rs
@@ -2,9 +2,9 @@
 
 use std::fmt;
 
+use catalogue::diff::Difference;
 use serde::{Deserialize, Serialize};
 
-use crate::difference::Difference;
 use crate::entry::EntryReply;
 
 /// Body of every answer whose status is not 2xx.
@@ -29,7 +29,7 @@
     /// Of `conflict` and `precondition_required`: the entry as it stands.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub current: Option<Box<EntryReply>>,
-    /// Of `conflict`: where the entry sent differs from what stands.
+    /// Of `conflict`: where what was sent differs from what stands.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub difference: Vec<Difference>,
     /// Of edits: ask again by this id.
@@ -113,7 +113,19 @@
             write!(f, "\n  - {problem}")?;
         }
         for difference in &self.difference {
-            write!(f, "\n  {difference}")?;
+            let shown = |value: &Option<_>| {
+                value
+                    .as_ref()
+                    .map_or("absent".to_owned(), |value: &serde_json::Value| {
+                        value.to_string()
+                    })
+            };
+            let (proposed, standing) = (shown(&difference.proposed), shown(&difference.standing));
+            write!(
+                f,
+                "\n  {}: sent {proposed}, stands {standing}",
+                difference.key
+            )?;
         }
         write!(f, "\n{}", self.hint)
     }
--- a/components/adminapi/src/lib.rs
+++ b/components/adminapi/src/lib.rs
@@ -4,7 +4,6 @@
 //! writes the other reads. Replies may gain fields; readers ignore those they do not know.
 
 pub mod bill;
-pub mod difference;
 pub mod edit;
 pub mod entry;
 pub mod error;
--- a/components/operators/src/command.rs
+++ b/components/operators/src/command.rs
@@ -32,6 +32,9 @@
     }
 }
 
+/// Hands a command to the control thread without waiting; false when it takes no more.
+pub type Submit = Box<dyn Fn(Command) -> bool + Send + Sync>;
+
 /// A question or an edit.
 #[derive(Debug)]
 pub enum Command {
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -7,7 +7,6 @@
 
 pub mod auth;
 pub mod command;
-mod csv_bills;
 mod gate;
 pub mod health;
 mod reply;
--- a/components/operators/src/routes.rs
+++ b/components/operators/src/routes.rs
@@ -16,7 +16,7 @@
 use types::prelude::*;
 
 use crate::auth::Tokens;
-use crate::command::{Command, ReplyTo};
+use crate::command::{Command, ReplyTo, Submit};
 use crate::health::Health;
 use crate::reply::{Answer, error, fail};
 
@@ -28,7 +28,7 @@
 /// What requests need.
 pub(crate) struct Api {
     pub(crate) tokens: Tokens,
-    pub(crate) commands: flume::Sender<Command>,
+    pub(crate) submit: Submit,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) health: Arc<Health>,
 }
@@ -94,9 +94,10 @@
         command: impl FnOnce(ReplyTo<T>) -> Command,
     ) -> Result<flume::Receiver<T>, Box<adminapi::error::ErrorBody>> {
         let (tx, rx) = ReplyTo::new();
-        match self.commands.try_send(command(tx)) {
-            Ok(()) => Ok(rx),
-            Err(_) => unavailable("the control thread takes no more commands"),
+        if (self.submit)(command(tx)) {
+            Ok(rx)
+        } else {
+            unavailable("the control thread takes no more commands")
         }
     }
 }
--- a/components/operators/src/routes/bills.rs
+++ b/components/operators/src/routes/bills.rs
@@ -1,12 +1,11 @@
 //! Bills as JSON or CSV.
 
-use adminapi::bill::BillsQuery;
+use adminapi::bill::{BillsQuery, BillsReply};
 use adminapi::error::{ErrorBody, ErrorCode};
 use rouille::{Request, Response};
 use types::prelude::*;
 
 use crate::command::Command;
-use crate::csv_bills;
 use crate::reply::{Answer, fail, json};
 use crate::routes::Api;
 
@@ -38,8 +37,8 @@
     }
 }
 
-fn csv_answer(reply: &adminapi::bill::BillsReply) -> Answer {
-    let text = csv_bills::encode(&reply.bills).or_else(|e| {
+fn csv_answer(reply: &BillsReply) -> Answer {
+    let text = to_csv(reply).or_else(|e| {
         fail(
             ErrorCode::Internal,
             format!("the bills cannot be written as CSV: {e}"),
@@ -47,8 +46,15 @@
         )
     })?;
     Ok(Response::from_data("text/csv; charset=utf-8", text)
-        .with_additional_header("X-Bills-Waiting", reply.waiting.to_string())
-        .with_additional_header("X-Truncated", reply.truncated.to_string()))
+        .with_additional_header("X-Pending", reply.pending.to_string()))
+}
+
+fn to_csv(reply: &BillsReply) -> Result<Vec<u8>, csv::Error> {
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    for row in &reply.bills {
+        writer.serialize(row)?;
+    }
+    writer.into_inner().map_err(|e| e.into_error().into())
 }
 
 fn moment(req: &Request, name: &str) -> Result<Option<WallTime>, Box<ErrorBody>> {
--- a/components/operators/src/routes/catalogue.rs
+++ b/components/operators/src/routes/catalogue.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adminapi::difference::difference;
 use adminapi::edit::{EditReply, EditState};
 use adminapi::entry::EntryReply;
 use adminapi::error::{ErrorBody, ErrorCode};
 use adminapi::path;
+use catalogue::diff;
+use catalogue::edit::make_id;
 use catalogue::entry::Entry;
 use catalogue::file;
 use rouille::{Request, Response};
@@ -74,12 +75,13 @@
     ) -> Answer {
         let name = entry_name(kind, name)?;
         let entry = parse_entry(&name, &read_body(req)?)?;
+        let if_match = if_match(req)?;
         let edit = Edit {
             name,
             entry: Some(Arc::new(entry)),
-            if_match: if_match(req)?,
+            if_match,
             author: operator.clone(),
-            edit_id: edit_id(req)?,
+            edit_id: edit_id(req, if_match)?,
         };
         self.edit(edit)
     }
@@ -101,7 +103,7 @@
             entry: None,
             if_match: Some(revision),
             author: operator.clone(),
-            edit_id: edit_id(req)?,
+            edit_id: edit_id(req, Some(revision))?,
         };
         self.edit(edit)
     }
@@ -202,20 +204,12 @@
     let hint = "read the entry, make the change again on what stands now, and send it with \
                 that ETag in If-Match (none for an entry that is absent)";
     let mut body = ErrorBody::new(ErrorCode::Conflict, message, hint);
-    body.difference = differences(edit, current.as_deref());
+    let stands = current.as_ref().and_then(|reply| reply.entry.as_deref());
+    body.difference = diff::between(stands, edit.entry.as_deref());
     body.current = current;
     Box::new(body)
 }
 
-fn differences(edit: &Edit, current: Option<&EntryReply>) -> Vec<adminapi::difference::Difference> {
-    let value = |entry: Option<&Arc<Entry>>| {
-        let entry = entry.map(|entry| serde_json::to_value(entry.as_ref()));
-        entry.and_then(Result::ok).unwrap_or_default()
-    };
-    let stands = current.and_then(|reply| reply.entry.as_ref());
-    difference(&value(edit.entry.as_ref()), &value(stands))
-}
-
 fn precondition_required(name: &EntryName, current: Option<Box<EntryReply>>) -> Box<ErrorBody> {
     let message = format!("{name} exists; an edit must say which revision it changes");
     let hint = "read the entry and send its ETag in If-Match";
@@ -274,10 +268,10 @@
     }
 }
 
-/// The edit's id as sent, else a fresh one.
-pub(super) fn edit_id(req: &Request) -> Result<EditId, Box<ErrorBody>> {
+/// The edit's id as sent, else a fresh one that can only be of an edit after `seen`.
+pub(super) fn edit_id(req: &Request, seen: Option<Revision>) -> Result<EditId, Box<ErrorBody>> {
     match req.header(path::EDIT_ID_HEADER) {
-        None => Ok(EditId::random(&mut rand::rng())),
+        None => Ok(make_id(seen.unwrap_or_default(), &mut rand::rng())),
         Some(text) => text.parse().or_else(|_| bad_edit_id(text)),
     }
 }
--- a/components/operators/src/routes/rollouts.rs
+++ b/components/operators/src/routes/rollouts.rs
@@ -100,7 +100,7 @@
             })),
             if_match: Some(current.revision),
             author: operator.clone(),
-            edit_id: edit_id(req)?,
+            edit_id: edit_id(req, Some(current.revision))?,
         })
     }
 }
--- a/components/operators/src/server.rs
+++ b/components/operators/src/server.rs
@@ -9,7 +9,7 @@
 use telemetry::metrics::Metrics;
 
 use crate::auth::Tokens;
-use crate::command::Command;
+use crate::command::Submit;
 use crate::gate::{Bounds, Gate, Inside};
 use crate::health::Health;
 use crate::routes::Api;
@@ -25,8 +25,8 @@
     pub bounds: Bounds,
     /// Who may call.
     pub tokens: Tokens,
-    /// To the control thread. Bound the channel; when it is full, calls are refused.
-    pub commands: flume::Sender<Command>,
+    /// Hands commands to the control thread.
+    pub submit: Submit,
     /// Shown at `/metrics`.
     pub metrics: Arc<Metrics>,
     /// Shown at `/healthz` and `/readyz`.
@@ -81,7 +81,7 @@
 pub fn start(cfg: Config) -> Result<Handle, StartError> {
     let api = Arc::new(Api {
         tokens: cfg.tokens,
-        commands: cfg.commands,
+        submit: cfg.submit,
         metrics: cfg.metrics,
         health: cfg.health,
     });
--- a/components/operators/tests/api.rs
+++ b/components/operators/tests/api.rs
@@ -113,7 +113,7 @@
             listen: "127.0.0.1:0".parse().unwrap(),
             bounds: Bounds::default(),
             tokens: Tokens::new([(&operator, &TOKEN.to_owned())]),
-            commands: tx,
+            submit: Box::new(move |command| tx.try_send(command).is_ok()),
             metrics: Arc::new(Metrics::new()),
             health: Arc::clone(&health),
         })
@@ -240,9 +240,11 @@
     let (status, error) = error_of(server.put(path, &[("If-Match", "\"1\"")], &customer(3)));
 
     assert_eq!((status, error.code), (412, ErrorCode::Conflict));
-    assert_eq!(error.current.unwrap().revision, Revision(2));
-    let shown: Vec<String> = error.difference.iter().map(ToString::to_string).collect();
-    assert_eq!(shown, ["weight: sent 3, current 2"]);
+    assert_eq!(error.current.as_ref().unwrap().revision, Revision(2));
+    assert!(
+        error.to_string().contains("weight: sent 3, stands 2"),
+        "{error}"
+    );
 }
 
 #[test]
--- a/components/operators/tests/gate.rs
+++ b/components/operators/tests/gate.rs
@@ -17,7 +17,7 @@
         listen: "127.0.0.1:0".parse().unwrap(),
         bounds,
         tokens: Tokens::default(),
-        commands: tx,
+        submit: Box::new(move |command| tx.try_send(command).is_ok()),
         metrics: Arc::new(Metrics::new()),
         health: Arc::new(Health::new(Clock::new())),
     })
--- a/src/client.rs
+++ b/src/client.rs
@@ -7,6 +7,7 @@
 use adminapi::error::{ErrorBody, ErrorCode, ErrorReply};
 use adminapi::path;
 use attohttpc::{ErrorKind, Method, RequestBuilder, Response};
+use catalogue::edit::make_id;
 use eyre::WrapErr;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -97,7 +98,7 @@
     ///
     /// The edit has an id of this tool's, so that a lost answer can be asked for again.
     pub(crate) fn edit<T: Serialize>(&self, call: &EditCall<T>) -> Result<EditReply, Failure> {
-        let id = EditId::random(&mut rand::rng());
+        let id = make_id(call.if_match.unwrap_or_default(), &mut rand::rng());
         let mut req = self
             .request(call.method.clone(), &call.path)
             .header(path::EDIT_ID_HEADER, id.to_string());
--- a/src/cmd/bills.rs
+++ b/src/cmd/bills.rs
@@ -30,32 +30,28 @@
 
 fn show(reply: &BillsReply) {
     let mut rows = table([
-        "AT", "CUSTOMER", "OFFER", "VERSION", "REQUEST", "REQUESTS", "INPUT", "OUTPUT", "COST",
+        "HOUR", "CUSTOMER", "ENTRY", "VERSION", "REQUESTS", "INPUT", "OUTPUT", "COST", "ATTEMPTS",
     ]);
     for bill in &reply.bills {
         rows.add_row(row(bill));
     }
     print_table(&rows);
-    println!(
-        "{} bills at this daemon are not in the store yet",
-        reply.waiting
-    );
-    if reply.truncated {
-        println!("there are more; ask for a shorter time with --since and --until");
+    if reply.pending {
+        println!("bills wait for their roll-up: the totals may still grow");
     }
 }
 
 fn row(bill: &BillRow) -> [String; 9] {
-    let or_dash = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
+    let version = bill.version.as_ref().map(ToString::to_string);
     [
-        bill.at.to_string(),
+        bill.hour.to_string(),
         bill.customer.to_string(),
-        bill.offer.to_string(),
-        or_dash(bill.version.as_ref().map(ToString::to_string)),
-        or_dash(bill.request.as_ref().map(ToString::to_string)),
+        bill.entry.to_string(),
+        version.unwrap_or_else(|| "-".to_owned()),
         bill.requests.to_string(),
         bill.input_tokens.to_string(),
         bill.output_tokens.to_string(),
         bill.cost.to_string(),
+        bill.attempts.to_string(),
     ]
 }
