--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -79,7 +79,6 @@
 fn peer(index: usize, run: u64) -> Peer {
     Peer {
         id: Run(index, 0).daemon(),
-        incarnation: Incarnation(run),
         failure_domain: format!("domain-{}", index % 2).parse().unwrap(),
         region: "ernakulam".parse().unwrap(),
         incarnation: Incarnation(run),
