--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -81,6 +81,7 @@
         id: Run(index, 0).daemon(),
         failure_domain: format!("domain-{}", index % 2).parse().unwrap(),
         region: "ernakulam".parse().unwrap(),
+        incarnation: Incarnation(run),
     }
 }
 
