Join daemons to each other and spread the catalogue between them

Cause: each daemon knew only itself and took the catalogue from the store alone. Change: the control thread ticks membership, carries the catalogue's messages over the authenticated connections and shows the revision in force as a fact. How much of the fleet is in reach is judged by the last probes as well: a daemon that is cut off alone needs minutes to hold hundreds for dead. Conclusion: can_notice_being_cut_off pins the estimate.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -210,6 +210,16 @@
         self.members.present() + 1
     }
 
+    /// Daemons in reach, this one included, judged by its last probes.
+    ///
+    /// A daemon that is cut off alone probes one other a second and so needs minutes to
+    /// hold hundreds for dead; that hardly any probe is answered shows after seconds.
+    #[must_use]
+    pub fn reachable(&self) -> usize {
+        let others = self.members.present() as f64;
+        (others * self.prober.answered_share()).round() as usize + 1
+    }
+
     /// Counts since the start.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/components/membership/src/membership/tick.rs
+++ b/components/membership/src/membership/tick.rs
@@ -50,7 +50,7 @@
             return;
         }
         self.counters.pauses += 1;
-        self.prober.pending = None;
+        self.prober.begin_anew();
         self.prober.next_at = now + self.cfg.timing.probe;
         self.members.put_off_suspicions(gap);
     }
@@ -145,6 +145,7 @@
         let Some(pending) = self.prober.pending.take() else {
             return;
         };
+        self.prober.note(false);
         let Some(member) = self.members.get(&pending.target) else {
             return;
         };
--- a/components/membership/src/probe.rs
+++ b/components/membership/src/probe.rs
@@ -3,12 +3,17 @@
 //! Members are probed by turns in a shuffled order, so that each is probed within a
 //! bounded time, and newcomers join the order at a random place.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 use types::prelude::*;
 
+/// Probes whose outcome tells how much of the fleet is in reach.
+const OUTCOMES: usize = 10;
+/// Fewer outcomes than this tell nothing.
+const MIN_OUTCOMES: usize = 3;
 /// Probes under way for other daemons, at most.
 const MAX_RELAYS: usize = 64;
 
@@ -41,6 +46,8 @@
     pub(crate) next_at: Time,
     pub(crate) pending: Option<Pending>,
     relays: Vec<Relay>,
+    /// Whether each of the last probes was answered.
+    outcomes: VecDeque<bool>,
 }
 
 impl Prober {
@@ -83,12 +90,36 @@
     pub(crate) fn acknowledged(&mut self, seq: u32) -> Option<(SocketAddr, u32)> {
         if self.pending.as_ref().is_some_and(|p| p.seq == seq) {
             self.pending = None;
+            self.note(true);
         }
         let place = self.relays.iter().position(|relay| relay.seq == seq)?;
         let relay = self.relays.swap_remove(place);
         Some((relay.asker, relay.asker_seq))
     }
 
+    /// Notes whether a probe was answered.
+    pub(crate) fn note(&mut self, answered: bool) {
+        if self.outcomes.len() >= OUTCOMES {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back(answered);
+    }
+
+    /// Forgets past outcomes.
+    pub(crate) fn begin_anew(&mut self) {
+        self.pending = None;
+        self.outcomes.clear();
+    }
+
+    /// Share of the last probes that were answered.
+    pub(crate) fn answered_share(&self) -> f64 {
+        if self.outcomes.len() < MIN_OUTCOMES {
+            return 1.0;
+        }
+        let answered = self.outcomes.iter().filter(|answered| **answered).count();
+        answered as f64 / self.outcomes.len() as f64
+    }
+
     /// Remembers for whom a probe is made; gives its number unless too many wait.
     pub(crate) fn relay(
         &mut self,
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -117,6 +117,20 @@
     assert_eq!(fleet.count(woke, is_down), 0);
 }
 
+// One daemon of many is cut off alone. It must soon know that it reaches few, long before
+// it has held each for dead: what it does past its freshness limit hangs on that.
+#[test]
+fn can_notice_being_cut_off() {
+    let mut fleet = Fleet::new(64, 10);
+    fleet.run_for(secs(30));
+    assert_eq!(fleet.node(2).membership.reachable(), 64);
+    fleet.node(2).side = 1;
+    fleet.run_for(secs(8));
+    assert!(fleet.node(2).membership.fleet_size() > 32);
+    assert!(fleet.node(2).membership.reachable() < 32);
+    assert!(fleet.node(3).membership.reachable() > 48);
+}
+
 #[test]
 fn can_take_back_a_restarted_daemon() {
     let mut fleet = Fleet::new(8, 6);
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::view::View;
+use peers::Part;
 use types::prelude::*;
 
 use crate::event::{Event, StoreUse};
@@ -14,8 +15,7 @@
 use crate::systems::catalogue::Action;
 use crate::watching::Watching;
 
-/// Until members are known.
-const FLEET_OF_ONE: usize = 1;
+mod peering;
 
 /// The tables and what they reach out through.
 pub(crate) struct Control {
@@ -23,6 +23,7 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
+    members: systems::membership::Table,
     view: Arc<View>,
     leaving: bool,
 }
@@ -30,17 +31,20 @@
 impl Control {
     /// Empty tables.
     #[must_use]
-    pub(crate) fn new(shared: Arc<Shared>, storage: Storage) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, storage: Storage, peers: peers::Handle) -> Self {
         let settings = &shared.settings;
         let keys = catalogue::head::Keys::new(&settings.cluster);
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let incarnation = shared.incarnation;
+        let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
         Self {
             shared,
             storage,
             watching,
             catalogue,
+            members,
             view: Arc::default(),
             leaving: false,
         }
@@ -70,12 +74,17 @@
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
+            Event::Peer(inbound) => {
+                self.take_peer(now, inbound);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
             }
             Event::Leave => {
                 self.leaving = true;
+                self.members.leave(now);
                 self.publish(now);
                 return;
             }
@@ -86,8 +95,11 @@
 
     fn tick(&mut self) {
         let now = self.shared.now();
+        self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        let fleet = self.members.membership().fleet_size();
+        systems::quality::tick(&self.shared, now, fleet);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
@@ -97,8 +109,7 @@
         for action in actions {
             match action {
                 Action::Store(used, request) => self.storage.call(used, request),
-                // No other daemon is known yet.
-                Action::Send(..) => {}
+                Action::Send(to, body) => self.members.send(&to, Part::Catalogue, body),
                 Action::Watch => self.watching.start(),
                 Action::StopWatch => self.watching.stop(),
                 Action::Changed => changed = true,
@@ -107,7 +118,6 @@
         if changed {
             self.put_in_force(now);
         }
-        systems::quality::tick(&self.shared, now, FLEET_OF_ONE);
     }
 
     /// Serves by the catalogue as it is now.
@@ -116,6 +126,7 @@
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
         tracing::info!("catalogue: revision {} is in force", view.revision);
+        self.show_progress(now, view.revision);
         self.view = Arc::new(view);
         self.publish(now);
     }
@@ -126,7 +137,7 @@
             readiness: self.readiness(self.view.revision),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
-            reach: self.catalogue.sync().reach(now),
+            reach: self.reach(now),
         };
         self.shared.snapshot.store(Arc::new(snapshot));
     }
--- /dev/null
+++ b/components/node/src/control/peering.rs
@@ -0,0 +1,83 @@
+//! What other daemons send, and what this one tells them.
+
+use bytes::Bytes;
+use catalogue::sync::Reach;
+use membership::{Event, Topic};
+use peers::{Inbound, Part, Payload};
+use types::prelude::*;
+
+use super::Control;
+
+impl Control {
+    /// Takes what another daemon sent. Questions that no part answers are dropped, which
+    /// tells the asker to go elsewhere.
+    pub(super) fn take_peer(&mut self, now: Time, inbound: Inbound) {
+        let Inbound::Message { from, payload } = inbound else {
+            return;
+        };
+        match payload {
+            Payload::Membership(message) => {
+                let events = self.members.on_message(now, &from, message);
+                self.on_members(now, events);
+            }
+            Payload::Part {
+                part: Part::Catalogue,
+                body,
+            } => {
+                let actions = self.catalogue.on_peer(now, &from.id, &body);
+                self.perform(now, actions);
+            }
+            Payload::Part { part, .. } => {
+                tracing::debug!("node: {} sent something for {part:?}, dropped", from.id);
+            }
+        }
+    }
+
+    /// Probes, tells news, and takes what that brings.
+    pub(super) fn tick_members(&mut self, now: Time) {
+        let events = self.members.tick(now);
+        self.on_members(now, events);
+    }
+
+    fn on_members(&mut self, now: Time, events: Vec<Event>) {
+        let mut changed = false;
+        for event in events {
+            match event {
+                Event::MemberUp { .. } | Event::MemberDown { .. } => changed = true,
+                Event::FactChanged {
+                    origin,
+                    topic: Topic::Progress,
+                    ..
+                } => self.take_progress(now, &origin),
+                _ => {}
+            }
+        }
+        if changed {
+            self.catalogue.set_members(self.members.live());
+        }
+    }
+
+    /// Shows which revision this daemon has in force.
+    pub(super) fn show_progress(&mut self, now: Time, revision: Revision) {
+        let value = Bytes::copy_from_slice(&revision.0.to_le_bytes());
+        self.members
+            .publish(now, Topic::Progress, Bytes::new(), value);
+    }
+
+    fn take_progress(&mut self, now: Time, origin: &DaemonId) {
+        let mut facts = self.members.facts(Topic::Progress);
+        let fact = facts.find(|fact| fact.origin == *origin);
+        let revision = fact.and_then(|fact| <[u8; 8]>::try_from(&fact.value[..]).ok());
+        if let Some(revision) = revision.map(u64::from_le_bytes).map(Revision) {
+            self.catalogue.report(now, origin, revision, Span::ZERO);
+        }
+    }
+
+    /// The part of the fleet in reach. Membership is slow to bury hundreds when this
+    /// daemon is cut off alone; its unanswered probes tell sooner.
+    pub(super) fn reach(&self, now: Time) -> Reach {
+        let mut reach = self.catalogue.sync().reach(now);
+        reach.reached = reach.reached.min(self.members.membership().reachable());
+        reach
+    }
+}
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -16,6 +16,8 @@
     Store(StoreUse, Outcome),
     /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
+    /// Another daemon sent something.
+    Peer(peers::Inbound),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
     /// Stop taking part: the process is leaving.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -25,6 +25,7 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
+use crate::systems;
 use crate::traffic::Traffic;
 use crate::traffic::pool::Pool;
 
@@ -51,8 +52,10 @@
         if let Some(list) = shared.settings.platform.hosts {
             crate::hosts::start(list, events.clone())?;
         }
+        let sink = systems::membership::sink(events.clone());
+        let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
         let storage = Storage::start(&shared.store, events)?;
-        let control = Control::new(shared.clone(), storage);
+        let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
         let traffic = Arc::new(Traffic::new(shared.clone()));
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -2,5 +2,6 @@
 
 pub mod catalogue;
 pub mod hosts;
+pub mod membership;
 pub mod quality;
 pub mod routing;
