--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -21,6 +21,8 @@
     Watch(Vec<WatchEvent>),
     /// An answer is whole; its end waits for the release.
     Bill(Box<Bill>, ReleaseTo),
+    /// Another daemon sent something.
+    Peer(peers::Inbound),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
     /// Stop taking part: the process is leaving.
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -3,5 +3,6 @@
 pub mod catalogue;
 pub mod hosts;
 pub mod ledger;
+pub mod membership;
 pub mod quality;
 pub mod routing;
