Serve operators and drive roll-outs in the daemon

Cause: the daemon had neither an operators' address nor a driver. Change: node: commands answered by the control thread, metrics and probes, bills read from the ledger's totals, drivers of roll-outs with calls of engines and of the weight store on threads of their own. Conclusion: status, catalogue, rollout status, bills, dump and top were run by hand against dev.

--- a/components/adminapi/src/rollout.rs
+++ b/components/adminapi/src/rollout.rs
@@ -42,7 +42,7 @@
     pub driver: Option<DaemonId>,
     /// The fencing number of its orders.
     #[serde(default)]
-    pub fencing: Option<i64>,
+    pub fencing: Option<u64>,
     /// Upstreams of the model, as they last reported.
     #[serde(default)]
     pub upstreams: UpstreamCounts,
--- a/components/adminapi/src/status.rs
+++ b/components/adminapi/src/status.rs
@@ -98,8 +98,6 @@
     /// The kind of work where it was seen, or nothing for all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub class: Option<ClassName>,
-    /// How long it has been suspended.
-    pub age: Span,
     /// Ratings it rests on.
     #[serde(default)]
     pub ratings: u64,
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,12 +1,15 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
+mod commands;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use catalogue::view::View;
 use types::prelude::*;
 
-use crate::event::{Event, StoreUse};
+use crate::calling::Calling;
+use crate::event::{EVENTS_WAITING, Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
@@ -23,6 +26,8 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
+    rollouts: systems::rollout::Table,
+    calling: Calling,
     view: Arc<View>,
     leaving: bool,
 }
@@ -36,11 +41,15 @@
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
+        let calling = Calling::new(shared.clone());
         Self {
             shared,
             storage,
             watching,
             catalogue,
+            rollouts,
+            calling,
             view: Arc::default(),
             leaving: false,
         }
@@ -69,6 +78,19 @@
         let actions = match event {
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
+            Event::Store(StoreUse::Rollout(ticket), outcome) => {
+                let task = self.rollouts.on_store(now, ticket, outcome);
+                self.perform_tasks(now, task);
+                return;
+            }
+            Event::Operator(command) => {
+                self.command(now, command);
+                return;
+            }
+            Event::Called(called) => {
+                self.rollouts.on_called(now, called);
+                return;
+            }
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
@@ -88,10 +110,43 @@
         let now = self.shared.now();
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        self.drive_rollouts(now);
+        self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
+    fn drive_rollouts(&mut self, now: Time) {
+        let members = self.catalogue.members().iter();
+        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
+        let shared = &self.shared;
+        let quality = || lock(&shared.quality).dump();
+        let catalogue = self.catalogue.catalogue();
+        let tasks = self
+            .rollouts
+            .tick(now, &self.view, catalogue, &members, quality);
+        self.perform_tasks(now, tasks);
+    }
+
+    /// Notes what metrics and probes show.
+    fn measure(&self, now: Time) {
+        let metrics = &self.shared.metrics;
+        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
+        metrics.catalogue_revision.set(revision);
+        let confirmed = self.catalogue.sync().confirmed();
+        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
+        metrics.freshness_age.set(age.as_secs_f64());
+        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
+        let most = self.shared.settings.callers.max_in_flight;
+        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
+        let not_ready = match self.readiness(self.view.revision) {
+            Readiness::Ready => None,
+            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
+            Readiness::Leaving => Some("leaving".to_owned()),
+        };
+        self.shared.health.tick(not_ready);
+    }
+
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
--- /dev/null
+++ b/components/node/src/control/commands.rs
@@ -0,0 +1,228 @@
+//! What operators ask of the control thread.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use adminapi::bill::{BillRow, BillsQuery, BillsReply};
+use adminapi::entry::{CatalogueReply, EntryReply, EntrySummary, HeldBack, HistoryReply};
+use adminapi::status::{MemberState, MemberStatus, StatusReply, Suspension};
+use catalogue::edit::make_id;
+use ledger::{Export, Row, Statement, Step};
+use operators::command::{Command, Edit, ReplyTo};
+use quality::Phase;
+use types::prelude::*;
+
+use super::Control;
+use crate::shared::{Shared, lock};
+use crate::systems::rollout::Task;
+
+/// Author of the edits that roll-outs make.
+const ROLLOUT_AUTHOR: &str = "rollout";
+
+impl Control {
+    /// Answers, or begins what will answer.
+    pub(super) fn command(&mut self, now: Time, command: Command) {
+        match command {
+            Command::Catalogue(reply) => reply.send(self.catalogue_reply()),
+            Command::Entry(name, reply) => {
+                let record = self.catalogue.catalogue().record(&name);
+                reply.send(record.map(|record| EntryReply::from_record(&name, record)));
+            }
+            Command::History(name, reply) => {
+                let record = self.catalogue.catalogue().record(&name);
+                reply.send(record.map(|record| HistoryReply::from_record(&name, record)));
+            }
+            Command::Edit(edit, reply) => self.edit(now, edit, reply),
+            Command::EditState(id, reply) => self.catalogue.edit_state(now, id, reply),
+            Command::Rollouts(reply) => {
+                let catalogue = self.catalogue.catalogue();
+                reply.send(self.rollouts.reply(now, &self.view, catalogue));
+            }
+            Command::Status(reply) => reply.send(self.status(now)),
+            Command::Dump(reply) => reply.send(self.dump(now)),
+            Command::Bills(query, reply) => self.bills(query, reply),
+        }
+    }
+
+    fn edit(&mut self, now: Time, edit: Edit, reply: ReplyTo<operators::command::EditOutcome>) {
+        tracing::info!(
+            "catalogue: edit {} of {} by {}",
+            edit.edit_id,
+            edit.name,
+            edit.author
+        );
+        self.shared.metrics.edits.inc();
+        let at = self.shared.clock.wall();
+        self.catalogue.edit(now, at, edit, reply);
+    }
+
+    /// Does what the roll-outs' drivers want.
+    pub(super) fn perform_tasks(&mut self, now: Time, tasks: impl IntoIterator<Item = Task>) {
+        for task in tasks {
+            match task {
+                Task::Store(ticket, request) => {
+                    let used = crate::event::StoreUse::Rollout(ticket);
+                    self.storage.call(used, request);
+                }
+                Task::Call(call) => self.calling.call(call),
+                Task::Edit(name, entry, revision) => {
+                    let Ok(author) = OperatorName::new(ROLLOUT_AUTHOR) else {
+                        continue;
+                    };
+                    let edit = Edit {
+                        name,
+                        entry: Some(entry),
+                        if_match: Some(revision),
+                        author,
+                        edit_id: make_id(revision, &mut rand::rng()),
+                    };
+                    // The driver sees by the catalogue what became of it.
+                    let (reply, _) = ReplyTo::new();
+                    self.edit(now, edit, reply);
+                }
+            }
+        }
+    }
+
+    fn catalogue_reply(&self) -> CatalogueReply {
+        let catalogue = self.catalogue.catalogue();
+        let records = catalogue.records();
+        let entries = records.filter_map(|(name, r)| EntrySummary::from_record(name, r));
+        let held_back = catalogue
+            .rejected()
+            .iter()
+            .map(|(name, rejected)| HeldBack {
+                name: name.clone(),
+                revision: rejected.revision,
+                problems: rejected.problems.iter().map(ToString::to_string).collect(),
+            });
+        CatalogueReply {
+            revision: catalogue.revision(),
+            entries: entries.collect(),
+            held_back: held_back.collect(),
+        }
+    }
+
+    fn status(&self, now: Time) -> StatusReply {
+        let settings = &self.shared.settings;
+        let sync = self.catalogue.sync();
+        let revision = sync.catalogue().revision();
+        let confirmed = sync.confirmed();
+        let members = self.members(now);
+        let live = members.iter().filter(|member| member.state.is_live());
+        StatusReply {
+            cluster: settings.cluster.clone(),
+            daemon: settings.daemon.clone(),
+            revision,
+            in_force_everywhere: live.map(|m| m.revision).min().unwrap_or(revision),
+            freshness_age: confirmed.map_or(now.since(Time::ZERO), |at| now.since(at)),
+            store_reachable: sync.reach(now).touches_store,
+            members,
+            suspended: self.suspended(),
+            in_flight: self.shared.pool.load() as u64,
+            bills_waiting: 0,
+        }
+    }
+
+    /// The daemons and what they last reported.
+    fn members(&self, now: Time) -> Vec<MemberStatus> {
+        let sync = self.catalogue.sync();
+        let revision = sync.catalogue().revision();
+        let behind = sync.in_force(now, revision).laggards;
+        let behind: BTreeMap<_, _> = behind.into_iter().map(|l| (l.daemon.clone(), l)).collect();
+        let members = self.catalogue.members().iter();
+        let status = members.map(|member| {
+            let laggard = behind.get(&member.id);
+            let age = laggard
+                .and_then(|laggard| laggard.heard)
+                .unwrap_or_default();
+            MemberStatus {
+                daemon: member.id.clone(),
+                failure_domain: member.failure_domain.clone(),
+                state: MemberState::Alive,
+                revision: laggard.map_or(revision, |l| l.revision.unwrap_or_default()),
+                report_age: age,
+                behind_for: laggard.map(|_| age),
+            }
+        });
+        status.collect()
+    }
+
+    fn suspended(&self) -> Vec<Suspension> {
+        let dump = lock(&self.shared.quality).dump();
+        let streams = dump.streams.into_iter();
+        let suspended = streams.filter(|stream| stream.phase == Phase::Suspended);
+        let listed = suspended.map(|stream| Suspension {
+            version: stream.version,
+            class: Some(stream.class),
+            ratings: stream.ratings as u64,
+            adequate: (stream.ratings * stream.quality) as u64,
+        });
+        listed.collect()
+    }
+
+    /// The state of the daemon, a part each.
+    fn dump(&self, now: Time) -> serde_json::Value {
+        let shared = &self.shared;
+        serde_json::json!({
+            "cluster": shared.settings.cluster,
+            "daemon": shared.settings.daemon,
+            "incarnation": shared.incarnation,
+            "uptime": now.since(Time::ZERO),
+            "readiness": format!("{:?}", self.readiness(self.view.revision)),
+            "in_flight": {"requests": shared.pool.load(), "most": shared.settings.callers.max_in_flight},
+            "events": {"waiting": shared.events.len(), "most": crate::event::EVENTS_WAITING},
+            "catalogue": self.catalogue.dump(now),
+            "rollouts": self.rollouts.dump(now),
+            "quality": lock(&shared.quality).dump(),
+        })
+    }
+
+    /// Reads bills from the store on a thread that may block.
+    fn bills(&self, query: BillsQuery, reply: ReplyTo<Result<BillsReply, String>>) {
+        let shared = self.shared.clone();
+        let answer = reply.clone();
+        let begun = self
+            .calling
+            .run(move || answer.send(read_bills(&shared, query)));
+        if !begun {
+            reply.send(Err("too many calls are under way".to_owned()));
+        }
+    }
+}
+
+fn read_bills(shared: &Arc<Shared>, query: BillsQuery) -> Result<BillsReply, String> {
+    let prefix = format!("/buckthorncross/{}/", shared.settings.cluster);
+    let since = query.since.unwrap_or_default();
+    let until = query.until.unwrap_or_else(|| shared.clock.wall());
+    let mut export = Export::new(&prefix, since, until);
+    let mut request = export.start();
+    loop {
+        let outcome = shared.store.call(request);
+        match export.on_store(outcome).map_err(|e| e.to_string())? {
+            Step::Call(next) => request = next,
+            Step::Done(statement) => return Ok(bills_reply(&statement)),
+        }
+    }
+}
+
+fn bills_reply(statement: &Statement) -> BillsReply {
+    BillsReply {
+        bills: statement.rows().map(bill_row).collect(),
+        pending: statement.pending,
+    }
+}
+
+fn bill_row(row: Row) -> BillRow {
+    BillRow {
+        hour: row.hour.start(),
+        customer: row.customer,
+        entry: row.entry,
+        version: row.version,
+        requests: row.requests,
+        input_tokens: row.input_tokens,
+        output_tokens: row.output_tokens,
+        cost: row.cost,
+        attempts: row.attempts,
+    }
+}
--- a/components/node/src/error.rs
+++ b/components/node/src/error.rs
@@ -16,8 +16,8 @@
     #[error("peers.keys: {0}")]
     Keys(String),
     /// Operators' API cannot be started.
-    #[error("operators: {0}")]
-    Operators(String),
+    #[error(transparent)]
+    Operators(#[from] operators::StartError),
     /// Connections between daemons cannot be started.
     #[error("peers: {0}")]
     Peers(String),
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,8 +1,11 @@
 //! What other threads tell the control thread.
 
 use keyvalue::{Outcome, WatchEvent};
+use operators::command::Command;
 use types::prelude::*;
 
+use crate::systems::rollout::Called;
+
 use platform::Host;
 
 /// Events that wait for the control thread. A sender that finds the queue full waits,
@@ -18,6 +21,10 @@
     Watch(Vec<WatchEvent>),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
+    /// An operator asks.
+    Operator(Command),
+    /// A call of an engine or of the weight store ended.
+    Called(Called),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Stop now.
@@ -31,6 +38,8 @@
     Catalogue,
     /// A step of an edit.
     Edit,
+    /// A roll-out's lease, with a ticket.
+    Rollout(u64),
 }
 
 /// A request that ended, as traffic tells it.
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use operators::health::Health;
 use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
@@ -45,6 +46,8 @@
     pub(crate) claims: Claims,
     /// To the control thread.
     pub(crate) events: flume::Sender<Event>,
+    /// What probes read.
+    pub(crate) health: Arc<Health>,
     /// What is measured.
     pub(crate) metrics: Arc<Metrics>,
     /// What is known of the versions' answers.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -8,6 +8,8 @@
 
 use arc_swap::ArcSwap;
 use callers::{Callers, Limits};
+use operators::auth::Tokens;
+use operators::health::Health;
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
@@ -35,6 +37,7 @@
 pub struct Node {
     shared: Arc<Shared>,
     callers: Callers,
+    operators: operators::Handle,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -55,6 +58,7 @@
         let control = Control::new(shared.clone(), storage);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
+        let operators = start_operators(&shared)?;
         let traffic = Arc::new(Traffic::new(shared.clone()));
         let cfg = &shared.settings.callers;
         let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
@@ -66,6 +70,7 @@
         Ok(Self {
             shared,
             callers,
+            operators,
             control,
             claims,
         })
@@ -77,6 +82,12 @@
         self.callers.address()
     }
 
+    /// Where operators are served.
+    #[must_use]
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
@@ -93,6 +104,7 @@
         end_requests(&self.shared, deadline);
         self.shared.claims.stop();
         let _ = self.claims.join();
+        self.operators.stop();
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -112,6 +124,20 @@
     }
 }
 
+fn start_operators(shared: &Shared) -> Result<operators::Handle, NodeError> {
+    let cfg = &shared.settings.operators;
+    let events = shared.events.clone();
+    let handle = operators::start(operators::Config {
+        listen: cfg.listen,
+        bounds: operators::Bounds::default(),
+        tokens: Tokens::new(&cfg.tokens),
+        submit: Box::new(move |command| events.try_send(Event::Operator(command)).is_ok()),
+        metrics: shared.metrics.clone(),
+        health: shared.health.clone(),
+    });
+    Ok(handle?)
+}
+
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
@@ -134,6 +160,7 @@
         store,
         claims,
         events,
+        health: Arc::new(Health::new(clock)),
         metrics: Arc::new(Metrics::new()),
         quality: Mutex::new(Quality::new(
             quality_config(&settings),
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -3,4 +3,5 @@
 pub mod catalogue;
 pub mod hosts;
 pub mod quality;
+pub(crate) mod rollout;
 pub mod routing;
--- a/components/node/src/systems/catalogue.rs
+++ b/components/node/src/systems/catalogue.rs
@@ -103,6 +103,12 @@
         View::from_catalogue(self.catalogue())
     }
 
+    /// The live daemons, this one included.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
     /// Takes the live daemons, this one included.
     pub fn set_members(&mut self, members: Vec<Member>) {
         self.members = members;
--- /dev/null
+++ b/components/node/src/systems/rollout.rs
@@ -0,0 +1,308 @@
+//! Drives the roll-outs that this daemon holds the lease of.
+//!
+//! One [`rollout::Driver`] for each model that has a roll-out, with the engines' reports
+//! that it has asked for. What a driver wants done is handed to the control thread, and
+//! calls of engines and of the weight store go on to threads that may block.
+
+mod seen;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ::catalogue::entry::{Entry, Model, Rollout};
+use ::catalogue::record::Catalogue;
+use ::catalogue::view::{MODELS, View};
+use ::quality::Dump;
+use ::rollout::observed::Observed;
+use ::rollout::{Config, Driver, Effect, Order, OrderKind};
+use adminapi::rollout::{RolloutStatus, RolloutsReply};
+use engine::LoadReport;
+use keyvalue::Request;
+use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
+
+use seen::Seen;
+
+/// Daemons that look whether a roll-out lacks a driver; more would only load the store.
+const CANDIDATES: usize = 3;
+
+/// What the control thread shall do.
+#[derive(Debug)]
+pub(crate) enum Task {
+    /// Call the store; the outcome comes back with the ticket.
+    Store(u64, Request),
+    /// Write a model's entry, if it still has this revision.
+    Edit(EntryName, Arc<Entry>, Revision),
+    /// Call an engine or the weight store.
+    Call(Call),
+}
+
+/// A call that may block.
+#[derive(Debug, Clone)]
+pub(crate) enum Call {
+    /// Read an engine's load.
+    Read(ModelName, UpstreamId, std::net::SocketAddr),
+    /// Send an order.
+    Order(ModelName, Order, std::net::SocketAddr),
+    /// Ask for leave to load.
+    Slot(VersionId),
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum Called {
+    /// An engine's report.
+    Report(ModelName, UpstreamId, LoadReport),
+    /// An engine refused a load for want of room.
+    Full(ModelName, UpstreamId),
+    /// The weight store gave leave, or says when to ask again.
+    Slot(ModelName, Result<(), Span>),
+}
+
+/// Roll-outs by model.
+pub(crate) struct Table {
+    daemon: DaemonId,
+    prefix: String,
+    driven: BTreeMap<ModelName, Driven>,
+    tickets: BTreeMap<u64, (ModelName, u64)>,
+    last_ticket: u64,
+}
+
+struct Driven {
+    driver: Driver,
+    seen: Seen,
+    rank: Option<u32>,
+}
+
+impl Table {
+    /// No roll-outs.
+    pub(crate) fn new(cluster: &ClusterName, daemon: &DaemonId) -> Self {
+        Self {
+            daemon: daemon.clone(),
+            prefix: format!("/buckthorncross/{cluster}/rollouts/"),
+            driven: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            last_ticket: 0,
+        }
+    }
+
+    /// Runs every driver.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        view: &View,
+        catalogue: &Catalogue,
+        members: &[DaemonId],
+        quality: impl FnOnce() -> Dump,
+    ) -> Vec<Task> {
+        let rolled = |model: &&ModelName| view.models[*model].rollout.is_some();
+        let models: Vec<ModelName> = view.models.keys().filter(rolled).cloned().collect();
+        self.driven.retain(|model, _| models.contains(model));
+        if models.is_empty() {
+            return Vec::new();
+        }
+        let quality = quality();
+        let mut tasks = Vec::new();
+        for name in &models {
+            self.add(name, members);
+            let effects = self.run(now, name, view, catalogue, &quality);
+            for effect in effects {
+                tasks.extend(self.task(name, view, catalogue, effect));
+            }
+        }
+        tasks
+    }
+
+    fn add(&mut self, model: &ModelName, members: &[DaemonId]) {
+        let rank = rank(model, &self.daemon, members);
+        let key = format!("{}{model}", self.prefix);
+        let driven = self.driven.entry(model.clone()).or_insert_with(|| Driven {
+            driver: Driver::new(key, self.daemon.clone(), Config::default()),
+            seen: Seen::default(),
+            rank,
+        });
+        driven.rank = rank;
+    }
+
+    fn run(
+        &mut self,
+        now: Time,
+        name: &ModelName,
+        view: &View,
+        catalogue: &Catalogue,
+        quality: &Dump,
+    ) -> Vec<Effect> {
+        let model = &view.models[name];
+        let (Some(driven), Some(rollout), Some(revision)) = (
+            self.driven.get_mut(name),
+            &model.rollout,
+            revision_of(catalogue, name),
+        ) else {
+            return Vec::new();
+        };
+        driven.seen.set_upstreams(view.upstreams_of(name));
+        driven.seen.note_served(now, name, rollout, quality);
+        let engines = driven.seen.engines(now, name);
+        let seen = Observed {
+            model,
+            revision,
+            engines: &engines,
+            evidence: seen::evidence(name, rollout, quality),
+            demand: driven.seen.demand(now),
+            rank: driven.rank,
+        };
+        driven.driver.tick(now, &seen)
+    }
+
+    fn task(
+        &mut self,
+        name: &ModelName,
+        view: &View,
+        catalogue: &Catalogue,
+        effect: Effect,
+    ) -> Option<Task> {
+        let address = |id: &UpstreamId| {
+            let upstreams = view.upstreams_of(name).iter();
+            upstreams.clone().find(|u| u.id == *id).map(|u| u.address)
+        };
+        match effect {
+            Effect::Store(call) => Some(self.store(name, call.number, call.request)),
+            Effect::Read(id) => {
+                let address = address(&id)?;
+                Some(Task::Call(Call::Read(name.clone(), id, address)))
+            }
+            Effect::Order(order) => {
+                let address = address(&order.engine)?;
+                tracing::info!("rollout: {}", describe(name, &order));
+                Some(Task::Call(Call::Order(name.clone(), order, address)))
+            }
+            Effect::FetchSlot(version) => {
+                let version = VersionId::new(name.clone(), version);
+                Some(Task::Call(Call::Slot(version)))
+            }
+            Effect::Edit { model, if_match } => edit(name, catalogue, *model, if_match),
+        }
+    }
+
+    fn store(&mut self, name: &ModelName, number: u64, request: Request) -> Task {
+        self.last_ticket += 1;
+        self.tickets
+            .insert(self.last_ticket, (name.clone(), number));
+        Task::Store(self.last_ticket, request)
+    }
+
+    /// Takes a store's outcome; gives the call that follows.
+    pub(crate) fn on_store(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        outcome: keyvalue::Outcome,
+    ) -> Option<Task> {
+        let (name, number) = self.tickets.remove(&ticket)?;
+        let driven = self.driven.get_mut(&name)?;
+        let effect = driven.driver.on_store(now, number, outcome, driven.rank);
+        match effect? {
+            Effect::Store(call) => Some(self.store(&name, call.number, call.request)),
+            _ => None,
+        }
+    }
+
+    /// Takes the end of a call of an engine or of the weight store.
+    pub(crate) fn on_called(&mut self, now: Time, called: Called) {
+        let name = match &called {
+            Called::Report(name, ..) | Called::Full(name, _) | Called::Slot(name, _) => name,
+        };
+        let Some(driven) = self.driven.get_mut(name) else {
+            return;
+        };
+        match called {
+            Called::Report(_, id, report) => driven.seen.report(now, id, report),
+            Called::Full(_, id) => driven.seen.full(now, id),
+            Called::Slot(_, answer) => driven.driver.on_slot(now, answer),
+        }
+    }
+
+    /// Roll-outs as operators see them.
+    pub(crate) fn reply(&self, now: Time, view: &View, catalogue: &Catalogue) -> RolloutsReply {
+        let models = view.models.iter();
+        let rollouts = models.filter_map(|(name, model)| {
+            let rollout = model.rollout.as_ref()?;
+            self.status(now, name, rollout, revision_of(catalogue, name)?)
+        });
+        RolloutsReply {
+            rollouts: rollouts.collect(),
+        }
+    }
+
+    fn status(
+        &self,
+        now: Time,
+        name: &ModelName,
+        rollout: &Rollout,
+        revision: Revision,
+    ) -> Option<RolloutStatus> {
+        let driven = self.driven.get(name);
+        let driver = driven.map(|driven| &driven.driver);
+        let held = driver.and_then(|driver| driver.held(now));
+        Some(RolloutStatus {
+            model: name.clone(),
+            rollout: rollout.clone(),
+            revision,
+            driver: driver.and_then(|driver| driver.holder()).cloned(),
+            fencing: held.map(|hold| hold.fencing),
+            upstreams: driven.map_or_else(Default::default, |d| d.seen.counts(name, rollout)),
+            waiting_for: driver
+                .and_then(|driver| driver.waiting())
+                .map(ToString::to_string),
+        })
+    }
+
+    /// The tables' state, for the dump.
+    pub(crate) fn dump(&self, now: Time) -> serde_json::Value {
+        let driven = self.driven.iter().map(|(name, driven)| {
+            let held = driven.driver.held(now);
+            let state = serde_json::json!({
+                "rank": driven.rank,
+                "driver": driven.driver.holder(),
+                "fencing": held.map(|hold| hold.fencing),
+                "lease_left": held.map(|hold| now.until(hold.deadline)),
+                "waits_for": driven.driver.waiting().map(ToString::to_string),
+                "engines": driven.seen.dump(now),
+            });
+            (name.to_string(), state)
+        });
+        serde_json::Value::Object(driven.collect())
+    }
+}
+
+fn revision_of(catalogue: &Catalogue, model: &ModelName) -> Option<Revision> {
+    let name = EntryName::new(&format!("{MODELS}{model}")).ok()?;
+    Some(catalogue.record(&name)?.revision)
+}
+
+/// The entry with its model as the driver wants it.
+fn edit(name: &ModelName, catalogue: &Catalogue, model: Model, if_match: Revision) -> Option<Task> {
+    let name = EntryName::new(&format!("{MODELS}{name}")).ok()?;
+    let owner = catalogue.entry(&name)?.owner.clone();
+    let body = ::catalogue::entry::Body::Model(model);
+    Some(Task::Edit(name, Arc::new(Entry { owner, body }), if_match))
+}
+
+fn describe(model: &ModelName, order: &Order) -> String {
+    let verb = match order.kind {
+        OrderKind::Load => "load",
+        OrderKind::Unload => "unload",
+    };
+    let (engine, version, fencing) = (&order.engine, &order.version, order.fencing);
+    format!("{engine} shall {verb} {model}@{version}, fencing number {fencing}")
+}
+
+/// This daemon's turn among the few that look whether a model's roll-out lacks a driver.
+/// All daemons rank alike, and another model's roll-out ranks them otherwise.
+fn rank(model: &ModelName, me: &DaemonId, members: &[DaemonId]) -> Option<u32> {
+    let weight = |daemon: &DaemonId| xxh3_64(format!("{model} {daemon}").as_bytes());
+    let mine = weight(me);
+    let before = members.iter().filter(|daemon| weight(daemon) > mine);
+    let before = before.count();
+    (before < CANDIDATES).then(|| u32::try_from(before).unwrap_or(u32::MAX))
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -84,14 +84,13 @@
     print_table(&rows);
     for suspension in &reply.suspended {
         println!(
-            "suspended: {}{} {} ago, {} of {} answers adequate",
+            "suspended: {}{}, {} of {} rated answers adequate",
             suspension.version,
             suspension
                 .class
                 .as_ref()
                 .map(|c| format!(" for {c}"))
                 .unwrap_or_default(),
-            short(suspension.age),
             suspension.adequate,
             suspension.ratings,
         );
