--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -7,6 +7,7 @@
 use types::prelude::*;
 
 use super::Control;
+use crate::shared::lock;
 
 impl Control {
     /// Takes what another daemon sent. Questions that no part answers are dropped, which
@@ -27,6 +28,13 @@
                 let actions = self.catalogue.on_peer(now, &from.id, &body);
                 self.perform(now, actions);
             }
+            Payload::Part {
+                part: Part::Ledger,
+                body,
+            } => {
+                let actions = self.ledger.on_peer(now, &from.id, &body);
+                self.perform_ledger(actions);
+            }
             Payload::Part { part, .. } => {
                 tracing::debug!("node: {} sent something for {part:?}, dropped", from.id);
             }
@@ -43,12 +51,21 @@
         let mut changed = false;
         for event in events {
             match event {
-                Event::MemberUp { .. } | Event::MemberDown { .. } => changed = true,
+                Event::MemberUp { .. } => changed = true,
+                Event::MemberDown { id, .. } => {
+                    changed = true;
+                    lock(&self.shared.quality).forget(now, &id);
+                }
                 Event::FactChanged {
                     origin,
                     topic: Topic::Progress,
                     ..
                 } => self.take_progress(now, &origin),
+                Event::FactChanged {
+                    origin,
+                    topic: topic @ (Topic::Evidence | Topic::Suspension),
+                    key,
+                } => self.take_evidence(now, &origin, topic, &key),
                 _ => {}
             }
         }
