Test sessions over sockets: takeover, draining, withdrawal, two daemons

Cause: the pins were tested by themselves only. Change: one test; the harness edits the states of versions. Conclusion: token and named sessions keep their version until it is withdrawn.

--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -5,5 +5,6 @@
     mod harness;
     mod quality;
     mod serve;
+    mod sessions;
     mod shutdown;
 }
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -160,16 +160,23 @@
 
     /// Withdraws the only version offered and waits until that is in force.
     pub fn withdraw_v1(&self) {
+        self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
+        wait_until(|| !self.models(0).contains("small@v1"));
+    }
+
+    /// Writes an edit that sets the states of the model's two versions.
+    pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
         let name = "models/small".parse().unwrap();
         let mut entry = (*self.platform.entries[&name]).clone();
         let Body::Model(model) = &mut entry.body else {
             unreachable!("models/small is a model");
         };
-        let version = model.versions.get_mut(&"v1".parse().unwrap()).unwrap();
-        version.state = VersionState::Withdrawn;
+        for (version, state) in model.versions.values_mut().zip(states) {
+            version.state = state;
+        }
         let record = Record {
-            revision: Revision(1_000),
-            edit_id: EditId(1_000),
+            revision: Revision(revision),
+            edit_id: EditId(revision.into()),
             author: "test".parse().unwrap(),
             at: WallTime(0),
             entry: Some(Arc::new(entry)),
@@ -177,11 +184,13 @@
         };
         let value = serde_json::to_vec(&record).unwrap();
         self.put("catalogue/entries/models/small", &value);
-        let url = format!("http://{}/v1/models", self.nodes[0].callers_address());
-        wait_until(|| {
-            let answer = attohttpc::get(&url).bearer_auth("ward-key").send().unwrap();
-            !answer.text().unwrap().contains("small@v1")
-        });
+    }
+
+    /// What a daemon lists as models.
+    pub fn models(&self, index: usize) -> String {
+        let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
+        let answer = attohttpc::get(&url).bearer_auth("ward-key").send().unwrap();
+        answer.text().unwrap()
     }
 
     /// Asks daemon 0 for a chat.
--- /dev/null
+++ b/components/node/tests/it/sessions.rs
@@ -0,0 +1,59 @@
+//! Sessions keep their version, over real sockets.
+
+use catalogue::entry::VersionState::{Draining, Offered, Withdrawn};
+use engine::Client;
+use standins::platform::PlatformConfig;
+use types::prelude::*;
+
+use super::harness::{Harness, ask, wait_until};
+
+/// An answer: the version, the session's token and the version that the session lost.
+fn chat(harness: &Harness, daemon: usize, session: &str) -> [String; 3] {
+    let builder = harness.post(daemon, "/v1/chat/completions");
+    let builder = builder.header("X-Session-Id", session);
+    let answer = builder.json(&ask("answers", false, 5)).unwrap().send();
+    let (status, headers, _) = answer.unwrap().split();
+    assert_eq!(status.as_u16(), 200);
+    ["x-served-by", "x-session-token", "x-session-moved-from"].map(|name| {
+        let value = headers.get(name).map(|value| value.to_str().unwrap());
+        value.unwrap_or_default().to_owned()
+    })
+}
+
+fn load_v2(harness: &Harness) {
+    let version: VersionId = "small@v2".parse().unwrap();
+    for engine in harness.platform.engines.values() {
+        let client = Client::default();
+        let patience = Span::from_secs(5);
+        client
+            .order_load(engine.address(), &version, 1, patience)
+            .unwrap();
+        wait_until(|| {
+            let report = client.load_report(engine.address(), patience).unwrap();
+            report.versions.contains(&version)
+        });
+    }
+}
+
+// Half a revision notice is written by one version and half by another. A version takes over
+// while sessions are open, callers come back through another daemon, and then the old version
+// is withdrawn. Cause: a version chosen for each request, or a pin of one daemon only.
+#[test]
+fn can_keep_a_session_until_its_version_is_withdrawn() {
+    let harness = Harness::with_daemons(&PlatformConfig::default(), 2);
+    let [before, token, _] = chat(&harness, 0, "");
+    let [named, _, _] = chat(&harness, 0, "notice-7");
+    assert_eq!([before.as_str(), &named], ["small@v1"; 2]);
+    load_v2(&harness);
+    harness.set_states(1_000, [Draining, Offered]);
+    for daemon in [0, 1] {
+        wait_until(|| chat(&harness, daemon, "")[0] == "small@v2");
+        assert_eq!(chat(&harness, daemon, &token)[0], "small@v1");
+    }
+    assert_eq!(chat(&harness, 0, "notice-7")[0], "small@v1");
+    harness.set_states(1_001, [Withdrawn, Offered]);
+    wait_until(|| chat(&harness, 1, &token)[0] == "small@v2");
+    let [_, fresh, lost] = chat(&harness, 1, &token);
+    assert_eq!(lost, "small@v1");
+    assert_eq!(chat(&harness, 1, &fresh)[2], "");
+}
