One way to ready a request for an upstream

Cause: going to an upstream stood twice, for first and later attempts. Change: Request<Waiting> is the only state that goes to an upstream.

--- a/components/requests/src/life.rs
+++ b/components/requests/src/life.rs
@@ -161,11 +161,6 @@
         let refusal = self.core.progress.refusal(code);
         self.turn(Refused { refusal })
     }
-
-    fn begin(mut self, upstream: UpstreamId) -> Request<Attempted> {
-        self.core.progress.begin(upstream);
-        self.turn(Attempted(()))
-    }
 }
 
 impl Request<Admitted> {
@@ -176,13 +171,13 @@
         self.turn(Claimed(()))
     }
 
-    /// Goes to an upstream.
+    /// Readies it for an upstream.
     ///
     /// # Errors
     /// Gives the request back when it is not idempotent: it needs a claim first.
-    pub fn attempt(self, upstream: UpstreamId) -> Result<Request<Attempted>, Self> {
+    pub fn ready(self) -> Result<Request<Waiting>, Self> {
         if self.core.facts.idempotent {
-            Ok(self.begin(upstream))
+            Ok(self.turn(Waiting(())))
         } else {
             Err(self)
         }
@@ -195,20 +190,6 @@
     }
 }
 
-impl Request<Admitted> {
-    /// Readies it for an upstream.
-    ///
-    /// # Errors
-    /// Gives the request back when it is not idempotent: it needs a claim first.
-    pub fn ready(self) -> Result<Request<Waiting>, Self> {
-        if self.core.facts.idempotent {
-            Ok(self.turn(Waiting(())))
-        } else {
-            Err(self)
-        }
-    }
-}
-
 impl Request<Claimed> {
     /// Readies it for an upstream.
     #[must_use]
@@ -216,12 +197,6 @@
         self.turn(Waiting(()))
     }
 
-    /// Goes to an upstream.
-    #[must_use]
-    pub fn attempt(self, upstream: UpstreamId) -> Request<Attempted> {
-        self.begin(upstream)
-    }
-
     /// Refuses it as not run; the claim is to be released.
     #[must_use]
     pub fn refuse(self, code: Code) -> Request<Refused> {
@@ -230,10 +205,11 @@
 }
 
 impl Request<Waiting> {
-    /// Goes to an upstream again.
+    /// Goes to an upstream.
     #[must_use]
-    pub fn attempt(self, upstream: UpstreamId) -> Request<Attempted> {
-        self.begin(upstream)
+    pub fn attempt(mut self, upstream: UpstreamId) -> Request<Attempted> {
+        self.core.progress.begin(upstream);
+        self.turn(Attempted(()))
     }
 
     /// Refuses it, saying "not run" only if no attempt ran.
--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -163,8 +163,11 @@
             resumable: is_streamed(request),
             deadline: now + DEADLINE,
         });
-        match req.attempt(upstream(0)) {
-            Ok(req) => self.attempt(call, request, req, Vec::new(), true),
+        match req.ready() {
+            Ok(req) => {
+                let req = req.attempt(upstream(0));
+                self.attempt(call, request, req, Vec::new(), true)
+            }
             Err(req) => self.claim(oracle, call, request, req, now),
         }
     }
@@ -284,7 +287,7 @@
                 vec![Effect::Store(self.run, Which::Claim(call), next)]
             }
             ClaimStep::Mine(held) => {
-                let req = req.claim(held).attempt(upstream(0));
+                let req = req.claim(held).ready().attempt(upstream(0));
                 self.attempt(call, served.request, req, Vec::new(), served.has_caller)
             }
             ClaimStep::Duplicate(standing) => {
--- a/components/requests/tests/life.rs
+++ b/components/requests/tests/life.rs
@@ -32,7 +32,8 @@
 }
 
 fn first(facts: Facts) -> Request<Attempted> {
-    Arrived::new().admit(facts).attempt(upstream(1)).unwrap()
+    let ready = Arrived::new().admit(facts).ready().unwrap();
+    ready.attempt(upstream(1))
 }
 
 fn end(req: Request<Attempted>, end: &AttemptEnd) -> Next {
@@ -126,7 +127,7 @@
 #[test]
 fn errors_without_claim_keep_non_idempotent_work_here() {
     let req = Arrived::new().admit(facts(false, false));
-    let req = req.attempt(upstream(1)).unwrap_err();
+    let req = req.ready().unwrap_err();
     assert_eq!(
         req.refuse(Code::ClaimUnavailable).refusal().run(),
         RunState::No
