--- a/components/ledger/tests/support/fleet.rs
+++ b/components/ledger/tests/support/fleet.rs
@@ -329,9 +329,10 @@
 }
 
 impl Fleet {
-    /// Ticks a daemon that believes it is the only one.
-    pub(crate) fn tick_alone(&mut self, index: usize, wall: WallTime) {
-        let effects = self.daemons[index].ledger.tick(self.now, wall, &[]);
+    /// Ticks a daemon that believes these to be the others.
+    pub(crate) fn tick_with(&mut self, index: usize, members: &[Peer]) {
+        let wall = self.wall();
+        let effects = self.daemons[index].ledger.tick(self.now, wall, members);
         self.take(index, effects);
     }
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -26,6 +26,7 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
+use crate::systems;
 use crate::traffic::Traffic;
 use crate::traffic::pool::Pool;
 
@@ -34,6 +35,8 @@
 
 /// A named session's pin goes when unused for so long.
 const PIN_IDLE: Span = Span::from_secs(3600);
+/// A leaving daemon waits so long for the store to take its bills.
+const SEAL_PATIENCE: Span = Span::from_secs(10);
 
 /// A running daemon.
 pub struct Node {
@@ -55,8 +58,10 @@
         if let Some(list) = shared.settings.platform.hosts {
             crate::hosts::start(list, events.clone())?;
         }
+        let sink = systems::membership::sink(events.clone());
+        let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
         let storage = Storage::start(&shared.store, events)?;
-        let control = Control::new(shared.clone(), storage);
+        let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
         let traffic = Arc::new(Traffic::new(shared.clone()));
@@ -97,6 +102,7 @@
         end_requests(&self.shared, deadline);
         self.shared.claims.stop();
         let _ = self.claims.join();
+        seal_bills(&self.shared, deadline);
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -116,6 +122,17 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -2,5 +2,7 @@
 
 pub mod catalogue;
 pub mod hosts;
+pub mod ledger;
+pub mod membership;
 pub mod quality;
 pub mod routing;
