Test a fleet of daemons over sockets: edits, races, joins, suspension, custody

Cause: each part was proved alone; the fleet's promises were not seen together. Change: seeds in the harness, operators' calls, a crash (abandon), five tests with the store down where that is the point. Conclusion: an edit, a suspension and a bill each survive what they must, over real sockets.

--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -45,6 +45,7 @@
     shared: Arc<Shared>,
     callers: Callers,
     operators: operators::Handle,
+    peers_address: SocketAddr,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -63,6 +64,7 @@
         }
         let sink = systems::membership::sink(events.clone());
         let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
+        let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
@@ -80,6 +82,7 @@
             shared,
             callers,
             operators,
+            peers_address,
             control,
             claims,
         })
@@ -91,12 +94,27 @@
         self.callers.address()
     }
 
+    /// Where other daemons reach this one.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
     /// Where operators are served.
     #[must_use]
     pub fn operators_address(&self) -> SocketAddr {
         self.operators.address()
     }
 
+    /// Stops without handing anything on or saying goodbye, as a crash would.
+    pub fn abandon(mut self) {
+        let _ = self.shared.events.send(Event::Stop);
+        let _ = self.control.join();
+        self.operators.stop();
+        let _ = self.callers.close(Duration::ZERO);
+        self.shared.claims.stop();
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -3,6 +3,7 @@
 mod it {
     mod bills;
     mod claims;
+    mod fleet;
     mod harness;
     mod quality;
     mod serve;
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::{RequestBuilder, Response, ResponseReader};
+use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
 use catalogue::entry::{Body, VersionState};
 use catalogue::record::Record;
 use keyvalue::{Op, Put, Txn};
@@ -93,15 +93,22 @@
         harness
     }
 
-    fn add_daemon(&mut self, index: usize) {
+    pub fn add_daemon(&mut self, index: usize) {
         let node = Node::start(self.settings(index)).unwrap();
         self.nodes.push(node);
         let index = self.nodes.len() - 1;
         self.wait_ready(index);
     }
 
+    /// The first two daemons are the others' seeds.
     fn settings(&self, index: usize) -> settings::Settings {
         let platform = &self.platform;
+        let seeds = self
+            .nodes
+            .iter()
+            .take(2)
+            .map(|node| format!("'{}'", node.peers_address()));
+        let seeds = seeds.collect::<Vec<_>>().join(", ");
         let yaml = format!(
             "cluster: test\n\
              daemon: entry-{index}\n\
@@ -109,7 +116,8 @@
              region: here\n\
              callers: {{listen: '127.0.0.1:0'}}\n\
              operators: {{listen: '127.0.0.1:0', tokens: {{test: test-token}}}}\n\
-             peers: {{listen: '127.0.0.1:0', keys: [{{id: test, secret: not-secret-in-tests}}]}}\n\
+             peers:\n  listen: '127.0.0.1:0'\n  seeds: [{seeds}]\n  \
+             keys: [{{id: test, secret: not-secret-in-tests}}]\n\
              store: {{endpoints: ['{}']}}\n\
              platform: {{rater: '{}', weights: '{}', hosts: '{}'}}\n\
              control: {{tick: 20ms}}\n\
@@ -193,6 +201,37 @@
         answer.text().unwrap()
     }
 
+    /// A request to the operators' API of a daemon.
+    pub fn operator(&self, index: usize, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.nodes[index].operators_address());
+        RequestBuilder::new(method, url)
+            .bearer_auth("test-token")
+            .read_timeout(PATIENCE)
+    }
+
+    /// What the operators' API of a daemon gives.
+    pub fn status(&self, index: usize, path: &str) -> Value {
+        json_of(
+            self.operator(index, Method::GET, path)
+                .send()
+                .unwrap()
+                .split()
+                .2,
+        )
+    }
+
+    /// Waits until every daemon knows all the others.
+    pub fn wait_joined(&self) {
+        let count = self.nodes.len();
+        let knows_all = |index| {
+            let status = self.status(index, "/status");
+            status["members"]
+                .as_array()
+                .is_some_and(|members| members.len() >= count)
+        };
+        wait_until(|| (0..count).all(knows_all));
+    }
+
     /// Asks daemon 0 for a chat.
     pub fn chat(&self, body: &Value) -> Response {
         self.post(0, "/v1/chat/completions")
