--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -107,7 +107,7 @@
     }
 
     /// Stops without handing anything on or saying goodbye, as a crash would.
-    pub fn abandon(mut self) {
+    pub fn abandon(self) {
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         self.operators.stop();
