Escalate unsure answers of whole, repeatable requests to the stronger version

Cause: cascades were decided but never carried out: no engine said how sure it was. Change: logprobs asked for where a first answer can be discarded, parsed to one confidence, judged by bins learnt from ratings; the weaker answer serves if the stronger cannot be had; callers see no logprobs they did not ask for.

--- a/components/engine/src/chat.rs
+++ b/components/engine/src/chat.rs
@@ -35,7 +35,7 @@
 }
 
 /// A whole answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
     /// Its JSON, to be passed on.
     pub body: Bytes,
@@ -45,6 +45,8 @@
     pub finish: String,
     /// Tokens used.
     pub usage: Usage,
+    /// The tokens' mean probability, from 0 to 1, where the request asked for `logprobs`.
+    pub confidence: Option<f64>,
     /// The engine's load.
     pub load: Option<EngineLoad>,
 }
@@ -110,8 +112,10 @@
         check_echo(&completion.id, attempt)?;
         let choice = completion.choices.into_iter().next();
         let choice = choice.ok_or_else(|| cut(Doubt::NoEnd))?;
+        let confidence = choice.confidence();
         let finish = choice.finish_reason.ok_or_else(|| cut(Doubt::NoEnd))?;
         Ok(Answer {
+            confidence,
             body,
             text: choice.message.content.unwrap_or_default(),
             finish,
--- a/components/engine/src/chunk.rs
+++ b/components/engine/src/chunk.rs
@@ -59,6 +59,29 @@
     pub(crate) message: CompletionMessage,
     #[serde(default)]
     pub(crate) finish_reason: Option<String>,
+    #[serde(default)]
+    logprobs: Option<Logprobs>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Logprobs {
+    #[serde(default)]
+    content: Option<Vec<TokenLogprob>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct TokenLogprob {
+    logprob: f64,
+}
+
+impl CompletionChoice {
+    /// The tokens' mean probability, geometric: from 0 to 1, if the engine stated it.
+    pub(crate) fn confidence(&self) -> Option<f64> {
+        let tokens = self.logprobs.as_ref()?.content.as_ref()?;
+        let sum: f64 = tokens.iter().map(|token| token.logprob).sum();
+        let mean = sum / tokens.len() as f64;
+        mean.is_finite().then(|| mean.exp().clamp(0.0, 1.0))
+    }
 }
 
 #[derive(Debug, Deserialize)]
--- a/components/node/src/rating.rs
+++ b/components/node/src/rating.rs
@@ -19,6 +19,15 @@
 /// Pause after a rating failed.
 const FAILED_PAUSE: Span = Span::from_secs(2);
 
+/// What is known of an answer before it is rated.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stated {
+    /// How sure the engine said it was.
+    pub(crate) confidence: Option<quality::Confidence>,
+    /// Another version's answer was discarded for it.
+    pub(crate) escalated: bool,
+}
+
 /// Has answers rated.
 pub(crate) struct Rating {
     rater: Option<Rater>,
@@ -36,15 +45,20 @@
 }
 
 /// Whether an answer of a version is to be rated; a yes counts against the rater's rate.
-pub(crate) fn wants(shared: &Shared, class: &ClassName, version: &VersionId) -> bool {
+pub(crate) fn wants(
+    shared: &Shared,
+    class: &ClassName,
+    version: &VersionId,
+    stated: Stated,
+) -> bool {
     let now = shared.now();
     let mut quality = lock(&shared.quality);
     shared.rating.rater.is_some()
-        && quality.should_rate(now, class, version, false, &mut rand::rng())
+        && quality.should_rate(now, class, version, stated.escalated, &mut rand::rng())
 }
 
 /// Has an answer rated.
-pub(crate) fn send(shared: &Arc<Shared>, sample: Sample) {
+pub(crate) fn send(shared: &Arc<Shared>, sample: Sample, stated: Stated) {
     let Some(rater) = shared.rating.rater else {
         return;
     };
@@ -53,7 +67,7 @@
     let dropped = shared
         .rating
         .pool
-        .run(move || rate(&shared_too, rater, &sample));
+        .run(move || rate(&shared_too, rater, &sample, stated));
     if dropped.is_err() {
         tracing::debug!("quality: a sample found no thread free");
     }
@@ -71,13 +85,17 @@
     }
 }
 
-fn rate(shared: &Shared, rater: Rater, sample: &Sample) {
+fn rate(shared: &Shared, rater: Rater, sample: &Sample, stated: Stated) {
     let rated = rater.rate(sample);
     let now = shared.now();
     let mut quality = lock(&shared.quality);
     match rated {
         Ok(adequate) => {
-            let rating = quality::Rating::direct(adequate);
+            let rating = quality::Rating {
+                adequate,
+                confidence: stated.confidence,
+                escalated: stated.escalated,
+            };
             let rng = &mut rand::rng();
             let taken = quality.record_rating(now, &sample.class, &sample.version, rating, rng);
             if let Err(error) = taken {
--- a/components/node/src/traffic/ask.rs
+++ b/components/node/src/traffic/ask.rs
@@ -136,6 +136,14 @@
     }
 }
 
+impl ChatAsk {
+    /// Whether the caller itself asked for the tokens' probabilities.
+    #[must_use]
+    pub fn wants_logprobs(&self) -> bool {
+        self.fields.get("logprobs").and_then(Value::as_bool) == Some(true)
+    }
+}
+
 fn message_bytes(message: &Value) -> usize {
     match message.get("content") {
         Some(Value::String(text)) => text.len(),
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -7,6 +7,7 @@
 use catalogue::entry::Price;
 use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, Doubt, EngineLoad};
 use platform::Sample;
+use quality::Confidence;
 use requests::attempt::{self, AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Attempted, Request};
@@ -19,7 +20,7 @@
 use super::transcript::Transcript;
 use super::version::Chosen;
 use super::{Job, STALL};
-use crate::rating;
+use crate::rating::{self, Stated};
 use crate::traffic::claim::listed;
 use crate::traffic::refusal::{Refusal, set};
 
@@ -27,7 +28,11 @@
 pub(crate) struct Relay<'a> {
     pub(super) job: &'a Job,
     pub(super) responder: &'a Responder,
+    /// Whom to ask.
+    trying: &'a Chosen,
+    /// Whose answer is at hand.
     chosen: &'a Chosen,
+    confidence: Option<Confidence>,
     client: Client,
     attempts: u32,
     whole: Option<Answer>,
@@ -48,7 +53,9 @@
         Self {
             job,
             responder,
+            trying: chosen,
             chosen,
+            confidence: None,
             client: Client::default(),
             attempts: 0,
             whole: None,
@@ -64,6 +71,28 @@
         }
     }
 
+    /// Whom to ask.
+    pub(crate) fn trying(&self) -> &'a Chosen {
+        self.trying
+    }
+
+    /// Whose answer is at hand.
+    pub(crate) fn chosen(&self) -> &'a Chosen {
+        self.chosen
+    }
+
+    /// Whether a whole answer is at hand, to be given when no better one can be had.
+    pub(crate) fn has_answer(&self) -> bool {
+        self.whole.is_some()
+    }
+
+    /// Asks the next version of the cascade from now on.
+    pub(crate) fn escalate(&mut self) {
+        if let Some(next) = &self.trying.next {
+            self.trying = &next.chosen;
+        }
+    }
+
     /// Tokens of the answer at hand.
     pub(crate) fn usage(&self) -> Usage {
         self.usage
@@ -137,8 +166,8 @@
             .max_output
             .map_or(offered, |asked| asked.min(offered));
         let left = Tokens(max.0.saturating_sub(self.pieces).max(1));
-        let (fields, version) = (&self.job.ask.fields, &self.chosen.version);
-        engine_body(fields, version, left, self.job.priority, &self.text)
+        let (ask, trying) = (&self.job.ask, self.trying);
+        engine_body(ask, trying, left, self.job.priority, &self.text)
     }
 
     fn take_whole(&mut self, answer: Answer, attempt: &str) -> AttemptEnd {
@@ -149,10 +178,14 @@
         self.usage = usage;
         self.load = answer.load;
         let body = engine::rewrite_id(&answer.body, attempt, &self.answer_id());
+        self.confidence = answer.confidence.and_then(Confidence::new);
+        let added = self.trying.is_judged && !self.job.ask.wants_logprobs();
+        let body = if added { without_logprobs(body) } else { body };
+        self.chosen = self.trying;
         self.whole = Some(Answer { body, ..answer });
         AttemptEnd::Whole {
             usage,
-            adequate: true,
+            adequate: self.trying.accepts(self.confidence),
         }
     }
 
@@ -220,20 +253,25 @@
     }
 
     /// The answer as it is rated, if this one is to be.
-    pub(crate) fn sample(&self) -> Option<Sample> {
+    pub(crate) fn sample(&self) -> Option<(Sample, Stated)> {
         let class = &self.job.resolved.offer.class;
         let version = &self.chosen.version;
-        if !rating::wants(&self.job.cx.shared, class, version) {
+        let stated = Stated {
+            confidence: self.confidence,
+            escalated: self.chosen.escalated,
+        };
+        if !rating::wants(&self.job.cx.shared, class, version, stated) {
             return None;
         }
         let prompt = self.job.ask.fields.get("messages").map(Value::to_string);
         let answer = self.whole.as_ref().map_or(&self.text, |whole| &whole.text);
-        Some(Sample {
+        let sample = Sample {
             class: class.clone(),
             version: version.clone(),
             prompt: prompt.unwrap_or_default(),
             answer: answer.clone(),
-        })
+        };
+        Some((sample, stated))
     }
 
     /// Gives the caller the end of its answer, and the answer as it is kept for a repeat.
@@ -300,3 +338,17 @@
 fn event(data: &Value) -> Bytes {
     Bytes::from(format!("data: {data}\n\n"))
 }
+
+/// The body as it would be had the caller's own request gone to the engine.
+fn without_logprobs(body: Bytes) -> Bytes {
+    let Ok(mut parsed) = serde_json::from_slice::<Value>(&body) else {
+        return body;
+    };
+    let choices = parsed.get_mut("choices").and_then(Value::as_array_mut);
+    for choice in choices.into_iter().flatten() {
+        if let Some(fields) = choice.as_object_mut() {
+            fields.remove("logprobs");
+        }
+    }
+    serde_json::to_vec(&parsed).map_or(body, Bytes::from)
+}
--- a/components/node/src/traffic/chat/body.rs
+++ b/components/node/src/traffic/chat/body.rs
@@ -1,5 +1,7 @@
 //! The body that goes to an engine, and the hashes of its prompt's beginnings.
 
+use super::version::Chosen;
+use crate::traffic::ask::ChatAsk;
 use bytes::Bytes;
 use routing::PrefixHash;
 use serde_json::{Map, Value, json};
@@ -15,14 +17,17 @@
 /// The caller's body with the fields that the router sets replaced; `resume_from` is
 /// the part of a broken answer that the caller already has.
 pub(crate) fn engine_body(
-    fields: &Map<String, Value>,
-    version: &VersionId,
+    ask: &ChatAsk,
+    chosen: &Chosen,
     max_output: Tokens,
     priority: Priority,
     resume_from: &str,
 ) -> Bytes {
-    let mut fields = fields.clone();
-    fields.insert("model".to_owned(), json!(version));
+    let mut fields = ask.fields.clone();
+    fields.insert("model".to_owned(), json!(chosen.version));
+    if chosen.is_judged {
+        fields.insert("logprobs".to_owned(), json!(true));
+    }
     fields.remove("max_completion_tokens");
     fields.insert("max_tokens".to_owned(), json!(max_output));
     fields.insert("priority".to_owned(), json!(priority_number(priority)));
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -10,7 +10,7 @@
 use super::Job;
 use super::answer::Relay;
 use super::body::prefix_hashes;
-use super::version::{Chosen, NoVersion, choose_version};
+use super::version::{NoVersion, choose_version};
 use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::billing;
@@ -29,7 +29,6 @@
     let prefix = prefix_hashes(&job.ask.fields);
     let run = Run {
         job: &job,
-        chosen: &chosen,
         prefix: &prefix,
     };
     let relay = Relay::new(&job, &chosen, responder);
@@ -72,7 +71,6 @@
 
 struct Run<'a> {
     job: &'a Job,
-    chosen: &'a Chosen,
     prefix: &'a [PrefixHash],
 }
 
@@ -84,11 +82,15 @@
     fn attempts(&self, mut ready: Request<Waiting>, mut relay: Relay<'_>) {
         let mut avoid = Vec::new();
         loop {
-            if !self.is_still_permitted() {
-                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
-            }
-            let Some(taken) = self.take_upstream(&avoid) else {
-                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
+            let version = &relay.trying().version;
+            let permitted = self.is_still_permitted(version);
+            let taken = if permitted {
+                self.take_upstream(version, &avoid)
+            } else {
+                None
+            };
+            let Some(taken) = taken else {
+                return self.give_up(ready, relay);
             };
             let request = ready.attempt(taken.id.clone());
             let (request, end) = self.attempt(request, &taken, &mut relay);
@@ -98,24 +100,34 @@
                 Next::Answered(request) => return self.answer(request, relay),
                 Next::Refused(request) => return self.refuse(request, &relay),
                 Next::Unknown(request) => return relay.refuse(&request.refusal()),
-                // Neither hedged nor escalated as yet: what is at hand is the answer.
                 Next::Escalate(request) => {
-                    return self.answer(request.answer(relay.usage()), relay);
+                    relay.escalate();
+                    avoid.clear();
+                    request
                 }
                 Next::Open(_) => return,
             };
         }
     }
 
+    /// Nobody can be asked: the weaker version's answer serves if there is one.
+    fn give_up(&self, ready: Request<Waiting>, relay: Relay<'_>) {
+        if relay.has_answer() {
+            self.answer(ready.answer(relay.usage()), relay);
+        } else {
+            self.refuse(ready.refuse(Code::NoUpstream), &relay);
+        }
+    }
+
     /// Guards against new work for a version withdrawn while the request waited for its claim
     /// or for another attempt: the catalogue is read again, not the copy from its arrival.
-    fn is_still_permitted(&self) -> bool {
+    fn is_still_permitted(&self, version: &VersionId) -> bool {
         let snapshot = self.shared().snapshot.load();
         let job = self.job;
         let permitted = snapshot
             .view
             .permitted(&job.resolved.offer, &job.cx.customer);
-        permitted.contains(&self.chosen.version)
+        permitted.contains(version)
     }
 
     fn refuse(&self, request: Request<Refused>, relay: &Relay<'_>) {
@@ -129,10 +141,10 @@
             .with_budget(entry, |budget| request.end(&taken.id, end, now, budget))
     }
 
-    fn take_upstream(&self, avoid: &[UpstreamIndex]) -> Option<Taken> {
+    fn take_upstream(&self, version: &VersionId, avoid: &[UpstreamIndex]) -> Option<Taken> {
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
-        let target = router.target_index(&Target::Version(self.chosen.version.clone()))?;
+        let target = router.target_index(&Target::Version(version.clone()))?;
         let fresh = router.pick(now, &self.demand(target, avoid), &mut rand::rng());
         // Better one that failed before than none: its fault may have passed.
         let mut again = || router.pick(now, &self.demand(target, &[]), &mut rand::rng());
@@ -175,9 +187,9 @@
         (request, end)
     }
 
-    fn note_pace(&self) {
+    fn note_pace(&self, version: &VersionId) {
         let took = self.shared().now().since(self.job.arrived);
-        lock(&self.shared().paces).note(&self.chosen.version, took);
+        lock(&self.shared().paces).note(version, took);
     }
 
     fn answer(&self, request: Request<Answered>, relay: Relay<'_>) {
@@ -188,16 +200,16 @@
             "traffic: {} is answered after {attempts} attempts",
             facts.request
         );
-        self.note_pace();
-        let (version, cost) = (&self.chosen.version, relay.cost(usage));
+        let (version, cost) = (&relay.chosen().version, relay.cost(usage));
+        self.note_pace(version);
         let bill = billing::bill_of(self.shared(), facts, Some(version), cost, attempts);
         if billing::bill(self.shared(), bill).is_err() {
             return relay.refuse(&requests::refusal::Refusal::ran(Code::ShuttingDown));
         }
         let sample = relay.sample();
         let recorded = relay.finish(usage, attempts);
-        if let Some(sample) = sample {
-            rating::send(&self.job.cx.shared, sample);
+        if let Some((sample, stated)) = sample {
+            rating::send(&self.job.cx.shared, sample, stated);
         }
         claim::answered(self.shared(), billed, recorded);
     }
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -1,7 +1,7 @@
 //! Which version serves a request.
 
 use catalogue::entry::{Model, Offer, Version, VersionState};
-use quality::{Candidate, ChoiceInput, OfferTerms, RolloutShare};
+use quality::{Candidate, ChoiceInput, Confidence, OfferTerms, RolloutShare};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sessions::SessionKey;
@@ -24,6 +24,28 @@
     pub(crate) token: Option<String>,
     /// The version that the session had and lost.
     pub(crate) moved_from: Option<VersionId>,
+    /// The engine is asked how sure it is, so that its answer can be judged.
+    pub(crate) is_judged: bool,
+    /// Another version's answer was discarded for this one's.
+    pub(crate) escalated: bool,
+    /// Whom to ask next if the engine is not sure enough.
+    pub(crate) next: Option<Next>,
+}
+
+/// A step of a cascade.
+pub(crate) struct Next {
+    /// Go on when the stated confidence is lower, or none was stated.
+    below: Confidence,
+    /// The stronger version.
+    pub(crate) chosen: Box<Chosen>,
+}
+
+impl Chosen {
+    /// Whether an answer is good enough to be the last, by what the engine says of it.
+    pub(crate) fn accepts(&self, confidence: Option<Confidence>) -> bool {
+        let Some(next) = &self.next else { return true };
+        confidence.is_some_and(|stated| stated >= next.below)
+    }
 }
 
 /// Why no version was chosen.
@@ -51,25 +73,41 @@
     let candidates = candidates(job);
     let terms = terms(&job.resolved.name, &job.resolved.offer);
     let now = shared.now();
+    // Only an answer that is held back whole can be discarded, and only work that may run
+    // again; a session keeps to one version.
+    let is_new = sent == Sent::Nothing;
+    let may_escalate = is_new && !job.ask.stream && !job.head.non_idempotent;
     let input = ChoiceInput {
         offer: &terms,
         candidates: &candidates,
         pin,
-        in_session: sent != Sent::Nothing,
-        // No engine states how sure it is, so no first answer can be judged.
-        may_escalate: false,
+        in_session: !is_new,
+        may_escalate,
         time_left: now.until(job.deadline),
     };
     let mut rng = draws(job, &sent);
     let plan = lock(&shared.quality).choose(now, &input, &mut rng);
-    let version = plan.ok_or(NoVersion::NoneOpen)?.first;
-    let moved_from = pin.filter(|pin| **pin != version).cloned();
-    let version = hold(job, &sent, version, pin);
-    let token = token_for(job, &sent, &version);
+    let plan = plan.ok_or(NoVersion::NoneOpen)?;
+    let moved_from = pin.filter(|pin| **pin != plan.first).cloned();
+    let version = hold(job, &sent, plan.first, pin);
+    let next = plan.escalation.map(|step| Next {
+        below: step.below,
+        chosen: Box::new(Chosen {
+            token: token_for(job, &sent, &step.to),
+            version: step.to,
+            moved_from: None,
+            is_judged: false,
+            escalated: true,
+            next: None,
+        }),
+    });
     Ok(Chosen {
+        token: token_for(job, &sent, &version),
         version,
-        token,
         moved_from,
+        is_judged: may_escalate,
+        escalated: false,
+        next,
     })
 }
 
--- a/components/node/tests/it/fleet.rs
+++ b/components/node/tests/it/fleet.rs
@@ -141,10 +141,6 @@
         .store
         .set_faults(|faults| faults.down = true);
     let answer = harness.chat(&ask("answers", false, 4));
-    let id = answer.headers()["x-request-id"]
-        .to_str()
-        .unwrap()
-        .to_owned();
     assert!(json_of(answer.split().2)["usage"].is_object());
     harness.nodes.remove(0).abandon();
     harness
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -72,8 +72,13 @@
 
     /// Several daemons that know each other.
     pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
+        Self::with_catalogue(cfg, CATALOGUE, count)
+    }
+
+    /// Several daemons and a catalogue of the test's own.
+    pub fn with_catalogue(cfg: &PlatformConfig, text: &str, count: usize) -> Self {
         let hash = |key: &str| catalogue::entry::KeyHash::from_key(key).to_string();
-        let text = CATALOGUE
+        let text = text
             .replace("KEY", &hash("ward-key"))
             .replace("OTHER", &hash("other-key"));
         let entries = catalogue::file::parse("test", &text).unwrap();
@@ -119,7 +124,7 @@
              peers:\n  listen: '127.0.0.1:0'\n  seeds: [{seeds}]\n  \
              keys: [{{id: test, secret: not-secret-in-tests}}]\n\
              store: {{endpoints: ['{}']}}\n\
-             platform: {{rater: '{}', weights: '{}', hosts: '{}'}}\n\
+             platform: {{rater: '{}', rater_rate: 2000/s, weights: '{}', hosts: '{}'}}\n\
              control: {{tick: 20ms}}\n\
              shutdown: {{notice: 0s, deadline: 30s}}\n",
             platform.store.address(),
--- a/components/node/tests/it/quality.rs
+++ b/components/node/tests/it/quality.rs
@@ -5,7 +5,7 @@
 use standins::rater::RaterConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask};
+use super::harness::{CATALOGUE, Harness, ask, json_of};
 
 /// Requests after which a suspension that has not come will not come.
 const MOST_REQUESTS: usize = 4000;
@@ -35,3 +35,57 @@
     });
     assert_eq!(statuses.find(|status| *status != 200), Some(503));
 }
+
+/// A cheap model beside a strong one, and a target that only a mixture or a cascade meets cheaply.
+fn two_models() -> String {
+    CATALOGUE
+        .replace(
+            "  offers/answers:",
+            "  models/large:
+    kind: model
+    owner: licensing
+    service: services/engines
+    versions:
+      v1: {state: offered, price: {input: '40.0', output: '80.0'}}
+  offers/answers:",
+        )
+        .replace("candidates: [small]", "candidates: [small, large]")
+        .replace("{ward: [small]}", "{ward: [small, large]}")
+}
+
+#[test]
+fn can_escalate_answers_of_which_the_engine_is_not_sure() {
+    // The cheap model is right seven times in ten and says how sure it is. Once that is
+    // known to tell right from wrong, unsure answers are discarded for the strong model's,
+    // and the caller sees one answer.
+    let quality = [("small@v1", 0.7), ("large@v1", 1.0)];
+    let class: ClassName = "answer".parse().unwrap();
+    let quality = quality.map(|(version, q)| ((version.parse().unwrap(), class.clone()), q));
+    let rater = RaterConfig {
+        lag: Span::ZERO,
+        quality: quality.into_iter().collect(),
+        ..RaterConfig::default()
+    };
+    let engine = EngineConfig {
+        answer_tokens: 8,
+        ..EngineConfig::default()
+    };
+    let cfg = PlatformConfig {
+        rater,
+        engine,
+        ..PlatformConfig::default()
+    };
+    let harness = Harness::with_catalogue(&cfg, &two_models(), 1);
+    let mut escalated = (0..MOST_REQUESTS).filter(|index| {
+        let mut body = ask("answers", false, 8);
+        body["messages"][0]["content"] = format!("What may salon {index} charge?").into();
+        let (status, headers, reader) = harness.chat(&body).split();
+        assert_eq!(status.as_u16(), 200);
+        let served_by = headers["x-served-by"].to_str().unwrap();
+        let answer = json_of(reader);
+        assert_eq!(answer["model"], served_by);
+        assert!(answer["choices"][0].get("logprobs").is_none());
+        served_by == "large@v1" && headers["x-attempts"] == "2"
+    });
+    assert!(escalated.next().is_some());
+}
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -223,7 +223,10 @@
         let version = submitted.version;
         let mut usage = submitted.usage;
         usage.completion = submitted.tokens;
-        let body = wire::completion(echo, &version, &text, submitted.reason, usage);
+        let mut body = wire::completion(echo, &version, &text, submitted.reason, usage);
+        if submitted.logprobs {
+            body["choices"][0]["logprobs"] = wire::logprobs(&text);
+        }
         Some(if cut {
             cut_in_half(&body)
         } else {
--- a/components/standins/src/engine/state.rs
+++ b/components/standins/src/engine/state.rs
@@ -68,6 +68,8 @@
     /// Tokens that it will generate.
     pub(super) tokens: u32,
     pub(super) reason: &'static str,
+    /// Whether the answer says how sure the engine is.
+    pub(super) logprobs: bool,
     /// True once it has a slot, false when it waited too long.
     pub(super) started: oneshot::Receiver<bool>,
     pub(super) answer: Answer,
@@ -189,6 +191,7 @@
         if arrival.fault.is_crossed() {
             task.cross();
         }
+        let logprobs = chat.logprobs;
         let version = arrival.version;
         let record = RunRecord {
             attempt: arrival.attempt,
@@ -204,6 +207,7 @@
             usage,
             tokens: wanted,
             reason,
+            logprobs,
             started,
             answer,
         }
--- a/components/standins/src/engine/text.rs
+++ b/components/standins/src/engine/text.rs
@@ -118,6 +118,17 @@
     Some(f64::from(number) / 4_294_967_296.0)
 }
 
+/// Part of the confidence that has nothing to do with the answer's worth.
+const NOISE: f64 = 0.3;
+
+/// How sure the engine says it is of an answer, above 0 and at most 1.
+#[must_use]
+pub fn confidence(answer: &str) -> Option<f64> {
+    let noise = xxh3_64_with_seed(answer.as_bytes(), 1) as f64 / u64::MAX as f64;
+    let sure = (1.0 - marker(answer)?) * (1.0 - NOISE) + noise * NOISE;
+    Some(sure.clamp(0.001, 1.0))
+}
+
 /// The marker of an answer that no rater finds adequate.
 #[must_use]
 pub fn bad_marker() -> String {
--- a/components/standins/src/engine/wire.rs
+++ b/components/standins/src/engine/wire.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use types::prelude::*;
 
-use super::text::{Message, partial_tokens};
+use super::text::{Message, confidence, partial_tokens};
 
 /// The fields of a request that the engine heeds.
 #[derive(Debug, Clone, Deserialize)]
@@ -24,6 +24,8 @@
     pub(super) continue_final_message: bool,
     #[serde(default)]
     stream_options: StreamOptions,
+    #[serde(default)]
+    pub(super) logprobs: bool,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -133,6 +135,13 @@
 /// Ends a stream.
 pub(super) const DONE: Bytes = Bytes::from_static(b"data: [DONE]\n\n");
 
+/// Log probabilities of an answer's tokens, all alike: how sure the engine is of it. The
+/// surer, the likelier the rater finds it adequate, but not certainly.
+pub(super) fn logprobs(text: &str) -> Value {
+    let sure = confidence(text).unwrap_or(0.5);
+    json!({ "content": [{ "token": text, "logprob": sure.ln(), "top_logprobs": [] }] })
+}
+
 /// A whole answer's body.
 pub(super) fn completion(
     id: &str,
