--- a/components/standins/src/engine/job.rs
+++ b/components/standins/src/engine/job.rs
@@ -71,6 +71,10 @@
         if self.cut() {
             return Progress::Cut;
         }
+        if self.index >= self.length {
+            self.finish();
+            return Progress::Finished;
+        }
         let token = self.next_token(bad);
         let first = self.usage.completion == 0;
         self.usage.completion += 1;
--- a/components/standins/src/engine/state.rs
+++ b/components/standins/src/engine/state.rs
@@ -155,7 +155,8 @@
         let id = self.next_id;
         self.next_id += 1;
         let mut chat = arrival.chat;
-        let done = chat.take_partial();
+        let partial = chat.take_partial();
+        let done = partial.tokens;
         let usage = self.read_prompt(now, &chat);
         let wanted = chat.tokens(self.cfg.answer_tokens.saturating_sub(done).max(1));
         let length = done + wanted;
@@ -177,7 +178,7 @@
         let mut task = Task {
             head: Head::new(&arrival.attempt, &arrival.version),
             answer: text::answer_hash(&arrival.version, &chat.messages),
-            index: done,
+            index: if partial.has_ended { length } else { done },
             length,
             reason,
             wants_usage: chat.wants_usage(),
--- a/components/standins/src/engine/text.rs
+++ b/components/standins/src/engine/text.rs
@@ -110,6 +110,12 @@
     partial.matches(' ').count() as u32
 }
 
+/// Whether a partial answer has its last token, so that nothing is left to generate.
+#[must_use]
+pub fn has_ended(partial: &str) -> bool {
+    partial.contains(MARKER)
+}
+
 /// The uniform number in an answer's marker, from 0 to below 1.
 #[must_use]
 pub fn marker(answer: &str) -> Option<f64> {
--- a/components/standins/src/engine/wire.rs
+++ b/components/standins/src/engine/wire.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use types::prelude::*;
 
-use super::text::{Message, partial_tokens};
+use super::text::{Message, has_ended, partial_tokens};
 
 /// The fields of a request that the engine heeds.
 #[derive(Debug, Clone, Deserialize)]
@@ -32,15 +32,27 @@
     include_usage: bool,
 }
 
+/// What an answer to be resumed has already.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Partial {
+    /// Tokens but the last.
+    pub(super) tokens: u32,
+    /// The last one too: only the finish is left.
+    pub(super) has_ended: bool,
+}
+
 impl ChatRequest {
-    /// Takes the partial answer off the messages: how many of its tokens are there.
-    pub(super) fn take_partial(&mut self) -> u32 {
+    /// Takes the partial answer off the messages.
+    pub(super) fn take_partial(&mut self) -> Partial {
         let is_partial = |m: &Message| m.role == "assistant";
         if !self.continue_final_message || !self.messages.last().is_some_and(is_partial) {
-            return 0;
+            return Partial::default();
+        }
+        let text = self.messages.pop().map_or_else(String::new, |m| m.text());
+        Partial {
+            tokens: partial_tokens(&text),
+            has_ended: has_ended(&text),
         }
-        let partial = self.messages.pop();
-        partial.map_or(0, |partial| partial_tokens(&partial.text()))
     }
 
     /// Tokens asked for, at least one.
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -76,16 +76,21 @@
 #[test]
 fn can_resume_a_partial_answer() {
     let engine = start();
-    let partial = expected().split_inclusive(' ').take(2).collect::<String>();
-    let mut body = chat(false);
-    body["continue_final_message"] = json!(true);
-    body["max_tokens"] = json!(4);
-    let messages = body["messages"].as_array_mut().unwrap();
-    messages.push(json!({ "role": "assistant", "content": partial }));
-    let rest = ask(&engine, &body).unwrap().json::<Value>().unwrap();
-    let rest = rest["choices"][0]["message"]["content"].as_str().unwrap();
-    assert_eq!(partial + rest, expected());
-    assert!(engine.runs()[0].resumed);
+    for tokens in [2, 6] {
+        let partial = expected()
+            .split_inclusive(' ')
+            .take(tokens)
+            .collect::<String>();
+        let mut body = chat(false);
+        body["continue_final_message"] = json!(true);
+        body["max_tokens"] = json!((6 - tokens).max(1));
+        let messages = body["messages"].as_array_mut().unwrap();
+        messages.push(json!({ "role": "assistant", "content": partial }));
+        let rest = ask(&engine, &body).unwrap().json::<Value>().unwrap();
+        let rest = rest["choices"][0]["message"]["content"].as_str().unwrap();
+        assert_eq!(partial + rest, expected());
+    }
+    assert!(engine.runs().iter().all(|run| run.resumed));
 }
 
 #[test]
