--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -8,9 +8,12 @@
 
 use arc_swap::ArcSwap;
 use callers::{Callers, Limits};
+use operators::auth::Tokens;
+use operators::health::Health;
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
+use sessions::pins::Pins;
 use sessions::token::{Key, Keys};
 use settings::Settings;
 use store::{EtcdClient, Store};
@@ -25,16 +28,24 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
+use crate::systems;
 use crate::traffic::Traffic;
 use crate::traffic::pool::Pool;
 
 /// Pause between two looks at what is still under way.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// A named session's pin goes when unused for so long.
+const PIN_IDLE: Span = Span::from_secs(3600);
+/// A leaving daemon waits so long for the store to take its bills.
+const SEAL_PATIENCE: Span = Span::from_secs(10);
+
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
     callers: Callers,
+    operators: operators::Handle,
+    peers_address: SocketAddr,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -51,10 +62,14 @@
         if let Some(list) = shared.settings.platform.hosts {
             crate::hosts::start(list, events.clone())?;
         }
+        let sink = systems::membership::sink(events.clone());
+        let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
+        let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
-        let control = Control::new(shared.clone(), storage);
+        let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
+        let operators = start_operators(&shared)?;
         let traffic = Arc::new(Traffic::new(shared.clone()));
         let cfg = &shared.settings.callers;
         let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
@@ -66,6 +81,8 @@
         Ok(Self {
             shared,
             callers,
+            operators,
+            peers_address,
             control,
             claims,
         })
@@ -77,6 +94,27 @@
         self.callers.address()
     }
 
+    /// Where other daemons reach this one.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
+    /// Where operators are served.
+    #[must_use]
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Stops without handing anything on or saying goodbye, as a crash would.
+    pub fn abandon(self) {
+        let _ = self.shared.events.send(Event::Stop);
+        let _ = self.control.join();
+        self.operators.stop();
+        let _ = self.callers.close(Duration::ZERO);
+        self.shared.claims.stop();
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
@@ -93,6 +131,8 @@
         end_requests(&self.shared, deadline);
         self.shared.claims.stop();
         let _ = self.claims.join();
+        seal_bills(&self.shared, deadline);
+        self.operators.stop();
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -112,6 +152,31 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
+fn start_operators(shared: &Shared) -> Result<operators::Handle, NodeError> {
+    let cfg = &shared.settings.operators;
+    let events = shared.events.clone();
+    let handle = operators::start(operators::Config {
+        listen: cfg.listen,
+        bounds: operators::Bounds::default(),
+        tokens: Tokens::new(&cfg.tokens),
+        submit: Box::new(move |command| events.try_send(Event::Operator(command)).is_ok()),
+        metrics: shared.metrics.clone(),
+        health: shared.health.clone(),
+    });
+    Ok(handle?)
+}
+
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
@@ -131,9 +196,11 @@
         router: Mutex::new(router),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
+        pins: Mutex::new(Pins::new(PIN_IDLE)),
         store,
         claims,
         events,
+        health: Arc::new(Health::new(clock)),
         metrics: Arc::new(Metrics::new()),
         quality: Mutex::new(Quality::new(
             quality_config(&settings),
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -1,9 +1,12 @@
 //! The daemon over real sockets, with stand-ins for everything around it.
 
 mod it {
+    mod bills;
     mod claims;
+    mod fleet;
     mod harness;
     mod quality;
     mod serve;
+    mod sessions;
     mod shutdown;
 }
