Hash prompts' beginnings alike at the engine and at the router

Cause: cache events named prefixes by a hash that the router does not compute. Change: the stand-in takes the router's hash; PROTOCOLS.md says how it is made. Conclusion: events can be matched.

--- a/components/standins/src/engine/cache.rs
+++ b/components/standins/src/engine/cache.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use types::prelude::*;
 
-use super::text::{Message, prefix_hash};
+use super::text::{Message, prefix_hashes};
 
 /// Events kept for readers that come late.
 const MAX_EVENTS: usize = 4096;
@@ -53,10 +53,8 @@
 
     /// Tokens of a chat's beginning that are cached.
     pub(super) fn cached_tokens(&self, messages: &[Message]) -> u64 {
-        let mut hash = 0;
         let mut tokens = 0;
-        for message in messages {
-            hash = prefix_hash(hash, message);
+        for (message, hash) in messages.iter().zip(prefix_hashes(messages)) {
             if !self.prefixes.contains_key(&hash) {
                 break;
             }
@@ -68,9 +66,7 @@
     /// Holds a chat's beginnings from now on.
     pub(super) fn store(&mut self, now: Time, messages: &[Message]) {
         self.uses += 1;
-        let mut hash = 0;
-        for message in messages {
-            hash = prefix_hash(hash, message);
+        for (message, hash) in messages.iter().zip(prefix_hashes(messages)) {
             let tokens = message.tokens();
             let last_used = self.uses;
             let old = self.prefixes.insert(hash, Cached { tokens, last_used });
--- a/components/standins/src/engine/text.rs
+++ b/components/standins/src/engine/text.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use types::prelude::*;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Bytes of prompt that count as a token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -54,17 +54,24 @@
     }
 }
 
-/// Hash of a chat's first messages, from the hash of one message fewer (0 for none).
+/// Hashes of ever longer beginnings of a chat, one a message, as `docs/PROTOCOLS.md` says.
 #[must_use]
-pub fn prefix_hash(before: u64, message: &Message) -> u64 {
-    let text = format!("{}\0{}", message.role, message.text());
-    xxh3_64_with_seed(text.as_bytes(), before)
+pub fn prefix_hashes(messages: &[Message]) -> Vec<u64> {
+    let mut hasher = Xxh3::new();
+    let hashes = messages.iter().map(|message| {
+        for field in [&Value::from(message.role.as_str()), &message.content] {
+            hasher.update(field.to_string().as_bytes());
+            hasher.update(b"\0");
+        }
+        hasher.digest()
+    });
+    hashes.collect()
 }
 
 /// Hash of a whole chat.
 #[must_use]
 pub fn prompt_hash(messages: &[Message]) -> u64 {
-    messages.iter().fold(0, prefix_hash)
+    prefix_hashes(messages).last().copied().unwrap_or(0)
 }
 
 /// The first word of the last user message.
