Excuse only bills whose every holder crashed; wait for loaded engines in a test

A test of sessions took a refusal before the engines' reports for a fault. Change: the fuzz follows which daemons hold each bill; the bound is 2% in place of 5%. The test waits, and takes only refusals that say not run. Conclusion: a stricter oracle than before.

--- a/components/node/tests/it/sessions.rs
+++ b/components/node/tests/it/sessions.rs
@@ -5,19 +5,35 @@
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask, wait_until};
+use super::harness::{Harness, ask, json_of, wait_until};
 
 /// An answer: the version, the session's token and the version that the session lost.
-fn chat(harness: &Harness, daemon: usize, session: &str) -> [String; 3] {
+/// Nothing when it was refused as not run.
+fn try_chat(harness: &Harness, daemon: usize, session: &str) -> Option<[String; 3]> {
     let builder = harness.post(daemon, "/v1/chat/completions");
     let builder = builder.header("X-Session-Id", session);
     let answer = builder.json(&ask("answers", false, 5)).unwrap().send();
-    let (status, headers, _) = answer.unwrap().split();
-    assert_eq!(status.as_u16(), 200);
-    ["x-served-by", "x-session-token", "x-session-moved-from"].map(|name| {
+    let (status, headers, reader) = answer.unwrap().split();
+    if status.as_u16() != 200 {
+        assert_eq!(headers["x-run"], "no", "{}", json_of(reader));
+        return None;
+    }
+    let seen = ["x-served-by", "x-session-token", "x-session-moved-from"].map(|name| {
         let value = headers.get(name).map(|value| value.to_str().unwrap());
         value.unwrap_or_default().to_owned()
-    })
+    });
+    Some(seen)
+}
+
+fn chat(harness: &Harness, daemon: usize, session: &str) -> [String; 3] {
+    try_chat(harness, daemon, session).expect("an answer")
+}
+
+/// Waits until a session is served from the new version; a daemon that has not yet heard that
+/// engines loaded it refuses as not run.
+fn wait_for_v2(harness: &Harness, daemon: usize, session: &str) {
+    let is_v2 = |seen: [String; 3]| seen[0] == "small@v2";
+    wait_until(|| try_chat(harness, daemon, session).is_some_and(is_v2));
 }
 
 fn load_v2(harness: &Harness) {
@@ -47,12 +63,12 @@
     load_v2(&harness);
     harness.set_states(1_000, [Draining, Offered]);
     for daemon in [0, 1] {
-        wait_until(|| chat(&harness, daemon, "")[0] == "small@v2");
+        wait_for_v2(&harness, daemon, "");
         assert_eq!(chat(&harness, daemon, &token)[0], "small@v1");
     }
     assert_eq!(chat(&harness, 0, "notice-7")[0], "small@v1");
     harness.set_states(1_001, [Withdrawn, Offered]);
-    wait_until(|| chat(&harness, 1, &token)[0] == "small@v2");
+    wait_for_v2(&harness, 1, &token);
     let [_, fresh, lost] = chat(&harness, 1, &token);
     assert_eq!(lost, "small@v1");
     assert_eq!(chat(&harness, 1, &fresh)[2], "");
--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -16,7 +16,7 @@
 use requests::step::{OnCallerGone, on_caller_gone};
 use types::prelude::*;
 
-use crate::oracle::{Oracle, Saw};
+use crate::oracle::{Copy, Oracle, Saw};
 use crate::world::{Attempt, Effect, EngineReply, PREFIX, customer, is_idempotent, is_streamed};
 
 const DEADLINE: Span = Span::from_secs(30);
@@ -121,10 +121,10 @@
         fill.own + fill.custody == 0
     }
 
-    /// After another daemon's crash: its own bills whose holder is gone, or those it holds.
-    pub(crate) fn may_hold_a_last_copy(&self) -> bool {
+    /// The second holder of all of its unsealed bills, if there is one.
+    pub(crate) fn holder_of_all(&self) -> Option<DaemonId> {
         let fill = self.ledger.fill();
-        fill.own + fill.custody > 0
+        fill.holder.filter(|_| fill.unheld == 0)
     }
 
     /// Requests whose claims wait to be released or recorded.
@@ -449,10 +449,12 @@
                 continue;
             };
             let body = Bytes::from(tokens.join(" "));
-            oracle.unsealed.insert(served.request);
-            if alone {
-                oracle.alone.insert(served.request);
-            }
+            let second = self.ledger.fill().holder.filter(|_| !alone);
+            oracle.copies.push(Copy {
+                request: served.request,
+                origin: self.id(),
+                holders: second.into_iter().chain([self.id()]).collect(),
+            });
             if served.has_caller {
                 oracle.saw(call, Saw::Answer(tokens));
             }
--- a/components/requests/tests/fuzz/oracle.rs
+++ b/components/requests/tests/fuzz/oracle.rs
@@ -30,18 +30,48 @@
     pub(crate) calls: Vec<Call>,
     pub(crate) runs: BTreeMap<u8, u32>,
     pub(crate) answered: BTreeSet<u8>,
-    /// Whose bill may be lost: both daemons that held it crashed before it was sealed.
+    /// Whose bill may be lost: all daemons that held it crashed before it was sealed.
     pub(crate) excused: BTreeSet<u8>,
+    /// Bills that are not yet known to be sealed.
+    pub(crate) copies: Vec<Copy>,
     pub(crate) bills_lost: usize,
     /// Claimed by a daemon that crashed before it could release the claim.
     pub(crate) stranded: BTreeSet<u8>,
-    /// The end of an answer was released, and the bill is not yet known to be sealed.
-    pub(crate) unsealed: BTreeSet<u8>,
-    /// Of these, answered while no second daemon could hold the bill.
-    pub(crate) alone: BTreeSet<u8>,
+}
+
+/// A bill and the daemons that hold it until it is sealed.
+#[derive(Debug)]
+pub(crate) struct Copy {
+    pub(crate) request: u8,
+    pub(crate) origin: DaemonId,
+    pub(crate) holders: BTreeSet<DaemonId>,
 }
 
 impl Oracle {
+    /// A daemon and all that it held are gone. A bill that nobody holds any more is lost by
+    /// design: the window is stated, and it is not asked for.
+    pub(crate) fn crashed(&mut self, daemon: &DaemonId) {
+        for copy in &mut self.copies {
+            copy.holders.remove(daemon);
+        }
+        let is_held = |request: u8| {
+            let mut copies = self.copies.iter().filter(|copy| copy.request == request);
+            copies.any(|copy| !copy.holders.is_empty())
+        };
+        let lost = self.copies.iter().map(|copy| copy.request);
+        let lost: Vec<_> = lost.filter(|request| !is_held(*request)).collect();
+        self.excused.extend(lost);
+    }
+
+    /// All bills of a daemon are held by a second one.
+    pub(crate) fn held_by(&mut self, origin: &DaemonId, holder: &DaemonId) {
+        for copy in &mut self.copies {
+            if copy.origin == *origin && copy.holders.contains(origin) {
+                copy.holders.insert(holder.clone());
+            }
+        }
+    }
+
     pub(crate) fn call(&mut self, request: u8) -> usize {
         self.calls.push(Call {
             request,
@@ -141,7 +171,7 @@
         ];
         assert!(ends.iter().all(|count| *count > 0), "an end is not reached");
         assert!(
-            self.bills_excused * 20 < self.answers,
+            self.bills_excused * 50 < self.answers,
             "too much is excused"
         );
     }
--- a/components/requests/tests/fuzz/world.rs
+++ b/components/requests/tests/fuzz/world.rs
@@ -107,7 +107,6 @@
     pending: Vec<(Time, Effect)>,
     first_sent: BTreeMap<u8, Time>,
     runs: u64,
-    is_fragile: bool,
 }
 
 impl World {
@@ -121,7 +120,6 @@
             pending: Vec::new(),
             first_sent: BTreeMap::new(),
             runs: 0,
-            is_fragile: false,
         };
         for index in 0..size {
             world.runs += 1;
@@ -160,9 +158,7 @@
         self.now = self.now + span;
         self.store.advance(self.now);
         if self.is_quiet() {
-            self.is_fragile = false;
-            self.oracle.unsealed.clear();
-            self.oracle.alone.clear();
+            self.oracle.copies.clear();
         }
         let peers: Vec<_> = self.daemons.iter().map(Daemon::peer).collect();
         let wall = self.wall();
@@ -176,6 +172,9 @@
                 .collect();
             let effects = self.daemons[index].tick(&mut self.oracle, self.now, wall, &others);
             self.add(effects);
+            if let Some(holder) = self.daemons[index].holder_of_all() {
+                self.oracle.held_by(&self.daemons[index].id(), &holder);
+            }
         }
     }
 
@@ -360,17 +359,8 @@
     }
 
     /// The daemon and all that it holds are gone; what it had sent may still arrive.
-    ///
-    /// A bill is held by two daemons until it is sealed. Losing both within that time loses
-    /// it: the window that the design states. Its bills are not asked for.
     pub(crate) fn crash(&mut self, index: usize) {
-        if self.is_fragile && self.daemons[index].may_hold_a_last_copy() {
-            let unsealed = self.oracle.unsealed.clone();
-            self.oracle.excused.extend(unsealed);
-        }
-        let alone = std::mem::take(&mut self.oracle.alone);
-        self.oracle.excused.extend(alone);
-        self.is_fragile = true;
+        self.oracle.crashed(&self.daemons[index].id());
         let settling = self.daemons[index].settling();
         self.oracle.stranded.extend(settling);
         for call in self.daemons[index].calls() {
