Ask a named session's home daemons for its pin

Cause: a named session kept its version at one daemon only. Change: two homes by rendezvous hash hold each pin; the first request of a session at a daemon asks both, a new pin goes to both, pins follow changes of members, withdrawal replaces them. Conclusion: both homes lost within the time of re-homing is the window left.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -145,6 +145,7 @@
     fn tick(&mut self) {
         let now = self.shared.now();
         self.tick_members(now);
+        self.shared.sessions.tick(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
         self.tick_ledger(now);
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -13,8 +13,14 @@
     /// Takes what another daemon sent. Questions that no part answers are dropped, which
     /// tells the asker to go elsewhere.
     pub(super) fn take_peer(&mut self, now: Time, inbound: Inbound) {
-        let Inbound::Message { from, payload } = inbound else {
-            return;
+        let (from, payload) = match inbound {
+            Inbound::Message { from, payload } => (from, payload),
+            Inbound::Ask { payload, reply, .. } => {
+                if let Some(answer) = self.answer_peer(now, &payload) {
+                    reply.send(answer);
+                }
+                return;
+            }
         };
         match payload {
             Payload::Membership(message) => {
@@ -35,12 +41,28 @@
                 let actions = self.ledger.on_peer(now, &from.id, &body);
                 self.perform_ledger(actions);
             }
+            Payload::Part {
+                part: Part::Session,
+                body,
+            } => {
+                let _ = self.shared.sessions.answer(&body, now);
+            }
             Payload::Part { part, .. } => {
                 tracing::debug!("node: {} sent something for {part:?}, dropped", from.id);
             }
         }
     }
 
+    fn answer_peer(&self, now: Time, payload: &Payload) -> Option<Payload> {
+        match payload {
+            Payload::Part {
+                part: Part::Session,
+                body,
+            } => self.shared.sessions.answer(body, now),
+            _ => None,
+        }
+    }
+
     /// Probes, tells news, and takes what that brings.
     pub(super) fn tick_members(&mut self, now: Time) {
         let events = self.members.tick(now);
@@ -71,6 +93,7 @@
         }
         if changed {
             self.catalogue.set_members(self.members.live());
+            self.shared.sessions.set_members(self.members.homes());
         }
     }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod pace;
 mod rating;
+mod sessions;
 mod shared;
 pub mod snapshot;
 mod start;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -8,7 +8,6 @@
 use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
-use sessions::pins::Pins;
 use settings::Settings;
 use store::Store;
 use telemetry::metrics::Metrics;
@@ -18,6 +17,7 @@
 use crate::event::Event;
 use crate::pace::Paces;
 use crate::rating::Rating;
+use crate::sessions::Sessions;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
 
@@ -44,7 +44,7 @@
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
     /// Pins of named sessions.
-    pub(crate) pins: Mutex<Pins>,
+    pub(crate) sessions: Sessions,
     /// Claims of work that runs only once.
     pub(crate) claims: Claims,
     /// To the control thread.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -13,7 +13,6 @@
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
-use sessions::pins::Pins;
 use sessions::token::{Key, Keys};
 use settings::Settings;
 use store::{EtcdClient, Store};
@@ -25,6 +24,7 @@
 use crate::error::NodeError;
 use crate::event::{EVENTS_WAITING, Event};
 use crate::rating::Rating;
+use crate::sessions::Sessions;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
@@ -35,8 +35,6 @@
 /// Pause between two looks at what is still under way.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
-/// A named session's pin goes when unused for so long.
-const PIN_IDLE: Span = Span::from_secs(3600);
 /// A leaving daemon waits so long for the store to take its bills.
 const SEAL_PATIENCE: Span = Span::from_secs(10);
 
@@ -66,6 +64,7 @@
         let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
         let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
+        shared.sessions.set_peers(peers.clone());
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
@@ -196,7 +195,7 @@
         router: Mutex::new(router),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
-        pins: Mutex::new(Pins::new(PIN_IDLE)),
+        sessions: Sessions::new(settings.daemon.clone()),
         store,
         claims,
         events,
--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -12,6 +12,7 @@
 use types::prelude::*;
 
 use crate::error::NodeError;
+use crate::sessions::Live;
 
 /// Starts the peers' thread.
 ///
@@ -151,6 +152,20 @@
         peers.collect()
     }
 
+    /// The live daemons with their addresses, as homes of sessions.
+    pub(crate) fn homes(&self) -> Vec<Live> {
+        let others = self.membership.members().map(|member| &member.record);
+        let present = others.filter(|record| record.state.is_present());
+        let homes = present.chain([self.membership.me()]).map(|record| Live {
+            member: sessions::homes::Member {
+                id: record.id.clone(),
+                domain: record.failure_domain.clone(),
+            },
+            address: record.address,
+        });
+        homes.collect()
+    }
+
     fn act(&mut self, outcome: Outcome) -> Vec<Event> {
         for envelope in outcome.send {
             let payload = Payload::Membership(envelope.message);
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -11,6 +11,7 @@
 use types::prelude::*;
 
 use super::Job;
+use crate::sessions::Found;
 use crate::shared::lock;
 
 /// Length of an answer assumed when the caller does not bound it, for estimates only.
@@ -62,8 +63,8 @@
     let shared = &job.cx.shared;
     let header = job.head.session.as_deref();
     let sent = read_header(&shared.session_keys, &job.cx.customer, header);
-    let pinned = pinned(job, &sent);
-    let pin = pinned.as_ref().map(|pin| (&pin.version, pin.revision));
+    let found = pinned(job, &sent);
+    let pin = found.pin.as_ref().map(|pin| (&pin.version, pin.revision));
     let revision = job.cx.snapshot.view.revision;
     let pin = match Pinning::of(pin, &job.resolved.versions, revision) {
         Pinning::New => None,
@@ -89,7 +90,7 @@
     let plan = lock(&shared.quality).choose(now, &input, &mut rng);
     let plan = plan.ok_or(NoVersion::NoneOpen)?;
     let moved_from = pin.filter(|pin| **pin != plan.first).cloned();
-    let version = hold(job, &sent, plan.first, pin);
+    let version = hold(job, &sent, plan.first, found);
     let next = plan.escalation.map(|step| Next {
         below: step.below,
         chosen: Box::new(Chosen {
@@ -111,10 +112,10 @@
     })
 }
 
-/// The session's pin: in its token, or by its name in this daemon's table.
-fn pinned(job: &Job, sent: &Sent) -> Option<Pin> {
+/// The session's pin: in its token, or by its name here or at its homes.
+fn pinned(job: &Job, sent: &Sent) -> Found {
     match sent {
-        Sent::Token(pinned) if pinned.offer == job.resolved.name => Some(Pin {
+        Sent::Token(pinned) if pinned.offer == job.resolved.name => Found::of(Pin {
             key: key(job, &pinned.session),
             version: pinned.version.clone(),
             revision: pinned.revision,
@@ -123,27 +124,27 @@
         }),
         Sent::Name(name) => {
             let shared = &job.cx.shared;
-            lock(&shared.pins).get(&key(job, name), shared.now())
+            shared.sessions.find(&key(job, name), shared.now())
         }
-        _ => None,
+        _ => Found::default(),
     }
 }
 
-/// Holds a named session's pin for its next request. Of two first requests at once, one
-/// chooses for both.
-fn hold(job: &Job, sent: &Sent, version: VersionId, before: Option<&VersionId>) -> VersionId {
+/// Holds a named session's pin for its next request, and gives the version that stands.
+fn hold(job: &Job, sent: &Sent, version: VersionId, found: Found) -> VersionId {
     let Sent::Name(name) = sent else {
         return version;
     };
+    let before = found.pin.as_ref().map(|pin| pin.version.clone());
     let pin = Pin {
         key: key(job, name),
         version: version.clone(),
         revision: job.cx.snapshot.view.revision,
         age: Span::ZERO,
-        over: before.filter(|before| **before != version).cloned(),
+        over: before.filter(|before| *before != version),
     };
     let shared = &job.cx.shared;
-    let standing = lock(&shared.pins).pin(pin, shared.now()).version;
+    let standing = shared.sessions.hold(pin, found, shared.now()).version;
     if job.resolved.versions.contains(&standing) {
         standing
     } else {
--- a/components/node/tests/it/sessions.rs
+++ b/components/node/tests/it/sessions.rs
@@ -57,6 +57,7 @@
 #[test]
 fn can_keep_a_session_until_its_version_is_withdrawn() {
     let harness = Harness::with_daemons(&PlatformConfig::default(), 2);
+    harness.wait_joined();
     let [before, token, _] = chat(&harness, 0, "");
     let [named, _, _] = chat(&harness, 0, "notice-7");
     assert_eq!([before.as_str(), &named], ["small@v1"; 2]);
@@ -65,10 +66,12 @@
     for daemon in [0, 1] {
         wait_for_v2(&harness, daemon, "");
         assert_eq!(chat(&harness, daemon, &token)[0], "small@v1");
+        assert_eq!(chat(&harness, daemon, "notice-7")[0], "small@v1");
     }
-    assert_eq!(chat(&harness, 0, "notice-7")[0], "small@v1");
     harness.set_states(1_001, [Withdrawn, Offered]);
     wait_for_v2(&harness, 1, &token);
+    wait_for_v2(&harness, 1, "notice-7");
+    wait_for_v2(&harness, 0, "notice-7");
     let [_, fresh, lost] = chat(&harness, 1, &token);
     assert_eq!(lost, "small@v1");
     assert_eq!(chat(&harness, 1, &fresh)[2], "");
