--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -119,15 +119,14 @@
         }
     }
 
-    /// Guards against new work for a version withdrawn while the request waited for its claim
-    /// or for another attempt: the catalogue is read again, not the copy from its arrival.
+    /// Guards against new work for a version withdrawn, or taken from the customer, while the
+    /// request waited for its claim or for another attempt: the catalogue is read again, its
+    /// offer included, not the copy from the request's arrival.
     fn is_still_permitted(&self, version: &VersionId) -> bool {
-        let snapshot = self.shared().snapshot.load();
-        let job = self.job;
-        let permitted = snapshot
-            .view
-            .permitted(&job.resolved.offer, &job.cx.customer);
-        permitted.contains(version)
+        let view = &self.shared().snapshot.load().view;
+        let offer = view.offers.get(&self.job.resolved.name);
+        let permitted = offer.map(|offer| view.permitted(offer, &self.job.cx.customer));
+        permitted.is_some_and(|permitted| permitted.contains(version))
     }
 
     fn refuse(&self, request: Request<Refused>, relay: &Relay<'_>) {
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -133,7 +133,8 @@
 fn attempts(job: &Job, mut ready: requests::life::Request<Waiting>, responder: &Responder) {
     let mut avoid = Vec::new();
     loop {
-        let Some(taken) = take_upstream(job, &avoid) else {
+        let taken = is_still_permitted(job).then(|| take_upstream(job, &avoid));
+        let Some(taken) = taken.flatten() else {
             return refused(job, responder, ready.refuse(Code::NoUpstream));
         };
         let request = ready.attempt(taken.id.clone());
@@ -155,6 +156,14 @@
     }
 }
 
+/// Guards against new work for a customer that lost the service while its request waited for
+/// its claim or for another attempt: the catalogue is read again.
+fn is_still_permitted(job: &Job) -> bool {
+    let snapshot = job.cx.shared.snapshot.load();
+    let service = snapshot.view.services.get(&job.service);
+    service.is_some_and(|service| service.customers.contains(&job.cx.customer))
+}
+
 fn attempt(job: &Job, taken: &Taken, time_left: Span) -> (AttemptEnd, Option<PlainAnswer>) {
     let shared = &job.cx.shared;
     let began = shared.now();
--- a/components/node/tests/it/claims.rs
+++ b/components/node/tests/it/claims.rs
@@ -9,7 +9,7 @@
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask, events, json_of};
+use super::harness::{Harness, ask, events, json_of, wait_until};
 
 /// What a caller saw of one booking.
 #[derive(Debug)]
@@ -226,3 +226,36 @@
     let runs: u64 = engines.map(|engine| engine.counters().runs).sum();
     assert_eq!(runs, 1);
 }
+
+// A booking was made and answered, and its daemon replaced in a store outage. The principal's
+// app repeats it, is told "outcome unknown", and somebody books a second teacher by hand.
+// Cause: the leaving daemon took the outcome with it.
+#[test]
+fn can_record_outcomes_that_wait_at_a_shutdown() {
+    let mut harness = start(2);
+    for desk in harness.platform.plain.values() {
+        desk.set_faults(|faults| faults.delay = Span::from_millis(300));
+    }
+    let desks = || harness.platform.plain.values();
+    let requests = || desks().map(|desk| desk.requests()).sum::<u64>();
+    let before = requests();
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| book(&harness, 0, "b1"));
+        wait_until(|| requests() > before);
+        harness
+            .platform
+            .store
+            .set_faults(|faults| faults.down = true);
+        assert_eq!(caller.join().unwrap().status, 200);
+    });
+    let node = harness.nodes.remove(0);
+    let leaving = std::thread::spawn(|| node.shutdown());
+    std::thread::sleep(Duration::from_millis(500));
+    harness
+        .platform
+        .store
+        .set_faults(|faults| faults.down = false);
+    leaving.join().unwrap();
+    let seen = book(&harness, 0, "b1");
+    assert_eq!((seen.status, seen.replayed), (200, true), "{seen:?}");
+}
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -177,16 +177,30 @@
         wait_until(|| !self.models(0).contains("small@v1"));
     }
 
+    /// Takes the offer from the customer and waits until that is in force.
+    pub fn forbid(&self) {
+        self.edit("offers/answers", 1_000, |body| {
+            if let Body::Offer(offer) = body {
+                offer.customers.clear();
+            }
+        });
+        wait_until(|| !self.models(0).contains("small@v1"));
+    }
+
     /// Writes an edit that sets the states of the model's two versions.
     pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        let name = "models/small".parse().unwrap();
-        let mut entry = (*self.platform.entries[&name]).clone();
-        let Body::Model(model) = &mut entry.body else {
-            unreachable!("models/small is a model");
-        };
-        for (version, state) in model.versions.values_mut().zip(states) {
-            version.state = state;
-        }
+        self.edit("models/small", revision, |body| {
+            if let Body::Model(model) = body {
+                let versions = model.versions.values_mut();
+                versions.zip(states).for_each(|(v, state)| v.state = state);
+            }
+        });
+    }
+
+    /// Writes an edit of an entry as the test began with it.
+    fn edit(&self, name: &str, revision: u64, change: impl FnOnce(&mut Body)) {
+        let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
+        change(&mut entry.body);
         let record = Record {
             revision: Revision(revision),
             edit_id: EditId(revision.into()),
@@ -196,7 +210,7 @@
             history: Vec::new(),
         };
         let value = serde_json::to_vec(&record).unwrap();
-        self.put("catalogue/entries/models/small", &value);
+        self.put(&format!("catalogue/entries/{name}"), &value);
     }
 
     /// What a daemon lists as models.
--- a/components/node/tests/it/serve.rs
+++ b/components/node/tests/it/serve.rs
@@ -101,11 +101,17 @@
     assert_ne!(headers["x-run"], "no");
 }
 
-// A version is withdrawn while a request is at an engine, and the engine's host dies. The
-// request must not begin anew on the withdrawn version elsewhere. Cause: the retry used the
-// catalogue as it was when the request arrived.
+// A version is withdrawn, or a customer loses it, while a request is at an engine, and the
+// engine's host dies. The request must not begin anew on that version elsewhere. Cause: the
+// retry used the catalogue as it was when the request arrived.
 #[test]
-fn errors_of_engines_do_not_bring_a_withdrawn_version_back() {
+fn errors_of_engines_do_not_bring_a_lost_version_back() {
+    for edit in [Harness::withdraw_v1, Harness::forbid] {
+        check_that_no_attempt_follows(edit);
+    }
+}
+
+fn check_that_no_attempt_follows(edit: fn(&Harness)) {
     let harness = Harness::start(&PlatformConfig::default());
     let engines = || harness.platform.engines.values();
     let requests = || engines().map(|engine| engine.counters().requests);
@@ -115,7 +121,7 @@
     let status = std::thread::scope(|scope| {
         let caller = scope.spawn(|| harness.chat(&ask("answers", false, 5)).status().as_u16());
         wait_until(|| requests().sum::<u64>() == 1);
-        harness.withdraw_v1();
+        edit(&harness);
         for engine in engines() {
             engine.set_faults(|faults| faults.delay = Span::ZERO);
             let is_busy = engine.counters().requests == 1;
