--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -2,23 +2,22 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
-use keyvalue::{CallError, Outcome, Request as StoreRequest};
-use ledger::{Bill, BillId, CallId, Config, Item, Ledger, Message, Peer, Receipt};
-use requests::attempt::{AttemptEnd, Doubt, Usage};
+use keyvalue::Outcome;
+use ledger::{CallId, Config, Ledger, Message, Peer, Receipt};
+use requests::attempt::AttemptEnd;
 use requests::budget::RetryBudget;
-use requests::claim::{
-    Claim, ClaimSpec, ClaimStep, LeaseSlots, Nonce, Recorded, Settle, SettleStep, Standing,
-    Windows, claim_key,
-};
-use requests::life::{Admitted, Arrived, Attempted, Billed, Facts, Next, Request};
-use requests::refusal::{Code, Refusal};
+use requests::claim::{Claim, LeaseSlots, Settle, Windows};
+use requests::life::{Admitted, Arrived, Attempted, Billed, Facts, Request};
+use requests::refusal::Code;
 use requests::step::{OnCallerGone, on_caller_gone};
 use types::prelude::*;
 
-use crate::oracle::{Copy, Oracle, Saw};
+use crate::oracle::{Oracle, Saw};
 use crate::world::{Attempt, Effect, EngineReply, PREFIX, customer, is_idempotent, is_streamed};
 
+mod answers;
+mod claims;
+
 const DEADLINE: Span = Span::from_secs(30);
 
 /// One run of a daemon, from start to crash.
@@ -172,43 +171,6 @@
         }
     }
 
-    fn claim(
-        &mut self,
-        oracle: &mut Oracle,
-        call: usize,
-        request: u8,
-        req: Request<Admitted>,
-        now: Time,
-    ) -> Vec<Effect> {
-        let Some(lease) = self.slots.current(now) else {
-            let refusal = req.refuse(Code::ClaimUnavailable).refusal();
-            oracle.saw(call, Saw::Refusal(refusal));
-            return Vec::new();
-        };
-        let facts = req.facts();
-        let spec = ClaimSpec {
-            key: claim_key("claims/", &facts.customer, &facts.id),
-            nonce: Nonce {
-                daemon: self.id(),
-                incarnation: Incarnation(self.run.1),
-                counter: self.next_id(),
-            },
-            fingerprint: request.into(),
-            lease,
-            deadline: facts.deadline,
-        };
-        let (claim, first) = Claim::start(spec);
-        self.served.insert(
-            call,
-            Served {
-                request,
-                stage: Stage::Claiming(req, claim),
-                has_caller: true,
-            },
-        );
-        vec![Effect::Store(self.run, Which::Claim(call), first)]
-    }
-
     fn attempt(
         &mut self,
         call: usize,
@@ -263,210 +225,6 @@
         }
     }
 
-    fn on_claim(
-        &mut self,
-        oracle: &mut Oracle,
-        call: usize,
-        outcome: Outcome,
-        now: Time,
-    ) -> Vec<Effect> {
-        let Some(mut served) = self.served.remove(&call) else {
-            return Vec::new();
-        };
-        let Stage::Claiming(req, mut claim) = served.stage else {
-            self.served.insert(call, served);
-            return Vec::new();
-        };
-        if matches!(outcome, Err(CallError::Refused(_))) {
-            self.slots.forget(claim.lease());
-        }
-        match claim.on_outcome(outcome, now) {
-            ClaimStep::Call(next) => {
-                served.stage = Stage::Claiming(req, claim);
-                self.served.insert(call, served);
-                vec![Effect::Store(self.run, Which::Claim(call), next)]
-            }
-            ClaimStep::Mine(held) => {
-                let req = req.claim(held).ready().attempt(upstream(0));
-                self.attempt(call, served.request, req, Vec::new(), served.has_caller)
-            }
-            ClaimStep::Duplicate(standing) => {
-                if served.has_caller {
-                    oracle.saw(call, repeat(standing));
-                }
-                Vec::new()
-            }
-            ClaimStep::Unavailable(doubtful) => {
-                let refusal = req.refuse(Code::ClaimUnavailable).refusal();
-                if served.has_caller {
-                    oracle.saw(call, Saw::Refusal(refusal));
-                }
-                let release =
-                    doubtful.map(|held| self.settle(served.request, Settle::release(held)));
-                release.into_iter().collect()
-            }
-        }
-    }
-
-    fn settle(&mut self, request: u8, (settle, first): (Settle, StoreRequest)) -> Effect {
-        let id = self.next_id() as usize;
-        self.settling.insert(id, (request, settle));
-        Effect::Store(self.run, Which::Settle(id), first)
-    }
-
-    fn on_settle(&mut self, id: usize, outcome: Outcome) -> Vec<Effect> {
-        let Some((_, settle)) = self.settling.get_mut(&id) else {
-            return Vec::new();
-        };
-        match settle.on_outcome(outcome) {
-            SettleStep::Call(next) => vec![Effect::Store(self.run, Which::Settle(id), next)],
-            SettleStep::Later => {
-                self.later.push(id);
-                Vec::new()
-            }
-            SettleStep::Done | SettleStep::Superseded => {
-                self.settling.remove(&id);
-                Vec::new()
-            }
-        }
-    }
-
-    /// Takes an engine's reply. One to an attempt that was given up is late and is dropped.
-    pub(crate) fn on_end(
-        &mut self,
-        oracle: &mut Oracle,
-        call: usize,
-        attempt: u64,
-        reply: EngineReply,
-        now: Time,
-        wall: WallTime,
-    ) -> Vec<Effect> {
-        let is_open = |served: &Served| match &served.stage {
-            Stage::Open(open) => open.attempt == attempt,
-            _ => false,
-        };
-        if !self.served.get(&call).is_some_and(is_open) {
-            return Vec::new();
-        }
-        let Some(served) = self.served.remove(&call) else {
-            return Vec::new();
-        };
-        let Stage::Open(mut open) = served.stage else {
-            return Vec::new();
-        };
-        let end = open.read(served.request, reply);
-        let next = open.req.end(&upstream(0), &end, now, &mut self.budget);
-        let meta = (served.request, served.has_caller);
-        self.follow(oracle, call, meta, open.tokens, next, now, wall)
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "glue of a test")]
-    fn follow(
-        &mut self,
-        oracle: &mut Oracle,
-        call: usize,
-        (request, has_caller): (u8, bool),
-        mut tokens: Vec<String>,
-        next: Next,
-        now: Time,
-        wall: WallTime,
-    ) -> Vec<Effect> {
-        let (refusal, claim) = match next {
-            Next::Retry(req, retry) => {
-                tokens.truncate(retry.resume_from.map_or(0, |at| at.0 as usize));
-                let req = req.attempt(upstream(0));
-                return self.attempt(call, request, req, tokens, has_caller);
-            }
-            Next::Answered(req) => {
-                let (req, bill) = req.bill();
-                let bill = Bill {
-                    id: BillId {
-                        customer: bill.customer,
-                        request: bill.request,
-                    },
-                    item: Item::Service(bill.entry),
-                    input: bill.usage.input,
-                    output: bill.usage.output,
-                    cost: Cost(bill.usage.output.0),
-                    at: wall,
-                    attempts: 1,
-                };
-                let receipt = self.ledger.record(now, bill);
-                let stage = Stage::Ending {
-                    req,
-                    receipt,
-                    tokens,
-                };
-                let served = Served {
-                    request,
-                    stage,
-                    has_caller,
-                };
-                self.served.insert(call, served);
-                let effects = self.ledger.flush(now);
-                return self.take(oracle, effects);
-            }
-            Next::Refused(req) => (req.refusal(), req.into_claim_to_release()),
-            Next::Unknown(req) => (req.refusal(), None),
-            Next::Open(_) | Next::Escalate(_) => unreachable!("neither hedged nor escalated"),
-        };
-        if has_caller {
-            oracle.saw(call, Saw::Refusal(refusal));
-        }
-        let release = claim.map(|held| self.settle(request, Settle::release(held)));
-        release.into_iter().collect()
-    }
-
-    /// What the ledger wants done; an answer's end is released once its bill is safe, and only
-    /// then recorded in its claim: a repeat must not be answered from an answer without a bill.
-    fn take(&mut self, oracle: &mut Oracle, effects: Vec<ledger::Effect>) -> Vec<Effect> {
-        let mut out = Vec::new();
-        for effect in effects {
-            match effect {
-                ledger::Effect::Send { to, message } => {
-                    out.push(Effect::Peer(self.run, to, message));
-                }
-                ledger::Effect::Store { id, request } => {
-                    out.push(Effect::Store(self.run, Which::Ledger(id), request));
-                }
-                ledger::Effect::Released { upto, alone } => {
-                    out.extend(self.release(oracle, upto, alone));
-                }
-            }
-        }
-        out
-    }
-
-    fn release(&mut self, oracle: &mut Oracle, upto: Receipt, alone: bool) -> Vec<Effect> {
-        let is_released = |_: &usize, served: &mut Served| match &served.stage {
-            Stage::Ending { receipt, .. } => *receipt <= upto,
-            _ => false,
-        };
-        let released: Vec<_> = self.served.extract_if(.., is_released).collect();
-        let mut out = Vec::new();
-        for (call, served) in released {
-            let Stage::Ending { req, tokens, .. } = served.stage else {
-                continue;
-            };
-            let body = Bytes::from(tokens.join(" "));
-            let second = self.ledger.fill().holder.filter(|_| !alone);
-            oracle.copies.push(Copy {
-                request: served.request,
-                origin: self.id(),
-                holders: second.into_iter().chain([self.id()]).collect(),
-            });
-            if served.has_caller {
-                oracle.saw(call, Saw::Answer(tokens));
-            }
-            let recorded = Recorded::new(200, Vec::new(), body);
-            let held = req.into_claim();
-            out.extend(
-                held.map(|held| self.settle(served.request, Settle::record(held, recorded))),
-            );
-        }
-        out
-    }
-
     pub(crate) fn on_peer(
         &mut self,
         oracle: &mut Oracle,
@@ -531,51 +289,3 @@
         }
     }
 }
-
-/// What a repeat is told.
-fn repeat(standing: Standing) -> Saw {
-    match standing {
-        Standing::Recorded(recorded) => {
-            let body = recorded.body.unwrap_or_default();
-            let text = String::from_utf8(body.to_vec()).unwrap();
-            Saw::Answer(text.split(' ').map(str::to_owned).collect())
-        }
-        Standing::Open => Saw::Refusal(Refusal::unknown(Code::OutcomeUnknown)),
-        Standing::Reused => Saw::Refusal(Refusal::unknown(Code::IdReused)),
-    }
-}
-
-impl Open {
-    /// Checks echo and end marker, and adds tokens to those that came before.
-    fn read(&mut self, request: u8, reply: EngineReply) -> AttemptEnd {
-        let (echo, tokens, has_end) = match reply {
-            EngineReply::NotSent => return AttemptEnd::NotSent,
-            EngineReply::RefusedNotRun => return AttemptEnd::RefusedNotRun { retry_after: None },
-            EngineReply::Reset => return AttemptEnd::Unknown(Doubt::Reset),
-            EngineReply::TimedOut => return AttemptEnd::Unknown(Doubt::TimedOut),
-            EngineReply::Error(status) => return AttemptEnd::UpstreamError(status),
-            EngineReply::Tokens {
-                echo,
-                tokens,
-                has_end,
-            } => (echo, tokens, has_end),
-        };
-        if echo != self.attempt {
-            return AttemptEnd::Crossed;
-        }
-        self.tokens.extend(tokens);
-        if !has_end {
-            return AttemptEnd::Truncated {
-                received: Tokens(self.tokens.len() as u64),
-                shown: is_streamed(request) && !self.tokens.is_empty(),
-            };
-        }
-        AttemptEnd::Whole {
-            usage: Usage {
-                input: Tokens(1),
-                output: Tokens(self.tokens.len() as u64),
-            },
-            adequate: true,
-        }
-    }
-}
--- /dev/null
+++ b/components/requests/tests/fuzz/daemon/claims.rs
@@ -0,0 +1,137 @@
+//! Claims: made, settled and repeated.
+
+use keyvalue::{CallError, Outcome, Request as StoreRequest};
+use requests::claim::{
+    Claim, ClaimSpec, ClaimStep, Nonce, Settle, SettleStep, Standing, claim_key,
+};
+use requests::life::{Admitted, Request};
+use requests::refusal::{Code, Refusal};
+use types::prelude::*;
+
+use super::{Daemon, Served, Stage, Which, upstream};
+use crate::oracle::{Oracle, Saw};
+use crate::world::Effect;
+
+impl Daemon {
+    pub(super) fn claim(
+        &mut self,
+        oracle: &mut Oracle,
+        call: usize,
+        request: u8,
+        req: Request<Admitted>,
+        now: Time,
+    ) -> Vec<Effect> {
+        let Some(lease) = self.slots.current(now) else {
+            let refusal = req.refuse(Code::ClaimUnavailable).refusal();
+            oracle.saw(call, Saw::Refusal(refusal));
+            return Vec::new();
+        };
+        let facts = req.facts();
+        let spec = ClaimSpec {
+            key: claim_key("claims/", &facts.customer, &facts.id),
+            nonce: Nonce {
+                daemon: self.id(),
+                incarnation: Incarnation(self.run.1),
+                counter: self.next_id(),
+            },
+            fingerprint: request.into(),
+            lease,
+            deadline: facts.deadline,
+        };
+        let (claim, first) = Claim::start(spec);
+        self.served.insert(
+            call,
+            Served {
+                request,
+                stage: Stage::Claiming(req, claim),
+                has_caller: true,
+            },
+        );
+        vec![Effect::Store(self.run, Which::Claim(call), first)]
+    }
+
+    pub(super) fn on_claim(
+        &mut self,
+        oracle: &mut Oracle,
+        call: usize,
+        outcome: Outcome,
+        now: Time,
+    ) -> Vec<Effect> {
+        let Some(mut served) = self.served.remove(&call) else {
+            return Vec::new();
+        };
+        let Stage::Claiming(req, mut claim) = served.stage else {
+            self.served.insert(call, served);
+            return Vec::new();
+        };
+        if matches!(outcome, Err(CallError::Refused(_))) {
+            self.slots.forget(claim.lease());
+        }
+        match claim.on_outcome(outcome, now) {
+            ClaimStep::Call(next) => {
+                served.stage = Stage::Claiming(req, claim);
+                self.served.insert(call, served);
+                vec![Effect::Store(self.run, Which::Claim(call), next)]
+            }
+            ClaimStep::Mine(held) => {
+                let req = req.claim(held).ready().attempt(upstream(0));
+                self.attempt(call, served.request, req, Vec::new(), served.has_caller)
+            }
+            ClaimStep::Duplicate(standing) => {
+                if served.has_caller {
+                    oracle.saw(call, repeat(standing));
+                }
+                Vec::new()
+            }
+            ClaimStep::Unavailable(doubtful) => {
+                let refusal = req.refuse(Code::ClaimUnavailable).refusal();
+                if served.has_caller {
+                    oracle.saw(call, Saw::Refusal(refusal));
+                }
+                let release =
+                    doubtful.map(|held| self.settle(served.request, Settle::release(held)));
+                release.into_iter().collect()
+            }
+        }
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        request: u8,
+        (settle, first): (Settle, StoreRequest),
+    ) -> Effect {
+        let id = self.next_id() as usize;
+        self.settling.insert(id, (request, settle));
+        Effect::Store(self.run, Which::Settle(id), first)
+    }
+
+    pub(super) fn on_settle(&mut self, id: usize, outcome: Outcome) -> Vec<Effect> {
+        let Some((_, settle)) = self.settling.get_mut(&id) else {
+            return Vec::new();
+        };
+        match settle.on_outcome(outcome) {
+            SettleStep::Call(next) => vec![Effect::Store(self.run, Which::Settle(id), next)],
+            SettleStep::Later => {
+                self.later.push(id);
+                Vec::new()
+            }
+            SettleStep::Done | SettleStep::Superseded => {
+                self.settling.remove(&id);
+                Vec::new()
+            }
+        }
+    }
+}
+
+/// What a repeat is told.
+fn repeat(standing: Standing) -> Saw {
+    match standing {
+        Standing::Recorded(recorded) => {
+            let body = recorded.body.unwrap_or_default();
+            let text = String::from_utf8(body.to_vec()).unwrap();
+            Saw::Answer(text.split(' ').map(str::to_owned).collect())
+        }
+        Standing::Open => Saw::Refusal(Refusal::unknown(Code::OutcomeUnknown)),
+        Standing::Reused => Saw::Refusal(Refusal::unknown(Code::IdReused)),
+    }
+}
--- a/components/requests/tests/fuzz/world.rs
+++ b/components/requests/tests/fuzz/world.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeMap;
 
 use keyvalue::{CallError, Outcome, Request as StoreRequest};
-use ledger::{Export, Message, Step};
+use ledger::Message;
 use types::prelude::*;
 
 use crate::daemon::{Daemon, Run, Which};
 use crate::oracle::{Oracle, Saw};
 use crate::store::Store;
 
+mod faults;
+mod finish;
+
 pub(crate) const TOKENS: usize = 10;
 pub(crate) const PREFIX: &str = "/buckthorncross/fuzz";
 const START: u64 = 1_800_000_000_000;
@@ -302,93 +305,6 @@
         self.add(vec![end]);
     }
 
-    pub(crate) fn fail_engine(&mut self, at: usize, fault: EngineFault) {
-        let Some(Effect::Attempt(attempt)) = self.pick(at, |e| matches!(e, Effect::Attempt(_)))
-        else {
-            return;
-        };
-        match fault {
-            EngineFault::NotSent => self.reply(&attempt, EngineReply::NotSent),
-            EngineFault::RefusedNotRun => self.reply(&attempt, EngineReply::RefusedNotRun),
-            EngineFault::ResetBefore => self.reply(&attempt, EngineReply::Reset),
-            EngineFault::ResetAfter => {
-                self.oracle.ran(attempt.call);
-                self.reply(&attempt, EngineReply::Reset);
-            }
-            EngineFault::Error(status) => {
-                self.oracle.ran(attempt.call);
-                self.reply(&attempt, EngineReply::Error(status));
-            }
-            EngineFault::Late => {
-                self.reply(&attempt, EngineReply::TimedOut);
-                self.add(vec![Effect::Attempt(attempt)]);
-            }
-            EngineFault::Crossed => {
-                self.oracle.ran(attempt.call);
-                let tokens = whole_answer(attempt.request ^ 1);
-                let reply = EngineReply::Tokens {
-                    echo: attempt.id + 1,
-                    tokens,
-                    has_end: true,
-                };
-                self.reply(&attempt, reply);
-            }
-            EngineFault::Cut(tokens) => self.run_attempt(&attempt, tokens.into(), false),
-        }
-    }
-
-    pub(crate) fn fail_store(&mut self, at: usize, fault: StoreFault) {
-        let call = self.pick(at, |e| matches!(e, Effect::Store(..)));
-        let Some(Effect::Store(run, which, request)) = call else {
-            return;
-        };
-        let error = match fault {
-            StoreFault::ReplyLost => {
-                let _ = self.store.call(&request);
-                CallError::Unknown("no reply".to_owned())
-            }
-            StoreFault::Delayed => {
-                let delayed = Effect::Store(Run::NOBODY, Which::Lease(self.now), request);
-                self.add(vec![delayed]);
-                CallError::Unknown("no reply".to_owned())
-            }
-            StoreFault::NotSent => CallError::NotSent("no connection".to_owned()),
-            StoreFault::Refused => CallError::Refused("too many requests".to_owned()),
-        };
-        self.add(vec![Effect::Outcome(run, which, Err(error))]);
-    }
-
-    /// The daemon and all that it holds are gone; what it had sent may still arrive.
-    pub(crate) fn crash(&mut self, index: usize) {
-        self.oracle.crashed(&self.daemons[index].id());
-        let settling = self.daemons[index].settling();
-        self.oracle.stranded.extend(settling);
-        for call in self.daemons[index].calls() {
-            self.oracle.saw(call, Saw::Broken);
-        }
-        self.runs += 1;
-        self.daemons[index] = Daemon::new(index, self.runs);
-    }
-
-    pub(crate) fn pause(&mut self, index: usize, is_paused: bool) {
-        self.daemons[index].is_paused = is_paused;
-    }
-
-    pub(crate) fn leave(&mut self, at: usize) {
-        let open = self
-            .daemons
-            .iter()
-            .enumerate()
-            .filter(|(_, daemon)| !daemon.is_paused);
-        let open: Vec<_> = open
-            .flat_map(|(index, daemon)| daemon.calls().into_iter().map(move |call| (index, call)))
-            .collect();
-        let Some((index, call)) = at.checked_rem(open.len()).map(|i| open[i]) else {
-            return;
-        };
-        self.daemons[index].on_caller_gone(&mut self.oracle, call, self.now);
-    }
-
     /// Lets everything that is pending happen, with time passing, until no call is open.
     pub(crate) fn drain(&mut self) {
         for _ in 0..100 {
@@ -404,87 +320,6 @@
     fn is_quiet(&self) -> bool {
         self.daemons.iter().all(Daemon::has_sealed_all)
     }
-
-    /// Heals everything, repeats what has no answer, and checks what is left.
-    pub(crate) fn finish(&mut self) {
-        self.is_store_down = false;
-        for index in 0..self.daemons.len() {
-            self.pause(index, false);
-        }
-        self.drain();
-        self.tick(LEASE_ASKED_AGAIN);
-        self.drain();
-        self.oracle.check();
-        for request in 0..8 {
-            self.repeat_last(request);
-        }
-        for _ in 0..ROLL_UP_TICKS {
-            self.tick(Span::from_secs(3));
-            self.settle_effects();
-        }
-        assert!(self.is_quiet(), "bills left unsealed");
-        self.oracle.check();
-        let bills = self.bills();
-        self.oracle.check_bills(&bills);
-        let answered = self.oracle.answered.iter();
-        self.oracle.bills_lost = answered.filter(|id| !bills.contains_key(id)).count();
-    }
-
-    /// A last repeat by a caller without an answer: it is never lost. Only a call that may run
-    /// once and may have run is told "outcome unknown".
-    fn repeat_last(&mut self, request: u8) {
-        let calls = || {
-            self.oracle
-                .calls
-                .iter()
-                .filter(|call| call.request == request)
-        };
-        let is_new = calls().next().is_none();
-        let is_late = self
-            .first_sent
-            .get(&request)
-            .is_some_and(|first| self.now.since(*first) > RETRY_WINDOW);
-        if is_new || is_late || self.oracle.answered.contains(&request) {
-            return;
-        }
-        let is_stranded = self.oracle.stranded.contains(&request);
-        let may_have_run = calls().any(|call| match &call.saw {
-            Some(Saw::Refusal(refusal)) => refusal.run() != RunState::No,
-            _ => true,
-        });
-        let may_be_unknown = !is_idempotent(request) && (is_stranded || may_have_run);
-        self.send(request, 0);
-        self.drain();
-        let is_answered = self.oracle.last_answer().is_some();
-        assert!(
-            is_answered || may_be_unknown,
-            "request {request} is lost: {:#?}",
-            self.oracle
-                .calls
-                .iter()
-                .filter(|call| call.request == request)
-                .collect::<Vec<_>>()
-        );
-    }
-
-    /// Count and tokens billed for each request, from an export.
-    pub(crate) fn bills(&mut self) -> BTreeMap<u8, (u64, u64)> {
-        let mut export = Export::new(PREFIX, WallTime(0), WallTime(START * 2));
-        let mut request = export.start();
-        let statement = loop {
-            match export.on_store(self.store.call(&request)).unwrap() {
-                Step::Call(next) => request = next,
-                Step::Done(statement) => break statement,
-            }
-        };
-        let totals = statement.totals();
-        let bills = totals.iter().map(|(account, sum)| {
-            let name = account.customer.as_str();
-            let request = name.rsplit('-').next().unwrap().parse().unwrap();
-            (request, (sum.requests, sum.output.0))
-        });
-        bills.collect()
-    }
 }
 
 fn sender(effect: &Effect) -> Option<Run> {
--- /dev/null
+++ b/components/requests/tests/fuzz/world/faults.rs
@@ -0,0 +1,96 @@
+//! What goes wrong.
+
+use keyvalue::CallError;
+
+use super::{Effect, EngineFault, EngineReply, StoreFault, World, whole_answer};
+use crate::daemon::{Daemon, Run, Which};
+use crate::oracle::Saw;
+
+impl World {
+    pub(crate) fn fail_engine(&mut self, at: usize, fault: EngineFault) {
+        let Some(Effect::Attempt(attempt)) = self.pick(at, |e| matches!(e, Effect::Attempt(_)))
+        else {
+            return;
+        };
+        match fault {
+            EngineFault::NotSent => self.reply(&attempt, EngineReply::NotSent),
+            EngineFault::RefusedNotRun => self.reply(&attempt, EngineReply::RefusedNotRun),
+            EngineFault::ResetBefore => self.reply(&attempt, EngineReply::Reset),
+            EngineFault::ResetAfter => {
+                self.oracle.ran(attempt.call);
+                self.reply(&attempt, EngineReply::Reset);
+            }
+            EngineFault::Error(status) => {
+                self.oracle.ran(attempt.call);
+                self.reply(&attempt, EngineReply::Error(status));
+            }
+            EngineFault::Late => {
+                self.reply(&attempt, EngineReply::TimedOut);
+                self.add(vec![Effect::Attempt(attempt)]);
+            }
+            EngineFault::Crossed => {
+                self.oracle.ran(attempt.call);
+                let tokens = whole_answer(attempt.request ^ 1);
+                let reply = EngineReply::Tokens {
+                    echo: attempt.id + 1,
+                    tokens,
+                    has_end: true,
+                };
+                self.reply(&attempt, reply);
+            }
+            EngineFault::Cut(tokens) => self.run_attempt(&attempt, tokens.into(), false),
+        }
+    }
+
+    pub(crate) fn fail_store(&mut self, at: usize, fault: StoreFault) {
+        let call = self.pick(at, |e| matches!(e, Effect::Store(..)));
+        let Some(Effect::Store(run, which, request)) = call else {
+            return;
+        };
+        let error = match fault {
+            StoreFault::ReplyLost => {
+                let _ = self.store.call(&request);
+                CallError::Unknown("no reply".to_owned())
+            }
+            StoreFault::Delayed => {
+                let delayed = Effect::Store(Run::NOBODY, Which::Lease(self.now), request);
+                self.add(vec![delayed]);
+                CallError::Unknown("no reply".to_owned())
+            }
+            StoreFault::NotSent => CallError::NotSent("no connection".to_owned()),
+            StoreFault::Refused => CallError::Refused("too many requests".to_owned()),
+        };
+        self.add(vec![Effect::Outcome(run, which, Err(error))]);
+    }
+
+    /// The daemon and all that it holds are gone; what it had sent may still arrive.
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.oracle.crashed(&self.daemons[index].id());
+        let settling = self.daemons[index].settling();
+        self.oracle.stranded.extend(settling);
+        for call in self.daemons[index].calls() {
+            self.oracle.saw(call, Saw::Broken);
+        }
+        self.runs += 1;
+        self.daemons[index] = Daemon::new(index, self.runs);
+    }
+
+    pub(crate) fn pause(&mut self, index: usize, is_paused: bool) {
+        self.daemons[index].is_paused = is_paused;
+    }
+
+    pub(crate) fn leave(&mut self, at: usize) {
+        let open = self
+            .daemons
+            .iter()
+            .enumerate()
+            .filter(|(_, daemon)| !daemon.is_paused);
+        let open: Vec<_> = open
+            .flat_map(|(index, daemon)| daemon.calls().into_iter().map(move |call| (index, call)))
+            .collect();
+        let Some((index, call)) = at.checked_rem(open.len()).map(|i| open[i]) else {
+            return;
+        };
+        self.daemons[index].on_caller_gone(&mut self.oracle, call, self.now);
+    }
+}
