--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -1,4 +1,5 @@
-//! The promises on requests under a fault a second: real daemons, stand-ins, both users.
+//! The promises on requests under a fault a second, and while every daemon is replaced:
+//! real daemons, stand-ins, both users.
 //!
 //! One fleet serves both users' catalogues. Callers repeat what failed, under the same
 //! request id and through another daemon, as their clients do. What really ran is counted
@@ -22,8 +23,19 @@
 use mix::Mix;
 use oracle::Counts;
 
-const QUIET: &str = "no_faults";
-const FAULTY: &str = "fault_a_second";
+/// What goes wrong in an arm.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wrong {
+    Nothing,
+    FaultASecond,
+    EachDaemonReplaced,
+}
+
+const ARMS: [(&str, Wrong); 3] = [
+    ("no_faults", Wrong::Nothing),
+    ("fault_a_second", Wrong::FaultASecond),
+    ("each_daemon_replaced", Wrong::EachDaemonReplaced),
+];
 const WORKERS: usize = 512;
 /// After the load: for delayed effects and for bills to reach the store.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -31,8 +43,8 @@
 /// Runs it.
 pub fn run(options: &Faults) -> eyre::Result<Report> {
     let mut report = Report::new("faults", options.seed);
-    for (arm, is_faulty) in [(QUIET, false), (FAULTY, true)] {
-        let counts = arm_counts(options, is_faulty, arm, &mut report)?;
+    for (arm, wrong) in ARMS {
+        let counts = arm_counts(options, wrong, arm, &mut report)?;
         counts.note(arm, &mut report);
         report.violations += counts.violations();
     }
@@ -41,7 +53,7 @@
 
 fn arm_counts(
     options: &Faults,
-    is_faulty: bool,
+    wrong: Wrong,
     arm: &str,
     report: &mut Report,
 ) -> eyre::Result<Counts> {
@@ -51,9 +63,10 @@
     let arrivals = Arrivals::poisson(options.seed, options.rate, length);
     let balancer = fleet.balancer();
     let seen = std::thread::scope(|scope| {
-        let troubles = scope.spawn(|| match is_faulty {
-            true => trouble::run(&fleet, options.seed, length),
-            false => Ok(Vec::new()),
+        let troubles = scope.spawn(|| match wrong {
+            Wrong::Nothing => Ok(Vec::new()),
+            Wrong::FaultASecond => trouble::run(&fleet, options.seed, length),
+            Wrong::EachDaemonReplaced => trouble::replace_each(&fleet, length),
         });
         let connect = || Caller::new(&balancer, &mix);
         let seen = load::open_loop(&arrivals, WORKERS, connect, Caller::act);
--- a/bench/src/cmd/faults/trouble.rs
+++ b/bench/src/cmd/faults/trouble.rs
@@ -126,6 +126,27 @@
     })
 }
 
+/// Replaces the daemons one after another, evenly over the load.
+pub fn replace_each(fleet: &Fleet, length: Duration) -> eyre::Result<Vec<Trouble>> {
+    let count = fleet.daemons.len();
+    let apart = length.saturating_sub(CALM_END).div_f64(count as f64);
+    let first = Instant::now();
+    let replaced = (0..count).map(|index| {
+        let start = first + apart.mul_f64(index as f64);
+        std::thread::sleep(start.saturating_duration_since(Instant::now()));
+        let begun = Instant::now();
+        daemon_fault(fleet, Fault::DaemonReplaced, index)?;
+        let ended = Instant::now();
+        Ok(Trouble {
+            fault: Fault::DaemonReplaced,
+            daemon: Some(index),
+            begun,
+            ended,
+        })
+    });
+    replaced.collect()
+}
+
 /// How often each kind of fault was made.
 pub fn tally(troubles: &[Trouble]) -> BTreeMap<String, usize> {
     let mut times = BTreeMap::new();
--- a/bench/src/cmd/report.rs
+++ b/bench/src/cmd/report.rs
@@ -13,7 +13,17 @@
 use crate::cli::ReportPage;
 
 /// Experiments, in the page's order, with further arguments.
-const EXPERIMENTS: &[(&str, &[&str])] = &[("overhead", &[])];
+const EXPERIMENTS: &[(&str, &[&str])] = &[
+    ("overhead", &[]),
+    ("faults", &[]),
+    ("claims", &[]),
+    ("balance", &[]),
+    ("burst", &[]),
+    ("decide", &[]),
+    ("bad-version", &[]),
+    ("cascade", &[]),
+    ("rollout", &[]),
+];
 
 /// Runs all and writes `index.html`.
 pub fn run(options: &ReportPage) -> eyre::Result<()> {
