Measure how edits come into force at up to 460 daemons

Cause: the call budget, the bytes and the time to be in force at 460 daemons were guesses. Change: bench spread: the daemons' sync on virtual time with the network's delays, beside an arm in which every daemon watches; members are compared before they are taken again.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -28,6 +28,8 @@
     Decide(Decide),
     /// Roll-outs under faults.
     Rollout(Rollout),
+    /// Edits coming into force at daemons that share one thread.
+    Spread(Spread),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
@@ -144,3 +146,22 @@
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
 }
+
+/// Edits coming into force at up to 460 daemons on virtual time, beside an arm in which
+/// every daemon watches the store itself.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "spread")]
+pub struct Spread {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// edits, at 0.3 a second; 50 at once follow
+    #[argh(option, default = "20")]
+    pub edits: u64,
+}
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -8,3 +8,4 @@
 pub mod overhead;
 pub mod report;
 pub mod rollout;
+pub mod spread;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -30,5 +30,8 @@
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
         cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
+        cli::Command::Spread(options) => {
+            cmd::spread::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -180,11 +180,13 @@
     /// Does what is due. `members` are the live daemons, this one included.
     pub fn tick(&mut self, now: Time, members: &[Member], rng: &mut impl Rng) -> Vec<Effect> {
         let mut effects = Vec::new();
-        self.meet(now, members, &mut effects);
-        self.members = members.to_vec();
-        self.forget_silent(now);
+        if self.members != members {
+            self.meet(now, members, &mut effects);
+            self.members = members.to_vec();
+            self.choose_watching(&mut effects);
+            self.forget_silent(now);
+        }
         self.note_fleet_size(now);
-        self.choose_watching(&mut effects);
         self.tick_transfer(now);
         if now.has_reached(self.next_ask) {
             self.next_ask = now + self.cfg.ask_interval;
