--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,14 +16,22 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// The promises on requests under a fault a second.
+    Faults(Faults),
+    /// Roll-outs under faults.
+    Rollout(Rollout),
     /// Every experiment, as one page.
     Report(ReportPage),
+    /// Cost and quality of the choice of version.
+    Cascade(Cascade),
     /// Bad answers before a bad version is suspended.
     BadVersion(BadVersion),
     /// Choice of upstream beside simpler ways.
     Balance(Balance),
     /// A partner's batch on steady interactive work.
     Burst(Burst),
+    /// Cost of claims and sessions.
+    Claims(Claims),
     /// Time and memory of a choice of upstream.
     Decide(Decide),
     /// Roll-outs under faults.
@@ -50,6 +58,33 @@
     pub seconds: f64,
 }
 
+/// Real daemons under steady load of both users with a fault a second, beside none.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub struct Faults {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of each arm in seconds
+    #[argh(option, default = "60.0")]
+    pub seconds: f64,
+    /// requests a second
+    #[argh(option, default = "100.0")]
+    pub rate: f64,
+    /// daemons
+    #[argh(option, default = "6")]
+    pub daemons: usize,
+    /// print each broken promise
+    #[argh(switch)]
+    pub verbose: bool,
+}
+
 /// Runs every experiment and writes one HTML page with its figures and plots.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
@@ -116,6 +151,21 @@
     pub plot: Option<std::path::PathBuf>,
 }
 
+/// cost of claims of work that runs only once, and of sessions
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "claims")]
+pub struct Claims {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
+
 /// time of a choice and memory of an upstream at 12,000 upstreams and 10 versions
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "decide")]
@@ -152,6 +202,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "spread")]
 pub struct Spread {
+/// Cost at the quality target, beside simpler ways and an oracle.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cascade")]
+pub struct Cascade {
     /// seed of the random numbers
     #[argh(option, default = "1")]
     pub seed: u64,
@@ -164,4 +218,7 @@
     /// edits, at 0.3 a second; 50 at once follow
     #[argh(option, default = "20")]
     pub edits: u64,
+    /// requests in each arm
+    #[argh(option, default = "60_000")]
+    pub requests: usize,
 }
--- a/bench/src/cmd/rollout/run.rs
+++ b/bench/src/cmd/rollout/run.rs
@@ -9,10 +9,11 @@
 use types::prelude::*;
 
 use super::fleet::Daemon;
-use super::world::{Engine, Fencing, Store, Weights};
-use super::{Way, is_under_way};
+use super::is_under_way;
+use super::scenario::{Operator, Outcome, Scenario, Trouble};
+use super::world::{Engine, Store, Weights};
 
-const TICK: Span = Span::from_millis(200);
+pub(super) const TICK: Span = Span::from_millis(200);
 const DAEMONS: u32 = 3;
 const DOMAINS: usize = 4;
 /// Share of all slots that the demand takes on average.
@@ -32,89 +33,13 @@
 const WEIGHTS_EVERY: Span = Span::from_millis(500);
 const SLOW_WEIGHTS_EVERY: Span = Span::from_secs(8);
 
-/// What an operator does while the driver is paused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Operator {
-    /// Nothing.
-    None,
-    /// Aborts the roll-out, or begins one back when it is done.
-    Aborts,
-    /// Withdraws the version that comes.
-    Withdraws,
-}
-
-/// What fails beside.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Trouble {
-    /// Nothing.
-    None,
-    /// The store is down for a minute.
-    StoreDown,
-    /// A fifth of the store's replies is lost, from then on.
-    LostReplies,
-    /// The weight store gives leave every few seconds only.
-    SlowWeights,
-    /// The engines of a failure domain restart with the old version only.
-    DomainLost,
-}
-
-/// A run's conditions.
-#[derive(Debug, Clone)]
-pub(super) struct Scenario {
-    pub(super) way: Way,
-    pub(super) fencing: Fencing,
-    pub(super) seed: u64,
-    /// Engines in the pool.
-    pub(super) engines: usize,
-    /// Whoever drives then is paused.
-    pub(super) pause_at: Vec<Time>,
-    pub(super) operator: Operator,
-    pub(super) trouble: Trouble,
-    pub(super) trouble_at: Time,
-}
-
-impl Scenario {
-    /// Without troubles.
-    pub(super) fn new(way: Way, fencing: Fencing, seed: u64, engines: usize) -> Self {
-        Self {
-            way,
-            fencing,
-            seed,
-            engines,
-            pause_at: Vec::new(),
-            operator: Operator::None,
-            trouble: Trouble::None,
-            trouble_at: Time::NEVER,
-        }
-    }
-}
-
-/// What a run showed.
-#[derive(Debug, Default)]
-pub(super) struct Outcome {
-    pub(super) finished_s: Option<f64>,
-    pub(super) short_s: f64,
-    pub(super) both_short: bool,
-    pub(super) withdrawn_requests: f64,
-    pub(super) revived: bool,
-    pub(super) late_orders: u64,
-    pub(super) late_removals: u64,
-    pub(super) refused_orders: u64,
-    pub(super) unsafe_removals: u64,
-    pub(super) orders: u64,
-    pub(super) loads_without_leave: u64,
-    pub(super) store_calls: u64,
-    /// When whoever drives acted.
-    acted_at: Vec<Time>,
-}
-
 /// The moments at which the driver acts in a run without troubles.
 pub(super) fn actions(base: &Scenario) -> Vec<Time> {
-    run(base).acted_at
+    play(base).acted_at
 }
 
 /// Runs a scenario to its end.
-pub(super) fn run(scenario: &Scenario) -> Outcome {
+pub(super) fn play(scenario: &Scenario) -> Outcome {
     let mut run = Run::new(scenario);
     let mut now = Time::ZERO;
     while now < LONGEST && run.outcome.finished_s.is_none() {
@@ -125,29 +50,29 @@
     run.outcome
 }
 
-struct Run<'a> {
-    scenario: &'a Scenario,
-    engines: Vec<Engine>,
-    daemons: Vec<Daemon>,
-    store: Store,
-    weights: Weights,
-    model: Model,
-    revision: Revision,
+pub(super) struct Run<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) engines: Vec<Engine>,
+    pub(super) daemons: Vec<Daemon>,
+    pub(super) store: Store,
+    pub(super) weights: Weights,
+    pub(super) model: Model,
+    pub(super) revision: Revision,
     /// Slots taken by all.
-    total: f64,
+    pub(super) total: f64,
     /// Part of them by version 2.
-    part: f64,
+    pub(super) part: f64,
     /// Slots taken by versions 1 and 2 of late, latest last.
-    past: VecDeque<[f64; 2]>,
-    ratings: f64,
-    pauses: Vec<Time>,
-    operator_at: Option<Time>,
-    withdrawn: Option<VersionName>,
-    fencing: u64,
-    outcome: Outcome,
+    pub(super) past: VecDeque<[f64; 2]>,
+    pub(super) ratings: f64,
+    pub(super) pauses: Vec<Time>,
+    pub(super) operator_at: Option<Time>,
+    pub(super) withdrawn: Option<VersionName>,
+    pub(super) fencing: u64,
+    pub(super) outcome: Outcome,
 }
 
-fn name(text: &str) -> VersionName {
+pub(super) fn name(text: &str) -> VersionName {
     text.parse().expect("a plain name")
 }
 
@@ -159,7 +84,7 @@
 }
 
 /// 0 for version 1, 1 for version 2.
-fn index_of(version: &VersionName) -> usize {
+pub(super) fn index_of(version: &VersionName) -> usize {
     usize::from(version.as_str() == "2")
 }
 
@@ -314,12 +239,12 @@
             .expect("the run starts with one")
     }
 
-    fn state(&self) -> RolloutState {
+    pub(super) fn state(&self) -> RolloutState {
         self.rollout().state
     }
 
     /// The version that goes in the end.
-    fn dropped(&self) -> VersionName {
+    pub(super) fn dropped(&self) -> VersionName {
         let rollout = self.rollout();
         match rollout.state {
             RolloutState::Aborted => rollout.to.clone(),
@@ -328,7 +253,7 @@
     }
 
     /// Slots taken by versions 1 and 2.
-    fn on(&self) -> [f64; 2] {
+    pub(super) fn on(&self) -> [f64; 2] {
         [self.total * (1.0 - self.part), self.total * self.part]
     }
 
@@ -383,7 +308,7 @@
         }
     }
 
-    fn is_withdrawn(&self, version: &VersionName) -> bool {
+    pub(super) fn is_withdrawn(&self, version: &VersionName) -> bool {
         self.model.versions[version].state == VersionState::Withdrawn
     }
 
@@ -478,53 +403,6 @@
             self.outcome.late_removals += u64::from(order.kind == OrderKind::Unload);
         }
     }
-
-    fn ready(&self, version: &VersionName) -> f64 {
-        let able = self.engines.iter().filter(|e| e.ready.contains(version));
-        able.map(|e| f64::from(e.slots)).sum()
-    }
-
-    /// Whether the demand did not fit any more once a version lost an engine.
-    fn is_unsafe_without(&self, version: &VersionName) -> bool {
-        let removing = !is_under_way(self.state()) && *version == self.dropped();
-        let other = if version.as_str() == "1" {
-            name("2")
-        } else {
-            name("1")
-        };
-        let short = self.ready(version) < self.on()[index_of(version)] - 0.5;
-        short || (removing && self.ready(&other) < self.total - 0.5)
-    }
-
-    /// Whether the demand has its capacity, and whether all is done.
-    fn judge(&mut self, now: Time) {
-        let (old, new) = (name("1"), name("2"));
-        let on = self.on();
-        let old_short = self.ready(&old) < on[0] - 0.5;
-        let new_short = self.ready(&new) < on[1] - 0.5;
-        let any = self
-            .engines
-            .iter()
-            .filter(|e| e.ready.contains(&old) || e.ready.contains(&new));
-        let any: f64 = any.map(|e| f64::from(e.slots)).sum();
-        let short = old_short || new_short || any < self.total;
-        // Slots that a domain's loss takes are not the driver's.
-        if short && self.scenario.trouble != Trouble::DomainLost {
-            self.outcome.short_s += TICK.as_secs_f64();
-            self.outcome.both_short |= (old_short && new_short) || any < self.total;
-        }
-        let drop = self.dropped();
-        let gone = self.engines.iter().all(|e| !e.ready.contains(&drop));
-        if gone && !is_under_way(self.state()) && self.withdrawn.is_some() && self.all_awake(now) {
-            self.outcome.finished_s = Some(now.since(Time::ZERO).as_secs_f64());
-        }
-    }
-
-    fn all_awake(&self, now: Time) -> bool {
-        self.daemons
-            .iter()
-            .all(|daemon| now >= daemon.paused_until && daemon.in_hand.is_empty())
-    }
 }
 
 fn is_store(effect: &Effect) -> bool {
--- a/components/ledger/tests/support/fleet.rs
+++ b/components/ledger/tests/support/fleet.rs
@@ -75,7 +75,10 @@
             customer: format!("customer-{number}").parse().unwrap(),
             request: format!("req-{number}").parse().unwrap(),
         },
-        item: Item::Version("brief-large@2026-11".parse().unwrap()),
+        item: Item::Version {
+            offer: "brief-writer".parse().unwrap(),
+            version: "brief-large@2026-11".parse().unwrap(),
+        },
         input: Tokens(1000),
         output: Tokens(200),
         cost: Cost(1234),
@@ -184,7 +187,12 @@
             .iter()
             .filter(|other| other.is_alive && !other.is_paused && other.peer.id != *me);
         let members: Vec<_> = others.map(|other| other.peer.clone()).collect();
-        let effects = self.daemons[index].ledger.tick(self.now, wall, &members);
+        let ledger = &mut self.daemons[index].ledger;
+        let effects = ledger.tick(self.now, wall, &members);
+        assert!(
+            ledger.next_deadline() > self.now,
+            "nothing would be waited for"
+        );
         self.take(index, effects);
     }
 
@@ -269,8 +277,9 @@
     /// Ticks and delivers for a while.
     pub(crate) fn run(&mut self, span: Span) {
         let until = self.now + span;
+        let step = Span(span.as_micros() / 1000).max(Span::from_millis(250));
         while self.now < until {
-            self.tick(Span::from_millis(250));
+            self.tick(step);
             self.deliver_all();
         }
     }
@@ -321,9 +330,10 @@
 }
 
 impl Fleet {
-    /// Ticks a daemon that believes it is the only one.
-    pub(crate) fn tick_alone(&mut self, index: usize, wall: WallTime) {
-        let effects = self.daemons[index].ledger.tick(self.now, wall, &[]);
+    /// Ticks a daemon that believes these to be the others.
+    pub(crate) fn tick_with(&mut self, index: usize, members: &[Peer]) {
+        let wall = self.wall();
+        let effects = self.daemons[index].ledger.tick(self.now, wall, members);
         self.take(index, effects);
     }
 }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use operators::health::Health;
+use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
+use sessions::pins::Pins;
 use settings::Settings;
 use store::Store;
 use telemetry::metrics::Metrics;
@@ -13,6 +16,8 @@
 
 use crate::claims::Claims;
 use crate::event::Event;
+use crate::pace::Paces;
+use crate::rating::Rating;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
 
@@ -38,12 +43,22 @@
     pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
+    /// Pins of named sessions.
+    pub(crate) pins: Mutex<Pins>,
     /// Claims of work that runs only once.
     pub(crate) claims: Claims,
     /// To the control thread.
     pub(crate) events: flume::Sender<Event>,
+    /// What probes read.
+    pub(crate) health: Arc<Health>,
     /// What is measured.
     pub(crate) metrics: Arc<Metrics>,
+    /// What is known of the versions' answers.
+    pub(crate) quality: Mutex<Quality>,
+    /// How long versions' answers take.
+    pub(crate) paces: Mutex<Paces>,
+    /// Has answers rated.
+    pub(crate) rating: Rating,
     /// Retry budgets by entry.
     pub(crate) budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
 }
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -1,4 +1,9 @@
 //! The systems that run over the control thread's tables, one file each.
 
 pub mod catalogue;
+pub mod hosts;
+pub mod ledger;
+pub mod membership;
+pub mod quality;
+pub(crate) mod rollout;
 pub mod routing;
--- a/components/sessions/src/lib.rs
+++ b/components/sessions/src/lib.rs
@@ -3,8 +3,8 @@
 //! A session keeps its version through any daemon. Callers that send back the signed
 //! [`token`] carry the pin themselves: any daemon reads it, with the store down, the region cut
 //! and every daemon replaced. For callers that only send a name of their own, the pin is held
-//! by two home daemons ([`homes`], [`pins`], [`lookup`]); if both are lost at once, the version
-//! follows from the name and the roll-out's present share alone ([`choice`]).
+//! by two home daemons ([`homes`], [`pins`], [`lookup`]); if both are lost at once, the session
+//! is chosen for anew by draws that follow from its name alone ([`SessionKey::hash64`]).
 
 pub mod choice;
 pub mod homes;
--- a/components/standins/src/engine/text.rs
+++ b/components/standins/src/engine/text.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use types::prelude::*;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Bytes of prompt that count as a token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -54,17 +54,24 @@
     }
 }
 
-/// Hash of a chat's first messages, from the hash of one message fewer (0 for none).
+/// Hashes of ever longer beginnings of a chat, one a message, as `docs/PROTOCOLS.md` says.
 #[must_use]
-pub fn prefix_hash(before: u64, message: &Message) -> u64 {
-    let text = format!("{}\0{}", message.role, message.text());
-    xxh3_64_with_seed(text.as_bytes(), before)
+pub fn prefix_hashes(messages: &[Message]) -> Vec<u64> {
+    let mut hasher = Xxh3::new();
+    let hashes = messages.iter().map(|message| {
+        for field in [&Value::from(message.role.as_str()), &message.content] {
+            hasher.update(field.to_string().as_bytes());
+            hasher.update(b"\0");
+        }
+        hasher.digest()
+    });
+    hashes.collect()
 }
 
 /// Hash of a whole chat.
 #[must_use]
 pub fn prompt_hash(messages: &[Message]) -> u64 {
-    messages.iter().fold(0, prefix_hash)
+    prefix_hashes(messages).last().copied().unwrap_or(0)
 }
 
 /// The first word of the last user message.
@@ -110,6 +117,12 @@
     partial.matches(' ').count() as u32
 }
 
+/// Whether a partial answer has its last token, so that nothing is left to generate.
+#[must_use]
+pub fn has_ended(partial: &str) -> bool {
+    partial.contains(MARKER)
+}
+
 /// The uniform number in an answer's marker, from 0 to below 1.
 #[must_use]
 pub fn marker(answer: &str) -> Option<f64> {
@@ -118,6 +131,17 @@
     Some(f64::from(number) / 4_294_967_296.0)
 }
 
+/// Part of the confidence that has nothing to do with the answer's worth.
+const NOISE: f64 = 0.3;
+
+/// How sure the engine says it is of an answer, above 0 and at most 1.
+#[must_use]
+pub fn confidence(answer: &str) -> Option<f64> {
+    let noise = xxh3_64_with_seed(answer.as_bytes(), 1) as f64 / u64::MAX as f64;
+    let sure = (1.0 - marker(answer)?) * (1.0 - NOISE) + noise * NOISE;
+    Some(sure.clamp(0.001, 1.0))
+}
+
 /// The marker of an answer that no rater finds adequate.
 #[must_use]
 pub fn bad_marker() -> String {
--- a/components/standins/src/engine/wire.rs
+++ b/components/standins/src/engine/wire.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use types::prelude::*;
 
-use super::text::{Message, partial_tokens};
+use super::text::{Message, confidence, has_ended, partial_tokens};
 
 /// The fields of a request that the engine heeds.
 #[derive(Debug, Clone, Deserialize)]
@@ -24,6 +24,8 @@
     pub(super) continue_final_message: bool,
     #[serde(default)]
     stream_options: StreamOptions,
+    #[serde(default)]
+    pub(super) logprobs: bool,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -32,15 +34,27 @@
     include_usage: bool,
 }
 
+/// What an answer to be resumed has already.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Partial {
+    /// Tokens but the last.
+    pub(super) tokens: u32,
+    /// The last one too: only the finish is left.
+    pub(super) has_ended: bool,
+}
+
 impl ChatRequest {
-    /// Takes the partial answer off the messages: how many of its tokens are there.
-    pub(super) fn take_partial(&mut self) -> u32 {
+    /// Takes the partial answer off the messages.
+    pub(super) fn take_partial(&mut self) -> Partial {
         let is_partial = |m: &Message| m.role == "assistant";
         if !self.continue_final_message || !self.messages.last().is_some_and(is_partial) {
-            return 0;
+            return Partial::default();
+        }
+        let text = self.messages.pop().map_or_else(String::new, |m| m.text());
+        Partial {
+            tokens: partial_tokens(&text),
+            has_ended: has_ended(&text),
         }
-        let partial = self.messages.pop();
-        partial.map_or(0, |partial| partial_tokens(&partial.text()))
     }
 
     /// Tokens asked for, at least one.
@@ -133,6 +147,13 @@
 /// Ends a stream.
 pub(super) const DONE: Bytes = Bytes::from_static(b"data: [DONE]\n\n");
 
+/// Log probabilities of an answer's tokens, all alike: how sure the engine is of it. The
+/// surer, the likelier the rater finds it adequate, but not certainly.
+pub(super) fn logprobs(text: &str) -> Value {
+    let sure = confidence(text).unwrap_or(0.5);
+    json!({ "content": [{ "token": text, "logprob": sure.ln(), "top_logprobs": [] }] })
+}
+
 /// A whole answer's body.
 pub(super) fn completion(
     id: &str,
