--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -36,14 +36,14 @@
         cli::Command::Decide(options) => {
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
-        cli::Command::Rollout(options) => cmd::rollout::run_all(&options),
-        cli::Command::Spread(options) => {
-            cmd::spread::run(&options)?.finish(options.json, options.plot.as_deref())
         cli::Command::Rollout(options) => {
             cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
         }
         cli::Command::Cascade(options) => {
             cmd::cascade::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Spread(options) => {
+            cmd::spread::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
