--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -10,3 +10,4 @@
 pub mod overhead;
 pub mod report;
 pub mod rollout;
+pub mod spread;
