Measure bills: the store's writes, bytes, delay and losses

Cause: the ledger's cost at the size to come and the window of loss were not measured. Change: bench ledger, fleets of ledgers in their own time; each seals less often in a larger fleet, so that the store's writes do not grow with it.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -32,6 +32,8 @@
     Claims(Claims),
     /// Time and memory of a choice of upstream.
     Decide(Decide),
+    /// Cost, delay and losses of bills.
+    Ledger(Ledger),
 }
 
 /// The same requests straight to the stand-in engine and through the daemon.
@@ -190,3 +192,24 @@
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
 }
+
+/// Bills: the store's writes, bytes, the delay at the end of an answer, losses at crashes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ledger")]
+pub struct Ledger {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of each load in seconds of the fleet's own time
+    #[argh(option, default = "120")]
+    pub seconds: u64,
+    /// also run 460 daemons at 30,000 requests a second (2 GB, a few minutes)
+    #[argh(switch)]
+    pub large: bool,
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -35,6 +35,9 @@
         cli::Command::Decide(options) => {
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Ledger(options) => {
+            cmd::ledger::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Rollout(options) => {
             cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
         }
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -57,8 +57,10 @@
     pub late: Span,
     /// An answer waits so long for a second holder when no peer responds.
     pub alone_after: Span,
-    /// Time between batches.
+    /// Time between batches of one daemon, at least.
     pub seal_interval: Span,
+    /// Batches of the whole fleet: with more daemons each seals less often.
+    pub seal_rate: Rate,
     /// Time between batches while there is a backlog.
     pub backlog_interval: Span,
     /// Time between roll-ups of a shard.
@@ -85,6 +87,7 @@
             late: Span::from_secs(60),
             alone_after: Span::from_millis(500),
             seal_interval: Span::from_secs(5),
+            seal_rate: Rate(15.0),
             backlog_interval: Span::from_secs(1),
             roll_interval: Span::from_secs(10),
             seen_for: Span::from_secs(900),
@@ -236,7 +239,7 @@
 
     /// Does what is due. `members` are the other daemons that live and do not leave.
     pub fn tick(&mut self, now: Time, wall: WallTime, members: &[Peer]) -> Vec<Effect> {
-        self.members = members.to_vec();
+        self.set_members(members);
         self.avoid.retain(|_, until| !now.has_reached(*until));
         self.forget_settled(now);
         let mut effects = self.expire_calls(now);
@@ -247,6 +250,13 @@
         effects
     }
 
+    fn set_members(&mut self, members: &[Peer]) {
+        if self.members != members {
+            self.members = members.to_vec();
+            self.roller.set_members(&self.cfg.me.id, members);
+        }
+    }
+
     /// Takes a message of a peer.
     pub fn on_peer(&mut self, now: Time, from: &DaemonId, message: Message) -> Vec<Effect> {
         let mut effects = match message {
--- a/components/ledger/src/ledger/call.rs
+++ b/components/ledger/src/ledger/call.rs
@@ -96,6 +96,7 @@
     }
 
     fn on_sealed(&mut self, now: Time, origin: &Origin, outcome: Outcome) {
+        let seal_interval = self.seal_interval();
         let cfg = &self.cfg;
         let Some(journal) = self.journals.get_mut(origin) else {
             return;
@@ -110,17 +111,21 @@
         let is_alone = journal.replica.is_none();
         let interval = match has_backlog || is_alone {
             true => cfg.backlog_interval,
-            false => cfg.seal_interval,
+            false => seal_interval,
         };
         journal.seal.due = now + interval;
     }
 
+    /// Grows with the fleet, so that the store's writes do not.
+    fn seal_interval(&self) -> Span {
+        let fleet = self.members.len() as f64 + 1.0;
+        let share = Span::from_secs_f64(fleet / self.cfg.seal_rate.0);
+        share.max(self.cfg.seal_interval)
+    }
+
     /// Starts the roll-ups that are due of the shards that fall to this daemon.
     pub(super) fn roll_due(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
-        let me = &self.cfg.me.id;
-        let members = self.members.iter().map(|peer| &peer.id);
-        let members: Vec<_> = members.chain([me]).cloned().collect();
-        let requests = self.roller.tick(now, wall, me, &members);
+        let requests = self.roller.tick(now, wall);
         let calls = requests.into_iter();
         calls
             .map(|(shard, request)| self.call(now, Call::Roll(shard), request))
--- a/components/ledger/src/rollup.rs
+++ b/components/ledger/src/rollup.rs
@@ -9,7 +9,7 @@
 //! stands still while the store is down, so that an outage longer than the retry window
 //! does not forget bills whose repeats wait out the same outage elsewhere.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use keyvalue::{Outcome, Request};
 use types::prelude::*;
@@ -17,7 +17,7 @@
 
 use crate::bill::SHARDS;
 use crate::keys::Keys;
-use crate::ledger::Config;
+use crate::ledger::{Config, Peer};
 
 mod commit;
 mod scan;
@@ -42,6 +42,8 @@
     keys: Keys,
     interval: Span,
     seen_for: Span,
+    /// The shards that fall to this daemon.
+    mine: BTreeSet<u16>,
     shards: BTreeMap<u16, Shard>,
     wall: WallTime,
     counts: Counts,
@@ -74,6 +76,7 @@
             keys,
             interval: cfg.roll_interval,
             seen_for: cfg.seen_for,
+            mine: (0..SHARDS).collect(),
             shards: BTreeMap::new(),
             wall: WallTime::default(),
             counts: Counts::default(),
@@ -92,21 +95,18 @@
         self.shards.values().map(|shard| shard.seen.len()).sum()
     }
 
-    /// Starts what is due of the shards that fall to `me`.
-    pub(crate) fn tick(
-        &mut self,
-        now: Time,
-        wall: WallTime,
-        me: &DaemonId,
-        members: &[DaemonId],
-    ) -> Vec<(u16, Request)> {
+    /// Takes the members of the fleet and works out which shards fall to `me`.
+    pub(crate) fn set_members(&mut self, me: &DaemonId, others: &[Peer]) {
+        let falls = |shard: &u16| falls_to(*shard, me, others);
+        self.mine = (0..SHARDS).filter(falls).collect();
+    }
+
+    /// Starts what is due.
+    pub(crate) fn tick(&mut self, now: Time, wall: WallTime) -> Vec<(u16, Request)> {
         self.wall = wall;
+        self.leave_others();
         let mut requests = Vec::new();
-        for number in 0..SHARDS {
-            if !falls_to(number, me, members) {
-                self.leave(number);
-                continue;
-            }
+        for number in self.mine.iter().copied() {
             let phase = self.interval.as_micros() * u64::from(number) / u64::from(SHARDS);
             let shard = self.shards.entry(number).or_insert_with(|| Shard {
                 due: now + Span(phase),
@@ -121,12 +121,12 @@
         requests
     }
 
-    /// Forgets a shard that fell to another daemon, once no call is under way.
-    fn leave(&mut self, number: u16) {
-        let shard = self.shards.get(&number);
-        if shard.is_some_and(|shard| matches!(shard.step, Step::Idle)) {
-            self.shards.remove(&number);
-        }
+    /// Forgets shards that fell to other daemons, once no call is under way.
+    fn leave_others(&mut self) {
+        let mine = &self.mine;
+        let is_idle = |shard: &Shard| matches!(shard.step, Step::Idle);
+        self.shards
+            .retain(|number, shard| mine.contains(number) || !is_idle(shard));
     }
 
     /// Takes an outcome and gives the next call, if any.
@@ -178,8 +178,8 @@
 }
 
 /// Rendezvous hashing: each shard falls to one member, and few move when members change.
-fn falls_to(shard: u16, me: &DaemonId, members: &[DaemonId]) -> bool {
+fn falls_to(shard: u16, me: &DaemonId, others: &[Peer]) -> bool {
     let rank = |id: &DaemonId| (xxh3_64(format!("{shard}\n{id}").as_bytes()), id.clone());
     let mine = rank(me);
-    members.iter().all(|id| rank(id) <= mine)
+    others.iter().all(|peer| rank(&peer.id) <= mine)
 }
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -584,12 +584,18 @@
         charges: charges.into(),
         by: Incarnation(7),
     };
-    for charges in [
-        vec![],
-        vec![9],
-        vec![1, 255, 255, 255],
-        vec![1; MAX_BATCH_BYTES + 1],
-    ] {
+    fleet.serve(1, 1);
+    fleet.tick(Span::from_millis(20));
+    let position = fleet.position(is_hold).unwrap();
+    let Pending::Message { message, .. } = fleet.pending[position].clone() else {
+        unreachable!("it is a hold");
+    };
+    let Message::Hold { charges, .. } = message else {
+        unreachable!("it is a hold");
+    };
+    let mut padded = charges.to_vec();
+    padded.resize(MAX_BATCH_BYTES + 1, 0);
+    for charges in [padded, vec![], vec![9], vec![1, 255, 255, 255]] {
         let effects = fleet.daemons[0]
             .ledger
             .on_peer(fleet.now, &peer(1).id, hold(charges));
