--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -22,6 +22,8 @@
     Rollout(Rollout),
     /// Every experiment, as one page.
     Report(ReportPage),
+    /// Cost and quality of the choice of version.
+    Cascade(Cascade),
     /// Bad answers before a bad version is suspended.
     BadVersion(BadVersion),
     /// Choice of upstream beside simpler ways.
@@ -197,6 +199,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ledger")]
 pub struct Ledger {
+/// Cost at the quality target, beside simpler ways and an oracle.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cascade")]
+pub struct Cascade {
     /// seed of the random numbers
     #[argh(option, default = "1")]
     pub seed: u64,
@@ -212,4 +218,7 @@
     /// also run 460 daemons at 30,000 requests a second (2 GB, a few minutes)
     #[argh(switch)]
     pub large: bool,
+    /// requests in each arm
+    #[argh(option, default = "60_000")]
+    pub requests: usize,
 }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,12 +1,16 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
+mod commands;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use catalogue::view::View;
+use peers::Part;
 use types::prelude::*;
 
-use crate::event::{Event, StoreUse};
+use crate::calling::Calling;
+use crate::event::{EVENTS_WAITING, Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
@@ -14,8 +18,9 @@
 use crate::systems::catalogue::Action;
 use crate::watching::Watching;
 
-/// Until members are known.
-const FLEET_OF_ONE: usize = 1;
+mod billing;
+mod evidence;
+mod peering;
 
 /// The tables and what they reach out through.
 pub(crate) struct Control {
@@ -26,6 +31,9 @@
     ledger: systems::ledger::Table,
     /// Told once all bills are sealed.
     sealed: Option<flume::Sender<()>>,
+    members: systems::membership::Table,
+    rollouts: systems::rollout::Table,
+    calling: Calling,
     view: Arc<View>,
     leaving: bool,
 }
@@ -33,13 +41,17 @@
 impl Control {
     /// Empty tables.
     #[must_use]
-    pub(crate) fn new(shared: Arc<Shared>, storage: Storage) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, storage: Storage, peers: peers::Handle) -> Self {
         let settings = &shared.settings;
         let keys = catalogue::head::Keys::new(&settings.cluster);
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
         let ledger = systems::ledger::Table::new(settings, shared.incarnation);
+        let incarnation = shared.incarnation;
+        let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
+        let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
+        let calling = Calling::new(shared.clone());
         Self {
             shared,
             storage,
@@ -47,6 +59,9 @@
             catalogue,
             ledger,
             sealed: None,
+            members,
+            rollouts,
+            calling,
             view: Arc::default(),
             leaving: false,
         }
@@ -77,28 +92,24 @@
         due.map_or(next_tick, |due| due.min(next_tick))
     }
 
-    fn flush_ledger(&mut self) {
-        let actions = self.ledger.flush(self.shared.now());
-        self.perform_ledger(actions);
-    }
-
-    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
-        for action in actions {
-            match action {
-                systems::ledger::Action::Store(id, request) => {
-                    self.storage.call(StoreUse::Ledger(id), request);
-                }
-                // No other daemon is known yet.
-                systems::ledger::Action::Send(..) => {}
-            }
-        }
-    }
-
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
+            Event::Store(StoreUse::Rollout(ticket), outcome) => {
+                let task = self.rollouts.on_store(now, ticket, outcome);
+                self.perform_tasks(now, task);
+                return;
+            }
+            Event::Operator(command) => {
+                self.command(now, command);
+                return;
+            }
+            Event::Called(called) => {
+                self.rollouts.on_called(now, called);
+                return;
+            }
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
             Event::Store(StoreUse::Ledger(id), outcome) => {
                 let actions = self.ledger.on_store(now, id, outcome);
@@ -112,12 +123,17 @@
                 self.sealed = Some(sealed);
                 return;
             }
+            Event::Peer(inbound) => {
+                self.take_peer(now, inbound);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
             }
             Event::Leave => {
                 self.leaving = true;
+                self.members.leave(now);
                 self.publish(now);
                 return;
             }
@@ -128,22 +144,48 @@
 
     fn tick(&mut self) {
         let now = self.shared.now();
+        self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
         self.tick_ledger(now);
+        let fleet = self.members.membership().fleet_size();
+        systems::quality::tick(&self.shared, now, fleet);
+        self.show_quality(now);
+        self.drive_rollouts(now);
+        self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
-    fn tick_ledger(&mut self, now: Time) {
-        if let Some(sealed) = &self.sealed
-            && self.ledger.hand_on(now)
-        {
-            let _ = sealed.try_send(());
-        }
-        let wall = self.shared.clock.wall();
-        let actions = self.ledger.tick(now, wall);
-        self.perform_ledger(actions);
+    fn drive_rollouts(&mut self, now: Time) {
+        let members = self.catalogue.members().iter();
+        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
+        let shared = &self.shared;
+        let quality = || lock(&shared.quality).dump();
+        let catalogue = self.catalogue.catalogue();
+        let tasks = self
+            .rollouts
+            .tick(now, &self.view, catalogue, &members, quality);
+        self.perform_tasks(now, tasks);
+    }
+
+    /// Notes what metrics and probes show.
+    fn measure(&self, now: Time) {
+        let metrics = &self.shared.metrics;
+        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
+        metrics.catalogue_revision.set(revision);
+        let confirmed = self.catalogue.sync().confirmed();
+        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
+        metrics.freshness_age.set(age.as_secs_f64());
+        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
+        let most = self.shared.settings.callers.max_in_flight;
+        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
+        let not_ready = match self.readiness(self.view.revision) {
+            Readiness::Ready => None,
+            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
+            Readiness::Leaving => Some("leaving".to_owned()),
+        };
+        self.shared.health.tick(not_ready);
     }
 
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
@@ -151,8 +193,7 @@
         for action in actions {
             match action {
                 Action::Store(used, request) => self.storage.call(used, request),
-                // No other daemon is known yet.
-                Action::Send(..) => {}
+                Action::Send(to, body) => self.members.send(&to, Part::Catalogue, body),
                 Action::Watch => self.watching.start(),
                 Action::StopWatch => self.watching.stop(),
                 Action::Changed => changed = true,
@@ -161,7 +202,6 @@
         if changed {
             self.put_in_force(now);
         }
-        systems::quality::tick(&self.shared, now, FLEET_OF_ONE);
     }
 
     /// Serves by the catalogue as it is now.
@@ -170,6 +210,7 @@
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
         tracing::info!("catalogue: revision {} is in force", view.revision);
+        self.show_progress(now, view.revision);
         self.view = Arc::new(view);
         self.publish(now);
     }
@@ -181,7 +222,7 @@
             is_ledger_full: self.ledger.is_full(),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
-            reach: self.catalogue.sync().reach(now),
+            reach: self.reach(now),
         };
         self.shared.snapshot.store(Arc::new(snapshot));
     }
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -2,8 +2,10 @@
 
 use keyvalue::{Outcome, WatchEvent};
 use ledger::{Bill, CallId};
+use operators::command::Command;
 use platform::Host;
-use types::prelude::*;
+
+use crate::systems::rollout::Called;
 
 /// Where the release of an answer's end goes.
 pub type ReleaseTo = flume::Sender<()>;
@@ -21,8 +23,14 @@
     Watch(Vec<WatchEvent>),
     /// An answer is whole; its end waits for the release.
     Bill(Box<Bill>, ReleaseTo),
+    /// Another daemon sent something.
+    Peer(peers::Inbound),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
+    /// An operator asks.
+    Operator(Command),
+    /// A call of an engine or of the weight store ended.
+    Called(Called),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Seal all bills as soon as may be and say when there is none left.
@@ -40,13 +48,6 @@
     Edit,
     /// A batch of bills or a roll-up.
     Ledger(CallId),
-}
-
-/// A request that ended, as traffic tells it.
-#[derive(Debug, Clone)]
-pub struct Ended {
-    /// The request.
-    pub request: RequestId,
-    /// Its customer.
-    pub customer: CustomerId,
+    /// A roll-out's lease, with a ticket.
+    Rollout(u64),
 }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use operators::health::Health;
 use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
+use sessions::pins::Pins;
 use settings::Settings;
 use store::Store;
 use telemetry::metrics::Metrics;
@@ -41,10 +43,14 @@
     pub(crate) session_keys: sessions::token::Keys,
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
+    /// Pins of named sessions.
+    pub(crate) pins: Mutex<Pins>,
     /// Claims of work that runs only once.
     pub(crate) claims: Claims,
     /// To the control thread.
     pub(crate) events: flume::Sender<Event>,
+    /// What probes read.
+    pub(crate) health: Arc<Health>,
     /// What is measured.
     pub(crate) metrics: Arc<Metrics>,
     /// What is known of the versions' answers.
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -3,8 +3,10 @@
 mod it {
     mod bills;
     mod claims;
+    mod fleet;
     mod harness;
     mod quality;
     mod serve;
+    mod sessions;
     mod shutdown;
 }
--- a/components/quality/src/cell.rs
+++ b/components/quality/src/cell.rs
@@ -34,6 +34,14 @@
     pub value: Bytes,
 }
 
+impl Cell {
+    /// Whether it tells of a suspension, which should spread at once.
+    #[must_use]
+    pub fn is_suspension(&self) -> bool {
+        self.key.first() == Some(&SUSPENSION)
+    }
+}
+
 /// Why a peer's fact is refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CellError {
