--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -195,14 +195,28 @@
     pub plot: Option<std::path::PathBuf>,
 }
 
-/// Bills: the store's writes, bytes, the delay at the end of an answer, losses at crashes.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "ledger")]
-pub struct Ledger {
 /// Cost at the quality target, beside simpler ways and an oracle.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "cascade")]
 pub struct Cascade {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// requests in each arm
+    #[argh(option, default = "60_000")]
+    pub requests: usize,
+}
+
+/// Bills: the store's writes, bytes, the delay at the end of an answer, losses at crashes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ledger")]
+pub struct Ledger {
     /// seed of the random numbers
     #[argh(option, default = "1")]
     pub seed: u64,
@@ -215,10 +229,7 @@
     /// length of each load in seconds of the fleet's own time
     #[argh(option, default = "120")]
     pub seconds: u64,
-    /// also run 460 daemons at 30,000 requests a second (2 GB, a few minutes)
+    /// also run 460 daemons at 30,000 requests a second (some 2 GB, minutes)
     #[argh(switch)]
     pub large: bool,
-    /// requests in each arm
-    #[argh(option, default = "60_000")]
-    pub requests: usize,
 }
