--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
 mod commands;
+mod upkeep;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use types::prelude::*;
 
 use crate::calling::Calling;
-use crate::event::{EVENTS_WAITING, Event, StoreUse};
+use crate::event::{Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
@@ -28,6 +29,9 @@
     catalogue: systems::catalogue::Table,
     rollouts: systems::rollout::Table,
     calling: Calling,
+    ledger: systems::ledger::Table,
+    /// Told once all bills are sealed.
+    sealed: Option<flume::Sender<()>>,
     view: Arc<View>,
     leaving: bool,
 }
@@ -43,6 +47,7 @@
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
         let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
         let calling = Calling::new(shared.clone());
+        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         Self {
             shared,
             storage,
@@ -50,6 +55,8 @@
             catalogue,
             rollouts,
             calling,
+            ledger,
+            sealed: None,
             view: Arc::default(),
             leaving: false,
         }
@@ -60,10 +67,10 @@
         let tick = self.shared.settings.control.tick.to_duration();
         let mut next_tick = Instant::now();
         loop {
-            match events.recv_deadline(next_tick) {
+            match events.recv_deadline(self.wake_at(next_tick)) {
                 Ok(Event::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.take(event),
-                Err(flume::RecvTimeoutError::Timeout) => {}
+                Err(flume::RecvTimeoutError::Timeout) => self.flush_ledger(),
             }
             let now = Instant::now();
             if now >= next_tick {
@@ -73,6 +80,30 @@
         }
     }
 
+    /// The next tick, or what cannot wait for it.
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        let until = self.shared.now().until(self.ledger.next_deadline());
+        let due = Instant::now().checked_add(until.to_duration());
+        due.map_or(next_tick, |due| due.min(next_tick))
+    }
+
+    fn flush_ledger(&mut self) {
+        let actions = self.ledger.flush(self.shared.now());
+        self.perform_ledger(actions);
+    }
+
+    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
+        for action in actions {
+            match action {
+                systems::ledger::Action::Store(id, request) => {
+                    self.storage.call(StoreUse::Ledger(id), request);
+                }
+                // No other daemon is known yet.
+                systems::ledger::Action::Send(..) => {}
+            }
+        }
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
@@ -92,6 +123,18 @@
                 return;
             }
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
+            Event::Store(StoreUse::Ledger(id), outcome) => {
+                let actions = self.ledger.on_store(now, id, outcome);
+                return self.perform_ledger(actions);
+            }
+            Event::Bill(bill, end) => {
+                let actions = self.ledger.record(now, *bill, end);
+                return self.perform_ledger(actions);
+            }
+            Event::SealBills(sealed) => {
+                self.sealed = Some(sealed);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
@@ -112,39 +155,20 @@
         self.perform(now, actions);
         self.drive_rollouts(now);
         self.measure(now);
+        self.tick_ledger(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
-    fn drive_rollouts(&mut self, now: Time) {
-        let members = self.catalogue.members().iter();
-        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
-        let shared = &self.shared;
-        let quality = || lock(&shared.quality).dump();
-        let catalogue = self.catalogue.catalogue();
-        let tasks = self
-            .rollouts
-            .tick(now, &self.view, catalogue, &members, quality);
-        self.perform_tasks(now, tasks);
-    }
-
-    /// Notes what metrics and probes show.
-    fn measure(&self, now: Time) {
-        let metrics = &self.shared.metrics;
-        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
-        metrics.catalogue_revision.set(revision);
-        let confirmed = self.catalogue.sync().confirmed();
-        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
-        metrics.freshness_age.set(age.as_secs_f64());
-        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
-        let most = self.shared.settings.callers.max_in_flight;
-        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
-        let not_ready = match self.readiness(self.view.revision) {
-            Readiness::Ready => None,
-            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
-            Readiness::Leaving => Some("leaving".to_owned()),
-        };
-        self.shared.health.tick(not_ready);
+    fn tick_ledger(&mut self, now: Time) {
+        if let Some(sealed) = &self.sealed
+            && self.ledger.hand_on(now)
+        {
+            let _ = sealed.try_send(());
+        }
+        let wall = self.shared.clock.wall();
+        let actions = self.ledger.tick(now, wall);
+        self.perform_ledger(actions);
     }
 
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
@@ -179,6 +203,7 @@
     fn publish(&self, now: Time) {
         let snapshot = Snapshot {
             readiness: self.readiness(self.view.revision),
+            is_ledger_full: self.ledger.is_full(),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
             reach: self.catalogue.sync().reach(now),
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -120,7 +120,7 @@
             members,
             suspended: self.suspended(),
             in_flight: self.shared.pool.load() as u64,
-            bills_waiting: 0,
+            bills_waiting: self.ledger.fill().own as u64,
         }
     }
 
@@ -173,6 +173,7 @@
             "in_flight": {"requests": shared.pool.load(), "most": shared.settings.callers.max_in_flight},
             "events": {"waiting": shared.events.len(), "most": crate::event::EVENTS_WAITING},
             "catalogue": self.catalogue.dump(now),
+            "ledger": self.ledger.fill(),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
         })
@@ -192,7 +193,7 @@
 }
 
 fn read_bills(shared: &Arc<Shared>, query: BillsQuery) -> Result<BillsReply, String> {
-    let prefix = format!("/buckthorncross/{}/", shared.settings.cluster);
+    let prefix = crate::systems::ledger::prefix(&shared.settings.cluster);
     let since = query.since.unwrap_or_default();
     let until = query.until.unwrap_or_else(|| shared.clock.wall());
     let mut export = Export::new(&prefix, since, until);
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,12 +1,15 @@
 //! What other threads tell the control thread.
 
 use keyvalue::{Outcome, WatchEvent};
+use ledger::{Bill, CallId};
 use operators::command::Command;
+use platform::Host;
 use types::prelude::*;
 
 use crate::systems::rollout::Called;
 
-use platform::Host;
+/// Where the release of an answer's end goes.
+pub type ReleaseTo = flume::Sender<()>;
 
 /// Events that wait for the control thread. A sender that finds the queue full waits,
 /// which slows traffic rather than losing a bill or a rating.
@@ -19,6 +22,8 @@
     Store(StoreUse, Outcome),
     /// Watched keys changed; without changes, a watch began.
     Watch(Vec<WatchEvent>),
+    /// An answer is whole; its end waits for the release.
+    Bill(Box<Bill>, ReleaseTo),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
     /// An operator asks.
@@ -27,6 +32,8 @@
     Called(Called),
     /// Stop taking part: the process is leaving.
     Leave,
+    /// Seal all bills as soon as may be and say when there is none left.
+    SealBills(flume::Sender<()>),
     /// Stop now.
     Stop,
 }
@@ -40,6 +47,8 @@
     Edit,
     /// A roll-out's lease, with a ticket.
     Rollout(u64),
+    /// A batch of bills or a roll-up.
+    Ledger(CallId),
 }
 
 /// A request that ended, as traffic tells it.
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -2,6 +2,7 @@
 
 pub mod catalogue;
 pub mod hosts;
+pub mod ledger;
 pub mod quality;
 pub(crate) mod rollout;
 pub mod routing;
