Test the tool; look at engines again after a roll-out

Cause: an engine that restarts after a roll-out has ended comes back with the old version. Change: a driver looks again ten minutes after the last reports; the tool's exit codes and texts are tested against an API of a few lines. Conclusion: without the second look can_put_right_an_engine_that_came_back_with_the_old_version fails.

--- a/components/rollout/src/driver.rs
+++ b/components/rollout/src/driver.rs
@@ -29,6 +29,9 @@
     pub recent: Span,
     /// An order without visible effect is repeated after.
     pub repeat_after: Span,
+    /// Engines are looked at again after, once a roll-out has ended: one may have come
+    /// back from a restart with what it had before.
+    pub look_again: Span,
     /// Whether a new holder first shows its fencing number to every engine.
     pub claim_first: bool,
 }
@@ -42,6 +45,7 @@
             just_read: Span::from_secs(2),
             recent: Span::from_secs(10),
             repeat_after: Span::from_secs(10),
+            look_again: Span::from_secs(600),
             claim_first: false,
         }
     }
@@ -159,7 +163,9 @@
     pub fn tick(&mut self, now: Time, seen: &Observed<'_>) -> Vec<Effect> {
         self.waiting = None;
         let goal = Goal::of(seen.model);
-        let wanted = goal.as_ref().is_some_and(|goal| !is_reached(goal, seen));
+        let wanted = goal
+            .as_ref()
+            .is_some_and(|goal| !self.is_reached(now, goal, seen));
         let call = self.lease.tick(now, wanted, seen.rank);
         let mut effects: Vec<Effect> = call.map(Effect::Store).into_iter().collect();
         let (Some(goal), Some(hold)) = (goal, self.lease.held(now)) else {
@@ -186,6 +192,15 @@
         effects
     }
 
+    /// Whether nothing is left to do: the version that stays is everywhere, the other
+    /// nowhere, by reports that are not too old.
+    fn is_reached(&self, now: Time, goal: &Goal, seen: &Observed<'_>) -> bool {
+        let mut serving = seen.engines.iter().filter(|e| !e.leaving);
+        let removing = matches!(goal.phase, Phase::Remove { .. });
+        let settled = |e: &Engine| e.has_ready(&goal.keep) && !e.has(&goal.drop);
+        removing && serving.all(|e| settled(e) && e.is_fresh(now, self.cfg.look_again))
+    }
+
     /// Forgets orders whose effect was read, and those to be repeated.
     fn forget_done(&mut self, now: Time, seen: &Observed<'_>) {
         self.sent.retain(|id, sent| {
@@ -261,10 +276,3 @@
     let found = seen.engines.binary_search_by(|e| e.id.cmp(id));
     found.ok().map(|index| &seen.engines[index])
 }
-
-/// Whether nothing is left to do: the version that stays is everywhere, the other nowhere.
-fn is_reached(goal: &Goal, seen: &Observed<'_>) -> bool {
-    let mut serving = seen.engines.iter().filter(|e| !e.leaving);
-    let removing = matches!(goal.phase, Phase::Remove { .. });
-    removing && serving.all(|e| e.has_ready(&goal.keep) && !e.has(&goal.drop))
-}
--- a/components/rollout/src/waiting.rs
+++ b/components/rollout/src/waiting.rs
@@ -43,7 +43,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Lease => f.write_str("the driver's lease in the store"),
-            Self::Stay(left) => write!(f, "{left} more at this step"),
+            Self::Stay(left) => write!(f, "{} more at this step", in_seconds(*left)),
             Self::Ratings { have, need } => write!(f, "ratings at this step, {have} of {need}"),
             Self::Capacity {
                 version,
@@ -58,7 +58,7 @@
                     "room for {version}: engines are full and none can be spared"
                 )
             }
-            Self::WeightStore(left) => write!(f, "the weight store for {left}"),
+            Self::WeightStore(left) => write!(f, "the weight store for {}", in_seconds(*left)),
             Self::Operator => f.write_str("an operator to resume or abort"),
             Self::Sessions(version) => {
                 write!(f, "sessions of {version} to end, or `withdraw` of it")
@@ -68,6 +68,11 @@
     }
 }
 
+/// Rounded up to whole seconds.
+fn in_seconds(span: Span) -> Span {
+    Span::from_secs(span.as_millis().div_ceil(1000))
+}
+
 impl Waiting {
     /// For a version that has too few slots ready.
     pub(crate) fn short_of(version: &VersionName, ready: f64, needed: f64) -> Self {
--- a/components/rollout/tests/driver.rs
+++ b/components/rollout/tests/driver.rs
@@ -278,6 +278,21 @@
     assert_eq!(world.drivers[0].holder().unwrap().as_str(), "d1");
 }
 
+/// A roll-out has ended and nobody drives it. An engine restarts with the old, withdrawn
+/// version, as it was set up, and lacks the new one. Some minutes later it is put right.
+#[test]
+fn can_put_right_an_engine_that_came_back_with_the_old_version() {
+    let mut world = World::new(3, 10.0);
+    world.run_until(|w| w.state() == RolloutState::Done);
+    world.on = [0.0, 10.0];
+    world.withdraw("1");
+    world.run_until(|w| w.ready("1") == 0.0);
+    world.run(20);
+    assert_eq!(world.drivers[0].held(world.now), None);
+    world.engines[1].ready = vec![name("1")];
+    world.run_until(|w| w.ready("1") == 0.0 && w.ready("2") == 48.0);
+}
+
 /// The store goes down for a minute. The lease cannot be renewed, and another may hold it
 /// as soon as the store is back; until then this daemon stops before its lease ends.
 #[test]
--- /dev/null
+++ b/tests/tool.rs
@@ -0,0 +1,189 @@
+//! The tool's exit codes and what it says, against an operators' API of a few lines.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+use std::sync::Arc;
+
+use adminapi::entry::EntryReply;
+use adminapi::status::{MemberState, MemberStatus, StatusReply};
+use catalogue::entry::{Body, Customer, Entry, Limits};
+use operators::auth::Tokens;
+use operators::command::{Command as Asked, EditOutcome};
+use operators::health::Health;
+use operators::{Bounds, Config, Handle, start};
+use telemetry::metrics::Metrics;
+use types::prelude::*;
+
+const FILE: &str = "# revision customers/acme 7\nentries:\n  customers/acme:\n    kind: customer\n    \
+                    owner: licensing\n    key_sha256: []\n";
+
+/// An API at which every edit ends the same way.
+fn serve(outcome: EditOutcome) -> Handle {
+    let operator = OperatorName::new("asha").unwrap();
+    let submit = move |asked| {
+        match asked {
+            Asked::Edit(edit, tx) if edit.if_match == Some(Revision(7)) => tx.send(outcome.clone()),
+            Asked::Edit(_, tx) => tx.send(EditOutcome::Conflict { current: None }),
+            Asked::EditState(_, tx) => tx.send(None),
+            Asked::Status(tx) => tx.send(status()),
+            Asked::Entry(name, tx) => tx.send(Some(acme(name))),
+            _ => return false,
+        }
+        true
+    };
+    let config = Config {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        bounds: Bounds::default(),
+        tokens: Tokens::new([(&operator, &"secret-token".to_owned())]),
+        submit: Box::new(submit),
+        metrics: Arc::new(Metrics::new()),
+        health: Arc::new(Health::new(Clock::new())),
+    };
+    start(config).unwrap()
+}
+
+fn acme(name: EntryName) -> EntryReply {
+    let customer = Customer {
+        key_sha256: Vec::new(),
+        limits: Limits::default(),
+        weight: 1,
+    };
+    let owner = OperatorName::new("licensing").unwrap();
+    let body = Body::Customer(customer);
+    EntryReply {
+        name,
+        revision: Revision(7),
+        edit_id: EditId(1),
+        author: OperatorName::new("ravi").unwrap(),
+        at: WallTime(0),
+        entry: Some(Arc::new(Entry { owner, body })),
+    }
+}
+
+fn status() -> StatusReply {
+    StatusReply {
+        cluster: ClusterName::new("test").unwrap(),
+        daemon: DaemonId::new("entry-1").unwrap(),
+        revision: Revision(8),
+        in_force_everywhere: Revision(6),
+        freshness_age: Span::from_millis(200),
+        store_reachable: true,
+        members: vec![MemberStatus {
+            daemon: DaemonId::new("entry-2").unwrap(),
+            failure_domain: FailureDomain::new("kaloor").unwrap(),
+            state: MemberState::Alive,
+            revision: Revision(6),
+            report_age: Span::from_secs(3),
+            behind_for: Some(Span::from_secs(3)),
+        }],
+        suspended: Vec::new(),
+        in_flight: 0,
+        bills_waiting: 0,
+    }
+}
+
+fn tool(server: SocketAddr, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthorncross"));
+    command.args(["--server", &server.to_string(), "--token", "secret-token"]);
+    command.args(words).output().unwrap()
+}
+
+/// Exit code, standard output and standard error.
+fn run(server: SocketAddr, words: &[&str]) -> (i32, String, String) {
+    let output = tool(server, words);
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (
+        output.status.code().unwrap(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path.display().to_string()
+}
+
+#[test]
+fn can_put_what_get_printed() {
+    let server = serve(EditOutcome::Applied {
+        revision: Revision(8),
+    });
+    let (code, printed, _) = run(server.address(), &["catalogue", "get", "customers/acme"]);
+    assert_eq!(code, 0);
+    assert!(
+        printed.starts_with("# revision customers/acme 7\n"),
+        "{printed}"
+    );
+    let from = file("get.yaml", &printed);
+    let (code, said, _) = run(server.address(), &["catalogue", "put", &from]);
+    assert_eq!(code, 0, "{said}");
+    assert!(
+        said.starts_with("customers/acme: applied, revision 8"),
+        "{said}"
+    );
+    server.stop();
+}
+
+#[test]
+fn errors_have_exit_codes_that_mean_something() {
+    let from = file("put.yaml", FILE);
+    let put = |outcome: EditOutcome| {
+        let server = serve(outcome);
+        let ended = run(server.address(), &["catalogue", "put", &from]);
+        server.stop();
+        ended
+    };
+    let problems = vec!["weight must be at least 1".to_owned()];
+    let (code, _, said) = put(EditOutcome::Invalid { problems });
+    assert_eq!(code, 1);
+    assert!(said.contains("  - weight must be at least 1"), "{said}");
+    let (code, _, said) = put(EditOutcome::NotApplied {
+        reason: "down".to_owned(),
+    });
+    assert_eq!(code, 1, "{said}");
+    assert!(said.contains("nothing was written"), "{said}");
+    let (code, _, said) = put(EditOutcome::Conflict { current: None });
+    assert_eq!(code, 3, "{said}");
+
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let (code, _, said) = run(nowhere, &["catalogue", "put", &from]);
+    assert_eq!(code, 5);
+    assert!(said.contains("--server"), "{said}");
+    assert_eq!(run(nowhere, &["catalogue", "putt"]).0, 2);
+    assert_eq!(run(nowhere, &["--help"]).0, 0);
+}
+
+/// The store took an edit and its reply was lost; nobody can say yet what became of it. A
+/// script that read "failed" would make the edit again, one that read "done" would go on.
+/// The tool asks again for a while and then says that it does not know.
+#[test]
+fn errors_say_when_an_outcome_stays_unknown() {
+    let from = file("unknown.yaml", FILE);
+    let server = serve(EditOutcome::Unknown);
+    let (code, _, said) = run(server.address(), &["catalogue", "put", &from]);
+    assert_eq!(code, 4);
+    assert!(said.contains("catalogue history customers/acme"), "{said}");
+    server.stop();
+}
+
+#[test]
+fn errors_name_the_daemons_that_a_wait_ran_out_on() {
+    let server = serve(EditOutcome::Unknown);
+    let words = ["status", "--wait", "8", "--timeout", "0s"];
+    let (code, _, said) = run(server.address(), &words);
+    assert_eq!(code, 1);
+    assert!(
+        said.contains("entry-2 reported revision 6 3s ago"),
+        "{said}"
+    );
+    let (code, shown, _) = run(server.address(), &["status"]);
+    assert_eq!(code, 0);
+    assert!(shown.contains("entry-2"), "{shown}");
+    let (code, shown, _) = run(server.address(), &["--json", "status"]);
+    assert_eq!(code, 0);
+    let reply: StatusReply = serde_json::from_str(&shown).unwrap();
+    assert_eq!(reply, status());
+    server.stop();
+}
