--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::view::View;
+use peers::Part;
 use types::prelude::*;
 
 use crate::calling::Calling;
@@ -18,8 +19,9 @@
 use crate::systems::catalogue::Action;
 use crate::watching::Watching;
 
-/// Until members are known.
-const FLEET_OF_ONE: usize = 1;
+mod billing;
+mod evidence;
+mod peering;
 
 /// The tables and what they reach out through.
 pub(crate) struct Control {
@@ -27,11 +29,12 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
-    rollouts: systems::rollout::Table,
-    calling: Calling,
     ledger: systems::ledger::Table,
     /// Told once all bills are sealed.
     sealed: Option<flume::Sender<()>>,
+    members: systems::membership::Table,
+    rollouts: systems::rollout::Table,
+    calling: Calling,
     view: Arc<View>,
     leaving: bool,
 }
@@ -39,24 +42,27 @@
 impl Control {
     /// Empty tables.
     #[must_use]
-    pub(crate) fn new(shared: Arc<Shared>, storage: Storage) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, storage: Storage, peers: peers::Handle) -> Self {
         let settings = &shared.settings;
         let keys = catalogue::head::Keys::new(&settings.cluster);
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
+        let incarnation = shared.incarnation;
+        let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
         let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
         let calling = Calling::new(shared.clone());
-        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         Self {
             shared,
             storage,
             watching,
             catalogue,
-            rollouts,
-            calling,
             ledger,
             sealed: None,
+            members,
+            rollouts,
+            calling,
             view: Arc::default(),
             leaving: false,
         }
@@ -87,23 +93,6 @@
         due.map_or(next_tick, |due| due.min(next_tick))
     }
 
-    fn flush_ledger(&mut self) {
-        let actions = self.ledger.flush(self.shared.now());
-        self.perform_ledger(actions);
-    }
-
-    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
-        for action in actions {
-            match action {
-                systems::ledger::Action::Store(id, request) => {
-                    self.storage.call(StoreUse::Ledger(id), request);
-                }
-                // No other daemon is known yet.
-                systems::ledger::Action::Send(..) => {}
-            }
-        }
-    }
-
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
@@ -135,12 +124,17 @@
                 self.sealed = Some(sealed);
                 return;
             }
+            Event::Peer(inbound) => {
+                self.take_peer(now, inbound);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
             }
             Event::Leave => {
                 self.leaving = true;
+                self.members.leave(now);
                 self.publish(now);
                 return;
             }
@@ -151,33 +145,25 @@
 
     fn tick(&mut self) {
         let now = self.shared.now();
+        self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        self.tick_ledger(now);
+        let fleet = self.members.membership().fleet_size();
+        systems::quality::tick(&self.shared, now, fleet);
+        self.show_quality(now);
         self.drive_rollouts(now);
         self.measure(now);
-        self.tick_ledger(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
-    fn tick_ledger(&mut self, now: Time) {
-        if let Some(sealed) = &self.sealed
-            && self.ledger.hand_on(now)
-        {
-            let _ = sealed.try_send(());
-        }
-        let wall = self.shared.clock.wall();
-        let actions = self.ledger.tick(now, wall);
-        self.perform_ledger(actions);
-    }
-
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
             match action {
                 Action::Store(used, request) => self.storage.call(used, request),
-                // No other daemon is known yet.
-                Action::Send(..) => {}
+                Action::Send(to, body) => self.members.send(&to, Part::Catalogue, body),
                 Action::Watch => self.watching.start(),
                 Action::StopWatch => self.watching.stop(),
                 Action::Changed => changed = true,
@@ -186,7 +172,6 @@
         if changed {
             self.put_in_force(now);
         }
-        systems::quality::tick(&self.shared, now, FLEET_OF_ONE);
     }
 
     /// Serves by the catalogue as it is now.
@@ -195,6 +180,7 @@
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
         tracing::info!("catalogue: revision {} is in force", view.revision);
+        self.show_progress(now, view.revision);
         self.view = Arc::new(view);
         self.publish(now);
     }
@@ -206,7 +192,7 @@
             is_ledger_full: self.ledger.is_full(),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
-            reach: self.catalogue.sync().reach(now),
+            reach: self.reach(now),
         };
         self.shared.snapshot.store(Arc::new(snapshot));
     }
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -4,7 +4,6 @@
 use ledger::{Bill, CallId};
 use operators::command::Command;
 use platform::Host;
-use types::prelude::*;
 
 use crate::systems::rollout::Called;
 
@@ -24,6 +23,8 @@
     Watch(Vec<WatchEvent>),
     /// An answer is whole; its end waits for the release.
     Bill(Box<Bill>, ReleaseTo),
+    /// Another daemon sent something.
+    Peer(peers::Inbound),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
     /// An operator asks.
@@ -45,17 +46,8 @@
     Catalogue,
     /// A step of an edit.
     Edit,
-    /// A roll-out's lease, with a ticket.
-    Rollout(u64),
     /// A batch of bills or a roll-up.
     Ledger(CallId),
-}
-
-/// A request that ended, as traffic tells it.
-#[derive(Debug, Clone)]
-pub struct Ended {
-    /// The request.
-    pub request: RequestId,
-    /// Its customer.
-    pub customer: CustomerId,
+    /// A roll-out's lease, with a ticket.
+    Rollout(u64),
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -28,6 +28,7 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
+use crate::systems;
 use crate::traffic::Traffic;
 use crate::traffic::pool::Pool;
 
@@ -44,6 +45,7 @@
     shared: Arc<Shared>,
     callers: Callers,
     operators: operators::Handle,
+    peers_address: SocketAddr,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -60,8 +62,11 @@
         if let Some(list) = shared.settings.platform.hosts {
             crate::hosts::start(list, events.clone())?;
         }
+        let sink = systems::membership::sink(events.clone());
+        let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
+        let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
-        let control = Control::new(shared.clone(), storage);
+        let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
         let operators = start_operators(&shared)?;
@@ -77,6 +82,7 @@
             shared,
             callers,
             operators,
+            peers_address,
             control,
             claims,
         })
@@ -88,12 +94,27 @@
         self.callers.address()
     }
 
+    /// Where other daemons reach this one.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
     /// Where operators are served.
     #[must_use]
     pub fn operators_address(&self) -> SocketAddr {
         self.operators.address()
     }
 
+    /// Stops without handing anything on or saying goodbye, as a crash would.
+    pub fn abandon(self) {
+        let _ = self.shared.events.send(Event::Stop);
+        let _ = self.control.join();
+        self.operators.stop();
+        let _ = self.callers.close(Duration::ZERO);
+        self.shared.claims.stop();
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
@@ -131,6 +152,17 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
 fn start_operators(shared: &Shared) -> Result<operators::Handle, NodeError> {
     let cfg = &shared.settings.operators;
     let events = shared.events.clone();
@@ -145,17 +177,6 @@
     Ok(handle?)
 }
 
-/// Waits until all bills are in the store. While it is down they stay with the daemon that
-/// holds them beside this one, which seals them in its place.
-fn seal_bills(shared: &Shared, deadline: Time) {
-    let (tx, rx) = flume::bounded(1);
-    let _ = shared.events.send(Event::SealBills(tx));
-    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
-    if rx.recv_timeout(patience.to_duration()).is_err() {
-        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
-    }
-}
-
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::{RequestBuilder, Response, ResponseReader};
+use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
 use catalogue::entry::{Body, VersionState};
 use catalogue::record::Record;
 use keyvalue::{Op, Put, Txn};
@@ -72,8 +72,13 @@
 
     /// Several daemons that know each other.
     pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
+        Self::with_catalogue(cfg, CATALOGUE, count)
+    }
+
+    /// Several daemons and a catalogue of the test's own.
+    pub fn with_catalogue(cfg: &PlatformConfig, text: &str, count: usize) -> Self {
         let hash = |key: &str| catalogue::entry::KeyHash::from_key(key).to_string();
-        let text = CATALOGUE
+        let text = text
             .replace("KEY", &hash("ward-key"))
             .replace("OTHER", &hash("other-key"));
         let entries = catalogue::file::parse("test", &text).unwrap();
@@ -93,15 +98,22 @@
         harness
     }
 
-    fn add_daemon(&mut self, index: usize) {
+    pub fn add_daemon(&mut self, index: usize) {
         let node = Node::start(self.settings(index)).unwrap();
         self.nodes.push(node);
         let index = self.nodes.len() - 1;
         self.wait_ready(index);
     }
 
+    /// The first two daemons are the others' seeds.
     fn settings(&self, index: usize) -> settings::Settings {
         let platform = &self.platform;
+        let seeds = self
+            .nodes
+            .iter()
+            .take(2)
+            .map(|node| format!("'{}'", node.peers_address()));
+        let seeds = seeds.collect::<Vec<_>>().join(", ");
         let yaml = format!(
             "cluster: test\n\
              daemon: entry-{index}\n\
@@ -109,9 +121,10 @@
              region: here\n\
              callers: {{listen: '127.0.0.1:0'}}\n\
              operators: {{listen: '127.0.0.1:0', tokens: {{test: test-token}}}}\n\
-             peers: {{listen: '127.0.0.1:0', keys: [{{id: test, secret: not-secret-in-tests}}]}}\n\
+             peers:\n  listen: '127.0.0.1:0'\n  seeds: [{seeds}]\n  \
+             keys: [{{id: test, secret: not-secret-in-tests}}]\n\
              store: {{endpoints: ['{}']}}\n\
-             platform: {{rater: '{}', weights: '{}', hosts: '{}'}}\n\
+             platform: {{rater: '{}', rater_rate: 2000/s, weights: '{}', hosts: '{}'}}\n\
              control: {{tick: 20ms}}\n\
              shutdown: {{notice: 0s, deadline: 30s}}\n",
             platform.store.address(),
@@ -160,16 +173,23 @@
 
     /// Withdraws the only version offered and waits until that is in force.
     pub fn withdraw_v1(&self) {
+        self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
+        wait_until(|| !self.models(0).contains("small@v1"));
+    }
+
+    /// Writes an edit that sets the states of the model's two versions.
+    pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
         let name = "models/small".parse().unwrap();
         let mut entry = (*self.platform.entries[&name]).clone();
         let Body::Model(model) = &mut entry.body else {
             unreachable!("models/small is a model");
         };
-        let version = model.versions.get_mut(&"v1".parse().unwrap()).unwrap();
-        version.state = VersionState::Withdrawn;
+        for (version, state) in model.versions.values_mut().zip(states) {
+            version.state = state;
+        }
         let record = Record {
-            revision: Revision(1_000),
-            edit_id: EditId(1_000),
+            revision: Revision(revision),
+            edit_id: EditId(revision.into()),
             author: "test".parse().unwrap(),
             at: WallTime(0),
             entry: Some(Arc::new(entry)),
@@ -177,11 +197,44 @@
         };
         let value = serde_json::to_vec(&record).unwrap();
         self.put("catalogue/entries/models/small", &value);
-        let url = format!("http://{}/v1/models", self.nodes[0].callers_address());
-        wait_until(|| {
-            let answer = attohttpc::get(&url).bearer_auth("ward-key").send().unwrap();
-            !answer.text().unwrap().contains("small@v1")
-        });
+    }
+
+    /// What a daemon lists as models.
+    pub fn models(&self, index: usize) -> String {
+        let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
+        let answer = attohttpc::get(&url).bearer_auth("ward-key").send().unwrap();
+        answer.text().unwrap()
+    }
+
+    /// A request to the operators' API of a daemon.
+    pub fn operator(&self, index: usize, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.nodes[index].operators_address());
+        RequestBuilder::new(method, url)
+            .bearer_auth("test-token")
+            .read_timeout(PATIENCE)
+    }
+
+    /// What the operators' API of a daemon gives.
+    pub fn status(&self, index: usize, path: &str) -> Value {
+        json_of(
+            self.operator(index, Method::GET, path)
+                .send()
+                .unwrap()
+                .split()
+                .2,
+        )
+    }
+
+    /// Waits until every daemon knows all the others.
+    pub fn wait_joined(&self) {
+        let count = self.nodes.len();
+        let knows_all = |index| {
+            let status = self.status(index, "/status");
+            status["members"]
+                .as_array()
+                .is_some_and(|members| members.len() >= count)
+        };
+        wait_until(|| (0..count).all(knows_all));
     }
 
     /// Asks daemon 0 for a chat.
--- a/components/requests/tests/fuzz/daemon.rs
+++ b/components/requests/tests/fuzz/daemon.rs
@@ -16,7 +16,7 @@
 use requests::step::{OnCallerGone, on_caller_gone};
 use types::prelude::*;
 
-use crate::oracle::{Oracle, Saw};
+use crate::oracle::{Copy, Oracle, Saw};
 use crate::world::{Attempt, Effect, EngineReply, PREFIX, customer, is_idempotent, is_streamed};
 
 const DEADLINE: Span = Span::from_secs(30);
@@ -81,6 +81,7 @@
         id: Run(index, 0).daemon(),
         failure_domain: format!("domain-{}", index % 2).parse().unwrap(),
         region: "ernakulam".parse().unwrap(),
+        incarnation: Incarnation(run),
     }
 }
 
@@ -120,10 +121,10 @@
         fill.own + fill.custody == 0
     }
 
-    /// After another daemon's crash: its own bills whose holder is gone, or those it holds.
-    pub(crate) fn may_hold_a_last_copy(&self) -> bool {
+    /// The second holder of all of its unsealed bills, if there is one.
+    pub(crate) fn holder_of_all(&self) -> Option<DaemonId> {
         let fill = self.ledger.fill();
-        fill.own + fill.custody > 0
+        fill.holder.filter(|_| fill.unheld == 0)
     }
 
     /// Requests whose claims wait to be released or recorded.
@@ -162,8 +163,11 @@
             resumable: is_streamed(request),
             deadline: now + DEADLINE,
         });
-        match req.attempt(upstream(0)) {
-            Ok(req) => self.attempt(call, request, req, Vec::new(), true),
+        match req.ready() {
+            Ok(req) => {
+                let req = req.attempt(upstream(0));
+                self.attempt(call, request, req, Vec::new(), true)
+            }
             Err(req) => self.claim(oracle, call, request, req, now),
         }
     }
@@ -283,7 +287,7 @@
                 vec![Effect::Store(self.run, Which::Claim(call), next)]
             }
             ClaimStep::Mine(held) => {
-                let req = req.claim(held).attempt(upstream(0));
+                let req = req.claim(held).ready().attempt(upstream(0));
                 self.attempt(call, served.request, req, Vec::new(), served.has_caller)
             }
             ClaimStep::Duplicate(standing) => {
@@ -445,10 +449,12 @@
                 continue;
             };
             let body = Bytes::from(tokens.join(" "));
-            oracle.unsealed.insert(served.request);
-            if alone {
-                oracle.alone.insert(served.request);
-            }
+            let second = self.ledger.fill().holder.filter(|_| !alone);
+            oracle.copies.push(Copy {
+                request: served.request,
+                origin: self.id(),
+                holders: second.into_iter().chain([self.id()]).collect(),
+            });
             if served.has_caller {
                 oracle.saw(call, Saw::Answer(tokens));
             }
