Count requests, attempts, tokens' times and calls of the store

Cause: metrics existed that nothing fed. Change: node feeds them; status shows members by the membership's state; the dump has the ledger's fill and the membership.

--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -1,6 +1,5 @@
 //! What operators ask of the control thread.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use adminapi::bill::{BillRow, BillsQuery, BillsReply};
@@ -108,7 +107,7 @@
         let sync = self.catalogue.sync();
         let revision = sync.catalogue().revision();
         let confirmed = sync.confirmed();
-        let members = self.members(now);
+        let members = self.member_statuses(now);
         let live = members.iter().filter(|member| member.state.is_live());
         StatusReply {
             cluster: settings.cluster.clone(),
@@ -124,25 +123,26 @@
         }
     }
 
-    /// The daemons and what they last reported.
-    fn members(&self, now: Time) -> Vec<MemberStatus> {
-        let sync = self.catalogue.sync();
-        let revision = sync.catalogue().revision();
-        let behind = sync.in_force(now, revision).laggards;
-        let behind: BTreeMap<_, _> = behind.into_iter().map(|l| (l.daemon.clone(), l)).collect();
-        let members = self.catalogue.members().iter();
-        let status = members.map(|member| {
-            let laggard = behind.get(&member.id);
-            let age = laggard
-                .and_then(|laggard| laggard.heard)
-                .unwrap_or_default();
+    /// This daemon and the others, with what they last reported.
+    fn member_statuses(&self, now: Time) -> Vec<MemberStatus> {
+        let others = self.members.membership().members();
+        let others = others.map(|member| (&member.record, member.heard_at));
+        let me = (self.members.membership().me(), Some(now));
+        let mut members: Vec<_> = std::iter::once(me).chain(others).collect();
+        members.sort_by(|(a, _), (b, _)| a.id.cmp(&b.id));
+        let revision = self.catalogue.catalogue().revision();
+        let behind = self.catalogue.sync().in_force(now, revision).laggards;
+        let status = members.into_iter().map(|(record, heard_at)| {
+            let laggard = behind.iter().find(|laggard| laggard.daemon == record.id);
+            let heard = heard_at.map_or(Span::ZERO, |at| now.since(at));
+            let age = laggard.and_then(|laggard| laggard.heard);
             MemberStatus {
-                daemon: member.id.clone(),
-                failure_domain: member.failure_domain.clone(),
-                state: MemberState::Alive,
+                daemon: record.id.clone(),
+                failure_domain: record.failure_domain.clone(),
+                state: state_of(record.state),
                 revision: laggard.map_or(revision, |l| l.revision.unwrap_or_default()),
-                report_age: age,
-                behind_for: laggard.map(|_| age),
+                report_age: age.unwrap_or(heard),
+                behind_for: age,
             }
         });
         status.collect()
@@ -174,6 +174,7 @@
             "events": {"waiting": shared.events.len(), "most": crate::event::EVENTS_WAITING},
             "catalogue": self.catalogue.dump(now),
             "ledger": self.ledger.fill(),
+            "membership": self.members.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
         })
@@ -192,6 +193,15 @@
     }
 }
 
+fn state_of(state: membership::State) -> MemberState {
+    match state {
+        membership::State::Alive => MemberState::Alive,
+        membership::State::Suspect => MemberState::Suspect,
+        membership::State::Left => MemberState::Leaving,
+        membership::State::Down => MemberState::Dead,
+    }
+}
+
 fn read_bills(shared: &Arc<Shared>, query: BillsQuery) -> Result<BillsReply, String> {
     let prefix = crate::systems::ledger::prefix(&shared.settings.cluster);
     let since = query.since.unwrap_or_default();
--- a/components/node/src/control/upkeep.rs
+++ b/components/node/src/control/upkeep.rs
@@ -1,5 +1,7 @@
 //! What the control thread does each tick beside the tables' own systems.
 
+use membership::State;
+use telemetry::labels::{Direction, MemberState};
 use types::prelude::*;
 
 use super::Control;
@@ -35,6 +37,7 @@
             .set(i64::try_from(fill.own).unwrap_or(i64::MAX));
         metrics.set_queue_fill("bills", fill.own, fill.capacity);
         metrics.set_queue_fill("bills_for_others", fill.custody, fill.custody_capacity);
+        self.measure_members();
         metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
         let most = self.shared.settings.callers.max_in_flight;
         metrics.set_queue_fill("requests", self.shared.pool.load(), most);
@@ -45,4 +48,22 @@
         };
         self.shared.health.tick(not_ready);
     }
+
+    fn measure_members(&self) {
+        let metrics = &self.shared.metrics;
+        let count = |state: State| {
+            let members = self.members.membership().members();
+            members
+                .filter(|member| member.record.state == state)
+                .count()
+        };
+        // This daemon counts as one that answers.
+        metrics.set_members(MemberState::Alive, count(State::Alive) + 1);
+        metrics.set_members(MemberState::Suspect, count(State::Suspect));
+        metrics.set_members(MemberState::Leaving, count(State::Left));
+        metrics.set_members(MemberState::Dead, count(State::Down));
+        let stats = self.members.peers().stats();
+        metrics.set_peer_bytes(Direction::Received, ByteSize(stats.bytes_in));
+        metrics.set_peer_bytes(Direction::Sent, ByteSize(stats.bytes_out));
+    }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 pub mod event;
 mod hosts;
+mod measured;
 mod pace;
 mod rating;
 mod shared;
--- /dev/null
+++ b/components/node/src/measured.rs
@@ -0,0 +1,113 @@
+//! What is counted where: outcomes by their labels, tokens' times, calls of the store.
+
+use std::sync::Arc;
+
+use keyvalue::{CallError, Request};
+use requests::attempt::AttemptEnd;
+use store::{Sink, Store, Watch, WatchEnd};
+use telemetry::labels::{AttemptOutcome, Outcome, StoreCall, StoreOutcome};
+use telemetry::metrics::{Metrics, OfferMetrics};
+use types::prelude::*;
+
+/// How a request that was refused counts.
+pub(crate) fn refused(run: RunState) -> Outcome {
+    match run {
+        RunState::No => Outcome::Refused,
+        RunState::Unknown => Outcome::Unknown,
+        RunState::Yes => Outcome::Failed,
+    }
+}
+
+/// How an attempt counts.
+pub(crate) fn attempted(end: &AttemptEnd) -> AttemptOutcome {
+    match end {
+        AttemptEnd::Whole { .. } => AttemptOutcome::Answered,
+        AttemptEnd::NotSent | AttemptEnd::RefusedNotRun { .. } => AttemptOutcome::NotRun,
+        AttemptEnd::Unknown(requests::attempt::Doubt::TimedOut) => AttemptOutcome::TimedOut,
+        AttemptEnd::CallerGone => AttemptOutcome::Cancelled,
+        AttemptEnd::Unknown(_)
+        | AttemptEnd::Truncated { .. }
+        | AttemptEnd::Crossed
+        | AttemptEnd::UpstreamError(_) => AttemptOutcome::Failed,
+    }
+}
+
+/// Times of one stream's tokens.
+pub(crate) struct TokenTimes {
+    offer: Arc<OfferMetrics>,
+    arrived: Time,
+    last: Option<Time>,
+}
+
+impl TokenTimes {
+    /// Of a request that arrived then.
+    pub(crate) fn new(metrics: &Metrics, offer: &EntryName, arrived: Time) -> Self {
+        Self {
+            offer: metrics.offer(offer.as_str()),
+            arrived,
+            last: None,
+        }
+    }
+
+    /// A token came.
+    pub(crate) fn token(&mut self, now: Time) {
+        match self.last.replace(now) {
+            None => self.offer.first_token(now.since(self.arrived)),
+            Some(last) => self.offer.between_tokens(now.since(last)),
+        }
+    }
+
+    /// The request ended.
+    pub(crate) fn ended(&self, outcome: Outcome) {
+        self.offer.ended(outcome);
+    }
+}
+
+/// The store with its calls counted.
+pub(crate) struct Counted<S> {
+    store: S,
+    metrics: Arc<Metrics>,
+}
+
+impl<S> Counted<S> {
+    /// Counts the calls of a store.
+    pub(crate) fn new(store: S, metrics: Arc<Metrics>) -> Self {
+        Self { store, metrics }
+    }
+}
+
+impl<S: Store> Store for Counted<S> {
+    fn call(&self, req: Request) -> keyvalue::Outcome {
+        let kind = kind_of(&req);
+        let outcome = self.store.call(req);
+        let counted = match &outcome {
+            Ok(_) => StoreOutcome::Ok,
+            Err(CallError::NotSent(_)) => StoreOutcome::NotSent,
+            Err(CallError::Unknown(_)) => StoreOutcome::Unknown,
+            Err(CallError::Refused(_)) => StoreOutcome::Refused,
+        };
+        self.metrics.store_call(kind, counted);
+        outcome
+    }
+
+    fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
+        let end = self.store.watch(watch, sink);
+        let counted = match &end {
+            WatchEnd::Broken(_) => StoreOutcome::Unknown,
+            WatchEnd::Compacted(_) => StoreOutcome::Refused,
+            WatchEnd::Stopped | WatchEnd::Idle => StoreOutcome::Ok,
+        };
+        self.metrics.store_call(StoreCall::Watch, counted);
+        end
+    }
+}
+
+fn kind_of(req: &Request) -> StoreCall {
+    match req {
+        Request::Range(_) => StoreCall::Range,
+        Request::Txn(_) => StoreCall::Txn,
+        Request::LeaseGrant { .. } => StoreCall::LeaseGrant,
+        Request::LeaseKeepAlive(_) => StoreCall::LeaseKeepAlive,
+        Request::LeaseRevoke(_) => StoreCall::LeaseRevoke,
+    }
+}
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -24,6 +24,7 @@
 use crate::control::Control;
 use crate::error::NodeError;
 use crate::event::{EVENTS_WAITING, Event};
+use crate::measured::Counted;
 use crate::rating::Rating;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
@@ -187,7 +188,8 @@
     };
     let router = Router::new(&settings.daemon, place, Tuning::default());
     let incarnation = Incarnation(clock.wall().0);
-    let store = open_store(&settings)?;
+    let metrics = Arc::new(Metrics::new());
+    let store = open_store(&settings, metrics.clone())?;
     let (claims, thread) = Claims::start(&store, clock, claims_config(&settings, incarnation))?;
     let shared = Shared {
         clock,
@@ -201,7 +203,7 @@
         claims,
         events,
         health: Arc::new(Health::new(clock)),
-        metrics: Arc::new(Metrics::new()),
+        metrics,
         quality: Mutex::new(Quality::new(
             quality_config(&settings),
             incarnation,
@@ -235,11 +237,11 @@
     }
 }
 
-fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
+fn open_store(settings: &Settings, metrics: Arc<Metrics>) -> Result<Arc<dyn Store>, NodeError> {
     let mut cfg = store::Config::new(settings.store.endpoints.clone());
     cfg.call_timeout = settings.store.timeout;
     let client = EtcdClient::new(cfg).map_err(|error| NodeError::Store(error.to_string()))?;
-    Ok(Arc::new(client))
+    Ok(Arc::new(Counted::new(client, metrics)))
 }
 
 fn session_keys(settings: &Settings) -> Result<Keys, NodeError> {
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -20,6 +20,7 @@
 use super::transcript::Transcript;
 use super::version::Chosen;
 use super::{Job, STALL};
+use crate::measured::{self, TokenTimes};
 use crate::rating::{self, Stated};
 use crate::traffic::claim::listed;
 use crate::traffic::refusal::{Refusal, set};
@@ -44,12 +45,15 @@
     pub(super) has_begun: bool,
     pub(super) not_loaded: bool,
     pub(super) first_token: Option<Time>,
+    pub(super) times: TokenTimes,
     pub(super) transcript: Transcript,
     pub(super) caller_left: bool,
 }
 
 impl<'a> Relay<'a> {
     pub(crate) fn new(job: &'a Job, chosen: &'a Chosen, responder: &'a Responder) -> Self {
+        let metrics = &job.cx.shared.metrics;
+        let times = TokenTimes::new(metrics, &job.resolved.name, job.arrived);
         Self {
             job,
             responder,
@@ -66,6 +70,7 @@
             has_begun: false,
             not_loaded: false,
             first_token: None,
+            times,
             transcript: Transcript::new(job.head.non_idempotent),
             caller_left: false,
         }
@@ -276,6 +281,7 @@
 
     /// Gives the caller the end of its answer, and the answer as it is kept for a repeat.
     pub(crate) fn finish(mut self, usage: Usage, attempts: usize) -> Recorded {
+        self.times.ended(telemetry::labels::Outcome::Answered);
         let cost = self.cost(usage);
         if let Some(answer) = self.whole.take() {
             let mut head = self.head("application/json");
@@ -326,6 +332,7 @@
     pub(crate) fn refuse(&self, refusal: &requests::refusal::Refusal) {
         let refusal = Refusal::from_decision(refusal);
         self.job.cx.shared.metrics.refusal(refusal.code);
+        self.times.ended(measured::refused(refusal.run));
         if self.has_begun {
             let _ = refusal.end_stream(self.responder);
         } else {
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -11,6 +11,7 @@
 use super::answer::Relay;
 use super::body::prefix_hashes;
 use super::version::{NoVersion, choose_version};
+use crate::measured;
 use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::billing;
@@ -57,7 +58,10 @@
 }
 
 fn refuse(job: &Job, responder: &Responder, refusal: &Refusal) {
-    job.cx.shared.metrics.refusal(refusal.code);
+    let metrics = &job.cx.shared.metrics;
+    metrics.refusal(refusal.code);
+    let offer = metrics.offer(job.resolved.name.as_str());
+    offer.ended(measured::refused(refusal.run));
     refusal.send(responder, Some(&job.head.request));
 }
 
@@ -177,6 +181,7 @@
     ) -> (Request<Attempted>, AttemptEnd) {
         let began = self.shared().now();
         let end = relay.attempt(taken.address, &mut request);
+        self.shared().metrics.attempt(measured::attempted(&end));
         let outcome = relay.outcome(&end, began);
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
--- a/components/node/src/traffic/chat/stream.rs
+++ b/components/node/src/traffic/chat/stream.rs
@@ -78,7 +78,9 @@
             request.show();
         }
         if !text.is_empty() {
-            self.first_token.get_or_insert(self.job.cx.shared.now());
+            let now = self.job.cx.shared.now();
+            self.times.token(now);
+            self.first_token.get_or_insert(now);
             self.pieces += 1;
             self.text.push_str(text);
         }
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -16,6 +16,7 @@
 use super::claim::{self, Entry, listed};
 use super::refusal::{Refusal, set};
 use super::{Context, Rejected, Routed};
+use crate::measured;
 use crate::shared::{Shared, lock};
 
 const BUSY_RETRY: Span = Span::from_secs(1);
@@ -203,6 +204,7 @@
         AttemptEnd::RefusedNotRun { .. } => Outcome::Busy,
         _ => Outcome::Failed,
     };
+    shared.metrics.attempt(measured::attempted(end));
     let mut router = lock(&shared.router);
     router.finished(now, taken.index, taken.target, outcome, &mut rand::rng());
 }
@@ -267,6 +269,8 @@
     set(&mut headers, "x-attempts", &attempts.to_string());
     let body: Bytes = answer.body;
     let recorded = Recorded::new(answer.status, listed(&headers), body.clone());
+    let offer = shared.metrics.offer(job.service.as_str());
+    offer.ended(telemetry::labels::Outcome::Answered);
     responder.answer(Head { status, headers }, body);
     claim::answered(&job.cx.shared, billed, recorded);
 }
@@ -278,6 +282,9 @@
 
 fn refuse(job: &Job, responder: &Responder, decision: &requests::refusal::Refusal) {
     let refusal = Refusal::from_decision(decision);
-    job.cx.shared.metrics.refusal(refusal.code);
+    let metrics = &job.cx.shared.metrics;
+    metrics.refusal(refusal.code);
+    let offer = metrics.offer(job.service.as_str());
+    offer.ended(measured::refused(refusal.run));
     refusal.send(responder, Some(&job.head.request));
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -5,7 +5,7 @@
 //! one, so that a catalogue that churns offers cannot fill the daemon's memory.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 use prometheus_client::encoding::text;
@@ -250,10 +250,11 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
-    /// Notes bytes to or from peers.
-    pub fn peer_bytes(&self, direction: Direction, bytes: ByteSize) {
+    /// Sets the count of bytes to or from peers since the start.
+    pub fn set_peer_bytes(&self, direction: Direction, bytes: ByteSize) {
         let labels = DirectionLabels { direction };
-        self.peer_bytes.get_or_create(&labels).inc_by(bytes.0);
+        let counter = self.peer_bytes.get_or_create(&labels);
+        counter.inner().store(bytes.0, Ordering::Relaxed);
     }
 
     /// Sets the count of requests being served.
--- a/components/telemetry/tests/metrics.rs
+++ b/components/telemetry/tests/metrics.rs
@@ -15,7 +15,7 @@
     metrics.attempt(AttemptOutcome::NotRun);
     metrics.refusal("rate_limit_exceeded");
     metrics.store_call(StoreCall::Txn, StoreOutcome::Unknown);
-    metrics.peer_bytes(Direction::Sent, ByteSize(512));
+    metrics.set_peer_bytes(Direction::Sent, ByteSize(512));
     metrics.set_members(MemberState::Alive, 9);
     metrics.set_queue_fill("store", 16, 64);
     metrics.freshness_age.set(1.5);
