--- a/bench/src/fake/engine.rs
+++ b/bench/src/fake/engine.rs
@@ -97,6 +97,16 @@
         Some(self.start(now, &job))
     }
 
+    /// Cancels a running or waiting job and starts the next; the caller drops its end.
+    pub fn cancel(&mut self, now: Time, id: u64) -> Option<Started> {
+        let waiting = self.waiting.iter().find(|(_, job)| job.id == id);
+        if let Some(key) = waiting.map(|(key, _)| *key) {
+            self.waiting.remove(&key);
+            return None;
+        }
+        self.end(now)
+    }
+
     /// Loses everything at once; returns the jobs that waited.
     pub fn lose(&mut self) -> Vec<Job> {
         self.alive = false;
--- a/components/limits/src/account.rs
+++ b/components/limits/src/account.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Takes back a request that will start again.
+    pub(crate) fn refund(&mut self, tokens: Tokens) {
+        self.settle(tokens, Tokens(0));
+        if let Some(bucket) = &mut self.requests {
+            bucket.settle(1.0, 0.0);
+        }
+    }
+
     pub(crate) fn settle(&mut self, reserved: Tokens, used: Tokens) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(bucket) = &mut self.tokens {
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -45,6 +45,35 @@
         Admission::Wait(self.enqueue(now, ask, weight, rng))
     }
 
+    /// Turns a running request into a waiting one, when it was cancelled to give its slot to
+    /// interactive work. It goes on before its customer's others, or is refused by
+    /// [`Limiter::pump`] when its deadline passes first.
+    pub fn give_way(&mut self, grant: Grant) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        let mut weight = 1.0;
+        if let Some(account) = self.customers.get_mut(&grant.customer) {
+            account.refund(grant.tokens);
+            weight = account.weight;
+        }
+        if let Some(account) = self.offers.get_mut(&grant.offer) {
+            account.refund(grant.tokens);
+        }
+        let position = Position {
+            pool: grant.pool.clone(),
+            priority: grant.priority,
+            customer: grant.customer.clone(),
+        };
+        self.waiting.insert(ticket, position);
+        if let Some(pool) = self.pools.get_mut(&grant.pool) {
+            let lane = pool.lane(grant.priority);
+            lane.running = lane.running.saturating_sub(1);
+            let ask = grant.into_ask();
+            lane.queue.push_front(Waiting { ticket, ask }, weight);
+        }
+        ticket
+    }
+
     fn enqueue(&mut self, now: Time, ask: Ask, weight: f64, rng: &mut impl Rng) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
@@ -154,7 +183,6 @@
     customer.take(ask.tokens);
     offer.take(ask.tokens);
     pool.lane(ask.priority).running += 1;
-    pool.retries.earn();
     Grant {
         customer: ask.customer,
         offer: ask.offer,
@@ -162,6 +190,7 @@
         priority: ask.priority,
         tokens: ask.tokens,
         started: now,
+        deadline: ask.deadline,
     }
 }
 
--- a/components/limits/src/ask.rs
+++ b/components/limits/src/ask.rs
@@ -46,6 +46,7 @@
     pub(crate) priority: Priority,
     pub(crate) tokens: Tokens,
     pub(crate) started: Time,
+    pub(crate) deadline: Time,
 }
 
 impl Grant {
@@ -56,6 +57,19 @@
     }
 }
 
+impl Grant {
+    pub(crate) fn into_ask(self) -> Ask {
+        Ask {
+            customer: self.customer,
+            offer: self.offer,
+            pool: self.pool,
+            priority: self.priority,
+            tokens: self.tokens,
+            deadline: self.deadline,
+        }
+    }
+}
+
 /// What refused a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Code {
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -16,7 +16,6 @@
 mod limiter;
 mod pool;
 mod queue;
-mod retry;
 
 pub use ask::{Admission, Ask, Bounds, Code, Grant, Refusal, Ticket, Verdict};
 pub use demand::{DemandFact, KeyId};
--- a/components/limits/src/limiter.rs
+++ b/components/limits/src/limiter.rs
@@ -18,11 +18,10 @@
 /// Numbers that trade headroom against use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Part of all slots that batch work leaves free.
+    /// Part of all slots that batch work leaves free. Below zero, batch work in excess of
+    /// the slots: it waits at the upstreams, where interactive work goes before it, so that
+    /// a slot that comes free is used at once.
     pub reserve: f64,
-    /// Slots that batch work leaves free besides, for the square root of interactive work:
-    /// so much do arrivals vary.
-    pub reserve_root: f64,
     /// Part of the free slots that one daemon's interactive work may take at once.
     pub borrow: f64,
     /// Longest wait for the own limit; a request that would wait longer is refused.
@@ -32,8 +31,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            reserve: 0.01,
-            reserve_root: 0.25,
+            reserve: -0.02,
             borrow: 0.5,
             limit_wait: Span::from_secs(2),
         }
@@ -180,12 +178,6 @@
         }
     }
 
-    /// Whether an attempt at a pool may be repeated; counts it as repeated then.
-    pub fn may_retry(&mut self, pool: &EntryName) -> bool {
-        let pool = self.pools.get_mut(pool);
-        pool.is_some_and(|pool| pool.retries.spend())
-    }
-
     /// The parts of limits.
     #[must_use]
     pub fn shares(&self) -> &Shares {
--- a/components/limits/src/pool.rs
+++ b/components/limits/src/pool.rs
@@ -6,7 +6,6 @@
 use crate::demand::KeyId;
 use crate::limiter::Config;
 use crate::queue::FairQueue;
-use crate::retry::RetryBudget;
 use crate::shares::Shares;
 
 /// Weight of the newest request in the mean time that a slot is held.
@@ -46,6 +45,13 @@
         !self.has_room() && self.queue.len() > 0
     }
 
+    /// Slots in use, and those that would be if there were room. What waits for its
+    /// customer's limit wants none.
+    fn wanted_slots(&self) -> f64 {
+        let waiting = if self.has_room() { 0 } else { self.queue.len() };
+        f64::from(self.running) + waiting as f64
+    }
+
     pub(crate) fn note_held(&mut self, held: Span) {
         let old = self.held.as_secs_f64();
         let weight = if self.held == Span::ZERO {
@@ -84,7 +90,6 @@
 pub(crate) struct Pool {
     pub(crate) interactive: Lane,
     pub(crate) batch: Lane,
-    pub(crate) retries: RetryBudget,
     /// Slots of all healthy upstreams, for the fleet.
     pub(crate) slots: u32,
     /// Interactive requests running when the parts were last reckoned.
@@ -96,7 +101,6 @@
         Self {
             interactive: Lane::new(KeyId::interactive(name)),
             batch: Lane::new(KeyId::batch(name)),
-            retries: RetryBudget::default(),
             slots: 0,
             shared_at: 0,
         }
@@ -127,12 +131,11 @@
     ///
     /// Interactive work may take whatever interactive work of other daemons leaves; only when
     /// all of it together does not fit, each daemon keeps to its part. Batch work gets its
-    /// part of what interactive work leaves, less a reserve that takes the next interactive
-    /// requests while slots held by batch come free.
+    /// part of what interactive work leaves, less the reserve.
     pub(crate) fn share(&mut self, now: Time, shares: &Shares, config: &Config) {
         for lane in [&mut self.interactive, &mut self.batch] {
-            let level = lane.running as usize + lane.queue.len();
-            lane.wanted.follow(now, level as f64);
+            let wanted = lane.wanted_slots();
+            lane.wanted.follow(now, wanted);
         }
         self.shared_at = self.interactive.running;
         let slots = f64::from(self.slots);
@@ -146,7 +149,7 @@
             0.0
         };
         self.interactive.allowance = part.max(borrowed as u32);
-        let reserve = config.reserve * slots + config.reserve_root * (own + others).sqrt();
+        let reserve = config.reserve * slots;
         let wanted = own.max(self.interactive.wanted.level());
         let left = (slots - reserve - others - wanted).max(0.0);
         self.batch.allowance = shares.allotment(now, self.batch.key, left);
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -78,6 +78,15 @@
         evicted
     }
 
+    /// Puts a request that had begun before all others of its customer. Nothing gives way:
+    /// there are no more of these than there were slots.
+    pub(crate) fn push_front(&mut self, waiting: Waiting, weight: f64) {
+        let flow = self.flows.entry(waiting.ask.customer.clone()).or_default();
+        flow.weight = weight.max(f64::MIN_POSITIVE);
+        flow.items.push_front(waiting);
+        self.len += 1;
+    }
+
     fn longest(&self) -> Option<(&CustomerId, usize)> {
         let flows = self.flows.iter();
         let lens = flows.map(|(id, flow)| (id, flow.items.len()));
--- a/components/routing/src/configure.rs
+++ b/components/routing/src/configure.rs
@@ -108,6 +108,7 @@
         if entry.is_some_and(|entry| entry.removed && entry.upstream.in_flight == 0) {
             self.upstreams[index.slot()] = None;
             self.vacant.push(index);
+            self.yielding.remove(&index);
             self.returns.retain(|(_, returning)| *returning != index);
         }
     }
--- a/components/routing/src/demand.rs
+++ b/components/routing/src/demand.rs
@@ -59,7 +59,7 @@
     pub target: TargetIndex,
     /// Hashes of ever longer beginnings of the prompt, shortest first.
     pub prefix: &'a [PrefixHash],
-    /// Batch work is not sent to an upstream without a free slot.
+    /// Interactive work keeps away from upstreams that are nearly full.
     pub priority: Priority,
     /// Upstreams tried before.
     pub avoid: &'a [UpstreamIndex],
@@ -74,9 +74,6 @@
     /// None that is live and healthy has the target loaded, or all were tried.
     #[error("no live upstream has the target loaded")]
     NoneLive,
-    /// Batch work waits for a free slot.
-    #[error("no upstream has a free slot for batch work")]
-    Full,
 }
 
 /// What an upstream says of its load.
--- a/components/routing/src/learn.rs
+++ b/components/routing/src/learn.rs
@@ -146,6 +146,10 @@
 
     /// Takes a load report, polled or come with an answer.
     pub fn report(&mut self, now: Time, index: UpstreamIndex, report: &LoadReport) {
+        if report.loaded.is_none() {
+            self.answered.rotate_right(1);
+            self.answered[0] = Some(index);
+        }
         if report.leaving {
             self.leaving(now, index, LeavingSign::Refusal);
         }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod pick;
 mod polls;
 mod router;
+mod yielding;
 
 pub use demand::{
     Demand, LoadReport, NoUpstream, Outcome, PrefixHash, Target, TargetIndex, UpstreamIndex,
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -10,6 +10,8 @@
 
 /// Load at which the next distance is looked at too.
 const SPILL_LOAD: f64 = 0.9;
+/// Estimated load beyond which a free slot is not certain.
+pub(crate) const BUSY_LOAD: f64 = 0.8;
 /// Cost of a request that must wait for a slot, for each request per slot ahead of it.
 const QUEUE_COST: f64 = 2.0;
 /// Cost of another failure domain of the region.
@@ -90,15 +92,14 @@
         };
         choice.consider_holders();
         choice.consider_homes();
+        choice.consider_answered();
+        choice.consider_yielding(rng);
         choice.consider_samples(rng);
         choice.escape_trouble(rng);
         if choice.best.is_none() {
             choice.consider_all();
         }
         let best = choice.best.ok_or(NoUpstream::NoneLive)?;
-        if demand.priority == Priority::Batch && best.load >= 1.0 {
-            return Err(NoUpstream::Full);
-        }
         Ok(best.index)
     }
 }
@@ -124,6 +125,30 @@
         }
     }
 
+    /// Those whose answers came last: their load is known for the moment, and to this daemon
+    /// only, so that no others crowd there.
+    fn consider_answered(&mut self) {
+        for index in self.router.answered.into_iter().flatten() {
+            self.consider(index);
+        }
+    }
+
+    /// For interactive work, some upstreams where own batch work could give way.
+    fn consider_yielding(&mut self, rng: &mut impl Rng) {
+        let router = self.router;
+        let yielding = &router.yielding;
+        if self.demand.priority == Priority::Batch || yielding.is_empty() {
+            return;
+        }
+        for _ in 0..router.tuning.samples {
+            let point = UpstreamIndex(rng.random_range(0..router.upstreams.len() as u32));
+            let after = yielding.range(point..).next();
+            if let Some(index) = after.or(yielding.first()) {
+                self.consider(*index);
+            }
+        }
+    }
+
     /// Random ones of the daemon's subset; farther ones only when the nearer are busy.
     fn consider_samples(&mut self, rng: &mut impl Rng) {
         for distance in DISTANCES {
@@ -182,7 +207,7 @@
         if !self.is_fit(index, entry) {
             return;
         }
-        let load = entry.upstream.load(self.now, self.pool.usual_others);
+        let load = self.load(entry);
         let trouble = self.trouble(entry);
         let cost = self.cost(index, entry, load) + trouble;
         if self.best.is_none_or(|best| cost < best.cost) {
@@ -195,6 +220,18 @@
         }
     }
 
+    /// Estimated load that stands in the request's way. Where own batch work can give way
+    /// to interactive work a slot is certain, whatever the estimate.
+    fn load(&self, entry: &Entry) -> f64 {
+        let upstream = &entry.upstream;
+        let load = upstream.load(self.now, self.pool.usual_others);
+        if self.demand.priority == Priority::Batch || upstream.batch == 0 {
+            return load;
+        }
+        let batch = f64::from(upstream.batch) / f64::from(upstream.slots);
+        (load - batch).clamp(0.0, BUSY_LOAD)
+    }
+
     fn is_fit(&self, index: UpstreamIndex, entry: &Entry) -> bool {
         !entry.removed
             && entry.upstream.health.is_eligible()
@@ -206,7 +243,7 @@
     fn cost(&self, index: UpstreamIndex, entry: &Entry, load: f64) -> f64 {
         let upstream = &entry.upstream;
         let after = load + 1.0 / f64::from(upstream.slots);
-        let queued = QUEUE_COST * (after - 1.0).max(0.0);
+        let queued = QUEUE_COST * (after - self.queue_load()).max(0.0);
         let slowness = upstream.slowness(self.pool.per_token);
         let distance = match entry.ranks.distance {
             Distance::SameDomain => 0.0,
@@ -216,6 +253,15 @@
         (after + queued) * slowness + self.miss_cost(index) + distance
     }
 
+    /// Load from which a request may have to wait. Estimates lag, so interactive work keeps
+    /// away from what is nearly full.
+    fn queue_load(&self) -> f64 {
+        match self.demand.priority {
+            Priority::Interactive => BUSY_LOAD + 1.0 / 16.0,
+            Priority::Batch => 1.0,
+        }
+    }
+
     /// Cost of recent failures, its own or its failure domain's.
     fn trouble(&self, entry: &Entry) -> f64 {
         let own = POINT_COST * f64::from(entry.upstream.health.points());
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -14,6 +14,9 @@
 /// Distinct upstreams in a row that must fail before their failure domain is suspected.
 const SUSPECT_FAILURES: u32 = 4;
 
+/// Upstreams of the latest answers that are candidates.
+const RECENT: usize = 2;
+
 /// One daemon's picture of the upstreams.
 #[derive(Debug, Clone)]
 pub struct Router {
@@ -29,6 +32,8 @@
     pub(crate) prefixes: PrefixTable,
     pub(crate) popularity: Popularity,
     pub(crate) returns: BTreeSet<(Time, UpstreamIndex)>,
+    pub(crate) answered: [Option<UpstreamIndex>; RECENT],
+    pub(crate) yielding: BTreeSet<UpstreamIndex>,
     pub(crate) vacant: Vec<UpstreamIndex>,
     pub(crate) polls: BTreeSet<(Time, UpstreamIndex)>,
 }
@@ -93,6 +98,8 @@
             prefixes: PrefixTable::default(),
             popularity: Popularity::default(),
             returns: BTreeSet::new(),
+            answered: [None; RECENT],
+            yielding: BTreeSet::new(),
             vacant: Vec::new(),
             polls: BTreeSet::new(),
         }
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -12,7 +12,7 @@
 /// Observations before the pace is believed.
 const PACE_SAMPLES: u32 = 3;
 /// Time in which a report loses most of its worth.
-const REPORT_DECAY: Span = Span::from_secs(10);
+const REPORT_DECAY: Span = Span::from_millis(500);
 
 /// Where a process stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,6 +53,7 @@
     pub(crate) loaded: Vec<TargetIndex>,
     pub(crate) health: Health,
     pub(crate) in_flight: u32,
+    pub(crate) batch: u32,
     pub(crate) slots: u32,
     pub(crate) domain: u16,
     pub(crate) poll_at: Time,
@@ -68,6 +69,7 @@
             slots: spec.slots.max(1),
             health: Health::default(),
             in_flight: 0,
+            batch: 0,
             domain,
             poll_at: Time::ZERO,
             reported: None,
