--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,10 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// The promises on requests under a fault a second.
+    Faults(Faults),
+    /// Roll-outs under faults.
+    Rollout(Rollout),
     /// Every experiment, as one page.
     Report(ReportPage),
     /// Bad answers before a bad version is suspended.
@@ -24,6 +28,8 @@
     Balance(Balance),
     /// A partner's batch on steady interactive work.
     Burst(Burst),
+    /// Cost of claims and sessions.
+    Claims(Claims),
     /// Time and memory of a choice of upstream.
     Decide(Decide),
 }
@@ -46,6 +52,33 @@
     pub seconds: f64,
 }
 
+/// Real daemons under steady load of both users with a fault a second, beside none.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub struct Faults {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of each arm in seconds
+    #[argh(option, default = "60.0")]
+    pub seconds: f64,
+    /// requests a second
+    #[argh(option, default = "100.0")]
+    pub rate: f64,
+    /// daemons
+    #[argh(option, default = "6")]
+    pub daemons: usize,
+    /// print each broken promise
+    #[argh(switch)]
+    pub verbose: bool,
+}
+
 /// Runs every experiment and writes one HTML page with its figures and plots.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
@@ -112,6 +145,21 @@
     pub plot: Option<std::path::PathBuf>,
 }
 
+/// cost of claims of work that runs only once, and of sessions
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "claims")]
+pub struct Claims {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
+
 /// time of a choice and memory of an upstream at 12,000 upstreams and 10 versions
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "decide")]
@@ -126,3 +174,19 @@
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
 }
+
+/// A roll-out driven to its end while drivers are paused, stores fail and engines ignore
+/// fencing.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollout")]
+pub struct Rollout {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
--- a/bench/src/cmd/burst.rs
+++ b/bench/src/cmd/burst.rs
@@ -7,6 +7,7 @@
 
 mod admitter;
 mod found;
+mod upstreams;
 mod world;
 
 use hdrhistogram::Histogram;
--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -12,6 +12,7 @@
 mod repair;
 mod report;
 mod source;
+mod touch;
 mod transfer;
 mod watchers;
 
@@ -25,10 +26,11 @@
 use crate::record::{Catalogue, Held};
 use crate::sync::freshness::FleetSize;
 use crate::sync::source::Source;
+use crate::sync::touch::Touch;
 use crate::sync::transfer::Transfer;
 
 pub use crate::sync::freshness::{Decision, Reach, decide};
-pub use crate::sync::message::{MAX_PAGE_RECORDS, Message};
+pub use crate::sync::message::{MAX_MESSAGE_SIZE, MAX_PAGE_RECORDS, Message, MessageError};
 pub use crate::sync::report::{Heard, InForce, Laggard};
 pub use crate::sync::watchers::watchers;
 
@@ -73,7 +75,7 @@
             ask_interval: Span::from_secs(1),
             poll_interval: Span::from_secs(2),
             patience: Span::from_secs(3),
-            page: ByteSize(64 << 10),
+            page: ByteSize(32 << 10),
             reach: Span::from_secs(30),
         }
     }
@@ -117,6 +119,7 @@
     heard: BTreeMap<DaemonId, Heard>,
     /// The moment of which the catalogue was last known to be current.
     confirmed: Option<Time>,
+    touch: Touch,
     /// The moment of which the store was last known to answer some daemon.
     store_answered: Option<Time>,
     fleet: FleetSize,
@@ -142,6 +145,7 @@
             members: Vec::new(),
             heard: BTreeMap::new(),
             confirmed: None,
+            touch: Touch::default(),
             store_answered: None,
             fleet: FleetSize::default(),
             transfer: None,
@@ -175,10 +179,11 @@
 
     /// Does what is due. `members` are the live daemons, this one included.
     pub fn tick(&mut self, now: Time, members: &[Member], rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.meet(now, members, &mut effects);
         self.members = members.to_vec();
         self.forget_silent(now);
         self.note_fleet_size(now);
-        let mut effects = Vec::new();
         self.choose_watching(&mut effects);
         self.tick_transfer(now);
         if now.has_reached(self.next_ask) {
@@ -209,10 +214,13 @@
                 told,
                 age,
                 store_age,
+                fleet,
                 token,
             } => {
                 self.hear(now, from, &told);
+                self.touch.note_answer(now, from, token);
                 self.note_store(now, store_age, token);
+                self.note_fleet(now, fleet, token);
                 self.confirm(now, &told, age, token);
                 self.compare_whole(now, from, &told, &mut effects);
                 self.want_newer(now, from, &told, &mut effects);
--- a/components/limits/src/pool.rs
+++ b/components/limits/src/pool.rs
@@ -94,6 +94,8 @@
     pub(crate) slots: u32,
     /// Interactive requests running when the parts were last reckoned.
     shared_at: u32,
+    /// Slots that interactive work of other daemons leaves to this one's work of any kind.
+    ceiling: u32,
 }
 
 impl Pool {
@@ -103,6 +105,7 @@
             batch: Lane::new(KeyId::batch(name)),
             slots: 0,
             shared_at: 0,
+            ceiling: 0,
         }
     }
 
@@ -121,10 +124,10 @@
         }
     }
 
-    /// Interactive work begun since the parts were reckoned counts against batch at once.
+    /// Interactive work begun or ended since the parts were reckoned counts at once.
     fn has_room_for_batch(&self) -> bool {
-        let begun = self.interactive.running.saturating_sub(self.shared_at);
-        self.batch.running + begun < self.batch.allowance
+        let in_use = self.batch.running + self.interactive.running;
+        in_use < self.ceiling.min(self.batch.allowance + self.shared_at)
     }
 
     /// Takes this daemon's part of the slots.
@@ -151,7 +154,9 @@
         self.interactive.allowance = part.max(borrowed as u32);
         let reserve = config.reserve * slots;
         let wanted = own.max(self.interactive.wanted.level());
-        let left = (slots - reserve - others - wanted).max(0.0);
+        let ceiling = (slots - reserve - others).max(0.0);
+        self.ceiling = ceiling as u32;
+        let left = (ceiling - wanted).max(0.0);
         self.batch.allowance = shares.allotment(now, self.batch.key, left);
     }
 }
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -4,6 +4,7 @@
 mod body;
 mod run;
 mod stream;
+mod transcript;
 mod version;
 
 use callers::Request;
@@ -26,6 +27,7 @@
     pub(crate) head: HeadAsk,
     pub(crate) ask: ChatAsk,
     pub(crate) resolved: Resolved,
+    pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     pub(crate) priority: Priority,
 }
@@ -45,15 +47,13 @@
     let ask = ChatAsk::from_body(&req.body)?;
     let view = &cx.snapshot.view;
     let resolved = resolve(view, &cx.customer, &ask.model, head.offer.as_ref())?;
-    if let Some(reason) = cx.snapshot.stale.get(&resolved.name) {
-        return Err(Refusal::unavailable(
-            "stale_catalogue",
-            reason.clone(),
-            BUSY_RETRY,
-        ));
+    let rule = &resolved.offer.freshness;
+    if let Some(reason) = cx.snapshot.stale(cx.shared.now(), rule) {
+        return Err(Refusal::unavailable("stale_catalogue", reason, BUSY_RETRY));
     }
     let given = head.deadline.unwrap_or(resolved.offer.deadline);
-    let deadline = cx.shared.now() + given.min(resolved.offer.deadline);
+    let arrived = cx.shared.now();
+    let deadline = arrived + given.min(resolved.offer.deadline);
     let priority = head
         .priority
         .unwrap_or_default()
@@ -63,6 +63,7 @@
         head,
         ask,
         resolved,
+        arrived,
         deadline,
         priority,
     })
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -99,6 +99,9 @@
         if choice.best.is_none() {
             choice.consider_all();
         }
+        if choice.best.is_none() {
+            choice.consider_ejected();
+        }
         let best = choice.best.ok_or(NoUpstream::NoneLive)?;
         Ok(best.index)
     }
@@ -200,13 +203,31 @@
         }
     }
 
+    /// Guards against refusing work that an upstream would do: the rest of its pool left
+    /// after it was ejected, so callers see "no upstream" while one stands idle. An ejection
+    /// is a doubt, not a certainty; it yields when there is nothing else.
+    fn consider_ejected(&mut self) {
+        let returns = &self.router.returns;
+        for (_, index) in returns.iter().take(MAX_SCAN) {
+            let Some(entry) = self.router.entry(*index) else {
+                continue;
+            };
+            if self.runs_target(*index, entry) && !entry.upstream.health.is_leaving() {
+                self.weigh(*index, entry);
+            }
+        }
+    }
+
     fn consider(&mut self, index: UpstreamIndex) {
         let Some(entry) = self.router.entry(index) else {
             return;
         };
-        if !self.is_fit(index, entry) {
-            return;
+        if self.is_fit(index, entry) {
+            self.weigh(index, entry);
         }
+    }
+
+    fn weigh(&mut self, index: UpstreamIndex, entry: &Entry) {
         let load = self.load(entry);
         let trouble = self.trouble(entry);
         let cost = self.cost(index, entry, load) + trouble;
@@ -233,8 +254,11 @@
     }
 
     fn is_fit(&self, index: UpstreamIndex, entry: &Entry) -> bool {
+        entry.upstream.health.is_eligible() && self.runs_target(index, entry)
+    }
+
+    fn runs_target(&self, index: UpstreamIndex, entry: &Entry) -> bool {
         !entry.removed
-            && entry.upstream.health.is_eligible()
             && entry.upstream.loaded.contains(&self.demand.target)
             && !self.demand.avoid.contains(&index)
     }
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -315,6 +315,29 @@
     assert_eq!(none, Err(NoUpstream::NoneLive));
 }
 
+#[test]
+fn can_send_interactive_work_where_own_batch_work_gives_way() {
+    // A batch fills every slot. Sent anywhere, an interactive request waits until something
+    // ends there; where this daemon can cancel a batch request of its own it does not.
+    let mut f = Fixture::new(&["a"; 8]);
+    for number in 0..8 {
+        f.router
+            .report(f.now, UpstreamIndex(number), &report(SLOTS));
+    }
+    f.router.batch_started(W1);
+    let mut chosen = 0;
+    for _ in 0..20 {
+        let demand = f.demand(&[], &[]);
+        let index = f.router.pick(f.now, &demand, &mut f.rng).unwrap();
+        chosen += usize::from(index == W1);
+    }
+    assert_eq!(chosen, 20);
+    assert!(f.router.must_give_way(f.now, W1));
+    assert!(!f.router.must_give_way(f.now, W0));
+    f.router.batch_ended(W1);
+    assert!(!f.router.must_give_way(f.now, W1));
+}
+
 #[test]
 fn can_keep_the_number_of_a_removed_upstream_until_its_work_ends() {
     // An operator removes an upstream while a request runs on it. Were its number given to a
@@ -344,3 +367,18 @@
     let seldom = asked.values().filter(|count| **count == 10).count();
     assert_eq!((often, seldom), (32, 68));
 }
+
+// Callers are told that there is no upstream while one stands idle. One of two was ejected
+// after failures, then the other began to leave. Cause: an ejection counted as a certainty.
+#[test]
+fn can_use_an_ejected_upstream_when_the_others_left() {
+    let mut fixture = Fixture::new(&["a", "a"]);
+    let (first, second) = (UpstreamIndex(0), UpstreamIndex(1));
+    fixture.fail_next(first, 10);
+    let ejected = fixture.router.upstream(first).unwrap();
+    assert!(ejected.health().is_ejected());
+    fixture
+        .router
+        .leaving(fixture.now, second, LeavingSign::Refusal);
+    assert_eq!(fixture.pick(&[]), first);
+}
