--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod fake;
 mod fleet;
 mod load;
+mod parallel;
 mod plot;
 mod report;
 
@@ -38,5 +39,8 @@
         cli::Command::Rollout(options) => {
             cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Cascade(options) => {
+            cmd::cascade::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -1,9 +1,11 @@
 //! The daemon over real sockets, with stand-ins for everything around it.
 
 mod it {
+    mod bills;
     mod claims;
     mod harness;
     mod quality;
     mod serve;
+    mod sessions;
     mod shutdown;
 }
