Admit requests by limits on the traffic path; poll engines' loads

Cause: the daemon started whatever came; limits and priorities of the catalogue did nothing. Change: requests wait for leave on their own threads, after their claim, so that 'not run' is true; 429 and 503 say when to return; demand facts between daemons; slots from the router; at most five polls of engines a second; the dump shows lanes and fills.

--- a/bench/src/cmd/balance/world.rs
+++ b/bench/src/cmd/balance/world.rs
@@ -22,7 +22,7 @@
 const FIRST_TOKENS: u32 = 500;
 const TURN_TOKENS: u32 = 300;
 /// Engines are asked this often, and the answer is this old when it is used.
-const REPORT_INTERVAL: Span = Span::from_secs(1);
+const REPORT_INTERVAL: Span = Span::from_secs(4);
 const REPORT_LAG: Span = Span::from_millis(500);
 /// Time until an attempt to reach a lost host is given up.
 const CONNECT_TIMEOUT: Span = Span::from_millis(500);
--- a/bench/src/cmd/burst/admitter.rs
+++ b/bench/src/cmd/burst/admitter.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use limits::bucket::Bucket;
-use limits::{Admission, Ask, Bounds, Config, DemandFact, Grant, Limiter, Ticket, Verdict};
+use limits::{Admission, Ask, Bounds, Config, DemandFact, Grant, Limiter, Reach, Ticket, Verdict};
 use rand::rngs::SmallRng;
 use types::prelude::*;
 
@@ -90,7 +90,11 @@
                     limiter.set_customer(Time::ZERO, customer, bounds, 1);
                 }
                 let live = (0..daemons).map(daemon_id).collect();
-                limiter.fleet(Time::ZERO, &live, daemons);
+                let reach = Reach {
+                    reached: daemons,
+                    known: daemons,
+                };
+                limiter.fleet(Time::ZERO, &live, reach);
                 limiter.set_slots(Time::ZERO, pool, slots);
                 Self::Ours(Box::new(limiter))
             }
--- a/bench/src/cmd/burst/world.rs
+++ b/bench/src/cmd/burst/world.rs
@@ -19,7 +19,7 @@
 const PROMPT_TOKENS: u32 = 500;
 const OUTPUT_TOKENS: f64 = 150.0;
 const TICK: Span = Span::from_millis(100);
-const REPORT_INTERVAL: Span = Span::from_secs(1);
+const REPORT_INTERVAL: Span = Span::from_secs(4);
 const REPORT_LAG: Span = Span::from_millis(500);
 /// Time that a fact takes to all daemons, at most.
 const FACT_DELAY: Span = Span::from_secs(1);
--- a/bench/src/cmd/decide.rs
+++ b/bench/src/cmd/decide.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
-use limits::{Admission, Ask, Bounds, Config, DemandFact, KeyId, Limiter};
+use limits::{Admission, Ask, Bounds, Config, DemandFact, KeyId, Limiter, Reach};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use routing::{
@@ -206,7 +206,11 @@
     let daemon = |number: usize| -> DaemonId { format!("d{number}").parse().expect("a name") };
     let mut limiter = Limiter::new(daemon(0), Config::default());
     let live = (0..DAEMONS).map(daemon).collect();
-    limiter.fleet(Time::ZERO, &live, DAEMONS);
+    let reach = Reach {
+        reached: DAEMONS,
+        known: DAEMONS,
+    };
+    limiter.fleet(Time::ZERO, &live, reach);
     limiter.set_slots(Time::ZERO, pool, UPSTREAMS as u32 * SLOTS);
     let keys: Vec<_> = (0..CUSTOMERS).map(customer).collect();
     for id in &keys {
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -38,6 +38,10 @@
         if no_upstream {
             return Admission::Refuse(spread(now, (Code::Overloaded, MIN_RETRY), lane, rng));
         }
+        let is_crowded = self.waiting.len() >= self.config.max_batch_waiting;
+        if is_crowded && ask.priority == Priority::Batch {
+            return Admission::Refuse(spread(now, (Code::QueueFull, MIN_RETRY), lane, rng));
+        }
         if let Some(refusal) = refusal(now, &ask, customer, offer, lane, self.config.limit_wait) {
             return Admission::Refuse(spread(now, refusal, lane, rng));
         }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -20,4 +20,4 @@
 pub use ask::{Admission, Ask, Bounds, Code, Grant, Refusal, Ticket, Verdict};
 pub use demand::{DemandFact, KeyId};
 pub use limiter::{Config, Fill, LaneFill, Limiter};
-pub use shares::Shares;
+pub use shares::{Reach, Shares};
--- a/components/limits/src/limiter.rs
+++ b/components/limits/src/limiter.rs
@@ -8,7 +8,7 @@
 use crate::ask::{Bounds, Grant, Ticket, Verdict};
 use crate::demand::{DemandFact, KeyId};
 use crate::pool::Pool;
-use crate::shares::Shares;
+use crate::shares::{Reach, Shares};
 
 /// Customers and offers, at most, each.
 pub(crate) const MAX_ACCOUNTS: usize = 4_096;
@@ -26,6 +26,9 @@
     pub borrow: f64,
     /// Longest wait for the own limit; a request that would wait longer is refused.
     pub limit_wait: Span,
+    /// Requests waiting, at which batch work is refused: each may hold a thread that
+    /// interactive work needs.
+    pub max_batch_waiting: usize,
 }
 
 impl Default for Config {
@@ -34,6 +37,7 @@
             reserve: -0.02,
             borrow: 0.5,
             limit_wait: Span::from_secs(2),
+            max_batch_waiting: 4_096,
         }
     }
 }
@@ -106,6 +110,16 @@
         }
     }
 
+    /// Takes all bounds away; to be followed by those that stand.
+    pub fn clear_bounds(&mut self) {
+        for account in self.customers.values_mut() {
+            account.configure(Bounds::default(), 1);
+        }
+        for account in self.offers.values_mut() {
+            account.configure(Bounds::default(), 1);
+        }
+    }
+
     /// Sets the slots of all upstreams of a pool that are fit for work.
     pub fn set_slots(&mut self, now: Time, name: &EntryName, slots: u32) {
         let pool = pool(&mut self.pools, name);
@@ -115,9 +129,9 @@
         }
     }
 
-    /// Takes over who is live and how many daemons the fleet is known to have.
-    pub fn fleet(&mut self, now: Time, live: &BTreeSet<DaemonId>, known: usize) {
-        self.shares.fleet(now, live, known);
+    /// Takes over who is live and how much of the fleet is in reach.
+    pub fn fleet(&mut self, now: Time, live: &BTreeSet<DaemonId>, reach: Reach) {
+        self.shares.fleet(now, live, reach);
     }
 
     /// Takes another daemon's demand.
--- a/components/limits/src/shares.rs
+++ b/components/limits/src/shares.rs
@@ -53,10 +53,19 @@
     peers: BTreeMap<DaemonId, Peer>,
     totals: BTreeMap<KeyId, f64>,
     live: usize,
-    known: usize,
+    reach: Reach,
     cut: Option<Cut>,
 }
 
+/// How much of the fleet is in reach, this daemon included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reach {
+    /// Daemons in reach.
+    pub reached: usize,
+    /// Daemons that the fleet is known to have.
+    pub known: usize,
+}
+
 impl Shares {
     /// For a daemon that knows of no other.
     #[must_use]
@@ -69,14 +78,16 @@
             peers: BTreeMap::new(),
             totals: BTreeMap::new(),
             live: 1,
-            known: 1,
+            reach: Reach {
+                reached: 1,
+                known: 1,
+            },
             cut: None,
         }
     }
 
-    /// Takes over who is live and how many daemons the fleet is known to have, this one
-    /// included in the number.
-    pub fn fleet(&mut self, now: Time, live: &BTreeSet<DaemonId>, known: usize) {
+    /// Takes over who is live and how much of the fleet is in reach.
+    pub fn fleet(&mut self, now: Time, live: &BTreeSet<DaemonId>, reach: Reach) {
         for (id, peer) in &mut self.peers {
             peer.gone_at = match live.contains(id) {
                 true => None,
@@ -85,7 +96,7 @@
         }
         let others = live.iter().filter(|id| **id != self.me).count();
         self.live = others + 1;
-        self.known = known.max(self.live);
+        self.reach = reach;
         self.note_cut(now);
         if !self.is_cut_off() {
             self.forget_gone(now);
@@ -97,7 +108,7 @@
     /// is cut off cannot be told, so it must not take their parts.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
-        self.live * 2 <= self.known
+        self.reach.reached * 2 <= self.reach.known
     }
 
     fn note_cut(&mut self, now: Time) {
@@ -205,7 +216,7 @@
         let Some(cut) = &self.cut else {
             return part;
         };
-        let even = 1.0 / self.known as f64;
+        let even = 1.0 / self.reach.known.max(1) as f64;
         let last = cut.parts.get(&key).copied().unwrap_or(even);
         let age = now.since(cut.at).as_secs_f64() / CUT_DECAY.as_secs_f64();
         let fading = even + (last - even) * (-age).exp();
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -306,7 +306,11 @@
     fn see(&mut self, who: std::ops::Range<usize>, live: std::ops::Range<usize>, known: usize) {
         let live: BTreeSet<_> = live.map(daemon).collect();
         for number in who {
-            self.shares[number].fleet(self.now, &live, known);
+            let reach = Reach {
+                reached: live.len(),
+                known,
+            };
+            self.shares[number].fleet(self.now, &live, reach);
         }
     }
 
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -20,6 +20,7 @@
 
 mod billing;
 mod evidence;
+mod loads;
 mod peering;
 
 /// The tables and what they reach out through.
@@ -34,6 +35,7 @@
     members: systems::membership::Table,
     rollouts: systems::rollout::Table,
     calling: Calling,
+    due: loads::Due,
     view: Arc<View>,
     leaving: bool,
 }
@@ -62,6 +64,7 @@
             members,
             rollouts,
             calling,
+            due: loads::Due::default(),
             view: Arc::default(),
             leaving: false,
         }
@@ -151,6 +154,7 @@
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
         self.show_quality(now);
+        self.tick_loads(now);
         self.drive_rollouts(now);
         self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
@@ -209,9 +213,11 @@
         let view = self.catalogue.view();
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
+        systems::limits::configure(&mut self.shared.admissions.table().limiter, now, &view);
         tracing::info!("catalogue: revision {} is in force", view.revision);
         self.show_progress(now, view.revision);
         self.view = Arc::new(view);
+        self.count_slots(now);
         self.publish(now);
     }
 
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -175,6 +175,7 @@
             "catalogue": self.catalogue.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
+            "limits": self.dump_loads(),
         })
     }
 
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -66,6 +66,11 @@
                     topic: topic @ (Topic::Evidence | Topic::Suspension),
                     key,
                 } => self.take_evidence(now, &origin, topic, &key),
+                Event::FactChanged {
+                    origin,
+                    topic: Topic::Demand,
+                    ..
+                } => self.take_demand(&origin),
                 _ => {}
             }
         }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! and serves. The control thread owns the tables and publishes a [`snapshot::Snapshot`];
 //! traffic reads it and tells the control thread what happened as [`event::Event`]s.
 
+mod admission;
 mod calling;
 mod claims;
 mod control;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -14,6 +14,7 @@
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::admission::Admissions;
 use crate::claims::Claims;
 use crate::event::Event;
 use crate::pace::Paces;
@@ -37,6 +38,8 @@
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The picture of the upstreams.
     pub(crate) router: Mutex<Router>,
+    /// Limits, and what waits for leave to start.
+    pub(crate) admissions: Admissions,
     /// Threads for requests in flight.
     pub(crate) pool: Pool,
     /// Keys that sign session tokens.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -20,6 +20,7 @@
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::admission::Admissions;
 use crate::claims::{self, Claims};
 use crate::control::Control;
 use crate::error::NodeError;
@@ -176,6 +177,7 @@
         incarnation,
         snapshot: ArcSwap::from_pointee(Snapshot::default()),
         router: Mutex::new(router),
+        admissions: Admissions::new(&settings.daemon, settings.callers.max_in_flight),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
         pins: Mutex::new(Pins::new(PIN_IDLE)),
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -3,6 +3,7 @@
 pub mod catalogue;
 pub mod hosts;
 pub mod ledger;
+pub mod limits;
 pub mod membership;
 pub mod quality;
 pub(crate) mod rollout;
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -8,6 +8,7 @@
 mod billing;
 mod chat;
 mod claim;
+mod limited;
 mod models;
 mod plain;
 pub mod pool;
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -1,6 +1,8 @@
 //! Runs one request: attempt after attempt until it is answered or refused.
 
 use callers::Responder;
+use catalogue::view::{SERVICES, short_name};
+use limits::Ask;
 use requests::attempt::{AttemptEnd, Usage};
 use requests::life::{Answered, Attempted, Next, Refused, Request, Waiting};
 use requests::refusal::Code;
@@ -11,15 +13,20 @@
 use super::answer::Relay;
 use super::body::prefix_hashes;
 use super::version::{Chosen, NoVersion, choose_version};
+use crate::admission;
 use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::billing;
 use crate::traffic::claim::{self, Entry};
+use crate::traffic::limited;
 use crate::traffic::refusal::Refusal;
 
 /// Pause that a caller is told when no version or upstream can take the work.
 const NO_UPSTREAM_RETRY: Span = Span::from_secs(1);
 
+/// Tokens of an answer that are reserved until its length is known.
+const EXPECTED_OUTPUT: Tokens = Tokens(256);
+
 /// Runs a request to its end.
 pub(crate) fn run(job: Job, responder: &Responder) {
     let chosen = match choose_version(&job) {
@@ -82,6 +89,14 @@
     }
 
     fn attempts(&self, mut ready: Request<Waiting>, mut relay: Relay<'_>) {
+        let mut leave = match admission::enter(self.shared(), self.leave_wanted()) {
+            Ok(leave) => leave,
+            Err(why) => {
+                let refused = ready.refuse(limited::code_of(why));
+                let refusal = claim::refused(self.shared(), refused);
+                return relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
+            }
+        };
         let mut avoid = Vec::new();
         loop {
             if !self.is_still_permitted() {
@@ -95,7 +110,10 @@
             avoid.push(taken.index);
             ready = match self.end(request, &taken, &end) {
                 Next::Retry(request, _) => request,
-                Next::Answered(request) => return self.answer(request, relay),
+                Next::Answered(request) => {
+                    leave.used(request.usage().input + request.usage().output);
+                    return self.answer(request, relay);
+                }
                 Next::Refused(request) => return self.refuse(request, &relay),
                 Next::Unknown(request) => return relay.refuse(&request.refusal()),
                 // Neither hedged nor escalated as yet: what is at hand is the answer.
@@ -107,6 +125,23 @@
         }
     }
 
+    /// What the request wants of the limits. Tokens are settled at its end.
+    fn leave_wanted(&self) -> Ask {
+        let job = self.job;
+        let view = &job.cx.snapshot.view;
+        let model = view.models.get(&self.chosen.version.model);
+        let pool = model.and_then(|model| short_name(&model.service, SERVICES));
+        let output = job.ask.max_output.unwrap_or(EXPECTED_OUTPUT);
+        Ask {
+            customer: job.cx.customer.clone(),
+            offer: job.resolved.name.clone(),
+            pool: pool.unwrap_or_else(|| job.resolved.name.clone()),
+            priority: job.priority,
+            tokens: job.ask.input + output.min(EXPECTED_OUTPUT),
+            deadline: job.deadline,
+        }
+    }
+
     /// Guards against new work for a version withdrawn while the request waited for its claim
     /// or for another attempt: the catalogue is read again, not the copy from its arrival.
     fn is_still_permitted(&self) -> bool {
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use callers::{Head, Method, Request, Responder, StatusCode};
 use engine::{AttemptError, Client, Doubt, PlainAnswer, PlainRequest};
+use limits::Ask;
 use requests::attempt::{self, AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Answered, Arrived, Facts, Next, Refused, Waiting};
@@ -14,9 +15,12 @@
 use super::ask::HeadAsk;
 use super::billing;
 use super::claim::{self, Entry, listed};
+use super::limited;
 use super::refusal::{Refusal, set};
 use super::{Context, Rejected, Routed};
+use crate::admission;
 use crate::shared::{Shared, lock};
+use crate::systems::limits::account_of_service;
 
 const BUSY_RETRY: Span = Span::from_secs(1);
 
@@ -118,6 +122,18 @@
 }
 
 impl Job {
+    /// What the call wants of the limits.
+    fn leave_wanted(&self) -> Ask {
+        Ask {
+            customer: self.cx.customer.clone(),
+            offer: account_of_service(&self.service),
+            pool: self.service.clone(),
+            priority: self.head.priority.unwrap_or_default(),
+            tokens: Tokens(0),
+            deadline: self.deadline,
+        }
+    }
+
     /// The same for a repeat: what is asked, without how it is asked.
     fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
@@ -131,6 +147,15 @@
 }
 
 fn attempts(job: &Job, mut ready: requests::life::Request<Waiting>, responder: &Responder) {
+    let _leave = match admission::enter(&job.cx.shared, job.leave_wanted()) {
+        Ok(leave) => leave,
+        Err(why) => {
+            let refused = ready.refuse(limited::code_of(why));
+            let refusal = claim::refused(&job.cx.shared, refused);
+            let refusal = refusal.with_retry_after(Some(why.retry_after));
+            return refuse(job, responder, &refusal);
+        }
+    };
     let mut avoid = Vec::new();
     loop {
         let Some(taken) = take_upstream(job, &avoid) else {
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -4,6 +4,7 @@
     mod bills;
     mod claims;
     mod harness;
+    mod limits;
     mod quality;
     mod serve;
     mod sessions;
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -70,10 +70,20 @@
         Self::with_daemons(cfg, 1)
     }
 
+    /// One daemon before engines of so many slots.
+    pub fn with_slots(cfg: &PlatformConfig, slots: u32) -> Self {
+        let slots = format!("slots: {slots}}}");
+        Self::build(cfg, 1, &CATALOGUE.replace("slots: 256}", &slots))
+    }
+
     /// Several daemons that know each other.
     pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
+        Self::build(cfg, count, CATALOGUE)
+    }
+
+    fn build(cfg: &PlatformConfig, count: usize, text: &str) -> Self {
         let hash = |key: &str| catalogue::entry::KeyHash::from_key(key).to_string();
-        let text = CATALOGUE
+        let text = text
             .replace("KEY", &hash("ward-key"))
             .replace("OTHER", &hash("other-key"));
         let entries = catalogue::file::parse("test", &text).unwrap();
@@ -158,22 +168,10 @@
             .unwrap();
     }
 
-    /// Withdraws the only version offered and waits until that is in force.
-    pub fn withdraw_v1(&self) {
-        self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
-        wait_until(|| !self.models(0).contains("small@v1"));
-    }
-
-    /// Writes an edit that sets the states of the model's two versions.
-    pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        let name = "models/small".parse().unwrap();
-        let mut entry = (*self.platform.entries[&name]).clone();
-        let Body::Model(model) = &mut entry.body else {
-            unreachable!("models/small is a model");
-        };
-        for (version, state) in model.versions.values_mut().zip(states) {
-            version.state = state;
-        }
+    /// Writes an edit of an entry as the given revision.
+    pub fn edit(&self, revision: u64, name: &str, change: impl FnOnce(&mut Body)) {
+        let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
+        change(&mut entry.body);
         let record = Record {
             revision: Revision(revision),
             edit_id: EditId(revision.into()),
@@ -183,7 +181,33 @@
             history: Vec::new(),
         };
         let value = serde_json::to_vec(&record).unwrap();
-        self.put("catalogue/entries/models/small", &value);
+        self.put(&format!("catalogue/entries/{name}"), &value);
+    }
+
+    /// A daemon's dump.
+    pub fn dump(&self, index: usize) -> Value {
+        let address = self.nodes[index].operators_address();
+        let url = format!("http://{address}/dump");
+        let answer = attohttpc::get(url).bearer_auth("test-token").send();
+        json_of(answer.unwrap().split().2)
+    }
+
+    /// Withdraws the only version offered and waits until that is in force.
+    pub fn withdraw_v1(&self) {
+        self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
+        wait_until(|| !self.models(0).contains("small@v1"));
+    }
+
+    /// Writes an edit that sets the states of the model's two versions.
+    pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
+        self.edit(revision, "models/small", |body| {
+            let Body::Model(model) = body else {
+                unreachable!("models/small is a model");
+            };
+            for (version, state) in model.versions.values_mut().zip(states) {
+                version.state = state;
+            }
+        });
     }
 
     /// What a daemon lists as models.
--- /dev/null
+++ b/components/node/tests/it/limits.rs
@@ -0,0 +1,114 @@
+//! Limits, queues and the choice of upstream, over real sockets.
+
+use std::sync::Mutex;
+use std::thread;
+
+use attohttpc::Response;
+use catalogue::entry::Body;
+use standins::engine::EngineConfig;
+use standins::platform::PlatformConfig;
+use types::prelude::*;
+
+use super::harness::{Harness, ask, json_of, wait_until};
+
+/// Asks with a prompt of its own, so that not all prompts have one home by chance.
+fn chat(harness: &Harness, number: usize, tokens: u32, priority: &str) -> Response {
+    let mut body = ask("answers", false, tokens);
+    body["messages"][0]["content"] = format!("What may salon {number} charge?").into();
+    let builder = harness.post(0, "/v1/chat/completions");
+    let builder = builder.header("X-Priority", priority);
+    builder.json(&body).unwrap().send().unwrap()
+}
+
+fn runs(harness: &Harness) -> u64 {
+    let engines = harness.platform.engines.values();
+    engines.map(|engine| engine.counters().runs).sum()
+}
+
+// A partner's program in a loop. Its requests beyond the limit must be told when to come back
+// and that they were not run, or it books twice.
+#[test]
+fn errors_beyond_a_customers_limit_say_not_run_and_when_to_return() {
+    let harness = Harness::start(&PlatformConfig::default());
+    harness.edit(1_000, "customers/ward", |body| {
+        let Body::Customer(customer) = body else {
+            unreachable!("customers/ward is a customer");
+        };
+        customer.limits.requests = Some(Rate(0.01));
+    });
+    let mut answered = 0;
+    let refused = loop {
+        let answer = chat(&harness, answered, 5, "interactive");
+        if answer.status().as_u16() != 200 {
+            break answer;
+        }
+        answered += 1;
+    };
+    let (status, headers, reader) = refused.split();
+    assert_eq!(status.as_u16(), 429);
+    assert_eq!(headers["x-run"], "no");
+    let seconds: u64 = headers["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!(seconds >= 1);
+    assert_eq!(json_of(reader)["error"]["run"], "no");
+    assert_eq!(runs(&harness), answered as u64);
+}
+
+// A partner's batch fills the engines and the queue before a person asks. First come, first
+// served would have the person wait for the whole batch.
+#[test]
+fn can_answer_a_person_before_a_batch_that_waits() {
+    let engine = EngineConfig {
+        token_time: Span::from_millis(20),
+        ..EngineConfig::default()
+    };
+    let config = PlatformConfig {
+        engine,
+        ..PlatformConfig::default()
+    };
+    let harness = Harness::with_slots(&config, 2);
+    let waiting = || {
+        harness.dump(0)["limits"]["fill"]["waiting"]
+            .as_u64()
+            .unwrap()
+    };
+    let order = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        let send = |number: usize, priority: &'static str| {
+            let (harness, order) = (&harness, &order);
+            scope.spawn(move || {
+                let answer = chat(harness, number, 25, priority);
+                assert_eq!(answer.status().as_u16(), 200);
+                order.lock().unwrap().push(priority);
+            });
+        };
+        (0..9).for_each(|number| send(number, "batch"));
+        wait_until(|| waiting() >= 4);
+        send(9, "interactive");
+    });
+    let order = order.into_inner().unwrap();
+    let place = order.iter().position(|priority| *priority == "interactive");
+    assert!(place.unwrap() <= 6, "{order:?}");
+}
+
+// An engine's host breaks: it takes connections and closes them. Each request sent there costs
+// its caller a retry until the engine is ejected.
+#[test]
+fn can_send_nothing_to_an_ejected_upstream() {
+    let harness = Harness::start(&PlatformConfig::default());
+    let broken = &harness.platform.engines[&"e1".parse().unwrap()];
+    broken.set_faults(|faults| faults.down = true);
+    let mut number = 0;
+    let mut requests_of_ten = || {
+        let before = broken.counters().requests;
+        for _ in 0..10 {
+            number += 1;
+            assert_eq!(
+                chat(&harness, number, 5, "interactive").status().as_u16(),
+                200
+            );
+        }
+        broken.counters().requests - before
+    };
+    wait_until(|| requests_of_ten() == 0);
+    assert_eq!(requests_of_ten(), 0);
+}
--- a/components/routing/src/learn.rs
+++ b/components/routing/src/learn.rs
@@ -69,6 +69,11 @@
         self.forget_removed(index);
     }
 
+    /// An upstream asked for its load could not be reached.
+    pub fn unreachable(&mut self, now: Time, index: UpstreamIndex, rng: &mut impl Rng) {
+        self.failed(now, index, true, rng);
+    }
+
     fn answered(
         &mut self,
         now: Time,
