--- a/bench/src/cmd/balance.rs
+++ b/bench/src/cmd/balance.rs
@@ -5,6 +5,7 @@
 //! one engine at a fifth of its speed; a failure domain lost.
 
 mod policy;
+mod workload;
 mod world;
 
 use routing::Tuning;
@@ -12,7 +13,8 @@
 use crate::cli;
 use crate::report::{Curve, Report};
 use policy::Kind;
-use world::{DOCUMENTS, Fault, Found, SESSIONS, Workload, World};
+use workload::{DOCUMENTS, Fault, SESSIONS, Workload};
+use world::{Found, World};
 
 const FLEETS: [usize; 2] = [9, 64];
 const CASES: [(&str, Workload, Fault); 4] = [
--- a/bench/src/cmd/balance/world.rs
+++ b/bench/src/cmd/balance/world.rs
@@ -9,6 +9,7 @@
 use types::prelude::*;
 
 use super::policy::{DOMAINS, Kind, Policy, rng};
+use super::workload::{Fault, Workload};
 use crate::fake::engine::{Engine, Job, Started};
 use crate::fake::events::Events;
 
@@ -21,7 +22,7 @@
 const FIRST_TOKENS: u32 = 500;
 const TURN_TOKENS: u32 = 300;
 /// Engines are asked this often, and the answer is this old when it is used.
-const REPORT_INTERVAL: Span = Span::from_secs(1);
+const REPORT_INTERVAL: Span = Span::from_secs(4);
 const REPORT_LAG: Span = Span::from_millis(500);
 /// Time until an attempt to reach a lost host is given up.
 const CONNECT_TIMEOUT: Span = Span::from_millis(500);
@@ -32,46 +33,6 @@
 /// When a failure happens.
 pub const FAULT: Time = Time(180_000_000);
 
-/// What callers send. Few of the beginnings that sessions share are common, most are rare.
-#[derive(Debug, Clone, Copy)]
-pub struct Workload {
-    /// Sessions begun a second.
-    pub sessions: f64,
-    /// Mean requests of a session.
-    pub turns: f64,
-    /// Beginnings that sessions share.
-    pub groups: u32,
-    /// Tokens of such a beginning.
-    pub group_tokens: u32,
-}
-
-/// Long sessions that begin with one of a few instructions.
-pub const SESSIONS: Workload = Workload {
-    sessions: 7.0,
-    turns: 6.0,
-    groups: 60,
-    group_tokens: 1_500,
-};
-
-/// Short sessions about one of many long documents, more than all caches hold.
-pub const DOCUMENTS: Workload = Workload {
-    sessions: 22.0,
-    turns: 1.6,
-    groups: 3_000,
-    group_tokens: 3_000,
-};
-
-/// What goes wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
-    /// Nothing.
-    None,
-    /// One engine at a fifth of its speed.
-    Slow,
-    /// All engines of a failure domain are gone.
-    DomainLost,
-}
-
 #[derive(Debug)]
 enum Event {
     Begin,
@@ -319,9 +280,7 @@
         let load = (self.engines[engine].running, self.engines[engine].waiting());
         let policy = &mut self.policies[request.daemon];
         policy.finished(now, engine, outcome, &mut self.policy_rng);
-        if matches!(policy, Policy::Ours(_)) {
-            policy.report(now, engine, Some(load), SLOTS);
-        }
+        policy.told(now, engine, load, SLOTS);
         if let Some(request) = self.requests.remove(&id) {
             self.next_turn(now, request.session);
         }
@@ -355,7 +314,7 @@
     fn report(&mut self, now: Time, loads: &[Option<(u32, u32)>]) {
         for policy in &mut self.policies {
             for (engine, load) in loads.iter().enumerate() {
-                policy.report(now, engine, *load, SLOTS);
+                policy.polled(now, engine, *load, SLOTS);
             }
         }
     }
--- a/components/limits/src/pool.rs
+++ b/components/limits/src/pool.rs
@@ -6,7 +6,6 @@
 use crate::demand::KeyId;
 use crate::limiter::Config;
 use crate::queue::FairQueue;
-use crate::retry::RetryBudget;
 use crate::shares::Shares;
 
 /// Weight of the newest request in the mean time that a slot is held.
@@ -46,6 +45,13 @@
         !self.has_room() && self.queue.len() > 0
     }
 
+    /// Slots in use, and those that would be if there were room. What waits for its
+    /// customer's limit wants none.
+    fn wanted_slots(&self) -> f64 {
+        let waiting = if self.has_room() { 0 } else { self.queue.len() };
+        f64::from(self.running) + waiting as f64
+    }
+
     pub(crate) fn note_held(&mut self, held: Span) {
         let old = self.held.as_secs_f64();
         let weight = if self.held == Span::ZERO {
@@ -84,11 +90,12 @@
 pub(crate) struct Pool {
     pub(crate) interactive: Lane,
     pub(crate) batch: Lane,
-    pub(crate) retries: RetryBudget,
     /// Slots of all healthy upstreams, for the fleet.
     pub(crate) slots: u32,
     /// Interactive requests running when the parts were last reckoned.
     shared_at: u32,
+    /// Slots that interactive work of other daemons leaves to this one's work of any kind.
+    ceiling: u32,
 }
 
 impl Pool {
@@ -96,9 +103,9 @@
         Self {
             interactive: Lane::new(KeyId::interactive(name)),
             batch: Lane::new(KeyId::batch(name)),
-            retries: RetryBudget::default(),
             slots: 0,
             shared_at: 0,
+            ceiling: 0,
         }
     }
 
@@ -117,22 +124,21 @@
         }
     }
 
-    /// Interactive work begun since the parts were reckoned counts against batch at once.
+    /// Interactive work begun or ended since the parts were reckoned counts at once.
     fn has_room_for_batch(&self) -> bool {
-        let begun = self.interactive.running.saturating_sub(self.shared_at);
-        self.batch.running + begun < self.batch.allowance
+        let in_use = self.batch.running + self.interactive.running;
+        in_use < self.ceiling.min(self.batch.allowance + self.shared_at)
     }
 
     /// Takes this daemon's part of the slots.
     ///
     /// Interactive work may take whatever interactive work of other daemons leaves; only when
     /// all of it together does not fit, each daemon keeps to its part. Batch work gets its
-    /// part of what interactive work leaves, less a reserve that takes the next interactive
-    /// requests while slots held by batch come free.
+    /// part of what interactive work leaves, less the reserve.
     pub(crate) fn share(&mut self, now: Time, shares: &Shares, config: &Config) {
         for lane in [&mut self.interactive, &mut self.batch] {
-            let level = lane.running as usize + lane.queue.len();
-            lane.wanted.follow(now, level as f64);
+            let wanted = lane.wanted_slots();
+            lane.wanted.follow(now, wanted);
         }
         self.shared_at = self.interactive.running;
         let slots = f64::from(self.slots);
@@ -146,9 +152,11 @@
             0.0
         };
         self.interactive.allowance = part.max(borrowed as u32);
-        let reserve = config.reserve * slots + config.reserve_root * (own + others).sqrt();
+        let reserve = config.reserve * slots;
         let wanted = own.max(self.interactive.wanted.level());
-        let left = (slots - reserve - others - wanted).max(0.0);
+        let ceiling = (slots - reserve - others).max(0.0);
+        self.ceiling = ceiling as u32;
+        let left = (ceiling - wanted).max(0.0);
         self.batch.allowance = shares.allotment(now, self.batch.key, left);
     }
 }
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -177,6 +177,7 @@
             "membership": self.members.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
+            "limits": self.dump_loads(),
         })
     }
 
