--- a/bench/src/cmd/spread.rs
+++ b/bench/src/cmd/spread.rs
@@ -4,6 +4,8 @@
 //! the network, the store is the stand-in's table. Processor time is real. Beside it an
 //! arm in which every daemon watches the store itself.
 
+mod large;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
@@ -35,6 +37,7 @@
 /// Runs it.
 pub fn run(options: &cli::Spread) -> eyre::Result<Report> {
     let mut report = Report::new("spread", options.seed);
+    large::measure(&mut report, &example()?)?;
     for (size, domains) in SIZES.into_iter().zip(DOMAINS) {
         for naive in [false, true] {
             // Its calls grow with the fleet and nothing else does: no need of the largest.
--- a/components/catalogue/tests/fleet/edits.rs
+++ b/components/catalogue/tests/fleet/edits.rs
@@ -177,26 +177,18 @@
 /// daemon knows; together a caller would be billed as somebody else.
 #[test]
 fn errors_rules_hold_against_what_the_store_has_by_now() {
-    let mut fleet = Fleet::new(2, 8);
+    let mut fleet = Fleet::new(12, 8);
     fleet.put(0, "customers/z", IfMatch::Absent, 1);
     fleet.run(Span::from_secs(2));
+    let mut places = 1..12;
+    let lags = |place: &usize| !fleet.daemon(*place).sync.is_watching();
+    let lagging = places.find(lags).unwrap();
+    let entry = || Some(customer(7, 1));
     let first = fleet
-        .edit(
-            0,
-            "customers/a",
-            IfMatch::Absent,
-            Some(customer(7, 1)),
-            LONG,
-        )
+        .edit(0, "customers/a", IfMatch::Absent, entry(), LONG)
         .1;
     let second = fleet
-        .edit(
-            1,
-            "customers/b",
-            IfMatch::Absent,
-            Some(customer(7, 1)),
-            LONG,
-        )
+        .edit(lagging, "customers/b", IfMatch::Absent, entry(), LONG)
         .1;
     assert_eq!(fleet.verdict(first), applied(2));
     let Verdict::Invalid { problems } = fleet.verdict(second) else {
--- a/components/catalogue/tests/fleet/spread.rs
+++ b/components/catalogue/tests/fleet/spread.rs
@@ -240,16 +240,22 @@
 /// it wakes up, they must not pass for fresh: what they tell was true before the pause.
 #[test]
 fn errors_an_answer_that_waited_is_no_fresh_one() {
-    let mut fleet = settled(8);
-    // Not a watcher's business: no store at all from here on.
-    fleet.store_up = false;
-    fleet.run(Span::from_millis(1050));
-    let before = fleet.daemon(1).sync.confirmed();
-    fleet.pause(1, true);
-    fleet.run(Span::from_secs(30));
-    fleet.pause(1, false);
-    fleet.run(STEP);
-    assert!(fleet.daemon(1).sync.confirmed() <= before.map(|at| at + Span::from_secs(2)));
+    // At each moment of a round of asking, so that answers are under way at some.
+    for steps in 1..=20 {
+        let mut fleet = settled(8);
+        fleet.store_up = false;
+        fleet.run(STEP.times(steps));
+        let before = fleet.daemon(1).sync.confirmed();
+        fleet.pause(1, true);
+        fleet.run(Span::from_secs(30));
+        fleet.pause(1, false);
+        fleet.run(STEP);
+        let after = fleet.daemon(1).sync.confirmed();
+        assert!(
+            after <= before.map(|at| at + Span::from_secs(2)),
+            "{before:?} {after:?}"
+        );
+    }
 }
 
 #[test]
--- a/components/catalogue/tests/fleet/world.rs
+++ b/components/catalogue/tests/fleet/world.rs
@@ -310,7 +310,10 @@
 
     fn perform_edits(&mut self, id: &DaemonId, outputs: Vec<Output>) {
         let mut outputs = VecDeque::from(outputs);
+        let mut calls = 0;
         while let Some(output) = outputs.pop_front() {
+            calls += 1;
+            assert!(calls < 1000, "a task calls the store without end");
             let req = match output {
                 Output::Done(ticket, verdict) => {
                     self.verdicts.insert(ticket, verdict);
