--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,12 +4,14 @@
 //! and serves. The control thread owns the tables and publishes a [`snapshot::Snapshot`];
 //! traffic reads it and tells the control thread what happened as [`event::Event`]s.
 
+mod admission;
 mod calling;
 mod claims;
 mod control;
 mod error;
 pub mod event;
 mod hosts;
+mod measured;
 mod pace;
 mod rating;
 mod sessions;
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use callers::{Head, Method, Request, Responder, StatusCode};
 use engine::{AttemptError, Client, Doubt, PlainAnswer, PlainRequest};
+use limits::Ask;
 use requests::attempt::{self, AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Answered, Arrived, Facts, Next, Refused, Waiting};
@@ -14,9 +15,13 @@
 use super::ask::HeadAsk;
 use super::billing;
 use super::claim::{self, Entry, listed};
+use super::limited;
 use super::refusal::{Refusal, set};
 use super::{Context, Rejected, Routed};
+use crate::admission;
+use crate::measured;
 use crate::shared::{Shared, lock};
+use crate::systems::limits::account_of_service;
 
 const BUSY_RETRY: Span = Span::from_secs(1);
 
@@ -118,6 +123,18 @@
 }
 
 impl Job {
+    /// What the call wants of the limits.
+    fn leave_wanted(&self) -> Ask {
+        Ask {
+            customer: self.cx.customer.clone(),
+            offer: account_of_service(&self.service),
+            pool: self.service.clone(),
+            priority: self.head.priority.unwrap_or_default(),
+            tokens: Tokens(0),
+            deadline: self.deadline,
+        }
+    }
+
     /// The same for a repeat: what is asked, without how it is asked.
     fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
@@ -131,6 +148,15 @@
 }
 
 fn attempts(job: &Job, mut ready: requests::life::Request<Waiting>, responder: &Responder) {
+    let _leave = match admission::enter(&job.cx.shared, job.leave_wanted()) {
+        Ok(leave) => leave,
+        Err(why) => {
+            let refused = ready.refuse(limited::code_of(why));
+            let refusal = claim::refused(&job.cx.shared, refused);
+            let refusal = refusal.with_retry_after(Some(why.retry_after));
+            return refuse(job, responder, &refusal);
+        }
+    };
     let mut avoid = Vec::new();
     loop {
         let taken = is_still_permitted(job).then(|| take_upstream(job, &avoid));
@@ -212,6 +238,7 @@
         AttemptEnd::RefusedNotRun { .. } => Outcome::Busy,
         _ => Outcome::Failed,
     };
+    shared.metrics.attempt(measured::attempted(end));
     let mut router = lock(&shared.router);
     router.finished(now, taken.index, taken.target, outcome, &mut rand::rng());
 }
@@ -276,6 +303,8 @@
     set(&mut headers, "x-attempts", &attempts.to_string());
     let body: Bytes = answer.body;
     let recorded = Recorded::new(answer.status, listed(&headers), body.clone());
+    let offer = shared.metrics.offer(job.service.as_str());
+    offer.ended(telemetry::labels::Outcome::Answered);
     responder.answer(Head { status, headers }, body);
     claim::answered(&job.cx.shared, billed, recorded);
 }
@@ -287,6 +316,9 @@
 
 fn refuse(job: &Job, responder: &Responder, decision: &requests::refusal::Refusal) {
     let refusal = Refusal::from_decision(decision);
-    job.cx.shared.metrics.refusal(refusal.code);
+    let metrics = &job.cx.shared.metrics;
+    metrics.refusal(refusal.code);
+    let offer = metrics.offer(job.service.as_str());
+    offer.ended(measured::refused(refusal.run));
     refusal.send(responder, Some(&job.head.request));
 }
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -5,6 +5,7 @@
     mod claims;
     mod fleet;
     mod harness;
+    mod limits;
     mod quality;
     mod serve;
     mod sessions;
