--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -6,7 +6,7 @@
 
 mod keeper;
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 
@@ -55,6 +55,8 @@
     clock: Clock,
     cfg: Config,
     counter: AtomicU64,
+    /// Settlements that wait out an outage, as the thread counts them.
+    later: Arc<AtomicUsize>,
 }
 
 impl Claims {
@@ -69,7 +71,9 @@
     ) -> std::io::Result<(Self, JoinHandle<()>)> {
         let (jobs, rx) = flume::bounded(JOBS_WAITING);
         let lease = Arc::new(Mutex::new(None));
-        let keeper = Keeper::new(store.clone(), clock, cfg.windows, lease.clone());
+        let later = Arc::new(AtomicUsize::new(0));
+        let counts = later.clone();
+        let keeper = Keeper::new(store.clone(), clock, cfg.windows, lease.clone(), counts);
         let thread = std::thread::Builder::new().name("claims".to_owned());
         let thread = thread.spawn(move || keeper.run(&rx))?;
         let claims = Self {
@@ -78,6 +82,7 @@
             clock,
             cfg,
             counter: AtomicU64::new(0),
+            later,
         };
         Ok((claims, thread))
     }
@@ -112,6 +117,19 @@
         self.settle(Settle::release(held));
     }
 
+    /// How full it is, for the dump.
+    pub(crate) fn dump(&self, now: Time) -> serde_json::Value {
+        let lease = lock(&self.lease).map(|lease| now.until(lease.use_until));
+        serde_json::json!({
+            "claimed": self.counter.load(Ordering::Relaxed),
+            "waiting": self.jobs.len(),
+            "most_waiting": JOBS_WAITING,
+            "unsettled": self.later.load(Ordering::Relaxed),
+            "most_unsettled": keeper::MAX_LATER,
+            "lease_used_for": lease,
+        })
+    }
+
     /// Has the thread settle what is left and end.
     pub(crate) fn stop(&self) {
         let _ = self.jobs.send(Job::Stop);
--- a/components/node/src/claims/keeper.rs
+++ b/components/node/src/claims/keeper.rs
@@ -1,6 +1,7 @@
 //! The thread behind [`super::Claims`].
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 /// Pause before settlements that the store did not take are tried again.
 const SETTLE_AGAIN: Span = Span::from_secs(1);
 /// Settlements that wait out an outage; the oldest is left open when there are more.
-const MAX_LATER: usize = 4096;
+pub(super) const MAX_LATER: usize = 4096;
 /// At the end, settlements are tried for so long.
 const LAST_TRIES: Span = Span::from_secs(3);
 
@@ -38,6 +39,7 @@
     waiting: BTreeMap<Ticket, Waiter>,
     next_ticket: u64,
     later: VecDeque<Settle>,
+    later_count: Arc<AtomicUsize>,
     later_at: Time,
     is_stopping: bool,
 }
@@ -48,6 +50,7 @@
         clock: Clock,
         windows: Windows,
         lease: Arc<Mutex<Option<ClaimLease>>>,
+        later_count: Arc<AtomicUsize>,
     ) -> Self {
         Self {
             store,
@@ -58,6 +61,7 @@
             waiting: BTreeMap::new(),
             next_ticket: 0,
             later: VecDeque::new(),
+            later_count,
             later_at: Time::ZERO,
             is_stopping: false,
         }
@@ -73,6 +77,7 @@
             }
             self.settle_later();
             self.call_all(jobs);
+            self.later_count.store(self.later.len(), Ordering::Relaxed);
         }
         self.finish(jobs);
     }
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -178,6 +178,9 @@
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
             "limits": self.dump_loads(),
+            "claims": shared.claims.dump(now),
+            "sessions": shared.sessions.dump(),
+            "retries_left": shared.retries_left(),
         })
     }
 
--- a/components/node/src/sessions.rs
+++ b/components/node/src/sessions.rs
@@ -13,7 +13,7 @@
 use sessions::SessionKey;
 use sessions::homes::{Member, homes};
 use sessions::lookup::{Lookup, LookupStep};
-use sessions::pins::{Message, Pin, Pins, Reply};
+use sessions::pins::{MAX_PINS, Message, Pin, Pins, Reply};
 use types::prelude::*;
 
 use crate::shared::lock;
@@ -179,6 +179,11 @@
         }
     }
 
+    /// How full the table is, for the dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        serde_json::json!({"pins": lock(&self.pins).len(), "most_pins": MAX_PINS})
+    }
+
     fn homes(&self, key: &SessionKey) -> Vec<DaemonId> {
         let live = self.live.load();
         let members: Vec<_> = live.iter().map(|live| live.member.clone()).collect();
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -73,6 +73,15 @@
         self.clock.now()
     }
 
+    /// Retries that each entry has saved up, for the dump.
+    pub(crate) fn retries_left(&self) -> BTreeMap<EntryName, f64> {
+        let budgets = lock(&self.budgets);
+        let saved = budgets.iter();
+        saved
+            .map(|(entry, budget)| (entry.clone(), budget.saved()))
+            .collect()
+    }
+
     /// Acts on an entry's retry budget.
     pub(crate) fn with_budget<T>(
         &self,
