Let pins reach their new homes although members keep changing

Cause: each change of members began the walk over the pins anew; with 50,000 pins and a change every 36 s the last ones would never be sent. Change: a walk ends with the members that it began with, the next takes up the rest.

--- a/components/sessions/src/pins.rs
+++ b/components/sessions/src/pins.rs
@@ -65,13 +65,15 @@
     entries: BTreeMap<SessionKey, Entry>,
     by_use: BTreeSet<(Time, SessionKey)>,
     members: Vec<Member>,
+    /// The members that every pin was last sent to its homes by.
+    homed_by: Vec<Member>,
     sweep: Option<Sweep>,
 }
 
 /// A walk over all pins after the members changed.
 #[derive(Debug)]
 struct Sweep {
-    before: Vec<Member>,
+    target: Vec<Member>,
     after: Option<SessionKey>,
 }
 
@@ -84,6 +86,7 @@
             entries: BTreeMap::new(),
             by_use: BTreeSet::new(),
             members: Vec::new(),
+            homed_by: Vec::new(),
             sweep: None,
         }
     }
@@ -146,21 +149,25 @@
 
     /// Notes who is there now.
     pub fn set_members(&mut self, members: Vec<Member>) {
-        if members == self.members {
-            return;
+        self.members = members;
+        if self.sweep.is_none() {
+            self.begin_sweep();
         }
-        let before = std::mem::replace(&mut self.members, members);
-        // A sweep under way begins anew from the members that its pins were homed by.
-        let before = self.sweep.take().map_or(before, |sweep| sweep.before);
-        self.sweep = Some(Sweep {
-            before,
+    }
+
+    /// Guards against pins that never reach their new homes where members change more often
+    /// than a walk over all pins takes: a walk ends with the members that it began with, and
+    /// the next one takes up what changed meanwhile.
+    fn begin_sweep(&mut self) {
+        self.sweep = (self.homed_by != self.members).then(|| Sweep {
+            target: self.members.clone(),
             after: None,
         });
     }
 
     /// Pins to send to daemons that became their homes, a part each tick.
     pub fn rehome(&mut self, own: &DaemonId, now: Time) -> Vec<(DaemonId, Pin)> {
-        let Some(sweep) = self.sweep.as_mut() else {
+        let Some(mut sweep) = self.sweep.take() else {
             return Vec::new();
         };
         let lower = sweep
@@ -172,16 +179,17 @@
         let part: Vec<_> = part.take(MOVED_EACH_TICK).collect();
         let mut moved = Vec::new();
         for (key, entry) in &part {
-            let old = homes(key.hash64(), &sweep.before);
-            let new = homes(key.hash64(), &self.members);
+            let old = homes(key.hash64(), &self.homed_by);
+            let new = homes(key.hash64(), &sweep.target);
             let gained = new.into_iter().filter(|id| !old.contains(id) && id != own);
             moved.extend(gained.map(|id| (id, to_pin(key, entry, now))));
         }
-        let last = part.last().map(|(key, _)| (*key).clone());
-        let is_done = part.len() < MOVED_EACH_TICK;
-        sweep.after = last;
-        if is_done {
-            self.sweep = None;
+        sweep.after = part.last().map(|(key, _)| (*key).clone());
+        if part.len() < MOVED_EACH_TICK {
+            self.homed_by = sweep.target;
+            self.begin_sweep();
+        } else {
+            self.sweep = Some(sweep);
         }
         moved
     }
--- a/components/sessions/tests/sessions.rs
+++ b/components/sessions/tests/sessions.rs
@@ -204,6 +204,42 @@
     }
 }
 
+// Sessions change their version in a fleet of hundreds, where a daemon is replaced every half
+// minute, although few homes fail at a time. Cause: each change began the walk over the pins
+// anew, and the last ones were never reached.
+#[test]
+fn can_move_pins_although_members_keep_changing() {
+    let all = members(9);
+    let (own, changing) = (&all[1].id, all[8].clone());
+    let mut table = Pins::new(Span::from_secs(600));
+    table.set_members(all.clone());
+    table.rehome(own, NOW);
+    let names: Vec<_> = (0..2_000).map(|n| format!("s{n}")).collect();
+    for name in &names {
+        table.pin(pin(name, "a", 1, None), NOW);
+    }
+    let without_first = &all[1..];
+    let mut told = BTreeSet::new();
+    for tick in 0..40 {
+        let mut present = without_first.to_vec();
+        present.retain(|member| tick / 2 % 2 == 0 || *member != changing);
+        table.set_members(present);
+        let moved = table.rehome(own, NOW);
+        told.extend(moved.into_iter().map(|(home, pin)| (pin.key, home)));
+    }
+    for name in &names {
+        let key = key(name);
+        let before = homes(key.hash64(), &all);
+        let after = homes(key.hash64(), without_first);
+        let gained = after
+            .into_iter()
+            .filter(|id| !before.contains(id) && id != own);
+        for home in gained.filter(|id| *id != changing.id) {
+            assert!(told.contains(&(key.clone(), home)), "{key:?}");
+        }
+    }
+}
+
 #[test]
 fn can_find_a_pin_at_either_home() {
     let homes: Vec<DaemonId> = ["d1", "d2"].map(|id| id.parse().unwrap()).to_vec();
