--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -24,6 +24,9 @@
     watching: Watching,
     catalogue: systems::catalogue::Table,
     members: systems::membership::Table,
+    ledger: systems::ledger::Table,
+    /// Told once all bills are sealed.
+    sealed: Option<flume::Sender<()>>,
     view: Arc<View>,
     leaving: bool,
 }
@@ -39,12 +42,15 @@
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
         let incarnation = shared.incarnation;
         let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
+        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         Self {
             shared,
             storage,
             watching,
             catalogue,
             members,
+            ledger,
+            sealed: None,
             view: Arc::default(),
             leaving: false,
         }
@@ -55,10 +61,10 @@
         let tick = self.shared.settings.control.tick.to_duration();
         let mut next_tick = Instant::now();
         loop {
-            match events.recv_deadline(next_tick) {
+            match events.recv_deadline(self.wake_at(next_tick)) {
                 Ok(Event::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.take(event),
-                Err(flume::RecvTimeoutError::Timeout) => {}
+                Err(flume::RecvTimeoutError::Timeout) => self.flush_ledger(),
             }
             let now = Instant::now();
             if now >= next_tick {
@@ -68,6 +74,31 @@
         }
     }
 
+    /// The next tick, or what cannot wait for it.
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        let until = self.shared.now().until(self.ledger.next_deadline());
+        let due = Instant::now().checked_add(until.to_duration());
+        due.map_or(next_tick, |due| due.min(next_tick))
+    }
+
+    fn flush_ledger(&mut self) {
+        let actions = self.ledger.flush(self.shared.now());
+        self.perform_ledger(actions);
+    }
+
+    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
+        for action in actions {
+            match action {
+                systems::ledger::Action::Store(id, request) => {
+                    self.storage.call(StoreUse::Ledger(id), request);
+                }
+                systems::ledger::Action::Send(to, message) => {
+                    self.members.send(&to, Part::Ledger, message.to_bytes());
+                }
+            }
+        }
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
@@ -78,6 +109,18 @@
                 self.take_peer(now, inbound);
                 return;
             }
+            Event::Store(StoreUse::Ledger(id), outcome) => {
+                let actions = self.ledger.on_store(now, id, outcome);
+                return self.perform_ledger(actions);
+            }
+            Event::Bill(bill, end) => {
+                let actions = self.ledger.record(now, *bill, end);
+                return self.perform_ledger(actions);
+            }
+            Event::SealBills(sealed) => {
+                self.sealed = Some(sealed);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
@@ -100,10 +143,22 @@
         self.perform(now, actions);
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
+        self.tick_ledger(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
+    fn tick_ledger(&mut self, now: Time) {
+        if let Some(sealed) = &self.sealed
+            && self.ledger.hand_on(now)
+        {
+            let _ = sealed.try_send(());
+        }
+        let wall = self.shared.clock.wall();
+        let actions = self.ledger.tick(now, wall);
+        self.perform_ledger(actions);
+    }
+
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
@@ -135,6 +190,7 @@
     fn publish(&self, now: Time) {
         let snapshot = Snapshot {
             readiness: self.readiness(self.view.revision),
+            is_ledger_full: self.ledger.is_full(),
             view: self.view.clone(),
             confirmed: self.catalogue.sync().confirmed(),
             reach: self.reach(now),
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -27,6 +27,13 @@
                 let actions = self.catalogue.on_peer(now, &from.id, &body);
                 self.perform(now, actions);
             }
+            Payload::Part {
+                part: Part::Ledger,
+                body,
+            } => {
+                let actions = self.ledger.on_peer(now, &from.id, &body);
+                self.perform_ledger(actions);
+            }
             Payload::Part { part, .. } => {
                 tracing::debug!("node: {} sent something for {part:?}, dropped", from.id);
             }
@@ -54,6 +61,7 @@
         }
         if changed {
             self.catalogue.set_members(self.members.live());
+            self.ledger.set_members(self.members.others());
         }
     }
 
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -11,6 +11,7 @@
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
+use sessions::pins::Pins;
 use sessions::token::{Key, Keys};
 use settings::Settings;
 use store::{EtcdClient, Store};
@@ -32,6 +33,11 @@
 /// Pause between two looks at what is still under way.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// A named session's pin goes when unused for so long.
+const PIN_IDLE: Span = Span::from_secs(3600);
+/// A leaving daemon waits so long for the store to take its bills.
+const SEAL_PATIENCE: Span = Span::from_secs(10);
+
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
@@ -96,6 +102,7 @@
         end_requests(&self.shared, deadline);
         self.shared.claims.stop();
         let _ = self.claims.join();
+        seal_bills(&self.shared, deadline);
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -115,6 +122,17 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
@@ -134,6 +152,7 @@
         router: Mutex::new(router),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
+        pins: Mutex::new(Pins::new(PIN_IDLE)),
         store,
         claims,
         events,
--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -137,6 +137,20 @@
         members.collect()
     }
 
+    /// The other live daemons, for the ledger.
+    #[must_use]
+    pub fn others(&self) -> Vec<ledger::Peer> {
+        let others = self.membership.members().map(|member| &member.record);
+        let present = others.filter(|record| record.state.is_present());
+        let peers = present.map(|record| ledger::Peer {
+            id: record.id.clone(),
+            incarnation: record.stamp.incarnation,
+            failure_domain: record.failure_domain.clone(),
+            region: record.region.clone(),
+        });
+        peers.collect()
+    }
+
     fn act(&mut self, outcome: Outcome) -> Vec<Event> {
         for envelope in outcome.send {
             let payload = Payload::Membership(envelope.message);
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -4,6 +4,9 @@
 use quality::{Candidate, ChoiceInput, OfferTerms, RolloutShare};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use sessions::SessionKey;
+use sessions::choice::Pinning;
+use sessions::pins::Pin;
 use sessions::token::{Pinned, Sent, read_header};
 use types::prelude::*;
 
@@ -37,17 +40,15 @@
     let shared = &job.cx.shared;
     let header = job.head.session.as_deref();
     let sent = read_header(&shared.session_keys, &job.cx.customer, header);
-    let pinned = match &sent {
-        Sent::Token(pinned) if pinned.offer == job.resolved.name => Some(pinned),
-        _ => None,
+    let pinned = pinned(job, &sent);
+    let pin = pinned.as_ref().map(|pin| (&pin.version, pin.revision));
+    let revision = job.cx.snapshot.view.revision;
+    let pin = match Pinning::of(pin, &job.resolved.versions, revision) {
+        Pinning::New => None,
+        Pinning::Kept(version) | Pinning::Moved(version) => Some(version),
+        Pinning::Behind => return Err(NoVersion::Behind),
     };
     let candidates = candidates(job);
-    let pin = pinned.map(|pinned| &pinned.version);
-    if let Some(pinned) = pinned
-        && is_behind(job, pinned)
-    {
-        return Err(NoVersion::Behind);
-    }
     let terms = terms(&job.resolved.name, &job.resolved.offer);
     let now = shared.now();
     let input = ChoiceInput {
@@ -63,6 +64,7 @@
     let plan = lock(&shared.quality).choose(now, &input, &mut rng);
     let version = plan.ok_or(NoVersion::NoneOpen)?.first;
     let moved_from = pin.filter(|pin| **pin != version).cloned();
+    let version = hold(job, &sent, version, pin);
     let token = token_for(job, &sent, &version);
     Ok(Chosen {
         version,
@@ -71,26 +73,59 @@
     })
 }
 
-/// Guards against a session that changes its version at a daemon whose catalogue lags: a
-/// version added a moment ago is unknown there and looks withdrawn. The revision that the
-/// token was signed under tells the two apart.
-fn is_behind(job: &Job, pinned: &Pinned) -> bool {
-    let is_known = job.resolved.versions.contains(&pinned.version);
-    !is_known && pinned.revision > job.cx.snapshot.view.revision
+/// The session's pin: in its token, or by its name in this daemon's table.
+fn pinned(job: &Job, sent: &Sent) -> Option<Pin> {
+    match sent {
+        Sent::Token(pinned) if pinned.offer == job.resolved.name => Some(Pin {
+            key: key(job, &pinned.session),
+            version: pinned.version.clone(),
+            revision: pinned.revision,
+            age: Span::ZERO,
+            over: None,
+        }),
+        Sent::Name(name) => {
+            let shared = &job.cx.shared;
+            lock(&shared.pins).get(&key(job, name), shared.now())
+        }
+        _ => None,
+    }
+}
+
+/// Holds a named session's pin for its next request. Of two first requests at once, one
+/// chooses for both.
+fn hold(job: &Job, sent: &Sent, version: VersionId, before: Option<&VersionId>) -> VersionId {
+    let Sent::Name(name) = sent else {
+        return version;
+    };
+    let pin = Pin {
+        key: key(job, name),
+        version: version.clone(),
+        revision: job.cx.snapshot.view.revision,
+        age: Span::ZERO,
+        over: before.filter(|before| **before != version).cloned(),
+    };
+    let shared = &job.cx.shared;
+    let standing = lock(&shared.pins).pin(pin, shared.now()).version;
+    if job.resolved.versions.contains(&standing) {
+        standing
+    } else {
+        version
+    }
+}
+
+fn key(job: &Job, session: &SessionId) -> SessionKey {
+    SessionKey {
+        customer: job.cx.customer.clone(),
+        offer: job.resolved.name.clone(),
+        session: session.clone(),
+    }
 }
 
 /// Chance; for a named session the same at every daemon, so that its version follows from
 /// its name where its pin is not known.
 fn draws(job: &Job, sent: &Sent) -> StdRng {
     match sent {
-        Sent::Name(name) => {
-            let key = sessions::SessionKey {
-                customer: job.cx.customer.clone(),
-                offer: job.resolved.name.clone(),
-                session: name.clone(),
-            };
-            StdRng::seed_from_u64(key.hash64())
-        }
+        Sent::Name(name) => StdRng::seed_from_u64(key(job, name).hash64()),
         _ => StdRng::from_rng(&mut rand::rng()),
     }
 }
