--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -23,10 +23,10 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
-    members: systems::membership::Table,
     ledger: systems::ledger::Table,
     /// Told once all bills are sealed.
     sealed: Option<flume::Sender<()>>,
+    members: systems::membership::Table,
     view: Arc<View>,
     leaving: bool,
 }
@@ -40,17 +40,17 @@
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         let incarnation = shared.incarnation;
         let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
-        let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         Self {
             shared,
             storage,
             watching,
             catalogue,
-            members,
             ledger,
             sealed: None,
+            members,
             view: Arc::default(),
             leaving: false,
         }
@@ -105,10 +105,6 @@
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
-            Event::Peer(inbound) => {
-                self.take_peer(now, inbound);
-                return;
-            }
             Event::Store(StoreUse::Ledger(id), outcome) => {
                 let actions = self.ledger.on_store(now, id, outcome);
                 return self.perform_ledger(actions);
@@ -121,6 +117,10 @@
                 self.sealed = Some(sealed);
                 return;
             }
+            Event::Peer(inbound) => {
+                self.take_peer(now, inbound);
+                return;
+            }
             Event::Hosts(hosts) => {
                 systems::hosts::apply(&mut lock(&self.shared.router), now, &hosts);
                 return;
@@ -141,9 +141,9 @@
         self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        self.tick_ledger(now);
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
-        self.tick_ledger(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -41,6 +41,7 @@
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
+    peers_address: SocketAddr,
     callers: Callers,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
@@ -61,6 +62,7 @@
         let sink = systems::membership::sink(events.clone());
         let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
         let storage = Storage::start(&shared.store, events)?;
+        let peers_address = peers.address();
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
@@ -74,6 +76,7 @@
         );
         Ok(Self {
             shared,
+            peers_address,
             callers,
             control,
             claims,
@@ -86,6 +89,12 @@
         self.callers.address()
     }
 
+    /// Where other daemons reach this one.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -93,7 +93,7 @@
         harness
     }
 
-    fn add_daemon(&mut self, index: usize) {
+    pub fn add_daemon(&mut self, index: usize) {
         let node = Node::start(self.settings(index)).unwrap();
         self.nodes.push(node);
         let index = self.nodes.len() - 1;
@@ -102,6 +102,11 @@
 
     fn settings(&self, index: usize) -> settings::Settings {
         let platform = &self.platform;
+        let seeds = self
+            .nodes
+            .iter()
+            .map(|node| format!("'{}'", node.peers_address()));
+        let seeds = seeds.collect::<Vec<_>>().join(", ");
         let yaml = format!(
             "cluster: test\n\
              daemon: entry-{index}\n\
@@ -109,7 +114,7 @@
              region: here\n\
              callers: {{listen: '127.0.0.1:0'}}\n\
              operators: {{listen: '127.0.0.1:0', tokens: {{test: test-token}}}}\n\
-             peers: {{listen: '127.0.0.1:0', keys: [{{id: test, secret: not-secret-in-tests}}]}}\n\
+             peers: {{listen: '127.0.0.1:0', seeds: [{seeds}], keys: [{{id: test, secret: not-secret-in-tests}}]}}\n\
              store: {{endpoints: ['{}']}}\n\
              platform: {{rater: '{}', weights: '{}', hosts: '{}'}}\n\
              control: {{tick: 20ms}}\n\
