--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,5 +1,8 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
+mod commands;
+mod upkeep;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,6 +10,7 @@
 use peers::Part;
 use types::prelude::*;
 
+use crate::calling::Calling;
 use crate::event::{Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
@@ -23,6 +27,8 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
+    rollouts: systems::rollout::Table,
+    calling: Calling,
     ledger: systems::ledger::Table,
     /// Told once all bills are sealed.
     sealed: Option<flume::Sender<()>>,
@@ -40,6 +46,8 @@
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
+        let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
+        let calling = Calling::new(shared.clone());
         let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         let incarnation = shared.incarnation;
         let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
@@ -48,6 +56,8 @@
             storage,
             watching,
             catalogue,
+            rollouts,
+            calling,
             ledger,
             sealed: None,
             members,
@@ -104,6 +114,19 @@
         let actions = match event {
             Event::Store(StoreUse::Catalogue, outcome) => self.catalogue.on_store(now, outcome),
             Event::Store(StoreUse::Edit, outcome) => self.catalogue.on_edit_step(now, outcome),
+            Event::Store(StoreUse::Rollout(ticket), outcome) => {
+                let task = self.rollouts.on_store(now, ticket, outcome);
+                self.perform_tasks(now, task);
+                return;
+            }
+            Event::Operator(command) => {
+                self.command(now, command);
+                return;
+            }
+            Event::Called(called) => {
+                self.rollouts.on_called(now, called);
+                return;
+            }
             Event::Watch(events) => self.catalogue.on_watch(now, &events),
             Event::Store(StoreUse::Ledger(id), outcome) => {
                 let actions = self.ledger.on_store(now, id, outcome);
@@ -141,6 +164,8 @@
         self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
+        self.drive_rollouts(now);
+        self.measure(now);
         self.tick_ledger(now);
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
--- /dev/null
+++ b/components/node/src/control/upkeep.rs
@@ -0,0 +1,48 @@
+//! What the control thread does each tick beside the tables' own systems.
+
+use types::prelude::*;
+
+use super::Control;
+use crate::event::EVENTS_WAITING;
+use crate::shared::lock;
+use crate::snapshot::Readiness;
+
+impl Control {
+    /// Runs the drivers of roll-outs.
+    pub(super) fn drive_rollouts(&mut self, now: Time) {
+        let members = self.catalogue.members().iter();
+        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
+        let shared = &self.shared;
+        let quality = || lock(&shared.quality).dump();
+        let catalogue = self.catalogue.catalogue();
+        let tasks = self
+            .rollouts
+            .tick(now, &self.view, catalogue, &members, quality);
+        self.perform_tasks(now, tasks);
+    }
+
+    /// Notes what metrics and probes show.
+    pub(super) fn measure(&self, now: Time) {
+        let metrics = &self.shared.metrics;
+        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
+        metrics.catalogue_revision.set(revision);
+        let confirmed = self.catalogue.sync().confirmed();
+        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
+        metrics.freshness_age.set(age.as_secs_f64());
+        let fill = self.ledger.fill();
+        metrics
+            .bills_waiting
+            .set(i64::try_from(fill.own).unwrap_or(i64::MAX));
+        metrics.set_queue_fill("bills", fill.own, fill.capacity);
+        metrics.set_queue_fill("bills_for_others", fill.custody, fill.custody_capacity);
+        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
+        let most = self.shared.settings.callers.max_in_flight;
+        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
+        let not_ready = match self.readiness(self.view.revision) {
+            Readiness::Ready => None,
+            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
+            Readiness::Leaving => Some("leaving".to_owned()),
+        };
+        self.shared.health.tick(not_ready);
+    }
+}
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -2,9 +2,12 @@
 
 use keyvalue::{Outcome, WatchEvent};
 use ledger::{Bill, CallId};
+use operators::command::Command;
 use platform::Host;
 use types::prelude::*;
 
+use crate::systems::rollout::Called;
+
 /// Where the release of an answer's end goes.
 pub type ReleaseTo = flume::Sender<()>;
 
@@ -25,6 +28,10 @@
     Peer(peers::Inbound),
     /// The platform's list of hosts.
     Hosts(Vec<Host>),
+    /// An operator asks.
+    Operator(Command),
+    /// A call of an engine or of the weight store ended.
+    Called(Called),
     /// Stop taking part: the process is leaving.
     Leave,
     /// Seal all bills as soon as may be and say when there is none left.
@@ -40,6 +47,8 @@
     Catalogue,
     /// A step of an edit.
     Edit,
+    /// A roll-out's lease, with a ticket.
+    Rollout(u64),
     /// A batch of bills or a roll-up.
     Ledger(CallId),
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -8,6 +8,8 @@
 
 use arc_swap::ArcSwap;
 use callers::{Callers, Limits};
+use operators::auth::Tokens;
+use operators::health::Health;
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
@@ -43,6 +45,7 @@
     shared: Arc<Shared>,
     peers_address: SocketAddr,
     callers: Callers,
+    operators: operators::Handle,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -66,6 +69,7 @@
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
+        let operators = start_operators(&shared)?;
         let traffic = Arc::new(Traffic::new(shared.clone()));
         let cfg = &shared.settings.callers;
         let callers = Callers::start(cfg.listen, cfg.threads, limits(cfg), traffic)?;
@@ -78,6 +82,7 @@
             shared,
             peers_address,
             callers,
+            operators,
             control,
             claims,
         })
@@ -95,6 +100,12 @@
         self.peers_address
     }
 
+    /// Where operators are served.
+    #[must_use]
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
@@ -112,6 +123,7 @@
         self.shared.claims.stop();
         let _ = self.claims.join();
         seal_bills(&self.shared, deadline);
+        self.operators.stop();
         let _ = self.shared.events.send(Event::Stop);
         let _ = self.control.join();
         tracing::info!("node: gone");
@@ -131,6 +143,20 @@
     }
 }
 
+fn start_operators(shared: &Shared) -> Result<operators::Handle, NodeError> {
+    let cfg = &shared.settings.operators;
+    let events = shared.events.clone();
+    let handle = operators::start(operators::Config {
+        listen: cfg.listen,
+        bounds: operators::Bounds::default(),
+        tokens: Tokens::new(&cfg.tokens),
+        submit: Box::new(move |command| events.try_send(Event::Operator(command)).is_ok()),
+        metrics: shared.metrics.clone(),
+        health: shared.health.clone(),
+    });
+    Ok(handle?)
+}
+
 /// Waits until all bills are in the store. While it is down they stay with the daemon that
 /// holds them beside this one, which seals them in its place.
 fn seal_bills(shared: &Shared, deadline: Time) {
@@ -165,6 +191,7 @@
         store,
         claims,
         events,
+        health: Arc::new(Health::new(clock)),
         metrics: Arc::new(Metrics::new()),
         quality: Mutex::new(Quality::new(
             quality_config(&settings),
--- a/components/node/src/systems.rs
+++ b/components/node/src/systems.rs
@@ -5,4 +5,5 @@
 pub mod ledger;
 pub mod membership;
 pub mod quality;
+pub(crate) mod rollout;
 pub mod routing;
--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -199,9 +199,9 @@
         });
         serde_json::json!({
             "reachable": self.membership.reachable(),
-            "fill": format!("{:?}", self.membership.fill()),
-            "counters": format!("{:?}", self.membership.counters()),
-            "peers": format!("{:?}", self.peers.stats()),
+            "fill": self.membership.fill(),
+            "counters": self.membership.counters(),
+            "peers": self.peers.stats(),
             "members": members.collect::<Vec<_>>(),
         })
     }
