--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,7 +1,6 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
 mod commands;
-mod upkeep;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,7 +10,7 @@
 use types::prelude::*;
 
 use crate::calling::Calling;
-use crate::event::{Event, StoreUse};
+use crate::event::{EVENTS_WAITING, Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
@@ -19,6 +18,8 @@
 use crate::systems::catalogue::Action;
 use crate::watching::Watching;
 
+mod billing;
+mod evidence;
 mod peering;
 
 /// The tables and what they reach out through.
@@ -27,12 +28,12 @@
     storage: Storage,
     watching: Watching,
     catalogue: systems::catalogue::Table,
-    rollouts: systems::rollout::Table,
-    calling: Calling,
     ledger: systems::ledger::Table,
     /// Told once all bills are sealed.
     sealed: Option<flume::Sender<()>>,
     members: systems::membership::Table,
+    rollouts: systems::rollout::Table,
+    calling: Calling,
     view: Arc<View>,
     leaving: bool,
 }
@@ -46,21 +47,21 @@
         let prefix = keys.all().to_owned();
         let watching = Watching::new(shared.store.clone(), prefix, shared.events.clone());
         let catalogue = systems::catalogue::Table::new(settings, rand::random());
-        let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
-        let calling = Calling::new(shared.clone());
         let ledger = systems::ledger::Table::new(settings, shared.incarnation);
         let incarnation = shared.incarnation;
         let members = systems::membership::Table::new(settings, incarnation, peers, rand::random());
+        let rollouts = systems::rollout::Table::new(&settings.cluster, &settings.daemon);
+        let calling = Calling::new(shared.clone());
         Self {
             shared,
             storage,
             watching,
             catalogue,
-            rollouts,
-            calling,
             ledger,
             sealed: None,
             members,
+            rollouts,
+            calling,
             view: Arc::default(),
             leaving: false,
         }
@@ -91,24 +92,6 @@
         due.map_or(next_tick, |due| due.min(next_tick))
     }
 
-    fn flush_ledger(&mut self) {
-        let actions = self.ledger.flush(self.shared.now());
-        self.perform_ledger(actions);
-    }
-
-    fn perform_ledger(&mut self, actions: Vec<systems::ledger::Action>) {
-        for action in actions {
-            match action {
-                systems::ledger::Action::Store(id, request) => {
-                    self.storage.call(StoreUse::Ledger(id), request);
-                }
-                systems::ledger::Action::Send(to, message) => {
-                    self.members.send(&to, Part::Ledger, message.to_bytes());
-                }
-            }
-        }
-    }
-
     fn take(&mut self, event: Event) {
         let now = self.shared.now();
         let actions = match event {
@@ -164,24 +147,45 @@
         self.tick_members(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
-        self.drive_rollouts(now);
-        self.measure(now);
         self.tick_ledger(now);
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
+        self.show_quality(now);
+        self.drive_rollouts(now);
+        self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
-    fn tick_ledger(&mut self, now: Time) {
-        if let Some(sealed) = &self.sealed
-            && self.ledger.hand_on(now)
-        {
-            let _ = sealed.try_send(());
-        }
-        let wall = self.shared.clock.wall();
-        let actions = self.ledger.tick(now, wall);
-        self.perform_ledger(actions);
+    fn drive_rollouts(&mut self, now: Time) {
+        let members = self.catalogue.members().iter();
+        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
+        let shared = &self.shared;
+        let quality = || lock(&shared.quality).dump();
+        let catalogue = self.catalogue.catalogue();
+        let tasks = self
+            .rollouts
+            .tick(now, &self.view, catalogue, &members, quality);
+        self.perform_tasks(now, tasks);
+    }
+
+    /// Notes what metrics and probes show.
+    fn measure(&self, now: Time) {
+        let metrics = &self.shared.metrics;
+        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
+        metrics.catalogue_revision.set(revision);
+        let confirmed = self.catalogue.sync().confirmed();
+        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
+        metrics.freshness_age.set(age.as_secs_f64());
+        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
+        let most = self.shared.settings.callers.max_in_flight;
+        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
+        let not_ready = match self.readiness(self.view.revision) {
+            Readiness::Ready => None,
+            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
+            Readiness::Leaving => Some("leaving".to_owned()),
+        };
+        self.shared.health.tick(not_ready);
     }
 
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -7,6 +7,7 @@
 use types::prelude::*;
 
 use super::Control;
+use crate::shared::lock;
 
 impl Control {
     /// Takes what another daemon sent. Questions that no part answers are dropped, which
@@ -50,18 +51,26 @@
         let mut changed = false;
         for event in events {
             match event {
-                Event::MemberUp { .. } | Event::MemberDown { .. } => changed = true,
+                Event::MemberUp { .. } => changed = true,
+                Event::MemberDown { id, .. } => {
+                    changed = true;
+                    lock(&self.shared.quality).forget(now, &id);
+                }
                 Event::FactChanged {
                     origin,
                     topic: Topic::Progress,
                     ..
                 } => self.take_progress(now, &origin),
+                Event::FactChanged {
+                    origin,
+                    topic: topic @ (Topic::Evidence | Topic::Suspension),
+                    key,
+                } => self.take_evidence(now, &origin, topic, &key),
                 _ => {}
             }
         }
         if changed {
             self.catalogue.set_members(self.members.live());
-            self.ledger.set_members(self.members.others());
         }
     }
 
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -43,9 +43,9 @@
 /// A running daemon.
 pub struct Node {
     shared: Arc<Shared>,
-    peers_address: SocketAddr,
     callers: Callers,
     operators: operators::Handle,
+    peers_address: SocketAddr,
     control: JoinHandle<()>,
     claims: JoinHandle<()>,
 }
@@ -64,8 +64,8 @@
         }
         let sink = systems::membership::sink(events.clone());
         let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
-        let storage = Storage::start(&shared.store, events)?;
         let peers_address = peers.address();
+        let storage = Storage::start(&shared.store, events)?;
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
@@ -80,9 +80,9 @@
         );
         Ok(Self {
             shared,
-            peers_address,
             callers,
             operators,
+            peers_address,
             control,
             claims,
         })
@@ -106,6 +106,15 @@
         self.operators.address()
     }
 
+    /// Stops without handing anything on or saying goodbye, as a crash would.
+    pub fn abandon(self) {
+        let _ = self.shared.events.send(Event::Stop);
+        let _ = self.control.join();
+        self.operators.stop();
+        let _ = self.callers.close(Duration::ZERO);
+        self.shared.claims.stop();
+    }
+
     /// Leaves: readiness off, serves on while the balancer notices, ends what is in
     /// flight, then goes. Says how many connections the deadline cut.
     #[must_use]
@@ -143,6 +152,17 @@
     }
 }
 
+/// Waits until all bills are in the store. While it is down they stay with the daemon that
+/// holds them beside this one, which seals them in its place.
+fn seal_bills(shared: &Shared, deadline: Time) {
+    let (tx, rx) = flume::bounded(1);
+    let _ = shared.events.send(Event::SealBills(tx));
+    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
+    if rx.recv_timeout(patience.to_duration()).is_err() {
+        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
+    }
+}
+
 fn start_operators(shared: &Shared) -> Result<operators::Handle, NodeError> {
     let cfg = &shared.settings.operators;
     let events = shared.events.clone();
@@ -157,17 +177,6 @@
     Ok(handle?)
 }
 
-/// Waits until all bills are in the store. While it is down they stay with the daemon that
-/// holds them beside this one, which seals them in its place.
-fn seal_bills(shared: &Shared, deadline: Time) {
-    let (tx, rx) = flume::bounded(1);
-    let _ = shared.events.send(Event::SealBills(tx));
-    let patience = shared.now().until(deadline).min(SEAL_PATIENCE);
-    if rx.recv_timeout(patience.to_duration()).is_err() {
-        tracing::warn!("ledger: the store did not take all bills, the second holder has them");
-    }
-}
-
 type Built = (Shared, JoinHandle<()>);
 
 fn build(settings: Settings, events: flume::Sender<Event>) -> Result<Built, NodeError> {
--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -137,9 +137,9 @@
         members.collect()
     }
 
-    /// The other live daemons, for the ledger.
+    /// The other daemons that live and stay, as the ledger needs them.
     #[must_use]
-    pub fn others(&self) -> Vec<ledger::Peer> {
+    pub fn other_peers(&self) -> Vec<ledger::Peer> {
         let others = self.membership.members().map(|member| &member.record);
         let present = others.filter(|record| record.state.is_present());
         let peers = present.map(|record| ledger::Peer {
