--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -113,7 +113,12 @@
         let mut facts = self.members.facts(Topic::Progress);
         let fact = facts.find(|fact| fact.origin == *origin);
         let revision = fact.and_then(|fact| <[u8; 8]>::try_from(&fact.value[..]).ok());
-        if let Some(revision) = revision.map(u64::from_le_bytes).map(Revision) {
+        let Some(revision) = revision.map(u64::from_le_bytes).map(Revision) else {
+            return;
+        };
+        // The fact may have been long on its way: what the daemon said itself since holds.
+        let heard = self.catalogue.sync().heard(origin);
+        if heard.is_none_or(|heard| heard.revision < revision) {
             self.catalogue.report(now, origin, revision, Span::ZERO);
         }
     }
