Test the ledger on the stand-in's table; name the restart found by the fuzz

Cause: the tests had a fake store of their own; the fuzz's find had no test of its own. Conclusion: less scaffolding, stricter.

--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -4,8 +4,6 @@
 mod fleet;
 #[path = "support/fuzz.rs"]
 mod fuzz;
-#[path = "support/store.rs"]
-mod store;
 
 use fleet::{Fleet, Pending, bill, peer};
 use ledger::*;
@@ -116,13 +114,7 @@
     assert!(
         csv.starts_with("hour,customer,entry,version,requests,input_tokens,output_tokens,cost")
     );
-    assert!(
-        fleet
-            .store
-            .keys
-            .keys()
-            .all(|key| !key.contains("/batches/"))
-    );
+    assert!(fleet.keys("/batches/").is_empty());
 }
 
 // A caller has its whole answer, and nobody is billed: the daemon ended the answer and
@@ -229,8 +221,8 @@
 
 /// As if the retry window had passed.
 fn drop_fingerprints(fleet: &mut Fleet) {
-    let gone = |key: &String| key.contains("/seen/") || key.contains("/shards/");
-    fleet.store.keys.retain(|key, _| !gone(key));
+    let keys = [fleet.keys("/seen/"), fleet.keys("/shards/")].concat();
+    fleet.spoil(keys.into_iter().map(keyvalue::Op::Delete));
 }
 
 // A daemon is paused with a batch on its way. Its holder seals in its place, the batch is
@@ -287,12 +279,7 @@
     fleet.run(SECOND.times(60));
     fleet.now = fleet.now + SECOND.times(3600);
     fleet.run(SECOND.times(60));
-    let marks = fleet
-        .store
-        .keys
-        .keys()
-        .filter(|key| key.contains("/origins/"));
-    assert_eq!(marks.count(), 1);
+    assert_eq!(fleet.keys("/origins/").len(), 1);
 }
 
 // A holder is replaced while it is slow, and both it and the new one hold bills when the
@@ -333,6 +320,24 @@
     assert!(fleet.weak.is_empty());
 }
 
+// A daemon restarts under its name during an outage of the store; then the holder of its
+// earlier run's bills dies. The holder had seen a later run, and given them to another.
+#[test]
+fn can_keep_bills_when_a_daemon_restarts_under_its_name() {
+    let mut fleet = fleet(4);
+    fleet.is_store_down = true;
+    fleet.serve(0, 1);
+    fleet.run(SECOND);
+    let holder = holder_of(&fleet, 0);
+    fleet.crash(0);
+    fleet.start(peer(0));
+    fleet.run(SECOND);
+    fleet.crash(holder);
+    fleet.settle();
+    assert!(fleet.weak.is_empty());
+    assert_eq!(fleet.bills_of(1), 1);
+}
+
 // The second holder restarts, and membership has not noticed when the daemon dies. The new
 // run's acknowledgement told the daemon that everything before it is forgotten.
 #[test]
@@ -519,23 +524,16 @@
     }
     let position = run_until(&mut fleet, |pending| is_seal(pending, 0));
     fleet.deliver(position);
-    let batches = fleet
-        .store
-        .keys
-        .values_mut()
-        .filter(|kv| kv.key.contains("/batches/"));
-    for kv in batches.take(1) {
-        kv.value = bytes::Bytes::from_static(b"\x01\xff\xff");
-    }
+    let damage = keyvalue::Put {
+        key: fleet.keys("/batches/").remove(0),
+        value: bytes::Bytes::from_static(b"\x01\xff\xff"),
+        lease: None,
+    };
+    fleet.spoil([keyvalue::Op::Put(damage)].into_iter());
     fleet.settle();
     let counted = fleet.export().totals().len();
     assert!((50..100).contains(&counted));
-    let aside = fleet
-        .store
-        .keys
-        .keys()
-        .filter(|key| key.contains("/damaged/"));
-    assert_eq!(aside.count(), 1);
+    assert_eq!(fleet.keys("/damaged/").len(), 1);
 }
 
 // An operator exports and drains while a late batch of the same hour is rolled up. What
@@ -554,8 +552,8 @@
     fleet.run(SECOND.times(60));
     let mut drain = Drain::new(&first);
     while let Some(request) = drain.next_call() {
-        let answer = fleet.store.call(&request);
-        drain.on_store(Ok(answer)).unwrap();
+        let outcome = fleet.call(&request);
+        drain.on_store(outcome).unwrap();
     }
     assert!((1..=10).contains(&drain.kept()));
     let second = fleet.export().totals();
--- a/components/ledger/tests/support/fleet.rs
+++ b/components/ledger/tests/support/fleet.rs
@@ -4,10 +4,9 @@
 
 use keyvalue::{CallError, Outcome, Request};
 use ledger::*;
+use standins::store::Table;
 use types::prelude::*;
 
-use super::store::Store;
-
 pub(crate) const PREFIX: &str = "/buckthorncross/test";
 const START: u64 = 1_800_000_000_000;
 
@@ -45,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     pub(crate) now: Time,
-    pub(crate) store: Store,
+    pub(crate) store: Table,
     pub(crate) is_store_down: bool,
     pub(crate) daemons: Vec<Daemon>,
     pub(crate) pending: Vec<Pending>,
@@ -91,7 +90,7 @@
     pub(crate) fn new(size: usize, configure: fn(&mut Config)) -> Self {
         let mut fleet = Self {
             now: Time::ZERO,
-            store: Store::default(),
+            store: Table::new(),
             is_store_down: false,
             daemons: Vec::new(),
             pending: Vec::new(),
@@ -215,7 +214,7 @@
             Pending::Call { from, id, request } => {
                 let outcome = match self.is_store_down || self.daemons[*from].is_cut_off {
                     true => Err(CallError::NotSent("down".into())),
-                    false => Ok(self.store.call(request)),
+                    false => self.store.call(self.now, request),
                 };
                 let (to, id) = (*from, *id);
                 self.pending.push(Pending::Outcome { to, id, outcome });
@@ -246,7 +245,7 @@
             self.pending.remove(position);
             match takes_effect_late {
                 true => self.delayed.push(request),
-                false => drop(self.store.call(&request)),
+                false => drop(self.call(&request)),
             }
             let outcome = Err(CallError::Unknown("no reply".into()));
             let to = from;
@@ -297,17 +296,39 @@
             daemon.is_cut_off = false;
         }
         for request in std::mem::take(&mut self.delayed) {
-            self.store.call(&request);
+            let _ = self.call(&request);
         }
         self.run(Span::from_secs(60));
     }
 
+    pub(crate) fn call(&mut self, request: &Request) -> Outcome {
+        self.store.call(self.now, request)
+    }
+
+    /// Keys of the store that hold a part.
+    pub(crate) fn keys(&self, part: &str) -> Vec<String> {
+        let (items, _) = self.store.range(PREFIX, Some("/c"), 0);
+        let keys = items.into_iter().map(|(key, _)| key);
+        keys.filter(|key| key.contains(part)).collect()
+    }
+
+    /// Deletes or overwrites keys behind the ledgers' backs.
+    pub(crate) fn spoil(&mut self, ops: impl Iterator<Item = keyvalue::Op>) {
+        for op in ops {
+            let txn = keyvalue::Txn {
+                success: vec![op],
+                ..keyvalue::Txn::default()
+            };
+            self.call(&Request::Txn(txn)).unwrap();
+        }
+    }
+
     pub(crate) fn export(&mut self) -> Statement {
         let span = (WallTime(0), WallTime(START * 2));
         let mut export = Export::new(PREFIX, span.0, span.1);
         let mut request = export.start();
         loop {
-            match export.on_store(Ok(self.store.call(&request))).unwrap() {
+            match export.on_store(self.call(&request)).unwrap() {
                 Step::Call(next) => request = next,
                 Step::Done(statement) => return statement,
             }
--- a/components/ledger/tests/support/fuzz.rs
+++ b/components/ledger/tests/support/fuzz.rs
@@ -144,7 +144,7 @@
             Step::DropMessage(number) => state.drop_message(number),
             Step::TakeEffect => {
                 if let Some(request) = fleet.delayed.pop() {
-                    fleet.store.call(&request);
+                    let _ = fleet.call(&request);
                 }
             }
             Step::Store(is_down) => fleet.is_store_down = is_down,
