--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -34,6 +34,8 @@
     Claims(Claims),
     /// Time and memory of a choice of upstream.
     Decide(Decide),
+    /// Edits coming into force at daemons that share one thread.
+    Spread(Spread),
     /// Cost, delay and losses of bills.
     Ledger(Ledger),
 }
@@ -213,6 +215,11 @@
     pub requests: usize,
 }
 
+/// Edits coming into force at up to 460 daemons on virtual time, beside an arm in which
+/// every daemon watches the store itself.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "spread")]
+pub struct Spread {
 /// Bills: the store's writes, bytes, the delay at the end of an answer, losses at crashes.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ledger")]
@@ -226,6 +233,9 @@
     /// folder for plots
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
+    /// edits, at 0.3 a second; 50 at once follow
+    #[argh(option, default = "20")]
+    pub edits: u64,
     /// length of each load in seconds of the fleet's own time
     #[argh(option, default = "120")]
     pub seconds: u64,
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -11,3 +11,4 @@
 pub mod overhead;
 pub mod report;
 pub mod rollout;
+pub mod spread;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -45,5 +45,8 @@
         cli::Command::Cascade(options) => {
             cmd::cascade::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Spread(options) => {
+            cmd::spread::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
     }
 }
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -11,6 +11,7 @@
 use super::answer::Relay;
 use super::body::prefix_hashes;
 use super::version::{NoVersion, choose_version};
+use crate::measured;
 use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::billing;
@@ -57,7 +58,10 @@
 }
 
 fn refuse(job: &Job, responder: &Responder, refusal: &Refusal) {
-    job.cx.shared.metrics.refusal(refusal.code);
+    let metrics = &job.cx.shared.metrics;
+    metrics.refusal(refusal.code);
+    let offer = metrics.offer(job.resolved.name.as_str());
+    offer.ended(measured::refused(refusal.run));
     refusal.send(responder, Some(&job.head.request));
 }
 
@@ -119,15 +123,14 @@
         }
     }
 
-    /// Guards against new work for a version withdrawn while the request waited for its claim
-    /// or for another attempt: the catalogue is read again, not the copy from its arrival.
+    /// Guards against new work for a version withdrawn, or taken from the customer, while the
+    /// request waited for its claim or for another attempt: the catalogue is read again, its
+    /// offer included, not the copy from the request's arrival.
     fn is_still_permitted(&self, version: &VersionId) -> bool {
-        let snapshot = self.shared().snapshot.load();
-        let job = self.job;
-        let permitted = snapshot
-            .view
-            .permitted(&job.resolved.offer, &job.cx.customer);
-        permitted.contains(version)
+        let view = &self.shared().snapshot.load().view;
+        let offer = view.offers.get(&self.job.resolved.name);
+        let permitted = offer.map(|offer| view.permitted(offer, &self.job.cx.customer));
+        permitted.is_some_and(|permitted| permitted.contains(version))
     }
 
     fn refuse(&self, request: Request<Refused>, relay: &Relay<'_>) {
@@ -177,6 +180,7 @@
     ) -> (Request<Attempted>, AttemptEnd) {
         let began = self.shared().now();
         let end = relay.attempt(taken.address, &mut request);
+        self.shared().metrics.attempt(measured::attempted(&end));
         let outcome = relay.outcome(&end, began);
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
