--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -220,6 +220,20 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "spread")]
 pub struct Spread {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// edits, at 0.3 a second; 50 at once follow
+    #[argh(option, default = "20")]
+    pub edits: u64,
+}
+
 /// Bills: the store's writes, bytes, the delay at the end of an answer, losses at crashes.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ledger")]
@@ -233,9 +247,6 @@
     /// folder for plots
     #[argh(option)]
     pub plot: Option<std::path::PathBuf>,
-    /// edits, at 0.3 a second; 50 at once follow
-    #[argh(option, default = "20")]
-    pub edits: u64,
     /// length of each load in seconds of the fleet's own time
     #[argh(option, default = "120")]
     pub seconds: u64,
