Lift suspensions by an operator's word, also while the store is down

Cause: offering a version was only an edit, so nothing lifted a suspension, and with the store down no edit can be made; claims' uncertainty drove cold fleets to the strongest version. Change: command Lift before the edit of /offer; it spreads as a fact. An estimate's uncertainty counts little while it is but a claim. A test with two real daemons: suspended and lifted on both with the store down.

--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -33,6 +33,7 @@
                 reply.send(record.map(|record| HistoryReply::from_record(&name, record)));
             }
             Command::Edit(edit, reply) => self.edit(now, edit, reply),
+            Command::Lift(version, reply) => reply.send(self.lift(now, &version)),
             Command::EditState(id, reply) => self.catalogue.edit_state(now, id, reply),
             Command::Rollouts(reply) => {
                 let catalogue = self.catalogue.catalogue();
@@ -148,6 +149,16 @@
         status.collect()
     }
 
+    /// Lifts a version's suspension in every class that an offer has.
+    fn lift(&self, now: Time, version: &VersionId) -> usize {
+        let offers = self.view.offers.values();
+        let classes: Vec<ClassName> = offers.map(|offer| offer.class.clone()).collect();
+        let mut quality = lock(&self.shared.quality);
+        let lifted = quality.lift(now, version, &classes, &mut rand::rng());
+        tracing::info!("quality: {version} is lifted in {lifted} classes by an operator");
+        lifted
+    }
+
     fn suspended(&self) -> Vec<Suspension> {
         let dump = lock(&self.shared.quality).dump();
         let streams = dump.streams.into_iter();
--- a/components/node/tests/it/quality.rs
+++ b/components/node/tests/it/quality.rs
@@ -5,10 +5,12 @@
 use standins::rater::RaterConfig;
 use types::prelude::*;
 
-use super::harness::{CATALOGUE, Harness, ask, json_of};
+use super::harness::{CATALOGUE, Harness, ask, json_of, wait_until};
 
 /// Requests after which a suspension that has not come will not come.
 const MOST_REQUESTS: usize = 4000;
+/// Code of a refusal because no version may serve.
+const NONE_OPEN: &str = "no_version";
 
 #[test]
 fn can_suspend_a_version_whose_answers_are_bad() {
@@ -89,3 +91,68 @@
     });
     assert!(escalated.next().is_some());
 }
+
+// Kochi's notices are wrong four times in ten for as long as an outage of the store lasts. The
+// version was fine, then turned bad while the store was down; one daemon saw it, the other went on
+// serving, and the operator's word to offer it again was lost as an edit. Cause: suspensions kept
+// in the store, or in one daemon.
+#[test]
+fn can_suspend_and_lift_everywhere_while_the_store_is_down() {
+    let rater = RaterConfig {
+        lag: Span::ZERO,
+        default_quality: 1.0,
+        ..RaterConfig::default()
+    };
+    let engine = EngineConfig {
+        answer_tokens: 8,
+        ..EngineConfig::default()
+    };
+    let cfg = PlatformConfig {
+        rater,
+        engine,
+        ..PlatformConfig::default()
+    };
+    let unconditional = CATALOGUE.replace(
+        "    quality_target: '0.9'",
+        "    quality_target: '0.9'\n    freshness: {past_limit: serve}",
+    );
+    let harness = Harness::with_catalogue(&cfg, &unconditional, 2);
+    let serves = |daemon, index| refusal(&harness, daemon, index).is_none();
+    let suspended = |daemon| refusal(&harness, daemon, MOST_REQUESTS).as_deref() == Some(NONE_OPEN);
+    assert!((0..100).all(|index| serves(0, index)));
+    harness
+        .platform
+        .store
+        .set_faults(|faults| faults.down = true);
+    let (version, class) = ("small@v1".parse().unwrap(), "answer".parse().unwrap());
+    harness.platform.rater.set_quality(version, class, 0.4);
+    let mut bad = 100..MOST_REQUESTS;
+    assert!(bad.any(|index| !serves(0, index)));
+    wait_until(|| suspended(0) && suspended(1));
+    let url = format!(
+        "http://{}/offer/small@v1",
+        harness.nodes[1].operators_address()
+    );
+    let told = attohttpc::post(url).bearer_auth("test-token").send();
+    assert!(!told.unwrap().is_success(), "the edit can't be made");
+    wait_until(|| serves(0, MOST_REQUESTS + 1));
+    wait_until(|| serves(1, MOST_REQUESTS + 2));
+}
+
+/// Code of the error that a request gets, if any.
+fn refusal(harness: &Harness, daemon: usize, index: usize) -> Option<String> {
+    let mut body = ask("answers", false, 8);
+    body["messages"][0]["content"] = format!("What may salon {index} charge?").into();
+    let request = harness.post(daemon, "/v1/chat/completions");
+    let (status, _, reader) = request.json(&body).unwrap().send().unwrap().split();
+    if status.is_success() {
+        return None;
+    }
+    let body = json_of(reader);
+    Some(
+        body["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned(),
+    )
+}
--- a/components/operators/src/command.rs
+++ b/components/operators/src/command.rs
@@ -46,6 +46,9 @@
     History(EntryName, ReplyTo<Option<HistoryReply>>),
     /// Put or remove an entry.
     Edit(Edit, ReplyTo<EditOutcome>),
+    /// Lift a version's suspension, told in how many classes it had one. Not an edit: it
+    /// spreads between daemons, also while the store is down.
+    Lift(VersionId, ReplyTo<usize>),
     /// What became of an edit, nothing when this daemon has no trace of it.
     EditState(EditId, ReplyTo<Option<EditReply>>),
     /// Every roll-out.
--- a/components/operators/src/routes/rollouts.rs
+++ b/components/operators/src/routes/rollouts.rs
@@ -42,14 +42,17 @@
         self.change_version(req, operator, version, VersionState::Withdrawn)
     }
 
-    /// Offers a version. Also an edit when it is offered already: the new revision
-    /// overrules a suspension that was made before it.
+    /// Offers a version. Lifts its suspension first, which works while the store is down
+    /// and the edit that follows cannot be made.
     pub(super) fn set_offered(
         &self,
         req: &Request,
         operator: &OperatorName,
         version: &str,
     ) -> Answer {
+        if let Ok(id) = version.parse() {
+            self.ask(|reply| Command::Lift(id, reply))?;
+        }
         self.change_version(req, operator, version, VersionState::Offered)
     }
 
--- a/components/quality/src/config.rs
+++ b/components/quality/src/config.rs
@@ -35,7 +35,7 @@
     pub exploration: f64,
     /// The same, on versions that have too few ratings yet.
     pub trial: f64,
-    /// Ratings that a claim counts for when its uncertainty is weighed.
+    /// Ratings at which half of an estimate's uncertainty is held against it.
     pub claim_ratings: f64,
     /// Part of the test's threshold from which a version is suspect.
     pub suspect_at: f64,
@@ -58,7 +58,7 @@
             prior_ratings: 20.0,
             memory: 8000.0,
             proof_ratings: 50.0,
-            confidence: 0.6,
+            confidence: 0.8,
             unproved_base: 24.0,
             suspect_base: 8.0,
             answers_per_rating: 1.25,
--- a/components/quality/src/estimate.rs
+++ b/components/quality/src/estimate.rs
@@ -30,13 +30,7 @@
     /// Standard deviation of the share.
     #[must_use]
     pub fn deviation(&self) -> f64 {
-        self.deviation_with(0.0)
-    }
-
-    /// The same if there were so many more ratings of the same share.
-    #[must_use]
-    pub fn deviation_with(&self, more: f64) -> f64 {
-        let sum = self.good + self.bad + more;
+        let sum = self.good + self.bad;
         let mean = self.mean();
         (mean * (1.0 - mean) / (sum + 1.0)).sqrt()
     }
--- a/components/quality/src/quality.rs
+++ b/components/quality/src/quality.rs
@@ -3,7 +3,7 @@
 mod choose;
 mod exchange;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::Rng;
 use serde::Serialize;
@@ -188,18 +188,24 @@
     }
 
     /// An operator's word: a version starts again as unproved wherever it is suspended.
-    /// Says in how many classes that was.
-    pub fn lift(&mut self, now: Time, version: &VersionId, rng: &mut impl Rng) -> usize {
-        let of_version = |stream: &Stream| {
-            let named = stream.name.as_ref();
-            named.is_some_and(|name| name.version == *version)
-        };
-        let held = self.streams.iter().filter(|(_, stream)| of_version(stream));
-        let ids: Vec<StreamId> = held.map(|(id, _)| *id).collect();
+    /// Says in how many of the classes that was. Peers may have told of a suspension before
+    /// any request did, hence the classes.
+    pub fn lift(
+        &mut self,
+        now: Time,
+        version: &VersionId,
+        classes: &[ClassName],
+        rng: &mut impl Rng,
+    ) -> usize {
+        let classes: BTreeSet<&ClassName> = classes.iter().collect();
         let mut lifted = 0;
-        for id in ids {
-            lifted += usize::from(self.suspensions.lift(id));
-            self.settle(now, id, rng);
+        for class in classes {
+            let ids = [false, true].map(|escalated| StreamId::of(class, version, escalated));
+            let open = ids.map(|id| self.suspensions.lift(id));
+            lifted += usize::from(open.contains(&true));
+            for id in ids {
+                self.settle(now, id, rng);
+            }
         }
         lifted
     }
--- a/components/quality/src/table.rs
+++ b/components/quality/src/table.rs
@@ -14,7 +14,7 @@
 use crate::stream::{Phase, Stream, StreamId};
 
 /// Ratings with a stated confidence before a cascade is weighed.
-const SIGNAL_RATINGS: f64 = 60.0;
+const SIGNAL_RATINGS: f64 = 40.0;
 /// Ratings that the direct quality counts for, as a guess of that after an escalation.
 const ESCALATED_PRIOR: f64 = 20.0;
 /// Requests of the whole fleet over which a surplus or deficit of quality is made good.
@@ -27,7 +27,7 @@
 /// Largest correction of the target for past deficits.
 const LARGEST_CORRECTION: f64 = 0.02;
 /// Largest correction for past surpluses.
-const LARGEST_SAVING: f64 = 0.01;
+const LARGEST_SAVING: f64 = 0.005;
 /// Deviations of optimism when looking for versions worth exploring.
 const OPTIMISM: f64 = 1.5;
 /// Part of the score that an exploration must promise to save.
@@ -183,7 +183,7 @@
             cost: candidate.cost.0 as f64,
             latency: candidate.latency.as_secs_f64(),
             quality: estimate.mean(),
-            deviation: estimate.deviation_with(cfg.claim_ratings - cfg.prior_ratings),
+            deviation: estimate.deviation() * weight_of(stream.faded.sum(), cfg),
         }
     }
 
@@ -342,6 +342,12 @@
     rolled.filter(|(from, (to, _))| from != to).collect()
 }
 
+/// How much of an estimate's uncertainty is held against it: little while it is but the
+/// catalogue's claim, since what it serves too badly meanwhile is made good by the account.
+fn weight_of(ratings: f64, cfg: &Config) -> f64 {
+    ratings / (ratings + cfg.claim_ratings)
+}
+
 fn cascade_worth(first: &Stream, own: Worth, next: Worth, bin: usize, cfg: &Config) -> Worth {
     let mut accepted = 0.0;
     let mut quality = 0.0;
--- a/components/quality/tests/evidence.rs
+++ b/components/quality/tests/evidence.rs
@@ -275,7 +275,8 @@
             .expect("a fact");
     }
     assert!(newcomer.suspended(&version("small@1")));
-    assert_eq!(newcomer.lift(Time::ZERO, &version("small@1"), &mut rng), 1);
+    let lifted = newcomer.lift(Time::ZERO, &version("small@1"), &[class()], &mut rng);
+    assert_eq!(lifted, 1);
     assert!(!newcomer.suspended(&version("small@1")));
 }
 
@@ -300,7 +301,7 @@
     };
     tell(&mut other, &mut rng);
     assert!(other.suspended(&version("small@1")));
-    other.lift(Time::ZERO, &version("small@1"), &mut rng);
+    other.lift(Time::ZERO, &version("small@1"), &[class()], &mut rng);
     tell(&mut other, &mut rng);
     assert!(!other.suspended(&version("small@1")));
 }
