Roll a version out and in through daemons in a test; leave leases behind

Cause: roll-outs were tested with fakes only; a daemon that left kept its lease to its end. Change: node's tests drive roll-outs over the operators' API with stand-ins, one with the driver gone midway; a leaving daemon ends its leases.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -134,6 +134,8 @@
             }
             Event::Leave => {
                 self.leaving = true;
+                let tasks = self.rollouts.leave(now);
+                self.perform_tasks(now, tasks);
                 self.members.leave(now);
                 self.publish(now);
                 return;
--- a/components/node/src/systems/rollout.rs
+++ b/components/node/src/systems/rollout.rs
@@ -66,6 +66,7 @@
     driven: BTreeMap<ModelName, Driven>,
     tickets: BTreeMap<u64, (ModelName, u64)>,
     last_ticket: u64,
+    leaving: bool,
 }
 
 struct Driven {
@@ -83,6 +84,7 @@
             driven: BTreeMap::new(),
             tickets: BTreeMap::new(),
             last_ticket: 0,
+            leaving: false,
         }
     }
 
@@ -98,7 +100,7 @@
         let rolled = |model: &&ModelName| view.models[*model].rollout.is_some();
         let models: Vec<ModelName> = view.models.keys().filter(rolled).cloned().collect();
         self.driven.retain(|model, _| models.contains(model));
-        if models.is_empty() {
+        if models.is_empty() || self.leaving {
             return Vec::new();
         }
         let quality = quality();
@@ -191,6 +193,19 @@
         Task::Store(self.last_ticket, request)
     }
 
+    /// Gives up every lease and looks for none any more: the daemon is leaving.
+    pub(crate) fn leave(&mut self, now: Time) -> Vec<Task> {
+        let driven = std::mem::take(&mut self.driven);
+        self.leaving = true;
+        let mut tasks = Vec::new();
+        for (name, mut driven) in driven {
+            if let Some(Effect::Store(call)) = driven.driver.leave(now) {
+                tasks.push(self.store(&name, call.number, call.request));
+            }
+        }
+        tasks
+    }
+
     /// Takes a store's outcome; gives the call that follows.
     pub(crate) fn on_store(
         &mut self,
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -6,6 +6,7 @@
     mod fleet;
     mod harness;
     mod quality;
+    mod rollout;
     mod serve;
     mod sessions;
     mod shutdown;
--- a/components/rollout/src/driver.rs
+++ b/components/rollout/src/driver.rs
@@ -159,6 +159,11 @@
         next.map(Effect::Store)
     }
 
+    /// Gives the lease up, so that another need not wait for its end.
+    pub fn leave(&mut self, now: Time) -> Option<Effect> {
+        self.lease.tick(now, false, None).map(Effect::Store)
+    }
+
     /// Compares what is with what shall be.
     pub fn tick(&mut self, now: Time, seen: &Observed<'_>) -> Vec<Effect> {
         self.waiting = None;
