--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod measured;
 mod pace;
 mod rating;
+mod sessions;
 mod shared;
 pub mod snapshot;
 mod start;
