--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod check;
 pub mod model;
+pub mod reference;
 
 use std::path::Path;
 
