--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -7,6 +7,7 @@
     mod harness;
     mod limits;
     mod quality;
+    mod rollout;
     mod serve;
     mod sessions;
     mod shutdown;
