--- a/components/peers/src/stats.rs
+++ b/components/peers/src/stats.rs
@@ -45,7 +45,7 @@
 }
 
 /// Counts since the start, and gauges where said so.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Stats {
     /// Bytes read from sockets.
     pub bytes_in: u64,
