Check the claims' windows in the settings

Cause: a window out of bounds was brought within them without a word. Change: two rules; the test of broken rules has both.

--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -10,6 +10,10 @@
 const MIN_TOKEN: usize = 8;
 const MIN_TICK: Span = Span::from_millis(10);
 const MAX_TICK: Span = Span::from_secs(2);
+const MIN_WINDOW: Span = Span::from_secs(600);
+const MAX_WINDOW: Span = Span::from_secs(7 * 24 * 3600);
+const MIN_SLOT: Span = Span::from_secs(60);
+const MAX_SLOT: Span = Span::from_secs(24 * 3600);
 
 /// A broken rule.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +35,7 @@
 /// Finds every broken rule.
 pub(crate) fn check(settings: &Settings) -> Vec<Problem> {
     let rules = callers(settings).into_iter().chain(edges(settings));
+    let rules = rules.chain(claims(settings));
     let broken = rules.filter(|(holds, _, _)| !holds);
     broken
         .map(|(_, key, expected)| Problem {
@@ -86,6 +91,23 @@
     ]
 }
 
+/// A claim must outlive every deadline and every repeat, and be gone some day.
+fn claims(settings: &Settings) -> Vec<Rule> {
+    let claims = &settings.claims;
+    vec![
+        (
+            (MIN_WINDOW..=MAX_WINDOW).contains(&claims.retry_window),
+            "claims.retry_window",
+            "10m to 7days",
+        ),
+        (
+            (MIN_SLOT..=MAX_SLOT).contains(&claims.lease_slot),
+            "claims.lease_slot",
+            "1m to 1day",
+        ),
+    ]
+}
+
 fn edges(settings: &Settings) -> Vec<Rule> {
     let tokens = &settings.operators.tokens;
     let peers = &settings.peers;
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -50,6 +50,7 @@
     let text = MINIMAL
         .replace("0123456789abcdef", "short")
         .replace("dev-operator", "dev");
+    let text = format!("{text}\nclaims: {{retry_window: 1m, lease_slot: 2days}}\n");
     let error = settings::from_yaml("s.yaml", &text)
         .unwrap_err()
         .to_string();
