Measure a daemon that leaves with streams open and one without its store

Change: bench outage; bench daemons listen below the kernel's own ports and count as ready once they serve their customer, since another process was met on a port freed a moment before.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// A daemon that leaves with streams open, and one without its store.
+    Outage(Outage),
     /// The promises on requests under a fault a second.
     Faults(Faults),
     /// Roll-outs under faults.
@@ -54,6 +56,24 @@
     pub seconds: f64,
 }
 
+/// SIGTERM with 200 streams open; then a steady load whose middle half has no store.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "outage")]
+pub struct Outage {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of the load in seconds, twice that of the outage
+    #[argh(option, default = "120.0")]
+    pub seconds: f64,
+}
+
 /// Real daemons under steady load of both users with a fault a second, beside none.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "faults")]
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod decide;
 pub mod faults;
+pub mod outage;
 pub mod overhead;
 pub mod report;
 pub mod rollout;
--- a/bench/src/cmd/faults/fleet.rs
+++ b/bench/src/cmd/faults/fleet.rs
@@ -80,6 +80,7 @@
         addresses,
         seeds: others.copied().collect(),
         log: "warn".to_owned(),
+        key: "example-placements-desk".to_owned(),
     }
 }
 
--- a/bench/src/cmd/overhead.rs
+++ b/bench/src/cmd/overhead.rs
@@ -4,21 +4,17 @@
 //! go, as many streamed tokens as go, and a thousand open streams (memory). Straight and
 //! through take turns in the first, so that a busy machine disturbs both alike.
 
-mod setup;
-
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use eyre::ensure;
 
 use crate::cli::Overhead;
-use crate::load::http::{Ask, Connection, Got};
-use crate::load::{self, Arrivals, Counted, Latencies, Seen};
+use crate::echo::path::{Arm, Notes, THROUGH, arms, ask, failures};
+use crate::echo::{self, Setup};
+use crate::load::http::Connection;
+use crate::load::{self, Arrivals, Latencies, Seen};
 use crate::report::{Curve, Report};
-use setup::Setup;
 
-const STRAIGHT: &str = "straight";
-const THROUGH: &str = "through";
 const ADDED: &str = "added";
 const RATIO: &str = "ratio";
 const MACHINE: &str = "machine";
@@ -38,11 +34,11 @@
     let mut report = Report::new("overhead", options.seed);
     let length = Duration::from_secs_f64(options.seconds);
     note_machine(&mut report);
-    let setup = Setup::start(&setup::quick_engine())?;
+    let setup = Setup::start(&echo::quick_engine())?;
     modest(&setup, options.seed, length, &mut report)?;
     most_requests(&setup, length, &mut report)?;
     drop(setup);
-    let setup = Setup::start(&setup::token_engine())?;
+    let setup = Setup::start(&echo::token_engine())?;
     most_tokens(&setup, length, &mut report)?;
     drop(setup);
     open_streams(length, &mut report)?;
@@ -58,89 +54,6 @@
     report.note(MACHINE, "cores", cores as f64);
 }
 
-/// An arm with the addresses that its workers use in turn.
-struct Arm {
-    name: &'static str,
-    addresses: Vec<SocketAddr>,
-    model: &'static str,
-}
-
-fn arms(setup: &Setup) -> [Arm; 2] {
-    [
-        Arm {
-            name: STRAIGHT,
-            addresses: setup.engines(),
-            model: setup::VERSION,
-        },
-        Arm {
-            name: THROUGH,
-            addresses: vec![setup.daemon.plan.addresses.callers],
-            model: setup::OFFER,
-        },
-    ]
-}
-
-/// What workers count besides latencies.
-#[derive(Debug, Default)]
-struct Notes {
-    failed: u64,
-    tokens: u64,
-    /// What the first failure said.
-    failure: Option<String>,
-}
-
-fn ask(
-    connection: &mut Connection,
-    notes: &mut Notes,
-    arm: &Arm,
-    id: &str,
-    tokens: Option<u32>,
-) -> Counted {
-    let body = setup::body(arm.model, id, tokens);
-    let headers = [
-        ("content-type", "application/json"),
-        ("authorization", setup::AUTHORIZATION),
-        ("x-request-id", id),
-    ];
-    let ask = Ask {
-        method: "POST",
-        path: "/v1/chat/completions",
-        headers: &headers,
-        body: body.as_bytes(),
-    };
-    let mut events = 0;
-    let mut last = Vec::new();
-    let got = connection.ask_stream(&ask, |data| {
-        events += 1;
-        last.clear();
-        last.extend_from_slice(data);
-    });
-    notes.tokens += events;
-    let is_whole = tokens.is_none() || last == b"[DONE]";
-    match got {
-        Ok(Got { status: 200, .. }) if is_whole => Counted::Good,
-        Ok(got) => fail(
-            notes,
-            format!("{}: {}", got.status, String::from_utf8_lossy(&got.body)),
-        ),
-        Err(e) => fail(notes, e.to_string()),
-    }
-}
-
-fn fail(notes: &mut Notes, message: String) -> Counted {
-    notes.failed += 1;
-    notes.failure.get_or_insert(message);
-    Counted::Failed
-}
-
-/// Failures of all workers; the first is printed for the reader.
-fn failures(arm: &Arm, seen: &[Seen<Notes>]) -> f64 {
-    if let Some(failure) = seen.iter().find_map(|s| s.notes.failure.as_ref()) {
-        eprintln!("overhead: {}: a request failed: {failure}", arm.name);
-    }
-    seen.iter().map(|s| s.notes.failed as f64).sum()
-}
-
 fn modest(setup: &Setup, seed: u64, length: Duration, report: &mut Report) -> eyre::Result<()> {
     let arms = arms(setup);
     let mut latencies = [Latencies::new(), Latencies::new()];
@@ -242,7 +155,7 @@
 
 /// Memory with many slow streams open, and that all of them end whole.
 fn open_streams(length: Duration, report: &mut Report) -> eyre::Result<()> {
-    let setup = Setup::start(&setup::slow_engine(length))?;
+    let setup = Setup::start(&echo::slow_engine(length))?;
     let idle = setup.daemon.resident_bytes()?;
     let [_, arm] = arms(&setup);
     let (seen, resident) = std::thread::scope(|scope| {
@@ -274,7 +187,7 @@
                 notes,
                 arm,
                 &format!("o-{number}"),
-                Some(setup::SLOW_TOKENS),
+                Some(echo::SLOW_TOKENS),
             )
         },
     )
--- a/bench/src/cmd/report.rs
+++ b/bench/src/cmd/report.rs
@@ -15,6 +15,7 @@
 /// Experiments, in the page's order, with further arguments.
 const EXPERIMENTS: &[(&str, &[&str])] = &[
     ("overhead", &[]),
+    ("outage", &[]),
     ("faults", &[]),
     ("claims", &[]),
     ("balance", &[]),
--- a/bench/src/daemons.rs
+++ b/bench/src/daemons.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::{Context, bail};
+use rand::RngExt;
 use standins::platform::Platform;
 
 use crate::load::http::{Ask, Connection};
@@ -55,9 +56,14 @@
     pub peers: SocketAddr,
 }
 
+/// Ports below those that the kernel gives out by itself: an address is found before its
+/// daemon starts, and any other process could be given such a port in between.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+const TRIES: usize = 100;
+
 impl Addresses {
     /// Ports that are free now.
-    pub fn free() -> io::Result<Self> {
+    pub fn free() -> eyre::Result<Self> {
         // All held at once, so that they differ.
         let held = [listener()?, listener()?, listener()?];
         Ok(Self {
@@ -68,8 +74,12 @@
     }
 }
 
-fn listener() -> io::Result<TcpListener> {
-    TcpListener::bind(("127.0.0.1", 0))
+fn listener() -> eyre::Result<TcpListener> {
+    let ports = (0..TRIES).map(|_| rand::rng().random_range(PORTS));
+    let mut listeners = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+    listeners
+        .next()
+        .ok_or_else(|| eyre::eyre!("no free port among {PORTS:?}"))
 }
 
 /// What one daemon is told.
@@ -85,6 +95,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Such as `warn`.
     pub log: String,
+    /// A customer's key, to see when it serves.
+    pub key: String,
 }
 
 /// The fleet that bench daemons belong to.
@@ -137,16 +149,17 @@
         bail!("daemon {} is not ready in time", self.plan.name)
     }
 
-    /// Whether it serves callers: before it holds a catalogue it refuses all with 503.
+    /// Whether it serves its customer: before it holds a catalogue it refuses all.
     pub fn is_ready(&self) -> bool {
+        let bearer = format!("Bearer {}", self.plan.key);
         let ask = Ask {
             method: "GET",
             path: "/v1/models",
-            headers: &[],
+            headers: &[("authorization", &bearer)],
             body: &[],
         };
         let got = Connection::new(self.plan.addresses.callers).ask(&ask);
-        got.is_ok_and(|got| got.status != 503)
+        got.is_ok_and(|got| got.status == 200)
     }
 
     /// Its process id.
--- a/bench/src/cmd/overhead/setup.rs
+++ b/bench/src/echo.rs
@@ -1,4 +1,6 @@
-//! The engines, the daemon and the requests of `overhead`.
+//! One daemon before four engines, one customer and one offer, without limits.
+
+pub mod path;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +16,7 @@
 pub const OFFER: &str = "echo";
 /// What callers of the engines ask for.
 pub const VERSION: &str = "echo-large@2026-12";
+const KEY: &str = "example-bench";
 /// The customer's key, as a header.
 pub const AUTHORIZATION: &str = "Bearer example-bench";
 /// Tokens of each slow stream.
@@ -70,7 +73,8 @@
 pub struct Setup {
     /// The daemon; stops before the platform.
     pub daemon: Daemon,
-    platform: Platform,
+    /// The stand-ins.
+    pub platform: Platform,
     _scratch: Scratch,
 }
 
@@ -91,6 +95,7 @@
             addresses: Addresses::free()?,
             seeds: Vec::new(),
             log: "warn".to_owned(),
+            key: KEY.to_owned(),
         };
         let daemon = Daemon::start(plan, &platform, scratch.path())?;
         Ok(Self {
@@ -112,7 +117,7 @@
 
 /// One customer, one pool, one offer, no limits.
 fn entries() -> String {
-    let hash = catalogue::entry::KeyHash::from_key("example-bench");
+    let hash = catalogue::entry::KeyHash::from_key(KEY);
     let upstreams = (1..=ENGINES).map(|n| {
         format!(
             "      - {{id: echo-{n}, address: '10.0.0.{n}:80', failure_domain: one, slots: {SLOTS}}}\n"
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod cmd;
 mod daemons;
+mod echo;
 mod fake;
 mod fleet;
 mod load;
@@ -16,6 +17,9 @@
         cli::Command::Overhead(options) => {
             cmd::overhead::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Outage(options) => {
+            cmd::outage::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Faults(options) => {
             cmd::faults::run(&options)?.finish(options.json, options.plot.as_deref())
         }
