--- a/components/catalogue/src/sync/report.rs
+++ b/components/catalogue/src/sync/report.rs
@@ -57,6 +57,12 @@
         self.note(daemon, revision, now - age);
     }
 
+    /// A daemon's last report.
+    #[must_use]
+    pub fn heard(&self, daemon: &DaemonId) -> Option<&Heard> {
+        self.heard.get(daemon)
+    }
+
     /// How far the live daemons are with a revision.
     #[must_use]
     pub fn in_force(&self, now: Time, revision: Revision) -> InForce {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the tables, takes events, runs the systems each tick.
 
 mod commands;
+mod upkeep;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use types::prelude::*;
 
 use crate::calling::Calling;
-use crate::event::{EVENTS_WAITING, Event, StoreUse};
+use crate::event::{Event, StoreUse};
 use crate::shared::{Shared, lock};
 use crate::snapshot::{Readiness, Snapshot};
 use crate::storage::Storage;
@@ -20,6 +21,7 @@
 
 mod billing;
 mod evidence;
+mod loads;
 mod peering;
 
 /// The tables and what they reach out through.
@@ -34,6 +36,7 @@
     members: systems::membership::Table,
     rollouts: systems::rollout::Table,
     calling: Calling,
+    due: loads::Due,
     view: Arc<View>,
     leaving: bool,
 }
@@ -62,6 +65,7 @@
             members,
             rollouts,
             calling,
+            due: loads::Due::default(),
             view: Arc::default(),
             leaving: false,
         }
@@ -133,6 +137,8 @@
             }
             Event::Leave => {
                 self.leaving = true;
+                let tasks = self.rollouts.leave(now);
+                self.perform_tasks(now, tasks);
                 self.members.leave(now);
                 self.publish(now);
                 return;
@@ -145,49 +151,20 @@
     fn tick(&mut self) {
         let now = self.shared.now();
         self.tick_members(now);
+        self.shared.sessions.tick(now);
         let actions = self.catalogue.tick(now);
         self.perform(now, actions);
         self.tick_ledger(now);
         let fleet = self.members.membership().fleet_size();
         systems::quality::tick(&self.shared, now, fleet);
         self.show_quality(now);
+        self.tick_loads(now);
         self.drive_rollouts(now);
         self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
     }
 
-    fn drive_rollouts(&mut self, now: Time) {
-        let members = self.catalogue.members().iter();
-        let members: Vec<DaemonId> = members.map(|member| member.id.clone()).collect();
-        let shared = &self.shared;
-        let quality = || lock(&shared.quality).dump();
-        let catalogue = self.catalogue.catalogue();
-        let tasks = self
-            .rollouts
-            .tick(now, &self.view, catalogue, &members, quality);
-        self.perform_tasks(now, tasks);
-    }
-
-    /// Notes what metrics and probes show.
-    fn measure(&self, now: Time) {
-        let metrics = &self.shared.metrics;
-        let revision = i64::try_from(self.view.revision.0).unwrap_or(i64::MAX);
-        metrics.catalogue_revision.set(revision);
-        let confirmed = self.catalogue.sync().confirmed();
-        let age = confirmed.map_or(now.since(Time::ZERO), |at| now.since(at));
-        metrics.freshness_age.set(age.as_secs_f64());
-        metrics.set_queue_fill("events", self.shared.events.len(), EVENTS_WAITING);
-        let most = self.shared.settings.callers.max_in_flight;
-        metrics.set_queue_fill("requests", self.shared.pool.load(), most);
-        let not_ready = match self.readiness(self.view.revision) {
-            Readiness::Ready => None,
-            Readiness::Starting => Some("no catalogue is held yet".to_owned()),
-            Readiness::Leaving => Some("leaving".to_owned()),
-        };
-        self.shared.health.tick(not_ready);
-    }
-
     fn perform(&mut self, now: Time, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
@@ -209,9 +186,11 @@
         let view = self.catalogue.view();
         let region = &self.shared.settings.region;
         systems::routing::configure(&mut lock(&self.shared.router), &view, region);
+        systems::limits::configure(&mut self.shared.admissions.table().limiter, now, &view);
         tracing::info!("catalogue: revision {} is in force", view.revision);
         self.show_progress(now, view.revision);
         self.view = Arc::new(view);
+        self.count_slots(now);
         self.publish(now);
     }
 
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -8,16 +8,17 @@
 use quality::Quality;
 use requests::budget::RetryBudget;
 use routing::Router;
-use sessions::pins::Pins;
 use settings::Settings;
 use store::Store;
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::admission::Admissions;
 use crate::claims::Claims;
 use crate::event::Event;
 use crate::pace::Paces;
 use crate::rating::Rating;
+use crate::sessions::Sessions;
 use crate::snapshot::Snapshot;
 use crate::traffic::pool::Pool;
 
@@ -37,6 +38,8 @@
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The picture of the upstreams.
     pub(crate) router: Mutex<Router>,
+    /// Limits, and what waits for leave to start.
+    pub(crate) admissions: Admissions,
     /// Threads for requests in flight.
     pub(crate) pool: Pool,
     /// Keys that sign session tokens.
@@ -44,7 +47,7 @@
     /// The platform's key-value service.
     pub(crate) store: Arc<dyn Store>,
     /// Pins of named sessions.
-    pub(crate) pins: Mutex<Pins>,
+    pub(crate) sessions: Sessions,
     /// Claims of work that runs only once.
     pub(crate) claims: Claims,
     /// To the control thread.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -13,18 +13,20 @@
 use quality::Quality;
 use requests::claim::Windows;
 use routing::{Place, Router, Tuning};
-use sessions::pins::Pins;
 use sessions::token::{Key, Keys};
 use settings::Settings;
 use store::{EtcdClient, Store};
 use telemetry::metrics::Metrics;
 use types::prelude::*;
 
+use crate::admission::Admissions;
 use crate::claims::{self, Claims};
 use crate::control::Control;
 use crate::error::NodeError;
 use crate::event::{EVENTS_WAITING, Event};
+use crate::measured::Counted;
 use crate::rating::Rating;
+use crate::sessions::Sessions;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::storage::Storage;
@@ -35,8 +37,6 @@
 /// Pause between two looks at what is still under way.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
-/// A named session's pin goes when unused for so long.
-const PIN_IDLE: Span = Span::from_secs(3600);
 /// A leaving daemon waits so long for the store to take its bills.
 const SEAL_PATIENCE: Span = Span::from_secs(10);
 
@@ -66,6 +66,7 @@
         let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
         let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
+        shared.sessions.set_peers(peers.clone());
         let control = Control::new(shared.clone(), storage, peers);
         let thread = std::thread::Builder::new().name("control".to_owned());
         let control = thread.spawn(move || control.run(&events_rx))?;
@@ -187,21 +188,23 @@
     };
     let router = Router::new(&settings.daemon, place, Tuning::default());
     let incarnation = Incarnation(clock.wall().0);
-    let store = open_store(&settings)?;
+    let metrics = Arc::new(Metrics::new());
+    let store = open_store(&settings, metrics.clone())?;
     let (claims, thread) = Claims::start(&store, clock, claims_config(&settings, incarnation))?;
     let shared = Shared {
         clock,
         incarnation,
         snapshot: ArcSwap::from_pointee(Snapshot::default()),
         router: Mutex::new(router),
+        admissions: Admissions::new(&settings.daemon, settings.callers.max_in_flight),
         pool: Pool::new(settings.callers.max_in_flight),
         session_keys: session_keys(&settings)?,
-        pins: Mutex::new(Pins::new(PIN_IDLE)),
+        sessions: Sessions::new(settings.daemon.clone()),
         store,
         claims,
         events,
         health: Arc::new(Health::new(clock)),
-        metrics: Arc::new(Metrics::new()),
+        metrics,
         quality: Mutex::new(Quality::new(
             quality_config(&settings),
             incarnation,
@@ -235,11 +238,11 @@
     }
 }
 
-fn open_store(settings: &Settings) -> Result<Arc<dyn Store>, NodeError> {
+fn open_store(settings: &Settings, metrics: Arc<Metrics>) -> Result<Arc<dyn Store>, NodeError> {
     let mut cfg = store::Config::new(settings.store.endpoints.clone());
     cfg.call_timeout = settings.store.timeout;
     let client = EtcdClient::new(cfg).map_err(|error| NodeError::Store(error.to_string()))?;
-    Ok(Arc::new(client))
+    Ok(Arc::new(Counted::new(client, metrics)))
 }
 
 fn session_keys(settings: &Settings) -> Result<Keys, NodeError> {
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -5,7 +5,9 @@
     mod claims;
     mod fleet;
     mod harness;
+    mod limits;
     mod quality;
+    mod rollout;
     mod serve;
     mod sessions;
     mod shutdown;
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -70,6 +70,12 @@
         Self::with_daemons(cfg, 1)
     }
 
+    /// One daemon before engines of so many slots.
+    pub fn with_slots(cfg: &PlatformConfig, slots: u32) -> Self {
+        let slots = format!("slots: {slots}}}");
+        Self::with_catalogue(cfg, &CATALOGUE.replace("slots: 256}", &slots), 1)
+    }
+
     /// Several daemons that know each other.
     pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
         Self::with_catalogue(cfg, CATALOGUE, count)
@@ -177,16 +183,30 @@
         wait_until(|| !self.models(0).contains("small@v1"));
     }
 
+    /// Takes the offer from the customer and waits until that is in force.
+    pub fn forbid(&self) {
+        self.edit(1_000, "offers/answers", |body| {
+            if let Body::Offer(offer) = body {
+                offer.customers.clear();
+            }
+        });
+        wait_until(|| !self.models(0).contains("small@v1"));
+    }
+
     /// Writes an edit that sets the states of the model's two versions.
     pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        let name = "models/small".parse().unwrap();
-        let mut entry = (*self.platform.entries[&name]).clone();
-        let Body::Model(model) = &mut entry.body else {
-            unreachable!("models/small is a model");
-        };
-        for (version, state) in model.versions.values_mut().zip(states) {
-            version.state = state;
-        }
+        self.edit(revision, "models/small", |body| {
+            if let Body::Model(model) = body {
+                let versions = model.versions.values_mut();
+                versions.zip(states).for_each(|(v, state)| v.state = state);
+            }
+        });
+    }
+
+    /// Writes an edit of an entry as the given revision.
+    pub fn edit(&self, revision: u64, name: &str, change: impl FnOnce(&mut Body)) {
+        let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
+        change(&mut entry.body);
         let record = Record {
             revision: Revision(revision),
             edit_id: EditId(revision.into()),
@@ -196,7 +216,15 @@
             history: Vec::new(),
         };
         let value = serde_json::to_vec(&record).unwrap();
-        self.put("catalogue/entries/models/small", &value);
+        self.put(&format!("catalogue/entries/{name}"), &value);
+    }
+
+    /// A daemon's dump.
+    pub fn dump(&self, index: usize) -> Value {
+        let address = self.nodes[index].operators_address();
+        let url = format!("http://{address}/dump");
+        let answer = attohttpc::get(url).bearer_auth("test-token").send();
+        json_of(answer.unwrap().split().2)
     }
 
     /// What a daemon lists as models.
