Serve on through an outage of the store, and say why in the decisions' notes

Cause: with 'the store answered someone within 30 s' as the sign of an edit to come, every outage made all entries refuse from their limit (10 s) to the 30th second. Conclusion: a total outage is served through, a daemon that lags behind a living store refuses.

--- a/components/catalogue/src/sync/freshness.rs
+++ b/components/catalogue/src/sync/freshness.rs
@@ -16,6 +16,9 @@
 /// goes on serving by what it found before.
 const REACH_HOLDS: Span = Span::from_secs(3);
 
+/// The store's last answer leads the last confirmation when it is later by more.
+const STORE_LEAD: Span = Span::from_secs(5);
+
 /// A larger fleet is remembered for so long.
 const FLEET_MEMORY: Span = Span::from_secs(600);
 
@@ -35,6 +38,9 @@
     pub reached: usize,
     /// Whether the store answered any of them lately.
     pub touches_store: bool,
+    /// Whether it answered one well after this daemon's catalogue was last current: others
+    /// have newer, and this daemon did not get it.
+    pub store_leads: bool,
     /// When this was found.
     pub at: Time,
 }
@@ -98,8 +104,10 @@
         PastLimit::ServeWithMajority if !reach.is_majority() => {
             refuse(format!("{state} and only {of}"))
         }
-        PastLimit::ServeWithMajority if reach.touches_store => {
-            refuse(format!("{state} though a daemon in reach has the store"))
+        // With the store down for all, its last answer anywhere and the last confirmation
+        // are of about the same moment; where the answer is later, edits may go on.
+        PastLimit::ServeWithMajority if reach.store_leads => {
+            refuse(format!("{state} though the store answers daemons in reach"))
         }
         PastLimit::ServeWithMajority => {
             let reason = format!("{state}; {of} and none has the store");
@@ -148,6 +156,14 @@
         }
     }
 
+    pub(super) fn store_leads(&self, now: Time) -> bool {
+        match (self.store_answered, self.confirmed) {
+            (Some(answered), Some(confirmed)) => answered > confirmed + STORE_LEAD,
+            (Some(answered), None) => now.since(answered) <= self.cfg.reach,
+            (None, _) => false,
+        }
+    }
+
     pub(super) fn note_store(&mut self, now: Time, age: Option<Span>, token: Time) {
         self.store_answered = self.store_answered.max(moment(now, age, token));
     }
--- a/components/catalogue/src/sync/report.rs
+++ b/components/catalogue/src/sync/report.rs
@@ -129,6 +129,7 @@
             touches_store: self
                 .store_answered
                 .is_some_and(|at| now.since(at) <= window),
+            store_leads: self.store_leads(now),
             at: now,
         }
     }
--- a/components/catalogue/tests/fleet/spread.rs
+++ b/components/catalogue/tests/fleet/spread.rs
@@ -228,14 +228,39 @@
     assert_everywhere(&fleet, 2);
     assert_eq!(decisions(&fleet, PastLimit::Refuse), [true; PLACES]);
     fleet.store_up = false;
-    fleet.run(Span::from_secs(60));
-    assert_eq!(
-        decisions(&fleet, PastLimit::ServeWithMajority),
-        [true; PLACES]
-    );
+    for second in 0..60 {
+        fleet.run(Span::from_secs(1));
+        let serving = decisions(&fleet, PastLimit::ServeWithMajority);
+        assert_eq!(
+            serving, [true; PLACES],
+            "{second} s after the store went down"
+        );
+    }
     assert_eq!(decisions(&fleet, PastLimit::Refuse), [false; PLACES]);
 }
 
+/// A daemon hears that there is a newer revision and does not get it, neither from others
+/// nor from the store, while operators go on with the store in reach of others. It sees most of the fleet and must refuse.
+#[test]
+fn errors_refuse_when_others_have_newer_from_the_store() {
+    let mut fleet = Fleet::new(12, 11);
+    fleet.put(0, "customers/a", IfMatch::Absent, 1);
+    fleet.run(Span::from_secs(3));
+    let lags = |place: &usize| !fleet.daemon(*place).sync.is_watching();
+    let lagging = (0..12).find(lags).unwrap();
+    fleet.no_store = Some(id(lagging));
+    fleet.drops_pages = true;
+    fleet.put(0, "customers/a", at(1), 2);
+    fleet.run(Span::from_secs(14));
+    let rule = Freshness::default();
+    let decision = fleet.daemon(lagging).sync.decision(fleet.now, &rule);
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+    fleet.drops_pages = false;
+    fleet.run(Span::from_secs(5));
+    let decision = fleet.daemon(lagging).sync.decision(fleet.now, &rule);
+    assert!(matches!(decision, Decision::InForce { .. }), "{decision:?}");
+}
+
 /// A daemon is paused for half a minute with answers waiting in its queue. Read after
 /// it wakes up, they must not pass for fresh: what they tell was true before the pause.
 #[test]
--- a/components/catalogue/tests/fleet/world.rs
+++ b/components/catalogue/tests/fleet/world.rs
@@ -47,6 +47,10 @@
     pub(crate) store_up: bool,
     /// Daemons that reach only each other.
     pub(crate) cut: BTreeSet<DaemonId>,
+    /// Does not reach the store, though it reaches others.
+    pub(crate) no_store: Option<DaemonId>,
+    /// Records do not get through between daemons.
+    pub(crate) drops_pages: bool,
     pub(crate) fates: VecDeque<Fate>,
     pub(crate) delayed: Vec<Request>,
     pub(crate) verdicts: BTreeMap<Ticket, Verdict>,
@@ -94,6 +98,8 @@
             daemons: BTreeMap::new(),
             store_up: true,
             cut: BTreeSet::new(),
+            no_store: None,
+            drops_pages: false,
             fates: VecDeque::new(),
             delayed: Vec::new(),
             verdicts: BTreeMap::new(),
@@ -232,7 +238,8 @@
                 self.messages.push_back((from, to, message));
                 continue;
             }
-            if self.cut.contains(&from) != self.cut.contains(&to) {
+            let is_dropped = self.drops_pages && matches!(message, Message::Page(_));
+            if is_dropped || self.cut.contains(&from) != self.cut.contains(&to) {
                 continue;
             }
             let bytes = serde_json::to_vec(&message).unwrap();
@@ -336,7 +343,7 @@
     }
 
     fn reaches_store(&self, id: &DaemonId) -> bool {
-        self.store_up && !self.cut.contains(id)
+        self.store_up && !self.cut.contains(id) && self.no_store.as_ref() != Some(id)
     }
 
     fn call(&mut self, id: &DaemonId, req: &Request, fate: Fate) -> Outcome {
