--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -30,12 +30,18 @@
         cli::Command::Burst(options) => {
             cmd::burst::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Config(options) => {
+            cmd::config::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Claims(options) => {
             cmd::claims::run(&options)?.finish(options.json, options.plot.as_deref())
         }
         cli::Command::Decide(options) => {
             cmd::decide::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Ledger(options) => {
+            cmd::ledger::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Rollout(options) => {
             cmd::rollout::run(&options)?.finish(options.json, options.plot.as_deref())
         }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -84,7 +84,7 @@
 }
 
 /// Counts since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Counters {
     /// Messages with a part over its bounds.
     pub malformed: u64,
@@ -109,7 +109,7 @@
 }
 
 /// How full the tables are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 pub struct Fill {
     /// Members, the dead included.
     pub members: usize,
--- a/components/peers/src/payload.rs
+++ b/components/peers/src/payload.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Largest content of one message, in bytes.
-pub const MAX_BODY_BYTES: usize = 192 * 1024;
+pub const MAX_BODY_BYTES: usize = 576 * 1024;
 
 /// What one message carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
