--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -30,6 +30,8 @@
     Balance(Balance),
     /// A partner's batch on steady interactive work.
     Burst(Burst),
+    /// Memberships of many daemons in one loop.
+    Membership(Membership),
     /// Edits of the catalogue in force at every daemon.
     Config(Config),
     /// Cost of claims and sessions.
@@ -236,3 +238,18 @@
     #[argh(option, default = "1000")]
     pub rounds: u32,
 }
+
+/// Memberships of many daemons in one loop, in simulated time, with messages lost.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "membership")]
+pub struct Membership {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod decide;
 pub mod faults;
+pub mod membership;
 pub mod overhead;
 pub mod report;
 pub mod rollout;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -33,6 +33,9 @@
         cli::Command::Config(options) => {
             cmd::config::run(&options)?.finish(options.json, options.plot.as_deref())
         }
+        cli::Command::Membership(options) => {
+            cmd::membership::run(&options)?.finish(options.json, options.plot.as_deref())
+        }
         cli::Command::Claims(options) => {
             cmd::claims::run(&options)?.finish(options.json, options.plot.as_deref())
         }
--- a/components/membership/src/membership/receive.rs
+++ b/components/membership/src/membership/receive.rs
@@ -56,6 +56,7 @@
         // A run that was paused while its successor took over: its news is of the past.
         if !is_join && held.is_some_and(|held| held.incarnation > from.incarnation) {
             self.counters.stale += 1;
+            self.tell_successor(from, outcome);
             return false;
         }
         if held.is_some_and(|held| held.incarnation == from.incarnation) {
@@ -220,6 +221,18 @@
         self.send_repair(from.address, Message::Page { members, next }, outcome);
     }
 
+    /// Tells a sender of the later run of its name, so that it stops or outbids it.
+    fn tell_successor(&mut self, from: &Sender, outcome: &mut Outcome) {
+        let members = self.successor_of(from).into_iter().collect();
+        let page = Message::Page {
+            members,
+            next: None,
+        };
+        if self.may_repair() {
+            self.send_repair(from.address, page, outcome);
+        }
+    }
+
     /// The later run of the sender's name that this daemon remembers.
     fn successor_of(&self, from: &Sender) -> Option<MemberRecord> {
         let record = &self.members.get(&from.id)?.record;
--- a/components/membership/src/membership/report.rs
+++ b/components/membership/src/membership/report.rs
@@ -191,7 +191,7 @@
     fn take_own_record(&mut self, record: &MemberRecord, outcome: &mut Outcome) {
         let mine = self.me.stamp;
         if record.stamp.incarnation > mine.incarnation {
-            self.raise_incarnation(record.stamp.incarnation.next(), outcome);
+            self.take_successor(record, outcome);
             return;
         }
         let same_run = record.stamp.incarnation == mine.incarnation;
@@ -204,6 +204,20 @@
         }
     }
 
+    /// Takes a report about a later run of this daemon's name.
+    ///
+    /// At this address, or gone, it is one from before, by a clock that was ahead. Alive
+    /// at another address it is a second process: if both raised their incarnation they
+    /// would outbid each other without end.
+    fn take_successor(&mut self, record: &MemberRecord, outcome: &mut Outcome) {
+        let address = record.address;
+        if address == self.me.address || !record.state.is_present() {
+            self.raise_incarnation(record.stamp.incarnation.next(), outcome);
+        } else {
+            outcome.events.push(Event::DuplicateName { address });
+        }
+    }
+
     /// Goes on as a later run than any that others remember.
     ///
     /// A replaced host whose clock is behind would come with a lower incarnation than
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -164,6 +164,37 @@
     assert_eq!(fleet.count(Time::ZERO, raised), 1);
 }
 
+// Two hosts are given the same name by mistake. They must not outbid each other without
+// end, flooding the fleet with news; the operator is told of both.
+#[test]
+fn can_bear_two_of_the_same_name() {
+    let mut fleet = Fleet::new(8, 11);
+    fleet.run_for(secs(20));
+    let mut second = config(4, 2);
+    second.address = address(20);
+    fleet.start(second);
+    fleet.run_for(secs(60));
+    let raised = |event: &Event| matches!(event, Event::IncarnationRaised(_));
+    assert_eq!(fleet.count(Time::ZERO, raised), 0);
+    let told = |event: &Event| matches!(event, Event::DuplicateName { .. });
+    assert!(fleet.count(Time::ZERO, told) > 0);
+}
+
+// Such a name is taken from a host whose clock was ahead to one whose clock is behind,
+// at another address. It must be in once the old host is dead.
+#[test]
+fn can_replace_a_host_whose_clock_was_ahead() {
+    let mut fleet = Fleet::new(8, 12);
+    fleet.run_for(secs(20));
+    fleet.node(4).runs = false;
+    let mut behind = config(4, 0);
+    behind.incarnation = Incarnation(5);
+    behind.address = address(20);
+    fleet.start(behind);
+    let took = fleet.run_while(secs(60), |fleet| !fleet.agrees());
+    assert!(took.is_some());
+}
+
 // Two regions lose each other for two minutes. Each side buries the other and goes on.
 // When the cut heals both find each other again through the dead that are remembered,
 // and nobody is declared dead on the way.
