--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -9,6 +9,8 @@
 pub mod decide;
 pub mod faults;
 pub mod membership;
+pub mod ledger;
 pub mod overhead;
 pub mod report;
 pub mod rollout;
+pub mod spread;
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -7,7 +7,6 @@
 use adminapi::status::{MemberState, MemberStatus, StatusReply, Suspension};
 use catalogue::edit::make_id;
 use ledger::{Export, Row, Statement, Step};
-use membership::{MemberRecord, State};
 use operators::command::{Command, Edit, ReplyTo};
 use quality::Phase;
 use types::prelude::*;
@@ -33,6 +32,7 @@
                 reply.send(record.map(|record| HistoryReply::from_record(&name, record)));
             }
             Command::Edit(edit, reply) => self.edit(now, edit, reply),
+            Command::Lift(version, reply) => reply.send(self.lift(now, &version)),
             Command::EditState(id, reply) => self.catalogue.edit_state(now, id, reply),
             Command::Rollouts(reply) => {
                 let catalogue = self.catalogue.catalogue();
@@ -108,7 +108,7 @@
         let sync = self.catalogue.sync();
         let revision = sync.catalogue().revision();
         let confirmed = sync.confirmed();
-        let members = self.members(now);
+        let members = self.member_statuses(now);
         let live = members.iter().filter(|member| member.state.is_live());
         StatusReply {
             cluster: settings.cluster.clone(),
@@ -124,42 +124,39 @@
         }
     }
 
-    /// The daemons and what they last reported, gone ones included for a while.
-    fn members(&self, now: Time) -> Vec<MemberStatus> {
-        let membership = self.members.membership();
-        let others = membership.members().map(|member| &member.record);
-        let all = others.chain([membership.me()]);
-        let mut members = all
-            .map(|record| self.member(now, record))
-            .collect::<Vec<_>>();
-        members.sort_by(|a, b| a.daemon.cmp(&b.daemon));
-        members
+    /// This daemon and the others, with what they last reported.
+    fn member_statuses(&self, now: Time) -> Vec<MemberStatus> {
+        let others = self.members.membership().members();
+        let others = others.map(|member| (&member.record, member.heard_at));
+        let me = (self.members.membership().me(), Some(now));
+        let mut members: Vec<_> = std::iter::once(me).chain(others).collect();
+        members.sort_by(|(a, _), (b, _)| a.id.cmp(&b.id));
+        let revision = self.catalogue.catalogue().revision();
+        let behind = self.catalogue.sync().in_force(now, revision).laggards;
+        let status = members.into_iter().map(|(record, heard_at)| {
+            let laggard = behind.iter().find(|laggard| laggard.daemon == record.id);
+            let heard = heard_at.map_or(Span::ZERO, |at| now.since(at));
+            let age = laggard.and_then(|laggard| laggard.heard);
+            MemberStatus {
+                daemon: record.id.clone(),
+                failure_domain: record.failure_domain.clone(),
+                state: state_of(record.state),
+                revision: laggard.map_or(revision, |l| l.revision.unwrap_or_default()),
+                report_age: age.unwrap_or(heard),
+                behind_for: age,
+            }
+        });
+        status.collect()
     }
 
-    fn member(&self, now: Time, record: &MemberRecord) -> MemberStatus {
-        let sync = self.catalogue.sync();
-        let own = sync.catalogue().revision();
-        let is_me = record.id == self.shared.settings.daemon;
-        let heard = sync.heard(&record.id);
-        let revision = if is_me {
-            own
-        } else {
-            heard.map_or(Revision(0), |heard| heard.revision)
-        };
-        let report_age = heard.map_or(Span::ZERO, |heard| now.since(heard.at));
-        MemberStatus {
-            daemon: record.id.clone(),
-            failure_domain: record.failure_domain.clone(),
-            state: match record.state {
-                State::Alive => MemberState::Alive,
-                State::Suspect => MemberState::Suspect,
-                State::Left => MemberState::Leaving,
-                State::Down => MemberState::Dead,
-            },
-            revision,
-            report_age,
-            behind_for: (revision < own).then_some(report_age),
-        }
+    /// Lifts a version's suspension in every class that an offer has.
+    fn lift(&self, now: Time, version: &VersionId) -> usize {
+        let offers = self.view.offers.values();
+        let classes: Vec<ClassName> = offers.map(|offer| offer.class.clone()).collect();
+        let mut quality = lock(&self.shared.quality);
+        let lifted = quality.lift(now, version, &classes, &mut rand::rng());
+        tracing::info!("quality: {version} is lifted in {lifted} classes by an operator");
+        lifted
     }
 
     fn suspended(&self) -> Vec<Suspension> {
@@ -187,10 +184,11 @@
             "in_flight": {"requests": shared.pool.load(), "most": shared.settings.callers.max_in_flight},
             "events": {"waiting": shared.events.len(), "most": crate::event::EVENTS_WAITING},
             "catalogue": self.catalogue.dump(now),
-            "membership": self.members.dump(now),
             "ledger": self.ledger.fill(),
+            "membership": self.members.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
+            "limits": self.dump_loads(),
         })
     }
 
@@ -207,6 +205,15 @@
     }
 }
 
+fn state_of(state: membership::State) -> MemberState {
+    match state {
+        membership::State::Alive => MemberState::Alive,
+        membership::State::Suspect => MemberState::Suspect,
+        membership::State::Left => MemberState::Leaving,
+        membership::State::Down => MemberState::Dead,
+    }
+}
+
 fn read_bills(shared: &Arc<Shared>, query: BillsQuery) -> Result<BillsReply, String> {
     let prefix = crate::systems::ledger::prefix(&shared.settings.cluster);
     let since = query.since.unwrap_or_default();
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -1,6 +1,8 @@
 //! Runs one request: attempt after attempt until it is answered or refused.
 
 use callers::Responder;
+use catalogue::view::{SERVICES, short_name};
+use limits::Ask;
 use requests::attempt::{AttemptEnd, Usage};
 use requests::life::{Answered, Attempted, Next, Refused, Request, Waiting};
 use requests::refusal::Code;
@@ -10,16 +12,22 @@
 use super::Job;
 use super::answer::Relay;
 use super::body::prefix_hashes;
-use super::version::{Chosen, NoVersion, choose_version};
+use super::version::{NoVersion, choose_version};
+use crate::admission;
+use crate::measured;
 use crate::rating;
 use crate::shared::{Shared, lock};
 use crate::traffic::billing;
 use crate::traffic::claim::{self, Entry};
+use crate::traffic::limited;
 use crate::traffic::refusal::Refusal;
 
 /// Pause that a caller is told when no version or upstream can take the work.
 const NO_UPSTREAM_RETRY: Span = Span::from_secs(1);
 
+/// Tokens of an answer that are reserved until its length is known.
+const EXPECTED_OUTPUT: Tokens = Tokens(256);
+
 /// Runs a request to its end.
 pub(crate) fn run(job: Job, responder: &Responder) {
     let chosen = match choose_version(&job) {
@@ -29,7 +37,6 @@
     let prefix = prefix_hashes(&job.ask.fields);
     let run = Run {
         job: &job,
-        chosen: &chosen,
         prefix: &prefix,
     };
     let relay = Relay::new(&job, &chosen, responder);
@@ -58,7 +65,10 @@
 }
 
 fn refuse(job: &Job, responder: &Responder, refusal: &Refusal) {
-    job.cx.shared.metrics.refusal(refusal.code);
+    let metrics = &job.cx.shared.metrics;
+    metrics.refusal(refusal.code);
+    let offer = metrics.offer(job.resolved.name.as_str());
+    offer.ended(measured::refused(refusal.run));
     refusal.send(responder, Some(&job.head.request));
 }
 
@@ -72,7 +82,6 @@
 
 struct Run<'a> {
     job: &'a Job,
-    chosen: &'a Chosen,
     prefix: &'a [PrefixHash],
 }
 
@@ -82,40 +91,82 @@
     }
 
     fn attempts(&self, mut ready: Request<Waiting>, mut relay: Relay<'_>) {
+        let mut leave =
+            match admission::enter(self.shared(), self.leave_wanted(&relay.trying().version)) {
+                Ok(leave) => leave,
+                Err(why) => {
+                    let refused = ready.refuse(limited::code_of(why));
+                    let refusal = claim::refused(self.shared(), refused);
+                    return relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
+                }
+            };
         let mut avoid = Vec::new();
         loop {
-            if !self.is_still_permitted() {
-                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
-            }
-            let Some(taken) = self.take_upstream(&avoid) else {
-                return self.refuse(ready.refuse(Code::NoUpstream), &relay);
+            let version = &relay.trying().version;
+            let permitted = self.is_still_permitted(version);
+            let taken = if permitted {
+                self.take_upstream(version, &avoid)
+            } else {
+                None
+            };
+            let Some(taken) = taken else {
+                return self.give_up(ready, relay);
             };
             let request = ready.attempt(taken.id.clone());
             let (request, end) = self.attempt(request, &taken, &mut relay);
             avoid.push(taken.index);
             ready = match self.end(request, &taken, &end) {
                 Next::Retry(request, _) => request,
-                Next::Answered(request) => return self.answer(request, relay),
+                Next::Answered(request) => {
+                    leave.used(request.usage().input + request.usage().output);
+                    return self.answer(request, relay);
+                }
                 Next::Refused(request) => return self.refuse(request, &relay),
                 Next::Unknown(request) => return relay.refuse(&request.refusal()),
-                // Neither hedged nor escalated as yet: what is at hand is the answer.
                 Next::Escalate(request) => {
-                    return self.answer(request.answer(relay.usage()), relay);
+                    relay.escalate();
+                    avoid.clear();
+                    request
                 }
                 Next::Open(_) => return,
             };
         }
     }
 
-    /// Guards against new work for a version withdrawn while the request waited for its claim
-    /// or for another attempt: the catalogue is read again, not the copy from its arrival.
-    fn is_still_permitted(&self) -> bool {
-        let snapshot = self.shared().snapshot.load();
+    /// What the request wants of the limits. Tokens are settled at its end.
+    fn leave_wanted(&self, version: &VersionId) -> Ask {
         let job = self.job;
-        let permitted = snapshot
-            .view
-            .permitted(&job.resolved.offer, &job.cx.customer);
-        permitted.contains(&self.chosen.version)
+        let view = &job.cx.snapshot.view;
+        let model = view.models.get(&version.model);
+        let pool = model.and_then(|model| short_name(&model.service, SERVICES));
+        let output = job.ask.max_output.unwrap_or(EXPECTED_OUTPUT);
+        Ask {
+            customer: job.cx.customer.clone(),
+            offer: job.resolved.name.clone(),
+            pool: pool.unwrap_or_else(|| job.resolved.name.clone()),
+            priority: job.priority,
+            tokens: job.ask.input + output.min(EXPECTED_OUTPUT),
+            deadline: job.deadline,
+        }
+    }
+
+    /// Nobody can be asked: the weaker version's answer serves if there is one.
+    fn give_up(&self, ready: Request<Waiting>, relay: Relay<'_>) {
+        if relay.has_answer() {
+            self.answer(ready.answer(relay.usage()), relay);
+        } else {
+            self.refuse(ready.refuse(Code::NoUpstream), &relay);
+        }
+    }
+
+    /// Guards against new work for a version withdrawn, or taken from the customer, while the
+    /// request waited for its claim or for another attempt: the catalogue is read again, its
+    /// offer included, not the copy from the request's arrival.
+    fn is_still_permitted(&self, version: &VersionId) -> bool {
+        let view = &self.shared().snapshot.load().view;
+        let offer = view.offers.get(&self.job.resolved.name);
+        let permitted = offer.map(|offer| view.permitted(offer, &self.job.cx.customer));
+        permitted.is_some_and(|permitted| permitted.contains(version))
     }
 
     fn refuse(&self, request: Request<Refused>, relay: &Relay<'_>) {
@@ -129,10 +180,10 @@
             .with_budget(entry, |budget| request.end(&taken.id, end, now, budget))
     }
 
-    fn take_upstream(&self, avoid: &[UpstreamIndex]) -> Option<Taken> {
+    fn take_upstream(&self, version: &VersionId, avoid: &[UpstreamIndex]) -> Option<Taken> {
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
-        let target = router.target_index(&Target::Version(self.chosen.version.clone()))?;
+        let target = router.target_index(&Target::Version(version.clone()))?;
         let fresh = router.pick(now, &self.demand(target, avoid), &mut rand::rng());
         // Better one that failed before than none: its fault may have passed.
         let mut again = || router.pick(now, &self.demand(target, &[]), &mut rand::rng());
@@ -165,6 +216,7 @@
     ) -> (Request<Attempted>, AttemptEnd) {
         let began = self.shared().now();
         let end = relay.attempt(taken.address, &mut request);
+        self.shared().metrics.attempt(measured::attempted(&end));
         let outcome = relay.outcome(&end, began);
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
@@ -175,9 +227,9 @@
         (request, end)
     }
 
-    fn note_pace(&self) {
+    fn note_pace(&self, version: &VersionId) {
         let took = self.shared().now().since(self.job.arrived);
-        lock(&self.shared().paces).note(&self.chosen.version, took);
+        lock(&self.shared().paces).note(version, took);
     }
 
     fn answer(&self, request: Request<Answered>, relay: Relay<'_>) {
@@ -188,16 +240,16 @@
             "traffic: {} is answered after {attempts} attempts",
             facts.request
         );
-        self.note_pace();
-        let (version, cost) = (&self.chosen.version, relay.cost(usage));
+        let (version, cost) = (&relay.chosen().version, relay.cost(usage));
+        self.note_pace(version);
         let bill = billing::bill_of(self.shared(), facts, Some(version), cost, attempts);
         if billing::bill(self.shared(), bill).is_err() {
             return relay.refuse(&requests::refusal::Refusal::ran(Code::ShuttingDown));
         }
         let sample = relay.sample();
         let recorded = relay.finish(usage, attempts);
-        if let Some(sample) = sample {
-            rating::send(&self.job.cx.shared, sample);
+        if let Some((sample, stated)) = sample {
+            rating::send(&self.job.cx.shared, sample, stated);
         }
         claim::answered(self.shared(), billed, recorded);
     }
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -1,7 +1,7 @@
 //! Which version serves a request.
 
 use catalogue::entry::{Model, Offer, Version, VersionState};
-use quality::{Candidate, ChoiceInput, OfferTerms, RolloutShare};
+use quality::{Candidate, ChoiceInput, Confidence, OfferTerms, RolloutShare};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sessions::SessionKey;
@@ -11,6 +11,7 @@
 use types::prelude::*;
 
 use super::Job;
+use crate::sessions::Found;
 use crate::shared::lock;
 
 /// Length of an answer assumed when the caller does not bound it, for estimates only.
@@ -24,6 +25,28 @@
     pub(crate) token: Option<String>,
     /// The version that the session had and lost.
     pub(crate) moved_from: Option<VersionId>,
+    /// The engine is asked how sure it is, so that its answer can be judged.
+    pub(crate) is_judged: bool,
+    /// Another version's answer was discarded for this one's.
+    pub(crate) escalated: bool,
+    /// Whom to ask next if the engine is not sure enough.
+    pub(crate) next: Option<Next>,
+}
+
+/// A step of a cascade.
+pub(crate) struct Next {
+    /// Go on when the stated confidence is lower, or none was stated.
+    below: Confidence,
+    /// The stronger version.
+    pub(crate) chosen: Box<Chosen>,
+}
+
+impl Chosen {
+    /// Whether an answer is good enough to be the last, by what the engine says of it.
+    pub(crate) fn accepts(&self, confidence: Option<Confidence>) -> bool {
+        let Some(next) = &self.next else { return true };
+        confidence.is_some_and(|stated| stated >= next.below)
+    }
 }
 
 /// Why no version was chosen.
@@ -40,8 +63,8 @@
     let shared = &job.cx.shared;
     let header = job.head.session.as_deref();
     let sent = read_header(&shared.session_keys, &job.cx.customer, header);
-    let pinned = pinned(job, &sent);
-    let pin = pinned.as_ref().map(|pin| (&pin.version, pin.revision));
+    let found = pinned(job, &sent);
+    let pin = found.pin.as_ref().map(|pin| (&pin.version, pin.revision));
     let revision = job.cx.snapshot.view.revision;
     let pin = match Pinning::of(pin, &job.resolved.versions, revision) {
         Pinning::New => None,
@@ -51,32 +74,48 @@
     let candidates = candidates(job);
     let terms = terms(&job.resolved.name, &job.resolved.offer);
     let now = shared.now();
+    // Only an answer that is held back whole can be discarded, and only work that may run
+    // again; a session keeps to one version.
+    let is_new = sent == Sent::Nothing;
+    let may_escalate = is_new && !job.ask.stream && !job.head.non_idempotent;
     let input = ChoiceInput {
         offer: &terms,
         candidates: &candidates,
         pin,
-        in_session: sent != Sent::Nothing,
-        // No engine states how sure it is, so no first answer can be judged.
-        may_escalate: false,
+        in_session: !is_new,
+        may_escalate,
         time_left: now.until(job.deadline),
     };
     let mut rng = draws(job, &sent);
     let plan = lock(&shared.quality).choose(now, &input, &mut rng);
-    let version = plan.ok_or(NoVersion::NoneOpen)?.first;
-    let moved_from = pin.filter(|pin| **pin != version).cloned();
-    let version = hold(job, &sent, version, pin);
-    let token = token_for(job, &sent, &version);
+    let plan = plan.ok_or(NoVersion::NoneOpen)?;
+    let moved_from = pin.filter(|pin| **pin != plan.first).cloned();
+    let version = hold(job, &sent, plan.first, found);
+    let next = plan.escalation.map(|step| Next {
+        below: step.below,
+        chosen: Box::new(Chosen {
+            token: token_for(job, &sent, &step.to),
+            version: step.to,
+            moved_from: None,
+            is_judged: false,
+            escalated: true,
+            next: None,
+        }),
+    });
     Ok(Chosen {
+        token: token_for(job, &sent, &version),
         version,
-        token,
         moved_from,
+        is_judged: may_escalate,
+        escalated: false,
+        next,
     })
 }
 
-/// The session's pin: in its token, or by its name in this daemon's table.
-fn pinned(job: &Job, sent: &Sent) -> Option<Pin> {
+/// The session's pin: in its token, or by its name here or at its homes.
+fn pinned(job: &Job, sent: &Sent) -> Found {
     match sent {
-        Sent::Token(pinned) if pinned.offer == job.resolved.name => Some(Pin {
+        Sent::Token(pinned) if pinned.offer == job.resolved.name => Found::of(Pin {
             key: key(job, &pinned.session),
             version: pinned.version.clone(),
             revision: pinned.revision,
@@ -85,27 +124,27 @@
         }),
         Sent::Name(name) => {
             let shared = &job.cx.shared;
-            lock(&shared.pins).get(&key(job, name), shared.now())
+            shared.sessions.find(&key(job, name), shared.now())
         }
-        _ => None,
+        _ => Found::default(),
     }
 }
 
-/// Holds a named session's pin for its next request. Of two first requests at once, one
-/// chooses for both.
-fn hold(job: &Job, sent: &Sent, version: VersionId, before: Option<&VersionId>) -> VersionId {
+/// Holds a named session's pin for its next request, and gives the version that stands.
+fn hold(job: &Job, sent: &Sent, version: VersionId, found: Found) -> VersionId {
     let Sent::Name(name) = sent else {
         return version;
     };
+    let before = found.pin.as_ref().map(|pin| pin.version.clone());
     let pin = Pin {
         key: key(job, name),
         version: version.clone(),
         revision: job.cx.snapshot.view.revision,
         age: Span::ZERO,
-        over: before.filter(|before| **before != version).cloned(),
+        over: before.filter(|before| *before != version),
     };
     let shared = &job.cx.shared;
-    let standing = lock(&shared.pins).pin(pin, shared.now()).version;
+    let standing = shared.sessions.hold(pin, found, shared.now()).version;
     if job.resolved.versions.contains(&standing) {
         standing
     } else {
--- a/components/routing/src/learn.rs
+++ b/components/routing/src/learn.rs
@@ -69,6 +69,11 @@
         self.forget_removed(index);
     }
 
+    /// An upstream asked for its load could not be reached.
+    pub fn unreachable(&mut self, now: Time, index: UpstreamIndex, rng: &mut impl Rng) {
+        self.failed(now, index, true, rng);
+    }
+
     fn answered(
         &mut self,
         now: Time,
@@ -146,6 +151,10 @@
 
     /// Takes a load report, polled or come with an answer.
     pub fn report(&mut self, now: Time, index: UpstreamIndex, report: &LoadReport) {
+        if report.loaded.is_none() {
+            self.answered.rotate_right(1);
+            self.answered[0] = Some(index);
+        }
         if report.leaving {
             self.leaving(now, index, LeavingSign::Refusal);
         }
--- a/components/standins/src/engine/state.rs
+++ b/components/standins/src/engine/state.rs
@@ -68,6 +68,8 @@
     /// Tokens that it will generate.
     pub(super) tokens: u32,
     pub(super) reason: &'static str,
+    /// Whether the answer says how sure the engine is.
+    pub(super) logprobs: bool,
     /// True once it has a slot, false when it waited too long.
     pub(super) started: oneshot::Receiver<bool>,
     pub(super) answer: Answer,
@@ -155,7 +157,8 @@
         let id = self.next_id;
         self.next_id += 1;
         let mut chat = arrival.chat;
-        let done = chat.take_partial();
+        let partial = chat.take_partial();
+        let done = partial.tokens;
         let usage = self.read_prompt(now, &chat);
         let wanted = chat.tokens(self.cfg.answer_tokens.saturating_sub(done).max(1));
         let length = done + wanted;
@@ -177,7 +180,7 @@
         let mut task = Task {
             head: Head::new(&arrival.attempt, &arrival.version),
             answer: text::answer_hash(&arrival.version, &chat.messages),
-            index: done,
+            index: if partial.has_ended { length } else { done },
             length,
             reason,
             wants_usage: chat.wants_usage(),
@@ -189,6 +192,7 @@
         if arrival.fault.is_crossed() {
             task.cross();
         }
+        let logprobs = chat.logprobs;
         let version = arrival.version;
         let record = RunRecord {
             attempt: arrival.attempt,
@@ -204,6 +208,7 @@
             usage,
             tokens: wanted,
             reason,
+            logprobs,
             started,
             answer,
         }
