--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod decide;
 pub mod faults;
+pub mod membership;
 pub mod ledger;
 pub mod outage;
 pub mod overhead;
