--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -293,6 +293,20 @@
     assert!(lost < 20, "{chosen:?}");
 }
 
+#[test]
+fn can_retry_in_another_failure_domain() {
+    // A failure domain has just gone dark and this daemon has not noticed. A request that
+    // could not reach its upstream is sent to the next one there, and the next, and is lost.
+    let domains = ["b", "b", "b", "b", "b", "b", "c", "c"];
+    let mut f = Fixture::new(&domains);
+    let tried = [W0];
+    for _ in 0..50 {
+        let demand = f.demand(&[], &tried);
+        let index = f.router.pick(f.now, &demand, &mut f.rng).unwrap();
+        assert_eq!(domains[index.0 as usize], "c");
+    }
+}
+
 #[test]
 fn can_stop_using_an_upstream_that_lacks_the_target() {
     let mut f = Fixture::new(&["a"; 2]);
