End suspensions by an operator's offer; measure a driver's tick

Cause: offer said that it overrules a suspension, and nothing did. Change: POST /offer ends the version's suspensions once the edit is applied; bench rollout notes what a tick costs at 20 to 12,000 engines. Conclusion: without it can_suspend_a_version_whose_answers_are_bad fails.

--- a/bench/src/cmd/rollout.rs
+++ b/bench/src/cmd/rollout.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod naive;
 mod run;
+mod scale;
 mod scenario;
 mod watch;
 mod world;
@@ -66,6 +67,7 @@
             }
         }
     }
+    scale::note(&mut report, options.seed);
     report.curves = curves(&Scenario::new(
         Way::Driver,
         Fencing::Ignored,
--- a/bench/src/cmd/rollout/fleet.rs
+++ b/bench/src/cmd/rollout/fleet.rs
@@ -122,11 +122,16 @@
 
 /// An engine of the catalogue that has not reported yet.
 fn unread(engine: &Engine) -> Report {
+    report_of(engine, None)
+}
+
+/// An engine's report, read at a moment.
+pub(super) fn report_of(engine: &Engine, read_at: Option<Time>) -> Report {
     Report {
         id: engine.id.clone(),
         failure_domain: engine.failure_domain.clone(),
         slots: engine.slots,
-        read_at: None,
+        read_at,
         ready: Vec::new(),
         loading: Vec::new(),
         leaving: false,
--- a/bench/src/cmd/rollout/run.rs
+++ b/bench/src/cmd/rollout/run.rs
@@ -88,7 +88,7 @@
     usize::from(version.as_str() == "2")
 }
 
-fn first_model() -> Model {
+pub(super) fn first_model() -> Model {
     let price = Price {
         input: Cost(1),
         output: Cost(1),
--- /dev/null
+++ b/bench/src/cmd/rollout/scale.rs
@@ -0,0 +1,95 @@
+//! What a driver's tick costs, by the engines of its model.
+
+use std::time::Instant;
+
+use rollout::observed::{Demand, Evidence, Observed};
+use rollout::{Config, Driver, Effect};
+use types::prelude::*;
+
+use super::fleet::report_of;
+use super::run::{first_model, name};
+use super::world::{Engine, Fencing, Store};
+use crate::report::Report;
+
+const ENGINES: [usize; 4] = [20, 300, 1200, 12_000];
+const TICKS: u32 = 500;
+const TICK: Span = Span::from_millis(200);
+
+/// Notes the mean time of a tick of a driver that holds the lease, and of one that does not.
+pub(super) fn note(report: &mut Report, seed: u64) {
+    for engines in ENGINES {
+        let arm = format!("scale/{engines}_engines");
+        let (driving, reads) = measure(engines, seed, Some(0));
+        let (idle, _) = measure(engines, seed, None);
+        report.note(&arm, "driving_tick_us", driving);
+        report.note(&arm, "idle_tick_us", idle);
+        report.note(&arm, "reads_per_s", reads);
+    }
+}
+
+/// Microseconds a tick, and load reports read a second.
+fn measure(engines: usize, seed: u64, rank: Option<u32>) -> (f64, f64) {
+    let daemon = DaemonId::new("daemon").expect("a plain name");
+    let mut driver = Driver::new("key".to_owned(), daemon, Config::default());
+    let mut store = Store::new(seed);
+    let old = name("1");
+    let real: Vec<Engine> = (0..engines)
+        .map(|index| Engine::new(index, 16, &old, Fencing::Ignored))
+        .collect();
+    let mut reports: Vec<_> = real.iter().map(|e| report_of(e, None)).collect();
+    reports.sort_by(|a, b| a.id.cmp(&b.id));
+    let model = first_model();
+    let (mut took, mut reads, mut now) = (0.0, 0, Time::ZERO);
+    for _ in 0..TICKS {
+        let seen = Observed {
+            model: &model,
+            revision: Revision(1),
+            engines: &reports,
+            evidence: Evidence::default(),
+            demand: Demand {
+                from: engines as f64,
+                to: 0.0,
+            },
+            rank,
+        };
+        let began = Instant::now();
+        let effects = driver.tick(now, &seen);
+        took += began.elapsed().as_secs_f64();
+        for effect in effects {
+            match effect {
+                Effect::Store(call) => settle(&mut driver, &mut store, now, call, rank),
+                Effect::Read(id) => {
+                    reads += 1;
+                    if let Ok(at) = reports.binary_search_by(|e| e.id.cmp(&id)) {
+                        reports[at].read_at = Some(now);
+                        reports[at].ready = vec![old.clone()];
+                    }
+                }
+                Effect::FetchSlot(_) => driver.on_slot(now, Err(Span::from_secs(1))),
+                Effect::Order(_) | Effect::Edit { .. } => {}
+            }
+        }
+        now = now + TICK;
+    }
+    let ticks = f64::from(TICKS);
+    let seconds = ticks * TICK.as_secs_f64();
+    (took / ticks * 1e6, f64::from(reads) / seconds)
+}
+
+/// Makes a call of the store and those that follow from it.
+fn settle(
+    driver: &mut Driver,
+    store: &mut Store,
+    now: Time,
+    first: rollout::lease::StoreCall,
+    rank: Option<u32>,
+) {
+    let mut next = Some(first);
+    while let Some(call) = next {
+        let outcome = store.call(now, call.request);
+        next = match driver.on_store(now, call.number, outcome, rank) {
+            Some(Effect::Store(call)) => Some(call),
+            _ => None,
+        };
+    }
+}
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -32,6 +32,7 @@
                 reply.send(record.map(|record| HistoryReply::from_record(&name, record)));
             }
             Command::Edit(edit, reply) => self.edit(now, edit, reply),
+            Command::Lift(version, reply) => reply.send(self.lift(now, &version)),
             Command::EditState(id, reply) => self.catalogue.edit_state(now, id, reply),
             Command::Rollouts(reply) => {
                 let catalogue = self.catalogue.catalogue();
@@ -55,6 +56,14 @@
         self.catalogue.edit(now, at, edit, reply);
     }
 
+    fn lift(&self, now: Time, version: &VersionId) -> usize {
+        let lifted = lock(&self.shared.quality).lift(now, version, &mut rand::rng());
+        if lifted > 0 {
+            tracing::warn!("quality: {version} starts again, by an operator's word");
+        }
+        lifted
+    }
+
     /// Does what the roll-outs' drivers want.
     pub(super) fn perform_tasks(&mut self, now: Time, tasks: impl IntoIterator<Item = Task>) {
         for task in tasks {
--- a/components/node/tests/it/quality.rs
+++ b/components/node/tests/it/quality.rs
@@ -1,5 +1,6 @@
 //! Versions that turn bad.
 
+use attohttpc::Method;
 use standins::engine::EngineConfig;
 use standins::platform::PlatformConfig;
 use standins::rater::RaterConfig;
@@ -34,6 +35,18 @@
         harness.chat(&body).status().as_u16()
     });
     assert_eq!(statuses.find(|status| *status != 200), Some(503));
+    drop(statuses);
+
+    // The operators are told, and may overrule: the version starts again as unproved.
+    let suspended = |harness: &Harness| harness.status(0, "/status")["suspended"].clone();
+    assert_eq!(suspended(&harness)[0]["version"], "small@v1");
+    let call = harness.operator(0, Method::POST, "/offer/small@v1");
+    assert_eq!(call.send().unwrap().status().as_u16(), 200);
+    assert_eq!(suspended(&harness).as_array().unwrap().len(), 0);
+    assert_eq!(
+        harness.chat(&ask("answers", false, 8)).status().as_u16(),
+        200
+    );
 }
 
 /// A cheap model beside a strong one, and a target that only a mixture or a cascade meets cheaply.
--- a/components/operators/src/command.rs
+++ b/components/operators/src/command.rs
@@ -46,6 +46,9 @@
     History(EntryName, ReplyTo<Option<HistoryReply>>),
     /// Put or remove an entry.
     Edit(Edit, ReplyTo<EditOutcome>),
+    /// An operator's word for a version: it starts again wherever it is suspended. Answers in
+    /// how many classes it was.
+    Lift(VersionId, ReplyTo<usize>),
     /// What became of an edit, nothing when this daemon has no trace of it.
     EditState(EditId, ReplyTo<Option<EditReply>>),
     /// Every roll-out.
--- a/components/operators/src/routes/rollouts.rs
+++ b/components/operators/src/routes/rollouts.rs
@@ -42,15 +42,19 @@
         self.change_version(req, operator, version, VersionState::Withdrawn)
     }
 
-    /// Offers a version. Also an edit when it is offered already: the new revision
-    /// overrules a suspension that was made before it.
+    /// Offers a version and ends its suspensions. An edit also when it is offered already,
+    /// so that the history shows whose word it was.
     pub(super) fn set_offered(
         &self,
         req: &Request,
         operator: &OperatorName,
         version: &str,
     ) -> Answer {
-        self.change_version(req, operator, version, VersionState::Offered)
+        let answer = self.change_version(req, operator, version, VersionState::Offered)?;
+        if let Ok(id) = version.parse::<VersionId>() {
+            self.ask(|tx| Command::Lift(id, tx))?;
+        }
+        Ok(answer)
     }
 
     fn change_version(
