--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -16,9 +16,8 @@
 mod limiter;
 mod pool;
 mod queue;
-mod retry;
 
 pub use ask::{Admission, Ask, Bounds, Code, Grant, Refusal, Ticket, Verdict};
 pub use demand::{DemandFact, KeyId};
 pub use limiter::{Config, Fill, LaneFill, Limiter};
-pub use shares::Shares;
+pub use shares::{Reach, Shares};
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -56,14 +56,6 @@
         self.catalogue.edit(now, at, edit, reply);
     }
 
-    fn lift(&self, now: Time, version: &VersionId) -> usize {
-        let lifted = lock(&self.shared.quality).lift(now, version, &mut rand::rng());
-        if lifted > 0 {
-            tracing::warn!("quality: {version} starts again, by an operator's word");
-        }
-        lifted
-    }
-
     /// Does what the roll-outs' drivers want.
     pub(super) fn perform_tasks(&mut self, now: Time, tasks: impl IntoIterator<Item = Task>) {
         for task in tasks {
@@ -157,6 +149,16 @@
         status.collect()
     }
 
+    /// Lifts a version's suspension in every class that an offer has.
+    fn lift(&self, now: Time, version: &VersionId) -> usize {
+        let offers = self.view.offers.values();
+        let classes: Vec<ClassName> = offers.map(|offer| offer.class.clone()).collect();
+        let mut quality = lock(&self.shared.quality);
+        let lifted = quality.lift(now, version, &classes, &mut rand::rng());
+        tracing::info!("quality: {version} is lifted in {lifted} classes by an operator");
+        lifted
+    }
+
     fn suspended(&self) -> Vec<Suspension> {
         let dump = lock(&self.shared.quality).dump();
         let streams = dump.streams.into_iter();
@@ -186,6 +188,7 @@
             "membership": self.members.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
+            "limits": self.dump_loads(),
         })
     }
 
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -70,6 +70,12 @@
         Self::with_daemons(cfg, 1)
     }
 
+    /// One daemon before engines of so many slots.
+    pub fn with_slots(cfg: &PlatformConfig, slots: u32) -> Self {
+        let slots = format!("slots: {slots}}}");
+        Self::with_catalogue(cfg, &CATALOGUE.replace("slots: 256}", &slots), 1)
+    }
+
     /// Several daemons that know each other.
     pub fn with_daemons(cfg: &PlatformConfig, count: usize) -> Self {
         Self::with_catalogue(cfg, CATALOGUE, count)
@@ -179,7 +185,7 @@
 
     /// Takes the offer from the customer and waits until that is in force.
     pub fn forbid(&self) {
-        self.edit("offers/answers", 1_000, |body| {
+        self.edit(1_000, "offers/answers", |body| {
             if let Body::Offer(offer) = body {
                 offer.customers.clear();
             }
@@ -189,7 +195,7 @@
 
     /// Writes an edit that sets the states of the model's two versions.
     pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        self.edit("models/small", revision, |body| {
+        self.edit(revision, "models/small", |body| {
             if let Body::Model(model) = body {
                 let versions = model.versions.values_mut();
                 versions.zip(states).for_each(|(v, state)| v.state = state);
@@ -197,8 +203,8 @@
         });
     }
 
-    /// Writes an edit of an entry as the test began with it.
-    fn edit(&self, name: &str, revision: u64, change: impl FnOnce(&mut Body)) {
+    /// Writes an edit of an entry as the given revision.
+    pub fn edit(&self, revision: u64, name: &str, change: impl FnOnce(&mut Body)) {
         let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
         change(&mut entry.body);
         let record = Record {
@@ -213,6 +219,14 @@
         self.put(&format!("catalogue/entries/{name}"), &value);
     }
 
+    /// A daemon's dump.
+    pub fn dump(&self, index: usize) -> Value {
+        let address = self.nodes[index].operators_address();
+        let url = format!("http://{address}/dump");
+        let answer = attohttpc::get(url).bearer_auth("test-token").send();
+        json_of(answer.unwrap().split().2)
+    }
+
     /// What a daemon lists as models.
     pub fn models(&self, index: usize) -> String {
         let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
--- a/components/operators/src/routes/rollouts.rs
+++ b/components/operators/src/routes/rollouts.rs
@@ -42,19 +42,18 @@
         self.change_version(req, operator, version, VersionState::Withdrawn)
     }
 
-    /// Offers a version and ends its suspensions. An edit also when it is offered already,
-    /// so that the history shows whose word it was.
+    /// Offers a version. Lifts its suspension first, which works while the store is down
+    /// and the edit that follows cannot be made.
     pub(super) fn set_offered(
         &self,
         req: &Request,
         operator: &OperatorName,
         version: &str,
     ) -> Answer {
-        let answer = self.change_version(req, operator, version, VersionState::Offered)?;
-        if let Ok(id) = version.parse::<VersionId>() {
-            self.ask(|tx| Command::Lift(id, tx))?;
+        if let Ok(id) = version.parse() {
+            self.ask(|reply| Command::Lift(id, reply))?;
         }
-        Ok(answer)
+        self.change_version(req, operator, version, VersionState::Offered)
     }
 
     fn change_version(
