--- a/bench/src/cmd/config/fleet.rs
+++ b/bench/src/cmd/config/fleet.rs
@@ -73,6 +73,7 @@
                 addresses: *addresses,
                 seeds: others.copied().collect(),
                 log: "'warn,node=info'".to_owned(),
+                key: "dev-customer".to_owned(),
             }
         });
         let plans = plans.collect::<Vec<_>>();
