--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -91,15 +91,15 @@
     }
 
     fn attempts(&self, mut ready: Request<Waiting>, mut relay: Relay<'_>) {
-        let mut leave =
-            match admission::enter(self.shared(), self.leave_wanted(&relay.trying().version)) {
-                Ok(leave) => leave,
-                Err(why) => {
-                    let refused = ready.refuse(limited::code_of(why));
-                    let refusal = claim::refused(self.shared(), refused);
-                    return relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
-                }
-            };
+        let wanted = self.leave_wanted(&relay.trying().version);
+        let mut leave = match admission::enter(self.shared(), wanted) {
+            Ok(leave) => leave,
+            Err(why) => {
+                let refused = ready.refuse(limited::code_of(why));
+                let refusal = claim::refused(self.shared(), refused);
+                return relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
+            }
+        };
         let mut avoid = Vec::new();
         loop {
             let version = &relay.trying().version;
@@ -119,6 +119,7 @@
                 Next::Retry(request, _) => request,
                 Next::Answered(request) => {
                     leave.used(request.usage().input + request.usage().output);
+                    drop(leave);
                     return self.answer(request, relay);
                 }
                 Next::Refused(request) => return self.refuse(request, &relay),
--- a/components/node/tests/it/limits.rs
+++ b/components/node/tests/it/limits.rs
@@ -30,7 +30,7 @@
 #[test]
 fn errors_beyond_a_customers_limit_say_not_run_and_when_to_return() {
     let harness = Harness::start(&PlatformConfig::default());
-    harness.edit(1_000, "customers/ward", |body| {
+    harness.edit("customers/ward", 1_000, |body| {
         let Body::Customer(customer) = body else {
             unreachable!("customers/ward is a customer");
         };
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -141,16 +141,21 @@
     // "idle". All daemons with such a report would send everything there. The report's
     // weight fades toward the pool's mean, so that the stale one draws no more than others.
     let mut f = Fixture::new(&["a"; 4]);
-    f.router.report(f.now, W0, &report(0));
+    let polled = |f: &Fixture, running| LoadReport {
+        loaded: Some(vec![f.target]),
+        ..report(running)
+    };
+    f.router.report(f.now, W0, &polled(&f, 0));
     f.wait(60);
     for _ in 0..200 {
-        for other in 1..4 {
-            f.router.report(f.now, UpstreamIndex(other), &report(4));
+        for (other, running) in [(1, 2), (2, 6), (3, 6)] {
+            f.router
+                .report(f.now, UpstreamIndex(other), &polled(&f, running));
         }
     }
     let chosen = f.chosen(400);
     let stale = chosen.get(&W0).copied().unwrap_or(0);
-    assert!(stale < 200, "{chosen:?}");
+    assert!(chosen[&W1] > stale, "{chosen:?}");
 }
 
 #[test]
@@ -293,6 +298,20 @@
     assert!(lost < 20, "{chosen:?}");
 }
 
+#[test]
+fn can_retry_in_another_failure_domain() {
+    // A failure domain has just gone dark and this daemon has not noticed. A request that
+    // could not reach its upstream is sent to the next one there, and the next, and is lost.
+    let domains = ["b", "b", "b", "b", "b", "b", "c", "c"];
+    let mut f = Fixture::new(&domains);
+    let tried = [W0];
+    for _ in 0..50 {
+        let demand = f.demand(&[], &tried);
+        let index = f.router.pick(f.now, &demand, &mut f.rng).unwrap();
+        assert_eq!(domains[index.0 as usize], "c");
+    }
+}
+
 #[test]
 fn can_stop_using_an_upstream_that_lacks_the_target() {
     let mut f = Fixture::new(&["a"; 2]);
