Let batch streams give way to interactive requests at full engines

Cause: the daemon knew how to choose an upstream where batch work could give way, and did not make it. Change: a begun batch stream that may be repeated is asked by a flag, leaves its engine, waits at the front of its customer's queue and goes on from the tokens passed on; it costs no retry and says nothing against the upstream. Conclusion: over loopback three streams on four slots give way to six people and end whole.

--- a/components/node/src/admission.rs
+++ b/components/node/src/admission.rs
@@ -1,9 +1,11 @@
 //! Leave to start: requests wait for it on their own threads.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use limits::{Admission, Ask, Code, Config, Grant, Limiter, Refusal, Ticket, Verdict};
+use routing::UpstreamIndex;
 use types::prelude::*;
 
 use crate::shared::{Shared, lock};
@@ -24,6 +26,8 @@
 pub(crate) struct Table {
     pub(crate) limiter: Limiter,
     waiters: BTreeMap<Ticket, flume::Sender<Verdict>>,
+    /// Batch attempts that can be resumed, by their upstream; the latest is asked first.
+    yielding: BTreeMap<UpstreamIndex, Vec<Arc<AtomicBool>>>,
 }
 
 impl Admissions {
@@ -37,12 +41,22 @@
         let table = Table {
             limiter: Limiter::new(daemon.clone(), config),
             waiters: BTreeMap::new(),
+            yielding: BTreeMap::new(),
         };
         Self {
             table: Mutex::new(table),
         }
     }
 
+    /// Asks one of this daemon's batch attempts at an upstream to give way.
+    pub(crate) fn ask_to_give_way(&self, index: UpstreamIndex) {
+        let mut table = self.table();
+        let asked = table.yielding.get_mut(&index).and_then(Vec::pop);
+        if let Some(asked) = asked {
+            asked.store(true, Ordering::Release);
+        }
+    }
+
     /// The table, for the control thread.
     pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
         lock(&self.table)
@@ -50,6 +64,11 @@
 }
 
 impl Table {
+    /// Batch attempts that can be asked to give way.
+    pub(crate) fn yielding(&self) -> usize {
+        self.yielding.values().map(Vec::len).sum()
+    }
+
     /// Ends the waits that can be ended.
     pub(crate) fn pump(&mut self, now: Time) {
         for (ticket, verdict) in self.limiter.pump(now, &mut rand::rng()) {
@@ -81,6 +100,27 @@
     }
 }
 
+impl<'a> Leave<'a> {
+    /// Gives the slot up and waits for another one.
+    ///
+    /// # Errors
+    /// When the deadline comes first; the slot is gone then.
+    pub(crate) fn wait_again(&mut self, deadline: Time) -> Result<(), Refusal> {
+        let Some(grant) = self.grant.take() else {
+            return Ok(());
+        };
+        let now = self.shared.now();
+        let mut table = self.shared.admissions.table();
+        let ticket = table.limiter.give_way(grant);
+        let (tx, rx) = flume::bounded(1);
+        table.waiters.insert(ticket, tx);
+        table.pump(now);
+        drop(table);
+        self.grant = Some(wait(self.shared, ticket, &rx, deadline)?);
+        Ok(())
+    }
+}
+
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
         let now = self.shared.now();
@@ -110,11 +150,20 @@
         }
     };
     drop(table);
-    let patience = now.until(deadline) + LATE;
+    wait(shared, ticket, &rx, deadline).map(|grant| leave(shared, grant))
+}
+
+fn wait(
+    shared: &Shared,
+    ticket: Ticket,
+    rx: &flume::Receiver<Verdict>,
+    deadline: Time,
+) -> Result<Grant, Refusal> {
+    let patience = shared.now().until(deadline) + LATE;
     let verdict = rx.recv_timeout(patience.to_duration());
-    let verdict = verdict.or_else(|_| give_up(shared, ticket, &rx));
+    let verdict = verdict.or_else(|_| give_up(shared, ticket, rx));
     match verdict {
-        Ok(Verdict::Start(grant)) => Ok(leave(shared, grant)),
+        Ok(Verdict::Start(grant)) => Ok(grant),
         Ok(Verdict::Refuse(refusal)) => Err(refusal),
         Err(_) => Err(Refusal {
             code: Code::Overloaded,
@@ -142,3 +191,46 @@
         used: Tokens(0),
     }
 }
+
+/// A batch attempt that has begun and can be asked to give way; no longer, once dropped.
+pub(crate) struct Yielding<'a> {
+    shared: &'a Shared,
+    index: UpstreamIndex,
+    asked: Arc<AtomicBool>,
+}
+
+impl<'a> Yielding<'a> {
+    /// Counts an attempt whose first token has come: it runs, so that its slot comes free
+    /// when it is cancelled.
+    pub(crate) fn begin(shared: &'a Shared, index: UpstreamIndex) -> Self {
+        let asked = Arc::new(AtomicBool::new(false));
+        let mut table = shared.admissions.table();
+        table.yielding.entry(index).or_default().push(asked.clone());
+        drop(table);
+        lock(&shared.router).batch_started(index);
+        Self {
+            shared,
+            index,
+            asked,
+        }
+    }
+
+    /// Whether it should give way now.
+    pub(crate) fn is_asked(&self) -> bool {
+        self.asked.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Yielding<'_> {
+    fn drop(&mut self) {
+        let mut table = self.shared.admissions.table();
+        if let Some(attempts) = table.yielding.get_mut(&self.index) {
+            attempts.retain(|other| !Arc::ptr_eq(other, &self.asked));
+            if attempts.is_empty() {
+                table.yielding.remove(&self.index);
+            }
+        }
+        drop(table);
+        lock(&self.shared.router).batch_ended(self.index);
+    }
+}
--- a/components/node/src/control/loads.rs
+++ b/components/node/src/control/loads.rs
@@ -112,6 +112,7 @@
         });
         serde_json::json!({
             "fill": table.limiter.fill(),
+            "can_give_way": table.yielding(),
             "cut_off": table.limiter.shares().is_cut_off(),
             "lanes": lanes.collect::<Vec<_>>(),
         })
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -11,7 +11,7 @@
 use requests::attempt::{self, AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Attempted, Request};
-use routing::{LoadReport, Outcome};
+use routing::{LoadReport, Outcome, UpstreamIndex};
 use serde_json::{Value, json};
 use types::prelude::*;
 
@@ -48,6 +48,9 @@
     pub(super) times: TokenTimes,
     pub(super) transcript: Transcript,
     pub(super) caller_left: bool,
+    /// Where the attempt runs.
+    pub(super) at: Option<UpstreamIndex>,
+    pub(super) has_given_way: bool,
 }
 
 impl<'a> Relay<'a> {
@@ -73,6 +76,8 @@
             times,
             transcript: Transcript::new(job.head.non_idempotent),
             caller_left: false,
+            at: None,
+            has_given_way: false,
         }
     }
 
@@ -116,8 +121,26 @@
         })
     }
 
+    /// Notes where the next attempt runs.
+    pub(crate) fn set_upstream(&mut self, index: UpstreamIndex) {
+        self.at = Some(index);
+    }
+
+    /// Whether the attempt was cancelled for an interactive request.
+    pub(crate) fn has_given_way(&self) -> bool {
+        self.has_given_way
+    }
+
+    /// Tokens that the caller has.
+    pub(crate) fn received(&self) -> Tokens {
+        Tokens(self.pieces)
+    }
+
     /// What routing learns from the attempt's end.
     pub(crate) fn outcome(&self, end: &AttemptEnd, began: Time) -> Outcome {
+        if self.has_given_way {
+            return Outcome::Cancelled;
+        }
         if self.not_loaded {
             return Outcome::NotLoaded;
         }
@@ -137,6 +160,7 @@
         self.attempts += 1;
         self.first_token = None;
         self.not_loaded = false;
+        self.has_given_way = false;
         let shared = &self.job.cx.shared;
         let name = format!(
             "{}.{}.{}",
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -94,11 +94,7 @@
         let wanted = self.leave_wanted(&relay.trying().version);
         let mut leave = match admission::enter(self.shared(), wanted) {
             Ok(leave) => leave,
-            Err(why) => {
-                let refused = ready.refuse(limited::code_of(why));
-                let refusal = claim::refused(self.shared(), refused);
-                return relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
-            }
+            Err(why) => return self.refuse_limited(ready, &relay, why),
         };
         let mut avoid = Vec::new();
         loop {
@@ -114,6 +110,16 @@
             };
             let request = ready.attempt(taken.id.clone());
             let (request, end) = self.attempt(request, &taken, &mut relay);
+            let request = match self.pause(request, &taken, &relay) {
+                Ok(paused) => {
+                    ready = paused;
+                    if let Err(why) = leave.wait_again(self.job.deadline) {
+                        return self.refuse_limited(ready, &relay, why);
+                    }
+                    continue;
+                }
+                Err(request) => request,
+            };
             avoid.push(taken.index);
             ready = match self.end(request, &taken, &end) {
                 Next::Retry(request, _) => request,
@@ -134,6 +140,26 @@
         }
     }
 
+    /// Makes an attempt that gave way one that waits.
+    fn pause(
+        &self,
+        request: Request<Attempted>,
+        taken: &Taken,
+        relay: &Relay<'_>,
+    ) -> Result<Request<Waiting>, Request<Attempted>> {
+        if relay.has_given_way() {
+            request.pause(&taken.id, relay.received())
+        } else {
+            Err(request)
+        }
+    }
+
+    fn refuse_limited(&self, ready: Request<Waiting>, relay: &Relay<'_>, why: limits::Refusal) {
+        let refused = ready.refuse(limited::code_of(why));
+        let refusal = claim::refused(self.shared(), refused);
+        relay.refuse(&refusal.with_retry_after(Some(why.retry_after)));
+    }
+
     /// What the request wants of the limits. Tokens are settled at its end.
     fn leave_wanted(&self, version: &VersionId) -> Ask {
         let job = self.job;
@@ -190,14 +216,21 @@
         let mut again = || router.pick(now, &self.demand(target, &[]), &mut rand::rng());
         let index = fresh.or_else(|_| again()).ok()?;
         let demand = self.demand(target, avoid);
+        let is_person = self.job.priority == Priority::Interactive;
+        let must_give_way = is_person && router.must_give_way(now, index);
         router.started(index, &demand);
         let spec = router.upstream(index)?.spec();
-        Some(Taken {
+        let taken = Taken {
             index,
             target,
             id: spec.id.clone(),
             address: spec.address,
-        })
+        };
+        drop(router);
+        if must_give_way {
+            self.shared().admissions.ask_to_give_way(index);
+        }
+        Some(taken)
     }
 
     fn demand<'a>(&'a self, target: TargetIndex, avoid: &'a [UpstreamIndex]) -> Demand<'a> {
@@ -216,6 +249,7 @@
         relay: &mut Relay<'_>,
     ) -> (Request<Attempted>, AttemptEnd) {
         let began = self.shared().now();
+        relay.set_upstream(taken.index);
         let end = relay.attempt(taken.address, &mut request);
         self.shared().metrics.attempt(measured::attempted(&end));
         let outcome = relay.outcome(&end, began);
--- a/components/node/src/traffic/chat/stream.rs
+++ b/components/node/src/traffic/chat/stream.rs
@@ -9,11 +9,12 @@
 use types::prelude::*;
 
 use super::answer::Relay;
+use crate::admission::Yielding;
 
 const DATA: &[u8] = b"data: ";
 const END: &[u8] = b"\n\n";
 
-impl Relay<'_> {
+impl<'a> Relay<'a> {
     /// Passes a stream on. Its end marker is held back: that is sent once the answer
     /// is known to be whole and billed.
     pub(super) fn take_stream(
@@ -24,6 +25,7 @@
     ) -> AttemptEnd {
         let before = self.pieces;
         let id = self.answer_id();
+        let mut yielding = None;
         loop {
             let taken = match stream.next_event() {
                 Ok(Event::Delta { data, text }) => {
@@ -48,6 +50,30 @@
             if taken.is_err() {
                 return AttemptEnd::CallerGone;
             }
+            if yielding.is_none() {
+                yielding = self.begin_yielding(request);
+            }
+            if yielding.as_ref().is_some_and(Yielding::is_asked) {
+                return self.give_way();
+            }
+        }
+    }
+
+    /// Batch work that may be resumed can give way once it runs.
+    fn begin_yielding(&self, request: &Request<Attempted>) -> Option<Yielding<'a>> {
+        let job = self.job;
+        let may = job.priority == Priority::Batch && request.facts().idempotent;
+        let has_begun = self.first_token.is_some();
+        let index = self.at.filter(|_| may && has_begun)?;
+        Some(Yielding::begin(&job.cx.shared, index))
+    }
+
+    /// Leaves the engine, which cancels the work there; it goes on from the tokens passed on.
+    fn give_way(&mut self) -> AttemptEnd {
+        self.has_given_way = true;
+        AttemptEnd::Truncated {
+            received: Tokens(self.pieces),
+            shown: self.has_begun,
         }
     }
 
--- a/components/node/tests/it/limits.rs
+++ b/components/node/tests/it/limits.rs
@@ -9,7 +9,7 @@
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask, json_of, wait_until};
+use super::harness::{Harness, ask, events, json_of, wait_until};
 
 /// Asks with a prompt of its own, so that not all prompts have one home by chance.
 fn chat(harness: &Harness, number: usize, tokens: u32, priority: &str) -> Response {
@@ -90,6 +90,49 @@
     assert!(place.unwrap() <= 6, "{order:?}");
 }
 
+// A partner's streams hold every slot for half a minute when a person asks. The person's
+// request would wait for the first of them to end; a stream that is resumed loses nothing.
+#[test]
+fn can_give_a_batch_streams_slot_to_a_person() {
+    let engine = EngineConfig {
+        token_time: Span::from_millis(20),
+        ..EngineConfig::default()
+    };
+    let config = PlatformConfig {
+        engine,
+        ..PlatformConfig::default()
+    };
+    let harness = Harness::with_slots(&config, 2);
+    thread::scope(|scope| {
+        let stream = |number: u32| {
+            let harness = &harness;
+            scope.spawn(move || {
+                let mut body = ask("answers", true, 100);
+                body["messages"][0]["content"] = format!("Revise notice {number}").into();
+                let builder = harness.post(0, "/v1/chat/completions");
+                let builder = builder.header("X-Priority", "batch").json(&body);
+                let events = events(builder.unwrap().send().unwrap().split().2);
+                assert_eq!(events.last().unwrap(), "[DONE]");
+                let last: serde_json::Value =
+                    serde_json::from_str(&events[events.len() - 2]).unwrap();
+                last["buckthorncross"]["attempts"].as_u64().unwrap()
+            })
+        };
+        let streams: Vec<_> = (0..3).map(stream).collect();
+        wait_until(|| harness.dump(0)["limits"]["can_give_way"] == 3);
+        let people = (10..16).map(|number| {
+            let harness = &harness;
+            scope.spawn(move || chat(harness, number, 25, "interactive").status().as_u16())
+        });
+        let people: Vec<_> = people.collect();
+        for person in people {
+            assert_eq!(person.join().unwrap(), 200);
+        }
+        let attempts = streams.into_iter().map(|stream| stream.join().unwrap());
+        assert!(attempts.sum::<u64>() > 3, "no stream gave way");
+    });
+}
+
 // An engine's host breaks: it takes connections and closes them. Each request sent there costs
 // its caller a retry until the engine is ejected.
 #[test]
--- a/components/requests/src/life.rs
+++ b/components/requests/src/life.rs
@@ -265,6 +265,25 @@
         self.core.progress.shown = true;
     }
 
+    /// Stops an attempt that is to go on later from the tokens that the caller has, on another
+    /// upstream or the same. It costs no retry: nothing failed.
+    ///
+    /// # Errors
+    /// Gives the request back when its work may not be repeated or resumed.
+    pub fn pause(
+        mut self,
+        upstream: &UpstreamId,
+        received: Tokens,
+    ) -> Result<Request<Waiting>, Self> {
+        if !self.core.facts.idempotent || !self.core.facts.resumable {
+            return Err(self);
+        }
+        let shown = self.core.progress.shown;
+        let end = AttemptEnd::Truncated { received, shown };
+        self.core.progress.end(upstream, &end);
+        Ok(self.turn(Waiting(())))
+    }
+
     /// Takes the end of an attempt and goes on.
     #[must_use]
     pub fn end(
