--- a/components/catalogue/src/sync/report.rs
+++ b/components/catalogue/src/sync/report.rs
@@ -57,6 +57,12 @@
         self.note(daemon, revision, now - age);
     }
 
+    /// A daemon's last report.
+    #[must_use]
+    pub fn heard(&self, daemon: &DaemonId) -> Option<&Heard> {
+        self.heard.get(daemon)
+    }
+
     /// How far the live daemons are with a revision.
     #[must_use]
     pub fn in_force(&self, now: Time, revision: Revision) -> InForce {
@@ -129,6 +135,7 @@
             touches_store: self
                 .store_answered
                 .is_some_and(|at| now.since(at) <= window),
+            store_leads: self.store_leads(now),
             at: now,
         }
     }
