Say the tests' prompts and raters once

Change: ask_about and rated in the harness; nothing asserted differently. Conclusion: a test says only what is its own.

--- a/components/node/tests/it/fleet.rs
+++ b/components/node/tests/it/fleet.rs
@@ -2,12 +2,9 @@
 
 use attohttpc::Method;
 use serde_json::{Value, json};
-use standins::engine::EngineConfig;
 use standins::platform::PlatformConfig;
-use standins::rater::RaterConfig;
-use types::prelude::*;
 
-use super::harness::{Harness, ask, json_of, wait_until};
+use super::harness::{Harness, ask, ask_about, json_of, rated, wait_until};
 
 const MODEL: &str = "/catalogue/models/small";
 
@@ -100,21 +97,7 @@
 fn can_suspend_at_a_daemon_that_rated_nothing() {
     // A version is bad. Only the first daemon has traffic; the second must not serve the
     // version afterwards, although the store is down and it has no rating of its own.
-    let rater = RaterConfig {
-        lag: Span::ZERO,
-        default_quality: 0.4,
-        ..RaterConfig::default()
-    };
-    let engine = EngineConfig {
-        answer_tokens: 8,
-        ..EngineConfig::default()
-    };
-    let cfg = PlatformConfig {
-        rater,
-        engine,
-        ..PlatformConfig::default()
-    };
-    let harness = Harness::with_daemons(&cfg, 2);
+    let harness = Harness::with_daemons(&rated(0.4), 2);
     harness.wait_joined();
     harness
         .platform
@@ -123,8 +106,7 @@
     let mut asked = 0;
     wait_until(|| {
         asked += 1;
-        let mut body = ask("answers", false, 8);
-        body["messages"][0]["content"] = format!("What may salon {asked} charge?").into();
+        let body = ask_about(asked, "answers", false, 8);
         harness.chat(&body).status().as_u16() == 503
     });
     wait_until(|| chat_status(&harness, 1) == 503);
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -10,7 +10,9 @@
 use keyvalue::{Op, Put, Txn};
 use node::Node;
 use serde_json::{Value, json};
+use standins::engine::EngineConfig;
 use standins::platform::{Platform, PlatformConfig};
+use standins::rater::RaterConfig;
 use types::prelude::*;
 
 /// Long enough that only a failure waits for it.
@@ -294,6 +296,31 @@
     })
 }
 
+/// The same about a salon of its own, so that prompts differ.
+pub fn ask_about(salon: usize, model: &str, stream: bool, tokens: u32) -> Value {
+    let mut body = ask(model, stream, tokens);
+    body["messages"][0]["content"] = format!("What may salon {salon} charge?").into();
+    body
+}
+
+/// A platform whose rater finds so many of the answers adequate, at once.
+pub fn rated(quality: f64) -> PlatformConfig {
+    let rater = RaterConfig {
+        lag: Span::ZERO,
+        default_quality: quality,
+        ..RaterConfig::default()
+    };
+    let engine = EngineConfig {
+        answer_tokens: 8,
+        ..EngineConfig::default()
+    };
+    PlatformConfig {
+        rater,
+        engine,
+        ..PlatformConfig::default()
+    }
+}
+
 /// The data of a stream's events, until it closes.
 pub fn events(reader: ResponseReader) -> Vec<String> {
     let lines = BufReader::new(reader).lines().map_while(Result::ok);
--- a/components/node/tests/it/limits.rs
+++ b/components/node/tests/it/limits.rs
@@ -9,12 +9,11 @@
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask, events, json_of, wait_until};
+use super::harness::{Harness, ask, ask_about, events, json_of, wait_until};
 
 /// Asks with a prompt of its own, so that not all prompts have one home by chance.
 fn chat(harness: &Harness, number: usize, tokens: u32, priority: &str) -> Response {
-    let mut body = ask("answers", false, tokens);
-    body["messages"][0]["content"] = format!("What may salon {number} charge?").into();
+    let body = ask_about(number, "answers", false, tokens);
     let builder = harness.post(0, "/v1/chat/completions");
     let builder = builder.header("X-Priority", priority);
     builder.json(&body).unwrap().send().unwrap()
--- a/components/node/tests/it/quality.rs
+++ b/components/node/tests/it/quality.rs
@@ -6,7 +6,7 @@
 use standins::rater::RaterConfig;
 use types::prelude::*;
 
-use super::harness::{CATALOGUE, Harness, ask, json_of, wait_until};
+use super::harness::{CATALOGUE, Harness, ask, ask_about, json_of, rated, wait_until};
 
 /// Requests after which a suspension that has not come will not come.
 const MOST_REQUESTS: usize = 4000;
@@ -17,23 +17,9 @@
 fn can_suspend_a_version_whose_answers_are_bad() {
     // A version's answers are wrong six times in ten. Callers would get them for days;
     // ratings of a sample tell, and the version gets nothing more.
-    let rater = RaterConfig {
-        lag: Span::ZERO,
-        default_quality: 0.4,
-        ..RaterConfig::default()
-    };
-    let engine = EngineConfig {
-        answer_tokens: 8,
-        ..EngineConfig::default()
-    };
-    let harness = Harness::start(&PlatformConfig {
-        rater,
-        engine,
-        ..PlatformConfig::default()
-    });
+    let harness = Harness::start(&rated(0.4));
     let mut statuses = (0..MOST_REQUESTS).map(|index| {
-        let mut body = ask("answers", false, 8);
-        body["messages"][0]["content"] = format!("What may salon {index} charge?").into();
+        let body = ask_about(index, "answers", false, 8);
         harness.chat(&body).status().as_u16()
     });
     assert_eq!(statuses.find(|status| *status != 200), Some(503));
@@ -92,8 +78,7 @@
     };
     let harness = Harness::with_catalogue(&cfg, &two_models(), 1);
     let mut escalated = (0..MOST_REQUESTS).filter(|index| {
-        let mut body = ask("answers", false, 8);
-        body["messages"][0]["content"] = format!("What may salon {index} charge?").into();
+        let body = ask_about(*index, "answers", false, 8);
         let (status, headers, reader) = harness.chat(&body).split();
         assert_eq!(status.as_u16(), 200);
         let served_by = headers["x-served-by"].to_str().unwrap();
@@ -154,8 +139,7 @@
 
 /// Code of the error that a request gets, if any.
 fn refusal(harness: &Harness, daemon: usize, index: usize) -> Option<String> {
-    let mut body = ask("answers", false, 8);
-    body["messages"][0]["content"] = format!("What may salon {index} charge?").into();
+    let body = ask_about(index, "answers", false, 8);
     let request = harness.post(daemon, "/v1/chat/completions");
     let (status, _, reader) = request.json(&body).unwrap().send().unwrap().split();
     if status.is_success() {
--- a/components/node/tests/it/serve.rs
+++ b/components/node/tests/it/serve.rs
@@ -5,7 +5,7 @@
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
-use super::harness::{Harness, ask, events, json_of, text_of, wait_until};
+use super::harness::{Harness, ask, ask_about, events, json_of, text_of, wait_until};
 
 #[test]
 fn can_answer_whole() {
@@ -146,8 +146,7 @@
         let before = leaving.counters().requests;
         for _ in 0..20 {
             asked += 1;
-            let mut body = ask("answers", false, 5);
-            body["messages"][0]["content"] = format!("What may salon {asked} charge?").into();
+            let body = ask_about(asked, "answers", false, 5);
             let (status, _, reader) = harness.chat(&body).split();
             assert_eq!(status.as_u16(), 200, "{}", json_of(reader));
         }
