Test custody between daemons over sockets

Cause: only the pure crate's tests held bills at a second daemon. Change: answers with the store down leave their bills with both daemons. Conclusion: custody works in the daemon.

--- a/components/node/tests/it/bills.rs
+++ b/components/node/tests/it/bills.rs
@@ -2,6 +2,7 @@
 
 use keyvalue::Request;
 use ledger::{Config, Effect, Export, Ledger, Peer, Statement, Step};
+use serde_json::json;
 use standins::platform::PlatformConfig;
 use store::{EtcdClient, Store};
 use types::prelude::*;
@@ -73,3 +74,26 @@
     assert_eq!((count("answers"), count("desk")), (3, 1));
     assert!(rows.iter().all(|row| row.customer.as_str() == "ward"));
 }
+
+// The store is down and a host is lost. Answers still end, and their bills are with the
+// other daemon as well, so that the host's loss does not lose them.
+#[test]
+fn can_hold_bills_at_another_daemon_while_the_store_is_down() {
+    let harness = Harness::with_daemons(&PlatformConfig::default(), 2);
+    harness.wait_joined();
+    harness
+        .platform
+        .store
+        .set_faults(|faults| faults.down = true);
+    for _ in 0..5 {
+        let (_, _, reader) = harness.chat(&ask("answers", true, 5)).split();
+        assert_eq!(events(reader).last().unwrap(), "[DONE]");
+    }
+    let ledgers = [0, 1].map(|index| harness.status(index, "/dump")["ledger"].clone());
+    assert_eq!(
+        (&ledgers[0]["own"], &ledgers[0]["unheld"]),
+        (&json!(5), &json!(0))
+    );
+    assert_eq!(ledgers[0]["released_alone"], 0);
+    assert_eq!(ledgers[1]["custody"], 5);
+}
