Hold accounts of waiting bills once, and bound their memory

Cause: each charge that waits out an outage carried its account's text. Change: charges share accounts; 300,000 of its own and 450,000 for others. Conclusion: the bound on charges bounds memory.

--- a/bench/src/cmd/ledger/world.rs
+++ b/bench/src/cmd/ledger/world.rs
@@ -372,6 +372,8 @@
             .iter()
             .map(|daemon| daemon.ledger.fill())
             .collect();
+        let unsealed: usize = fills.iter().map(|fill| fill.own).sum();
+        let sealed = bills - unsealed as f64;
         let fingerprints: usize = fills.iter().map(|fill| fill.fingerprints).sum();
         Figures::from(
             [
@@ -386,7 +388,7 @@
                     "store_bytes_written_per_s",
                     counts.bytes_written as f64 / secs,
                 ),
-                ("batch_bytes_per_bill", counts.batch_bytes as f64 / bills),
+                ("batch_bytes_per_bill", counts.batch_bytes as f64 / sealed),
                 ("json_bytes_per_bill", self.json_bytes as f64 / sampled),
                 ("message_bytes_per_bill", self.sent.1 as f64 / bills),
                 (
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use types::prelude::*;
 
+use crate::accounts::Accounts;
 use crate::bill::{Bill, Charge};
 use crate::codec;
 use crate::custody;
@@ -77,8 +78,8 @@
         Self {
             me,
             prefix: prefix.to_owned(),
-            capacity: 400_000,
-            custody_capacity: 800_000,
+            capacity: 300_000,
+            custody_capacity: 450_000,
             hold_interval: Span::from_millis(5),
             ack_timeout: Span::from_millis(100),
             avoid: Span::from_secs(5),
@@ -180,6 +181,7 @@
     /// Calls under way and when their outcome is overdue.
     calls: BTreeMap<CallId, (call::Call, Time)>,
     next_call: u64,
+    accounts: Accounts,
     roller: Roller,
     sweep: Sweep,
     counters: Fill,
@@ -205,6 +207,7 @@
             waiting: VecDeque::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            accounts: Accounts::default(),
             sweep: Sweep::default(),
             counters: Fill::default(),
             cfg,
@@ -222,9 +225,11 @@
 
     /// Takes the bill of an answer whose end is not yet released.
     pub fn record(&mut self, now: Time, bill: Bill) -> Receipt {
+        let mut charge = Charge::from(bill);
+        self.accounts.share(&mut charge);
         let own = self.journals.entry(self.origin.clone());
         let own = own.or_insert_with(|| Journal::new(0, None));
-        let receipt = Receipt(own.push(Charge::from(bill)));
+        let receipt = Receipt(own.push(charge));
         self.waiting.push_back((receipt, now));
         receipt
     }
--- a/components/ledger/src/ledger/hold.rs
+++ b/components/ledger/src/ledger/hold.rs
@@ -127,10 +127,13 @@
         if origin == self.origin {
             return Vec::new();
         }
-        let Ok(charges) = codec::unpack(charges) else {
+        let Ok(mut charges) = codec::unpack(charges) else {
             self.counters.damaged += 1;
             return Vec::new();
         };
+        charges
+            .iter_mut()
+            .for_each(|charge| self.accounts.share(charge));
         let full = self.custody_len() + charges.len() > self.cfg.custody_capacity;
         let journal = self.journals.entry(origin.clone());
         let journal = journal.or_insert_with(|| Journal::new(sealed, None));
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! Everything here is pure: time comes in, [`Effect`]s come out.
 
+mod accounts;
 mod bill;
 mod codec;
 mod custody;
