Measure the memory of waiting bills

Cause: the bound on memory was worked out, not measured. Change: an arm that fills a ledger to its bound.

--- a/bench/src/cmd/decide.rs
+++ b/bench/src/cmd/decide.rs
@@ -232,7 +232,7 @@
 }
 
 /// Resident memory of this process, in bytes.
-fn resident_bytes() -> eyre::Result<u64> {
+pub(super) fn resident_bytes() -> eyre::Result<u64> {
     let statm = std::fs::read_to_string("/proc/self/statm")?;
     let pages = statm.split_whitespace().nth(1);
     let pages = pages.ok_or_else(|| eyre::eyre!("/proc/self/statm has no second field"))?;
--- a/bench/src/cmd/ledger.rs
+++ b/bench/src/cmd/ledger.rs
@@ -29,6 +29,7 @@
 /// Runs every arm.
 pub fn run(options: &cli::Ledger) -> eyre::Result<Report> {
     let mut report = Report::new("ledger", options.seed);
+    waiting(&mut report, options.seed)?;
     for load in LOADS {
         steady(&mut report, load, None, options);
     }
@@ -49,6 +50,17 @@
     Ok(report)
 }
 
+/// Memory of bills that wait out an outage, up to the bound.
+fn waiting(report: &mut Report, seed: u64) -> eyre::Result<()> {
+    let mut world = World::new((1, 1000), seed, Arm::default());
+    let before = super::decide::resident_bytes()?;
+    let bills = world.fill();
+    let bytes = super::decide::resident_bytes()?.saturating_sub(before);
+    report.note("waiting", "bills", bills as f64);
+    report.note("waiting", "bytes_per_bill", bytes as f64 / bills as f64);
+    Ok(())
+}
+
 fn crashes() -> [(&'static str, Arm); 3] {
     let what = |hosts| Arm {
         hosts,
--- a/bench/src/cmd/ledger/world.rs
+++ b/bench/src/cmd/ledger/world.rs
@@ -241,6 +241,18 @@
         self.act(index, Ledger::flush);
     }
 
+    /// Records bills at the first daemon up to its bound; gives their number.
+    pub fn fill(&mut self) -> u64 {
+        while self.daemons[0].ledger.has_room(0) {
+            let bill = self.bill(self.requests);
+            self.requests += 1;
+            self.daemons[0].ledger.record(self.now, bill);
+            // Without peers the ends are released at once.
+            self.daemons[0].ledger.flush(self.now);
+        }
+        self.requests
+    }
+
     fn bill(&mut self, number: u64) -> Bill {
         let request = RequestId::random(&mut self.rng);
         let (input, output) = (
