--- a/bench/src/cmd/rollout.rs
+++ b/bench/src/cmd/rollout.rs
@@ -8,6 +8,7 @@
 //! of the runs have an operator abort or withdraw meanwhile. The naive arm sends each order
 //! once when its moment comes, counts on it and writes without comparing.
 
+mod acts;
 mod fleet;
 mod naive;
 mod run;
--- a/bench/src/cmd/rollout/run.rs
+++ b/bench/src/cmd/rollout/run.rs
@@ -3,14 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use catalogue::entry::{Gate, Model, Price, Rollout, RolloutState, Version, VersionState};
-use rollout::edit::{self, Action, Start};
+use rollout::edit;
 use rollout::observed::{Demand, Evidence};
 use rollout::{Effect, Order, OrderKind};
 use types::prelude::*;
 
 use super::fleet::Daemon;
-use super::is_under_way;
-use super::scenario::{Operator, Outcome, Scenario, Trouble};
+use super::scenario::{Outcome, Scenario, Trouble};
 use super::world::{Engine, Store, Weights};
 
 pub(super) const TICK: Span = Span::from_millis(200);
@@ -76,7 +75,7 @@
     text.parse().expect("a plain name")
 }
 
-fn gate() -> Gate {
+pub(super) fn gate() -> Gate {
     Gate {
         ratings: 5,
         stay: Span::from_secs(10),
@@ -177,55 +176,7 @@
         }
     }
 
-    /// The operator's act during a pause, and the withdrawal that ends every roll-out.
-    fn operate(&mut self, now: Time) {
-        if self.operator_at.is_some_and(|at| now.has_reached(at)) {
-            self.operator_at = None;
-            self.operator_acts();
-        }
-        let drop = self.dropped();
-        let few = self
-            .engines
-            .iter()
-            .filter(|e| e.ready.contains(&drop))
-            .count()
-            <= 2;
-        let idle = self.on()[index_of(&drop)] < 0.5;
-        if !is_under_way(self.state()) && few && idle && self.withdrawn.is_none() {
-            self.withdraw(&drop);
-        }
-    }
-
-    fn operator_acts(&mut self) {
-        let under_way = is_under_way(self.state());
-        match self.scenario.operator {
-            Operator::Aborts if under_way => self.act(&Action::Abort),
-            Operator::Withdraws if under_way => self.withdraw(&name("2")),
-            // All the way back, while the old version's capacity is being removed.
-            Operator::Aborts if self.withdrawn.is_none() => self.act(&Action::Start(Start {
-                to: name("1"),
-                from: Some(name("2")),
-                steps: Some(vec![Share::ALL]),
-                gate: Some(gate()),
-            })),
-            _ => {}
-        }
-    }
-
-    fn act(&mut self, action: &Action) {
-        self.write(edit::act(&self.model, action));
-    }
-
-    fn withdraw(&mut self, version: &VersionName) {
-        self.write(edit::set_state(
-            &self.model,
-            version,
-            VersionState::Withdrawn,
-        ));
-        self.withdrawn = Some(version.clone());
-    }
-
-    fn write(&mut self, next: Result<Model, edit::EditError>) {
+    pub(super) fn write(&mut self, next: Result<Model, edit::EditError>) {
         if let Ok(model) = next {
             self.model = model;
             self.revision = self.revision.next();
