--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -177,6 +177,14 @@
             .unwrap();
     }
 
+    /// A daemon's dump.
+    pub fn dump(&self, index: usize) -> Value {
+        let address = self.nodes[index].operators_address();
+        let url = format!("http://{address}/dump");
+        let answer = attohttpc::get(url).bearer_auth("test-token").send();
+        json_of(answer.unwrap().split().2)
+    }
+
     /// Withdraws the only version offered and waits until that is in force.
     pub fn withdraw_v1(&self) {
         self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
@@ -185,7 +193,7 @@
 
     /// Takes the offer from the customer and waits until that is in force.
     pub fn forbid(&self) {
-        self.edit(1_000, "offers/answers", |body| {
+        self.edit("offers/answers", 1_000, |body| {
             if let Body::Offer(offer) = body {
                 offer.customers.clear();
             }
@@ -195,7 +203,7 @@
 
     /// Writes an edit that sets the states of the model's two versions.
     pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        self.edit(revision, "models/small", |body| {
+        self.edit("models/small", revision, |body| {
             if let Body::Model(model) = body {
                 let versions = model.versions.values_mut();
                 versions.zip(states).for_each(|(v, state)| v.state = state);
@@ -203,8 +211,8 @@
         });
     }
 
-    /// Writes an edit of an entry as the given revision.
-    pub fn edit(&self, revision: u64, name: &str, change: impl FnOnce(&mut Body)) {
+    /// Writes an edit of an entry as the test began with it.
+    pub fn edit(&self, name: &str, revision: u64, change: impl FnOnce(&mut Body)) {
         let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
         change(&mut entry.body);
         let record = Record {
@@ -219,14 +227,6 @@
         self.put(&format!("catalogue/entries/{name}"), &value);
     }
 
-    /// A daemon's dump.
-    pub fn dump(&self, index: usize) -> Value {
-        let address = self.nodes[index].operators_address();
-        let url = format!("http://{address}/dump");
-        let answer = attohttpc::get(url).bearer_auth("test-token").send();
-        json_of(answer.unwrap().split().2)
-    }
-
     /// What a daemon lists as models.
     pub fn models(&self, index: usize) -> String {
         let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -22,6 +22,8 @@
 const POINT_COST: f64 = 0.3;
 /// Cost of a suspected failure domain.
 const SUSPECT_COST: f64 = 2.0;
+/// Cost of a failure domain in which the request's earlier attempt failed.
+const TRIED_DOMAIN_COST: f64 = 1.0;
 /// Rounds of samples while the best candidate is in trouble.
 const TROUBLE_ROUNDS: usize = 4;
 /// Upstreams looked at when no candidate was fit, at most.
@@ -97,7 +99,7 @@
         choice.consider_samples(rng);
         choice.escape_trouble(rng);
         if choice.best.is_none() {
-            choice.consider_all();
+            choice.consider_first(MAX_SCAN);
         }
         if choice.best.is_none() {
             choice.consider_ejected();
@@ -172,6 +174,9 @@
             }
             self.consider_samples(rng);
         }
+        if self.best.is_some_and(|best| best.in_trouble) {
+            self.consider_first(self.router.tuning.subset);
+        }
     }
 
     fn consider_sample(&mut self, list: &HashOrder, rng: &mut impl Rng) {
@@ -193,11 +198,11 @@
         entry.map_or(0.0, |entry| entry.upstream.health.ramp(self.now))
     }
 
-    /// Whatever is eligible, when sampling found nothing: most have been tried before.
-    fn consider_all(&mut self) {
+    /// The first of each distance, when sampling found nothing good.
+    fn consider_first(&mut self, count: usize) {
         let pool = self.pool;
         for distance in DISTANCES {
-            for index in pool.at(distance).first(MAX_SCAN) {
+            for index in pool.at(distance).first(count) {
                 self.consider(index);
             }
         }
@@ -286,7 +291,8 @@
         }
     }
 
-    /// Cost of recent failures, its own or its failure domain's.
+    /// Cost of recent failures, its own or its failure domain's. A request that failed in a
+    /// domain goes to another: with a domain lost it would else meet it again and again.
     fn trouble(&self, entry: &Entry) -> f64 {
         let own = POINT_COST * f64::from(entry.upstream.health.points());
         let domain = &self.router.domains[usize::from(entry.upstream.domain)];
@@ -295,7 +301,10 @@
         } else {
             0.0
         };
-        own + suspect
+        let tried = self.demand.avoid.iter();
+        let tried = tried.filter_map(|index| self.router.entry(*index));
+        let shared = tried.filter(|other| other.upstream.domain == entry.upstream.domain);
+        own + suspect + TRIED_DOMAIN_COST * shared.count() as f64
     }
 
     /// Cost of the part of the prompt that the candidate is not known to hold.
