--- a/bench/src/cmd/faults/bills.rs
+++ b/bench/src/cmd/faults/bills.rs
@@ -37,10 +37,17 @@
         headers: &[("authorization", &bearer)],
         body: &[],
     };
-    let got = Connection::new(address).ask(&ask).ok()?;
-    match got.status {
-        200 => serde_json::from_slice(&got.body).ok(),
-        _ => None,
+    match Connection::new(address).ask(&ask) {
+        Ok(got) if got.status == 200 => serde_json::from_slice(&got.body).ok(),
+        Ok(got) => {
+            let body = String::from_utf8_lossy(&got.body);
+            eprintln!("faults: {address}/bills: {}: {body}", got.status);
+            None
+        }
+        Err(e) => {
+            eprintln!("faults: {address}/bills: {e}");
+            None
+        }
     }
 }
 
