Induce what announcements are for

Cause: with announcements taken out no test failed, since in a fleet of eight all watch. Change: a fleet of 24, most of them no watchers.

--- a/components/catalogue/tests/fleet/spread.rs
+++ b/components/catalogue/tests/fleet/spread.rs
@@ -60,6 +60,21 @@
     assert!(state.laggards[0].heard > Some(Span::from_secs(4)));
 }
 
+/// Most daemons are no watchers. Told of an edit only when they ask, a fleet would be
+/// seconds behind after each.
+#[test]
+fn can_tell_most_of_a_larger_fleet_at_once() {
+    let mut fleet = Fleet::new(24, 13);
+    fleet.put(0, "customers/a", IfMatch::Absent, 1);
+    fleet.run(Span::from_secs(5));
+    fleet.put(0, "customers/a", at(1), 2);
+    fleet.run(Span::from_millis(450));
+    let have = (0..24)
+        .filter(|place| fleet.revision(*place) == Revision(2))
+        .count();
+    assert!(have >= 20, "{have} of 24");
+}
+
 /// The store goes down right after an edit was accepted. Half of the daemons are
 /// replaced meanwhile: they start without disk and without the store. A request served
 /// by the old entry would be one that the operator believes impossible by now.
