--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Cost of the daemon between caller and engine.
     Overhead(Overhead),
+    /// A daemon that leaves with streams open, and one without its store.
+    Outage(Outage),
     /// The promises on requests under a fault a second.
     Faults(Faults),
     /// Roll-outs under faults.
@@ -30,6 +32,8 @@
     Balance(Balance),
     /// A partner's batch on steady interactive work.
     Burst(Burst),
+    /// Memberships of many daemons in one loop.
+    Membership(Membership),
     /// Edits of the catalogue in force at every daemon.
     Config(Config),
     /// Cost of claims and sessions.
@@ -60,6 +64,24 @@
     pub seconds: f64,
 }
 
+/// SIGTERM with 200 streams open; then a steady load whose middle half has no store.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "outage")]
+pub struct Outage {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+    /// length of the load in seconds, twice that of the outage
+    #[argh(option, default = "120.0")]
+    pub seconds: f64,
+}
+
 /// Real daemons under steady load of both users with a fault a second, beside none.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "faults")]
@@ -280,3 +302,18 @@
     #[argh(option, default = "1000")]
     pub rounds: u32,
 }
+
+/// Memberships of many daemons in one loop, in simulated time, with messages lost.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "membership")]
+pub struct Membership {
+    /// seed of the random numbers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print only the line of JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// folder for plots
+    #[argh(option)]
+    pub plot: Option<std::path::PathBuf>,
+}
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -10,7 +10,9 @@
 use keyvalue::{Op, Put, Txn};
 use node::Node;
 use serde_json::{Value, json};
+use standins::engine::EngineConfig;
 use standins::platform::{Platform, PlatformConfig};
+use standins::rater::RaterConfig;
 use types::prelude::*;
 
 /// Long enough that only a failure waits for it.
@@ -177,6 +179,14 @@
             .unwrap();
     }
 
+    /// A daemon's dump.
+    pub fn dump(&self, index: usize) -> Value {
+        let address = self.nodes[index].operators_address();
+        let url = format!("http://{address}/dump");
+        let answer = attohttpc::get(url).bearer_auth("test-token").send();
+        json_of(answer.unwrap().split().2)
+    }
+
     /// Withdraws the only version offered and waits until that is in force.
     pub fn withdraw_v1(&self) {
         self.set_states(1_000, [VersionState::Withdrawn, VersionState::Withdrawn]);
@@ -185,7 +195,7 @@
 
     /// Takes the offer from the customer and waits until that is in force.
     pub fn forbid(&self) {
-        self.edit(1_000, "offers/answers", |body| {
+        self.edit("offers/answers", 1_000, |body| {
             if let Body::Offer(offer) = body {
                 offer.customers.clear();
             }
@@ -195,7 +205,7 @@
 
     /// Writes an edit that sets the states of the model's two versions.
     pub fn set_states(&self, revision: u64, states: [VersionState; 2]) {
-        self.edit(revision, "models/small", |body| {
+        self.edit("models/small", revision, |body| {
             if let Body::Model(model) = body {
                 let versions = model.versions.values_mut();
                 versions.zip(states).for_each(|(v, state)| v.state = state);
@@ -203,8 +213,8 @@
         });
     }
 
-    /// Writes an edit of an entry as the given revision.
-    pub fn edit(&self, revision: u64, name: &str, change: impl FnOnce(&mut Body)) {
+    /// Writes an edit of an entry as the test began with it.
+    pub fn edit(&self, name: &str, revision: u64, change: impl FnOnce(&mut Body)) {
         let mut entry = (*self.platform.entries[&name.parse().unwrap()]).clone();
         change(&mut entry.body);
         let record = Record {
@@ -219,14 +229,6 @@
         self.put(&format!("catalogue/entries/{name}"), &value);
     }
 
-    /// A daemon's dump.
-    pub fn dump(&self, index: usize) -> Value {
-        let address = self.nodes[index].operators_address();
-        let url = format!("http://{address}/dump");
-        let answer = attohttpc::get(url).bearer_auth("test-token").send();
-        json_of(answer.unwrap().split().2)
-    }
-
     /// What a daemon lists as models.
     pub fn models(&self, index: usize) -> String {
         let url = format!("http://{}/v1/models", self.nodes[index].callers_address());
@@ -294,6 +296,31 @@
     })
 }
 
+/// The same about a salon of its own, so that prompts differ.
+pub fn ask_about(salon: usize, model: &str, stream: bool, tokens: u32) -> Value {
+    let mut body = ask(model, stream, tokens);
+    body["messages"][0]["content"] = format!("What may salon {salon} charge?").into();
+    body
+}
+
+/// A platform whose rater finds so many of the answers adequate, at once.
+pub fn rated(quality: f64) -> PlatformConfig {
+    let rater = RaterConfig {
+        lag: Span::ZERO,
+        default_quality: quality,
+        ..RaterConfig::default()
+    };
+    let engine = EngineConfig {
+        answer_tokens: 8,
+        ..EngineConfig::default()
+    };
+    PlatformConfig {
+        rater,
+        engine,
+        ..PlatformConfig::default()
+    }
+}
+
 /// The data of a stream's events, until it closes.
 pub fn events(reader: ResponseReader) -> Vec<String> {
     let lines = BufReader::new(reader).lines().map_while(Result::ok);
