Count only answers of daemons that know how far the fleet is

Cause: a long run of the fuzz (6,000 cases, failed at the 4,042nd) found two edits at one revision: a daemon woke up from a pause beside a restored store and daemons that had just started, and took two of their answers for the fleet's word. Change: an answer says whether its sender has been there for 3 s and is in touch itself; only such ones count before an edit or a question is decided. Conclusion: a fleet that has just started takes its first edit after 3 s.

--- a/components/catalogue/src/sync.rs
+++ b/components/catalogue/src/sync.rs
@@ -180,6 +180,7 @@
     /// Does what is due. `members` are the live daemons, this one included.
     pub fn tick(&mut self, now: Time, members: &[Member], rng: &mut impl Rng) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.touch.begin(now);
         if self.members != members {
             self.meet(now, members, &mut effects);
             self.members = members.to_vec();
@@ -216,11 +217,12 @@
                 told,
                 age,
                 store_age,
+                settled,
                 fleet,
                 token,
             } => {
                 self.hear(now, from, &told);
-                self.touch.note_answer(now, from, token);
+                self.touch.note_answer(now, from, token, settled);
                 self.note_store(now, store_age, token);
                 self.note_fleet(now, fleet, token);
                 self.confirm(now, &told, age, token);
--- a/components/catalogue/src/sync/freshness.rs
+++ b/components/catalogue/src/sync/freshness.rs
@@ -143,6 +143,7 @@
             told: self.told(),
             age: self.confirmed.map(|at| now.since(at)),
             store_age: self.store_answered.map(|at| now.since(at)),
+            settled: self.is_settled(now),
             fleet: (self.fleet.size, now.since(self.fleet.at)),
             token,
         }
--- a/components/catalogue/src/sync/message.rs
+++ b/components/catalogue/src/sync/message.rs
@@ -44,6 +44,9 @@
         age: Option<Span>,
         /// How long ago the store answered it or one it heard of; nothing if never.
         store_age: Option<Span>,
+        /// Whether the answerer knows how far the fleet is: not so just after its start, or
+        /// when it has no answers of others itself.
+        settled: bool,
         /// The largest fleet seen lately, and how long ago.
         fleet: (usize, Span),
         /// The asker's moment.
--- a/components/catalogue/src/sync/touch.rs
+++ b/components/catalogue/src/sync/touch.rs
@@ -2,7 +2,9 @@
 //!
 //! A store restored from an old copy looks like any other to a daemon that was paused,
 //! cut off or started just now. So edits and questions are decided only by a daemon
-//! that has answers of others, and after it met many at once, of those too.
+//! that has answers of others, and after it met many at once, of those too. Only such
+//! answers count whose sender has been there for a while and is in touch itself: one that
+//! has just started, or just goes on after a pause, knows no more than the asker.
 
 use std::collections::BTreeSet;
 
@@ -15,15 +17,41 @@
 const ANSWERS: usize = 2;
 const TOUCH: Span = Span::from_secs(5);
 
+/// A daemon has heard how far the fleet is so long after its start.
+const SETTLE: Span = Span::from_secs(3);
+
 /// Newcomers asked at once, and the longest wait for half of them.
 const MAX_NEWCOMERS: usize = 64;
 const NEWCOMERS_PATIENCE: Span = Span::from_secs(3);
 
+/// Moments of the latest questions that were answered.
+#[derive(Debug, Default)]
+struct Answers([Option<Time>; ANSWERS]);
+
+impl Answers {
+    fn note(&mut self, token: Time) {
+        self.0.rotate_left(1);
+        self.0[ANSWERS - 1] = Some(token);
+    }
+
+    fn suffice(&self, now: Time, others: usize) -> bool {
+        let fresh = self
+            .0
+            .iter()
+            .flatten()
+            .filter(|at| now.since(**at) <= TOUCH);
+        fresh.count() >= others.min(ANSWERS)
+    }
+}
+
 /// Who answered lately.
 #[derive(Debug, Default)]
 pub(super) struct Touch {
+    started: Option<Time>,
     /// Moments of the questions that were answered last.
-    answers: [Option<Time>; ANSWERS],
+    answers: Answers,
+    /// The same, by those that are settled.
+    settled: Answers,
     /// Newcomers that were asked and have not answered.
     newcomers: BTreeSet<DaemonId>,
     /// So many may be missing.
@@ -32,23 +60,45 @@
 }
 
 impl Touch {
-    pub(super) fn note_answer(&mut self, now: Time, from: &DaemonId, token: Time) {
+    pub(super) fn note_answer(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        token: Time,
+        is_settled: bool,
+    ) {
         self.newcomers.remove(from);
-        if token <= now {
-            self.answers.rotate_left(1);
-            self.answers[ANSWERS - 1] = Some(token);
+        if token > now {
+            return;
         }
+        self.answers.note(token);
+        if is_settled {
+            self.settled.note(token);
+        }
+    }
+
+    pub(super) fn begin(&mut self, now: Time) {
+        self.started.get_or_insert(now);
     }
 
     fn holds(&self, now: Time, others: usize) -> bool {
-        let answers = self.answers.iter().flatten();
-        let answers = answers.filter(|at| now.since(**at) <= TOUCH).count();
         let met = self.newcomers.len() <= self.enough || now.has_reached(self.until);
-        met && answers >= others.min(ANSWERS)
+        met && self.settled.suffice(now, others)
+    }
+
+    fn is_settled(&self, now: Time, others: usize) -> bool {
+        let is_old = self.started.is_some_and(|at| now.since(at) >= SETTLE);
+        is_old && self.answers.suffice(now, others)
     }
 }
 
 impl Sync {
+    /// Whether this daemon's answers count for others.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        let others = self.members.len().saturating_sub(1);
+        self.touch.is_settled(now, others)
+    }
+
     /// What an edit or a question needs to know here and now.
     #[must_use]
     pub fn known(&self, now: Time) -> Known<'_> {
