Induce a full holder and a holder that was replaced

Cause: taken out on a scratch copy, the bound of what is held for others and the letting go of a former holder had no failing test. Change: errors_when_a_holder_is_full, can_forget_what_another_holds. Figures: each fails with its guard taken out.

--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -515,6 +515,37 @@
     assert_eq!(rolled, 100);
 }
 
+// A slow holder was replaced in a long outage. If it kept its copies, each replacement would
+// leave one more, and the memory of all would fill up.
+#[test]
+fn can_forget_what_another_holds() {
+    let mut fleet = fleet(4);
+    fleet.is_store_down = true;
+    fleet.serve(0, 1);
+    fleet.run(SECOND);
+    let slow = holder_of(&fleet, 0);
+    fleet.daemons[slow].is_paused = true;
+    fleet.run(SECOND);
+    fleet.daemons[slow].is_paused = false;
+    fleet.run(SECOND);
+    assert_eq!(fleet.daemons[slow].ledger.fill().custody, 0);
+    let holder = holder_of(&fleet, 0);
+    assert_eq!(fleet.daemons[holder].ledger.fill().custody, 1);
+}
+
+// Many bills wait for the store and there is one peer. It holds up to its bound, no more.
+#[test]
+fn errors_when_a_holder_is_full() {
+    let mut fleet = Fleet::new(2, |cfg| cfg.custody_capacity = 10);
+    fleet.is_store_down = true;
+    fleet.tick(SECOND);
+    for number in 0..20 {
+        fleet.serve(0, number);
+        fleet.run(SECOND);
+        assert!(fleet.daemons[1].ledger.fill().custody <= 10);
+    }
+}
+
 // A batch that cannot be read does not stop the shard's roll-ups; it is put aside.
 #[test]
 fn can_roll_up_beside_a_damaged_batch() {
