--- a/bench/src/cmd/cascade/real.rs
+++ b/bench/src/cmd/cascade/real.rs
@@ -94,6 +94,7 @@
         addresses: Addresses::free()?,
         seeds: Vec::new(),
         log: "warn".to_owned(),
+        key: KEY.to_owned(),
     };
     let daemon = Daemon::start(plan, &platform, scratch.path())?;
     let mut connection = Connection::new(daemon.plan.addresses.callers);
