--- a/bench/src/cmd/config/faults.rs
+++ b/bench/src/cmd/config/faults.rs
@@ -186,7 +186,7 @@
 fn two_operators(rounds: u32, report: &mut Report) -> eyre::Result<u64> {
     let fleet = Fleet::start(2, false)?;
     fleet.wait_joined()?;
-    let (mut broken, mut unknown) = (0, 0);
+    let (mut broken, mut unknown, mut decided) = (0, 0, 0);
     let mut seen = None;
     for round in 1..=rounds {
         let put = |number: usize| {
@@ -209,12 +209,14 @@
         unknown += told.iter().filter(|(_, t)| *t == Told::Unknown).count();
         broken += u64::from(won.clone().count() > 1);
         if let Some((weight, Told::Applied { revision, .. })) = won.clone().next() {
+            decided += 1;
             broken += u64::from(!stands(&fleet, *weight, *revision)?);
             seen = Some(*revision);
         }
     }
     report.note("two_operators", "rounds", f64::from(rounds));
     report.note("two_operators", "told_unknown", unknown as f64);
+    report.note("two_operators", "rounds_with_a_winner", f64::from(decided));
     Ok(broken)
 }
 
