--- a/bench/src/cmd.rs
+++ b/bench/src/cmd.rs
@@ -10,6 +10,7 @@
 pub mod faults;
 pub mod ledger;
 pub mod membership;
+pub mod outage;
 pub mod overhead;
 pub mod report;
 pub mod rollout;
--- a/bench/src/cmd/rollout.rs
+++ b/bench/src/cmd/rollout.rs
@@ -8,9 +8,11 @@
 //! of the runs have an operator abort or withdraw meanwhile. The naive arm sends each order
 //! once when its moment comes, counts on it and writes without comparing.
 
+mod acts;
 mod fleet;
 mod naive;
 mod run;
+mod scale;
 mod scenario;
 mod watch;
 mod world;
@@ -66,6 +68,7 @@
             }
         }
     }
+    scale::note(&mut report, options.seed);
     report.curves = curves(&Scenario::new(
         Way::Driver,
         Fencing::Ignored,
--- a/bench/src/daemons.rs
+++ b/bench/src/daemons.rs
@@ -8,10 +8,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use eyre::{Context, bail};
+use rand::RngExt;
 use standins::platform::Platform;
 
 use crate::load::http::{Ask, Connection};
@@ -56,13 +56,14 @@
     pub peers: SocketAddr,
 }
 
+/// Ports below those that the kernel gives out by itself: an address is found before its
+/// daemon starts, and any other process could be given such a port in between.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+const TRIES: usize = 100;
+
 impl Addresses {
-    /// Ports that are free now and are not given to outgoing connections.
-    ///
-    /// A port that the kernel gave and that was let go again may be taken by the
-    /// connection of another daemon before the one that it was for has started: with
-    /// dozens of daemons this happened in most runs.
-    pub fn free() -> io::Result<Self> {
+    /// Ports that are free now.
+    pub fn free() -> eyre::Result<Self> {
         // All held at once, so that they differ.
         let held = [listener()?, listener()?, listener()?];
         Ok(Self {
@@ -73,25 +74,12 @@
     }
 }
 
-/// Below the ports that Linux gives to outgoing connections.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
-/// Tried next; begins at a place of this process's own.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-fn listener() -> io::Result<TcpListener> {
-    let mut failure = None;
-    for _ in PORTS {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let place = (std::process::id() as u16)
-            .wrapping_mul(97)
-            .wrapping_add(step);
-        let port = PORTS.start + place % (PORTS.end - PORTS.start);
-        match TcpListener::bind(("127.0.0.1", port)) {
-            Ok(listener) => return Ok(listener),
-            Err(e) => failure = Some(e),
-        }
-    }
-    Err(failure.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()))
+fn listener() -> eyre::Result<TcpListener> {
+    let ports = (0..TRIES).map(|_| rand::rng().random_range(PORTS));
+    let mut listeners = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+    listeners
+        .next()
+        .ok_or_else(|| eyre::eyre!("no free port among {PORTS:?}"))
 }
 
 /// What one daemon is told.
@@ -107,6 +95,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Such as `warn`.
     pub log: String,
+    /// A customer's key, to see when it serves.
+    pub key: String,
 }
 
 /// The fleet that bench daemons belong to.
@@ -159,16 +149,17 @@
         bail!("daemon {} is not ready in time", self.plan.name)
     }
 
-    /// Whether it serves callers: before it holds a catalogue it refuses all with 503.
+    /// Whether it serves its customer: before it holds a catalogue it refuses all.
     pub fn is_ready(&self) -> bool {
+        let bearer = format!("Bearer {}", self.plan.key);
         let ask = Ask {
             method: "GET",
             path: "/v1/models",
-            headers: &[],
+            headers: &[("authorization", &bearer)],
             body: &[],
         };
         let got = Connection::new(self.plan.addresses.callers).ask(&ask);
-        got.is_ok_and(|got| got.status != 503)
+        got.is_ok_and(|got| got.status == 200)
     }
 
     /// Its process id.
--- a/components/catalogue/tests/fleet/spread.rs
+++ b/components/catalogue/tests/fleet/spread.rs
@@ -60,6 +60,21 @@
     assert!(state.laggards[0].heard > Some(Span::from_secs(4)));
 }
 
+/// Most daemons are no watchers. Told of an edit only when they ask, a fleet would be
+/// seconds behind after each.
+#[test]
+fn can_tell_most_of_a_larger_fleet_at_once() {
+    let mut fleet = Fleet::new(24, 13);
+    fleet.put(0, "customers/a", IfMatch::Absent, 1);
+    fleet.run(Span::from_secs(5));
+    fleet.put(0, "customers/a", at(1), 2);
+    fleet.run(Span::from_millis(450));
+    let have = (0..24)
+        .filter(|place| fleet.revision(*place) == Revision(2))
+        .count();
+    assert!(have >= 20, "{have} of 24");
+}
+
 /// The store goes down right after an edit was accepted. Half of the daemons are
 /// replaced meanwhile: they start without disk and without the store. A request served
 /// by the old entry would be one that the operator believes impossible by now.
@@ -71,7 +86,10 @@
     for place in 1..PLACES / 2 {
         fleet.restart(place);
         assert_eq!(fleet.revision(place), Revision(0));
-        let rule = Freshness::default();
+        let rule = Freshness {
+            past_limit: PastLimit::Serve,
+            ..Freshness::default()
+        };
         let decision = fleet.daemon(place).sync.decision(fleet.now, &rule);
         assert!(
             matches!(decision, Decision::Refuse { .. }),
@@ -127,6 +145,18 @@
     }
 }
 
+/// The watches are open and silent: they skip an edit, and records between daemons are
+/// lost too. Nobody would ever miss it but by looking at the head now and then.
+#[test]
+fn can_find_what_the_watches_skipped() {
+    let mut fleet = settled(12);
+    fleet.drops_watches = true;
+    fleet.drops_pages = true;
+    fleet.put(0, "customers/a", at(1), 2);
+    fleet.run(Span::from_secs(4));
+    assert_everywhere(&fleet, 2);
+}
+
 /// The store is restored from a copy that lacks accepted edits. Daemons started after
 /// that, and edits checked against it, would bring old entries back.
 #[test]
@@ -228,14 +258,39 @@
     assert_everywhere(&fleet, 2);
     assert_eq!(decisions(&fleet, PastLimit::Refuse), [true; PLACES]);
     fleet.store_up = false;
-    fleet.run(Span::from_secs(60));
-    assert_eq!(
-        decisions(&fleet, PastLimit::ServeWithMajority),
-        [true; PLACES]
-    );
+    for second in 0..60 {
+        fleet.run(Span::from_secs(1));
+        let serving = decisions(&fleet, PastLimit::ServeWithMajority);
+        assert_eq!(
+            serving, [true; PLACES],
+            "{second} s after the store went down"
+        );
+    }
     assert_eq!(decisions(&fleet, PastLimit::Refuse), [false; PLACES]);
 }
 
+/// A daemon hears that there is a newer revision and does not get it, neither from others
+/// nor from the store, while operators go on with the store in reach of others. It sees most of the fleet and must refuse.
+#[test]
+fn errors_refuse_when_others_have_newer_from_the_store() {
+    let mut fleet = Fleet::new(12, 11);
+    fleet.put(0, "customers/a", IfMatch::Absent, 1);
+    fleet.run(Span::from_secs(3));
+    let lags = |place: &usize| !fleet.daemon(*place).sync.is_watching();
+    let lagging = (0..12).find(lags).unwrap();
+    fleet.no_store = Some(id(lagging));
+    fleet.drops_pages = true;
+    fleet.put(0, "customers/a", at(1), 2);
+    fleet.run(Span::from_secs(14));
+    let rule = Freshness::default();
+    let decision = fleet.daemon(lagging).sync.decision(fleet.now, &rule);
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+    fleet.drops_pages = false;
+    fleet.run(Span::from_secs(5));
+    let decision = fleet.daemon(lagging).sync.decision(fleet.now, &rule);
+    assert!(matches!(decision, Decision::InForce { .. }), "{decision:?}");
+}
+
 /// A daemon is paused for half a minute with answers waiting in its queue. Read after
 /// it wakes up, they must not pass for fresh: what they tell was true before the pause.
 #[test]
