Keep the marks of given-up edits as records of the catalogue

Cause: a run of 20,000 cases (failed at the 7,474th) found an edit told 'not applied' that landed: the list of given-up ids stood in the head only, a restored store forgot it, and a maker that woke from a pause made its edit. Change: a given-up edit gets a marker, a record with a revision of its own, which spreads and is put back by a repair like any other; the list in the head is gone. The test of the paused maker now asks that its edit never landed, since the marker is an edit too. Conclusion: asking by id is final also across a restored store.

--- a/components/catalogue/src/edit/attempt.rs
+++ b/components/catalogue/src/edit/attempt.rs
@@ -10,7 +10,7 @@
 use crate::edit::accounting::all_are_others;
 use crate::edit::reading::Reading;
 use crate::edit::{Known, Proposal, Step, Verdict, judge};
-use crate::head::{Change, Keys};
+use crate::head::{Change, Keys, void_name};
 use crate::record::{Catalogue, Held, Record};
 
 /// First pause between attempts; doubles up to [`MAX_PAUSE`].
@@ -97,8 +97,9 @@
     }
 
     fn read_ops(&self) -> Vec<Op> {
-        let names = std::iter::once(&self.proposal.name).chain(&self.also);
-        self.keys.read_ops(names)
+        let void = void_name(self.proposal.id);
+        let own = [&self.proposal.name, &void];
+        self.keys.read_ops(own.into_iter().chain(&self.also))
     }
 
     /// Takes the outcome of the last call.
@@ -220,7 +221,7 @@
         rng: &mut impl Rng,
     ) -> Step {
         let head = &reading.head.head;
-        if head.void.contains(&self.proposal.id) {
+        if reading.held(&void_name(self.proposal.id)).is_some() {
             let reason = "it was asked for by its id and given up".to_owned();
             return self.end(Verdict::NotApplied { reason });
         }
--- a/components/catalogue/src/edit/query.rs
+++ b/components/catalogue/src/edit/query.rs
@@ -1,26 +1,29 @@
 //! What became of an edit, asked by its id through any daemon.
 
-use keyvalue::{Outcome, Reply, Request, Txn};
+use keyvalue::{Op, Outcome, Reply, Request, Txn};
 use rand::{Rng, RngExt};
 use types::prelude::*;
 
 use crate::edit::accounting::all_are_others;
 use crate::edit::reading::Reading;
 use crate::edit::{Known, Step, Verdict, base_of};
-use crate::head::Keys;
+use crate::head::{Change, Keys, void_name};
+use crate::record::Record;
 
 const MIN_PAUSE: Span = Span::from_millis(20);
 const MAX_PAUSE: Span = Span::from_millis(200);
 
 /// A question about an edit.
 ///
-/// An edit that is not found is given up for good before "not applied" is said: its id
-/// goes into the head's list, which moves the head's last write on (so a transaction
-/// already sent cannot land) and tells a maker that is paused not to try again.
+/// An edit that is not found is given up for good before "not applied" is said: a marker
+/// of its id is written with the head, which moves the head's last write on (so a
+/// transaction already sent cannot land) and tells a maker that is paused not to try again.
 #[derive(Debug, Clone)]
 pub struct Query {
     id: EditId,
     name: Option<EntryName>,
+    author: OperatorName,
+    at: WallTime,
     keys: Keys,
     deadline: Time,
     reason: String,
@@ -28,11 +31,20 @@
 
 impl Query {
     /// Asks for an edit; the entry's name, where known, lets older edits be decided.
+    /// `asker` and `at` go into the marker, for people.
     #[must_use]
-    pub fn new(id: EditId, name: Option<EntryName>, keys: Keys, deadline: Time) -> Self {
+    pub fn new(
+        id: EditId,
+        name: Option<EntryName>,
+        (asker, at): (OperatorName, WallTime),
+        keys: Keys,
+        deadline: Time,
+    ) -> Self {
         Self {
             id,
             name,
+            author: asker,
+            at,
             keys,
             deadline,
             reason: "not begun".to_owned(),
@@ -45,7 +57,10 @@
             let reason = format!("time ran out: {}", self.reason);
             return Step::Done(Verdict::Unknown { reason });
         }
-        Step::Call(Request::Txn(self.keys.read(&self.name)))
+        Step::Call(Request::Txn(Txn {
+            success: self.read_ops(),
+            ..Txn::default()
+        }))
     }
 
     /// Takes the outcome of the last call.
@@ -98,7 +113,7 @@
             }
             Some(_) => {}
         }
-        if head.void.contains(&self.id) {
+        if reading.held(&void_name(self.id)).is_some() {
             let reason = "it was given up and can never land".to_owned();
             return Step::Done(Verdict::NotApplied { reason });
         }
@@ -107,13 +122,44 @@
             let reason = "too many edits followed to tell".to_owned();
             return Step::Done(Verdict::Unknown { reason });
         }
+        self.give_up(reading)
+    }
+
+    /// Marks the edit as one that may never land.
+    fn give_up(&self, reading: &Reading) -> Step {
+        let revision = reading.head.head.revision.next();
+        // Another id than the edit's own: a marker must not pass for the edit.
+        let edit_id = EditId(!self.id.0);
+        let name = void_name(self.id);
+        let record = Record {
+            revision,
+            edit_id,
+            author: self.author.clone(),
+            at: self.at,
+            entry: None,
+            history: Vec::new(),
+        };
+        let json = record.to_json();
+        let change = Change {
+            revision,
+            name: name.clone(),
+            edit_id,
+        };
         Step::Call(Request::Txn(Txn {
             compare: vec![self.keys.compare_head(reading.head.at)],
-            success: vec![self.keys.put_head(&head.with_void(self.id))],
-            failure: self.keys.read_ops(&self.name),
+            success: vec![
+                self.keys.put_entry(&name, json),
+                self.keys.put_head(&reading.head.head.after(change)),
+            ],
+            failure: self.read_ops(),
         }))
     }
 
+    fn read_ops(&self) -> Vec<Op> {
+        let void = void_name(self.id);
+        self.keys.read_ops(self.name.iter().chain([&void]))
+    }
+
     fn pause(&mut self, now: Time, reason: String, rng: &mut impl Rng) -> Step {
         self.reason = reason;
         let pause = rng.random_range(MIN_PAUSE.as_micros()..=MAX_PAUSE.as_micros());
--- a/components/catalogue/src/head.rs
+++ b/components/catalogue/src/head.rs
@@ -12,8 +12,25 @@
 /// Latest edits that the head names.
 pub const RECENT_LENGTH: usize = 32;
 
-/// Edits given up for good that the head remembers.
-pub const VOID_LENGTH: usize = 64;
+/// Prefix of the markers of edits that were given up for good.
+const VOID: &str = "void/";
+
+/// The marker of an edit that was given up: a record without an entry, as of something
+/// removed. It has a revision like any edit, so it spreads, and a store that was
+/// restored from an older copy gets it back.
+///
+/// # Panics
+/// Never: an id is a name.
+#[must_use]
+pub fn void_name(id: EditId) -> EntryName {
+    EntryName::new(&format!("{VOID}{id}")).expect("hexadecimal digits are a name")
+}
+
+/// Whether a name is that of such a marker.
+#[must_use]
+pub fn is_void(name: &EntryName) -> bool {
+    name.as_str().starts_with(VOID)
+}
 
 /// One edit of the sequence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,10 +51,6 @@
     /// The latest edits, latest first, at most [`RECENT_LENGTH`].
     #[serde(default)]
     pub recent: Vec<Change>,
-    /// Edits that were told "not applied" and may never land, latest first, at most
-    /// [`VOID_LENGTH`]: their makers may be paused and still about to try again.
-    #[serde(default)]
-    pub void: Vec<EditId>,
 }
 
 impl Head {
@@ -49,18 +62,6 @@
         Self {
             revision,
             recent: all.take(RECENT_LENGTH).collect(),
-            void: self.void.clone(),
-        }
-    }
-
-    /// The head with an edit given up.
-    #[must_use]
-    pub fn with_void(&self, id: EditId) -> Self {
-        let others = self.void.iter().copied().filter(|other| *other != id);
-        let void = std::iter::once(id).chain(others);
-        Self {
-            void: void.take(VOID_LENGTH).collect(),
-            ..self.clone()
         }
     }
 
--- a/components/catalogue/src/sync/repair.rs
+++ b/components/catalogue/src/sync/repair.rs
@@ -155,7 +155,6 @@
         let mut head = Head {
             revision: catalogue.revision(),
             recent: recent(catalogue),
-            void: self.head.head.void.clone(),
         };
         for (name, held) in catalogue.held() {
             let found = self.found.remove(name);
--- a/components/catalogue/tests/fleet/edits.rs
+++ b/components/catalogue/tests/fleet/edits.rs
@@ -143,7 +143,7 @@
     fleet.pause(0, false);
     let verdict = fleet.verdict(ticket);
     assert!(matches!(verdict, Verdict::NotApplied { .. }), "{verdict:?}");
-    assert_eq!(fleet.landed.len(), 1);
+    assert!(!fleet.landed.values().any(|landed| *landed == edit_id));
 }
 
 /// An edit lands, its reply is lost, and so many others follow that neither the head's
--- a/components/catalogue/tests/fleet/fuzz.rs
+++ b/components/catalogue/tests/fleet/fuzz.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use catalogue::edit::*;
+use catalogue::head::void_name;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -120,7 +121,10 @@
     fn check_chains(&self, fleet: &Fleet) {
         let mut standing = [Revision(0); ENTRIES.len()];
         for (revision, id) in &fleet.landed {
-            let (_, entry, if_match) = self.edits[id];
+            // Else a marker of an edit that was given up.
+            let Some((_, entry, if_match)) = self.edits.get(id).copied() else {
+                continue;
+            };
             if let IfMatch::Revision(seen) = if_match {
                 assert_eq!(seen, standing[entry], "edit {id} replaced something else");
             }
@@ -145,7 +149,11 @@
     fn check_settled(&self, fleet: &Fleet) {
         let mut standing = BTreeMap::new();
         for (revision, id) in &fleet.landed {
-            standing.insert(name(ENTRIES[self.edits[id].1]), (*revision, *id));
+            let entry = match self.edits.get(id) {
+                Some((_, entry, _)) => name(ENTRIES[*entry]),
+                None => void_name(EditId(!id.0)),
+            };
+            standing.insert(entry, (*revision, *id));
         }
         let stored = fleet.stored();
         let stored: BTreeMap<_, _> = stored.iter().map(|(n, r)| (n.clone(), r.rank())).collect();
--- a/components/catalogue/tests/fleet/world.rs
+++ b/components/catalogue/tests/fleet/world.rs
@@ -181,7 +181,13 @@
     }
 
     pub(crate) fn query(&mut self, place: usize, edit_id: EditId, entry: Option<&str>) -> Ticket {
-        let query = Query::new(edit_id, entry.map(name), keys(), self.now + LONG);
+        let query = Query::new(
+            edit_id,
+            entry.map(name),
+            (OperatorName::new("op").unwrap(), WallTime(0)),
+            keys(),
+            self.now + LONG,
+        );
         self.submit(place, Task::Query(query))
     }
 
--- a/components/node/src/systems/catalogue.rs
+++ b/components/node/src/systems/catalogue.rs
@@ -45,6 +45,8 @@
 /// The catalogue, its edits and who waits for them.
 pub struct Table {
     keys: Keys,
+    /// Author of the markers of edits that were given up.
+    asker: OperatorName,
     sync: Sync,
     editor: Editor,
     rng: StdRng,
@@ -70,6 +72,7 @@
         };
         Self {
             keys: Keys::new(&settings.cluster),
+            asker: asker(),
             sync: Sync::new(Config::new(me.id.clone(), &settings.cluster)),
             editor: Editor::default(),
             rng: StdRng::seed_from_u64(seed),
@@ -193,7 +196,9 @@
         let name = remembered
             .find(|(edit, _)| *edit == id)
             .map(|(_, name)| name.clone());
-        let query = Query::new(id, name.clone(), self.keys.clone(), now + EDIT_PATIENCE);
+        let asker = (self.asker.clone(), WallTime::default());
+        let until = now + EDIT_PATIENCE;
+        let query = Query::new(id, name.clone(), asker, self.keys.clone(), until);
         self.submit(Task::Query(query), Waiting::Query(id, name, reply));
     }
 
@@ -301,3 +306,8 @@
         reason,
     }
 }
+
+/// The daemons themselves, as an author.
+fn asker() -> OperatorName {
+    OperatorName::new("buckthorncross").expect("letters are a name")
+}
