Say unknown, not "not run", when an answer is lost inside the daemon

Change: that answer says run "unknown"; refusals of the request itself still say "no". Conclusion: one way to a false "not run" is closed.

--- a/components/callers/src/connection.rs
+++ b/components/callers/src/connection.rs
@@ -18,6 +18,7 @@
 use crate::answer::{Gone, Responder};
 use crate::{Request, Serve};
 
+const LOST: &str = "the answer was lost inside the daemon";
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
 
@@ -102,10 +103,9 @@
         responder,
     });
     let Some(head) = reader.head().await else {
-        return refusal(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "the answer was lost inside the daemon",
-        );
+        // Guards against a false "not run": whoever served the request is gone without a
+        // word, and may have sent it to an upstream before.
+        return told(StatusCode::INTERNAL_SERVER_ERROR, LOST, RunState::Unknown);
     };
     let mut response = Response::new(BodyExt::boxed(reader.into_body()));
     *response.status_mut() = head.status;
@@ -152,18 +152,29 @@
     Ok(read.freeze())
 }
 
-/// An error in the published shape; nothing of the request has run.
+/// An error of the request itself; nothing of it has run.
 fn refusal(status: StatusCode, message: &str) -> Response<AnyBody> {
+    told(status, message, RunState::No)
+}
+
+/// An error in the published shape.
+fn told(status: StatusCode, message: &str, run: RunState) -> Response<AnyBody> {
+    let (kind, code) = match run {
+        RunState::No => ("invalid_request_error", "bad_request"),
+        RunState::Unknown | RunState::Yes => ("server_error", "answer_lost"),
+    };
     let body = format!(
-        "{{\"error\":{{\"message\":\"{message}\",\"type\":\"invalid_request_error\",\
-         \"param\":null,\"code\":\"bad_request\",\"run\":\"no\"}}}}"
+        "{{\"error\":{{\"message\":\"{message}\",\"type\":\"{kind}\",\
+         \"param\":null,\"code\":\"{code}\",\"run\":\"{run}\"}}}}"
     );
     let full = Full::new(Bytes::from(body)).map_err(|never| match never {});
     let mut response = Response::new(BodyExt::boxed(full));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert("x-run", HeaderValue::from_static("no"));
     headers.insert("connection", HeaderValue::from_static("close"));
+    if let Ok(run) = HeaderValue::from_str(&run.to_string()) {
+        headers.insert("x-run", run);
+    }
     response
 }
--- a/components/callers/tests/bounds.rs
+++ b/components/callers/tests/bounds.rs
@@ -28,6 +28,7 @@
                 let gone = self.gone.clone();
                 std::thread::spawn(move || endless(&req, head, &gone));
             }
+            "/dropped" => drop(req.responder),
             "/cut" => {
                 let _ = req.responder.send(Frame::Head(head));
                 let _ = req.responder.send(Frame::Data(Bytes::from_static(b"part")));
@@ -231,6 +232,17 @@
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
+#[test]
+fn errors_as_unknown_when_the_answer_is_lost() {
+    // The thread that serves a request dies before its answer. It may have sent the work
+    // to an upstream, so a caller that is told "not run" would have it done twice.
+    let (callers, _) = start(limits());
+    let answer = ask(&callers, "GET /dropped HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+    assert!(answer.contains("x-run: unknown"), "{answer}");
+    assert!(answer.contains("\"run\":\"unknown\""), "{answer}");
+}
+
 #[test]
 fn can_turn_away_connections_past_the_bound() {
     // Ten connections come where four may stay: the others are closed at once and the
