Judge a lost write only by a store that is not behind

Change: nothing is concluded from a store behind the fleet, nor without answers of others; an edit that the daemon's own catalogue names is applied; a fence is followed by a read. Conclusion: one rule, Known::cannot_judge, for edits and questions.

--- a/components/catalogue/src/edit.rs
+++ b/components/catalogue/src/edit.rs
@@ -118,6 +118,23 @@
     pub fleet: Option<Revision>,
 }
 
+impl Known<'_> {
+    /// Why nothing can be concluded from a store with this head.
+    ///
+    /// A store restored from an older copy is put right by the daemons first. Judged
+    /// before, a lost write would pass for one that never landed, an edit would conflict
+    /// with what has long been replaced, or take a revision that the fleet has seen.
+    fn cannot_judge(&self, head: Revision) -> Option<&'static str> {
+        match self.fleet {
+            None => Some("no other daemon is in touch"),
+            Some(fleet) if head < fleet.max(self.catalogue.highest()) => {
+                Some("the store is behind the daemons")
+            }
+            Some(_) => None,
+        }
+    }
+}
+
 const BASE_SHIFT: u32 = 80;
 
 /// A new edit's id. It holds the revision known when it was made, so that the edits
--- a/components/catalogue/src/edit/attempt.rs
+++ b/components/catalogue/src/edit/attempt.rs
@@ -127,11 +127,8 @@
             State::Writing(_) if self.loses_again() => {
                 self.pause(now, "other edits come first", rng)
             }
-            // The head moved: the lost write cannot land any more, and had not before.
-            State::Fencing if reply.succeeded => {
-                self.pending = None;
-                self.resume(now)
-            }
+            // What is read next tells what became of the lost write.
+            State::Fencing if reply.succeeded => self.resume(now),
             _ => self.on_reading(now, &reply, known, rng),
         }
     }
@@ -161,9 +158,14 @@
             Err(e) => return self.pause(now, &e.to_string(), rng),
         };
         self.learn(&reading);
-        if let Some(revision) = reading.revision_of(self.proposal.id) {
+        let id = self.proposal.id;
+        let found = reading.revision_of(id);
+        if let Some(revision) = found.or_else(|| known.catalogue.revision_of(id)) {
             return self.applied(revision);
         }
+        if let Some(reason) = known.cannot_judge(reading.head.head.revision) {
+            return self.pause(now, reason, rng);
+        }
         if let Some(sent) = self.pending.clone()
             && let Some(step) = self.on_pending(now, &sent, &reading, known.catalogue)
         {
@@ -220,21 +222,11 @@
         known: Known<'_>,
         rng: &mut impl Rng,
     ) -> Step {
-        let head = &reading.head.head;
+        let catalogue = known.catalogue;
         if reading.held(&void_name(self.proposal.id)).is_some() {
             let reason = "it was asked for by its id and given up".to_owned();
             return self.end(Verdict::NotApplied { reason });
         }
-        // A store restored from an older copy: the daemons put the newer records back
-        // first. Judged now, an edit would conflict with what has long been replaced, or
-        // take a revision that the fleet has seen already.
-        let catalogue = known.catalogue;
-        let Some(fleet) = known.fleet else {
-            return self.pause(now, "no other daemon is in touch", rng);
-        };
-        if head.revision < fleet.max(catalogue.highest()) {
-            return self.pause(now, "the store is behind the daemons", rng);
-        }
         if let Some(conflict) = judge::conflict(&self.proposal, reading) {
             return self.end(conflict);
         }
--- a/components/catalogue/src/edit/query.rs
+++ b/components/catalogue/src/edit/query.rs
@@ -105,13 +105,8 @@
         if let Some(revision) = found.or_else(|| catalogue.revision_of(self.id)) {
             return Step::Done(Verdict::Applied { revision });
         }
-        match known.fleet {
-            None => return self.pause(now, "no other daemon is in touch".to_owned(), rng),
-            // The edit may be among those that a restored store lost.
-            Some(fleet) if head.revision < fleet.max(catalogue.highest()) => {
-                return self.pause(now, "the store is behind the daemons".to_owned(), rng);
-            }
-            Some(_) => {}
+        if let Some(reason) = known.cannot_judge(head.revision) {
+            return self.pause(now, reason.to_owned(), rng);
         }
         if reading.held(&void_name(self.id)).is_some() {
             let reason = "it was given up and can never land".to_owned();
