Induce a daemon that cannot know whether the store is an old copy

Cause: the guards on being in touch were held by long runs of the fuzz only. Change: three stories: a daemon just started, two that met the others again, answers of daemons just started.

--- a/components/catalogue/tests/fleet/edits.rs
+++ b/components/catalogue/tests/fleet/edits.rs
@@ -263,3 +263,60 @@
         assert_eq!(fleet.landed.len() as u64, revision, "round {round}");
     }
 }
+
+/// The store is restored from a copy without any edit, and a daemon has just started
+/// beside it. It knows no better than the copy: an edit through it at once would take
+/// the first revision a second time, and the fleet would never hear of it.
+#[test]
+fn errors_wait_until_others_told_how_far_the_fleet_is() {
+    let mut fleet = Fleet::new(5, 11);
+    let empty = fleet.table.clone();
+    assert_eq!(fleet.put(0, "customers/a", IfMatch::Absent, 1), applied(1));
+    fleet.run(Span::from_secs(2));
+    fleet.table = empty;
+    fleet.restart(4);
+    let verdict = fleet.put(4, "customers/b", IfMatch::Absent, 1);
+    assert_eq!(verdict, applied(2));
+}
+
+/// The same, but two daemons started while cut off from the others and from the store,
+/// and for some seconds know each other only. When all are back at once, what the two
+/// told each other does not count.
+#[test]
+fn errors_wait_for_the_answers_of_those_just_met() {
+    let mut fleet = Fleet::new(5, 12);
+    let empty = fleet.table.clone();
+    assert_eq!(fleet.put(0, "customers/a", IfMatch::Absent, 1), applied(1));
+    fleet.run(Span::from_secs(2));
+    fleet.store_up = false;
+    fleet.table = empty;
+    fleet.cut = [id(1), id(2)].into();
+    fleet.restart(1);
+    fleet.restart(2);
+    fleet.run(Span::from_secs(6));
+    let entry = Some(customer(7, 1));
+    let ticket = fleet.edit(1, "customers/b", IfMatch::Absent, entry, LONG).1;
+    fleet.store_up = true;
+    fleet.cut.clear();
+    assert_eq!(fleet.verdict(ticket), applied(2));
+}
+
+/// A daemon wakes up from a pause beside a restored store and daemons that have just
+/// started. These answer its questions, but know no more than it does.
+#[test]
+fn errors_answers_of_daemons_just_started_do_not_count() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(5, seed);
+        let empty = fleet.table.clone();
+        fleet.run(Span::from_secs(4));
+        fleet.pause(2, true);
+        assert_eq!(fleet.put(0, "customers/a", IfMatch::Absent, 1), applied(1));
+        fleet.run(Span::from_secs(8));
+        fleet.table = empty;
+        [1, 3, 4].into_iter().for_each(|place| fleet.restart(place));
+        fleet.pause(2, false);
+        fleet.lose_messages(2);
+        let verdict = fleet.put(2, "customers/b", IfMatch::Absent, 1);
+        assert_eq!(verdict, applied(2), "seed {seed}");
+    }
+}
--- a/components/catalogue/tests/fleet/world.rs
+++ b/components/catalogue/tests/fleet/world.rs
@@ -125,6 +125,11 @@
             calls: VecDeque::new(),
         };
         self.daemons.insert(id(place), daemon);
+        self.lose_messages(place);
+    }
+
+    /// Loses what is under way to a daemon.
+    pub(crate) fn lose_messages(&mut self, place: usize) {
         self.messages.retain(|(_, to, _)| *to != id(place));
     }
 
