Tell urgent facts as often as said, whoever else tells them

Cause: an urgent fact comes to each daemon several times within milliseconds, and each repeat took one off, so that all fell silent together; now and then a daemon was left that nobody had told. Change: repeats do not count for urgent facts, which are told 16 times. Conclusion: without it can_spread_urgent_facts_in_a_second fails.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -22,8 +22,8 @@
 mod report;
 mod tick;
 
-/// Times that an urgent fact is told by each daemon.
-const URGENT_TIMES: u8 = 13;
+/// Times that an urgent fact is told by each daemon: four rounds.
+const URGENT_TIMES: u8 = 16;
 /// Times that any other fact is told by each daemon.
 const FACT_TIMES: u8 = 3;
 
--- a/components/membership/src/rumor.rs
+++ b/components/membership/src/rumor.rs
@@ -91,9 +91,15 @@
         }
     }
 
-    /// Somebody else told it: one time less to tell.
+    /// Somebody else told it: one time less to tell, unless it is urgent.
+    ///
+    /// What is urgent comes to each daemon several times within milliseconds, so all would
+    /// fall silent at once, and now and then a daemon is left that nobody told: it would
+    /// learn of a suspension from the digest only, a minute late.
     pub(crate) fn heard_again(&mut self, subject: &Subject) {
-        if let Some(rumor) = self.rumors.get_mut(subject) {
+        let rumor = self.rumors.get_mut(subject);
+        let rumor = rumor.filter(|rumor| rumor.urgency != Urgency::Urgent);
+        if let Some(rumor) = rumor {
             rumor.left = rumor.left.saturating_sub(1);
             if rumor.left == 0 {
                 self.remove(subject);
