Refill a home of pins that restarted under its name

A host replaced under its name, too quickly to be seen as gone, comes back without its pins; the other home compared members by name only and did not send them again, so that the next replacement lost the pin. Change: a member's run is part of what homes are compared by.

--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -160,6 +160,7 @@
             member: sessions::homes::Member {
                 id: record.id.clone(),
                 domain: record.failure_domain.clone(),
+                run: record.stamp.incarnation,
             },
             address: record.address,
         });
--- a/components/sessions/src/homes.rs
+++ b/components/sessions/src/homes.rs
@@ -15,6 +15,8 @@
     pub id: DaemonId,
     /// Where it stands.
     pub domain: FailureDomain,
+    /// Its run: a daemon that restarts under its name holds no pins.
+    pub run: Incarnation,
 }
 
 /// The homes of a session by rendezvous hash, first one first.
@@ -24,6 +26,12 @@
 /// of a domain leaves one of the two.
 #[must_use]
 pub fn homes(hash: u64, members: &[Member]) -> Vec<DaemonId> {
+    let homes = home_members(hash, members).into_iter();
+    homes.map(|home| home.id.clone()).collect()
+}
+
+/// The homes with their places and runs.
+pub(crate) fn home_members(hash: u64, members: &[Member]) -> Vec<&Member> {
     let weight = |member: &Member| xxh3_64_with_seed(member.id.as_str().as_bytes(), hash);
     let Some(first) = members.iter().max_by_key(|member| weight(member)) else {
         return Vec::new();
@@ -32,5 +40,5 @@
     let second =
         others.min_by_key(|member| (member.domain == first.domain, Reverse(weight(member))));
     let homes = std::iter::once(first).chain(second);
-    homes.map(|member| member.id.clone()).collect()
+    homes.collect()
 }
--- a/components/sessions/src/pins.rs
+++ b/components/sessions/src/pins.rs
@@ -10,7 +10,7 @@
 use types::prelude::*;
 
 use crate::SessionKey;
-use crate::homes::{Member, homes};
+use crate::homes::{Member, home_members};
 
 /// Most pins held.
 pub const MAX_PINS: usize = 50_000;
@@ -179,10 +179,13 @@
         let part: Vec<_> = part.take(MOVED_EACH_TICK).collect();
         let mut moved = Vec::new();
         for (key, entry) in &part {
-            let old = homes(key.hash64(), &self.homed_by);
-            let new = homes(key.hash64(), &sweep.target);
-            let gained = new.into_iter().filter(|id| !old.contains(id) && id != own);
-            moved.extend(gained.map(|id| (id, to_pin(key, entry, now))));
+            // Guards against a session that changes its version after both homes restarted one
+            // after the other: a home that is back under its name has lost its pins, so that
+            // another run counts as another home.
+            let old = home_members(key.hash64(), &self.homed_by);
+            let new = home_members(key.hash64(), &sweep.target).into_iter();
+            let gained = new.filter(|home| !old.contains(home) && home.id != *own);
+            moved.extend(gained.map(|home| (home.id.clone(), to_pin(key, entry, now))));
         }
         sweep.after = part.last().map(|(key, _)| (*key).clone());
         if part.len() < MOVED_EACH_TICK {
--- a/components/sessions/tests/sessions.rs
+++ b/components/sessions/tests/sessions.rs
@@ -28,6 +28,7 @@
     let member = |n: usize| Member {
         id: format!("d{n}").parse().unwrap(),
         domain: format!("z{}", n % 4).parse().unwrap(),
+        run: Incarnation(1),
     };
     (0..count).map(member).collect()
 }
@@ -204,6 +205,27 @@
     }
 }
 
+// A session changes its version after each host was replaced in turn, under the same names and
+// too quickly to be seen as gone. Cause: a home that was back had lost its pins, and the other
+// home, which saw the same members as before, did not send them again.
+#[test]
+fn can_refill_a_home_that_restarted_under_its_name() {
+    let before = members(9);
+    let key = key("s1");
+    let [first, second] = homes(key.hash64(), &before).try_into().unwrap();
+    let mut table = Pins::new(Span::from_secs(600));
+    table.set_members(before.clone());
+    table.rehome(&second, NOW);
+    table.pin(pin("s1", "a", 1, None), NOW);
+    let mut after = before;
+    let home = after.iter_mut().find(|member| member.id == first);
+    home.unwrap().run = Incarnation(2);
+    table.set_members(after);
+    let moved = table.rehome(&second, NOW);
+    assert_eq!(moved.len(), 1);
+    assert_eq!((&moved[0].0, &moved[0].1.key), (&first, &key));
+}
+
 // Sessions change their version in a fleet of hundreds, where a daemon is replaced every half
 // minute, although few homes fail at a time. Cause: each change began the walk over the pins
 // anew, and the last ones were never reached.
