--- a/bench/src/cmd/claims/sessions.rs
+++ b/bench/src/cmd/claims/sessions.rs
@@ -63,6 +63,7 @@
         Ok(Member {
             id: format!("entry-{n}").parse()?,
             domain: format!("domain-{}", n % 16).parse()?,
+            run: Incarnation(1),
         })
     });
     let members = members.collect::<eyre::Result<Vec<_>>>()?;
