Take an upstream and read a failed attempt in one place

Cause: read over the whole change: chats and plain services each had their own taken upstream and their own reading of a failed attempt; two things were dead (a responder for tests, a flag nobody read); two experiments wrote out the same lone daemon. Change: traffic/upstream.rs serves both; the dead code is gone; DaemonPlan::alone. Conclusion: what a failure says of the work is decided once.

--- a/bench/src/cmd/cascade/real.rs
+++ b/bench/src/cmd/cascade/real.rs
@@ -16,7 +16,7 @@
 use standins::rater::RaterConfig;
 use types::prelude::*;
 
-use crate::daemons::{Addresses, CLUSTER, Daemon, DaemonPlan, Scratch};
+use crate::daemons::{CLUSTER, Daemon, DaemonPlan, Scratch};
 use crate::fleet::{Fleet, Surroundings};
 use crate::load::http::{Ask, Connection};
 use crate::report::Report;
@@ -88,14 +88,7 @@
     let platform = Platform::start(&cfg, &entries)?;
     platform.seed(&CLUSTER.parse()?, &"bench".parse()?, Clock::new().wall());
     let scratch = Scratch::new("buckthorncross-cascade")?;
-    let plan = DaemonPlan {
-        name: "entry-1".to_owned(),
-        failure_domain: "one".to_owned(),
-        addresses: Addresses::free()?,
-        seeds: Vec::new(),
-        log: "warn".to_owned(),
-        key: KEY.to_owned(),
-    };
+    let plan = DaemonPlan::alone(KEY)?;
     let daemon = Daemon::start(plan, &platform, scratch.path())?;
     let mut connection = Connection::new(daemon.plan.addresses.callers);
     let mut served = Served::new();
--- a/bench/src/daemons.rs
+++ b/bench/src/daemons.rs
@@ -99,6 +99,20 @@
     pub key: String,
 }
 
+impl DaemonPlan {
+    /// For one daemon alone, which serves the customer of a key.
+    pub fn alone(key: &str) -> eyre::Result<Self> {
+        Ok(Self {
+            name: "entry-1".to_owned(),
+            failure_domain: "one".to_owned(),
+            addresses: Addresses::free()?,
+            seeds: Vec::new(),
+            log: "warn".to_owned(),
+            key: key.to_owned(),
+        })
+    }
+}
+
 /// The fleet that bench daemons belong to.
 pub const CLUSTER: &str = "bench";
 /// The token of the bench's operator.
--- a/bench/src/echo.rs
+++ b/bench/src/echo.rs
@@ -10,7 +10,7 @@
 use standins::platform::{Platform, PlatformConfig};
 use types::prelude::*;
 
-use crate::daemons::{Addresses, CLUSTER, Daemon, DaemonPlan, Scratch};
+use crate::daemons::{CLUSTER, Daemon, DaemonPlan, Scratch};
 
 /// What callers through the daemon ask for.
 pub const OFFER: &str = "echo";
@@ -89,14 +89,7 @@
         let platform = Platform::start(&cfg, &entries)?;
         platform.seed(&CLUSTER.parse()?, &"bench".parse()?, Clock::new().wall());
         let scratch = Scratch::new("buckthorncross-overhead")?;
-        let plan = DaemonPlan {
-            name: "entry-1".to_owned(),
-            failure_domain: "one".to_owned(),
-            addresses: Addresses::free()?,
-            seeds: Vec::new(),
-            log: "warn".to_owned(),
-            key: KEY.to_owned(),
-        };
+        let plan = DaemonPlan::alone(KEY)?;
         let daemon = Daemon::start(plan, &platform, scratch.path())?;
         Ok(Self {
             daemon,
--- a/components/callers/src/answer.rs
+++ b/components/callers/src/answer.rs
@@ -61,14 +61,6 @@
         )
     }
 
-    /// A responder whose frames a test or an inner call reads.
-    #[must_use]
-    pub fn detached(patience: Duration) -> (Self, flume::Receiver<Frame>) {
-        let (stuck, _) = flume::bounded(1);
-        let (responder, reader) = Self::new(stuck, patience);
-        (responder, reader.rx)
-    }
-
     /// Sends a frame; waits while the caller reads slowly.
     ///
     /// # Errors
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod refusal;
 pub mod resolve;
+mod upstream;
 
 use std::sync::Arc;
 
--- a/components/node/src/traffic/ask.rs
+++ b/components/node/src/traffic/ask.rs
@@ -11,8 +11,6 @@
 pub struct HeadAsk {
     /// The request's id, given or made.
     pub request: RequestId,
-    /// Whether the caller chose the id, and so may repeat it.
-    pub named: bool,
     /// The session, as the caller sent it.
     pub session: Option<String>,
     /// Which offer is meant.
@@ -32,7 +30,6 @@
     /// Names the header that is malformed.
     pub fn from_headers(headers: &HeaderMap) -> Result<Self, Refusal> {
         let id = text(headers, "idempotency-key")?.or(text(headers, "x-request-id")?);
-        let named = id.is_some();
         let request = match id {
             Some(id) => parse("Idempotency-Key", id)?,
             None => RequestId::random(&mut rand::rng()),
@@ -49,7 +46,6 @@
         let mark = text(headers, "x-non-idempotent")?;
         Ok(Self {
             request,
-            named,
             session: text(headers, "x-session-id")?.map(str::to_owned),
             offer,
             priority,
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use callers::{Frame, Gone, Head, HeaderMap, Responder, StatusCode, header};
 use catalogue::entry::Price;
-use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, Doubt, EngineLoad};
+use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, EngineLoad};
 use platform::Sample;
 use quality::Confidence;
-use requests::attempt::{self, AttemptEnd, Usage};
+use requests::attempt::{AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Attempted, Request};
 use routing::{LoadReport, Outcome, UpstreamIndex};
@@ -24,6 +24,7 @@
 use crate::rating::{self, Stated};
 use crate::traffic::claim::listed;
 use crate::traffic::refusal::{Refusal, set};
+use crate::traffic::upstream::end_of;
 
 /// The answer under way, over all attempts.
 pub(crate) struct Relay<'a> {
@@ -221,24 +222,8 @@
     /// What a failed attempt says of the work.
     pub(super) fn failed(&mut self, error: &AttemptError) -> AttemptEnd {
         tracing::debug!("traffic: an attempt failed: {error}");
-        match error {
-            AttemptError::NotSent(_) => AttemptEnd::NotSent,
-            AttemptError::NotRun { retry_after, .. } => AttemptEnd::RefusedNotRun {
-                retry_after: *retry_after,
-            },
-            AttemptError::NotLoaded => {
-                self.not_loaded = true;
-                AttemptEnd::RefusedNotRun { retry_after: None }
-            }
-            AttemptError::Unknown(Doubt::TimedOut) => AttemptEnd::Unknown(attempt::Doubt::TimedOut),
-            AttemptError::Unknown(_) => AttemptEnd::Unknown(attempt::Doubt::Reset),
-            AttemptError::Truncated { .. } => AttemptEnd::Truncated {
-                received: Tokens(self.pieces),
-                shown: self.has_begun,
-            },
-            AttemptError::Crossed { .. } => AttemptEnd::Crossed,
-            AttemptError::Status { status, .. } => AttemptEnd::UpstreamError(*status),
-        }
+        self.not_loaded = matches!(error, AttemptError::NotLoaded);
+        end_of(error, Tokens(self.pieces), self.has_begun)
     }
 
     /// The id that the caller sees, the same over all attempts.
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -21,6 +21,7 @@
 use crate::traffic::claim::{self, Entry};
 use crate::traffic::limited;
 use crate::traffic::refusal::Refusal;
+use crate::traffic::upstream::Taken;
 
 /// Pause that a caller is told when no version or upstream can take the work.
 const NO_UPSTREAM_RETRY: Span = Span::from_secs(1);
@@ -72,14 +73,6 @@
     refusal.send(responder, Some(&job.head.request));
 }
 
-/// An upstream taken for an attempt.
-struct Taken {
-    index: UpstreamIndex,
-    target: TargetIndex,
-    id: UpstreamId,
-    address: std::net::SocketAddr,
-}
-
 struct Run<'a> {
     job: &'a Job,
     prefix: &'a [PrefixHash],
@@ -218,14 +211,7 @@
         let demand = self.demand(target, avoid);
         let is_person = self.job.priority == Priority::Interactive;
         let must_give_way = is_person && router.must_give_way(now, index);
-        router.started(index, &demand);
-        let spec = router.upstream(index)?.spec();
-        let taken = Taken {
-            index,
-            target,
-            id: spec.id.clone(),
-            address: spec.address,
-        };
+        let taken = Taken::start(&mut router, index, &demand)?;
         drop(router);
         if must_give_way {
             self.shared().admissions.ask_to_give_way(index);
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 use callers::{Head, Method, Request, Responder, StatusCode};
-use engine::{AttemptError, Client, Doubt, PlainAnswer, PlainRequest};
+use engine::{Client, PlainAnswer, PlainRequest};
 use limits::Ask;
-use requests::attempt::{self, AttemptEnd, Usage};
+use requests::attempt::{AttemptEnd, Usage};
 use requests::claim::Recorded;
 use requests::life::{Answered, Arrived, Facts, Next, Refused, Waiting};
 use requests::refusal::Code;
-use routing::{Demand, Outcome, Target, TargetIndex, UpstreamIndex};
+use routing::{Demand, Outcome, Target, UpstreamIndex};
 use types::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -17,6 +17,7 @@
 use super::claim::{self, Entry, listed};
 use super::limited;
 use super::refusal::{Refusal, set};
+use super::upstream::{Taken, end_of};
 use super::{Context, Rejected, Routed};
 use crate::admission;
 use crate::measured;
@@ -99,13 +100,6 @@
     })
 }
 
-struct Taken {
-    index: UpstreamIndex,
-    target: TargetIndex,
-    id: UpstreamId,
-    address: std::net::SocketAddr,
-}
-
 fn run(job: &Job, responder: &Responder) {
     let admitted = Arrived::new().admit(Facts {
         customer: job.cx.customer.clone(),
@@ -213,7 +207,7 @@
             },
             Some(answer),
         ),
-        Err(error) => (end_of(&error), None),
+        Err(error) => (end_of(&error, Tokens(0), false), None),
     };
     finished(shared, taken, &end, began);
     (end, answer)
@@ -243,23 +237,6 @@
     router.finished(now, taken.index, taken.target, outcome, &mut rand::rng());
 }
 
-fn end_of(error: &AttemptError) -> AttemptEnd {
-    match error {
-        AttemptError::NotSent(_) => AttemptEnd::NotSent,
-        AttemptError::NotRun { .. } | AttemptError::NotLoaded => {
-            AttemptEnd::RefusedNotRun { retry_after: None }
-        }
-        AttemptError::Unknown(Doubt::TimedOut) => AttemptEnd::Unknown(attempt::Doubt::TimedOut),
-        AttemptError::Truncated { .. } => AttemptEnd::Truncated {
-            received: Tokens(0),
-            shown: false,
-        },
-        AttemptError::Crossed { .. } => AttemptEnd::Crossed,
-        AttemptError::Status { status, .. } => AttemptEnd::UpstreamError(*status),
-        AttemptError::Unknown(_) => AttemptEnd::Unknown(attempt::Doubt::Reset),
-    }
-}
-
 fn take_upstream(job: &Job, avoid: &[UpstreamIndex]) -> Option<Taken> {
     let shared = &job.cx.shared;
     let mut router = lock(&shared.router);
@@ -271,14 +248,7 @@
         avoid,
     };
     let index = router.pick(shared.now(), &demand, &mut rand::rng()).ok()?;
-    router.started(index, &demand);
-    let spec = router.upstream(index)?.spec();
-    Some(Taken {
-        index,
-        target,
-        id: spec.id.clone(),
-        address: spec.address,
-    })
+    Taken::start(&mut router, index, &demand)
 }
 
 fn answered(
