Share loads between daemons; leave an upstream only when it is mute

Change: daemons tell each other what they have out ten times a second; an upstream counts as dead only when silent on all connections; a larger model is asked only if its first event is expected in time; after 2.8 s of leaving new requests are refused, as not run.

--- a/components/dispatch/src/cascade.rs
+++ b/components/dispatch/src/cascade.rs
@@ -11,9 +11,9 @@
 /// Played with a fixed bound over the first day of two deployments, worth by bound: 30 0.676
 /// and 0.684, 40 0.724 and 0.700, 50 0.703 and 0.686, 60 0.698 and 0.698.
 const KEEP_AT: u8 = 40;
-/// Part of the objective that may have passed when a larger model is asked: its own first
-/// event takes up to a second under load.
-const LATEST_SHARE: f64 = 0.5;
+/// Part of the objective in which a larger model's first event must be expected: an answer
+/// that is late earns a small part of what it would in time, so the draft is kept instead.
+const IN_TIME_SHARE: f64 = 0.8;
 
 /// What is known of the answer of a smaller model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,15 +37,22 @@
         (models > 0).then_some(0)
     }
 
-    /// The place of the model to ask instead of keeping a draft.
+    /// The place of the model to ask instead of keeping a draft: the largest whose first
+    /// event is expected in time. `expected` says how long each place's takes from now.
     #[must_use]
-    pub fn next(now: Time, asked: usize, models: usize, draft: Draft) -> Option<usize> {
-        let largest = models.checked_sub(1)?;
-        if asked >= largest || draft.confidence >= KEEP_AT {
+    pub fn next(
+        now: Time,
+        asked: usize,
+        models: usize,
+        draft: Draft,
+        mut expected: impl FnMut(usize) -> Option<Span>,
+    ) -> Option<usize> {
+        if draft.confidence >= KEEP_AT {
             return None;
         }
-        let passed = now.since(draft.arrived_at).as_secs_f64();
-        let is_late = passed > LATEST_SHARE * draft.objective.as_secs_f64();
-        (!is_late).then_some(largest)
+        let objective = draft.objective.as_secs_f64() * IN_TIME_SHARE;
+        let left = objective - now.since(draft.arrived_at).as_secs_f64();
+        let mut larger = (asked + 1..models).rev();
+        larger.find(|place| expected(*place).is_some_and(|span| span.as_secs_f64() < left))
     }
 }
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -24,6 +24,8 @@
 /// Part of a prompt's shared tokens that a home is expected to hold without this daemon
 /// having sent it there.
 const HOME_HOLDS: f64 = 0.7;
+/// An upstream that just started takes about so many times as long.
+const COLD_TIMES: f64 = 2.0;
 /// Extra cost of another failure domain, in ms: about its round trip, and bytes between
 /// failure domains are paid for.
 const FAR_MS: f64 = 1.0;
@@ -106,7 +108,7 @@
         let well = untried.iter().filter(|(_, e)| !e.health.is_aside(now));
         let well = well.copied().collect::<Vec<_>>();
         let eligible = if well.is_empty() { &untried } else { &well };
-        Ok(self.cheapest(eligible, need, rng))
+        Ok(self.cheapest(now, eligible, need, rng))
     }
 
     fn permitted(&self, index: UpstreamIndex, need: &Need<'_>) -> Option<(UpstreamIndex, &Entry)> {
@@ -117,6 +119,7 @@
 
     fn cheapest(
         &self,
+        now: Time,
         eligible: &[(UpstreamIndex, &Entry)],
         need: &Need<'_>,
         rng: &mut impl Rng,
@@ -131,7 +134,7 @@
         let priced = places.map(|place| {
             let (index, entry) = eligible[place];
             let is_home = homes.contains(&Some(place));
-            let load = self.load(entry, need, &prefixes, is_home);
+            let load = self.load(now, entry, need, &prefixes, is_home);
             let cost = cost(entry, &load, need);
             (cost, index, load)
         });
@@ -144,12 +147,16 @@
         }
     }
 
-    fn load(&self, entry: &Entry, need: &Need<'_>, prefixes: &[u64], is_home: bool) -> Load {
+    fn load(
+        &self,
+        now: Time,
+        entry: &Entry,
+        need: &Need<'_>,
+        prefixes: &[u64],
+        is_home: bool,
+    ) -> Load {
         if need.parts.is_empty() {
-            return Load {
-                missing: 0,
-                expected_ms: self.plain_ms(need.service),
-            };
+            return self.plain_load(entry, need);
         }
         let held = held_tokens(entry, need, prefixes);
         let shared = shared_tokens(need);
@@ -161,6 +168,19 @@
         Load {
             missing: missing as u32,
             expected_ms: ENGINE_BASE_MS + missing * self.token_ms(need.model),
+            wait_ms: entry.backlog.ms(now) + entry.others.backlog_ms,
+        }
+    }
+
+    fn plain_load(&self, entry: &Entry, need: &Need<'_>) -> Load {
+        let expected_ms = self.plain_ms(need.service);
+        let out = entry.in_flight + entry.others.in_flight;
+        let slots = entry.spec.slots.max(1);
+        let waiting = out.saturating_sub(slots - 1);
+        Load {
+            missing: 0,
+            expected_ms,
+            wait_ms: f64::from(waiting) * expected_ms / f64::from(slots),
         }
     }
 }
@@ -168,17 +188,17 @@
 fn cost(entry: &Entry, load: &Load, need: &Need<'_>) -> f64 {
     let is_far = entry.spec.failure_domain != *need.near;
     let far = if is_far { FAR_MS } else { 0.0 };
-    let cold = if entry.spec.cold_for > Span::ZERO {
-        2.0
-    } else {
-        1.0
+    let cold = match entry.spec.cold_for > Span::ZERO {
+        true => COLD_TIMES,
+        false => 1.0,
     };
     let pace = entry.pace.get() * cold;
-    if need.parts.is_empty() {
-        return f64::from(entry.in_flight + 1) * load.expected_ms * pace + far;
-    }
-    let running = RUNNING_MS * f64::from(entry.in_flight);
-    (entry.backlog_ms + load.expected_ms + running) * pace + far
+    let out = f64::from(entry.in_flight + entry.others.in_flight);
+    let each = match need.parts.is_empty() {
+        true => load.expected_ms / f64::from(entry.spec.slots.max(1)),
+        false => RUNNING_MS,
+    };
+    (load.wait_ms + load.expected_ms + out * each) * pace + far
 }
 
 /// A hash of the model and the parts so far, for each shared part.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! chooses among them; [`RetryBudget`] bounds repeats; [`Cascade`] decides when a larger
 //! model is asked; [`Trial`] moves a service's traffic to a new version and judges it.
 
+mod backlog;
 mod budget;
 mod cascade;
 mod choose;
@@ -12,6 +13,7 @@
 mod health;
 mod pace;
 mod pins;
+mod sharing;
 mod trial;
 mod upstreams;
 
@@ -21,5 +23,6 @@
 pub use evidence::{ArmCounts, Evidence, EvidenceError};
 pub use health::Ending;
 pub use pins::Pins;
+pub use sharing::{LoadsError, PeerLoads, decode_loads, encode_loads};
 pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
-pub use upstreams::{Load, UpstreamIndex, Upstreams};
+pub use upstreams::{Begun, Load, SharedLoad, Ticket, UpstreamIndex, Upstreams};
--- /dev/null
+++ b/components/dispatch/src/sharing.rs
@@ -0,0 +1,71 @@
+//! What other daemons have out at upstreams.
+//!
+//! Each daemon sees its own requests only, a small part of what an upstream has to do.
+//! Upstreams' own reports are some hundred ms old and paid for; so daemons tell each other
+//! what they have out. A daemon that falls silent takes its figures with it.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use types::prelude::*;
+
+use crate::upstreams::SharedLoad;
+
+/// A daemon's figures count for so long after they came: they are sent several times in it.
+const FRESH: Span = Span::from_millis(800);
+/// Upstreams of one message at most; beyond it the rest is left out.
+const MAX_LOADS: usize = 2_048;
+
+/// Bytes that are no loads.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("a peer's loads cannot be read: {0}")]
+pub struct LoadsError(#[from] postcard::Error);
+
+/// Writes loads.
+///
+/// # Errors
+/// Never for loads of this form.
+pub fn encode_loads(loads: &[SharedLoad]) -> Result<Bytes, LoadsError> {
+    let part = &loads[..loads.len().min(MAX_LOADS)];
+    Ok(postcard::to_allocvec(part)?.into())
+}
+
+/// Reads loads.
+///
+/// # Errors
+/// When the bytes are not of the expected form.
+pub fn decode_loads(bytes: &[u8]) -> Result<Vec<SharedLoad>, LoadsError> {
+    Ok(postcard::from_bytes(bytes)?)
+}
+
+#[derive(Debug)]
+struct Said {
+    until: Time,
+    loads: Vec<SharedLoad>,
+}
+
+/// The latest figures of each other daemon.
+#[derive(Debug, Default)]
+pub struct PeerLoads {
+    by_daemon: HashMap<DaemonId, Said>,
+}
+
+impl PeerLoads {
+    /// Takes a daemon's figures in place of its last ones.
+    pub fn take(&mut self, now: Time, daemon: DaemonId, loads: Vec<SharedLoad>) {
+        let until = now + FRESH;
+        self.by_daemon.insert(daemon, Said { until, loads });
+    }
+
+    /// Sums by upstream over all daemons that spoke lately.
+    pub fn sums(&mut self, now: Time) -> HashMap<u32, (f64, u32)> {
+        self.by_daemon.retain(|_, said| now < said.until);
+        let mut sums = HashMap::<u32, (f64, u32)>::new();
+        for load in self.by_daemon.values().flat_map(|said| &said.loads) {
+            let sum = sums.entry(load.upstream).or_default();
+            sum.0 += f64::from(load.backlog_ms);
+            sum.1 += u32::from(load.in_flight);
+        }
+        sums
+    }
+}
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 
 use routes::{Upstream, UpstreamState};
+use serde::{Deserialize, Serialize};
 use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::backlog::Backlog;
 use crate::health::{Ending, Health};
 use crate::pace::Pace;
 
@@ -17,6 +20,8 @@
 const FIRST_PLAIN_MS: f64 = 50.0;
 /// Time of an engine that does not depend on the prompt, in ms.
 pub(crate) const ENGINE_BASE_MS: f64 = 20.0;
+/// A shorter prompt says little of a token's time.
+const FEWEST_TOKENS: u32 = 500;
 /// Weight of a new figure in the means of a service.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -29,8 +34,44 @@
 pub struct Load {
     /// Tokens to be read that the upstream is not known to hold.
     pub missing: u32,
-    /// Expected time until it answers, in ms, at an upstream of ordinary pace.
+    /// Expected time of the upstream's own until it answers, in ms.
     pub expected_ms: f64,
+    /// Expected time until the upstream comes to it, in ms.
+    pub wait_ms: f64,
+}
+
+/// Names a request that was sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub(crate) u64);
+
+/// A request that begins to be answered.
+#[derive(Debug)]
+pub struct Begun<'a> {
+    /// By whom.
+    pub index: UpstreamIndex,
+    /// Which.
+    pub ticket: Ticket,
+    /// What was expected of it.
+    pub load: &'a Load,
+    /// The model, of engines.
+    pub model: Option<&'a Arc<str>>,
+    /// How long it took, in ms.
+    pub ms: f64,
+}
+
+/// What one daemon has out at an upstream, in few bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedLoad {
+    /// A hash of the upstream's id.
+    pub upstream: u32,
+    /// Expected time of what has not begun to answer, in ms.
+    pub backlog_ms: u16,
+    /// Requests out.
+    pub in_flight: u16,
+}
+
+fn short_id(id: &UpstreamId) -> u32 {
+    xxh3_64(id.as_str().as_bytes()) as u32
 }
 
 #[derive(Debug)]
@@ -39,8 +80,12 @@
     pub(crate) health: Health,
     pub(crate) pace: Pace,
     pub(crate) in_flight: u32,
-    /// Expected time of what was sent and has not begun to answer, in ms.
-    pub(crate) backlog_ms: f64,
+    /// What was sent from here and has not begun to answer.
+    pub(crate) backlog: Backlog,
+    /// The same at other daemons, as they last said.
+    pub(crate) others: OthersLoad,
+    /// When anything was last read from it.
+    pub(crate) heard_at: Time,
     /// Prefixes that were sent there, by a hash of model and parts, and when.
     pub(crate) prefixes: HashMap<u64, Time>,
     /// Not to be chosen any more: draining, gone, or replaced at its address.
@@ -48,6 +93,13 @@
     is_listed: bool,
 }
 
+/// What other daemons have out at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct OthersLoad {
+    pub(crate) backlog_ms: f64,
+    pub(crate) in_flight: u32,
+}
+
 /// Means over a service.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServiceMeans {
@@ -66,6 +118,7 @@
     /// Time of a prompt's token by model, in ms.
     pub(crate) token_ms: HashMap<Arc<str>, f64>,
     next: u64,
+    next_ticket: u64,
 }
 
 impl Upstreams {
@@ -104,7 +157,9 @@
             health: Health::default(),
             pace: Pace::default(),
             in_flight: 0,
-            backlog_ms: 0.0,
+            backlog: Backlog::default(),
+            others: OthersLoad::default(),
+            heard_at: Time::ZERO,
             prefixes: HashMap::new(),
             is_leaving: is_draining,
             is_listed: true,
@@ -152,13 +207,21 @@
         })
     }
 
-    /// Notes that a request goes to an upstream.
-    pub fn started(&mut self, now: Time, index: UpstreamIndex, load: &Load, prefixes: &[u64]) {
+    /// Notes that a request goes to an upstream; the ticket names it from then on.
+    pub fn started(
+        &mut self,
+        now: Time,
+        index: UpstreamIndex,
+        load: &Load,
+        prefixes: &[u64],
+    ) -> Ticket {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
         let Some(entry) = self.entries.get_mut(&index) else {
-            return;
+            return ticket;
         };
         entry.in_flight += 1;
-        entry.backlog_ms += load.expected_ms;
+        entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.chosen();
         if entry.prefixes.len() + prefixes.len() > MAX_PREFIXES {
             entry.prefixes.clear();
@@ -166,52 +229,56 @@
         entry
             .prefixes
             .extend(prefixes.iter().map(|hash| (*hash, now)));
+        ticket
+    }
+
+    /// Notes that something was read from an upstream.
+    pub fn heard(&mut self, now: Time, index: UpstreamIndex) {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.heard_at = now;
+        }
+    }
+
+    /// How long an upstream with work has said nothing on any connection, counted from
+    /// `since` at the earliest.
+    #[must_use]
+    pub fn mute_for(&self, now: Time, index: UpstreamIndex, since: Time) -> Span {
+        let heard_at = self.entries.get(&index).map(|entry| entry.heard_at);
+        now.since(heard_at.unwrap_or_default().max(since))
     }
 
     /// Notes that a request begins to be answered.
-    pub fn answering(
-        &mut self,
-        index: UpstreamIndex,
-        load: &Load,
-        model: Option<&Arc<str>>,
-        ms: f64,
-    ) {
-        let Some(entry) = self.entries.get_mut(&index) else {
+    pub fn answering(&mut self, now: Time, begun: &Begun<'_>) {
+        let Some(entry) = self.entries.get_mut(&begun.index) else {
             return;
         };
-        entry.backlog_ms = (entry.backlog_ms - load.expected_ms).max(0.0);
-        entry.pace.note(ms, load.expected_ms);
-        match model {
-            Some(model) => {
-                let per_token = (ms - ENGINE_BASE_MS).max(1.0) / f64::from(load.missing.max(200));
+        entry.backlog.remove(now, begun.ticket.0);
+        entry.heard_at = now;
+        let load = begun.load;
+        entry.pace.note(begun.ms, load.wait_ms + load.expected_ms);
+        let service = entry.spec.service.clone();
+        match begun.model {
+            Some(model) if load.missing >= FEWEST_TOKENS && load.wait_ms < ENGINE_BASE_MS => {
+                let per_token = (begun.ms - ENGINE_BASE_MS).max(1.0) / f64::from(load.missing);
                 let mean = self.token_ms.entry(model.clone()).or_insert(FIRST_TOKEN_MS);
                 // One that waited behind others says little of the token's own time.
-                *mean += MEAN_WEIGHT * (per_token.min(*mean * 4.0) - *mean);
+                *mean += MEAN_WEIGHT * (per_token.min(*mean * 3.0) - *mean);
             }
+            Some(_) => {}
             None => {
-                let service = entry.spec.service.clone();
                 let mean = &mut means_of(&mut self.means, &service).plain_ms;
-                *mean += MEAN_WEIGHT * (ms.min(*mean * 4.0) - *mean);
+                *mean += MEAN_WEIGHT * (begun.ms.min(*mean * 4.0) - *mean);
             }
         }
     }
 
-    /// Notes a request's end. `began` says whether [`Upstreams::answering`] was noted.
-    pub fn ended(
-        &mut self,
-        now: Time,
-        index: UpstreamIndex,
-        load: &Load,
-        began: bool,
-        ending: Ending,
-    ) {
+    /// Notes a request's end.
+    pub fn ended(&mut self, now: Time, index: UpstreamIndex, ticket: Ticket, ending: Ending) {
         let Some(entry) = self.entries.get_mut(&index) else {
             return;
         };
         entry.in_flight = entry.in_flight.saturating_sub(1);
-        if !began {
-            entry.backlog_ms = (entry.backlog_ms - load.expected_ms).max(0.0);
-        }
+        entry.backlog.remove(now, ticket.0);
         let service = entry.spec.service.clone();
         let means = means_of(&mut self.means, &service);
         means.note(ending);
@@ -223,6 +290,30 @@
         }
     }
 
+    /// What this daemon has out, for the other daemons: busy upstreams only.
+    #[must_use]
+    pub fn own_loads(&self, now: Time) -> Vec<SharedLoad> {
+        let busy = self.entries.values().filter(|entry| entry.in_flight > 0);
+        let loads = busy.map(|entry| SharedLoad {
+            upstream: short_id(&entry.spec.id),
+            backlog_ms: entry.backlog.ms(now).min(f64::from(u16::MAX)) as u16,
+            in_flight: u16::try_from(entry.in_flight).unwrap_or(u16::MAX),
+        });
+        loads.collect()
+    }
+
+    /// Takes what all other daemons have out.
+    pub fn set_others(&mut self, loads: &HashMap<u32, (f64, u32)>) {
+        for entry in self.entries.values_mut() {
+            let load = loads.get(&short_id(&entry.spec.id)).copied();
+            let (backlog_ms, in_flight) = load.unwrap_or_default();
+            entry.others = OthersLoad {
+                backlog_ms,
+                in_flight,
+            };
+        }
+    }
+
     /// Notes an upstream's own sign that it leaves, before the list says so.
     pub fn leaving(&mut self, index: UpstreamIndex) {
         if let Some(entry) = self.entries.get_mut(&index) {
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -205,6 +205,7 @@
         if let Some((purpose, req)) = self.presence.tick(now) {
             self.call(purpose, req);
         }
+        self.share_loads(now);
         self.must_plan |= self.planner.lapsed.expire(now);
         self.step_rollouts(now);
         let rank = self.peering.rank();
@@ -216,6 +217,14 @@
         self.daemons = daemons;
     }
 
+    /// Tells the others what is out here, and the event loop what is out there.
+    fn share_loads(&mut self, now: Time) {
+        self.peering.show_loads(&self.traffic.seen.loads());
+        let others = self.peering.others_loads(now);
+        // The event loop may have ended before this thread when the process leaves.
+        let _ = self.traffic.commands.send(Command::OthersLoads(others));
+    }
+
     fn call(&self, purpose: Purpose, req: Request) {
         // The thread that makes calls lives as long as this one.
         let _ = self.calls.send((purpose, req));
@@ -226,7 +235,7 @@
         if services.is_empty() {
             return;
         }
-        let seen = self.traffic.seen.get();
+        let seen = self.traffic.seen.evidence();
         let others = self.peering.evidence();
         let bad = self.peering.bad_orders();
         for (service, order) in services {
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -1,11 +1,11 @@
 //! What rides between daemons: who is there, how far each mirror is, and roll-outs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dispatch::Evidence;
+use dispatch::{Evidence, PeerLoads, SharedLoad, decode_loads, encode_loads};
 use membership::{Event as MemberEvent, Membership, Outcome, Topic};
 use mirror::{Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
@@ -13,6 +13,8 @@
 
 /// Longest wait for a peer's answer about the store's keys.
 const ASK_WITHIN: Span = Span::from_millis(800);
+/// Daemons that are told what is out here.
+const MAX_TOLD: usize = 16;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
 const OWN_WATCH_FIRST: Span = Span::from_millis(150);
 
@@ -23,6 +25,9 @@
     /// The next moment to ask a peer that is ahead.
     ask_at: Option<Time>,
     asked: Option<flume::Receiver<Result<Payload, peers::AskError>>>,
+    loads: PeerLoads,
+    /// Whether something was out at the last telling.
+    was_loaded: bool,
 }
 
 impl Peering {
@@ -32,6 +37,8 @@
             handle,
             ask_at: None,
             asked: None,
+            loads: PeerLoads::default(),
+            was_loaded: false,
         }
     }
 
@@ -73,6 +80,20 @@
                 self.carry(outcome);
                 None
             }
+            Inbound::Message {
+                from,
+                payload:
+                    Payload::Part {
+                        part: Part::Limits,
+                        body,
+                    },
+            } => {
+                match decode_loads(&body) {
+                    Ok(loads) => self.loads.take(now, from.id, loads),
+                    Err(e) => tracing::warn!(peer = %from.id, "peers: {e}"),
+                }
+                None
+            }
             Inbound::Ask {
                 payload:
                     Payload::Part {
@@ -148,6 +169,38 @@
         }
     }
 
+    /// Tells what is out here to the others.
+    pub(crate) fn show_loads(&mut self, loads: &[SharedLoad]) {
+        if loads.is_empty() && !self.was_loaded {
+            return;
+        }
+        self.was_loaded = !loads.is_empty();
+        let body = match encode_loads(loads) {
+            Ok(body) => body,
+            Err(e) => {
+                tracing::error!("peers: {e}");
+                return;
+            }
+        };
+        let present = self
+            .members
+            .members()
+            .filter(|m| m.record.state.is_present());
+        for member in present.take(MAX_TOLD) {
+            let part = Part::Limits;
+            let payload = Payload::Part {
+                part,
+                body: body.clone(),
+            };
+            self.handle.send(member.record.address, payload);
+        }
+    }
+
+    /// What all others have out, by upstream.
+    pub(crate) fn others_loads(&mut self, now: Time) -> HashMap<u32, (f64, u32)> {
+        self.loads.sums(now)
+    }
+
     /// Others' evidence on roll-outs, by service.
     pub(crate) fn evidence(&self) -> BTreeMap<Arc<str>, Vec<Evidence>> {
         let mut evidence = BTreeMap::<Arc<str>, Vec<Evidence>>::new();
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -54,6 +54,8 @@
     pub(crate) confidence: Option<u8>,
     pub(crate) wire: Wire,
     pub(crate) reader: BodyReader,
+    /// Whether the upstream may be left for another when it is silent.
+    pub(crate) may_leave: bool,
     index: UpstreamIndex,
     world: Rc<World<T>>,
     tracked: Tracked<T>,
@@ -66,6 +68,21 @@
         self.tracked.began(self.model.as_ref());
     }
 
+    /// Notes that something was read.
+    pub(crate) fn heard(&self) {
+        self.tracked.heard();
+    }
+
+    /// How long the upstream has been silent on all connections.
+    pub(crate) fn mute_for(&self) -> Span {
+        self.tracked.mute_for()
+    }
+
+    /// When the first event may be expected, with as much again for what is not known.
+    pub(crate) fn expected_within(&self) -> Span {
+        self.tracked.expected_within()
+    }
+
     /// Ends it; the connection is kept after a whole stream.
     pub(crate) fn finish(self, ending: Ending) {
         self.tracked.end(ending);
@@ -85,6 +102,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Whether the caller has events of an earlier attempt.
     pub(crate) has_delivered: bool,
+    /// Whether a silent upstream may be left for another.
+    pub(crate) may_leave: bool,
 }
 
 impl<T: Translator> Attempt<'_, T> {
@@ -107,7 +126,7 @@
             tracked.end(Ending::Broken);
             return Sent::Unclear("broke while it was sent");
         }
-        let head = match self.answer_head(&wire).await {
+        let head = match self.answer_head(&wire, &tracked).await {
             Ok(head) => head,
             Err(NoHead::Silent) => {
                 tracked.end(Ending::Silent);
@@ -119,6 +138,7 @@
             }
         };
         let (head, reply, framing) = head;
+        tracked.heard();
         match reply.standing {
             Standing::NotRun => {
                 tracked.end(Ending::Refused);
@@ -142,6 +162,7 @@
                 confidence: reply.confidence,
                 wire,
                 reader,
+                may_leave: false,
                 index: choice.index,
                 world: Rc::clone(self.world),
                 tracked,
@@ -211,9 +232,13 @@
     }
 
     /// Reads the head of the answer to this request.
-    async fn answer_head(&self, wire: &Wire) -> Result<(Head, Reply, Framing), NoHead> {
+    async fn answer_head(
+        &self,
+        wire: &Wire,
+        tracked: &Tracked<T>,
+    ) -> Result<(Head, Reply, Framing), NoHead> {
         let read = self.own_head(wire);
-        match self.silent_after() {
+        match self.silent_after(tracked) {
             Some(span) => match tokio::time::timeout(span.to_duration(), read).await {
                 Ok(done) => done,
                 Err(_) => Err(NoHead::Silent),
@@ -223,13 +248,13 @@
     }
 
     /// How long to wait for an answer's head before another upstream is tried.
-    fn silent_after(&self) -> Option<Span> {
-        let route = &self.request.route;
-        if !route.repeat.is_allowed() {
+    fn silent_after(&self, tracked: &Tracked<T>) -> Option<Span> {
+        if !self.may_leave {
             return None;
         }
-        let objective = route.objective.as_secs_f64();
-        Some(Span::from_secs_f64(objective * SILENT_SHARE))
+        let objective = self.request.route.objective.as_secs_f64();
+        let share = Span::from_secs_f64(objective * SILENT_SHARE);
+        Some(share.max(tracked.expected_within()))
     }
 
     /// Skips answers to other requests.
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -20,6 +20,8 @@
 const LINGER: Duration = Duration::from_millis(1_500);
 /// Callers return at least this much later while this daemon knows no configuration.
 const UNREADY_RETRY: Span = Span::from_millis(500);
+/// Callers return at least this much later when this daemon leaves: another one is there.
+const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Bytes of a pipelined request that are kept while another is served.
 const MAX_PIPELINED: usize = 16 * 1024;
 
@@ -140,6 +142,10 @@
 }
 
 fn place<T>(world: &World<T>, head: &Head, ask: &Ask) -> Result<Placed, (Own, &'static str)> {
+    if world.stage() == Stage::Closing {
+        let retry_after = spread(LEAVING_RETRY, &mut *world.rng.borrow_mut());
+        return Err((Own::NotRun { retry_after }, "this daemon is leaving"));
+    }
     let plan = world.plan();
     let Some(table) = &plan.table else {
         let retry_after = spread(UNREADY_RETRY, &mut *world.rng.borrow_mut());
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Cascade, Draft, Ending, Need, NoUpstream, Permit, UpstreamIndex, Use};
+use dispatch::{Cascade, Choice, Draft, Ending, Need, NoUpstream, Permit, UpstreamIndex, Use};
 use http1::{Head, Wire};
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
@@ -219,27 +219,41 @@
         self.own(Own::NotRun { retry_after }, why).await
     }
 
-    async fn attempt(&mut self) -> Next {
+    /// Chooses an upstream for a model.
+    fn choose(
+        &self,
+        model: Option<&Arc<str>>,
+        tried: &[UpstreamIndex],
+    ) -> Result<Choice, NoUpstream> {
         let permit = self.permit();
-        let model = self.model_name().cloned();
         let prompt = self.request.ask.prompt.as_ref();
         let need = Need {
             service: &self.service,
-            model: model.as_ref(),
+            model,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             permit: &permit,
-            exclude: &self.tried,
+            exclude: tried,
             near: &self.world.cfg.failure_domain,
         };
         let now = self.world.now();
-        let chosen = {
-            let upstreams = self.world.upstreams.borrow();
-            upstreams.choose(now, &need, &mut *self.world.rng.borrow_mut())
-        };
-        let choice = match chosen {
+        let upstreams = self.world.upstreams.borrow();
+        upstreams.choose(now, &need, &mut *self.world.rng.borrow_mut())
+    }
+
+    /// When a model's first event can be expected, from now.
+    fn expected_of(&self, model: usize) -> Option<Span> {
+        let model = self.request.route.models.get(model)?;
+        let choice = self.choose(Some(model), &[]).ok()?;
+        let ms = choice.load.wait_ms + choice.load.expected_ms;
+        Some(Span::from_secs_f64(ms / 1_000.0))
+    }
+
+    async fn attempt(&mut self) -> Next {
+        let model = self.model_name().cloned();
+        let choice = match self.choose(model.as_ref(), &self.tried) {
             Ok(choice) => choice,
-            Err(no) => return self.no_upstream(no),
+            Err(no) => return Next::Stuck(refusal(no)),
         };
         self.tried.push(choice.index);
         self.sends += 1;
@@ -249,13 +263,17 @@
             model: model.as_ref(),
             resume_after: self.relay.last_event(),
             has_delivered: self.relay.has_begun(),
+            may_leave: self.may_leave(),
         };
         let sent = attempt.send(choice).await;
         self.take_sent(sent).await
     }
 
-    fn no_upstream(&self, no: NoUpstream) -> Next {
-        Next::Stuck(refusal(no))
+    /// Whether a silent upstream may be left for another: only while a run stays for an
+    /// upstream that breaks.
+    fn may_leave(&self) -> bool {
+        let is_allowed = self.request.route.repeat.is_allowed();
+        is_allowed && self.runs + 1 < self.request.route.max_runs
     }
 
     /// Versions that it may run on now.
@@ -351,7 +369,9 @@
             objective: self.request.route.objective,
         };
         let models = self.request.route.models.len();
-        let larger = Cascade::next(self.world.now(), self.model?, models, draft)?;
+        let now = self.world.now();
+        let expected = |place| self.expected_of(place);
+        let larger = Cascade::next(now, self.model?, models, draft, expected)?;
         let is_paid = self.world.take_repeat(&self.service, Use::LargerModel);
         is_paid.then_some(larger)
     }
@@ -363,6 +383,8 @@
     ) -> Next {
         self.pin(index);
         let keeps_alive = self.keeps_alive();
+        stream.may_leave =
+            self.request.route.repeat.is_allowed() && self.runs < self.request.route.max_runs;
         let end = self
             .relay
             .run(
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -1,5 +1,7 @@
 //! Relaying a stream event by event, over as many upstreams as it takes.
 
+use std::time::Duration;
+
 use dispatch::Ending;
 use http1::events::{Event, Splitter};
 use http1::{Progress, Wire};
@@ -11,12 +13,18 @@
 use crate::translate::Translator;
 use crate::world::World;
 
-/// Part of the longest pause that is on time, after which a stream goes on elsewhere.
-const SILENT_SHARE: f64 = 0.9;
+/// An upstream that has said nothing on any connection for so long is taken for dead: an
+/// engine that lives answers some stream every few ten ms, or a few hundred while it reads
+/// a long prompt.
+const MUTE_AFTER: Span = Span::from_millis(800);
+/// A stream that is silent for so many of the longest pauses that are on time goes on
+/// elsewhere, though its engine lives: it was put back, and reading the prompt anew
+/// elsewhere takes less than waiting on.
+const STALLED_TIMES: f64 = 2.5;
 /// Longest pause where the route names none.
 const UNSAID_PAUSE: Span = Span::from_secs(2);
-/// Part of the objective after which an upstream without a first event is left.
-const FIRST_SHARE: f64 = 0.7;
+/// Silence is looked at this often.
+const LOOK: Duration = Duration::from_millis(200);
 
 /// How relaying from one upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,13 +91,19 @@
     ) -> RelayEnd {
         let mut splitter = Splitter::default();
         let mut has_first = false;
+        let mut heard_at = world.now();
         loop {
-            let patience = self.patience(request, has_first);
-            let next = match tokio::time::timeout(patience, next(stream, &mut splitter)).await {
+            let waited = tokio::time::timeout(LOOK, next(stream, &mut splitter)).await;
+            let next = match waited {
                 Ok(next) => next,
-                Err(_) if !request.route.repeat.is_allowed() => next(stream, &mut splitter).await,
-                Err(_) => Next::Broken("silent within its stream", Ending::Silent),
+                Err(_) if !stream.may_leave => continue,
+                Err(_) => match self.given_up(world, request, stream, heard_at, has_first) {
+                    Some(why) => Next::Broken(why, Ending::Silent),
+                    None => continue,
+                },
             };
+            heard_at = world.now();
+            stream.heard();
             let events = match next {
                 Next::Events(events) => events,
                 Next::End => return self.end(caller, stream, has_first, keeps_alive).await,
@@ -114,13 +128,31 @@
         }
     }
 
-    fn patience<T>(&self, request: &Request<T>, has_first: bool) -> std::time::Duration {
-        let route = &request.route;
-        let span = match has_first || self.has_begun() {
-            true => route.pause.unwrap_or(UNSAID_PAUSE).as_secs_f64() * SILENT_SHARE,
-            false => route.objective.as_secs_f64() * FIRST_SHARE,
+    /// Why a silent upstream is left for another, if it is.
+    fn given_up<T>(
+        &self,
+        world: &World<T>,
+        request: &Request<T>,
+        stream: &Stream<T>,
+        heard_at: Time,
+        has_first: bool,
+    ) -> Option<&'static str> {
+        let silent = world.now().since(heard_at);
+        let pause = request.route.pause.unwrap_or(UNSAID_PAUSE).as_secs_f64();
+        let stalled = match has_first {
+            true => Span::from_secs_f64(pause * STALLED_TIMES),
+            false => stream.expected_within() + request.route.objective,
+        };
+        if silent > stalled {
+            return Some("stalled");
+        }
+        let expected = if has_first {
+            Span::ZERO
+        } else {
+            stream.expected_within()
         };
-        std::time::Duration::from_secs_f64(span)
+        let is_mute = stream.mute_for().min(silent) > MUTE_AFTER.max(expected);
+        is_mute.then_some("silent on all connections")
     }
 
     /// Adds events in their order; false at the first that does not follow.
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -30,9 +30,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Old kept connections are closed this often.
 const TIDY: Duration = Duration::from_secs(1);
-/// After being told to stop, new connections still come until two questions for readiness
-/// in a row, a second apart, were answered with no.
-const NOTICED_AFTER: Duration = Duration::from_millis(2_400);
+/// What is out is shown to the control thread this often, which tells the other daemons.
+const SHOW: Duration = Duration::from_millis(100);
+/// After being told to stop, new requests are taken for this long: new connections come
+/// until two questions for readiness in a row, a second apart, were answered with no. What
+/// comes later may not end within the grace and is refused, so that it runs elsewhere.
+const NOTICED_AFTER: Duration = Duration::from_millis(2_800);
 /// The way out is looked at this often.
 const EXIT_TICK: Duration = Duration::from_millis(50);
 /// Left of the grace for the process to end in.
@@ -48,6 +51,8 @@
 pub enum Command {
     /// Serve by this from now on.
     Plan(Arc<Plan>),
+    /// What all other daemons have out, by upstream.
+    OthersLoads(HashMap<u32, (f64, u32)>),
     /// Finish what is there and end.
     Stop,
 }
@@ -156,15 +161,24 @@
     tokio::task::spawn_local(accept_callers(Rc::clone(&world), callers));
     tokio::task::spawn_local(accept_asks(Rc::clone(&world), asks));
     tokio::task::spawn_local(tidy(Rc::clone(&world)));
+    tokio::task::spawn_local(show_loads(Rc::clone(&world)));
     while let Ok(command) = commands.recv_async().await {
         match command {
-            Command::Plan(plan) => world.set_plan(plan),
             Command::Stop => break,
+            other => take(&world, other),
         }
     }
     leave(&world, &commands).await;
 }
 
+fn take<T>(world: &World<T>, command: Command) {
+    match command {
+        Command::Plan(plan) => world.set_plan(plan),
+        Command::OthersLoads(loads) => world.upstreams.borrow_mut().set_others(&loads),
+        Command::Stop => {}
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpSocket::new_v4().and_then(|socket| {
         socket.set_reuseaddr(true)?;
@@ -187,8 +201,15 @@
 }
 
 async fn accept_callers<T: Translator>(world: Rc<World<T>>, listener: TcpListener) {
+    let mut stages = world.stage.subscribe();
     loop {
-        let stream = accept(&listener).await;
+        let stream = tokio::select! {
+            biased;
+            // The balancer sends callers also to daemons that are not ready when too few
+            // are; a closed port tells them at once to try another.
+            _ = stages.wait_for(|stage| *stage == Stage::Closing) => return,
+            stream = accept(&listener) => stream,
+        };
         // Beyond the bound a connection is closed unread, which tells the caller that
         // nothing was run.
         if world.callers.get() >= world.cfg.max_callers {
@@ -229,6 +250,14 @@
     }
 }
 
+async fn show_loads<T>(world: Rc<World<T>>) {
+    loop {
+        tokio::time::sleep(SHOW).await;
+        let loads = world.upstreams.borrow().own_loads(world.now());
+        world.seen.set_loads(loads);
+    }
+}
+
 /// Leaves: not ready at once, serving until that was noticed, then until nothing is left.
 async fn leave<T>(world: &World<T>, commands: &flume::Receiver<Command>) {
     let told_at = world.now();
@@ -238,9 +267,7 @@
     let noticed_at = told_at + Span::from(NOTICED_AFTER);
     loop {
         while let Ok(command) = commands.try_recv() {
-            if let Command::Plan(plan) = command {
-                world.set_plan(plan);
-            }
+            take(world, command);
         }
         let now = world.now();
         if now >= noticed_at && world.stage() < Stage::Closing {
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Choice, Ending, Evidence, Load, UpstreamIndex};
+use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex};
 use types::prelude::*;
 
 use crate::world::World;
@@ -20,6 +20,7 @@
 pub(crate) struct Tracked<T> {
     world: Rc<World<T>>,
     index: UpstreamIndex,
+    ticket: Ticket,
     load: Load,
     arm: Option<Arm>,
     sent_at: Time,
@@ -32,7 +33,7 @@
     pub(crate) fn start(world: &Rc<World<T>>, choice: &Choice) -> Self {
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
-        upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
+        let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
         let spec = upstreams.spec(choice.index);
         let arm = spec.and_then(|spec| {
             let plan = world.plan.borrow();
@@ -47,6 +48,7 @@
         let tracked = Self {
             world: Rc::clone(world),
             index: choice.index,
+            ticket,
             load: choice.load,
             arm,
             sent_at: now,
@@ -65,10 +67,38 @@
         let now = self.world.now();
         let ms = now.since(self.sent_at).as_secs_f64() * 1_000.0;
         let mut upstreams = self.world.upstreams.borrow_mut();
-        upstreams.answering(self.index, &self.load, model, ms);
+        upstreams.answering(
+            now,
+            &Begun {
+                index: self.index,
+                ticket: self.ticket,
+                load: &self.load,
+                model,
+                ms,
+            },
+        );
         self.began_at = Some(now);
     }
 
+    /// Notes that something was read from the upstream.
+    pub(crate) fn heard(&self) {
+        let now = self.world.now();
+        self.world.upstreams.borrow_mut().heard(now, self.index);
+    }
+
+    /// How long the upstream has been silent on all connections.
+    pub(crate) fn mute_for(&self) -> Span {
+        let now = self.world.now();
+        let upstreams = self.world.upstreams.borrow();
+        upstreams.mute_for(now, self.index, self.sent_at)
+    }
+
+    /// When it may be expected to answer, with as much again for what is not known.
+    pub(crate) fn expected_within(&self) -> Span {
+        let ms = 2.0 * (self.load.wait_ms + self.load.expected_ms);
+        Span::from_secs_f64(ms / 1_000.0)
+    }
+
     /// Sets how it ended; counted when this goes.
     pub(crate) fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -87,16 +117,15 @@
 impl<T> Drop for Tracked<T> {
     fn drop(&mut self) {
         let now = self.world.now();
-        let began = self.began_at.is_some();
         let mut upstreams = self.world.upstreams.borrow_mut();
-        upstreams.ended(now, self.index, &self.load, began, self.ending);
+        upstreams.ended(now, self.index, self.ticket, self.ending);
         drop(upstreams);
         let waited = self.began_at.unwrap_or(now).since(self.sent_at);
         let ms = waited.as_secs_f64() * 1_000.0;
         self.count(|counts| {
             counts.out = counts.out.saturating_sub(1);
             match self.ending {
-                Ending::Good => counts.note_good(ms, self.load.expected_ms),
+                Ending::Good => counts.note_good(ms, self.load.wait_ms + self.load.expected_ms),
                 Ending::Failed | Ending::Broken | Ending::Silent => counts.bad += 1,
                 _ => {}
             }
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -2,9 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dispatch::{Evidence, Pins, RetryBudget, Upstreams, Use};
+use dispatch::{Evidence, Pins, RetryBudget, SharedLoad, Upstreams, Use};
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
 use types::prelude::*;
@@ -25,23 +25,41 @@
     Closing,
 }
 
-/// What was seen of roll-outs, by service; read by the control thread.
+/// What the event loop shows the control thread.
+#[derive(Debug, Default)]
+struct Shown {
+    evidence: BTreeMap<Arc<str>, Evidence>,
+    loads: Vec<SharedLoad>,
+}
+
+/// What the event loop shows the control thread: evidence on roll-outs and its loads.
 #[derive(Debug, Clone, Default)]
-pub struct Seen(Arc<Mutex<BTreeMap<Arc<str>, Evidence>>>);
+pub struct Seen(Arc<Mutex<Shown>>);
 
 impl Seen {
-    /// A copy.
+    fn lock(&self) -> MutexGuard<'_, Shown> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What was seen of roll-outs, by service.
     #[must_use]
-    pub fn get(&self) -> BTreeMap<Arc<str>, Evidence> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+    pub fn evidence(&self) -> BTreeMap<Arc<str>, Evidence> {
+        self.lock().evidence.clone()
+    }
+
+    /// What is out at upstreams.
+    #[must_use]
+    pub fn loads(&self) -> Vec<SharedLoad> {
+        self.lock().loads.clone()
+    }
+
+    pub(crate) fn set_loads(&self, loads: Vec<SharedLoad>) {
+        self.lock().loads = loads;
     }
 
     pub(crate) fn change(&self, service: &Arc<str>, order: u64, f: impl FnOnce(&mut Evidence)) {
-        let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let evidence = held.entry(service.clone()).or_default();
+        let mut shown = self.lock();
+        let evidence = shown.evidence.entry(service.clone()).or_default();
         if evidence.order != order {
             *evidence = Evidence {
                 order,
