--- a/components/dispatch/src/cascade.rs
+++ b/components/dispatch/src/cascade.rs
@@ -8,9 +8,10 @@
 
 /// An answer of at least this confidence is kept.
 ///
-/// Played with a fixed bound over the first day of two deployments, worth by bound: 30 0.676
-/// and 0.684, 40 0.724 and 0.700, 50 0.703 and 0.686, 60 0.698 and 0.698.
-const KEEP_AT: u8 = 40;
+/// Played over the first day of two deployments, worth by bound: 0 0.553 and 0.598, 30 0.705
+/// and 0.718, 40 0.747 and 0.724, 50 0.778 and 0.739, 60 0.746 and 0.725, 70 0.701 and 0.709.
+/// Above 60 the drafts are good and the larger model's time makes others late.
+const KEEP_AT: u8 = 50;
 /// Part of the objective in which a larger model's first event must be expected: an answer
 /// that is late earns a small part of what it would in time, so the draft is kept instead.
 const IN_TIME_SHARE: f64 = 0.8;
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -16,8 +16,19 @@
 use crate::trial::Permit;
 use crate::upstreams::{ENGINE_BASE_MS, Entry, Load, UpstreamIndex, Upstreams};
 
-/// Candidates drawn at random beside the homes.
+/// Candidates drawn at random beside the homes, of a short prompt: with more of them the
+/// daemons would follow one picture that is some hundred ms old.
 const DRAWN: usize = 3;
+/// Candidates of a long prompt, which is worth a closer look.
+const DRAWN_LONG: usize = 24;
+/// Reading that takes this long makes a prompt a long one, in ms.
+const LONG_MS: f64 = 250.0;
+/// Part of a prompt's reading time that each stream beside it is charged with. An engine
+/// reads in chunks and makes one token of every stream between two of them; a chunk of a
+/// long prompt takes the largest model 0.4 s, so an event of six tokens takes 2.4 s where
+/// 1.5 s are allowed. Long prompts thus gather where few streams run, and streams avoid
+/// where long prompts wait.
+const HARM_SHARE: f64 = 0.08;
 /// Delay by each request that an engine runs, in ms: a batch's step grows by about a
 /// hundredth of a millisecond a request and an answer has some hundred steps.
 const RUNNING_MS: f64 = 2.0;
@@ -129,8 +140,14 @@
             Some(prefix) => homes_of(eligible, *prefix),
             None => [None, None],
         };
-        let drawn = (0..DRAWN).map(|_| rng.random_range(0..eligible.len()));
-        let places = homes.into_iter().flatten().chain(drawn);
+        let whole_ms = self.reading_ms(need.model, f64::from(need.prompt_tokens));
+        let count = if whole_ms > LONG_MS {
+            DRAWN_LONG
+        } else {
+            DRAWN
+        };
+        let drawn = draw(eligible.len(), count, rng);
+        let places = homes.into_iter().flatten().chain(drawn.into_iter());
         let priced = places.map(|place| {
             let (index, entry) = eligible[place];
             let is_home = homes.contains(&Some(place));
@@ -167,7 +184,7 @@
         let missing = (f64::from(need.prompt_tokens) - expected_held).max(0.0);
         Load {
             missing: missing as u32,
-            expected_ms: ENGINE_BASE_MS + missing * self.token_ms(need.model),
+            expected_ms: ENGINE_BASE_MS + self.reading_ms(need.model, missing),
             wait_ms: entry.backlog.ms(now) + entry.others.backlog_ms,
         }
     }
@@ -196,11 +213,19 @@
     let out = f64::from(entry.in_flight + entry.others.in_flight);
     let each = match need.parts.is_empty() {
         true => load.expected_ms / f64::from(entry.spec.slots.max(1)),
-        false => RUNNING_MS,
+        false => RUNNING_MS + HARM_SHARE * load.expected_ms,
     };
     (load.wait_ms + load.expected_ms + out * each) * pace + far
 }
 
+/// Places drawn at random; all of them when they are few.
+fn draw(places: usize, count: usize, rng: &mut impl Rng) -> Vec<usize> {
+    if places <= count {
+        return (0..places).collect();
+    }
+    (0..count).map(|_| rng.random_range(0..places)).collect()
+}
+
 /// A hash of the model and the parts so far, for each shared part.
 fn prefixes_of(need: &Need<'_>) -> Vec<u64> {
     let model = need.model.map_or("", |model| model);
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod health;
 mod pace;
 mod pins;
+mod reading;
 mod sharing;
 mod trial;
 mod upstreams;
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -148,6 +148,8 @@
     order: RolloutOrder,
     limits: TrialLimits,
     since: Time,
+    /// How long peers knew the order before this process did.
+    before: Span,
     /// As the store says.
     state: RolloutState,
     verdict: Verdict,
@@ -161,6 +163,7 @@
             order,
             limits,
             since: now,
+            before: Span::ZERO,
             state: RolloutState::Running,
             verdict: Verdict::Open,
         }
@@ -181,7 +184,7 @@
     /// How long the order is known.
     #[must_use]
     pub fn elapsed(&self, now: Time) -> Span {
-        now.since(self.since)
+        now.since(self.since) + self.before
     }
 
     /// Takes what the store says; a decision is never taken back.
@@ -190,8 +193,12 @@
     }
 
     /// Takes a peer's clock of this order if it is ahead.
+    ///
+    /// Guards against a daemon that restarts in the middle of a roll-out and begins it anew:
+    /// it would send sessions back to the old version, up to its end.
     pub fn known_for(&mut self, now: Time, elapsed: Span) {
-        self.since = self.since.min(now - elapsed);
+        let ahead = elapsed - self.elapsed(now);
+        self.before = self.before + ahead;
     }
 
     /// Marks the new version as bad, as a peer found.
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -11,11 +11,10 @@
 use crate::backlog::Backlog;
 use crate::health::{Ending, Health};
 use crate::pace::Pace;
+use crate::reading::Reading;
 
 /// Prefixes remembered of one upstream; its memory holds some hundred of this length.
 const MAX_PREFIXES: usize = 2_048;
-/// First guess of an engine's time for a token of the prompt, in ms.
-const FIRST_TOKEN_MS: f64 = 0.02;
 /// First guess of a plain service's time, in ms.
 const FIRST_PLAIN_MS: f64 = 50.0;
 /// Time of an engine that does not depend on the prompt, in ms.
@@ -115,8 +114,8 @@
     pub(crate) by_service: HashMap<Arc<str>, Vec<UpstreamIndex>>,
     by_id: HashMap<UpstreamId, UpstreamIndex>,
     pub(crate) means: HashMap<Arc<str>, ServiceMeans>,
-    /// Time of a prompt's token by model, in ms.
-    pub(crate) token_ms: HashMap<Arc<str>, f64>,
+    /// How long engines read, by model.
+    reading: HashMap<Arc<str>, Reading>,
     next: u64,
     next_ticket: u64,
 }
@@ -259,10 +258,8 @@
         let service = entry.spec.service.clone();
         match begun.model {
             Some(model) if load.missing >= FEWEST_TOKENS && load.wait_ms < ENGINE_BASE_MS => {
-                let per_token = (begun.ms - ENGINE_BASE_MS).max(1.0) / f64::from(load.missing);
-                let mean = self.token_ms.entry(model.clone()).or_insert(FIRST_TOKEN_MS);
-                // One that waited behind others says little of the token's own time.
-                *mean += MEAN_WEIGHT * (per_token.min(*mean * 3.0) - *mean);
+                let reading = self.reading.entry(model.clone()).or_default();
+                reading.note(load.missing, (begun.ms - ENGINE_BASE_MS).max(1.0));
             }
             Some(_) => {}
             None => {
@@ -321,10 +318,10 @@
         }
     }
 
-    /// Expected time of a token of the prompt, in ms.
-    pub(crate) fn token_ms(&self, model: Option<&Arc<str>>) -> f64 {
-        let learnt = model.and_then(|model| self.token_ms.get(model));
-        learnt.copied().unwrap_or(FIRST_TOKEN_MS)
+    /// Expected time to read so many tokens of a prompt, in ms.
+    pub(crate) fn reading_ms(&self, model: Option<&Arc<str>>, tokens: f64) -> f64 {
+        let learnt = model.and_then(|model| self.reading.get(model).copied());
+        tokens * learnt.unwrap_or_default().token_ms(tokens as u32)
     }
 
     /// Expected time of a plain service, in ms.
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -104,6 +104,7 @@
                     tracing::info!("store: regained");
                 }
                 self.store_works = true;
+                self.planner.lapsed.store_answered(now);
                 self.watched_at = Some(now);
             }
             Err(why) => {
@@ -111,7 +112,7 @@
                     tracing::warn!(at = self.mirror.at().0, "store: lost: {why}");
                 }
                 self.store_works = false;
-                self.planner.lapsed.store_failed(now);
+                self.planner.lapsed.store_failed();
             }
         }
     }
--- a/components/fleet/src/lapsed.rs
+++ b/components/fleet/src/lapsed.rs
@@ -6,18 +6,21 @@
 use routes::Upstream;
 use types::prelude::*;
 
-/// A store that was out of reach counts as unsettled for this long after.
-const UNSETTLED: Span = Span::from_secs(3);
-/// Added to the time in which entries are to be back: the upstream's own write and watch.
-const MARGIN: Span = Span::from_millis(300);
+/// Added to the time in which entries are to be back: the watch's way.
+const MARGIN: Span = Span::from_millis(100);
 
-/// Upstreams whose entry went while the store was unsettled.
+/// Upstreams whose entry went while the store was out of reach, or just after.
 ///
 /// Guards against an outage that lets the leases of living upstreams run out: all of them
-/// would vanish at once and every request would be refused, though they serve.
+/// would vanish at once and every request would be refused, though they serve. The time is
+/// counted from the store's return, so that an upstream which really left after a cut of
+/// this daemon alone gets work no longer than that.
 #[derive(Debug)]
 pub(crate) struct Lapsed {
     relisted_within: Span,
+    /// Out of reach now.
+    is_away: bool,
+    /// Until then an entry that goes may have lapsed only.
     unsettled_until: Time,
     held: BTreeMap<UpstreamId, (Arc<Upstream>, Time)>,
 }
@@ -26,20 +29,36 @@
     pub(crate) fn new(relisted_within: Span) -> Self {
         Self {
             relisted_within,
+            is_away: false,
             unsettled_until: Time::ZERO,
             held: BTreeMap::new(),
         }
     }
 
     /// Notes that the store is out of reach.
-    pub(crate) fn store_failed(&mut self, now: Time) {
-        self.unsettled_until = now + UNSETTLED;
+    pub(crate) fn store_failed(&mut self) {
+        self.is_away = true;
+    }
+
+    /// Notes that the store answers.
+    pub(crate) fn store_answered(&mut self, now: Time) {
+        if self.is_away {
+            self.is_away = false;
+            self.unsettled_until = now + self.relisted_within + MARGIN;
+            let until = self.unsettled_until;
+            for (_, held_until) in self.held.values_mut() {
+                *held_until = until.min(*held_until);
+            }
+        }
     }
 
     /// Notes an entry that went. Kept for a while if it may have lapsed only.
     pub(crate) fn gone(&mut self, now: Time, upstream: Arc<Upstream>) {
-        if now < self.unsettled_until {
-            let until = now + self.relisted_within + MARGIN;
+        let until = match self.is_away {
+            true => now + self.relisted_within + MARGIN,
+            false => self.unsettled_until,
+        };
+        if now < until {
             self.held.insert(upstream.id.clone(), (upstream, until));
         }
     }
--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -16,7 +16,7 @@
 /// that a fleet does not return to the store at one moment.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: a daemon hears of a store that is back within about this.
-const MOST_PAUSE: Duration = Duration::from_millis(600);
+const MOST_PAUSE: Duration = Duration::from_millis(300);
 
 /// What the control thread and the watching thread share.
 #[derive(Debug, Default)]
@@ -77,8 +77,9 @@
         };
         let listing = listing(answer.revision, items);
         let at = listing.at;
-        let _ = self.events.send(Event::Listed(listing));
+        // The return goes first: entries that are not on the list may only have lapsed.
         let _ = self.events.send(Event::StoreHealth(Ok(())));
+        let _ = self.events.send(Event::Listed(listing));
         // The control thread sets it too, but perhaps after the first watch was begun.
         self.progress.held.fetch_max(at.0, Ordering::Relaxed);
         Ok(())
@@ -94,6 +95,9 @@
         let mut sink = |batch: WatchBatch| {
             let at = revision(batch.revision);
             let changes = batch.events.into_iter().map(change).collect::<Vec<_>>();
+            if self.events.send(Event::StoreHealth(Ok(()))).is_err() {
+                return false;
+            }
             if !changes.is_empty() || at > after {
                 let event = Event::Changed { after, at, changes };
                 if self.events.send(event).is_err() {
@@ -101,7 +105,7 @@
                 }
             }
             after = after.max(at);
-            self.events.send(Event::StoreHealth(Ok(()))).is_ok()
+            true
         };
         match self.store.watch(&watch, &mut sink) {
             WatchEnd::Stopped => Ok(()),
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::answer::{Whole, push_field, push_number};
 use crate::exchange::Request;
+use crate::relay::{FIRST_SLACK, LOOK, MUTE_AFTER};
 use crate::tracked::Tracked;
 use crate::translate::{Forwarding, Reply, Standing, Translator};
 use crate::world::World;
@@ -24,7 +25,7 @@
 const MAX_WHOLE: usize = 8 * 1024 * 1024;
 /// Answers to others' requests that are read away before one connection is given up.
 const MAX_STRAYS: u32 = 4;
-/// Part of the objective after which a silent upstream is left, where a repeat is allowed.
+/// Part of the objective after which a silent plain service is left for another.
 const SILENT_SHARE: f64 = 0.7;
 /// Rank that upstreams take for ordinary.
 const ORDINARY_RANK: u8 = 5;
@@ -36,6 +37,8 @@
 
 /// What a send came to.
 pub(crate) enum Sent<T> {
+    /// Nothing arrived at the upstream.
+    Unreachable,
     /// The upstream did not and will not run it.
     NotRun(&'static str),
     /// It may have run.
@@ -111,14 +114,14 @@
     pub(crate) async fn send(&self, choice: Choice) -> Sent<T> {
         let mut tracked = Tracked::start(self.world, &choice);
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
-            return Sent::NotRun("no longer listed");
+            return Sent::Unreachable;
         };
         self.world.metrics.attempts.inc();
         let wire = match self.connection(choice.index, spec.address).await {
             Ok(wire) => wire,
             Err(_) => {
                 tracked.end(Ending::Unreachable);
-                return Sent::NotRun("unreachable");
+                return Sent::Unreachable;
             }
         };
         let bytes = self.encode(&spec.id);
@@ -237,24 +240,30 @@
         wire: &Wire,
         tracked: &Tracked<T>,
     ) -> Result<(Head, Reply, Framing), NoHead> {
-        let read = self.own_head(wire);
-        match self.silent_after(tracked) {
-            Some(span) => match tokio::time::timeout(span.to_duration(), read).await {
-                Ok(done) => done,
-                Err(_) => Err(NoHead::Silent),
-            },
-            None => read.await,
+        let mut read = std::pin::pin!(self.own_head(wire));
+        loop {
+            match tokio::time::timeout(LOOK, &mut read).await {
+                Ok(done) => return done,
+                Err(_) if self.may_leave && self.is_given_up(tracked) => {
+                    return Err(NoHead::Silent);
+                }
+                Err(_) => {}
+            }
         }
     }
 
-    /// How long to wait for an answer's head before another upstream is tried.
-    fn silent_after(&self, tracked: &Tracked<T>) -> Option<Span> {
-        if !self.may_leave {
-            return None;
+    /// Whether a silent upstream is left for another.
+    fn is_given_up(&self, tracked: &Tracked<T>) -> bool {
+        let route = &self.request.route;
+        let silent = tracked.silent_for();
+        if !route.repeat.is_stream() {
+            let objective = route.objective.as_secs_f64();
+            let share = Span::from_secs_f64(objective * SILENT_SHARE);
+            return silent > share.max(tracked.expected_within());
         }
-        let objective = self.request.route.objective.as_secs_f64();
-        let share = Span::from_secs_f64(objective * SILENT_SHARE);
-        Some(share.max(tracked.expected_within()))
+        let expected = tracked.expected_within();
+        let is_mute = tracked.mute_for() > MUTE_AFTER.max(expected);
+        is_mute || silent > expected + FIRST_SLACK
     }
 
     /// Skips answers to other requests.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -24,6 +24,9 @@
 /// Sends of one request beyond the runs that its route allows: refusals cost little, but
 /// each is a repeat for the service.
 const EXTRA_SENDS: u32 = 2;
+/// Upstreams that one request finds unreachable before it is given up: a failure domain
+/// that goes takes a fourth of them at once.
+const MAX_UNREACHABLE: u32 = 8;
 
 /// A request that was read whole and belongs on a route.
 pub(crate) struct Request<T> {
@@ -107,6 +110,8 @@
     Finished(Finish),
     /// Not run, or may be repeated: go on with another upstream.
     Again(Use),
+    /// Nothing arrived: go on with another upstream; no repeat for the service.
+    Elsewhere,
     /// The outcome is unknown and it must not be repeated.
     Stuck(&'static str),
 }
@@ -120,6 +125,8 @@
     place: u64,
     tried: Vec<UpstreamIndex>,
     sends: u32,
+    /// Attempts that reached no upstream.
+    unreachable: u32,
     /// Attempts that may have run.
     runs: u32,
     /// Place of the model asked, where this system chooses.
@@ -157,6 +164,7 @@
             place,
             tried: Vec::new(),
             sends: 0,
+            unreachable: 0,
             runs: 0,
             model: Cascade::first(models),
             version: None,
@@ -186,12 +194,13 @@
     async fn attempts(&mut self) -> Finish {
         loop {
             let next = self.attempt().await;
-            let what = match next {
+            let may_go_on = match next {
                 Next::Finished(finish) => return finish,
                 Next::Stuck(why) => return self.give_up(why).await,
-                Next::Again(what) => what,
+                Next::Again(what) => self.may_send_again(what),
+                Next::Elsewhere => self.unreachable < MAX_UNREACHABLE,
             };
-            if !self.may_send_again(what) {
+            if !may_go_on {
                 return self.give_up("no repeat is left").await;
             }
         }
@@ -319,6 +328,12 @@
     async fn take_sent(&mut self, sent: Sent<T>) -> Next {
         let index = self.tried[self.tried.len() - 1];
         match sent {
+            Sent::Unreachable => {
+                self.note(index, "unreachable");
+                self.sends -= 1;
+                self.unreachable += 1;
+                Next::Elsewhere
+            }
             Sent::NotRun(what) => {
                 self.note(index, what);
                 Next::Again(Use::Failure)
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -16,15 +16,18 @@
 /// An upstream that has said nothing on any connection for so long is taken for dead: an
 /// engine that lives answers some stream every few ten ms, or a few hundred while it reads
 /// a long prompt.
-const MUTE_AFTER: Span = Span::from_millis(800);
+pub(crate) const MUTE_AFTER: Span = Span::from_millis(800);
 /// A stream that is silent for so many of the longest pauses that are on time goes on
 /// elsewhere, though its engine lives: it was put back, and reading the prompt anew
 /// elsewhere takes less than waiting on.
 const STALLED_TIMES: f64 = 2.5;
+/// Added to what may be expected of a first event, in which a daemon cannot see all that
+/// an engine has to do.
+pub(crate) const FIRST_SLACK: Span = Span::from_millis(900);
 /// Longest pause where the route names none.
 const UNSAID_PAUSE: Span = Span::from_secs(2);
 /// Silence is looked at this often.
-const LOOK: Duration = Duration::from_millis(200);
+pub(crate) const LOOK: Duration = Duration::from_millis(100);
 
 /// How relaying from one upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -141,7 +144,7 @@
         let pause = request.route.pause.unwrap_or(UNSAID_PAUSE).as_secs_f64();
         let stalled = match has_first {
             true => Span::from_secs_f64(pause * STALLED_TIMES),
-            false => stream.expected_within() + request.route.objective,
+            false => stream.expected_within() + FIRST_SLACK,
         };
         if silent > stalled {
             return Some("stalled");
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -86,6 +86,11 @@
         self.world.upstreams.borrow_mut().heard(now, self.index);
     }
 
+    /// How long the request is out.
+    pub(crate) fn silent_for(&self) -> Span {
+        self.world.now().since(self.sent_at)
+    }
+
     /// How long the upstream has been silent on all connections.
     pub(crate) fn mute_for(&self) -> Span {
         let now = self.world.now();
@@ -93,9 +98,9 @@
         upstreams.mute_for(now, self.index, self.sent_at)
     }
 
-    /// When it may be expected to answer, with as much again for what is not known.
+    /// When it may be expected to answer, with twice as much again for what is not known.
     pub(crate) fn expected_within(&self) -> Span {
-        let ms = 2.0 * (self.load.wait_ms + self.load.expected_ms);
+        let ms = 3.0 * (self.load.wait_ms + self.load.expected_ms);
         Span::from_secs_f64(ms / 1_000.0)
     }
 
