Let two daemons watch the store for a small fleet

Change: the two first daemons in a common order watch and hand changes on; every daemon says ten times a second how it stands, and who hears of fewer than two working watches before it watches itself within half a second. A daemon that just started holds requests for up to 300 ms until it knows a configuration. Ruled out: a longer wait of each watch, which a silent connection would hold for as long.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -37,9 +37,13 @@
 const HOME_HOLDS: f64 = 0.7;
 /// An upstream that just started takes about so many times as long.
 const COLD_TIMES: f64 = 2.0;
-/// Extra cost of another failure domain, in ms: about its round trip, and bytes between
-/// failure domains are paid for.
-const FAR_MS: f64 = 1.0;
+/// Extra cost of another failure domain, in ms: its round trip, and bytes between failure
+/// domains are paid for.
+const FAR_MS: f64 = 8.0;
+/// Extra cost of reading a thousand shared tokens that another engine holds, in ms: besides
+/// the time it is paid for, some 4% of what an answer to a long prompt is worth, and it
+/// displaces what the engine held.
+const READ_AGAIN_MS_PER_1000: f64 = 50.0;
 
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -184,6 +188,7 @@
         let missing = (f64::from(need.prompt_tokens) - expected_held).max(0.0);
         Load {
             missing: missing as u32,
+            missing_shared: (f64::from(shared) - expected_held).max(0.0) as u32,
             expected_ms: ENGINE_BASE_MS + self.reading_ms(need.model, missing),
             wait_ms: entry.backlog.ms(now) + entry.others.backlog_ms,
         }
@@ -196,6 +201,7 @@
         let waiting = out.saturating_sub(slots - 1);
         Load {
             missing: 0,
+            missing_shared: 0,
             expected_ms,
             wait_ms: f64::from(waiting) * expected_ms / f64::from(slots),
         }
@@ -215,7 +221,8 @@
         true => load.expected_ms / f64::from(entry.spec.slots.max(1)),
         false => RUNNING_MS + HARM_SHARE * load.expected_ms,
     };
-    (load.wait_ms + load.expected_ms + out * each) * pace + far
+    let read_again = f64::from(load.missing_shared) / 1_000.0 * READ_AGAIN_MS_PER_1000;
+    (load.wait_ms + load.expected_ms + out * each) * pace + far + read_again
 }
 
 /// Places drawn at random; all of them when they are few.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -24,6 +24,6 @@
 pub use evidence::{ArmCounts, Evidence, EvidenceError};
 pub use health::Ending;
 pub use pins::Pins;
-pub use sharing::{LoadsError, PeerLoads, decode_loads, encode_loads};
+pub use sharing::PeerLoads;
 pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
 pub use upstreams::{Begun, Load, SharedLoad, Ticket, UpstreamIndex, Upstreams};
--- a/components/dispatch/src/sharing.rs
+++ b/components/dispatch/src/sharing.rs
@@ -6,38 +6,12 @@
 
 use std::collections::HashMap;
 
-use bytes::Bytes;
 use types::prelude::*;
 
 use crate::upstreams::SharedLoad;
 
 /// A daemon's figures count for so long after they came: they are sent several times in it.
 const FRESH: Span = Span::from_millis(800);
-/// Upstreams of one message at most; beyond it the rest is left out.
-const MAX_LOADS: usize = 2_048;
-
-/// Bytes that are no loads.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("a peer's loads cannot be read: {0}")]
-pub struct LoadsError(#[from] postcard::Error);
-
-/// Writes loads.
-///
-/// # Errors
-/// Never for loads of this form.
-pub fn encode_loads(loads: &[SharedLoad]) -> Result<Bytes, LoadsError> {
-    let part = &loads[..loads.len().min(MAX_LOADS)];
-    Ok(postcard::to_allocvec(part)?.into())
-}
-
-/// Reads loads.
-///
-/// # Errors
-/// When the bytes are not of the expected form.
-pub fn decode_loads(bytes: &[u8]) -> Result<Vec<SharedLoad>, LoadsError> {
-    Ok(postcard::from_bytes(bytes)?)
-}
-
 #[derive(Debug)]
 struct Said {
     until: Time,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -33,6 +33,8 @@
 pub struct Load {
     /// Tokens to be read that the upstream is not known to hold.
     pub missing: u32,
+    /// Of these, tokens of parts that other requests share.
+    pub missing_shared: u32,
     /// Expected time of the upstream's own until it answers, in ms.
     pub expected_ms: f64,
     /// Expected time until the upstream comes to it, in ms.
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -13,17 +13,25 @@
 
 use crate::codec::Codec;
 use crate::event::{Event, Purpose};
-use crate::peering::Peering;
+use crate::peering::{Asked, Peering};
 use crate::planner::Planner;
 use crate::presence::Presence;
 use crate::rollouts::{Known, Rollouts};
 use crate::settings::Settings;
-use crate::watching::Progress;
+use crate::standing::Standing;
+use crate::watching::{Mode, Watching};
 
 /// Everything due is looked at this often.
 const TICK: Duration = Duration::from_millis(100);
-/// An own watch that was heard of within this works: it is answered every few seconds.
-const WATCH_FRESH: Span = Span::from_secs(4);
+/// An own watch that was heard of within this works: it is answered every second, and a
+/// slow store adds some hundred ms.
+const WATCH_FRESH: Span = Span::from_millis(1_500);
+/// Daemons that watch the store: of a small fleet, or of each failure domain. Two, so that
+/// the loss of one leaves no gap.
+const WATCHERS: usize = 2;
+/// Without any watcher the others begin to watch, one after the other by this, so that few
+/// of them do.
+const TAKE_OVER_TURN: Span = Span::from_millis(60);
 
 /// The tables and what they reach out through.
 pub(crate) struct Control<C> {
@@ -35,12 +43,14 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) presence: Presence,
     pub(crate) peering: Peering,
-    pub(crate) progress: Arc<Progress>,
+    pub(crate) watching: Watching,
     pub(crate) traffic: traffic::Handle,
     pub(crate) calls: flume::Sender<(Purpose, Request)>,
     /// When the own watch was last heard of, and whether it works.
     pub(crate) watched_at: Option<Time>,
     pub(crate) store_works: bool,
+    /// Since when no other daemon's watch works.
+    pub(crate) unwatched_since: Option<Time>,
     pub(crate) must_plan: bool,
     pub(crate) was_ready: bool,
     pub(crate) daemons: usize,
@@ -78,21 +88,24 @@
                 let changes = self.mirror.take_listing(listing);
                 self.changed(now, &changes);
             }
-            Event::Changed { after, at, changes } => match self.mirror.apply(after, at, changes) {
-                Ok(changes) => self.changed(now, &changes),
-                Err(e) => tracing::warn!("store: {e}"),
-            },
+            Event::Changed { after, at, changes } => {
+                let answer = Answer::Changes { after, at, changes };
+                self.peering.show_changes(&answer);
+                self.take_mirror(now, answer);
+            }
             Event::StoreHealth(health) => self.take_health(now, health),
             Event::Called(purpose, outcome) => self.take_called(now, &purpose, &outcome),
-            Event::Peer(inbound) => {
-                if let Some((question, reply)) = self.peering.receive(now, inbound) {
+            Event::Peer(inbound) => match self.peering.receive(now, inbound) {
+                Asked::Nothing => {}
+                Asked::Take(answer) => self.take_mirror(now, answer),
+                Asked::Mirror(question, reply) => {
                     let answer = Answer::to(question, &self.mirror);
                     match answer.encode() {
                         Ok(body) => reply.send(mirror_payload(body)),
                         Err(e) => tracing::warn!("peers: {e}"),
                     }
                 }
-            }
+            },
             Event::Stop => {}
         }
     }
@@ -136,36 +149,37 @@
                 return;
             }
         };
-        let changes = match Answer::decode(&body) {
-            Ok(Answer::Changes { after, at, changes }) => {
+        match Answer::decode(&body) {
+            Ok(answer) => {
+                self.take_mirror(now, answer);
+                tracing::info!(at = self.mirror.at().0, "peers: caught up");
+            }
+            Err(e) => tracing::warn!("peers: {e}"),
+        }
+    }
+
+    /// Takes what is new in the store, from the own watch or from a peer.
+    fn take_mirror(&mut self, now: Time, answer: Answer) {
+        let changes = match answer {
+            Answer::Changes { after, at, changes } => {
                 match self.mirror.apply(after, at, changes) {
                     Ok(changes) => changes,
                     Err(e) => {
-                        tracing::warn!("peers: {e}");
+                        // What lies between is asked for at the next tick.
+                        tracing::debug!("peers: {e}");
                         return;
                     }
                 }
             }
-            Ok(Answer::All { at, items }) => {
-                self.mirror.take_listing(mirror::Listing { at, items })
-            }
-            Ok(Answer::Nothing) => return,
-            Err(e) => {
-                tracing::warn!("peers: {e}");
-                return;
-            }
+            Answer::All { at, items } => self.mirror.take_listing(mirror::Listing { at, items }),
+            Answer::Nothing => return,
         };
-        tracing::info!(
-            at = self.mirror.at().0,
-            changes = changes.len(),
-            "peers: caught up"
-        );
         self.changed(now, &changes);
     }
 
     /// Makes what changed in the mirror known to all that read it.
     fn changed(&mut self, now: Time, changes: &[Change]) {
-        self.progress.set(self.mirror.at());
+        self.watching.progress.set(self.mirror.at());
         self.peering.show_revision(now, self.mirror.at());
         for change in changes {
             self.must_plan |= self.planner.take(now, &self.codec, change);
@@ -198,15 +212,13 @@
         if let Some(answer) = self.peering.answered() {
             self.take_answer(now, answer);
         }
-        let watched = self
-            .watched_at
-            .is_some_and(|at| now.since(at) < WATCH_FRESH);
-        let works = self.store_works && watched;
+        let works = self.watch_works(now);
         self.peering.catch_up(now, self.mirror.at(), works);
+        self.decide_watch(now);
         if let Some((purpose, req)) = self.presence.tick(now) {
             self.call(purpose, req);
         }
-        self.share_loads(now);
+        self.share_standing(now);
         self.must_plan |= self.planner.lapsed.expire(now);
         self.step_rollouts(now);
         let rank = self.peering.rank();
@@ -218,9 +230,49 @@
         self.daemons = daemons;
     }
 
-    /// Tells the others what is out here, and the event loop what is out there.
-    fn share_loads(&mut self, now: Time) {
-        self.peering.show_loads(&self.traffic.seen.loads());
+    /// Whether the own watch was lately answered.
+    fn watch_works(&self, now: Time) -> bool {
+        let watched = self
+            .watched_at
+            .is_some_and(|at| now.since(at) < WATCH_FRESH);
+        self.store_works && watched && self.watching.mode() == Mode::Watch
+    }
+
+    /// Decides whether this daemon is to watch the store: it is, unless enough daemons
+    /// before it in the common order do so with success.
+    ///
+    /// Guards against watchers that die or are cut off: their word fails to come within half
+    /// a second, and then the next ones in the order watch, whatever the membership says.
+    fn decide_watch(&mut self, now: Time) {
+        let before = self.peering.watchers_before(now);
+        let rank = self.peering.watch_rank();
+        if before >= WATCHERS {
+            self.unwatched_since = None;
+        }
+        let since = *self.unwatched_since.get_or_insert(now);
+        let turn = TAKE_OVER_TURN.times(rank as u64);
+        let mode = match before >= WATCHERS {
+            true => Mode::Rest,
+            false if now.since(since) >= turn => Mode::Watch,
+            false => self.watching.mode(),
+        };
+        if self.watching.set(mode) {
+            tracing::info!(?mode, rank, before, "store: watching changed");
+        }
+        if mode == Mode::Rest && !self.store_works {
+            // Another daemon's watch works, so the store is back.
+            self.take_health(now, Ok(()));
+        }
+    }
+
+    /// Tells the others how this daemon stands, and the event loop what is out there.
+    fn share_standing(&mut self, now: Time) {
+        let standing = Standing {
+            held: self.mirror.at(),
+            watches: self.watch_works(now),
+            loads: self.traffic.seen.loads(),
+        };
+        self.peering.show_standing(&standing);
         let others = self.peering.others_loads(now);
         // The event loop may have ended before this thread when the process leaves.
         let _ = self.traffic.commands.send(Command::OthersLoads(others));
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod presence;
 mod rollouts;
 mod settings;
+mod standing;
 mod start;
 mod watching;
 
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -5,15 +5,19 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dispatch::{Evidence, PeerLoads, SharedLoad, decode_loads, encode_loads};
+use dispatch::{Evidence, PeerLoads};
 use membership::{Event as MemberEvent, Membership, Outcome, Topic};
-use mirror::{Question, Revision};
+use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
+use rand::seq::SliceRandom;
 use types::prelude::*;
 
+use crate::standing::{Standing, Standings, watch_rank};
+
 /// Longest wait for a peer's answer about the store's keys.
 const ASK_WITHIN: Span = Span::from_millis(800);
-/// Daemons that are told what is out here.
+/// Daemons that are told how this one stands, several times a second; a fleet of up to so
+/// many is small.
 const MAX_TOLD: usize = 16;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
 const OWN_WATCH_FIRST: Span = Span::from_millis(150);
@@ -26,8 +30,17 @@
     ask_at: Option<Time>,
     asked: Option<flume::Receiver<Result<Payload, peers::AskError>>>,
     loads: PeerLoads,
-    /// Whether something was out at the last telling.
-    was_loaded: bool,
+    standings: Standings,
+}
+
+/// What a message asks of the control thread.
+pub(crate) enum Asked {
+    /// Nothing.
+    Nothing,
+    /// What is new in the mirror.
+    Mirror(Question, peers::Reply),
+    /// To take what is new in a peer's mirror.
+    Take(Answer),
 }
 
 impl Peering {
@@ -38,7 +51,7 @@
             ask_at: None,
             asked: None,
             loads: PeerLoads::default(),
-            was_loaded: false,
+            standings: Standings::default(),
         }
     }
 
@@ -65,55 +78,49 @@
         self.carry(outcome);
     }
 
-    /// Takes a message; a question about the store's keys comes back to be answered.
-    pub(crate) fn receive(
-        &mut self,
-        now: Time,
-        inbound: Inbound,
-    ) -> Option<(Question, peers::Reply)> {
+    /// Takes a message and says what it asks for.
+    pub(crate) fn receive(&mut self, now: Time, inbound: Inbound) -> Asked {
         match inbound {
-            Inbound::Message {
-                from,
-                payload: Payload::Membership(message),
-            } => {
-                let outcome = self.members.receive(now, &from, message, &mut rand::rng());
-                self.carry(outcome);
-                None
-            }
-            Inbound::Message {
-                from,
-                payload:
-                    Payload::Part {
-                        part: Part::Limits,
-                        body,
-                    },
-            } => {
-                match decode_loads(&body) {
-                    Ok(loads) => self.loads.take(now, from.id, loads),
-                    Err(e) => tracing::warn!(peer = %from.id, "peers: {e}"),
+            Inbound::Message { from, payload } => match payload {
+                Payload::Membership(message) => {
+                    let rng = &mut rand::rng();
+                    let outcome = self.members.receive(now, &from, message, rng);
+                    self.carry(outcome);
+                    Asked::Nothing
                 }
-                None
-            }
+                Payload::Part { part, body } => self.take_part(now, from.id, part, &body),
+            },
             Inbound::Ask {
-                payload:
-                    Payload::Part {
-                        part: Part::Mirror,
-                        body,
-                    },
+                payload: Payload::Part { body, .. },
                 reply,
                 ..
             } => match Question::decode(&body) {
-                Ok(question) => Some((question, reply)),
+                Ok(question) => Asked::Mirror(question, reply),
                 Err(e) => {
                     tracing::warn!("peers: {e}");
-                    None
+                    Asked::Nothing
                 }
             },
-            other => {
-                tracing::warn!("peers: a message that this daemon does not know: {other:?}");
-                None
-            }
+            Inbound::Ask { .. } => Asked::Nothing,
+        }
+    }
+
+    fn take_part(&mut self, now: Time, from: DaemonId, part: Part, body: &Bytes) -> Asked {
+        match part {
+            Part::Standing => match Standing::decode(body) {
+                Ok(standing) => {
+                    self.standings.take(now, &from, &standing);
+                    self.loads.take(now, from, standing.loads);
+                }
+                Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
+            },
+            Part::Mirror => match Answer::decode(body) {
+                Ok(answer) => return Asked::Take(answer),
+                Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
+            },
+            other => tracing::warn!(peer = %from, "peers: nothing here takes {other:?}"),
         }
+        Asked::Nothing
     }
 
     fn carry(&mut self, outcome: Outcome) {
@@ -169,33 +176,65 @@
         }
     }
 
-    /// Tells what is out here to the others.
-    pub(crate) fn show_loads(&mut self, loads: &[SharedLoad]) {
-        if loads.is_empty() && !self.was_loaded {
-            return;
+    /// Tells how this daemon stands to a few others.
+    pub(crate) fn show_standing(&mut self, standing: &Standing) {
+        match standing.encode() {
+            Ok(body) => self.tell(Part::Standing, &body),
+            Err(e) => tracing::error!("peers: {e}"),
         }
-        self.was_loaded = !loads.is_empty();
-        let body = match encode_loads(loads) {
-            Ok(body) => body,
-            Err(e) => {
-                tracing::error!("peers: {e}");
-                return;
-            }
-        };
-        let present = self
-            .members
-            .members()
-            .filter(|m| m.record.state.is_present());
-        for member in present.take(MAX_TOLD) {
-            let part = Part::Limits;
-            let payload = Payload::Part {
-                part,
-                body: body.clone(),
-            };
-            self.handle.send(member.record.address, payload);
+    }
+
+    /// Hands what this daemon's watch brought to a few others.
+    pub(crate) fn show_changes(&mut self, answer: &Answer) {
+        match answer.encode() {
+            Ok(body) => self.tell(Part::Mirror, &body),
+            Err(e) => tracing::warn!("peers: {e}"),
         }
     }
 
+    fn tell(&self, part: Part, body: &Bytes) {
+        for address in self.told() {
+            let body = body.clone();
+            self.handle.send(address, Payload::Part { part, body });
+        }
+    }
+
+    /// Who is told: all of a small fleet; of a large one some of the own failure domain,
+    /// others each time.
+    fn told(&self) -> Vec<SocketAddr> {
+        let members = self.members.members();
+        let present = members.filter(|member| member.record.state.is_present());
+        let everywhere = self.is_small();
+        let near = &self.members.me().failure_domain;
+        let near = present.filter(|m| everywhere || m.record.failure_domain == *near);
+        let mut told = near.map(|member| member.record.address).collect::<Vec<_>>();
+        told.shuffle(&mut rand::rng());
+        told.truncate(MAX_TOLD);
+        told
+    }
+
+    fn is_small(&self) -> bool {
+        self.members.fleet_size() <= MAX_TOLD
+    }
+
+    /// This daemon's place in the order of those that are to watch the store: of the whole
+    /// fleet while that is small, of its failure domain otherwise.
+    pub(crate) fn watch_rank(&self) -> usize {
+        let me = self.members.me();
+        let everywhere = self.is_small();
+        let members = self.members.members();
+        let present = members.filter(|member| member.record.state.is_present());
+        let near = present.filter(|m| everywhere || m.record.failure_domain == me.failure_domain);
+        watch_rank(&me.id, near.map(|member| &member.record.id))
+    }
+
+    /// Daemons before this one in the order of watchers whose watch works, as far as they
+    /// spoke lately.
+    pub(crate) fn watchers_before(&mut self, now: Time) -> usize {
+        self.standings.expire(now);
+        self.standings.watchers_before(&self.members.me().id)
+    }
+
     /// What all others have out, by upstream.
     pub(crate) fn others_loads(&mut self, now: Time) -> HashMap<u32, (f64, u32)> {
         self.loads.sums(now)
@@ -255,6 +294,9 @@
 
     /// The address of the peer that is furthest ahead.
     fn ahead_of(&self, held: Revision) -> Option<SocketAddr> {
+        if let Some(daemon) = self.standings.ahead_of(held) {
+            return Some(self.members.member(daemon)?.record.address);
+        }
         let facts = self.members.facts(Topic::Mirror);
         let ahead = facts.filter_map(|fact| {
             let at = number(&fact.value).filter(|at| *at > held.0)?;
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -1,7 +1,6 @@
 //! Starting the threads of a daemon, and stopping them.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::{Builder, JoinHandle};
 
 use keyvalue::Request;
@@ -21,7 +20,7 @@
 use crate::presence::Presence;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
-use crate::watching::{Progress, Watcher};
+use crate::watching::{Progress, Watcher, Watching};
 
 /// Events waiting for the control thread.
 const MAX_EVENTS: usize = 4_096;
@@ -31,7 +30,6 @@
 /// A running daemon.
 pub struct Running {
     events: flume::Sender<Event>,
-    progress: Arc<Progress>,
     commands: flume::Sender<Command>,
     ended: flume::Receiver<()>,
     control: JoinHandle<()>,
@@ -51,7 +49,9 @@
     let (events, rx) = flume::bounded(MAX_EVENTS);
     let peering = join(&settings, clock, events.clone())?;
     let progress = Arc::new(Progress::default());
+    let (modes, modes_rx) = flume::unbounded();
     let watcher = Watcher {
+        modes: modes_rx,
         store: Arc::clone(&store),
         progress: Arc::clone(&progress),
         events: events.clone(),
@@ -76,10 +76,11 @@
         rollouts: Rollouts::new(settings.exposure),
         presence: Presence::new(key, settings.peers, settings.shortest_lease),
         peering,
-        progress: Arc::clone(&progress),
+        watching: Watching::new(modes, progress),
         traffic,
         calls,
         watched_at: None,
+        unwatched_since: None,
         store_works: true,
         must_plan: false,
         was_ready: false,
@@ -91,7 +92,6 @@
     let control = spawn("control", move || control.run(&rx))?;
     Ok(Running {
         events,
-        progress,
         commands,
         ended,
         control,
@@ -144,7 +144,6 @@
         // The event loop has ended already if it cannot be told.
         let _ = self.commands.send(Command::Stop);
         let _ = self.ended.recv();
-        self.progress.stop.store(true, Ordering::Relaxed);
         let _ = self.events.send(Event::Stop);
         if self.control.join().is_err() {
             tracing::error!("control: the thread panicked");
--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -18,13 +18,22 @@
 /// Longest pause: a daemon hears of a store that is back within about this.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
+/// What the watching thread is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Follow the store.
+    Watch,
+    /// Leave it to others.
+    Rest,
+}
+
 /// What the control thread and the watching thread share.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     /// The mirror's revision.
-    pub(crate) held: AtomicU64,
-    /// Set to end the thread.
-    pub(crate) stop: Arc<AtomicBool>,
+    held: AtomicU64,
+    /// Set to end a watch.
+    stop: Arc<AtomicBool>,
 }
 
 impl Progress {
@@ -37,18 +46,81 @@
     }
 }
 
+/// Tells the watching thread whether to watch; it ends when this goes.
+#[derive(Debug)]
+pub(crate) struct Watching {
+    modes: flume::Sender<Mode>,
+    pub(crate) progress: Arc<Progress>,
+    mode: Mode,
+}
+
+impl Watching {
+    pub(crate) fn new(modes: flume::Sender<Mode>, progress: Arc<Progress>) -> Self {
+        Self {
+            modes,
+            progress,
+            mode: Mode::Watch,
+        }
+    }
+
+    pub(crate) fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// Changes the mode; true if it was another.
+    pub(crate) fn set(&mut self, mode: Mode) -> bool {
+        if mode == self.mode {
+            return false;
+        }
+        self.mode = mode;
+        self.progress
+            .stop
+            .store(mode == Mode::Rest, Ordering::Relaxed);
+        // The thread ended only if this process does.
+        let _ = self.modes.send(mode);
+        true
+    }
+}
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        self.progress.stop.store(true, Ordering::Relaxed);
+    }
+}
+
 pub(crate) struct Watcher {
     pub(crate) store: Arc<dyn Store>,
     pub(crate) progress: Arc<Progress>,
+    pub(crate) modes: flume::Receiver<Mode>,
     pub(crate) events: flume::Sender<Event>,
 }
 
 impl Watcher {
-    /// Reads all keys once, then follows them; begins anew whenever history is missing.
+    /// Reads all keys once, then follows them while told to; begins anew whenever history
+    /// is missing.
     pub(crate) fn run(self) {
         let mut must_list = true;
         let mut pause = FIRST_PAUSE;
-        while !self.progress.stop.load(Ordering::Relaxed) {
+        let mut mode = Mode::Watch;
+        loop {
+            // Without a first copy the store is asked in either mode.
+            let is_resting = mode == Mode::Rest && !must_list;
+            let told = match is_resting {
+                true => self.modes.recv().map(Some),
+                false => match self.modes.try_recv() {
+                    Ok(mode) => Ok(Some(mode)),
+                    Err(flume::TryRecvError::Empty) => Ok(None),
+                    Err(flume::TryRecvError::Disconnected) => return,
+                },
+            };
+            match told {
+                Ok(Some(new)) => {
+                    mode = new;
+                    continue;
+                }
+                Ok(None) => {}
+                Err(_) => return,
+            }
             let done = if must_list {
                 self.list()
             } else {
@@ -61,7 +133,9 @@
                 }
                 Err(Failure::Compacted) => must_list = true,
                 Err(Failure::Broken(why)) => {
-                    let _ = self.events.send(Event::StoreHealth(Err(why)));
+                    if self.events.send(Event::StoreHealth(Err(why))).is_err() {
+                        return;
+                    }
                     std::thread::sleep(pause + pause.mul_f64(rand::rng().random::<f64>()));
                     pause = (pause * 2).min(MOST_PAUSE);
                 }
--- a/components/peers/src/payload.rs
+++ b/components/peers/src/payload.rs
@@ -43,6 +43,8 @@
     Operators,
     /// The store's keys.
     Mirror,
+    /// How a daemon stands, several times a second.
+    Standing,
 }
 
 /// Why bytes are no payload, or a payload makes no bytes.
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -20,6 +20,10 @@
 const LINGER: Duration = Duration::from_millis(1_500);
 /// Callers return at least this much later while this daemon knows no configuration.
 const UNREADY_RETRY: Span = Span::from_millis(500);
+/// A first configuration is waited for.
+const FIRST_TABLE_WITHIN: Span = Span::from_millis(300);
+/// It is looked for this often meanwhile.
+const TABLE_LOOK: Duration = Duration::from_millis(10);
 /// Callers return at least this much later when this daemon leaves: another one is there.
 const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Bytes of a pipelined request that are kept while another is served.
@@ -88,6 +92,7 @@
         Ok(ask) => ask,
         Err(e) => return refuse("", Own::Malformed, &e.to_string()).await,
     };
+    wait_for_table(world).await;
     let placed = place(world, &head, &ask);
     let patience = match &placed {
         Ok(placed) => patience_of(&ask, &placed.route),
@@ -136,6 +141,18 @@
     finish.keeps_alive
 }
 
+/// Waits a moment for the first configuration: a daemon that just started gets it within
+/// some ten ms, and a caller that is refused has used up one of its few attempts.
+async fn wait_for_table<T>(world: &World<T>) {
+    let until = world.instant(world.now() + FIRST_TABLE_WITHIN);
+    while world.plan().table.is_none() {
+        if tokio::time::Instant::now() >= until {
+            return;
+        }
+        tokio::time::sleep(TABLE_LOOK).await;
+    }
+}
+
 fn patience_of(ask: &Ask, route: &Route) -> Span {
     let said = ask.patience.unwrap_or(route.timeout);
     said.min(route.timeout)
