--- a/components/fleet/src/lapsed.rs
+++ b/components/dispatch/src/lapsed.rs
@@ -16,7 +16,7 @@
 /// counted from the store's return, so that an upstream which really left after a cut of
 /// this daemon alone gets work no longer than that.
 #[derive(Debug)]
-pub(crate) struct Lapsed {
+pub struct Lapsed {
     relisted_within: Span,
     /// Out of reach now.
     is_away: bool,
@@ -26,7 +26,9 @@
 }
 
 impl Lapsed {
-    pub(crate) fn new(relisted_within: Span) -> Self {
+    /// The store is settled; entries that lapse are back within so long of its return.
+    #[must_use]
+    pub fn new(relisted_within: Span) -> Self {
         Self {
             relisted_within,
             is_away: false,
@@ -36,12 +38,12 @@
     }
 
     /// Notes that the store is out of reach.
-    pub(crate) fn store_failed(&mut self) {
+    pub fn store_failed(&mut self) {
         self.is_away = true;
     }
 
     /// Notes that the store answers.
-    pub(crate) fn store_answered(&mut self, now: Time) {
+    pub fn store_answered(&mut self, now: Time) {
         if self.is_away {
             self.is_away = false;
             self.unsettled_until = now + self.relisted_within + MARGIN;
@@ -53,7 +55,7 @@
     }
 
     /// Notes an entry that went. Kept for a while if it may have lapsed only.
-    pub(crate) fn gone(&mut self, now: Time, upstream: Arc<Upstream>) {
+    pub fn gone(&mut self, now: Time, upstream: Arc<Upstream>) {
         let until = match self.is_away {
             true => now + self.relisted_within + MARGIN,
             false => self.unsettled_until,
@@ -64,19 +66,19 @@
     }
 
     /// Notes an entry that is there.
-    pub(crate) fn listed(&mut self, id: &UpstreamId) {
+    pub fn listed(&mut self, id: &UpstreamId) {
         self.held.remove(id);
     }
 
     /// Drops those that are not back in time; whether there were any.
-    pub(crate) fn expire(&mut self, now: Time) -> bool {
+    pub fn expire(&mut self, now: Time) -> bool {
         let before = self.held.len();
         self.held.retain(|_, (_, until)| now < *until);
         self.held.len() != before
     }
 
     /// Those that may be back.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.held.values().map(|(upstream, _)| upstream)
     }
 }
--- /dev/null
+++ b/components/dispatch/tests/choose.rs
@@ -0,0 +1,203 @@
+//! The choice of an upstream.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use dispatch::{Ending, Need, NoUpstream, Permit, PromptPart, UpstreamIndex, Upstreams};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use routes::{Upstream, UpstreamState};
+use types::prelude::*;
+
+fn upstream(id: usize, version: &str, state: UpstreamState) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: UpstreamId::new(&format!("u{id}")).expect("a name"),
+        service: Arc::from("model"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: FailureDomain::new("east").expect("a name"),
+        version: Arc::from(version),
+        slots: 8,
+        state,
+        cold_for: Span::ZERO,
+    })
+}
+
+struct Setup {
+    upstreams: Upstreams,
+    rng: ChaCha8Rng,
+    service: Arc<str>,
+    near: FailureDomain,
+    model: Arc<str>,
+}
+
+impl Setup {
+    fn new(count: usize) -> Self {
+        let mut upstreams = Upstreams::default();
+        let listed = (0..count).map(|id| upstream(id, "v1", UpstreamState::Ready));
+        upstreams.configure(&listed.collect::<Vec<_>>());
+        Self {
+            upstreams,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            service: Arc::from("model"),
+            near: FailureDomain::new("east").expect("a name"),
+            model: Arc::from("small"),
+        }
+    }
+
+    fn pick(
+        &mut self,
+        now: Time,
+        parts: &[PromptPart],
+        exclude: &[UpstreamIndex],
+        permit: &Permit,
+    ) -> Result<UpstreamIndex, NoUpstream> {
+        let tokens = parts.iter().map(|part| part.tokens).sum();
+        let need = Need {
+            service: &self.service,
+            model: (!parts.is_empty()).then_some(&self.model),
+            parts,
+            prompt_tokens: tokens,
+            permit,
+            exclude,
+            near: &self.near,
+        };
+        let choice = self.upstreams.choose(now, &need, &mut self.rng)?;
+        let ticket = self
+            .upstreams
+            .started(now, choice.index, &choice.load, &choice.prefixes);
+        self.upstreams
+            .ended(now, choice.index, ticket, Ending::Dropped);
+        Ok(choice.index)
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn prompt(shared: u64) -> [PromptPart; 2] {
+    let part = |id, tokens| PromptPart { id, tokens };
+    [part(shared, 5_000), part(shared + 1_000_000, 500)]
+}
+
+#[test]
+fn a_shared_prompt_finds_the_upstream_that_holds_it() {
+    let mut setup = Setup::new(18);
+    for shared in 0..20 {
+        let first = setup.pick(at(0), &prompt(shared), &[], &Permit::Any);
+        let next = setup.pick(at(10), &prompt(shared), &[], &Permit::Any);
+        assert_eq!(first, next, "prompt {shared}");
+    }
+}
+
+#[test]
+fn an_upstream_that_others_keep_busy_is_avoided() {
+    // Nine daemons send to the same upstreams and each sees its own ninth. Without the
+    // others' word the home of a prompt would get it behind seconds of their work.
+    let mut setup = Setup::new(2);
+    let home = setup
+        .pick(at(0), &prompt(1), &[], &Permit::Any)
+        .expect("one");
+    let id = setup.upstreams.spec(home).expect("listed").id.clone();
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()) as u32;
+    setup
+        .upstreams
+        .set_others(&HashMap::from([(hash, (4_000.0, 9))]));
+    let next = setup.pick(at(10), &prompt(1), &[], &Permit::Any);
+    assert_ne!(next, Ok(home));
+}
+
+#[test]
+fn an_upstream_out_of_reach_is_set_aside_and_tried_again() {
+    let mut setup = Setup::new(2);
+    let first = setup.pick(at(0), &[], &[], &Permit::Any).expect("one");
+    let load = dispatch::Load::default();
+    let ticket = setup.upstreams.started(at(0), first, &load, &[]);
+    setup
+        .upstreams
+        .ended(at(0), first, ticket, Ending::Unreachable);
+    for millis in 0..400 {
+        assert_ne!(setup.pick(at(millis), &[], &[], &Permit::Any), Ok(first));
+    }
+    let picks = (600..700).map(|millis| setup.pick(at(millis), &[], &[], &Permit::Any));
+    assert!(picks.into_iter().any(|pick| pick == Ok(first)));
+}
+
+#[test]
+fn upstreams_set_aside_serve_when_there_is_no_other() {
+    let mut setup = Setup::new(1);
+    let only = setup.pick(at(0), &[], &[], &Permit::Any).expect("one");
+    let load = dispatch::Load::default();
+    let ticket = setup.upstreams.started(at(0), only, &load, &[]);
+    setup
+        .upstreams
+        .ended(at(0), only, ticket, Ending::Unreachable);
+    assert_eq!(setup.pick(at(1), &[], &[], &Permit::Any), Ok(only));
+}
+
+#[test]
+fn an_upstream_that_fails_more_than_its_peers_is_set_aside() {
+    // An upstream fails half of its requests while its health check is good. Callers would
+    // meet it as often as the sound ones.
+    let mut setup = Setup::new(4);
+    let grey = setup.pick(at(0), &[], &[], &Permit::Any).expect("one");
+    let load = dispatch::Load::default();
+    for round in 0..8 {
+        for index in setup.all() {
+            let ending = match index == grey && round % 2 == 0 {
+                true => Ending::Failed,
+                false => Ending::Good,
+            };
+            let ticket = setup.upstreams.started(at(round), index, &load, &[]);
+            setup.upstreams.ended(at(round), index, ticket, ending);
+        }
+    }
+    assert!((10..200).all(|t| setup.pick(at(t), &[], &[], &Permit::Any) != Ok(grey)));
+}
+
+impl Setup {
+    fn all(&mut self) -> Vec<UpstreamIndex> {
+        let mut all = Vec::new();
+        while let Ok(index) = self.pick(at(0), &[], &all, &Permit::Any) {
+            all.push(index);
+        }
+        all
+    }
+}
+
+#[test]
+fn only_permitted_and_ready_upstreams_are_chosen() {
+    let mut setup = Setup::new(0);
+    setup.upstreams.configure(&[
+        upstream(0, "v1", UpstreamState::Ready),
+        upstream(1, "v2", UpstreamState::Ready),
+        upstream(2, "v2", UpstreamState::Draining),
+    ]);
+    let permit = Permit::Only(Arc::from("v2"));
+    let only = setup.pick(at(0), &[], &[], &permit).expect("one");
+    assert!((0..50).all(|_| setup.pick(at(0), &[], &[], &permit) == Ok(only)));
+    assert_eq!(
+        setup.pick(at(0), &[], &[only], &permit),
+        Err(NoUpstream::Tried)
+    );
+    let none = Permit::Only(Arc::from("v3"));
+    assert_eq!(setup.pick(at(0), &[], &[], &none), Err(NoUpstream::Unknown));
+}
+
+#[test]
+fn an_upstream_that_lapsed_and_is_listed_again_serves_again() {
+    let mut setup = Setup::new(1);
+    let listed = [upstream(0, "v1", UpstreamState::Ready)];
+    let index = setup.pick(at(0), &[], &[], &Permit::Any).expect("one");
+    let ticket = setup
+        .upstreams
+        .started(at(0), index, &dispatch::Load::default(), &[]);
+    setup.upstreams.configure(&[]);
+    assert_eq!(
+        setup.pick(at(1), &[], &[], &Permit::Any),
+        Err(NoUpstream::Unknown)
+    );
+    setup.upstreams.configure(&listed);
+    assert_eq!(setup.pick(at(2), &[], &[], &Permit::Any), Ok(index));
+    setup.upstreams.ended(at(3), index, ticket, Ending::Good);
+}
--- /dev/null
+++ b/components/dispatch/tests/lapsed.rs
@@ -0,0 +1,63 @@
+//! Entries that go while the store is away.
+
+use std::sync::Arc;
+
+use dispatch::Lapsed;
+use routes::{Upstream, UpstreamState};
+use types::prelude::*;
+
+fn upstream(id: &str) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: UpstreamId::new(id).expect("a name"),
+        service: Arc::from("model"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: FailureDomain::new("east").expect("a name"),
+        version: Arc::from("v1"),
+        slots: 1,
+        state: UpstreamState::Ready,
+        cold_for: Span::ZERO,
+    })
+}
+
+fn at(secs: u64) -> Time {
+    Time::ZERO + Span::from_secs(secs)
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_for_two_seconds() {
+    // The store is down for some seconds and drops every lease meanwhile. When it is back,
+    // its list is empty for a moment. Callers would all be refused though every upstream
+    // serves.
+    let mut lapsed = Lapsed::new(Span::from_secs(2));
+    lapsed.store_failed();
+    lapsed.store_answered(at(10));
+    lapsed.gone(at(10), upstream("one"));
+    lapsed.gone(at(10), upstream("two"));
+    assert_eq!(lapsed.iter().count(), 2);
+    lapsed.listed(&UpstreamId::new("one").expect("a name"));
+    assert!(!lapsed.expire(at(12)));
+    assert_eq!(lapsed.iter().count(), 1);
+    assert!(lapsed.expire(at(13)));
+    assert_eq!(lapsed.iter().count(), 0);
+}
+
+#[test]
+fn an_entry_that_goes_after_a_cut_is_dropped_two_seconds_after_the_return() {
+    // A daemon alone is cut off and comes back at 10 s. An upstream leaves at 11 s. Were it
+    // kept for two seconds from its own going, it would get work until after 13 s, which is
+    // later than an upstream that leaves may.
+    let mut lapsed = Lapsed::new(Span::from_secs(2));
+    lapsed.store_failed();
+    lapsed.store_answered(at(10));
+    lapsed.gone(at(11), upstream("one"));
+    assert_eq!(lapsed.iter().count(), 1);
+    assert!(lapsed.expire(at(10) + Span::from_millis(2_200)));
+    assert_eq!(lapsed.iter().count(), 0);
+}
+
+#[test]
+fn an_entry_that_goes_while_all_is_well_is_gone() {
+    let mut lapsed = Lapsed::new(Span::from_secs(2));
+    lapsed.gone(at(11), upstream("one"));
+    assert_eq!(lapsed.iter().count(), 0);
+}
--- /dev/null
+++ b/components/dispatch/tests/trial.rs
@@ -0,0 +1,153 @@
+//! Roll-outs, judged on the fleet's evidence.
+
+use std::sync::Arc;
+
+use dispatch::{ArmCounts, Evidence, Gate, Permit, Trial, TrialLimits, Verdict};
+use routes::{RolloutOrder, RolloutState};
+use types::prelude::*;
+
+fn order() -> RolloutOrder {
+    RolloutOrder {
+        service: Arc::from("model"),
+        to: Arc::from("v2"),
+        within: Span::from_secs(20),
+        revision: 7,
+    }
+}
+
+fn trial(now: Time) -> Trial {
+    Trial::new(now, order(), TrialLimits { exposure: 0.15 })
+}
+
+fn at(secs: f64) -> Time {
+    Time::ZERO + Span::from_secs_f64(secs)
+}
+
+/// So many good and bad answers, each as fast as `times` what was expected.
+fn arm(good: u32, bad: u32, times: f64) -> ArmCounts {
+    let mut counts = ArmCounts {
+        sent: good + bad,
+        bad,
+        ..ArmCounts::default()
+    };
+    for n in 0..good {
+        // A spread as of real answers: half as long to twice as long.
+        let spread = [0.5, 0.8, 1.0, 1.3, 2.0][n as usize % 5];
+        counts.note_good(100.0 * times * spread, 100.0);
+    }
+    counts
+}
+
+fn evidence(new: ArmCounts, old: ArmCounts) -> Evidence {
+    Evidence {
+        order: 7,
+        elapsed_ms: 0,
+        new,
+        old,
+    }
+}
+
+#[test]
+fn a_good_version_gets_a_small_share_first_and_then_everything() {
+    let mut trial = trial(Time::ZERO);
+    let good = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
+    let shares = [1.0, 9.0, 11.0, 12.5, 14.0];
+    let shares = shares.map(|secs| trial.step(at(secs), &good, 1.0).gate.share);
+    assert_eq!(shares, [0.09, 0.09, 0.25, 0.5, 1.0]);
+    let step = trial.step(at(15.0), &good, 1.0);
+    assert_eq!(
+        step.verdict,
+        Verdict::Good,
+        "nothing runs on the old version"
+    );
+}
+
+#[test]
+fn a_version_is_not_completed_while_requests_run_on_the_old_one() {
+    // Once a roll-out is completed the old upstreams stop at once, so a stream that is
+    // still out there would be cut.
+    let mut trial = trial(Time::ZERO);
+    let mut busy = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
+    busy.old.out = 3;
+    assert_eq!(trial.step(at(16.0), &busy, 1.0).verdict, Verdict::Open);
+    assert_eq!(trial.step(at(18.1), &busy, 1.0).verdict, Verdict::Good);
+}
+
+#[test]
+fn a_version_that_fails_is_taken_back_after_a_few_bad_answers() {
+    let mut trial = trial(Time::ZERO);
+    let bad = evidence(arm(6, 6, 1.0), arm(90, 1, 1.0));
+    let step = trial.step(at(2.0), &bad, 1.0);
+    assert_eq!(step.verdict, Verdict::Failing);
+    assert_eq!(step.gate.share, 0.0);
+}
+
+#[test]
+fn failures_that_both_versions_have_condemn_neither() {
+    // Half of all answers are lost on the way for some seconds. The new version would be
+    // taken back for what the old one suffers as well.
+    let mut trial = trial(Time::ZERO);
+    let both = evidence(arm(30, 20, 1.0), arm(300, 200, 1.0));
+    assert_eq!(trial.step(at(2.0), &both, 1.0).verdict, Verdict::Open);
+}
+
+#[test]
+fn a_version_that_is_several_times_slower_is_taken_back() {
+    let mut trial = trial(Time::ZERO);
+    let slow = evidence(arm(40, 0, 4.0), arm(300, 0, 1.0));
+    assert_eq!(trial.step(at(3.0), &slow, 1.0).verdict, Verdict::Slow);
+}
+
+#[test]
+fn a_version_that_turns_bad_after_a_good_judgement_of_its_first_answers_is_taken_back() {
+    let mut trial = trial(Time::ZERO);
+    let good = evidence(arm(60, 0, 1.0), arm(400, 4, 1.0));
+    assert_eq!(trial.step(at(11.0), &good, 1.0).gate.share, 0.25);
+    let late = evidence(arm(70, 20, 1.0), arm(450, 5, 1.0));
+    let step = trial.step(at(12.0), &late, 1.0);
+    assert_eq!((step.verdict, step.gate.share), (Verdict::Failing, 0.0));
+}
+
+#[test]
+fn a_daemon_that_restarts_in_a_roll_out_goes_on_where_its_peers_are() {
+    // A daemon is killed 12 s into a roll-out and is back at once. Its own clock begins at
+    // zero. Took it the order for new, it would send sessions back to the old version until
+    // that is stopped, and cut their streams.
+    let mut trial = trial(at(0.05));
+    trial.known_for(at(0.1), Span::from_secs(14));
+    let good = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
+    assert_eq!(trial.step(at(0.2), &good, 1.0).gate.share, 1.0);
+}
+
+#[test]
+fn a_decision_that_is_written_down_is_never_taken_back() {
+    let mut trial = trial(Time::ZERO);
+    trial.set_state(RolloutState::Reverted);
+    trial.set_state(RolloutState::Running);
+    assert_eq!(trial.state(), RolloutState::Reverted);
+    let good = evidence(arm(60, 0, 1.0), arm(400, 4, 1.0));
+    assert_eq!(trial.step(at(15.0), &good, 1.0).gate.share, 0.0);
+}
+
+fn gate(share: f64, keeps_sessions: bool) -> Gate {
+    Gate {
+        service: Arc::from("model"),
+        to: Arc::from("v2"),
+        order: 7,
+        share,
+        keeps_sessions,
+    }
+}
+
+#[test]
+fn sessions_stay_on_their_version() {
+    let (old, new) = (Arc::from("v1"), Arc::from("v2"));
+    let low = 0;
+    let first_half = gate(0.25, true);
+    assert!(first_half.permit(low, None).allows(&new));
+    assert!(!first_half.permit(low, Some(&old)).allows(&new));
+    assert!(first_half.permit(u64::MAX, Some(&new)).allows(&new));
+    let second_half = gate(0.25, false);
+    assert!(second_half.permit(low, Some(&old)).allows(&new));
+    assert_eq!(gate(0.0, true).permit(low, Some(&new)), Permit::Not(new));
+}
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dispatch::Lapsed;
 use mirror::{Change, Mirror};
 use routes::{RouteTable, Upstream};
 use types::prelude::*;
 
 use crate::codec::Codec;
-use crate::lapsed::Lapsed;
 
 /// Decoded entries of the mirror.
 pub(crate) struct Planner {
--- /dev/null
+++ b/components/http1/tests/messages.rs
@@ -0,0 +1,144 @@
+//! Heads, framing, bodies and events.
+
+use bytes::{Bytes, BytesMut};
+use http1::events::Splitter;
+use http1::{BodyError, BodyReader, Framing, FramingError, Head, HeadError, Progress};
+
+fn request(text: &str) -> Head {
+    let mut buf = BytesMut::from(text);
+    let head = Head::take_request(&mut buf, 4_096).expect("well-formed");
+    head.expect("complete")
+}
+
+fn framing(fields: &str) -> Result<Framing, FramingError> {
+    Framing::of(&request(&format!(
+        "POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n"
+    )))
+}
+
+#[test]
+fn a_head_is_taken_once_it_is_complete() {
+    let mut buf = BytesMut::from("GET /a?b HTTP/1.1\r\nHost: x\r\nHos");
+    assert!(
+        Head::take_request(&mut buf, 4_096)
+            .expect("fine so far")
+            .is_none()
+    );
+    buf.extend_from_slice(b"t2: y \r\n\r\nrest");
+    let head = Head::take_request(&mut buf, 4_096)
+        .expect("fine")
+        .expect("complete");
+    assert_eq!(head.text("HOST2"), Some("y"));
+    assert_eq!(&buf[..], b"rest");
+}
+
+#[test]
+fn a_head_without_end_is_refused() {
+    let mut buf = BytesMut::from(format!("GET / HTTP/1.1\r\nA: {}", "b".repeat(5_000)).as_str());
+    let result = Head::take_request(&mut buf, 4_096);
+    assert_eq!(result.err(), Some(HeadError::TooLarge(4_096)));
+}
+
+#[test]
+fn a_space_before_the_colon_is_refused() {
+    let mut buf = BytesMut::from("GET / HTTP/1.1\r\nContent-Length : 5\r\n\r\n");
+    assert!(Head::take_request(&mut buf, 4_096).is_err());
+}
+
+#[test]
+fn lengths_that_two_readers_could_take_differently_are_refused() {
+    // A caller gives a length and a transfer encoding, or two lengths. One reader takes the
+    // one, the next the other, and the rest of the body is run as a request of its own.
+    let both = "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n";
+    let other_order = "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n";
+    let twice = "Content-Length: 4\r\nContent-Length: 4\r\n";
+    for fields in [both, other_order, twice] {
+        assert_eq!(framing(fields), Err(FramingError::Ambiguous), "{fields}");
+    }
+    for fields in [
+        "Content-Length: +4\r\n",
+        "Content-Length: 4, 4\r\n",
+        "Content-Length:\r\n",
+    ] {
+        assert_eq!(framing(fields), Err(FramingError::BadLength), "{fields}");
+    }
+    for fields in [
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+    ] {
+        assert_eq!(
+            framing(fields),
+            Err(FramingError::UnknownEncoding),
+            "{fields}"
+        );
+    }
+    assert_eq!(
+        framing("Transfer-Encoding: Chunked\r\n"),
+        Ok(Framing::Chunked)
+    );
+    assert_eq!(framing("Content-Length: 4\r\n"), Ok(Framing::Length(4)));
+    assert_eq!(framing(""), Ok(Framing::Empty));
+}
+
+fn read(framing: Framing, text: &str) -> Result<(String, bool, String), BodyError> {
+    let mut reader = BodyReader::new(framing);
+    let mut body = Vec::new();
+    let mut buf = BytesMut::new();
+    // Byte by byte, so that every state is left and entered between two reads.
+    for byte in text.bytes() {
+        buf.extend_from_slice(&[byte]);
+        loop {
+            match reader.read(&mut buf)? {
+                Progress::Data(data) => body.extend_from_slice(&data),
+                Progress::NeedMore | Progress::Done => break,
+            }
+        }
+    }
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    Ok((text(&body), reader.is_done(), text(&buf)))
+}
+
+#[test]
+fn bodies_end_where_their_framing_says() {
+    let whole = |body: &str, rest: &str| Ok((body.to_owned(), true, rest.to_owned()));
+    assert_eq!(read(Framing::Length(3), "abcdef"), whole("abc", "def"));
+    let chunked = "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\nGET";
+    assert_eq!(read(Framing::Chunked, chunked), whole("abcde", "GET"));
+    assert_eq!(read(Framing::Empty, "x"), whole("", "x"));
+    let open = read(Framing::UntilClose, "abc").expect("fine");
+    assert_eq!(open, ("abc".to_owned(), false, String::new()));
+}
+
+#[test]
+fn chunks_of_another_form_are_refused() {
+    let cases = [
+        "3\nabc",
+        "+3\r\nabc",
+        "3\r\nabcd\r\n",
+        " 3\r\nabc",
+        "fffffffffffffffff\r\n",
+        "\r\n",
+    ];
+    for text in cases {
+        assert_eq!(
+            read(Framing::Chunked, text),
+            Err(BodyError::BadChunk),
+            "{text:?}"
+        );
+    }
+}
+
+#[test]
+fn events_come_out_whole() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 4\ndata: a\n\nid:");
+    let event = splitter.next_event().expect("small").expect("whole");
+    assert_eq!(event.raw, Bytes::from_static(b"id: 4\ndata: a\n\n"));
+    assert_eq!(event.id, Some(4));
+    assert_eq!(splitter.next_event(), Ok(None));
+    assert!(splitter.has_rest());
+    splitter.push(b"5\nweights: 2\ndata: b\n\n");
+    let event = splitter.next_event().expect("small").expect("whole");
+    assert_eq!(event.id, Some(5));
+    assert!(!splitter.has_rest());
+}
--- /dev/null
+++ b/components/mirror/tests/mirror.rs
@@ -0,0 +1,125 @@
+//! The copy of the store's keys.
+
+use bytes::Bytes;
+use mirror::{Answer, Change, Listing, Mirror, Question, Revision};
+
+fn put(revision: u64, key: &str, value: &str) -> Change {
+    Change {
+        revision: Revision(revision),
+        key: key.to_owned(),
+        value: Some(Bytes::copy_from_slice(value.as_bytes())),
+    }
+}
+
+fn delete(revision: u64, key: &str) -> Change {
+    Change {
+        revision: Revision(revision),
+        key: key.to_owned(),
+        value: None,
+    }
+}
+
+fn listed(at: u64, items: Vec<Change>) -> Mirror {
+    let mut mirror = Mirror::default();
+    let at = Revision(at);
+    mirror.take_listing(Listing { at, items });
+    mirror
+}
+
+fn value(mirror: &Mirror, key: &str) -> Option<String> {
+    let (_, value) = mirror.get(key)?;
+    Some(String::from_utf8_lossy(value).into_owned())
+}
+
+#[test]
+fn a_stale_watch_brings_nothing_back() {
+    // A daemon hears of version 3 from a peer. Its own watch, which was slow, then tells of
+    // version 2, and of a key that was deleted since. Callers would see an old
+    // configuration after a new one.
+    let mut mirror = listed(1, vec![put(1, "config", "1")]);
+    let newer = vec![
+        put(2, "config", "2"),
+        put(3, "gone", "x"),
+        delete(4, "gone"),
+        put(5, "config", "3"),
+    ];
+    mirror
+        .apply(Revision(1), Revision(5), newer)
+        .expect("connects");
+    let stale = vec![put(2, "config", "2"), put(3, "gone", "x")];
+    let fresh = mirror
+        .apply(Revision(1), Revision(3), stale)
+        .expect("connects");
+    assert_eq!(fresh, []);
+    assert_eq!(value(&mirror, "config").as_deref(), Some("3"));
+    assert_eq!(value(&mirror, "gone"), None);
+    assert_eq!(mirror.at(), Revision(5));
+}
+
+#[test]
+fn an_older_listing_changes_nothing() {
+    let mut mirror = listed(9, vec![put(9, "config", "9")]);
+    let at = Revision(5);
+    let items = vec![put(5, "config", "5")];
+    assert_eq!(mirror.take_listing(Listing { at, items }), []);
+    assert_eq!(value(&mirror, "config").as_deref(), Some("9"));
+}
+
+#[test]
+fn a_listing_after_lost_history_deletes_what_is_not_on_it() {
+    let mut mirror = listed(2, vec![put(1, "a", "1"), put(2, "b", "1")]);
+    let at = Revision(8);
+    let items = vec![put(7, "b", "2"), put(8, "c", "1")];
+    let fresh = mirror.take_listing(Listing { at, items });
+    assert_eq!(fresh, [delete(8, "a"), put(7, "b", "2"), put(8, "c", "1")]);
+    assert_eq!(mirror.prefixed("").count(), 2);
+}
+
+#[test]
+fn changes_with_a_gap_before_them_are_refused() {
+    let mut mirror = listed(2, vec![]);
+    let result = mirror.apply(Revision(4), Revision(5), vec![put(5, "a", "1")]);
+    assert!(result.is_err());
+    assert_eq!(mirror.at(), Revision(2));
+}
+
+#[test]
+fn a_peer_gets_what_it_lacks_and_no_more() {
+    let mut ahead = listed(2, vec![put(2, "a", "1")]);
+    ahead
+        .apply(
+            Revision(2),
+            Revision(4),
+            vec![put(3, "b", "1"), delete(4, "a")],
+        )
+        .expect("connects");
+    let answer = Answer::to(Question { held: Revision(3) }, &ahead);
+    let expected = Answer::Changes {
+        after: Revision(3),
+        at: Revision(4),
+        changes: vec![delete(4, "a")],
+    };
+    assert_eq!(answer, expected);
+    let too_far_behind = Answer::to(Question { held: Revision(1) }, &ahead);
+    assert!(matches!(too_far_behind, Answer::All { .. }));
+    let even = Answer::to(Question { held: Revision(4) }, &ahead);
+    assert_eq!(even, Answer::Nothing);
+    let bytes = answer.encode().expect("small");
+    assert_eq!(Answer::decode(&bytes), Ok(answer));
+}
+
+#[test]
+fn a_peer_far_behind_gets_a_listing_once_the_log_is_full() {
+    let mut ahead = listed(1, vec![]);
+    for n in 2..2_000 {
+        let changes = vec![put(n, "key", "v")];
+        ahead
+            .apply(Revision(n - 1), Revision(n), changes)
+            .expect("connects");
+    }
+    assert!(ahead.since(Revision(1)).is_none());
+    assert_eq!(
+        ahead.since(Revision(1_990)).map(|changes| changes.len()),
+        Some(9)
+    );
+}
