Test the event loop between callers and scripted upstreams

26 tests of answers (whole, crossed, cut, unsigned, without length), streams (torn, skipped, silent, unsure), bounds (smuggled lengths, unknown, too large, slow) and leaving.

--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -76,6 +76,10 @@
 /// The running event loop.
 #[derive(Debug)]
 pub struct Handle {
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where readiness, metrics and the state are asked for.
+    pub status: SocketAddr,
     /// Tells it something.
     pub commands: flume::Sender<Command>,
     /// What was seen of roll-outs.
@@ -116,8 +120,11 @@
     };
     thread.spawn(run).map_err(StartError::Thread)?;
     let started = started_rx.recv();
-    started.unwrap_or_else(|_| Err(StartError::Thread(std::io::ErrorKind::Other.into())))?;
+    let ended_early = || Err(StartError::Thread(std::io::ErrorKind::Other.into()));
+    let (callers, status) = started.unwrap_or_else(|_| ended_early())?;
     Ok(Handle {
+        callers,
+        status,
         commands: tx,
         seen,
         ended,
@@ -144,20 +151,24 @@
     })
 }
 
+/// Addresses listened on, for callers and for questions.
+type Started = Result<(SocketAddr, SocketAddr), StartError>;
+
 async fn serve<T: Translator>(
     world: Rc<World<T>>,
     commands: flume::Receiver<Command>,
-    started: flume::Sender<Result<(), StartError>>,
+    started: flume::Sender<Started>,
 ) {
     let listeners = listen(world.cfg.callers).and_then(|c| Ok((c, listen(world.cfg.status)?)));
-    let (callers, asks) = match listeners {
+    let ((callers, at), (asks, asked_at)) = match listeners {
         Ok(listeners) => listeners,
         Err(e) => {
+            // The starting thread waits for this.
             let _ = started.send(Err(e));
             return;
         }
     };
-    let _ = started.send(Ok(()));
+    let _ = started.send(Ok((at, asked_at)));
     tokio::task::spawn_local(accept_callers(Rc::clone(&world), callers));
     tokio::task::spawn_local(accept_asks(Rc::clone(&world), asks));
     tokio::task::spawn_local(tidy(Rc::clone(&world)));
@@ -179,11 +190,13 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
     let listener = TcpSocket::new_v4().and_then(|socket| {
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        socket.listen(BACKLOG)
+        let listener = socket.listen(BACKLOG)?;
+        let at = listener.local_addr()?;
+        Ok((listener, at))
     });
     listener.map_err(|source| StartError::Listen { address, source })
 }
--- /dev/null
+++ b/components/traffic/tests/it/answers.rs
@@ -0,0 +1,203 @@
+//! Whole answers: relayed, crossed, cut, refused.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use routes::Repeat;
+
+use crate::harness::*;
+
+#[test]
+fn an_answer_comes_back_whole_and_the_connections_are_kept() {
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&connections);
+    let address = upstream(move |served| {
+        count.fetch_add(1, Ordering::SeqCst);
+        while let Some(request) = served.request() {
+            assert!(request.starts_with("POST /a/b HTTP/1.1\r\n"), "{request}");
+            assert_eq!(field(&request, "customer"), Some("alice"));
+            assert_eq!(field(&request, "to"), Some("u0"));
+            assert!(request.ends_with("\r\n\r\nhello"), "{request}");
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let mut caller = running.caller();
+    for n in 0..5 {
+        let text = caller.ask(&format!("r{n}"));
+        assert!(text.ends_with("\r\n\r\nworld"), "{text}");
+        assert_eq!(field(&text, "id"), Some(&*format!("r{n}")));
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_request_is_passed_over() {
+    // An upstream answers a request twice; the second answer comes when the next request of
+    // another caller is already on the connection. That caller would get the first one's
+    // answer.
+    let address = upstream(|served| {
+        let first = served.request().expect("one");
+        served.write(&answer(id_of(&first), "first"));
+        while let Some(next) = served.request() {
+            served.write(&answer(id_of(&first), "first again"));
+            served.write(&answer(id_of(&next), "own"));
+        }
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let mut caller = running.caller();
+    assert!(caller.ask("r1").ends_with("first"));
+    let text = caller.ask("r2");
+    assert!(text.ends_with("own"), "{text}");
+}
+
+#[test]
+fn a_connection_with_an_answer_lying_on_it_is_not_used_again() {
+    // The second answer lies on the kept connection before the next request is sent.
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            let id = id_of(&request);
+            served.write(&(answer(id, "own") + &answer("other", "stray")));
+        }
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let mut caller = running.caller();
+    for n in 0..3 {
+        let text = caller.ask(&format!("r{n}"));
+        assert!(text.ends_with("\r\n\r\nown"), "{text}");
+    }
+}
+
+#[test]
+fn a_cut_answer_to_what_may_not_be_repeated_is_unclear_and_not_repeated() {
+    // The upstream runs a booking and its answer is cut. Sent again, the booking is made
+    // twice; called "not run", the caller makes it again.
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        count.fetch_add(1, Ordering::SeqCst);
+        let text = answer(id_of(&request), "world");
+        served.write(&text[..text.len() - 2]);
+    });
+    let running = serving(Repeat::Never, &[address, address]);
+    assert_eq!(status_of(&running.caller().ask("r1")), 502);
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_cut_answer_to_an_idempotent_request_is_asked_for_again() {
+    let bad = upstream(|served| {
+        let request = served.request().expect("one");
+        let text = answer(id_of(&request), "world");
+        served.write(&text[..text.len() - 2]);
+    });
+    let good = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    for _ in 0..4 {
+        let running = serving(Repeat::Any, &[bad, good]);
+        assert!(running.caller().ask("r1").ends_with("world"));
+    }
+}
+
+#[test]
+fn what_an_upstream_did_not_run_goes_to_another() {
+    let full = upstream(|served| {
+        while served.request().is_some() {
+            served.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let other_run = upstream(|served| {
+        while served.request().is_some() {
+            served.write("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let good = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving(Repeat::Never, &[full, other_run, good]);
+    for n in 0..5 {
+        let text = running.caller().ask(&format!("r{n}"));
+        assert!(text.ends_with("world"), "{text}");
+    }
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let full = upstream(|served| {
+        while served.request().is_some() {
+            served.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let running = serving(Repeat::Never, &[full]);
+    let text = running.caller().ask("r1");
+    assert_eq!(status_of(&text), 503);
+    let span = field(&text, "Retry-After").expect("given").parse::<f64>();
+    assert!(span.expect("seconds") > 0.0);
+}
+
+#[test]
+fn an_answer_without_the_upstreams_word_is_not_passed_on() {
+    // Something between here and the upstream answers in its place, or encodes the body.
+    for fields in ["", "signed: 1\r\ncontent-encoding: gzip\r\n"] {
+        let address = upstream(move |served| {
+            while let Some(request) = served.request() {
+                let id = id_of(&request);
+                served.write(&format!(
+                    "HTTP/1.1 200 OK\r\nid: {id}\r\n{fields}Content-Length: 2\r\n\r\nhi"
+                ));
+            }
+        });
+        let running = serving(Repeat::Never, &[address]);
+        assert_eq!(status_of(&running.caller().ask("r1")), 502);
+    }
+}
+
+#[test]
+fn an_upstreams_own_failure_is_passed_on_as_it_is() {
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 500 No\r\nid: {id}\r\nsigned: 1\r\nContent-Length: 4\r\n\r\nsome"
+            ));
+        }
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(status_of(&text), 500);
+    assert!(text.contains("signed: 1"), "{text}");
+    assert!(text.ends_with("some"));
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+    let address = upstream(|served| {
+        let request = served.request().expect("one");
+        let id = id_of(&request);
+        served.write(&format!(
+            "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\n\r\nworld"
+        ));
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(field(&text, "Content-Length"), Some("5"));
+    assert!(text.ends_with("world"));
+}
+
+#[test]
+fn an_upstream_that_cannot_be_reached_costs_nothing() {
+    let (_socket, gone) = refusing();
+    let good = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving(Repeat::Never, &[gone, gone, gone, gone, gone, good]);
+    assert!(running.caller().ask("r1").ends_with("world"));
+}
--- /dev/null
+++ b/components/traffic/tests/it/bounds.rs
@@ -0,0 +1,132 @@
+//! What callers may not do, and what is told to those who may not be served.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use routes::Repeat;
+
+use crate::harness::*;
+
+/// An event loop before an upstream that counts what reaches it.
+fn counted() -> (Loop, Arc<AtomicUsize>) {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let address = upstream(move |served| {
+        while let Some(request) = served.request() {
+            count.fetch_add(1, Ordering::SeqCst);
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    (serving(Repeat::Any, &[address]), runs)
+}
+
+#[test]
+fn a_smuggled_request_runs_nowhere() {
+    // A caller hides a second request behind lengths that two readers take differently.
+    let lengths = [
+        "Content-Length: 6\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 6",
+        "Content-Length: 6\r\nContent-Length: 60",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding : chunked",
+    ];
+    let (running, runs) = counted();
+    for length in lengths {
+        let mut caller = running.caller();
+        let hidden = post("hidden", "x");
+        caller.send(&format!(
+            "POST /a/b HTTP/1.1\r\nHost: host\r\nid: r\r\nkey: secret\r\n{length}\r\n\r\n\
+             0\r\n\r\n{hidden}"
+        ));
+        let text = caller.rest();
+        assert_eq!(status_of(&text), 400, "{length}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    }
+    assert_eq!(runs.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn what_is_unknown_or_too_large_gets_its_status() {
+    let (running, runs) = counted();
+    let status = |text: &str| {
+        let mut caller = running.caller();
+        caller.send(text);
+        status_of(&caller.answer())
+    };
+    let proper = post("r", "x");
+    assert_eq!(status(&proper.replace("/a/b", "/other/")), 404);
+    assert_eq!(status(&proper.replace("Host: host", "Host: other")), 404);
+    assert_eq!(status(&proper.replace("key: secret", "key: wrong")), 401);
+    assert_eq!(status(&proper.replace("key: secret\r\n", "")), 401);
+    assert_eq!(status(&proper.replace("id: r\r\n", "")), 400);
+    let large = proper.replace("Content-Length: 1", "Content-Length: 10001");
+    assert_eq!(status(&large), 413);
+    let long = proper.replace("id: r", &format!("id: r\r\nlong: {}", "x".repeat(5_000)));
+    assert_eq!(status(&long), 431);
+    assert_eq!(runs.load(Ordering::SeqCst), 0);
+    assert_eq!(status(&proper), 200);
+    assert_eq!(status(&proper.replace("/a/b", "/a/b?q=1")), 200);
+}
+
+#[test]
+fn a_head_that_never_ends_is_given_up() {
+    // A caller sends a byte a minute and would hold its connection for hours.
+    let (running, _) = counted();
+    let mut caller = running.caller();
+    caller.send("POST /a/b HT");
+    assert_eq!(status_of(&caller.rest()), 408);
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            assert_eq!(field(&request, "Content-Length"), Some("10"));
+            assert!(request.ends_with("\r\n\r\nhelloworld"), "{request}");
+            served.write(&answer(id_of(&request), "ok"));
+        }
+    });
+    let running = serving(Repeat::Any, &[address]);
+    let mut caller = running.caller();
+    let head = post("r", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    caller.send(&(head + "5\r\nhello\r\n5\r\nworld\r\n0\r\n\r\n"));
+    assert_eq!(status_of(&caller.answer()), 200);
+}
+
+#[test]
+fn requests_in_one_write_are_answered_in_order() {
+    let (running, _) = counted();
+    let mut caller = running.caller();
+    caller.send(&(post("r1", "x") + &post("r2", "y")));
+    assert_eq!(field(&caller.answer(), "id"), Some("r1"));
+    assert_eq!(field(&caller.answer(), "id"), Some("r2"));
+}
+
+#[test]
+fn a_daemon_without_a_configuration_refuses_and_is_not_ready() {
+    // A daemon that just started, while the store is down, knows no keys and no routes. Told
+    // 401 or 404, callers would not come back.
+    let running = start();
+    assert_eq!(running.readiness(), 503);
+    let text = running.caller().ask("r1");
+    assert_eq!(status_of(&text), 503);
+    assert!(field(&text, "Retry-After").is_some());
+}
+
+#[test]
+fn a_request_waits_for_a_first_configuration_that_comes_soon() {
+    // A daemon was killed and is back. Its first callers come some ms before its first
+    // configuration and have few attempts left.
+    let running = start();
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "ok"));
+        }
+    });
+    let mut caller = running.caller();
+    caller.send(&post("r1", "x"));
+    std::thread::sleep(Duration::from_millis(20));
+    running.plan(Repeat::Any, &[address], Vec::new());
+    assert_eq!(status_of(&caller.answer()), 200);
+}
--- /dev/null
+++ b/components/traffic/tests/it/harness.rs
@@ -0,0 +1,405 @@
+//! An event loop, upstreams that follow a script, and callers that speak bytes.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dispatch::{Gate, PromptPart, RetryLimits};
+use http1::Head;
+use routes::{
+    ApiKey, Customer, Limits, Repeat, Route, RouteTable, Service, TableVersion, Target, Upstream,
+    UpstreamState,
+};
+use traffic::{
+    Ask, AskError, Command, Config, Forwarding, Handle, Plan, Prompt, Reply, Standing, Translator,
+};
+use types::prelude::*;
+
+/// A caller or upstream that waits longer has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Names on the wire of these tests.
+pub struct Names;
+
+impl Translator for Names {
+    fn ask(&self, head: &Head) -> Result<Ask, AskError> {
+        let attempt = head.text("id").ok_or(AskError::NotOnce("id"))?;
+        let patience = head.text("wait").and_then(|ms| ms.parse().ok());
+        let prompt = head.text("prompt").map(|tokens| Prompt {
+            parts: vec![PromptPart {
+                id: 1,
+                tokens: tokens.parse().unwrap_or_default(),
+            }],
+            tokens: tokens.parse().unwrap_or_default(),
+            max_output: 10,
+        });
+        Ok(Ask {
+            attempt: Arc::from(attempt),
+            patience: patience.map(Span::from_millis),
+            key: head.text("key").map(ApiKey::new),
+            model: None,
+            prompt,
+            session: None,
+            resume_after: head.text("after").and_then(|id| id.parse().ok()),
+        })
+    }
+
+    fn forward(&self, forwarding: &Forwarding<'_>, out: &mut Vec<u8>) {
+        let id = forwarding.head.text("id").unwrap_or_default();
+        let mut fields = format!("id: {id}\r\nto: {}\r\n", forwarding.upstream);
+        if let Some(model) = forwarding.model {
+            fields += &format!("model: {model}\r\n");
+        }
+        if let Some(after) = forwarding.resume_after {
+            fields += &format!("after: {after}\r\n");
+        }
+        if let Some(customer) = forwarding.customer {
+            fields += &format!("customer: {customer}\r\n");
+        }
+        out.extend_from_slice(fields.as_bytes());
+    }
+
+    fn reply(&self, head: &Head) -> Reply {
+        Reply {
+            attempt: head.text("id").map(Arc::from),
+            is_signed: head.get("signed").is_some(),
+            standing: match head.status() {
+                421 => Standing::OtherRun,
+                503 => Standing::NotRun,
+                _ => Standing::Ran,
+            },
+            confidence: head.text("sure").and_then(|sure| sure.parse().ok()),
+            is_encoded: head.get("content-encoding").is_some(),
+        }
+    }
+}
+
+/// One connection at an upstream.
+pub struct Served {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Served {
+    /// The next request's head and body as text; nothing once the other side has closed.
+    pub fn request(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = whole(&self.buf) {
+                let request = self.buf.drain(..end).collect::<Vec<_>>();
+                return Some(String::from_utf8_lossy(&request).into_owned());
+            }
+            let mut part = [0; 4_096];
+            match self.stream.read(&mut part) {
+                Ok(0) => return None,
+                Ok(n) => self.buf.extend_from_slice(&part[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => panic!("no request came"),
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Writes bytes as they are.
+    pub fn write(&mut self, text: &str) {
+        // The event loop may have left this connection, which some tests are about.
+        let _ = self.stream.write_all(text.as_bytes());
+    }
+
+    /// Waits until the other side closes.
+    pub fn closed(&mut self) {
+        let mut rest = [0; 256];
+        while matches!(self.stream.read(&mut rest), Ok(n) if n > 0) {}
+    }
+}
+
+/// Length of the first whole message with a length or no body.
+fn whole(buf: &[u8]) -> Option<usize> {
+    let text = String::from_utf8_lossy(buf);
+    let head = text.find("\r\n\r\n")? + 4;
+    let lower = text[..head].to_ascii_lowercase();
+    let length = lower.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
+    let end = head + length.unwrap_or(0);
+    (buf.len() >= end).then_some(end)
+}
+
+/// The id that a request to an upstream carries.
+pub fn id_of(request: &str) -> &str {
+    field(request, "id").unwrap_or_default()
+}
+
+/// A field of a message.
+pub fn field<'a>(message: &'a str, name: &str) -> Option<&'a str> {
+    let prefix = format!("{name}: ");
+    message.lines().find_map(|line| line.strip_prefix(&prefix))
+}
+
+/// A whole good answer.
+pub fn answer(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// The head of a stream.
+pub fn stream_head(id: &str, sure: u8) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\nsure: {sure}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// An event as a chunk.
+pub fn event(id: u64) -> String {
+    let text = format!("id: {id}\ndata: e{id}\n\n");
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The end of a stream.
+pub const END: &str = "0\r\n\r\n";
+
+/// An address that refuses connections for as long as the socket is kept.
+pub fn refusing() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a port");
+    let address = socket.local_addr().expect("bound").as_socket();
+    (socket, address.expect("of IPv4"))
+}
+
+/// What an upstream does with one connection.
+pub type Script = dyn Fn(&mut Served) + Send + Sync;
+
+/// Starts an upstream that runs a script on each connection.
+pub fn upstream(script: impl Fn(&mut Served) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let script: Arc<Script> = Arc::new(script);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let script = Arc::clone(&script);
+            std::thread::spawn(move || {
+                stream.set_read_timeout(Some(PATIENCE)).expect("a span");
+                let mut served = Served {
+                    stream,
+                    buf: Vec::new(),
+                };
+                script(&mut served);
+            });
+        }
+    });
+    address
+}
+
+/// An event loop with its addresses.
+pub struct Loop {
+    pub handle: Handle,
+    pub callers: SocketAddr,
+    pub status: SocketAddr,
+}
+
+/// Starts an event loop that knows nothing yet.
+pub fn start() -> Loop {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let cfg = Config {
+        callers: any,
+        status: any,
+        ready_path: "/ready".to_owned(),
+        failure_domain: FailureDomain::new("east").expect("a name"),
+        max_callers: 100,
+        max_held: ByteSize(1 << 20),
+        retries: RetryLimits {
+            ratio: 1.0,
+            allowance: 100.0,
+            window: Span::from_secs(10),
+        },
+        session_idle: Span::from_secs(5),
+        grace: Span::from_secs(8),
+    };
+    let handle = traffic::start(cfg, Names, Clock::new()).expect("starts");
+    Loop {
+        callers: handle.callers,
+        status: handle.status,
+        handle,
+    }
+}
+
+/// Starts an event loop that serves by a route of this kind from upstreams at addresses.
+pub fn serving(repeat: Repeat, upstreams: &[SocketAddr]) -> Loop {
+    let running = start();
+    running.plan(repeat, upstreams, Vec::new());
+    running
+}
+
+fn route(repeat: Repeat) -> Route {
+    let models = match repeat.is_stream() {
+        true => vec![Arc::from("small"), Arc::from("large")],
+        false => Vec::new(),
+    };
+    Route {
+        name: Arc::from("route"),
+        host: Arc::from("host"),
+        prefix: Arc::from("/a/"),
+        repeat,
+        timeout: Span::from_secs(10),
+        objective: Span::from_secs(5),
+        pause: Some(Span::from_secs(2)),
+        rank: 0,
+        models,
+        targets: vec![Target {
+            service: Arc::from("service"),
+            weight: 1,
+        }],
+        max_runs: 3,
+        is_open: false,
+    }
+}
+
+fn table(repeat: Repeat) -> RouteTable {
+    let customer = Arc::new(Customer {
+        name: Arc::from("alice"),
+        rank: None,
+    });
+    let limits = Limits {
+        head: ByteSize(4_096),
+        body: ByteSize(10_000),
+        head_within: Span::from_millis(400),
+        idle: Span::from_secs(10),
+    };
+    let service = Service {
+        name: Arc::from("service"),
+        max_connections: 10,
+        engine: None,
+    };
+    let customers = [(ApiKey::new("secret"), customer)].into();
+    let routes = vec![route(repeat)];
+    let table = RouteTable::new(
+        TableVersion(1),
+        limits,
+        routes,
+        vec![service],
+        Some(customers),
+    );
+    table.expect("a proper table")
+}
+
+impl Loop {
+    /// Hands over a plan.
+    pub fn plan(&self, repeat: Repeat, upstreams: &[SocketAddr], gates: Vec<Gate>) {
+        let listed = upstreams.iter().enumerate().map(|(n, address)| {
+            Arc::new(Upstream {
+                id: UpstreamId::new(&format!("u{n}")).expect("a name"),
+                service: Arc::from("service"),
+                address: *address,
+                failure_domain: FailureDomain::new("east").expect("a name"),
+                version: Arc::from("v1"),
+                slots: 4,
+                state: UpstreamState::Ready,
+                cold_for: Span::ZERO,
+            })
+        });
+        let plan = Plan {
+            table: Some(Arc::new(table(repeat))),
+            upstreams: listed.collect(),
+            gates,
+            daemons: 1,
+            is_ready: true,
+        };
+        let sent = self.handle.commands.send(Command::Plan(Arc::new(plan)));
+        sent.expect("the event loop runs");
+    }
+
+    /// Connects a caller.
+    pub fn caller(&self) -> Caller {
+        let stream = TcpStream::connect(self.callers).expect("listening");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a span");
+        Caller { stream }
+    }
+
+    /// Status of the readiness answer.
+    pub fn readiness(&self) -> u16 {
+        let mut stream = TcpStream::connect(self.status).expect("listening");
+        let ask = "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+        stream.write_all(ask.as_bytes()).expect("open");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("an answer");
+        status_of(&text)
+    }
+}
+
+/// The status of an answer; 0 where there is none.
+pub fn status_of(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1);
+    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
+/// A caller's connection.
+pub struct Caller {
+    pub stream: TcpStream,
+}
+
+/// A proper request.
+pub fn post(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /a/b HTTP/1.1\r\nHost: host\r\nid: {id}\r\nkey: secret\r\nwait: 9000\r\n\
+         prompt: 100\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+impl Caller {
+    /// Sends bytes.
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("open");
+    }
+
+    /// Reads until the connection ends, and returns everything.
+    pub fn rest(&mut self) -> String {
+        let mut bytes = Vec::new();
+        // A reset after the answer is an end as well.
+        let _ = self.stream.read_to_end(&mut bytes);
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// Reads one answer, with a length or in chunks.
+    pub fn answer(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let mut byte = [0; 1];
+        loop {
+            let text = String::from_utf8_lossy(&bytes);
+            let is_whole = match text.contains("Transfer-Encoding: chunked") {
+                true => text.ends_with(END),
+                false => whole(&bytes).is_some(),
+            };
+            if is_whole {
+                return text.into_owned();
+            }
+            match self.stream.read(&mut byte) {
+                Ok(1) => bytes.push(byte[0]),
+                _ => return String::from_utf8_lossy(&bytes).into_owned(),
+            }
+        }
+    }
+
+    /// Reads until a text has come.
+    pub fn read_until(&mut self, text: &str) {
+        let mut bytes = Vec::new();
+        let mut byte = [0; 1];
+        while !String::from_utf8_lossy(&bytes).contains(text) {
+            self.stream.read_exact(&mut byte).expect("more");
+            bytes.push(byte[0]);
+        }
+    }
+
+    /// Sends a proper request and reads its answer.
+    pub fn ask(&mut self, id: &str) -> String {
+        self.send(&post(id, "hello"));
+        self.answer()
+    }
+}
+
+/// The numbers of the events in an answer.
+pub fn events_of(answer: &str) -> Vec<u64> {
+    let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
--- /dev/null
+++ b/components/traffic/tests/it/leaving.rs
@@ -0,0 +1,49 @@
+//! The way out.
+
+use std::io::Read;
+use std::time::Duration;
+
+use routes::Repeat;
+use traffic::Command;
+
+use crate::harness::*;
+
+fn slow_upstream() -> std::net::SocketAddr {
+    upstream(|served| {
+        while let Some(request) = served.request() {
+            std::thread::sleep(Duration::from_millis(500));
+            served.write(&answer(id_of(&request), "world"));
+        }
+    })
+}
+
+#[test]
+fn a_daemon_that_leaves_ends_what_it_has_and_says_so() {
+    // A daemon is told to stop while it serves. A request that it has read would end without
+    // an answer, or the balancer would go on sending new ones.
+    let running = serving(Repeat::Never, &[slow_upstream()]);
+    let mut busy = running.caller();
+    let mut idle = running.caller();
+    assert_eq!(status_of(&idle.ask("r0")), 200);
+    busy.send(&post("r1", "x"));
+    std::thread::sleep(Duration::from_millis(100));
+    running
+        .handle
+        .commands
+        .send(Command::Stop)
+        .expect("it runs");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(running.readiness(), 503);
+    let text = busy.answer();
+    assert!(text.ends_with("world"), "{text}");
+    assert_eq!(field(&text, "Connection"), Some("close"));
+    assert_eq!(
+        status_of(&running.caller().ask("r2")),
+        200,
+        "not noticed yet"
+    );
+    assert_eq!(idle.stream.read(&mut [0; 16]).expect("closed"), 0);
+    let ended = running.handle.ended.recv_timeout(Duration::from_secs(20));
+    assert_eq!(ended, Err(flume::RecvTimeoutError::Disconnected));
+    assert!(std::net::TcpStream::connect(running.callers).is_err());
+}
--- /dev/null
+++ b/components/traffic/tests/it/main.rs
@@ -0,0 +1,8 @@
+//! The event loop between callers and scripted upstreams.
+
+mod harness;
+
+mod answers;
+mod bounds;
+mod leaving;
+mod streams;
--- /dev/null
+++ b/components/traffic/tests/it/streams.rs
@@ -0,0 +1,152 @@
+//! Streams: relayed as they come, resumed, never joined wrongly.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use routes::Repeat;
+
+use crate::harness::*;
+
+const RESUMABLE: Repeat = Repeat::Stream { resumable: true };
+
+/// Streams events after `after` up to `last`, then ends or stops in the middle.
+fn stream(served: &mut Served, after: u64, last: u64, ends: bool) {
+    while let Some(request) = served.request() {
+        let asked = field(&request, "after").and_then(|id| id.parse().ok());
+        served.write(&stream_head(id_of(&request), 90));
+        let first = asked.unwrap_or(after) + 1;
+        (first..=last).for_each(|id| served.write(&event(id)));
+        match ends {
+            true => served.write(END),
+            false => {
+                served.write("1f\r\nid: 99\nda");
+                return;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_stream_comes_event_by_event_to_its_end() {
+    let address = upstream(|served| stream(served, 0, 5, true));
+    let running = serving(RESUMABLE, &[address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(events_of(&text), [1, 2, 3, 4, 5]);
+    assert!(text.ends_with(END));
+}
+
+#[test]
+fn a_torn_stream_goes_on_elsewhere_after_the_last_whole_event() {
+    // An engine crashes in the middle of an event. The caller would see half an event, or
+    // a stream that ends early, or one event twice.
+    let torn = upstream(|served| stream(served, 0, 3, false));
+    let sound = upstream(|served| stream(served, 0, 6, true));
+    for _ in 0..6 {
+        let running = serving(RESUMABLE, &[torn, sound]);
+        let text = running.caller().ask("r1");
+        assert_eq!(events_of(&text), [1, 2, 3, 4, 5, 6], "{text}");
+        assert!(text.ends_with(END));
+    }
+}
+
+#[test]
+fn a_stream_that_goes_on_at_the_wrong_place_is_not_joined() {
+    // The second engine leaves out an event. The caller could not tell.
+    let torn = upstream(|served| stream(served, 0, 3, false));
+    let skipping = upstream(|served| {
+        while let Some(request) = served.request() {
+            let after = field(&request, "after").and_then(|id| id.parse::<u64>().ok());
+            served.write(&stream_head(id_of(&request), 90));
+            let first = after.map_or(1, |after| after + 2);
+            (first..=6).for_each(|id| served.write(&event(id)));
+            served.write(END);
+        }
+    });
+    for _ in 0..6 {
+        let running = serving(RESUMABLE, &[torn, skipping]);
+        let text = running.caller().ask("r1");
+        let events = events_of(&text);
+        let is_whole = events == [1, 2, 3, 4, 5, 6];
+        assert!(
+            is_whole || (events == [1, 2, 3] && !text.ends_with(END)),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn a_torn_stream_that_may_not_be_repeated_ends_without_its_end() {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let address = upstream(move |served| {
+        count.fetch_add(1, Ordering::SeqCst);
+        stream(served, 0, 3, false);
+    });
+    let running = serving(Repeat::Stream { resumable: false }, &[address, address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(events_of(&text), [1, 2, 3]);
+    assert!(!text.ends_with(END), "{text}");
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn an_unsure_answer_is_dropped_unseen_and_a_larger_model_asked() {
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            let is_large = field(&request, "model") == Some("large");
+            served.write(&stream_head(
+                id_of(&request),
+                if is_large { 80 } else { 10 },
+            ));
+            if is_large {
+                (1..=2).for_each(|id| served.write(&event(id)));
+                served.write(END);
+            } else {
+                served.closed();
+                return;
+            }
+        }
+    });
+    let running = serving(RESUMABLE, &[address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(events_of(&text), [1, 2]);
+    assert!(text.contains("sure: 80"), "{text}");
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work() {
+    // A caller closes in the middle of a stream. The engine would go on for seconds.
+    let (tx, rx) = flume::bounded(1);
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.closed();
+        tx.send(()).expect("the test waits");
+    });
+    let running = serving(RESUMABLE, &[address]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    caller.read_until("data: e1");
+    drop(caller);
+    let closed = rx.recv_timeout(std::time::Duration::from_secs(20));
+    assert!(closed.is_ok(), "the upstream's connection was not closed");
+}
+
+#[test]
+fn a_silent_engine_is_left_for_another() {
+    // An engine goes dark in the middle of a stream, without a reset. The caller would wait
+    // until it gives up.
+    let dark = upstream(|served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.closed();
+    });
+    let sound = upstream(|served| stream(served, 0, 3, true));
+    let running = serving(RESUMABLE, &[dark, sound]);
+    for n in 0..4 {
+        let text = running.caller().ask(&format!("r{n}"));
+        assert_eq!(events_of(&text), [1, 2, 3], "{text}");
+    }
+}
