Send what may not be repeated on a connection of its own

Cause: upstreams drop idle connections without a word, and what is sent next on one is reset: of a request that may not be repeated the outcome is then unknown. Repeatable ones are sent once more on a new connection, within the budget.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -151,7 +151,7 @@
             DRAWN
         };
         let drawn = draw(eligible.len(), count, rng);
-        let places = homes.into_iter().flatten().chain(drawn.into_iter());
+        let places = homes.into_iter().flatten().chain(drawn);
         let priced = places.map(|place| {
             let (index, entry) = eligible[place];
             let is_home = homes.contains(&Some(place));
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -201,7 +201,8 @@
             listed.filter_map(|(_, _, value)| std::str::from_utf8(value).ok()?.parse().ok());
         let mut seeds = listed.collect::<Vec<_>>();
         seeds.extend(&self.settings.seeds);
-        seeds.retain(|seed| *seed != self.settings.peers);
+        let own = self.peering.address();
+        seeds.retain(|seed| *seed != own);
         seeds.dedup();
         self.peering.set_seeds(seeds);
     }
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Where other daemons reach this one.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.handle.address()
+    }
+
     pub(crate) fn daemons(&self) -> usize {
         self.members.fleet_size()
     }
--- a/components/fleet/src/settings.rs
+++ b/components/fleet/src/settings.rs
@@ -13,7 +13,7 @@
     pub secret: bytes::Bytes,
     /// This daemon.
     pub me: DaemonId,
-    /// Where it listens for other daemons.
+    /// Where it listens for other daemons; port 0 for any.
     pub peers: SocketAddr,
     /// Daemons to join by, perhaps stale.
     pub seeds: Vec<SocketAddr>,
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -74,7 +74,7 @@
         mirror: Mirror::default(),
         planner: Planner::new(settings.relisted_within),
         rollouts: Rollouts::new(settings.exposure),
-        presence: Presence::new(key, settings.peers, settings.shortest_lease),
+        presence: Presence::new(key, peering.address(), settings.shortest_lease),
         peering,
         watching: Watching::new(modes, progress),
         traffic,
@@ -128,7 +128,7 @@
     let members = Membership::new(Config {
         me: settings.me.clone(),
         incarnation,
-        address: settings.peers,
+        address: handle.address(),
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
         seeds: settings.seeds.clone(),
--- /dev/null
+++ b/components/fleet/tests/it/fleet.rs
@@ -0,0 +1,133 @@
+//! What daemons know, with and without the store.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::harness::*;
+
+fn filled() -> Memory {
+    let memory = Memory::default();
+    memory.set("table", Some("1"));
+    memory.set("upstream/u1", Some("v1"));
+    memory
+}
+
+#[test]
+fn a_daemon_is_ready_once_it_knows_a_configuration_and_upstreams() {
+    let memory = Memory::default();
+    memory.set("upstream/u1", Some("v1"));
+    let daemons = daemons(1, &memory);
+    until("listed", || daemons[0].state("upstreams") == 1);
+    assert!(!daemons[0].is_ready());
+    memory.set("table", Some("1"));
+    until("ready", || daemons[0].is_ready());
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    // An operator's older configuration is written once more by mistake, or read from a
+    // copy that lags. Callers would see routes come and go.
+    let memory = filled();
+    memory.set("table", Some("5"));
+    let daemons = daemons(1, &memory);
+    until("in force", || daemons[0].table() == Some(5));
+    memory.set("table", Some("4"));
+    memory.set("upstream/u2", Some("v1"));
+    until("seen", || daemons[0].state("upstreams") == 2);
+    assert_eq!(daemons[0].table(), Some(5));
+    memory.set("table", Some("not a number"));
+    memory.set("table", Some("6"));
+    until("in force", || daemons[0].table() == Some(6));
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_hears_from_its_peers() {
+    // The store turns one daemon away and serves the others. That one would go on with a
+    // revoked key or send to upstreams that left.
+    let memory = filled();
+    let daemons = daemons(3, &memory);
+    for daemon in &daemons {
+        until("met", || daemon.state("daemons") == 3 && daemon.is_ready());
+    }
+    daemons[0].way.is_cut.store(true, Ordering::SeqCst);
+    memory.set("table", Some("2"));
+    memory.set("upstream/u2", Some("v1"));
+    for daemon in &daemons {
+        until("told", || {
+            daemon.table() == Some(2) && daemon.state("upstreams") == 2
+        });
+    }
+}
+
+#[test]
+fn a_daemon_that_starts_while_the_store_is_out_of_reach_gets_all_from_its_peers() {
+    let memory = filled();
+    let daemons = daemons(2, &memory);
+    until("met", || {
+        daemons.iter().all(|daemon| daemon.state("daemons") == 2)
+    });
+    // The new one is told where the others are by its entry only: let it enter first.
+    let late = daemon(7, Way::to(&memory));
+    until("met", || late.state("daemons") == 3);
+    late.way.is_cut.store(true, Ordering::SeqCst);
+    memory.set("table", Some("3"));
+    until("told", || late.table() == Some(3));
+}
+
+#[test]
+fn two_daemons_watch_and_the_others_take_over_at_once() {
+    // Every change costs a call for each daemon that watches, so only two do. When both are
+    // cut off, the others would learn of no change until the membership noticed.
+    let memory = filled();
+    let daemons = daemons(4, &memory);
+    for daemon in &daemons {
+        until("met", || daemon.state("daemons") == 4);
+    }
+    let watches = || -> Vec<usize> {
+        let counts = daemons.iter().map(|d| d.way.watches.load(Ordering::SeqCst));
+        counts.collect()
+    };
+    // A resting daemon begins no watch while changes come.
+    let rests = |before: &[usize], after: &[usize]| -> usize {
+        before.iter().zip(after).filter(|(b, a)| b == a).count()
+    };
+    until("resting", || {
+        let before = watches();
+        for n in 0..3 {
+            memory.set("upstream/u3", Some(&format!("v{n}")));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        rests(&before, &watches()) == 4
+    });
+    for daemon in &daemons[..2] {
+        daemon.way.is_cut.store(true, Ordering::SeqCst);
+    }
+    memory.set("table", Some("2"));
+    for daemon in &daemons {
+        until("told", || daemon.table() == Some(2));
+    }
+}
+
+#[test]
+fn a_rollout_is_acknowledged_and_divides_traffic() {
+    let memory = filled();
+    memory.set("upstream/u2", Some("v2"));
+    let daemons = daemons(2, &memory);
+    until("ready", || daemons.iter().all(Daemon::is_ready));
+    memory.set("order/service", Some("v2"));
+    until("written", || {
+        memory.get("state/service").as_deref() == Some("running v2")
+    });
+    for daemon in &daemons {
+        until("divided", || {
+            let rollouts = daemon.state("rollouts");
+            rollouts[0][2]
+                .as_f64()
+                .is_some_and(|share| share > 0.0 && share <= 0.1)
+        });
+    }
+    memory.set("state/service", Some("reverted v2"));
+    for daemon in &daemons {
+        until("taken back", || daemon.state("rollouts")[0][2] == 0.0);
+    }
+}
--- /dev/null
+++ b/components/fleet/tests/it/harness.rs
@@ -0,0 +1,375 @@
+//! A store in memory that can be cut off from a daemon, and daemons around it.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dispatch::RetryLimits;
+use fleet::{Codec, DecodeError, Running, Settings, StateRecord};
+use http1::Head;
+use keyvalue::{
+    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, Outcome, Reply, Request,
+    TxnReply, WatchEvent,
+};
+use routes::{
+    Limits, RolloutOrder, RolloutState, RouteTable, TableVersion, Upstream, UpstreamState,
+};
+use store::{Sink, Store, Watch, WatchBatch, WatchEnd};
+use traffic::{Ask, AskError, Forwarding, Standing, Translator};
+use types::prelude::*;
+
+/// What is waited for must come within this.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How long a watch waits at the store.
+const WATCH_WAIT: Duration = Duration::from_millis(300);
+
+#[derive(Default)]
+struct Keys {
+    revision: i64,
+    items: BTreeMap<String, KeyValue>,
+    log: Vec<WatchEvent>,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Memory(Arc<(Mutex<Keys>, Condvar)>);
+
+impl Memory {
+    /// Writes a key, or deletes it.
+    pub fn set(&self, key: &str, value: Option<&str>) {
+        let (keys, changed) = &*self.0;
+        let value = value.map(|text| Bytes::copy_from_slice(text.as_bytes()));
+        put(&mut keys.lock().expect("sound"), key, value);
+        changed.notify_all();
+    }
+
+    /// A key's value.
+    pub fn get(&self, key: &str) -> Option<String> {
+        let keys = self.0.0.lock().expect("sound");
+        let item = keys.items.get(key)?;
+        Some(String::from_utf8_lossy(&item.value).into_owned())
+    }
+}
+
+fn put(keys: &mut Keys, key: &str, value: Option<Bytes>) {
+    keys.revision += 1;
+    let revision = ModRevision(keys.revision);
+    let item = value.map(|value| KeyValue {
+        key: key.to_owned(),
+        value,
+        mod_revision: revision,
+        lease: None,
+    });
+    match &item {
+        Some(item) => drop(keys.items.insert(key.to_owned(), item.clone())),
+        None => drop(keys.items.remove(key)),
+    }
+    keys.log.push(WatchEvent {
+        revision,
+        key: key.to_owned(),
+        value: item,
+    });
+}
+
+/// One daemon's way to the store.
+#[derive(Clone, Default)]
+pub struct Way {
+    memory: Memory,
+    /// Nothing gets through.
+    pub is_cut: Arc<AtomicBool>,
+    /// Watches begun.
+    pub watches: Arc<AtomicUsize>,
+}
+
+impl Way {
+    /// To this store.
+    pub fn to(memory: &Memory) -> Self {
+        Self {
+            memory: memory.clone(),
+            ..Self::default()
+        }
+    }
+
+    fn check(&self) -> Result<(), CallError> {
+        match self.is_cut.load(Ordering::SeqCst) {
+            true => Err(CallError::Unknown("cut".to_owned())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Store for Way {
+    fn call(&self, req: Request) -> Outcome {
+        self.check()?;
+        let (keys, changed) = &*self.memory.0;
+        let mut keys = keys.lock().expect("sound");
+        let reply = match req {
+            Request::Range(range) => {
+                let items = keys.items.range(range.key.clone()..);
+                let items = items.filter(|(key, _)| key.starts_with(&range.key));
+                Reply::Range(items.map(|(_, item)| item.clone()).collect())
+            }
+            Request::Txn(txn) => {
+                let holds = txn.compare.iter().all(|compare| match compare {
+                    Compare::Absent(key) => !keys.items.contains_key(key),
+                    Compare::ModRevision(key, revision) => {
+                        let held = keys.items.get(key).map(|item| item.mod_revision);
+                        held.unwrap_or_default() == *revision
+                    }
+                });
+                if holds {
+                    for op in txn.success {
+                        if let Op::Put(write) = op {
+                            put(&mut keys, &write.key, Some(write.value));
+                        }
+                    }
+                }
+                changed.notify_all();
+                Reply::Txn(TxnReply {
+                    succeeded: holds,
+                    replies: Vec::new(),
+                })
+            }
+            Request::LeaseGrant { .. } => Reply::LeaseGranted(LeaseId(1)),
+            Request::LeaseKeepAlive(_) => Reply::LeaseKept(Some(Span::from_secs(1))),
+            Request::LeaseRevoke(_) => Reply::LeaseRevoked,
+        };
+        Ok(Answer {
+            revision: ModRevision(keys.revision),
+            reply,
+        })
+    }
+
+    fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
+        self.watches.fetch_add(1, Ordering::SeqCst);
+        let mut from = watch.from;
+        while !watch.stop.load(Ordering::SeqCst) {
+            let (keys, changed) = &*self.memory.0;
+            let keys = keys.lock().expect("sound");
+            let is_old = |keys: &mut Keys| keys.revision < from.0;
+            let waited = changed.wait_timeout_while(keys, WATCH_WAIT, is_old);
+            let (keys, _) = waited.expect("sound");
+            let events = keys.log.iter().filter(|event| event.revision >= from);
+            let batch = WatchBatch {
+                revision: ModRevision(keys.revision),
+                events: events.cloned().collect(),
+            };
+            from = ModRevision(keys.revision + 1);
+            drop(keys);
+            if self.check().is_err() {
+                return WatchEnd::Broken("cut".to_owned());
+            }
+            if !sink(batch) {
+                return WatchEnd::Stopped;
+            }
+        }
+        WatchEnd::Stopped
+    }
+}
+
+/// Keys and forms of these tests: plain words.
+pub struct Words;
+
+impl Codec for Words {
+    fn table_key(&self) -> &str {
+        "table"
+    }
+
+    fn upstream_prefix(&self) -> &str {
+        "upstream/"
+    }
+
+    fn order_prefix(&self) -> &str {
+        "order/"
+    }
+
+    fn state_key(&self, service: &str) -> String {
+        format!("state/{service}")
+    }
+
+    fn daemon_prefix(&self) -> &str {
+        "daemon/"
+    }
+
+    fn table(&self, value: &Bytes) -> Result<RouteTable, DecodeError> {
+        let version = String::from_utf8_lossy(value).parse();
+        let version = version.map_err(|_| DecodeError {
+            key: "table".to_owned(),
+            problem: "not a number".to_owned(),
+        })?;
+        let limits = Limits {
+            head: ByteSize(1_000),
+            body: ByteSize(1_000),
+            head_within: Span::from_secs(1),
+            idle: Span::from_secs(1),
+        };
+        let table = RouteTable::new(TableVersion(version), limits, vec![], vec![], None);
+        Ok(table.expect("without routes"))
+    }
+
+    fn upstream(&self, id: &str, value: &Bytes) -> Result<Upstream, DecodeError> {
+        Ok(Upstream {
+            id: UpstreamId::new(id).expect("a name"),
+            service: Arc::from("service"),
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: FailureDomain::new("east").expect("a name"),
+            version: Arc::from(&*String::from_utf8_lossy(value)),
+            slots: 1,
+            state: UpstreamState::Ready,
+            cold_for: Span::ZERO,
+        })
+    }
+
+    fn order(&self, key: &str, value: &Bytes, revision: u64) -> Result<RolloutOrder, DecodeError> {
+        Ok(RolloutOrder {
+            service: Arc::from(key.trim_start_matches("order/")),
+            to: Arc::from(&*String::from_utf8_lossy(value)),
+            within: Span::from_secs(60),
+            revision,
+        })
+    }
+
+    fn state(&self, _: &str, value: &Bytes) -> Result<StateRecord, DecodeError> {
+        let text = String::from_utf8_lossy(value).into_owned();
+        let (state, to) = text.split_once(' ').expect("two words");
+        Ok(StateRecord {
+            to: to.to_owned(),
+            state: match state {
+                "running" => RolloutState::Running,
+                "completed" => RolloutState::Completed,
+                _ => RolloutState::Reverted,
+            },
+        })
+    }
+
+    fn encode_state(&self, order: &RolloutOrder, state: RolloutState) -> Bytes {
+        Bytes::from(format!("{state} {}", order.to))
+    }
+}
+
+struct NoNames;
+
+impl Translator for NoNames {
+    fn ask(&self, _: &Head) -> Result<Ask, AskError> {
+        Err(AskError::NotOnce("id"))
+    }
+
+    fn forward(&self, _: &Forwarding<'_>, _: &mut Vec<u8>) {}
+
+    fn reply(&self, _: &Head) -> traffic::Reply {
+        traffic::Reply {
+            attempt: None,
+            is_signed: false,
+            standing: Standing::Ran,
+            confidence: None,
+            is_encoded: false,
+        }
+    }
+}
+
+/// A daemon with its way to the store.
+pub struct Daemon {
+    pub way: Way,
+    pub status: SocketAddr,
+    running: Option<Running>,
+}
+
+/// Starts daemons that know each other from the store only.
+pub fn daemons(count: usize, memory: &Memory) -> Vec<Daemon> {
+    (0..count).map(|n| daemon(n, Way::to(memory))).collect()
+}
+
+/// Starts a daemon.
+pub fn daemon(n: usize, way: Way) -> Daemon {
+    let clock = Clock::new();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let failure_domain = FailureDomain::new("east").expect("a name");
+    let traffic = traffic::Config {
+        callers: any,
+        status: any,
+        ready_path: "/ready".to_owned(),
+        failure_domain: failure_domain.clone(),
+        max_callers: 10,
+        max_held: ByteSize(1_000),
+        retries: RetryLimits {
+            ratio: 1.0,
+            allowance: 1.0,
+            window: Span::from_secs(1),
+        },
+        session_idle: Span::from_secs(1),
+        grace: Span::from_secs(4),
+    };
+    let traffic = traffic::start(traffic, NoNames, clock).expect("starts");
+    let status = traffic.status;
+    let settings = Settings {
+        cluster: ClusterName::new("test").expect("a name"),
+        secret: Bytes::from_static(b"a secret of sixteen bytes"),
+        me: DaemonId::new(&format!("d{n}")).expect("a name"),
+        peers: any,
+        seeds: Vec::new(),
+        failure_domain,
+        region: Region::new("here").expect("a name"),
+        exposure: 0.1,
+        relisted_within: Span::from_secs(2),
+        shortest_lease: Span::from_secs(1),
+    };
+    let store = Arc::new(way.clone());
+    let running = fleet::start(settings, Words, store, traffic, clock).expect("starts");
+    Daemon {
+        way,
+        status,
+        running: Some(running),
+    }
+}
+
+impl Daemon {
+    fn get(&self, path: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.status).expect("listening");
+        let ask = format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n");
+        stream.write_all(ask.as_bytes()).expect("open");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("an answer");
+        let status = text
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+        (status.unwrap_or(0), body.to_owned())
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.get("/ready").0 == 200
+    }
+
+    /// A figure of the state's dump.
+    pub fn state(&self, name: &str) -> serde_json::Value {
+        let (_, text) = self.get("/state");
+        let state = serde_json::from_str::<serde_json::Value>(&text).expect("JSON");
+        state[name].clone()
+    }
+
+    pub fn table(&self) -> Option<u64> {
+        self.state("table_version").as_u64()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.stop();
+        }
+    }
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/components/fleet/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Control threads of a few daemons around a store in memory.
+
+mod fleet;
+mod harness;
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One send of a request to one upstream.
 
-use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use dispatch::{Choice, Ending, UpstreamIndex};
+use dispatch::{Choice, Ending, UpstreamIndex, Use};
 use http1::{BodyReader, Framing, Head, Kind, Progress, Wire, WireOptions, connect};
+use routes::Upstream;
 use types::prelude::*;
 
 use crate::answer::{Whole, push_field, push_number};
@@ -51,6 +52,34 @@
     Stream(Box<Stream<T>>),
 }
 
+/// An answer's head.
+struct Got {
+    head: Head,
+    reply: Reply,
+    framing: Framing,
+}
+
+/// Why no head came.
+enum Failure {
+    /// Nothing arrived at the upstream.
+    Unreachable,
+    /// It was silent for too long.
+    Silent,
+    /// The connection broke.
+    Broken(&'static str),
+}
+
+impl Failure {
+    /// What it says of the upstream, and of the request.
+    fn verdict<T>(self) -> (Ending, Sent<T>) {
+        match self {
+            Self::Unreachable => (Ending::Unreachable, Sent::Unreachable),
+            Self::Silent => (Ending::Silent, Sent::Unclear("silent")),
+            Self::Broken(why) => (Ending::Broken, Sent::Unclear(why)),
+        }
+    }
+}
+
 /// A stream that an upstream began.
 pub(crate) struct Stream<T> {
     pub(crate) head: Head,
@@ -101,6 +130,7 @@
 pub(crate) struct Attempt<'a, T> {
     pub(crate) world: &'a Rc<World<T>>,
     pub(crate) request: &'a Request<T>,
+    pub(crate) service: &'a Arc<str>,
     pub(crate) model: Option<&'a Arc<str>>,
     pub(crate) resume_after: Option<u64>,
     /// Whether the caller has events of an earlier attempt.
@@ -116,53 +146,25 @@
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
             return Sent::Unreachable;
         };
-        self.world.metrics.attempts.inc();
-        let wire = match self.connection(choice.index, spec.address).await {
-            Ok(wire) => wire,
-            Err(_) => {
-                tracked.end(Ending::Unreachable);
-                return Sent::Unreachable;
-            }
-        };
-        let bytes = self.encode(&spec.id);
-        if wire.write_all(&bytes).await.is_err() {
-            tracked.end(Ending::Broken);
-            return Sent::Unclear("broke while it was sent");
-        }
-        let head = match self.answer_head(&wire, &tracked).await {
-            Ok(head) => head,
-            Err(NoHead::Silent) => {
-                tracked.end(Ending::Silent);
-                return Sent::Unclear("silent");
-            }
-            Err(NoHead::Broken) => {
-                tracked.end(Ending::Broken);
-                return Sent::Unclear("broke before its answer");
+        let (wire, got) = match self.exchange(choice.index, &spec, &tracked).await {
+            Ok(got) => got,
+            Err(failure) => {
+                let (ending, sent) = failure.verdict();
+                tracked.end(ending);
+                return sent;
             }
         };
-        let (head, reply, framing) = head;
         tracked.heard();
-        match reply.standing {
-            Standing::NotRun => {
-                tracked.end(Ending::Refused);
-                return Sent::NotRun("refused");
-            }
-            Standing::OtherRun => {
-                tracked.end(Ending::Replaced);
-                return Sent::NotRun("replaced");
-            }
-            Standing::Ran => {}
-        }
-        let is_success = (200..300).contains(&head.status());
-        if is_success && (!reply.is_signed || reply.is_encoded) {
-            tracked.end(Ending::Broken);
-            return Sent::Unclear("not the upstream's own answer");
+        if let Some((ending, sent)) = self.refusal(&got) {
+            tracked.end(ending);
+            return sent;
         }
-        let reader = BodyReader::new(framing);
+        let reader = BodyReader::new(got.framing);
+        let is_success = (200..300).contains(&got.head.status());
         if is_success && self.request.route.repeat.is_stream() {
             return Sent::Stream(Box::new(Stream {
-                head,
-                confidence: reply.confidence,
+                head: got.head,
+                confidence: got.reply.confidence,
                 wire,
                 reader,
                 may_leave: false,
@@ -173,24 +175,78 @@
             }));
         }
         tracked.began(self.model);
-        self.whole(choice.index, wire, head, reader, tracked).await
+        self.whole(choice.index, wire, got.head, reader, tracked)
+            .await
     }
 
-    async fn connection(
+    /// Sends the request and reads the answer's head, on a kept connection if there is one.
+    async fn exchange(
         &self,
         index: UpstreamIndex,
-        address: std::net::SocketAddr,
-    ) -> io::Result<Wire> {
-        let kept = self.world.pool.borrow_mut().take(self.world.now(), index);
-        if let Some(wire) = kept {
-            return Ok(wire);
+        spec: &Upstream,
+        tracked: &Tracked<T>,
+    ) -> Result<(Wire, Got), Failure> {
+        self.world.metrics.attempts.inc();
+        let bytes = self.encode(&spec.id);
+        if let Some(wire) = self.kept(index) {
+            match self.try_on(&wire, &bytes, tracked).await {
+                Ok(got) => return Ok((wire, got)),
+                // Guards against an upstream that dropped an idle connection without a word:
+                // what is sent next on it is reset, though the upstream is sound.
+                Err(Failure::Broken(_)) if self.may_send_anew() => {}
+                Err(failure) => return Err(failure),
+            }
         }
+        let wire = self.open(spec.address).await?;
+        let got = self.try_on(&wire, &bytes, tracked).await?;
+        Ok((wire, got))
+    }
+
+    /// A kept connection, unless the request may not be repeated: whether one that breaks
+    /// had already lost its other end cannot be told, and a new one costs a millisecond.
+    fn kept(&self, index: UpstreamIndex) -> Option<Wire> {
+        if !self.request.route.repeat.is_allowed() {
+            return None;
+        }
+        self.world.pool.borrow_mut().take(self.world.now(), index)
+    }
+
+    fn may_send_anew(&self) -> bool {
+        let service = self.request.route.repeat.is_allowed();
+        service && self.world.take_repeat(self.service, Use::Failure)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Wire, Failure> {
         self.world.metrics.connects.inc();
         let opening = connect(address, WIRE);
         match tokio::time::timeout(CONNECT_WITHIN.to_duration(), opening).await {
-            Ok(opened) => opened,
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            Ok(Ok(wire)) => Ok(wire),
+            Ok(Err(_)) | Err(_) => Err(Failure::Unreachable),
+        }
+    }
+
+    async fn try_on(
+        &self,
+        wire: &Wire,
+        bytes: &[u8],
+        tracked: &Tracked<T>,
+    ) -> Result<Got, Failure> {
+        let written = wire.write_all(bytes).await;
+        written.map_err(|_| Failure::Broken("broke while it was sent"))?;
+        self.answer_head(wire, tracked).await
+    }
+
+    /// Why an answer is none, if it is.
+    fn refusal(&self, got: &Got) -> Option<(Ending, Sent<T>)> {
+        match got.reply.standing {
+            Standing::NotRun => return Some((Ending::Refused, Sent::NotRun("refused"))),
+            Standing::OtherRun => return Some((Ending::Replaced, Sent::NotRun("replaced"))),
+            Standing::Ran => {}
         }
+        let is_success = (200..300).contains(&got.head.status());
+        let is_own = got.reply.is_signed && !got.reply.is_encoded;
+        let why = "not the upstream's own answer";
+        (is_success && !is_own).then_some((Ending::Broken, Sent::Unclear(why)))
     }
 
     fn encode(&self, upstream: &UpstreamId) -> Vec<u8> {
@@ -235,17 +291,13 @@
     }
 
     /// Reads the head of the answer to this request.
-    async fn answer_head(
-        &self,
-        wire: &Wire,
-        tracked: &Tracked<T>,
-    ) -> Result<(Head, Reply, Framing), NoHead> {
+    async fn answer_head(&self, wire: &Wire, tracked: &Tracked<T>) -> Result<Got, Failure> {
         let mut read = std::pin::pin!(self.own_head(wire));
         loop {
             match tokio::time::timeout(LOOK, &mut read).await {
                 Ok(done) => return done,
                 Err(_) if self.may_leave && self.is_given_up(tracked) => {
-                    return Err(NoHead::Silent);
+                    return Err(Failure::Silent);
                 }
                 Err(_) => {}
             }
@@ -270,7 +322,7 @@
     ///
     /// Guards against an answer that arrives late or twice on a kept connection: without
     /// the comparison of ids the caller would get another one's answer.
-    async fn own_head(&self, wire: &Wire) -> Result<(Head, Reply, Framing), NoHead> {
+    async fn own_head(&self, wire: &Wire) -> Result<Got, Failure> {
         for _ in 0..MAX_STRAYS {
             let (head, framing) = next_head(wire).await?;
             if (100..200).contains(&head.status()) {
@@ -283,11 +335,15 @@
                 None => !(200..300).contains(&head.status()),
             };
             if is_own {
-                return Ok((head, reply, framing));
+                return Ok(Got {
+                    head,
+                    reply,
+                    framing,
+                });
             }
             read_away(wire, framing).await?;
         }
-        Err(NoHead::Broken)
+        Err(Failure::Broken("broke before its answer"))
     }
 
     async fn whole(
@@ -323,29 +379,25 @@
     }
 }
 
-/// Why no head came.
-enum NoHead {
-    Silent,
-    Broken,
-}
-
-async fn next_head(wire: &Wire) -> Result<(Head, Framing), NoHead> {
+async fn next_head(wire: &Wire) -> Result<(Head, Framing), Failure> {
+    let broken = || Failure::Broken("broke before its answer");
     loop {
         let taken = Head::take_response(&mut wire.buf(), MAX_HEAD);
-        if let Some(head) = taken.map_err(|_| NoHead::Broken)? {
-            let framing = Framing::of(&head).map_err(|_| NoHead::Broken)?;
+        if let Some(head) = taken.map_err(|_| broken())? {
+            let framing = Framing::of(&head).map_err(|_| broken())?;
             return Ok((head, framing));
         }
         if !matches!(wire.fill().await, Ok(n) if n > 0) {
-            return Err(NoHead::Broken);
+            return Err(broken());
         }
     }
 }
 
-async fn read_away(wire: &Wire, framing: Framing) -> Result<(), NoHead> {
+async fn read_away(wire: &Wire, framing: Framing) -> Result<(), Failure> {
     let mut reader = BodyReader::new(framing);
     let read = read_whole(wire, &mut reader).await;
-    read.map(drop).ok_or(NoHead::Broken)
+    read.map(drop)
+        .ok_or(Failure::Broken("broke within another's answer"))
 }
 
 /// Reads a body to its end; nothing when it is cut short or too large.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -269,6 +269,7 @@
         let attempt = Attempt {
             world: self.world,
             request: self.request,
+            service: &self.service,
             model: model.as_ref(),
             resume_after: self.relay.last_event(),
             has_delivered: self.relay.has_begun(),
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -21,7 +21,7 @@
             served.write(&answer(id_of(&request), "world"));
         }
     });
-    let running = serving(Repeat::Never, &[address]);
+    let running = serving(Repeat::Any, &[address]);
     let mut caller = running.caller();
     for n in 0..5 {
         let text = caller.ask(&format!("r{n}"));
@@ -44,7 +44,7 @@
             served.write(&answer(id_of(&next), "own"));
         }
     });
-    let running = serving(Repeat::Never, &[address]);
+    let running = serving(Repeat::Any, &[address]);
     let mut caller = running.caller();
     assert!(caller.ask("r1").ends_with("first"));
     let text = caller.ask("r2");
@@ -60,7 +60,7 @@
             served.write(&(answer(id, "own") + &answer("other", "stray")));
         }
     });
-    let running = serving(Repeat::Never, &[address]);
+    let running = serving(Repeat::Any, &[address]);
     let mut caller = running.caller();
     for n in 0..3 {
         let text = caller.ask(&format!("r{n}"));
@@ -201,3 +201,36 @@
     let running = serving(Repeat::Never, &[gone, gone, gone, gone, gone, good]);
     assert!(running.caller().ask("r1").ends_with("world"));
 }
+
+#[test]
+fn an_idle_connection_that_was_dropped_without_a_word_costs_no_answer() {
+    // An upstream drops idle connections silently; what comes next on them is reset. The
+    // caller would get a failure though the upstream is sound.
+    let address = upstream(|served| {
+        let request = served.request().expect("one");
+        served.write(&answer(id_of(&request), "world"));
+        // The next request is read and met with the connection's end.
+        served.request();
+    });
+    let running = serving(Repeat::Any, &[address]);
+    let mut caller = running.caller();
+    for n in 0..4 {
+        let text = caller.ask(&format!("r{n}"));
+        assert!(text.ends_with("world"), "{text}");
+    }
+}
+
+#[test]
+fn what_may_not_be_repeated_takes_a_connection_of_its_own() {
+    // The same upstream; a booking on the dropped connection could not be made again.
+    let address = upstream(|served| {
+        let request = served.request().expect("one");
+        served.write(&answer(id_of(&request), "world"));
+        served.request();
+    });
+    let running = serving(Repeat::Never, &[address]);
+    let mut caller = running.caller();
+    for n in 0..4 {
+        assert!(caller.ask(&format!("r{n}")).ends_with("world"));
+    }
+}
