--- a/components/dispatch/src/pins.rs
+++ b/components/dispatch/src/pins.rs
@@ -46,6 +46,19 @@
         self.pins.insert(session, pin);
     }
 
+    /// Sessions at work on another version than this one.
+    pub fn not_on<'a>(
+        &'a self,
+        now: Time,
+        version: &'a Arc<str>,
+    ) -> impl Iterator<Item = u64> + 'a {
+        let other = self
+            .pins
+            .iter()
+            .filter(move |(_, pin)| now < pin.used_until && pin.version != *version);
+        other.map(|(session, _)| *session)
+    }
+
     /// Sessions held.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -25,6 +25,8 @@
 /// An own watch that was heard of within this works: it is answered every second, and a
 /// slow store adds some hundred ms.
 const WATCH_FRESH: Span = Span::from_millis(1_500);
+/// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
+const ELAPSED_STEP_MS: u64 = 500;
 /// Daemons that watch the store. Two, so that the loss of one leaves no gap.
 const WATCHERS: usize = 2;
 /// Without any watcher the others begin to watch, one after the other by this, so that few
@@ -313,19 +315,27 @@
             }
             own.order = order.revision;
             let elapsed = self.rollouts.elapsed(now, &service).as_millis();
+            let elapsed = elapsed - elapsed % ELAPSED_STEP_MS;
             own.elapsed_ms = u32::try_from(elapsed).unwrap_or(u32::MAX);
             let known = Known {
                 own: &own,
                 others: others.get(&service).map_or(&[], Vec::as_slice),
                 can_serve: self.can_serve(&service, &order.to),
                 is_condemned: bad.contains(&order.revision),
+                staying: self.peering.staying(order.revision),
             };
-            let stepped = self.rollouts.step(now, &service, &known);
+            let stepped = self.rollouts.step(now, &service, known);
             self.must_plan |= stepped.has_changed;
             if stepped.is_newly_bad {
                 self.peering.show_bad(now, &service, stepped.order);
             }
+            // Once it is decided nothing more is learnt from it.
+            if !stepped.is_running {
+                continue;
+            }
             self.peering.show_evidence(now, &service, &own);
+            let staying = self.traffic.seen.staying(order.revision);
+            self.peering.show_staying(now, order.revision, &staying);
         }
     }
 
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -1,6 +1,6 @@
 //! What rides between daemons: who is there, how far each mirror is, and roll-outs.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,6 +27,11 @@
 const FRESH_IN_LARGE: Span = Span::from_millis(1_400);
 /// A large fleet tells every so many of the control thread's ticks.
 const TICKS_IN_LARGE: u32 = 2;
+/// Sessions in one fact: its value holds 256 bytes.
+const SESSIONS_IN_FACT: usize = 60;
+/// Facts on sessions that one daemon shows for a roll-out: 960 sessions at work, some
+/// hundred times what one daemon sees today.
+const MAX_SESSION_FACTS: usize = 16;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
 const OWN_WATCH_FIRST: Span = Span::from_millis(150);
 
@@ -177,6 +182,32 @@
         }
     }
 
+    /// Shows which sessions stay on their version in a roll-out.
+    pub(crate) fn show_staying(&mut self, now: Time, order: u64, sessions: &BTreeSet<u32>) {
+        let sessions = sessions.iter().copied().collect::<Vec<_>>();
+        let parts = sessions.chunks(SESSIONS_IN_FACT).take(MAX_SESSION_FACTS);
+        for (part, sessions) in (0_u8..).zip(parts) {
+            let mut key = order.to_be_bytes().to_vec();
+            key.push(part);
+            let value = sessions.iter().flat_map(|session| session.to_be_bytes());
+            let value = value.collect::<Bytes>();
+            self.publish(now, Topic::Staying, Bytes::from(key), value);
+        }
+    }
+
+    /// Sessions that stay on their version in a roll-out, by all daemons.
+    pub(crate) fn staying(&self, order: u64) -> BTreeSet<u32> {
+        let prefix = order.to_be_bytes();
+        let facts = self.members.facts(Topic::Staying);
+        let facts = facts.filter(|fact| fact.key.starts_with(&prefix));
+        let mut sessions = BTreeSet::new();
+        for fact in facts {
+            let marks = fact.value.as_chunks::<4>().0.iter();
+            sessions.extend(marks.map(|mark| u32::from_be_bytes(*mark)));
+        }
+        sessions
+    }
+
     /// Tells the others at once that an order's version is bad.
     pub(crate) fn show_bad(&mut self, now: Time, service: &str, order: u64) {
         let key = Bytes::copy_from_slice(service.as_bytes());
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -1,6 +1,6 @@
 //! Roll-outs: from orders and evidence to gates and states written down.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use dispatch::{Evidence, Gate, Trial, TrialLimits, Verdict};
@@ -43,6 +43,8 @@
     /// Part of the service's traffic that the new version's upstreams can take.
     pub(crate) can_serve: f64,
     pub(crate) is_condemned: bool,
+    /// Sessions that some daemon saw at work on another version.
+    pub(crate) staying: BTreeSet<u32>,
 }
 
 impl Rollouts {
@@ -123,7 +125,7 @@
     }
 
     /// Steps one roll-out; true when its gate changed. Says so when it is newly bad.
-    pub(crate) fn step(&mut self, now: Time, service: &str, known: &Known<'_>) -> Stepped {
+    pub(crate) fn step(&mut self, now: Time, service: &str, known: Known<'_>) -> Stepped {
         let Some(rollout) = self.by_service.get_mut(service) else {
             return Stepped::default();
         };
@@ -134,6 +136,7 @@
             fleet.old.add(&other.old);
             rollout.trial.known_for(now, other.elapsed());
         }
+        rollout.trial.keep(known.staying);
         if known.is_condemned {
             rollout.trial.condemn(Verdict::Failing);
         }
@@ -171,6 +174,7 @@
         Stepped {
             has_changed,
             is_newly_bad,
+            is_running: rollout.trial.state() == RolloutState::Running,
             order,
         }
     }
@@ -234,5 +238,6 @@
 pub(crate) struct Stepped {
     pub(crate) has_changed: bool,
     pub(crate) is_newly_bad: bool,
+    pub(crate) is_running: bool,
     pub(crate) order: u64,
 }
--- a/components/membership/src/fact.rs
+++ b/components/membership/src/fact.rs
@@ -28,11 +28,13 @@
     Bills,
     /// The store's revision that a daemon holds.
     Mirror,
+    /// Sessions that stay on their version in a roll-out.
+    Staying,
 }
 
 impl Topic {
     /// Every topic.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Progress,
         Self::Suspension,
         Self::Demand,
@@ -40,12 +42,13 @@
         Self::Engines,
         Self::Bills,
         Self::Mirror,
+        Self::Staying,
     ];
 
     /// Whether facts still count after their origin is gone.
     #[must_use]
     pub const fn is_cumulative(self) -> bool {
-        matches!(self, Self::Evidence | Self::Suspension)
+        matches!(self, Self::Evidence | Self::Suspension | Self::Staying)
     }
 
     /// Whether facts are sent at once and beyond the budget.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Cascade, Choice, Draft, Ending, Need, NoUpstream, Permit, UpstreamIndex, Use};
+use dispatch::{
+    Cascade, Choice, Draft, Ending, Gate, Need, NoUpstream, Permit, UpstreamIndex, Use,
+};
 use http1::{Head, Wire};
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
@@ -297,6 +299,9 @@
         let Some(gate) = plan.gate(&self.service) else {
             return Permit::Any;
         };
+        if gate.notes(self.place) {
+            self.world.seen.stay(gate.order, [Gate::mark(self.place)]);
+        }
         let pins = self.world.pins.borrow();
         let session = self.request.ask.session;
         let pinned = session.and_then(|session| pins.get(now, session));
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -1,10 +1,10 @@
 //! What the tasks of the event loop share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dispatch::{Evidence, Pins, RetryBudget, SharedLoad, Upstreams, Use};
+use dispatch::{Evidence, Gate, Pins, RetryBudget, SharedLoad, Upstreams, Use};
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
 use types::prelude::*;
@@ -25,10 +25,14 @@
     Closing,
 }
 
+/// Roll-outs whose sessions are remembered.
+const MAX_ORDERS: usize = 8;
+
 /// What the event loop shows the control thread.
 #[derive(Debug, Default)]
 struct Shown {
     evidence: BTreeMap<Arc<str>, Evidence>,
+    staying: BTreeMap<u64, BTreeSet<u32>>,
     loads: Vec<SharedLoad>,
 }
 
@@ -47,6 +51,21 @@
         self.lock().evidence.clone()
     }
 
+    /// Sessions seen at work on another version than an order's, by the order's revision.
+    #[must_use]
+    pub fn staying(&self, order: u64) -> BTreeSet<u32> {
+        self.lock().staying.get(&order).cloned().unwrap_or_default()
+    }
+
+    pub(crate) fn stay(&self, order: u64, sessions: impl IntoIterator<Item = u32>) {
+        let mut shown = self.lock();
+        // Orders before the last few are over.
+        while shown.staying.len() > MAX_ORDERS {
+            shown.staying.pop_first();
+        }
+        shown.staying.entry(order).or_default().extend(sessions);
+    }
+
     /// What is out at upstreams.
     #[must_use]
     pub fn loads(&self) -> Vec<SharedLoad> {
@@ -111,9 +130,22 @@
         for budget in self.budgets.borrow_mut().values_mut() {
             budget.set_daemons(plan.daemons);
         }
+        self.note_staying(&plan);
         *self.plan.borrow_mut() = plan;
     }
 
+    /// Notes sessions that stay on their version, at the begin of a roll-out.
+    fn note_staying(&self, plan: &Plan) {
+        let now = self.now();
+        let pins = self.pins.borrow();
+        for gate in plan.gates.iter().filter(|gate| gate.share <= 0.0) {
+            let at_work = pins
+                .not_on(now, &gate.to)
+                .filter(|place| gate.notes(*place));
+            self.seen.stay(gate.order, at_work.map(Gate::mark));
+        }
+    }
+
     /// Notes a caller's request for a service.
     pub(crate) fn requested(&self, service: &Arc<str>) {
         let now = self.now();
