Gather a roll-out's evidence at two daemons

Change: each daemon reports its counts and sessions to the two watchers; their sums travel with everybody's standing, in some dozen bytes whatever the fleet's size; a daemon that restarts does not take its earlier counts away. The membership's facts are no longer used here.

--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -1,6 +1,5 @@
 //! What the fleet has seen of two versions of a service.
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
@@ -74,28 +73,7 @@
     pub old: ArmCounts,
 }
 
-/// Bytes that are no evidence.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("a peer's evidence on a roll-out cannot be read: {0}")]
-pub struct EvidenceError(#[from] postcard::Error);
-
 impl Evidence {
-    /// As bytes, some dozen.
-    ///
-    /// # Errors
-    /// Never for evidence of this form.
-    pub fn encode(&self) -> Result<Bytes, EvidenceError> {
-        Ok(postcard::to_allocvec(self)?.into())
-    }
-
-    /// From bytes.
-    ///
-    /// # Errors
-    /// When they are not of the expected form.
-    pub fn decode(bytes: &[u8]) -> Result<Self, EvidenceError> {
-        Ok(postcard::from_bytes(bytes)?)
-    }
-
     /// How long its daemon knows the order.
     #[must_use]
     pub fn elapsed(&self) -> Span {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -22,7 +22,7 @@
 pub use budget::{RetryBudget, RetryLimits, Use};
 pub use cascade::{Cascade, Draft};
 pub use choose::{Choice, Need, NoUpstream, PromptPart};
-pub use evidence::{ArmCounts, Evidence, EvidenceError};
+pub use evidence::{ArmCounts, Evidence};
 pub use health::Ending;
 pub use lapsed::Lapsed;
 pub use pins::Pins;
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -25,6 +25,8 @@
 /// An own watch that was heard of within this works: it is answered every second, and a
 /// slow store adds some hundred ms.
 const WATCH_FRESH: Span = Span::from_millis(1_500);
+/// What was seen of roll-outs is reported every so many ticks.
+const REPORT_TICKS: u32 = 2;
 /// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
 const ELAPSED_STEP_MS: u64 = 500;
 /// Daemons that watch the store. Two, so that the loss of one leaves no gap.
@@ -54,6 +56,7 @@
     pub(crate) store_works: bool,
     /// Since when no other daemon's watch works.
     pub(crate) unwatched_since: Option<Time>,
+    pub(crate) ticks: u32,
     pub(crate) must_plan: bool,
     pub(crate) was_ready: bool,
     pub(crate) daemons: usize,
@@ -198,7 +201,6 @@
     /// Makes what changed in the mirror known to all that read it.
     fn changed(&mut self, now: Time, changes: &[Change]) {
         self.watching.progress.set(self.mirror.at());
-        self.peering.show_revision(now, self.mirror.at());
         for change in changes {
             self.must_plan |= self.planner.take(now, &self.codec, change);
         }
@@ -210,7 +212,7 @@
         if changes.iter().any(|change| change.key.starts_with(&prefix)) {
             self.set_seeds(&prefix);
         }
-        self.step_rollouts(now);
+        self.step_rollouts(now, false);
     }
 
     fn set_seeds(&mut self, prefix: &str) {
@@ -239,7 +241,8 @@
         }
         self.share_standing(now);
         self.must_plan |= self.planner.lapsed.expire(now);
-        self.step_rollouts(now);
+        self.ticks = self.ticks.wrapping_add(1);
+        self.step_rollouts(now, self.ticks.is_multiple_of(REPORT_TICKS));
         let rank = self.peering.rank();
         for (purpose, req) in self.rollouts.writes(now, rank, &self.codec, &self.mirror) {
             self.call(purpose, req);
@@ -300,14 +303,13 @@
         let _ = self.calls.send((purpose, req));
     }
 
-    fn step_rollouts(&mut self, now: Time) {
+    /// Judges the roll-outs, and reports to the watchers when it is this daemon's turn.
+    fn step_rollouts(&mut self, now: Time, is_turn: bool) {
         let services = self.rollouts.services();
         if services.is_empty() {
             return;
         }
         let seen = self.traffic.seen.evidence();
-        let others = self.peering.evidence();
-        let bad = self.peering.bad_orders();
         for (service, order) in services {
             let mut own = seen.get(&service).copied().unwrap_or_default();
             if own.order != order.revision {
@@ -317,25 +319,26 @@
             let elapsed = self.rollouts.elapsed(now, &service).as_millis();
             let elapsed = elapsed - elapsed % ELAPSED_STEP_MS;
             own.elapsed_ms = u32::try_from(elapsed).unwrap_or(u32::MAX);
+            let word = self.peering.gather(&own);
             let known = Known {
-                own: &own,
-                others: others.get(&service).map_or(&[], Vec::as_slice),
+                fleet: &word.fleet,
                 can_serve: self.can_serve(&service, &order.to),
-                is_condemned: bad.contains(&order.revision),
+                is_condemned: word.is_bad,
                 staying: self.peering.staying(order.revision),
             };
             let stepped = self.rollouts.step(now, &service, known);
             self.must_plan |= stepped.has_changed;
             if stepped.is_newly_bad {
-                self.peering.show_bad(now, &service, stepped.order);
+                self.peering.condemn(stepped.order);
             }
             // Once it is decided nothing more is learnt from it.
             if !stepped.is_running {
                 continue;
             }
-            self.peering.show_evidence(now, &service, &own);
-            let staying = self.traffic.seen.staying(order.revision);
-            self.peering.show_staying(now, order.revision, &staying);
+            if is_turn {
+                let staying = self.traffic.seen.staying(order.revision);
+                self.peering.report(&own, &staying);
+            }
         }
     }
 
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod error;
 mod event;
+mod gathering;
 mod listing;
 mod peering;
 mod planner;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -1,17 +1,17 @@
 //! What rides between daemons: who is there, how far each mirror is, and roll-outs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use dispatch::{Evidence, PeerLoads, SharedLoad};
-use membership::{Event as MemberEvent, Membership, Outcome, Topic};
+use membership::{Event as MemberEvent, Membership, Outcome};
 use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use rand::seq::SliceRandom;
 use types::prelude::*;
 
+use crate::gathering::{Gathering, Message, Word};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
 
 /// Longest wait for a peer's answer about the store's keys.
@@ -27,11 +27,8 @@
 const FRESH_IN_LARGE: Span = Span::from_millis(1_400);
 /// A large fleet tells every so many of the control thread's ticks.
 const TICKS_IN_LARGE: u32 = 2;
-/// Sessions in one fact: its value holds 256 bytes.
-const SESSIONS_IN_FACT: usize = 60;
-/// Facts on sessions that one daemon shows for a roll-out: 960 sessions at work, some
-/// hundred times what one daemon sees today.
-const MAX_SESSION_FACTS: usize = 16;
+/// Daemons that add up the fleet's figures of roll-outs: the first watchers.
+const JUDGES: usize = 2;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
 const OWN_WATCH_FIRST: Span = Span::from_millis(150);
 
@@ -44,7 +41,10 @@
     asked: Option<flume::Receiver<Result<Payload, peers::AskError>>>,
     loads: PeerLoads,
     standings: Standings,
+    gathering: Gathering,
     ticks: u32,
+    /// Something is to be told before the next turn.
+    must_tell: bool,
 }
 
 /// What a message asks of the control thread.
@@ -66,7 +66,9 @@
             asked: None,
             loads: PeerLoads::default(),
             standings: Standings::default(),
+            gathering: Gathering::default(),
             ticks: 0,
+            must_tell: false,
         }
     }
 
@@ -131,10 +133,17 @@
                 Ok(standing) => {
                     let fresh = self.fresh();
                     self.standings.take(now, &from, &standing, fresh);
+                    for word in &standing.rollouts {
+                        self.gathering.take_word(word);
+                    }
                     self.loads.take(now, from, standing.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
             },
+            Part::Rollout => match Message::decode(body) {
+                Ok(message) => self.gathering.take(from, message),
+                Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
+            },
             Part::Mirror => match Answer::decode(body) {
                 Ok(answer) => return Asked::Take(answer),
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -167,62 +176,6 @@
         }
     }
 
-    /// Shows the mirror's revision to the others.
-    pub(crate) fn show_revision(&mut self, now: Time, at: Revision) {
-        let value = Bytes::copy_from_slice(&at.0.to_be_bytes());
-        self.publish(now, Topic::Mirror, Bytes::new(), value);
-    }
-
-    /// Shows what was seen of a roll-out to the others.
-    pub(crate) fn show_evidence(&mut self, now: Time, service: &str, evidence: &Evidence) {
-        let key = Bytes::copy_from_slice(service.as_bytes());
-        match evidence.encode() {
-            Ok(value) => self.publish(now, Topic::Evidence, key, value),
-            Err(e) => tracing::error!("rollouts: {e}"),
-        }
-    }
-
-    /// Shows which sessions stay on their version in a roll-out.
-    pub(crate) fn show_staying(&mut self, now: Time, order: u64, sessions: &BTreeSet<u32>) {
-        let sessions = sessions.iter().copied().collect::<Vec<_>>();
-        let parts = sessions.chunks(SESSIONS_IN_FACT).take(MAX_SESSION_FACTS);
-        for (part, sessions) in (0_u8..).zip(parts) {
-            let mut key = order.to_be_bytes().to_vec();
-            key.push(part);
-            let value = sessions.iter().flat_map(|session| session.to_be_bytes());
-            let value = value.collect::<Bytes>();
-            self.publish(now, Topic::Staying, Bytes::from(key), value);
-        }
-    }
-
-    /// Sessions that stay on their version in a roll-out, by all daemons.
-    pub(crate) fn staying(&self, order: u64) -> BTreeSet<u32> {
-        let prefix = order.to_be_bytes();
-        let facts = self.members.facts(Topic::Staying);
-        let facts = facts.filter(|fact| fact.key.starts_with(&prefix));
-        let mut sessions = BTreeSet::new();
-        for fact in facts {
-            let marks = fact.value.as_chunks::<4>().0.iter();
-            sessions.extend(marks.map(|mark| u32::from_be_bytes(*mark)));
-        }
-        sessions
-    }
-
-    /// Tells the others at once that an order's version is bad.
-    pub(crate) fn show_bad(&mut self, now: Time, service: &str, order: u64) {
-        let key = Bytes::copy_from_slice(service.as_bytes());
-        let value = Bytes::copy_from_slice(&order.to_be_bytes());
-        self.publish(now, Topic::Suspension, key, value);
-        let outcome = self.members.flush(now, &mut rand::rng());
-        self.carry(outcome);
-    }
-
-    fn publish(&mut self, now: Time, topic: Topic, key: Bytes, value: Bytes) {
-        if let Err(e) = self.members.publish(now, topic, key, value) {
-            tracing::error!("peers: a fact on {topic:?} is not shown: {e}");
-        }
-    }
-
     /// Tells how this daemon stands to a few others; `watches` says whether it watches the
     /// store with success.
     pub(crate) fn show_standing(
@@ -233,7 +186,8 @@
         loads: Vec<SharedLoad>,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
-        if !self.is_small() && !self.ticks.is_multiple_of(TICKS_IN_LARGE) {
+        let is_due = self.is_small() || self.ticks.is_multiple_of(TICKS_IN_LARGE);
+        if !is_due && !std::mem::take(&mut self.must_tell) {
             return;
         }
         let me = &self.members.me().id;
@@ -248,6 +202,7 @@
         let standing = Standing {
             held,
             watchers,
+            rollouts: self.gathering.words(),
             loads,
         };
         match standing.encode() {
@@ -324,27 +279,59 @@
         loads
     }
 
-    /// Others' evidence on roll-outs, by service.
-    pub(crate) fn evidence(&self) -> BTreeMap<Arc<str>, Vec<Evidence>> {
-        let mut evidence = BTreeMap::<Arc<str>, Vec<Evidence>>::new();
-        let me = self.members.me();
-        for fact in self.members.facts(Topic::Evidence) {
-            if fact.origin == me.id && fact.incarnation == me.stamp.incarnation {
-                continue;
-            }
-            let service = String::from_utf8_lossy(&fact.key);
-            match Evidence::decode(&fact.value) {
-                Ok(seen) => evidence.entry(Arc::from(&*service)).or_default().push(seen),
-                Err(e) => tracing::warn!(peer = %fact.origin, "rollouts: {e}"),
-            }
+    /// Notes what this daemon saw of a roll-out and returns what the fleet saw.
+    pub(crate) fn gather(&mut self, own: &Evidence) -> Word {
+        let me = self.members.me().id.clone();
+        self.gathering.fleet(&me, own)
+    }
+
+    /// Tells everybody that an order's version is bad, at once.
+    pub(crate) fn condemn(&mut self, order: u64) {
+        self.gathering.condemn(order);
+        self.must_tell = true;
+    }
+
+    /// Sessions that stay on their version in a roll-out, by all daemons.
+    pub(crate) fn staying(&self, order: u64) -> BTreeSet<u32> {
+        self.gathering.staying(order)
+    }
+
+    /// Reports what this daemon saw of a roll-out to the watchers, and hands on the sessions
+    /// that stay on their version.
+    pub(crate) fn report(&mut self, own: &Evidence, staying: &BTreeSet<u32>) {
+        let me = self.members.me().id.clone();
+        let order = own.order;
+        let sessions = staying.iter().copied().collect();
+        let sessions = Message::Staying { order, sessions };
+        self.gathering.take(me.clone(), sessions);
+        let report = Message::Report {
+            own: *own,
+            staying: staying.iter().copied().collect(),
+        };
+        let judges = self.standings.first_watchers(JUDGES);
+        let judges = judges.iter().filter(|judge| **judge != me);
+        let addresses = judges.filter_map(|judge| Some(self.members.member(judge)?.record.address));
+        let addresses = addresses.collect::<Vec<_>>();
+        self.send_message(&report, &addresses);
+        if let Some(news) = self.gathering.staying_news(order) {
+            let told = self.told();
+            self.send_message(&news, &told);
         }
-        evidence
     }
 
-    /// Orders whose version some daemon found bad.
-    pub(crate) fn bad_orders(&self) -> Vec<u64> {
-        let facts = self.members.facts(Topic::Suspension);
-        facts.filter_map(|fact| number(&fact.value)).collect()
+    fn send_message(&self, message: &Message, to: &[SocketAddr]) {
+        let body = match message.encode() {
+            Ok(body) => body,
+            Err(e) => {
+                tracing::error!("rollouts: {e}");
+                return;
+            }
+        };
+        for address in to {
+            let part = Part::Rollout;
+            let body = body.clone();
+            self.handle.send(*address, Payload::Part { part, body });
+        }
     }
 
     /// Asks a peer whose mirror is ahead of `held`, when it is time to.
@@ -378,17 +365,8 @@
 
     /// The address of the peer that is furthest ahead.
     fn ahead_of(&self, held: Revision) -> Option<SocketAddr> {
-        if let Some(daemon) = self.standings.ahead_of(held) {
-            return Some(self.members.member(daemon)?.record.address);
-        }
-        let facts = self.members.facts(Topic::Mirror);
-        let ahead = facts.filter_map(|fact| {
-            let at = number(&fact.value).filter(|at| *at > held.0)?;
-            let member = self.members.member(&fact.origin)?;
-            let is_present = member.record.state.is_present();
-            is_present.then_some((at, member.record.address))
-        });
-        ahead.max_by_key(|(at, _)| *at).map(|(_, address)| address)
+        let daemon = self.standings.ahead_of(held)?;
+        Some(self.members.member(daemon)?.record.address)
     }
 
     /// The answer to the last question, once it is there.
@@ -413,8 +391,3 @@
         self.carry(outcome);
     }
 }
-
-fn number(value: &Bytes) -> Option<u64> {
-    let bytes = value.as_ref().try_into().ok()?;
-    Some(u64::from_be_bytes(bytes))
-}
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -38,8 +38,8 @@
 
 /// What the fleet knows of one roll-out.
 pub(crate) struct Known<'a> {
-    pub(crate) own: &'a Evidence,
-    pub(crate) others: &'a [Evidence],
+    /// The fleet's figures.
+    pub(crate) fleet: &'a Evidence,
     /// Part of the service's traffic that the new version's upstreams can take.
     pub(crate) can_serve: f64,
     pub(crate) is_condemned: bool,
@@ -130,17 +130,13 @@
             return Stepped::default();
         };
         let order = rollout.trial.order().revision;
-        let mut fleet = *known.own;
-        for other in known.others.iter().filter(|other| other.order == order) {
-            fleet.new.add(&other.new);
-            fleet.old.add(&other.old);
-            rollout.trial.known_for(now, other.elapsed());
-        }
+        let fleet = known.fleet;
+        rollout.trial.known_for(now, fleet.elapsed());
         rollout.trial.keep(known.staying);
         if known.is_condemned {
             rollout.trial.condemn(Verdict::Failing);
         }
-        let step = rollout.trial.step(now, &fleet, known.can_serve);
+        let step = rollout.trial.step(now, fleet, known.can_serve);
         let state = match step.verdict {
             Verdict::Open => None,
             Verdict::Good => Some(RolloutState::Completed),
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -14,6 +14,8 @@
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gathering::Word;
+
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
 /// Watchers named in one message at most: two are enough, the rest is for overlaps.
@@ -29,12 +31,14 @@
 }
 
 /// How a daemon stands.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Standing {
     /// The store's revision that it holds.
     pub(crate) held: Revision,
     /// Who watches the store, as far as it knows.
     pub(crate) watchers: Vec<Vouched>,
+    /// The fleet's figures of roll-outs, as far as it knows.
+    pub(crate) rollouts: Vec<Word>,
     /// What it has out.
     pub(crate) loads: Vec<SharedLoad>,
 }
@@ -104,6 +108,14 @@
         known
     }
 
+    /// The first daemons in the order of watchers whose watch works.
+    pub(crate) fn first_watchers(&self, count: usize) -> Vec<DaemonId> {
+        let mut watchers = self.watchers.keys().cloned().collect::<Vec<_>>();
+        watchers.sort_by_key(watch_order);
+        watchers.truncate(count);
+        watchers
+    }
+
     /// Daemons before `me` in the order of watchers whose watch works.
     pub(crate) fn watchers_before(&self, me: &DaemonId) -> usize {
         watch_rank(me, self.watchers.keys().filter(|daemon| *daemon != me))
@@ -122,9 +134,13 @@
     }
 }
 
-/// Place of `me` among daemons in an order that spreads over hosts and that all share.
+/// An order that spreads over hosts and that all daemons share.
+fn watch_order(daemon: &DaemonId) -> (u64, DaemonId) {
+    (xxh3_64(daemon.as_str().as_bytes()), daemon.clone())
+}
+
+/// Place of `me` among daemons in the order of watchers.
 pub(crate) fn watch_rank<'a>(me: &DaemonId, others: impl Iterator<Item = &'a DaemonId>) -> usize {
-    let order = |daemon: &DaemonId| (xxh3_64(daemon.as_str().as_bytes()), daemon.clone());
-    let mine = order(me);
-    others.filter(|other| order(other) < mine).count()
+    let mine = watch_order(me);
+    others.filter(|other| watch_order(other) < mine).count()
 }
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -82,6 +82,7 @@
         watched_at: None,
         unwatched_since: None,
         store_works: true,
+        ticks: 0,
         must_plan: false,
         was_ready: false,
         daemons: 1,
--- a/components/membership/src/fact.rs
+++ b/components/membership/src/fact.rs
@@ -26,29 +26,23 @@
     Engines,
     /// Custody of bills.
     Bills,
-    /// The store's revision that a daemon holds.
-    Mirror,
-    /// Sessions that stay on their version in a roll-out.
-    Staying,
 }
 
 impl Topic {
     /// Every topic.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 6] = [
         Self::Progress,
         Self::Suspension,
         Self::Demand,
         Self::Evidence,
         Self::Engines,
         Self::Bills,
-        Self::Mirror,
-        Self::Staying,
     ];
 
     /// Whether facts still count after their origin is gone.
     #[must_use]
     pub const fn is_cumulative(self) -> bool {
-        matches!(self, Self::Evidence | Self::Suspension | Self::Staying)
+        matches!(self, Self::Evidence | Self::Suspension)
     }
 
     /// Whether facts are sent at once and beyond the budget.
