--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -25,6 +25,12 @@
 /// An own watch that was heard of within this works: it is answered every second, and a
 /// slow store adds some hundred ms.
 const WATCH_FRESH: Span = Span::from_millis(1_500);
+/// Daemons with an entry in the store: enough that one lives after most of a fleet is
+/// killed at once.
+const ENTRIES: usize = 6;
+/// A daemon that has met nobody by the settings' seeds so long after its start enters the
+/// store to be found.
+const ALONE_AFTER: Span = Span::from_millis(1_500);
 /// What was seen of roll-outs is reported every so many ticks.
 const REPORT_TICKS: u32 = 2;
 /// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
@@ -236,7 +242,9 @@
         let works = self.watch_works(now);
         self.peering.catch_up(now, self.mirror.at(), works);
         self.decide_watch(now);
-        if let Some((purpose, req)) = self.presence.tick(now) {
+        if self.needs_entry(now)
+            && let Some((purpose, req)) = self.presence.tick(now)
+        {
             self.call(purpose, req);
         }
         self.share_standing(now);
@@ -298,6 +306,14 @@
         let _ = self.traffic.commands.send(Command::OthersLoads(others));
     }
 
+    /// Whether this daemon keeps an entry in the store by which others find it: a few do, and
+    /// whoever finds nobody. Every entry costs calls, and each change of one is an event for
+    /// the watchers.
+    fn needs_entry(&self, now: Time) -> bool {
+        let is_alone = self.peering.daemons() == 1 && now.since(Time::ZERO) > ALONE_AFTER;
+        is_alone || self.peering.daemons() > 1 && self.peering.watch_rank() < ENTRIES
+    }
+
     fn call(&self, purpose: Purpose, req: Request) {
         // The thread that makes calls lives as long as this one.
         let _ = self.calls.send((purpose, req));
