Place near by preference

Change: word goes afar every 200 ms to one daemon; each prompt has a near home besides; candidates are drawn from the own failure domain too, and another one costs 120 ms.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -5,7 +5,8 @@
 //! daemons agree on two home engines of each shared prompt by rendezvous hashing, so what
 //! one daemon had read there serves the others too; a home that is behind loses to others.
 //! For plain services it is the own requests out there by pace. A few candidates are
-//! compared at random besides, so that daemons do not all follow one picture.
+//! compared at random besides, so that daemons do not all follow one picture. Upstreams of
+//! the own failure domain are looked at more closely and cost less.
 
 use std::sync::Arc;
 
@@ -16,11 +17,11 @@
 use crate::trial::Permit;
 use crate::upstreams::{ENGINE_BASE_MS, Entry, Load, UpstreamIndex, Upstreams};
 
-/// Candidates drawn at random beside the homes, of a short prompt: with more of them the
-/// daemons would follow one picture that is some hundred ms old.
-const DRAWN: usize = 3;
+/// Candidates drawn at random beside the homes, from all and from the own failure domain
+/// each, of a short prompt: with more of them the daemons would follow one picture that is some hundred ms old.
+const DRAWN: usize = 2;
 /// Candidates of a long prompt, which is worth a closer look.
-const DRAWN_LONG: usize = 24;
+const DRAWN_LONG: usize = 12;
 /// Reading that takes this long makes a prompt a long one, in ms.
 const LONG_MS: f64 = 250.0;
 /// Part of a prompt's reading time that each stream beside it is charged with. An engine
@@ -38,8 +39,10 @@
 /// An upstream that just started takes about so many times as long.
 const COLD_TIMES: f64 = 2.0;
 /// Extra cost of another failure domain, in ms: its round trip, and bytes between failure
-/// domains are paid for.
-const FAR_MS: f64 = 8.0;
+/// domains are paid for. Played with 8, 80 and 250 over two days of two fleets of 69 and 88:
+/// worth 0.648, 0.689 and 0.688 on the busy day of the one and 0.643, 0.652 and 0.674 of the
+/// other; in fleets of 6 and 9 beyond 80 the load of a failure domain is evened out less.
+const FAR_MS: f64 = 120.0;
 /// Extra cost of reading a thousand shared tokens that another engine holds, in ms: besides
 /// the time it is paid for, some 4% of what an answer to a long prompt is worth, and it
 /// displaces what the engine held.
@@ -140,18 +143,24 @@
         rng: &mut impl Rng,
     ) -> Choice {
         let prefixes = prefixes_of(need);
+        let all = (0..eligible.len()).collect::<Vec<_>>();
+        let is_near = |place: &usize| eligible[*place].1.spec.failure_domain == *need.near;
+        let near = all.iter().copied().filter(is_near).collect::<Vec<_>>();
         let homes = match prefixes.last() {
-            Some(prefix) => homes_of(eligible, *prefix),
-            None => [None, None],
+            Some(prefix) => {
+                let [first, second] = homes_of(eligible, &all, *prefix);
+                [first, second, homes_of(eligible, &near, *prefix)[0]]
+            }
+            None => [None; 3],
         };
         let whole_ms = self.reading_ms(need.model, f64::from(need.prompt_tokens));
-        let count = if whole_ms > LONG_MS {
-            DRAWN_LONG
-        } else {
-            DRAWN
+        let count = match whole_ms > LONG_MS {
+            true => DRAWN_LONG,
+            false => DRAWN,
         };
-        let drawn = draw(eligible.len(), count, rng);
-        let places = homes.into_iter().flatten().chain(drawn);
+        let drawn = draw(&all, count, rng);
+        let drawn_near = draw(&near, count, rng);
+        let places = homes.into_iter().flatten().chain(drawn).chain(drawn_near);
         let priced = places.map(|place| {
             let (index, entry) = eligible[place];
             let is_home = homes.contains(&Some(place));
@@ -226,11 +235,12 @@
 }
 
 /// Places drawn at random; all of them when they are few.
-fn draw(places: usize, count: usize, rng: &mut impl Rng) -> Vec<usize> {
-    if places <= count {
-        return (0..places).collect();
+fn draw(places: &[usize], count: usize, rng: &mut impl Rng) -> Vec<usize> {
+    if places.len() <= count {
+        return places.to_vec();
     }
-    (0..count).map(|_| rng.random_range(0..places)).collect()
+    let drawn = (0..count).map(|_| places[rng.random_range(0..places.len())]);
+    drawn.collect()
 }
 
 /// A hash of the model and the parts so far, for each shared part.
@@ -261,16 +271,23 @@
     need.parts.iter().take(known).map(|part| part.tokens).sum()
 }
 
-/// The two upstreams of the highest hash with a prefix.
-fn homes_of(eligible: &[(UpstreamIndex, &Entry)], prefix: u64) -> [Option<usize>; 2] {
-    let mut best = [(0, None), (0, None)];
-    for (place, (_, entry)) in eligible.iter().enumerate() {
-        let hash = xxh3_64_with_seed(entry.spec.id.as_str().as_bytes(), prefix);
-        if best[0].1.is_none() || hash > best[0].0 {
-            best = [(hash, Some(place)), best[0]];
-        } else if best[1].1.is_none() || hash > best[1].0 {
-            best[1] = (hash, Some(place));
+/// The two places whose upstreams have the highest hash with a prefix.
+fn homes_of(
+    eligible: &[(UpstreamIndex, &Entry)],
+    places: &[usize],
+    prefix: u64,
+) -> [Option<usize>; 2] {
+    let hashed = places.iter().map(|place| {
+        let id = eligible[*place].1.spec.id.as_str();
+        (xxh3_64_with_seed(id.as_bytes(), prefix), *place)
+    });
+    let mut best = [None, None];
+    for hashed in hashed {
+        if best[0].is_none_or(|first| hashed > first) {
+            best = [Some(hashed), best[0]];
+        } else if best[1].is_none_or(|second| hashed > second) {
+            best[1] = Some(hashed);
         }
     }
-    [best[0].1, best[1].1]
+    best.map(|hashed| hashed.map(|(_, place)| place))
 }
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dispatch::{Evidence, PeerLoads, SharedLoad};
-use membership::{Event as MemberEvent, Membership, Outcome};
+use membership::{Event as MemberEvent, Member, Membership, Outcome};
 use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use rand::seq::SliceRandom;
@@ -18,15 +18,20 @@
 const ASK_WITHIN: Span = Span::from_millis(800);
 /// A fleet of up to so many daemons is small: each tells all others how it stands.
 const SMALL_FLEET: usize = 16;
-/// Daemons of a large fleet that are told each time, drawn anew: word from one reaches 88
-/// others in three rounds and 460 in four, and costs each the same.
-const TOLD_IN_LARGE: usize = 6;
-/// In a small fleet word is fresh for this long: five messages are missing then.
-const FRESH_IN_SMALL: Span = Span::from_millis(550);
+/// Daemons of the own failure domain that a daemon of a large fleet tells each time, drawn
+/// anew: what is out at upstreams matters there most, and bytes between failure domains are
+/// paid for.
+const TOLD_NEAR: usize = 5;
+/// Daemons elsewhere that it tells each time: word from one reaches 88 others in some four
+/// rounds, and costs each daemon the same in a fleet of any size.
+const TOLD_FAR: usize = 1;
+/// In a small fleet word is fresh for this long: three messages are missing then.
+const FRESH_IN_SMALL: Span = Span::from_millis(700);
 /// In a large one, where it takes some rounds to arrive.
 const FRESH_IN_LARGE: Span = Span::from_millis(1_400);
-/// A large fleet tells every so many of the control thread's ticks.
-const TICKS_IN_LARGE: u32 = 2;
+/// Word goes to a large fleet, and to other failure domains, every so many of the control
+/// thread's ticks.
+const TICKS_AFAR: u32 = 2;
 /// Daemons that add up the fleet's figures of roll-outs: the first watchers.
 const JUDGES: usize = 2;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
@@ -186,8 +191,8 @@
         loads: Vec<SharedLoad>,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
-        let is_due = self.is_small() || self.ticks.is_multiple_of(TICKS_IN_LARGE);
-        if !is_due && !std::mem::take(&mut self.must_tell) {
+        let is_turn = self.ticks.is_multiple_of(TICKS_AFAR) || std::mem::take(&mut self.must_tell);
+        if !is_turn && !self.is_small() {
             return;
         }
         let me = &self.members.me().id;
@@ -206,7 +211,7 @@
             loads,
         };
         match standing.encode() {
-            Ok(body) => self.tell(Part::Standing, &body),
+            Ok(body) => self.tell(Part::Standing, &body, is_turn),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
@@ -214,28 +219,38 @@
     /// Hands what is new in the store to a few others.
     pub(crate) fn show_changes(&mut self, answer: &Answer) {
         match answer.encode() {
-            Ok(body) => self.tell(Part::Mirror, &body),
+            Ok(body) => self.tell(Part::Mirror, &body, true),
             Err(e) => tracing::warn!("peers: {e}"),
         }
     }
 
-    fn tell(&self, part: Part, body: &Bytes) {
-        for address in self.told() {
+    fn tell(&self, part: Part, body: &Bytes, also_afar: bool) {
+        for address in self.told(also_afar) {
             let body = body.clone();
             self.handle.send(address, Payload::Part { part, body });
         }
     }
 
-    /// Who is told: all of a small fleet, some of a large one.
-    fn told(&self) -> Vec<SocketAddr> {
+    /// Who is told: all of a small fleet, some of a large one, or only those near.
+    fn told(&self, also_afar: bool) -> Vec<SocketAddr> {
+        let here = &self.members.me().failure_domain;
         let members = self.members.members();
         let present = members.filter(|member| member.record.state.is_present());
-        let mut told = present.map(|m| m.record.address).collect::<Vec<_>>();
+        let (near, afar): (Vec<_>, Vec<_>) =
+            present.partition(|member| member.record.failure_domain == *here);
+        let address = |member: &&Member| member.record.address;
+        let mut near = near.iter().map(address).collect::<Vec<_>>();
+        let mut afar = afar.iter().map(address).collect::<Vec<_>>();
         if !self.is_small() {
-            told.shuffle(&mut rand::rng());
-            told.truncate(TOLD_IN_LARGE);
+            near.shuffle(&mut rand::rng());
+            near.truncate(TOLD_NEAR);
+            afar.shuffle(&mut rand::rng());
+            afar.truncate(TOLD_FAR);
         }
-        told
+        if also_afar {
+            near.extend(afar);
+        }
+        near
     }
 
     pub(crate) fn is_small(&self) -> bool {
@@ -314,7 +329,7 @@
         let addresses = addresses.collect::<Vec<_>>();
         self.send_message(&report, &addresses);
         if let Some(news) = self.gathering.staying_news(order) {
-            let told = self.told();
+            let told = self.told(true);
             self.send_message(&news, &told);
         }
     }
