--- a/components/fleet/src/gathering.rs
+++ b/components/dispatch/src/gathering.rs
@@ -8,10 +8,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use dispatch::Evidence;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::evidence::Evidence;
+
 /// Roll-outs remembered; the oldest go.
 const MAX_ORDERS: usize = 8;
 /// Sessions in one message at most.
@@ -19,33 +20,51 @@
 
 /// The fleet's figures of a roll-out, as they travel.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Word {
+pub struct RolloutWord {
     /// The sum over the fleet.
-    pub(crate) fleet: Evidence,
+    pub fleet: Evidence,
     /// Some daemon found the new version bad.
-    pub(crate) is_bad: bool,
+    pub is_bad: bool,
 }
 
 /// What daemons tell each other of a roll-out besides.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Message {
+pub enum RolloutMessage {
     /// To a watcher: what the sender saw, and which sessions it saw at work.
-    Report { own: Evidence, staying: Vec<u32> },
+    Report {
+        /// Its counts.
+        own: Evidence,
+        /// Sessions that stay on their version, by [`crate::Gate::mark`].
+        staying: Vec<u32>,
+    },
     /// To everybody: sessions that stay on their version.
-    Staying { order: u64, sessions: Vec<u32> },
+    Staying {
+        /// The order's revision.
+        order: u64,
+        /// By [`crate::Gate::mark`].
+        sessions: Vec<u32>,
+    },
 }
 
 /// Bytes that are no message.
 #[derive(Debug, thiserror::Error)]
 #[error("a peer's word on a roll-out cannot be read: {0}")]
-pub(crate) struct MessageError(#[from] postcard::Error);
-
-impl Message {
-    pub(crate) fn encode(&self) -> Result<Bytes, MessageError> {
+pub struct RolloutMessageError(#[from] postcard::Error);
+
+impl RolloutMessage {
+    /// As bytes.
+    ///
+    /// # Errors
+    /// Never for a message of this form.
+    pub fn encode(&self) -> Result<Bytes, RolloutMessageError> {
         Ok(postcard::to_allocvec(self)?.into())
     }
 
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+    /// From bytes.
+    ///
+    /// # Errors
+    /// When they are not of the expected form.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RolloutMessageError> {
         Ok(postcard::from_bytes(bytes)?)
     }
 }
@@ -55,7 +74,7 @@
     reports: BTreeMap<DaemonId, Evidence>,
     /// Sums of daemons that began anew.
     ended: Evidence,
-    word: Option<Word>,
+    word: Option<RolloutWord>,
     staying: BTreeSet<u32>,
     /// Sessions that were handed on.
     told: usize,
@@ -77,7 +96,7 @@
 
 /// What was gathered, by the order's revision.
 #[derive(Debug, Default)]
-pub(crate) struct Gathering {
+pub struct Gathering {
     orders: BTreeMap<u64, Order>,
 }
 
@@ -89,14 +108,15 @@
         self.orders.entry(revision).or_default()
     }
 
-    pub(crate) fn take(&mut self, from: DaemonId, message: Message) {
+    /// Takes another daemon's message.
+    pub fn take(&mut self, from: DaemonId, message: RolloutMessage) {
         match message {
-            Message::Report { own, staying } => {
+            RolloutMessage::Report { own, staying } => {
                 let order = self.order(own.order);
                 order.replace(from, own);
                 order.staying.extend(staying.iter().take(MAX_SESSIONS));
             }
-            Message::Staying { order, sessions } => {
+            RolloutMessage::Staying { order, sessions } => {
                 let order = self.order(order);
                 order.staying.extend(sessions.iter().take(MAX_SESSIONS));
             }
@@ -104,7 +124,7 @@
     }
 
     /// Takes a sum; the one with more answers is the later one.
-    pub(crate) fn take_word(&mut self, word: &Word) {
+    pub fn take_word(&mut self, word: &RolloutWord) {
         let order = self.order(word.fleet.order);
         match &mut order.word {
             Some(held) => {
@@ -118,7 +138,7 @@
     }
 
     /// Notes what this daemon itself saw, and returns the fleet's figures as far as known.
-    pub(crate) fn fleet(&mut self, me: &DaemonId, own: &Evidence) -> Word {
+    pub fn fleet(&mut self, me: &DaemonId, own: &Evidence) -> RolloutWord {
         let order = self.order(own.order);
         order.replace(me.clone(), *own);
         let mut sum = Evidence {
@@ -131,38 +151,40 @@
             sum.elapsed_ms = sum.elapsed_ms.max(report.elapsed_ms);
         }
         let is_bad = order.word.as_ref().is_some_and(|word| word.is_bad);
-        self.take_word(&Word { fleet: sum, is_bad });
+        self.take_word(&RolloutWord { fleet: sum, is_bad });
         let word = self.order(own.order).word.clone();
-        word.unwrap_or(Word { fleet: sum, is_bad })
+        word.unwrap_or(RolloutWord { fleet: sum, is_bad })
     }
 
     /// Marks a roll-out's version as bad.
-    pub(crate) fn condemn(&mut self, revision: u64) {
+    pub fn condemn(&mut self, revision: u64) {
         if let Some(word) = &mut self.order(revision).word {
             word.is_bad = true;
         }
     }
 
     /// Every sum, to travel with the standing.
-    pub(crate) fn words(&self) -> Vec<Word> {
+    #[must_use]
+    pub fn words(&self) -> Vec<RolloutWord> {
         let words = self.orders.values().filter_map(|order| order.word.clone());
         words.collect()
     }
 
     /// Sessions that stay on their version.
-    pub(crate) fn staying(&self, revision: u64) -> BTreeSet<u32> {
+    #[must_use]
+    pub fn staying(&self, revision: u64) -> BTreeSet<u32> {
         let order = self.orders.get(&revision);
         order.map(|order| order.staying.clone()).unwrap_or_default()
     }
 
     /// Sessions to hand on, if some are new since the last time.
-    pub(crate) fn staying_news(&mut self, revision: u64) -> Option<Message> {
+    pub fn staying_news(&mut self, revision: u64) -> Option<RolloutMessage> {
         let order = self.order(revision);
         if order.staying.len() == order.told {
             return None;
         }
         order.told = order.staying.len();
-        Some(Message::Staying {
+        Some(RolloutMessage::Staying {
             order: revision,
             sessions: order.staying.iter().copied().collect(),
         })
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,7 +11,6 @@
 mod control;
 mod error;
 mod event;
-mod gathering;
 mod listing;
 mod peering;
 mod planner;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use dispatch::{Evidence, PeerLoads, SharedLoad};
+use dispatch::{Evidence, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad};
 use membership::{Event as MemberEvent, Member, Membership, Outcome};
 use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use rand::seq::SliceRandom;
 use types::prelude::*;
 
-use crate::gathering::{Gathering, Message, Word};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
 
 /// Longest wait for a peer's answer about the store's keys.
@@ -145,7 +144,7 @@
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
             },
-            Part::Rollout => match Message::decode(body) {
+            Part::Rollout => match RolloutMessage::decode(body) {
                 Ok(message) => self.gathering.take(from, message),
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
             },
@@ -295,7 +294,7 @@
     }
 
     /// Notes what this daemon saw of a roll-out and returns what the fleet saw.
-    pub(crate) fn gather(&mut self, own: &Evidence) -> Word {
+    pub(crate) fn gather(&mut self, own: &Evidence) -> RolloutWord {
         let me = self.members.me().id.clone();
         self.gathering.fleet(&me, own)
     }
@@ -317,9 +316,9 @@
         let me = self.members.me().id.clone();
         let order = own.order;
         let sessions = staying.iter().copied().collect();
-        let sessions = Message::Staying { order, sessions };
+        let sessions = RolloutMessage::Staying { order, sessions };
         self.gathering.take(me.clone(), sessions);
-        let report = Message::Report {
+        let report = RolloutMessage::Report {
             own: *own,
             staying: staying.iter().copied().collect(),
         };
@@ -334,7 +333,7 @@
         }
     }
 
-    fn send_message(&self, message: &Message, to: &[SocketAddr]) {
+    fn send_message(&self, message: &RolloutMessage, to: &[SocketAddr]) {
         let body = match message.encode() {
             Ok(body) => body,
             Err(e) => {
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -8,14 +8,12 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use dispatch::SharedLoad;
+use dispatch::{RolloutWord, SharedLoad};
 use mirror::Revision;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gathering::Word;
-
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
 /// Watchers named in one message at most: two are enough, the rest is for overlaps.
@@ -38,7 +36,7 @@
     /// Who watches the store, as far as it knows.
     pub(crate) watchers: Vec<Vouched>,
     /// The fleet's figures of roll-outs, as far as it knows.
-    pub(crate) rollouts: Vec<Word>,
+    pub(crate) rollouts: Vec<RolloutWord>,
     /// What it has out.
     pub(crate) loads: Vec<SharedLoad>,
 }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dispatch::{
-    Cascade, Choice, Draft, Ending, Gate, Need, NoUpstream, Permit, UpstreamIndex, Use,
+    Cascade, Choice, Draft, Ending, Gate, Load, Need, NoUpstream, Permit, UpstreamIndex, Use,
 };
 use http1::{Head, Wire};
 use routes::{Customer, Route, RouteTable};
@@ -127,6 +127,8 @@
     service: Arc<str>,
     place: u64,
     tried: Vec<UpstreamIndex>,
+    /// What the last upstream was chosen by.
+    chosen_by: Load,
     sends: u32,
     /// Attempts that reached no upstream.
     unreachable: u32,
@@ -166,6 +168,7 @@
             service,
             place,
             tried: Vec::new(),
+            chosen_by: Load::default(),
             sends: 0,
             unreachable: 0,
             runs: 0,
@@ -268,6 +271,7 @@
             Err(no) => return Next::Stuck(refusal(no)),
         };
         self.tried.push(choice.index);
+        self.chosen_by = choice.load;
         self.sends += 1;
         let attempt = Attempt {
             world: self.world,
@@ -315,6 +319,7 @@
         }
     }
 
+    /// Adds an attempt to the log line: what it was chosen by, and what came of it.
     fn note(&mut self, index: UpstreamIndex, what: &str) {
         let upstreams = self.world.upstreams.borrow();
         let spec = upstreams.spec(index);
@@ -327,9 +332,10 @@
         if !self.report.tries.is_empty() {
             self.report.tries.push_str("; ");
         }
-        self.report
-            .tries
-            .push_str(&format!("{id} {version}{model}: {what} at {ms}ms"));
+        let wait = self.chosen_by.wait_ms.round();
+        let work = self.chosen_by.expected_ms.round();
+        let tried = format!("{id} {version}{model} (wait {wait} work {work}): {what} at {ms}ms");
+        self.report.tries.push_str(&tried);
     }
 
     async fn take_sent(&mut self, sent: Sent<T>) -> Next {
@@ -364,7 +370,8 @@
             Sent::Stream(stream) => {
                 self.runs += 1;
                 if let Some(larger) = self.larger_model(stream.confidence) {
-                    self.note(index, "dropped as unsure");
+                    let sure = stream.confidence.unwrap_or_default();
+                    self.note(index, &format!("dropped as unsure ({sure})"));
                     self.model = Some(larger);
                     self.tried.clear();
                     return Next::Again(Use::LargerModel);
--- a/components/traffic/tests/it/streams.rs
+++ b/components/traffic/tests/it/streams.rs
@@ -150,3 +150,22 @@
         assert_eq!(events_of(&text), [1, 2, 3], "{text}");
     }
 }
+
+#[test]
+fn an_engine_that_reads_a_long_prompt_is_waited_for() {
+    // An engine says nothing for seconds while it reads a long prompt. Left too soon, it has
+    // read in vain, the next one begins anew, and after a few no run is left.
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        count.fetch_add(1, Ordering::SeqCst);
+        std::thread::sleep(std::time::Duration::from_millis(2_500));
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.write(END);
+    });
+    let running = serving(RESUMABLE, &[address, address]);
+    assert_eq!(events_of(&running.caller().ask("r1")), [1]);
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -62,6 +62,8 @@
     Check(Check),
     /// The fleet, refreshed.
     Top(Top),
+    /// One request's story, from logs.
+    Trace(Trace),
 }
 
 /// Lists, reads and edits entries of the catalogue.
@@ -294,6 +296,18 @@
     pub file: PathBuf,
 }
 
+/// Joins the lines of several hosts' logs into one request's story.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct Trace {
+    /// the request's id, as the caller sent it
+    #[argh(positional)]
+    pub id: String,
+    /// a host's log, a JSON object a line; may be given several times
+    #[argh(option)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Shows the fleet and this daemon's traffic, refreshed until interrupted.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "top")]
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -7,6 +7,7 @@
 mod rollout;
 mod status;
 mod top;
+mod trace;
 mod version;
 
 use crate::cli::Command;
@@ -26,5 +27,6 @@
         Command::Bills(args) => bills::run(client, output, &args),
         Command::Check(args) => check::run(output, &args.file),
         Command::Top(args) => top::run(client, &args),
+        Command::Trace(args) => trace::run(output, &args),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 mod cmd;
 mod failure;
 mod output;
+mod story;
 
 use std::process::ExitCode;
 
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -187,3 +187,39 @@
     assert_eq!(reply, status());
     server.stop();
 }
+
+const LOG: &str = r#"{"timestamp":"2026-01-01T00:00:00.1Z","level":"INFO","message":"config: in force","version":4}
+{"timestamp":"2026-01-01T00:00:00.2Z","level":"INFO","message":"upstreams: listed","upstream":"u1"}
+{"timestamp":"2026-01-01T00:00:00.3Z","level":"INFO","message":"upstreams: listed","upstream":"u2"}
+{"timestamp":"2026-01-01T00:00:00.5Z","level":"INFO","message":"requests: ended","id":"r7","tries":"u1 v1 (wait 0 work 50): refused at 3ms","status":503}
+{"timestamp":"2026-01-01T00:00:00.6Z","level":"INFO","message":"requests: ended","id":"r8","tries":""}
+not a line of ours
+{"timestamp":"2026-01-01T00:00:00.9Z","level":"INFO","message":"store: lost"}
+"#;
+
+#[test]
+fn a_request_is_traced_through_logs() {
+    // On call, with nothing but logs and the id of a request that failed.
+    let path = std::env::temp_dir().join(format!("trace-{}.log", std::process::id()));
+    std::fs::write(&path, LOG).unwrap();
+    let tool = || Command::new(env!("CARGO_BIN_EXE_buckthorncross"));
+    let found = tool()
+        .args(["trace", "r7", "--logs"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    let missing = tool()
+        .args(["trace", "r9", "--logs"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let text = String::from_utf8(found.stdout).unwrap();
+    let lines = text.lines().collect::<Vec<_>>();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("config: in force version=4"), "{text}");
+    assert!(lines[1].contains("upstream=u1"), "{text}");
+    assert!(lines[2].contains("id=r7"), "{text}");
+    assert_eq!(found.status.code(), Some(0));
+    assert_eq!(missing.status.code(), Some(1));
+}
