Judge versions by their share of slow answers; hand on large configurations packed

Change: slow answers are counted and compared as shares; the first requests go to a part of the new upstreams so that they see load; completion from 0.84 of the time; answers between mirrors are compressed, and hold each key once, as it is now. Tests: slow on a part, under load, few upstreams, storm.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -10,9 +10,10 @@
 
 use std::sync::Arc;
 
+use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 use types::prelude::*;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::trial::Permit;
 use crate::upstreams::{ENGINE_BASE_MS, Entry, Load, UpstreamIndex, Upstreams};
@@ -125,8 +126,11 @@
         }
         let well = untried.iter().filter(|(_, e)| !e.health.is_aside(now));
         let well = well.copied().collect::<Vec<_>>();
-        let eligible = if well.is_empty() { &untried } else { &well };
-        Ok(self.cheapest(now, eligible, need, rng))
+        let mut eligible = if well.is_empty() { untried } else { well };
+        if let Permit::Few(_, share) = need.permit {
+            keep_few(&mut eligible, *share, permitted.len());
+        }
+        Ok(self.cheapest(now, &eligible, need, rng))
     }
 
     fn permitted(&self, index: UpstreamIndex, need: &Need<'_>) -> Option<(UpstreamIndex, &Entry)> {
@@ -234,10 +238,20 @@
     (load.wait_ms + load.expected_ms + out * each) * pace + far + read_again
 }
 
-/// Places drawn at random; all of them when they are few.
+/// Keeps a share of `all` upstreams, the same ones at every daemon.
+fn keep_few(eligible: &mut Vec<(UpstreamIndex, &Entry)>, share: Share, all: usize) {
+    let few = (share.get() * all as f64).ceil() as usize;
+    eligible.sort_by_key(|(_, entry)| xxh3_64(entry.spec.id.as_str().as_bytes()));
+    eligible.truncate(few.max(1));
+}
+
+/// Places drawn at random; all of them, in any order, when they are few: of equal ones the
+/// first is taken.
 fn draw(places: &[usize], count: usize, rng: &mut impl Rng) -> Vec<usize> {
     if places.len() <= count {
-        return places.to_vec();
+        let mut all = places.to_vec();
+        all.shuffle(rng);
+        return all;
     }
     let drawn = (0..count).map(|_| places[rng.random_range(0..places.len())]);
     drawn.collect()
--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -3,6 +3,11 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+/// An answer that takes so many times as long as expected is slow. A version that is bad in
+/// this way takes eight times as long for a part of its requests; a mean over all of them
+/// varies so much that 58 answers did not show it, their share does after about ten.
+const SLOW_TIMES: f64 = 3.0;
+
 /// Answers of one version, counted since the order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ArmCounts {
@@ -12,10 +17,8 @@
     pub good: u32,
     /// Failures, broken answers and silence.
     pub bad: u32,
-    /// Sum of the logarithms of measured over expected time.
-    pub slowness: f32,
-    /// Sum of their squares.
-    pub slowness_squares: f32,
+    /// Of the good ones, those that took much longer than expected.
+    pub slow: u32,
     /// Requests out now.
     pub out: u32,
 }
@@ -29,10 +32,10 @@
 
     /// Notes a good answer and how its time compares with the expected one.
     pub fn note_good(&mut self, measured_ms: f64, expected_ms: f64) {
-        let log = (measured_ms.max(0.1) / expected_ms.max(0.1)).ln() as f32;
         self.good += 1;
-        self.slowness += log;
-        self.slowness_squares += log * log;
+        if measured_ms > SLOW_TIMES * expected_ms.max(1.0) {
+            self.slow += 1;
+        }
     }
 
     /// Adds another daemon's counts.
@@ -40,24 +43,9 @@
         self.sent = self.sent.saturating_add(other.sent);
         self.good = self.good.saturating_add(other.good);
         self.bad = self.bad.saturating_add(other.bad);
-        self.slowness += other.slowness;
-        self.slowness_squares += other.slowness_squares;
+        self.slow = self.slow.saturating_add(other.slow);
         self.out = self.out.saturating_add(other.out);
     }
-
-    /// Share of bad answers.
-    #[must_use]
-    pub fn bad_share(&self) -> f64 {
-        f64::from(self.bad) / f64::from(self.answers().max(1))
-    }
-
-    /// Mean and variance of the logarithms.
-    pub(crate) fn slowness_moments(&self) -> (f64, f64) {
-        let n = f64::from(self.good.max(1));
-        let mean = f64::from(self.slowness) / n;
-        let variance = (f64::from(self.slowness_squares) / n - mean * mean).max(0.0);
-        (mean, variance)
-    }
 }
 
 /// What one daemon has seen of a roll-out.
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -23,30 +23,27 @@
 /// rise in the second.
 const RISE_FROM: f64 = 0.52;
 /// Steps of the rising share: from a part of the time allowed on, so much of the traffic.
-const STEPS: [(f64, f64); 3] = [(RISE_FROM, 0.25), (0.59, 0.5), (0.66, 1.0)];
-/// Completed when nothing runs on the old version any more, from here on.
-const COMPLETE_FROM: f64 = 0.74;
+const STEPS: [(f64, f64); 3] = [(RISE_FROM, 0.25), (0.6, 0.5), (0.69, 1.0)];
+/// Completed when nothing runs on the old version any more, from here on. A version that is
+/// bad under load shows it within a second or two of carrying everything; completed sooner
+/// it could not be taken back.
+const COMPLETE_FROM: f64 = 0.84;
 /// Completed at the latest: a stream that is still out goes on at another upstream.
-const COMPLETE_BY: f64 = 0.9;
+const COMPLETE_BY: f64 = 0.92;
 /// Good answers before the share may rise, unless there is hardly any traffic.
 const PROOF_ANSWERS: u32 = 40;
 /// Without proof the share rises from here on: there is hardly any traffic then.
 const UNPROVED_FROM: f64 = 0.62;
 
-/// Fewest bad answers for a judgement: five by chance at a failure rate of 2% and 40
-/// answers have a probability under 0.002.
-const BAD_FEWEST: u32 = 5;
+/// Fewest bad or slow answers for a judgement: five by chance at a failure rate of 2% and
+/// 40 answers have a probability under 0.002.
+const FEWEST: u32 = 5;
 /// Excess of the share of bad answers over the old version's.
 const BAD_EXCESS: f64 = 0.06;
+/// Excess of the share of slow answers: more of them are chance, as prompts wait for others.
+const SLOW_EXCESS: f64 = 0.15;
 /// Standard errors between the versions: 3.5 is one false alarm in some thousand looks.
-const BAD_ERRORS: f64 = 3.5;
-/// Mean slowdown that counts: the logarithm of 1.6.
-const SLOW_EXCESS: f64 = 0.47;
-/// Fewest answers for a judgement of slowness.
-const SLOW_FEWEST: u32 = 15;
-/// Standard errors between the versions.
-const SLOW_ERRORS: f64 = 4.0;
-
+const ERRORS: f64 = 3.5;
 /// What the operators allow.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TrialLimits {
@@ -55,12 +52,14 @@
 }
 
 /// Which versions a request may run on.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Permit {
     /// Any.
     Any,
     /// Only this one.
     Only(Arc<str>),
+    /// Only this one, and only a part of its upstreams.
+    Few(Arc<str>, Share),
     /// Any but this one.
     Not(Arc<str>),
 }
@@ -71,7 +70,7 @@
     pub fn allows(&self, version: &Arc<str>) -> bool {
         match self {
             Self::Any => true,
-            Self::Only(only) => only == version,
+            Self::Only(only) | Self::Few(only, _) => only == version,
             Self::Not(not) => not != version,
         }
     }
@@ -133,11 +132,13 @@
         let is_on_old = pinned.is_some_and(|version| *version != self.to)
             || self.staying.contains(&Self::mark(place));
         let is_on_new = pinned.is_some_and(|version| *version == self.to);
-        if is_on_new {
-            return Permit::Only(self.to.clone());
-        }
         let is_chosen = part_of(place) < self.share;
-        match is_chosen && !(is_on_old && self.keeps_sessions) {
+        match is_on_new || (is_chosen && !(is_on_old && self.keeps_sessions)) {
+            // Few requests on all of its upstreams would not show a version that is bad
+            // under load; on a part of them they make the load that it will have.
+            true if self.share <= self.first_share => {
+                Permit::Few(self.to.clone(), Share::clamped(self.share))
+            }
             true => Permit::Only(self.to.clone()),
             false => Permit::Not(self.to.clone()),
         }
@@ -322,27 +323,47 @@
 
 /// Whether the new version has clearly more bad answers.
 fn fails_more(new: &ArmCounts, old: &ArmCounts) -> bool {
-    let excess = new.bad_share() - old.bad_share();
-    if new.bad < BAD_FEWEST || excess < BAD_EXCESS {
-        return false;
-    }
-    let answers = f64::from(new.answers() + old.answers()).max(1.0);
-    let pooled = f64::from(new.bad + old.bad) / answers;
-    let parts = 1.0 / f64::from(new.answers().max(1)) + 1.0 / f64::from(old.answers().max(1));
-    let error = (pooled * (1.0 - pooled) * parts).sqrt();
-    // Without answers of the old version there is nothing to compare with; the excess over
-    // none and the fewest bad answers decide.
-    error == 0.0 || old.answers() == 0 || excess > BAD_ERRORS * error
+    let new = Part::new(new.bad, new.answers());
+    let old = Part::new(old.bad, old.answers());
+    new.is_clearly_above(&old, BAD_EXCESS)
 }
 
-/// Whether the new version is clearly slower.
+/// Whether the new version has clearly more slow answers.
 fn is_slower(new: &ArmCounts, old: &ArmCounts) -> bool {
-    if new.good < SLOW_FEWEST || old.good < SLOW_FEWEST {
-        return false;
+    let new = Part::new(new.slow, new.good);
+    let old = Part::new(old.slow, old.good);
+    old.all > 0.0 && new.is_clearly_above(&old, SLOW_EXCESS)
+}
+
+/// A part of some answers.
+struct Part {
+    part: f64,
+    all: f64,
+}
+
+impl Part {
+    fn new(part: u32, all: u32) -> Self {
+        Self {
+            part: f64::from(part),
+            all: f64::from(all),
+        }
+    }
+
+    fn share(&self) -> f64 {
+        self.part / self.all.max(1.0)
+    }
+
+    /// Whether this share exceeds another by more than `excess`, and by more than chance.
+    fn is_clearly_above(&self, other: &Self, excess: f64) -> bool {
+        let above = self.share() - other.share();
+        if self.part < f64::from(FEWEST) || above < excess {
+            return false;
+        }
+        let pooled = (self.part + other.part) / (self.all + other.all).max(1.0);
+        let parts = 1.0 / self.all.max(1.0) + 1.0 / other.all.max(1.0);
+        let error = (pooled * (1.0 - pooled) * parts).sqrt();
+        // With no answers of the old version there is nothing to compare with; the excess
+        // over none and the fewest answers decide.
+        error == 0.0 || other.all == 0.0 || above > ERRORS * error
     }
-    let (new_mean, new_variance) = new.slowness_moments();
-    let (old_mean, old_variance) = old.slowness_moments();
-    let excess = new_mean - old_mean;
-    let error = new_variance / f64::from(new.good) + old_variance / f64::from(old.good);
-    excess > SLOW_EXCESS && excess > SLOW_ERRORS * error.sqrt()
 }
--- a/components/dispatch/tests/choose.rs
+++ b/components/dispatch/tests/choose.rs
@@ -201,3 +201,12 @@
     assert_eq!(setup.pick(at(2), &[], &[], &Permit::Any), Ok(index));
     setup.upstreams.ended(at(3), index, ticket, Ending::Good);
 }
+
+#[test]
+fn a_few_upstreams_of_a_new_version_get_its_first_requests() {
+    let mut setup = Setup::new(10);
+    let permit = Permit::Few(Arc::from("v1"), Share::clamped(0.15));
+    let picks = (0..200).map(|_| setup.pick(at(0), &[], &[], &permit).expect("one"));
+    let picks = picks.collect::<std::collections::BTreeSet<_>>();
+    assert_eq!(picks.len(), 2, "15% of ten, rounded up");
+}
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -54,7 +54,8 @@
     let shares = [1.0, 3.0, 9.0, 11.0, 12.5, 14.0];
     let shares = shares.map(|secs| trial.step(at(secs), &good, 1.0).gate.share);
     assert_eq!(shares, [0.0, 0.09, 0.09, 0.25, 0.5, 1.0]);
-    let step = trial.step(at(15.0), &good, 1.0);
+    assert_eq!(trial.step(at(15.0), &good, 1.0).verdict, Verdict::Open);
+    let step = trial.step(at(17.0), &good, 1.0);
     assert_eq!(
         step.verdict,
         Verdict::Good,
@@ -69,8 +70,8 @@
     let mut trial = trial(Time::ZERO);
     let mut busy = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
     busy.old.out = 3;
-    assert_eq!(trial.step(at(16.0), &busy, 1.0).verdict, Verdict::Open);
-    assert_eq!(trial.step(at(18.1), &busy, 1.0).verdict, Verdict::Good);
+    assert_eq!(trial.step(at(17.0), &busy, 1.0).verdict, Verdict::Open);
+    assert_eq!(trial.step(at(18.5), &busy, 1.0).verdict, Verdict::Good);
 }
 
 #[test]
@@ -98,6 +99,38 @@
     assert_eq!(trial.step(at(3.0), &slow, 1.0).verdict, Verdict::Slow);
 }
 
+#[test]
+fn a_version_that_is_slow_on_a_part_of_its_requests_is_taken_back() {
+    // Half of the requests take eight times as long on a small service. The mean varies so
+    // much that it tells nothing until everything runs on the new version.
+    let mut trial = trial(Time::ZERO);
+    let mut new = arm(6, 0, 1.0);
+    (0..6).for_each(|_| new.note_good(800.0, 100.0));
+    let slow = evidence(new, arm(60, 2, 1.0));
+    assert_eq!(trial.step(at(5.0), &slow, 1.0).verdict, Verdict::Slow);
+}
+
+#[test]
+fn a_version_that_is_bad_under_load_is_taken_back_before_it_is_completed() {
+    // A version fails once it carries everything. Completed a second after, its old one is
+    // gone and cannot be gone back to.
+    let mut trial = trial(Time::ZERO);
+    let good = evidence(arm(60, 2, 1.0), arm(400, 5, 1.0));
+    assert_eq!(trial.step(at(14.0), &good, 1.0).gate.share, 1.0);
+    assert_eq!(trial.step(at(16.0), &good, 1.0).verdict, Verdict::Open);
+    let bad = evidence(arm(85, 25, 1.0), arm(400, 5, 1.0));
+    assert_eq!(trial.step(at(16.1), &bad, 1.0).verdict, Verdict::Failing);
+}
+
+#[test]
+fn the_first_requests_go_to_a_part_of_the_new_upstreams() {
+    let first = gate(0.25, true).permit(0, None);
+    assert_eq!(first, Permit::Few(Arc::from("v2"), Share::clamped(0.25)));
+    let mut later = gate(0.5, false);
+    later.first_share = 0.09;
+    assert_eq!(later.permit(0, None), Permit::Only(Arc::from("v2")));
+}
+
 #[test]
 fn a_version_that_turns_bad_after_a_good_judgement_of_its_first_answers_is_taken_back() {
     let mut trial = trial(Time::ZERO);
--- a/components/mirror/src/message.rs
+++ b/components/mirror/src/message.rs
@@ -1,6 +1,14 @@
 //! What mirrors say to each other.
+//!
+//! Answers are compressed: a configuration of 1,400 routes is 420 KB of repetitive text, and
+//! hosts with links of 10 Mbit/s hand it on several times.
+
+use std::io::{Read, Write};
 
 use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 use serde::{Deserialize, Serialize};
 
 use crate::mirror::{Change, Listing, Mirror, Revision};
@@ -8,6 +16,10 @@
 /// Largest answer, in bytes: below what one message between daemons may hold.
 pub const MAX_ANSWER_BYTES: usize = 512 * 1024;
 
+/// Largest answer before it was compressed, in bytes: guards against a small message that
+/// unfolds to more than a host's memory. The store's values are at most 1 MB each.
+const MAX_PLAIN_BYTES: u64 = 24 * 1024 * 1024;
+
 /// What is new after this?
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -47,6 +59,9 @@
     /// Not of the expected form.
     #[error("a peer's message about the store's keys cannot be read: {0}")]
     Malformed(#[from] postcard::Error),
+    /// Not compressed as expected, or too large.
+    #[error("a peer's message about the store's keys cannot be unpacked")]
+    Packed,
 }
 
 impl Question {
@@ -92,7 +107,10 @@
     /// # Errors
     /// When it is too large.
     pub fn encode(&self) -> Result<Bytes, MessageError> {
-        let bytes = postcard::to_allocvec(self)?;
+        let plain = postcard::to_allocvec(self)?;
+        let mut packed = ZlibEncoder::new(Vec::new(), Compression::fast());
+        packed.write_all(&plain).map_err(|_| MessageError::Packed)?;
+        let bytes = packed.finish().map_err(|_| MessageError::Packed)?;
         if bytes.len() > MAX_ANSWER_BYTES {
             return Err(MessageError::TooLarge(bytes.len()));
         }
@@ -104,6 +122,11 @@
     /// # Errors
     /// When they are not of the expected form.
     pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
-        Ok(postcard::from_bytes(bytes)?)
+        let mut plain = Vec::new();
+        let mut unpacked = ZlibDecoder::new(bytes).take(MAX_PLAIN_BYTES);
+        unpacked
+            .read_to_end(&mut plain)
+            .map_err(|_| MessageError::Packed)?;
+        Ok(postcard::from_bytes(&plain)?)
     }
 }
--- a/components/mirror/src/mirror.rs
+++ b/components/mirror/src/mirror.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Changes remembered for peers that lag. A worker's life is about four changes, so this
-/// is a replacement of some hundred workers; who lags further gets a listing.
+/// Changes remembered for peers that lag, by key and revision only: values are as they are
+/// now, so a storm of large configurations takes no memory. A worker's life is about four
+/// changes, so this is a replacement of some hundred workers; who lags further gets a
+/// listing.
 const MAX_LOG: usize = 1_024;
 
 /// The store's counter, which every change raises.
@@ -63,7 +65,7 @@
 pub struct Mirror {
     at: Revision,
     items: BTreeMap<String, Item>,
-    log: VecDeque<Change>,
+    log: VecDeque<(Revision, String)>,
     /// The log holds every change after this.
     log_after: Revision,
 }
@@ -159,14 +161,24 @@
         fresh
     }
 
-    /// What a peer at an earlier revision lacks; nothing when it is too far behind.
+    /// What a peer at an earlier revision lacks, each key as it is now; nothing when it is
+    /// too far behind.
     #[must_use]
     pub fn since(&self, after: Revision) -> Option<Vec<Change>> {
         if after < self.log_after || !self.is_filled() {
             return None;
         }
-        let newer = self.log.iter().filter(|change| change.revision > after);
-        Some(newer.cloned().collect())
+        let newer = self.log.iter().filter(|(revision, _)| *revision > after);
+        let newest = newer.map(|(revision, key)| (key, *revision));
+        let newest = newest.collect::<BTreeMap<_, _>>();
+        let changes = newest.into_iter().map(|(key, revision)| Change {
+            revision,
+            key: key.clone(),
+            value: self.items.get(key).map(|item| item.value.clone()),
+        });
+        let mut changes = changes.collect::<Vec<_>>();
+        changes.sort_by_key(|change| change.revision);
+        Some(changes)
     }
 
     /// Everything, in order of the keys.
@@ -185,10 +197,10 @@
 
     fn put(&mut self, change: &Change) {
         self.set(change);
-        self.log.push_back(change.clone());
+        self.log.push_back((change.revision, change.key.clone()));
         while self.log.len() > MAX_LOG {
-            if let Some(dropped) = self.log.pop_front() {
-                self.log_after = dropped.revision;
+            if let Some((dropped, _)) = self.log.pop_front() {
+                self.log_after = dropped;
             }
         }
     }
--- a/components/mirror/tests/mirror.rs
+++ b/components/mirror/tests/mirror.rs
@@ -118,8 +118,45 @@
             .expect("connects");
     }
     assert!(ahead.since(Revision(1)).is_none());
+    let newer = ahead.since(Revision(1_990)).expect("near");
     assert_eq!(
-        ahead.since(Revision(1_990)).map(|changes| changes.len()),
-        Some(9)
+        newer,
+        [put(1_999, "key", "v")],
+        "each key once, as it is now"
     );
 }
+
+#[test]
+fn a_storm_of_large_configurations_is_one_value_for_a_peer() {
+    // Operators write forty versions of a configuration of some hundred KB. A peer that lags
+    // would get them all, in a message that is too large, and every daemon keep them all.
+    let mut ahead = listed(1, vec![]);
+    let route =
+        |n: usize| format!("{{\"name\":\"r-{n}\",\"prefix\":\"/{n}/\",\"timeout\":20000}},");
+    for n in 2..42 {
+        let text = (0..4_000)
+            .map(|route_n| route(route_n + n as usize))
+            .collect::<String>();
+        let changes = vec![put(n, "config", &text)];
+        ahead
+            .apply(Revision(n - 1), Revision(n), changes)
+            .expect("connects");
+    }
+    let answer = Answer::to(Question { held: Revision(1) }, &ahead);
+    assert!(matches!(&answer, Answer::Changes { changes, .. } if changes.len() == 1));
+    let bytes = answer.encode().expect("small enough");
+    let whole = ahead.get("config").expect("held").1.len();
+    assert!(bytes.len() * 5 < whole, "{} of {whole}", bytes.len());
+    assert_eq!(Answer::decode(&bytes), Ok(answer));
+    let bomb = flate2_bomb();
+    assert!(Answer::decode(&bomb).is_err());
+}
+
+/// Some KB that unfold to 64 MB.
+fn flate2_bomb() -> Vec<u8> {
+    use std::io::Write;
+    let mut packed = flate2::write::ZlibEncoder::new(Vec::new(), flate2::Compression::fast());
+    let zeros = vec![0xff; 1 << 20];
+    (0..64).for_each(|_| packed.write_all(&zeros).expect("to memory"));
+    packed.finish().expect("to memory")
+}
