Compare each kind of request with its own in a roll-out; load the new upstreams as they will be

Change: counts by kind of request, compared by Mantel and Haenszel's test for each and for all; every step below all goes to as large a part of the new upstreams.

--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -1,5 +1,6 @@
 //! What the fleet has seen of two versions of a service.
 
+use routes::Repeat;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
@@ -48,6 +49,49 @@
     }
 }
 
+/// Kinds of requests that are compared each with its own: some fail for their own sake far
+/// more often than others, and a mix of them hides a version that fails.
+pub const KINDS: usize = 3;
+
+/// The place of a kind of request among [`KINDS`].
+#[must_use]
+pub fn kind_of(repeat: Repeat) -> usize {
+    match repeat {
+        Repeat::Never => 0,
+        Repeat::Any => 1,
+        Repeat::Stream { .. } => 2,
+    }
+}
+
+/// Answers of one version, by kind of request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Arm {
+    /// By [`kind_of`].
+    pub kinds: [ArmCounts; KINDS],
+}
+
+impl Arm {
+    /// All kinds together.
+    #[must_use]
+    pub fn sum(&self) -> ArmCounts {
+        let mut sum = ArmCounts::default();
+        self.kinds.iter().for_each(|counts| sum.add(counts));
+        sum
+    }
+
+    /// Adds another daemon's counts.
+    pub fn add(&mut self, other: &Self) {
+        for (counts, other) in self.kinds.iter_mut().zip(&other.kinds) {
+            counts.add(other);
+        }
+    }
+
+    /// Forgets requests that are out.
+    pub fn forget_out(&mut self) {
+        self.kinds.iter_mut().for_each(|counts| counts.out = 0);
+    }
+}
+
 /// What one daemon has seen of a roll-out.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -56,9 +100,9 @@
     /// How long the daemon knows the order, so that one that restarted does not begin anew.
     pub elapsed_ms: u32,
     /// The new version.
-    pub new: ArmCounts,
+    pub new: Arm,
     /// All others.
-    pub old: ArmCounts,
+    pub old: Arm,
 }
 
 impl Evidence {
--- a/components/dispatch/src/gathering.rs
+++ b/components/dispatch/src/gathering.rs
@@ -86,8 +86,8 @@
     fn replace(&mut self, from: DaemonId, report: Evidence) {
         let held = self.reports.insert(from, report);
         if let Some(mut held) = held.filter(|held| size(held) > size(&report)) {
-            held.new.out = 0;
-            held.old.out = 0;
+            held.new.forget_out();
+            held.old.forget_out();
             self.ended.new.add(&held.new);
             self.ended.old.add(&held.old);
         }
@@ -192,7 +192,7 @@
 }
 
 fn size(evidence: &Evidence) -> u64 {
-    let arms = [&evidence.new, &evidence.old];
+    let arms = [evidence.new.sum(), evidence.old.sum()];
     arms.iter()
         .map(|arm| u64::from(arm.sent) + u64::from(arm.answers()))
         .sum()
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 pub use budget::{RetryBudget, RetryLimits, Use};
 pub use cascade::{Cascade, Draft};
 pub use choose::{Choice, Need, NoUpstream, PromptPart};
-pub use evidence::{ArmCounts, Evidence};
+pub use evidence::{Arm, ArmCounts, Evidence, KINDS, kind_of};
 pub use gathering::{Gathering, RolloutMessage, RolloutMessageError, RolloutWord};
 pub use health::Ending;
 pub use lapsed::Lapsed;
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -12,7 +12,7 @@
 use routes::{RolloutOrder, RolloutState};
 use types::prelude::*;
 
-use crate::evidence::{ArmCounts, Evidence};
+use crate::evidence::{Arm, ArmCounts, Evidence, KINDS};
 
 /// The new version gets its first requests this long after the order: by then every daemon
 /// has told which sessions are at work, and a restarted one has heard of it.
@@ -23,7 +23,7 @@
 /// rise in the second.
 const RISE_FROM: f64 = 0.52;
 /// Steps of the rising share: from a part of the time allowed on, so much of the traffic.
-const STEPS: [(f64, f64); 3] = [(RISE_FROM, 0.25), (0.6, 0.5), (0.69, 1.0)];
+const STEPS: [(f64, f64); 3] = [(RISE_FROM, 0.25), (0.63, 0.5), (0.71, 1.0)];
 /// Completed when nothing runs on the old version any more, from here on. A version that is
 /// bad under load shows it within a second or two of carrying everything; completed sooner
 /// it could not be taken back.
@@ -134,12 +134,9 @@
         let is_on_new = pinned.is_some_and(|version| *version == self.to);
         let is_chosen = part_of(place) < self.share;
         match is_on_new || (is_chosen && !(is_on_old && self.keeps_sessions)) {
-            // Few requests on all of its upstreams would not show a version that is bad
-            // under load; on a part of them they make the load that it will have.
-            true if self.share <= self.first_share => {
-                Permit::Few(self.to.clone(), Share::clamped(self.share))
-            }
-            true => Permit::Only(self.to.clone()),
+            // A part of the requests on all of its upstreams would not show a version that
+            // is bad under load; on as large a part of them it makes the load to come.
+            true => Permit::Few(self.to.clone(), Share::clamped(self.share)),
             false => Permit::Not(self.to.clone()),
         }
     }
@@ -286,7 +283,7 @@
             return Verdict::Slow;
         }
         let progress = self.progress(now);
-        let is_alone = fleet.old.out == 0 && progress >= COMPLETE_FROM;
+        let is_alone = fleet.old.sum().out == 0 && progress >= COMPLETE_FROM;
         match is_alone || progress >= COMPLETE_BY {
             true => Verdict::Good,
             false => Verdict::Open,
@@ -311,7 +308,7 @@
         }
         let first = self.first_share();
         let progress = self.progress(now);
-        let is_proved = fleet.new.answers() >= PROOF_ANSWERS || progress >= UNPROVED_FROM;
+        let is_proved = fleet.new.sum().answers() >= PROOF_ANSWERS || progress >= UNPROVED_FROM;
         let reached = STEPS.iter().rev().find(|(from, _)| progress >= *from);
         let share = match reached {
             Some((_, share)) if is_proved => *share,
@@ -322,20 +319,22 @@
 }
 
 /// Whether the new version has clearly more bad answers.
-fn fails_more(new: &ArmCounts, old: &ArmCounts) -> bool {
-    let new = Part::new(new.bad, new.answers());
-    let old = Part::new(old.bad, old.answers());
-    new.is_clearly_above(&old, BAD_EXCESS)
+fn fails_more(new: &Arm, old: &Arm) -> bool {
+    let bad = |counts: &ArmCounts| Part::new(counts.bad, counts.answers());
+    let mut excess = Excess::of(new, old, bad).into_iter();
+    excess.any(|excess| excess.is_clear(BAD_EXCESS))
 }
 
 /// Whether the new version has clearly more slow answers.
-fn is_slower(new: &ArmCounts, old: &ArmCounts) -> bool {
-    let new = Part::new(new.slow, new.good);
-    let old = Part::new(old.slow, old.good);
-    old.all > 0.0 && new.is_clearly_above(&old, SLOW_EXCESS)
+fn is_slower(new: &Arm, old: &Arm) -> bool {
+    let slow = |counts: &ArmCounts| Part::new(counts.slow, counts.good);
+    let has_old = old.sum().good > 0;
+    let mut excess = Excess::of(new, old, slow).into_iter();
+    has_old && excess.any(|excess| excess.is_clear(SLOW_EXCESS))
 }
 
 /// A part of some answers.
+#[derive(Debug, Clone, Copy)]
 struct Part {
     part: f64,
     all: f64,
@@ -348,22 +347,47 @@
             all: f64::from(all),
         }
     }
+}
+
+/// How much more of something the new version has than the old one's answers lead to expect,
+/// each kind of request compared with its own (the test of Mantel and Haenszel).
+#[derive(Debug, Clone, Copy, Default)]
+struct Excess {
+    seen: f64,
+    expected: f64,
+    variance: f64,
+    answers: f64,
+}
 
-    fn share(&self) -> f64 {
-        self.part / self.all.max(1.0)
+impl Excess {
+    /// Of each kind of request alone, and of all together.
+    fn of(new: &Arm, old: &Arm, part: impl Fn(&ArmCounts) -> Part) -> [Self; KINDS + 1] {
+        let mut excess = [Self::default(); KINDS + 1];
+        for (kind, (new, old)) in new.kinds.iter().zip(&old.kinds).enumerate() {
+            excess[kind].add(part(new), part(old));
+            excess[KINDS].add(part(new), part(old));
+        }
+        excess
     }
 
-    /// Whether this share exceeds another by more than `excess`, and by more than chance.
-    fn is_clearly_above(&self, other: &Self, excess: f64) -> bool {
-        let above = self.share() - other.share();
-        if self.part < f64::from(FEWEST) || above < excess {
-            return false;
+    fn add(&mut self, new: Part, old: Part) {
+        let all = new.all + old.all;
+        self.seen += new.part;
+        self.answers += new.all;
+        // Without answers of the old version nothing bad is expected.
+        if old.all == 0.0 {
+            return;
         }
-        let pooled = (self.part + other.part) / (self.all + other.all).max(1.0);
-        let parts = 1.0 / self.all.max(1.0) + 1.0 / other.all.max(1.0);
-        let error = (pooled * (1.0 - pooled) * parts).sqrt();
-        // With no answers of the old version there is nothing to compare with; the excess
-        // over none and the fewest answers decide.
-        error == 0.0 || other.all == 0.0 || above > ERRORS * error
+        let part = new.part + old.part;
+        self.expected += new.all * part / all;
+        let rest = (all - part) / (all * all * (all - 1.0).max(1.0));
+        self.variance += new.all * old.all * part * rest;
+    }
+
+    /// Whether there is more than `least` of it, and more than by chance.
+    fn is_clear(&self, least: f64) -> bool {
+        let above = self.seen - self.expected;
+        let enough = self.seen >= f64::from(FEWEST) && above > least * self.answers;
+        enough && above > ERRORS * self.variance.sqrt()
     }
 }
--- a/components/dispatch/tests/gathering.rs
+++ b/components/dispatch/tests/gathering.rs
@@ -1,6 +1,6 @@
 //! Adding up what the fleet saw of a roll-out.
 
-use dispatch::{ArmCounts, Evidence, Gathering, RolloutMessage, RolloutWord};
+use dispatch::{Arm, ArmCounts, Evidence, Gathering, RolloutMessage, RolloutWord};
 use types::prelude::*;
 
 fn daemon(n: usize) -> DaemonId {
@@ -8,14 +8,17 @@
 }
 
 fn seen(good: u32, bad: u32) -> Evidence {
+    let counts = ArmCounts {
+        sent: good + bad,
+        good,
+        bad,
+        ..ArmCounts::default()
+    };
     Evidence {
         order: 7,
         elapsed_ms: 1_000,
-        new: ArmCounts {
-            sent: good + bad,
-            good,
-            bad,
-            ..ArmCounts::default()
+        new: Arm {
+            kinds: [counts, ArmCounts::default(), ArmCounts::default()],
         },
         ..Evidence::default()
     }
@@ -37,10 +40,10 @@
         report(&mut judge, n, seen(0, 1), &[n as u32]);
     }
     let word = judge.fleet(&daemon(0), &seen(0, 1));
-    assert_eq!(word.fleet.new.bad, 88);
+    assert_eq!(word.fleet.new.sum().bad, 88);
     let mut other = Gathering::default();
     judge.words().iter().for_each(|word| other.take_word(word));
-    assert_eq!(other.fleet(&daemon(5), &seen(0, 1)).fleet.new.bad, 88);
+    assert_eq!(other.fleet(&daemon(5), &seen(0, 1)).fleet.new.sum().bad, 88);
     assert_eq!(judge.staying(7).len(), 87);
     assert!(matches!(
         judge.staying_news(7),
@@ -58,7 +61,7 @@
     report(&mut judge, 1, seen(1, 0), &[]);
     report(&mut judge, 1, seen(2, 1), &[]);
     let fleet = judge.fleet(&daemon(0), &seen(0, 0)).fleet;
-    assert_eq!((fleet.new.good, fleet.new.bad), (5, 10));
+    assert_eq!((fleet.new.sum().good, fleet.new.sum().bad), (5, 10));
 }
 
 #[test]
@@ -68,5 +71,5 @@
     gathering.take_word(&word(seen(20, 9), true));
     gathering.take_word(&word(seen(10, 2), false));
     let known = gathering.fleet(&daemon(0), &seen(1, 0));
-    assert_eq!((known.fleet.new.bad, known.is_bad), (9, true));
+    assert_eq!((known.fleet.new.sum().bad, known.is_bad), (9, true));
 }
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dispatch::{ArmCounts, Evidence, Gate, Permit, Trial, TrialLimits, Verdict};
+use dispatch::{Arm, ArmCounts, Evidence, Gate, Permit, Trial, TrialLimits, Verdict};
 use routes::{RolloutOrder, RolloutState};
 use types::prelude::*;
 
@@ -39,11 +39,14 @@
 }
 
 fn evidence(new: ArmCounts, old: ArmCounts) -> Evidence {
+    let arm = |counts| Arm {
+        kinds: [counts, ArmCounts::default(), ArmCounts::default()],
+    };
     Evidence {
         order: 7,
         elapsed_ms: 0,
-        new,
-        old,
+        new: arm(new),
+        old: arm(old),
     }
 }
 
@@ -51,7 +54,7 @@
 fn a_good_version_gets_a_small_share_first_and_then_everything() {
     let mut trial = trial(Time::ZERO);
     let good = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
-    let shares = [1.0, 3.0, 9.0, 11.0, 12.5, 14.0];
+    let shares = [1.0, 3.0, 9.0, 11.0, 13.0, 14.3];
     let shares = shares.map(|secs| trial.step(at(secs), &good, 1.0).gate.share);
     assert_eq!(shares, [0.0, 0.09, 0.09, 0.25, 0.5, 1.0]);
     assert_eq!(trial.step(at(15.0), &good, 1.0).verdict, Verdict::Open);
@@ -69,7 +72,7 @@
     // still out there would be cut.
     let mut trial = trial(Time::ZERO);
     let mut busy = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
-    busy.old.out = 3;
+    busy.old.kinds[0].out = 3;
     assert_eq!(trial.step(at(17.0), &busy, 1.0).verdict, Verdict::Open);
     assert_eq!(trial.step(at(18.5), &busy, 1.0).verdict, Verdict::Good);
 }
@@ -116,19 +119,23 @@
     // gone and cannot be gone back to.
     let mut trial = trial(Time::ZERO);
     let good = evidence(arm(60, 2, 1.0), arm(400, 5, 1.0));
-    assert_eq!(trial.step(at(14.0), &good, 1.0).gate.share, 1.0);
+    assert_eq!(trial.step(at(14.3), &good, 1.0).gate.share, 1.0);
     assert_eq!(trial.step(at(16.0), &good, 1.0).verdict, Verdict::Open);
     let bad = evidence(arm(85, 25, 1.0), arm(400, 5, 1.0));
     assert_eq!(trial.step(at(16.1), &bad, 1.0).verdict, Verdict::Failing);
 }
 
 #[test]
-fn the_first_requests_go_to_a_part_of_the_new_upstreams() {
-    let first = gate(0.25, true).permit(0, None);
-    assert_eq!(first, Permit::Few(Arc::from("v2"), Share::clamped(0.25)));
-    let mut later = gate(0.5, false);
-    later.first_share = 0.09;
-    assert_eq!(later.permit(0, None), Permit::Only(Arc::from("v2")));
+fn a_part_of_the_requests_goes_to_a_part_of_the_new_upstreams() {
+    // A version fails under load only. Spread over all of its upstreams the first requests
+    // would look fine, up to the moment at which it carries everything.
+    let few = |share| Permit::Few(Arc::from("v2"), Share::clamped(share));
+    assert_eq!(gate(0.25, true).permit(0, None), few(0.25));
+    assert_eq!(gate(0.5, false).permit(0, None), few(0.5));
+    assert_eq!(
+        gate(1.0, false).permit(0, None),
+        Permit::Only(Arc::from("v2"))
+    );
 }
 
 #[test]
@@ -147,7 +154,7 @@
     // zero. Took it the order for new, it would send sessions back to the old version until
     // that is stopped, and cut their streams.
     let mut trial = trial(at(0.05));
-    trial.known_for(at(0.1), Span::from_secs(12));
+    trial.known_for(at(0.1), Span::from_secs(13));
     let good = evidence(arm(60, 1, 1.0), arm(400, 5, 1.0));
     assert_eq!(trial.step(at(2.6), &good, 1.0).gate.share, 1.0);
 }
@@ -204,3 +211,23 @@
     assert!(!gate.permit(session, None).allows(&new));
     assert!(gate.permit(other, None).allows(&new));
 }
+
+#[test]
+fn requests_that_fail_for_their_own_sake_do_not_hide_a_failing_version() {
+    // A third of a service's requests fail in one of seven cases whatever the version. Of the
+    // others the new version fails one in ten and the old one hardly any. Of all together
+    // that is 12% beside 5%, which 90 answers do not tell from chance.
+    let mut trial = trial(Time::ZERO);
+    let mut seen = evidence(arm(54, 6, 1.0), arm(399, 1, 1.0));
+    seen.new.kinds[1] = arm(26, 4, 1.0);
+    seen.old.kinds[1] = arm(172, 28, 1.0);
+    assert_eq!(trial.step(at(15.0), &seen, 1.0).verdict, Verdict::Failing);
+    let mut fine = evidence(arm(60, 0, 1.0), arm(399, 1, 1.0));
+    fine.new.kinds[1] = arm(23, 7, 1.0);
+    fine.old.kinds[1] = arm(172, 28, 1.0);
+    assert_eq!(trial_of_fine(&fine), Verdict::Open);
+}
+
+fn trial_of_fine(seen: &Evidence) -> Verdict {
+    trial(Time::ZERO).step(at(15.0), seen, 1.0).verdict
+}
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -150,7 +150,7 @@
             rollout.wanted = Some((state, now));
             rollout.next_try_at = now;
             is_newly_bad = step.verdict.is_bad();
-            tracing::info!(service, verdict = ?step.verdict, new = ?fleet.new, old = ?fleet.old,
+            tracing::info!(service, verdict = ?step.verdict, new = ?fleet.new.sum(), old = ?fleet.old.sum(),
                 "rollouts: decided");
         }
         let has_changed = rollout.gate.as_ref() != Some(&step.gate);
@@ -159,10 +159,10 @@
                 service,
                 share = step.gate.share,
                 keeps_sessions = step.gate.keeps_sessions,
-                new_answers = fleet.new.answers(),
-                new_bad = fleet.new.bad,
-                old_answers = fleet.old.answers(),
-                old_bad = fleet.old.bad,
+                new_answers = fleet.new.sum().answers(),
+                new_bad = fleet.new.sum().bad,
+                old_answers = fleet.old.sum().answers(),
+                old_bad = fleet.old.sum().bad,
                 "rollouts: gate"
             );
         }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -143,7 +143,7 @@
 impl<T: Translator> Attempt<'_, T> {
     /// Sends it and waits for the answer's beginning, or its end unless it is a stream.
     pub(crate) async fn send(&self, choice: Choice) -> Sent<T> {
-        let mut tracked = Tracked::start(self.world, &choice);
+        let mut tracked = Tracked::start(self.world, &choice, self.request.route.repeat);
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
             return Sent::Unreachable;
         };
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex};
+use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex, kind_of};
+use routes::Repeat;
 use types::prelude::*;
 
 use crate::world::World;
@@ -14,6 +15,8 @@
     service: Arc<str>,
     order: u64,
     is_new: bool,
+    /// Place of the request's kind.
+    kind: usize,
 }
 
 /// One request at an upstream. Dropped without an ending, it was cancelled.
@@ -30,7 +33,7 @@
 
 impl<T> Tracked<T> {
     /// Counts a request that is about to be sent.
-    pub(crate) fn start(world: &Rc<World<T>>, choice: &Choice) -> Self {
+    pub(crate) fn start(world: &Rc<World<T>>, choice: &Choice, repeat: Repeat) -> Self {
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
         let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
@@ -42,6 +45,7 @@
                 service: spec.service.clone(),
                 order: gate.order,
                 is_new: spec.version == gate.to,
+                kind: kind_of(repeat),
             })
         });
         drop(upstreams);
@@ -112,8 +116,8 @@
     fn count(&self, f: impl FnOnce(&mut dispatch::ArmCounts)) {
         let Some(arm) = &self.arm else { return };
         let change = |evidence: &mut Evidence| match arm.is_new {
-            true => f(&mut evidence.new),
-            false => f(&mut evidence.old),
+            true => f(&mut evidence.new.kinds[arm.kind]),
+            false => f(&mut evidence.old.kinds[arm.kind]),
         };
         self.world.seen.change(&arm.service, arm.order, change);
     }
