--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -247,3 +247,12 @@
     let late = evidence(arm(77, 5, 1.0), arm(221, 2, 1.0));
     assert_eq!(trial.step(at(15.0), &late, 1.0).verdict, Verdict::Failing);
 }
+
+#[test]
+fn chance_is_no_suspicion() {
+    // Most of the exposure is used up, and the new version has had three more bad answers
+    // among 300 than the old one would have.
+    let mut trial = trial(Time::ZERO);
+    let chance = evidence(arm(290, 10, 1.0), arm(680, 16, 1.0));
+    assert_eq!(trial.step(at(15.0), &chance, 1.0).verdict, Verdict::Open);
+}
