Name the upstream that has a request when it ends; keep a replaced upstream away

Cause 2: an upstream that said another run has its address came back with each change of the list. Test: an_upstream_that_was_replaced_stays_away_while_it_is_still_listed.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -89,8 +89,10 @@
     pub(crate) heard_at: Time,
     /// Prefixes that were sent there, by a hash of model and parts, and when.
     pub(crate) prefixes: HashMap<u64, Time>,
-    /// Not to be chosen any more: draining, gone, or replaced at its address.
+    /// Not to be chosen any more: draining or gone, or it said so itself.
     pub(crate) is_leaving: bool,
+    /// Another run of a program has its address: this one is over, whatever the list says.
+    is_replaced: bool,
     is_listed: bool,
 }
 
@@ -147,7 +149,7 @@
             entry.is_listed = true;
             // An entry that lapsed while the store was away comes back with its upstream,
             // so being listed as ready again lifts what its absence meant.
-            entry.is_leaving = is_draining;
+            entry.is_leaving = is_draining || entry.is_replaced;
             entry.spec = Arc::clone(spec);
             return;
         }
@@ -163,6 +165,7 @@
             heard_at: Time::ZERO,
             prefixes: HashMap::new(),
             is_leaving: is_draining,
+            is_replaced: false,
             is_listed: true,
         };
         self.entries.insert(index, entry);
@@ -283,7 +286,8 @@
         means.note(ending);
         let peers_share = means.bad_share();
         entry.health.note(now, ending, peers_share);
-        entry.is_leaving |= ending == Ending::Replaced;
+        entry.is_replaced |= ending == Ending::Replaced;
+        entry.is_leaving |= entry.is_replaced;
         if entry.in_flight == 0 && !entry.is_listed {
             self.forget_idle();
         }
--- a/components/dispatch/tests/choose.rs
+++ b/components/dispatch/tests/choose.rs
@@ -210,3 +210,21 @@
     let picks = picks.collect::<std::collections::BTreeSet<_>>();
     assert_eq!(picks.len(), 2, "15% of ten, rounded up");
 }
+
+#[test]
+fn an_upstream_that_was_replaced_stays_away_while_it_is_still_listed() {
+    // Another program has the upstream's address and says so. The list lags by seconds; every
+    // change of it would bring the dead entry back, and each request there is wasted.
+    let mut setup = Setup::new(1);
+    let index = setup.pick(at(0), &[], &[], &Permit::Any).expect("one");
+    let load = dispatch::Load::default();
+    let ticket = setup.upstreams.started(at(0), index, &load, &[]);
+    setup
+        .upstreams
+        .ended(at(0), index, ticket, Ending::Replaced);
+    setup
+        .upstreams
+        .configure(&[upstream(0, "v1", UpstreamState::Ready)]);
+    let pick = setup.pick(at(60_000), &[], &[], &Permit::Any);
+    assert_eq!(pick, Err(NoUpstream::Unknown));
+}
--- a/components/http1/src/wire.rs
+++ b/components/http1/src/wire.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::future::pending;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
@@ -36,9 +36,6 @@
 /// When the peer cannot be reached.
 pub async fn connect(address: SocketAddr, options: WireOptions) -> io::Result<Wire> {
     let socket = TcpSocket::new_v4()?;
-    if address.ip().is_loopback() {
-        socket.bind((Ipv4Addr::LOCALHOST, 0).into())?;
-    }
     let stream = socket.connect(address).await?;
     Wire::new(stream, options)
 }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -83,6 +83,13 @@
 }
 
 impl Report {
+    fn add(&mut self, tried: String) {
+        if !self.tries.is_empty() {
+            self.tries.push_str("; ");
+        }
+        self.tries.push_str(&tried);
+    }
+
     /// One line for the request.
     pub(crate) fn log<T>(&self, world: &World<T>, request: &Request<T>, finish: &Finish) {
         let now = world.now();
@@ -129,6 +136,8 @@
     tried: Vec<UpstreamIndex>,
     /// What the last upstream was chosen by.
     chosen_by: Load,
+    /// The upstream that has the request now.
+    pending: Option<UpstreamIndex>,
     sends: u32,
     /// Attempts that reached no upstream.
     unreachable: u32,
@@ -169,6 +178,7 @@
             place,
             tried: Vec::new(),
             chosen_by: Load::default(),
+            pending: None,
             sends: 0,
             unreachable: 0,
             runs: 0,
@@ -183,6 +193,9 @@
     pub(crate) fn report(&self) -> Report {
         let mut report = self.report.clone();
         report.events = self.relay.delivered();
+        if let Some(index) = self.pending {
+            report.add(self.describe(index, "still out"));
+        }
         report
     }
 
@@ -271,6 +284,7 @@
             Err(no) => return Next::Stuck(refusal(no)),
         };
         self.tried.push(choice.index);
+        self.pending = Some(choice.index);
         self.chosen_by = choice.load;
         self.sends += 1;
         let attempt = Attempt {
@@ -319,8 +333,15 @@
         }
     }
 
-    /// Adds an attempt to the log line: what it was chosen by, and what came of it.
+    /// Adds an attempt that is over to the log line.
     fn note(&mut self, index: UpstreamIndex, what: &str) {
+        self.pending = None;
+        let tried = self.describe(index, what);
+        self.report.add(tried);
+    }
+
+    /// An attempt in a few words: what it was chosen by, and what came of it.
+    fn describe(&self, index: UpstreamIndex, what: &str) -> String {
         let upstreams = self.world.upstreams.borrow();
         let spec = upstreams.spec(index);
         let id = spec.map_or("?", |spec| spec.id.as_str());
@@ -329,13 +350,9 @@
             .model
             .map_or(String::new(), |model| format!(" model {model}"));
         let ms = self.world.now().since(self.request.arrived_at).as_millis();
-        if !self.report.tries.is_empty() {
-            self.report.tries.push_str("; ");
-        }
         let wait = self.chosen_by.wait_ms.round();
         let work = self.chosen_by.expected_ms.round();
-        let tried = format!("{id} {version}{model} (wait {wait} work {work}): {what} at {ms}ms");
-        self.report.tries.push_str(&tried);
+        format!("{id} {version}{model} (wait {wait} work {work}): {what} at {ms}ms")
     }
 
     async fn take_sent(&mut self, sent: Sent<T>) -> Next {
