--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -10,8 +10,9 @@
 use types::prelude::*;
 
 use crate::answer::{Own, spread};
-use crate::exchange::{Exchange, Finish, Request};
+use crate::exchange::{Exchange, Request};
 use crate::metrics::Outcome;
+use crate::report::Finish;
 use crate::request::{NoRequest, read_body, read_head};
 use crate::translate::{Ask, Translator};
 use crate::world::{Stage, World};
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::caller::refusal;
 use crate::metrics::Outcome;
 use crate::relay::{Relay, RelayEnd};
+use crate::report::{Finish, Report};
 use crate::request::Body;
 use crate::translate::{Ask, Translator};
 use crate::world::{Stage, World};
@@ -43,78 +44,6 @@
     pub(crate) keeps_alive: bool,
 }
 
-/// How a request ended.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Finish {
-    pub(crate) outcome: Outcome,
-    pub(crate) status: u16,
-    pub(crate) why: &'static str,
-    pub(crate) keeps_alive: bool,
-}
-
-impl Finish {
-    pub(crate) fn gone() -> Self {
-        Self {
-            outcome: Outcome::CallerGone,
-            status: 0,
-            why: "the caller left",
-            keeps_alive: false,
-        }
-    }
-
-    fn cut(why: &'static str) -> Self {
-        Self {
-            outcome: Outcome::CutShort,
-            status: 200,
-            why,
-            keeps_alive: false,
-        }
-    }
-}
-
-/// What the log says of a request besides its end.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Report {
-    pub(crate) first_byte_at: Option<Time>,
-    /// Each attempt in a few words.
-    tries: String,
-    service: Option<Arc<str>>,
-    events: u64,
-}
-
-impl Report {
-    fn add(&mut self, tried: String) {
-        if !self.tries.is_empty() {
-            self.tries.push_str("; ");
-        }
-        self.tries.push_str(&tried);
-    }
-
-    /// One line for the request.
-    pub(crate) fn log<T>(&self, world: &World<T>, request: &Request<T>, finish: &Finish) {
-        let now = world.now();
-        let first = self
-            .first_byte_at
-            .map(|at| at.since(request.arrived_at).as_millis());
-        tracing::info!(
-            id = &*request.ask.attempt,
-            route = &*request.route.name,
-            service = self.service.as_deref(),
-            customer = request.customer.as_ref().map(|customer| &*customer.name),
-            table = request.table.version.0,
-            tries = self.tries,
-            outcome = ?finish.outcome,
-            status = finish.status,
-            why = finish.why,
-            first_ms = first,
-            ms = now.since(request.arrived_at).as_millis(),
-            events = self.events,
-            session = request.ask.session.map(|session| format!("{session:016x}")),
-            "requests: ended"
-        );
-    }
-}
-
 /// How an attempt leaves the request.
 enum Next {
     Finished(Finish),
@@ -166,10 +95,7 @@
         } else {
             0
         };
-        let report = Report {
-            service: Some(service.clone()),
-            ..Report::default()
-        };
+        let report = Report::of(service.clone());
         Self {
             world,
             wire,
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod pool;
 mod relay;
+mod report;
 mod request;
 mod server;
 mod status;
