--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -37,8 +37,7 @@
 const ELAPSED_STEP_MS: u64 = 500;
 /// Daemons that watch the store. Two, so that the loss of one leaves no gap.
 const WATCHERS: usize = 2;
-/// Without any watcher the others begin to watch, one after the other by this, so that few
-/// of them do.
+/// While too few watch, the others begin to, one after the other by this, so that few do.
 const TAKE_OVER_TURN: Span = Span::from_millis(60);
 /// Turns waited at most: who stands far back in the order must not wait longer than a
 /// change may take.
@@ -60,7 +59,7 @@
     /// When the own watch was last heard of, and whether it works.
     pub(crate) watched_at: Option<Time>,
     pub(crate) store_works: bool,
-    /// Since when no other daemon's watch works.
+    /// Since when too few daemons before this one are known to watch.
     pub(crate) unwatched_since: Option<Time>,
     pub(crate) ticks: u32,
     pub(crate) must_plan: bool,
