--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -190,27 +190,6 @@
         self.entries.get(&index).map(|entry| &entry.spec)
     }
 
-    /// Upstreams of a service that take new work: all, and those of one version.
-    #[must_use]
-    pub fn ready(&self, service: &str, version: &str) -> (usize, usize) {
-        let indices = self.by_service.get(service).into_iter().flatten();
-        let entries = indices.filter_map(|index| self.entries.get(index));
-        let ready = entries.filter(|entry| !entry.is_leaving);
-        ready.fold((0, 0), |(all, of), entry| {
-            (all + 1, of + usize::from(*entry.spec.version == *version))
-        })
-    }
-
-    /// Requests out at a service, and how many its upstreams can run.
-    #[must_use]
-    pub fn fill(&self, service: &str) -> (u32, u32) {
-        let indices = self.by_service.get(service).into_iter().flatten();
-        let entries = indices.filter_map(|index| self.entries.get(index));
-        entries.fold((0, 0), |(out, slots), entry| {
-            (out + entry.in_flight, slots + entry.spec.slots)
-        })
-    }
-
     /// Notes that a request goes to an upstream; the ticket names it from then on.
     pub fn started(
         &mut self,
@@ -317,13 +296,6 @@
         }
     }
 
-    /// Notes an upstream's own sign that it leaves, before the list says so.
-    pub fn leaving(&mut self, index: UpstreamIndex) {
-        if let Some(entry) = self.entries.get_mut(&index) {
-            entry.is_leaving = true;
-        }
-    }
-
     /// Expected time to read so many tokens of a prompt, in ms.
     pub(crate) fn reading_ms(&self, model: Option<&Arc<str>>, tokens: f64) -> f64 {
         let learnt = model.and_then(|model| self.reading.get(model).copied());
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -7,7 +7,7 @@
 use types::prelude::*;
 
 use crate::key::{ApiKey, Customer};
-use crate::pool::Engine;
+use crate::upstream::Engine;
 
 /// Versions rise in uneven steps.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/components/routes/src/pool.rs
+++ b/components/routes/src/upstream.rs
@@ -43,10 +43,3 @@
     /// Memory of one engine for prompts and answers.
     pub memory: Tokens,
 }
-
-/// The upstreams of a service, by id.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Pool {
-    /// In order of their ids.
-    pub upstreams: Vec<Arc<Upstream>>,
-}
