--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -16,8 +16,10 @@
     pub sent: u32,
     /// Whole good answers.
     pub good: u32,
-    /// Failures, broken answers and silence.
+    /// Failures that the upstream told itself.
     pub bad: u32,
+    /// Answers that broke off or never came.
+    pub broken: u32,
     /// Of the good ones, those that took much longer than expected.
     pub slow: u32,
     /// Requests out now.
@@ -28,7 +30,7 @@
     /// Answers, good and bad.
     #[must_use]
     pub fn answers(&self) -> u32 {
-        self.good + self.bad
+        self.good + self.bad + self.broken
     }
 
     /// Notes a good answer and how its time compares with the expected one.
@@ -39,11 +41,25 @@
         }
     }
 
+    /// What was counted since an earlier moment; what is out stays.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            sent: self.sent.saturating_sub(earlier.sent),
+            good: self.good.saturating_sub(earlier.good),
+            bad: self.bad.saturating_sub(earlier.bad),
+            broken: self.broken.saturating_sub(earlier.broken),
+            slow: self.slow.saturating_sub(earlier.slow),
+            out: self.out,
+        }
+    }
+
     /// Adds another daemon's counts.
     pub fn add(&mut self, other: &Self) {
         self.sent = self.sent.saturating_add(other.sent);
         self.good = self.good.saturating_add(other.good);
         self.bad = self.bad.saturating_add(other.bad);
+        self.broken = self.broken.saturating_add(other.broken);
         self.slow = self.slow.saturating_add(other.slow);
         self.out = self.out.saturating_add(other.out);
     }
@@ -86,6 +102,13 @@
         }
     }
 
+    /// What was counted since an earlier moment.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let kinds = std::array::from_fn(|kind| self.kinds[kind].since(&earlier.kinds[kind]));
+        Self { kinds }
+    }
+
     /// Forgets requests that are out.
     pub fn forget_out(&mut self) {
         self.kinds.iter_mut().for_each(|counts| counts.out = 0);
@@ -106,6 +129,16 @@
 }
 
 impl Evidence {
+    /// What was seen since an earlier moment.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            new: self.new.since(&earlier.new),
+            old: self.old.since(&earlier.old),
+            ..*self
+        }
+    }
+
     /// How long its daemon knows the order.
     #[must_use]
     pub fn elapsed(&self) -> Span {
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -161,8 +161,10 @@
                 keeps_sessions = step.gate.keeps_sessions,
                 new_answers = fleet.new.sum().answers(),
                 new_bad = fleet.new.sum().bad,
+                new_broken = fleet.new.sum().broken,
                 old_answers = fleet.old.sum().answers(),
                 old_bad = fleet.old.sum().bad,
+                old_broken = fleet.old.sum().broken,
                 "rollouts: gate"
             );
         }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -136,6 +136,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Whether the caller has events of an earlier attempt.
     pub(crate) has_delivered: bool,
+    /// Whether an earlier attempt of the request failed.
+    pub(crate) has_failed: bool,
     /// Whether a silent upstream may be left for another.
     pub(crate) may_leave: bool,
 }
@@ -143,7 +145,8 @@
 impl<T: Translator> Attempt<'_, T> {
     /// Sends it and waits for the answer's beginning, or its end unless it is a stream.
     pub(crate) async fn send(&self, choice: Choice) -> Sent<T> {
-        let mut tracked = Tracked::start(self.world, &choice, self.request.route.repeat);
+        let repeat = self.request.route.repeat;
+        let mut tracked = Tracked::start(self.world, &choice, repeat, self.has_failed);
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
             return Sent::Unreachable;
         };
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -72,6 +72,8 @@
     unreachable: u32,
     /// Attempts that may have run.
     runs: u32,
+    /// Whether one of them failed.
+    has_failed: bool,
     /// Place of the model asked, where this system chooses.
     model: Option<usize>,
     /// The stream's version, once an event of it was delivered.
@@ -108,6 +110,7 @@
             sends: 0,
             unreachable: 0,
             runs: 0,
+            has_failed: false,
             model: Cascade::first(models),
             version: None,
             relay: Relay::new(request.ask.resume_after),
@@ -220,6 +223,7 @@
             model: model.as_ref(),
             resume_after: self.relay.last_event(),
             has_delivered: self.relay.has_begun(),
+            has_failed: self.has_failed,
             may_leave: self.may_leave(),
         };
         let sent = attempt.send(choice).await;
@@ -324,7 +328,8 @@
         }
     }
 
-    fn repeat_or_stop(&self, why: &'static str) -> Next {
+    fn repeat_or_stop(&mut self, why: &'static str) -> Next {
+        self.has_failed = true;
         match self.request.route.repeat.is_allowed() {
             true => Next::Again(Use::Failure),
             false => Next::Stuck(why),
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -17,6 +17,8 @@
     is_new: bool,
     /// Place of the request's kind.
     kind: usize,
+    /// Whether how it ends says anything new of the version.
+    is_evidence: bool,
 }
 
 /// One request at an upstream. Dropped without an ending, it was cancelled.
@@ -32,8 +34,18 @@
 }
 
 impl<T> Tracked<T> {
-    /// Counts a request that is about to be sent.
-    pub(crate) fn start(world: &Rc<World<T>>, choice: &Choice, repeat: Repeat) -> Self {
+    /// Counts a request that is about to be sent; `has_failed` says whether an earlier attempt
+    /// of it did.
+    ///
+    /// Guards against a version that is judged by one request several times: some requests
+    /// fail for their own sake wherever they run, and all of their attempts count as
+    /// independent failures then.
+    pub(crate) fn start(
+        world: &Rc<World<T>>,
+        choice: &Choice,
+        repeat: Repeat,
+        has_failed: bool,
+    ) -> Self {
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
         let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
@@ -46,6 +58,7 @@
                 order: gate.order,
                 is_new: spec.version == gate.to,
                 kind: kind_of(repeat),
+                is_evidence: !has_failed,
             })
         });
         drop(upstreams);
@@ -131,11 +144,16 @@
         drop(upstreams);
         let waited = self.began_at.unwrap_or(now).since(self.sent_at);
         let ms = waited.as_secs_f64() * 1_000.0;
+        let is_evidence = self.arm.as_ref().is_some_and(|arm| arm.is_evidence);
         self.count(|counts| {
             counts.out = counts.out.saturating_sub(1);
+            if !is_evidence {
+                return;
+            }
             match self.ending {
                 Ending::Good => counts.note_good(ms, self.load.wait_ms + self.load.expected_ms),
-                Ending::Failed | Ending::Broken | Ending::Silent => counts.bad += 1,
+                Ending::Failed => counts.bad += 1,
+                Ending::Broken | Ending::Silent => counts.broken += 1,
                 _ => {}
             }
         });
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use dispatch::Gate;
 use routes::Repeat;
 
 use crate::harness::*;
@@ -234,3 +235,35 @@
         assert!(caller.ask(&format!("r{n}")).ends_with("world"));
     }
 }
+
+#[test]
+fn a_request_that_fails_at_every_upstream_is_one_failure_of_their_version() {
+    // Some requests fail for their own sake wherever they run. Each attempt counted as a
+    // failure of the new version under trial, which was taken back though it was good.
+    let failing = || {
+        upstream(|served| {
+            while let Some(request) = served.request() {
+                let id = id_of(&request);
+                served.write(&format!(
+                    "HTTP/1.1 500 -\r\nid: {id}\r\nsigned: 1\r\nContent-Length: 0\r\n\r\n"
+                ));
+            }
+        })
+    };
+    let running = start();
+    let gate = Gate {
+        service: Arc::from("service"),
+        to: Arc::from("v1"),
+        order: 7,
+        share: 1.0,
+        keeps_sessions: false,
+        first_share: 0.1,
+        staying: Arc::default(),
+    };
+    running.plan(Repeat::Any, &[failing(), failing()], vec![gate]);
+    let answer = running.caller().ask("a1");
+    assert_eq!(status_of(&answer), 500);
+    let seen = running.handle.seen.evidence();
+    let new = seen["service"].new.sum();
+    assert_eq!((new.sent, new.bad, new.out), (2, 1, 0));
+}
