Take the reading of a whole prompt for what an answer may need

Its upstreams had just started and held no prompts, but an answer's time was compared with that of an upstream that holds most of the prompt. Ruled out: load (wait is part of the expectation), one long prompt (the fault went on, so the second look did not clear it).

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -203,6 +203,7 @@
             missing: missing as u32,
             missing_shared: (f64::from(shared) - expected_held).max(0.0) as u32,
             expected_ms: ENGINE_BASE_MS + self.reading_ms(need.model, missing),
+            unheld_ms: ENGINE_BASE_MS + self.reading_ms(need.model, f64::from(need.prompt_tokens)),
             wait_ms: entry.backlog.ms(now) + entry.others.backlog_ms,
         }
     }
@@ -216,6 +217,7 @@
             missing: 0,
             missing_shared: 0,
             expected_ms,
+            unheld_ms: expected_ms,
             wait_ms: f64::from(waiting) * expected_ms / f64::from(slots),
         }
     }
--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::upstreams::Load;
+
 /// An answer that takes so many times as long as expected is slow. A version that is bad in
 /// this way takes eight times as long for a part of its requests; a mean over all of them
 /// varies so much that 58 answers did not show it, their share does after about ten.
@@ -33,9 +35,13 @@
         self.good + self.bad + self.broken
     }
 
-    /// Notes a good answer and how its time compares with the expected one.
-    pub fn note_good(&mut self, measured_ms: f64, expected_ms: f64) {
+    /// Notes a good answer and how its time compares with what `load` lets expect.
+    ///
+    /// Guards against a good version that looks slow because its upstreams are new: they hold
+    /// no prompts yet, so all of a prompt counts as to be read, wherever it went.
+    pub fn note_good(&mut self, measured_ms: f64, load: &Load) {
         self.good += 1;
+        let expected_ms = load.wait_ms + load.unheld_ms;
         if measured_ms > SLOW_TIMES * expected_ms.max(1.0) {
             self.slow += 1;
         }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -37,6 +37,8 @@
     pub missing_shared: u32,
     /// Expected time of the upstream's own until it answers, in ms.
     pub expected_ms: f64,
+    /// The same if it held nothing of the prompt, in ms.
+    pub unheld_ms: f64,
     /// Expected time until the upstream comes to it, in ms.
     pub wait_ms: f64,
 }
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -151,7 +151,7 @@
                 return;
             }
             match self.ending {
-                Ending::Good => counts.note_good(ms, self.load.wait_ms + self.load.expected_ms),
+                Ending::Good => counts.note_good(ms, &self.load),
                 Ending::Failed => counts.bad += 1,
                 Ending::Broken | Ending::Silent => counts.broken += 1,
                 _ => {}
