--- a/components/dispatch/src/trial/judge.rs
+++ b/components/dispatch/src/trial/judge.rs
@@ -87,14 +87,20 @@
         return Some(Fault::Failing);
     }
     let has_old = fleet.old.sum().good > 0;
-    let is_slower = has_old && is_worse(fleet, slow, SLOW_EXCESS, needed);
+    // A suspicion is half as much as a proof; of slow answers that much is made by prompts
+    // that new upstreams do not hold yet, and no bad version is slow on so few.
+    let least = match needed {
+        Needed::Suspicion => SLOW_EXCESS / SUSPICION_EXCESS,
+        Needed::Proof | Needed::Lasting => SLOW_EXCESS,
+    };
+    let is_slower = has_old && is_worse(fleet, slow, least, needed);
     is_slower.then_some(Fault::Slow)
 }
 
 /// Whether the new version itself tells clearly more failures.
-pub(super) fn tells_failures(fleet: &Evidence) -> bool {
+pub(super) fn tells_failures(fleet: &Evidence, needed: Needed) -> bool {
     let told = |counts: &ArmCounts| Counted::Told.failed(counts);
-    is_worse(fleet, told, BAD_EXCESS, Needed::Proof)
+    is_worse(fleet, told, BAD_EXCESS, needed)
 }
 
 fn is_worse(
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -227,6 +227,26 @@
     assert_eq!(trial.step(at(16.1), &bad, 1.0).verdict, Verdict::Failing);
 }
 
+#[test]
+fn good_answers_of_earlier_steps_do_not_hide_a_version_that_turns_bad() {
+    // A version was good for 450 answers. Once it carries everything one answer in seven
+    // fails. All together that is 1 in 50, which proved nothing.
+    let mut trial = trial(Time::ZERO);
+    let good = evidence(arm(450, 0, 1.0), arm(1_900, 2, 1.0));
+    assert_eq!(trial.step(at(14.3), &good, 1.0).gate.share, 1.0);
+    let bad = evidence(arm(498, 9, 1.0), arm(1_910, 2, 1.0));
+    assert_eq!(trial.step(at(14.9), &bad, 1.0).verdict, Verdict::Failing);
+}
+
+#[test]
+fn prompts_that_new_upstreams_do_not_hold_are_no_suspicion() {
+    // Most of the allowed exposure is used up, and nine in a hundred answers more are slow
+    // than at the old version, whose upstreams hold the prompts.
+    let mut trial = trial(Time::ZERO);
+    let cold = evidence(slow(112, 19), arm(810, 0, 1.0));
+    assert_eq!(trial.step(at(15.0), &cold, 1.0).verdict, Verdict::Open);
+}
+
 #[test]
 fn a_part_of_the_requests_goes_to_a_part_of_the_new_upstreams() {
     // A version fails under load only. Spread over all of its upstreams the first requests
