Copy a large store from peers at a start; log a starting fleet in few lines

Ruled out: calls beyond the store's rate (no 429), membership (joined in 0.1 s).

Change: who is not a seed, nor one of sixteen by hash, reads one page of 400 keys; if there is more it waits up to 3 s for a peer's copy. Copies go page by page (128 KB, so 12,000 upstreams fit), two at a time from each daemon that has one, compressed once; who holds nothing asks any peer and is sent on at once. The control thread waits for a peer's answer beside its events. A start is logged in a line for all peers and all upstreams. Log writes are whole lines of 4,096 bytes at most.

Tests: two of the fleet (whole reads of six daemons [1,0,0,0,0,0]; one each before), one of the mirror, one of the log's lines.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use dispatch::Evidence;
 use keyvalue::{CallError, Outcome, Request};
 use mirror::{Answer, Change, Mirror, Revision};
-use peers::{Part, Payload};
+use peers::{AskError, Payload};
 use traffic::{Command, Plan};
 use types::prelude::*;
 
@@ -31,6 +30,9 @@
 /// A daemon that has met nobody by the settings' seeds so long after its start enters the
 /// store to be found.
 const ALONE_AFTER: Span = Span::from_millis(1_500);
+/// Changes of upstreams are logged one by one up to so many at a time: all of them at each
+/// daemon's start are thousands of lines.
+const MAX_LOGGED: usize = 32;
 /// What was seen of roll-outs is reported every so many ticks.
 const REPORT_TICKS: u32 = 2;
 /// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
@@ -67,26 +69,73 @@
     pub(crate) daemons: usize,
 }
 
+/// What the control thread waited for.
+enum Waited {
+    Event(Event),
+    /// A peer's answer.
+    Answer(Result<Payload, AskError>),
+    Tick,
+    /// Nobody can tell it anything any more.
+    Ended,
+}
+
 impl<C: Codec> Control<C> {
     /// Runs until told to stop.
     pub(crate) fn run(mut self, events: &flume::Receiver<Event>) {
         let mut next_tick = Instant::now();
         loop {
-            match events.recv_deadline(next_tick) {
-                Ok(Event::Stop) | Err(flume::RecvTimeoutError::Disconnected) => break,
-                Ok(event) => self.take(event),
-                Err(flume::RecvTimeoutError::Timeout) => {}
+            match self.wait(events, self.wake_at(next_tick)) {
+                Waited::Event(Event::Stop) | Waited::Ended => break,
+                Waited::Event(event) => self.take(event),
+                Waited::Answer(answer) => self.take_answer(self.clock.now(), answer),
+                Waited::Tick => {}
             }
             let now = Instant::now();
             if now >= next_tick {
                 self.tick();
                 next_tick = now + TICK;
             }
+            self.catch_up(self.clock.now());
             self.plan();
         }
         self.peering.leave(self.clock.now());
     }
 
+    /// The next tick, or sooner when a peer is to be asked before.
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        let now = self.clock.now();
+        let ask_at = self.peering.ask_at();
+        let ask_in = ask_at.map(|at| now.until(at).to_duration());
+        ask_in.map_or(next_tick, |left| next_tick.min(Instant::now() + left))
+    }
+
+    fn catch_up(&mut self, now: Time) {
+        let works = self.watch_works(now);
+        self.peering.catch_up(now, self.mirror.at(), works);
+    }
+
+    /// Waits for an event, a peer's answer or the next tick.
+    fn wait(&mut self, events: &flume::Receiver<Event>, next_tick: Instant) -> Waited {
+        let waited = match self.peering.asked() {
+            Some(answer) => flume::Selector::new()
+                .recv(events, |event| event.map_or(Waited::Ended, Waited::Event))
+                .recv(answer, |answer| {
+                    Waited::Answer(answer.unwrap_or(Err(AskError::Broken)))
+                })
+                .wait_deadline(next_tick)
+                .unwrap_or(Waited::Tick),
+            None => match events.recv_deadline(next_tick) {
+                Ok(event) => Waited::Event(event),
+                Err(flume::RecvTimeoutError::Disconnected) => Waited::Ended,
+                Err(flume::RecvTimeoutError::Timeout) => Waited::Tick,
+            },
+        };
+        if matches!(waited, Waited::Answer(_)) {
+            self.peering.answered();
+        }
+        waited
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
@@ -107,12 +156,10 @@
             Event::Peer(inbound) => match self.peering.receive(now, inbound) {
                 Asked::Nothing => {}
                 Asked::Take(answer) => self.take_mirror(now, answer),
-                Asked::Mirror(question, reply) => {
-                    let answer = Answer::to(question, &self.mirror);
-                    match answer.encode() {
-                        Ok(body) => reply.send(mirror_payload(body)),
-                        Err(e) => tracing::warn!("peers: {e}"),
-                    }
+                Asked::Mirror(from, question, reply) => {
+                    let mirror = &self.mirror;
+                    self.peering
+                        .answer_peer(now, &from, &question, reply, mirror);
                 }
             },
             Event::Stop => {}
@@ -149,19 +196,20 @@
         }
     }
 
-    fn take_answer(&mut self, now: Time, answer: Result<Payload, peers::AskError>) {
+    fn take_answer(&mut self, now: Time, answer: Result<Payload, AskError>) {
         let body = match answer {
             Ok(Payload::Part { body, .. }) => body,
             Ok(Payload::Membership(_)) => return,
             Err(e) => {
-                tracing::info!("peers: a peer that is ahead gave no answer: {e}");
+                tracing::debug!("peers: a peer gave no answer: {e}");
+                self.peering.was_refused(now);
                 return;
             }
         };
         match Answer::decode(&body) {
             Ok(answer) => {
                 self.take_mirror(now, answer);
-                tracing::info!(at = self.mirror.at().0, "peers: caught up");
+                tracing::debug!(at = self.mirror.at().0, "peers: caught up");
             }
             Err(e) => tracing::warn!("peers: {e}"),
         }
@@ -181,8 +229,21 @@
                     }
                 }
             }
-            Answer::All { at, items } => self.mirror.take_listing(mirror::Listing { at, items }),
-            Answer::Nothing => return,
+            Answer::Page {
+                at,
+                items,
+                has_more,
+            } => match self.peering.take_page(before, at, items, has_more) {
+                Some(listing) => {
+                    tracing::info!(at = at.0, keys = listing.items.len(), "peers: copied");
+                    self.mirror.take_listing(listing)
+                }
+                None => return,
+            },
+            Answer::Nothing => {
+                self.peering.was_refused(now);
+                return;
+            }
         };
         self.pass_on(before, &changes);
         self.changed(now, &changes);
@@ -206,12 +267,21 @@
     /// Makes what changed in the mirror known to all that read it.
     fn changed(&mut self, now: Time, changes: &[Change]) {
         self.watching.progress.set(self.mirror.at());
-        for change in changes {
-            self.must_plan |= self.planner.take(now, &self.codec, change);
-        }
         if changes.is_empty() {
             return;
         }
+        let are_few = changes.len() <= MAX_LOGGED;
+        for change in changes {
+            self.must_plan |= self.planner.take(now, &self.codec, change, are_few);
+        }
+        if !are_few {
+            let upstreams = self.planner.upstreams().len();
+            tracing::info!(
+                changes = changes.len(),
+                upstreams,
+                "upstreams: many changed"
+            );
+        }
         self.rollouts.refresh(now, &self.codec, &self.mirror);
         let prefix = self.codec.daemon_prefix().to_owned();
         if changes.iter().any(|change| change.key.starts_with(&prefix)) {
@@ -235,11 +305,6 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         self.peering.tick(now);
-        if let Some(answer) = self.peering.answered() {
-            self.take_answer(now, answer);
-        }
-        let works = self.watch_works(now);
-        self.peering.catch_up(now, self.mirror.at(), works);
         self.decide_watch(now);
         if self.needs_entry(now)
             && let Some((purpose, req)) = self.presence.tick(now)
@@ -397,10 +462,3 @@
         let _ = self.traffic.commands.send(Command::Plan(Arc::new(plan)));
     }
 }
-
-fn mirror_payload(body: Bytes) -> Payload {
-    Payload::Part {
-        part: Part::Mirror,
-        body,
-    }
-}
--- /dev/null
+++ b/components/fleet/src/copying.rs
@@ -0,0 +1,139 @@
+//! Whole copies of the store's keys, from daemon to daemon.
+//!
+//! A fleet that starts, or that was killed, wants the store's keys at every daemon at once.
+//! Read by each from the store that is daemons times upstreams: 300 before 2,800 upstreams
+//! waited 4.3 s for it, on the store's link. So a few read the store and the others copy
+//! from whoever has a copy already, page by page; each daemon hands out two copies at a
+//! time, so that those who have one are three times as many each round.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use mirror::{Answer, Change, Listing, MessageError, Mirror, Question, Revision};
+use types::prelude::*;
+
+/// Copies handed out side by side: more of them share the same link and each takes longer,
+/// and the first one to be whole can hand on in turn.
+const MAX_COPIES: usize = 2;
+/// Who asked for no further page in this time has given up.
+const GIVEN_UP_AFTER: Span = Span::from_millis(600);
+
+/// A page as bytes, and whether it is the last one.
+#[derive(Debug, Clone)]
+struct Page {
+    body: Bytes,
+    is_last: bool,
+}
+
+/// Hands out copies.
+#[derive(Debug, Default)]
+pub(crate) struct Handing {
+    /// Who copies from here, and when it last asked.
+    copying: HashMap<DaemonId, Time>,
+    /// Pages as bytes, by the key that they begin behind: many ask for the same ones, and
+    /// compressing them anew for each took longer than sending them.
+    pages: HashMap<Option<String>, Page>,
+    /// What the pages are as of.
+    pages_at: Revision,
+}
+
+impl Handing {
+    /// The answer to a peer's question; nothing if it is to ask elsewhere or later.
+    ///
+    /// # Errors
+    /// When the answer is too large for a message.
+    pub(crate) fn answer(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        question: &Question,
+        mirror: &Mirror,
+    ) -> Result<Option<Bytes>, MessageError> {
+        let is_copy = question.page_after.is_some() || mirror.since(question.held).is_none();
+        if !is_copy || mirror.at() <= question.held {
+            return Answer::to(question, mirror).encode().map(Some);
+        }
+        if !self.may_copy(now, from) {
+            return Ok(None);
+        }
+        let page = self.page(question, mirror)?;
+        if page.is_last {
+            self.copying.remove(from);
+        }
+        Ok(Some(page.body))
+    }
+
+    fn may_copy(&mut self, now: Time, from: &DaemonId) -> bool {
+        self.copying
+            .retain(|_, asked_at| now.since(*asked_at) < GIVEN_UP_AFTER);
+        let may = self.copying.contains_key(from) || self.copying.len() < MAX_COPIES;
+        if may {
+            self.copying.insert(from.clone(), now);
+        }
+        may
+    }
+
+    fn page(&mut self, question: &Question, mirror: &Mirror) -> Result<Page, MessageError> {
+        if self.pages_at != mirror.at() {
+            self.pages.clear();
+            self.pages_at = mirror.at();
+        }
+        if let Some(page) = self.pages.get(&question.page_after) {
+            return Ok(page.clone());
+        }
+        let answer = Answer::to(question, mirror);
+        let page = Page {
+            body: answer.encode()?,
+            is_last: !matches!(answer, Answer::Page { has_more: true, .. }),
+        };
+        self.pages.insert(question.page_after.clone(), page.clone());
+        Ok(page)
+    }
+}
+
+/// A copy that is being taken.
+#[derive(Debug)]
+pub(crate) struct Taking {
+    /// From whom.
+    pub(crate) from: SocketAddr,
+    listing: Option<Listing>,
+}
+
+/// What a page makes of a copy.
+#[derive(Debug)]
+pub(crate) enum Taken {
+    /// The next page is to be asked for, behind this key.
+    More(String),
+    /// All of it is there.
+    Whole(Listing),
+}
+
+impl Taking {
+    pub(crate) fn new(from: SocketAddr) -> Self {
+        Self {
+            from,
+            listing: None,
+        }
+    }
+
+    /// Takes a page. The copy is as of its first one: what changed since is asked for anew.
+    pub(crate) fn take(&mut self, at: Revision, items: Vec<Change>, has_more: bool) -> Taken {
+        let listing = self.listing.get_or_insert(Listing {
+            at,
+            items: Vec::new(),
+        });
+        let last = items.last().map(|item| item.key.clone());
+        listing.items.extend(items);
+        match last.filter(|_| has_more) {
+            Some(last) => Taken::More(last),
+            None => Taken::Whole(std::mem::replace(
+                listing,
+                Listing {
+                    at,
+                    items: Vec::new(),
+                },
+            )),
+        }
+    }
+}
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod codec;
 mod control;
+mod copying;
 mod error;
 mod event;
 mod listing;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use dispatch::{Evidence, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad};
 use membership::{Event as MemberEvent, Member, Membership, Outcome};
-use mirror::{Answer, Question, Revision};
+use mirror::{Answer, Change, Listing, Mirror, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
-use rand::seq::SliceRandom;
+use rand::RngExt;
+use rand::seq::{IteratorRandom, SliceRandom};
 use types::prelude::*;
 
+use crate::copying::{Handing, Taken, Taking};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
 
 /// Longest wait for a peer's answer about the store's keys.
@@ -33,6 +35,11 @@
 const TICKS_AFAR: u32 = 2;
 /// Daemons that add up the fleet's figures of roll-outs: the first watchers.
 const JUDGES: usize = 2;
+/// After a peer that gives no answer another is asked so much later, spread over as long
+/// again: a copy of some hundred upstreams takes about so long.
+const ASK_AGAIN: Span = Span::from_millis(15);
+/// Daemons that came are logged one by one up to so many at a time.
+const MAX_LOGGED: usize = 4;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
 const OWN_WATCH_FIRST: Span = Span::from_millis(150);
 
@@ -43,6 +50,11 @@
     /// The next moment to ask a peer that is ahead.
     ask_at: Option<Time>,
     asked: Option<flume::Receiver<Result<Payload, peers::AskError>>>,
+    /// The copy that the last question is about.
+    taking: Option<Taking>,
+    handing: Handing,
+    /// Daemons that came since they were last logged.
+    arrived: Vec<DaemonId>,
     loads: PeerLoads,
     standings: Standings,
     gathering: Gathering,
@@ -56,7 +68,7 @@
     /// Nothing.
     Nothing,
     /// What is new in the mirror.
-    Mirror(Question, peers::Reply),
+    Mirror(DaemonId, Question, peers::Reply),
     /// To take what is new in a peer's mirror.
     Take(Answer),
 }
@@ -68,6 +80,9 @@
             handle,
             ask_at: None,
             asked: None,
+            taking: None,
+            handing: Handing::default(),
+            arrived: Vec::new(),
             loads: PeerLoads::default(),
             standings: Standings::default(),
             gathering: Gathering::default(),
@@ -102,6 +117,21 @@
     pub(crate) fn tick(&mut self, now: Time) {
         let outcome = self.members.tick(now, &mut rand::rng());
         self.carry(outcome);
+        self.log_arrived();
+    }
+
+    /// One line for each that came, or one for all where a fleet starts: a line for each of
+    /// the others at each daemon is the square of the fleet.
+    fn log_arrived(&mut self) {
+        if self.arrived.len() > MAX_LOGGED {
+            let daemons = self.members.fleet_size();
+            tracing::info!(came = self.arrived.len(), daemons, "peers: many are up");
+        } else {
+            for peer in &self.arrived {
+                tracing::info!(%peer, "peers: up");
+            }
+        }
+        self.arrived.clear();
     }
 
     /// Takes a message and says what it asks for.
@@ -117,11 +147,11 @@
                 Payload::Part { part, body } => self.take_part(now, from.id, part, &body),
             },
             Inbound::Ask {
+                from,
                 payload: Payload::Part { body, .. },
                 reply,
-                ..
             } => match Question::decode(&body) {
-                Ok(question) => Asked::Mirror(question, reply),
+                Ok(question) => Asked::Mirror(from.id, question, reply),
                 Err(e) => {
                     tracing::warn!("peers: {e}");
                     Asked::Nothing
@@ -164,7 +194,7 @@
         }
         for event in outcome.events {
             match event {
-                MemberEvent::MemberUp { id, .. } => tracing::info!(peer = %id, "peers: up"),
+                MemberEvent::MemberUp { id, .. } => self.arrived.push(id),
                 MemberEvent::MemberSuspect { id } => tracing::info!(peer = %id, "peers: silent"),
                 MemberEvent::MemberDown { id, left } => {
                     tracing::info!(peer = %id, left, "peers: down");
@@ -353,7 +383,7 @@
         if self.asked.is_some() {
             return;
         }
-        let Some(address) = self.ahead_of(held) else {
+        let Some(address) = self.whom_to_ask(held) else {
             self.ask_at = None;
             return;
         };
@@ -367,7 +397,13 @@
             return;
         }
         self.ask_at = None;
-        match (Question { held }).encode() {
+        self.taking = Some(Taking::new(address));
+        let page_after = None;
+        self.ask(address, &Question { held, page_after });
+    }
+
+    fn ask(&mut self, address: SocketAddr, question: &Question) {
+        match question.encode() {
             Ok(body) => {
                 let part = Part::Mirror;
                 let payload = Payload::Part { part, body };
@@ -377,26 +413,80 @@
         }
     }
 
-    /// The address of the peer that is furthest ahead.
-    fn ahead_of(&self, held: Revision) -> Option<SocketAddr> {
-        let daemon = self.standings.ahead_of(held)?;
-        Some(self.members.member(daemon)?.record.address)
+    /// Takes a page of a copy, and asks for the next one or returns the whole.
+    pub(crate) fn take_page(
+        &mut self,
+        held: Revision,
+        at: Revision,
+        items: Vec<Change>,
+        has_more: bool,
+    ) -> Option<Listing> {
+        let taking = self.taking.as_mut()?;
+        match taking.take(at, items, has_more) {
+            Taken::Whole(listing) => Some(listing),
+            Taken::More(last) => {
+                let address = taking.from;
+                let page_after = Some(last);
+                self.ask(address, &Question { held, page_after });
+                None
+            }
+        }
     }
 
-    /// The answer to the last question, once it is there.
-    pub(crate) fn answered(&mut self) -> Option<Result<Payload, peers::AskError>> {
-        let rx = self.asked.as_ref()?;
-        match rx.try_recv() {
-            Ok(answer) => {
-                self.asked = None;
-                Some(answer)
-            }
-            Err(flume::TryRecvError::Empty) => None,
-            Err(flume::TryRecvError::Disconnected) => {
-                self.asked = None;
-                Some(Err(peers::AskError::Broken))
+    /// Answers a peer's question from the mirror; dropping the reply sends it elsewhere.
+    pub(crate) fn answer_peer(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        question: &Question,
+        reply: peers::Reply,
+        mirror: &Mirror,
+    ) {
+        match self.handing.answer(now, from, question, mirror) {
+            Ok(Some(body)) => {
+                let part = Part::Mirror;
+                reply.send(Payload::Part { part, body });
             }
+            Ok(None) => {}
+            Err(e) => tracing::warn!("peers: {e}"),
+        }
+    }
+
+    /// A peer that is ahead; who holds nothing asks any, before they have told how they stand.
+    fn whom_to_ask(&self, held: Revision) -> Option<SocketAddr> {
+        let rng = &mut rand::rng();
+        let ahead = self.standings.ahead_of(held, rng);
+        if let Some(member) = ahead.and_then(|daemon| self.members.member(daemon)) {
+            return Some(member.record.address);
+        }
+        if held > Revision::default() {
+            return None;
         }
+        let me = &self.members.me().id;
+        let others = self.members.members();
+        let others = others.filter(|m| m.record.state.is_present() && m.record.id != *me);
+        others.choose(rng).map(|member| member.record.address)
+    }
+
+    /// Notes that a peer gave no answer: another one is asked soon.
+    pub(crate) fn was_refused(&mut self, now: Time) {
+        let pause = ASK_AGAIN + Span(rand::rng().random_range(0..ASK_AGAIN.0));
+        self.ask_at = Some(now + pause);
+    }
+
+    /// When a peer is to be asked next, if that is known.
+    pub(crate) fn ask_at(&self) -> Option<Time> {
+        self.ask_at.filter(|_| self.asked.is_none())
+    }
+
+    /// Where the answer to the last question comes.
+    pub(crate) fn asked(&self) -> Option<&flume::Receiver<Result<Payload, peers::AskError>>> {
+        self.asked.as_ref()
+    }
+
+    /// Notes that the last question was answered.
+    pub(crate) fn answered(&mut self) {
+        self.asked = None;
     }
 
     /// Says goodbye.
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -40,13 +40,19 @@
             .collect()
     }
 
-    /// Takes a change; whether it matters to the plan.
-    pub(crate) fn take(&mut self, now: Time, codec: &impl Codec, change: &Change) -> bool {
+    /// Takes a change; whether it matters to the plan. `is_logged` gives it a line.
+    pub(crate) fn take(
+        &mut self,
+        now: Time,
+        codec: &impl Codec,
+        change: &Change,
+        is_logged: bool,
+    ) -> bool {
         if change.key == codec.table_key() {
             return self.take_table(codec, change.value.as_ref());
         }
         match change.key.strip_prefix(codec.upstream_prefix()) {
-            Some(id) => self.take_upstream(now, codec, id, change.value.as_ref()),
+            Some(id) => self.take_upstream(now, codec, id, change.value.as_ref(), is_logged),
             None => false,
         }
     }
@@ -79,24 +85,23 @@
         codec: &impl Codec,
         id: &str,
         value: Option<&Bytes>,
+        is_logged: bool,
     ) -> bool {
         let Some(value) = value else {
             let gone = self.upstreams.remove(id);
             if let Some(upstream) = gone {
-                tracing::info!(upstream = id, "upstreams: gone from the list");
+                if is_logged {
+                    tracing::info!(upstream = id, "upstreams: gone from the list");
+                }
                 self.lapsed.gone(now, upstream);
             }
             return true;
         };
         match codec.upstream(id, value) {
             Ok(upstream) => {
-                tracing::info!(
-                    upstream = id,
-                    service = &*upstream.service,
-                    version = &*upstream.version,
-                    state = ?upstream.state,
-                    "upstreams: listed"
-                );
+                if is_logged {
+                    log_listed(&upstream);
+                }
                 self.lapsed.listed(&upstream.id);
                 self.upstreams.insert(id.to_owned(), Arc::new(upstream));
             }
@@ -110,3 +115,13 @@
         mirror.is_filled() && self.table.is_some() && !self.upstreams.is_empty()
     }
 }
+
+fn log_listed(upstream: &Upstream) {
+    tracing::info!(
+        upstream = %upstream.id,
+        service = &*upstream.service,
+        version = &*upstream.version,
+        state = ?upstream.state,
+        "upstreams: listed"
+    );
+}
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use dispatch::{RolloutWord, SharedLoad};
 use mirror::Revision;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -124,11 +126,13 @@
         self.heard.len()
     }
 
-    /// The daemon that is furthest ahead of a revision.
-    pub(crate) fn ahead_of(&self, held: Revision) -> Option<&DaemonId> {
-        let ahead = self.heard.iter().filter(|(_, heard)| heard.held > held);
-        let furthest = ahead.max_by_key(|(_, heard)| heard.held);
-        furthest.map(|(daemon, _)| daemon)
+    /// A daemon that is furthest ahead of a revision: any of those that are, so that not all
+    /// ask the same one.
+    pub(crate) fn ahead_of(&self, held: Revision, rng: &mut impl Rng) -> Option<&DaemonId> {
+        let furthest = self.heard.values().map(|heard| heard.held).max()?;
+        let ahead = self.heard.iter();
+        let ahead = ahead.filter(|(_, heard)| heard.held == furthest && furthest > held);
+        ahead.map(|(daemon, _)| daemon).choose(rng)
     }
 }
 
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -1,5 +1,6 @@
 //! Starting the threads of a daemon, and stopping them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
 
@@ -10,6 +11,7 @@
 use store::Store;
 use traffic::Command;
 use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::codec::Codec;
 use crate::control::Control;
@@ -22,6 +24,9 @@
 use crate::settings::Settings;
 use crate::watching::{Progress, Watcher, Watching};
 
+/// Beside the seeds, one daemon of so many reads a large store first: enough to hand copies
+/// on to a large fleet in a few rounds.
+const FIRST_READERS: u64 = 16;
 /// Events waiting for the control thread.
 const MAX_EVENTS: usize = 4_096;
 /// Name under which the fleet's shared key is known.
@@ -51,6 +56,7 @@
     let progress = Arc::new(Progress::default());
     let (modes, modes_rx) = flume::unbounded();
     let watcher = Watcher {
+        reads_first: reads_first(&settings, peering.address()),
         modes: modes_rx,
         store: Arc::clone(&store),
         progress: Arc::clone(&progress),
@@ -99,6 +105,14 @@
     })
 }
 
+/// Whether this daemon reads a large store at its start without waiting for a peer's copy:
+/// the seeds, and a few others of a large fleet.
+fn reads_first(settings: &Settings, me: SocketAddr) -> bool {
+    let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&me);
+    let hash = xxh3_64(settings.me.as_str().as_bytes());
+    is_seed || hash.is_multiple_of(FIRST_READERS)
+}
+
 fn spawn(
     name: &'static str,
     run: impl FnOnce() + Send + 'static,
--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use keyvalue::{ModRevision, Range, Reply, Request};
-use mirror::Revision;
+use mirror::{Listing, Revision};
 use rand::RngExt;
 use store::{Store, Watch, WatchBatch, WatchEnd};
 
@@ -18,6 +18,15 @@
 /// Longest pause: a daemon hears of a store that is back within about this.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
+/// A store of fewer keys is read by every daemon that starts: 88 of them before 180 upstreams
+/// take 6 MB of its link together. Also what the store gives on one page.
+const SMALL_STORE: u32 = 400;
+/// A peer's copy of a larger store is waited for this long: reading 2,800 upstreams takes the
+/// first readers a second on a host's link of 10 Mbit/s, and some rounds follow.
+const COPIED_WITHIN: Duration = Duration::from_secs(3);
+/// It is looked for this often.
+const COPY_LOOK: Duration = Duration::from_millis(20);
+
 /// What the watching thread is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -89,6 +98,8 @@
 }
 
 pub(crate) struct Watcher {
+    /// Whether a large store is read without waiting for a peer's copy.
+    pub(crate) reads_first: bool,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) progress: Arc<Progress>,
     pub(crate) modes: flume::Receiver<Mode>,
@@ -96,16 +107,17 @@
 }
 
 impl Watcher {
-    /// Reads all keys once, then follows them while told to; begins anew whenever history
-    /// is missing.
+    /// Follows the keys while told to. Reads all of them first where no copy is held, and
+    /// whenever history is missing.
     pub(crate) fn run(self) {
-        let mut must_list = true;
+        let mut must_list = false;
         let mut pause = FIRST_PAUSE;
         let mut mode = Mode::Watch;
         loop {
+            // Peers may have brought a copy since.
+            let is_empty = self.progress.get() == Revision::default();
             // Without a first copy the store is asked in either mode.
-            let is_resting = mode == Mode::Rest && !must_list;
-            let told = match is_resting {
+            let told = match mode == Mode::Rest && !is_empty {
                 true => self.modes.recv().map(Some),
                 false => match self.modes.try_recv() {
                     Ok(mode) => Ok(Some(mode)),
@@ -121,7 +133,7 @@
                 Ok(None) => {}
                 Err(_) => return,
             }
-            let done = if must_list {
+            let done = if must_list || is_empty {
                 self.list()
             } else {
                 self.follow()
@@ -143,13 +155,56 @@
         }
     }
 
+    /// Reads all keys.
+    ///
+    /// Guards against a fleet that starts, or was killed, and reads a large store at every
+    /// daemon at once: 300 daemons before 2,800 upstreams served nothing for 4.3 s, while the
+    /// store's link was full. Who is not to read first reads what fits one page, and waits
+    /// for a peer's copy if there is more.
     fn list(&self) -> Result<(), Failure> {
-        let outcome = self.store.call(Request::Range(Range::prefix("")));
-        let answer = outcome.map_err(|e| Failure::Broken(e.to_string()))?;
-        let Reply::Range(items) = answer.reply else {
-            return Err(Failure::Broken("another reply than a listing".to_owned()));
+        if self.reads_first {
+            let listing = self.read(0)?;
+            return self.take(listing);
+        }
+        let listing = self.read(SMALL_STORE)?;
+        if listing.items.len() < SMALL_STORE as usize {
+            return self.take(listing);
+        }
+        // The store answers, which says that it is well whoever brings the rest.
+        let _ = self.events.send(Event::StoreHealth(Ok(())));
+        if self.is_copied_within(COPIED_WITHIN) {
+            return Ok(());
+        }
+        let listing = self.read(0)?;
+        self.take(listing)
+    }
+
+    fn read(&self, limit: u32) -> Result<Listing, Failure> {
+        let range = Range {
+            limit,
+            ..Range::prefix("")
         };
-        let listing = listing(answer.revision, items);
+        let outcome = self.store.call(Request::Range(range));
+        let answer = outcome.map_err(|e| Failure::Broken(e.to_string()))?;
+        match answer.reply {
+            Reply::Range(items) => Ok(listing(answer.revision, items)),
+            _ => Err(Failure::Broken("another reply than a listing".to_owned())),
+        }
+    }
+
+    /// Waits for a peer's copy.
+    fn is_copied_within(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        while Instant::now() < until {
+            if self.progress.get() > Revision::default() {
+                return true;
+            }
+            std::thread::sleep(COPY_LOOK);
+        }
+        false
+    }
+
+    fn take(&self, listing: Listing) -> Result<(), Failure> {
         let at = listing.at;
         // The return goes first: entries that are not on the list may only have lapsed.
         let _ = self.events.send(Event::StoreHealth(Ok(())));
--- a/components/fleet/tests/it/fleet.rs
+++ b/components/fleet/tests/it/fleet.rs
@@ -1,5 +1,6 @@
 //! What daemons know, with and without the store.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -131,3 +132,37 @@
         until("taken back", || daemon.state("rollouts")[0][2] == 0.0);
     }
 }
+
+#[test]
+fn a_fleet_that_starts_reads_a_large_store_at_its_seeds_only() {
+    // All daemons of a fleet are killed and start at one moment. Each read all keys from the
+    // store, whose link was full for seconds, and none of them served meanwhile.
+    let memory = filled();
+    for n in 0..2_000 {
+        let value = format!("v{n} {}", "x".repeat(200));
+        memory.set(&format!("other/{n:04}"), Some(&value));
+    }
+    let seed = free_address();
+    let mut fleet = vec![daemon_at(0, Way::to(&memory), seed, vec![seed])];
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    fleet.extend((1..6).map(|n| daemon_at(n, Way::to(&memory), any, vec![seed])));
+    for daemon in &fleet {
+        until("ready", || daemon.is_ready());
+    }
+    let reads = fleet
+        .iter()
+        .map(|d| d.way.whole_reads.load(Ordering::SeqCst));
+    assert_eq!(reads.collect::<Vec<_>>(), [1, 0, 0, 0, 0, 0]);
+}
+
+#[test]
+fn a_daemon_whose_seeds_are_stale_reads_the_store_itself() {
+    let memory = filled();
+    for n in 0..1_000 {
+        memory.set(&format!("other/{n:04}"), Some("v"));
+    }
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let alone = daemon_at(1, Way::to(&memory), any, vec![free_address()]);
+    until("ready", || alone.is_ready());
+    assert_eq!(alone.way.whole_reads.load(Ordering::SeqCst), 1);
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -83,6 +83,8 @@
     pub is_cut: Arc<AtomicBool>,
     /// Watches begun.
     pub watches: Arc<AtomicUsize>,
+    /// Times that all keys were read.
+    pub whole_reads: Arc<AtomicUsize>,
 }
 
 impl Way {
@@ -109,8 +111,16 @@
         let mut keys = keys.lock().expect("sound");
         let reply = match req {
             Request::Range(range) => {
+                let limit = match range.limit {
+                    0 => usize::MAX,
+                    limit => limit as usize,
+                };
                 let items = keys.items.range(range.key.clone()..);
                 let items = items.filter(|(key, _)| key.starts_with(&range.key));
+                let items = items.take(limit);
+                let is_whole = range.limit == 0;
+                self.whole_reads
+                    .fetch_add(usize::from(is_whole), Ordering::SeqCst);
                 Reply::Range(items.map(|(_, item)| item.clone()).collect())
             }
             Request::Txn(txn) => {
@@ -283,8 +293,20 @@
     (0..count).map(|n| daemon(n, Way::to(memory))).collect()
 }
 
-/// Starts a daemon.
+/// An address that nothing uses now.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+/// Starts a daemon that knows no seeds.
 pub fn daemon(n: usize, way: Way) -> Daemon {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    daemon_at(n, way, any, Vec::new())
+}
+
+/// Starts a daemon at an address, with seeds.
+pub fn daemon_at(n: usize, way: Way, peers: SocketAddr, seeds: Vec<SocketAddr>) -> Daemon {
     let clock = Clock::new();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let failure_domain = FailureDomain::new("east").expect("a name");
@@ -310,8 +332,8 @@
         cluster: ClusterName::new("test").expect("a name"),
         secret: Bytes::from_static(b"a secret of sixteen bytes"),
         me: DaemonId::new(&format!("d{n}")).expect("a name"),
-        peers: any,
-        seeds: Vec::new(),
+        peers,
+        seeds,
         failure_domain,
         region: Region::new("here").expect("a name"),
         trial: dispatch::TrialLimits {
--- a/components/mirror/src/message.rs
+++ b/components/mirror/src/message.rs
@@ -11,20 +11,26 @@
 use flate2::write::ZlibEncoder;
 use serde::{Deserialize, Serialize};
 
-use crate::mirror::{Change, Listing, Mirror, Revision};
+use crate::mirror::{Change, Mirror, Revision};
 
 /// Largest answer, in bytes: below what one message between daemons may hold.
 pub const MAX_ANSWER_BYTES: usize = 512 * 1024;
 
+/// A page of a whole copy ends once it has so many bytes, not yet compressed: about 30 KB on
+/// the wire, a fortieth of a second of a host's link of 10 Mbit/s.
+const PAGE_BYTES: usize = 128 * 1024;
+
 /// Largest answer before it was compressed, in bytes: guards against a small message that
 /// unfolds to more than a host's memory. The store's values are at most 1 MB each.
 const MAX_PLAIN_BYTES: u64 = 24 * 1024 * 1024;
 
 /// What is new after this?
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
     /// What the asker holds.
     pub held: Revision,
+    /// Within a whole copy: the last key of the page before.
+    pub page_after: Option<String>,
 }
 
 /// What a peer lacked.
@@ -39,12 +45,15 @@
         /// In order.
         changes: Vec<Change>,
     },
-    /// Everything, since too much changed.
-    All {
-        /// As of this.
+    /// A page of everything, since too much changed.
+    Page {
+        /// As of this. Pages are no snapshot: what changed since the first page may be in a
+        /// later one already, and is told again by the changes after the first page.
         at: Revision,
-        /// Every key, in order.
+        /// Keys in order.
         items: Vec<Change>,
+        /// Whether there are more behind the last one.
+        has_more: bool,
     },
     /// Nothing newer is held.
     Nothing,
@@ -85,20 +94,39 @@
 impl Answer {
     /// What `mirror` has for a peer.
     #[must_use]
-    pub fn to(question: Question, mirror: &Mirror) -> Self {
+    pub fn to(question: &Question, mirror: &Mirror) -> Self {
         if mirror.at() <= question.held {
             return Self::Nothing;
         }
-        match mirror.since(question.held) {
+        let is_within_copy = question.page_after.is_some();
+        let changes = match is_within_copy {
+            true => None,
+            false => mirror.since(question.held),
+        };
+        match changes {
             Some(changes) => Self::Changes {
                 after: question.held,
                 at: mirror.at(),
                 changes,
             },
-            None => {
-                let Listing { at, items } = mirror.listing();
-                Self::All { at, items }
-            }
+            None => Self::page(mirror, question.page_after.as_deref()),
+        }
+    }
+
+    fn page(mirror: &Mirror, after: Option<&str>) -> Self {
+        let mut bytes = 0;
+        let mut rest = mirror.after(after).peekable();
+        let mut items = Vec::new();
+        while bytes < PAGE_BYTES
+            && let Some(item) = rest.next()
+        {
+            bytes += item.key.len() + item.value.as_ref().map_or(0, Bytes::len);
+            items.push(item);
+        }
+        Self::Page {
+            at: mirror.at(),
+            items,
+            has_more: rest.peek().is_some(),
         }
     }
 
--- a/components/mirror/src/mirror.rs
+++ b/components/mirror/src/mirror.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
+use std::ops::Bound;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -181,18 +182,15 @@
         Some(changes)
     }
 
-    /// Everything, in order of the keys.
-    #[must_use]
-    pub fn listing(&self) -> Listing {
-        let items = self.items.iter().map(|(key, item)| Change {
+    /// Everything behind a key, or from the first one on, in order of the keys.
+    pub fn after<'a>(&'a self, key: Option<&'a str>) -> impl Iterator<Item = Change> + 'a {
+        let from = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let items = self.items.range::<str, _>((from, Bound::Unbounded));
+        items.map(|(key, item)| Change {
             revision: item.revision,
             key: key.clone(),
             value: Some(item.value.clone()),
-        });
-        Listing {
-            at: self.at,
-            items: items.collect(),
-        }
+        })
     }
 
     fn put(&mut self, change: &Change) {
--- a/components/mirror/tests/mirror.rs
+++ b/components/mirror/tests/mirror.rs
@@ -83,6 +83,67 @@
     assert_eq!(mirror.at(), Revision(2));
 }
 
+fn asked(held: u64, page_after: Option<&str>) -> Question {
+    Question {
+        held: Revision(held),
+        page_after: page_after.map(str::to_owned),
+    }
+}
+
+#[test]
+fn a_copy_is_handed_on_page_by_page_while_keys_change() {
+    // 12,000 upstreams are more than one message between daemons may hold. A daemon that
+    // could not be given them would have to read them from the store, as all others would.
+    let key = |n: u64| format!("upstream/{n:05}");
+    let value = "v".repeat(300);
+    let items = (1..=12_000).map(|n| put(n, &key(n), &value));
+    let mut ahead = listed(12_000, items.collect());
+    let mut items = Vec::new();
+    let mut copied_at = None;
+    let mut pages = 0;
+    let mut after = None;
+    loop {
+        let answer = Answer::to(&asked(0, after.as_deref()), &ahead);
+        let bytes = answer.encode().expect("a page is small");
+        let Answer::Page {
+            at,
+            items: page,
+            has_more,
+        } = Answer::decode(&bytes).expect("our own")
+        else {
+            panic!("a page was asked for");
+        };
+        copied_at.get_or_insert(at);
+        after = page.last().map(|item| item.key.clone());
+        items.extend(page);
+        pages += 1;
+        if pages == 2 {
+            let gone = delete(12_001, &key(3));
+            let new = put(12_002, &key(20_000), "new");
+            ahead
+                .apply(Revision(12_000), Revision(12_002), vec![gone, new])
+                .expect("connects");
+        }
+        if !has_more {
+            break;
+        }
+    }
+    assert!(pages > 10, "{pages}");
+    let at = copied_at.expect("a page");
+    let mut copy = Mirror::default();
+    copy.take_listing(Listing { at, items });
+    let rest = Answer::to(&asked(at.0, None), &ahead);
+    let Answer::Changes { after, at, changes } = rest else {
+        panic!("the copy is just behind");
+    };
+    copy.apply(after, at, changes).expect("connects");
+    assert_eq!(value_of_all(&copy), value_of_all(&ahead));
+}
+
+fn value_of_all(mirror: &Mirror) -> Vec<Change> {
+    mirror.after(None).collect()
+}
+
 #[test]
 fn a_peer_gets_what_it_lacks_and_no_more() {
     let mut ahead = listed(2, vec![put(2, "a", "1")]);
@@ -93,16 +154,16 @@
             vec![put(3, "b", "1"), delete(4, "a")],
         )
         .expect("connects");
-    let answer = Answer::to(Question { held: Revision(3) }, &ahead);
+    let answer = Answer::to(&asked(3, None), &ahead);
     let expected = Answer::Changes {
         after: Revision(3),
         at: Revision(4),
         changes: vec![delete(4, "a")],
     };
     assert_eq!(answer, expected);
-    let too_far_behind = Answer::to(Question { held: Revision(1) }, &ahead);
-    assert!(matches!(too_far_behind, Answer::All { .. }));
-    let even = Answer::to(Question { held: Revision(4) }, &ahead);
+    let too_far_behind = Answer::to(&asked(1, None), &ahead);
+    assert!(matches!(too_far_behind, Answer::Page { .. }));
+    let even = Answer::to(&asked(4, None), &ahead);
     assert_eq!(even, Answer::Nothing);
     let bytes = answer.encode().expect("small");
     assert_eq!(Answer::decode(&bytes), Ok(answer));
@@ -142,7 +203,7 @@
             .apply(Revision(n - 1), Revision(n), changes)
             .expect("connects");
     }
-    let answer = Answer::to(Question { held: Revision(1) }, &ahead);
+    let answer = Answer::to(&asked(1, None), &ahead);
     assert!(matches!(&answer, Answer::Changes { changes, .. } if changes.len() == 1));
     let bytes = answer.encode().expect("small enough");
     let whole = ahead.get("config").expect("held").1.len();
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -22,6 +22,9 @@
 const GATHER: Duration = Duration::from_millis(50);
 /// Bytes that are written without waiting for more.
 const MAX_GATHERED: usize = 64 * 1024;
+/// Bytes of one write at most, whole lines as far as they fit: a pipe takes that much in one
+/// piece (`PIPE_BUF`), and a longer write may be torn by another process's on the same pipe.
+const MAX_WRITE: usize = 4_096;
 
 /// Filter used when the settings say nothing.
 pub const DEFAULT_FILTER: &str = "info";
@@ -158,13 +161,26 @@
     }
 
     fn hand_on(&mut self) -> io::Result<()> {
-        let handed = self.inner.write_all(&self.bytes);
-        self.bytes.clear();
-        handed?;
+        let gathered = std::mem::take(&mut self.bytes);
+        let mut rest = &gathered[..];
+        while !rest.is_empty() {
+            let (piece, behind) = rest.split_at(end_of_piece(rest));
+            self.inner.write_all(piece)?;
+            rest = behind;
+        }
         self.inner.flush()
     }
 }
 
+/// Where the first write of some lines ends.
+fn end_of_piece(lines: &[u8]) -> usize {
+    if lines.len() <= MAX_WRITE {
+        return lines.len();
+    }
+    let last = lines[..MAX_WRITE].iter().rposition(|b| *b == b'\n');
+    last.map_or(MAX_WRITE, |last| last + 1)
+}
+
 impl<W: Write> Write for Gathered<W> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.bytes.extend_from_slice(bytes);
--- a/components/telemetry/tests/logs.rs
+++ b/components/telemetry/tests/logs.rs
@@ -40,6 +40,25 @@
     assert!(written[0].ends_with(b"line 99\n"));
 }
 
+#[test]
+fn no_line_is_torn_by_a_write() {
+    // Two daemons write to one pipe. A write of more than the pipe takes in one piece had the
+    // other daemon's lines in its middle.
+    let writes = Writes::default();
+    let mut gathered = Gathered::new(writes.clone(), Duration::ZERO);
+    for n in 0..500 {
+        let line = format!("line {n} {}\n", "x".repeat(n % 90));
+        gathered.write_all(line.as_bytes()).expect("written");
+    }
+    gathered.flush().expect("written");
+    let written = writes.0.lock().expect("no panic").clone();
+    assert!(written.iter().all(|bytes| bytes.len() <= 4_096));
+    assert!(written.iter().all(|bytes| bytes.ends_with(b"\n")));
+    let all = written.concat();
+    let lines = String::from_utf8(all).expect("text");
+    assert_eq!(lines.lines().count(), 500);
+}
+
 #[test]
 fn what_is_gathered_is_bounded() {
     let writes = Writes::default();
@@ -47,6 +66,6 @@
     let line = vec![b'x'; 10_000];
     (0..100).for_each(|_| gathered.write_all(&line).expect("written"));
     let written = writes.0.lock().expect("no panic").clone();
-    assert!(written.iter().all(|bytes| bytes.len() < 80_000));
+    assert!(written.iter().all(|bytes| bytes.len() <= 4_096));
     assert!(written.iter().map(Vec::len).sum::<usize>() > 900_000);
 }
