Tell the runs of an upstream apart by their start; leave foreign entries out

Cause: an upstream may now start again under the id that it had; what was believed of its former run (prompts held, pace, backlog, health, leaving, kept connections) was believed of the next. Ruled out: telling runs apart by address or version, which may stay the same over a restart.

Change: a run is id and start; another start gets an entry of its own in the choice, so everything that goes by index is new. An older start does not outrank a newer one; an absent one keeps the known. What cannot be read names no upstream; it is logged once a change and counted (unreadable_upstreams). The state shows upstreams by service and version.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -6,7 +6,7 @@
 use routes::{Upstream, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backlog::Backlog;
 use crate::health::{Ending, Health};
@@ -73,8 +73,10 @@
     pub in_flight: u16,
 }
 
-fn short_id(id: &UpstreamId) -> u32 {
-    xxh3_64(id.as_str().as_bytes()) as u32
+/// Names a run in few bytes: what daemons have out at a former run is no load of the next.
+fn short_id(spec: &Upstream) -> u32 {
+    let started_at = spec.started_at.map_or(0, |at| at.0);
+    xxh3_64_with_seed(spec.id.as_str().as_bytes(), started_at) as u32
 }
 
 #[derive(Debug)]
@@ -141,13 +143,14 @@
         self.forget_idle();
     }
 
+    /// Guards against an upstream that starts again under its id: what was believed of the
+    /// former run (prompts held, pace, health, leaving, kept connections, which go by index)
+    /// is not so of the next, which therefore gets an entry of its own.
     fn list(&mut self, spec: &Arc<Upstream>) {
         let is_draining = spec.state == UpstreamState::Draining;
-        if let Some(entry) = self
-            .by_id
-            .get(&spec.id)
-            .and_then(|i| self.entries.get_mut(i))
-        {
+        let held = self.by_id.get(&spec.id);
+        let held = held.and_then(|index| self.entries.get_mut(index));
+        if let Some(entry) = held.filter(|entry| entry.spec.started_at == spec.started_at) {
             entry.is_listed = true;
             // An entry that lapsed while the store was away comes back with its upstream,
             // so being listed as ready again lifts what its absence meant.
@@ -279,7 +282,7 @@
     pub fn own_loads(&self, now: Time) -> Vec<SharedLoad> {
         let busy = self.entries.values().filter(|entry| entry.in_flight > 0);
         let loads = busy.map(|entry| SharedLoad {
-            upstream: short_id(&entry.spec.id),
+            upstream: short_id(&entry.spec),
             backlog_ms: entry.backlog.ms(now).min(f64::from(u16::MAX)) as u16,
             in_flight: u16::try_from(entry.in_flight).unwrap_or(u16::MAX),
         });
@@ -289,7 +292,7 @@
     /// Takes what all other daemons have out.
     pub fn set_others(&mut self, loads: &HashMap<u32, (f64, u32)>) {
         for entry in self.entries.values_mut() {
-            let load = loads.get(&short_id(&entry.spec.id)).copied();
+            let load = loads.get(&short_id(&entry.spec)).copied();
             let (backlog_ms, in_flight) = load.unwrap_or_default();
             entry.others = OthersLoad {
                 backlog_ms,
--- a/components/dispatch/tests/choose.rs
+++ b/components/dispatch/tests/choose.rs
@@ -12,6 +12,7 @@
 fn upstream(id: usize, version: &str, state: UpstreamState) -> Arc<Upstream> {
     Arc::new(Upstream {
         id: UpstreamId::new(&format!("u{id}")).expect("a name"),
+        started_at: None,
         service: Arc::from("model"),
         address: ([127, 0, 0, 1], 1).into(),
         failure_domain: FailureDomain::new("east").expect("a name"),
@@ -69,6 +70,21 @@
             .ended(now, choice.index, ticket, Ending::Dropped);
         Ok(choice.index)
     }
+
+    /// Chooses without sending.
+    fn choice(&mut self, now: Time, parts: &[PromptPart]) -> dispatch::Choice {
+        let need = Need {
+            service: &self.service,
+            model: Some(&self.model),
+            parts,
+            prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+            permit: &Permit::Any,
+            exclude: &[],
+            near: &self.near,
+        };
+        let choice = self.upstreams.choose(now, &need, &mut self.rng);
+        choice.expect("one is listed")
+    }
 }
 
 fn at(millis: u64) -> Time {
@@ -228,3 +244,60 @@
     let pick = setup.pick(at(60_000), &[], &[], &Permit::Any);
     assert_eq!(pick, Err(NoUpstream::Unknown));
 }
+
+/// The same upstream as listed by a later run under its id.
+fn run_of(id: usize, started_at: u64) -> Arc<Upstream> {
+    let spec = upstream(id, "v1", UpstreamState::Ready);
+    Arc::new(Upstream {
+        started_at: Some(WallTime(started_at)),
+        ..(*spec).clone()
+    })
+}
+
+#[test]
+fn a_run_that_starts_again_under_its_id_is_believed_nothing_of_the_former() {
+    // An engine crashes with a long backlog and starts again under its id. It holds no prompt
+    // any more and has nothing to do; taken for the former run it would get prompts for what
+    // they share, and be left out of everything else until answers came that never will.
+    let mut setup = Setup::new(0);
+    setup.upstreams.configure(&[run_of(0, 7)]);
+    let first = setup
+        .pick(at(0), &prompt(1), &[], &Permit::Any)
+        .expect("one");
+    let held = setup.choice(at(1), &prompt(1));
+    assert_eq!(held.load.missing_shared, 0, "sent there before");
+    let ticket = setup
+        .upstreams
+        .started(at(1), first, &held.load, &held.prefixes);
+    setup.upstreams.configure(&[run_of(0, 8)]);
+    let next = setup.choice(at(2), &prompt(1));
+    assert_ne!(next.index, first);
+    assert!(next.load.missing_shared > 0, "nothing is held any more");
+    assert_eq!(next.load.wait_ms, 0.0);
+    // How the former run's request ends says nothing of the present run.
+    setup
+        .upstreams
+        .ended(at(3), first, ticket, Ending::Unreachable);
+    setup
+        .upstreams
+        .ended(at(3), first, ticket, Ending::Replaced);
+    let last = setup.choice(at(4), &prompt(1));
+    assert_eq!(last.index, next.index);
+    assert!(setup.upstreams.spec(first).is_none(), "forgotten once idle");
+}
+
+#[test]
+fn what_others_have_out_at_a_former_run_is_no_load_of_the_next() {
+    let mut setup = Setup::new(0);
+    setup.upstreams.configure(&[run_of(0, 7)]);
+    let choice = setup.choice(at(0), &prompt(1));
+    setup
+        .upstreams
+        .started(at(0), choice.index, &choice.load, &choice.prefixes);
+    let loads = setup.upstreams.own_loads(at(0));
+    let mut other = Setup::new(0);
+    other.upstreams.configure(&[run_of(0, 8)]);
+    let told = loads.iter().map(|l| (l.upstream, (4_000.0, 9)));
+    other.upstreams.set_others(&told.collect());
+    assert_eq!(other.choice(at(1), &prompt(1)).load.wait_ms, 0.0);
+}
--- a/components/dispatch/tests/lapsed.rs
+++ b/components/dispatch/tests/lapsed.rs
@@ -9,6 +9,7 @@
 fn upstream(id: &str) -> Arc<Upstream> {
     Arc::new(Upstream {
         id: UpstreamId::new(id).expect("a name"),
+        started_at: None,
         service: Arc::from("model"),
         address: ([127, 0, 0, 1], 1).into(),
         failure_domain: FailureDomain::new("east").expect("a name"),
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -456,6 +456,7 @@
             upstreams: self.planner.upstreams(),
             gates: self.rollouts.gates(),
             daemons: self.daemons,
+            unreadable: self.planner.unreadable(),
             is_ready,
         };
         // The event loop may have ended before this thread when the process leaves.
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -1,6 +1,6 @@
 //! From the mirror to the plan.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -15,6 +15,8 @@
 pub(crate) struct Planner {
     table: Option<Arc<RouteTable>>,
     upstreams: BTreeMap<String, Arc<Upstream>>,
+    /// Ids under which the store holds something that is no upstream.
+    unreadable: BTreeSet<String>,
     pub(crate) lapsed: Lapsed,
 }
 
@@ -23,6 +25,7 @@
         Self {
             table: None,
             upstreams: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
             lapsed: Lapsed::new(relisted_within),
         }
     }
@@ -40,6 +43,11 @@
             .collect()
     }
 
+    /// Entries of upstreams that cannot be read.
+    pub(crate) fn unreadable(&self) -> usize {
+        self.unreadable.len()
+    }
+
     /// Takes a change; whether it matters to the plan. `is_logged` gives it a line.
     pub(crate) fn take(
         &mut self,
@@ -87,6 +95,7 @@
         value: Option<&Bytes>,
         is_logged: bool,
     ) -> bool {
+        self.unreadable.remove(id);
         let Some(value) = value else {
             let gone = self.upstreams.remove(id);
             if let Some(upstream) = gone {
@@ -98,18 +107,39 @@
             return true;
         };
         match codec.upstream(id, value) {
-            Ok(upstream) => {
-                if is_logged {
-                    log_listed(&upstream);
-                }
-                self.lapsed.listed(&upstream.id);
-                self.upstreams.insert(id.to_owned(), Arc::new(upstream));
+            Ok(upstream) => self.list_upstream(id, upstream, is_logged),
+            Err(e) => {
+                // Another writer's bytes name no upstream, whatever stood there before; that
+                // one has not lapsed either.
+                tracing::error!("upstreams: an entry cannot be read and is left out: {e}");
+                self.upstreams.remove(id);
+                self.unreadable.insert(id.to_owned());
             }
-            Err(e) => tracing::error!("upstreams: an entry cannot be read and is left out: {e}"),
         }
         true
     }
 
+    /// Takes an upstream's word of itself.
+    ///
+    /// Guards against a word of a former run that arrives after one of the present run under
+    /// the same id: the upstream would be believed to be where, and what, it was before.
+    fn list_upstream(&mut self, id: &str, mut upstream: Upstream, is_logged: bool) {
+        let held = self.upstreams.get(id).and_then(|held| held.started_at);
+        if upstream.started_at.is_some() && upstream.started_at < held {
+            tracing::warn!(
+                upstream = id,
+                "upstreams: a former run's entry is passed over"
+            );
+            return;
+        }
+        upstream.started_at = upstream.started_at.or(held);
+        if is_logged {
+            log_listed(&upstream);
+        }
+        self.lapsed.listed(&upstream.id);
+        self.upstreams.insert(id.to_owned(), Arc::new(upstream));
+    }
+
     /// Whether enough is known to serve.
     pub(crate) fn is_ready(&self, mirror: &Mirror) -> bool {
         mirror.is_filled() && self.table.is_some() && !self.upstreams.is_empty()
@@ -122,6 +152,7 @@
         service = &*upstream.service,
         version = &*upstream.version,
         state = ?upstream.state,
+        started_at = upstream.started_at.map(|at| at.0),
         "upstreams: listed"
     );
 }
--- a/components/fleet/tests/it/fleet.rs
+++ b/components/fleet/tests/it/fleet.rs
@@ -166,3 +166,38 @@
     until("ready", || alone.is_ready());
     assert_eq!(alone.way.whole_reads.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn bytes_of_another_writer_name_no_upstream_and_the_others_hold() {
+    // Another program writes under an upstream's key. Callers would be sent to where the
+    // upstream was before, or to nobody at all if the whole list were dropped.
+    let memory = filled();
+    memory.set("upstream/u2", Some("v1"));
+    let daemons = daemons(1, &memory);
+    until("listed", || daemons[0].state("upstreams") == 2);
+    memory.set("upstream/u1", Some("?"));
+    until("left out", || daemons[0].state("upstreams") == 1);
+    assert_eq!(daemons[0].state("unreadable_upstreams"), 1);
+    memory.set("upstream/u1", Some("v2"));
+    until("listed again", || daemons[0].state("upstreams") == 2);
+    assert_eq!(daemons[0].state("unreadable_upstreams"), 0);
+}
+
+#[test]
+fn a_word_of_a_former_run_does_not_outrank_the_present_run() {
+    // An upstream starts again under its id with another version. A word of its former run
+    // was held up on its way and arrives last; requests would go by what it was before.
+    let memory = filled();
+    memory.set("upstream/u1", Some("v2@8"));
+    let daemons = daemons(1, &memory);
+    let versions = || daemons[0].state("versions").to_string();
+    until("listed", || versions() == r#"{"service v2":1}"#);
+    memory.set("upstream/u1", Some("v1@7"));
+    memory.set("upstream/u2", Some("v3"));
+    until("seen", || daemons[0].state("upstreams") == 2);
+    assert_eq!(versions(), r#"{"service v2":1,"service v3":1}"#);
+    memory.set("upstream/u1", Some("v4@9"));
+    until("the next run", || {
+        versions() == r#"{"service v3":1,"service v4":1}"#
+    });
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -221,13 +221,26 @@
         Ok(table.expect("without routes"))
     }
 
+    /// A version, and after an at sign the start of the run; a question mark is unreadable.
     fn upstream(&self, id: &str, value: &Bytes) -> Result<Upstream, DecodeError> {
+        let text = String::from_utf8_lossy(value);
+        if text.starts_with('?') {
+            return Err(DecodeError {
+                key: id.to_owned(),
+                problem: "not a version".to_owned(),
+            });
+        }
+        let (version, started_at) = match text.split_once('@') {
+            Some((version, at)) => (version, Some(WallTime(at.parse().expect("a number")))),
+            None => (&*text, None),
+        };
         Ok(Upstream {
             id: UpstreamId::new(id).expect("a name"),
+            started_at,
             service: Arc::from("service"),
             address: ([127, 0, 0, 1], 1).into(),
             failure_domain: FailureDomain::new("east").expect("a name"),
-            version: Arc::from(&*String::from_utf8_lossy(value)),
+            version: Arc::from(version),
             slots: 1,
             state: UpstreamState::Ready,
             cold_for: Span::ZERO,
--- a/components/routes/src/upstream.rs
+++ b/components/routes/src/upstream.rs
@@ -17,8 +17,10 @@
 /// One run of an upstream's program.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Upstream {
-    /// Of this run; the next start has another.
+    /// Of the program; a later run may have it again.
     pub id: UpstreamId,
+    /// When this run started, by its own clock: tells the runs under one id apart.
+    pub started_at: Option<WallTime>,
     /// Of which service.
     pub service: Arc<str>,
     /// Where it is reached. Used again by others once it is gone.
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -59,6 +59,8 @@
     pub connects: Counter,
     /// Requests in hand.
     pub in_flight: Gauge,
+    /// Entries of upstreams that cannot be read.
+    pub unreadable: Gauge,
     dropped_log_lines: Counter,
     scratch: RefCell<String>,
 }
@@ -77,6 +79,7 @@
             repeats: Counter::default(),
             connects: Counter::default(),
             in_flight: Gauge::default(),
+            unreadable: Gauge::default(),
             dropped_log_lines: Counter::default(),
             scratch: RefCell::default(),
         };
@@ -109,6 +112,11 @@
             self.connects.clone(),
         );
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
+        r.register(
+            "unreadable_upstreams",
+            "Entries of upstreams that cannot be read and are left out",
+            self.unreadable.clone(),
+        );
         r.register(
             "dropped_log_lines",
             "Log lines that found no room to wait in",
--- a/components/traffic/src/plan.rs
+++ b/components/traffic/src/plan.rs
@@ -16,6 +16,8 @@
     pub gates: Vec<Gate>,
     /// Daemons of the fleet.
     pub daemons: usize,
+    /// Entries of upstreams that cannot be read.
+    pub unreadable: usize,
     /// Whether enough is known to serve.
     pub is_ready: bool,
 }
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -1,5 +1,6 @@
 //! Readiness, metrics and the state, on the address that the platform asks.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use http1::{Head, Kind, Wire};
 use serde::Serialize;
 
+use crate::plan::Plan;
 use crate::translate::Translator;
 use crate::world::{Stage, World};
 
@@ -22,6 +24,9 @@
     is_ready: bool,
     table_version: Option<u64>,
     upstreams: usize,
+    /// Upstreams by service and version.
+    versions: BTreeMap<String, usize>,
+    unreadable_upstreams: usize,
     daemons: usize,
     rollouts: Vec<(&'a str, &'a str, f64)>,
     callers: usize,
@@ -77,6 +82,15 @@
     world.plan().is_ready && world.stage() == Stage::Serving
 }
 
+fn versions(plan: &Plan) -> BTreeMap<String, usize> {
+    let mut versions = BTreeMap::new();
+    for upstream in &plan.upstreams {
+        let name = format!("{} {}", upstream.service, upstream.version);
+        *versions.entry(name).or_default() += 1;
+    }
+    versions
+}
+
 fn dump<T>(world: &World<T>, is_ready: bool) -> String {
     let plan = world.plan();
     let gates = plan.gates.iter();
@@ -85,6 +99,8 @@
         is_ready,
         table_version: plan.table.as_ref().map(|table| table.version.0),
         upstreams: plan.upstreams.len(),
+        versions: versions(&plan),
+        unreadable_upstreams: plan.unreadable,
         daemons: plan.daemons,
         rollouts: gates
             .map(|gate| (&*gate.service, &*gate.to, gate.share))
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -131,6 +131,8 @@
             budget.set_daemons(plan.daemons);
         }
         self.note_staying(&plan);
+        let unreadable = i64::try_from(plan.unreadable).unwrap_or(i64::MAX);
+        self.metrics.unreadable.set(unreadable);
         *self.plan.borrow_mut() = plan;
     }
 
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -291,6 +291,7 @@
         let listed = upstreams.iter().enumerate().map(|(n, address)| {
             Arc::new(Upstream {
                 id: UpstreamId::new(&format!("u{n}")).expect("a name"),
+                started_at: None,
                 service: Arc::from("service"),
                 address: *address,
                 failure_domain: FailureDomain::new("east").expect("a name"),
@@ -305,6 +306,7 @@
             upstreams: listed.collect(),
             gates,
             daemons: 1,
+            unreadable: 0,
             is_ready: true,
         };
         let sent = self.handle.commands.send(Command::Plan(Arc::new(plan)));
