Try the first reading of a silent store again soon; let callers wait out an outage

The first reading of every daemon hung for the client's timeout of 1.5 s, so all were without a configuration for 1.3 s longer than the outage; callers were told to return after 0.5 to 1 s, and 245 of 505 refusals were second ones, after which a caller has no attempt left. Ruled out: getting the configuration from peers (all of them were killed), waiting longer than 0.3 s with a request in hand (the outage is of seconds).

Change: without a copy a reading is given 0.25 s, doubled up to 1 s and spread by a quarter, and seeds ask again without growing pauses. Retry-After grows with the time without a configuration, within a third of what the caller has left.

Tests: a first reading is tried again soon, a caller is told a time within its patience; both fail without the change.

--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use keyvalue::{ModRevision, Range, Reply, Request};
+use keyvalue::{ModRevision, Range, Reply};
 use mirror::{Listing, Revision};
 use rand::RngExt;
 use store::{Store, Watch, WatchBatch, WatchEnd};
+use types::prelude::*;
 
 use crate::event::Event;
 use crate::listing::{change, listing, revision};
@@ -18,6 +19,18 @@
 /// Longest pause: a daemon hears of a store that is back within about this.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
+/// A first copy is waited for this long at first, doubled up to [`MOST_PATIENCE`].
+///
+/// Guards against a store that is silent while a fleet starts: the first reading of every
+/// daemon hung until the client's timeout of 1.5 s, though the store was back 0.3 s after
+/// the start, and all callers were refused meanwhile. A sound store answers in 4 ms.
+const FIRST_PATIENCE: Span = Span::from_millis(250);
+/// A slow store answers after a hundred times its 4 ms.
+const MOST_PATIENCE: Span = Span::from_millis(1_000);
+/// Patience is spread by this part both ways, so that daemons that started together do not
+/// ask in step and one of them asks soon after the store's return.
+const PATIENCE_SPREAD: f64 = 0.25;
+
 /// A store of fewer keys is read by every daemon that starts: 88 of them before 180 upstreams
 /// take 6 MB of its link together. Also what the store gives on one page.
 const SMALL_STORE: u32 = 400;
@@ -112,6 +125,7 @@
     pub(crate) fn run(self) {
         let mut must_list = false;
         let mut pause = FIRST_PAUSE;
+        let mut patience = FIRST_PATIENCE;
         let mut mode = Mode::Watch;
         loop {
             // Peers may have brought a copy since.
@@ -134,7 +148,7 @@
                 Err(_) => return,
             }
             let done = if must_list || is_empty {
-                self.list()
+                self.list(patience)
             } else {
                 self.follow()
             };
@@ -149,7 +163,12 @@
                         return;
                     }
                     std::thread::sleep(pause + pause.mul_f64(rand::rng().random::<f64>()));
-                    pause = (pause * 2).min(MOST_PAUSE);
+                    patience = patience.times(2).min(MOST_PATIENCE);
+                    // Who reads first is asked by callers and by its peers, and is one of few.
+                    let is_awaited = is_empty && self.reads_first;
+                    if !is_awaited {
+                        pause = (pause * 2).min(MOST_PAUSE);
+                    }
                 }
             }
         }
@@ -161,12 +180,12 @@
     /// daemon at once: 300 daemons before 2,800 upstreams served nothing for 4.3 s, while the
     /// store's link was full. Who is not to read first reads what fits one page, and waits
     /// for a peer's copy if there is more.
-    fn list(&self) -> Result<(), Failure> {
+    fn list(&self, patience: Span) -> Result<(), Failure> {
         if self.reads_first {
-            let listing = self.read(0)?;
+            let listing = self.read(0, patience)?;
             return self.take(listing);
         }
-        let listing = self.read(SMALL_STORE)?;
+        let listing = self.read(SMALL_STORE, patience)?;
         if listing.items.len() < SMALL_STORE as usize {
             return self.take(listing);
         }
@@ -175,16 +194,18 @@
         if self.is_copied_within(COPIED_WITHIN) {
             return Ok(());
         }
-        let listing = self.read(0)?;
+        let listing = self.read(0, patience)?;
         self.take(listing)
     }
 
-    fn read(&self, limit: u32) -> Result<Listing, Failure> {
+    fn read(&self, limit: u32, patience: Span) -> Result<Listing, Failure> {
         let range = Range {
             limit,
             ..Range::prefix("")
         };
-        let outcome = self.store.call(Request::Range(range));
+        let spread = 1.0 + PATIENCE_SPREAD * rand::rng().random_range(-1.0..=1.0);
+        let patience = Span::from_secs_f64(patience.as_secs_f64() * spread);
+        let outcome = self.store.read(range, patience);
         let answer = outcome.map_err(|e| Failure::Broken(e.to_string()))?;
         match answer.reply {
             Reply::Range(items) => Ok(listing(answer.revision, items)),
--- a/components/fleet/tests/it/fleet.rs
+++ b/components/fleet/tests/it/fleet.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use types::prelude::*;
+
 use crate::harness::*;
 
 fn filled() -> Memory {
@@ -201,3 +203,29 @@
         versions() == r#"{"service v3":1,"service v4":1}"#
     });
 }
+
+#[test]
+fn a_first_reading_of_a_silent_store_is_soon_tried_again() {
+    // All daemons are killed while the store is silent and start before it is back. Their
+    // first reading hung for the client's whole timeout, and callers were refused for 1.2 s
+    // after the store's return.
+    let memory = filled();
+    let way = Way::to(&memory);
+    way.is_cut.store(true, Ordering::SeqCst);
+    let seed = free_address();
+    let alone = daemon_at(0, way.clone(), seed, vec![seed]);
+    let told = || way.patience.lock().expect("sound").clone();
+    until("tried four times", || told().len() >= 4);
+    way.is_cut.store(false, Ordering::SeqCst);
+    until("ready", || alone.is_ready());
+    let told = told();
+    assert!(told[0] <= Span::from_millis(320), "{told:?}");
+    assert!(
+        told.iter().all(|p| *p <= Span::from_millis(1_250)),
+        "{told:?}"
+    );
+    assert!(
+        told[3] >= Span::from_millis(700),
+        "a slow store needs longer: {told:?}"
+    );
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -12,7 +12,7 @@
 use fleet::{Codec, DecodeError, Running, Settings, StateRecord};
 use http1::Head;
 use keyvalue::{
-    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, Outcome, Reply, Request,
+    Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, Outcome, Range, Reply, Request,
     TxnReply, WatchEvent,
 };
 use routes::{
@@ -85,6 +85,8 @@
     pub watches: Arc<AtomicUsize>,
     /// Times that all keys were read.
     pub whole_reads: Arc<AtomicUsize>,
+    /// How long each reading was to be waited for.
+    pub patience: Arc<Mutex<Vec<Span>>>,
 }
 
 impl Way {
@@ -154,6 +156,11 @@
         })
     }
 
+    fn read(&self, range: Range, patience: Span) -> Outcome {
+        self.patience.lock().expect("sound").push(patience);
+        self.call(Request::Range(range))
+    }
+
     fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
         self.watches.fetch_add(1, Ordering::SeqCst);
         let mut from = watch.from;
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use keyvalue::{ModRevision, Outcome, Request, WatchEvent};
+use keyvalue::{ModRevision, Outcome, Range, Request, WatchEvent};
+use types::prelude::*;
 
 pub use crate::etcd::{Config, EtcdClient, EtcdError};
 
@@ -19,6 +20,13 @@
     /// Makes one call and waits for its outcome, at most for the client's timeout.
     fn call(&self, req: Request) -> Outcome;
 
+    /// Reads keys and waits for each part of the answer so long at most; clients with one
+    /// timeout for all calls keep to that.
+    fn read(&self, range: Range, patience: Span) -> Outcome {
+        let _ = patience;
+        self.call(Request::Range(range))
+    }
+
     /// Follows a prefix until the stream ends or the watch is told to stop.
     fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd;
 }
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -19,8 +19,15 @@
 
 /// A caller that does not close after a last answer is reset after.
 const LINGER: Duration = Duration::from_millis(1_500);
-/// Callers return at least this much later while this daemon knows no configuration.
+/// Callers return at least this much later while this daemon knows no configuration, and
+/// after as long again as it has been without one: an outage of the store that lasted so
+/// long lasts on average as long again, and a caller has few attempts. Of callers that met a
+/// fleet that started while its store was silent, half were refused a second time and lost
+/// when all were told half a second.
 const UNREADY_RETRY: Span = Span::from_millis(500);
+/// Part of the time that a caller has left after which it returns at the latest: with the
+/// spread over as long again it is within the third that callers wait for.
+const LATEST_RETRY_SHARE: f64 = 1.0 / 6.0;
 /// A first configuration is waited for.
 const FIRST_TABLE_WITHIN: Span = Span::from_millis(300);
 /// It is looked for this often meanwhile.
@@ -166,7 +173,8 @@
     }
     let plan = world.plan();
     let Some(table) = &plan.table else {
-        let retry_after = spread(UNREADY_RETRY, &mut *world.rng.borrow_mut());
+        let least = unready_retry(world.now().since(Time::ZERO), ask.patience);
+        let retry_after = spread(least, &mut *world.rng.borrow_mut());
         return Err((Own::NotRun { retry_after }, "no configuration is known yet"));
     };
     let host = head.text("host").unwrap_or_default();
@@ -184,6 +192,14 @@
     })
 }
 
+/// When a caller is to return at the earliest to a daemon that has run for `age` and knows
+/// no configuration.
+fn unready_retry(age: Span, patience: Option<Span>) -> Span {
+    let least = UNREADY_RETRY.max(age);
+    let latest = patience.map(|left| left.as_secs_f64() * LATEST_RETRY_SHARE);
+    latest.map_or(least, |latest| least.min(Span::from_secs_f64(latest)))
+}
+
 /// The target's path without its query.
 fn path_of(head: &Head) -> &str {
     let Kind::Request { target, .. } = &head.kind else {
--- a/components/traffic/tests/it/bounds.rs
+++ b/components/traffic/tests/it/bounds.rs
@@ -130,3 +130,26 @@
     running.plan(Repeat::Any, &[address], Vec::new());
     assert_eq!(status_of(&caller.answer()), 200);
 }
+
+#[test]
+fn a_caller_before_the_first_configuration_returns_within_its_patience() {
+    // A fleet starts while its store is silent. A caller is told when to come back; told a
+    // time beyond what it waits for it would give up, told too soon a one it would be refused
+    // twice and have no attempt left.
+    let running = start();
+    let retry_after = |wait: u64| {
+        let text = post("r", "x").replace("wait: 9000", &format!("wait: {wait}"));
+        let mut caller = running.caller();
+        caller.send(&text);
+        let answer = caller.answer();
+        assert_eq!(status_of(&answer), 503);
+        let said = field(&answer, "retry-after").expect("told when");
+        said.parse::<f64>().expect("seconds")
+    };
+    assert!((0.5..=1.5).contains(&retry_after(9_000)));
+    let short = retry_after(1_500);
+    assert!(
+        (0.25..=0.5).contains(&short),
+        "a third of 1.5 s at most: {short}"
+    );
+}
