Expect one home to hold a prompt's shared parts, not three

Change: one place holds, the same for all daemons where reading again costs more than the way to another failure domain, else the nearest. The homes get a module of their own.

Test: readers of a long shared prompt over four daemons are one (was two or more).

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -2,8 +2,8 @@
 //!
 //! For engines the cost of a choice is the time until the first event: what was sent there
 //! and has not begun to answer, and the part of the prompt that the engine must read. All
-//! daemons agree on two home engines of each shared prompt by rendezvous hashing, so what
-//! one daemon had read there serves the others too; a home that is behind loses to others.
+//! daemons agree on a home engine of each shared prompt by rendezvous hashing, so what one
+//! daemon had read there serves the others too; a home that is behind loses to others.
 //! For plain services it is the own requests out there by pace. A few candidates are
 //! compared at random besides, so that daemons do not all follow one picture. Upstreams of
 //! the own failure domain are looked at more closely and cost less.
@@ -13,8 +13,9 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 use types::prelude::*;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::homes::{Homes, held_tokens, prefixes_of, shared_tokens};
 use crate::trial::Permit;
 use crate::upstreams::{ENGINE_BASE_MS, Entry, Load, UpstreamIndex, Upstreams};
 
@@ -34,9 +35,6 @@
 /// Delay by each request that an engine runs, in ms: a batch's step grows by about a
 /// hundredth of a millisecond a request and an answer has some hundred steps.
 const RUNNING_MS: f64 = 2.0;
-/// Part of a prompt's shared tokens that a home is expected to hold without this daemon
-/// having sent it there.
-const HOME_HOLDS: f64 = 0.7;
 /// An upstream that just started takes about so many times as long.
 const COLD_TIMES: f64 = 2.0;
 /// Extra cost of another failure domain, in ms: its round trip, and bytes between failure
@@ -150,13 +148,8 @@
         let all = (0..eligible.len()).collect::<Vec<_>>();
         let is_near = |place: &usize| eligible[*place].1.spec.failure_domain == *need.near;
         let near = all.iter().copied().filter(is_near).collect::<Vec<_>>();
-        let homes = match prefixes.last() {
-            Some(prefix) => {
-                let [first, second] = homes_of(eligible, &all, *prefix);
-                [first, second, homes_of(eligible, &near, *prefix)[0]]
-            }
-            None => [None; 3],
-        };
+        let again_ms = self.reading_again_ms(need);
+        let homes = Homes::of(eligible, &near, &prefixes, again_ms, FAR_MS);
         let whole_ms = self.reading_ms(need.model, f64::from(need.prompt_tokens));
         let count = match whole_ms > LONG_MS {
             true => DRAWN_LONG,
@@ -164,11 +157,12 @@
         };
         let drawn = draw(&all, count, rng);
         let drawn_near = draw(&near, count, rng);
-        let places = homes.into_iter().flatten().chain(drawn).chain(drawn_near);
+        let places = homes.places().chain(drawn).chain(drawn_near);
         let priced = places.map(|place| {
             let (index, entry) = eligible[place];
-            let is_home = homes.contains(&Some(place));
-            let load = self.load(now, entry, need, &prefixes, is_home);
+            let known = held_tokens(entry, need, &prefixes);
+            let held = homes.held(place, known, shared_tokens(need));
+            let load = self.load(now, entry, need, held);
             let cost = cost(entry, &load, need);
             (cost, index, load)
         });
@@ -181,33 +175,27 @@
         }
     }
 
-    fn load(
-        &self,
-        now: Time,
-        entry: &Entry,
-        need: &Need<'_>,
-        prefixes: &[u64],
-        is_home: bool,
-    ) -> Load {
+    fn load(&self, now: Time, entry: &Entry, need: &Need<'_>, held: f64) -> Load {
         if need.parts.is_empty() {
             return self.plain_load(entry, need);
         }
-        let held = held_tokens(entry, need, prefixes);
-        let shared = shared_tokens(need);
-        let expected_held = match is_home {
-            true => f64::from(held).max(f64::from(shared) * HOME_HOLDS),
-            false => f64::from(held),
-        };
-        let missing = (f64::from(need.prompt_tokens) - expected_held).max(0.0);
+        let shared = f64::from(shared_tokens(need));
+        let missing = (f64::from(need.prompt_tokens) - held).max(0.0);
         Load {
             missing: missing as u32,
-            missing_shared: (f64::from(shared) - expected_held).max(0.0) as u32,
+            missing_shared: (shared - held).max(0.0) as u32,
             expected_ms: ENGINE_BASE_MS + self.reading_ms(need.model, missing),
             unheld_ms: ENGINE_BASE_MS + self.reading_ms(need.model, f64::from(need.prompt_tokens)),
             wait_ms: entry.backlog.ms(now) + entry.others.backlog_ms,
         }
     }
 
+    /// What reading a prompt's shared parts once more costs, in ms.
+    fn reading_again_ms(&self, need: &Need<'_>) -> f64 {
+        let shared = f64::from(shared_tokens(need));
+        self.reading_ms(need.model, shared) + shared / 1_000.0 * READ_AGAIN_MS_PER_1000
+    }
+
     fn plain_load(&self, entry: &Entry, need: &Need<'_>) -> Load {
         let expected_ms = self.plain_ms(need.service);
         let out = entry.in_flight + entry.others.in_flight;
@@ -258,52 +246,3 @@
     let drawn = (0..count).map(|_| places[rng.random_range(0..places.len())]);
     drawn.collect()
 }
-
-/// A hash of the model and the parts so far, for each shared part.
-fn prefixes_of(need: &Need<'_>) -> Vec<u64> {
-    let model = need.model.map_or("", |model| model);
-    let mut hash = xxh3_64_with_seed(model.as_bytes(), 0);
-    let shared = need.parts.len().saturating_sub(1);
-    let parts = need.parts.iter().take(shared);
-    parts
-        .map(|part| {
-            hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
-            hash
-        })
-        .collect()
-}
-
-fn shared_tokens(need: &Need<'_>) -> u32 {
-    let shared = need.parts.len().saturating_sub(1);
-    need.parts.iter().take(shared).map(|part| part.tokens).sum()
-}
-
-/// Tokens of the longest prefix that this daemon sent there.
-fn held_tokens(entry: &Entry, need: &Need<'_>, prefixes: &[u64]) -> u32 {
-    let known = prefixes
-        .iter()
-        .take_while(|hash| entry.prefixes.contains_key(hash))
-        .count();
-    need.parts.iter().take(known).map(|part| part.tokens).sum()
-}
-
-/// The two places whose upstreams have the highest hash with a prefix.
-fn homes_of(
-    eligible: &[(UpstreamIndex, &Entry)],
-    places: &[usize],
-    prefix: u64,
-) -> [Option<usize>; 2] {
-    let hashed = places.iter().map(|place| {
-        let id = eligible[*place].1.spec.id.as_str();
-        (xxh3_64_with_seed(id.as_bytes(), prefix), *place)
-    });
-    let mut best = [None, None];
-    for hashed in hashed {
-        if best[0].is_none_or(|first| hashed > first) {
-            best = [Some(hashed), best[0]];
-        } else if best[1].is_none_or(|second| hashed > second) {
-            best[1] = Some(hashed);
-        }
-    }
-    best.map(|hashed| hashed.map(|(_, place)| place))
-}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod evidence;
 mod gathering;
 mod health;
+mod homes;
 mod lapsed;
 mod pace;
 mod pins;
--- a/components/dispatch/tests/choose.rs
+++ b/components/dispatch/tests/choose.rs
@@ -301,3 +301,40 @@
     other.upstreams.set_others(&told.collect());
     assert_eq!(other.choice(at(1), &prompt(1)).load.wait_ms, 0.0);
 }
+
+#[test]
+fn a_long_shared_prompt_is_read_at_one_upstream_whichever_daemon_sends_it() {
+    // Daemons in four failure domains send prompts that begin alike. Each took an upstream
+    // of its own failure domain for the home, so the same text was read four times.
+    let domains = ["east", "west", "north", "south"];
+    let listed = (0..12).map(|id| {
+        let spec = upstream(id, "v1", UpstreamState::Ready);
+        let failure_domain = FailureDomain::new(domains[id % 4]).expect("a name");
+        Arc::new(Upstream {
+            failure_domain,
+            ..(*spec).clone()
+        })
+    });
+    let listed = listed.collect::<Vec<_>>();
+    let daemon = |domain: &str| {
+        let mut setup = Setup::new(0);
+        setup.upstreams.configure(&listed);
+        setup.near = FailureDomain::new(domain).expect("a name");
+        setup
+    };
+    let mut daemons = domains.map(daemon);
+    let readers = |daemons: &mut [Setup], parts: &[PromptPart]| {
+        let picks = daemons.iter_mut().map(|daemon| {
+            let index = daemon.pick(at(0), parts, &[], &Permit::Any).expect("one");
+            daemon.upstreams.spec(index).expect("listed").id.clone()
+        });
+        picks.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    for shared in 0..40 {
+        assert_eq!(readers(&mut daemons, &prompt(shared)), 1, "prompt {shared}");
+    }
+    // A short one is not worth the way: one reader in each failure domain at most.
+    let [mut short, own] = prompt(99);
+    short.tokens = 600;
+    assert!((2..=4).contains(&readers(&mut daemons, &[short, own])));
+}
