Ask the next size when the smallest model is nearly sure; policy in a file

Cause: an answer below a confidence of 50 went to the largest model at once. Between 40 and 60 half of the drafts are too hard for the smallest model, most of these only a little.

Change: from 60 on the smallest model's draft is kept, between 45 and 60 the next size is asked, below 45 the largest; a middle model's draft is kept from 30 on.

--- a/components/dispatch/src/cascade.rs
+++ b/components/dispatch/src/cascade.rs
@@ -1,24 +1,32 @@
 //! Which model answers.
 //!
 //! The smallest model is asked first. Its answer says how sure it is before the first event
-//! comes, so an unsure one can be dropped unseen and the request asked again of the largest
-//! model. That costs the second model's time, and the time until the caller sees something.
+//! comes, so an unsure one can be dropped unseen and the request asked again of a larger
+//! model. That costs the larger model's time, and the time until the caller sees something.
+//!
+//! How unsure an answer is also says how far beyond its model the request is. A little
+//! beyond, and the next size answers it, at half of the largest model's price and a quarter
+//! of its reading time; far beyond, and only the largest does.
+//!
+//! The bounds were measured with the smallest model's answers kept from 0, 20, 30, ... on: of
+//! those dropped besides, between 0 and 20 some 84 in 100 were too hard for it, from 30 to 40
+//! 77, from 40 to 50 55, from 50 to 60 34, and above 60 none (a rested fleet, three seeds). The
+//! largest model's price is a seventh of what an answer is worth, so asking it pays up to 60
+//! while engines have time and up to 50 when they have none; with the next size asked from
+//! [`CascadePolicy::next_size_from`] on it pays up to 60 on all days. Worth over five days with
+//! trouble, three seeds, on three deployments: kept from 50 on, largest only: 0.758, 0.595 and
+//! 0.633; from 60, largest only: 0.749, 0.583 and 0.612; from 60, next size from 45: 0.768,
+//! 0.607 and 0.633.
 
 use types::prelude::*;
 
-/// An answer of at least this confidence is kept.
-///
-/// Played over the first day of two deployments, worth by bound: 0 0.553 and 0.598, 30 0.705
-/// and 0.718, 40 0.747 and 0.724, 50 0.778 and 0.739, 60 0.746 and 0.725, 70 0.701 and 0.709.
-/// Above 60 the drafts are good and the larger model's time makes others late.
-const KEEP_AT: u8 = 50;
-/// Part of the objective in which a larger model's first event must be expected: an answer
-/// that is late earns a small part of what it would in time, so the draft is kept instead.
-const IN_TIME_SHARE: f64 = 0.8;
+use crate::policy::CascadePolicy;
 
 /// What is known of the answer of a smaller model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Draft {
+    /// Place of the model that made it.
+    pub asked: usize,
     /// The model's own opinion, 0 to 100.
     pub confidence: u8,
     /// When the request arrived.
@@ -29,31 +37,55 @@
 
 /// Which model is asked next.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Cascade;
+pub struct Cascade {
+    policy: CascadePolicy,
+}
 
 impl Cascade {
+    /// By these bounds.
+    #[must_use]
+    pub fn new(policy: CascadePolicy) -> Self {
+        Self { policy }
+    }
+
     /// The place of the first model to ask among `models`, smallest first.
     #[must_use]
     pub fn first(models: usize) -> Option<usize> {
         (models > 0).then_some(0)
     }
 
-    /// The place of the model to ask instead of keeping a draft: the largest whose first
-    /// event is expected in time. `expected` says how long each place's takes from now.
+    /// The place of the model to ask instead of keeping a draft: of those whose first event
+    /// is expected in time the next one when the draft is nearly sure, else the largest.
+    /// `expected` says how long each place's takes from now.
     #[must_use]
     pub fn next(
+        &self,
         now: Time,
-        asked: usize,
         models: usize,
         draft: Draft,
         mut expected: impl FnMut(usize) -> Option<Span>,
     ) -> Option<usize> {
-        if draft.confidence >= KEEP_AT {
+        if self.is_kept(draft) {
             return None;
         }
-        let objective = draft.objective.as_secs_f64() * IN_TIME_SHARE;
+        // An answer that is late earns a small part of what it would in time, so the draft is
+        // kept instead.
+        let objective = draft.objective.as_secs_f64() * self.policy.in_time_share;
         let left = objective - now.since(draft.arrived_at).as_secs_f64();
-        let mut larger = (asked + 1..models).rev();
-        larger.find(|place| expected(*place).is_some_and(|span| span.as_secs_f64() < left))
+        let mut is_in_time =
+            |place: &usize| expected(*place).is_some_and(|span| span.as_secs_f64() < left);
+        let larger = draft.asked + 1..models;
+        let is_nearly_sure = draft.confidence >= self.policy.next_size_from;
+        let next = larger.clone().next().filter(|_| is_nearly_sure);
+        next.filter(&mut is_in_time)
+            .or_else(|| larger.rev().find(is_in_time))
+    }
+
+    fn is_kept(&self, draft: Draft) -> bool {
+        let keep_from = match draft.asked {
+            0 => self.policy.keep_from,
+            _ => self.policy.keep_middle_from,
+        };
+        draft.confidence >= keep_from
     }
 }
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::homes::{Homes, held_tokens, prefixes_of, shared_tokens};
+use crate::policy::PlacingPolicy;
 use crate::trial::Permit;
 use crate::upstreams::{ENGINE_BASE_MS, Entry, Load, UpstreamIndex, Upstreams};
 
@@ -31,7 +32,7 @@
 /// long prompt takes the largest model 0.4 s, so an event of six tokens takes 2.4 s where
 /// 1.5 s are allowed. Long prompts thus gather where few streams run, and streams avoid
 /// where long prompts wait.
-const HARM_SHARE: f64 = 0.08;
+pub(crate) const HARM_SHARE: f64 = 0.08;
 /// Delay by each request that an engine runs, in ms: a batch's step grows by about a
 /// hundredth of a millisecond a request and an answer has some hundred steps.
 const RUNNING_MS: f64 = 2.0;
@@ -41,11 +42,11 @@
 /// domains are paid for. Played with 8, 80 and 250 over two days of two fleets of 69 and 88:
 /// worth 0.648, 0.689 and 0.688 on the busy day of the one and 0.643, 0.652 and 0.674 of the
 /// other; in fleets of 6 and 9 beyond 80 the load of a failure domain is evened out less.
-const FAR_MS: f64 = 120.0;
+pub(crate) const FAR_MS: f64 = 120.0;
 /// Extra cost of reading a thousand shared tokens that another engine holds, in ms: besides
 /// the time it is paid for, some 4% of what an answer to a long prompt is worth, and it
 /// displaces what the engine held.
-const READ_AGAIN_MS_PER_1000: f64 = 50.0;
+pub(crate) const READ_AGAIN_MS_PER_1000: f64 = 50.0;
 
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -122,7 +123,9 @@
         if untried.is_empty() {
             return Err(NoUpstream::Tried);
         }
-        let well = untried.iter().filter(|(_, e)| !e.health.is_aside(now));
+        let sets_aside = self.policy.sets_aside;
+        let is_well = |entry: &Entry| !sets_aside || !entry.health.is_aside(now);
+        let well = untried.iter().filter(|(_, entry)| is_well(entry));
         let well = well.copied().collect::<Vec<_>>();
         let mut eligible = if well.is_empty() { untried } else { well };
         if let Permit::Few(_, share) = need.permit {
@@ -149,7 +152,11 @@
         let is_near = |place: &usize| eligible[*place].1.spec.failure_domain == *need.near;
         let near = all.iter().copied().filter(is_near).collect::<Vec<_>>();
         let again_ms = self.reading_again_ms(need);
-        let homes = Homes::of(eligible, &near, &prefixes, again_ms, FAR_MS);
+        let far_ms = self.policy.far_ms;
+        let homes = match self.policy.uses_homes {
+            true => Homes::of(eligible, &near, &prefixes, again_ms, far_ms),
+            false => Homes::default(),
+        };
         let whole_ms = self.reading_ms(need.model, f64::from(need.prompt_tokens));
         let count = match whole_ms > LONG_MS {
             true => DRAWN_LONG,
@@ -163,7 +170,7 @@
             let known = held_tokens(entry, need, &prefixes);
             let held = homes.held(place, known, shared_tokens(need));
             let load = self.load(now, entry, need, held);
-            let cost = cost(entry, &load, need);
+            let cost = cost(&self.policy, entry, &load, need);
             (cost, index, load)
         });
         let least = priced.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -193,7 +200,7 @@
     /// What reading a prompt's shared parts once more costs, in ms.
     fn reading_again_ms(&self, need: &Need<'_>) -> f64 {
         let shared = f64::from(shared_tokens(need));
-        self.reading_ms(need.model, shared) + shared / 1_000.0 * READ_AGAIN_MS_PER_1000
+        self.reading_ms(need.model, shared) + shared / 1_000.0 * self.policy.read_again_ms_per_1000
     }
 
     fn plain_load(&self, entry: &Entry, need: &Need<'_>) -> Load {
@@ -211,20 +218,23 @@
     }
 }
 
-fn cost(entry: &Entry, load: &Load, need: &Need<'_>) -> f64 {
+fn cost(policy: &PlacingPolicy, entry: &Entry, load: &Load, need: &Need<'_>) -> f64 {
     let is_far = entry.spec.failure_domain != *need.near;
-    let far = if is_far { FAR_MS } else { 0.0 };
+    let far = if is_far { policy.far_ms } else { 0.0 };
     let cold = match entry.spec.cold_for > Span::ZERO {
         true => COLD_TIMES,
         false => 1.0,
     };
-    let pace = entry.pace.get() * cold;
+    let pace = match policy.counts_pace {
+        true => entry.pace.get() * cold,
+        false => cold,
+    };
     let out = f64::from(entry.in_flight + entry.others.in_flight);
     let each = match need.parts.is_empty() {
         true => load.expected_ms / f64::from(entry.spec.slots.max(1)),
-        false => RUNNING_MS + HARM_SHARE * load.expected_ms,
+        false => RUNNING_MS + policy.harm_share * load.expected_ms,
     };
-    let read_again = f64::from(load.missing_shared) / 1_000.0 * READ_AGAIN_MS_PER_1000;
+    let read_again = f64::from(load.missing_shared) / 1_000.0 * policy.read_again_ms_per_1000;
     (load.wait_ms + load.expected_ms + out * each) * pace + far + read_again
 }
 
--- /dev/null
+++ b/components/dispatch/src/policy.rs
@@ -0,0 +1,157 @@
+//! What decides, and by which bounds.
+//!
+//! The defaults are what serves. A policy file changes single entries, so that what each
+//! mechanism is worth can be measured on the same build: with one of them off, on the same
+//! days.
+
+use serde::Deserialize;
+
+/// What decides, and by which bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Which model answers.
+    pub cascade: CascadePolicy,
+    /// Which upstream gets a request.
+    pub placing: PlacingPolicy,
+    /// What is done about upstreams and requests that are late.
+    pub timing: TimingPolicy,
+}
+
+/// Which model answers. Confidences are of 0 to 100; above 100 none is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CascadePolicy {
+    /// An answer of the smallest model is kept from this confidence on.
+    pub keep_from: u8,
+    /// An answer of a model in between is kept from this confidence on.
+    pub keep_middle_from: u8,
+    /// From this confidence on the next size is asked, below it the largest.
+    pub next_size_from: u8,
+    /// Part of the objective within which a larger model's first event must be expected.
+    pub in_time_share: f64,
+}
+
+/// Which upstream gets a request.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacingPolicy {
+    /// Prompts go where others that begin alike went.
+    pub uses_homes: bool,
+    /// What other daemons have out counts.
+    pub counts_others: bool,
+    /// Upstreams that fail are set aside.
+    pub sets_aside: bool,
+    /// How long an upstream takes beside its peers counts.
+    pub counts_pace: bool,
+    /// Part of a prompt's reading time that each stream beside it is charged with.
+    pub harm_share: f64,
+    /// Extra cost of another failure domain, in ms.
+    pub far_ms: f64,
+    /// Extra cost of reading a thousand shared tokens once more, in ms.
+    pub read_again_ms_per_1000: f64,
+}
+
+/// What is done about upstreams and requests that are late.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TimingPolicy {
+    /// A silent upstream is left for another.
+    pub leaves_silent: bool,
+    /// Engines are told which requests go first.
+    pub ranks: bool,
+    /// A caller that comes before the first configuration waits a moment for it.
+    pub waits_for_configuration: bool,
+}
+
+impl Default for CascadePolicy {
+    /// The bounds and where they come from stand with [`crate::Cascade`].
+    fn default() -> Self {
+        Self {
+            keep_from: 60,
+            keep_middle_from: 30,
+            next_size_from: 45,
+            in_time_share: 0.8,
+        }
+    }
+}
+
+impl Default for PlacingPolicy {
+    /// The costs and where they come from stand with [`crate::Upstreams::choose`].
+    fn default() -> Self {
+        Self {
+            uses_homes: true,
+            counts_others: true,
+            sets_aside: true,
+            counts_pace: true,
+            harm_share: crate::choose::HARM_SHARE,
+            far_ms: crate::choose::FAR_MS,
+            read_again_ms_per_1000: crate::choose::READ_AGAIN_MS_PER_1000,
+        }
+    }
+}
+
+impl Default for TimingPolicy {
+    fn default() -> Self {
+        Self {
+            leaves_silent: true,
+            ranks: true,
+            waits_for_configuration: true,
+        }
+    }
+}
+
+/// An entry that cannot be used.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[error("{entry}: {value} is out of range; {right}")]
+pub struct PolicyError {
+    entry: &'static str,
+    value: f64,
+    right: &'static str,
+}
+
+impl Policy {
+    /// Checks every entry that a type does not check.
+    ///
+    /// # Errors
+    /// Names the first entry that cannot be used, and what would be right.
+    pub fn check(&self) -> Result<(), PolicyError> {
+        let cascade = &self.cascade;
+        let confidence = "a confidence is 0 to 100, 101 for never";
+        check(
+            "cascade.keep_from",
+            cascade.keep_from.into(),
+            101.0,
+            confidence,
+        )?;
+        let entry = "cascade.keep_middle_from";
+        check(entry, cascade.keep_middle_from.into(), 101.0, confidence)?;
+        let entry = "cascade.next_size_from";
+        check(entry, cascade.next_size_from.into(), 101.0, confidence)?;
+        let share = "a share of the objective is 0 to 100";
+        check("cascade.in_time_share", cascade.in_time_share, 100.0, share)?;
+        let placing = &self.placing;
+        let harm = "a share of the reading time is 0 to 1";
+        check("placing.harm_share", placing.harm_share, 1.0, harm)?;
+        let ms = "a cost is 0 to 60000 ms";
+        check("placing.far_ms", placing.far_ms, 60_000.0, ms)?;
+        let entry = "placing.read_again_ms_per_1000";
+        check(entry, placing.read_again_ms_per_1000, 60_000.0, ms)
+    }
+}
+
+fn check(
+    entry: &'static str,
+    value: f64,
+    most: f64,
+    right: &'static str,
+) -> Result<(), PolicyError> {
+    match (0.0..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(PolicyError {
+            entry,
+            value,
+            right,
+        }),
+    }
+}
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -11,6 +11,7 @@
 use crate::backlog::Backlog;
 use crate::health::{Ending, Health};
 use crate::pace::Pace;
+use crate::policy::PlacingPolicy;
 use crate::reading::Reading;
 
 /// Prefixes remembered of one upstream; its memory holds some hundred of this length.
@@ -118,6 +119,7 @@
 /// What one daemon knows of the upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
+    pub(crate) policy: PlacingPolicy,
     pub(crate) entries: BTreeMap<UpstreamIndex, Entry>,
     pub(crate) by_service: HashMap<Arc<str>, Vec<UpstreamIndex>>,
     by_id: HashMap<UpstreamId, UpstreamIndex>,
@@ -129,6 +131,15 @@
 }
 
 impl Upstreams {
+    /// Knows none yet; chooses by this policy.
+    #[must_use]
+    pub fn new(policy: PlacingPolicy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
     /// Takes the present list. Who is no longer on it gets nothing new.
     pub fn configure(&mut self, listed: &[Arc<Upstream>]) {
         for entry in self.entries.values_mut() {
@@ -291,6 +302,9 @@
 
     /// Takes what all other daemons have out.
     pub fn set_others(&mut self, loads: &HashMap<u32, (f64, u32)>) {
+        if !self.policy.counts_others {
+            return;
+        }
         for entry in self.entries.values_mut() {
             let load = loads.get(&short_id(&entry.spec)).copied();
             let (backlog_ms, in_flight) = load.unwrap_or_default();
--- /dev/null
+++ b/components/dispatch/tests/policy.rs
@@ -0,0 +1,38 @@
+//! Files that change entries of the policy.
+
+use dispatch::Policy;
+
+fn read(text: &str) -> Result<Policy, String> {
+    let policy = serde_norway::from_str::<Policy>(text).map_err(|e| e.to_string())?;
+    policy.check().map_err(|e| e.to_string())?;
+    Ok(policy)
+}
+
+#[test]
+fn what_is_left_out_keeps_its_default() {
+    let policy = read("cascade: {keep_from: 40}").expect("right");
+    assert_eq!(policy.cascade.keep_from, 40);
+    assert_eq!(policy.placing, Policy::default().placing);
+    assert_eq!(read("{}"), Ok(Policy::default()));
+}
+
+#[test]
+fn a_wrong_entry_is_named() {
+    let wrong = [
+        "cascade: {keep_form: 40}",
+        "cascade: {keep_from: 102}",
+        "cascade: {in_time_share: -1}",
+        "placing: {harm_share: .nan}",
+        "placing: {far_ms: 1e9}",
+        "placing: {uses_homes: 1}",
+    ];
+    let problems = wrong.map(|text| read(text).expect_err(text));
+    insta::assert_snapshot!(problems.join("\n"), @r"
+    cascade: unknown field `keep_form`, expected one of `keep_from`, `keep_middle_from`, `next_size_from`, `in_time_share` at line 1 column 11
+    cascade.keep_from: 102 is out of range; a confidence is 0 to 100, 101 for never
+    cascade.in_time_share: -1 is out of range; a share of the objective is 0 to 100
+    placing.harm_share: NaN is out of range; a share of the reading time is 0 to 1
+    placing.far_ms: 1000000000 is out of range; a cost is 0 to 60000 ms
+    placing.uses_homes: invalid type: integer `1`, expected a boolean at line 1 column 23
+    ");
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::RetryLimits;
+use dispatch::{Policy, RetryLimits};
 use fleet::{Codec, DecodeError, Running, Settings, StateRecord};
 use http1::Head;
 use keyvalue::{
@@ -337,6 +337,7 @@
         failure_domain: failure_domain.clone(),
         max_callers: 10,
         max_held: ByteSize(1_000),
+        policy: Policy::default(),
         retries: RetryLimits {
             ratio: 1.0,
             allowance: 1.0,
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -287,6 +287,9 @@
 
     /// A customer's rank goes before the route's; streams under way go before new ones.
     fn rank(&self) -> u8 {
+        if !self.world.cfg.policy.timing.ranks {
+            return ORDINARY_RANK;
+        }
         let customer = self.request.customer.as_ref().and_then(|c| c.rank);
         let rank = customer
             .unwrap_or(self.request.route.rank)
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -152,6 +152,9 @@
 /// Waits a moment for the first configuration: a daemon that just started gets it within
 /// some ten ms, and a caller that is refused has used up one of its few attempts.
 async fn wait_for_table<T>(world: &World<T>) {
+    if !world.cfg.policy.timing.waits_for_configuration {
+        return;
+    }
     let until = world.instant(world.now() + FIRST_TABLE_WITHIN);
     while world.plan().table.is_none() {
         if tokio::time::Instant::now() >= until {
--- a/components/traffic/src/config.rs
+++ b/components/traffic/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use dispatch::RetryLimits;
+use dispatch::{Policy, RetryLimits};
 use telemetry::logs::Dropped;
 use types::prelude::*;
 
@@ -21,6 +21,8 @@
     pub max_callers: usize,
     /// Bytes of callers' bodies held at most, from the process's memory.
     pub max_held: ByteSize,
+    /// What decides, and by which bounds.
+    pub policy: Policy,
     /// How many repeats the fleet may send.
     pub retries: RetryLimits,
     /// Requests of a session follow each other within.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -234,6 +234,7 @@
     /// upstream that breaks.
     fn may_leave(&self) -> bool {
         let is_allowed = self.request.route.repeat.is_allowed();
+        let is_allowed = is_allowed && self.world.cfg.policy.timing.leaves_silent;
         is_allowed && self.runs + 1 < self.request.route.max_runs
     }
 
@@ -341,6 +342,7 @@
             return None;
         }
         let draft = Draft {
+            asked: self.model?,
             confidence: confidence?,
             arrived_at: self.request.arrived_at,
             objective: self.request.route.objective,
@@ -348,7 +350,8 @@
         let models = self.request.route.models.len();
         let now = self.world.now();
         let expected = |place| self.expected_of(place);
-        let larger = Cascade::next(now, self.model?, models, draft, expected)?;
+        let cascade = Cascade::new(self.world.cfg.policy.cascade);
+        let larger = cascade.next(now, models, draft, expected)?;
         let is_paid = self.world.take_repeat(&self.service, Use::LargerModel);
         is_paid.then_some(larger)
     }
@@ -361,8 +364,9 @@
         let idle = self.world.cfg.session_idle;
         self.pin(index, self.request.deadline + idle);
         let keeps_alive = self.keeps_alive();
-        stream.may_leave =
-            self.request.route.repeat.is_allowed() && self.runs < self.request.route.max_runs;
+        let leaves_silent = self.world.cfg.policy.timing.leaves_silent;
+        let is_allowed = self.request.route.repeat.is_allowed();
+        stream.may_leave = leaves_silent && is_allowed && self.runs < self.request.route.max_runs;
         let end = self
             .relay
             .run(
@@ -377,7 +381,8 @@
         self.report.first_byte_at = self.relay.first_at();
         match end {
             RelayEnd::Complete => {
-                self.note(index, "streamed");
+                let what = stream.confidence.map(|sure| format!("streamed ({sure})"));
+                self.note(index, what.as_deref().unwrap_or("streamed"));
                 stream.finish(Ending::Good);
                 Next::Finished(Finish {
                     outcome: Outcome::Answered,
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::Upstreams;
 use http1::{Pool, Wire, WireOptions};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -127,13 +128,14 @@
 }
 
 fn new_world<T>(cfg: Config, translator: T, clock: Clock, seen: Seen) -> Rc<World<T>> {
+    let upstreams = Upstreams::new(cfg.policy.placing);
     Rc::new(World {
         cfg,
         translator,
         clock,
         metrics: Metrics::new(),
         plan: RefCell::default(),
-        upstreams: RefCell::default(),
+        upstreams: RefCell::new(upstreams),
         pool: RefCell::new(Pool::default()),
         pins: RefCell::default(),
         budgets: RefCell::new(HashMap::new()),
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Gate, PromptPart, RetryLimits};
+use dispatch::{Gate, Policy, PromptPart, RetryLimits};
 use http1::Head;
 use routes::{
     ApiKey, Customer, Limits, Repeat, Route, RouteTable, Service, TableVersion, Target, Upstream,
@@ -209,6 +209,7 @@
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_callers: 100,
         max_held: ByteSize(1 << 20),
+        policy: Policy::default(),
         retries: RetryLimits {
             ratio: 1.0,
             allowance: 100.0,
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -56,6 +56,9 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "platform")]
 pub struct Platform {
+    /// file that changes entries of the policy, in YAML (default: none are changed)
+    #[argh(option)]
+    pub policy: Option<PathBuf>,
     /// check the settings and exit
     #[argh(switch)]
     pub check: bool,
--- a/daemon/src/cmd/platform.rs
+++ b/daemon/src/cmd/platform.rs
@@ -5,10 +5,12 @@
 use signal_hook::iterator::Signals;
 
 use crate::cli::Platform;
+use crate::policy;
 
 /// Runs until a signal ends it.
 pub fn run(options: &Platform) -> eyre::Result<()> {
     let settings = platform::Settings::from_env()?;
+    let policy = policy::read(options.policy.as_deref())?;
     if options.check {
         println!("settings of {} are right", settings.node_name);
         return Ok(());
@@ -21,7 +23,7 @@
         version = env!("CARGO_PKG_VERSION"),
         "daemon: starting"
     );
-    let daemon = platform::start(&settings, logs.dropped())?;
+    let daemon = platform::start(&settings, policy, logs.dropped())?;
     for signal in signals.forever() {
         match signal {
             SIGHUP => reload(&settings),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod policy;
 
 fn main() -> eyre::Result<()> {
     let args: cli::Args = argh::from_env();
