Read the field as it is written in the test of early callers

Cause: the test looked for retry-after in lower case and found nothing, so it failed whatever the daemon said; it had not been run before it was committed. Its upper bound went by the wall clock.

Change: the field's own case, and the bound is the third of its patience that a caller waits for. Before: failed by its own fault; after: passes, and fails with the bound on the caller's patience taken out.

--- a/components/traffic/tests/it/bounds.rs
+++ b/components/traffic/tests/it/bounds.rs
@@ -143,10 +143,13 @@
         caller.send(&text);
         let answer = caller.answer();
         assert_eq!(status_of(&answer), 503);
-        let said = field(&answer, "retry-after").expect("told when");
+        let said = field(&answer, "Retry-After").expect("told when");
         said.parse::<f64>().expect("seconds")
     };
-    assert!((0.5..=1.5).contains(&retry_after(9_000)));
+    assert!(
+        (0.5..=3.0).contains(&retry_after(9_000)),
+        "a third of 9 s at most"
+    );
     let short = retry_after(1_500);
     assert!(
         (0.25..=0.5).contains(&short),
