Ask many prompts of the test of a silent engine

Cause: the test asked one prompt, whose home was another engine than the silent one, so it passed with the cost at 0 too.

Change: fifty prompts. Before: passes with and without the guard; after: fails without it.

--- a/components/dispatch/tests/choose.rs
+++ b/components/dispatch/tests/choose.rs
@@ -354,7 +354,7 @@
     for index in &all[1..] {
         setup.upstreams.heard(at(900), *index);
     }
-    let picks = (0..50).map(|_| setup.choice(at(1_000), &prompt(7)).index);
+    let picks = (0..50).map(|n| setup.choice(at(1_000), &prompt(n)).index);
     assert!(picks.into_iter().all(|index| index != silent));
     setup.upstreams.heard(at(1_000), silent);
     let picks = (0..200).map(|n| setup.choice(at(1_001), &prompt(100 + n)).index);
