Log who has a request while it has it; split the exchange and the trial

Cause: a request in flight when its host was killed or lost power left no line at all, so on-call could not tell which upstream had it. Reading: the exchange (483 lines) and the trial (404) held several jobs; Lookup was an Option by another name; two texts said why there is no upstream.

Change: a line when a stream begins and at each further send, at most one a send. exchange::decide and exchange::tell, trial::gate; RouteTable::route gives an Option; NoUpstream has its one text.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -97,15 +97,25 @@
 
 /// Why a request goes nowhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("{}", self.reason())]
 pub enum NoUpstream {
     /// None is listed that it may run on.
-    #[error("no upstream of the service is listed")]
     Unknown,
     /// Those that it may run on were tried.
-    #[error("every upstream of the service was tried")]
     Tried,
 }
 
+impl NoUpstream {
+    /// In words.
+    #[must_use]
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Unknown => "no upstream is listed that may run it",
+            Self::Tried => "every upstream that may run it was tried",
+        }
+    }
+}
+
 impl Upstreams {
     /// Chooses an upstream.
     ///
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -141,15 +141,6 @@
     BadPrefix(Arc<str>, Arc<str>),
 }
 
-/// Where a request belongs.
-#[derive(Debug, Clone)]
-pub enum Lookup {
-    /// On this route.
-    Found(Arc<Route>),
-    /// Nowhere.
-    Unknown,
-}
-
 /// One version of the operators' configuration.
 #[derive(Debug, Clone)]
 pub struct RouteTable {
@@ -201,12 +192,10 @@
 
     /// The route with the longest prefix of a path on a host.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Lookup {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.to_ascii_lowercase();
-        let routes = self.hosts.get(host.as_str());
-        let mut routes = routes.into_iter().flatten();
-        let found = routes.find(|route| path.starts_with(&*route.prefix));
-        found.map_or(Lookup::Unknown, |route| Lookup::Found(Arc::clone(route)))
+        let mut routes = self.hosts.get(host.as_str())?.iter();
+        routes.find(|route| path.starts_with(&*route.prefix))
     }
 
     /// Whose key it is.
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::NoUpstream;
 use http1::{Framing, Head, Kind, Wire};
-use routes::{Customer, Lookup, Route, RouteTable};
+use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
 
 use crate::answer::{Own, spread};
@@ -181,7 +180,7 @@
         return Err((Own::NotRun { retry_after }, "no configuration is known yet"));
     };
     let host = head.text("host").unwrap_or_default();
-    let Lookup::Found(route) = table.route(host, path_of(head)) else {
+    let Some(route) = table.route(host, path_of(head)) else {
         return Err((Own::UnknownRoute, "no route has this host and path"));
     };
     let customer = ask.key.as_ref().and_then(|key| table.customer(key));
@@ -190,7 +189,7 @@
     }
     Ok(Placed {
         table: Arc::clone(table),
-        route,
+        route: Arc::clone(route),
         customer: customer.cloned(),
     })
 }
@@ -220,11 +219,3 @@
     // A caller that is gone needs no answer.
     let _ = wire.write_all(&own.encode(keeps_alive)).await;
 }
-
-/// What a caller is told when no upstream can be had.
-pub(crate) fn refusal(no: NoUpstream) -> &'static str {
-    match no {
-        NoUpstream::Unknown => "no upstream is listed that may run it",
-        NoUpstream::Tried => "every upstream that may run it was tried",
-    }
-}
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -1,11 +1,12 @@
 //! One request from its first attempt to its end.
 
+mod decide;
+mod tell;
+
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{
-    Cascade, Choice, Draft, Ending, Gate, Load, Need, NoUpstream, Permit, UpstreamIndex, Use,
-};
+use dispatch::{Cascade, Ending, Load, UpstreamIndex, Use};
 use http1::{Head, Wire};
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
@@ -13,7 +14,6 @@
 
 use crate::answer::{Own, Whole, spread};
 use crate::attempt::{Attempt, Sent};
-use crate::caller::refusal;
 use crate::metrics::Outcome;
 use crate::relay::{Relay, RelayEnd};
 use crate::report::{Finish, Report};
@@ -119,15 +119,6 @@
         }
     }
 
-    pub(crate) fn report(&self) -> Report {
-        let mut report = self.report.clone();
-        report.events = self.relay.delivered();
-        if let Some(index) = self.pending {
-            report.add(self.describe(index, "still out"));
-        }
-        report
-    }
-
     /// Runs it to its end.
     pub(crate) async fn run(&mut self) -> Finish {
         self.world.requested(&self.service);
@@ -154,13 +145,6 @@
         }
     }
 
-    fn may_send_again(&self, what: Use) -> bool {
-        let max_runs = self.request.route.max_runs;
-        let has_room = self.runs < max_runs && self.sends < max_runs + EXTRA_SENDS;
-        // Asking a larger model was paid for when the smaller one's answer was dropped.
-        has_room && (what == Use::LargerModel || self.world.take_repeat(&self.service, what))
-    }
-
     /// The last word: what is true of everything that was tried.
     async fn give_up(&mut self, why: &'static str) -> Finish {
         if self.relay.has_begun() {
@@ -176,42 +160,15 @@
         self.own(Own::NotRun { retry_after }, why).await
     }
 
-    /// Chooses an upstream for a model.
-    fn choose(
-        &self,
-        model: Option<&Arc<str>>,
-        tried: &[UpstreamIndex],
-    ) -> Result<Choice, NoUpstream> {
-        let permit = self.permit();
-        let prompt = self.request.ask.prompt.as_ref();
-        let need = Need {
-            service: &self.service,
-            model,
-            parts: prompt.map_or(&[], |prompt| &prompt.parts),
-            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
-            permit: &permit,
-            exclude: tried,
-            near: &self.world.cfg.failure_domain,
-        };
-        let now = self.world.now();
-        let upstreams = self.world.upstreams.borrow();
-        upstreams.choose(now, &need, &mut *self.world.rng.borrow_mut())
-    }
-
-    /// When a model's first event can be expected, from now.
-    fn expected_of(&self, model: usize) -> Option<Span> {
-        let model = self.request.route.models.get(model)?;
-        let choice = self.choose(Some(model), &[]).ok()?;
-        let ms = choice.load.wait_ms + choice.load.expected_ms;
-        Some(Span::from_secs_f64(ms / 1_000.0))
-    }
-
     async fn attempt(&mut self) -> Next {
         let model = self.model_name().cloned();
         let choice = match self.choose(model.as_ref(), &self.tried) {
             Ok(choice) => choice,
-            Err(no) => return Next::Stuck(refusal(no)),
+            Err(no) => return Next::Stuck(no.reason()),
         };
+        if self.sends + self.unreachable > 0 {
+            self.log("requests: sent again", choice.index);
+        }
         self.tried.push(choice.index);
         self.pending = Some(choice.index);
         self.chosen_by = choice.load;
@@ -230,62 +187,6 @@
         self.take_sent(sent).await
     }
 
-    /// Whether a silent upstream may be left for another: only while a run stays for an
-    /// upstream that breaks.
-    fn may_leave(&self) -> bool {
-        let is_allowed = self.request.route.repeat.is_allowed();
-        let is_allowed = is_allowed && self.world.cfg.policy.timing.leaves_silent;
-        is_allowed && self.runs + 1 < self.request.route.max_runs
-    }
-
-    /// Versions that it may run on now.
-    fn permit(&self) -> Permit {
-        let now = self.world.now();
-        if let Some(version) = &self.version {
-            return Permit::Only(version.clone());
-        }
-        let plan = self.world.plan();
-        let Some(gate) = plan.gate(&self.service) else {
-            return Permit::Any;
-        };
-        if gate.notes(self.place) {
-            self.world.seen.stay(gate.order, [Gate::mark(self.place)]);
-        }
-        let pins = self.world.pins.borrow();
-        let session = self.request.ask.session;
-        let pinned = session.and_then(|session| pins.get(now, session));
-        gate.permit(self.place, pinned)
-    }
-
-    fn model_name(&self) -> Option<&Arc<str>> {
-        match self.model {
-            Some(place) => self.request.route.models.get(place),
-            None => self.request.ask.model.as_ref(),
-        }
-    }
-
-    /// Adds an attempt that is over to the log line.
-    fn note(&mut self, index: UpstreamIndex, what: &str) {
-        self.pending = None;
-        let tried = self.describe(index, what);
-        self.report.add(tried);
-    }
-
-    /// An attempt in a few words: what it was chosen by, and what came of it.
-    fn describe(&self, index: UpstreamIndex, what: &str) -> String {
-        let upstreams = self.world.upstreams.borrow();
-        let spec = upstreams.spec(index);
-        let id = spec.map_or("?", |spec| spec.id.as_str());
-        let version = spec.map_or("?", |spec| &*spec.version);
-        let model = self
-            .model
-            .map_or(String::new(), |model| format!(" model {model}"));
-        let ms = self.world.now().since(self.request.arrived_at).as_millis();
-        let wait = self.chosen_by.wait_ms.round();
-        let work = self.chosen_by.expected_ms.round();
-        format!("{id} {version}{model} (wait {wait} work {work}): {what} at {ms}ms")
-    }
-
     async fn take_sent(&mut self, sent: Sent<T>) -> Next {
         let index = self.tried[self.tried.len() - 1];
         match sent {
@@ -337,30 +238,12 @@
         }
     }
 
-    fn larger_model(&self, confidence: Option<u8>) -> Option<usize> {
-        if self.relay.has_begun() || self.runs >= self.request.route.max_runs {
-            return None;
-        }
-        let draft = Draft {
-            asked: self.model?,
-            confidence: confidence?,
-            arrived_at: self.request.arrived_at,
-            objective: self.request.route.objective,
-        };
-        let models = self.request.route.models.len();
-        let now = self.world.now();
-        let expected = |place| self.expected_of(place);
-        let cascade = Cascade::new(self.world.cfg.policy.cascade);
-        let larger = cascade.next(now, models, draft, expected)?;
-        let is_paid = self.world.take_repeat(&self.service, Use::LargerModel);
-        is_paid.then_some(larger)
-    }
-
     async fn relay_stream(
         &mut self,
         index: UpstreamIndex,
         mut stream: crate::attempt::Stream<T>,
     ) -> Next {
+        self.log("requests: streaming", index);
         let idle = self.world.cfg.session_idle;
         self.pin(index, self.request.deadline + idle);
         let keeps_alive = self.keeps_alive();
--- /dev/null
+++ b/components/traffic/src/exchange/decide.rs
@@ -0,0 +1,102 @@
+//! What a request asks the decisions for: which upstream, version and model, and whether to
+//! go on.
+
+use std::sync::Arc;
+
+use dispatch::{Cascade, Choice, Draft, Gate, Need, NoUpstream, Permit, UpstreamIndex, Use};
+use types::prelude::*;
+
+use super::{EXTRA_SENDS, Exchange};
+use crate::translate::Translator;
+
+impl<T: Translator> Exchange<'_, T> {
+    /// Chooses an upstream for a model.
+    pub(super) fn choose(
+        &self,
+        model: Option<&Arc<str>>,
+        tried: &[UpstreamIndex],
+    ) -> Result<Choice, NoUpstream> {
+        let permit = self.permit();
+        let prompt = self.request.ask.prompt.as_ref();
+        let need = Need {
+            service: &self.service,
+            model,
+            parts: prompt.map_or(&[], |prompt| &prompt.parts),
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
+            permit: &permit,
+            exclude: tried,
+            near: &self.world.cfg.failure_domain,
+        };
+        let now = self.world.now();
+        let upstreams = self.world.upstreams.borrow();
+        upstreams.choose(now, &need, &mut *self.world.rng.borrow_mut())
+    }
+
+    /// When a model's first event can be expected, from now.
+    pub(super) fn expected_of(&self, model: usize) -> Option<Span> {
+        let model = self.request.route.models.get(model)?;
+        let choice = self.choose(Some(model), &[]).ok()?;
+        let ms = choice.load.wait_ms + choice.load.expected_ms;
+        Some(Span::from_secs_f64(ms / 1_000.0))
+    }
+
+    /// Whether a silent upstream may be left for another: only while a run stays for an
+    /// upstream that breaks.
+    pub(super) fn may_leave(&self) -> bool {
+        let is_allowed = self.request.route.repeat.is_allowed();
+        let is_allowed = is_allowed && self.world.cfg.policy.timing.leaves_silent;
+        is_allowed && self.runs + 1 < self.request.route.max_runs
+    }
+
+    /// Versions that it may run on now.
+    pub(super) fn permit(&self) -> Permit {
+        let now = self.world.now();
+        if let Some(version) = &self.version {
+            return Permit::Only(version.clone());
+        }
+        let plan = self.world.plan();
+        let Some(gate) = plan.gate(&self.service) else {
+            return Permit::Any;
+        };
+        if gate.notes(self.place) {
+            self.world.seen.stay(gate.order, [Gate::mark(self.place)]);
+        }
+        let pins = self.world.pins.borrow();
+        let session = self.request.ask.session;
+        let pinned = session.and_then(|session| pins.get(now, session));
+        gate.permit(self.place, pinned)
+    }
+
+    pub(super) fn model_name(&self) -> Option<&Arc<str>> {
+        match self.model {
+            Some(place) => self.request.route.models.get(place),
+            None => self.request.ask.model.as_ref(),
+        }
+    }
+
+    pub(super) fn larger_model(&self, confidence: Option<u8>) -> Option<usize> {
+        if self.relay.has_begun() || self.runs >= self.request.route.max_runs {
+            return None;
+        }
+        let draft = Draft {
+            asked: self.model?,
+            confidence: confidence?,
+            arrived_at: self.request.arrived_at,
+            objective: self.request.route.objective,
+        };
+        let models = self.request.route.models.len();
+        let now = self.world.now();
+        let expected = |place| self.expected_of(place);
+        let cascade = Cascade::new(self.world.cfg.policy.cascade);
+        let larger = cascade.next(now, models, draft, expected)?;
+        let is_paid = self.world.take_repeat(&self.service, Use::LargerModel);
+        is_paid.then_some(larger)
+    }
+
+    pub(super) fn may_send_again(&self, what: Use) -> bool {
+        let max_runs = self.request.route.max_runs;
+        let has_room = self.runs < max_runs && self.sends < max_runs + EXTRA_SENDS;
+        // Asking a larger model was paid for when the smaller one's answer was dropped.
+        has_room && (what == Use::LargerModel || self.world.take_repeat(&self.service, what))
+    }
+}
