--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -4,10 +4,10 @@
 //! mechanism is worth can be measured on the same build: with one of them off, on the same
 //! days.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// What decides, and by which bounds.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// Which model answers.
@@ -21,7 +21,7 @@
 }
 
 /// Which model answers. Confidences are of 0 to 100; above 100 none is reached.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CascadePolicy {
     /// An answer of the smallest model is kept from this confidence on.
@@ -35,7 +35,7 @@
 }
 
 /// Which upstream gets a request.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlacingPolicy {
     /// Prompts go where others that begin alike went.
@@ -57,7 +57,7 @@
 }
 
 /// How much of the fleet's budget of repeats is used.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RepeatPolicy {
     /// Part of the budget that is used at all.
@@ -67,7 +67,7 @@
 }
 
 /// What is done about upstreams and requests that are late.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TimingPolicy {
     /// A silent upstream is left for another.
--- a/components/dispatch/tests/policy.rs
+++ b/components/dispatch/tests/policy.rs
@@ -1,6 +1,7 @@
 //! Files that change entries of the policy.
 
 use dispatch::Policy;
+use serde_norway::Value;
 
 fn read(text: &str) -> Result<Policy, String> {
     let policy = serde_norway::from_str::<Policy>(text).map_err(|e| e.to_string())?;
@@ -36,3 +37,31 @@
     placing.uses_homes: invalid type: integer `1`, expected a boolean at line 1 column 23
     ");
 }
+
+#[test]
+fn the_page_has_every_entry_with_its_default() {
+    let page = include_str!("../../../docs/POLICY.md");
+    let policy = serde_norway::to_value(Policy::default()).expect("plain values");
+    let Value::Mapping(parts) = policy else {
+        panic!("a policy is a map of maps");
+    };
+    for (part, entries) in &parts {
+        let entries = entries.as_mapping().expect("a map");
+        for (entry, value) in entries {
+            let name = format!("{}.{}", text(part), text(entry));
+            let row = format!("| `{name}` | {} |", text(value));
+            assert!(page.contains(&row), "docs/POLICY.md lacks {row}");
+        }
+    }
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) => number.as_f64().expect("a number").to_string(),
+        other => serde_norway::to_string(other)
+            .expect("plain")
+            .trim()
+            .to_owned(),
+    }
+}
