Ask the largest model when one run is left

Cause: found in reading: a route that allows two runs, or a request that an upstream broke once, would spend its last run on the next size, which is unsure of every third request that comes to it so. Change: the next size is asked only if the largest can be asked after it. Test: the_last_run_goes_to_the_largest_model.

--- a/components/dispatch/src/cascade.rs
+++ b/components/dispatch/src/cascade.rs
@@ -30,6 +30,8 @@
     pub asked: usize,
     /// The model's own opinion, 0 to 100.
     pub confidence: u8,
+    /// Runs that the route still allows.
+    pub runs_left: u32,
     /// When the request arrived.
     pub arrived_at: Time,
     /// The route's objective for the first event.
@@ -76,8 +78,11 @@
         let mut is_in_time =
             |place: &usize| expected(*place).is_some_and(|span| span.as_secs_f64() < left);
         let larger = draft.asked + 1..models;
+        // The next size may be unsure too, and is worth asking only if the largest can be
+        // asked after it.
         let is_nearly_sure = draft.confidence >= self.policy.next_size_from;
-        let next = larger.clone().next().filter(|_| is_nearly_sure);
+        let may_try = is_nearly_sure && draft.runs_left > 1;
+        let next = larger.clone().next().filter(|_| may_try);
         next.filter(&mut is_in_time)
             .or_else(|| larger.rev().find(is_in_time))
     }
--- a/components/dispatch/tests/cascade.rs
+++ b/components/dispatch/tests/cascade.rs
@@ -14,6 +14,7 @@
     Draft {
         asked,
         confidence,
+        runs_left: 2,
         arrived_at: Time::ZERO,
         objective: Span::from_secs(2),
     }
@@ -58,3 +59,14 @@
     assert_eq!(next(draft(1, 10), 100, [10, 20, 30]), Some(2));
     assert_eq!(next(draft(2, 10), 100, [10, 20, 30]), None);
 }
+
+#[test]
+fn the_last_run_goes_to_the_largest_model() {
+    // A route allows two runs, or one was used up by an upstream that broke. The next size would
+    // be unsure of every third such request, and nothing could be asked after it.
+    let last = Draft {
+        runs_left: 1,
+        ..draft(0, 50)
+    };
+    assert_eq!(next(last, 100, [10, 20, 30]), Some(2));
+}
--- a/components/traffic/src/exchange/decide.rs
+++ b/components/traffic/src/exchange/decide.rs
@@ -80,6 +80,7 @@
         }
         let draft = Draft {
             asked: self.model?,
+            runs_left: self.request.route.max_runs - self.runs,
             confidence: confidence?,
             arrived_at: self.request.arrived_at,
             objective: self.request.route.objective,
