--- a/components/dispatch/src/cascade.rs
+++ b/components/dispatch/src/cascade.rs
@@ -83,8 +83,14 @@
         let is_nearly_sure = draft.confidence >= self.policy.next_size_from;
         let may_try = is_nearly_sure && draft.runs_left > 1;
         let next = larger.clone().next().filter(|_| may_try);
-        next.filter(&mut is_in_time)
-            .or_else(|| larger.rev().find(is_in_time))
+        // What is far beyond the smallest model is beyond those in between as well: asking one
+        // because the largest would be late takes its time and price for nothing.
+        let is_far = draft.confidence < self.policy.middle_from;
+        let least = if is_far { models.saturating_sub(1) } else { 0 };
+        next.filter(&mut is_in_time).or_else(|| {
+            let mut from_largest = larger.rev().take_while(|place| *place >= least);
+            from_largest.find(is_in_time)
+        })
     }
 
     fn is_kept(&self, draft: Draft) -> bool {
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -30,6 +30,8 @@
     pub keep_middle_from: u8,
     /// From this confidence on the next size is asked, below it the largest.
     pub next_size_from: u8,
+    /// Where the largest would be late a model in between is asked from this confidence on.
+    pub middle_from: u8,
     /// Part of the objective within which a larger model's first event must be expected.
     pub in_time_share: f64,
 }
@@ -85,6 +87,7 @@
             keep_from: 60,
             keep_middle_from: 30,
             next_size_from: 35,
+            middle_from: 20,
             in_time_share: 0.8,
         }
     }
@@ -153,6 +156,12 @@
         check(entry, cascade.keep_middle_from.into(), 101.0, confidence)?;
         let entry = "cascade.next_size_from";
         check(entry, cascade.next_size_from.into(), 101.0, confidence)?;
+        check(
+            "cascade.middle_from",
+            cascade.middle_from.into(),
+            101.0,
+            confidence,
+        )?;
         let share = "a share of the objective is 0 to 100";
         check("cascade.in_time_share", cascade.in_time_share, 100.0, share)?;
         let placing = &self.placing;
