Drop the pace of upstreams from the choice

Cause: a running mean of measured over expected time weighed each upstream's cost. The expected time does not know what other daemons just sent, so the mean follows bad luck and sends requests away from sound engines.

Change: the mean and its entry of the policy go; an upstream that stands still is seen by its silence, one that fails by its health.

Conclusion: removed. No test was about it.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -4,7 +4,7 @@
 //! and has not begun to answer, and the part of the prompt that the engine must read. All
 //! daemons agree on a home engine of each shared prompt by rendezvous hashing, so what one
 //! daemon had read there serves the others too; a home that is behind loses to others.
-//! For plain services it is the own requests out there by pace. A few candidates are
+//! For plain services it is the requests out there. A few candidates are
 //! compared at random besides, so that daemons do not all follow one picture. Upstreams of
 //! the own failure domain are looked at more closely and cost less.
 
@@ -243,10 +243,6 @@
         true => COLD_TIMES,
         false => 1.0,
     };
-    let pace = match policy.counts_pace {
-        true => entry.pace.get() * cold,
-        false => cold,
-    };
     let out = f64::from(entry.in_flight + entry.others.in_flight);
     let each = match need.parts.is_empty() {
         true => load.expected_ms / f64::from(entry.spec.slots.max(1)),
@@ -254,7 +250,7 @@
     };
     let read_again = f64::from(load.missing_shared) / 1_000.0 * policy.read_again_ms_per_1000;
     let silence = entry.silent_ms(now) * policy.silence_share;
-    (load.wait_ms + load.expected_ms + out * each) * pace + far + read_again + silence
+    (load.wait_ms + load.expected_ms + out * each) * cold + far + read_again + silence
 }
 
 /// Keeps a share of `all` upstreams, the same ones at every daemon.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -14,7 +14,6 @@
 mod health;
 mod homes;
 mod lapsed;
-mod pace;
 mod pins;
 mod policy;
 mod reading;
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -46,8 +46,6 @@
     pub counts_others: bool,
     /// Upstreams that fail are set aside.
     pub sets_aside: bool,
-    /// How long an upstream takes beside its peers counts.
-    pub counts_pace: bool,
     /// Part of a prompt's reading time that each stream beside it is charged with.
     pub harm_share: f64,
     /// Times that the silence of an upstream with work counts as cost.
@@ -100,7 +98,6 @@
             uses_homes: true,
             counts_others: true,
             sets_aside: true,
-            counts_pace: true,
             harm_share: crate::choose::HARM_SHARE,
             silence_share: crate::choose::SILENCE_SHARE,
             far_ms: crate::choose::FAR_MS,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -10,7 +10,6 @@
 
 use crate::backlog::Backlog;
 use crate::health::{Ending, Health};
-use crate::pace::Pace;
 use crate::policy::PlacingPolicy;
 use crate::reading::Reading;
 
@@ -84,7 +83,6 @@
 pub(crate) struct Entry {
     pub(crate) spec: Arc<Upstream>,
     pub(crate) health: Health,
-    pub(crate) pace: Pace,
     pub(crate) in_flight: u32,
     /// What was sent from here and has not begun to answer.
     pub(crate) backlog: Backlog,
@@ -168,7 +166,7 @@
     }
 
     /// Guards against an upstream that starts again under its id: what was believed of the
-    /// former run (prompts held, pace, health, leaving, kept connections, which go by index)
+    /// former run (prompts held, backlog, health, leaving, kept connections, which go by index)
     /// is not so of the next, which therefore gets an entry of its own.
     fn list(&mut self, spec: &Arc<Upstream>) {
         let is_draining = spec.state == UpstreamState::Draining;
@@ -187,7 +185,6 @@
         let entry = Entry {
             spec: Arc::clone(spec),
             health: Health::default(),
-            pace: Pace::default(),
             in_flight: 0,
             backlog: Backlog::default(),
             others: OthersLoad::default(),
@@ -271,7 +268,6 @@
         entry.backlog.remove(now, begun.ticket.0);
         entry.heard_at = now;
         let load = begun.load;
-        entry.pace.note(begun.ms, load.wait_ms + load.expected_ms);
         let service = entry.spec.service.clone();
         match begun.model {
             Some(model) if load.missing >= FEWEST_TOKENS && load.wait_ms < ENGINE_BASE_MS => {
