Judge slowness by answers that have begun

Cause: a slow version's evidence came with the ends of its streams. Ruled out: a finer threshold (three of sixteen is chance).

Change: how late an answer begins is counted when it begins, against all that have begun. The first share uses 0.3 of the bound (0.15 before).

--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -22,7 +22,9 @@
     pub bad: u32,
     /// Answers that broke off or never came.
     pub broken: u32,
-    /// Of the good ones, those that took much longer than expected.
+    /// Answers that began, whether or not they ended.
+    pub begun: u32,
+    /// Of these, those that began much later than expected.
     pub slow: u32,
     /// Requests out now.
     pub out: u32,
@@ -35,12 +37,14 @@
         self.good + self.bad + self.broken
     }
 
-    /// Notes a good answer and how its time compares with what `load` lets expect.
+    /// Notes that an answer begins and how its time compares with what `load` lets expect.
     ///
-    /// Guards against a good version that looks slow because its upstreams are new: they hold
-    /// no prompts yet, so all of a prompt counts as to be read, wherever it went.
-    pub fn note_good(&mut self, measured_ms: f64, load: &Load) {
-        self.good += 1;
+    /// Guards against a slow version whose streams have not ended when it is to be judged: of
+    /// 68 requests that it got in 16 s, 16 had ended, the fast ones. And against a good
+    /// version that looks slow because its upstreams are new: they hold no prompts yet, so
+    /// all of a prompt counts as to be read, wherever it went.
+    pub fn note_begun(&mut self, measured_ms: f64, load: &Load) {
+        self.begun += 1;
         let expected_ms = load.wait_ms + load.unheld_ms;
         if measured_ms > SLOW_TIMES * expected_ms.max(1.0) {
             self.slow += 1;
@@ -55,6 +59,7 @@
             good: self.good.saturating_sub(earlier.good),
             bad: self.bad.saturating_sub(earlier.bad),
             broken: self.broken.saturating_sub(earlier.broken),
+            begun: self.begun.saturating_sub(earlier.begun),
             slow: self.slow.saturating_sub(earlier.slow),
             out: self.out,
         }
@@ -66,6 +71,7 @@
         self.good = self.good.saturating_add(other.good);
         self.bad = self.bad.saturating_add(other.bad);
         self.broken = self.broken.saturating_add(other.broken);
+        self.begun = self.begun.saturating_add(other.begun);
         self.slow = self.slow.saturating_add(other.slow);
         self.out = self.out.saturating_add(other.out);
     }
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -24,9 +24,9 @@
 /// has told which sessions are at work, and a restarted one has heard of it.
 const OPEN_AFTER: Span = Span::from_millis(2_500);
 /// Part of the allowed exposure that the first share uses: the rest is for the time in which
-/// the new version carries everything and requests on the old one end. With 0.3 that time
-/// was 0.8 s too short for streams of 1.6 s.
-const FIRST_SHARE_OF_BOUND: f64 = 0.15;
+/// the new version carries everything and requests on the old one end. With 0.15 a version
+/// that was slow on half of its requests had 16 answers when it was to be judged.
+const FIRST_SHARE_OF_BOUND: f64 = 0.3;
 /// Sessions stay on their version in the first half of a roll-out, so the share may only
 /// rise in the second.
 const RISE_FROM: f64 = 0.52;
--- a/components/dispatch/src/trial/judge.rs
+++ b/components/dispatch/src/trial/judge.rs
@@ -82,11 +82,11 @@
 /// What is wrong with the new version, if it is as sure as needed.
 pub(super) fn fault_of(fleet: &Evidence, counted: Counted, needed: Needed) -> Option<Fault> {
     let failed = |counts: &ArmCounts| counted.failed(counts);
-    let slow = |counts: &ArmCounts| Part::new(counts.slow, counts.good);
+    let slow = |counts: &ArmCounts| Part::new(counts.slow, counts.begun);
     if is_worse(fleet, failed, BAD_EXCESS, needed) {
         return Some(Fault::Failing);
     }
-    let has_old = fleet.old.sum().good > 0;
+    let has_old = fleet.old.sum().begun > 0;
     // A suspicion is half as much as a proof; of slow answers that much is made by prompts
     // that new upstreams do not hold yet, and no bad version is slow on so few.
     let least = match needed {
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// A good answer after so long, of a request of which this was expected.
+fn answered(counts: &mut ArmCounts, ms: f64, load: &Load) {
+    counts.note_begun(ms, load);
+    counts.good += 1;
+}
+
 /// So many good and bad answers, each as fast as `times` what was expected.
 fn arm(good: u32, bad: u32, times: f64) -> ArmCounts {
     let mut counts = ArmCounts {
@@ -47,7 +53,7 @@
     for n in 0..good {
         // A spread as of real answers: half as long to twice as long.
         let spread = [0.5, 0.8, 1.0, 1.3, 2.0][n as usize % 5];
-        counts.note_good(100.0 * times * spread, &expected(100.0));
+        answered(&mut counts, 100.0 * times * spread, &expected(100.0));
     }
     counts
 }
@@ -70,7 +76,7 @@
     let good = evidence(arm(40, 1, 1.0), arm(400, 5, 1.0));
     let shares = [1.0, 3.0, 9.0, 11.0, 14.3, 17.0, 18.2];
     let shares = shares.map(|secs| trial.step(at(secs), &good, 1.0).gate.share);
-    assert_eq!(shares, [0.0, 0.0225, 0.0225, 0.0225, 0.0225, 0.0225, 1.0]);
+    assert_eq!(shares, [0.0, 0.045, 0.045, 0.045, 0.045, 0.045, 1.0]);
     assert_eq!(trial.step(at(18.4), &good, 1.0).verdict, Verdict::Open);
     let step = trial.step(at(18.5), &good, 1.0);
     assert_eq!(step.verdict, Verdict::Good);
@@ -221,16 +227,16 @@
         unheld_ms: 500.0,
         ..Load::default()
     };
-    counts.note_good(500.0, &load);
+    answered(&mut counts, 500.0, &load);
     assert_eq!((counts.good, counts.slow), (1, 0));
-    counts.note_good(4_000.0, &load);
+    answered(&mut counts, 4_000.0, &load);
     assert_eq!((counts.good, counts.slow), (2, 1), "eight times as long");
 }
 
 /// So many answers in time and others that took eight times as long.
 fn slow(in_time: u32, slow: u32) -> ArmCounts {
     let mut counts = arm(in_time, 0, 1.0);
-    (0..slow).for_each(|_| counts.note_good(800.0, &expected(100.0)));
+    (0..slow).for_each(|_| answered(&mut counts, 800.0, &expected(100.0)));
     counts
 }
 
@@ -314,7 +320,7 @@
 fn a_version_that_turns_bad_after_a_good_judgement_of_its_first_answers_is_taken_back() {
     let mut trial = trial(Time::ZERO);
     let good = evidence(arm(60, 0, 1.0), arm(400, 4, 1.0));
-    assert_eq!(trial.step(at(11.0), &good, 1.0).gate.share, 0.0225);
+    assert_eq!(trial.step(at(11.0), &good, 1.0).gate.share, 0.045);
     let late = evidence(arm(70, 20, 1.0), arm(450, 5, 1.0));
     let step = trial.step(at(12.0), &late, 1.0);
     assert_eq!((step.verdict, step.gate.share), (Verdict::Failing, 0.0));
@@ -434,3 +440,19 @@
     let chance = evidence(arm(290, 10, 1.0), arm(680, 16, 1.0));
     assert_eq!(trial.step(at(15.0), &chance, 1.0).verdict, Verdict::Open);
 }
+
+#[test]
+fn a_slow_version_is_told_by_answers_that_have_begun() {
+    // A version takes eight times as long for half of its requests. When it is to be judged, its
+    // slow streams are still out, and of those that have ended three of sixteen were slow.
+    let mut trial = trial(Time::ZERO);
+    let mut new = slow(13, 3);
+    for _ in 0..22 {
+        new.note_begun(800.0, &expected(100.0));
+        new.sent += 1;
+        new.out += 1;
+    }
+    let old = arm(1_200, 0, 1.0);
+    let first = evidence(new, old);
+    assert_eq!(trial.step(at(12.0), &first, 1.0).verdict, Verdict::Slow);
+}
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -94,7 +94,11 @@
                 ms,
             },
         );
+        drop(upstreams);
         self.began_at = Some(now);
+        if self.arm.as_ref().is_some_and(|arm| arm.is_evidence) {
+            self.count(|counts| counts.note_begun(ms, &self.load));
+        }
     }
 
     /// Notes that something was read from the upstream.
@@ -142,8 +146,6 @@
         let mut upstreams = self.world.upstreams.borrow_mut();
         upstreams.ended(now, self.index, self.ticket, self.ending);
         drop(upstreams);
-        let waited = self.began_at.unwrap_or(now).since(self.sent_at);
-        let ms = waited.as_secs_f64() * 1_000.0;
         let is_evidence = self.arm.as_ref().is_some_and(|arm| arm.is_evidence);
         self.count(|counts| {
             counts.out = counts.out.saturating_sub(1);
@@ -151,7 +153,7 @@
                 return;
             }
             match self.ending {
-                Ending::Good => counts.note_good(ms, &self.load),
+                Ending::Good => counts.good += 1,
                 Ending::Failed => counts.bad += 1,
                 Ending::Broken | Ending::Silent => counts.broken += 1,
                 _ => {}
