Keep a version that was taken back barred when another is ordered

The new order's gate took the place of the one that barred v2 and barred v3 only, so ten sessions moved to the bad version. Ruled out: the count of the exposure (v3 had no share yet), a daemon's restart (5.3 s).

Change: a trial bars its own version and those that the trials before it took back, unless its order wants them.

Not covered: a daemon that starts between the two orders knows nothing of the first.

Test: a version that was taken back stays barred when another is ordered.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -100,6 +100,8 @@
     before: Span,
     /// Sessions that stay where they are, by [`Gate::mark`].
     staying: Arc<BTreeSet<u32>>,
+    /// The new version, and those taken back before.
+    barred: Arc<[Arc<str>]>,
     /// As the store says.
     state: RolloutState,
     verdict: Verdict,
@@ -121,7 +123,9 @@
     /// An order that was just seen.
     #[must_use]
     pub fn new(now: Time, order: RolloutOrder, limits: TrialLimits) -> Self {
+        let barred = Arc::from([order.to.clone()]);
         Self {
+            barred,
             order,
             limits,
             since: now,
@@ -134,6 +138,18 @@
         }
     }
 
+    /// The same, after a roll-out of the service that this order replaces: what that one took
+    /// back stays barred, unless it is wanted now.
+    #[must_use]
+    pub fn after(mut self, earlier: &Self) -> Self {
+        let is_bad = earlier.verdict.is_bad() || earlier.state == RolloutState::Reverted;
+        let skipped = usize::from(!is_bad);
+        let taken_back = earlier.barred.iter().skip(skipped);
+        let taken_back = taken_back.filter(|version| **version != self.order.to);
+        self.barred = self.barred.iter().chain(taken_back).cloned().collect();
+        self
+    }
+
     /// The order.
     #[must_use]
     pub fn order(&self) -> &RolloutOrder {
@@ -199,6 +215,7 @@
             gate: Gate {
                 service: self.order.service.clone(),
                 to: self.order.to.clone(),
+                barred: Arc::clone(&self.barred),
                 order: self.order.revision,
                 share,
                 keeps_sessions: self.progress(now) < RISE_FROM,
--- a/components/dispatch/src/trial/gate.rs
+++ b/components/dispatch/src/trial/gate.rs
@@ -14,8 +14,8 @@
     Only(Arc<str>),
     /// Only this one, and only a part of its upstreams.
     Few(Arc<str>, Share),
-    /// Any but this one.
-    Not(Arc<str>),
+    /// Any but these.
+    Not(Arc<[Arc<str>]>),
 }
 
 impl Permit {
@@ -25,7 +25,7 @@
         match self {
             Self::Any => true,
             Self::Only(only) | Self::Few(only, _) => only == version,
-            Self::Not(not) => not != version,
+            Self::Not(not) => !not.contains(version),
         }
     }
 }
@@ -37,6 +37,11 @@
     pub service: Arc<str>,
     /// The new version.
     pub to: Arc<str>,
+    /// The new version, and those that earlier orders brought and that were taken back.
+    ///
+    /// Guards against an order that follows one that was taken back: the upstreams of the bad
+    /// version leave seconds later, and the new order alone bars only its own.
+    pub barred: Arc<[Arc<str>]>,
     /// The store's revision of the order.
     pub order: u64,
     /// Share of sessions that go to the new version.
@@ -60,7 +65,7 @@
             return Permit::Only(self.to.clone());
         }
         if self.share <= 0.0 {
-            return Permit::Not(self.to.clone());
+            return Permit::Not(Arc::clone(&self.barred));
         }
         let is_on_old = pinned.is_some_and(|version| *version != self.to)
             || self.staying.contains(&Self::mark(place));
@@ -70,7 +75,7 @@
             // A part of the requests on all of its upstreams would not show a version that
             // is bad under load; on as large a part of them it makes the load to come.
             true => Permit::Few(self.to.clone(), Share::clamped(self.share)),
-            false => Permit::Not(self.to.clone()),
+            false => Permit::Not(Arc::clone(&self.barred)),
         }
     }
 }
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -351,6 +351,7 @@
     Gate {
         service: Arc::from("model"),
         to: Arc::from("v2"),
+        barred: Arc::from([Arc::from("v2")]),
         order: 7,
         share,
         keeps_sessions,
@@ -369,7 +370,10 @@
     assert!(first_half.permit(u64::MAX, Some(&new)).allows(&new));
     let second_half = gate(0.25, false);
     assert!(second_half.permit(low, Some(&old)).allows(&new));
-    assert_eq!(gate(0.0, true).permit(low, Some(&new)), Permit::Not(new));
+    assert_eq!(
+        gate(0.0, true).permit(low, Some(&new)),
+        Permit::Not(Arc::from([new.clone()]))
+    );
 }
 
 #[test]
@@ -456,3 +460,36 @@
     let first = evidence(new, old);
     assert_eq!(trial.step(at(12.0), &first, 1.0).verdict, Verdict::Slow);
 }
+
+#[test]
+fn a_version_that_was_taken_back_stays_barred_when_another_is_ordered() {
+    // A new version was bad and taken back; its upstreams leave seconds later. The next order
+    // came within these, barred its own version only, and sessions went to the bad one.
+    let mut first = trial(Time::ZERO);
+    first.set_state(RolloutState::Reverted);
+    let next = |to: &str| RolloutOrder {
+        to: Arc::from(to),
+        revision: 9,
+        ..order()
+    };
+    let allows = |trial: &mut Trial, version: &str| {
+        let fine = evidence(arm(1, 0, 1.0), arm(1, 0, 1.0));
+        let gate = trial.step(at(6.0), &fine, 1.0).gate;
+        gate.permit(u64::MAX, None).allows(&Arc::from(version))
+    };
+    let mut second = Trial::new(at(5.0), next("v3"), LIMITS).after(&first);
+    let allowed = ["v1", "v2", "v3"].map(|version| allows(&mut second, version));
+    assert_eq!(allowed, [true, false, false]);
+    // An order that wants the version once more is a trial of it again.
+    let again = Trial::new(at(5.0), next("v2"), LIMITS).after(&second);
+    let third = Trial::new(at(5.0), next("v4"), LIMITS);
+    assert!(
+        allows(&mut third.after(&again), "v3"),
+        "v3 was not taken back"
+    );
+    // One that was completed is not barred.
+    let mut good = trial(Time::ZERO);
+    good.set_state(RolloutState::Completed);
+    let mut after = Trial::new(at(5.0), next("v3"), LIMITS).after(&good);
+    assert!(allows(&mut after, "v2"));
+}
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -101,8 +101,12 @@
         tracing::info!(service = &*order.service, to = &*order.to, within = %order.within,
             "rollouts: ordered");
         let service = order.service.clone();
+        let trial = Trial::new(now, order, self.limits);
         let rollout = Rollout {
-            trial: Trial::new(now, order, self.limits),
+            trial: match held {
+                Some(held) => trial.after(&held.trial),
+                None => trial,
+            },
             gate: None,
             wanted: Some((RolloutState::Running, now)),
             next_try_at: now,
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -254,6 +254,7 @@
     let gate = Gate {
         service: Arc::from("service"),
         to: Arc::from("v1"),
+        barred: Arc::default(),
         order: 7,
         share: 1.0,
         keeps_sessions: false,
