--- a/components/dispatch/src/homes.rs
+++ b/components/dispatch/src/homes.rs
@@ -35,7 +35,7 @@
     /// what the way to another failure domain does.
     ///
     /// Guards against prompts that are read at every home they may have: with all three
-    /// expected to hold the parts, each was read at four or five engines of twelve. With one,
+    /// expected to hold the parts, load and nearness chose among them at each daemon. With one,
     /// worth rose by 0.002, 0.005 and 0.008 on three fleets of 12 to 18 engines (five days of
     /// trouble, three seeds paired), and shared tokens read again fell by a fifth.
     pub(crate) fn of(
