Tell the ledger of a daemon as soon as it has joined

Cause: the ledger took the other daemons at its tick only, up to 20 ms (200 ms by default) after membership knew them and showed them. Until then it held itself for the only daemon and released the end of an answer at once, without a second holder of the bill.

Ruled out: a slow second daemon.

Change: membership's changes go to the ledger in the same step as to the catalogue and the sessions.

--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -255,7 +255,11 @@
         effects
     }
 
-    fn set_members(&mut self, members: &[Peer]) {
+    /// Takes the other daemons that live and do not leave, as soon as they are known.
+    ///
+    /// Guards against an answer that is released alone beside a second daemon: told at the
+    /// next tick only, the ledger took itself for the only one until then.
+    pub fn set_members(&mut self, members: &[Peer]) {
         if self.members != members {
             self.members = members.to_vec();
             self.roller.set_members(&self.cfg.me.id, members);
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -99,6 +99,7 @@
         if changed {
             self.catalogue.set_members(self.members.live());
             self.shared.sessions.set_members(self.members.homes());
+            self.ledger.set_members(self.members.other_peers());
         }
     }
 
--- a/components/node/src/systems/ledger.rs
+++ b/components/node/src/systems/ledger.rs
@@ -55,6 +55,7 @@
 
     /// Takes the other daemons that live and do not leave.
     pub fn set_members(&mut self, members: Vec<Peer>) {
+        self.ledger.set_members(&members);
         self.members = members;
     }
 
--- a/components/node/tests/it/bills.rs
+++ b/components/node/tests/it/bills.rs
@@ -97,3 +97,18 @@
     assert_eq!(ledgers[0]["released_alone"], 0);
     assert_eq!(ledgers[1]["custody"], 5);
 }
+
+// A daemon has just met another one, and its first answers end before its next tick. Each
+// end waits until the other daemon has the bill too; the ledger hears of the other one at
+// once, so that no answer is released as by a daemon that is alone.
+#[test]
+fn can_hold_bills_at_a_daemon_that_was_met_since_the_last_tick() {
+    let tick = Span::from_millis(1_000);
+    let harness = Harness::with_tick(&PlatformConfig::default(), 2, tick);
+    harness.wait_joined();
+    let (_, _, reader) = harness.chat(&ask("answers", true, 5)).split();
+    assert_eq!(events(reader).last().unwrap(), "[DONE]");
+    let ledger = harness.status(0, "/dump")["ledger"].clone();
+    assert_eq!(ledger["own"], 1);
+    assert_eq!(ledger["released_alone"], 0);
+}
--- a/components/node/tests/it/harness.rs
+++ b/components/node/tests/it/harness.rs
@@ -60,10 +60,14 @@
     quality_target: '0.9'
 ";
 
+/// Periodic work of the tests' daemons.
+const TICK: Span = Span::from_millis(20);
+
 /// A platform and daemons in front of it.
 pub struct Harness {
     pub platform: Platform,
     pub nodes: Vec<Node>,
+    tick: Span,
 }
 
 impl Harness {
@@ -83,8 +87,17 @@
         Self::with_catalogue(cfg, CATALOGUE, count)
     }
 
+    /// Several daemons that do periodic work this seldom.
+    pub fn with_tick(cfg: &PlatformConfig, count: usize, tick: Span) -> Self {
+        Self::with_all(cfg, CATALOGUE, count, tick)
+    }
+
     /// Several daemons and a catalogue of the test's own.
     pub fn with_catalogue(cfg: &PlatformConfig, text: &str, count: usize) -> Self {
+        Self::with_all(cfg, text, count, TICK)
+    }
+
+    fn with_all(cfg: &PlatformConfig, text: &str, count: usize, tick: Span) -> Self {
         let hash = |key: &str| catalogue::entry::KeyHash::from_key(key).to_string();
         let text = text
             .replace("KEY", &hash("ward-key"))
@@ -99,6 +112,7 @@
         let mut harness = Self {
             platform,
             nodes: Vec::new(),
+            tick,
         };
         for index in 0..count {
             harness.add_daemon(index);
@@ -133,12 +147,13 @@
              keys: [{{id: test, secret: not-secret-in-tests}}]\n\
              store: {{endpoints: ['{}']}}\n\
              platform: {{rater: '{}', rater_rate: 2000/s, weights: '{}', hosts: '{}'}}\n\
-             control: {{tick: 20ms}}\n\
+             control: {{tick: {}}}\n\
              shutdown: {{notice: 0s, deadline: 30s}}\n",
             platform.store.address(),
             platform.rater.address(),
             platform.weights.address(),
             platform.hosts.address(),
+            self.tick,
         );
         settings::from_yaml("test", &yaml).unwrap()
     }
