Tell a view of the fleet that stays, and copy from the own failure domain

Cause: peers to be told were drawn anew from all five times a second and a connection stayed open for 120 s without use, so each of 300 daemons held one to nearly every other, both ways (459 connections and 20.8 MB in the middle). A whole copy of the store was asked of any daemon, mostly across failure domains.

Change: fleet::Audience, a view of 24 daemons near and 6 elsewhere of which one each makes room every 4 s; 5 and 1 of them are told each time as before. Unused connections are closed after 15 s (30 s at the other end). Four questions in five go to the own failure domain.

Tests: fewer than 50 peers in half a minute (all 294 before), word crosses 295 daemons within ten turns.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -247,13 +247,13 @@
                 return;
             }
         };
-        self.pass_on(before, &changes);
+        self.pass_on(now, before, &changes);
         self.changed(now, &changes);
     }
 
     /// Hands on what is new, once: who takes a change tells some others in turn, so that it
     /// is everywhere after a few hops; who was left out asks at its next tick.
-    fn pass_on(&mut self, before: Revision, changes: &[Change]) {
+    fn pass_on(&mut self, now: Time, before: Revision, changes: &[Change]) {
         let from_watch = self.watching.mode() == Mode::Watch;
         let is_news = before > Revision::default() && !changes.is_empty();
         if is_news && (from_watch || !self.peering.is_small()) {
@@ -262,7 +262,7 @@
                 at: self.mirror.at(),
                 changes: changes.to_vec(),
             };
-            self.peering.show_changes(&answer);
+            self.peering.show_changes(now, &answer);
         }
     }
 
@@ -425,7 +425,7 @@
             }
             if is_turn {
                 let staying = self.traffic.seen.staying(order.revision);
-                self.peering.report(&own, &staying);
+                self.peering.report(now, &own, &staying);
             }
         }
     }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Names of keys and forms of values belong to a [`Codec`].
 
+mod audience;
 mod codec;
 mod control;
 mod copying;
@@ -23,6 +24,7 @@
 mod turns;
 mod watching;
 
+pub use audience::{Audience, Peer, is_small};
 pub use codec::{Codec, DecodeError, StateRecord};
 pub use error::FleetError;
 pub use settings::Settings;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -5,27 +5,19 @@
 
 use bytes::Bytes;
 use dispatch::{Evidence, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad};
-use membership::{Event as MemberEvent, Member, Membership, Outcome};
+use membership::{Event as MemberEvent, MemberRecord, Membership, Outcome};
 use mirror::{Answer, Change, Listing, Mirror, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use rand::RngExt;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom};
 use types::prelude::*;
 
+use crate::audience::{self, Audience, Peer};
 use crate::copying::{Handing, Taken, Taking};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
 
 /// Longest wait for a peer's answer about the store's keys.
 const ASK_WITHIN: Span = Span::from_millis(800);
-/// A fleet of up to so many daemons is small: each tells all others how it stands.
-const SMALL_FLEET: usize = 16;
-/// Daemons of the own failure domain that a daemon of a large fleet tells each time, drawn
-/// anew: what is out at upstreams matters there most, and bytes between failure domains are
-/// paid for.
-const TOLD_NEAR: usize = 5;
-/// Daemons elsewhere that it tells each time: word from one reaches 88 others in some four
-/// rounds, and costs each daemon the same in a fleet of any size.
-const TOLD_FAR: usize = 1;
 /// In a small fleet word is fresh for this long: three messages are missing then.
 const FRESH_IN_SMALL: Span = Span::from_millis(700);
 /// In a large one, where it takes some rounds to arrive.
@@ -38,6 +30,8 @@
 /// After a peer that gives no answer another is asked so much later, spread over as long
 /// again: a copy of some hundred upstreams takes about so long.
 const ASK_AGAIN: Span = Span::from_millis(15);
+/// Part of the questions that go to any failure domain.
+const ASK_FAR: f64 = 0.2;
 /// Daemons that came are logged one by one up to so many at a time.
 const MAX_LOGGED: usize = 4;
 /// A daemon whose own watch works gives it this long to bring what a peer has already.
@@ -55,6 +49,7 @@
     handing: Handing,
     /// Daemons that came since they were last logged.
     arrived: Vec<DaemonId>,
+    audience: Audience,
     loads: PeerLoads,
     standings: Standings,
     gathering: Gathering,
@@ -83,6 +78,7 @@
             taking: None,
             handing: Handing::default(),
             arrived: Vec::new(),
+            audience: Audience::default(),
             loads: PeerLoads::default(),
             standings: Standings::default(),
             gathering: Gathering::default(),
@@ -241,50 +237,41 @@
             loads,
         };
         match standing.encode() {
-            Ok(body) => self.tell(Part::Standing, &body, is_turn),
+            Ok(body) => self.tell(now, Part::Standing, &body, is_turn),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
 
     /// Hands what is new in the store to a few others.
-    pub(crate) fn show_changes(&mut self, answer: &Answer) {
+    pub(crate) fn show_changes(&mut self, now: Time, answer: &Answer) {
         match answer.encode() {
-            Ok(body) => self.tell(Part::Mirror, &body, true),
+            Ok(body) => self.tell(now, Part::Mirror, &body, true),
             Err(e) => tracing::warn!("peers: {e}"),
         }
     }
 
-    fn tell(&self, part: Part, body: &Bytes, also_afar: bool) {
-        for address in self.told(also_afar) {
+    fn tell(&mut self, now: Time, part: Part, body: &Bytes, also_far: bool) {
+        for address in self.told(now, also_far) {
             let body = body.clone();
             self.handle.send(address, Payload::Part { part, body });
         }
     }
 
-    /// Who is told: all of a small fleet, some of a large one, or only those near.
-    fn told(&self, also_afar: bool) -> Vec<SocketAddr> {
+    fn told(&mut self, now: Time, also_far: bool) -> Vec<SocketAddr> {
         let here = &self.members.me().failure_domain;
-        let members = self.members.members();
-        let present = members.filter(|member| member.record.state.is_present());
-        let (near, afar): (Vec<_>, Vec<_>) =
-            present.partition(|member| member.record.failure_domain == *here);
-        let address = |member: &&Member| member.record.address;
-        let mut near = near.iter().map(address).collect::<Vec<_>>();
-        let mut afar = afar.iter().map(address).collect::<Vec<_>>();
-        if !self.is_small() {
-            near.shuffle(&mut rand::rng());
-            near.truncate(TOLD_NEAR);
-            afar.shuffle(&mut rand::rng());
-            afar.truncate(TOLD_FAR);
-        }
-        if also_afar {
-            near.extend(afar);
-        }
-        near
+        let members = self.members.members().map(|member| &member.record);
+        let present = members.filter(|record| record.state.is_present());
+        let peers = present.map(|record| Peer {
+            address: record.address,
+            is_near: record.failure_domain == *here,
+        });
+        let peers = peers.collect::<Vec<_>>();
+        let rng = &mut rand::rng();
+        self.audience.told(now, &peers, also_far, rng)
     }
 
     pub(crate) fn is_small(&self) -> bool {
-        self.members.fleet_size() <= SMALL_FLEET
+        audience::is_small(self.members.fleet_size())
     }
 
     /// Word counts for so long.
@@ -359,7 +346,7 @@
 
     /// Reports what this daemon saw of a roll-out to the watchers, and hands on the sessions
     /// that stay on their version.
-    pub(crate) fn report(&mut self, own: &Evidence, staying: &BTreeSet<u32>) {
+    pub(crate) fn report(&mut self, now: Time, own: &Evidence, staying: &BTreeSet<u32>) {
         let me = self.members.me().id.clone();
         let order = own.order;
         let sessions = staying.iter().copied().collect();
@@ -375,7 +362,7 @@
         let addresses = addresses.collect::<Vec<_>>();
         self.send_message(&report, &addresses);
         if let Some(news) = self.gathering.staying_news(order) {
-            let told = self.told(true);
+            let told = self.told(now, true);
             self.send_message(&news, &told);
         }
     }
@@ -470,19 +457,29 @@
     }
 
     /// A peer that is ahead; who holds nothing asks any, before they have told how they stand.
+    ///
+    /// One of the own failure domain mostly: a whole copy is as long as all upstreams together,
+    /// and bytes between failure domains are paid for. Now and then another one, for the case
+    /// that nobody near has it.
     fn whom_to_ask(&self, held: Revision) -> Option<SocketAddr> {
-        let rng = &mut rand::rng();
-        let ahead = self.standings.ahead_of(held, rng);
-        if let Some(member) = ahead.and_then(|daemon| self.members.member(daemon)) {
-            return Some(member.record.address);
+        let ahead = self.standings.ahead_of(held);
+        let ahead = ahead.filter_map(|daemon| Some(&self.members.member(daemon)?.record));
+        let ahead = ahead.collect::<Vec<_>>();
+        if !ahead.is_empty() || held > Revision::default() {
+            return self.one_of(&ahead);
         }
-        if held > Revision::default() {
-            return None;
-        }
-        let me = &self.members.me().id;
-        let others = self.members.members();
-        let others = others.filter(|m| m.record.state.is_present() && m.record.id != *me);
-        others.choose(rng).map(|member| member.record.address)
+        let others = self.members.members().map(|member| &member.record);
+        let others = others.filter(|record| record.state.is_present());
+        self.one_of(&others.collect::<Vec<_>>())
+    }
+
+    fn one_of(&self, candidates: &[&MemberRecord]) -> Option<SocketAddr> {
+        let rng = &mut rand::rng();
+        let here = &self.members.me().failure_domain;
+        let near = candidates.iter().filter(|r| r.failure_domain == *here);
+        let near = near.choose(rng).filter(|_| !rng.random_bool(ASK_FAR));
+        let chosen = near.or_else(|| candidates.choose(rng));
+        chosen.map(|record| record.address)
     }
 
     /// Notes that a peer gave no answer: another one is asked soon.
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -10,8 +10,6 @@
 use bytes::Bytes;
 use dispatch::{RolloutWord, SharedLoad};
 use mirror::Revision;
-use rand::Rng;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -154,13 +152,14 @@
         self.heard.len()
     }
 
-    /// A daemon that is furthest ahead of a revision: any of those that are, so that not all
+    /// Daemons that are furthest ahead of a revision: any of them can be asked, so that not all
     /// ask the same one.
-    pub(crate) fn ahead_of(&self, held: Revision, rng: &mut impl Rng) -> Option<&DaemonId> {
-        let furthest = self.heard.values().map(|heard| heard.held).max()?;
+    pub(crate) fn ahead_of(&self, held: Revision) -> impl Iterator<Item = &DaemonId> {
+        let furthest = self.heard.values().map(|heard| heard.held).max();
+        let furthest = furthest.filter(|furthest| *furthest > held);
         let ahead = self.heard.iter();
-        let ahead = ahead.filter(|(_, heard)| heard.held == furthest && furthest > held);
-        ahead.map(|(daemon, _)| daemon).choose(rng)
+        let ahead = ahead.filter(move |(_, heard)| Some(heard.held) == furthest);
+        ahead.map(|(daemon, _)| daemon)
     }
 }
 
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Control threads of a few daemons around a store in memory.
 
+mod audience;
 mod fleet;
 mod harness;
 mod turns;
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -33,7 +33,7 @@
 /// A message must be taken within.
 const DELIVER_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection without messages for so long is closed.
-const IDLE: Duration = Duration::from_secs(120);
+const IDLE: Duration = Duration::from_secs(15);
 /// Pause after a first failure to connect; doubled with each more.
 const BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause between tries to connect.
--- a/components/peers/src/server.rs
+++ b/components/peers/src/server.rs
@@ -24,7 +24,7 @@
 /// A new connection has so long to bring its first message with a right code.
 const FIRST_MESSAGE: Duration = Duration::from_secs(5);
 /// A connection without a right message for so long is closed.
-const IDLE: Duration = Duration::from_secs(150);
+const IDLE: Duration = Duration::from_secs(30);
 /// Pause after a failure to accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
