Report on a roll-out as seldom as suits the fleet's size

Change: after the first three seconds of an order, in which sessions at work must be told, a daemon of 295 reports at every fifth tick and one of 460 at every ninth: some 500 reports a second at each judge, whatever the fleet. Ticks begin at a number by the daemon's name, so that a fleet that starts at once does not report at one moment. A place in the order is found without copying names.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -35,8 +35,14 @@
 /// Changes of upstreams are logged one by one up to so many at a time: all of them at each
 /// daemon's start are thousands of lines.
 const MAX_LOGGED: usize = 32;
-/// What was seen of roll-outs is reported every so many ticks.
+/// What was seen of roll-outs is reported every so many ticks at least.
 const REPORT_TICKS: u32 = 2;
+/// Daemons of a fleet for each tick between two reports: the two judges take some 500 reports a
+/// second from a fleet of any size, where 295 daemons at every second tick sent them 1,475 each.
+const DAEMONS_A_TICK: usize = 50;
+/// So long after an order all report at every second tick: sessions that are at work must be
+/// known everywhere before the new version gets its first requests.
+const SESSIONS_TOLD_WITHIN: Span = Span::from_secs(3);
 /// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
 const ELAPSED_STEP_MS: u64 = 500;
 
@@ -317,7 +323,7 @@
         self.share_standing(now);
         self.must_plan |= self.planner.lapsed.expire(now);
         self.ticks = self.ticks.wrapping_add(1);
-        self.step_rollouts(now, self.ticks.is_multiple_of(REPORT_TICKS));
+        self.step_rollouts(now, true);
         let rank = self.peering.rank();
         for (purpose, req) in self.rollouts.writes(now, rank, &self.codec, &self.mirror) {
             self.call(purpose, req);
@@ -397,7 +403,7 @@
     }
 
     /// Judges the roll-outs, and reports to the watchers when it is this daemon's turn.
-    fn step_rollouts(&mut self, now: Time, is_turn: bool) {
+    fn step_rollouts(&mut self, now: Time, is_tick: bool) {
         let services = self.rollouts.services();
         if services.is_empty() {
             return;
@@ -409,7 +415,8 @@
                 own = Evidence::default();
             }
             own.order = order.revision;
-            let elapsed = self.rollouts.elapsed(now, &service).as_millis();
+            let known_for = self.rollouts.elapsed(now, &service);
+            let elapsed = known_for.as_millis();
             let elapsed = elapsed - elapsed % ELAPSED_STEP_MS;
             own.elapsed_ms = u32::try_from(elapsed).unwrap_or(u32::MAX);
             let word = self.peering.gather(&own);
@@ -428,13 +435,23 @@
             if !stepped.is_running {
                 continue;
             }
-            if is_turn {
+            if is_tick && self.reports_now(known_for) {
                 let staying = self.traffic.seen.staying(order.revision);
                 self.peering.report(now, &own, &staying);
             }
         }
     }
 
+    /// Whether this tick is one of this daemon's to report on an order known for so long.
+    fn reports_now(&self, known_for: Span) -> bool {
+        let by_fleet = u32::try_from(self.daemons / DAEMONS_A_TICK).unwrap_or(u32::MAX);
+        let every = match known_for < SESSIONS_TOLD_WITHIN {
+            true => REPORT_TICKS,
+            false => REPORT_TICKS.max(by_fleet),
+        };
+        self.ticks.is_multiple_of(every)
+    }
+
     /// Part of a service's traffic that the upstreams of a version can take: all of it once
     /// they are at least as many as the others.
     fn can_serve(&self, service: &str, version: &str) -> f64 {
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -137,7 +137,7 @@
     /// The first daemons in the order of watchers whose watch works.
     pub(crate) fn first_watchers(&self, count: usize) -> Vec<DaemonId> {
         let mut watchers = self.watchers.keys().cloned().collect::<Vec<_>>();
-        watchers.sort_by_key(watch_order);
+        watchers.sort_by(|a, b| watch_order(a).cmp(&watch_order(b)));
         watchers.truncate(count);
         watchers
     }
@@ -172,8 +172,8 @@
 }
 
 /// An order that spreads over hosts and that all daemons share.
-fn watch_order(daemon: &DaemonId) -> (u64, DaemonId) {
-    (xxh3_64(daemon.as_str().as_bytes()), daemon.clone())
+fn watch_order(daemon: &DaemonId) -> (u64, &DaemonId) {
+    (xxh3_64(daemon.as_str().as_bytes()), daemon)
 }
 
 /// Place of `me` among daemons in the order of watchers.
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -97,7 +97,8 @@
         watched_at: None,
         turns,
         store_works: true,
-        ticks: 0,
+        // Daemons that start together do not all report at one moment.
+        ticks: xxh3_64(settings.me.as_str().as_bytes()) as u32,
         must_plan: false,
         was_ready: false,
         daemons: 1,
