Let a new daemon of a large fleet wait for its place whether or not it has heard of a watcher

Change: who hears others and knows more than a small fleet waits 3 s; a small fleet whose seeds are dead watches after 1.4 s.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -346,7 +346,6 @@
         let around = Around {
             before: self.peering.watchers_before(now),
             rank: self.peering.watch_rank(),
-            has_watcher: self.peering.standings().has_watcher(),
             fleet: self.peering.daemons(),
             hears_others: self.peering.hears_others(),
             watches: self.watch_works(now),
--- a/components/fleet/src/turns.rs
+++ b/components/fleet/src/turns.rs
@@ -7,6 +7,7 @@
 
 use types::prelude::*;
 
+use crate::audience;
 use crate::watching::Mode;
 
 /// Daemons that watch the store. Two, so that the loss of one leaves no gap.
@@ -33,8 +34,6 @@
     pub before: usize,
     /// This one's place in the order.
     pub rank: usize,
-    /// Whether anybody's watch works, whatever the order.
-    pub has_watcher: bool,
     /// Daemons in the fleet.
     pub fleet: usize,
     /// Whether any other daemon spoke lately.
@@ -93,12 +92,12 @@
         }
     }
 
-    /// Whether this daemon is too new to act: it may not have heard of the watchers yet, and
-    /// while one watches it can wait until it knows its place.
+    /// Whether this daemon is too new to act: it may not have heard of the watchers yet, and in a
+    /// large fleet it does not know its place.
     fn only_listens(&self, now: Time, around: Around) -> bool {
         let is_new = now.since(Time::ZERO) < MET_AFTER;
-        let is_told = around.has_watcher && !around.watches;
-        now < self.listens_until || is_new && is_told
+        let has_met_some = around.hears_others && !audience::is_small(around.fleet);
+        now < self.listens_until || is_new && has_met_some
     }
 }
 
--- a/components/fleet/tests/it/turns.rs
+++ b/components/fleet/tests/it/turns.rs
@@ -15,7 +15,6 @@
 fn unwatched(rank: usize) -> Around {
     Around {
         before: 0,
-        has_watcher: false,
         rank,
         fleet: FLEET,
         hears_others: true,
@@ -75,16 +74,24 @@
 fn daemons_that_start_together_wait_until_they_know_their_place() {
     // 1.4 s after their start 108 of 295 daemons began to watch beside the seeds: each knew few
     // others and took itself for one of the first.
-    let seeds_watch = Around {
-        has_watcher: true,
-        ..unwatched(1)
-    };
     let mut turns = Turns::new(false, FRESH);
     for ms in [1_400, 2_000, 2_900] {
-        assert_eq!(turns.decide(at(ms), seeds_watch), Mode::Rest);
+        assert_eq!(turns.decide(at(ms), unwatched(1)), Mode::Rest);
     }
-    let _ = turns.decide(at(3_000), seeds_watch);
-    assert_eq!(turns.decide(at(3_100), seeds_watch), Mode::Watch);
+    let _ = turns.decide(at(3_000), unwatched(1));
+    assert_eq!(turns.decide(at(3_100), unwatched(1)), Mode::Watch);
+}
+
+#[test]
+fn a_small_fleet_without_its_seeds_watches_soon() {
+    // The seeds are dead; the others know each other at once, and a change is to be in force
+    // within two seconds.
+    let small = Around {
+        fleet: 9,
+        ..unwatched(0)
+    };
+    let mut turns = Turns::new(false, FRESH);
+    assert_eq!(turns.decide(at(1_400), small), Mode::Watch);
 }
 
 #[test]
