Try to join again soon: seeds start some tenths of a second after the others

Cause, from the log of a kill of all: 93 of 295 daemons had a copy 0.3 s after the start, then hardly one for half a second, then a wave again: who had asked a seed before it listened tried again after 0.5 s, and after another second, and knew nobody to copy from meanwhile.

Change: joining is tried again after 0.1 s, doubled; after a refused connection the next one is made after 50 ms.

--- a/components/membership/src/membership/tick.rs
+++ b/components/membership/src/membership/tick.rs
@@ -13,8 +13,9 @@
 /// More rumors than one message holds: a fleet starts, or a cut healed, and they are told
 /// at each tick as far as the budget lasts.
 const MANY_RUMORS: usize = 48;
-/// Joining is tried again after this long, longer each time.
-const JOIN_RETRY: Span = Span::from_millis(500);
+/// Joining is tried again after this long, longer each time: hosts that come back together are some
+/// tenths of a second apart.
+const JOIN_RETRY: Span = Span::from_millis(100);
 /// Joining is tried at least this often.
 const JOIN_RETRY_MAX: Span = Span::from_secs(10);
 /// Joins made whoever is known.
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -267,3 +267,24 @@
         "nine tenths were known after {took}"
     );
 }
+
+// All hosts of a fleet come back at one moment, the seeds a tenth of a second after the others.
+// Who had tried to join just before waited half a second for the next try, knew nobody whom
+// it could ask for a configuration, and refused its callers meanwhile.
+#[test]
+fn can_join_seeds_that_start_a_moment_later() {
+    let mut fleet = Fleet::new(0, 22);
+    for index in 2..40 {
+        fleet.start(config(index, 1));
+    }
+    fleet.run_for(Span::from_millis(250));
+    for seed in 0..2 {
+        fleet.start(config(seed, 1));
+    }
+    let is_lonely = |fleet: &Fleet| {
+        let sizes = fleet.nodes.values().map(|node| node.membership.fleet_size());
+        sizes.min() == Some(1)
+    };
+    let took = fleet.run_while(secs(10), is_lonely).expect("they meet");
+    assert!(took <= Span::from_millis(400), "one knew nobody for {took}");
+}
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -35,7 +35,7 @@
 /// A connection without messages for so long is closed.
 const IDLE: Duration = Duration::from_secs(15);
 /// Pause after a first failure to connect; doubled with each more.
-const BACKOFF: Duration = Duration::from_millis(100);
+const BACKOFF: Duration = Duration::from_millis(50);
 /// Longest pause between tries to connect.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 
