Split asking peers and judging roll-outs from the control thread's tables

Asking a peer, with its deadlines and the copy under way, is a file of its own (asking); who hands out copies sits with the mirror; stepping and reporting on roll-outs stands in control/judging.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -3,24 +3,27 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dispatch::Evidence;
 use keyvalue::{CallError, Outcome, Request};
-use mirror::{Answer, Change, Mirror, Revision};
-use peers::{AskError, Payload};
+use mirror::{Answer, Change, Mirror, Question, Revision};
+use peers::{AskError, Part, Payload};
 use traffic::{Command, Plan};
 use types::prelude::*;
 
+use crate::asking::Asking;
 use crate::codec::Codec;
+use crate::copying::Handing;
 use crate::entry::DaemonEntry;
 use crate::event::{Event, Purpose};
 use crate::peering::{Asked, Peering};
 use crate::planner::Planner;
 use crate::presence::Presence;
-use crate::rollouts::{Known, Rollouts};
+use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::turns::{Around, MET_AFTER, Turns};
 use crate::watching::{Mode, Watching};
 
+mod judging;
+
 /// Everything due is looked at this often.
 const TICK: Duration = Duration::from_millis(100);
 /// An own watch that was heard of within this works: it is answered every second, and a
@@ -35,16 +38,6 @@
 /// Changes of upstreams are logged one by one up to so many at a time: all of them at each
 /// daemon's start are thousands of lines.
 const MAX_LOGGED: usize = 32;
-/// What was seen of roll-outs is reported every so many ticks at least.
-const REPORT_TICKS: u32 = 2;
-/// Daemons of a fleet for each tick between two reports: the two judges take some 500 reports a
-/// second from a fleet of any size, where 295 daemons at every second tick sent them 1,475 each.
-const DAEMONS_A_TICK: usize = 50;
-/// So long after an order all report at every second tick: sessions that are at work must be
-/// known everywhere before the new version gets its first requests.
-const SESSIONS_TOLD_WITHIN: Span = Span::from_secs(3);
-/// Evidence tells a roll-out's age in these steps, so that a quiet daemon has nothing to say.
-const ELAPSED_STEP_MS: u64 = 500;
 
 /// The tables and what they reach out through.
 pub(crate) struct Control<C> {
@@ -56,6 +49,8 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) presence: Presence,
     pub(crate) peering: Peering,
+    pub(crate) asking: Asking,
+    pub(crate) handing: Handing,
     pub(crate) watching: Watching,
     pub(crate) traffic: traffic::Handle,
     pub(crate) calls: flume::Sender<(Purpose, Request)>,
@@ -104,19 +99,23 @@
     /// The next tick, or sooner when a peer is to be asked before.
     fn wake_at(&self, next_tick: Instant) -> Instant {
         let now = self.clock.now();
-        let ask_at = self.peering.ask_at();
+        let ask_at = self.asking.ask_at();
         let ask_in = ask_at.map(|at| now.until(at).to_duration());
         ask_in.map_or(next_tick, |left| next_tick.min(Instant::now() + left))
     }
 
     fn catch_up(&mut self, now: Time) {
         let works = self.watch_works(now);
-        self.peering.catch_up(now, self.mirror.at(), works);
+        if self.asking.is_idle() {
+            let held = self.mirror.at();
+            let whom = self.peering.whom_to_ask(held);
+            self.asking.catch_up(now, held, whom, works);
+        }
     }
 
     /// Waits for an event, a peer's answer or the next tick.
     fn wait(&mut self, events: &flume::Receiver<Event>, next_tick: Instant) -> Waited {
-        let waited = match self.peering.asked() {
+        let waited = match self.asking.asked() {
             Some(answer) => flume::Selector::new()
                 .recv(events, |event| event.map_or(Waited::Ended, Waited::Event))
                 .recv(answer, |answer| {
@@ -131,7 +130,7 @@
             },
         };
         if matches!(waited, Waited::Answer(_)) {
-            self.peering.answered();
+            self.asking.answered();
         }
         waited
     }
@@ -157,15 +156,25 @@
                 Asked::Nothing => {}
                 Asked::Take(answer) => self.take_mirror(now, answer),
                 Asked::Mirror(from, question, reply) => {
-                    let mirror = &self.mirror;
-                    self.peering
-                        .answer_peer(now, &from, &question, reply, mirror);
+                    self.hand_out(now, &from, &question, reply);
                 }
             },
             Event::Stop => {}
         }
     }
 
+    /// Answers a peer's question from the mirror; dropping the reply sends it elsewhere.
+    fn hand_out(&mut self, now: Time, from: &DaemonId, question: &Question, reply: peers::Reply) {
+        match self.handing.answer(now, from, question, &self.mirror) {
+            Ok(Some(body)) => {
+                let part = Part::Mirror;
+                reply.send(Payload::Part { part, body });
+            }
+            Ok(None) => {}
+            Err(e) => tracing::warn!("peers: {e}"),
+        }
+    }
+
     fn take_health(&mut self, now: Time, health: Result<(), String>) {
         match health {
             Ok(()) => {
@@ -211,7 +220,7 @@
             Ok(Payload::Membership(_)) => return,
             Err(e) => {
                 tracing::debug!("peers: a peer gave no answer: {e}");
-                self.peering.was_refused(now);
+                self.asking.was_refused(now);
                 return;
             }
         };
@@ -242,7 +251,7 @@
                 at,
                 items,
                 has_more,
-            } => match self.peering.take_page(before, at, items, has_more) {
+            } => match self.asking.take_page(before, at, items, has_more) {
                 Some(listing) => {
                     tracing::info!(at = at.0, keys = listing.items.len(), "peers: copied");
                     self.mirror.take_listing(listing)
@@ -250,7 +259,7 @@
                 None => return,
             },
             Answer::Nothing => {
-                self.peering.was_refused(now);
+                self.asking.was_refused(now);
                 return;
             }
         };
@@ -401,74 +410,6 @@
         let _ = self.calls.send((purpose, req));
     }
 
-    /// Judges the roll-outs, and reports to the watchers when it is this daemon's turn.
-    fn step_rollouts(&mut self, now: Time, is_tick: bool) {
-        let services = self.rollouts.services();
-        if services.is_empty() {
-            return;
-        }
-        let seen = self.traffic.seen.evidence();
-        for (service, order) in services {
-            let mut own = seen.get(&service).copied().unwrap_or_default();
-            if own.order != order.revision {
-                own = Evidence::default();
-            }
-            own.order = order.revision;
-            let known_for = self.rollouts.elapsed(now, &service);
-            let elapsed = known_for.as_millis();
-            let elapsed = elapsed - elapsed % ELAPSED_STEP_MS;
-            own.elapsed_ms = u32::try_from(elapsed).unwrap_or(u32::MAX);
-            let word = self.peering.gather(&own);
-            let known = Known {
-                fleet: &word.fleet,
-                can_serve: self.can_serve(&service, &order.to),
-                is_condemned: word.is_bad,
-                staying: self.peering.staying(order.revision),
-            };
-            let stepped = self.rollouts.step(now, &service, known);
-            self.must_plan |= stepped.has_changed;
-            if stepped.is_newly_bad {
-                self.peering.condemn(stepped.order);
-            }
-            // Once it is decided nothing more is learnt from it.
-            if !stepped.is_running {
-                continue;
-            }
-            if is_tick && self.reports_now(known_for) {
-                let staying = self.traffic.seen.staying(order.revision);
-                self.peering.report(now, &own, &staying);
-            }
-        }
-    }
-
-    /// Whether this tick is one of this daemon's to report on an order known for so long.
-    fn reports_now(&self, known_for: Span) -> bool {
-        let by_fleet = u32::try_from(self.daemons / DAEMONS_A_TICK).unwrap_or(u32::MAX);
-        let every = match known_for < SESSIONS_TOLD_WITHIN {
-            true => REPORT_TICKS,
-            false => REPORT_TICKS.max(by_fleet),
-        };
-        self.ticks.is_multiple_of(every)
-    }
-
-    /// Part of a service's traffic that the upstreams of a version can take: all of it once
-    /// they are at least as many as the others.
-    fn can_serve(&self, service: &str, version: &str) -> f64 {
-        let upstreams = self.planner.upstreams();
-        let ready = upstreams.iter().filter(|upstream| {
-            *upstream.service == *service && upstream.state == routes::UpstreamState::Ready
-        });
-        let (new, old) = ready.fold((0, 0), |(new, old), upstream| {
-            let is_new = *upstream.version == *version;
-            (new + usize::from(is_new), old + usize::from(!is_new))
-        });
-        match (new, old) {
-            (0, _) => 0.0,
-            (new, old) if new * 2 >= old => 1.0,
-            (new, old) => new as f64 / (new + old) as f64,
-        }
-    }
-
     /// Hands a new plan to the event loop when something changed.
     fn plan(&mut self) {
         if !self.must_plan {
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Names of keys and forms of values belong to a [`Codec`].
 
+mod asking;
 mod audience;
 mod codec;
 mod control;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -6,19 +6,15 @@
 use bytes::Bytes;
 use dispatch::{Evidence, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad};
 use membership::{Event as MemberEvent, MemberRecord, Membership, Outcome};
-use mirror::{Answer, Change, Listing, Mirror, Question, Revision};
+use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use rand::RngExt;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use types::prelude::*;
 
 use crate::audience::{self, Audience, Peer, Word};
-use crate::copying::{Handing, Taken, Taking};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
 
-/// Longest wait for a peer's answer about the store's keys: a page takes a host's link of
-/// 10 Mbit/s a fortieth of a second, and a busy host some more; then another peer is asked.
-const ASK_WITHIN: Span = Span::from_millis(400);
 /// In a small fleet word is fresh for this long: three messages are missing then.
 const FRESH_IN_SMALL: Span = Span::from_millis(700);
 /// In a large one, where it takes some rounds to arrive.
@@ -28,26 +24,15 @@
 const TICKS_AFAR: u32 = 2;
 /// Daemons that add up the fleet's figures of roll-outs: the first watchers.
 const JUDGES: usize = 2;
-/// After a peer that gives no answer another is asked so much later, spread over as long
-/// again: a copy of some hundred upstreams takes about so long.
-const ASK_AGAIN: Span = Span::from_millis(15);
 /// Part of the questions that go to any failure domain.
 const ASK_FAR: f64 = 0.2;
 /// Daemons that came are logged one by one up to so many at a time.
 const MAX_LOGGED: usize = 4;
-/// A daemon whose own watch works gives it this long to bring what a peer has already.
-const OWN_WATCH_FIRST: Span = Span::from_millis(150);
 
 /// Members and facts, and the edge that carries them.
 pub(crate) struct Peering {
     members: Membership,
     handle: Handle,
-    /// The next moment to ask a peer that is ahead.
-    ask_at: Option<Time>,
-    asked: Option<flume::Receiver<Result<Payload, peers::AskError>>>,
-    /// The copy that the last question is about.
-    taking: Option<Taking>,
-    handing: Handing,
     /// Daemons that came since they were last logged.
     arrived: Vec<DaemonId>,
     audience: Audience,
@@ -74,10 +59,6 @@
         Self {
             members,
             handle,
-            ask_at: None,
-            asked: None,
-            taking: None,
-            handing: Handing::default(),
             arrived: Vec::new(),
             audience: Audience::default(),
             loads: PeerLoads::default(),
@@ -88,6 +69,11 @@
         }
     }
 
+    /// The edge that carries messages and questions.
+    pub(crate) fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
     /// Where other daemons reach this one.
     pub(crate) fn address(&self) -> SocketAddr {
         self.handle.address()
@@ -385,86 +371,12 @@
         }
     }
 
-    /// Asks a peer whose mirror is ahead of `held`, when it is time to.
-    pub(crate) fn catch_up(&mut self, now: Time, held: Revision, own_watch_works: bool) {
-        if self.asked.is_some() {
-            return;
-        }
-        let Some(address) = self.whom_to_ask(held) else {
-            self.ask_at = None;
-            return;
-        };
-        let patience = if own_watch_works {
-            OWN_WATCH_FIRST
-        } else {
-            Span::ZERO
-        };
-        let ask_at = *self.ask_at.get_or_insert(now + patience);
-        if now < ask_at {
-            return;
-        }
-        self.ask_at = None;
-        self.taking = Some(Taking::new(address));
-        let page_after = None;
-        self.ask(address, &Question { held, page_after });
-    }
-
-    fn ask(&mut self, address: SocketAddr, question: &Question) {
-        match question.encode() {
-            Ok(body) => {
-                let part = Part::Mirror;
-                let payload = Payload::Part { part, body };
-                self.asked = Some(self.handle.ask(address, payload, ASK_WITHIN));
-            }
-            Err(e) => tracing::error!("peers: {e}"),
-        }
-    }
-
-    /// Takes a page of a copy, and asks for the next one or returns the whole.
-    pub(crate) fn take_page(
-        &mut self,
-        held: Revision,
-        at: Revision,
-        items: Vec<Change>,
-        has_more: bool,
-    ) -> Option<Listing> {
-        let taking = self.taking.as_mut()?;
-        match taking.take(at, items, has_more) {
-            Taken::Whole(listing) => Some(listing),
-            Taken::More(last) => {
-                let address = taking.from;
-                let page_after = Some(last);
-                self.ask(address, &Question { held, page_after });
-                None
-            }
-        }
-    }
-
-    /// Answers a peer's question from the mirror; dropping the reply sends it elsewhere.
-    pub(crate) fn answer_peer(
-        &mut self,
-        now: Time,
-        from: &DaemonId,
-        question: &Question,
-        reply: peers::Reply,
-        mirror: &Mirror,
-    ) {
-        match self.handing.answer(now, from, question, mirror) {
-            Ok(Some(body)) => {
-                let part = Part::Mirror;
-                reply.send(Payload::Part { part, body });
-            }
-            Ok(None) => {}
-            Err(e) => tracing::warn!("peers: {e}"),
-        }
-    }
-
     /// A peer that is ahead; who holds nothing asks any, before they have told how they stand.
     ///
     /// One of the own failure domain mostly: a whole copy is as long as all upstreams together,
     /// and bytes between failure domains are paid for. Now and then another one, for the case
     /// that nobody near has it.
-    fn whom_to_ask(&self, held: Revision) -> Option<SocketAddr> {
+    pub(crate) fn whom_to_ask(&self, held: Revision) -> Option<SocketAddr> {
         let ahead = self.standings.ahead_of(held);
         let ahead = ahead.filter_map(|daemon| Some(&self.members.member(daemon)?.record));
         let ahead = ahead.collect::<Vec<_>>();
@@ -485,27 +397,6 @@
         chosen.map(|record| record.address)
     }
 
-    /// Notes that a peer gave no answer: another one is asked soon.
-    pub(crate) fn was_refused(&mut self, now: Time) {
-        let pause = ASK_AGAIN + Span(rand::rng().random_range(0..ASK_AGAIN.0));
-        self.ask_at = Some(now + pause);
-    }
-
-    /// When a peer is to be asked next, if that is known.
-    pub(crate) fn ask_at(&self) -> Option<Time> {
-        self.ask_at.filter(|_| self.asked.is_none())
-    }
-
-    /// Where the answer to the last question comes.
-    pub(crate) fn asked(&self) -> Option<&flume::Receiver<Result<Payload, peers::AskError>>> {
-        self.asked.as_ref()
-    }
-
-    /// Notes that the last question was answered.
-    pub(crate) fn answered(&mut self) {
-        self.asked = None;
-    }
-
     /// Says goodbye.
     pub(crate) fn leave(&mut self, now: Time) {
         let outcome = self.members.leave(now, &mut rand::rng());
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -13,8 +13,10 @@
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::asking::Asking;
 use crate::codec::Codec;
 use crate::control::Control;
+use crate::copying::Handing;
 use crate::error::FleetError;
 use crate::event::{Event, Purpose};
 use crate::peering::{FRESH_IN_LARGE, Peering};
@@ -72,16 +74,7 @@
         events: events.clone(),
     };
     spawn("watch", move || watcher.run())?;
-    let (calls, calls_rx) = flume::unbounded::<(Purpose, Request)>();
-    let called = events.clone();
-    spawn("store", move || {
-        for (purpose, req) in calls_rx {
-            let outcome = store.call(req);
-            if called.send(Event::Called(purpose, outcome)).is_err() {
-                return;
-            }
-        }
-    })?;
+    let calls = spawn_calls(store, events.clone())?;
     let commands = traffic.commands.clone();
     let ended = traffic.ended.clone();
     let key = format!("{}{}", codec.daemon_prefix(), settings.me);
@@ -90,6 +83,8 @@
         planner: Planner::new(settings.relisted_within),
         rollouts: Rollouts::new(settings.trial),
         presence: Presence::new(key, peering.address(), settings.shortest_lease),
+        asking: Asking::new(peering.handle()),
+        handing: Handing::default(),
         peering,
         watching: Watching::new(modes, progress, mode),
         traffic,
@@ -115,6 +110,23 @@
     })
 }
 
+/// Starts the thread that makes calls of the store, one after the other.
+fn spawn_calls(
+    store: Arc<dyn Store>,
+    events: flume::Sender<Event>,
+) -> Result<flume::Sender<(Purpose, Request)>, FleetError> {
+    let (calls, rx) = flume::unbounded::<(Purpose, Request)>();
+    spawn("store", move || {
+        for (purpose, req) in rx {
+            let outcome = store.call(req);
+            if events.send(Event::Called(purpose, outcome)).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(calls)
+}
+
 /// Whether others join by this daemon; one without seeds may be the first.
 fn is_seed(settings: &Settings, me: SocketAddr) -> bool {
     settings.seeds.is_empty() || settings.seeds.contains(&me)
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -282,7 +282,10 @@
         fleet.start(config(seed, 1));
     }
     let is_lonely = |fleet: &Fleet| {
-        let sizes = fleet.nodes.values().map(|node| node.membership.fleet_size());
+        let sizes = fleet
+            .nodes
+            .values()
+            .map(|node| node.membership.fleet_size());
         sizes.min() == Some(1)
     };
     let took = fleet.run_while(secs(10), is_lonely).expect("they meet");
