Take a store for away only when it answers none of several daemons

A daemon that does not ask takes the others' word on the store. One daemon's failure was enough while no watcher was known: were both watchers cut off, entries that go would be kept 2 s too long by all others. Now three daemons must find it silent (all others of a smaller fleet); those after the watchers in the order are answered a moment later, and then it is not away. Test: two, three, one that is served, word that is too old.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -378,7 +378,9 @@
         let others = self.peering.standings();
         match self.store_works {
             false if others.has_watcher() => self.store_answered(now),
-            true if others.is_store_away() => self.store_failed("no daemon is answered"),
+            true if others.is_store_away(self.daemons) => {
+                self.store_failed("no daemon is answered");
+            }
             _ => {}
         }
     }
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -221,7 +221,7 @@
         let standing = Standing {
             held,
             watchers,
-            failed_ms_ago: self.standings.failed_ms_ago(now),
+            unanswered: self.standings.unanswered(now),
             rollouts: self.gathering.words(),
             loads,
         };
@@ -297,7 +297,8 @@
 
     /// Notes that the store does not answer this daemon, for the others.
     pub(crate) fn note_store_failure(&mut self, now: Time) {
-        self.standings.note_failure(now);
+        let me = &self.members.me().id;
+        self.standings.note_unanswered(now, me);
     }
 
     /// What all others have out, by upstream.
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -16,10 +16,14 @@
 
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
-/// Watchers named in one message at most: two are enough, the rest is for overlaps.
-const MAX_WATCHERS: usize = 4;
-
-/// A daemon that watches the store with success.
+/// Daemons of one kind named in one message at most: two watchers are enough, the rest is for
+/// overlaps.
+const MAX_VOUCHED: usize = 4;
+/// So many daemons must find the store silent before others take it for away: fewer may be cut
+/// off from it, and those after them in the order of watchers are answered a moment later.
+const AWAY_FOR: usize = 3;
+
+/// A daemon that said something of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vouched {
     /// Which.
@@ -35,8 +39,8 @@
     pub held: Revision,
     /// Who watches the store, as far as it knows.
     pub watchers: Vec<Vouched>,
-    /// How long ago a daemon said that the store does not answer it, if one did lately.
-    pub failed_ms_ago: Option<u16>,
+    /// Whom the store does not answer, as far as it knows.
+    pub unanswered: Vec<Vouched>,
     /// The fleet's figures of roll-outs, as far as it knows.
     pub rollouts: Vec<RolloutWord>,
     /// What it has out.
@@ -72,8 +76,8 @@
     heard: HashMap<DaemonId, Heard>,
     /// When each watcher last said that its watch works.
     watchers: HashMap<DaemonId, Time>,
-    /// When a daemon last said that the store does not answer it.
-    failed_at: Option<Time>,
+    /// When each daemon last said that the store does not answer it.
+    unanswered: HashMap<DaemonId, Time>,
 }
 
 impl Standings {
@@ -84,23 +88,18 @@
             held: standing.held,
         };
         self.heard.insert(daemon.clone(), heard);
-        for vouched in standing.watchers.iter().take(MAX_WATCHERS) {
-            let said_at = ms_ago(now, vouched.age_ms);
-            let held = self.watchers.entry(vouched.daemon.clone()).or_default();
-            *held = (*held).max(said_at);
-        }
-        let failed_at = standing.failed_ms_ago.map(|ago| ms_ago(now, ago));
-        self.failed_at = self.failed_at.max(failed_at);
+        take_word(now, &mut self.watchers, &standing.watchers);
+        take_word(now, &mut self.unanswered, &standing.unanswered);
     }
 
     /// Notes that the store does not answer this daemon.
-    pub(crate) fn note_failure(&mut self, now: Time) {
-        self.failed_at = Some(now);
+    pub(crate) fn note_unanswered(&mut self, now: Time, me: &DaemonId) {
+        self.unanswered.insert(me.clone(), now);
     }
 
-    /// How long ago the store did not answer somebody, if that was lately.
-    pub(crate) fn failed_ms_ago(&self, now: Time) -> Option<u16> {
-        self.failed_at.map(|at| age_ms(now, at))
+    /// Whom the store does not answer, the latest word first.
+    pub(crate) fn unanswered(&self, now: Time) -> Vec<Vouched> {
+        latest(now, &self.unanswered, MAX_VOUCHED)
     }
 
     /// Whether anybody's watch works.
@@ -108,30 +107,26 @@
         !self.watchers.is_empty()
     }
 
-    /// Whether the store is taken for away: it does not answer somebody, and nobody says that
-    /// it does.
-    pub fn is_store_away(&self) -> bool {
-        self.failed_at.is_some() && !self.has_watcher()
+    /// Whether the store is taken for away in a fleet of so many: it answers none of some, and
+    /// nobody says that it does.
+    #[must_use]
+    pub fn is_store_away(&self, fleet: usize) -> bool {
+        let others = fleet.saturating_sub(1);
+        let needed = AWAY_FOR.min(others).max(1);
+        self.unanswered.len() >= needed && !self.has_watcher()
     }
 
     /// Drops what is too old.
     pub fn expire(&mut self, now: Time, fresh: Span) {
         self.heard.retain(|_, heard| now < heard.until);
-        self.watchers
-            .retain(|_, said_at| now.since(*said_at) < fresh);
-        self.failed_at = self.failed_at.filter(|at| now.since(*at) < fresh);
+        for said in [&mut self.watchers, &mut self.unanswered] {
+            said.retain(|_, said_at| now.since(*said_at) < fresh);
+        }
     }
 
     /// Who watches with success, the latest word first.
     pub(crate) fn vouched(&self, now: Time) -> Vec<Vouched> {
-        let known = self.watchers.iter().map(|(daemon, said_at)| Vouched {
-            daemon: daemon.clone(),
-            age_ms: age_ms(now, *said_at),
-        });
-        let mut known = known.collect::<Vec<_>>();
-        known.sort_by_key(|vouched| vouched.age_ms);
-        known.truncate(MAX_WATCHERS - 1);
-        known
+        latest(now, &self.watchers, MAX_VOUCHED - 1)
     }
 
     /// The first daemons in the order of watchers whose watch works.
@@ -170,12 +165,25 @@
     }
 }
 
-fn ms_ago(now: Time, ms: u16) -> Time {
-    now - Span::from_millis(u64::from(ms))
+/// Takes what a message says of others, with its age.
+fn take_word(now: Time, said: &mut HashMap<DaemonId, Time>, word: &[Vouched]) {
+    for vouched in word.iter().take(MAX_VOUCHED) {
+        let said_at = now - Span::from_millis(u64::from(vouched.age_ms));
+        let held = said.entry(vouched.daemon.clone()).or_default();
+        *held = (*held).max(said_at);
+    }
 }
 
-fn age_ms(now: Time, at: Time) -> u16 {
-    u16::try_from(now.since(at).as_millis()).unwrap_or(u16::MAX)
+/// The latest of what was said, as it travels.
+fn latest(now: Time, said: &HashMap<DaemonId, Time>, count: usize) -> Vec<Vouched> {
+    let known = said.iter().map(|(daemon, said_at)| Vouched {
+        daemon: daemon.clone(),
+        age_ms: u16::try_from(now.since(*said_at).as_millis()).unwrap_or(u16::MAX),
+    });
+    let mut known = known.collect::<Vec<_>>();
+    known.sort_by_key(|vouched| vouched.age_ms);
+    known.truncate(count);
+    known
 }
 
 /// An order that spreads over hosts and that all daemons share.
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -14,7 +14,7 @@
     Standing {
         held: Revision(held),
         watchers: Vec::new(),
-        failed_ms_ago: None,
+        unanswered: Vec::new(),
         rollouts: Vec::new(),
         loads: Vec::new(),
     }
@@ -44,31 +44,42 @@
     assert!(asked(&standings, 8).is_empty());
 }
 
+fn said(n: usize, age_ms: u16) -> Vouched {
+    Vouched {
+        daemon: daemon(n),
+        age_ms,
+    }
+}
+
 #[test]
-fn a_store_is_away_only_if_it_fails_somebody_and_serves_nobody() {
+fn a_store_is_away_only_if_it_answers_none_of_several() {
     // Engines' leases run out in an outage. A daemon that does not watch must know of the outage
-    // to keep them; one that took the loss of both watchers for an outage would send to engines
-    // that left.
+    // to keep them; one that took the loss or the cut of both watchers for an outage would send
+    // to engines that left.
     let now = Time::ZERO + Span::from_secs(10);
     let mut standings = Standings::default();
-    standings.take(now, &daemon(0), &holds(7), FRESH);
-    assert!(!standings.is_store_away(), "nobody says anything");
-    let fails = Standing {
-        failed_ms_ago: Some(300),
+    let mut hear = |n, standing: &Standing| {
+        standings.take(now, &daemon(n), standing, FRESH);
+        (standings.is_store_away(295), standings.is_store_away(2))
+    };
+    assert_eq!(hear(0, &holds(7)), (false, false), "nobody says anything");
+    let two = Standing {
+        unanswered: vec![said(1, 300), said(2, 0)],
         ..holds(7)
     };
-    standings.take(now, &daemon(1), &fails, FRESH);
-    assert!(standings.is_store_away());
-    let watcher = Vouched {
-        daemon: daemon(2),
-        age_ms: 100,
+    let (is_away, is_away_for_two) = hear(1, &two);
+    assert!(!is_away, "two may be cut off");
+    assert!(is_away_for_two, "there is nobody else");
+    let third = Standing {
+        unanswered: vec![said(3, 0)],
+        ..holds(7)
     };
+    assert!(hear(3, &third).0);
     let works = Standing {
-        watchers: vec![watcher],
+        watchers: vec![said(4, 100)],
         ..holds(7)
     };
-    standings.take(now, &daemon(3), &works, FRESH);
-    assert!(!standings.is_store_away(), "it serves somebody");
+    assert!(!hear(5, &works).0, "it serves somebody");
     standings.expire(now + Span::from_millis(1_350), FRESH);
-    assert!(!standings.is_store_away(), "the failure is long ago");
+    assert!(!standings.is_store_away(295), "one word is too old");
 }
