Copy from peers at a start only where the store is large

A copy takes hosts with an eighth of a core some tenths of a second to take in before they hand it on, so three rounds of them are slower than the store's link.

Change: the entry tells how many keys there are too; a store of one page is read by all at once as before. Before a larger one, copies first.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -323,9 +323,9 @@
         let now = self.clock.now();
         self.peering.tick(now);
         self.decide_watch(now);
-        let fleet = self.peering.daemons();
+        let (fleet, keys) = (self.peering.daemons(), self.mirror.len());
         if self.needs_entry(now)
-            && let Some((purpose, req)) = self.presence.tick(now, fleet)
+            && let Some((purpose, req)) = self.presence.tick(now, fleet, keys)
         {
             self.call(purpose, req);
         }
--- a/components/fleet/src/entry.rs
+++ b/components/fleet/src/entry.rs
@@ -1,7 +1,8 @@
-//! What a daemon writes of itself into the store: where it is found, and how large the fleet is.
+//! What a daemon writes of itself into the store: where it is found, and how large the fleet and
+//! the store are.
 //!
-//! The size serves those that start when everything was lost at one moment: a small fleet reads
-//! the store at every daemon at once, a large one at a few and copies from them.
+//! The sizes serve those that start when everything was lost at one moment: a store of one page is
+//! read by every daemon at once, a larger one by a few of a large fleet, and copied from them.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,16 +15,18 @@
     pub address: SocketAddr,
     /// Daemons in the fleet, as it knows.
     pub fleet: usize,
+    /// Keys in the store, as it holds.
+    pub keys: usize,
 }
 
 /// Text that is no entry.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("not an address and a number of daemons: {0}")]
+#[error("not an address, a number of daemons and one of keys: {0}")]
 pub struct DaemonEntryError(String);
 
 impl fmt::Display for DaemonEntry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.address, self.fleet)
+        write!(f, "{} {} {}", self.address, self.fleet, self.keys)
     }
 }
 
@@ -32,10 +35,11 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let parse = || {
-            let (address, fleet) = text.split_once(' ')?;
+            let mut words = text.split(' ');
             Some(Self {
-                address: address.parse().ok()?,
-                fleet: fleet.parse().ok()?,
+                address: words.next()?.parse().ok()?,
+                fleet: words.next()?.parse().ok()?,
+                keys: words.next()?.parse().ok()?,
             })
         };
         parse().ok_or_else(|| DaemonEntryError(text.to_owned()))
@@ -51,9 +55,10 @@
         String::from_utf8_lossy(value).parse()
     }
 
-    /// Whether the fleet has grown or shrunk so much since that others should know.
+    /// Whether the fleet or the store has grown or shrunk so much since that others should know.
     #[must_use]
-    pub fn is_outdated(&self, fleet: usize) -> bool {
-        fleet >= self.fleet * 2 || fleet * 2 <= self.fleet
+    pub fn is_outdated(&self, fleet: usize, keys: usize) -> bool {
+        let differs = |now: usize, then: usize| now >= then * 2 || now * 2 <= then;
+        differs(fleet, self.fleet) || differs(keys, self.keys.max(1))
     }
 }
--- a/components/fleet/src/presence.rs
+++ b/components/fleet/src/presence.rs
@@ -39,7 +39,11 @@
     pub(crate) fn new(key: String, address: SocketAddr, shortest: Span) -> Self {
         Self {
             key,
-            entry: DaemonEntry { address, fleet: 1 },
+            entry: DaemonEntry {
+                address,
+                fleet: 1,
+                keys: 0,
+            },
             lease_for: LEASE.max(shortest),
             state: State::NoLease,
             due_at: Time::ZERO,
@@ -47,10 +51,15 @@
         }
     }
 
-    /// The next call, if one is due; `fleet` is how many daemons there are.
-    pub(crate) fn tick(&mut self, now: Time, fleet: usize) -> Option<(Purpose, Request)> {
+    /// The next call, if one is due; `fleet` and `keys` are how many daemons and keys there are.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        fleet: usize,
+        keys: usize,
+    ) -> Option<(Purpose, Request)> {
         if let State::Entered(lease) = self.state
-            && self.entry.is_outdated(fleet)
+            && self.entry.is_outdated(fleet, keys)
         {
             self.state = State::Leased(lease);
             self.due_at = now;
@@ -59,6 +68,7 @@
             return None;
         }
         self.entry.fleet = fleet;
+        self.entry.keys = keys;
         self.is_waiting = true;
         Some(match self.state {
             State::NoLease => (
--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -197,23 +197,22 @@
     /// Guards against a fleet that starts, or was killed, and reads a large store at every
     /// daemon at once: 300 daemons before 2,800 upstreams served nothing for 4.3 s, while the
     /// store's link was full. Who is not to read first reads what fits one page, and waits
-    /// for a peer's copy if there is more. Where the entries of daemons tell of a large fleet it
-    /// reads nothing else: 295 daemons that each read one page of 180 upstreams held up each
-    /// other for 0.7 s in the middle.
+    /// for a peer's copy if there is more. Where the entries of daemons tell of a large fleet and a
+    /// large store it does not read that page either, and those that are left without a copy read
+    /// one after the other: 295 daemons before 640 upstreams waited 3 s and then read all at once.
     fn list(&self, patience: Span) -> Result<(), Failure> {
         if self.reads_first {
             let listing = self.read("", 0, patience, false)?;
             return self.take(listing);
         }
-        let fleet = self.fleet_before(patience)?;
-        if !audience::is_small(fleet) {
+        if let Some(fleet) = self.copies_first(patience)? {
             let _ = self.events.send(Event::StoreHealth(Ok(())));
             let turns = rand::rng().random_range(0..fleet) as u32;
-            if !self.is_copied_within(COPY_FIRST + READ_TURN * turns) {
-                let listing = self.read("", 0, patience, false)?;
-                return self.take(listing);
+            if self.is_copied_within(COPY_FIRST + READ_TURN * turns) {
+                return Ok(());
             }
-            return Ok(());
+            let listing = self.read("", 0, patience, false)?;
+            return self.take(listing);
         }
         let listing = self.read("", SMALL_STORE, patience, true)?;
         let is_small = listing.items.len() < SMALL_STORE as usize;
@@ -230,12 +229,17 @@
         self.take(listing)
     }
 
-    /// Daemons in the fleet before this one started, by the entries of some.
-    fn fleet_before(&self, patience: Span) -> Result<usize, Failure> {
+    /// Daemons of a large fleet before a large store, as the entries of some daemons tell; nothing
+    /// where either is small.
+    fn copies_first(&self, patience: Span) -> Result<Option<usize>, Failure> {
         let entries = self.read(&self.daemon_prefix, ENTRIES_READ, patience, true)?;
         let values = entries.items.iter().filter_map(|item| item.value.as_ref());
         let entries = values.filter_map(|value| DaemonEntry::decode(value).ok());
-        Ok(entries.map(|entry| entry.fleet).max().unwrap_or_default())
+        let is_large = |entry: &DaemonEntry| {
+            !audience::is_small(entry.fleet) && entry.keys >= SMALL_STORE as usize
+        };
+        let large = entries.filter(is_large).map(|entry| entry.fleet);
+        Ok(large.max())
     }
 
     fn read(
--- a/components/mirror/src/mirror.rs
+++ b/components/mirror/src/mirror.rs
@@ -84,6 +84,18 @@
         self.at > Revision::default()
     }
 
+    /// How many keys there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether there is no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
     /// The value of a key and when it was written.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<(Revision, &Bytes)> {
