Watch in place of a watcher as soon as the store does not answer it

They noticed after 1.5 s, others took their last success for good for 0.7 s more and took over by turns: 2.1 s, where a configuration is to be in force within 2.

--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -299,6 +299,7 @@
     pub(crate) fn note_store_failure(&mut self, now: Time) {
         let me = &self.members.me().id;
         self.standings.note_unanswered(now, me);
+        self.must_tell = true;
     }
 
     /// What all others have out, by upstream.
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -90,11 +90,27 @@
         self.heard.insert(daemon.clone(), heard);
         take_word(now, &mut self.watchers, &standing.watchers);
         take_word(now, &mut self.unanswered, &standing.unanswered);
+        self.settle();
+    }
+
+    /// Keeps the later word of each daemon.
+    ///
+    /// Guards against watchers whose connections to the store go silent while those to their peers
+    /// do not: until their last success is too old nobody would watch, for 2.2 s where a change
+    /// is to be in force within 2.
+    fn settle(&mut self) {
+        let unanswered = &self.unanswered;
+        self.watchers
+            .retain(|daemon, said_at| unanswered.get(daemon).is_none_or(|at| at < said_at));
+        let watchers = &self.watchers;
+        self.unanswered
+            .retain(|daemon, _| !watchers.contains_key(daemon));
     }
 
     /// Notes that the store does not answer this daemon.
     pub(crate) fn note_unanswered(&mut self, now: Time, me: &DaemonId) {
         self.unanswered.insert(me.clone(), now);
+        self.settle();
     }
 
     /// Whom the store does not answer, the latest word first.
@@ -103,7 +119,8 @@
     }
 
     /// Whether anybody's watch works.
-    pub(crate) fn has_watcher(&self) -> bool {
+    #[must_use]
+    pub fn has_watcher(&self) -> bool {
         !self.watchers.is_empty()
     }
 
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -51,6 +51,34 @@
     }
 }
 
+#[test]
+fn a_watcher_that_is_not_answered_watches_no_more() {
+    // The connections of both watchers to the store go silent; those to their peers do not. A key is
+    // revoked just then. Others took the watchers' last word for good until it was too old, and served
+    // with the revoked key for more than the two seconds that a change may take.
+    let now = Time::ZERO + Span::from_secs(10);
+    let mut standings = Standings::default();
+    let works = Standing {
+        watchers: vec![said(4, 100)],
+        ..holds(7)
+    };
+    let fails = Standing {
+        unanswered: vec![said(4, 0)],
+        ..holds(7)
+    };
+    standings.take(now, &daemon(0), &works, FRESH);
+    assert!(standings.has_watcher());
+    standings.take(now, &daemon(2), &fails, FRESH);
+    assert!(!standings.has_watcher());
+    // An older word of its success that comes late changes nothing.
+    standings.take(now, &daemon(3), &works, FRESH);
+    assert!(!standings.has_watcher());
+    // It is answered again.
+    let later = now + Span::from_secs(1);
+    standings.take(later, &daemon(3), &works, FRESH);
+    assert!(standings.has_watcher());
+}
+
 #[test]
 fn a_store_is_away_only_if_it_answers_none_of_several() {
     // Engines' leases run out in an outage. A daemon that does not watch must know of the outage
