--- a/components/membership/src/config.rs
+++ b/components/membership/src/config.rs
@@ -80,6 +80,9 @@
     pub repair_rate: u64,
     /// Of these saved up at most while quiet.
     pub repair_burst: u64,
+    /// Bytes for short answers to those that join while the budget of repairs is used up; they
+    /// come back at the rate of repairs. Some 500 joins in a few seconds.
+    pub join_burst: u64,
     /// Largest message in bytes.
     pub message: usize,
 }
@@ -91,6 +94,7 @@
             burst: 32_768,
             repair_rate: 512,
             repair_burst: 65_536,
+            join_burst: 262_144,
             message: 4_096,
         }
     }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -145,6 +145,7 @@
     pub(crate) cursor: Cursor,
     allowance: Allowance,
     repairs: Allowance,
+    joins: Allowance,
     own_seq: u64,
     attachment: Bytes,
     ticked_at: Option<Time>,
@@ -170,6 +171,7 @@
         let mut membership = Self {
             allowance: Allowance::new(budget.rate as f64, budget.burst as f64),
             repairs: Allowance::new(budget.repair_rate as f64, budget.repair_burst as f64),
+            joins: Allowance::new(budget.repair_rate as f64, budget.join_burst as f64),
             me,
             cfg,
             members: MemberTable::default(),
--- a/components/membership/src/membership/news.rs
+++ b/components/membership/src/membership/news.rs
@@ -149,7 +149,7 @@
         self.put(to, message, outcome);
     }
 
-    fn put(&mut self, to: SocketAddr, message: Message, outcome: &mut Outcome) {
+    pub(super) fn put(&mut self, to: SocketAddr, message: Message, outcome: &mut Outcome) {
         let bytes = message.wire_len();
         self.counters.bytes_sent += bytes as u64;
         self.counters.messages_sent += 1;
--- a/components/membership/src/membership/receive.rs
+++ b/components/membership/src/membership/receive.rs
@@ -7,6 +7,9 @@
 use crate::member::State;
 use crate::message::{MemberRecord, Message, News, Sender};
 
+/// Members that one that joins is told of when there is no budget for more.
+const FEW_MEMBERS: usize = 6;
+
 impl Membership {
     /// Takes a message from an authenticated sender.
     pub fn receive(
@@ -22,6 +25,7 @@
         }
         self.allowance.fill(now);
         self.repairs.fill(now);
+        self.joins.fill(now);
         let had_urgent = self.rumors.has_urgent();
         let replies = matches!(message, Message::Probe { .. });
         self.dispatch(now, from, message, rng, &mut outcome);
@@ -191,7 +195,27 @@
         }
         self.take_record(now, &record, rng, outcome);
         self.members.heard(&from.id, now);
-        self.send_page(from, None, outcome);
+        match self.may_repair() {
+            true => self.send_page(from, None, outcome),
+            false => self.send_few(from, rng, outcome),
+        }
+    }
+
+    /// Sends a few members to one that joins, when there is no budget for all of them.
+    ///
+    /// Guards against a fleet that starts at once: the first to join use up the seeds' pages, and
+    /// the others would know nobody. Who knows a few soon hears of the rest.
+    fn send_few(&mut self, from: &Sender, rng: &mut impl Rng, outcome: &mut Outcome) {
+        if self.joins.available() == 0 {
+            return;
+        }
+        let mut members = vec![self.me.clone()];
+        members.extend(self.successor_of(from));
+        members.extend(self.random_peers(FEW_MEMBERS, Some(&from.id), rng));
+        let next = None;
+        let page = Message::Page { members, next };
+        self.joins.spend(page.wire_len());
+        self.put(from.address, page, outcome);
     }
 
     /// Sends members after one, as many as fit a message.
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -268,6 +268,23 @@
     );
 }
 
+// All hosts of a large fleet come back at one moment and join by the same few seeds, whose
+// budget of pages is used up by the first of them. The others got no answer and knew nobody for
+// over a second, so that each took itself for alone and asked the store for everything.
+#[test]
+fn can_answer_each_of_many_that_join_at_once() {
+    let mut fleet = Fleet::new(295, 23);
+    let lonely = |fleet: &Fleet| {
+        let sizes = fleet
+            .nodes
+            .values()
+            .map(|node| node.membership.fleet_size());
+        sizes.filter(|size| *size == 1).count()
+    };
+    fleet.run_for(Span::from_millis(500));
+    assert_eq!(lonely(&fleet), 0, "daemons that know nobody");
+}
+
 // All hosts of a fleet come back at one moment, the seeds a tenth of a second after the others.
 // Who had tried to join just before waited half a second for the next try, knew nobody whom
 // it could ask for a configuration, and refused its callers meanwhile.
