Let patient callers wait out a fleet's start

Change: in the first second of a daemon a caller waits a sixth of its patience at most, 0.3 s at least as before. Test: a caller with 9 s is answered, one with 1.5 s refused after 0.3 s; red before.

--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -27,8 +27,11 @@
 /// Part of the time that a caller has left after which it returns at the latest: with the
 /// spread over as long again it is within the third that callers wait for.
 const LATEST_RETRY_SHARE: f64 = 1.0 / 6.0;
-/// A first configuration is waited for.
+/// A first configuration is waited for so long by any caller.
 const FIRST_TABLE_WITHIN: Span = Span::from_millis(300);
+/// Every daemon of a fleet of hundreds that starts at once has its configuration this long after
+/// its start; until then a caller with time to spare waits, for up to [`LATEST_RETRY_SHARE`] of it.
+const FLEET_STARTS_WITHIN: Span = Span::from_secs(1);
 /// It is looked for this often meanwhile.
 const TABLE_LOOK: Duration = Duration::from_millis(10);
 /// Callers return at least this much later when this daemon leaves: another one is there.
@@ -99,7 +102,7 @@
         Ok(ask) => ask,
         Err(e) => return refuse("", Own::Malformed, &e.to_string()).await,
     };
-    wait_for_table(world).await;
+    wait_for_table(world, ask.patience).await;
     let placed = place(world, &head, &ask);
     let patience = match &placed {
         Ok(placed) => patience_of(&ask, &placed.route),
@@ -149,12 +152,17 @@
 }
 
 /// Waits a moment for the first configuration: a daemon that just started gets it within
-/// some ten ms, and a caller that is refused has used up one of its few attempts.
-async fn wait_for_table<T>(world: &World<T>) {
+/// some ten ms, in a large fleet that starts at once within a second, and a caller that is refused
+/// has used up one of its few attempts.
+async fn wait_for_table<T>(world: &World<T>, patience: Option<Span>) {
     if !world.cfg.policy.timing.waits_for_configuration {
         return;
     }
-    let until = world.instant(world.now() + FIRST_TABLE_WITHIN);
+    let now = world.now();
+    let spare = patience.map_or(0.0, |left| left.as_secs_f64() * LATEST_RETRY_SHARE);
+    let starts_in = FLEET_STARTS_WITHIN - now.since(Time::ZERO);
+    let wait = starts_in.min(Span::from_secs_f64(spare));
+    let until = world.instant(now + FIRST_TABLE_WITHIN.max(wait));
     while world.plan().table.is_none() {
         if tokio::time::Instant::now() >= until {
             return;
--- a/components/traffic/tests/it/bounds.rs
+++ b/components/traffic/tests/it/bounds.rs
@@ -131,6 +131,26 @@
     assert_eq!(status_of(&caller.answer()), 200);
 }
 
+#[test]
+fn a_patient_caller_waits_longer_for_a_first_configuration_of_a_fleet_that_starts() {
+    // All hosts of a large fleet are back at one moment and each has its configuration within a
+    // second. A caller with seconds to spare was refused after 0.3 s and came back with its last
+    // attempt, which many a one had used for the connection that the power cut broke.
+    let running = start();
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "ok"));
+        }
+    });
+    let mut patient = running.caller();
+    patient.send(&post("r1", "x"));
+    let mut hasty = running.caller();
+    hasty.send(&post("r2", "x").replace("wait: 9000", "wait: 1500"));
+    assert_eq!(status_of(&hasty.answer()), 503);
+    running.plan(Repeat::Any, &[address], Vec::new());
+    assert_eq!(status_of(&patient.answer()), 200);
+}
+
 #[test]
 fn a_caller_before_the_first_configuration_returns_within_its_patience() {
     // A fleet starts while its store is silent. A caller is told when to come back; told a
