Name contents and tell what had begun at an upstream that ended

Cause: an upstream's end left no line, and no line tells requests for the same thing from others, so that the four hypotheses on the incident could not be told apart from logs. Now a request's last line holds its content (a hash of customer, host, method, path and body), an upstream on which a run breaks is asked at once whether it still listens, and one that refuses, or whose entry goes after a run broke there, gets a line with the contents that had begun there and for how long they had run, also those given up just before. A counter goes with it, and 'trace' takes a content as well as an id. Nothing is decided by it yet.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -151,18 +151,32 @@
         }
     }
 
-    /// Takes the present list. Who is no longer on it gets nothing new.
-    pub fn configure(&mut self, listed: &[Arc<Upstream>]) {
+    /// Takes the present list. Who is no longer on it gets nothing new; says who went from it
+    /// without having said before that it would leave.
+    pub fn configure(&mut self, listed: &[Arc<Upstream>]) -> Vec<(UpstreamIndex, Arc<Upstream>)> {
         for entry in self.entries.values_mut() {
             entry.is_listed = false;
         }
         for spec in listed {
             self.list(spec);
         }
-        for entry in self.entries.values_mut() {
+        let mut gone = Vec::new();
+        for (index, entry) in &mut self.entries {
+            if !entry.is_listed && !entry.is_leaving {
+                gone.push((*index, Arc::clone(&entry.spec)));
+            }
             entry.is_leaving |= !entry.is_listed;
         }
         self.forget_idle();
+        gone
+    }
+
+    /// Whether an upstream gets nothing new: it said that it leaves, or is gone from the list.
+    #[must_use]
+    pub fn is_leaving(&self, index: UpstreamIndex) -> bool {
+        self.entries
+            .get(&index)
+            .is_none_or(|entry| entry.is_leaving)
     }
 
     /// Guards against an upstream that starts again under its id: what was believed of the
--- /dev/null
+++ b/components/poison/src/runs.rs
@@ -0,0 +1,193 @@
+//! What was under way at each upstream when it ended.
+//!
+//! An upstream's end is seen late and in pieces: each connection to it breaks by itself, the
+//! next one is refused, other daemons tell. A run that was given up a moment before its upstream's
+//! end may have ended it as well: engines begin to run a draft before its connection closes. So
+//! runs are remembered for a while after they are over.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use types::prelude::*;
+
+use crate::content::Content;
+
+/// Runs that are over are remembered for so long: an upstream's entry in the list goes some four
+/// seconds after its end.
+const REMEMBERED: Span = Span::from_secs(10);
+/// Runs remembered of one upstream at most: more than one runs side by side.
+const MAX_RUNS: usize = 256;
+/// A run that was given up so long before its upstream's end has nothing to do with it: an
+/// upstream stops within some hundred ms of the connection's close.
+const GIVEN_UP_WITHIN: Span = Span::from_millis(500);
+
+/// Names a run at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Run(u64);
+
+/// How a run was over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The upstream answered to the end, be it with a failure.
+    Whole,
+    /// The upstream broke off.
+    Broken,
+    /// It was given up here: dropped draft, silent upstream, caller that left.
+    GivenUp,
+    /// It did not begin.
+    NotRun,
+}
+
+/// A content that was under way at an upstream when that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Under {
+    /// Which.
+    pub content: Content,
+    /// How long it had run, from the first sign of its answer, or from its sending if none came.
+    pub ran: Span,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    run: Run,
+    content: Content,
+    began_at: Time,
+    /// Broken or given up, and when.
+    over: Option<(RunEnd, Time)>,
+}
+
+impl Held {
+    /// As under the end of its upstream at `ended_at`, if it was.
+    fn under(&self, ended_at: Time) -> Option<Under> {
+        let over_at = match self.over {
+            Some((RunEnd::Broken, at)) => at,
+            Some((_, at)) if ended_at.since(at) > GIVEN_UP_WITHIN => return None,
+            _ => ended_at,
+        };
+        Some(Under {
+            content: self.content,
+            ran: over_at.since(self.began_at),
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct AtUpstream {
+    runs: Vec<Held>,
+    ended_at: Option<Time>,
+}
+
+/// What is or was under way at each upstream, whatever `U` names a run of one's program.
+#[derive(Debug)]
+pub struct Runs<U> {
+    by_upstream: HashMap<U, AtUpstream>,
+    next: u64,
+}
+
+impl<U> Default for Runs<U> {
+    fn default() -> Self {
+        Self {
+            by_upstream: HashMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<U: Copy + Eq + Hash> Runs<U> {
+    /// Notes that a content is sent to an upstream.
+    pub fn sent(&mut self, now: Time, upstream: U, content: Content) -> Run {
+        let run = Run(self.next);
+        self.next += 1;
+        let held = self.by_upstream.entry(upstream).or_default();
+        if held.runs.len() >= MAX_RUNS {
+            held.runs.remove(0);
+        }
+        held.runs.push(Held {
+            run,
+            content,
+            began_at: now,
+            over: None,
+        });
+        run
+    }
+
+    /// Notes a later sign that the upstream began to run it.
+    pub fn began(&mut self, now: Time, upstream: U, run: Run) {
+        if let Some(held) = self.held(upstream, run) {
+            held.began_at = now;
+        }
+    }
+
+    /// Notes that a run is over. Says what it was under if its upstream is known to have ended.
+    pub fn over(&mut self, now: Time, upstream: U, run: Run, end: RunEnd) -> Option<Under> {
+        let at_upstream = self.by_upstream.get_mut(&upstream)?;
+        let place = at_upstream.runs.iter().position(|held| held.run == run)?;
+        match (end, at_upstream.ended_at) {
+            (RunEnd::Whole | RunEnd::NotRun, _) => {
+                at_upstream.runs.remove(place);
+                None
+            }
+            (_, None) => {
+                at_upstream.runs[place].over = Some((end, now));
+                None
+            }
+            (_, Some(ended_at)) => {
+                let mut held = at_upstream.runs.remove(place);
+                held.over = Some((end, now));
+                held.under(ended_at)
+            }
+        }
+    }
+
+    /// Notes that an upstream ended, and says what had begun there and is known to have stopped.
+    /// Those whose connections have not shown it yet follow by [`Self::over`].
+    pub fn ended(&mut self, now: Time, upstream: U) -> Vec<Under> {
+        let at_upstream = self.by_upstream.entry(upstream).or_default();
+        if at_upstream.ended_at.is_some() {
+            return Vec::new();
+        }
+        at_upstream.ended_at = Some(now);
+        let over = at_upstream.runs.extract_if(.., |held| held.over.is_some());
+        over.filter_map(|held| held.under(now)).collect()
+    }
+
+    /// Whether a run broke at an upstream of which it is not known that it ended.
+    #[must_use]
+    pub fn has_broken(&self, upstream: U) -> bool {
+        let held = self.by_upstream.get(&upstream);
+        let held = held.filter(|at_upstream| at_upstream.ended_at.is_none());
+        held.is_some_and(|at_upstream| at_upstream.runs.iter().any(is_broken))
+    }
+
+    /// Forgets what was over long ago.
+    pub fn tidy(&mut self, now: Time) {
+        self.by_upstream.retain(|_, at_upstream| {
+            let is_young =
+                |held: &mut Held| held.over.is_none_or(|(_, at)| now.since(at) < REMEMBERED);
+            at_upstream.runs.retain_mut(is_young);
+            let ended_at = at_upstream.ended_at;
+            !at_upstream.runs.is_empty() || ended_at.is_some_and(|at| now.since(at) < REMEMBERED)
+        });
+    }
+
+    /// Upstreams that something is remembered of.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_upstream.len()
+    }
+
+    /// Whether nothing is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_upstream.is_empty()
+    }
+
+    fn held(&mut self, upstream: U, run: Run) -> Option<&mut Held> {
+        let at_upstream = self.by_upstream.get_mut(&upstream)?;
+        at_upstream.runs.iter_mut().find(|held| held.run == run)
+    }
+}
+
+fn is_broken(held: &Held) -> bool {
+    matches!(held.over, Some((RunEnd::Broken, _)))
+}
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::world::World;
 
 /// An upstream that lives accepts within some ms; one behind a cut never answers.
-const CONNECT_WITHIN: Span = Span::from_millis(300);
+pub(crate) const CONNECT_WITHIN: Span = Span::from_millis(300);
 /// Longest head of an upstream.
 const MAX_HEAD: usize = 16 * 1024;
 /// Longest whole answer of an upstream.
@@ -33,7 +33,7 @@
 /// Rank that upstreams take for ordinary.
 const ORDINARY_RANK: u8 = 5;
 /// Connections to upstreams that are silent this long while bytes are out are dead.
-const WIRE: WireOptions = WireOptions {
+pub(crate) const WIRE: WireOptions = WireOptions {
     user_timeout: Duration::from_millis(1_500),
     keepalive: Duration::from_secs(1),
 };
@@ -148,7 +148,8 @@
     /// Sends it and waits for the answer's beginning, or its end unless it is a stream.
     pub(crate) async fn send(&self, choice: Choice) -> Sent<T> {
         let repeat = self.request.route.repeat;
-        let mut tracked = Tracked::start(self.world, &choice, repeat, self.has_failed);
+        let content = self.request.content;
+        let mut tracked = Tracked::start(self.world, &choice, repeat, content, self.has_failed);
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
             return Sent::Unreachable;
         };
@@ -165,6 +166,7 @@
             tracked.end(ending);
             return sent;
         }
+        tracked.begins();
         let reader = BodyReader::new(got.framing);
         let is_success = (200..300).contains(&got.head.status());
         if is_success && self.request.route.repeat.is_stream() {
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http1::{Framing, Head, Kind, Wire};
+use poison::Content;
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
 
@@ -120,9 +121,11 @@
         Ok(placed) => placed,
         Err((own, why)) => return refuse(&ask.attempt, own, why).await,
     };
+    let content = content_of(&head, placed.customer.as_deref(), &body.bytes);
     let request = Request {
         head,
         ask,
+        content,
         table: placed.table,
         route: placed.route,
         customer: placed.customer,
@@ -210,6 +213,16 @@
     latest.map_or(least, |latest| least.min(Span::from_secs_f64(latest)))
 }
 
+/// Names what is asked for.
+fn content_of(head: &Head, customer: Option<&Customer>, body: &[u8]) -> Content {
+    let Kind::Request { method, target } = &head.kind else {
+        return Content::of("", "", "", "", body);
+    };
+    let customer = customer.map_or("", |customer| &customer.name);
+    let host = head.text("host").unwrap_or_default();
+    Content::of(customer, host, method, target, body)
+}
+
 /// The target's path without its query.
 fn path_of(head: &Head) -> &str {
     let Kind::Request { target, .. } = &head.kind else {
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use dispatch::{Cascade, Ending, Load, UpstreamIndex, Use};
 use http1::{Head, Wire};
+use poison::Content;
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -39,6 +40,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) body: Body<T>,
+    pub(crate) content: Content,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
     pub(crate) keeps_alive: bool,
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -14,6 +14,7 @@
 mod attempt;
 mod caller;
 mod config;
+mod ends;
 mod exchange;
 mod metrics;
 mod plan;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -57,6 +57,8 @@
     pub repeats: Counter,
     /// Connections opened to upstreams.
     pub connects: Counter,
+    /// Upstreams that ended while requests ran there.
+    pub upstream_ends: Counter,
     /// Requests in hand.
     pub in_flight: Gauge,
     /// Entries of upstreams that cannot be read.
@@ -78,6 +80,7 @@
             attempts: Counter::default(),
             repeats: Counter::default(),
             connects: Counter::default(),
+            upstream_ends: Counter::default(),
             in_flight: Gauge::default(),
             unreadable: Gauge::default(),
             dropped_log_lines: Counter::default(),
@@ -111,6 +114,11 @@
             "Connections opened to upstreams",
             self.connects.clone(),
         );
+        r.register(
+            "upstream_ends",
+            "Upstreams that ended while requests of this daemon ran there",
+            self.upstream_ends.clone(),
+        );
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
             "unreadable_upstreams",
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,17 +7,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::Upstreams;
+use dispatch::{UpstreamIndex, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use types::prelude::*;
 
 use crate::caller;
 use crate::config::Config;
+use crate::ends;
 use crate::metrics::Metrics;
 use crate::plan::Plan;
 use crate::status;
@@ -110,8 +112,11 @@
                 return;
             }
         };
-        let world = new_world(cfg, translator, clock, shared);
-        LocalSet::new().block_on(&runtime, serve(world, rx, started_tx));
+        let (broken, broken_rx) = tokio::sync::mpsc::unbounded_channel();
+        let world = new_world(cfg, translator, clock, shared, broken);
+        let tasks = LocalSet::new();
+        tasks.spawn_local(ends::watch(Rc::clone(&world), broken_rx));
+        tasks.block_on(&runtime, serve(world, rx, started_tx));
         drop(ended_tx);
     };
     thread.spawn(run).map_err(StartError::Thread)?;
@@ -127,7 +132,13 @@
     })
 }
 
-fn new_world<T>(cfg: Config, translator: T, clock: Clock, seen: Seen) -> Rc<World<T>> {
+fn new_world<T>(
+    cfg: Config,
+    translator: T,
+    clock: Clock,
+    seen: Seen,
+    broken: UnboundedSender<UpstreamIndex>,
+) -> Rc<World<T>> {
     let upstreams = Upstreams::new(cfg.policy.placing);
     Rc::new(World {
         cfg,
@@ -137,6 +148,8 @@
         plan: RefCell::default(),
         upstreams: RefCell::new(upstreams),
         pool: RefCell::new(Pool::default()),
+        runs: RefCell::default(),
+        broken,
         pins: RefCell::default(),
         budgets: RefCell::new(HashMap::new()),
         rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
@@ -255,6 +268,7 @@
         let upstreams = world.upstreams.borrow();
         let mut pool = world.pool.borrow_mut();
         pool.tidy(now, |index| upstreams.spec(index).is_some());
+        world.runs.borrow_mut().tidy(now);
     }
 }
 
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex, kind_of};
+use poison::{Content, Run, RunEnd};
 use routes::Repeat;
 use types::prelude::*;
 
@@ -26,6 +27,7 @@
     world: Rc<World<T>>,
     index: UpstreamIndex,
     ticket: Ticket,
+    run: Run,
     load: Load,
     arm: Option<Arm>,
     sent_at: Time,
@@ -44,6 +46,7 @@
         world: &Rc<World<T>>,
         choice: &Choice,
         repeat: Repeat,
+        content: Content,
         has_failed: bool,
     ) -> Self {
         let now = world.now();
@@ -62,10 +65,12 @@
             })
         });
         drop(upstreams);
+        let run = world.runs.borrow_mut().sent(now, choice.index, content);
         let tracked = Self {
             world: Rc::clone(world),
             index: choice.index,
             ticket,
+            run,
             load: choice.load,
             arm,
             sent_at: now,
@@ -96,11 +101,19 @@
         );
         drop(upstreams);
         self.began_at = Some(now);
+        self.begins();
         if self.arm.as_ref().is_some_and(|arm| arm.is_evidence) {
             self.count(|counts| counts.note_begun(ms, &self.load));
         }
     }
 
+    /// Notes a sign that the upstream runs the request.
+    pub(crate) fn begins(&self) {
+        let now = self.world.now();
+        let mut runs = self.world.runs.borrow_mut();
+        runs.began(now, self.index, self.run);
+    }
+
     /// Notes that something was read from the upstream.
     pub(crate) fn heard(&self) {
         let now = self.world.now();
@@ -146,6 +159,8 @@
         let mut upstreams = self.world.upstreams.borrow_mut();
         upstreams.ended(now, self.index, self.ticket, self.ending);
         drop(upstreams);
+        self.world
+            .run_over(self.index, self.run, run_end(self.ending));
         let is_evidence = self.arm.as_ref().is_some_and(|arm| arm.is_evidence);
         self.count(|counts| {
             counts.out = counts.out.saturating_sub(1);
@@ -161,3 +176,13 @@
         });
     }
 }
+
+/// What an ending says of the upstream that the request was sent to.
+fn run_end(ending: Ending) -> RunEnd {
+    match ending {
+        Ending::Good | Ending::Failed => RunEnd::Whole,
+        Ending::Broken => RunEnd::Broken,
+        Ending::Silent | Ending::Dropped => RunEnd::GivenUp,
+        Ending::Unreachable | Ending::Refused | Ending::Replaced => RunEnd::NotRun,
+    }
+}
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -6,7 +6,9 @@
 
 use dispatch::{Evidence, Gate, Pins, RetryBudget, SharedLoad, UpstreamIndex, Upstreams, Use};
 use http1::Pool;
+use poison::Runs;
 use rand::rngs::SmallRng;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use types::prelude::*;
 
@@ -98,6 +100,10 @@
     pub(crate) plan: RefCell<Arc<Plan>>,
     pub(crate) upstreams: RefCell<Upstreams>,
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
+    /// What is or was under way at each upstream.
+    pub(crate) runs: RefCell<Runs<UpstreamIndex>>,
+    /// Upstreams on which a run broke, for [`crate::ends::watch`].
+    pub(crate) broken: UnboundedSender<UpstreamIndex>,
     pub(crate) pins: RefCell<Pins>,
     pub(crate) budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     pub(crate) rng: RefCell<SmallRng>,
@@ -126,7 +132,10 @@
 
     /// Takes what the control thread knows.
     pub(crate) fn set_plan(&self, plan: Arc<Plan>) {
-        self.upstreams.borrow_mut().configure(&plan.upstreams);
+        let gone = self.upstreams.borrow_mut().configure(&plan.upstreams);
+        for (index, spec) in gone {
+            self.gone_from_list(index, &spec);
+        }
         for budget in self.budgets.borrow_mut().values_mut() {
             budget.set_daemons(plan.daemons);
         }
--- /dev/null
+++ b/components/traffic/tests/it/ends.rs
@@ -0,0 +1,49 @@
+//! How the end of an upstream shows.
+
+use std::net::TcpListener;
+use std::time::Duration;
+
+use routes::Repeat;
+
+use crate::harness::*;
+
+/// Counted ends of upstreams, once there are as many or a second has gone.
+fn ends(running: &Loop, awaited: u64) -> u64 {
+    let mut counted = 0;
+    for _ in 0..50 {
+        counted = running.metric("buckthorncross_upstream_ends_total");
+        if counted >= awaited {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    counted
+}
+
+#[test]
+fn an_upstream_that_ends_under_a_request_is_counted() {
+    // An upstream's program ends while it runs a request: the connection breaks and the address
+    // refuses from then on. On call must see that it ended, and what had begun there.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        drop(listener);
+        let mut served = Served::new(stream);
+        served.request();
+    });
+    let running = serving(Repeat::Never, &[address]);
+    assert_eq!(status_of(&running.caller().ask("r1")), 502);
+    assert_eq!(ends(&running, 1), 1);
+}
+
+#[test]
+fn a_connection_that_breaks_is_no_end_while_the_upstream_listens() {
+    let address = upstream(|served| {
+        served.request();
+    });
+    let running = serving(Repeat::Never, &[address]);
+    assert_eq!(status_of(&running.caller().ask("r1")), 502);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(ends(&running, 0), 0);
+}
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -83,6 +83,15 @@
 }
 
 impl Served {
+    /// Of a connection that was accepted.
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a span");
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
+    }
+
     /// The next request's head and body as text; nothing once the other side has closed.
     pub fn request(&mut self) -> Option<String> {
         loop {
@@ -179,14 +188,7 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let script = Arc::clone(&script);
-            std::thread::spawn(move || {
-                stream.set_read_timeout(Some(PATIENCE)).expect("a span");
-                let mut served = Served {
-                    stream,
-                    buf: Vec::new(),
-                };
-                script(&mut served);
-            });
+            std::thread::spawn(move || script(&mut Served::new(stream)));
         }
     });
     address
@@ -323,12 +325,25 @@
 
     /// Status of the readiness answer.
     pub fn readiness(&self) -> u16 {
+        status_of(&self.look("/ready"))
+    }
+
+    /// The value of a counter or gauge without labels.
+    pub fn metric(&self, name: &str) -> u64 {
+        let text = self.look("/metrics");
+        let line = text.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|value| value.trim().parse().ok())
+            .expect(name)
+    }
+
+    /// What the status address answers.
+    pub fn look(&self, path: &str) -> String {
         let mut stream = TcpStream::connect(self.status).expect("listening");
-        let ask = "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+        let ask = format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n");
         stream.write_all(ask.as_bytes()).expect("open");
         let mut text = String::new();
         stream.read_to_string(&mut text).expect("an answer");
-        status_of(&text)
+        text
     }
 }
 
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -4,5 +4,6 @@
 
 mod answers;
 mod bounds;
+mod ends;
 mod leaving;
 mod streams;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -300,7 +300,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "trace")]
 pub(crate) struct Trace {
-    /// the request's id, as the caller sent it
+    /// the request's id, as the caller sent it, or a content's
     #[argh(positional)]
     pub id: String,
     /// a host's log, a JSON object a line; may be given several times
--- a/src/story.rs
+++ b/src/story.rs
@@ -1,4 +1,4 @@
-//! Lines of logs that explain one request.
+//! Lines of logs that explain one request, or all requests of one content.
 //!
 //! The request's own lines say which upstreams it went to and when. Around them belong what
 //! the host that served it believed: its configuration, its sight of the store and of those
@@ -56,6 +56,17 @@
         self.fields.get(name)?.as_str()
     }
 
+    /// Whether it speaks of an id: a request's, or that of a content, which stands in the lines
+    /// of all requests for it and of each upstream that ended under it.
+    fn names(&self, id: &str) -> bool {
+        let is_own = ["id", "content"]
+            .iter()
+            .any(|name| self.text(name) == Some(id));
+        let under = self.text("under").unwrap_or_default().split("; ");
+        let mut under = under.filter_map(|under| under.split(' ').next());
+        is_own || under.any(|content| content == id)
+    }
+
     pub(crate) fn to_json(&self) -> Value {
         let mut value = json!({
             "host": self.host,
@@ -94,7 +105,7 @@
 
 /// Lines that explain a request, in order of time.
 pub(crate) fn story(id: &str, lines: Vec<Line>) -> Vec<Line> {
-    let own = lines.iter().filter(|line| line.text("id") == Some(id));
+    let own = lines.iter().filter(|line| line.names(id));
     let own = own.cloned().collect::<Vec<_>>();
     let hosts = own.iter().map(|line| line.host.as_str());
     let hosts = hosts.collect::<BTreeSet<_>>();
@@ -104,7 +115,7 @@
         return Vec::new();
     };
     let explains = |line: &Line| {
-        let is_own = line.text("id") == Some(id);
+        let is_own = line.names(id);
         let is_here = hosts.contains(line.host.as_str()) && line.timestamp <= last;
         let about_host = ABOUT_THE_HOST
             .iter()
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -223,3 +223,27 @@
     assert_eq!(found.status.code(), Some(0));
     assert_eq!(missing.status.code(), Some(1));
 }
+
+const ENDS: &str = r#"
+{"timestamp":"2026-01-01T00:00:01.000Z","level":"INFO","message":"requests: ended","id":"r1","content":"c1","tries":"u1 v1: cut at 9ms"}
+{"timestamp":"2026-01-01T00:00:01.100Z","level":"WARN","message":"upstreams: ended","upstream":"u1","under":"c0 40ms; c1 9ms"}
+{"timestamp":"2026-01-01T00:00:02.000Z","level":"INFO","message":"requests: ended","id":"r2","content":"c1","tries":"u2 v1: cut at 9ms"}
+{"timestamp":"2026-01-01T00:00:02.100Z","level":"WARN","message":"upstreams: ended","upstream":"u3","under":"c0 70ms"}
+"#;
+
+#[test]
+fn all_requests_of_one_content_are_traced_with_the_ends_under_it() {
+    // A caller sends the same request again and again under new ids. On call has one id, reads
+    // the content's from its line, and asks for all that came of it.
+    let path = std::env::temp_dir().join(format!("trace-ends-{}.log", std::process::id()));
+    std::fs::write(&path, ENDS).unwrap();
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_buckthorncross"));
+    let found = tool.args(["trace", "c1", "--logs"]).arg(&path).output();
+    std::fs::remove_file(&path).unwrap();
+    let text = String::from_utf8(found.unwrap().stdout).unwrap();
+    let lines = text.lines().collect::<Vec<_>>();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("id=r1"), "{text}");
+    assert!(lines[1].contains("upstream=u1"), "{text}");
+    assert!(lines[2].contains("id=r2"), "{text}");
+}
