Settle doubts about upstreams before a suspect is sent again

An end under a draft that was dropped breaks no connection here, so nobody counted it, and the second look at an upstream (150 ms) came after the caller's next attempt. Change: once a content is held against, upstreams at which it was dropped are asked too, and a content one end short of its bar waits, 160 ms at most, until upstreams in doubt are known to live or not.

--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -5,7 +5,7 @@
 //! end may have ended it as well: engines begin to run a draft before its connection closes. So
 //! runs are remembered for a while after they are over.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
 
 use types::prelude::*;
@@ -169,6 +169,22 @@
         }
     }
 
+    /// Upstreams at which one of these contents was given up, and of which it is not known that
+    /// they ended.
+    #[must_use]
+    pub fn given_up(&self, contents: &BTreeSet<Content>) -> Vec<U> {
+        let is_one = |held: &Held| {
+            let is_given_up = held.over.is_some_and(|(how, _)| how == RunEnd::GivenUp);
+            is_given_up && contents.contains(&held.content)
+        };
+        let unknown = self
+            .by_upstream
+            .iter()
+            .filter(|(_, held)| held.end.is_none());
+        let given_up = unknown.filter(|(_, held)| held.runs.iter().any(is_one));
+        given_up.map(|(upstream, _)| *upstream).collect()
+    }
+
     /// Notes that an upstream ended of which something was last read at `heard_at`, and says what
     /// had begun there and is known to have stopped. Those whose connections have not shown it yet
     /// follow by [`Self::over`]. Nothing if the end was known before.
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -227,6 +227,12 @@
         suspect.is_some_and(|suspect| suspect.ends.len() + 1 >= self.policy.least_ends as usize)
     }
 
+    /// Whether an upstream ended under a content.
+    #[must_use]
+    pub fn is_held(&self, content: Content) -> bool {
+        self.suspects.contains_key(&content)
+    }
+
     /// Notes that this daemon sends a content to see whether its bar still holds.
     pub fn tried(&mut self, now: Time, content: Content) {
         self.take_one(now, content, Fate::Tried, now);
--- a/components/traffic/src/ends.rs
+++ b/components/traffic/src/ends.rs
@@ -4,8 +4,6 @@
 //! upstream is asked at once whether it still listens: a program that has ended refuses. Where
 //! the host itself is gone nobody refuses, and its entry in the list goes some seconds later.
 
-use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +20,10 @@
 
 /// An upstream on which a run broke is asked whether it listens after these waits.
 const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(150)];
+/// How often is looked whether a doubt is settled, and how often at most: as long as both looks
+/// at an upstream that does not refuse take.
+const SETTLE_LOOK: Duration = Duration::from_millis(5);
+const SETTLE_LOOKS: u32 = 32;
 /// Contents named in one log line at most: a busy engine's are some dozen.
 const MAX_NAMED: usize = 16;
 
@@ -43,19 +45,18 @@
     world: Rc<World<T>>,
     mut doubtful: UnboundedReceiver<LastSeen>,
 ) {
-    let asked = Rc::new(RefCell::new(BTreeSet::new()));
     while let Some(upstream) = doubtful.recv().await {
-        if !asked.borrow_mut().insert(upstream.index) {
+        if !world.in_doubt.borrow_mut().insert(upstream.index) {
             continue;
         }
-        let (world, asked) = (Rc::clone(&world), Rc::clone(&asked));
+        let world = Rc::clone(&world);
         tokio::task::spawn_local(async move {
-            let refuses = refuses(&upstream.spec).await;
-            asked.borrow_mut().remove(&upstream.index);
-            if refuses {
-                let latest = world.upstreams.borrow().last_seen(upstream.index);
+            let index = upstream.index;
+            if refuses(&upstream.spec).await {
+                let latest = world.upstreams.borrow().last_seen(index);
                 world.upstream_ended(&latest.unwrap_or(upstream), Sign::Refuses);
             }
+            world.in_doubt.borrow_mut().remove(&index);
         });
     }
 }
@@ -74,12 +75,18 @@
             self.cfg.suspects.lock().whole(now, content);
         }
         let under = self.runs.borrow_mut().over(now, index, run, end);
+        // A draft of what upstreams ended under before may end this one after it was dropped.
+        let is_doubtful = match end {
+            RunEnd::Broken => true,
+            RunEnd::GivenUp => self.cfg.suspects.lock().is_held(content),
+            _ => false,
+        };
         if let Some(under) = under {
             let upstream = self.upstreams.borrow().last_seen(index);
             if let Some(upstream) = upstream {
                 self.note_under(&upstream.spec, &[under], Sign::Known);
             }
-        } else if end == RunEnd::Broken {
+        } else if is_doubtful {
             self.doubt(index);
         }
     }
@@ -159,6 +166,29 @@
             started_at: spec.started_at,
         };
         self.cfg.suspects.lock().ended(self.now(), &run, under);
+        self.doubt_earlier(under);
+    }
+
+    /// Asks upstreams at which the same contents were dropped before they were suspected: the end
+    /// of one that ran nothing else breaks no connection.
+    fn doubt_earlier(&self, under: &[Under]) {
+        let contents = under.iter().map(|under| under.content).collect();
+        let earlier = self.runs.borrow().given_up(&contents);
+        earlier.into_iter().for_each(|index| self.doubt(index));
+    }
+
+    /// Waits until it is known whether upstreams that are in doubt have ended, for a moment at
+    /// most.
+    ///
+    /// Guards against the next attempt of a request that ends its upstreams: it comes within
+    /// some ms, before the last end is known, and takes one more.
+    pub(crate) async fn settle(&self) {
+        for _ in 0..SETTLE_LOOKS {
+            if self.in_doubt.borrow().is_empty() {
+                return;
+            }
+            tokio::time::sleep(SETTLE_LOOK).await;
+        }
     }
 }
 
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -137,6 +137,9 @@
 
     async fn attempts(&mut self) -> Finish {
         loop {
+            if self.is_suspect() {
+                self.world.settle().await;
+            }
             if let Some(until) = self.barred_until() {
                 return self.refuse_barred(until).await;
             }
--- a/components/traffic/src/exchange/decide.rs
+++ b/components/traffic/src/exchange/decide.rs
@@ -40,7 +40,8 @@
         self.world.barred_until(self.request.content).is_some()
     }
 
-    fn is_suspect(&self) -> bool {
+    /// Whether its content is nearly barred.
+    pub(super) fn is_suspect(&self) -> bool {
         let suspects = self.world.cfg.suspects.lock();
         suspects.is_suspect(self.request.content)
     }
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -156,6 +156,7 @@
         upstreams: RefCell::new(upstreams),
         pool: RefCell::new(Pool::default()),
         runs: RefCell::default(),
+        in_doubt: RefCell::default(),
         doubtful,
         pins: RefCell::default(),
         budgets: RefCell::new(HashMap::new()),
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -104,6 +104,8 @@
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// What is or was under way at each upstream.
     pub(crate) runs: RefCell<Runs<UpstreamIndex>>,
+    /// Upstreams that are being asked whether they still listen.
+    pub(crate) in_doubt: RefCell<BTreeSet<UpstreamIndex>>,
     /// Upstreams that may have ended, for [`crate::ends::watch`].
     pub(crate) doubtful: UnboundedSender<LastSeen>,
     pub(crate) pins: RefCell<Pins>,
