Count a send that broke on a kept connection as one

Cause: where a kept connection breaks the request is sent anew to the same upstream. If that refuses, as one does that has just ended under it, the attempt was taken for 'nothing arrived': no run, no repeat, eight upstreams at most instead of three. Change: such a send keeps the outcome of its first connection, and what is barred is not sent anew.

--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -206,7 +206,9 @@
                 Ok(got) => return Ok((wire, got)),
                 // Guards against an upstream that dropped an idle connection without a word:
                 // what is sent next on it is reset, though the upstream is sound.
-                Err(Failure::Broken(_)) if self.may_send_anew() => {}
+                Err(Failure::Broken(why)) => {
+                    return self.send_anew(index, spec, tracked, why).await;
+                }
                 Err(failure) => return Err(failure),
             }
         }
@@ -215,6 +217,28 @@
         Ok((wire, got))
     }
 
+    /// Sends it on a new connection to an upstream on whose kept one it broke.
+    ///
+    /// Guards against an upstream that ended under it: it refuses the new connection, and what
+    /// was sent on the kept one would count for nothing, neither as a run nor as a repeat, so
+    /// that one attempt went on to upstream after upstream.
+    async fn send_anew(
+        &self,
+        index: UpstreamIndex,
+        spec: &Upstream,
+        tracked: &Tracked<T>,
+        why: &'static str,
+    ) -> Result<(Wire, Got), Failure> {
+        if self.is_barred() || !self.may_send_anew() {
+            return Err(Failure::Broken(why));
+        }
+        let Ok(wire) = self.open(index, spec).await else {
+            return Err(Failure::Broken(why));
+        };
+        let got = self.try_on(&wire, &self.encode(&spec.id), tracked).await?;
+        Ok((wire, got))
+    }
+
     /// A kept connection, unless the request may not be repeated: whether one that breaks
     /// had already lost its other end cannot be told, and a new one costs a millisecond.
     fn kept(&self, index: UpstreamIndex) -> Option<Wire> {
