Let the soak's daemons meet

Cause: daemons take the store's address for what all of a fleet know, and in the soak each has its own way to the store. Taken out, the soak fails at its start.

--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -62,6 +62,10 @@
     /// check the settings and exit
     #[argh(switch)]
     pub check: bool,
+    /// name of the fleet, where its daemons reach the store by addresses of their own; the same on
+    /// all of them (default: the store's address)
+    #[argh(option)]
+    pub fleet: Option<String>,
     /// log filter such as info,traffic=warn (default info)
     #[argh(option, default = "telemetry::logs::DEFAULT_FILTER.to_owned()")]
     pub log: String,
--- a/daemon/src/cmd/platform.rs
+++ b/daemon/src/cmd/platform.rs
@@ -23,7 +23,12 @@
         version = env!("CARGO_PKG_VERSION"),
         "daemon: starting"
     );
-    let daemon = platform::start(&settings, policy, logs.dropped())?;
+    let options = platform::Options {
+        policy,
+        fleet: options.fleet.clone(),
+        dropped_logs: logs.dropped(),
+    };
+    let daemon = platform::start(&settings, options)?;
     for signal in signals.forever() {
         match signal {
             SIGHUP => reload(&settings),
