Hold ends against the rate of their burst; tell what began from what waited

Change: ends under which a content had begun count, others only if it was never seen to begin; an end that another explains counts for the less the longer the run was; the rate that chance is worked out with is the higher of the usual one and that of other ends in the same burst.

--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -49,7 +49,9 @@
 pub struct Under {
     /// Which.
     pub content: Content,
-    /// How long it had run, from the first sign of its answer, or from its sending if none came.
+    /// Whether there was a sign that it ran: the first of its answer.
+    pub had_begun: bool,
+    /// How long it had run, from that sign, or from its sending if none came.
     pub ran: Span,
 }
 
@@ -57,6 +59,8 @@
 struct Held {
     run: Run,
     content: Content,
+    had_begun: bool,
+    /// When it was sent, or the last sign that it begins.
     began_at: Time,
     /// Broken or given up, and when.
     over: Option<(RunEnd, Time)>,
@@ -86,6 +90,7 @@
         };
         Some(Under {
             content: self.content,
+            had_begun: self.had_begun,
             ran: ended_at.since(self.began_at),
         })
     }
@@ -135,6 +140,7 @@
         held.runs.push(Held {
             run,
             content,
+            had_begun: false,
             began_at: now,
             over: None,
         });
@@ -144,6 +150,7 @@
     /// Notes a later sign that the upstream began to run it.
     pub fn began(&mut self, now: Time, upstream: U, run: Run) {
         if let Some(held) = self.held(upstream, run) {
+            held.had_begun = true;
             held.began_at = now;
         }
     }
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -4,9 +4,13 @@
 //! itself: the same words lead to the same bars. A bar lapses; then one daemon at a time sends
 //! the content once more, and its fate decides.
 
+mod ends;
 mod evidence;
+mod judging;
+mod news;
+mod whole;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,7 +19,10 @@
 use crate::policy::PoisonPolicy;
 use crate::runs::Under;
 use crate::word::{Fate, UpstreamRun, Word, Words};
-use evidence::{End, Hazard, Suspect};
+use ends::Ends;
+use evidence::{End, Suspect};
+use news::News;
+use whole::Whole;
 
 /// Contents held at most. A rack that is lost takes hundreds with it at one moment; those under
 /// which one upstream ended go first.
@@ -25,19 +32,6 @@
 const SOON: Span = Span::from_secs(3);
 /// Ends are remembered for this long after they came, or after their content's bar lapsed.
 const REMEMBERED: Span = Span::from_secs(600);
-/// Ends of upstreams remembered, for the rate at which they come,
-const MAX_ENDS: usize = 4_096;
-/// for longer than what is held against any content, so that the rate of its time stays as it was.
-const ENDS_REMEMBERED: Span = Span::from_secs(3_600);
-/// The rate of ends is taken over this long before a content's last.
-const RATE_OVER: Span = Span::from_secs(60);
-/// A rate is never taken for nothing: half an end more than were seen.
-const UNSEEN_ENDS: f64 = 0.5;
-/// What was answered whole so lately does not end upstreams. Guards against a request that
-/// many callers send alike: a rack that is lost has it running at three upstreams at once.
-const WHOLE_FOR: Span = Span::from_secs(5);
-/// Contents answered whole of late that are remembered.
-const MAX_WHOLE: usize = 4_096;
 /// A daemon that tries a content has its answer within.
 const TRIED_FOR: Span = Span::from_secs(10);
 /// When a bar lapses, daemons may try one after the other, each so long after the one before,
@@ -45,10 +39,6 @@
 const TRY_EACH: Span = Span::from_millis(500);
 /// and all of them within this.
 const TRY_ALL: Span = Span::from_secs(60);
-/// Words that wait to be told.
-const MAX_NEWS: usize = 256;
-/// Words told at a time: some 60 bytes each, in one message.
-const MAX_TOLD: usize = 64;
 
 /// Whether a content may be sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,74 +76,6 @@
     Cleared(Content),
 }
 
-/// Contents that were answered whole of late.
-#[derive(Debug, Default)]
-struct Whole {
-    order: VecDeque<(Content, Time)>,
-    last: HashMap<Content, Time>,
-}
-
-impl Whole {
-    fn note(&mut self, now: Time, content: Content) {
-        self.forget(now);
-        self.order.push_back((content, now));
-        self.last.insert(content, now);
-    }
-
-    fn forget(&mut self, now: Time) {
-        while let Some((content, at)) = self.order.front().copied() {
-            if now.since(at) < WHOLE_FOR && self.order.len() < MAX_WHOLE {
-                return;
-            }
-            self.order.pop_front();
-            if self.last.get(&content) == Some(&at) {
-                self.last.remove(&content);
-            }
-        }
-    }
-
-    /// Whether it was answered whole less than [`WHOLE_FOR`] before a moment, or since.
-    fn clears(&self, content: &Content, at: Time) -> bool {
-        let whole_at = self.last.get(content);
-        whole_at.is_some_and(|whole_at| at.since(*whole_at) < WHOLE_FOR)
-    }
-}
-
-/// Ends of upstreams, whatever ran there.
-#[derive(Debug, Default)]
-struct Ends {
-    at: HashMap<UpstreamRun, Time>,
-    upstreams: usize,
-}
-
-impl Ends {
-    fn note(&mut self, upstream: &UpstreamRun, at: Time) {
-        if self.at.len() < MAX_ENDS {
-            self.at.entry(upstream.clone()).or_insert(at);
-        }
-    }
-}
-
-impl Hazard for Ends {
-    fn rate(&self, from: Time, to: Time, explained: &BTreeSet<UpstreamRun>) -> f64 {
-        let from = from.min(to - RATE_OVER);
-        let over = (to.since(from)).max(RATE_OVER).as_secs_f64();
-        let ends = self.at.iter();
-        let ends = ends
-            .filter(|(upstream, at)| **at >= from && **at <= to && !explained.contains(*upstream));
-        let ends = ends.count() as f64 + UNSEEN_ENDS;
-        ends / (self.upstreams.max(1) as f64 * over)
-    }
-}
-
-/// What waits to be told to other daemons.
-#[derive(Debug, Clone)]
-struct News {
-    content: Content,
-    fate: Fate,
-    at: Time,
-}
-
 /// What is held against contents.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -164,7 +86,7 @@
     suspects: HashMap<Content, Suspect>,
     ends: Ends,
     whole: Whole,
-    news: Vec<News>,
+    news: News,
     changes: Vec<Change>,
 }
 
@@ -193,7 +115,7 @@
         let Some(suspect) = suspect.filter(|suspect| suspect.barred_since.is_some()) else {
             return Admission::Open;
         };
-        let lapses_at = self.lapses_at(suspect);
+        let lapses_at = suspect.lapses_at(&self.policy);
         let tried_until = suspect.tried_at.map(|at| at + TRIED_FOR);
         let until = lapses_at.max(tried_until.unwrap_or_default());
         if now < until {
@@ -207,11 +129,6 @@
         }
     }
 
-    /// When a content's bar lapses.
-    fn lapses_at(&self, suspect: &Suspect) -> Time {
-        suspect.last_at() + self.policy.bar_for(suspect.ends.len())
-    }
-
     /// How long after a bar's lapse this daemon may try the content.
     fn turn(&self, content: Content) -> Span {
         let all = TRY_EACH.times(self.daemons.saturating_sub(1) as u64);
@@ -224,7 +141,7 @@
     #[must_use]
     pub fn is_suspect(&self, content: Content) -> bool {
         let suspect = self.suspects.get(&content);
-        suspect.is_some_and(|suspect| suspect.ends.len() + 1 >= self.policy.least_ends as usize)
+        suspect.is_some_and(|suspect| suspect.count() + 1 >= self.policy.least_ends as usize)
     }
 
     /// Whether an upstream ended under a content.
@@ -245,6 +162,7 @@
             let ran_ms = u32::try_from(under.ran.as_millis()).unwrap_or(u32::MAX);
             let fate = Fate::Ended {
                 upstream: upstream.clone(),
+                had_begun: under.had_begun,
                 ran_ms,
             };
             self.take_one(now, under.content, fate, now);
@@ -301,9 +219,17 @@
             return;
         }
         let is_news = match &fate {
-            Fate::Ended { upstream, ran_ms } => {
-                let ran = Span::from_millis(u64::from(*ran_ms));
-                self.add_end(content, upstream, End { ran, at })
+            Fate::Ended {
+                upstream,
+                had_begun,
+                ran_ms,
+            } => {
+                let end = End {
+                    had_begun: *had_begun,
+                    ran: Span::from_millis(u64::from(*ran_ms)),
+                    at,
+                };
+                self.add_end(content, upstream, end)
             }
             Fate::Whole | Fate::Lifted => self.forgive(content, at),
             Fate::Tried => {
@@ -346,7 +272,7 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let weight = |suspect: &Suspect| (suspect.ends.len(), suspect.last_at());
+        let weight = |suspect: &Suspect| (suspect.count(), suspect.last_at());
         let mut held = self
             .suspects
             .iter()
@@ -358,79 +284,15 @@
         }
     }
 
-    /// Bars the contents that explain ends best, and clears those whose ends others explain.
-    ///
-    /// Guards against a request that is barred for another one's sake: what runs beside the
-    /// culprit and is retried with it ends with it, once, twice and now and then three times.
-    fn judge(&mut self, now: Time) {
-        if !self.policy.bars {
-            return;
-        }
-        let mut explained = BTreeSet::new();
-        let mut proved = BTreeSet::new();
-        while let Some(content) = self.best(&explained, &proved) {
-            let ends = self.suspects[&content].ends.keys();
-            explained.extend(ends.cloned());
-            proved.insert(content);
-        }
-        for (content, suspect) in &mut self.suspects {
-            match (suspect.barred_since, proved.contains(content)) {
-                (None, true) => suspect.barred_since = Some(now),
-                (Some(_), false) => {
-                    suspect.barred_since = None;
-                    self.changes.push(Change::Cleared(*content));
-                    continue;
-                }
-                _ => continue,
-            }
-            let ends = suspect.ends.iter().map(|(u, end)| (u.clone(), end.ran));
-            self.changes.push(Change::Barred(Barred {
-                content: *content,
-                since: now,
-                until: suspect.last_at() + self.policy.bar_for(suspect.ends.len()),
-                ends: ends.collect(),
-            }));
-        }
-        self.suspects.retain(|_, suspect| !suspect.ends.is_empty());
-    }
-
-    /// Of the contents that chance does not explain, the one that it explains worst.
-    fn best(
-        &self,
-        explained: &BTreeSet<UpstreamRun>,
-        proved: &BTreeSet<Content>,
-    ) -> Option<Content> {
-        let least = self.policy.least_ends as usize;
-        let many = self.suspects.iter();
-        let many = many.filter(|(c, s)| s.ends.len() >= least && !proved.contains(*c));
-        let judged = many.filter_map(|(content, suspect)| {
-            let (ends, chance) = suspect.unexplained(explained, &self.ends);
-            let is_proved = ends >= least && chance <= self.policy.chance;
-            is_proved.then_some((chance, *content))
-        });
-        let best = judged.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        best.map(|(_, content)| content)
-    }
-
     fn tell(&mut self, content: Content, fate: Fate, at: Time) {
-        self.news.push(News { content, fate, at });
+        self.news.push(content, fate, at);
     }
 
     /// Words to be told to other daemons now.
-    ///
-    /// What proves most goes first, and what finds no room is dropped: a flood of suspects must
-    /// not keep the word on a proved one waiting.
     pub fn news(&mut self, now: Time) -> Words {
-        let ends = |news: &News| self.suspects.get(&news.content).map_or(0, |s| s.ends.len());
-        let mut news = std::mem::take(&mut self.news);
-        news.sort_by_key(|news| {
-            std::cmp::Reverse((!matches!(news.fate, Fate::Ended { .. }), ends(news)))
-        });
-        news.truncate(MAX_NEWS);
-        let later = news.split_off(news.len().min(MAX_TOLD));
-        self.news = later;
-        let words = news.into_iter().map(|news| news.word(now));
-        Words(words.collect())
+        let suspects = &self.suspects;
+        let ends = |content: &Content| suspects.get(content).map_or(0, Suspect::count);
+        self.news.take(now, ends)
     }
 
     /// What changed since the last time.
@@ -442,28 +304,17 @@
     #[must_use]
     pub fn barred(&self) -> Vec<Barred> {
         let suspects = self.suspects.iter();
-        let barred = suspects.filter_map(|(content, suspect)| {
-            let ends = suspect.ends.iter().map(|(u, end)| (u.clone(), end.ran));
-            Some(Barred {
-                content: *content,
-                since: suspect.barred_since?,
-                until: self.lapses_at(suspect),
-                ends: ends.collect(),
-            })
-        });
+        let barred = suspects.filter_map(|(content, suspect)| suspect.bar(*content, &self.policy));
         barred.collect()
     }
 
     /// Forgets what is too old.
     pub fn tidy(&mut self, now: Time) {
         self.whole.forget(now);
-        let ends = &mut self.ends.at;
-        ends.retain(|_, at| now.since(*at) < ENDS_REMEMBERED);
+        self.ends.forget(now);
         let policy = self.policy;
-        self.suspects.retain(|_, suspect| {
-            let bar = policy.bar_for(suspect.ends.len());
-            now.since(suspect.last_at() + bar) < REMEMBERED
-        });
+        self.suspects
+            .retain(|_, suspect| now.since(suspect.lapses_at(&policy)) < REMEMBERED);
     }
 
     /// Contents that something is held against.
@@ -478,13 +329,3 @@
         self.suspects.is_empty()
     }
 }
-
-impl News {
-    fn word(self, now: Time) -> Word {
-        Word {
-            content: self.content,
-            fate: self.fate,
-            age_ms: u32::try_from(now.since(self.at).as_millis()).unwrap_or(u32::MAX),
-        }
-    }
-}
--- a/components/poison/src/suspects/evidence.rs
+++ b/components/poison/src/suspects/evidence.rs
@@ -9,6 +9,10 @@
 
 use types::prelude::*;
 
+use super::Barred;
+use super::ends::Ends;
+use crate::content::Content;
+use crate::policy::PoisonPolicy;
 use crate::word::UpstreamRun;
 
 /// Ends kept of one content; more say nothing more.
@@ -16,14 +20,31 @@
 /// A run counts for this long at least: an end is noticed some ten ms after it.
 const LEAST_RAN: Span = Span::from_millis(20);
 
+/// The usual rate of ends is taken over this long before a content's first, its own among them,
+const USUAL_OVER: Span = Span::from_secs(60);
+/// and held against that of others from this long before it on: ends come in bursts, in which
+/// much is hit three times by chance.
+const BURST_BEFORE: Span = Span::from_secs(2);
+/// What runs beside a content that ends its upstream has run for up to this long by then, in
+/// seconds: half an answer's time.
+const BESIDE_S: f64 = 0.5;
+
 /// An upstream's end under a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct End {
-    /// How long the content had run there.
+    /// Whether there was a sign that the content ran there.
+    pub(crate) had_begun: bool,
+    /// How long it had run there.
     pub(crate) ran: Span,
     pub(crate) at: Time,
 }
 
+impl End {
+    fn ran_s(&self) -> f64 {
+        self.ran.max(LEAST_RAN).as_secs_f64()
+    }
+}
+
 /// What is held against one content.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Suspect {
@@ -34,19 +55,17 @@
     pub(crate) barred_since: Option<Time>,
 }
 
-/// How often upstreams end by themselves.
-pub(crate) trait Hazard {
-    /// Ends of one upstream a second between two moments, other than `explained`.
-    fn rate(&self, from: Time, to: Time, explained: &BTreeSet<UpstreamRun>) -> f64;
-}
-
 impl Suspect {
-    /// Adds an end; whether it is news. The shorter run counts where two tell of one end.
+    /// Adds an end; whether it is news. Where two tell of one end the run that had begun counts,
+    /// and of these the shorter.
     pub(crate) fn add(&mut self, upstream: UpstreamRun, end: End) -> bool {
         if let Some(held) = self.ends.get_mut(&upstream) {
-            let is_shorter = end.ran < held.ran;
-            held.ran = held.ran.min(end.ran);
-            return is_shorter;
+            let is_better = (!end.had_begun, end.ran) < (!held.had_begun, held.ran);
+            if is_better {
+                held.had_begun = end.had_begun;
+                held.ran = end.ran;
+            }
+            return is_better;
         }
         if self.ends.len() >= MAX_ENDS {
             self.drop_oldest();
@@ -62,26 +81,63 @@
         }
     }
 
+    /// The ends that count. Of a content that was seen to run somewhere, those under which it had
+    /// begun: elsewhere it only waited beside what ended them. One that ends upstreams before the
+    /// first sign of an answer never was seen to run.
+    pub(crate) fn counted(&self) -> impl Iterator<Item = (&UpstreamRun, &End)> {
+        let has_begun = self.ends.values().any(|end| end.had_begun);
+        let ends = self.ends.iter();
+        ends.filter(move |(_, end)| end.had_begun || !has_begun)
+    }
+
+    /// How many ends count.
+    pub(crate) fn count(&self) -> usize {
+        self.counted().count()
+    }
+
     /// When the last upstream ended under it.
     pub(crate) fn last_at(&self) -> Time {
-        let ends = self.ends.values().map(|end| end.at);
+        let ends = self.counted().map(|(_, end)| end.at);
         ends.max().unwrap_or_default()
     }
 
-    /// Ends that nothing else explains, and how likely they are by chance.
-    pub(crate) fn unexplained(
-        &self,
-        explained: &BTreeSet<UpstreamRun>,
-        hazard: &impl Hazard,
-    ) -> (usize, f64) {
-        let ends = self.ends.iter();
-        let ends = ends.filter(|(upstream, _)| !explained.contains(*upstream));
-        let ends = ends.map(|(_, end)| *end).collect::<Vec<_>>();
-        let ran = ends.iter().map(|end| end.ran.max(LEAST_RAN).as_secs_f64());
-        let first = ends.iter().map(|end| end.at).min().unwrap_or_default();
-        let last = ends.iter().map(|end| end.at).max().unwrap_or_default();
-        let expected = hazard.rate(first, last, explained) * ran.sum::<f64>();
-        (ends.len(), chance(ends.len(), expected))
+    /// When its bar lapses.
+    pub(crate) fn lapses_at(&self, policy: &PoisonPolicy) -> Time {
+        self.last_at() + policy.bar_for(self.count())
+    }
+
+    /// Its bar, if it is barred.
+    pub(crate) fn bar(&self, content: Content, policy: &PoisonPolicy) -> Option<Barred> {
+        let ends = self.counted();
+        let ends = ends.map(|(upstream, end)| (upstream.clone(), end.ran));
+        Some(Barred {
+            content,
+            since: self.barred_since?,
+            until: self.lapses_at(policy),
+            ends: ends.collect(),
+        })
+    }
+
+    /// How likely its ends are by chance, if nothing else explains all of them.
+    ///
+    /// One that another content explains says less, but not nothing: what only ran beside the
+    /// culprit is anywhere in its run then, and seldom has just begun.
+    pub(crate) fn chance(&self, explained: &BTreeSet<UpstreamRun>, ends: &Ends) -> Option<f64> {
+        let (others, own): (Vec<_>, Vec<_>) = self
+            .counted()
+            .partition(|(upstream, _)| explained.contains(*upstream));
+        let first = own.iter().map(|(_, end)| end.at).min()?;
+        let last = own.iter().map(|(_, end)| end.at).max()?;
+        let ran = own.iter().map(|(_, end)| end.ran_s()).sum::<f64>();
+        let beside = others
+            .iter()
+            .map(|(_, end)| (end.ran_s() / BESIDE_S).min(1.0));
+        let mut but = explained.clone();
+        let usual = ends.rate(USUAL_OVER, first, last, &but);
+        but.extend(own.iter().map(|(upstream, _)| (*upstream).clone()));
+        let beside_it = ends.rate(BURST_BEFORE, first, last, &but);
+        let expected = usual.max(beside_it) * ran;
+        Some(chance(own.len(), expected) * beside.product::<f64>())
     }
 }
 
--- a/components/poison/src/word.rs
+++ b/components/poison/src/word.rs
@@ -29,6 +29,8 @@
     Ended {
         /// Which.
         upstream: UpstreamRun,
+        /// Whether there was a sign that it ran there.
+        had_begun: bool,
         /// How long it had run there.
         ran_ms: u32,
     },
--- /dev/null
+++ b/components/poison/tests/fleet.rs
@@ -0,0 +1,109 @@
+//! Both errors of a bar, played: sends of a request after it is proved, and others refused.
+
+#[path = "support/fleet.rs"]
+mod world;
+
+use types::prelude::*;
+use world::{Day, Fleet, Result};
+
+/// Repeats of a request that may reach an upstream later than three seconds after the third end
+/// under it.
+const LATE_SENDS: usize = 3;
+/// Of so many requests that lost an upstream one may be refused for it.
+const HIT_FOR_ONE_REFUSED: usize = 100;
+
+/// Plays a day with several seeds and checks what users are promised.
+fn play(day: &Day, seeds: u64) -> Result {
+    let mut all = Result::default();
+    for seed in 1..=seeds {
+        let one = Fleet::play(&Day {
+            seed,
+            ..day.clone()
+        });
+        assert!(one.late_sends <= LATE_SENDS, "seed {seed}: {one:?}");
+        all.ends = all.ends.max(one.ends);
+        all.late_sends = all.late_sends.max(one.late_sends);
+        all.requests += one.requests;
+        all.hit += one.hit;
+        all.refused += one.refused;
+    }
+    assert!(
+        all.refused * HIT_FOR_ONE_REFUSED <= all.hit,
+        "too many were refused that only ran beside: {all:?}"
+    );
+    all
+}
+
+#[test]
+fn a_request_that_ends_upstreams_at_any_daemon_is_barred() {
+    let all = play(&Day::default(), 8);
+    assert!(all.ends > 0, "nothing was played: {all:?}");
+}
+
+#[test]
+fn a_fleet_of_many_daemons_bars_it_as_soon() {
+    // Each daemon meets it for the first time; word crosses the fleet in some rounds.
+    let day = Day {
+        daemons: 88,
+        upstreams: 90,
+        seconds: 30,
+        requests_per_s: 200.0,
+        ..Day::default()
+    };
+    play(&day, 2);
+}
+
+#[test]
+fn words_that_are_lost_do_not_matter() {
+    let day = Day {
+        lost: 0.3,
+        ..Day::default()
+    };
+    play(&day, 8);
+}
+
+#[test]
+fn several_such_requests_at_once_are_told_from_each_other() {
+    // Three of them hit one pool. They wait beside each other, are retried at the same moments,
+    // and each is there at ends that are another one's.
+    let day = Day {
+        poisons: 3,
+        ..Day::default()
+    };
+    play(&day, 8);
+}
+
+#[test]
+fn a_small_pool_without_signs_is_kept() {
+    // Four plain upstreams: no sign tells when one begins to run a request.
+    let day = Day {
+        upstreams: 4,
+        has_signs: false,
+        ..Day::default()
+    };
+    play(&day, 8);
+}
+
+#[test]
+fn it_is_found_on_a_day_full_of_crashes() {
+    let day = Day {
+        ends_per_s: 0.05,
+        racks: Some((Span::from_secs(7), 0.3)),
+        ..Day::default()
+    };
+    play(&day, 8);
+}
+
+#[test]
+fn a_day_full_of_crashes_refuses_hardly_anybody() {
+    // Upstreams end by themselves, a third of them at one moment every seven seconds. A tenth of
+    // all requests lose one, some lose three, and none of them ended any.
+    let day = Day {
+        poisons: 0,
+        ends_per_s: 0.05,
+        racks: Some((Span::from_secs(7), 0.3)),
+        ..Day::default()
+    };
+    let all = play(&day, 8);
+    assert!(all.hit > 1_000, "hardly any was hit: {all:?}");
+}
