--- a/components/fleet/src/codec.rs
+++ b/components/fleet/src/codec.rs
@@ -34,6 +34,8 @@
     fn state_key(&self, service: &str) -> String;
     /// Begins the keys of daemons; the rest is their name.
     fn daemon_prefix(&self) -> &str;
+    /// Begins the keys of bars; the rest is the content.
+    fn bar_prefix(&self) -> &str;
 
     /// Reads the configuration.
     ///
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -10,6 +10,7 @@
 use types::prelude::*;
 
 use crate::asking::Asking;
+use crate::bars::Bars;
 use crate::codec::Codec;
 use crate::copying::Handing;
 use crate::entry::DaemonEntry;
@@ -49,6 +50,7 @@
     pub(crate) planner: Planner,
     pub(crate) rollouts: Rollouts,
     pub(crate) presence: Presence,
+    pub(crate) bars: Bars,
     pub(crate) peering: Peering,
     pub(crate) asking: Asking,
     pub(crate) handing: Handing,
@@ -212,6 +214,8 @@
         }
         match purpose {
             Purpose::State(service) => self.rollouts.on_written(now, service),
+            // The mirror shows whether it took effect.
+            Purpose::Bar => {}
             _ => self.presence.on_called(now, purpose, outcome),
         }
     }
@@ -302,6 +306,7 @@
                 "upstreams: many changed"
             );
         }
+        self.take_bars(now, changes);
         self.rollouts.refresh(now, &self.codec, &self.mirror);
         let prefix = self.codec.daemon_prefix().to_owned();
         if changes.iter().any(|change| change.key.starts_with(&prefix)) {
@@ -340,6 +345,7 @@
         for (purpose, req) in self.rollouts.writes(now, rank, &self.codec, &self.mirror) {
             self.call(purpose, req);
         }
+        self.keep_bars(now, rank);
         let daemons = self.peering.daemons();
         self.must_plan |= daemons != self.daemons;
         self.daemons = daemons;
--- a/components/fleet/src/control/barring.rs
+++ b/components/fleet/src/control/barring.rs
@@ -1,10 +1,11 @@
 //! Telling other daemons under which contents upstreams ended, and what is barred for it.
 
-use poison::{Barred, Change, Words};
+use poison::{Barred, Change, Content, Words};
 use traffic::Command;
 use types::prelude::*;
 
 use super::Control;
+use crate::bars::BarEntry;
 use crate::codec::Codec;
 
 impl<C: Codec> Control<C> {
@@ -36,6 +37,47 @@
     }
 }
 
+impl<C: Codec> Control<C> {
+    /// Takes bars that others wrote into the store, and ends those that are gone from it: an
+    /// operator or another daemon lifted them.
+    pub(super) fn take_bars(&mut self, now: Time, changes: &[mirror::Change]) {
+        let prefix = self.codec.bar_prefix();
+        for change in changes {
+            let name = change.key.strip_prefix(prefix);
+            let Some(Ok(content)) = name.map(str::parse::<Content>) else {
+                continue;
+            };
+            let mut suspects = self.traffic.suspects.lock();
+            match change.value.as_deref().map(BarEntry::decode) {
+                Some(Ok(entry)) => {
+                    let ends = entry.ends.into_iter();
+                    let ends = ends.map(|end| (end.upstream, Span::from_millis(end.ran_ms)));
+                    suspects.restore(now, content, entry.customer.as_ref(), ends);
+                }
+                Some(Err(e)) => tracing::warn!(%content, "poison: {e}"),
+                None => drop(suspects.lift(now, content)),
+            }
+        }
+    }
+
+    /// Writes bars that the store lacks and deletes those that are over, in this daemon's turn.
+    pub(super) fn keep_bars(&mut self, now: Time, rank: u64) {
+        let suspects = self.traffic.suspects.lock();
+        if !suspects.bars() || !self.mirror.is_filled() {
+            return;
+        }
+        let barred = suspects.barred();
+        drop(suspects);
+        let (wall, prefix) = (self.clock.wall(), self.codec.bar_prefix());
+        let calls = self
+            .bars
+            .calls(now, wall, rank, prefix, &barred, &self.mirror);
+        for (purpose, req) in calls {
+            self.call(purpose, req);
+        }
+    }
+}
+
 fn log(now: Time, change: &Change) {
     match change {
         Change::Barred(barred) => tracing::warn!(
--- a/components/fleet/src/event.rs
+++ b/components/fleet/src/event.rs
@@ -15,6 +15,8 @@
     Enter,
     /// A roll-out's state.
     State(String),
+    /// A bar, or its end.
+    Bar,
 }
 
 /// What the control thread waits for.
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod asking;
 mod audience;
+mod bars;
 mod codec;
 mod control;
 mod copying;
@@ -27,6 +28,7 @@
 mod watching;
 
 pub use audience::{Audience, Peer, Word, is_small};
+pub use bars::{BarEnd, BarEntry, BarEntryError};
 pub use codec::{Codec, DecodeError, StateRecord};
 pub use copying::{Handing, Taken, Taking};
 pub use entry::{DaemonEntry, DaemonEntryError};
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::asking::Asking;
+use crate::bars::Bars;
 use crate::codec::Codec;
 use crate::control::Control;
 use crate::copying::Handing;
@@ -83,6 +84,7 @@
         planner: Planner::new(settings.relisted_within),
         rollouts: Rollouts::new(settings.trial),
         presence: Presence::new(key, peering.address(), settings.shortest_lease),
+        bars: Bars::default(),
         asking: Asking::new(peering.handle()),
         handing: Handing::default(),
         peering,
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -15,6 +15,7 @@
     Answer, CallError, Compare, KeyValue, LeaseId, ModRevision, Op, Outcome, Range, Reply, Request,
     TxnReply, WatchEvent,
 };
+use poison::{Admission, Content, SharedSuspects, Under, UpstreamRun};
 use routes::{
     Limits, RolloutOrder, RolloutState, RouteTable, TableVersion, Upstream, UpstreamState,
 };
@@ -39,6 +40,13 @@
 pub struct Memory(Arc<(Mutex<Keys>, Condvar)>);
 
 impl Memory {
+    /// Keys that begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.0.0.lock().expect("sound");
+        let keys = keys.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
     /// Writes a key, or deletes it.
     pub fn set(&self, key: &str, value: Option<&str>) {
         let (keys, changed) = &*self.0;
@@ -139,8 +147,10 @@
                 });
                 if holds {
                     for op in txn.success {
-                        if let Op::Put(write) = op {
-                            put(&mut keys, &write.key, Some(write.value));
+                        match op {
+                            Op::Put(write) => put(&mut keys, &write.key, Some(write.value)),
+                            Op::Delete(key) => put(&mut keys, &key, None),
+                            other => panic!("no daemon asks for {other:?}"),
                         }
                     }
                 }
@@ -216,6 +226,10 @@
         "daemon/"
     }
 
+    fn bar_prefix(&self) -> &str {
+        "bar/"
+    }
+
     fn table(&self, value: &Bytes) -> Result<RouteTable, DecodeError> {
         let version = String::from_utf8_lossy(value).parse();
         let version = version.map_err(|_| DecodeError {
@@ -309,6 +323,8 @@
 pub struct Daemon {
     pub way: Way,
     pub status: SocketAddr,
+    pub suspects: SharedSuspects,
+    clock: Clock,
     running: Option<Running>,
 }
 
@@ -347,13 +363,13 @@
             allowance: 1.0,
             window: Span::from_secs(1),
         },
-        suspects: poison::SharedSuspects::default(),
+        suspects: SharedSuspects::default(),
         session_idle: Span::from_secs(1),
         grace: Span::from_secs(4),
         dropped_logs: telemetry::logs::Dropped::default(),
     };
     let traffic = traffic::start(traffic, NoNames, clock).expect("starts");
-    let status = traffic.status;
+    let (status, suspects) = (traffic.status, traffic.suspects.clone());
     let settings = Settings {
         cluster: ClusterName::new("test").expect("a name"),
         secret: Bytes::from_static(b"a secret of sixteen bytes"),
@@ -374,11 +390,40 @@
     Daemon {
         way,
         status,
+        suspects,
+        clock,
         running: Some(running),
     }
 }
 
 impl Daemon {
+    /// An upstream ends under a content of this daemon's, soon after it began to run there.
+    pub fn ends_under(&self, upstream: &str, content: Content) {
+        let upstream = UpstreamRun {
+            id: UpstreamId::new(upstream).expect("a name"),
+            started_at: None,
+        };
+        let under = Under {
+            content,
+            customer: None,
+            had_begun: true,
+            ran: Span::from_millis(90),
+        };
+        let mut suspects = self.suspects.lock();
+        suspects.ended(self.clock.now(), &upstream, &[under]);
+    }
+
+    /// A content is answered whole at this daemon.
+    pub fn answers_whole(&self, content: Content) {
+        self.suspects.lock().whole(self.clock.now(), content);
+    }
+
+    /// Whether a content is sent to no upstream here.
+    pub fn bars(&self, content: Content) -> bool {
+        let admission = self.suspects.lock().admission(self.clock.now(), content);
+        admission != Admission::Open
+    }
+
     fn get(&self, path: &str) -> (u16, String) {
         let mut stream = TcpStream::connect(self.status).expect("listening");
         let ask = format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n");
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Control threads of a few daemons around a store in memory.
 
 mod audience;
+mod bars;
 mod copying;
 mod fleet;
 mod harness;
--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
+use std::sync::Arc;
 
 use types::prelude::*;
 
@@ -45,20 +46,23 @@
 }
 
 /// A content that was under way at an upstream when that ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Under {
     /// Which.
     pub content: Content,
+    /// Whose request it was.
+    pub customer: Option<Arc<str>>,
     /// Whether there was a sign that it ran: the first of its answer.
     pub had_begun: bool,
     /// How long it had run, from that sign, or from its sending if none came.
     pub ran: Span,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Held {
     run: Run,
     content: Content,
+    customer: Option<Arc<str>>,
     had_begun: bool,
     /// When it was sent, or the last sign that it begins.
     began_at: Time,
@@ -90,6 +94,7 @@
         };
         Some(Under {
             content: self.content,
+            customer: self.customer.clone(),
             had_begun: self.had_begun,
             ran: ended_at.since(self.began_at),
         })
@@ -129,8 +134,14 @@
 }
 
 impl<U: Copy + Eq + Hash> Runs<U> {
-    /// Notes that a content is sent to an upstream.
-    pub fn sent(&mut self, now: Time, upstream: U, content: Content) -> Run {
+    /// Notes that a customer's content is sent to an upstream.
+    pub fn sent(
+        &mut self,
+        now: Time,
+        upstream: U,
+        content: Content,
+        customer: Option<Arc<str>>,
+    ) -> Run {
         let run = Run(self.next);
         self.next += 1;
         let held = self.by_upstream.entry(upstream).or_default();
@@ -140,6 +151,7 @@
         held.runs.push(Held {
             run,
             content,
+            customer,
             had_begun: false,
             began_at: now,
             over: None,
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -11,6 +11,7 @@
 mod whole;
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -59,6 +60,8 @@
 pub struct Barred {
     /// Which.
     pub content: Content,
+    /// Whose requests they are.
+    pub customer: Option<Arc<str>>,
     /// Since when.
     pub since: Time,
     /// When it is tried again.
@@ -162,6 +165,7 @@
             let ran_ms = u32::try_from(under.ran.as_millis()).unwrap_or(u32::MAX);
             let fate = Fate::Ended {
                 upstream: upstream.clone(),
+                customer: under.customer.clone(),
                 had_begun: under.had_begun,
                 ran_ms,
             };
@@ -179,6 +183,32 @@
         }
     }
 
+    /// Takes a bar as it stands in the store: the upstreams that ended under a content, and how long
+    /// it had run there. When they ended is not known any more; it counts from now.
+    pub fn restore(
+        &mut self,
+        now: Time,
+        content: Content,
+        customer: Option<&Arc<str>>,
+        ends: impl IntoIterator<Item = (UpstreamRun, Span)>,
+    ) {
+        for (upstream, ran) in ends {
+            let end = End {
+                had_begun: true,
+                ran,
+                at: now,
+            };
+            self.add_end(content, customer, &upstream, end);
+        }
+        self.judge(now);
+    }
+
+    /// Whether contents are barred at all.
+    #[must_use]
+    pub fn bars(&self) -> bool {
+        self.policy.bars
+    }
+
     /// Lifts a content's bar on an operator's word; whether there was one.
     pub fn lift(&mut self, now: Time, content: Content) -> bool {
         let is_held = self.suspects.contains_key(&content);
@@ -221,6 +251,7 @@
         let is_news = match &fate {
             Fate::Ended {
                 upstream,
+                customer,
                 had_begun,
                 ran_ms,
             } => {
@@ -229,7 +260,7 @@
                     ran: Span::from_millis(u64::from(*ran_ms)),
                     at,
                 };
-                self.add_end(content, upstream, end)
+                self.add_end(content, customer.as_ref(), upstream, end)
             }
             Fate::Whole | Fate::Lifted => self.forgive(content, at),
             Fate::Tried => {
@@ -246,7 +277,13 @@
         }
     }
 
-    fn add_end(&mut self, content: Content, upstream: &UpstreamRun, end: End) -> bool {
+    fn add_end(
+        &mut self,
+        content: Content,
+        customer: Option<&Arc<str>>,
+        upstream: &UpstreamRun,
+        end: End,
+    ) -> bool {
         if end.ran > SOON || self.whole.clears(&content, end.at) {
             return false;
         }
@@ -254,6 +291,7 @@
             self.make_room();
         }
         let suspect = self.suspects.entry(content).or_default();
+        suspect.customer = customer.cloned();
         suspect.add(upstream.clone(), end)
     }
 
--- a/components/poison/src/suspects/evidence.rs
+++ b/components/poison/src/suspects/evidence.rs
@@ -6,6 +6,7 @@
 //! for some time in all, and the number of ends that fall into it by chance is Poisson's.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use types::prelude::*;
 
@@ -48,6 +49,7 @@
 /// What is held against one content.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Suspect {
+    pub(crate) customer: Option<Arc<str>>,
     pub(crate) ends: BTreeMap<UpstreamRun, End>,
     /// When some daemon last sent it to see whether its bar holds.
     pub(crate) tried_at: Option<Time>,
@@ -112,6 +114,7 @@
         let ends = ends.map(|(upstream, end)| (upstream.clone(), end.ran));
         Some(Barred {
             content,
+            customer: self.customer.clone(),
             since: self.barred_since?,
             until: self.lapses_at(policy),
             ends: ends.collect(),
@@ -133,9 +136,9 @@
             .iter()
             .map(|(_, end)| (end.ran_s() / BESIDE_S).min(1.0));
         let mut but = explained.clone();
-        let usual = ends.rate(USUAL_OVER, first, last, &but);
+        let usual = ends.rate(USUAL_OVER, first, last, &but) + ends.least_rate(USUAL_OVER);
         but.extend(own.iter().map(|(upstream, _)| (*upstream).clone()));
-        let beside_it = ends.rate(BURST_BEFORE, first, last, &but);
+        let beside_it = ends.rate(BURST_BEFORE, first, last, &but) + ends.least_rate(BURST_BEFORE);
         let expected = usual.max(beside_it) * ran;
         Some(chance(own.len(), expected) * beside.product::<f64>())
     }
--- a/components/poison/src/word.rs
+++ b/components/poison/src/word.rs
@@ -4,6 +4,8 @@
 //! the same end told by two daemons, or twice, is one end. Ages travel, not moments; a word is
 //! handed on with the age that it has by then.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -29,6 +31,8 @@
     Ended {
         /// Which.
         upstream: UpstreamRun,
+        /// Whose request it was.
+        customer: Option<Arc<str>>,
         /// Whether there was a sign that it ran there.
         had_begun: bool,
         /// How long it had run there.
--- a/components/poison/tests/fleet.rs
+++ b/components/poison/tests/fleet.rs
@@ -107,3 +107,33 @@
     let all = play(&day, 8);
     assert!(all.hit > 1_000, "hardly any was hit: {all:?}");
 }
+
+#[test]
+fn a_customer_with_one_after_the_other_ends_fewer_with_each() {
+    // Six such requests, a new one every five seconds: alike, but for whose they are.
+    let day = Day {
+        poisons: 6,
+        poison_gap: Span::from_secs(5),
+        ..Day::default()
+    };
+    let ends = |of_one| {
+        let day = Day {
+            of_one,
+            ..day.clone()
+        };
+        (1..=6)
+            .map(|seed| {
+                Fleet::play(&Day {
+                    seed,
+                    ..day.clone()
+                })
+                .ends
+            })
+            .sum::<usize>()
+    };
+    let (of_one, of_six) = (ends(true), ends(false));
+    assert!(
+        of_one * 10 <= of_six * 9,
+        "{of_one} ends, {of_six} of six customers"
+    );
+}
--- a/components/poison/tests/runs.rs
+++ b/components/poison/tests/runs.rs
@@ -16,6 +16,7 @@
 fn under(name: &str, ran_ms: u64) -> Under {
     Under {
         content: content(name),
+        customer: None,
         had_begun: true,
         ran: Span::from_millis(ran_ms),
     }
@@ -24,8 +25,8 @@
 #[test]
 fn what_broke_before_the_end_was_known_was_under_it() {
     let mut runs = Runs::default();
-    let first = runs.sent(at(0), UPSTREAM, content("first"));
-    let second = runs.sent(at(10), UPSTREAM, content("second"));
+    let first = runs.sent(at(0), UPSTREAM, content("first"), None);
+    let second = runs.sent(at(10), UPSTREAM, content("second"), None);
     runs.began(at(100), UPSTREAM, first);
     assert_eq!(runs.over(at(180), UPSTREAM, first, RunEnd::Broken), None);
     assert!(runs.has_broken(UPSTREAM));
@@ -48,7 +49,7 @@
     // A draft is dropped as unsure 20 ms after it began. The engine stops it, and ends under it
     // 60 ms later, when no connection of this daemon's is left there to show it.
     let mut runs = Runs::default();
-    let run = runs.sent(at(0), UPSTREAM, content("draft"));
+    let run = runs.sent(at(0), UPSTREAM, content("draft"), None);
     runs.began(at(10), UPSTREAM, run);
     runs.over(at(30), UPSTREAM, run, RunEnd::GivenUp);
     assert_eq!(
@@ -60,9 +61,9 @@
 #[test]
 fn a_draft_that_was_dropped_is_told_when_another_run_shows_the_end() {
     let mut runs = Runs::default();
-    let draft = runs.sent(at(0), UPSTREAM, content("draft"));
+    let draft = runs.sent(at(0), UPSTREAM, content("draft"), None);
     runs.began(at(10), UPSTREAM, draft);
-    let other = runs.sent(at(0), UPSTREAM, content("other"));
+    let other = runs.sent(at(0), UPSTREAM, content("other"), None);
     runs.began(at(10), UPSTREAM, other);
     runs.over(at(30), UPSTREAM, draft, RunEnd::GivenUp);
     runs.over(at(90), UPSTREAM, other, RunEnd::Broken);
@@ -76,8 +77,8 @@
     // A connection is reset, or a caller leaves, and the upstream goes on for a second with other
     // requests before it ends.
     let mut runs = Runs::default();
-    let reset = runs.sent(at(0), UPSTREAM, content("reset"));
-    let left = runs.sent(at(0), UPSTREAM, content("left"));
+    let reset = runs.sent(at(0), UPSTREAM, content("reset"), None);
+    let left = runs.sent(at(0), UPSTREAM, content("left"), None);
     runs.over(at(50), UPSTREAM, reset, RunEnd::Broken);
     runs.over(at(50), UPSTREAM, left, RunEnd::GivenUp);
     assert_eq!(runs.ended(at(1_100), UPSTREAM, at(1_050)), Some(Vec::new()));
@@ -86,11 +87,11 @@
 #[test]
 fn what_was_answered_or_given_up_long_before_was_not() {
     let mut runs = Runs::default();
-    let answered = runs.sent(at(0), UPSTREAM, content("answered"));
+    let answered = runs.sent(at(0), UPSTREAM, content("answered"), None);
     runs.over(at(50), UPSTREAM, answered, RunEnd::Whole);
-    let left = runs.sent(at(0), UPSTREAM, content("left"));
+    let left = runs.sent(at(0), UPSTREAM, content("left"), None);
     runs.over(at(60), UPSTREAM, left, RunEnd::GivenUp);
-    let refused = runs.sent(at(0), UPSTREAM, content("refused"));
+    let refused = runs.sent(at(0), UPSTREAM, content("refused"), None);
     runs.over(at(70), UPSTREAM, refused, RunEnd::NotRun);
     assert!(!runs.has_broken(UPSTREAM));
     assert_eq!(runs.ended(at(700), UPSTREAM, at(690)), Some(Vec::new()));
@@ -99,7 +100,7 @@
 #[test]
 fn what_is_over_for_long_is_forgotten() {
     let mut runs = Runs::default();
-    let run = runs.sent(at(0), UPSTREAM, content("broken"));
+    let run = runs.sent(at(0), UPSTREAM, content("broken"), None);
     runs.over(at(10), UPSTREAM, run, RunEnd::Broken);
     runs.tidy(at(1_000));
     assert_eq!(runs.len(), 1);
@@ -110,7 +111,7 @@
 #[test]
 fn one_upstreams_runs_are_bounded() {
     let mut runs = Runs::default();
-    let all = (0..1_000).map(|n| runs.sent(at(n), UPSTREAM, content("many")));
+    let all = (0..1_000).map(|n| runs.sent(at(n), UPSTREAM, content("many"), None));
     let all = all.collect::<Vec<_>>();
     for run in all {
         runs.over(at(2_000), UPSTREAM, run, RunEnd::Broken);
--- a/components/poison/tests/support/fleet.rs
+++ b/components/poison/tests/support/fleet.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
 
 use poison::{Admission, Content, PoisonPolicy, RunEnd, Runs, Suspects, UpstreamRun, Words};
 use rand::{Rng, RngExt, SeedableRng};
@@ -29,6 +30,10 @@
     /// Requests under which upstreams end, and how often each is sent.
     pub poisons: usize,
     pub poison_per_s: f64,
+    /// Each begins so long after the one before.
+    pub poison_gap: Span,
+    /// Whether all of them are one customer's.
+    pub of_one: bool,
     /// Longest wait at an upstream, in ms.
     pub wait_ms: u64,
     /// Whether an answer's first sign comes when an upstream begins to run a request.
@@ -50,6 +55,8 @@
             racks: None,
             poisons: 1,
             poison_per_s: 3.0,
+            poison_gap: Span::ZERO,
+            of_one: false,
             wait_ms: 400,
             has_signs: true,
             lost: 0.0,
@@ -73,6 +80,7 @@
 }
 
 const RUNS: u32 = 3;
+const CUSTOMERS: usize = 10;
 const COMES_BACK_AFTER: Span = Span::from_millis(3_500);
 const WINDOW: Span = Span::from_secs(3);
 const TELL: Span = Span::from_millis(100);
@@ -97,6 +105,7 @@
 #[derive(Debug, Clone)]
 struct Request {
     content: Content,
+    customer: Option<Arc<str>>,
     poison: Option<usize>,
     daemon: usize,
     runs: u32,
@@ -181,7 +190,8 @@
             self.arrive(at, content, None, false);
         }
         for poison in 0..self.day.poisons {
-            let (from, to) = (Span::from_secs(10), Span::from_secs(30));
+            let from = Span::from_secs(10) + self.day.poison_gap.times(poison as u64);
+            let to = from + Span::from_secs(20);
             for at in self.times(self.day.poison_per_s, from, to) {
                 let content = self.content(Some(poison));
                 self.arrive(at, content, Some(poison), false);
@@ -221,8 +231,14 @@
 
     fn arrive(&mut self, at: Time, content: Content, poison: Option<usize>, is_again: bool) {
         let daemon = self.rng.random_range(0..self.day.daemons);
+        let customer = match poison {
+            Some(_) if self.day.of_one => 0,
+            Some(poison) => poison,
+            None => self.rng.random_range(0..CUSTOMERS),
+        };
         self.requests.push(Request {
             content,
+            customer: Some(Arc::from(format!("c{customer}"))),
             poison,
             daemon,
             runs: 0,
@@ -309,7 +325,10 @@
             self.poison_sends.entry(poison).or_default().push(self.now);
         }
         let upstream = (upstream, self.upstreams[upstream].0);
-        let run = self.daemons[daemon].runs.sent(self.now, upstream, content);
+        let customer = self.requests[n].customer.clone();
+        let run = self.daemons[daemon]
+            .runs
+            .sent(self.now, upstream, content, customer);
         let request = &mut self.requests[n];
         request.runs += 1;
         request.at = Some((upstream, run));
--- a/components/poison/tests/suspects.rs
+++ b/components/poison/tests/suspects.rs
@@ -1,5 +1,7 @@
 //! What is held against contents, and what is barred.
 
+use std::sync::Arc;
+
 use poison::{
     Admission, Change, Content, Fate, PoisonPolicy, Suspects, Under, UpstreamRun, Word, Words,
 };
@@ -29,6 +31,7 @@
 fn under(name: &str, ran_ms: u64) -> Under {
     Under {
         content: content(name),
+        customer: None,
         had_begun: true,
         ran: Span::from_millis(ran_ms),
     }
@@ -264,6 +267,7 @@
         content: content("poison"),
         fate: Fate::Ended {
             upstream: upstream(1),
+            customer: Some(Arc::from("alice")),
             had_begun: true,
             ran_ms: 90,
         },
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -152,9 +152,7 @@
 impl<T: Translator> Attempt<'_, T> {
     /// Sends it and waits for the answer's beginning, or its end unless it is a stream.
     pub(crate) async fn send(&self, choice: Choice) -> Sent<T> {
-        let repeat = self.request.route.repeat;
-        let content = self.request.content;
-        let mut tracked = Tracked::start(self.world, &choice, repeat, content, self.has_failed);
+        let mut tracked = Tracked::start(self.world, &choice, self.request, self.has_failed);
         let Some(spec) = self.world.upstreams.borrow().spec(choice.index).cloned() else {
             return Sent::Unreachable;
         };
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http1::write::{push_length, push_status};
 use http1::{Head, Kind, Wire};
+use poison::{Barred, Content};
 use serde::Serialize;
+use types::prelude::*;
 
 use crate::plan::Plan;
 use crate::translate::Translator;
@@ -34,6 +37,35 @@
     held_bytes: u64,
     kept_connections: usize,
     sessions: usize,
+    barred_contents: usize,
+    barred: Vec<BarredContent>,
+}
+
+/// A content that is sent to no upstream.
+#[derive(Debug, Serialize)]
+struct BarredContent {
+    content: Content,
+    customer: Option<Arc<str>>,
+    /// For so long already.
+    for_s: f64,
+    /// Tried again after this.
+    tried_in_s: f64,
+    /// Upstreams that ended under it, with the ms for which it had run there.
+    ended: BTreeMap<String, u64>,
+}
+
+impl BarredContent {
+    fn of(now: Time, bar: Barred) -> Self {
+        let ended = bar.ends.iter();
+        let ended = ended.map(|(upstream, ran)| (upstream.id.to_string(), ran.as_millis()));
+        Self {
+            content: bar.content,
+            for_s: now.since(bar.since).as_secs_f64(),
+            tried_in_s: now.until(bar.until).as_secs_f64(),
+            ended: ended.collect(),
+            customer: bar.customer,
+        }
+    }
 }
 
 /// Serves one connection.
@@ -94,6 +126,7 @@
 fn dump<T>(world: &World<T>, is_ready: bool) -> String {
     let plan = world.plan();
     let gates = plan.gates.iter();
+    let (now, barred) = (world.now(), world.cfg.suspects.lock().barred());
     let dump = Dump {
         stage: format!("{:?}", world.stage()),
         is_ready,
@@ -110,6 +143,11 @@
         held_bytes: world.held.get(),
         kept_connections: world.pool.borrow().len(),
         sessions: world.pins.borrow().len(),
+        barred_contents: barred.len(),
+        barred: barred
+            .into_iter()
+            .map(|bar| BarredContent::of(now, bar))
+            .collect(),
     };
     match serde_json::to_string(&dump) {
         Ok(text) => text,
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -5,9 +5,9 @@
 
 use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex, kind_of};
 use poison::{Content, Run, RunEnd};
-use routes::Repeat;
 use types::prelude::*;
 
+use crate::exchange::Request;
 use crate::world::World;
 
 /// Which roll-out a request counts for, and on which side.
@@ -46,8 +46,7 @@
     pub(crate) fn start(
         world: &Rc<World<T>>,
         choice: &Choice,
-        repeat: Repeat,
-        content: Content,
+        request: &Request<T>,
         has_failed: bool,
     ) -> Self {
         let now = world.now();
@@ -61,12 +60,16 @@
                 service: spec.service.clone(),
                 order: gate.order,
                 is_new: spec.version == gate.to,
-                kind: kind_of(repeat),
+                kind: kind_of(request.route.repeat),
                 is_evidence: !has_failed,
             })
         });
         drop(upstreams);
-        let run = world.runs.borrow_mut().sent(now, choice.index, content);
+        let content = request.content;
+        let customer = request.customer.as_ref().map(|c| c.name.clone());
+        let mut runs = world.runs.borrow_mut();
+        let run = runs.sent(now, choice.index, content, customer);
+        drop(runs);
         let tracked = Self {
             world: Rc::clone(world),
             index: choice.index,
