Take a bar in the store for proved; remember what was cleared

Change: a bar read from the store holds until it is cleared, whatever the reader can prove, and what was read there is not told to others as seen; until when a content was cleared is remembered for a minute, and who tells of older ends is told.

--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -89,7 +89,10 @@
             return None;
         }
         let ended_at = match is_given_up {
-            true => end.broke_at.unwrap_or(latest).max(over_at),
+            true => end
+                .broke_at
+                .unwrap_or(latest.min(end.known_at))
+                .max(over_at),
             false => over_at,
         };
         Some(Under {
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -33,6 +33,10 @@
 const SOON: Span = Span::from_secs(3);
 /// Ends are remembered for this long after they came, or after their content's bar lapsed.
 const REMEMBERED: Span = Span::from_secs(600);
+/// Words of before a content was cleared may come so much later.
+const FORGIVEN_FOR: Span = Span::from_secs(60);
+/// Contents of which this is remembered.
+const MAX_FORGIVEN: usize = 1_024;
 /// A daemon that tries a content has its answer within.
 const TRIED_FOR: Span = Span::from_secs(10);
 /// When a bar lapses, daemons may try one after the other, each so long after the one before,
@@ -89,6 +93,8 @@
     suspects: HashMap<Content, Suspect>,
     ends: Ends,
     whole: Whole,
+    /// Up to when ends under a content do not count: it was answered whole, or lifted.
+    forgiven: HashMap<Content, Time>,
     news: News,
     changes: Vec<Change>,
 }
@@ -185,6 +191,9 @@
 
     /// Takes a bar as it stands in the store: the upstreams that ended under a content, and how long
     /// it had run there. When they ended is not known any more; it counts from now.
+    ///
+    /// Guards against a daemon that starts and finds too little in this to prove it: it would
+    /// take the bar for over, delete it, and so end it everywhere.
     pub fn restore(
         &mut self,
         now: Time,
@@ -192,6 +201,10 @@
         customer: Option<&Arc<str>>,
         ends: impl IntoIterator<Item = (UpstreamRun, Span)>,
     ) {
+        let held = self.suspects.get(&content);
+        if held.is_some_and(|suspect| suspect.barred_since.is_some()) {
+            return;
+        }
         for (upstream, ran) in ends {
             let end = End {
                 had_begun: true,
@@ -200,6 +213,9 @@
             };
             self.add_end(content, customer, &upstream, end);
         }
+        if let Some(suspect) = self.suspects.get_mut(&content) {
+            suspect.is_told = true;
+        }
         self.judge(now);
     }
 
@@ -233,8 +249,11 @@
                 self.ends.note(upstream, at);
                 ended.insert(upstream.clone());
             }
-            if matches!(fate, Fate::Ended { .. }) && self.whole.clears(&content, at) {
-                self.tell(content, Fate::Whole, now);
+            if matches!(fate, Fate::Ended { .. })
+                && let Some(cleared_at) = self.cleared(&content, at)
+            {
+                // Who told this has not heard of it.
+                self.tell(content, Fate::Whole, cleared_at);
                 continue;
             }
             self.take_one(now, content, fate, at);
@@ -284,7 +303,7 @@
         upstream: &UpstreamRun,
         end: End,
     ) -> bool {
-        if end.ran > SOON || self.whole.clears(&content, end.at) {
+        if end.ran > SOON || self.cleared(&content, end.at).is_some() {
             return false;
         }
         if !self.suspects.contains_key(&content) {
@@ -295,13 +314,27 @@
         suspect.add(upstream.clone(), end)
     }
 
+    /// Until when a content is cleared, if an end under it at this moment is.
+    fn cleared(&self, content: &Content, at: Time) -> Option<Time> {
+        let forgiven = self.forgiven.get(content).copied();
+        let forgiven = forgiven.filter(|up_to| at <= *up_to);
+        forgiven.or_else(|| self.whole.clears(content, at))
+    }
+
     /// Drops what is held against a content up to a moment; whether there was anything.
+    ///
+    /// Guards against words of before that come later: they would bar it again.
     fn forgive(&mut self, content: Content, up_to: Time) -> bool {
+        if self.forgiven.len() < MAX_FORGIVEN || self.forgiven.contains_key(&content) {
+            let held = self.forgiven.entry(content).or_default();
+            *held = up_to.max(*held);
+        }
         let Some(suspect) = self.suspects.get_mut(&content) else {
             return false;
         };
         let before = suspect.ends.len();
         suspect.ends.retain(|_, end| end.at > up_to);
+        suspect.is_told = false;
         suspect.ends.len() < before
     }
 
@@ -349,6 +382,8 @@
     /// Forgets what is too old.
     pub fn tidy(&mut self, now: Time) {
         self.whole.forget(now);
+        self.forgiven
+            .retain(|_, up_to| now.since(*up_to) < FORGIVEN_FOR);
         self.ends.forget(now);
         let policy = self.policy;
         self.suspects
--- a/components/poison/src/suspects/evidence.rs
+++ b/components/poison/src/suspects/evidence.rs
@@ -55,6 +55,8 @@
     pub(crate) tried_at: Option<Time>,
     /// Since when it is barred, as far as known here.
     pub(crate) barred_since: Option<Time>,
+    /// Others proved it; what is known here need not.
+    pub(crate) is_told: bool,
 }
 
 impl Suspect {
--- a/components/poison/src/suspects/judging.rs
+++ b/components/poison/src/suspects/judging.rs
@@ -24,6 +24,8 @@
             return;
         }
         let mut proved = Proved::default();
+        let told = self.suspects.iter().filter(|(_, suspect)| suspect.is_told);
+        told.for_each(|(content, suspect)| proved.add(*content, suspect));
         while let Some(content) = self.best(&proved) {
             proved.add(content, &self.suspects[&content]);
         }
--- a/components/poison/src/suspects/whole.rs
+++ b/components/poison/src/suspects/whole.rs
@@ -38,9 +38,11 @@
         }
     }
 
-    /// Whether it was answered whole less than [`WHOLE_FOR`] before a moment, or since.
-    pub(crate) fn clears(&self, content: &Content, at: Time) -> bool {
-        let whole_at = self.last.get(content);
-        whole_at.is_some_and(|whole_at| at.since(*whole_at) < WHOLE_FOR)
+    /// Until when a content is clear, if it was answered whole less than [`WHOLE_FOR`] before a
+    /// moment, or since.
+    pub(crate) fn clears(&self, content: &Content, at: Time) -> Option<Time> {
+        let whole_at = self.last.get(content).copied();
+        let clears = whole_at.filter(|whole_at| at.since(*whole_at) < WHOLE_FOR);
+        clears.map(|whole_at| whole_at.max(at))
     }
 }
--- a/components/poison/tests/suspects.rs
+++ b/components/poison/tests/suspects.rs
@@ -238,6 +238,45 @@
     assert!(!is_barred(second, at(2_200), "poison"));
 }
 
+#[test]
+fn words_of_before_a_lift_do_not_bar_again() {
+    // Word of the ends goes round by two ways, and the longer one takes longer than the lift.
+    let mut first = suspects("d1");
+    prove(&mut first, "poison");
+    let late = first.news(at(900));
+    first.lift(at(1_000), content("poison"));
+    let lift = first.news(at(1_000));
+    let mut second = suspects("d2");
+    second.take(at(1_010), lift);
+    second.take(at(1_020), late.clone());
+    first.take(at(1_020), late);
+    for daemon in [&first, &second] {
+        assert!(!is_barred(daemon, at(1_100), "poison"));
+    }
+    // What ends upstreams after it is held against it anew.
+    for n in 10..13 {
+        second.ended(at(5_000), &upstream(n), &[under("poison", 90)]);
+    }
+    assert!(is_barred(&second, at(5_000), "poison"));
+}
+
+#[test]
+fn a_bar_that_others_proved_holds_at_a_daemon_that_starts() {
+    // It starts where a rack was just lost and finds a bar in the store. With what it knows, chance
+    // explains the ends; it must not take the bar for over, nor tell others of ends that it
+    // never saw.
+    let mut suspects = suspects("d1");
+    for n in 20..26 {
+        suspects.ended(at(0), &upstream(n), &[]);
+    }
+    let ends = (0..3).map(|n| (upstream(n), Span::from_millis(900)));
+    suspects.restore(at(0), content("poison"), None, ends);
+    assert!(is_barred(&suspects, at(100), "poison"));
+    assert!(suspects.news(at(100)).0.is_empty());
+    suspects.whole(at(200), content("poison"));
+    assert!(!is_barred(&suspects, at(300), "poison"));
+}
+
 #[test]
 fn a_rack_that_is_lost_pushes_no_proved_one_out() {
     // Thousands of requests lose their upstream at one moment.
