Do not judge a version by what a barred request did to its upstreams

Cause: a request that ends upstreams comes by the few ones of a new version; each end breaks all that runs there, three times within a second or two, and that lasts long enough for a good version to be taken back. Change: an answer that broke off counts against its version once it is known whether the upstream lives, and where that ended, two seconds later and only if no barred content explains the end.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use poison::UpstreamRun;
 use routes::{Upstream, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -73,6 +74,17 @@
     pub heard_at: Time,
 }
 
+impl LastSeen {
+    /// Names its run.
+    #[must_use]
+    pub fn run(&self) -> UpstreamRun {
+        UpstreamRun {
+            id: self.spec.id.clone(),
+            started_at: self.spec.started_at,
+        }
+    }
+}
+
 /// What one daemon has out at an upstream, in few bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedLoad {
--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -229,6 +229,13 @@
         Some(over.filter_map(|held| held.under(&end)).collect())
     }
 
+    /// Whether an upstream is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, upstream: U) -> bool {
+        let held = self.by_upstream.get(&upstream);
+        held.is_some_and(|at_upstream| at_upstream.end.is_some())
+    }
+
     /// Whether a run broke at an upstream of which it is not known that it ended.
     #[must_use]
     pub fn has_broken(&self, upstream: U) -> bool {
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -219,6 +219,13 @@
         self.judge(now);
     }
 
+    /// Whether an upstream ended under a content that is barred.
+    #[must_use]
+    pub fn explains(&self, upstream: &UpstreamRun) -> bool {
+        let mut barred = self.suspects.values().filter(|s| s.barred_since.is_some());
+        barred.any(|suspect| suspect.ends.contains_key(upstream))
+    }
+
     /// Whether contents are barred at all.
     #[must_use]
     pub fn bars(&self) -> bool {
--- a/components/traffic/src/ends.rs
+++ b/components/traffic/src/ends.rs
@@ -84,7 +84,7 @@
         if let Some(under) = under {
             let upstream = self.upstreams.borrow().last_seen(index);
             if let Some(upstream) = upstream {
-                self.note_under(&upstream.spec, &[under], Sign::Known);
+                self.note_under(&upstream, &[under], Sign::Known);
             }
         } else if is_doubtful {
             self.doubt(index);
@@ -145,11 +145,12 @@
         let Some(under) = under else { return };
         if sign != Sign::Told || !under.is_empty() {
             self.metrics.upstream_ends.inc();
-            self.note_under(&upstream.spec, &under, sign);
+            self.note_under(upstream, &under, sign);
         }
     }
 
-    fn note_under(&self, spec: &Upstream, under: &[Under], sign: Sign) {
+    fn note_under(&self, upstream: &LastSeen, under: &[Under], sign: Sign) {
+        let spec = &upstream.spec;
         let named = under.iter().take(MAX_NAMED);
         let named = named.map(|under| format!("{} {}ms", under.content, under.ran.as_millis()));
         tracing::warn!(
@@ -161,11 +162,10 @@
             count = under.len(),
             "upstreams: ended"
         );
-        let run = UpstreamRun {
-            id: spec.id.clone(),
-            started_at: spec.started_at,
-        };
-        self.cfg.suspects.lock().ended(self.now(), &run, under);
+        self.cfg
+            .suspects
+            .lock()
+            .ended(self.now(), &upstream.run(), under);
         self.doubt_earlier(under);
     }
 
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -11,6 +11,7 @@
 //! roll-out changes, and reads back what was seen of roll-outs.
 
 mod answer;
+mod arm;
 mod attempt;
 mod caller;
 mod config;
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -156,6 +156,7 @@
         upstreams: RefCell::new(upstreams),
         pool: RefCell::new(Pool::default()),
         runs: RefCell::default(),
+        breaks: RefCell::default(),
         in_doubt: RefCell::default(),
         doubtful,
         pins: RefCell::default(),
@@ -287,6 +288,7 @@
         tokio::time::sleep(SHOW).await;
         let loads = world.upstreams.borrow().own_loads(world.now());
         world.seen.set_loads(loads);
+        world.count_breaks();
     }
 }
 
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -3,25 +3,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Begun, Choice, Ending, Evidence, Load, Ticket, UpstreamIndex, kind_of};
+use dispatch::{ArmCounts, Begun, Choice, Ending, Load, Ticket, UpstreamIndex};
 use poison::{Content, Run, RunEnd};
 use types::prelude::*;
 
+use crate::arm::Arm;
 use crate::exchange::Request;
 use crate::world::World;
 
-/// Which roll-out a request counts for, and on which side.
-#[derive(Debug, Clone)]
-struct Arm {
-    service: Arc<str>,
-    order: u64,
-    is_new: bool,
-    /// Place of the request's kind.
-    kind: usize,
-    /// Whether how it ends says anything new of the version.
-    is_evidence: bool,
-}
-
 /// One request at an upstream. Dropped without an ending, it was cancelled.
 pub(crate) struct Tracked<T> {
     world: Rc<World<T>>,
@@ -52,19 +41,8 @@
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
         let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
-        let spec = upstreams.spec(choice.index);
-        let arm = spec.and_then(|spec| {
-            let plan = world.plan.borrow();
-            let gate = plan.gate(&spec.service)?;
-            Some(Arm {
-                service: spec.service.clone(),
-                order: gate.order,
-                is_new: spec.version == gate.to,
-                kind: kind_of(request.route.repeat),
-                is_evidence: !has_failed,
-            })
-        });
         drop(upstreams);
+        let arm = Arm::of(world, choice, request, !has_failed);
         let content = request.content;
         let customer = request.customer.as_ref().map(|c| c.name.clone());
         let mut runs = world.runs.borrow_mut();
@@ -148,13 +126,10 @@
         self.ending = ending;
     }
 
-    fn count(&self, f: impl FnOnce(&mut dispatch::ArmCounts)) {
-        let Some(arm) = &self.arm else { return };
-        let change = |evidence: &mut Evidence| match arm.is_new {
-            true => f(&mut evidence.new.kinds[arm.kind]),
-            false => f(&mut evidence.old.kinds[arm.kind]),
-        };
-        self.world.seen.change(&arm.service, arm.order, change);
+    fn count(&self, f: impl FnOnce(&mut ArmCounts)) {
+        if let Some(arm) = &self.arm {
+            arm.count(&self.world, f);
+        }
     }
 }
 
@@ -166,19 +141,17 @@
         drop(upstreams);
         self.world
             .run_over(self.index, self.run, self.content, run_end(self.ending));
-        let is_evidence = self.arm.as_ref().is_some_and(|arm| arm.is_evidence);
-        self.count(|counts| {
-            counts.out = counts.out.saturating_sub(1);
-            if !is_evidence {
-                return;
-            }
-            match self.ending {
-                Ending::Good => counts.good += 1,
-                Ending::Failed => counts.bad += 1,
-                Ending::Broken | Ending::Silent => counts.broken += 1,
-                _ => {}
-            }
-        });
+        self.count(|counts| counts.out = counts.out.saturating_sub(1));
+        let Some(arm) = self.arm.take().filter(|arm| arm.is_evidence) else {
+            return;
+        };
+        match self.ending {
+            Ending::Good => arm.count(&self.world, |counts| counts.good += 1),
+            Ending::Failed => arm.count(&self.world, |counts| counts.bad += 1),
+            Ending::Silent => arm.count(&self.world, |counts| counts.broken += 1),
+            Ending::Broken => self.world.broke(arm, self.index),
+            _ => {}
+        }
     }
 }
 
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use types::prelude::*;
 
+use crate::arm::Break;
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::plan::Plan;
@@ -104,6 +105,8 @@
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// What is or was under way at each upstream.
     pub(crate) runs: RefCell<Runs<UpstreamIndex>>,
+    /// Answers that broke off and are not counted yet in a roll-out.
+    pub(crate) breaks: RefCell<Vec<Break>>,
     /// Upstreams that are being asked whether they still listen.
     pub(crate) in_doubt: RefCell<BTreeSet<UpstreamIndex>>,
     /// Upstreams that may have ended, for [`crate::ends::watch`].
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use dispatch::Gate;
 use routes::Repeat;
 
 use crate::harness::*;
@@ -251,17 +250,7 @@
         })
     };
     let running = start();
-    let gate = Gate {
-        service: Arc::from("service"),
-        to: Arc::from("v1"),
-        barred: Arc::default(),
-        order: 7,
-        share: 1.0,
-        keeps_sessions: false,
-        first_share: 0.1,
-        staying: Arc::default(),
-    };
-    running.plan(Repeat::Any, &[failing(), failing()], vec![gate]);
+    running.plan(Repeat::Any, &[failing(), failing()], vec![gate_of_all()]);
     let answer = running.caller().ask("a1");
     assert_eq!(status_of(&answer), 500);
     let seen = running.handle.seen.evidence();
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -304,6 +304,20 @@
     })
 }
 
+/// A roll-out to the only version there is, which has all of the traffic.
+pub fn gate_of_all() -> Gate {
+    Gate {
+        service: Arc::from("service"),
+        to: Arc::from("v1"),
+        barred: Arc::default(),
+        order: 7,
+        share: 1.0,
+        keeps_sessions: false,
+        first_share: 0.1,
+        staying: Arc::default(),
+    }
+}
+
 impl Loop {
     /// Hands over a plan.
     pub fn plan(&self, repeat: Repeat, upstreams: &[SocketAddr], gates: Vec<Gate>) {
--- a/components/traffic/tests/it/poison.rs
+++ b/components/traffic/tests/it/poison.rs
@@ -158,3 +158,43 @@
     let reached = seen.reached.load(Ordering::SeqCst);
     assert!(reached <= 3, "{reached} engines were sent one attempt");
 }
+
+#[test]
+fn a_version_is_not_judged_by_what_ended_its_upstreams() {
+    // A new version is brought in, and a request that ends engines comes by its few ones. Each
+    // end breaks everything that runs there, three times within a second; the good version was
+    // taken back for it.
+    let seen = Seen::default();
+    let engines = (0..8).map(|_| Engine::start(&seen)).collect::<Vec<_>>();
+    let running = serving(RESUMABLE, &engines);
+    running.plan(RESUMABLE, &engines, vec![gate_of_all()]);
+    for n in 0..3 {
+        let mut caller = running.caller();
+        caller.send(&post(&format!("poison-{n}"), POISON));
+        caller.answer();
+    }
+    assert!(seen.ended.load(Ordering::SeqCst) >= ALLOWED);
+    std::thread::sleep(Duration::from_millis(2_500));
+    running.caller().ask("innocent");
+    let evidence = running.handle.seen.evidence();
+    let counts = evidence["service"].new.sum();
+    assert_eq!((counts.good, counts.broken), (1, 0), "{counts:?}");
+}
+
+#[test]
+fn a_version_whose_connections_break_is_judged_by_it() {
+    let address = upstream(|served| {
+        served.request();
+    });
+    let running = serving(Repeat::Never, &[address]);
+    running.plan(Repeat::Never, &[address], vec![gate_of_all()]);
+    running.caller().ask("r1");
+    let broken = || running.handle.seen.evidence()["service"].new.sum().broken;
+    for _ in 0..500 {
+        if broken() == 1 {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("the break was never counted");
+}
