The same cause behind the product's own interface, listed red

Nothing there remembers a content either: attempts go to further engines and the caller's repeats, under new ids, begin anew.

--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -6,6 +6,7 @@
     mod fleet;
     mod harness;
     mod limits;
+    mod poison;
     mod quality;
     mod rollout;
     mod serve;
