Bar requests that end upstreams behind the product's own interface as well

Attempts and claims go by a request's id; nothing knew the content that comes again. Change: chat requests and calls of plain services look at the same tables before each attempt; an attempt that breaks waits until it is known whether its upstream refuses, a fifth of a second at most. A barred one is refused as 'barred', with whether anything ran and when to come back; a draft that is there already is given. The dump lists what is barred. Upstreams of the catalogue keep their name over a restart: ends of one within four seconds are one, and one that answers again has started again.

--- /dev/null
+++ b/components/node/src/barring.rs
@@ -0,0 +1,179 @@
+//! Requests that end the upstreams which run them: noted, told to other daemons, refused.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use callers::Request;
+use poison::{
+    Admission, Content, PoisonPolicy, Run, RunEnd, Runs, SharedSuspects, Suspects, Under,
+    UpstreamRun,
+};
+use requests::attempt::{AttemptEnd, Doubt};
+use routing::UpstreamIndex;
+use serde_json::json;
+use tokio::net::TcpStream;
+use types::prelude::*;
+
+use crate::shared::lock;
+use crate::traffic::Taken;
+
+/// An upstream on which a run broke is asked whether it listens after these waits: its connections
+/// may break a moment before its address is closed.
+const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(150)];
+/// Ends of one upstream within these ms are one.
+const SAME_END_MS: u64 = 4_000;
+/// An upstream that lives accepts within some ms; one behind a cut never answers.
+const CONNECT_WITHIN: Duration = Duration::from_millis(300);
+
+/// A customer's content on its way.
+#[derive(Debug, Clone)]
+pub(crate) struct Asked {
+    pub(crate) content: Content,
+    pub(crate) customer: Arc<str>,
+}
+
+impl Asked {
+    /// Of a request.
+    pub(crate) fn of(customer: &CustomerId, req: &Request, body: &[u8]) -> Self {
+        let target = match req.query.as_str() {
+            "" => req.path.clone(),
+            query => format!("{}?{query}", req.path),
+        };
+        let customer = customer.as_str();
+        Self {
+            content: Content::of(customer, "", req.method.as_str(), &target, body),
+            customer: Arc::from(customer),
+        }
+    }
+}
+
+/// What is known of requests under which upstreams end.
+#[derive(Debug)]
+pub(crate) struct Barring {
+    clock: Clock,
+    pub(crate) suspects: SharedSuspects,
+    runs: Mutex<Runs<UpstreamIndex>>,
+}
+
+impl Barring {
+    pub(crate) fn new(me: &DaemonId, clock: Clock) -> Self {
+        let suspects = Suspects::new(PoisonPolicy::default(), me.as_str());
+        Self {
+            clock,
+            suspects: SharedSuspects::new(suspects),
+            runs: Mutex::default(),
+        }
+    }
+
+    /// How long a content is barred still, if it is. Takes the trial of one whose bar lapses.
+    ///
+    /// Guards against a request that ends each upstream which begins to run it: without this
+    /// look before every attempt it ends as many as its attempts and repeats reach.
+    pub(crate) fn barred_for(&self, asked: &Asked) -> Option<Span> {
+        let now = self.clock.now();
+        let mut suspects = self.suspects.lock();
+        match suspects.admission(now, asked.content) {
+            Admission::Open => None,
+            Admission::Barred { until } => Some(now.until(until)),
+            Admission::Trial => {
+                suspects.tried(now, asked.content);
+                None
+            }
+        }
+    }
+
+    /// Notes that a content goes to an upstream.
+    pub(crate) fn sent(&self, taken: &Taken, asked: &Asked) -> Run {
+        let now = self.clock.now();
+        let customer = Some(Arc::clone(&asked.customer));
+        lock(&self.runs).sent(now, taken.index, asked.content, customer)
+    }
+
+    /// Notes how a run was over; where it broke, waits until it is known whether its upstream has
+    /// ended, for a fifth of a second at most.
+    pub(crate) async fn over(&self, taken: &Taken, asked: &Asked, run: Run, end: &AttemptEnd) {
+        let now = self.clock.now();
+        let how = run_end(end);
+        if how == RunEnd::Whole {
+            self.suspects.lock().whole(now, asked.content);
+        }
+        let under = lock(&self.runs).over(now, taken.index, run, how);
+        if let Some(under) = under {
+            return self.ended(taken, &[under]);
+        }
+        if how == RunEnd::Broken && refuses(taken.address).await {
+            let under = lock(&self.runs).ended(self.clock.now(), taken.index, Time::ZERO);
+            self.ended(taken, &under.unwrap_or_default());
+        }
+    }
+
+    fn ended(&self, taken: &Taken, under: &[Under]) {
+        tracing::warn!(
+            "traffic: upstream {} ended under {} requests",
+            taken.id,
+            under.len()
+        );
+        let upstream = UpstreamRun {
+            id: taken.id.clone(),
+            started_at: Some(about(self.clock.wall())),
+        };
+        let mut suspects = self.suspects.lock();
+        suspects.ended(self.clock.now(), &upstream, under);
+    }
+
+    /// What is barred, for operators.
+    pub(crate) fn dump(&self, now: Time) -> serde_json::Value {
+        let barred = self.suspects.lock().barred();
+        let barred = barred.into_iter().map(|bar| {
+            let ends = bar.ends.iter();
+            let ends = ends.map(|(upstream, ran)| json!({"upstream": upstream.id, "ran": ran}));
+            json!({
+                "content": bar.content,
+                "customer": bar.customer,
+                "since": now.since(bar.since),
+                "tried_in": now.until(bar.until),
+                "ends": ends.collect::<Vec<_>>(),
+            })
+        });
+        barred.collect()
+    }
+
+    /// Forgets what is too old, and takes how large the fleet is.
+    pub(crate) fn tidy(&self, now: Time, daemons: usize, upstreams: usize) {
+        lock(&self.runs).tidy(now);
+        let mut suspects = self.suspects.lock();
+        suspects.set_fleet(daemons, upstreams);
+        suspects.tidy(now);
+    }
+}
+
+/// The same moment for all daemons that see one end: upstreams of the catalogue keep their name over
+/// a restart and do not tell when they started, and a restart takes longer than this.
+fn about(wall: WallTime) -> WallTime {
+    WallTime(wall.0 - wall.0 % SAME_END_MS)
+}
+
+/// What an attempt's end says of the upstream.
+fn run_end(end: &AttemptEnd) -> RunEnd {
+    match end {
+        AttemptEnd::Whole { .. } => RunEnd::Whole,
+        AttemptEnd::Unknown(Doubt::Reset) | AttemptEnd::Truncated { .. } => RunEnd::Broken,
+        AttemptEnd::Unknown(Doubt::TimedOut) | AttemptEnd::CallerGone => RunEnd::GivenUp,
+        AttemptEnd::UpstreamError(_) | AttemptEnd::Crossed => RunEnd::Failed,
+        AttemptEnd::NotSent | AttemptEnd::RefusedNotRun { .. } => RunEnd::NotRun,
+    }
+}
+
+/// Whether an address refuses connections. One that does not answer may be cut off only.
+async fn refuses(address: SocketAddr) -> bool {
+    for wait in LOOKS {
+        tokio::time::sleep(wait).await;
+        let opened = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
+        if matches!(opened, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+    }
+    false
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -19,6 +19,7 @@
 use crate::systems::catalogue::Action;
 use crate::watching::Watching;
 
+mod barring;
 mod billing;
 mod evidence;
 mod loads;
@@ -166,6 +167,7 @@
         self.show_quality(now);
         self.tick_loads(now);
         self.drive_rollouts(now);
+        self.tick_barring(now);
         self.measure(now);
         // Every tick: how fresh the catalogue is changes without an event.
         self.publish(now);
--- a/components/node/src/control/commands.rs
+++ b/components/node/src/control/commands.rs
@@ -188,6 +188,7 @@
             "membership": self.members.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quality": lock(&shared.quality).dump(),
+            "barred": shared.barring.dump(now),
             "limits": self.dump_loads(),
             "claims": shared.claims.dump(now),
             "sessions": shared.sessions.dump(),
--- a/components/node/src/control/peering.rs
+++ b/components/node/src/control/peering.rs
@@ -47,6 +47,10 @@
             } => {
                 let _ = self.shared.sessions.answer(&body, now);
             }
+            Payload::Part {
+                part: Part::Poison,
+                body,
+            } => self.add_up(now, &from.id, &body),
             Payload::Part { part, .. } => {
                 tracing::debug!("node: {} sent something for {part:?}, dropped", from.id);
             }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! traffic reads it and tells the control thread what happened as [`event::Event`]s.
 
 mod admission;
+mod barring;
 mod calling;
 mod claims;
 mod control;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -14,6 +14,7 @@
 use types::prelude::*;
 
 use crate::admission::Admissions;
+use crate::barring::Barring;
 use crate::claims::Claims;
 use crate::event::Event;
 use crate::pace::Paces;
@@ -62,6 +63,8 @@
     pub(crate) paces: Mutex<Paces>,
     /// Has answers rated.
     pub(crate) rating: Rating,
+    /// Requests under which upstreams end.
+    pub(crate) barring: Barring,
     /// Retry budgets by entry.
     pub(crate) budgets: Mutex<BTreeMap<EntryName, RetryBudget>>,
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -20,6 +20,7 @@
 use types::prelude::*;
 
 use crate::admission::Admissions;
+use crate::barring::Barring;
 use crate::claims::{self, Claims};
 use crate::control::Control;
 use crate::error::NodeError;
@@ -212,6 +213,7 @@
         )),
         paces: Mutex::default(),
         rating: Rating::new(settings.platform.rater),
+        barring: Barring::new(&settings.daemon, clock),
         budgets: Mutex::new(BTreeMap::new()),
         settings,
     };
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -26,6 +26,7 @@
 use crate::snapshot::{Readiness, Snapshot};
 pub(crate) use in_flight::InFlight;
 use refusal::Refusal;
+pub(crate) use upstream::Taken;
 
 const CHAT: &str = "/v1/chat/completions";
 const MODELS: &str = "/v1/models";
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -15,6 +15,7 @@
 use super::ask::{ChatAsk, HeadAsk};
 use super::refusal::Refusal;
 use super::resolve::{Resolved, resolve};
+use crate::barring::Asked;
 
 /// Pause that a caller is told when the catalogue may be out of date.
 const BUSY_RETRY: Span = Span::from_secs(1);
@@ -30,6 +31,8 @@
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     pub(crate) priority: Priority,
+    /// What is asked, whoever carries it.
+    pub(crate) asked: Asked,
 }
 
 /// Checks a request and runs it.
@@ -56,7 +59,9 @@
         .priority
         .unwrap_or_default()
         .min(resolved.offer.priority);
+    let asked = Asked::of(&cx.customer, req, &req.body);
     Ok(Job {
+        asked,
         cx,
         head,
         ask,
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -91,6 +91,9 @@
         };
         let mut avoid = Vec::new();
         loop {
+            if let Some(wait) = self.shared().barring.barred_for(&self.job.asked) {
+                return self.refuse_barred(ready, relay, wait).await;
+            }
             let version = &relay.trying().version;
             let permitted = self.is_still_permitted(version);
             let taken = if permitted {
@@ -159,6 +162,16 @@
         relay.refuse(&refusal).await;
     }
 
+    /// No upstream is to run it: the weaker version's answer serves if there is one.
+    async fn refuse_barred(&self, ready: Request<Waiting>, relay: Relay<'_>, wait: Span) {
+        if relay.has_answer() {
+            return self.answer(ready.answer(relay.usage()), relay).await;
+        }
+        let refused = ready.refuse(Code::Barred);
+        let refusal = claim::refused(self.shared(), refused);
+        relay.refuse(&refusal.with_retry_after(Some(wait))).await;
+    }
+
     /// What the request wants of the limits. Tokens are settled at its end.
     fn leave_wanted(&self, version: &VersionId) -> Ask {
         let job = self.job;
@@ -243,7 +256,10 @@
     ) -> (Request<Attempted>, AttemptEnd) {
         let began = self.shared().now();
         relay.set_upstream(taken.index);
+        let (barring, asked) = (&self.shared().barring, &self.job.asked);
+        let run = barring.sent(taken, asked);
         let end = relay.attempt(taken.address, &mut request).await;
+        barring.over(taken, asked, run, &end).await;
         self.shared().metrics.attempt(measured::attempted(&end));
         let outcome = relay.outcome(&end, began);
         let now = self.shared().now();
--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -20,6 +20,7 @@
 use super::refusal::{Refusal, set};
 use super::upstream::{Taken, end_of, left};
 use crate::admission;
+use crate::barring::Asked;
 use crate::measured;
 use crate::shared::{Shared, lock};
 use crate::systems::limits::account_of_service;
@@ -34,6 +35,8 @@
     call: PlainRequest,
     idempotent: bool,
     deadline: Time,
+    /// What is asked, whoever carries it.
+    asked: Asked,
 }
 
 /// Checks a call and runs it.
@@ -88,7 +91,9 @@
         body: req.body.clone(),
         timeout,
     };
+    let asked = Asked::of(&cx.customer, req, &req.body);
     Ok(Job {
+        asked,
         cx,
         head,
         service: name,
@@ -151,11 +156,17 @@
     };
     let mut avoid = Vec::new();
     loop {
+        if let Some(wait) = job.cx.shared.barring.barred_for(&job.asked) {
+            let refusal = claim::refused(&job.cx.shared, ready.refuse(Code::Barred));
+            let refusal = refusal.with_retry_after(Some(wait));
+            return refuse(job, responder, &refusal).await;
+        }
         let taken = is_still_permitted(job).then(|| take_upstream(job, &avoid));
         let Some(taken) = taken.flatten() else {
             return refused(job, responder, ready.refuse(Code::NoUpstream)).await;
         };
         let request = ready.attempt(taken.id.clone());
+        let run = job.cx.shared.barring.sent(&taken, &job.asked);
         let time_left = request.time_left(job.cx.shared.now());
         let (end, answer) = tokio::select! {
             biased;
@@ -165,6 +176,8 @@
                 (AttemptEnd::CallerGone, None)
             }
         };
+        let barring = &job.cx.shared.barring;
+        barring.over(&taken, &job.asked, run, &end).await;
         avoid.push(taken.index);
         let now = job.cx.shared.now();
         let next = job.cx.shared.with_budget(&job.service, |budget| {
--- a/components/node/src/traffic/refusal.rs
+++ b/components/node/src/traffic/refusal.rs
@@ -268,6 +268,7 @@
         Code::Overloaded => (503, "overloaded", "too much work waits"),
         Code::Stale => (503, "stale_catalogue", "the catalogue may be out of date"),
         Code::NoUpstream => (503, "no_upstream", "no upstream can take the work now"),
+        Code::Barred => (503, "barred", "upstreams ended under this request"),
         Code::ClaimUnavailable => (503, "claim_unavailable", "no claim can be made now"),
         Code::LedgerFull => (503, "ledger_full", "too many bills wait for the store"),
         Code::ShuttingDown => (503, "shutting_down", "this daemon is leaving"),
--- a/components/node/tests/it/poison.rs
+++ b/components/node/tests/it/poison.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use standins::engine::{Engine, EngineConfig};
+use standins::engine::EngineConfig;
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
--- a/components/poison/src/runs.rs
+++ b/components/poison/src/runs.rs
@@ -63,6 +63,7 @@
     run: Run,
     content: Content,
     customer: Option<Arc<str>>,
+    sent_at: Time,
     had_begun: bool,
     /// When it was sent, or the last sign that it begins.
     began_at: Time,
@@ -155,6 +156,7 @@
             run,
             content,
             customer,
+            sent_at: now,
             had_begun: false,
             began_at: now,
             over: None,
@@ -164,14 +166,34 @@
 
     /// Notes a later sign that the upstream began to run it.
     pub fn began(&mut self, now: Time, upstream: U, run: Run) {
+        self.answers(upstream, run);
         if let Some(held) = self.held(upstream, run) {
             held.had_begun = true;
             held.began_at = now;
         }
     }
 
+    /// Notes that an upstream answers what was sent to it after its end: it is another start of the
+    /// program, under the same name.
+    fn answers(&mut self, upstream: U, run: Run) {
+        let Some(at_upstream) = self.by_upstream.get_mut(&upstream) else {
+            return;
+        };
+        let held = at_upstream.runs.iter().find(|held| held.run == run);
+        let sent_at = held.map(|held| held.sent_at);
+        if at_upstream
+            .end
+            .is_some_and(|end| sent_at > Some(end.known_at))
+        {
+            at_upstream.end = None;
+        }
+    }
+
     /// Notes that a run is over. Says what it was under if its upstream is known to have ended.
     pub fn over(&mut self, now: Time, upstream: U, run: Run, end: RunEnd) -> Option<Under> {
+        if end == RunEnd::Whole {
+            self.answers(upstream, run);
+        }
         let at_upstream = self.by_upstream.get_mut(&upstream)?;
         let place = at_upstream.runs.iter().position(|held| held.run == run)?;
         match (end, at_upstream.end) {
--- a/components/poison/tests/runs.rs
+++ b/components/poison/tests/runs.rs
@@ -108,6 +108,21 @@
     assert!(runs.is_empty());
 }
 
+#[test]
+fn an_upstream_that_answers_again_has_started_again() {
+    // Upstreams of the catalogue keep their name over a restart. A connection that breaks at the
+    // next start is no sign of an end.
+    let mut runs = Runs::default();
+    let first = runs.sent(at(0), UPSTREAM, content("first"), None);
+    runs.over(at(50), UPSTREAM, first, RunEnd::Broken);
+    runs.ended(at(60), UPSTREAM, at(40));
+    let next = runs.sent(at(4_000), UPSTREAM, content("next"), None);
+    runs.over(at(4_100), UPSTREAM, next, RunEnd::Whole);
+    let cut = runs.sent(at(4_200), UPSTREAM, content("cut"), None);
+    assert_eq!(runs.over(at(4_250), UPSTREAM, cut, RunEnd::Broken), None);
+    assert!(runs.has_broken(UPSTREAM));
+}
+
 #[test]
 fn one_upstreams_runs_are_bounded() {
     let mut runs = Runs::default();
--- a/components/requests/src/refusal.rs
+++ b/components/requests/src/refusal.rs
@@ -37,6 +37,8 @@
     Stale,
     /// No upstream can take it.
     NoUpstream,
+    /// Upstreams ended under the same request.
+    Barred,
     /// It cannot be done in time.
     DeadlinePassed,
     /// The claim that it needs cannot be made.
@@ -72,6 +74,7 @@
             Self::Overloaded => "overloaded",
             Self::Stale => "stale_catalogue",
             Self::NoUpstream => "no_upstream",
+            Self::Barred => "barred",
             Self::DeadlinePassed => "deadline_passed",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::LedgerFull => "ledger_full",
