--- a/components/node/src/barring.rs
+++ b/components/node/src/barring.rs
@@ -1,11 +1,9 @@
 //! Requests that end the upstreams which run them: noted, told to other daemons, refused.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use callers::Request;
+use http1::refuses;
 use poison::{
     Admission, Content, PoisonPolicy, Run, RunEnd, Runs, SharedSuspects, Suspects, Under,
     UpstreamRun,
@@ -13,20 +11,13 @@
 use requests::attempt::{AttemptEnd, Doubt};
 use routing::UpstreamIndex;
 use serde_json::json;
-use tokio::net::TcpStream;
 use types::prelude::*;
 
 use crate::shared::lock;
 use crate::traffic::Taken;
 
-/// An upstream on which a run broke is asked whether it listens after these waits: its connections
-/// may break a moment before its address is closed.
-const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(150)];
 /// Ends of one upstream within these ms are one.
 const SAME_END_MS: u64 = 4_000;
-/// An upstream that lives accepts within some ms; one behind a cut never answers.
-const CONNECT_WITHIN: Duration = Duration::from_millis(300);
-
 /// A customer's content on its way.
 #[derive(Debug, Clone)]
 pub(crate) struct Asked {
@@ -165,15 +156,3 @@
         AttemptEnd::NotSent | AttemptEnd::RefusedNotRun { .. } => RunEnd::NotRun,
     }
 }
-
-/// Whether an address refuses connections. One that does not answer may be cut off only.
-async fn refuses(address: SocketAddr) -> bool {
-    for wait in LOOKS {
-        tokio::time::sleep(wait).await;
-        let opened = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-        if matches!(opened, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused) {
-            return true;
-        }
-    }
-    false
-}
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::world::World;
 
 /// An upstream that lives accepts within some ms; one behind a cut never answers.
-pub(crate) const CONNECT_WITHIN: Span = Span::from_millis(300);
+const CONNECT_WITHIN: Span = Span::from_millis(300);
 /// Longest head of an upstream.
 const MAX_HEAD: usize = 16 * 1024;
 /// Longest whole answer of an upstream.
@@ -33,7 +33,7 @@
 /// Rank that upstreams take for ordinary.
 const ORDINARY_RANK: u8 = 5;
 /// Connections to upstreams that are silent this long while bytes are out are dead.
-pub(crate) const WIRE: WireOptions = WireOptions {
+const WIRE: WireOptions = WireOptions {
     user_timeout: Duration::from_millis(1_500),
     keepalive: Duration::from_secs(1),
 };
--- a/components/traffic/src/ends.rs
+++ b/components/traffic/src/ends.rs
@@ -4,22 +4,17 @@
 //! upstream is asked at once whether it still listens: a program that has ended refuses. Where
 //! the host itself is gone nobody refuses, and its entry in the list goes some seconds later.
 
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dispatch::{LastSeen, UpstreamIndex};
-use http1::connect;
+use http1::refuses;
 use poison::{Content, Run, RunEnd, Under, UpstreamRun};
-use routes::Upstream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use types::prelude::*;
 
-use crate::attempt::{CONNECT_WITHIN, WIRE};
 use crate::world::World;
 
-/// An upstream on which a run broke is asked whether it listens after these waits.
-const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(150)];
 /// How often is looked whether a doubt is settled, and how often at most: as long as both looks
 /// at an upstream that does not refuse take.
 const SETTLE_LOOK: Duration = Duration::from_millis(5);
@@ -52,7 +47,7 @@
         let world = Rc::clone(&world);
         tokio::task::spawn_local(async move {
             let index = upstream.index;
-            if refuses(&upstream.spec).await {
+            if refuses(upstream.spec.address).await {
                 let latest = world.upstreams.borrow().last_seen(index);
                 world.upstream_ended(&latest.unwrap_or(upstream), Sign::Refuses);
             }
@@ -191,17 +186,3 @@
         }
     }
 }
-
-/// Whether an upstream refuses connections, be it at the second look: its connections may break
-/// a moment before its address is closed. One that does not answer may be cut off only.
-async fn refuses(spec: &Upstream) -> bool {
-    for wait in LOOKS {
-        tokio::time::sleep(wait).await;
-        let opening = connect(spec.address, WIRE);
-        let opened = tokio::time::timeout(CONNECT_WITHIN.to_duration(), opening).await;
-        if matches!(opened, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused) {
-            return true;
-        }
-    }
-    false
-}
