Say which peer does not answer, and who brought a configuration

That library is quiet now unless the filter names it; its failures come back as values, and the peers' own lines say who does not answer, to what, since when, and when it answers again, four a second at most for a daemon, with the number left out. A question that was out for over a second, which keeps a daemon from asking anybody else, has a line; a configuration in force names who brought it.

--- a/components/fleet/src/asking.rs
+++ b/components/fleet/src/asking.rs
@@ -24,6 +24,8 @@
     /// The next moment to ask a peer that is ahead.
     ask_at: Option<Time>,
     asked: Option<flume::Receiver<Result<Payload, AskError>>>,
+    /// Whom the last question went to, and when.
+    last: Option<(SocketAddr, Time)>,
     /// The copy that the last question is about.
     taking: Option<Taking>,
 }
@@ -35,6 +37,7 @@
             handle,
             ask_at: None,
             asked: None,
+            last: None,
             taking: None,
         }
     }
@@ -68,10 +71,16 @@
         self.ask_at = None;
         self.taking = Some(Taking::new(address));
         let page_after = None;
-        self.ask(address, &Question { held, page_after });
+        self.ask(now, address, &Question { held, page_after });
     }
 
-    fn ask(&mut self, address: SocketAddr, question: &Question) {
+    /// Whom the last question went to, and when.
+    pub(crate) fn last(&self) -> Option<(SocketAddr, Time)> {
+        self.last
+    }
+
+    fn ask(&mut self, now: Time, address: SocketAddr, question: &Question) {
+        self.last = Some((address, now));
         match question.encode() {
             Ok(body) => {
                 let part = Part::Mirror;
@@ -85,6 +94,7 @@
     /// Takes a page of a copy, and asks for the next one or returns the whole.
     pub(crate) fn take_page(
         &mut self,
+        now: Time,
         held: Revision,
         at: Revision,
         items: Vec<Change>,
@@ -96,7 +106,7 @@
             Taken::More(last) => {
                 let address = taking.from;
                 let page_after = Some(last);
-                self.ask(address, &Question { held, page_after });
+                self.ask(now, address, &Question { held, page_after });
                 None
             }
         }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -6,6 +6,7 @@
 use keyvalue::{CallError, Outcome, Request};
 use mirror::{Answer, Change, Mirror, Question, Revision};
 use peers::{AskError, Part, Payload};
+use routes::TableVersion;
 use traffic::{Command, Plan};
 use types::prelude::*;
 
@@ -37,6 +38,8 @@
 /// A daemon that has met nobody by the settings' seeds so long after its start enters the
 /// store to be found.
 const ALONE_AFTER: Span = Span::from_millis(1_500);
+/// A question without an answer is worth a line after so long.
+const LONG_QUESTION: Span = Span::from_millis(1_000);
 /// Changes of upstreams are logged one by one up to so many at a time: all of them at each
 /// daemon's start are thousands of lines.
 const MAX_LOGGED: usize = 32;
@@ -67,6 +70,15 @@
     pub(crate) daemons: usize,
 }
 
+/// Who brought what is new.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// The store, by the own watch or a reading.
+    Store,
+    /// Another daemon, by word or when asked.
+    Peer,
+}
+
 /// What the control thread waited for.
 enum Waited {
     Event(Event),
@@ -148,16 +160,17 @@
                     "store: listed"
                 );
                 let changes = self.mirror.take_listing(listing);
-                self.changed(now, &changes);
+                self.changed(now, &changes, Source::Store);
             }
             Event::Changed { after, at, changes } => {
-                self.take_mirror(now, Answer::Changes { after, at, changes });
+                let answer = Answer::Changes { after, at, changes };
+                self.take_mirror(now, answer, Source::Store);
             }
             Event::StoreHealth(health) => self.take_health(now, health),
             Event::Called(purpose, outcome) => self.take_called(now, &purpose, &outcome),
             Event::Peer(inbound) => match self.peering.receive(now, inbound) {
                 Asked::Nothing => {}
-                Asked::Take(answer) => self.take_mirror(now, answer),
+                Asked::Take(answer) => self.take_mirror(now, answer, Source::Peer),
                 Asked::AddUp(words) => self.add_up(now, words),
                 Asked::Mirror(from, question, reply) => {
                     self.hand_out(now, &from, &question, reply);
@@ -225,22 +238,36 @@
             Ok(Payload::Part { body, .. }) => body,
             Ok(Payload::Membership(_)) => return,
             Err(e) => {
-                tracing::debug!("peers: a peer gave no answer: {e}");
+                self.log_unanswered(now, &e);
                 self.asking.was_refused(now);
                 return;
             }
         };
         match Answer::decode(&body) {
             Ok(answer) => {
-                self.take_mirror(now, answer);
+                self.take_mirror(now, answer, Source::Peer);
                 tracing::debug!(at = self.mirror.at().0, "peers: caught up");
             }
             Err(e) => tracing::warn!("peers: {e}"),
         }
     }
 
+    /// A question that was out for long kept this daemon from asking anybody else.
+    fn log_unanswered(&self, now: Time, why: &AskError) {
+        let Some((peer, since)) = self.asking.last() else {
+            return;
+        };
+        let waited = now.since(since);
+        if waited > LONG_QUESTION {
+            let (at, waited_ms) = (self.mirror.at().0, waited.as_millis());
+            tracing::warn!(%peer, waited_ms, at, "peers: a question was out for long: {why}");
+        } else {
+            tracing::debug!(%peer, "peers: a peer gave no answer: {why}");
+        }
+    }
+
     /// Takes what is new in the store, from the own watch or from a peer.
-    fn take_mirror(&mut self, now: Time, answer: Answer) {
+    fn take_mirror(&mut self, now: Time, answer: Answer, source: Source) {
         let before = self.mirror.at();
         let changes = match answer {
             Answer::Changes { after, at, changes } => {
@@ -257,7 +284,7 @@
                 at,
                 items,
                 has_more,
-            } => match self.asking.take_page(before, at, items, has_more) {
+            } => match self.asking.take_page(now, before, at, items, has_more) {
                 Some(listing) => {
                     tracing::info!(at = at.0, keys = listing.items.len(), "peers: copied");
                     self.mirror.take_listing(listing)
@@ -270,7 +297,7 @@
             }
         };
         self.pass_on(now, before, &changes);
-        self.changed(now, &changes);
+        self.changed(now, &changes, source);
     }
 
     /// Hands on what is new, once: who takes a change tells some others in turn, so that it
@@ -289,15 +316,17 @@
     }
 
     /// Makes what changed in the mirror known to all that read it.
-    fn changed(&mut self, now: Time, changes: &[Change]) {
+    fn changed(&mut self, now: Time, changes: &[Change], source: Source) {
         self.watching.progress.set(self.mirror.at());
         if changes.is_empty() {
             return;
         }
         let are_few = changes.len() <= MAX_LOGGED;
+        let version = self.planner.version();
         for change in changes {
             self.must_plan |= self.planner.take(now, &self.codec, change, are_few);
         }
+        self.log_version(version, source);
         if !are_few {
             let upstreams = self.planner.upstreams().len();
             tracing::info!(
@@ -315,6 +344,15 @@
         self.step_rollouts(now, false);
     }
 
+    /// Says which configuration is in force, and who brought it.
+    fn log_version(&self, before: Option<TableVersion>, source: Source) {
+        let version = self.planner.version();
+        if let Some(version) = version.filter(|_| version != before) {
+            let (at, version) = (self.mirror.at().0, version.0);
+            tracing::info!(version, at, ?source, "config: in force");
+        }
+    }
+
     fn set_seeds(&mut self, prefix: &str) {
         let listed = self.mirror.prefixed(prefix);
         let listed = listed.filter_map(|(_, _, value)| DaemonEntry::decode(value).ok());
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dispatch::Lapsed;
 use mirror::{Change, Mirror};
-use routes::{RouteTable, Upstream};
+use routes::{RouteTable, TableVersion, Upstream};
 use types::prelude::*;
 
 use crate::codec::Codec;
@@ -34,6 +34,11 @@
         self.table.as_ref()
     }
 
+    /// Of the configuration in force.
+    pub(crate) fn version(&self) -> Option<TableVersion> {
+        self.table.as_ref().map(|table| table.version)
+    }
+
     /// Every upstream that is listed, or may only have lapsed.
     pub(crate) fn upstreams(&self) -> Vec<Arc<Upstream>> {
         self.upstreams
@@ -78,11 +83,9 @@
                 return false;
             }
         };
-        let held = self.table.as_ref().map(|held| held.version);
-        if held.is_some_and(|held| held >= table.version) {
+        if self.version().is_some_and(|held| held >= table.version) {
             return false;
         }
-        tracing::info!(version = table.version.0, "config: in force");
         self.table = Some(Arc::new(table));
         true
     }
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -21,6 +21,7 @@
 use crate::payload::Payload;
 use crate::seal::{Ends, Refusal, Sealed, Use};
 use crate::service::{Greeting, PeerClient};
+use crate::silence::Silence;
 
 /// Peers with a queue at once; the one longest unused goes first.
 const MAX_PEERS: usize = 512;
@@ -97,6 +98,7 @@
         failures: 0,
         retry_at: Instant::now(),
         refused: false,
+        silence: Arc::new(Silence::towards(to, Arc::clone(shared))),
     };
     tokio::spawn(link.run(rx));
     tx
@@ -135,6 +137,8 @@
     retry_at: Instant,
     /// Whether a refusal was logged; the rest are only counted.
     refused: bool,
+    /// Whether the peer takes what it is sent.
+    silence: Arc<Silence>,
 }
 
 impl Link {
@@ -215,6 +219,7 @@
             }
             match self.try_deliver(body.clone()).await {
                 Ok(Ok(())) => {
+                    self.silence.ends();
                     self.shared.counts.sent.add(1);
                     return;
                 }
@@ -222,7 +227,10 @@
                     self.note_refusal(refusal);
                     return;
                 }
-                Err(RpcError::DeadlineExceeded) => break,
+                Err(RpcError::DeadlineExceeded) => {
+                    self.silence.goes_on("message", DELIVER_TIMEOUT);
+                    break;
+                }
                 Err(_) => self.connection = None,
             }
         }
@@ -262,10 +270,13 @@
         let client = connection.client.clone();
         let shared = Arc::clone(&self.shared);
         let broken = Arc::clone(&connection.broken);
+        let silence = Arc::clone(&self.silence);
         tokio::spawn(async move {
             let reply = client.ask(within(timeout), sealed).await;
-            if matches!(&reply, Err(e) if !matches!(e, RpcError::DeadlineExceeded)) {
-                broken.store(true, Ordering::Relaxed);
+            match &reply {
+                Ok(_) => silence.ends(),
+                Err(RpcError::DeadlineExceeded) => silence.goes_on("question", timeout),
+                Err(_) => broken.store(true, Ordering::Relaxed),
             }
             let _ = answer.try_send(read_reply(&shared, &ends, number, reply));
             drop(permit);
--- a/components/peers/src/handle.rs
+++ b/components/peers/src/handle.rs
@@ -1,7 +1,7 @@
 //! What the other threads hold of the peers' thread.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use membership::Sender;
 use tokio::sync::oneshot;
@@ -12,6 +12,7 @@
 use crate::payload::Payload;
 use crate::seal::Refusal;
 use crate::server;
+use crate::silence::Lines;
 use crate::stats::{Counts, Stats};
 
 /// Commands waiting for the peers' thread.
@@ -109,6 +110,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) counts: Arc<Counts>,
     pub(crate) sink: Sink,
+    /// Bounds the lines about silent peers.
+    pub(crate) lines: Mutex<Lines>,
     me: DaemonId,
     incarnation: RwLock<Incarnation>,
     keys: RwLock<Arc<Keys>>,
@@ -157,6 +160,7 @@
             address: cfg.advertise.unwrap_or(local),
             counts: Arc::new(Counts::default()),
             sink: Box::new(sink),
+            lines: Mutex::default(),
             me: cfg.me,
             incarnation: RwLock::new(cfg.incarnation),
             keys: RwLock::new(Arc::new(cfg.keys)),
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -18,6 +18,7 @@
 mod seal;
 mod server;
 mod service;
+mod silence;
 mod stats;
 
 pub use config::{Config, Key, KeyError, Keys, MIN_SECRET_BYTES};
--- a/components/peers/src/stats.rs
+++ b/components/peers/src/stats.rs
@@ -42,6 +42,7 @@
     pub(crate) connections_in: Count,
     pub(crate) connections_out: Count,
     pub(crate) connections_refused: Count,
+    pub(crate) silent: Count,
 }
 
 /// Counts since the start, and gauges where said so.
@@ -81,6 +82,8 @@
     pub connections_out: u64,
     /// Connections from peers that were over the bound.
     pub connections_refused: u64,
+    /// Peers that do not answer at this moment.
+    pub silent: u64,
 }
 
 impl Counts {
@@ -114,6 +117,7 @@
             connections_in: self.connections_in.get(),
             connections_out: self.connections_out.get(),
             connections_refused: self.connections_refused.get(),
+            silent: self.silent.get(),
         }
     }
 }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -88,9 +88,17 @@
     parse_filter(filter).map(|_| ())
 }
 
+/// The filter, with the library of calls between daemons left out unless it is named.
+///
+/// Guards against its error line for each call that is not answered in time, which names neither
+/// peer nor call: behind a cut that is all there is in the log. The `peers` lines say it instead.
 fn parse_filter(filter: &str) -> Result<EnvFilter, LogError> {
+    let quiet = match filter.contains("tarpc") {
+        true => filter.to_owned(),
+        false => format!("{filter},tarpc=off"),
+    };
     EnvFilter::builder()
-        .parse(filter)
+        .parse(quiet)
         .map_err(|e| LogError::Filter {
             filter: filter.to_owned(),
             problem: e.to_string(),
