Replace connections that went silent; end a question by its deadline

Callers saw an added route refused, and a removed one served, for up to 20 s at some daemons of a large fleet while all others had the configuration within the bound.

Cause: a connection between daemons on which calls run into their deadlines was kept, since a late call did not count as a break; messages to a peer wait for each other, two seconds each; and a question, whose own deadline began only once it was sent, lay behind them, while its asker asks nobody else. After connections went silent (new ones work) such a daemon still heard word over others' new connections, so it took the store for watched and did not look itself.

Now a connection on which a message, or two questions in a row, went unanswered is replaced; a question ends by the moment its asker set, connecting included, wherever it lies; a message that waited a second for its turn is dropped as old news. A question has 600 ms in all (400 ms after connecting before).

--- a/components/fleet/src/asking.rs
+++ b/components/fleet/src/asking.rs
@@ -9,9 +9,10 @@
 
 use crate::copying::{Taken, Taking};
 
-/// Longest wait for a peer's answer about the store's keys: a page takes a host's link of
-/// 10 Mbit/s a fortieth of a second, and a busy host some more; then another peer is asked.
-const ASK_WITHIN: Span = Span::from_millis(400);
+/// Longest wait for a peer's answer about the store's keys, a new connection to it included: a
+/// page takes a host's link of 10 Mbit/s a fortieth of a second, and a busy host some more; then
+/// another peer is asked.
+const ASK_WITHIN: Span = Span::from_millis(600);
 /// After a peer that gives no answer another is asked so much later, spread over as long
 /// again: a copy of some hundred upstreams takes about so long.
 const ASK_AGAIN: Span = Span::from_millis(15);
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -3,18 +3,23 @@
 //! One task a peer, made when there is something to say and gone when there is not for
 //! a while. What cannot be delivered is dropped: a queue that grows while a peer is away
 //! would bring it old news, and cost memory for each of hundreds of peers.
+//!
+//! A peer that does not answer may stand still or be busy, or the connection to it carries
+//! nothing any more, which nobody says: the next connection shows which. So one on which a
+//! message or two questions in a row went unanswered is replaced, and a question ends by its
+//! deadline wherever it is by then.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::counted::frames;
 use crate::handle::{AskError, Command, Shared};
@@ -33,6 +38,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// A message must be taken within.
 const DELIVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Questions in a row that a connection may leave unanswered: a peer at work on another's may
+/// well miss one.
+const MAX_UNANSWERED: u32 = 2;
 /// A connection without messages for so long is closed.
 const IDLE: Duration = Duration::from_secs(15);
 /// Pause after a first failure to connect; doubled with each more.
@@ -43,12 +51,12 @@
 /// What a peer's task is to do.
 #[derive(Debug)]
 pub(crate) enum Job {
-    /// Hand over a message.
-    Send(Payload),
+    /// Hand over a message; after `until` it is old news.
+    Send { payload: Payload, until: Instant },
     /// Ask a question.
     Ask {
         payload: Payload,
-        timeout: Duration,
+        deadline: Instant,
         answer: flume::Sender<Result<Payload, AskError>>,
     },
 }
@@ -71,6 +79,12 @@
                 continue;
             }
         };
+        if let Job::Ask {
+            deadline, answer, ..
+        } = &job
+        {
+            tokio::spawn(end_by(*deadline, answer.clone()));
+        }
         used += 1;
         queues.retain(|_, queue| !queue.tx.is_closed());
         if queues.len() >= MAX_PEERS && !queues.contains_key(&to) {
@@ -89,6 +103,16 @@
     }
 }
 
+/// Ends a question at its deadline, however long its peer's task is held up.
+///
+/// Guards against an asker that waits for a peer which does not answer and asks nobody else: its
+/// question lay for 20 s behind messages of two seconds each.
+async fn end_by(deadline: Instant, answer: flume::Sender<Result<Payload, AskError>>) {
+    sleep_until(deadline).await;
+    // One that was answered has no room or no receiver any more.
+    let _ = answer.try_send(Err(AskError::Timeout));
+}
+
 fn start(to: SocketAddr, shared: &Arc<Shared>) -> mpsc::Sender<Job> {
     let (tx, rx) = mpsc::channel(MAX_QUEUED);
     let link = Link {
@@ -119,6 +143,8 @@
     asks: Arc<tokio::sync::Semaphore>,
     /// Set by a question that found the connection dead.
     broken: Arc<AtomicBool>,
+    /// Questions in a row without an answer.
+    unanswered: Arc<AtomicU32>,
     shared: Arc<Shared>,
 }
 
@@ -148,13 +174,15 @@
                 give_up(job, &self.shared, error);
                 continue;
             }
+            let now = Instant::now();
             match job {
-                Job::Send(payload) => self.deliver(payload).await,
+                Job::Send { payload, until } if now < until => self.deliver(payload).await,
                 Job::Ask {
                     payload,
-                    timeout,
+                    deadline,
                     answer,
-                } => self.ask(payload, timeout, answer),
+                } if now < deadline => self.ask(payload, deadline, answer),
+                late => give_up(late, &self.shared, AskError::Timeout),
             }
         }
     }
@@ -204,6 +232,9 @@
     }
 
     /// Hands a message over, on a second connection if the first turns out dead.
+    ///
+    /// Guards against a connection that went silent and is kept: nothing would reach the peer
+    /// until the kernel gives up, after a quarter of an hour, though a new one would work at once.
     async fn deliver(&mut self, payload: Payload) {
         let body = match payload.encode() {
             Ok(body) => body,
@@ -219,7 +250,7 @@
             }
             match self.try_deliver(body.clone()).await {
                 Ok(Ok(())) => {
-                    self.silence.ends();
+                    self.note_answer();
                     self.shared.counts.sent.add(1);
                     return;
                 }
@@ -229,6 +260,7 @@
                 }
                 Err(RpcError::DeadlineExceeded) => {
                     self.silence.goes_on("message", DELIVER_TIMEOUT);
+                    self.connection = None;
                     break;
                 }
                 Err(_) => self.connection = None,
@@ -237,6 +269,13 @@
         self.shared.counts.dropped.add(1);
     }
 
+    fn note_answer(&self) {
+        self.silence.ends();
+        if let Some(connection) = &self.connection {
+            connection.unanswered.store(0, Ordering::Relaxed);
+        }
+    }
+
     async fn try_deliver(&mut self, body: bytes::Bytes) -> Result<Result<(), Refusal>, RpcError> {
         let Some(connection) = &mut self.connection else {
             return Err(RpcError::Shutdown);
@@ -250,7 +289,7 @@
     fn ask(
         &mut self,
         payload: Payload,
-        timeout: Duration,
+        deadline: Instant,
         answer: flume::Sender<Result<Payload, AskError>>,
     ) {
         let Some(connection) = &mut self.connection else {
@@ -270,12 +309,21 @@
         let client = connection.client.clone();
         let shared = Arc::clone(&self.shared);
         let broken = Arc::clone(&connection.broken);
+        let unanswered = Arc::clone(&connection.unanswered);
         let silence = Arc::clone(&self.silence);
+        let timeout = deadline.saturating_duration_since(Instant::now());
         tokio::spawn(async move {
             let reply = client.ask(within(timeout), sealed).await;
             match &reply {
-                Ok(_) => silence.ends(),
-                Err(RpcError::DeadlineExceeded) => silence.goes_on("question", timeout),
+                Ok(_) => {
+                    silence.ends();
+                    unanswered.store(0, Ordering::Relaxed);
+                }
+                Err(RpcError::DeadlineExceeded) => {
+                    silence.goes_on("question", timeout);
+                    let in_a_row = unanswered.fetch_add(1, Ordering::Relaxed) + 1;
+                    broken.fetch_or(in_a_row >= MAX_UNANSWERED, Ordering::Relaxed);
+                }
                 Err(_) => broken.store(true, Ordering::Relaxed),
             }
             let _ = answer.try_send(read_reply(&shared, &ends, number, reply));
@@ -331,7 +379,8 @@
         ends,
         number: 0,
         asks: Arc::new(tokio::sync::Semaphore::new(MAX_ASKS)),
-        broken: Arc::new(AtomicBool::new(false)),
+        broken: Arc::default(),
+        unanswered: Arc::default(),
         shared: Arc::clone(shared),
     })
 }
--- a/components/peers/src/handle.rs
+++ b/components/peers/src/handle.rs
@@ -2,9 +2,11 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
 
 use membership::Sender;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use types::prelude::*;
 
 use crate::client::{self, Job};
@@ -15,6 +17,8 @@
 use crate::silence::Lines;
 use crate::stats::{Counts, Stats};
 
+/// A message that has waited so long for its turn is old news; a newer one says more.
+const KEEPS: Duration = Duration::from_secs(1);
 /// Commands waiting for the peers' thread.
 const MAX_COMMANDS: usize = 4_096;
 
@@ -220,10 +224,12 @@
 
     /// Sends a message; it may be lost.
     pub fn send(&self, to: SocketAddr, payload: Payload) {
-        self.command(to, Job::Send(payload));
+        let until = Instant::now() + KEEPS;
+        self.command(to, Job::Send { payload, until });
     }
 
-    /// Asks a question; the answer, or why there is none, comes out of the receiver.
+    /// Asks a question; the answer, or why there is none, comes out of the receiver by the
+    /// deadline.
     #[must_use]
     pub fn ask(
         &self,
@@ -234,7 +240,7 @@
         let (answer, rx) = flume::bounded(1);
         let job = Job::Ask {
             payload,
-            timeout: timeout.to_duration(),
+            deadline: Instant::now() + timeout.to_duration(),
             answer: answer.clone(),
         };
         if !self.command(to, job) {
