Take back a version under suspicion instead of completing it for want of time

At its small share that was 2 to 4 told failures of 46 to 50 answers, where the old one told none of 900; a proof takes five. 1.7 s before its time was up it got everything, 0.3 s later it was due to be completed and was, as "Good" with 45 good and 3 bad. Nothing takes back what is completed, and 50 bad answers came at once. No daemon was late, no word or write was: ruled out by their lines, which agree within 50 ms; broken answers play no part (0 of the new version).

Now a version that tells more failures than chance explains, by the test that holds once the exposure is spent, does not get everything, and is taken back when it would be completed. The test plays the evidence in that order and fails without it.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -245,7 +245,9 @@
         let carries_all = self.level.share >= 1.0;
         let is_alone = fleet.old.sum().out == 0 && carries_all;
         let has_lasted = now.since(self.level.since) >= CARRIES_ALL_FOR;
-        match is_alone && has_lasted || self.left(now) <= COMPLETE_BEFORE {
+        let is_due = is_alone && has_lasted || self.left(now) <= COMPLETE_BEFORE;
+        match is_due {
+            true if is_suspect(fleet) => Verdict::Failing,
             true => Verdict::Good,
             false => Verdict::Open,
         }
@@ -321,7 +323,8 @@
         let progress = self.progress(now);
         let is_proved = fleet.new.sum().answers() >= PROOF_ANSWERS || progress >= UNPROVED_FROM;
         let carries_all = self.level.share >= 1.0;
-        let may_rise = progress >= RISE_FROM && is_proved && self.fits_all(now, fleet);
+        let is_fit = is_proved && !is_suspect(fleet);
+        let may_rise = progress >= RISE_FROM && is_fit && self.fits_all(now, fleet);
         let share = match carries_all || may_rise {
             true => 1.0,
             false => self.first_share(),
@@ -329,3 +332,13 @@
         share.min(can_serve)
     }
 }
+
+/// Whether the new version tells more failures than chance explains, though too few for a proof.
+///
+/// Guards against a bad version that is completed because its time is up: a fault of a rare kind of
+/// request shows three or four times at a small share, a completed version cannot be taken back,
+/// and callers run into it until the operators act. A good one that is taken back on such a
+/// suspicion is only late.
+fn is_suspect(fleet: &Evidence) -> bool {
+    tells_failures(fleet, Needed::Suspicion)
+}
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -436,6 +436,34 @@
     assert_eq!(trial.step(at(6.0), &chance, 1.0).verdict, Verdict::Open);
 }
 
+#[test]
+fn a_version_under_suspicion_is_not_completed_because_time_is_up() {
+    // A new version fails one request of two of a rare kind. On its small share that is two to four
+    // failures of 46 answers, where the old one tells none of 900: no proof. When its time was nearly up
+    // it got everything and a quarter of a second later was completed, which nothing takes back:
+    // callers ran into its failures until the operators ordered another.
+    // Evidence: lines of three plays that went so, "decided Good" with 45 good and 3 bad; in three
+    // others the fifth failure came in time.
+    let short = RolloutOrder {
+        within: Span::from_secs(17),
+        ..order()
+    };
+    for bad in [3, 4] {
+        let seen = evidence(arm(45, bad, 1.0), arm(900, 0, 1.0));
+        let mut trial = Trial::new(Time::ZERO, short.clone(), LIMITS);
+        let _ = trial.step(at(9.0), &seen, 1.0);
+        assert_eq!(trial.step(at(15.2), &seen, 1.0).gate.share, 0.045);
+        let step = trial.step(at(15.6), &seen, 1.0);
+        assert_eq!((step.verdict, step.gate.share), (Verdict::Failing, 0.0));
+    }
+    // Two failures are no suspicion, and more of them come at once with all of the traffic.
+    let mut trial = Trial::new(Time::ZERO, short, LIMITS);
+    let two = evidence(arm(44, 2, 1.0), arm(900, 0, 1.0));
+    assert_eq!(trial.step(at(15.2), &two, 1.0).gate.share, 1.0);
+    let three = evidence(arm(45, 3, 1.0), arm(917, 0, 1.0));
+    assert_eq!(trial.step(at(15.6), &three, 1.0).verdict, Verdict::Failing);
+}
+
 #[test]
 fn chance_is_no_suspicion() {
     // Most of the exposure is used up, and the new version has had three more bad answers
