Show in the state how long ago the configuration was known to be current

What decides whether a route or key is called unknown was seen in no dump: operators who ask why a daemon says that its configuration may be out of date see it now, and on-call engineers which daemons of a fleet are behind.

--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -26,6 +26,8 @@
     stage: String,
     is_ready: bool,
     table_version: Option<u64>,
+    /// So long ago the configuration was last known to be current.
+    proven_ms: Option<u64>,
     upstreams: usize,
     /// Upstreams by service and version.
     versions: BTreeMap<String, usize>,
@@ -127,10 +129,12 @@
     let plan = world.plan();
     let gates = plan.gates.iter();
     let (now, barred) = (world.now(), world.cfg.suspects.lock().barred());
+    let proven_at = world.proven_at.get();
     let dump = Dump {
         stage: format!("{:?}", world.stage()),
         is_ready,
         table_version: plan.table.as_ref().map(|table| table.version.0),
+        proven_ms: proven_at.map(|at| now.since(at).as_millis()),
         upstreams: plan.upstreams.len(),
         versions: versions(&plan),
         unreadable_upstreams: plan.unreadable,
