Reckon what is to come in a roll-out by the present rate, not the mean alone

Cause, from the lines: everything goes to a new version once what is still to come fits the allowance. That was reckoned by the mean rate since the order, 133 a second; in its last two seconds 190 came, 361 where 252 were reckoned.

Now the higher of the mean and of the rate over the last two seconds counts; a daemon that starts takes what was sent before its first look for neither.

A reserve of a fifth in place of a tenth leaves too little time to see a version under load (five tests), so it was not taken.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -33,6 +33,8 @@
 /// Part of the bound that the count may reach: requests may come faster than before, and
 /// daemons hear of each other's counts some hundred ms late.
 const COUNTED_SHARE: f64 = 0.9;
+/// The present rate of requests is taken over so long: a shorter one is a matter of chance.
+const PACE_SPAN: Span = Span::from_secs(2);
 /// Completed when nothing runs on the old version any more, so long after the new one got
 /// everything. A version that is bad under load shows it within a second of that; completed
 /// sooner it could not be taken back.
@@ -109,6 +111,41 @@
     doubt: Doubt,
     /// The share that the new version has, and what was seen of it before.
     level: Level,
+    /// Nothing before the first look.
+    pace: Option<Pace>,
+}
+
+/// How fast requests came of late.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    since: Time,
+    sent: u32,
+    /// A second, over the last whole [`PACE_SPAN`].
+    rate: f64,
+}
+
+impl Pace {
+    /// Takes the requests sent so far. What was sent before the first look, by other daemons before
+    /// this one started, says nothing of the present.
+    fn noted(before: Option<Self>, now: Time, sent: u32) -> Self {
+        let first = Self {
+            since: now,
+            sent,
+            rate: 0.0,
+        };
+        let Some(before) = before else {
+            return first;
+        };
+        let lasted = now.since(before.since);
+        if lasted < PACE_SPAN {
+            return before;
+        }
+        let came = f64::from(sent.saturating_sub(before.sent));
+        Self {
+            rate: came / lasted.as_secs_f64(),
+            ..first
+        }
+    }
 }
 
 /// A step of the rising share.
@@ -135,6 +172,7 @@
             verdict: Verdict::Open,
             doubt: Doubt::default(),
             level: Level::default(),
+            pace: None,
         }
     }
 
@@ -203,6 +241,7 @@
         if !self.verdict.is_bad() && self.state == RolloutState::Running {
             self.verdict = self.judge(now, fleet);
         }
+        self.pace = Some(Pace::noted(self.pace, now, sent(fleet)));
         let share = self.share(now, fleet, can_serve);
         if share != self.level.share {
             self.level = Level {
@@ -294,12 +333,15 @@
     ///
     /// Guards against a version that is bad under more load than there is: it answers well
     /// and is not taken back, and at a share that rose by its good answers it got more than
-    /// twice of what operators allow a bad version.
+    /// twice of what operators allow a bad version. Nor may traffic that grows be reckoned by its mean:
+    /// what comes last, when the new version has everything, is the fastest.
     fn fits_all(&self, now: Time, fleet: &Evidence) -> bool {
         let new = f64::from(fleet.new.sum().sent);
-        let all = new + f64::from(fleet.old.sum().sent);
+        let all = f64::from(sent(fleet));
         let elapsed = self.elapsed(now).as_secs_f64().max(1.0);
-        let to_come = all / elapsed * self.left(now).as_secs_f64();
+        let present = self.pace.map_or(0.0, |pace| pace.rate);
+        let rate = (all / elapsed).max(present);
+        let to_come = rate * self.left(now).as_secs_f64();
         let allowed = self.limits.exposure * (all + to_come) + self.limits.allowance;
         new + to_come <= COUNTED_SHARE * allowed
     }
@@ -333,6 +375,11 @@
     }
 }
 
+/// Requests sent to either version.
+fn sent(fleet: &Evidence) -> u32 {
+    fleet.new.sum().sent + fleet.old.sum().sent
+}
+
 /// Whether the new version tells more failures than chance explains, though too few for a proof.
 ///
 /// Guards against a bad version that is completed because its time is up: a fault of a rare kind of
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -127,6 +127,51 @@
     }
 }
 
+/// What a version gets that shows nothing until it is completed, and what it may get: requests come at
+/// this rate after so many tenths of a second, and it gets `sends` for each that goes to it.
+fn got_and_allowed(secs: u32, rate: impl Fn(u32) -> f64, sends: f64) -> (f64, f64) {
+    let order = RolloutOrder {
+        within: Span::from_secs(u64::from(secs)),
+        ..order()
+    };
+    let mut trial = Trial::new(Time::ZERO, order, LIMITS);
+    let (mut new, mut old) = (0.0_f64, 0.0_f64);
+    let mut is_done = false;
+    for tenth in 0..secs * 10 {
+        let now = at(f64::from(tenth) / 10.0);
+        let seen = evidence(arm(new as u32, 0, 1.0), arm(old as u32, 0, 1.0));
+        let told = trial.step(now, &seen, 1.0);
+        is_done |= told.verdict == Verdict::Good;
+        let share = if is_done { 1.0 } else { told.gate.share };
+        let came = rate(tenth) / 10.0;
+        // At a small share it shows nothing.
+        let sends = if share < 1.0 { 1.0 } else { sends };
+        new += came * share * sends;
+        old += came * (1.0 - share);
+    }
+    assert!(is_done, "it is good as far as anybody knows");
+    (new, LIMITS.exposure * (new + old) + LIMITS.allowance)
+}
+
+#[test]
+fn traffic_that_grows_counts_at_its_present_rate() {
+    // A version is bad under more load than there is, and requests come faster towards the end of its
+    // roll-out. What was to come was reckoned by the mean since the order; when everything went to
+    // the new version, 361 requests came where 252 were reckoned: 436 in all, of 389 allowed.
+    let grows = |tenth| if tenth < 100 { 105.0 } else { 190.0 };
+    let (got, allowed) = got_and_allowed(17, grows, 1.0);
+    assert!(got <= allowed, "{got} of {allowed}");
+}
+
+#[test]
+fn what_a_failing_version_gets_again_is_allowed_for() {
+    // The same on a small service: once the version has everything it fails a part of it, and each
+    // failure is sent again, mostly to the same version. It got 176 requests of 163 allowed.
+    let even = |tenth| if tenth < 150 { 44.0 } else { 52.0 };
+    let (got, allowed) = got_and_allowed(18, even, 1.2);
+    assert!(got <= allowed, "{got} of {allowed}");
+}
+
 #[test]
 fn a_version_is_not_completed_while_requests_run_on_the_old_one() {
     // Once a roll-out is completed the old upstreams stop at once, so a stream that is
