Let an engine of the tests end at one moment; wait until its answer is counted

Causes, both in the tests. The engine that ends closed its connections first and its port some ms later, on a thread that waits for its turn: the next call was sent to a program that had ended, and a call that may not be repeated is then unclear, truthfully. And an answer counts for its version a moment after its caller has it: the failure shows one answer still out. Now the port closes first, and what is counted is looked at once nothing is out; what is checked stays.

--- a/components/traffic/tests/it/poison.rs
+++ b/components/traffic/tests/it/poison.rs
@@ -31,6 +31,8 @@
 struct Engine {
     seen: Seen,
     has_ended: Arc<AtomicBool>,
+    /// Nobody reaches it any more.
+    is_closed: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     /// It ends before the first byte of its answer.
     is_silent: bool,
@@ -78,6 +80,8 @@
                     Err(_) => std::thread::sleep(Duration::from_millis(1)),
                 }
             }
+            drop(listener);
+            engine.is_closed.store(true, Ordering::SeqCst);
         });
         address
     }
@@ -114,11 +118,16 @@
         }
     }
 
-    /// The program ends, and all its connections with it.
+    /// The program ends, and all its connections with it. One that broke is a sign that nobody
+    /// listens any more: as long as the port took connections, the next request could be sent
+    /// to a program that had ended.
     fn end(&self) {
         if !self.has_ended.swap(true, Ordering::SeqCst) {
             self.seen.ended.fetch_add(1, Ordering::SeqCst);
         }
+        while !self.is_closed.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
         for stream in self.open.lock().expect("unbroken").drain(..) {
             // One that is closed already is as good as shut down.
             let _ = stream.shutdown(Shutdown::Both);
@@ -221,8 +230,14 @@
     assert!(seen.ended.load(Ordering::SeqCst) >= ALLOWED);
     std::thread::sleep(Duration::from_millis(2_500));
     running.caller().ask("innocent");
-    let evidence = running.handle.seen.evidence();
-    let counts = evidence["service"].new.sum();
+    // It is counted a moment after its caller has the answer.
+    let counts = || running.handle.seen.evidence()["service"].new.sum();
+    let is_counted = |_| {
+        std::thread::sleep(Duration::from_millis(20));
+        counts().out == 0
+    };
+    assert!((0..500).any(is_counted), "{:?}", counts());
+    let counts = counts();
     assert_eq!((counts.good, counts.broken), (1, 0), "{counts:?}");
 }
 
