Read the rate limit that upstreams advertise; log and count what is sent meanwhile

First sight for the incident of an ignored rate limit; nothing is decided by it yet. Logs could not tell when a daemon was told of a limit, nor how much it sent since.

One line when a daemon first sees a limit, when it changes, and when it is lifted, with the requests sent in between; gauge limited_upstreams, counters limited_sends and invalid_rate_limits. An answer without a limit lifts it only if its request was sent after the limit was last named, since answers overtake each other; refusals of another run of a program say nothing of this one.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use poison::UpstreamRun;
+use ratelimit::{RateLimits, RunKey};
 use routes::{Upstream, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -97,7 +98,7 @@
 }
 
 /// Names a run in few bytes: what daemons have out at a former run is no load of the next.
-fn short_id(spec: &Upstream) -> u32 {
+pub(crate) fn short_id(spec: &Upstream) -> u32 {
     let started_at = spec.started_at.map_or(0, |at| at.0);
     xxh3_64_with_seed(spec.id.as_str().as_bytes(), started_at) as u32
 }
@@ -105,6 +106,7 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) spec: Arc<Upstream>,
+    pub(crate) run: RunKey,
     pub(crate) health: Health,
     pub(crate) in_flight: u32,
     /// What was sent from here and has not begun to answer.
@@ -168,6 +170,8 @@
     pub(crate) means: HashMap<Arc<str>, ServiceMeans>,
     /// How long engines read, by model.
     reading: HashMap<Arc<str>, Reading>,
+    /// Rate limits that upstreams advertise.
+    pub(crate) limits: RateLimits,
     next: u64,
     next_ticket: u64,
 }
@@ -245,6 +249,7 @@
         self.next += 1;
         let entry = Entry {
             spec: Arc::clone(spec),
+            run: RunKey(short_id(spec)),
             health: Health::default(),
             in_flight: 0,
             backlog: Backlog::default(),
@@ -294,6 +299,7 @@
         if entry.in_flight == 0 {
             entry.busy_since = now;
         }
+        self.limits.sent(entry.run);
         entry.in_flight += 1;
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.chosen();
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Choice, Ending, UpstreamIndex, Use};
+use dispatch::{Advertised, Choice, Ending, UpstreamIndex, Use};
 use http1::write::push_length;
 use http1::{
     BodyReader, Framing, Head, Kind, Wire, WireOptions, connect, read_response_head, read_whole,
@@ -165,6 +165,7 @@
             }
         };
         tracked.heard();
+        self.observe_rate_limit(choice.index, &tracked, &got.reply);
         if let Some((ending, sent)) = self.refusal(&got) {
             tracked.end(ending);
             return sent;
@@ -288,6 +289,17 @@
         (is_success && !is_own).then_some((Ending::Broken, Sent::Unclear(why)))
     }
 
+    /// Takes what an answer of this run says of its rate limit; only one that the upstream vouches
+    /// for lifts it.
+    fn observe_rate_limit(&self, index: UpstreamIndex, tracked: &Tracked<T>, reply: &Reply) {
+        let is_of_run = reply.standing != Standing::OtherRun && !reply.is_encoded;
+        let says_nothing = reply.rate_limit == Advertised::Nothing;
+        if is_of_run && (reply.is_signed || !says_nothing) {
+            let world = self.world;
+            world.observe_rate_limit(index, tracked.sent_at(), reply.rate_limit);
+        }
+    }
+
     fn encode(&self, upstream: &UpstreamId) -> Vec<u8> {
         let Kind::Request { method, target } = &self.request.head.kind else {
             return Vec::new();
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -17,6 +17,7 @@
 mod config;
 mod ends;
 mod exchange;
+mod limiting;
 mod metrics;
 mod plan;
 mod relay;
--- /dev/null
+++ b/components/traffic/src/limiting.rs
@@ -0,0 +1,40 @@
+//! Rate limits that upstreams advertise: what is logged and counted.
+
+use dispatch::{Advertised, RateLimitChange, UpstreamIndex};
+use types::prelude::*;
+
+use crate::world::World;
+
+impl<T> World<T> {
+    /// Takes what an upstream's answer says of its rate limit.
+    pub(crate) fn observe_rate_limit(&self, index: UpstreamIndex, sent_at: Time, said: Advertised) {
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        let change = upstreams.observe_rate_limit(now, index, sent_at, said);
+        if said == Advertised::Invalid {
+            self.metrics.invalid_rate_limits.inc();
+        }
+        if let Some(change) = change {
+            let spec = upstreams.spec(index);
+            log(spec.map(|spec| &spec.id), change);
+        }
+        let limited = i64::try_from(upstreams.rate_limits().len()).unwrap_or(i64::MAX);
+        self.metrics.limited_upstreams.set(limited);
+    }
+}
+
+fn log(upstream: Option<&UpstreamId>, change: RateLimitChange) {
+    let upstream = upstream.map(UpstreamId::as_str);
+    match change {
+        RateLimitChange::Named(rate) => {
+            tracing::info!(upstream, %rate, "upstreams: rate limit advertised");
+        }
+        RateLimitChange::Changed(rate) => {
+            tracing::info!(upstream, %rate, "upstreams: rate limit changed");
+        }
+        RateLimitChange::Lifted { after, sent } => {
+            let after_s = after.as_secs_f64();
+            tracing::info!(upstream, after_s, sent, "upstreams: rate limit lifted");
+        }
+    }
+}
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -61,6 +61,12 @@
     pub connects: Counter,
     /// Upstreams that ended while requests ran there.
     pub upstream_ends: Counter,
+    /// Upstreams that advertise a rate limit.
+    pub limited_upstreams: Gauge,
+    /// Requests sent to upstreams that advertise a rate limit.
+    pub limited_sends: Counter,
+    /// Answers with a rate limit that cannot be read.
+    pub invalid_rate_limits: Counter,
     /// Requests in hand.
     pub in_flight: Gauge,
     /// Contents that are barred.
@@ -85,6 +91,9 @@
             repeats: Counter::default(),
             connects: Counter::default(),
             upstream_ends: Counter::default(),
+            limited_upstreams: Gauge::default(),
+            limited_sends: Counter::default(),
+            invalid_rate_limits: Counter::default(),
             in_flight: Gauge::default(),
             barred_contents: Gauge::default(),
             unreadable: Gauge::default(),
@@ -124,6 +133,8 @@
             "Upstreams that ended while requests of this daemon ran there",
             self.upstream_ends.clone(),
         );
+        self.register_rate_limits();
+        let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
             "barred_contents",
@@ -142,6 +153,25 @@
         );
     }
 
+    fn register_rate_limits(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "limited_upstreams",
+            "Upstreams that advertise a rate limit",
+            self.limited_upstreams.clone(),
+        );
+        r.register(
+            "limited_sends",
+            "Requests sent to upstreams that advertise a rate limit",
+            self.limited_sends.clone(),
+        );
+        r.register(
+            "invalid_rate_limits",
+            "Answers with a rate limit that cannot be read",
+            self.invalid_rate_limits.clone(),
+        );
+    }
+
     /// Notes a request's end.
     pub fn ended(&self, outcome: Outcome, first_byte: Option<Span>, whole: Span) {
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -41,6 +41,9 @@
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
         let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
+        if upstreams.is_rate_limited(choice.index) {
+            world.metrics.limited_sends.inc();
+        }
         drop(upstreams);
         let arm = Arm::of(world, choice, request, !has_failed);
         let content = request.content;
@@ -103,6 +106,11 @@
         self.world.upstreams.borrow_mut().heard(now, self.index);
     }
 
+    /// When the request was sent.
+    pub(crate) fn sent_at(&self) -> Time {
+        self.sent_at
+    }
+
     /// How long the request is out.
     pub(crate) fn silent_for(&self) -> Span {
         self.world.now().since(self.sent_at)
--- a/components/traffic/src/translate.rs
+++ b/components/traffic/src/translate.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dispatch::PromptPart;
+use dispatch::{Advertised, PromptPart};
 use http1::Head;
 use routes::ApiKey;
 use types::prelude::*;
@@ -89,6 +89,8 @@
     pub standing: Standing,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
+    /// The upstream's rate limit.
+    pub rate_limit: Advertised,
     /// The body was encoded on the way and is not the upstream's.
     pub is_encoded: bool,
 }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Gate, Policy, PromptPart, RetryLimits};
+use dispatch::{Advertised, Gate, Policy, PromptPart, RetryLimits};
 use http1::Head;
 use routes::{
     ApiKey, Customer, Limits, Repeat, Route, RouteTable, Service, TableVersion, Target, Upstream,
@@ -71,11 +71,20 @@
                 _ => Standing::Ran,
             },
             confidence: head.text("sure").and_then(|sure| sure.parse().ok()),
+            rate_limit: rate_limit(head),
             is_encoded: head.get("content-encoding").is_some(),
         }
     }
 }
 
+fn rate_limit(head: &Head) -> Advertised {
+    match head.text("limit").map(str::parse) {
+        None => Advertised::Nothing,
+        Some(Ok(rate)) => Advertised::Limit(Rate(rate)),
+        Some(Err(_)) => Advertised::Invalid,
+    }
+}
+
 /// One connection at an upstream.
 pub struct Served {
     stream: TcpStream,
