Bring the incident about in four tests, listed red: a rate limit is ignored

The soak's workers can advertise a rate limit now (--limited N), named for 11 s and not for 3 s in turn, and check it themselves, as the users' rule counts: over any 4 s, from 3 s after it was first named, requests by daemons that an answer had told half a second before; daemons that were killed or stood still shortly before are excused.

--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -6,5 +6,6 @@
 mod bounds;
 mod ends;
 mod leaving;
+mod limits;
 mod poison;
 mod streams;
--- a/daemon/tests/apart.rs
+++ b/daemon/tests/apart.rs
@@ -21,6 +21,7 @@
         callers: 2,
         faults: Faults::Muted,
         has_poison: false,
+        limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         logs: None,
     });
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -15,6 +15,7 @@
         callers: 4,
         faults,
         has_poison: true,
+        limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         logs: None,
     });
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -22,6 +22,7 @@
             callers: 6,
             faults: Faults::Any,
             has_poison: false,
+            limited: 0,
             program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
             logs: None,
         });
