Keep rate limits that upstreams advertise, by the fleet as a whole

What callers saw: nothing yet; upstreams in need got two to eight times what they had named. Cause: an answer's rate limit was passed on to the caller and read by nobody.

Change: no daemon owns the figure and no request waits for a message, so the sum must hold by construction (components/ratelimit). Two daemons and one more for each request a second, drawn by rendezvous hashing, send to a limited upstream; each has a token bucket with an equal part and a burst of one; all others leave it alone. Limits travel with the heartbeat, under a version that whoever sees something new raises. A daemon that is down keeps its part for ten minutes, as long as a cut may last; one that just started has none for five seconds; when nobody hears of a limit for four seconds, one daemon after the other probes; after a minute it is forgotten. First sends, retries, larger models, resumptions and sends on a new connection all ask. What only limited upstreams may run is refused at once, with the time at which one of them takes a request again.

The field follows behind the heartbeat's first form: the release before reads its own form and passes over the rest, and is read without it.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -51,6 +51,11 @@
     Unknown,
     /// Those that it may run on were tried.
     Tried,
+    /// The rate limits of those that it may run on allow no request now.
+    Limited {
+        /// One of them does from this moment on.
+        until: Time,
+    },
 }
 
 impl NoUpstream {
@@ -60,6 +65,7 @@
         match self {
             Self::Unknown => "no upstream is listed that may run it",
             Self::Tried => "every upstream that may run it was tried",
+            Self::Limited { .. } => "every upstream that may run it is at its rate limit",
         }
     }
 }
@@ -85,10 +91,11 @@
             return Err(NoUpstream::Unknown);
         }
         let untried = permitted.iter().filter(|(i, _)| !need.exclude.contains(i));
-        let untried = untried.copied().collect::<Vec<_>>();
+        let mut untried = untried.copied().collect::<Vec<_>>();
         if untried.is_empty() {
             return Err(NoUpstream::Tried);
         }
+        self.keep_open(now, &mut untried)?;
         let sets_aside = self.policy.sets_aside;
         let is_well = |entry: &Entry| !sets_aside || !entry.health.is_aside(now);
         let well = untried.iter().filter(|(_, entry)| is_well(entry));
--- a/components/dispatch/src/limiting.rs
+++ b/components/dispatch/src/limiting.rs
@@ -1,9 +1,13 @@
 //! Rate limits that upstreams advertise in their answers.
 
-use ratelimit::{Advertised, Change, RateLimits};
+use std::sync::Arc;
+
+use ratelimit::{Admission, Advertised, Advertisement, Change, Fleet, RateLimits, RunKey};
+use routes::Upstream;
 use types::prelude::*;
 
-use crate::upstreams::{UpstreamIndex, Upstreams};
+use crate::choose::NoUpstream;
+use crate::upstreams::{Entry, UpstreamIndex, Upstreams};
 
 impl Upstreams {
     /// The rate limits known.
@@ -12,11 +16,29 @@
         &self.limits
     }
 
-    /// Whether an upstream advertises a rate limit.
+    /// An upstream's rate limit.
     #[must_use]
-    pub fn is_rate_limited(&self, index: UpstreamIndex) -> bool {
-        let entry = self.entries.get(&index);
-        entry.is_some_and(|entry| self.limits.is_limited(entry.run))
+    pub fn rate_limit(&self, index: UpstreamIndex) -> Option<Rate> {
+        self.limits.rate(self.entries.get(&index)?.run)
+    }
+
+    /// Upstreams that have a rate limit.
+    pub fn limited(&self) -> impl Iterator<Item = (String, Rate)> {
+        let rate = |entry: &Entry| self.limits.rate(entry.run);
+        let entries = self.entries.values();
+        entries.filter_map(move |entry| Some((entry.spec.id.to_string(), rate(entry)?)))
+    }
+
+    /// The upstream of a run, as it is listed.
+    #[must_use]
+    pub fn find_run(&self, run: RunKey) -> Option<&Arc<Upstream>> {
+        let entry = self.entries.values().find(|entry| entry.run == run);
+        entry.map(|entry| &entry.spec)
+    }
+
+    /// Takes the daemons that share the limits.
+    pub fn set_fleet(&mut self, now: Time, fleet: &Arc<Fleet>) {
+        self.limits.set_fleet(now, fleet);
     }
 
     /// Takes what an upstream's answer says of its rate limit.
@@ -30,4 +52,52 @@
         let run = self.entries.get(&index)?.run;
         self.limits.observe(now, run, sent_at, said)
     }
+
+    /// Takes what another daemon tells of an upstream's rate limit.
+    pub fn merge_rate_limit(&mut self, now: Time, told: &Advertisement) -> Option<Change> {
+        self.limits.merge(now, told)
+    }
+
+    /// What to tell other daemons of rate limits.
+    pub fn advertise_rate_limits(&mut self, now: Time) -> Vec<Advertisement> {
+        self.limits.advertise(now)
+    }
+
+    /// Takes one more send to an upstream, if its rate limit allows it.
+    pub fn take_send(&mut self, now: Time, index: UpstreamIndex) -> bool {
+        let Some(entry) = self.entries.get(&index) else {
+            return false;
+        };
+        let is_open = self.limits.admission(now, entry.run) == Admission::Open;
+        if is_open {
+            self.limits.take(now, entry.run);
+        }
+        is_open
+    }
+
+    /// Keeps the upstreams whose rate limits allow a request now.
+    ///
+    /// # Errors
+    /// When none does; says when one will.
+    pub(crate) fn keep_open(
+        &self,
+        now: Time,
+        candidates: &mut Vec<(UpstreamIndex, &Entry)>,
+    ) -> Result<(), NoUpstream> {
+        if self.limits.is_unused() {
+            return Ok(());
+        }
+        let mut earliest = Time::NEVER;
+        candidates.retain(|(_, entry)| match self.limits.admission(now, entry.run) {
+            Admission::Open => true,
+            Admission::Limited { until } => {
+                earliest = earliest.min(until);
+                false
+            }
+        });
+        match candidates.is_empty() {
+            true => Err(NoUpstream::Limited { until: earliest }),
+            false => Ok(()),
+        }
+    }
 }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -98,9 +98,10 @@
 }
 
 /// Names a run in few bytes: what daemons have out at a former run is no load of the next.
-pub(crate) fn short_id(spec: &Upstream) -> u32 {
-    let started_at = spec.started_at.map_or(0, |at| at.0);
-    xxh3_64_with_seed(spec.id.as_str().as_bytes(), started_at) as u32
+#[must_use]
+pub fn run_key(id: &UpstreamId, started_at: Option<WallTime>) -> RunKey {
+    let started_at = started_at.map_or(0, |at| at.0);
+    RunKey(xxh3_64_with_seed(id.as_str().as_bytes(), started_at) as u32)
 }
 
 #[derive(Debug)]
@@ -249,7 +250,7 @@
         self.next += 1;
         let entry = Entry {
             spec: Arc::clone(spec),
-            run: RunKey(short_id(spec)),
+            run: run_key(&spec.id, spec.started_at),
             health: Health::default(),
             in_flight: 0,
             backlog: Backlog::default(),
@@ -299,7 +300,7 @@
         if entry.in_flight == 0 {
             entry.busy_since = now;
         }
-        self.limits.sent(entry.run);
+        self.limits.take(now, entry.run);
         entry.in_flight += 1;
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.chosen();
@@ -373,7 +374,7 @@
     pub fn own_loads(&self, now: Time) -> Vec<SharedLoad> {
         let busy = self.entries.values().filter(|entry| entry.in_flight > 0);
         let loads = busy.map(|entry| SharedLoad {
-            upstream: short_id(&entry.spec),
+            upstream: entry.run.0,
             backlog_ms: entry.backlog.ms(now).min(f64::from(u16::MAX)) as u16,
             in_flight: u16::try_from(entry.in_flight).unwrap_or(u16::MAX),
         });
@@ -386,7 +387,7 @@
             return;
         }
         for entry in self.entries.values_mut() {
-            let load = loads.get(&short_id(&entry.spec)).copied();
+            let load = loads.get(&entry.run.0).copied();
             let (backlog_ms, in_flight) = load.unwrap_or_default();
             entry.others = OthersLoad {
                 backlog_ms,
--- /dev/null
+++ b/components/dispatch/tests/limits.rs
@@ -0,0 +1,107 @@
+//! Rate limits in the choice of an upstream.
+
+use std::sync::Arc;
+
+use dispatch::{Advertised, Ending, Need, NoUpstream, Permit, UpstreamIndex, Upstreams};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use routes::{Upstream, UpstreamState};
+use types::prelude::*;
+
+struct Setup {
+    upstreams: Upstreams,
+    rng: ChaCha8Rng,
+    service: Arc<str>,
+    near: FailureDomain,
+}
+
+fn upstream(id: usize, started_at: u64) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: UpstreamId::new(&format!("u{id}")).expect("a name"),
+        started_at: Some(WallTime(started_at)),
+        service: Arc::from("plain"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: FailureDomain::new("east").expect("a name"),
+        version: Arc::from("v1"),
+        slots: 8,
+        state: UpstreamState::Ready,
+        cold_for: Span::ZERO,
+    })
+}
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Span::from_millis(ms)
+}
+
+impl Setup {
+    fn new(count: usize) -> Self {
+        let mut upstreams = Upstreams::default();
+        upstreams.configure(&(0..count).map(|id| upstream(id, 1)).collect::<Vec<_>>());
+        Self {
+            upstreams,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            service: Arc::from("plain"),
+            near: FailureDomain::new("east").expect("a name"),
+        }
+    }
+
+    /// Sends a request; how it ends there.
+    fn send(&mut self, now: Time, ending: Ending) -> Result<UpstreamIndex, NoUpstream> {
+        let need = Need {
+            service: &self.service,
+            model: None,
+            parts: &[],
+            prompt_tokens: 0,
+            permit: &Permit::Any,
+            apart: false,
+            exclude: &[],
+            near: &self.near,
+        };
+        let choice = self.upstreams.choose(now, &need, &mut self.rng)?;
+        let ticket = self.upstreams.started(now, choice.index, &choice.load, &[]);
+        self.upstreams.ended(now, choice.index, ticket, ending);
+        Ok(choice.index)
+    }
+
+    fn observe(&mut self, now: Time, index: UpstreamIndex, said: Advertised) {
+        self.upstreams.observe_rate_limit(now, index, now, said);
+    }
+}
+
+#[test]
+fn others_take_what_a_limited_upstream_may_not_get() {
+    let mut setup = Setup::new(3);
+    let first = setup.send(at(0), Ending::Good).expect("one is listed");
+    setup.observe(at(0), first, Advertised::Limit(Rate(2.0)));
+    let sent = (1..10_000).map(|ms| setup.send(at(ms), Ending::Good).expect("others are free"));
+    let limited = sent.filter(|index| *index == first).count();
+    assert!((10..=20).contains(&limited), "{limited}");
+}
+
+#[test]
+fn a_limited_upstream_is_not_taken_for_ill() {
+    let mut setup = Setup::new(1);
+    let only = setup.send(at(0), Ending::Good).expect("one is listed");
+    setup.observe(at(0), only, Advertised::Limit(Rate(2.0)));
+    assert_eq!(
+        setup.send(at(100), Ending::Good),
+        Err(NoUpstream::Limited {
+            until: at(500) + Span::from_micros(1)
+        })
+    );
+    assert_eq!(setup.send(at(501), Ending::Good), Ok(only));
+    setup
+        .upstreams
+        .observe_rate_limit(at(700), only, at(650), Advertised::Nothing);
+    assert_eq!(setup.send(at(701), Ending::Good), Ok(only));
+}
+
+#[test]
+fn the_next_run_of_an_upstream_has_no_limit() {
+    let mut setup = Setup::new(1);
+    let only = setup.send(at(0), Ending::Good).expect("one is listed");
+    setup.observe(at(0), only, Advertised::Limit(Rate(0.5)));
+    assert!(setup.send(at(100), Ending::Good).is_err());
+    setup.upstreams.configure(&[upstream(0, 2)]);
+    assert!(setup.send(at(101), Ending::Good).is_ok());
+}
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -68,6 +68,8 @@
     pub(crate) must_plan: bool,
     pub(crate) was_ready: bool,
     pub(crate) daemons: usize,
+    /// The daemons that share upstreams' rate limits.
+    pub(crate) fleet: Arc<dispatch::Fleet>,
 }
 
 /// Who brought what is new.
@@ -391,15 +393,23 @@
         let daemons = self.peering.daemons();
         self.must_plan |= daemons != self.daemons;
         self.daemons = daemons;
+        let fleet = self.peering.fleet(now);
+        if *self.fleet != fleet {
+            self.fleet = Arc::new(fleet);
+            self.must_plan = true;
+        }
     }
 
     /// Tells the others how this daemon stands, and the event loop what is out there.
     fn share_standing(&mut self, now: Time) {
         let watches = self.watch_works(now);
         let loads = self.traffic.seen.loads();
+        let rate_limits = self.traffic.seen.rate_limits();
         let copy = self.own_copy();
-        self.peering.show_standing(now, copy, watches, loads);
+        self.peering
+            .show_standing(now, copy, watches, loads, rate_limits);
         let others = Others {
+            rate_limits: self.peering.take_rate_limits(),
             loads: self.peering.others_loads(now),
             proven_at: self.proven_at,
         };
@@ -439,6 +449,7 @@
             upstreams: self.planner.upstreams(),
             gates: self.rollouts.gates(),
             daemons: self.daemons,
+            fleet: Arc::clone(&self.fleet),
             unreadable: self.planner.unreadable(),
             is_ready,
         };
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 pub use copying::{Handing, Taken, Taking};
 pub use entry::{DaemonEntry, DaemonEntryError};
 pub use error::FleetError;
+pub use peering::shares_rate_limits;
 pub use settings::Settings;
 pub use standing::{Standing, StandingError, Standings, Vouched};
 pub use start::{Running, start};
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use dispatch::{Evidence, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad};
-use membership::{Event as MemberEvent, MemberRecord, Membership, Outcome};
+use dispatch::{
+    Advertisement, Evidence, Fleet, Gathering, PeerLoads, RolloutMessage, RolloutWord, SharedLoad,
+};
+use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, State};
 use mirror::{Answer, Question, Revision};
 use peers::{Handle, Inbound, Part, Payload};
 use poison::Words;
@@ -27,6 +29,11 @@
 const JUDGES: usize = 2;
 /// Part of the questions that go to any failure domain.
 const ASK_FAR: f64 = 0.2;
+/// A daemon that is down keeps its part of upstreams' rate limits for as long as a region may be
+/// cut off: from there it may still send.
+const CUT_LASTS: Span = Span::from_secs(600);
+/// Rate limits told by others that wait for the next tick; later ones are told again.
+const MAX_RATE_LIMITS: usize = 1_024;
 /// Daemons that came are logged one by one up to so many at a time.
 const MAX_LOGGED: usize = 4;
 
@@ -40,6 +47,8 @@
     loads: PeerLoads,
     standings: Standings,
     gathering: Gathering,
+    /// What others told of upstreams' rate limits since it was last taken.
+    rate_limits: Vec<Advertisement>,
     ticks: u32,
     /// Something is to be told before the next turn.
     must_tell: bool,
@@ -66,6 +75,16 @@
     AddUp(Words),
 }
 
+/// Whether a daemon has a part of upstreams' rate limits: it is present, or went without a word so
+/// lately that it may be behind a cut.
+#[must_use]
+pub fn shares_rate_limits(now: Time, member: &Member) -> bool {
+    match member.record.state {
+        State::Down => now.since(member.since) < CUT_LASTS,
+        state => state.is_present(),
+    }
+}
+
 impl Peering {
     pub(crate) fn new(members: Membership, handle: Handle) -> Self {
         Self {
@@ -76,6 +95,7 @@
             loads: PeerLoads::default(),
             standings: Standings::default(),
             gathering: Gathering::default(),
+            rate_limits: Vec::new(),
             ticks: 0,
             must_tell: false,
         }
@@ -165,6 +185,7 @@
                     for word in &standing.rollouts {
                         self.gathering.take_word(word);
                     }
+                    self.note_rate_limits(standing.rate_limits);
                     self.loads.take(now, from, standing.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -186,6 +207,24 @@
         Asked::Nothing
     }
 
+    fn note_rate_limits(&mut self, told: Vec<Advertisement>) {
+        let room = MAX_RATE_LIMITS.saturating_sub(self.rate_limits.len());
+        self.rate_limits.extend(told.into_iter().take(room));
+    }
+
+    /// What others told of upstreams' rate limits since this was last asked.
+    pub(crate) fn take_rate_limits(&mut self) -> Vec<Advertisement> {
+        std::mem::take(&mut self.rate_limits)
+    }
+
+    /// The daemons that share upstreams' rate limits.
+    pub(crate) fn fleet(&self, now: Time) -> Fleet {
+        let others = self.members.members();
+        let others = others.filter(|member| shares_rate_limits(now, member));
+        let others = others.map(|member| &member.record.id);
+        Fleet::new(&self.members.me().id, others)
+    }
+
     fn carry(&mut self, outcome: Outcome) {
         for envelope in outcome.send {
             self.handle
@@ -217,6 +256,7 @@
         copy: OwnCopy,
         watches: bool,
         loads: Vec<SharedLoad>,
+        rate_limits: Vec<Advertisement>,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_turn = self.ticks.is_multiple_of(TICKS_AFAR) || std::mem::take(&mut self.must_tell);
@@ -237,6 +277,7 @@
             unanswered: self.standings.unanswered(now),
             rollouts: self.gathering.words(),
             loads,
+            rate_limits,
         };
         match standing.encode() {
             Ok(body) => self.tell(now, Part::Standing, &body, word),
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -5,13 +5,16 @@
 //! So every message says who is known to watch with success, and how old that word is; a
 //! relay adds its own holding time, and no two clocks are compared.
 //!
+//! What was added to the message after its first form follows behind it, so that daemons of either
+//! form read each other: the older one passes over what it does not know, the newer one does without.
+//!
 //! A word also says which revision its daemon held, and how long before that copy was proven
 //! current: whoever holds as much knows that its own copy was current then too.
 
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use dispatch::{RolloutWord, SharedLoad};
+use dispatch::{Advertisement, RolloutWord, SharedLoad};
 use mirror::Revision;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -21,6 +24,8 @@
 
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
+/// Rate limits taken of one message at most.
+const MAX_RATE_LIMITS: usize = 64;
 /// Daemons of one kind named in one message at most: two watchers are enough, the rest is for
 /// overlaps.
 const MAX_VOUCHED: usize = 4;
@@ -58,6 +63,15 @@
     pub rollouts: Vec<RolloutWord>,
     /// What it has out.
     pub loads: Vec<SharedLoad>,
+    /// Rate limits of upstreams, as far as it knows.
+    #[serde(skip)]
+    pub rate_limits: Vec<Advertisement>,
+}
+
+/// What follows the message's first form; a new field goes to its end.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Extension {
+    rate_limits: Vec<Advertisement>,
 }
 
 /// Bytes that are no standing.
@@ -66,13 +80,30 @@
 pub struct StandingError(#[from] postcard::Error);
 
 impl Standing {
-    pub(crate) fn encode(&self) -> Result<Bytes, StandingError> {
-        Ok(postcard::to_allocvec(self)?.into())
+    /// As bytes.
+    ///
+    /// # Errors
+    /// Never for a message of this form.
+    pub fn encode(&self) -> Result<Bytes, StandingError> {
+        let mut bytes = postcard::to_allocvec(self)?;
+        let extension = Extension {
+            rate_limits: self.rate_limits.clone(),
+        };
+        bytes.extend(postcard::to_allocvec(&extension)?);
+        Ok(bytes.into())
     }
 
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, StandingError> {
-        let mut standing = postcard::from_bytes::<Self>(bytes)?;
+    /// From bytes, also of an older or newer form.
+    ///
+    /// # Errors
+    /// When its first form cannot be read.
+    pub fn decode(bytes: &[u8]) -> Result<Self, StandingError> {
+        let (mut standing, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         standing.loads.truncate(MAX_LOADS);
+        // An extension that cannot be read must not cost the message.
+        let extension = postcard::from_bytes::<Extension>(rest).unwrap_or_default();
+        standing.rate_limits = extension.rate_limits;
+        standing.rate_limits.truncate(MAX_RATE_LIMITS);
         Ok(standing)
     }
 }
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -100,6 +100,7 @@
         must_plan: false,
         was_ready: false,
         daemons: 1,
+        fleet: Arc::default(),
         settings,
         codec,
         clock,
--- /dev/null
+++ b/components/fleet/tests/it/limits.rs
@@ -0,0 +1,83 @@
+//! Which daemons share upstreams' rate limits, and how daemons of two releases tell them.
+
+use dispatch::Advertisement;
+use fleet::{Standing, shares_rate_limits};
+use membership::{Member, MemberRecord, Stamp, State};
+use mirror::Revision;
+use ratelimit::RunKey;
+use types::prelude::*;
+
+fn member(state: State, since: Time) -> Member {
+    Member {
+        record: MemberRecord {
+            id: DaemonId::new("d1").expect("a name"),
+            stamp: Stamp {
+                incarnation: Incarnation(1),
+                refutation: 0,
+            },
+            state,
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: FailureDomain::new("east").expect("a name"),
+            region: Region::new("here").expect("a name"),
+        },
+        heard_at: None,
+        since,
+        deadline: Time::NEVER,
+        knock_at: Time::NEVER,
+    }
+}
+
+#[test]
+fn a_daemon_behind_a_cut_keeps_its_part_of_rate_limits() {
+    // Both sides of a cut would take over the other's part and send twice what is allowed.
+    let now = Time::ZERO + Span::from_secs(1_000);
+    let down = |ago: u64| member(State::Down, now - Span::from_secs(ago));
+    assert!(shares_rate_limits(now, &down(0)));
+    assert!(shares_rate_limits(now, &down(300)));
+    assert!(!shares_rate_limits(now, &down(900)));
+    let of = |state| shares_rate_limits(now, &member(state, now));
+    assert!(of(State::Alive) && of(State::Suspect));
+    assert!(!of(State::Left));
+}
+
+fn standing() -> Standing {
+    Standing {
+        held: Revision(300),
+        watchers: Vec::new(),
+        unanswered: Vec::new(),
+        rollouts: Vec::new(),
+        loads: Vec::new(),
+        rate_limits: vec![Advertisement {
+            run: RunKey(5),
+            version: 2,
+            rate: Some(2.5),
+            age_ms: 40,
+        }],
+    }
+}
+
+/// The message above as the release before rate limits writes it.
+const BEFORE: [u8; 6] = [0xac, 0x02, 0, 0, 0, 0];
+
+#[test]
+fn daemons_of_the_release_before_are_read_and_read_what_they_know() {
+    let old = Standing::decode(&BEFORE).expect("its form");
+    assert_eq!(old.held, Revision(300));
+    assert!(old.rate_limits.is_empty());
+    // The older release reads its own form from the begin of the message and passes over the rest.
+    let new = standing().encode().expect("fits");
+    assert!(new.starts_with(&BEFORE));
+    assert_eq!(Standing::decode(&new).expect("its form"), standing());
+}
+
+#[test]
+fn an_extension_that_cannot_be_read_does_not_cost_the_message() {
+    let torn = |extension: &[u8]| {
+        let bytes = [&BEFORE[..], extension].concat();
+        Standing::decode(&bytes).expect("its first form").held
+    };
+    assert_eq!(torn(&[9, 1, 2]), Revision(300));
+    assert_eq!(torn(&[0xff; 64]), Revision(300));
+    let longer = [standing().encode().expect("fits").as_ref(), &[7, 7, 7]].concat();
+    assert_eq!(Standing::decode(&longer).expect("its form"), standing());
+}
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod copying;
 mod fleet;
 mod harness;
+mod limits;
 mod standings;
 mod turns;
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -17,6 +17,7 @@
         unanswered: Vec::new(),
         rollouts: Vec::new(),
         loads: Vec::new(),
+        rate_limits: Vec::new(),
     }
 }
 
--- a/components/ratelimit/src/advertised.rs
+++ b/components/ratelimit/src/advertised.rs
@@ -1,4 +1,4 @@
-//! What an answer says of its upstream's rate limit, and what follows.
+//! What an answer says of its upstream's rate limit, and what daemons tell each other of it.
 
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -19,7 +19,7 @@
     Invalid,
 }
 
-/// What an answer changed.
+/// What became of a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
     /// A limit where there was none.
@@ -34,3 +34,30 @@
         sent: u64,
     },
 }
+
+/// An upstream's limit as daemons tell it each other.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Advertisement {
+    /// Whose.
+    pub run: RunKey,
+    /// Raised by each change; the highest one holds.
+    pub version: u32,
+    /// Requests a second; none for a limit that was lifted.
+    pub rate: Option<f32>,
+    /// How long ago an answer said so.
+    pub age_ms: u16,
+}
+
+impl Advertisement {
+    /// The limit, if it is a proper one.
+    pub(crate) fn rate(&self) -> Option<Rate> {
+        let rate = self.rate.map(f64::from);
+        rate.filter(|rate| rate.is_finite() && *rate > 0.0)
+            .map(Rate)
+    }
+
+    /// Whether a peer may say this at all.
+    pub(crate) fn is_proper(&self) -> bool {
+        self.rate.is_none() || self.rate().is_some()
+    }
+}
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -228,7 +228,7 @@
         tracked: &Tracked<T>,
         why: &'static str,
     ) -> Result<(Wire, Got), Failure> {
-        if self.is_barred() || !self.may_send_anew() {
+        if self.is_barred() || !self.may_send_anew(index) {
             return Err(Failure::Broken(why));
         }
         let Ok(wire) = self.open(index, spec).await else {
@@ -247,9 +247,13 @@
         self.world.pool.borrow_mut().take(self.world.now(), index)
     }
 
-    fn may_send_anew(&self) -> bool {
-        let service = self.request.route.repeat.is_allowed();
-        service && self.world.take_repeat(self.service, Use::Failure)
+    fn may_send_anew(&self, index: UpstreamIndex) -> bool {
+        if !self.request.route.repeat.is_allowed() {
+            return false;
+        }
+        let now = self.world.now();
+        let is_open = self.world.upstreams.borrow_mut().take_send(now, index);
+        is_open && self.world.take_repeat(self.service, Use::Failure)
     }
 
     async fn open(&self, index: UpstreamIndex, spec: &Upstream) -> Result<Wire, Failure> {
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Cascade, Ending, Load, UpstreamIndex, Use};
+use dispatch::{Cascade, Ending, Load, NoUpstream, UpstreamIndex, Use};
 use http1::{Head, Wire};
 use poison::Content;
 use routes::{Customer, Route, RouteTable};
@@ -55,6 +55,8 @@
     Elsewhere,
     /// The outcome is unknown and it must not be repeated.
     Stuck(&'static str),
+    /// No upstream may be sent it.
+    Nowhere(NoUpstream),
 }
 
 /// One request on its way.
@@ -147,6 +149,7 @@
             let may_go_on = match next {
                 Next::Finished(finish) => return finish,
                 Next::Stuck(why) => return self.give_up(why).await,
+                Next::Nowhere(no) => return self.refuse(no).await,
                 // What is barred meanwhile takes no repeat.
                 Next::Again(what) => self.is_barred() || self.may_send_again(what),
                 Next::Elsewhere => self.unreachable < MAX_UNREACHABLE,
@@ -157,8 +160,26 @@
         }
     }
 
-    /// The last word: what is true of everything that was tried.
+    /// Gives up a request that no upstream may be sent; says when one may.
+    async fn refuse(&mut self, no: NoUpstream) -> Finish {
+        let now = self.world.now();
+        let wait = match no {
+            NoUpstream::Limited { until } => {
+                self.world.metrics.limited_requests.inc();
+                now.until(until)
+            }
+            NoUpstream::Unknown | NoUpstream::Tried => Span::ZERO,
+        };
+        self.give_up_for(no.reason(), wait).await
+    }
+
     async fn give_up(&mut self, why: &'static str) -> Finish {
+        self.give_up_for(why, Span::ZERO).await
+    }
+
+    /// The last word: what is true of everything that was tried. It is not worth coming back before
+    /// `wait` is over.
+    async fn give_up_for(&mut self, why: &'static str, wait: Span) -> Finish {
         if self.relay.has_begun() {
             return Finish::cut(why);
         }
@@ -168,7 +189,7 @@
         if self.runs > 0 {
             return self.own(Own::Unclear, why).await;
         }
-        let retry_after = spread(BUSY_RETRY, &mut *self.world.rng.borrow_mut());
+        let retry_after = spread(wait.max(BUSY_RETRY), &mut *self.world.rng.borrow_mut());
         self.own(Own::NotRun { retry_after }, why).await
     }
 
@@ -190,7 +211,7 @@
         let model = self.model_name().cloned();
         let choice = match self.choose(model.as_ref(), &self.tried) {
             Ok(choice) => choice,
-            Err(no) => return Next::Stuck(no.reason()),
+            Err(no) => return Next::Nowhere(no),
         };
         if self.sends + self.unreachable > 0 {
             self.log("requests: sent again", choice.index);
--- a/components/traffic/src/limiting.rs
+++ b/components/traffic/src/limiting.rs
@@ -1,6 +1,6 @@
-//! Rate limits that upstreams advertise: what is logged and counted.
+//! Rate limits that upstreams advertise: what is learnt, told, logged and counted.
 
-use dispatch::{Advertised, RateLimitChange, UpstreamIndex};
+use dispatch::{Advertised, Advertisement, RateLimitChange, UpstreamIndex};
 use types::prelude::*;
 
 use crate::world::World;
@@ -16,25 +16,50 @@
         }
         if let Some(change) = change {
             let spec = upstreams.spec(index);
-            log(spec.map(|spec| &spec.id), change);
+            log(spec.map(|spec| &spec.id), "answer", change);
         }
+    }
+
+    /// Takes what other daemons tell of rate limits.
+    pub(crate) fn merge_rate_limits(&self, told: &[Advertisement]) {
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        for told in told {
+            if let Some(change) = upstreams.merge_rate_limit(now, told) {
+                let spec = upstreams.find_run(told.run);
+                log(spec.map(|spec| &spec.id), "peer", change);
+            }
+        }
+    }
+
+    /// Shows the control thread what to tell other daemons of rate limits.
+    pub(crate) fn show_rate_limits(&self) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        self.seen
+            .set_rate_limits(upstreams.advertise_rate_limits(self.now()));
         let limited = i64::try_from(upstreams.rate_limits().len()).unwrap_or(i64::MAX);
         self.metrics.limited_upstreams.set(limited);
     }
 }
 
-fn log(upstream: Option<&UpstreamId>, change: RateLimitChange) {
+fn log(upstream: Option<&UpstreamId>, source: &'static str, change: RateLimitChange) {
     let upstream = upstream.map(UpstreamId::as_str);
     match change {
         RateLimitChange::Named(rate) => {
-            tracing::info!(upstream, %rate, "upstreams: rate limit advertised");
+            tracing::info!(upstream, %rate, source, "upstreams: rate limit advertised");
         }
         RateLimitChange::Changed(rate) => {
-            tracing::info!(upstream, %rate, "upstreams: rate limit changed");
+            tracing::debug!(upstream, %rate, source, "upstreams: rate limit changed");
         }
         RateLimitChange::Lifted { after, sent } => {
             let after_s = after.as_secs_f64();
-            tracing::info!(upstream, after_s, sent, "upstreams: rate limit lifted");
+            tracing::info!(
+                upstream,
+                after_s,
+                sent,
+                source,
+                "upstreams: rate limit lifted"
+            );
         }
     }
 }
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -65,6 +65,8 @@
     pub limited_upstreams: Gauge,
     /// Requests sent to upstreams that advertise a rate limit.
     pub limited_sends: Counter,
+    /// Requests refused since every upstream for them was at its rate limit.
+    pub limited_requests: Counter,
     /// Answers with a rate limit that cannot be read.
     pub invalid_rate_limits: Counter,
     /// Requests in hand.
@@ -93,6 +95,7 @@
             upstream_ends: Counter::default(),
             limited_upstreams: Gauge::default(),
             limited_sends: Counter::default(),
+            limited_requests: Counter::default(),
             invalid_rate_limits: Counter::default(),
             in_flight: Gauge::default(),
             barred_contents: Gauge::default(),
@@ -165,6 +168,11 @@
             "Requests sent to upstreams that advertise a rate limit",
             self.limited_sends.clone(),
         );
+        r.register(
+            "limited_requests",
+            "Requests refused since every upstream for them was at its rate limit",
+            self.limited_requests.clone(),
+        );
         r.register(
             "invalid_rate_limits",
             "Answers with a rate limit that cannot be read",
--- a/components/traffic/src/plan.rs
+++ b/components/traffic/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dispatch::Gate;
+use dispatch::{Fleet, Gate};
 use routes::{RouteTable, Upstream};
 
 /// What the control thread knows, as one value.
@@ -16,6 +16,8 @@
     pub gates: Vec<Gate>,
     /// Daemons of the fleet.
     pub daemons: usize,
+    /// Those that share upstreams' rate limits.
+    pub fleet: Arc<Fleet>,
     /// Entries of upstreams that cannot be read.
     pub unreadable: usize,
     /// Whether enough is known to serve.
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{LastSeen, Upstreams};
+use dispatch::{Advertisement, LastSeen, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamRun};
 use rand::SeedableRng;
@@ -52,6 +52,8 @@
     pub loads: HashMap<u32, (f64, u32)>,
     /// When the configuration held here was last known to be current.
     pub proven_at: Option<Time>,
+    /// Rate limits of upstreams.
+    pub rate_limits: Vec<Advertisement>,
 }
 
 /// What the event loop is told.
@@ -230,6 +232,7 @@
         Command::Others(others) => {
             world.upstreams.borrow_mut().set_others(&others.loads);
             world.proven_at.set(others.proven_at);
+            world.merge_rate_limits(&others.rate_limits);
         }
         Command::Ended(runs) => runs.iter().for_each(|run| world.told_ended(run)),
         Command::Stop => {}
@@ -301,6 +304,7 @@
         tokio::time::sleep(SHOW).await;
         let loads = world.upstreams.borrow().own_loads(world.now());
         world.seen.set_loads(loads);
+        world.show_rate_limits();
         world.count_breaks();
     }
 }
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -39,6 +39,8 @@
     held_bytes: u64,
     kept_connections: usize,
     sessions: usize,
+    /// Rate limits that upstreams advertise, by upstream.
+    rate_limits: BTreeMap<String, Rate>,
     barred_contents: usize,
     barred: Vec<BarredContent>,
 }
@@ -147,6 +149,7 @@
         held_bytes: world.held.get(),
         kept_connections: world.pool.borrow().len(),
         sessions: world.pins.borrow().len(),
+        rate_limits: world.upstreams.borrow().limited().collect(),
         barred_contents: barred.len(),
         barred: barred
             .into_iter()
--- a/components/traffic/src/tracked.rs
+++ b/components/traffic/src/tracked.rs
@@ -41,7 +41,7 @@
         let now = world.now();
         let mut upstreams = world.upstreams.borrow_mut();
         let ticket = upstreams.started(now, choice.index, &choice.load, &choice.prefixes);
-        if upstreams.is_rate_limited(choice.index) {
+        if upstreams.rate_limit(choice.index).is_some() {
             world.metrics.limited_sends.inc();
         }
         drop(upstreams);
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Evidence, Gate, LastSeen, Pins, RetryBudget, SharedLoad, UpstreamIndex, Upstreams, Use,
+    Advertisement, Evidence, Gate, LastSeen, Pins, RetryBudget, SharedLoad, UpstreamIndex,
+    Upstreams, Use,
 };
 use http1::Pool;
 use poison::{Admission, Content, Runs};
@@ -39,6 +40,7 @@
     evidence: BTreeMap<Arc<str>, Evidence>,
     staying: BTreeMap<u64, BTreeSet<u32>>,
     loads: Vec<SharedLoad>,
+    rate_limits: Vec<Advertisement>,
 }
 
 /// What the event loop shows the control thread: evidence on roll-outs and its loads.
@@ -77,6 +79,16 @@
         self.lock().loads.clone()
     }
 
+    /// Rate limits of upstreams, as other daemons are to be told.
+    #[must_use]
+    pub fn rate_limits(&self) -> Vec<Advertisement> {
+        self.lock().rate_limits.clone()
+    }
+
+    pub(crate) fn set_rate_limits(&self, rate_limits: Vec<Advertisement>) {
+        self.lock().rate_limits = rate_limits;
+    }
+
     pub(crate) fn set_loads(&self, loads: Vec<SharedLoad>) {
         self.lock().loads = loads;
     }
@@ -148,7 +160,11 @@
 
     /// Takes what the control thread knows.
     pub(crate) fn set_plan(&self, plan: Arc<Plan>) {
-        let gone = self.upstreams.borrow_mut().configure(&plan.upstreams);
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        let gone = upstreams.configure(&plan.upstreams);
+        upstreams.set_fleet(now, &plan.fleet);
+        drop(upstreams);
         for gone in gone {
             self.gone_from_list(gone);
         }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -18,7 +18,7 @@
 use types::prelude::*;
 
 /// A caller or upstream that waits longer has failed.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Names on the wire of these tests.
 pub struct Names;
@@ -340,6 +340,22 @@
         told.expect("the loop runs");
     }
 
+    /// A peer tells that an upstream advertises a rate limit.
+    pub fn told_limit(&self, id: &str, rate: f32) {
+        let others = traffic::Others {
+            proven_at: Some(Time::NEVER),
+            rate_limits: vec![dispatch::Advertisement {
+                run: dispatch::run_key(&UpstreamId::new(id).expect("a name"), None),
+                version: 1,
+                rate: Some(rate),
+                age_ms: 0,
+            }],
+            ..traffic::Others::default()
+        };
+        let told = self.handle.commands.send(Command::Others(others));
+        told.expect("the loop runs");
+    }
+
     /// Hands over a plan.
     pub fn plan(&self, repeat: Repeat, upstreams: &[SocketAddr], gates: Vec<Gate>) {
         let listed = upstreams.iter().enumerate();
@@ -354,6 +370,7 @@
             upstreams,
             gates,
             daemons: 1,
+            fleet: Arc::default(),
             unreadable: 0,
             is_ready: true,
         };
