Leave an upstream alone that refused a request and says for how long

Found while looking for the class of the ignored rate limit elsewhere: what an upstream says of itself in an answer and nobody reads. It is a wish of one upstream to one daemon, no promise of the fleet: bounded at five seconds, and ignored when there is no other upstream.

Looked at besides: Connection: close and Keep-Alive are heeded by the pool; the limit of connections of a service is read and used by nobody, though an upstream resets what is beyond it, which counts as unreachable for half a second.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -97,7 +97,10 @@
         }
         self.keep_open(now, &mut untried)?;
         let sets_aside = self.policy.sets_aside;
-        let is_well = |entry: &Entry| !sets_aside || !entry.health.is_aside(now);
+        let is_well = |entry: &Entry| {
+            let is_free = now.has_reached(entry.busy_until);
+            is_free && (!sets_aside || !entry.health.is_aside(now))
+        };
         let well = untried.iter().filter(|(_, entry)| is_well(entry));
         let well = well.copied().collect::<Vec<_>>();
         let mut eligible = if well.is_empty() { untried } else { well };
--- a/components/dispatch/src/limiting.rs
+++ b/components/dispatch/src/limiting.rs
@@ -9,6 +9,10 @@
 use crate::choose::NoUpstream;
 use crate::upstreams::{Entry, UpstreamIndex, Upstreams};
 
+/// An upstream that refuses is asked again after this at the latest, whatever it wishes: others'
+/// requests end, and it may have room sooner than it thought.
+const LONGEST_BUSY: Span = Span::from_secs(5);
+
 impl Upstreams {
     /// The rate limits known.
     #[must_use]
@@ -75,6 +79,13 @@
         is_open
     }
 
+    /// Takes an upstream's wish to get nothing before a moment.
+    pub fn leave_alone(&mut self, now: Time, index: UpstreamIndex, until: Time) {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.busy_until = until.min(now + LONGEST_BUSY);
+        }
+    }
+
     /// Keeps the upstreams whose rate limits allow a request now.
     ///
     /// # Errors
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -120,6 +120,8 @@
     busy_since: Time,
     /// Prefixes that were sent there, by a hash of model and parts, and when.
     pub(crate) prefixes: HashMap<u64, Time>,
+    /// It refused a request and wants none before this.
+    pub(crate) busy_until: Time,
     /// Not to be chosen any more: draining or gone, or it said so itself.
     pub(crate) is_leaving: bool,
     /// Another run of a program has its address: this one is over, whatever the list says.
@@ -258,6 +260,7 @@
             heard_at: Time::ZERO,
             busy_since: Time::ZERO,
             prefixes: HashMap::new(),
+            busy_until: Time::ZERO,
             is_leaving: is_draining,
             is_replaced: false,
             is_listed: true,
--- a/components/dispatch/tests/limits.rs
+++ b/components/dispatch/tests/limits.rs
@@ -105,3 +105,16 @@
     setup.upstreams.configure(&[upstream(0, 2)]);
     assert!(setup.send(at(101), Ending::Good).is_ok());
 }
+
+#[test]
+fn an_upstream_that_refused_is_asked_when_there_is_no_other() {
+    let mut setup = Setup::new(1);
+    let only = setup.send(at(0), Ending::Refused).expect("one is listed");
+    setup.upstreams.leave_alone(at(0), only, at(60_000));
+    assert_eq!(setup.send(at(10), Ending::Good), Ok(only));
+    let mut setup = Setup::new(2);
+    let first = setup.send(at(0), Ending::Refused).expect("one is listed");
+    setup.upstreams.leave_alone(at(0), first, at(60_000));
+    assert!((1..4_999).all(|ms| setup.send(at(ms), Ending::Good) != Ok(first)));
+    assert!((5_000..6_000).any(|ms| setup.send(at(ms), Ending::Good) == Ok(first)));
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -314,6 +314,7 @@
             is_signed: false,
             standing: Standing::Ran,
             confidence: None,
+            retry_after: None,
             rate_limit: dispatch::Advertised::Nothing,
             is_encoded: false,
         }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -166,7 +166,7 @@
         };
         tracked.heard();
         self.observe_rate_limit(choice.index, &tracked, &got.reply);
-        if let Some((ending, sent)) = self.refusal(&got) {
+        if let Some((ending, sent)) = self.refusal(choice.index, &got) {
             tracked.end(ending);
             return sent;
         }
@@ -281,9 +281,14 @@
     }
 
     /// Why an answer is none, if it is.
-    fn refusal(&self, got: &Got) -> Option<(Ending, Sent<T>)> {
+    fn refusal(&self, index: UpstreamIndex, got: &Got) -> Option<(Ending, Sent<T>)> {
         match got.reply.standing {
-            Standing::NotRun => return Some((Ending::Refused, Sent::NotRun("refused"))),
+            Standing::NotRun => {
+                if let Some(wait) = got.reply.retry_after {
+                    self.world.leave_alone(index, wait);
+                }
+                return Some((Ending::Refused, Sent::NotRun("refused")));
+            }
             Standing::OtherRun => return Some((Ending::Replaced, Sent::NotRun("replaced"))),
             Standing::Ran => {}
         }
--- a/components/traffic/src/limiting.rs
+++ b/components/traffic/src/limiting.rs
@@ -20,6 +20,13 @@
         }
     }
 
+    /// An upstream that refused a request wants to be left alone for a while.
+    pub(crate) fn leave_alone(&self, index: UpstreamIndex, wait: Span) {
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        upstreams.leave_alone(now, index, now + wait);
+    }
+
     /// Takes what other daemons tell of rate limits.
     pub(crate) fn merge_rate_limits(&self, told: &[Advertisement]) {
         let now = self.now();
--- a/components/traffic/src/translate.rs
+++ b/components/traffic/src/translate.rs
@@ -91,6 +91,8 @@
     pub confidence: Option<u8>,
     /// The upstream's rate limit.
     pub rate_limit: Advertised,
+    /// When the upstream wants to be asked again, of an answer that says it did not run.
+    pub retry_after: Option<Span>,
     /// The body was encoded on the way and is not the upstream's.
     pub is_encoded: bool,
 }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -72,6 +72,10 @@
             },
             confidence: head.text("sure").and_then(|sure| sure.parse().ok()),
             rate_limit: rate_limit(head),
+            retry_after: head
+                .text("again")
+                .and_then(|ms| ms.parse().ok())
+                .map(Span::from_millis),
             is_encoded: head.get("content-encoding").is_some(),
         }
     }
--- a/components/traffic/tests/it/limits.rs
+++ b/components/traffic/tests/it/limits.rs
@@ -152,3 +152,29 @@
     }
     assert_eq!(got.load(Ordering::SeqCst), 2);
 }
+
+#[test]
+fn an_upstream_that_refused_is_left_alone_for_as_long_as_it_says() {
+    let got = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&got);
+    let busy = upstream(move |served| {
+        while let Some(request) = served.request() {
+            count.fetch_add(1, Ordering::SeqCst);
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 503 -\r\nid: {id}\r\nagain: 4000\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+    });
+    let free = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving(Repeat::Any, &[busy, free]);
+    let mut caller = running.caller();
+    for n in 0..60 {
+        assert_eq!(status_of(&caller.ask(&format!("r{n}"))), 200);
+    }
+    assert_eq!(got.load(Ordering::SeqCst), 1);
+}
