Count a proof that a copy is current from when it was asked for

Change: the client says as of when an answer is true: when it was asked for, or, of one without changes, when its wait was over; that moment is the proof's. Ruled out: that watchers' word counts as newer than it is; it is dated by its speaker's clock.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -164,11 +164,16 @@
                 let changes = self.mirror.take_listing(listing);
                 self.changed(now, &changes, Source::Store);
             }
-            Event::Changed { after, at, changes } => {
+            Event::Changed {
+                after,
+                at,
+                changes,
+                current_at,
+            } => {
                 let answer = Answer::Changes { after, at, changes };
                 self.take_mirror(now, answer, Source::Store);
                 if self.mirror.at() >= at {
-                    self.proven_at = Some(now);
+                    self.proven_at = self.proven_at.max(Some(current_at));
                 }
             }
             Event::StoreHealth(health) => self.take_health(now, health),
--- a/components/fleet/src/event.rs
+++ b/components/fleet/src/event.rs
@@ -3,6 +3,7 @@
 use keyvalue::Outcome;
 use mirror::{Change, Listing, Revision};
 use peers::Inbound;
+use types::prelude::*;
 
 /// Why a call of the store was made.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +30,8 @@
         after: Revision,
         at: Revision,
         changes: Vec<Change>,
+        /// The store had nothing newer then.
+        current_at: Time,
     },
     /// The watch works, or why it does not.
     StoreHealth(Result<(), String>),
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -73,6 +73,7 @@
         store: Arc::clone(&store),
         progress: Arc::clone(&progress),
         events: events.clone(),
+        clock,
     };
     spawn("watch", move || watcher.run())?;
     let calls = spawn_calls(store, events.clone())?;
--- a/components/fleet/src/watching.rs
+++ b/components/fleet/src/watching.rs
@@ -130,6 +130,7 @@
     pub(crate) progress: Arc<Progress>,
     pub(crate) modes: flume::Receiver<Mode>,
     pub(crate) events: flume::Sender<Event>,
+    pub(crate) clock: Clock,
 }
 
 impl Watcher {
@@ -300,7 +301,13 @@
                 return false;
             }
             // One without changes says that the copy is current.
-            let event = Event::Changed { after, at, changes };
+            let current_at = self.clock.now() - Span::from(batch.current_at.elapsed());
+            let event = Event::Changed {
+                after,
+                at,
+                changes,
+                current_at,
+            };
             if self.events.send(event).is_err() {
                 return false;
             }
--- a/components/fleet/tests/it/fleet.rs
+++ b/components/fleet/tests/it/fleet.rs
@@ -265,3 +265,19 @@
         "a slow store needs longer: {told:?}"
     );
 }
+
+#[test]
+fn an_answer_that_was_held_up_does_not_prove_a_copy_current() {
+    // It lay seconds before a busy host read it; a route added meanwhile was called unknown.
+    let memory = Memory::default();
+    memory.set("table", Some("1"));
+    let way = Way::to(&memory);
+    way.held_up_ms.store(2_500, Ordering::SeqCst);
+    let daemon = daemon(0, way);
+    let proven_ms = || daemon.state("proven_ms").as_u64();
+    until("it is as old as its answers", || proven_ms() >= Some(2_500));
+    for _ in 0..20 {
+        assert!(proven_ms() >= Some(2_500), "{:?}", proven_ms());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -95,6 +95,8 @@
     pub whole_reads: Arc<AtomicUsize>,
     /// Keys that were read.
     pub keys_read: Arc<AtomicUsize>,
+    /// Answers to watches are held up for so many ms.
+    pub held_up_ms: Arc<AtomicUsize>,
     /// How long each reading was to be waited for.
     pub patience: Arc<Mutex<Vec<Span>>>,
 }
@@ -108,6 +110,10 @@
         }
     }
 
+    fn held_up(&self) -> Duration {
+        Duration::from_millis(self.held_up_ms.load(Ordering::SeqCst) as u64)
+    }
+
     fn check(&self) -> Result<(), CallError> {
         match self.is_cut.load(Ordering::SeqCst) {
             true => Err(CallError::Unknown("cut".to_owned())),
@@ -188,6 +194,7 @@
             let batch = WatchBatch {
                 revision: ModRevision(keys.revision),
                 events: events.cloned().collect(),
+                current_at: Instant::now() - self.held_up(),
             };
             from = ModRevision(keys.revision + 1);
             drop(keys);
--- a/components/store/src/etcd/decode.rs
+++ b/components/store/src/etcd/decode.rs
@@ -1,5 +1,7 @@
 //! Replies and errors from the gateway's JSON.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use keyvalue::{
     Answer, CallError, KeyValue, LeaseId, ModRevision, OpReply, Outcome, Reply, Request, TxnReply,
@@ -57,6 +59,7 @@
     Ok(WatchBatch {
         revision,
         events: events.collect::<Result<_, _>>()?,
+        current_at: Instant::now(),
     })
 }
 
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -9,6 +9,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 use keyvalue::{ModRevision, Outcome, Range, Request, WatchEvent};
 use types::prelude::*;
@@ -58,6 +59,9 @@
     pub revision: ModRevision,
     /// The changes, oldest first; none when the service only says how far it is.
     pub events: Vec<WatchEvent>,
+    /// Nothing is missing as of this moment. Where the service is asked that is when it was, since the
+    /// answer may have been held up; where it streams, when the changes were read.
+    pub current_at: Instant,
 }
 
 /// Why a watch ended. Unless stopped, the caller begins anew after its last revision.
