Date what peers tell by when it was sent

Logs of all 82 daemons until 18 s show it: version 17, acknowledged at 13.2 s when a cut of a third of the fleet healed, came to the last daemon at 17.16 s, and that one looked at the store only then, so it took its copy for proven some 1.9 s after the truth. No daemon was slow in taking it: the median had it 1.2 s after the first. Cause: a message behind a cut waits in TCP for seconds and arrives with the age it had when it was sent; a watcher named in it that was never heard of before has no earlier word to date it by. Change: a heartbeat says when it was sent by its sender's clock. What came later than the promptest message of the last ten seconds was under way for as long; a first message proves nothing until another one comes a second later. Like rate limits it follows behind the message's first form.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod standing;
 mod start;
+mod transit;
 mod turns;
 mod watching;
 
@@ -38,5 +39,6 @@
 pub use settings::Settings;
 pub use standing::{Standing, StandingError, Standings, Vouched};
 pub use start::{Running, start};
+pub use transit::SentAt;
 pub use turns::{Around, Turns};
 pub use watching::Mode;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -17,6 +17,7 @@
 
 use crate::audience::{self, Audience, Peer, Word};
 use crate::standing::{Standing, Standings, Vouched, watch_rank};
+use crate::transit::SentAt;
 
 /// In a small fleet word is fresh for this long: three messages are missing then.
 const FRESH_IN_SMALL: Span = Span::from_millis(700);
@@ -278,6 +279,7 @@
             rollouts: self.gathering.words(),
             loads,
             rate_limits,
+            sent_at: Some(self.sent_at(now)),
         };
         match standing.encode() {
             Ok(body) => self.tell(now, Part::Standing, &body, word),
@@ -285,15 +287,22 @@
         }
     }
 
+    fn sent_at(&self, now: Time) -> SentAt {
+        SentAt {
+            run: self.members.me().stamp.incarnation,
+            clock_ms: now.since(Time::ZERO).as_millis(),
+        }
+    }
+
     /// What this daemon says of itself and the store.
     fn own_word(&self, now: Time, copy: OwnCopy) -> Vouched {
-        let me = self.members.me();
         let proven_ms = copy.proven_at.map(|at| now.since(at).as_millis());
+        let SentAt { run, clock_ms } = self.sent_at(now);
         Vouched {
-            daemon: me.id.clone(),
+            daemon: self.members.me().id.clone(),
             age_ms: 0,
-            run: me.stamp.incarnation,
-            clock_ms: now.since(Time::ZERO).as_millis(),
+            run,
+            clock_ms,
             held: copy.held,
             proven_ms: proven_ms.and_then(|ms| u16::try_from(ms).ok()),
         }
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clocks::Clocks;
+use crate::transit::{SentAt, Transit};
 
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
@@ -66,12 +67,16 @@
     /// Rate limits of upstreams, as far as it knows.
     #[serde(skip)]
     pub rate_limits: Vec<Advertisement>,
+    /// When it was sent; nothing from a release that does not say so.
+    #[serde(skip)]
+    pub sent_at: Option<SentAt>,
 }
 
 /// What follows the message's first form; a new field goes to its end.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Extension {
     rate_limits: Vec<Advertisement>,
+    sent_at: Option<SentAt>,
 }
 
 /// Bytes that are no standing.
@@ -88,6 +93,7 @@
         let mut bytes = postcard::to_allocvec(self)?;
         let extension = Extension {
             rate_limits: self.rate_limits.clone(),
+            sent_at: self.sent_at,
         };
         bytes.extend(postcard::to_allocvec(&extension)?);
         Ok(bytes.into())
@@ -102,6 +108,7 @@
         standing.loads.truncate(MAX_LOADS);
         // An extension that cannot be read must not cost the message.
         let extension = postcard::from_bytes::<Extension>(rest).unwrap_or_default();
+        standing.sent_at = extension.sent_at;
         standing.rate_limits = extension.rate_limits;
         standing.rate_limits.truncate(MAX_RATE_LIMITS);
         Ok(standing)
@@ -138,6 +145,7 @@
     /// What each daemon last said that the store does not answer.
     unanswered: HashMap<DaemonId, Said>,
     clocks: Clocks,
+    transit: Transit,
 }
 
 impl Standings {
@@ -148,18 +156,14 @@
             held: standing.held,
         };
         self.heard.insert(daemon.clone(), heard);
-        take_word(
-            now,
-            &mut self.clocks,
-            &mut self.watchers,
-            &standing.watchers,
-        );
-        take_word(
-            now,
-            &mut self.clocks,
-            &mut self.unanswered,
-            &standing.unanswered,
-        );
+        let delay = match standing.sent_at {
+            Some(sent_at) => self.transit.delay(now, daemon, sent_at),
+            None => Some(Span::ZERO),
+        };
+        let clocks = &mut self.clocks;
+        take_word(now, delay, clocks, &mut self.watchers, &standing.watchers);
+        let unanswered = &standing.unanswered;
+        take_word(now, delay, clocks, &mut self.unanswered, unanswered);
         self.settle();
     }
 
@@ -218,6 +222,7 @@
             said.retain(|_, said| now.since(said.at) < fresh);
         }
         self.clocks.expire(now);
+        self.transit.expire(now);
     }
 
     /// Who watches with success, the latest word first.
@@ -261,11 +266,23 @@
     }
 }
 
-/// Takes what a message says of others, with its age.
-fn take_word(now: Time, clocks: &mut Clocks, said: &mut HashMap<DaemonId, Said>, word: &[Vouched]) {
+/// Takes what a message says of others, with its age. `delay` is how long it was under way; where
+/// that cannot be told it proves no copy current.
+fn take_word(
+    now: Time,
+    delay: Option<Span>,
+    clocks: &mut Clocks,
+    said: &mut HashMap<DaemonId, Said>,
+    word: &[Vouched],
+) {
+    let sent_at = now - delay.unwrap_or_default();
     for word in word.iter().take(MAX_VOUCHED) {
-        if let Some(at) = clocks.said_at(now, word) {
-            let word = word.clone();
+        if let Some(at) = clocks.said_at(sent_at, word) {
+            let proven_ms = word.proven_ms.filter(|_| delay.is_some());
+            let word = Vouched {
+                proven_ms,
+                ..word.clone()
+            };
             said.insert(word.daemon.clone(), Said { at, word });
         }
     }
--- a/components/fleet/tests/it/limits.rs
+++ b/components/fleet/tests/it/limits.rs
@@ -1,7 +1,7 @@
 //! Which daemons share upstreams' rate limits, and how daemons of two releases tell them.
 
 use dispatch::Advertisement;
-use fleet::{Standing, shares_rate_limits};
+use fleet::{SentAt, Standing, shares_rate_limits};
 use membership::{Member, MemberRecord, Stamp, State};
 use mirror::Revision;
 use ratelimit::RunKey;
@@ -53,6 +53,10 @@
             rate: Some(2.5),
             age_ms: 40,
         }],
+        sent_at: Some(SentAt {
+            run: Incarnation(3),
+            clock_ms: 70_000,
+        }),
     }
 }
 
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -1,6 +1,6 @@
 //! What daemons know of each other's standing.
 
-use fleet::{Standing, Standings, Vouched};
+use fleet::{SentAt, Standing, Standings, Vouched};
 use mirror::Revision;
 use types::prelude::*;
 
@@ -18,6 +18,7 @@
         rollouts: Vec::new(),
         loads: Vec::new(),
         rate_limits: Vec::new(),
+        sent_at: None,
     }
 }
 
@@ -185,3 +186,37 @@
     standings.expire(now + Span::from_millis(1_350), FRESH);
     assert!(!standings.is_store_away(295), "one word is too old");
 }
+
+/// A message of daemon 5, sent when its clock was at `clock_ms`, that names a watcher.
+fn sent(clock_ms: u64, watcher: Option<Vouched>) -> Standing {
+    Standing {
+        sent_at: Some(SentAt {
+            run: Incarnation(1),
+            clock_ms,
+        }),
+        ..watched(watcher.into_iter().collect())
+    }
+}
+
+#[test]
+fn a_message_that_was_held_up_proves_a_copy_as_of_its_sending() {
+    // It waited behind a cut for seconds and names a watcher that was never heard of before.
+    let mut standings = Standings::default();
+    for ms in (20_000..22_000).step_by(200) {
+        standings.take(at(ms), &daemon(5), &sent(ms - 9_000, None), FRESH);
+    }
+    let held_up = sent(13_900, Some(passed_on(&word(4, 5_000), 100)));
+    standings.take(at(25_200), &daemon(5), &held_up, Span::from_secs(5));
+    assert_eq!(standings.proof(Revision(7)), Some(at(22_800)));
+}
+
+#[test]
+fn a_first_message_proves_nothing_until_its_way_is_known() {
+    let mut standings = Standings::default();
+    let watcher = |clock_ms| Some(passed_on(&word(4, clock_ms), 100));
+    standings.take(at(30_000), &daemon(5), &sent(13_900, watcher(5_000)), FRESH);
+    assert!(standings.has_watcher());
+    assert_eq!(standings.proof(Revision(7)), None);
+    standings.take(at(31_200), &daemon(5), &sent(17_300, watcher(8_400)), FRESH);
+    assert_eq!(standings.proof(Revision(7)), Some(at(31_100)));
+}
