--- a/components/dispatch/src/limiting.rs
+++ b/components/dispatch/src/limiting.rs
@@ -45,24 +45,24 @@
         self.limits.set_fleet(now, fleet);
     }
 
-    /// Takes what an upstream's answer says of its rate limit.
+    /// Takes the rate limit of an answer.
     pub fn observe_rate_limit(
         &mut self,
         now: Time,
         index: UpstreamIndex,
         sent_at: Time,
-        said: Advertised,
+        advertised: Advertised,
     ) -> Option<Change> {
         let run = self.entries.get(&index)?.run;
-        self.limits.observe(now, run, sent_at, said)
+        self.limits.observe(now, run, sent_at, advertised)
     }
 
-    /// Takes what another daemon tells of an upstream's rate limit.
-    pub fn merge_rate_limit(&mut self, now: Time, told: &Advertisement) -> Option<Change> {
-        self.limits.merge(now, told)
+    /// Merges an upstream's rate limit as another daemon advertises it.
+    pub fn merge_rate_limit(&mut self, now: Time, ad: &Advertisement) -> Option<Change> {
+        self.limits.merge(now, ad)
     }
 
-    /// What to tell other daemons of rate limits.
+    /// The rate limits to advertise to other daemons.
     pub fn advertise_rate_limits(&mut self, now: Time) -> Vec<Advertisement> {
         self.limits.advertise(now)
     }
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -33,7 +33,7 @@
 /// A daemon that is down keeps its part of upstreams' rate limits for as long as a region may be
 /// cut off: from there it may still send.
 const CUT_LASTS: Span = Span::from_secs(600);
-/// Rate limits told by others that wait for the next tick; later ones are told again.
+/// Advertised rate limits queued for the next tick; peers repeat what does not fit.
 const MAX_RATE_LIMITS: usize = 1_024;
 /// Daemons that came are logged one by one up to so many at a time.
 const MAX_LOGGED: usize = 4;
@@ -48,7 +48,7 @@
     loads: PeerLoads,
     standings: Standings,
     gathering: Gathering,
-    /// What others told of upstreams' rate limits since it was last taken.
+    /// Rate limits that peers advertised since they were last taken.
     rate_limits: Vec<Advertisement>,
     ticks: u32,
     /// Something is to be told before the next turn.
@@ -213,7 +213,7 @@
         self.rate_limits.extend(told.into_iter().take(room));
     }
 
-    /// What others told of upstreams' rate limits since this was last asked.
+    /// Rate limits that peers advertised since the last call.
     pub(crate) fn take_rate_limits(&mut self) -> Vec<Advertisement> {
         std::mem::take(&mut self.rate_limits)
     }
--- a/components/ratelimit/src/advertised.rs
+++ b/components/ratelimit/src/advertised.rs
@@ -1,4 +1,4 @@
-//! What an answer says of its upstream's rate limit, and what daemons tell each other of it.
+//! What an answer says of its upstream's rate limit, and the form in which daemons exchange it.
 
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -35,7 +35,7 @@
     },
 }
 
-/// An upstream's limit as daemons tell it each other.
+/// An upstream's limit as daemons exchange it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Advertisement {
     /// Whose.
@@ -56,7 +56,7 @@
             .map(Rate)
     }
 
-    /// Whether a peer may say this at all.
+    /// Whether its values are valid.
     pub(crate) fn is_proper(&self) -> bool {
         self.rate.is_none() || self.rate().is_some()
     }
--- a/components/ratelimit/src/lib.rs
+++ b/components/ratelimit/src/lib.rs
@@ -12,7 +12,7 @@
 //!   answer that says something new. Reordered and repeated ones are dropped by it.
 //! - The parts of daemons that are down stay with them for as long as a cut may last, since both
 //!   sides of a cut would take them over.
-//! - When nobody hears of a limit any more, one daemon after the other may send a probe.
+//! - When no answer confirms a limit any more, one daemon after the other may send a probe.
 //!
 //! [`RateLimits`] is what one daemon knows. Time is an argument; nothing here touches a socket or a
 //! clock.
--- a/components/ratelimit/src/limit.rs
+++ b/components/ratelimit/src/limit.rs
@@ -20,10 +20,10 @@
     pub(crate) version: u32,
     /// None once it was lifted.
     pub(crate) rate: Option<Rate>,
-    /// When this daemon learnt of it.
+    /// When this daemon learned of it.
     pub(crate) changed_at: Time,
-    /// When an answer last said so, at any daemon.
-    pub(crate) heard_at: Time,
+    /// When an answer last advertised it, at any daemon.
+    pub(crate) confirmed_at: Time,
     pub(crate) sent: u64,
     rank: usize,
     fleet: usize,
@@ -37,7 +37,7 @@
             version: 0,
             rate: None,
             changed_at: now,
-            heard_at: now,
+            confirmed_at: now,
             sent: 0,
             rank: fleet.rank(run),
             fleet: fleet.size(),
@@ -110,9 +110,9 @@
         }
     }
 
-    /// Whether nobody has heard of the limit for long, and it is this daemon's turn to probe.
+    /// Whether no answer has confirmed the limit for long, and it is this daemon's turn to probe.
     fn is_prober(&self, now: Time, rate: Rate) -> bool {
-        let quiet = now.since(self.heard_at);
+        let quiet = now.since(self.confirmed_at);
         if quiet < QUIET || self.probed_at.is_some_and(|at| now.since(at) < QUIET) {
             return false;
         }
@@ -135,7 +135,7 @@
     }
 
     pub(crate) fn advertisement(&self, now: Time, run: RunKey) -> Advertisement {
-        let age = now.since(self.heard_at).as_millis();
+        let age = now.since(self.confirmed_at).as_millis();
         Advertisement {
             run,
             version: self.version,
--- a/components/ratelimit/src/table.rs
+++ b/components/ratelimit/src/table.rs
@@ -9,14 +9,14 @@
 use crate::fleet::{Fleet, SETTLE};
 use crate::limit::Limit;
 
-/// A limit that nobody has heard of for so long is forgotten.
+/// A limit that no answer has confirmed for so long is dropped.
 const FORGET: Span = Span::from_secs(60);
-/// A limit that was lifted is told for so long.
-const TELL_LIFTED: Span = Span::from_secs(10);
-/// Limits told at a time.
-const MAX_TOLD: usize = 32;
-/// Of these, the ones that changed last; the others take turns.
-const TOLD_NEWEST: usize = 16;
+/// A lifted limit is advertised as such for so long.
+const KEEP_LIFTED: Span = Span::from_secs(10);
+/// Limits in one message.
+const MAX_ADVERTISED: usize = 32;
+/// Of these, the ones that changed last; all others take turns.
+const NEWEST: usize = 16;
 /// Limits known at most: more than there are upstreams.
 const MAX_LIMITS: usize = 16_384;
 
@@ -33,7 +33,7 @@
 }
 
 /// A rate as it travels between daemons, so that all of them compare the same figure.
-fn as_told(rate: Rate) -> Rate {
+fn as_advertised(rate: Rate) -> Rate {
     Rate(f64::from(
         (rate.0 as f32).clamp(f32::MIN_POSITIVE, f32::MAX),
     ))
@@ -45,8 +45,8 @@
     limits: BTreeMap<RunKey, Limit>,
     fleet: Arc<Fleet>,
     settled_at: Time,
-    /// The last one that was told in turn.
-    told: Option<RunKey>,
+    /// The last one that was advertised in turn.
+    cursor: Option<RunKey>,
 }
 
 impl RateLimits {
@@ -62,30 +62,30 @@
         }
     }
 
-    /// Takes what an answer says whose request was sent at `sent_at`.
+    /// Takes what an answer advertises whose request was sent at `sent_at`.
     ///
     /// Answers overtake each other: one without a limit lifts it only if its request was sent after
-    /// the limit was last heard of.
+    /// the limit was last confirmed.
     pub fn observe(
         &mut self,
         now: Time,
         run: RunKey,
         sent_at: Time,
-        said: Advertised,
+        advertised: Advertised,
     ) -> Option<Change> {
-        let rate = match said {
+        let rate = match advertised {
             Advertised::Invalid => return None,
             Advertised::Nothing => None,
-            Advertised::Limit(rate) => Some(as_told(rate)),
+            Advertised::Limit(rate) => Some(as_advertised(rate)),
         };
         let limit = match rate {
             Some(_) => self.entry(now, run)?,
             None => self.limits.get_mut(&run)?,
         };
-        if rate.is_none() && (limit.rate.is_none() || sent_at <= limit.heard_at) {
+        if rate.is_none() && (limit.rate.is_none() || sent_at <= limit.confirmed_at) {
             return None;
         }
-        limit.heard_at = now;
+        limit.confirmed_at = now;
         let version = match limit.rate == rate {
             true => limit.version,
             false => limit.version.saturating_add(1),
@@ -103,53 +103,54 @@
         Some(entry.or_insert_with(|| Limit::new(now, run, fleet)))
     }
 
-    /// Takes what another daemon tells; says what changed.
+    /// Merges what another daemon advertises; returns what changed.
     ///
     /// Of two states with the same version the lower limit holds, and none is the highest.
-    pub fn merge(&mut self, now: Time, told: &Advertisement) -> Option<Change> {
-        if !told.is_proper() {
+    pub fn merge(&mut self, now: Time, ad: &Advertisement) -> Option<Change> {
+        if !ad.is_proper() {
             return None;
         }
-        let rate = told.rate();
-        let heard_at = now - Span::from_millis(u64::from(told.age_ms));
+        let rate = ad.rate();
+        let confirmed_at = now - Span::from_millis(u64::from(ad.age_ms));
         let limit = match rate {
-            Some(_) => self.entry(now, told.run)?,
-            None => self.limits.get_mut(&told.run)?,
+            Some(_) => self.entry(now, ad.run)?,
+            None => self.limits.get_mut(&ad.run)?,
         };
-        if told.version < limit.version {
+        if ad.version < limit.version {
             return None;
         }
-        if told.version > limit.version {
-            limit.heard_at = heard_at;
-            return limit.set(now, told.version, rate);
+        if ad.version > limit.version {
+            limit.confirmed_at = confirmed_at;
+            return limit.set(now, ad.version, rate);
         }
-        limit.heard_at = limit.heard_at.max(heard_at);
+        limit.confirmed_at = limit.confirmed_at.max(confirmed_at);
         let of = |rate: Option<Rate>| rate.map_or(f64::INFINITY, |rate| rate.0);
         let is_lower = of(rate) < of(limit.rate);
-        is_lower.then(|| limit.set(now, told.version, rate))?
+        is_lower.then(|| limit.set(now, ad.version, rate))?
     }
 
-    /// What to tell other daemons now.
+    /// The limits to advertise to other daemons now.
     pub fn advertise(&mut self, now: Time) -> Vec<Advertisement> {
         self.expire(now);
         let mut known = self.limits.iter().collect::<Vec<_>>();
-        if known.len() > MAX_TOLD {
+        if known.len() > MAX_ADVERTISED {
             known.sort_by_key(|(_, limit)| std::cmp::Reverse(limit.changed_at));
-            let mut others = known.split_off(TOLD_NEWEST);
-            others.sort_by_key(|(run, _)| (Some(**run) <= self.told, **run));
-            others.truncate(MAX_TOLD - TOLD_NEWEST);
-            self.told = others.last().map(|(run, _)| **run);
+            let mut others = known.split_off(NEWEST);
+            others.sort_by_key(|(run, _)| (Some(**run) <= self.cursor, **run));
+            others.truncate(MAX_ADVERTISED - NEWEST);
+            self.cursor = others.last().map(|(run, _)| **run);
             known.append(&mut others);
         }
-        let told = known.into_iter();
-        told.map(|(run, limit)| limit.advertisement(now, *run))
+        let known = known.into_iter();
+        known
+            .map(|(run, limit)| limit.advertisement(now, *run))
             .collect()
     }
 
     fn expire(&mut self, now: Time) {
         self.limits.retain(|_, limit| match limit.rate {
-            Some(_) => now.since(limit.heard_at) < FORGET,
-            None => now.since(limit.changed_at) < TELL_LIFTED,
+            Some(_) => now.since(limit.confirmed_at) < FORGET,
+            None => now.since(limit.changed_at) < KEEP_LIFTED,
         });
     }
 
--- a/components/traffic/src/limiting.rs
+++ b/components/traffic/src/limiting.rs
@@ -1,4 +1,4 @@
-//! Rate limits that upstreams advertise: what is learnt, told, logged and counted.
+//! Rate limits that upstreams advertise: observed, merged, logged and counted.
 
 use dispatch::{Advertised, Advertisement, RateLimitChange, UpstreamIndex};
 use types::prelude::*;
@@ -6,12 +6,17 @@
 use crate::world::World;
 
 impl<T> World<T> {
-    /// Takes what an upstream's answer says of its rate limit.
-    pub(crate) fn observe_rate_limit(&self, index: UpstreamIndex, sent_at: Time, said: Advertised) {
+    /// Takes the rate limit of an answer.
+    pub(crate) fn observe_rate_limit(
+        &self,
+        index: UpstreamIndex,
+        sent_at: Time,
+        advertised: Advertised,
+    ) {
         let now = self.now();
         let mut upstreams = self.upstreams.borrow_mut();
-        let change = upstreams.observe_rate_limit(now, index, sent_at, said);
-        if said == Advertised::Invalid {
+        let change = upstreams.observe_rate_limit(now, index, sent_at, advertised);
+        if advertised == Advertised::Invalid {
             self.metrics.invalid_rate_limits.inc();
         }
         if let Some(change) = change {
@@ -27,19 +32,19 @@
         upstreams.leave_alone(now, index, now + wait);
     }
 
-    /// Takes what other daemons tell of rate limits.
-    pub(crate) fn merge_rate_limits(&self, told: &[Advertisement]) {
+    /// Merges the rate limits that other daemons advertise.
+    pub(crate) fn merge_rate_limits(&self, ads: &[Advertisement]) {
         let now = self.now();
         let mut upstreams = self.upstreams.borrow_mut();
-        for told in told {
-            if let Some(change) = upstreams.merge_rate_limit(now, told) {
-                let spec = upstreams.find_run(told.run);
+        for ad in ads {
+            if let Some(change) = upstreams.merge_rate_limit(now, ad) {
+                let spec = upstreams.find_run(ad.run);
                 log(spec.map(|spec| &spec.id), "peer", change);
             }
         }
     }
 
-    /// Shows the control thread what to tell other daemons of rate limits.
+    /// Publishes the rate limits that the control thread is to advertise.
     pub(crate) fn show_rate_limits(&self) {
         let mut upstreams = self.upstreams.borrow_mut();
         self.seen
