--- a/daemon/tests/apart.rs
+++ b/daemon/tests/apart.rs
@@ -23,6 +23,7 @@
         has_poison: false,
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
+        other: None,
         logs: None,
     });
     let outcome = outcome.expect("the scene starts");
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -17,6 +17,7 @@
         has_poison: true,
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
+        other: None,
         logs: None,
     });
     let outcome = outcome.expect("the scene starts");
--- a/daemon/tests/ratelimit.rs
+++ b/daemon/tests/ratelimit.rs
@@ -17,6 +17,7 @@
         limited,
         faults,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
+        other: None,
         logs: None,
     });
     let outcome = outcome.expect("the scene starts");
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -24,6 +24,7 @@
             has_poison: false,
             limited: 0,
             program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
+            other: None,
             logs: None,
         });
         let outcome = outcome.expect("the scene starts");
