Keep slow messages from hiding watchers; date only their proofs

Cause, suspected by logs: the delay of a message made its whole word older, so that watchers in the messages of busy hosts were forgotten sooner. Change: who is heard of is dated as before; the delay is added to the age of proofs only. Test: red before.

--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -266,8 +266,8 @@
     }
 }
 
-/// Takes what a message says of others, with its age. `delay` is how long it was under way; where
-/// that cannot be told it proves no copy current.
+/// Takes what a message says of others, with its age. `delay` is how long it was under way: proofs are
+/// older by as much, and where it cannot be told there is none. Who is heard of does not depend on it.
 fn take_word(
     now: Time,
     delay: Option<Span>,
@@ -275,12 +275,12 @@
     said: &mut HashMap<DaemonId, Said>,
     word: &[Vouched],
 ) {
-    let sent_at = now - delay.unwrap_or_default();
+    let delay_ms = delay.and_then(|delay| u16::try_from(delay.as_millis()).ok());
     for word in word.iter().take(MAX_VOUCHED) {
-        if let Some(at) = clocks.said_at(sent_at, word) {
-            let proven_ms = word.proven_ms.filter(|_| delay.is_some());
+        if let Some(at) = clocks.said_at(now, word) {
+            let proven_ms = word.proven_ms.zip(delay_ms);
             let word = Vouched {
-                proven_ms,
+                proven_ms: proven_ms.and_then(|(proven, delay)| proven.checked_add(delay)),
                 ..word.clone()
             };
             said.insert(word.daemon.clone(), Said { at, word });
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -220,3 +220,17 @@
     standings.take(at(31_200), &daemon(5), &sent(17_300, watcher(8_400)), FRESH);
     assert_eq!(standings.proof(Revision(7)), Some(at(31_100)));
 }
+
+#[test]
+fn a_watcher_in_slow_messages_is_still_heard_of() {
+    // Busy hosts read their messages late; the store was taken for away though watchers were answered.
+    let mut standings = Standings::default();
+    for ms in (20_000..22_000).step_by(200) {
+        standings.take(at(ms), &daemon(5), &sent(ms - 9_000, None), FRESH);
+    }
+    let late = sent(11_700, Some(passed_on(&word(4, 5_000), 100)));
+    standings.take(at(22_000), &daemon(5), &late, FRESH);
+    standings.expire(at(22_400), FRESH);
+    assert!(standings.has_watcher());
+    assert_eq!(standings.proof(Revision(7)), Some(at(20_600)));
+}
