Show by which proof a route is refused, and how old proofs are when a version comes

Nothing is decided by it. The line of a refusal, of a version that the control thread takes and of one that the event loop puts in use say how old the proof of the former copy was; a line a second at most says that messages of peers waited over 250 ms for the control thread. With the time of an acknowledgement they tell a proof dated too late (control), a proof beside another table (event loop only) and a hole (neither).

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -5,12 +5,13 @@
 
 use keyvalue::{CallError, Outcome, Request};
 use mirror::{Answer, Change, Mirror, Question, Revision};
-use peers::{AskError, Part, Payload};
+use peers::{AskError, Inbound, Part, Payload};
 use routes::TableVersion;
 use traffic::{Command, Others, Plan};
 use types::prelude::*;
 
 use crate::asking::Asking;
+use crate::backlog::Backlog;
 use crate::bars::Bars;
 use crate::codec::Codec;
 use crate::copying::Handing;
@@ -70,6 +71,7 @@
     pub(crate) daemons: usize,
     /// The daemons that share upstreams' rate limits.
     pub(crate) fleet: Arc<dispatch::Fleet>,
+    pub(crate) backlog: Backlog,
 }
 
 /// Who brought what is new.
@@ -178,18 +180,28 @@
             }
             Event::StoreHealth(health) => self.take_health(now, health),
             Event::Called(purpose, outcome) => self.take_called(now, &purpose, &outcome),
-            Event::Peer(inbound) => match self.peering.receive(now, inbound) {
-                Asked::Nothing => {}
-                Asked::Take(answer) => self.take_mirror(now, answer, Source::Peer),
-                Asked::AddUp(words) => self.add_up(now, words),
-                Asked::Mirror(from, question, reply) => {
-                    self.hand_out(now, &from, &question, reply);
-                }
-            },
+            Event::Peer {
+                inbound,
+                arrived_at,
+            } => {
+                self.backlog.note(now, arrived_at);
+                self.take_inbound(now, inbound);
+            }
             Event::Stop => {}
         }
     }
 
+    fn take_inbound(&mut self, now: Time, inbound: Inbound) {
+        match self.peering.receive(now, inbound) {
+            Asked::Nothing => {}
+            Asked::Take(answer) => self.take_mirror(now, answer, Source::Peer),
+            Asked::AddUp(words) => self.add_up(now, words),
+            Asked::Mirror(from, question, reply) => {
+                self.hand_out(now, &from, &question, reply);
+            }
+        }
+    }
+
     /// Answers a peer's question from the mirror; dropping the reply sends it elsewhere.
     fn hand_out(&mut self, now: Time, from: &DaemonId, question: &Question, reply: peers::Reply) {
         match self.handing.answer(now, from, question, &self.mirror) {
@@ -336,7 +348,7 @@
         for change in changes {
             self.must_plan |= self.planner.take(now, &self.codec, change, are_few);
         }
-        self.log_version(version, source);
+        self.log_version(now, version, source);
         if !are_few {
             let upstreams = self.planner.upstreams().len();
             tracing::info!(
@@ -354,12 +366,14 @@
         self.step_rollouts(now, false);
     }
 
-    /// Says which configuration is in force, and who brought it.
-    fn log_version(&self, before: Option<TableVersion>, source: Source) {
+    /// Says which configuration is in force, who brought it, and how old the proof of the former
+    /// copy was by then.
+    fn log_version(&self, now: Time, before: Option<TableVersion>, source: Source) {
         let version = self.planner.version();
         if let Some(version) = version.filter(|_| version != before) {
             let (at, version) = (self.mirror.at().0, version.0);
-            tracing::info!(version, at, ?source, "config: in force");
+            let proven_ms = self.proven_at.map(|at| now.since(at).as_millis());
+            tracing::info!(version, at, ?source, proven_ms, "config: in force");
         }
     }
 
@@ -376,6 +390,7 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        self.backlog.log(now);
         self.peering.tick(now);
         self.prove();
         self.decide_watch(now);
--- a/components/fleet/src/event.rs
+++ b/components/fleet/src/event.rs
@@ -38,7 +38,7 @@
     /// A call ended.
     Called(Purpose, Outcome),
     /// Another daemon said or asked something.
-    Peer(Inbound),
+    Peer { inbound: Inbound, arrived_at: Time },
     /// Finish.
     Stop,
 }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod asking;
 mod audience;
+mod backlog;
 mod bars;
 mod clocks;
 mod codec;
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::asking::Asking;
+use crate::backlog::Backlog;
 use crate::bars::Bars;
 use crate::codec::Codec;
 use crate::control::Control;
@@ -102,6 +103,7 @@
         was_ready: false,
         daemons: 1,
         fleet: Arc::default(),
+        backlog: Backlog::default(),
         settings,
         codec,
         clock,
@@ -168,7 +170,14 @@
             advertise: settings.advertise,
             keys: Keys::new(vec![key], sending)?,
         },
-        move |inbound| events.try_send(Event::Peer(inbound)).is_ok(),
+        move |inbound| {
+            let arrived_at = clock.now();
+            let event = Event::Peer {
+                inbound,
+                arrived_at,
+            };
+            events.try_send(event).is_ok()
+        },
     )?;
     let members = Membership::new(Config {
         me: settings.me.clone(),
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -90,6 +90,7 @@
             id = attempt,
             status = own.status(),
             table = version,
+            proven_ms = world.proven_ms(world.now()),
             why,
             "callers: refused"
         );
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -131,12 +131,11 @@
     let plan = world.plan();
     let gates = plan.gates.iter();
     let (now, barred) = (world.now(), world.cfg.suspects.lock().barred());
-    let proven_at = world.proven_at.get();
     let dump = Dump {
         stage: format!("{:?}", world.stage()),
         is_ready,
         table_version: plan.table.as_ref().map(|table| table.version.0),
-        proven_ms: proven_at.map(|at| now.since(at).as_millis()),
+        proven_ms: world.proven_ms(now),
         upstreams: plan.upstreams.len(),
         versions: versions(&plan),
         unreadable_upstreams: plan.unreadable,
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -161,6 +161,7 @@
     /// Takes what the control thread knows.
     pub(crate) fn set_plan(&self, plan: Arc<Plan>) {
         let now = self.now();
+        self.log_table(now, &plan);
         let mut upstreams = self.upstreams.borrow_mut();
         let gone = upstreams.configure(&plan.upstreams);
         upstreams.set_fleet(now, &plan.fleet);
@@ -180,6 +181,23 @@
         *self.plan.borrow_mut() = plan;
     }
 
+    /// Says which configuration is in use, and how old the proof beside the former one was.
+    fn log_table(&self, now: Time, plan: &Plan) {
+        let version_of = |plan: &Plan| plan.table.as_ref().map(|table| table.version.0);
+        let former = version_of(&self.plan.borrow());
+        let version = version_of(plan);
+        if version != former {
+            let proven_ms = self.proven_ms(now);
+            tracing::info!(version, former, proven_ms, "config: in use");
+        }
+    }
+
+    /// So long ago the configuration was last known to be current.
+    pub(crate) fn proven_ms(&self, now: Time) -> Option<u64> {
+        let proven_at = self.proven_at.get();
+        proven_at.map(|at| now.since(at).as_millis())
+    }
+
     /// Notes sessions that stay on their version, at the begin of a roll-out.
     fn note_staying(&self, plan: &Plan) {
         let now = self.now();
