Bring the incident about in two tests, listed red: a proof newer than the copy

On one daemon that reads a configuration for longer than a tick, the event loop gets the proof of version 2 before version 2 (hypothesis B). 2. Which of the two met the users cannot be told from their record. The invariant is asked of the dump and of the commands, so no request has to come at the right instant.

--- /dev/null
+++ b/components/fleet/tests/it/freshness.rs
@@ -0,0 +1,160 @@
+//! No daemon takes an old copy of the configuration for current.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use traffic::{Command, Seen};
+use types::prelude::*;
+
+use crate::harness::{Daemon, Memory, Way, Words, daemon_at, free_address, settings, start, until};
+
+/// Dumps are this many ms coarse.
+const COARSE: Duration = Duration::from_millis(1);
+
+/// Fails on a proof that the event loop gets before the configuration that it is of: it would call
+/// new routes unknown by the old configuration.
+#[test]
+fn no_proof_comes_before_the_configuration_that_it_is_of() {
+    let memory = Memory::default();
+    memory.set("upstream/a", Some("v1"));
+    memory.set("table", Some("1"));
+    let (commands, told) = flume::unbounded();
+    let (ended_tx, ended) = flume::bounded(1);
+    let none = SocketAddr::from(([127, 0, 0, 1], 0));
+    let traffic = traffic::Handle {
+        callers: none,
+        status: none,
+        commands,
+        seen: Seen::default(),
+        suspects: poison::SharedSuspects::default(),
+        ended,
+    };
+    // A large configuration takes a host with an eighth of a core longer than a tick.
+    let words = Words {
+        table_takes: Duration::from_millis(150),
+    };
+    let began = Instant::now();
+    let clock = Clock::new();
+    let store = Arc::new(Way::to(&memory));
+    let running = fleet::start(settings(0, none, Vec::new()), words, store, traffic, clock);
+    let running = running.expect("starts");
+    for version in 1..=5_u64 {
+        memory.set("table", Some(&version.to_string()));
+        let written_at = memory.written_at();
+        loop {
+            match told.recv_timeout(Duration::from_secs(30)).expect("goes on") {
+                Command::Plan(plan)
+                    if plan.table.as_ref().map(|t| t.version.0) == Some(version) =>
+                {
+                    break;
+                }
+                Command::Others(others) => {
+                    let proven_at = others.proven_at.unwrap_or_default();
+                    let proven_at = began + proven_at.since(Time::ZERO).to_duration();
+                    assert!(proven_at < written_at, "version {version}");
+                }
+                _ => {}
+            }
+        }
+    }
+    drop(ended_tx);
+    running.stop();
+}
+
+/// Forwards connections and holds up what goes to the target.
+fn slow_link(target: SocketAddr, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(target) else {
+                continue;
+            };
+            let back = (far.try_clone(), near.try_clone());
+            let (Ok(from), Ok(to)) = back else { continue };
+            std::thread::spawn(move || forward(from, to, Duration::ZERO));
+            std::thread::spawn(move || forward(near, far, delay));
+        }
+    });
+    address
+}
+
+/// Forwards until either end is closed.
+fn forward(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+    let (tx, rx) = flume::unbounded::<(Instant, Vec<u8>)>();
+    let mut writes_to = to.try_clone().expect("a handle");
+    let writer = std::thread::spawn(move || {
+        for (due, bytes) in rx {
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            if writes_to.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    });
+    let mut buf = vec![0; 64 * 1024];
+    while let Ok(n @ 1..) = from.read(&mut buf) {
+        if tx
+            .send((Instant::now() + delay, buf[..n].to_vec()))
+            .is_err()
+        {
+            break;
+        }
+    }
+    drop(tx);
+    // The other direction ends with this one.
+    let _ = writer.join();
+    let _ = to.shutdown(Shutdown::Both);
+    to = from;
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Two daemons, of which only the first reaches the store and the second is told over a slow link.
+fn pair(memory: &Memory, delay: Duration) -> (Daemon, Daemon) {
+    let seed = free_address();
+    let first = daemon_at(0, Way::to(memory), seed, Vec::new());
+    let way = Way::to(memory);
+    way.is_cut.store(true, std::sync::atomic::Ordering::SeqCst);
+    let listens = free_address();
+    let mut told = settings(1, listens, vec![seed]);
+    told.advertise = Some(slow_link(listens, delay));
+    (first, start(way, told))
+}
+
+/// Fails on a host that is always a second behind and takes word for as new as it arrives: a proof of
+/// after a change would stand beside the configuration of before it.
+#[test]
+fn a_link_that_is_always_slow_makes_no_proof_newer() {
+    let delay = Duration::from_millis(700);
+    let memory = Memory::default();
+    memory.set("upstream/a", Some("v1"));
+    memory.set("table", Some("1"));
+    let (_first, second) = pair(&memory, delay);
+    until("the second has a proven copy", || {
+        second.table() == Some(1) && second.dump()["proven_ms"].as_u64().is_some()
+    });
+    for version in 2..=4_u64 {
+        memory.set("table", Some(&version.to_string()));
+        let written_at = memory.written_at();
+        let deadline = Instant::now() + Duration::from_secs(30);
+        loop {
+            let asked_at = Instant::now();
+            assert!(asked_at < deadline, "never: version {version}");
+            let dump = second.dump();
+            if dump["table_version"].as_u64() == Some(version) {
+                break;
+            }
+            let age = dump["proven_ms"].as_u64().map(Duration::from_millis);
+            let proven_at = age.and_then(|age| asked_at.checked_sub(age + COARSE));
+            let late = proven_at.and_then(|at| at.checked_duration_since(written_at));
+            let late = late.filter(|late| !late.is_zero());
+            assert_eq!(late, None, "the proof is of after version {version}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let proven = || second.dump()["proven_ms"].as_u64();
+        until("it is proven anew", || {
+            proven().is_some_and(|ms| ms < 2_000)
+        });
+    }
+}
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -33,6 +33,8 @@
     revision: i64,
     items: BTreeMap<String, KeyValue>,
     log: Vec<WatchEvent>,
+    /// When each revision was written, the first one first.
+    written_at: Vec<Instant>,
 }
 
 /// The store.
@@ -55,6 +57,12 @@
         changed.notify_all();
     }
 
+    /// When the newest revision was written.
+    pub fn written_at(&self) -> Instant {
+        let keys = self.0.0.lock().expect("sound");
+        *keys.written_at.last().expect("something was written")
+    }
+
     /// A key's value.
     pub fn get(&self, key: &str) -> Option<String> {
         let keys = self.0.0.lock().expect("sound");
@@ -65,6 +73,7 @@
 
 fn put(keys: &mut Keys, key: &str, value: Option<Bytes>) {
     keys.revision += 1;
+    keys.written_at.push(Instant::now());
     let revision = ModRevision(keys.revision);
     let item = value.map(|value| KeyValue {
         key: key.to_owned(),
@@ -210,7 +219,11 @@
 }
 
 /// Keys and forms of these tests: plain words.
-pub struct Words;
+#[derive(Default)]
+pub struct Words {
+    /// Reading a table takes so long.
+    pub table_takes: Duration,
+}
 
 impl Codec for Words {
     fn table_key(&self) -> &str {
@@ -238,6 +251,7 @@
     }
 
     fn table(&self, value: &Bytes) -> Result<RouteTable, DecodeError> {
+        std::thread::sleep(self.table_takes);
         let version = String::from_utf8_lossy(value).parse();
         let version = version.map_err(|_| DecodeError {
             key: "table".to_owned(),
@@ -356,14 +370,39 @@
 
 /// Starts a daemon at an address, with seeds.
 pub fn daemon_at(n: usize, way: Way, peers: SocketAddr, seeds: Vec<SocketAddr>) -> Daemon {
+    start(way, settings(n, peers, seeds))
+}
+
+/// What a daemon is told at its start.
+pub fn settings(n: usize, peers: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
+    Settings {
+        cluster: ClusterName::new("test").expect("a name"),
+        secret: Bytes::from_static(b"a secret of sixteen bytes"),
+        me: DaemonId::new(&format!("d{n}")).expect("a name"),
+        peers,
+        advertise: None,
+        seeds,
+        failure_domain: FailureDomain::new("east").expect("a name"),
+        region: Region::new("here").expect("a name"),
+        in_force_within: Span::from_secs(2),
+        trial: dispatch::TrialLimits {
+            exposure: 0.1,
+            allowance: 30.0,
+        },
+        relisted_within: Span::from_secs(2),
+        shortest_lease: Span::from_secs(1),
+    }
+}
+
+/// Starts a daemon.
+pub fn start(way: Way, settings: Settings) -> Daemon {
     let clock = Clock::new();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let failure_domain = FailureDomain::new("east").expect("a name");
     let traffic = traffic::Config {
         callers: any,
         status: any,
         ready_path: "/ready".to_owned(),
-        failure_domain: failure_domain.clone(),
+        failure_domain: settings.failure_domain.clone(),
         max_callers: 10,
         max_held: ByteSize(1_000),
         policy: Policy::default(),
@@ -380,25 +419,9 @@
     };
     let traffic = traffic::start(traffic, NoNames, clock).expect("starts");
     let (status, suspects) = (traffic.status, traffic.suspects.clone());
-    let settings = Settings {
-        cluster: ClusterName::new("test").expect("a name"),
-        secret: Bytes::from_static(b"a secret of sixteen bytes"),
-        me: DaemonId::new(&format!("d{n}")).expect("a name"),
-        peers,
-        advertise: None,
-        seeds,
-        failure_domain,
-        region: Region::new("here").expect("a name"),
-        in_force_within: Span::from_secs(2),
-        trial: dispatch::TrialLimits {
-            exposure: 0.1,
-            allowance: 30.0,
-        },
-        relisted_within: Span::from_secs(2),
-        shortest_lease: Span::from_secs(1),
-    };
     let store = Arc::new(way.clone());
-    let running = fleet::start(settings, Words, store, traffic, clock).expect("starts");
+    let running = fleet::start(settings, Words::default(), store, traffic, clock);
+    let running = running.expect("starts");
     Daemon {
         way,
         status,
@@ -456,9 +479,13 @@
 
     /// A figure of the state's dump.
     pub fn state(&self, name: &str) -> serde_json::Value {
+        self.dump()[name].clone()
+    }
+
+    /// The state's dump.
+    pub fn dump(&self) -> serde_json::Value {
         let (_, text) = self.get("/state");
-        let state = serde_json::from_str::<serde_json::Value>(&text).expect("JSON");
-        state[name].clone()
+        serde_json::from_str(&text).expect("JSON")
     }
 
     pub fn table(&self) -> Option<u64> {
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod bars;
 mod copying;
 mod fleet;
+mod freshness;
 mod harness;
 mod limits;
 mod standings;
