Let a proof name the configuration that it is of, and follow it to the event loop

Callers were refused with 404 for a route in force, by an old configuration beside a proof of the new one. Cause: the control thread took a version, counted itself current by it, and its tick, always due after a large configuration was read, told the event loop the proof; the plan came at the end of the pass. Now the plan goes first, and a proof holds only for its own version and newer ones.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -420,8 +420,10 @@
         }
     }
 
-    /// Tells the others how this daemon stands, and the event loop what is out there.
+    /// Tells the others how this daemon stands, and the event loop what is out there: the plan first,
+    /// which the proof is about.
     fn share_standing(&mut self, now: Time) {
+        self.plan();
         let watches = self.watch_works(now);
         let loads = self.traffic.seen.loads();
         let rate_limits = self.traffic.seen.rate_limits();
@@ -431,7 +433,7 @@
         let others = Others {
             rate_limits: self.peering.take_rate_limits(),
             loads: self.peering.others_loads(now),
-            proven_at: self.proven_at,
+            proof: self.proof(),
         };
         // The event loop may have ended before this thread when the process leaves.
         let _ = self.traffic.commands.send(Command::Others(others));
--- a/components/fleet/src/control/proving.rs
+++ b/components/fleet/src/control/proving.rs
@@ -4,6 +4,7 @@
 //! and that holds no more than this one. The proof is a lease: when it runs out a daemon looks at the
 //! store itself, whatever it hears of watchers.
 
+use traffic::Proof;
 use types::prelude::*;
 
 use super::Control;
@@ -38,6 +39,17 @@
         }
     }
 
+    /// How current the configuration that was read last is known to be; nothing if the store holds one
+    /// that cannot be read.
+    pub(super) fn proof(&self) -> Option<Proof> {
+        let version = self
+            .planner
+            .version()
+            .filter(|_| self.planner.is_readable());
+        let (version, at) = version.zip(self.proven_at)?;
+        Some(Proof { version, at })
+    }
+
     /// Takes the others' word for how current the own copy is.
     pub(super) fn prove(&mut self) {
         let proof = self.peering.standings().proof(self.mirror.at());
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -14,6 +14,8 @@
 /// Decoded entries of the mirror.
 pub(crate) struct Planner {
     table: Option<Arc<RouteTable>>,
+    /// Whether the store's entry could be read.
+    is_readable: bool,
     upstreams: BTreeMap<String, Arc<Upstream>>,
     /// Ids under which the store holds something that is no upstream.
     unreadable: BTreeSet<String>,
@@ -24,6 +26,7 @@
     pub(crate) fn new(relisted_within: Span) -> Self {
         Self {
             table: None,
+            is_readable: true,
             upstreams: BTreeMap::new(),
             unreadable: BTreeSet::new(),
             lapsed: Lapsed::new(relisted_within),
@@ -34,6 +37,12 @@
         self.table.as_ref()
     }
 
+    /// Whether the configuration in force is the one that the store holds; an entry that cannot be read
+    /// leaves the former one in force.
+    pub(crate) fn is_readable(&self) -> bool {
+        self.is_readable
+    }
+
     /// Of the configuration in force.
     pub(crate) fn version(&self) -> Option<TableVersion> {
         self.table.as_ref().map(|table| table.version)
@@ -72,6 +81,7 @@
 
     /// Takes a configuration if it is newer: an old one must not come back, whoever tells it.
     fn take_table(&mut self, codec: &impl Codec, value: Option<&Bytes>) -> bool {
+        self.is_readable = false;
         let Some(value) = value else {
             tracing::warn!("config: the store's entry is gone; the last one stays in force");
             return false;
@@ -83,6 +93,7 @@
                 return false;
             }
         };
+        self.is_readable = true;
         if self.version().is_some_and(|held| held >= table.version) {
             return false;
         }
--- a/components/fleet/tests/it/freshness.rs
+++ b/components/fleet/tests/it/freshness.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use fleet::Running;
 use traffic::{Command, Seen};
 use types::prelude::*;
 
@@ -13,13 +14,15 @@
 /// Dumps are this many ms coarse.
 const COARSE: Duration = Duration::from_millis(1);
 
-/// Fails on a proof that the event loop gets before the configuration that it is of: it would call
-/// new routes unknown by the old configuration.
-#[test]
-fn no_proof_comes_before_the_configuration_that_it_is_of() {
-    let memory = Memory::default();
-    memory.set("upstream/a", Some("v1"));
-    memory.set("table", Some("1"));
+/// A control thread whose event loop is the test.
+struct Watched {
+    told: flume::Receiver<Command>,
+    clock_began: Instant,
+    running: Running,
+    ended: flume::Sender<()>,
+}
+
+fn watched(memory: &Memory, table_takes: Duration) -> Watched {
     let (commands, told) = flume::unbounded();
     let (ended_tx, ended) = flume::bounded(1);
     let none = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -31,36 +34,82 @@
         suspects: poison::SharedSuspects::default(),
         ended,
     };
-    // A large configuration takes a host with an eighth of a core longer than a tick.
-    let words = Words {
-        table_takes: Duration::from_millis(150),
-    };
-    let began = Instant::now();
+    let words = Words { table_takes };
+    let clock_began = Instant::now();
     let clock = Clock::new();
-    let store = Arc::new(Way::to(&memory));
+    let store = Arc::new(Way::to(memory));
     let running = fleet::start(settings(0, none, Vec::new()), words, store, traffic, clock);
-    let running = running.expect("starts");
+    Watched {
+        told,
+        clock_began,
+        running: running.expect("starts"),
+        ended: ended_tx,
+    }
+}
+
+impl Watched {
+    fn next(&self) -> Command {
+        let told = self.told.recv_timeout(Duration::from_secs(30));
+        told.expect("goes on")
+    }
+
+    fn stop(self) {
+        drop(self.ended);
+        self.running.stop();
+    }
+}
+
+/// Fails on a proof that the event loop gets before the configuration that it is of: it would call
+/// new routes unknown by the old configuration.
+#[test]
+fn no_proof_comes_before_the_configuration_that_it_is_of() {
+    let memory = Memory::default();
+    memory.set("upstream/a", Some("v1"));
+    memory.set("table", Some("1"));
+    // A large configuration takes a host with an eighth of a core longer than a tick.
+    let daemon = watched(&memory, Duration::from_millis(150));
     for version in 1..=5_u64 {
         memory.set("table", Some(&version.to_string()));
         let written_at = memory.written_at();
         loop {
-            match told.recv_timeout(Duration::from_secs(30)).expect("goes on") {
+            match daemon.next() {
                 Command::Plan(plan)
                     if plan.table.as_ref().map(|t| t.version.0) == Some(version) =>
                 {
                     break;
                 }
                 Command::Others(others) => {
-                    let proven_at = others.proven_at.unwrap_or_default();
-                    let proven_at = began + proven_at.since(Time::ZERO).to_duration();
+                    let proven_at = others.proof.map(|proof| proof.at).unwrap_or_default();
+                    let proven_at = daemon.clock_began + proven_at.since(Time::ZERO).to_duration();
                     assert!(proven_at < written_at, "version {version}");
                 }
                 _ => {}
             }
         }
     }
-    drop(ended_tx);
-    running.stop();
+    daemon.stop();
+}
+
+/// A configuration that cannot be read may hold the route that is asked for.
+#[test]
+fn nothing_is_proven_while_the_configuration_cannot_be_read() {
+    let memory = Memory::default();
+    memory.set("upstream/a", Some("v1"));
+    memory.set("table", Some("1"));
+    let daemon = watched(&memory, Duration::ZERO);
+    let until_proven = |is_proven: bool| {
+        let told = || match daemon.next() {
+            Command::Others(others) => others.proof.is_some() == is_proven,
+            _ => false,
+        };
+        while !told() {}
+    };
+    until_proven(true);
+    memory.set("table", Some("no number"));
+    until_proven(false);
+    memory.set("table", Some("2"));
+    until_proven(true);
+    daemon.stop();
 }
 
 /// Forwards connections and holds up what goes to the target.
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use config::Config;
 pub use metrics::Metrics;
-pub use plan::Plan;
+pub use plan::{Plan, Proof};
 pub use server::{Command, Handle, Others, StartError, start};
 pub use translate::{Ask, AskError, Forwarding, Prompt, Reply, Standing, Translator};
 pub use world::{Seen, Stage};
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -22,7 +22,7 @@
 use crate::config::Config;
 use crate::ends;
 use crate::metrics::Metrics;
-use crate::plan::Plan;
+use crate::plan::{Plan, Proof};
 use crate::status;
 use crate::translate::Translator;
 use crate::world::{Seen, Stage, World};
@@ -50,8 +50,8 @@
 pub struct Others {
     /// What all of them have out, by upstream.
     pub loads: HashMap<u32, (f64, u32)>,
-    /// When the configuration held here was last known to be current.
-    pub proven_at: Option<Time>,
+    /// How current the configuration is known to be.
+    pub proof: Option<Proof>,
     /// Rate limits of upstreams.
     pub rate_limits: Vec<Advertisement>,
 }
@@ -162,7 +162,7 @@
         cfg,
         translator,
         clock,
-        proven_at: Cell::default(),
+        proof: Cell::default(),
         metrics: Metrics::new(),
         plan: RefCell::default(),
         upstreams: RefCell::new(upstreams),
@@ -231,7 +231,7 @@
         Command::Plan(plan) => world.set_plan(plan),
         Command::Others(others) => {
             world.upstreams.borrow_mut().set_others(&others.loads);
-            world.proven_at.set(others.proven_at);
+            world.proof.set(others.proof);
             world.merge_rate_limits(&others.rate_limits);
         }
         Command::Ended(runs) => runs.iter().for_each(|run| world.told_ended(run)),
--- a/components/traffic/src/world.rs
+++ b/components/traffic/src/world.rs
@@ -18,7 +18,7 @@
 use crate::arm::Break;
 use crate::config::Config;
 use crate::metrics::Metrics;
-use crate::plan::Plan;
+use crate::plan::{Plan, Proof};
 
 /// How far this daemon's life is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,8 +113,8 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) plan: RefCell<Arc<Plan>>,
-    /// When the configuration was last known to be current.
-    pub(crate) proven_at: Cell<Option<Time>>,
+    /// How current the configuration is known to be.
+    pub(crate) proof: Cell<Option<Proof>>,
     pub(crate) upstreams: RefCell<Upstreams>,
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// What is or was under way at each upstream.
@@ -150,7 +150,7 @@
     /// Whether a change that was to be in force by now may be missing in the configuration.
     pub(crate) fn may_be_old(&self) -> bool {
         let bound = self.cfg.current_within;
-        let proven_at = self.proven_at.get();
+        let proven_at = self.plan.borrow().proven_at(self.proof.get());
         proven_at.is_none_or(|at| self.now().since(at) > bound)
     }
 
@@ -194,7 +194,7 @@
 
     /// So long ago the configuration was last known to be current.
     pub(crate) fn proven_ms(&self, now: Time) -> Option<u64> {
-        let proven_at = self.proven_at.get();
+        let proven_at = self.plan.borrow().proven_at(self.proof.get());
         proven_at.map(|at| now.since(at).as_millis())
     }
 
--- a/components/traffic/tests/it/bounds.rs
+++ b/components/traffic/tests/it/bounds.rs
@@ -140,6 +140,10 @@
     running.proven(Some(Time::NEVER));
     until_told(404);
     assert_eq!(status_of(&answer(&new_key)), 401);
+    // A proof that is of another configuration than the one in use.
+    running.newer_is_proven();
+    until_told(503);
+    assert_eq!(status_of(&answer(&new_key)), 503);
 }
 
 #[test]
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -13,7 +13,8 @@
 };
 use telemetry::logs::Dropped;
 use traffic::{
-    Ask, AskError, Command, Config, Forwarding, Handle, Plan, Prompt, Reply, Standing, Translator,
+    Ask, AskError, Command, Config, Forwarding, Handle, Plan, Prompt, Proof, Reply, Standing,
+    Translator,
 };
 use types::prelude::*;
 
@@ -276,6 +277,12 @@
     }
 }
 
+/// The configuration of [`table`] was current then.
+fn proof(at: Time) -> Proof {
+    let version = table(Repeat::Any).version;
+    Proof { version, at }
+}
+
 fn table(repeat: Repeat) -> RouteTable {
     let customer = Arc::new(Customer {
         name: Arc::from("alice"),
@@ -337,7 +344,19 @@
     /// The configuration was last known to be current then.
     pub fn proven(&self, proven_at: Option<Time>) {
         let others = traffic::Others {
-            proven_at,
+            proof: proven_at.map(proof),
+            ..traffic::Others::default()
+        };
+        let told = self.handle.commands.send(Command::Others(others));
+        told.expect("the loop runs");
+    }
+
+    /// A configuration newer than the one in use is known to be current.
+    pub fn newer_is_proven(&self) {
+        let version = TableVersion(table(Repeat::Any).version.0 + 1);
+        let at = Time::NEVER;
+        let others = traffic::Others {
+            proof: Some(Proof { version, at }),
             ..traffic::Others::default()
         };
         let told = self.handle.commands.send(Command::Others(others));
@@ -347,7 +366,7 @@
     /// A peer tells that an upstream advertises a rate limit.
     pub fn told_limit(&self, id: &str, rate: f32) {
         let others = traffic::Others {
-            proven_at: Some(Time::NEVER),
+            proof: Some(proof(Time::NEVER)),
             rate_limits: vec![dispatch::Advertisement {
                 run: dispatch::run_key(&UpstreamId::new(id).expect("a name"), None),
                 version: 1,
