Carry proofs that a copy is current by the receiver's clock

Cause: ages that travel leave out what is waited in queues and links; dating by the promptest message of ten seconds, and by a tenth of leeway between two words, finds a delay that comes and none that stays or grows. Change: a peer that takes messages is asked for its clock, on the same connection, every 30 s at most; when its answer is here its clock has gone on, which bounds it from below however slow the way is. A claim (the store held nothing newer than a revision at a moment) is translated by that bound into a moment of the receiver's clock, at each hop anew, so it gets older on slow ways and never newer. Tests: three of standings.rs asked for the age of proofs in words; claims.rs asks more in their place (512 shrunk histories of five daemons with drifting clocks, restarts and ways of up to 6 s: no proof after a change that is not held).

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -17,6 +17,7 @@
 use crate::copying::Handing;
 use crate::entry::DaemonEntry;
 use crate::event::{Event, Purpose};
+use crate::freshness::Claim;
 use crate::peering::{Asked, Peering};
 use crate::planner::Planner;
 use crate::presence::Presence;
@@ -174,9 +175,11 @@
             } => {
                 let answer = Answer::Changes { after, at, changes };
                 self.take_mirror(now, answer, Source::Store);
-                if self.mirror.at() >= at {
-                    self.proven_at = self.proven_at.max(Some(current_at));
-                }
+                self.peering.note_claim(Claim {
+                    held: at,
+                    at: current_at,
+                });
+                self.prove();
             }
             Event::StoreHealth(health) => self.take_health(now, health),
             Event::Called(purpose, outcome) => self.take_called(now, &purpose, &outcome),
--- a/components/fleet/src/control/proving.rs
+++ b/components/fleet/src/control/proving.rs
@@ -1,7 +1,7 @@
 //! How current the own copy of the store's keys is, and whether to look at the store for it.
 //!
-//! A copy is proven current by an answer to the own watch, or by word of a daemon whose copy was
-//! and that holds no more than this one. The proof is a lease: when it runs out a daemon looks at the
+//! A copy is proven current by a claim of no more than it holds, from the own watch or from another
+//! daemon. The proof is a lease: when it runs out a daemon looks at the
 //! store itself, whatever it hears of watchers.
 
 use traffic::Proof;
@@ -50,9 +50,9 @@
         Some(Proof { version, at })
     }
 
-    /// Takes the others' word for how current the own copy is.
+    /// Takes what is known of how current the own copy is.
     pub(super) fn prove(&mut self) {
-        let proof = self.peering.standings().proof(self.mirror.at());
+        let proof = self.peering.proof(self.mirror.at());
         self.proven_at = self.proven_at.max(proof);
     }
 
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -16,8 +16,8 @@
 use types::prelude::*;
 
 use crate::audience::{self, Audience, Peer, Word};
-use crate::standing::{Standing, Standings, Vouched, watch_rank};
-use crate::transit::SentAt;
+use crate::freshness::{Claim, Claims};
+use crate::standing::{SentAt, Standing, Standings, Vouched, watch_rank};
 
 /// In a small fleet word is fresh for this long: three messages are missing then.
 const FRESH_IN_SMALL: Span = Span::from_millis(700);
@@ -47,6 +47,7 @@
     audience: Audience,
     loads: PeerLoads,
     standings: Standings,
+    claims: Claims,
     gathering: Gathering,
     /// Rate limits that peers advertised since they were last taken.
     rate_limits: Vec<Advertisement>,
@@ -95,6 +96,7 @@
             audience: Audience::default(),
             loads: PeerLoads::default(),
             standings: Standings::default(),
+            claims: Claims::default(),
             gathering: Gathering::default(),
             rate_limits: Vec::new(),
             ticks: 0,
@@ -183,6 +185,7 @@
                 Ok(standing) => {
                     let fresh = self.fresh();
                     self.standings.take(now, &from, &standing, fresh);
+                    self.take_claims(now, &from, &standing);
                     for word in &standing.rollouts {
                         self.gathering.take_word(word);
                     }
@@ -208,6 +211,26 @@
         Asked::Nothing
     }
 
+    fn take_claims(&mut self, now: Time, from: &DaemonId, standing: &Standing) {
+        let Some(told) = &standing.freshness else {
+            return;
+        };
+        let dropped = self.claims.take(now, self.handle.run(), told);
+        if dropped > 0 {
+            tracing::debug!(peer = %from, dropped, "peers: claims of another clock");
+        }
+    }
+
+    /// Notes what an answer of the store says.
+    pub(crate) fn note_claim(&mut self, claim: Claim) {
+        self.claims.add(claim);
+    }
+
+    /// When a copy of a revision was last known to be current.
+    pub(crate) fn proof(&self, held: Revision) -> Option<Time> {
+        self.claims.proof(held)
+    }
+
     fn note_rate_limits(&mut self, told: Vec<Advertisement>) {
         let room = MAX_RATE_LIMITS.saturating_sub(self.rate_limits.len());
         self.rate_limits.extend(told.into_iter().take(room));
@@ -280,13 +303,33 @@
             loads,
             rate_limits,
             sent_at: Some(self.sent_at(now)),
+            freshness: None,
         };
         match standing.encode() {
-            Ok(body) => self.tell(now, Part::Standing, &body, word),
+            Ok(body) => self.tell_standing(now, &body, word),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
 
+    /// Tells a few others how this daemon stands, and how current its copy is by the clock of each.
+    fn tell_standing(&mut self, now: Time, standing: &Bytes, word: Word) {
+        for address in self.told(now, word) {
+            let clock = self.handle.clock_of(address);
+            let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
+            let body = match freshness {
+                Some(freshness) => Standing::encode_for(standing, &freshness),
+                None => Ok(standing.clone()),
+            };
+            match body {
+                Ok(body) => {
+                    let part = Part::Standing;
+                    self.handle.send(address, Payload::Part { part, body });
+                }
+                Err(e) => tracing::error!("peers: {e}"),
+            }
+        }
+    }
+
     fn sent_at(&self, now: Time) -> SentAt {
         SentAt {
             run: self.members.me().stamp.incarnation,
--- a/components/fleet/src/standing.rs
+++ b/components/fleet/src/standing.rs
@@ -8,8 +8,7 @@
 //! What was added to the message after its first form follows behind it, so that daemons of either
 //! form read each other: the older one passes over what it does not know, the newer one does without.
 //!
-//! A word also says which revision its daemon held, and how long before that copy was proven
-//! current: whoever holds as much knows that its own copy was current then too.
+//! How current copies of the store's keys are goes with it, see [`crate::freshness`].
 
 use std::collections::HashMap;
 
@@ -21,7 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clocks::Clocks;
-use crate::transit::{SentAt, Transit};
+use crate::freshness::Freshness;
 
 /// Upstreams named in one message at most; the busiest daemons have some hundred out.
 const MAX_LOADS: usize = 1_024;
@@ -45,12 +44,21 @@
     pub run: Incarnation,
     /// See [`Self::run`].
     pub clock_ms: u64,
-    /// The store's revision that it held then.
+    /// The store's revision that it held then, for the release before.
     pub held: Revision,
-    /// How long before that copy was proven current; nothing if it never was.
+    /// How long before that copy was known to be current, for the release before.
     pub proven_ms: Option<u16>,
 }
 
+/// When a message was sent, by its sender's clock, for the release before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentAt {
+    /// The sender's run.
+    pub run: Incarnation,
+    /// In ms since the begin of that run.
+    pub clock_ms: u64,
+}
+
 /// How a daemon stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
@@ -67,12 +75,16 @@
     /// Rate limits of upstreams, as far as it knows.
     #[serde(skip)]
     pub rate_limits: Vec<Advertisement>,
-    /// When it was sent; nothing from a release that does not say so.
+    /// When it was sent.
     #[serde(skip)]
     pub sent_at: Option<SentAt>,
+    /// How current copies are, by the receiver's clock; nothing from a release that does not say so, or
+    /// where that clock is not known yet.
+    #[serde(skip)]
+    pub freshness: Option<Freshness>,
 }
 
-/// What follows the message's first form; a new field goes to its end.
+/// What follows the message's first form. It has its fields for good: what is newer follows behind it in turn.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Extension {
     rate_limits: Vec<Advertisement>,
@@ -85,7 +97,7 @@
 pub struct StandingError(#[from] postcard::Error);
 
 impl Standing {
-    /// As bytes.
+    /// As bytes, for any receiver.
     ///
     /// # Errors
     /// Never for a message of this form.
@@ -99,6 +111,16 @@
         Ok(bytes.into())
     }
 
+    /// An encoded message with what is for one receiver only.
+    ///
+    /// # Errors
+    /// Never for a message of this form.
+    pub fn encode_for(encoded: &Bytes, freshness: &Freshness) -> Result<Bytes, StandingError> {
+        let mut bytes = encoded.to_vec();
+        bytes.extend(postcard::to_allocvec(freshness)?);
+        Ok(bytes.into())
+    }
+
     /// From bytes, also of an older or newer form.
     ///
     /// # Errors
@@ -106,8 +128,10 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, StandingError> {
         let (mut standing, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         standing.loads.truncate(MAX_LOADS);
-        // An extension that cannot be read must not cost the message.
-        let extension = postcard::from_bytes::<Extension>(rest).unwrap_or_default();
+        // What follows and cannot be read must not cost the message.
+        let extension = postcard::take_from_bytes::<Extension>(rest);
+        let (extension, rest) = extension.unwrap_or_default();
+        standing.freshness = postcard::from_bytes(rest).ok();
         standing.sent_at = extension.sent_at;
         standing.rate_limits = extension.rate_limits;
         standing.rate_limits.truncate(MAX_RATE_LIMITS);
@@ -128,14 +152,6 @@
     word: Vouched,
 }
 
-impl Said {
-    /// When a copy that holds as much was current.
-    fn proof(&self, held: Revision) -> Option<Time> {
-        let proven_ms = self.word.proven_ms.filter(|_| self.word.held <= held)?;
-        Some(self.at - Span::from_millis(u64::from(proven_ms)))
-    }
-}
-
 /// How the others stand, as far as they spoke lately.
 #[derive(Debug, Default)]
 pub struct Standings {
@@ -145,7 +161,6 @@
     /// What each daemon last said that the store does not answer.
     unanswered: HashMap<DaemonId, Said>,
     clocks: Clocks,
-    transit: Transit,
 }
 
 impl Standings {
@@ -156,14 +171,9 @@
             held: standing.held,
         };
         self.heard.insert(daemon.clone(), heard);
-        let delay = match standing.sent_at {
-            Some(sent_at) => self.transit.delay(now, daemon, sent_at),
-            None => Some(Span::ZERO),
-        };
         let clocks = &mut self.clocks;
-        take_word(now, delay, clocks, &mut self.watchers, &standing.watchers);
-        let unanswered = &standing.unanswered;
-        take_word(now, delay, clocks, &mut self.unanswered, unanswered);
+        take_word(now, clocks, &mut self.watchers, &standing.watchers);
+        take_word(now, clocks, &mut self.unanswered, &standing.unanswered);
         self.settle();
     }
 
@@ -193,13 +203,6 @@
         latest(now, &self.unanswered, MAX_VOUCHED)
     }
 
-    /// When a copy that holds so much was last known to be current, as others say.
-    #[must_use]
-    pub fn proof(&self, held: Revision) -> Option<Time> {
-        let proofs = self.watchers.values().filter_map(|said| said.proof(held));
-        proofs.max()
-    }
-
     /// Whether anybody's watch works.
     #[must_use]
     pub fn has_watcher(&self) -> bool {
@@ -222,7 +225,6 @@
             said.retain(|_, said| now.since(said.at) < fresh);
         }
         self.clocks.expire(now);
-        self.transit.expire(now);
     }
 
     /// Who watches with success, the latest word first.
@@ -266,23 +268,11 @@
     }
 }
 
-/// Takes what a message says of others, with its age. `delay` is how long it was under way: proofs are
-/// older by as much, and where it cannot be told there is none. Who is heard of does not depend on it.
-fn take_word(
-    now: Time,
-    delay: Option<Span>,
-    clocks: &mut Clocks,
-    said: &mut HashMap<DaemonId, Said>,
-    word: &[Vouched],
-) {
-    let delay_ms = delay.and_then(|delay| u16::try_from(delay.as_millis()).ok());
+/// Takes what a message says of others, with its age.
+fn take_word(now: Time, clocks: &mut Clocks, said: &mut HashMap<DaemonId, Said>, word: &[Vouched]) {
     for word in word.iter().take(MAX_VOUCHED) {
         if let Some(at) = clocks.said_at(now, word) {
-            let proven_ms = word.proven_ms.zip(delay_ms);
-            let word = Vouched {
-                proven_ms: proven_ms.and_then(|(proven, delay)| proven.checked_add(delay)),
-                ..word.clone()
-            };
+            let word = word.clone();
             said.insert(word.daemon.clone(), Said { at, word });
         }
     }
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -169,6 +169,7 @@
             listen: settings.peers,
             advertise: settings.advertise,
             keys: Keys::new(vec![key], sending)?,
+            clock,
         },
         move |inbound| {
             let arrived_at = clock.now();
--- /dev/null
+++ b/components/fleet/tests/it/claims.rs
@@ -0,0 +1,384 @@
+//! Claims of how current copies are, over slow ways and clocks that differ.
+
+use fleet::{Claim, Claims, Freshness};
+use mirror::Revision;
+use peers::{Clocks, Reading};
+use proptest::prelude::*;
+use types::prelude::*;
+
+/// Daemons.
+const FLEET: usize = 5;
+
+/// A daemon's clock: when its run began, and how much faster than others it goes.
+#[derive(Debug, Clone, Copy)]
+struct DaemonClock {
+    began_ms: u64,
+    parts_per_million: i64,
+}
+
+impl DaemonClock {
+    fn reads(&self, true_ms: u64) -> Time {
+        let ran_us = true_ms.saturating_sub(self.began_ms) as i64 * 1_000;
+        let fast_us = ran_us * self.parts_per_million / 1_000_000;
+        Time((ran_us + fast_us) as u64)
+    }
+}
+
+/// What happens, each so long after the one before.
+#[derive(Debug, Clone)]
+enum Step {
+    /// The store takes a change.
+    Write,
+    /// The store answers a daemon's question of so long ago.
+    Answer { daemon: usize, took_ms: u64 },
+    /// A daemon asks another for its clock; the ways there and back take so long.
+    Measure {
+        from: usize,
+        to: usize,
+        there_ms: u64,
+        back_ms: u64,
+    },
+    /// A daemon makes a message for another one, which takes it so much later.
+    Tell {
+        from: usize,
+        to: usize,
+        under_way_ms: u64,
+    },
+    /// A daemon starts again.
+    Restart { daemon: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let daemon = || 0..FLEET;
+    let way = || prop_oneof![0..5_u64, 0..300_u64, 0..6_000_u64];
+    prop_oneof![
+        2 => Just(Step::Write),
+        2 => (daemon(), way()).prop_map(|(daemon, took_ms)| Step::Answer { daemon, took_ms }),
+        4 => (daemon(), daemon(), way(), way()).prop_map(|(from, to, there_ms, back_ms)| {
+            Step::Measure { from, to, there_ms, back_ms }
+        }),
+        8 => (daemon(), daemon(), way()).prop_map(|(from, to, under_way_ms)| {
+            Step::Tell { from, to, under_way_ms }
+        }),
+        1 => daemon().prop_map(|daemon| Step::Restart { daemon }),
+    ]
+}
+
+/// What takes effect later.
+enum Due {
+    Measured {
+        from: usize,
+        run: u64,
+        to: usize,
+        reading: Reading,
+        asked_at: Time,
+    },
+    Told {
+        to: usize,
+        freshness: Freshness,
+    },
+}
+
+struct Daemon {
+    clock: DaemonClock,
+    run: u64,
+    claims: Claims,
+    clocks: Clocks,
+}
+
+struct World {
+    now_ms: u64,
+    /// When each revision was written, the first one first.
+    written_ms: Vec<u64>,
+    daemons: Vec<Daemon>,
+    due: Vec<(u64, Due)>,
+}
+
+fn address(daemon: usize) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1_000 + daemon as u16).into()
+}
+
+impl World {
+    fn new(clocks: Vec<DaemonClock>) -> Self {
+        let daemon = |clock| Daemon {
+            clock,
+            run: 1,
+            claims: Claims::default(),
+            clocks: Clocks::default(),
+        };
+        Self {
+            now_ms: 100_000,
+            written_ms: vec![0],
+            daemons: clocks.into_iter().map(daemon).collect(),
+            due: Vec::new(),
+        }
+    }
+
+    /// The store's revision at a moment.
+    fn held_at(&self, true_ms: u64) -> Revision {
+        let written = self.written_ms.iter().filter(|at| **at <= true_ms);
+        Revision(written.count() as u64)
+    }
+
+    fn play(&mut self, pause_ms: u64, step: &Step) {
+        self.now_ms += pause_ms;
+        self.settle();
+        let now_ms = self.now_ms;
+        match *step {
+            Step::Write => self.written_ms.push(now_ms),
+            Step::Answer { daemon, took_ms } => {
+                let asked_ms = now_ms - took_ms;
+                let held = self.held_at(now_ms - took_ms / 2);
+                let daemon = &mut self.daemons[daemon];
+                if asked_ms >= daemon.clock.began_ms {
+                    let at = daemon.clock.reads(asked_ms);
+                    daemon.claims.add(Claim { held, at });
+                }
+            }
+            Step::Measure { from, to, .. } if from == to => {}
+            Step::Measure {
+                from,
+                to,
+                there_ms,
+                back_ms,
+            } => {
+                let read_at = self.daemons[to].clock.reads(now_ms + there_ms);
+                let reading = Reading {
+                    run: Incarnation(self.daemons[to].run),
+                    clock_ms: read_at.since(Time::ZERO).as_millis(),
+                };
+                let due = Due::Measured {
+                    from,
+                    run: self.daemons[from].run,
+                    to,
+                    reading,
+                    asked_at: self.daemons[from].clock.reads(now_ms),
+                };
+                self.due.push((now_ms + there_ms + back_ms, due));
+            }
+            Step::Tell {
+                from,
+                to,
+                under_way_ms,
+            } => {
+                let sender = &self.daemons[from];
+                let bound = sender.clocks.get(address(to));
+                if let Some(freshness) = bound.and_then(|bound| sender.claims.for_peer(&bound)) {
+                    let due = Due::Told { to, freshness };
+                    self.due.push((now_ms + under_way_ms, due));
+                }
+            }
+            Step::Restart { daemon } => {
+                let daemon = &mut self.daemons[daemon];
+                daemon.clock.began_ms = now_ms;
+                daemon.run += 1;
+                daemon.claims = Claims::default();
+                daemon.clocks = Clocks::default();
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        let due = std::mem::take(&mut self.due);
+        let (mut due, later) = due
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= self.now_ms);
+        self.due = later;
+        due.sort_by_key(|(at, _)| *at);
+        for (at_ms, due) in due {
+            match due {
+                Due::Measured {
+                    from,
+                    run,
+                    to,
+                    reading,
+                    asked_at,
+                } => {
+                    let daemon = &mut self.daemons[from];
+                    let is_of_now = daemon.run == run && self.daemons_run(to) == reading.run;
+                    let daemon = &mut self.daemons[from];
+                    if is_of_now {
+                        let answered_at = daemon.clock.reads(at_ms);
+                        let clocks = &mut daemon.clocks;
+                        clocks.note(address(to), reading, asked_at, answered_at);
+                    }
+                }
+                Due::Told { to, freshness } => {
+                    let daemon = &mut self.daemons[to];
+                    let now = daemon.clock.reads(at_ms);
+                    let run = Incarnation(daemon.run);
+                    daemon.claims.take(now, run, &freshness);
+                }
+            }
+        }
+    }
+
+    fn daemons_run(&self, daemon: usize) -> Incarnation {
+        Incarnation(self.daemons[daemon].run)
+    }
+
+    /// By how much any proof is later than the first change that is not held, in ms.
+    fn too_new_ms(&self) -> Option<u64> {
+        let all = 0..self.written_ms.len();
+        let late = self.daemons.iter().flat_map(|daemon| {
+            all.clone().filter_map(|held| {
+                let proven_at = daemon.claims.proof(Revision(held as u64))?;
+                let written_ms = *self.written_ms.get(held)?;
+                let missed_at = daemon.clock.reads(written_ms);
+                let is_before = written_ms >= daemon.clock.began_ms;
+                let is_late = if is_before {
+                    proven_at > missed_at
+                } else {
+                    true
+                };
+                is_late.then(|| proven_at.since(missed_at).as_millis())
+            })
+        });
+        late.max()
+    }
+}
+
+fn clock() -> impl Strategy<Value = DaemonClock> {
+    (0..90_000_u64, -400..400_i64).prop_map(|(began_ms, parts_per_million)| DaemonClock {
+        began_ms,
+        parts_per_million,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// No claim grows newer on its way, however slow that is.
+    #[test]
+    fn no_proof_is_of_after_a_change_that_is_not_held(
+        clocks in prop::collection::vec(clock(), FLEET),
+        steps in prop::collection::vec((0..400_u64, step()), 1..120),
+    ) {
+        let mut world = World::new(clocks);
+        for (pause_ms, step) in &steps {
+            world.play(*pause_ms, step);
+            prop_assert_eq!(world.too_new_ms(), None, "after {:?}", step);
+        }
+    }
+}
+
+/// Daemons whose ways are prompt know of a claim within the time that it took to come.
+#[test]
+fn a_claim_that_came_promptly_is_hardly_older() {
+    let clocks = (0..FLEET as u64).map(|n| DaemonClock {
+        began_ms: n * 7_000,
+        parts_per_million: 0,
+    });
+    let mut world = World::new(clocks.collect());
+    let way = |from: usize| Step::Tell {
+        from,
+        to: from + 1,
+        under_way_ms: 2,
+    };
+    for from in 0..FLEET - 1 {
+        let (there_ms, back_ms) = (2, 2);
+        let to = from + 1;
+        world.play(
+            10,
+            &Step::Measure {
+                from,
+                to,
+                there_ms,
+                back_ms,
+            },
+        );
+    }
+    world.play(
+        10,
+        &Step::Answer {
+            daemon: 0,
+            took_ms: 4,
+        },
+    );
+    let claimed_ms = world.now_ms - 4;
+    for from in 0..FLEET - 1 {
+        world.play(10, &way(from));
+    }
+    world.play(10, &Step::Write);
+    let last = &world.daemons[FLEET - 1];
+    let proven_at = last.claims.proof(Revision(1)).expect("told");
+    let lost = last.clock.reads(claimed_ms).since(proven_at);
+    assert!(lost <= Span::from_millis(20), "{lost}");
+}
+
+/// A message for a former run of a daemon says nothing to the present one.
+#[test]
+fn claims_for_another_clock_are_dropped() {
+    let (run, now) = (Incarnation(2), Time::ZERO + Span::from_secs(9));
+    let told = |run, clock_ms| Freshness {
+        run: Incarnation(run),
+        claims: vec![fleet::DatedClaim {
+            held: Revision(7),
+            clock_ms,
+        }],
+    };
+    let mut claims = Claims::default();
+    assert_eq!(claims.take(now, run, &told(1, 8_000)), 1);
+    assert_eq!(claims.take(now, run, &told(2, 9_001)), 1, "not yet");
+    assert_eq!(claims.take(now, run, &told(2, u64::MAX)), 1, "no moment");
+    assert_eq!(claims.proof(Revision(7)), None);
+    assert_eq!(claims.take(now, run, &told(2, 8_000)), 0);
+    assert_eq!(
+        claims.proof(Revision(7)),
+        Some(Time::ZERO + Span::from_secs(8))
+    );
+    assert_eq!(claims.proof(Revision(6)), None, "behind the claim");
+}
+
+/// A bound that was measured long ago holds for clocks that drift apart.
+#[test]
+fn a_drifting_clock_makes_no_claim_newer() {
+    let drifts = |parts_per_million| DaemonClock {
+        began_ms: 50_000,
+        parts_per_million,
+    };
+    let mut world = World::new(vec![drifts(400), drifts(-400)]);
+    let (from, to) = (0, 1);
+    let (there_ms, back_ms, under_way_ms) = (0, 0, 0);
+    world.play(
+        0,
+        &Step::Measure {
+            from,
+            to,
+            there_ms,
+            back_ms,
+        },
+    );
+    world.play(
+        60_000,
+        &Step::Answer {
+            daemon: 0,
+            took_ms: 0,
+        },
+    );
+    world.play(
+        0,
+        &Step::Tell {
+            from,
+            to,
+            under_way_ms,
+        },
+    );
+    world.play(1, &Step::Write);
+    assert!(world.daemons[to].claims.proof(Revision(1)).is_some());
+    assert_eq!(world.too_new_ms(), None);
+}
+
+/// A daemon that lags a change behind was current before it.
+#[test]
+fn an_older_claim_of_less_is_kept() {
+    let at = |secs| Time::ZERO + Span::from_secs(secs);
+    let mut claims = Claims::default();
+    for (held, secs) in [(5, 1), (7, 2), (7, 1), (9, 2)] {
+        let held = Revision(held);
+        claims.add(Claim { held, at: at(secs) });
+    }
+    assert_eq!(claims.proof(Revision(4)), None);
+    assert_eq!(claims.proof(Revision(6)), Some(at(1)));
+    assert_eq!(claims.proof(Revision(7)), Some(at(2)));
+}
--- a/components/fleet/tests/it/limits.rs
+++ b/components/fleet/tests/it/limits.rs
@@ -1,7 +1,7 @@
 //! Which daemons share upstreams' rate limits, and how daemons of two releases tell them.
 
 use dispatch::Advertisement;
-use fleet::{SentAt, Standing, shares_rate_limits};
+use fleet::{DatedClaim, Freshness, SentAt, Standing, shares_rate_limits};
 use membership::{Member, MemberRecord, Stamp, State};
 use mirror::Revision;
 use ratelimit::RunKey;
@@ -57,6 +57,7 @@
             run: Incarnation(3),
             clock_ms: 70_000,
         }),
+        freshness: None,
     }
 }
 
@@ -85,3 +86,22 @@
     let longer = [standing().encode().expect("fits").as_ref(), &[7, 7, 7]].concat();
     assert_eq!(Standing::decode(&longer).expect("its form"), standing());
 }
+
+#[test]
+fn claims_for_one_receiver_follow_what_earlier_releases_read() {
+    let freshness = Freshness {
+        run: Incarnation(8),
+        claims: vec![DatedClaim {
+            held: Revision(300),
+            clock_ms: 12_345,
+        }],
+    };
+    let any = standing().encode().expect("fits");
+    let one = Standing::encode_for(&any, &freshness).expect("fits");
+    assert!(one.starts_with(&any));
+    let expected = Standing {
+        freshness: Some(freshness),
+        ..standing()
+    };
+    assert_eq!(Standing::decode(&one).expect("its form"), expected);
+}
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod audience;
 mod bars;
+mod claims;
 mod copying;
 mod fleet;
 mod freshness;
--- a/components/fleet/tests/it/standings.rs
+++ b/components/fleet/tests/it/standings.rs
@@ -1,6 +1,6 @@
 //! What daemons know of each other's standing.
 
-use fleet::{SentAt, Standing, Standings, Vouched};
+use fleet::{Standing, Standings, Vouched};
 use mirror::Revision;
 use types::prelude::*;
 
@@ -19,6 +19,7 @@
         loads: Vec::new(),
         rate_limits: Vec::new(),
         sent_at: None,
+        freshness: None,
     }
 }
 
@@ -130,28 +131,6 @@
     standings.take(at(18_400), &daemon(0), &held_up, FRESH);
     standings.expire(at(18_400), FRESH);
     assert!(!standings.has_watcher());
-    assert_eq!(standings.proof(Revision(7)), None);
-}
-
-#[test]
-fn a_copy_is_as_current_as_a_watcher_whose_copy_it_holds() {
-    let mut standings = Standings::default();
-    let new = Vouched {
-        proven_ms: Some(300),
-        ..word(4, 5_000)
-    };
-    standings.take(at(10_000), &daemon(0), &watched(vec![new]), FRESH);
-    assert_eq!(standings.proof(Revision(7)), Some(at(9_700)));
-    assert_eq!(standings.proof(Revision(9)), Some(at(9_700)));
-    // One that lacks what the watcher holds is proven by nothing.
-    assert_eq!(standings.proof(Revision(6)), None);
-    // Nor by a watcher that does not know itself.
-    let unproven = Vouched {
-        proven_ms: None,
-        ..word(4, 5_200)
-    };
-    standings.take(at(10_200), &daemon(0), &watched(vec![unproven]), FRESH);
-    assert_eq!(standings.proof(Revision(7)), None);
 }
 
 #[test]
@@ -187,50 +166,15 @@
     assert!(!standings.is_store_away(295), "one word is too old");
 }
 
-/// A message of daemon 5, sent when its clock was at `clock_ms`, that names a watcher.
-fn sent(clock_ms: u64, watcher: Option<Vouched>) -> Standing {
-    Standing {
-        sent_at: Some(SentAt {
-            run: Incarnation(1),
-            clock_ms,
-        }),
-        ..watched(watcher.into_iter().collect())
-    }
-}
-
-#[test]
-fn a_message_that_was_held_up_proves_a_copy_as_of_its_sending() {
-    // It waited behind a cut for seconds and names a watcher that was never heard of before.
-    let mut standings = Standings::default();
-    for ms in (20_000..22_000).step_by(200) {
-        standings.take(at(ms), &daemon(5), &sent(ms - 9_000, None), FRESH);
-    }
-    let held_up = sent(13_900, Some(passed_on(&word(4, 5_000), 100)));
-    standings.take(at(25_200), &daemon(5), &held_up, Span::from_secs(5));
-    assert_eq!(standings.proof(Revision(7)), Some(at(22_800)));
-}
-
-#[test]
-fn a_first_message_proves_nothing_until_its_way_is_known() {
-    let mut standings = Standings::default();
-    let watcher = |clock_ms| Some(passed_on(&word(4, clock_ms), 100));
-    standings.take(at(30_000), &daemon(5), &sent(13_900, watcher(5_000)), FRESH);
-    assert!(standings.has_watcher());
-    assert_eq!(standings.proof(Revision(7)), None);
-    standings.take(at(31_200), &daemon(5), &sent(17_300, watcher(8_400)), FRESH);
-    assert_eq!(standings.proof(Revision(7)), Some(at(31_100)));
-}
-
 #[test]
 fn a_watcher_in_slow_messages_is_still_heard_of() {
     // Busy hosts read their messages late; the store was taken for away though watchers were answered.
     let mut standings = Standings::default();
     for ms in (20_000..22_000).step_by(200) {
-        standings.take(at(ms), &daemon(5), &sent(ms - 9_000, None), FRESH);
+        standings.take(at(ms), &daemon(5), &watched(vec![]), FRESH);
     }
-    let late = sent(11_700, Some(passed_on(&word(4, 5_000), 100)));
+    let late = watched(vec![passed_on(&word(4, 5_000), 100)]);
     standings.take(at(22_000), &daemon(5), &late, FRESH);
     standings.expire(at(22_400), FRESH);
     assert!(standings.has_watcher());
-    assert_eq!(standings.proof(Revision(7)), Some(at(20_600)));
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -63,7 +63,9 @@
             crate::hosts::start(list, events.clone())?;
         }
         let sink = systems::membership::sink(events.clone());
-        let peers = systems::membership::start_peers(&shared.settings, shared.incarnation, sink)?;
+        let incarnation = shared.incarnation;
+        let clock = shared.clock;
+        let peers = systems::membership::start_peers(&shared.settings, incarnation, clock, sink)?;
         let peers_address = peers.address();
         let storage = Storage::start(&shared.store, events)?;
         shared.sessions.set_peers(peers.clone());
--- a/components/node/src/systems/membership.rs
+++ b/components/node/src/systems/membership.rs
@@ -21,6 +21,7 @@
 pub(crate) fn start_peers(
     settings: &Settings,
     incarnation: Incarnation,
+    clock: Clock,
     sink: impl Fn(Inbound) -> bool + Send + Sync + 'static,
 ) -> Result<Handle, NodeError> {
     let cfg = peers::Config {
@@ -30,6 +31,7 @@
         listen: settings.peers.listen,
         advertise: settings.peers.advertise,
         keys: keys(settings)?,
+        clock,
     };
     Peers::start(cfg, sink).map_err(|error| NodeError::Peers(error.to_string()))
 }
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -21,9 +21,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::clocks::Reading;
 use crate::counted::frames;
 use crate::handle::{AskError, Command, Shared};
-use crate::payload::Payload;
+use crate::payload::{Part, Payload};
 use crate::seal::{Ends, Refusal, Sealed, Use};
 use crate::service::{Greeting, PeerClient};
 use crate::silence::Silence;
@@ -41,6 +42,8 @@
 /// Questions in a row that a connection may leave unanswered: a peer at work on another's may
 /// well miss one.
 const MAX_UNANSWERED: u32 = 2;
+/// A peer that did not tell its clock is asked again after this.
+const MEASURE_AGAIN: Duration = Duration::from_secs(2);
 /// A connection without messages for so long is closed.
 const IDLE: Duration = Duration::from_secs(15);
 /// Pause after a first failure to connect; doubled with each more.
@@ -145,6 +148,10 @@
     broken: Arc<AtomicBool>,
     /// Questions in a row without an answer.
     unanswered: Arc<AtomicU32>,
+    /// When the peer's clock is asked for next, where it is due.
+    measure_at: Instant,
+    /// Set where the peer does not tell its clock.
+    is_clockless: Arc<AtomicBool>,
     shared: Arc<Shared>,
 }
 
@@ -252,6 +259,7 @@
                 Ok(Ok(())) => {
                     self.note_answer();
                     self.shared.counts.sent.add(1);
+                    self.measure_clock();
                     return;
                 }
                 Ok(Err(refusal)) => {
@@ -285,6 +293,49 @@
         connection.client.deliver(cx, sealed).await
     }
 
+    /// Asks a peer that takes messages for its clock where that is due.
+    fn measure_clock(&mut self) {
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        let is_clockless = connection.is_clockless.load(Ordering::Relaxed);
+        let is_due = self
+            .shared
+            .clocks()
+            .is_due(self.to, self.shared.clock.now());
+        if is_clockless || !is_due || Instant::now() < connection.measure_at {
+            return;
+        }
+        connection.measure_at = Instant::now() + MEASURE_AGAIN;
+        let question = Payload::Part {
+            part: Part::Clock,
+            body: bytes::Bytes::new(),
+        };
+        let Ok(body) = question.encode() else {
+            return;
+        };
+        let sealed = connection.seal(Use::Ask, body);
+        let (client, ends) = (connection.client.clone(), connection.ends.clone());
+        let is_clockless = Arc::clone(&connection.is_clockless);
+        let (to, shared) = (self.to, Arc::clone(&self.shared));
+        tokio::spawn(async move {
+            let asked_at = shared.clock.now();
+            let number = sealed.number;
+            let reply = client.ask(within(DELIVER_TIMEOUT), sealed).await;
+            let answered_at = shared.clock.now();
+            match read_reply(&shared, &ends, number, reply) {
+                Ok(Payload::Part { body, .. }) => {
+                    if let Ok(reading) = Reading::decode(&body) {
+                        shared.clocks().note(to, reading, asked_at, answered_at);
+                    }
+                }
+                // Of a release that does not know the question.
+                Err(AskError::Refused(_)) => is_clockless.store(true, Ordering::Relaxed),
+                Ok(Payload::Membership(_)) | Err(_) => {}
+            }
+        });
+    }
+
     /// Asks on a task of its own, so that a slow answer holds up nothing else.
     fn ask(
         &mut self,
@@ -326,7 +377,9 @@
                 }
                 Err(_) => broken.store(true, Ordering::Relaxed),
             }
-            let _ = answer.try_send(read_reply(&shared, &ends, number, reply));
+            let reply = read_reply(&shared, &ends, number, reply);
+            shared.counts.sent.add(u64::from(reply.is_ok()));
+            let _ = answer.try_send(reply);
             drop(permit);
         });
     }
@@ -381,6 +434,8 @@
         asks: Arc::new(tokio::sync::Semaphore::new(MAX_ASKS)),
         broken: Arc::default(),
         unanswered: Arc::default(),
+        measure_at: Instant::now(),
+        is_clockless: Arc::default(),
         shared: Arc::clone(shared),
     })
 }
@@ -405,6 +460,5 @@
         return Err(AskError::BadReply);
     }
     opened.map_err(|_| AskError::BadReply)?;
-    shared.counts.sent.add(1);
     Payload::decode(&sealed.body).map_err(|_| AskError::BadReply)
 }
--- a/components/peers/src/config.rs
+++ b/components/peers/src/config.rs
@@ -25,6 +25,8 @@
     pub advertise: Option<SocketAddr>,
     /// The shared keys.
     pub keys: Keys,
+    /// This run's clock.
+    pub clock: Clock,
 }
 
 /// A shared key.
--- a/components/peers/src/handle.rs
+++ b/components/peers/src/handle.rs
@@ -1,7 +1,7 @@
 //! What the other threads hold of the peers' thread.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use membership::Sender;
@@ -10,6 +10,7 @@
 use types::prelude::*;
 
 use crate::client::{self, Job};
+use crate::clocks::{ClockBound, Clocks, Reading};
 use crate::config::{Config, Keys};
 use crate::payload::Payload;
 use crate::seal::Refusal;
@@ -116,12 +117,29 @@
     pub(crate) sink: Sink,
     /// Bounds the lines about silent peers.
     pub(crate) lines: Mutex<Lines>,
+    /// What is known of the peers' clocks.
+    pub(crate) clocks: Mutex<Clocks>,
+    pub(crate) clock: Clock,
+    /// The run that the own clock counts from.
+    run: Incarnation,
     me: DaemonId,
     incarnation: RwLock<Incarnation>,
     keys: RwLock<Arc<Keys>>,
 }
 
 impl Shared {
+    pub(crate) fn clocks(&self) -> MutexGuard<'_, Clocks> {
+        self.clocks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The own clock.
+    pub(crate) fn reading(&self) -> Reading {
+        Reading {
+            run: self.run,
+            clock_ms: self.clock.now().since(Time::ZERO).as_millis(),
+        }
+    }
+
     pub(crate) fn keys(&self) -> Arc<Keys> {
         Arc::clone(&self.keys.read().unwrap_or_else(PoisonError::into_inner))
     }
@@ -165,6 +183,9 @@
             counts: Arc::new(Counts::default()),
             sink: Box::new(sink),
             lines: Mutex::default(),
+            clocks: Mutex::default(),
+            clock: cfg.clock,
+            run: cfg.incarnation,
             me: cfg.me,
             incarnation: RwLock::new(cfg.incarnation),
             keys: RwLock::new(Arc::new(cfg.keys)),
@@ -270,6 +291,18 @@
         let _ = self.commands.try_send(Command::Reconnect);
     }
 
+    /// The run that this daemon's clock counts from.
+    #[must_use]
+    pub fn run(&self) -> Incarnation {
+        self.shared.run
+    }
+
+    /// What is known of a peer's clock.
+    #[must_use]
+    pub fn clock_of(&self, peer: SocketAddr) -> Option<ClockBound> {
+        self.shared.clocks().get(peer)
+    }
+
     /// Counts since the start.
     #[must_use]
     pub fn stats(&self) -> Stats {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -11,6 +11,7 @@
 //! repeats what matters.
 
 mod client;
+mod clocks;
 mod config;
 mod counted;
 mod handle;
@@ -21,6 +22,7 @@
 mod silence;
 mod stats;
 
+pub use clocks::{ClockBound, Clocks, Reading};
 pub use config::{Config, Key, KeyError, Keys, MIN_SECRET_BYTES};
 pub use handle::{AskError, Handle, Inbound, Peers, PeersError, Reply};
 pub use payload::{MAX_BODY_BYTES, Part, Payload, PayloadError};
--- a/components/peers/src/payload.rs
+++ b/components/peers/src/payload.rs
@@ -47,6 +47,8 @@
     Standing,
     /// Contents under which upstreams ended.
     Poison,
+    /// What a daemon's clock shows, answered by the connection's end itself.
+    Clock,
 }
 
 /// Why bytes are no payload, or a payload makes no bytes.
--- a/components/peers/src/server.rs
+++ b/components/peers/src/server.rs
@@ -13,7 +13,7 @@
 
 use crate::counted::frames;
 use crate::handle::{Inbound, Reply, Shared};
-use crate::payload::Payload;
+use crate::payload::{Part, Payload};
 use crate::seal::{Challenge, Ends, Refusal, Sealed, Use, Window};
 use crate::service::{Greeting, Peer, PeerResponse};
 
@@ -184,6 +184,30 @@
 
     async fn answer(&self, cx: &Context, sealed: &Sealed) -> Result<Sealed, Refusal> {
         let (ends, payload) = self.open(Use::Ask, sealed)?;
+        let answer = match payload {
+            Payload::Part {
+                part: Part::Clock, ..
+            } => self.read_clock()?,
+            payload => self.ask_sink(cx, &ends, payload).await?,
+        };
+        let body = answer.encode().map_err(|_| Refusal::Malformed)?;
+        let keys = self.shared.keys();
+        Ok(ends.seal(&keys, Use::Reply, sealed.number, body))
+    }
+
+    fn read_clock(&self) -> Result<Payload, Refusal> {
+        let body = self.shared.reading().encode();
+        let body = body.map_err(|_| Refusal::Malformed)?;
+        let part = Part::Clock;
+        Ok(Payload::Part { part, body })
+    }
+
+    async fn ask_sink(
+        &self,
+        cx: &Context,
+        ends: &Ends,
+        payload: Payload,
+    ) -> Result<Payload, Refusal> {
         let (tx, rx) = oneshot::channel();
         self.hand_over(Inbound::Ask {
             from: ends.from.clone(),
@@ -193,10 +217,7 @@
         let deadline = Instant::from_std(cx.deadline);
         let answer = timeout_at(deadline, rx).await;
         let answer = answer.ok().and_then(Result::ok);
-        let body = answer.ok_or(Refusal::Overloaded)?.encode();
-        let body = body.map_err(|_| Refusal::Malformed)?;
-        let keys = self.shared.keys();
-        Ok(ends.seal(&keys, Use::Reply, sealed.number, body))
+        answer.ok_or(Refusal::Overloaded)
     }
 
     /// Counts and logs what was refused.
--- a/components/peers/tests/peers.rs
+++ b/components/peers/tests/peers.rs
@@ -39,6 +39,7 @@
         listen: any_port(),
         advertise: None,
         keys,
+        clock: Clock::new(),
     }
 }
 
--- a/components/peers/tests/silence.rs
+++ b/components/peers/tests/silence.rs
@@ -32,6 +32,7 @@
         listen,
         advertise,
         keys: Keys::new(vec![key], 1).unwrap(),
+        clock: Clock::new(),
     };
     let (tx, rx) = flume::bounded(64);
     let sink = move |inbound| tx.try_send(inbound).is_ok();
