Hand on changes from the log only; keep what a later page holds

Found by looking for the same class: a copy that holds a revision and not all of its content counts as current for good. Pages of a listing are of different moments, so an item may be newer than the listing. 1. What a second listing changed was handed on as all that had changed between the two: an item that the first listing held already was missing in it, and a peer between the two lacked it without a sign. News is made from the log now, which a listing begins anew; who is behind it asks. 2. A change told later, older than such an item, undid it: an upstream that leaves was ready again until the next change came. Tests of both; each fails with its guard taken out.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -321,21 +321,19 @@
                 return;
             }
         };
-        self.pass_on(now, before, &changes);
+        self.pass_on(now, before);
         self.changed(now, &changes, source);
     }
 
     /// Hands on what is new, once: who takes a change tells some others in turn, so that it
     /// is everywhere after a few hops; who was left out asks at its next tick.
-    fn pass_on(&mut self, now: Time, before: Revision, changes: &[Change]) {
+    fn pass_on(&mut self, now: Time, before: Revision) {
         let from_watch = self.watching.mode() == Mode::Watch;
-        let is_news = before > Revision::default() && !changes.is_empty();
-        if is_news && (from_watch || !self.peering.is_small()) {
-            let answer = Answer::Changes {
-                after: before,
-                at: self.mirror.at(),
-                changes: changes.to_vec(),
-            };
+        let is_told = from_watch || !self.peering.is_small();
+        if before == Revision::default() || !is_told {
+            return;
+        }
+        if let Some(answer) = Answer::news(&self.mirror, before) {
             self.peering.show_changes(now, &answer);
         }
     }
--- a/components/mirror/src/message.rs
+++ b/components/mirror/src/message.rs
@@ -113,6 +113,18 @@
         }
     }
 
+    /// What `mirror` took since it held a revision, for peers that held as much; nothing where that was a
+    /// listing: what differs from an own copy need not be all that differs from another's.
+    #[must_use]
+    pub fn news(mirror: &Mirror, before: Revision) -> Option<Self> {
+        let changes = mirror.since(before).filter(|changes| !changes.is_empty())?;
+        Some(Self::Changes {
+            after: before,
+            at: mirror.at(),
+            changes,
+        })
+    }
+
     fn page(mirror: &Mirror, after: Option<&str>) -> Self {
         let mut bytes = 0;
         let mut rest = mirror.after(after).peekable();
--- a/components/mirror/src/mirror.rs
+++ b/components/mirror/src/mirror.rs
@@ -133,8 +133,14 @@
         for change in changes {
             // Guards against the past: a watch that lags behind a peer tells again what
             // was superseded, and a deleted key would come back.
-            if change.revision > self.at {
-                self.put(&change);
+            if change.revision <= self.at {
+                continue;
+            }
+            self.log(&change);
+            // A page of a listing may be of a later moment than the listing.
+            let held = self.items.get(&change.key).map(|held| held.revision);
+            if held.is_none_or(|held| held < change.revision) {
+                self.set(&change);
                 fresh.push(change);
             }
         }
@@ -205,8 +211,7 @@
         })
     }
 
-    fn put(&mut self, change: &Change) {
-        self.set(change);
+    fn log(&mut self, change: &Change) {
         self.log.push_back((change.revision, change.key.clone()));
         while self.log.len() > MAX_LOG {
             if let Some((dropped, _)) = self.log.pop_front() {
--- a/components/mirror/tests/mirror.rs
+++ b/components/mirror/tests/mirror.rs
@@ -83,6 +83,44 @@
     assert_eq!(mirror.at(), Revision(2));
 }
 
+/// An upstream that leaves was taken for ready again: a later page held it newer than the listing.
+#[test]
+fn a_later_page_is_not_undone_by_an_older_change() {
+    let mut mirror = listed(100, vec![put(115, "upstream", "leaving")]);
+    let older = vec![put(105, "upstream", "ready")];
+    let fresh = mirror.apply(Revision(100), Revision(110), older);
+    assert_eq!(fresh, Ok(vec![]));
+    assert_eq!(value(&mirror, "upstream").as_deref(), Some("leaving"));
+    // A peer that lacks the change gets the key as it is.
+    let lacks = mirror.since(Revision(100)).expect("logged");
+    let [change] = &lacks[..] else {
+        panic!("{lacks:?}")
+    };
+    assert_eq!(change.value.as_deref(), Some(&b"leaving"[..]));
+}
+
+/// A peer that held less than the own copy took a difference for all that had changed, and lacked a
+/// configuration for good.
+#[test]
+fn a_listing_is_not_handed_on_as_changes() {
+    // Of the listing's pages a later one held the configuration of revision 115 already.
+    let mut mirror = listed(100, vec![put(90, "a", "1"), put(115, "config", "2")]);
+    let at = Revision(120);
+    let items = vec![put(118, "a", "2"), put(115, "config", "2")];
+    let fresh = mirror.take_listing(Listing { at, items });
+    assert_eq!(fresh, [put(118, "a", "2")]);
+    assert_eq!(Answer::news(&mirror, Revision(100)), None);
+    let newer = vec![put(121, "config", "3")];
+    let fresh = mirror.apply(at, Revision(121), newer.clone());
+    assert_eq!(fresh, Ok(newer.clone()));
+    let news = Answer::Changes {
+        after: at,
+        at: Revision(121),
+        changes: newer,
+    };
+    assert_eq!(Answer::news(&mirror, at), Some(news));
+}
+
 fn asked(held: u64, page_after: Option<&str>) -> Question {
     Question {
         held: Revision(held),
