--- a/components/fleet/tests/it/freshness.rs
+++ b/components/fleet/tests/it/freshness.rs
@@ -98,11 +98,14 @@
     memory.set("table", Some("1"));
     let daemon = watched(&memory, Duration::ZERO);
     let until_proven = |is_proven: bool| {
+        let deadline = Instant::now() + Duration::from_secs(20);
         let told = || match daemon.next() {
             Command::Others(others) => others.proof.is_some() == is_proven,
             _ => false,
         };
-        while !told() {}
+        while !told() {
+            assert!(Instant::now() < deadline, "never: proven {is_proven}");
+        }
     };
     until_proven(true);
     memory.set("table", Some("no number"));
