Ask for a peer's clock on each new connection

A daemon that starts again has another clock; others went on with the bound of the run before for up to 30 s, and it got no claims from them: after 1.8 to 2.25 s it looked at the store, as all did that were replaced. By reading; a test of a second run at the same address failed with the guard taken out. The question is a method of its own state now.

--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -138,6 +138,30 @@
     }
 }
 
+/// What a connection's peer said when it was asked for its clock.
+#[derive(Debug, Default)]
+struct ClockAnswer {
+    is_known: AtomicBool,
+    is_refused: AtomicBool,
+}
+
+/// When a connection's peer is asked for its clock.
+struct ClockQuestion {
+    /// Not before.
+    measure_at: Instant,
+    answer: Arc<ClockAnswer>,
+}
+
+impl ClockQuestion {
+    /// Whether it is due, also where what is known of the peer's address is not old: behind a new
+    /// connection there may be another run, with another clock.
+    fn is_due(&self, is_old: bool) -> bool {
+        let is_known = self.answer.is_known.load(Ordering::Relaxed);
+        let is_refused = self.answer.is_refused.load(Ordering::Relaxed);
+        (is_old || !is_known) && !is_refused && Instant::now() >= self.measure_at
+    }
+}
+
 /// An open connection.
 struct Connection {
     client: PeerClient,
@@ -148,10 +172,7 @@
     broken: Arc<AtomicBool>,
     /// Questions in a row without an answer.
     unanswered: Arc<AtomicU32>,
-    /// When the peer's clock is asked for next, where it is due.
-    measure_at: Instant,
-    /// Set where the peer does not tell its clock.
-    is_clockless: Arc<AtomicBool>,
+    clock: ClockQuestion,
     shared: Arc<Shared>,
 }
 
@@ -295,18 +316,15 @@
 
     /// Asks a peer that takes messages for its clock where that is due.
     fn measure_clock(&mut self) {
+        let (to, shared) = (self.to, Arc::clone(&self.shared));
         let Some(connection) = &mut self.connection else {
             return;
         };
-        let is_clockless = connection.is_clockless.load(Ordering::Relaxed);
-        let is_due = self
-            .shared
-            .clocks()
-            .is_due(self.to, self.shared.clock.now());
-        if is_clockless || !is_due || Instant::now() < connection.measure_at {
+        let is_old = shared.clocks().is_old(to, shared.clock.now());
+        if !connection.clock.is_due(is_old) {
             return;
         }
-        connection.measure_at = Instant::now() + MEASURE_AGAIN;
+        connection.clock.measure_at = Instant::now() + MEASURE_AGAIN;
         let question = Payload::Part {
             part: Part::Clock,
             body: bytes::Bytes::new(),
@@ -316,8 +334,7 @@
         };
         let sealed = connection.seal(Use::Ask, body);
         let (client, ends) = (connection.client.clone(), connection.ends.clone());
-        let is_clockless = Arc::clone(&connection.is_clockless);
-        let (to, shared) = (self.to, Arc::clone(&self.shared));
+        let answer = Arc::clone(&connection.clock.answer);
         tokio::spawn(async move {
             let asked_at = shared.clock.now();
             let number = sealed.number;
@@ -327,10 +344,11 @@
                 Ok(Payload::Part { body, .. }) => {
                     if let Ok(reading) = Reading::decode(&body) {
                         shared.clocks().note(to, reading, asked_at, answered_at);
+                        answer.is_known.store(true, Ordering::Relaxed);
                     }
                 }
                 // Of a release that does not know the question.
-                Err(AskError::Refused(_)) => is_clockless.store(true, Ordering::Relaxed),
+                Err(AskError::Refused(_)) => answer.is_refused.store(true, Ordering::Relaxed),
                 Ok(Payload::Membership(_)) | Err(_) => {}
             }
         });
@@ -434,8 +452,10 @@
         asks: Arc::new(tokio::sync::Semaphore::new(MAX_ASKS)),
         broken: Arc::default(),
         unanswered: Arc::default(),
-        measure_at: Instant::now(),
-        is_clockless: Arc::default(),
+        clock: ClockQuestion {
+            measure_at: Instant::now(),
+            answer: Arc::default(),
+        },
         shared: Arc::clone(shared),
     })
 }
--- a/components/peers/src/clocks.rs
+++ b/components/peers/src/clocks.rs
@@ -113,9 +113,9 @@
         self.0.get(&peer).copied()
     }
 
-    /// Whether a peer's clock is to be measured.
+    /// Whether a peer's clock was measured long ago, or never.
     #[must_use]
-    pub fn is_due(&self, peer: SocketAddr, now: Time) -> bool {
+    pub fn is_old(&self, peer: SocketAddr, now: Time) -> bool {
         let known = self.0.get(&peer);
         known.is_none_or(|known| now.since(known.measured_at) >= MEASURE_EVERY)
     }
--- a/components/peers/tests/peers.rs
+++ b/components/peers/tests/peers.rs
@@ -297,3 +297,32 @@
         Err(AskError::TooLarge)
     );
 }
+
+/// A daemon that started again got no claim that its copy is current for half a minute.
+#[test]
+fn a_peer_that_starts_again_is_asked_for_its_clock_at_once() {
+    let (a, _) = start(config("a", keys(&[1], 1)));
+    let mut cfg = config("b", keys(&[1], 1));
+    for run in 1..=2 {
+        cfg.incarnation = Incarnation(run);
+        let deadline = Instant::now() + PATIENCE;
+        // The run before may still hold the port for a moment.
+        let b = loop {
+            match Peers::start(cfg.clone(), |_| true) {
+                Ok(b) => break b,
+                Err(e) => assert!(Instant::now() < deadline, "{e}"),
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        };
+        cfg.listen = b.address();
+        let run_of = || {
+            a.clock_of(b.address())?
+                .reading_at(Time::ZERO + Span::from_secs(9))
+        };
+        while run_of().is_none_or(|reading| reading.run != Incarnation(run)) {
+            assert!(Instant::now() < deadline, "never: the clock of run {run}");
+            a.send(b.address(), text("hello"));
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
