Soak: reach a failure domain slowly; ask for stale proofs there

--faults slow: what other daemons say to a failure domain comes 0.6 s late, while configurations change.

--- a/daemon/tests/apart.rs
+++ b/daemon/tests/apart.rs
@@ -1,4 +1,4 @@
-//! Whether a configuration is in force in a large fleet whose daemons do not reach each other.
+//! Configurations in a fleet whose daemons do not reach each other, or late.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -13,20 +13,45 @@
     // is behind, and its one question waits behind messages on a silent connection, which is kept.
     // Evidence: lines of those daemons, in this play: "a question was out for long", up to 22 s, after
     // which the configuration is in force within 10 ms.
-    let outcome = soak::run(&Options {
+    check(&Options {
         seed: 940,
         faults_for: Duration::from_secs(14),
         daemons: 24,
+        faults: Faults::Muted,
+        ..options()
+    });
+}
+
+/// Daemons that heard others late counted a copy as current that had been superseded.
+#[test]
+fn a_daemon_that_hears_others_late_does_not_count_as_current() {
+    check(&Options {
+        seed: 4401,
+        faults_for: Duration::from_secs(8),
+        daemons: 12,
+        faults: Faults::Slow,
+        ..options()
+    });
+}
+
+fn options() -> Options {
+    Options {
+        seed: 1,
+        faults_for: Duration::from_secs(10),
+        daemons: 3,
         workers: 3,
         callers: 2,
-        faults: Faults::Muted,
+        faults: Faults::Any,
         has_poison: false,
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         other: None,
         logs: None,
-    });
-    let outcome = outcome.expect("the scene starts");
+    }
+}
+
+fn check(options: &Options) {
+    let outcome = soak::run(options).expect("the scene starts");
     assert!(outcome.broken.is_empty(), "{outcome}");
     assert!(outcome.tally.served > 0, "{outcome}");
 }
