Simulate whole roll-outs by a fleet; take the writing of states into dispatch

Cause: the two known failures are faults of several daemons and a slow store together, and no test plays those. What decides when a state is written sat in fleet, out of reach of a test without sockets.

Change: StateWriter holds what Rollouts held (same delays, same order); behaviour unchanged. tests/support/rollout_fleet.rs plays a roll-out by Trial, EvidenceAggregator and StateWriter themselves, with evidence, gossip and writes that arrive late, and tests/rollouts.rs counts outcomes (BUCKTHORNCROSS_ROLLOUTS=N).

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod prefill;
 mod rate_limits;
 mod requirements;
+mod state_writer;
 mod trial;
 mod upstreams;
 
@@ -35,6 +36,7 @@
 pub use policy::{CascadePolicy, PlacingPolicy, Policy, PolicyError, RetryPolicy, TimingPolicy};
 pub use ratelimit::{Advertised, Advertisement, Change as RateLimitChange, Fleet};
 pub use requirements::{PromptPart, Requirements};
+pub use state_writer::StateWriter;
 pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
 pub use upstreams::{
     AnswerStart, LastSeen, Load, SharedLoad, Ticket, UpstreamIndex, Upstreams, instance_key,
--- /dev/null
+++ b/components/dispatch/tests/rollouts.rs
@@ -0,0 +1,104 @@
+//! Tests of whole roll-outs by a simulated fleet.
+
+#[path = "support/rollout_fleet.rs"]
+mod rollout_fleet;
+
+use dispatch::TrialLimits;
+use rollout_fleet::{Fault, Fleet, Outcome, Scenario, StoreFault};
+use routes::RolloutState;
+
+/// Fleets of today's sizes and beyond, each with a small service.
+const FLEETS: [Scenario; 5] = [
+    fleet(6, 4, 45.0, 18.0, 0.15),
+    fleet(9, 4, 34.0, 20.0, 0.15),
+    fleet(30, 5, 110.0, 17.0, 0.15),
+    fleet(82, 7, 240.0, 21.6, 0.0975),
+    fleet(295, 8, 262.0, 24.0, 0.0975),
+];
+
+const fn fleet(daemons: usize, upstreams: usize, rate: f64, secs: f64, exposure: f64) -> Scenario {
+    Scenario {
+        daemons,
+        upstreams,
+        rate,
+        growth: 1.0,
+        secs,
+        limits: TrialLimits {
+            exposure,
+            allowance: 30.0,
+        },
+        fault: Fault::None,
+        store: StoreFault::None,
+        seed: 0,
+    }
+}
+
+/// Roll-outs of a fault, by what became of them.
+#[derive(Debug, Default)]
+struct Tally {
+    played: u32,
+    completed: u32,
+    late: u32,
+    reverted: u32,
+    both: u32,
+    over_bound: u32,
+    sent: u32,
+    no_version: u32,
+}
+
+impl Tally {
+    fn add(&mut self, scenario: &Scenario, outcome: &Outcome) {
+        let is_completed = outcome.has(RolloutState::Completed);
+        let is_reverted = outcome.has(RolloutState::Reverted);
+        self.played += 1;
+        self.completed += u32::from(is_completed);
+        self.late += u32::from(!is_reverted && !outcome.is_completed_by(scenario.secs));
+        self.reverted += u32::from(is_reverted);
+        self.both += u32::from(is_completed && is_reverted);
+        self.over_bound += u32::from(f64::from(outcome.sent) > outcome.allowed);
+        self.sent += outcome.sent;
+        self.no_version += u32::from(outcome.has_lost_all_versions);
+    }
+}
+
+/// Counts the outcomes of many roll-outs; `BUCKTHORNCROSS_ROLLOUTS` plays so many of each.
+#[test]
+fn count_outcomes() {
+    let Some(cases) = std::env::var("BUCKTHORNCROSS_ROLLOUTS").ok() else {
+        return;
+    };
+    let cases = cases.parse::<u64>().expect("a number");
+    let faults = [
+        Fault::None,
+        Fault::Errors(0.3),
+        Fault::UnderLoad(0.28),
+        Fault::UnderLoad(0.15),
+        Fault::OneKind(0.5),
+    ];
+    let stores = [
+        StoreFault::None,
+        StoreFault::Slow(0.4),
+        StoreFault::Slow(2.0),
+        StoreFault::LostAnswers,
+        StoreFault::LateAnswers(2.0),
+    ];
+    for base in FLEETS {
+        for fault in faults {
+            for store in stores {
+                let mut tally = Tally::default();
+                for seed in 0..cases {
+                    let growth = [1.0, 1.0, 1.4][seed as usize % 3];
+                    let scenario = Scenario {
+                        fault,
+                        store,
+                        growth,
+                        seed,
+                        ..base
+                    };
+                    tally.add(&scenario, &Fleet::new(scenario).play());
+                }
+                println!("{:3} {fault:?} {store:?}: {tally:?}", base.daemons);
+            }
+        }
+    }
+}
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dispatch::{Evidence, Gate, Trial, TrialLimits, Verdict};
+use dispatch::{Evidence, Gate, StateWriter, Trial, TrialLimits, Verdict};
 use keyvalue::{Compare, ModRevision, Op, Put, Request, Txn};
 use mirror::Mirror;
 use routes::{RolloutOrder, RolloutState};
@@ -12,21 +12,12 @@
 use crate::codec::Codec;
 use crate::event::Purpose;
 
-/// Delay per rank by name before a daemon writes a state: one write is enough, and the condition on
-/// the key makes further ones harmless.
-const WRITE_DELAY_PER_RANK: Span = Span::from_millis(600);
-/// Delay before a write is retried.
-const RETRY_DELAY: Span = Span::from_millis(400);
-
 /// A roll-out and the state that is to be written for it.
 #[derive(Debug)]
 struct Rollout {
     trial: Trial,
     gate: Option<Gate>,
-    /// The state to be written, and since when.
-    wanted: Option<(RolloutState, Time)>,
-    next_try_at: Time,
-    is_writing: bool,
+    writer: StateWriter,
 }
 
 /// All roll-outs by service.
@@ -83,12 +74,7 @@
             }
             if is_of_order {
                 rollout.trial.set_state(record.state);
-                if rollout
-                    .wanted
-                    .is_some_and(|(wanted, _)| wanted <= record.state)
-                {
-                    rollout.wanted = None;
-                }
+                rollout.writer.on_recorded(record.state);
             }
         }
     }
@@ -108,9 +94,7 @@
                 None => trial,
             },
             gate: None,
-            wanted: Some((RolloutState::Running, now)),
-            next_try_at: now,
-            is_writing: false,
+            writer: StateWriter::new(now),
         };
         self.by_service.insert(service, rollout);
     }
@@ -154,11 +138,8 @@
         };
         let mut is_newly_bad = false;
         if let Some(state) = state
-            && rollout.trial.state() == RolloutState::Running
-            && rollout.wanted.is_none_or(|(wanted, _)| wanted < state)
+            && rollout.writer.want(now, state, rollout.trial.state())
         {
-            rollout.wanted = Some((state, now));
-            rollout.next_try_at = now;
             is_newly_bad = step.verdict.is_bad();
             tracing::info!(service, verdict = ?step.verdict, new = ?fleet.new.kinds, old = ?fleet.old.kinds,
                 "rollouts: decided");
@@ -204,14 +185,9 @@
     ) -> Vec<(Purpose, Request)> {
         let mut writes = Vec::new();
         for (service, rollout) in &mut self.by_service {
-            let Some((state, since)) = rollout.wanted else {
+            let Some(state) = rollout.writer.start_write(now, rank) else {
                 continue;
             };
-            let turn_at = since + WRITE_DELAY_PER_RANK.times(rank);
-            if rollout.is_writing || now < turn_at || now < rollout.next_try_at {
-                continue;
-            }
-            rollout.is_writing = true;
             let key = codec.state_key(service);
             let held = mirror.get(&key).map_or(0, |(revision, _)| revision.0);
             let held = ModRevision(i64::try_from(held).unwrap_or_default());
@@ -235,8 +211,7 @@
     /// Records that a write ended; the mirror shows whether it took effect.
     pub(crate) fn on_written(&mut self, now: Time, service: &str) {
         if let Some(rollout) = self.by_service.get_mut(service) {
-            rollout.is_writing = false;
-            rollout.next_try_at = now + RETRY_DELAY;
+            rollout.writer.on_written(now);
         }
     }
 }
