Keep the first final state of a roll-out; never revert a completed version

Cause: the states were ordered and the greater one won. A daemon that wanted reverted went on wanting it after it had read completed, and wrote it over it; a trial moved from completed to reverted and barred the new version while the old one's upstreams had been told to leave. The conditional write keeps writes from crossing; it does not keep a second one from following the first.

Change: RolloutState::is_final; the first final state stays, in Trial and in StateWriter. The next order does not bar a completed version, though it was found bad: it is the only one left (the same fault elsewhere). An error is logged when a version is completed though found bad.

--- a/components/dispatch/src/state_writer.rs
+++ b/components/dispatch/src/state_writer.rs
@@ -35,8 +35,7 @@
     /// Asks for a state to be written where `recorded` is in the store. Returns whether it is newly
     /// asked for.
     pub fn want(&mut self, now: Time, state: RolloutState, recorded: RolloutState) -> bool {
-        let is_new = recorded == RolloutState::Running
-            && self.wanted.is_none_or(|(wanted, _)| wanted < state);
+        let is_new = !recorded.is_final() && self.wanted.is_none_or(|(wanted, _)| wanted < state);
         if is_new {
             self.wanted = Some((state, now));
             self.next_try_at = now;
@@ -46,7 +45,8 @@
 
     /// Takes note of the state recorded in the store.
     pub fn on_recorded(&mut self, recorded: RolloutState) {
-        if self.wanted.is_some_and(|(wanted, _)| wanted <= recorded) {
+        let is_done = |(wanted, _)| recorded.is_final() || wanted == recorded;
+        if self.wanted.is_some_and(is_done) {
             self.wanted = None;
         }
     }
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -182,8 +182,12 @@
     /// reverted stays excluded, unless it is ordered now.
     #[must_use]
     pub fn carry_over_barred(mut self, earlier: &Self) -> Self {
-        let is_bad = earlier.verdict.is_bad() || earlier.state == RolloutState::Reverted;
-        let skipped = usize::from(!is_bad);
+        let is_barred = match earlier.state {
+            RolloutState::Running => earlier.verdict.is_bad(),
+            RolloutState::Completed => false,
+            RolloutState::Reverted => true,
+        };
+        let skipped = usize::from(!is_barred);
         let reverted = earlier.barred.iter().skip(skipped);
         let reverted = reverted.filter(|version| **version != self.order.to);
         self.barred = self.barred.iter().chain(reverted).cloned().collect();
@@ -202,15 +206,23 @@
         self.state
     }
 
+    /// Returns the judgement so far.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
     /// Returns the time since the order became known.
     #[must_use]
     pub fn elapsed(&self, now: Time) -> Span {
         now.since(self.known_since) + self.peers_ahead
     }
 
-    /// Sets the state recorded in the store; a decision is never undone.
+    /// Sets the state recorded in the store; the first final one stays.
     pub fn set_state(&mut self, state: RolloutState) {
-        self.state = self.state.max(state);
+        if !self.state.is_final() {
+            self.state = state;
+        }
     }
 
     /// Adopts a peer's elapsed time of this order if it is ahead.
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -61,6 +61,40 @@
     }
 }
 
+#[test]
+fn a_service_is_never_left_without_a_version() {
+    // Guards against a completion and a reversal of one roll-out: either version's upstreams leave.
+    let stores = [
+        StoreFault::None,
+        StoreFault::Slow(0.4),
+        StoreFault::Slow(2.0),
+        StoreFault::LostAnswers,
+        StoreFault::LateAnswers(2.0),
+    ];
+    for (base, store) in FLEETS[..3]
+        .iter()
+        .flat_map(|base| stores.map(|store| (base, store)))
+    {
+        for seed in 0..6 {
+            let fault = Fault::UnderLoad(0.28);
+            let outcome = Fleet::new(Scenario {
+                fault,
+                store,
+                seed,
+                ..*base
+            })
+            .play();
+            let what = format!("{} daemons, {store:?}, seed {seed}", base.daemons);
+            assert!(!outcome.has_lost_all_versions, "{what}");
+            let finals = outcome
+                .states
+                .iter()
+                .filter(|(state, _)| *state != RolloutState::Running);
+            assert!(finals.count() <= 1, "{what}: {:?}", outcome.states);
+        }
+    }
+}
+
 /// Counts the outcomes of many roll-outs; `BUCKTHORNCROSS_ROLLOUTS` plays so many of each.
 #[test]
 fn count_outcomes() {
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -396,6 +396,35 @@
     assert_eq!(trial.step(at(15.0), &good, 1.0).gate.share, 0.0);
 }
 
+#[test]
+fn a_completed_version_is_never_reverted() {
+    // Guards against a service without any version: the old upstreams stop at a completion.
+    let mut trial = trial(Time::ZERO);
+    trial.set_state(RolloutState::Completed);
+    trial.set_state(RolloutState::Reverted);
+    trial.mark_bad(Verdict::Failing);
+    assert_eq!(trial.state(), RolloutState::Completed);
+    let bad = evidence(arm(30, 30, 1.0), arm(400, 4, 1.0));
+    assert_eq!(trial.step(at(19.0), &bad, 1.0).gate.share, 1.0);
+}
+
+#[test]
+fn a_completed_version_serves_until_the_next_one_is_ready_though_it_was_found_bad() {
+    // Guards against a next order that bars the only version left.
+    let mut first = trial(Time::ZERO);
+    first.mark_bad(Verdict::Failing);
+    first.set_state(RolloutState::Completed);
+    let next = RolloutOrder {
+        to: Arc::from("v3"),
+        revision: 9,
+        ..order()
+    };
+    let mut second = Trial::new(at(30.0), next, LIMITS).carry_over_barred(&first);
+    let none = evidence(arm(0, 0, 1.0), arm(0, 0, 1.0));
+    let gate = second.step(at(31.0), &none, 1.0).gate;
+    assert!(gate.permit(0, None).allows(&Arc::from("v2")));
+}
+
 fn gate(share: f64, keeps_sessions: bool) -> Gate {
     Gate {
         service: Arc::from("model"),
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -71,6 +71,13 @@
             if is_of_order && record.state > rollout.trial.state() {
                 tracing::info!(service = &*order.service, to = &*order.to, state = %record.state,
                     "rollouts: state written");
+                if record.state == RolloutState::Completed && rollout.trial.verdict().is_bad() {
+                    tracing::error!(
+                        service = &*order.service,
+                        to = &*order.to,
+                        "rollouts: completed though found bad; order another version"
+                    );
+                }
             }
             if is_of_order {
                 rollout.trial.set_state(record.state);
--- a/components/routes/src/rollout.rs
+++ b/components/routes/src/rollout.rs
@@ -30,6 +30,15 @@
     Reverted,
 }
 
+impl RolloutState {
+    /// Whether the roll-out is decided. The upstreams of the other version leave then, so a final
+    /// state is never replaced by another.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        self != Self::Running
+    }
+}
+
 impl fmt::Display for RolloutState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
