Load some upstreams of a new version fully before it is judged

Cause: the canary's load is reckoned wrongly. A share of the requests goes to the same share of the new upstreams, rounded up, so that it is under the load to come; 0.045 of four upstreams is one, at 0.18 of its load.

Change: a load test between canary and everything, at the smallest share that loads whole upstreams, as long as the bound allows; its answers are judged by themselves. The canary leaves room for it where the bound is tight. The decision waits until everything to come fits, 1 s before the end at the latest. Daemons take turns to write by 0.2 s, not 0.6 s: it pays for the later decision. The current rate of requests is of the last 2 s, not of the last whole 2 s.

Tests, red before: rollouts a_version_that_fails_under_load_is_not_completed, trial some_upstreams_of_a_new_version_are_fully_loaded_before_it_gets_everything and failures_under_load_are_not_hidden_by_good_answers_of_the_canary; beside them a_good_version_is_completed_in_time_by_a_store_that_is_slow_to_answer.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -31,6 +31,8 @@
 /// Delay caused by each request that an engine is processing, in ms: a batch's step grows by about
 /// a hundredth of a millisecond per request, and an answer has some hundred steps.
 const RUNNING_REQUEST_MS: f64 = 2.0;
+/// Error of a share of upstreams that was worked out from a whole number of them.
+const ROUNDING: f64 = 1e-9;
 /// Factor by which an upstream that just started is slower.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -254,7 +256,7 @@
 
 /// Retains a share of the `total` upstreams, the same ones at every daemon.
 fn retain_subset(eligible: &mut Vec<(UpstreamIndex, &Entry)>, share: Share, total: usize) {
-    let count = (share.get() * total as f64).ceil() as usize;
+    let count = (share.get() * total as f64 - ROUNDING).ceil() as usize;
     eligible.sort_by_key(|(_, entry)| xxh3_64(entry.spec.id.as_str().as_bytes()));
     eligible.truncate(count.max(1));
 }
--- a/components/dispatch/src/state_writer.rs
+++ b/components/dispatch/src/state_writer.rs
@@ -8,7 +8,7 @@
 
 /// Delay per rank by name before a daemon writes a state: one write is enough, and the condition on
 /// the key makes further ones harmless.
-const WRITE_DELAY_PER_RANK: Span = Span::from_millis(600);
+const WRITE_DELAY_PER_RANK: Span = Span::from_millis(200);
 /// Delay before a write is retried.
 const RETRY_DELAY: Span = Span::from_millis(400);
 
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -3,10 +3,13 @@
 //! A version can be bad from its start, after a while, under load or on one route, and one that is
 //! bad only under more load than there is shows nothing at all. So the operators' bound on the
 //! requests that a bad version may get is enforced by count, whatever the judgement. The new
-//! version has a small canary share until all requests still to come fit into the bound, and then
-//! gets everything, a second or two before the time is up. The judgement compares both versions
-//! over the same time, because upstreams also fail for other reasons ([`judge`]).
+//! version has a small canary share, then for some seconds the share that loads a few of its
+//! upstreams as much as everything will load all of them, and gets everything once all requests
+//! still to come fit into the bound, a second or two before the time is up ([`exposure`]). The
+//! judgement compares both versions over the same time, because upstreams also fail for other
+//! reasons ([`judge`]).
 
+mod exposure;
 mod gate;
 mod judge;
 
@@ -17,30 +20,23 @@
 use types::prelude::*;
 
 use crate::evidence::Evidence;
+pub use exposure::TrialLimits;
+use exposure::{Exposure, LATEST_DECISION_MARGIN, RequestRate};
 pub use gate::{Gate, Permit};
 use judge::{Certainty, FailureScope, Fault, FaultConfirmation, fails_more, find_fault};
 
 /// Delay after the order until the new version gets its first requests: by then every daemon
 /// has reported its active sessions, and a restarted one has learned of the order.
 const CANARY_DELAY: Span = Span::from_millis(2_500);
-/// Share of the allowed exposure that the canary uses. The rest is for the time in which the
-/// new version has the full share and requests on the old one end. A share of 0.15 is too
-/// small: a version that was slow on half of its requests had 16 answers when it was to be
-/// judged.
-const CANARY_EXPOSURE_SHARE: f64 = 0.3;
 /// Progress of the roll-out from which the new version may get the full share: sessions stay on
 /// their version in the first half.
 const FULL_SHARE_FROM: f64 = 0.52;
-/// Share of the exposure bound that the count may reach: requests may come faster than before,
-/// and daemons learn of each other's counts some hundred ms late.
-const USABLE_EXPOSURE_SHARE: f64 = 0.9;
-/// Window of the current request rate; a shorter one is too noisy.
-const RATE_WINDOW: Span = Span::from_secs(2);
 /// Least time at the full share before completion, once no request is outstanding on the old
 /// version any more. A version that is bad under load shows it within a second; a completed one
 /// cannot be reverted.
 const MIN_FULL_SHARE_TIME: Span = Span::from_millis(1_200);
-/// Time before the end at which the roll-out is decided at the latest.
+/// Time before the end at which the roll-out is decided if all requests still to come fit into the
+/// bound; otherwise it is decided [`LATEST_DECISION_MARGIN`] before the end.
 ///
 /// Daemons may learn of an order half a second late, a slow store's answer takes 0.4 s, and
 /// another daemon's turn 0.6 s; with 0.8 s, one good roll-out in eleven was written too late. A
@@ -55,15 +51,6 @@
 /// after cannot be taken back, and reverting a good version costs little in comparison.
 const SUSPICION_EXPOSURE_SHARE: f64 = 0.85;
 
-/// The operators' bound on requests to a bad version.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TrialLimits {
-    /// Share of a service's requests that a bad version may get.
-    pub exposure: f64,
-    /// Requests that it may get beyond that.
-    pub allowance: f64,
-}
-
 /// Judgement of the new version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -113,41 +100,21 @@
     confirmation: FaultConfirmation,
     /// The new version's current share, and the evidence from before it.
     share_level: ShareLevel,
-    /// `None` before the first step.
-    request_rate: Option<RequestRate>,
-}
-
-/// Current rate of requests.
-#[derive(Debug, Clone, Copy)]
-struct RequestRate {
-    since: Time,
-    sent: u32,
-    /// Requests a second, over the last whole [`RATE_WINDOW`].
-    rate: f64,
+    request_rate: RequestRate,
+    stage: Stage,
+    /// Upstreams of the new version.
+    upstreams: usize,
 }
 
-impl RequestRate {
-    /// Updates the rate with the requests sent so far. Those sent before the first step, by
-    /// other daemons before this one started, say nothing about the current rate.
-    fn updated(before: Option<Self>, now: Time, sent: u32) -> Self {
-        let first = Self {
-            since: now,
-            sent,
-            rate: 0.0,
-        };
-        let Some(before) = before else {
-            return first;
-        };
-        let elapsed = now.since(before.since);
-        if elapsed < RATE_WINDOW {
-            return before;
-        }
-        let arrived = f64::from(sent.saturating_sub(before.sent));
-        Self {
-            rate: arrived / elapsed.as_secs_f64(),
-            ..first
-        }
-    }
+/// What the new version gets, which only rises until it is found bad.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// A share so small that it may last.
+    Canary,
+    /// A share that loads some of its upstreams fully.
+    LoadTest,
+    /// Everything.
+    Full,
 }
 
 /// A period in which the new version's share is constant.
@@ -155,6 +122,7 @@
 struct ShareLevel {
     share: f64,
     since: Time,
+    /// Evidence from before its upstreams had their current load.
     before: Evidence,
 }
 
@@ -174,7 +142,9 @@
             verdict: Verdict::Open,
             confirmation: FaultConfirmation::default(),
             share_level: ShareLevel::default(),
-            request_rate: None,
+            request_rate: RequestRate::default(),
+            stage: Stage::Canary,
+            upstreams: 0,
         }
     }
 
@@ -243,6 +213,14 @@
         }
     }
 
+    /// Sets the number of the new version's upstreams. It stays the same from the load test on, so
+    /// that sessions keep their version when an upstream crashes.
+    pub fn set_upstreams(&mut self, upstreams: usize) {
+        if self.stage == Stage::Canary {
+            self.upstreams = upstreams;
+        }
+    }
+
     /// Marks the new version as bad, as a peer found.
     pub fn mark_bad(&mut self, verdict: Verdict) {
         if !self.verdict.is_bad() {
@@ -257,15 +235,10 @@
         if !self.verdict.is_bad() && self.state == RolloutState::Running {
             self.verdict = self.judge(now, fleet);
         }
-        self.request_rate = Some(RequestRate::updated(self.request_rate, now, sent(fleet)));
-        let share = self.share(now, fleet, can_serve);
-        if share != self.share_level.share {
-            self.share_level = ShareLevel {
-                share,
-                since: now,
-                before: *fleet,
-            };
-        }
+        self.request_rate.update(now, sent(fleet));
+        self.stage = self.stage.max(self.next_stage(now, fleet));
+        let share = self.share(now, can_serve);
+        self.note_share(now, share, fleet);
         TrialStep {
             gate: Gate {
                 service: self.order.service.clone(),
@@ -274,7 +247,7 @@
                 order: self.order.revision,
                 share,
                 keeps_sessions: self.progress(now) < FULL_SHARE_FROM,
-                first_share: self.first_share(),
+                first_share: self.canary_share(),
                 staying: Arc::clone(&self.staying),
             },
             verdict: self.verdict,
@@ -300,7 +273,7 @@
         let has_full_share = self.share_level.share >= 1.0;
         let serves_alone = fleet.old.sum().out == 0 && has_full_share;
         let has_lasted = now.since(self.share_level.since) >= MIN_FULL_SHARE_TIME;
-        let is_due = serves_alone && has_lasted || self.left(now) <= DECISION_MARGIN;
+        let is_due = serves_alone && has_lasted || self.is_time_up(now, fleet);
         match is_due {
             true if is_suspect(fleet) => Verdict::Failing,
             true => Verdict::Good,
@@ -308,6 +281,13 @@
         }
     }
 
+    /// Whether the roll-out must be decided now to be recorded in time.
+    fn is_time_up(&self, now: Time, fleet: &Evidence) -> bool {
+        let left = self.left(now);
+        let rest_fits = || self.stage == Stage::Full || self.exposure(now, fleet).fits_everything();
+        left <= LATEST_DECISION_MARGIN || left <= DECISION_MARGIN && rest_fits()
+    }
+
     /// Returns the new version's fault, if it is certain enough.
     ///
     /// While its share is small, slow answers must persist to count, since waiting costs only a
@@ -345,55 +325,83 @@
         f64::from(new) > SUSPICION_EXPOSURE_SHARE * allowed
     }
 
-    /// Whether all requests still to come fit into the allowed exposure, at the higher of the
-    /// mean and the current rate.
-    ///
-    /// A version that is bad only under more load than there is answers well and is not reverted.
-    /// When its share rose with its good answers, it got more than twice what the operators allow a
-    /// bad version. The mean rate alone would underestimate growing traffic, which is fastest at
-    /// the end, when the new version has the full share.
-    fn rest_fits_exposure(&self, now: Time, fleet: &Evidence) -> bool {
-        let new = f64::from(fleet.new.sum().sent);
+    /// The new version's exposure, with requests to come at the higher of the mean and the current
+    /// rate: traffic that grows is fastest at the end, when the new version has the full share.
+    fn exposure(&self, now: Time, fleet: &Evidence) -> Exposure<'_> {
         let all = f64::from(sent(fleet));
-        let elapsed = self.elapsed(now).as_secs_f64().max(1.0);
-        let present = self
-            .request_rate
-            .map_or(0.0, |request_rate| request_rate.rate);
-        let rate = (all / elapsed).max(present);
-        let to_come = rate * self.left(now).as_secs_f64();
-        let allowed = self.limits.exposure * (all + to_come) + self.limits.allowance;
-        new + to_come <= USABLE_EXPOSURE_SHARE * allowed
+        let mean_rate = all / self.elapsed(now).as_secs_f64().max(1.0);
+        Exposure {
+            limits: &self.limits,
+            left: self.left(now),
+            new: f64::from(fleet.new.sum().sent),
+            all,
+            rate: mean_rate.max(self.request_rate.per_sec()),
+        }
     }
 
-    fn first_share(&self) -> f64 {
-        self.limits.exposure * CANARY_EXPOSURE_SHARE
+    fn canary_share(&self) -> f64 {
+        self.limits.canary_share(self.order.decision_timeout)
     }
 
-    fn share(&self, now: Time, fleet: &Evidence, can_serve: f64) -> f64 {
+    fn load_test_share(&self) -> Option<f64> {
+        let timeout = self.order.decision_timeout;
+        self.limits.load_test_share(timeout, self.upstreams)
+    }
+
+    /// Returns the stage that the evidence allows.
+    fn next_stage(&self, now: Time, fleet: &Evidence) -> Stage {
+        let progress = self.progress(now);
+        let has_enough_answers =
+            fleet.new.sum().answers() >= MIN_CANARY_ANSWERS || progress >= UNTESTED_FULL_SHARE_FROM;
+        if progress < FULL_SHARE_FROM || !has_enough_answers || is_suspect(fleet) {
+            return Stage::Canary;
+        }
+        let exposure = self.exposure(now, fleet);
+        if exposure.fits_everything() {
+            return Stage::Full;
+        }
+        match self.load_test_share() {
+            Some(share) if exposure.fits_load_test(share) => Stage::LoadTest,
+            _ => Stage::Canary,
+        }
+    }
+
+    fn share(&self, now: Time, can_serve: f64) -> f64 {
         match self.state {
             RolloutState::Completed => return 1.0,
             RolloutState::Reverted => return 0.0,
             RolloutState::Running => {}
         }
-        if self.verdict.is_bad() {
-            return 0.0;
-        }
-        if now.since(self.known_since) < CANARY_DELAY {
+        if self.verdict.is_bad() || now.since(self.known_since) < CANARY_DELAY {
             return 0.0;
         }
-        let progress = self.progress(now);
-        let has_enough_answers =
-            fleet.new.sum().answers() >= MIN_CANARY_ANSWERS || progress >= UNTESTED_FULL_SHARE_FROM;
-        let has_full_share = self.share_level.share >= 1.0;
-        let may_serve = has_enough_answers && !is_suspect(fleet);
-        let may_rise =
-            progress >= FULL_SHARE_FROM && may_serve && self.rest_fits_exposure(now, fleet);
-        let share = match has_full_share || may_rise {
-            true => 1.0,
-            false => self.first_share(),
+        let share = match self.stage {
+            Stage::Canary => self.canary_share(),
+            Stage::LoadTest => self.load_test_share().unwrap_or(1.0),
+            Stage::Full => 1.0,
         };
         share.min(can_serve)
     }
+
+    /// Notes the new version's share. When its upstreams get another load by that, evidence is
+    /// counted anew.
+    fn note_share(&mut self, now: Time, share: f64, fleet: &Evidence) {
+        let previous = self.share_level;
+        if share == previous.share {
+            return;
+        }
+        let is_full_load = |share| self.load_test_share().is_some_and(|loads| share >= loads);
+        let is_load_kept = is_full_load(previous.share) && is_full_load(share);
+        self.share_level = ShareLevel {
+            share,
+            since: now,
+            before: if is_load_kept {
+                previous.before
+            } else {
+                *fleet
+            },
+        };
+    }
 }
 
 /// Number of requests sent to either version.
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -16,6 +16,14 @@
     fleet(295, 8, 262.0, 24.0, 0.0975),
 ];
 
+const STORES: [StoreFault; 5] = [
+    StoreFault::None,
+    StoreFault::Slow(0.4),
+    StoreFault::Slow(2.0),
+    StoreFault::LostAnswers,
+    StoreFault::LateAnswers(2.0),
+];
+
 const fn fleet(daemons: usize, upstreams: usize, rate: f64, secs: f64, exposure: f64) -> Scenario {
     Scenario {
         daemons,
@@ -64,16 +72,9 @@
 #[test]
 fn a_service_is_never_left_without_a_version() {
     // Guards against a completion and a reversal of one roll-out: either version's upstreams leave.
-    let stores = [
-        StoreFault::None,
-        StoreFault::Slow(0.4),
-        StoreFault::Slow(2.0),
-        StoreFault::LostAnswers,
-        StoreFault::LateAnswers(2.0),
-    ];
     for (base, store) in FLEETS[..3]
         .iter()
-        .flat_map(|base| stores.map(|store| (base, store)))
+        .flat_map(|base| STORES.map(|store| (base, store)))
     {
         for seed in 0..6 {
             let fault = Fault::UnderLoad(0.28);
@@ -95,6 +96,61 @@
     }
 }
 
+#[test]
+fn a_version_that_fails_under_load_is_not_completed() {
+    // Guards against a completion before any upstream of the new version was loaded.
+    for (base, store) in FLEETS
+        .iter()
+        .flat_map(|base| STORES.map(|store| (base, store)))
+    {
+        for seed in 0..2 {
+            let fault = Fault::UnderLoad(0.28);
+            let outcome = Fleet::new(Scenario {
+                fault,
+                store,
+                seed,
+                ..*base
+            })
+            .play();
+            let what = format!(
+                "{} daemons, {store:?}, seed {seed}: {outcome:?}",
+                base.daemons
+            );
+            assert!(!outcome.has(RolloutState::Completed), "{what}");
+            assert!(f64::from(outcome.sent) <= outcome.allowed, "{what}");
+        }
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_in_time_by_a_store_that_is_slow_to_answer() {
+    // Guards against tests of a new version that leave no time for the write.
+    let stores = [
+        StoreFault::None,
+        StoreFault::Slow(0.4),
+        StoreFault::LostAnswers,
+        StoreFault::LateAnswers(2.0),
+    ];
+    for (base, store) in FLEETS
+        .iter()
+        .flat_map(|base| stores.map(|store| (base, store)))
+    {
+        for seed in 0..2 {
+            let outcome = Fleet::new(Scenario {
+                store,
+                seed,
+                ..*base
+            })
+            .play();
+            let what = format!(
+                "{} daemons, {store:?}, seed {seed}: {outcome:?}",
+                base.daemons
+            );
+            assert!(outcome.is_completed_by(base.secs), "{what}");
+        }
+    }
+}
+
 /// Counts the outcomes of many roll-outs; `BUCKTHORNCROSS_ROLLOUTS` plays so many of each.
 #[test]
 fn count_outcomes() {
@@ -109,16 +165,9 @@
         Fault::UnderLoad(0.15),
         Fault::OneKind(0.5),
     ];
-    let stores = [
-        StoreFault::None,
-        StoreFault::Slow(0.4),
-        StoreFault::Slow(2.0),
-        StoreFault::LostAnswers,
-        StoreFault::LateAnswers(2.0),
-    ];
     for base in FLEETS {
         for fault in faults {
-            for store in stores {
+            for store in STORES {
                 let mut tally = Tally::default();
                 for seed in 0..cases {
                     let growth = [1.0, 1.0, 1.4][seed as usize % 3];
--- a/components/dispatch/tests/support/rollout_fleet.rs
+++ b/components/dispatch/tests/support/rollout_fleet.rs
@@ -409,6 +409,7 @@
         if summary.is_bad {
             trial.mark_bad(Verdict::Failing);
         }
+        trial.set_upstreams(self.scenario.upstreams);
         let step = trial.step(time(now), &summary.fleet, 1.0);
         let state = match step.verdict {
             Verdict::Open => None,
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -165,6 +165,44 @@
     assert!(got <= allowed, "{got} of {allowed}");
 }
 
+#[test]
+fn some_upstreams_of_a_new_version_are_fully_loaded_before_it_gets_everything() {
+    // Guards against a version that is bad under load and completed before it had any.
+    for (upstreams, loaded) in [(4, 0.25), (7, 1.0 / 7.0), (112, 6.0 / 112.0)] {
+        let mut trial = trial(Time::ZERO);
+        let mut shares = Vec::new();
+        let (mut new, mut old) = (0.0_f64, 0.0_f64);
+        for tenth in 0..190 {
+            trial.set_upstreams(upstreams);
+            let seen = evidence(arm(new as u32, 0, 1.0), arm(old as u32, 0, 1.0));
+            let share = trial
+                .step(at(f64::from(tenth) / 10.0), &seen, 1.0)
+                .gate
+                .share;
+            new += 10.0 * share;
+            old += 10.0 * (1.0 - share);
+            shares.push(share);
+        }
+        assert!(shares.is_sorted(), "a share never falls: {shares:?}");
+        let tested = shares.iter().filter(|share| **share == loaded).count();
+        assert!(
+            tested >= 20,
+            "{tested} tenths of a second at {loaded}: {shares:?}"
+        );
+    }
+}
+
+#[test]
+fn failures_under_load_are_not_hidden_by_good_answers_of_the_canary() {
+    // Guards against a load test whose failures are judged among all answers before it.
+    let mut trial = trial(Time::ZERO);
+    trial.set_upstreams(4);
+    let good = evidence(arm(149, 1, 1.0), arm(3_390, 10, 1.0));
+    assert_eq!(trial.step(at(16.0), &good, 1.0).gate.share, 0.25);
+    let bad = evidence(arm(167, 8, 1.0), arm(3_600, 11, 1.0));
+    assert_eq!(trial.step(at(16.5), &bad, 1.0).verdict, Verdict::Failing);
+}
+
 #[test]
 fn what_a_failing_version_gets_again_is_allowed_for() {
     // The same on a small service: once the version has the full share it fails some requests,
--- a/components/fleet/src/control/rollouts.rs
+++ b/components/fleet/src/control/rollouts.rs
@@ -40,9 +40,11 @@
             let elapsed = elapsed - elapsed % ELAPSED_STEP_MS;
             own.elapsed_ms = u32::try_from(elapsed).unwrap_or(u32::MAX);
             let summary = self.peering.aggregate(&own);
+            let ready = self.ready_upstreams(&service, &order.to);
             let findings = FleetFindings {
                 fleet: &summary.fleet,
-                serving_capacity: self.serving_capacity(&service, &order.to),
+                serving_capacity: ready.serving_capacity(),
+                new_upstreams: ready.new,
                 is_marked_bad: summary.is_bad,
                 staying: self.peering.staying(order.revision),
             };
@@ -72,9 +74,7 @@
         self.ticks.is_multiple_of(every)
     }
 
-    /// Fraction of a service's traffic that the upstreams of a version can take: all of it once
-    /// they are at least half as many as the remaining ones.
-    fn serving_capacity(&self, service: &str, version: &str) -> f64 {
+    fn ready_upstreams(&self, service: &str, version: &str) -> ReadyUpstreams {
         let upstreams = self.planner.upstreams();
         let ready = upstreams.iter().filter(|upstream| {
             *upstream.service == *service && upstream.state == routes::UpstreamState::Ready
@@ -83,7 +83,22 @@
             let is_new = *upstream.version == *version;
             (new + usize::from(is_new), old + usize::from(!is_new))
         });
-        match (new, old) {
+        ReadyUpstreams { new, old }
+    }
+}
+
+/// Ready upstreams of a service by version.
+#[derive(Debug, Clone, Copy)]
+struct ReadyUpstreams {
+    new: usize,
+    old: usize,
+}
+
+impl ReadyUpstreams {
+    /// Fraction of the service's traffic that the new version's upstreams can take: all of it once
+    /// they are at least half as many as the remaining ones.
+    fn serving_capacity(self) -> f64 {
+        match (self.new, self.old) {
             (0, _) => 0.0,
             (new, old) if new * 2 >= old => 1.0,
             (new, old) => new as f64 / (new + old) as f64,
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -33,6 +33,8 @@
     pub(crate) fleet: &'a Evidence,
     /// Fraction of the service's traffic that the new version's upstreams can take.
     pub(crate) serving_capacity: f64,
+    /// Upstreams of the new version.
+    pub(crate) new_upstreams: usize,
     pub(crate) is_marked_bad: bool,
     /// Sessions that some daemon saw in progress on another version.
     pub(crate) staying: BTreeSet<u32>,
@@ -134,6 +136,7 @@
         let fleet = known.fleet;
         rollout.trial.adopt_elapsed(now, fleet.elapsed());
         rollout.trial.add_staying(known.staying);
+        rollout.trial.set_upstreams(known.new_upstreams);
         if known.is_marked_bad {
             rollout.trial.mark_bad(Verdict::Failing);
         }
