Allow for growing traffic and for retries when all requests are to go to a new version

Cause: two quantities are reckoned wrongly when everything to come is set against the bound. The rate was a mean of the last two seconds and taken to stay while traffic grew; and a request that the version fails is sent again, which was not counted at all. Evidence: 47 requests a second to the version until its answers begin to fail, 74 a second from then on.

Change: the rate is that of the last second, and growth above the mean is carried on to the end; beyond that, the retries that a version may cause without being suspected are allowed for.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -325,17 +325,22 @@
         f64::from(new) > SUSPICION_EXPOSURE_SHARE * allowed
     }
 
-    /// The new version's exposure, with requests to come at the higher of the mean and the current
-    /// rate: traffic that grows is fastest at the end, when the new version has the full share.
+    /// The new version's exposure so far. Requests to come are expected at the mean rate; where the
+    /// current rate is above it, at the rate that the same growth leads to by the end.
     fn exposure(&self, now: Time, fleet: &Evidence) -> Exposure<'_> {
         let all = f64::from(sent(fleet));
-        let mean_rate = all / self.elapsed(now).as_secs_f64().max(1.0);
+        let elapsed = self.elapsed(now).as_secs_f64().max(1.0);
+        let left = self.left(now);
+        let mean = all / elapsed;
+        let present = self.request_rate.per_sec();
+        // The mean rate is that of half the elapsed time ago.
+        let growth = (present - mean) / (elapsed / 2.0);
         Exposure {
             limits: &self.limits,
-            left: self.left(now),
+            left,
             new: f64::from(fleet.new.sum().sent),
             all,
-            rate: mean_rate.max(self.request_rate.per_sec()),
+            rate: mean.max(present + growth * left.as_secs_f64()),
         }
     }
 
--- a/components/dispatch/src/trial/exposure.rs
+++ b/components/dispatch/src/trial/exposure.rs
@@ -9,6 +9,7 @@
 use types::prelude::*;
 
 use super::CANARY_DELAY;
+use super::judge::MIN_SUSPICIOUS_EXCESS;
 
 /// Most of the allowed share that the canary uses. A share of 0.15 is too small: a version that was
 /// slow on half of its requests had 16 answers when it was to be judged.
@@ -24,8 +25,8 @@
 const COMPLETION_TIME: Span = Span::from_millis(1_200);
 /// Latest time before the end at which the roll-out is decided.
 pub(super) const LATEST_DECISION_MARGIN: Span = Span::from_millis(1_000);
-/// Window of the current request rate; a shorter one is too noisy.
-const RATE_WINDOW: Span = Span::from_secs(2);
+/// Window of the current request rate.
+const RATE_WINDOW: Span = Span::from_secs(1);
 /// Least time between two samples of the requests sent.
 const RATE_SAMPLE_INTERVAL: Span = Span::from_millis(50);
 
@@ -95,7 +96,10 @@
     fn fits(&self, to_new: f64) -> bool {
         let by_the_end = self.all + self.rate * self.left.as_secs_f64();
         let allowed = self.limits.exposure * by_the_end + self.limits.allowance;
-        self.new + to_new <= USABLE_EXPOSURE_SHARE * allowed
+        // A version may fail this much more often without being suspected, and is sent each of
+        // these requests again.
+        let sent_again = MIN_SUSPICIOUS_EXCESS * to_new;
+        self.new + to_new + sent_again <= USABLE_EXPOSURE_SHARE * allowed
     }
 }
 
--- a/components/dispatch/src/trial/judge.rs
+++ b/components/dispatch/src/trial/judge.rs
@@ -29,6 +29,8 @@
 const SUSPICION_STD_ERRORS: f64 = 2.5;
 /// Share of a detection's least excess that suffices for a suspicion.
 const SUSPICION_EXCESS_FACTOR: f64 = 0.5;
+/// Least excess of the share of bad answers for a suspicion.
+pub(super) const MIN_SUSPICIOUS_EXCESS: f64 = SUSPICION_EXCESS_FACTOR * MIN_FAILURE_EXCESS;
 /// Fewest bad or slow answers for a suspicion.
 const SUSPICION_MIN_BAD_ANSWERS: f64 = 3.0;
 /// Delay until a possibly transient fault is compared again: by then all daemons' reports of
