Name the highest revision in force in session tokens and pins

Cause, by reading and by a test: a daemon puts edits in force past a gap, and its complete revision stays below it. Tokens and pins named the complete revision, so a peer with the missing edit and without the later one took an unknown version for withdrawn (PinDecision::Moved) instead of saying that its catalogue is behind.

Change: View::highest_revision; tokens and pins are signed with it. What is compared at the peer stays its complete revision.

Test: node a_version_of_an_edit_past_a_gap_is_not_taken_for_withdrawn; its last assertion shows the old reckoning, Moved.

--- a/components/catalogue/src/view.rs
+++ b/components/catalogue/src/view.rs
@@ -23,8 +23,11 @@
 /// The entries in force, indexed for serving requests.
 #[derive(Debug, Clone, Default)]
 pub struct View {
-    /// The catalogue's revision.
+    /// The catalogue's complete revision.
     pub revision: Revision,
+    /// Highest revision of an edit that is in force here. A pin to a version names this one, since
+    /// edits past the complete revision are in force too and a peer may lack them.
+    pub highest_revision: Revision,
     /// Customers by id.
     pub customers: BTreeMap<CustomerId, Arc<Customer>>,
     /// Models by name.
@@ -42,6 +45,7 @@
     pub fn from_catalogue(catalogue: &Catalogue) -> Self {
         let mut view = Self {
             revision: catalogue.revision(),
+            highest_revision: catalogue.highest_revision(),
             ..Self::default()
         };
         for (name, entry) in catalogue.entries() {
--- a/components/node/src/traffic/chat/version.rs
+++ b/components/node/src/traffic/chat/version.rs
@@ -142,7 +142,7 @@
     let pin = Pin {
         key: session_key(job, name),
         version: version.clone(),
-        revision: job.cx.snapshot.view.revision,
+        revision: job.cx.snapshot.view.highest_revision,
         age: Span::ZERO,
         replaces: before.filter(|before| *before != version),
     };
@@ -237,7 +237,7 @@
         }
     };
     let offer = job.resolved.name.clone();
-    let revision = job.cx.snapshot.view.revision;
+    let revision = job.cx.snapshot.view.highest_revision;
     let pinned = Pinned {
         session,
         offer,
--- a/components/node/tests/it/sessions.rs
+++ b/components/node/tests/it/sessions.rs
@@ -1,7 +1,14 @@
 //! Sessions keep their version, over real sockets.
 
+use std::sync::Arc;
+
 use catalogue::entry::VersionState::{Draining, Offered, Withdrawn};
+use catalogue::entry::{Body, Entry};
+use catalogue::file;
+use catalogue::record::{Catalogue, EncodedRecord, Record};
+use catalogue::view::View;
 use engine::Client;
+use sessions::choice::PinDecision;
 use standins::platform::PlatformConfig;
 use types::prelude::*;
 
@@ -83,3 +90,65 @@
     assert_eq!(lost, "small@v1");
     assert_eq!(chat(&harness, 1, &fresh)[2], "");
 }
+
+fn record(revision: u64, entry: &Arc<Entry>) -> EncodedRecord {
+    EncodedRecord::new(Arc::new(Record {
+        revision: Revision(revision),
+        edit_id: EditId(u128::from(revision)),
+        author: OperatorName::new("op").unwrap(),
+        at: WallTime(0),
+        entry: Some(Arc::clone(entry)),
+        history: Vec::new(),
+    }))
+}
+
+#[test]
+fn a_version_of_an_edit_past_a_gap_is_not_taken_for_withdrawn() {
+    // Guards against a session that moves at a daemon which lacks the edit that offered its version.
+    let text = include_str!("../../../../examples/kochi.yaml");
+    let entries = file::parse("kochi.yaml", text).unwrap();
+    let (name, model) = entries
+        .iter()
+        .find(|(_, entry)| matches!(entry.body, Body::Model(_)))
+        .unwrap();
+    let all = (1_u64..)
+        .zip(&entries)
+        .map(|(n, (name, entry))| (name.clone(), record(n, entry)));
+    let mut behind = Catalogue::default();
+    behind.apply_all(all, None);
+    let complete = behind.revision();
+    let mut extended = (**model).clone();
+    let Body::Model(body) = &mut extended.body else {
+        unreachable!("it is a model");
+    };
+    let version = body.versions.values().next().unwrap().clone();
+    body.versions.insert("v99".parse().unwrap(), version);
+    let id = VersionId::new(
+        catalogue::view::short_name(name, "models/").unwrap(),
+        "v99".parse().unwrap(),
+    );
+
+    // One daemon holds the edit after the next, the other only the next.
+    let mut ahead = behind.clone();
+    ahead.apply_all(
+        [(name.clone(), record(complete.0 + 2, &Arc::new(extended)))],
+        None,
+    );
+    let (other, entry) = entries
+        .iter()
+        .find(|(_, entry)| matches!(entry.body, Body::Customer(_)))
+        .unwrap();
+    behind.apply_all([(other.clone(), record(complete.0 + 1, entry))], None);
+    let (ahead, behind) = (View::from_catalogue(&ahead), View::from_catalogue(&behind));
+    assert!(
+        ahead.version_state(&id).is_some(),
+        "it is in force before the gap is closed"
+    );
+
+    let pin = Some((&id, ahead.highest_revision));
+    let decision = PinDecision::decide(pin, &Default::default(), behind.revision);
+    assert_eq!(decision, PinDecision::CatalogueBehind);
+    let pin = Some((&id, ahead.revision));
+    let by_complete_revision = PinDecision::decide(pin, &Default::default(), behind.revision);
+    assert_eq!(by_complete_revision, PinDecision::Moved(&id));
+}
