Let a broken stream go on at the version that its session's requests go to

Cause: a stream that breaks is resumed on its version only. At a completion all upstreams of the old version stop at once, so no upstream was left that might resume it, or its attempts went to others that had stopped too.

Change: Gate::admits; a stream stays on its version as long as anything goes to that, and then goes where its session's next request goes.

Test, red before: traffic a_stream_goes_on_at_the_new_version_once_the_old_one_gets_nothing.

--- a/components/dispatch/src/trial/gate.rs
+++ b/components/dispatch/src/trial/gate.rs
@@ -57,6 +57,16 @@
 }
 
 impl Gate {
+    /// Whether any requests still go to a version.
+    #[must_use]
+    pub fn admits(&self, version: &Arc<str>) -> bool {
+        match self.share {
+            share if share >= 1.0 => *version == self.to,
+            share if share <= 0.0 => !self.barred.contains(version),
+            _ => true,
+        }
+    }
+
     /// Returns the versions that a session's requests may be sent to; `session_hash` is its hash,
     /// `pinned` the version it is on.
     #[must_use]
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -91,11 +91,16 @@
     /// The versions that the request may be sent to now.
     pub(super) fn permit(&self) -> Permit {
         let now = self.shared.now();
-        if let Some(version) = &self.version {
+        let plan = self.shared.plan();
+        let gate = plan.gate(&self.service);
+        // Upstreams of a version that nothing goes to any more stop at once when its roll-out is
+        // decided, and none of them would resume the stream.
+        if let Some(version) = &self.version
+            && gate.is_none_or(|gate| gate.admits(version))
+        {
             return Permit::Only(version.clone());
         }
-        let plan = self.shared.plan();
-        let Some(gate) = plan.gate(&self.service) else {
+        let Some(gate) = gate else {
             return Permit::Any;
         };
         if gate.should_note(self.placement_hash) {
--- a/components/traffic/tests/it/streams.rs
+++ b/components/traffic/tests/it/streams.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use routes::Retry;
+use dispatch::Gate;
+use routes::{Retry, Upstream};
 
 use crate::harness::*;
 
@@ -170,3 +171,44 @@
     assert_eq!(events_of(&running.caller().ask("r1")), [1]);
     assert_eq!(runs.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn a_stream_goes_on_at_the_new_version_once_the_old_one_gets_nothing() {
+    // Guards against a cut stream: upstreams of the old version stop when a roll-out completes.
+    let (stop, stopped) = flume::bounded::<()>(1);
+    let stops = upstream(move |served| {
+        if served.request().is_none() {
+            return;
+        }
+        served.write(&stream_head("r1", 90));
+        (1..=3).for_each(|id| served.write(&event(id)));
+        let _ = stopped.recv();
+    });
+    let refusing = (0..12).map(|_| refusing_address()).collect::<Vec<_>>();
+    let new = upstream(|served| serve_stream(served, 0, 6, true));
+    let running = serving(RESUMABLE, &[stops]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    caller.read_until("data: e3");
+
+    let old = refusing.iter().enumerate();
+    let old = old.map(|(n, (_, address))| listed_upstream(&format!("old{n}"), *address));
+    let new = Upstream {
+        version: Arc::from("v2"),
+        ..(*listed_upstream("new", new)).clone()
+    };
+    let stopping = listed_upstream("u0", stops);
+    let listed = old.chain([stopping, Arc::new(new)]).collect();
+    let gate = Gate {
+        to: Arc::from("v2"),
+        ..gate_of_all()
+    };
+    running.send_plan_of(RESUMABLE, listed, vec![gate]);
+    while !running.get("/state").contains("v2") {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    stop.send(()).expect("the upstream waits");
+    for text in ["data: e4", "data: e5", "data: e6", END] {
+        caller.read_until(text);
+    }
+}
