--- a/components/dispatch/src/state_writer.rs
+++ b/components/dispatch/src/state_writer.rs
@@ -12,7 +12,7 @@
 /// Delay before a write is retried.
 const RETRY_DELAY: Span = Span::from_millis(400);
 
-/// What one daemon has to write of a roll-out's state.
+/// A roll-out's state as one daemon has to write it.
 #[derive(Debug)]
 pub struct StateWriter {
     /// The state to be written, and since when.
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -36,11 +36,11 @@
 /// cannot be reverted.
 const MIN_FULL_SHARE_TIME: Span = Span::from_millis(1_200);
 /// Time before the end at which the roll-out is decided if all requests still to come fit into the
-/// bound; otherwise it is decided [`LATEST_DECISION_MARGIN`] before the end.
+/// bound; otherwise it is decided when they do, at the latest [`LATEST_DECISION_MARGIN`] before the
+/// end.
 ///
 /// Daemons may learn of an order half a second late, a slow store's answer takes 0.4 s, and
-/// another daemon's turn 0.6 s; with 0.8 s, one good roll-out in eleven was written too late. A
-/// stream that is still outstanding continues at another upstream.
+/// another daemon's turn 0.2 s. A stream that is still outstanding continues at another upstream.
 const DECISION_MARGIN: Span = Span::from_millis(1_500);
 /// Answers of the new version needed for the full share, unless there is hardly any traffic.
 const MIN_CANARY_ANSWERS: u32 = 40;
--- a/components/dispatch/src/trial/exposure.rs
+++ b/components/dispatch/src/trial/exposure.rs
@@ -1,7 +1,7 @@
 //! Requests that the new version gets, counted against the operators' bound.
 //!
-//! A version that is bad shows it only once its upstreams are loaded as they will be in service. So
-//! the bound is divided among a canary, a load test and the time after the decision, in which a
+//! A version may show that it is bad only once its upstreams are loaded as they will be in service.
+//! So the bound is divided among a canary, a load test and the time after the decision, in which a
 //! version that was found good gets everything until the roll-out's end.
 
 use std::collections::VecDeque;
@@ -23,7 +23,8 @@
 const LAST_USABLE_EXPOSURE_SHARE: f64 = 0.95;
 /// Exposure kept from the canary for the load test, as time at the full share.
 const LOAD_TEST_RESERVE: Span = Span::from_millis(350);
-/// Time before the end from which the version gets everything, as reckoned before the load test.
+/// Time before the end from which the version is expected to get everything when a load test
+/// begins.
 const COMPLETION_TIME: Span = Span::from_millis(1_200);
 /// Time before the end from which the last of the bound may be used.
 const LAST_PERIOD: Span = Span::from_millis(1_000);
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -69,6 +69,22 @@
     }
 }
 
+/// Plays a roll-out and describes it for a failed check.
+fn play(base: &Scenario, fault: Fault, store: StoreFault, seed: u64) -> (Outcome, String) {
+    let scenario = Scenario {
+        fault,
+        store,
+        seed,
+        ..*base
+    };
+    let outcome = Fleet::new(scenario).play();
+    let what = format!(
+        "{} daemons, {store:?}, seed {seed}: {outcome:?}",
+        base.daemons
+    );
+    (outcome, what)
+}
+
 #[test]
 fn a_service_is_never_left_without_a_version() {
     // Guards against a completion and a reversal of one roll-out: either version's upstreams leave.
@@ -77,21 +93,13 @@
         .flat_map(|base| STORES.map(|store| (base, store)))
     {
         for seed in 0..6 {
-            let fault = Fault::UnderLoad(0.28);
-            let outcome = Fleet::new(Scenario {
-                fault,
-                store,
-                seed,
-                ..*base
-            })
-            .play();
-            let what = format!("{} daemons, {store:?}, seed {seed}", base.daemons);
+            let (outcome, what) = play(base, Fault::UnderLoad(0.28), store, seed);
             assert!(!outcome.has_lost_all_versions, "{what}");
-            let finals = outcome
-                .states
-                .iter()
-                .filter(|(state, _)| *state != RolloutState::Running);
-            assert!(finals.count() <= 1, "{what}: {:?}", outcome.states);
+            let states = outcome.states.iter().map(|(state, _)| state);
+            assert!(
+                states.filter(|state| state.is_final()).count() <= 1,
+                "{what}"
+            );
         }
     }
 }
@@ -104,18 +112,7 @@
         .flat_map(|base| STORES.map(|store| (base, store)))
     {
         for seed in 0..2 {
-            let fault = Fault::UnderLoad(0.28);
-            let outcome = Fleet::new(Scenario {
-                fault,
-                store,
-                seed,
-                ..*base
-            })
-            .play();
-            let what = format!(
-                "{} daemons, {store:?}, seed {seed}: {outcome:?}",
-                base.daemons
-            );
+            let (outcome, what) = play(base, Fault::UnderLoad(0.28), store, seed);
             assert!(!outcome.has(RolloutState::Completed), "{what}");
             assert!(f64::from(outcome.sent) <= outcome.allowed, "{what}");
         }
@@ -136,16 +133,7 @@
         .flat_map(|base| stores.map(|store| (base, store)))
     {
         for seed in 0..2 {
-            let outcome = Fleet::new(Scenario {
-                store,
-                seed,
-                ..*base
-            })
-            .play();
-            let what = format!(
-                "{} daemons, {store:?}, seed {seed}: {outcome:?}",
-                base.daemons
-            );
+            let (outcome, what) = play(base, Fault::None, store, seed);
             assert!(outcome.is_completed_by(base.secs), "{what}");
         }
     }
--- a/components/dispatch/tests/state_writer.rs
+++ b/components/dispatch/tests/state_writer.rs
@@ -20,16 +20,20 @@
     writer
 }
 
-#[test]
-fn a_recorded_completion_cancels_a_wanted_reversal() {
-    // Guards against a reversal that follows a completion whose write was in flight.
+/// A writer whose verdict changed from good to bad while a completion's write was in flight.
+fn writer_of_withdrawn_completion() -> StateWriter {
     let mut writer = writer();
     assert!(writer.want(at(10.0), RolloutState::Completed, RolloutState::Running));
-    assert_eq!(
-        writer.start_write(at(11.0), 0),
-        Some(RolloutState::Completed)
-    );
+    let started = writer.start_write(at(11.0), 0);
+    assert_eq!(started, Some(RolloutState::Completed));
     assert!(writer.want(at(11.1), RolloutState::Reverted, RolloutState::Running));
+    writer
+}
+
+#[test]
+fn a_recorded_completion_cancels_a_wanted_reversal() {
+    // Guards against a reversal that follows a completion whose write was in flight.
+    let mut writer = writer_of_withdrawn_completion();
     writer.on_recorded(RolloutState::Completed);
     writer.on_written(at(11.5));
     assert_eq!(writer.start_write(at(20.0), 0), None);
@@ -38,17 +42,9 @@
 #[test]
 fn a_withdrawn_verdict_is_not_retried() {
     // Guards against a completion that is written again after its version was found bad.
-    let mut writer = writer();
-    assert!(writer.want(at(10.0), RolloutState::Completed, RolloutState::Running));
-    assert_eq!(
-        writer.start_write(at(11.0), 0),
-        Some(RolloutState::Completed)
-    );
-    assert!(writer.want(at(11.1), RolloutState::Reverted, RolloutState::Running));
+    let mut writer = writer_of_withdrawn_completion();
     assert!(!writer.want(at(11.2), RolloutState::Completed, RolloutState::Running));
     writer.on_written(at(12.6));
-    assert_eq!(
-        writer.start_write(at(13.1), 0),
-        Some(RolloutState::Reverted)
-    );
+    let retried = writer.start_write(at(13.1), 0);
+    assert_eq!(retried, Some(RolloutState::Reverted));
 }
