Say once how a judgement is recorded; log a recorded state once

Three places:

- fleet and the simulated fleet each mapped a verdict to the state that records it: Verdict::final_state serves both.
- Rollouts compared the recorded state with the trial's and then set it.
Since the first final state stays, the comparison could stay true for ever: a 'reverted' that a daemon of an older release writes over 'completed' would be logged at each change of the store.
Trial::set_state says whether the state changed, and the log asks that.
- the tests of whole roll-outs built scenarios and went over fleets and stores four times alike; each, play and tally serve them, with the same seeds, stores and assertions.

The comment of the canary's share says what the rest is for instead of how the value was found.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -70,6 +70,16 @@
     pub fn is_bad(self) -> bool {
         matches!(self, Self::Failing | Self::Slow)
     }
+
+    /// Returns the state that records the judgement; `None` while it is open.
+    #[must_use]
+    pub fn final_state(self) -> Option<RolloutState> {
+        match self {
+            Self::Open => None,
+            Self::Good => Some(RolloutState::Completed),
+            Self::Failing | Self::Slow => Some(RolloutState::Reverted),
+        }
+    }
 }
 
 /// Result of a step of the trial.
@@ -188,11 +198,13 @@
         now.since(self.known_since) + self.peers_ahead
     }
 
-    /// Sets the state recorded in the store; the first final one stays.
-    pub fn set_state(&mut self, state: RolloutState) {
-        if !self.state.is_final() {
+    /// Sets the state recorded in the store; the first final one stays. Returns whether it changed.
+    pub fn set_state(&mut self, state: RolloutState) -> bool {
+        let has_changed = !self.state.is_final() && state != self.state;
+        if has_changed {
             self.state = state;
         }
+        has_changed
     }
 
     /// Adopts a peer's elapsed time of this order if it is ahead.
--- a/components/dispatch/src/trial/exposure.rs
+++ b/components/dispatch/src/trial/exposure.rs
@@ -11,8 +11,8 @@
 use super::CANARY_DELAY;
 use super::judge::MIN_SUSPICIOUS_EXCESS;
 
-/// Most of the allowed share that the canary uses. A share of 0.15 is too small: a version that was
-/// slow on half of its requests had 16 answers when it was to be judged.
+/// Most of the allowed share that the canary uses; the rest is for the load test and for the time
+/// in which the new version gets everything.
 const MAX_CANARY_EXPOSURE_SHARE: f64 = 0.3;
 /// Least of it, where the roll-out is short.
 const MIN_CANARY_EXPOSURE_SHARE: f64 = 0.1;
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -69,31 +69,34 @@
     }
 }
 
-/// Plays a roll-out and describes it for a failed check.
-fn play(base: &Scenario, fault: Fault, store: StoreFault, seed: u64) -> (Outcome, String) {
-    let scenario = Scenario {
-        fault,
-        store,
-        seed,
-        ..*base
+/// Each fleet with each of some stores or faults.
+fn each<T: Copy>(fleets: &[Scenario], others: &[T]) -> impl Iterator<Item = (Scenario, T)> {
+    let with_others = |fleet: &Scenario| {
+        let fleet = *fleet;
+        others.iter().map(move |other| (fleet, *other))
     };
+    fleets.iter().flat_map(with_others)
+}
+
+/// Plays a roll-out and describes it for a failed check.
+fn play(scenario: Scenario) -> (Outcome, String) {
     let outcome = Fleet::new(scenario).play();
-    let what = format!(
-        "{} daemons, {store:?}, seed {seed}: {outcome:?}",
-        base.daemons
-    );
+    let what = format!("{scenario:?}: {outcome:?}");
     (outcome, what)
 }
 
 #[test]
 fn a_service_is_never_left_without_a_version() {
     // Guards against a completion and a reversal of one roll-out: either version's upstreams leave.
-    for (base, store) in FLEETS[..3]
-        .iter()
-        .flat_map(|base| STORES.map(|store| (base, store)))
-    {
+    let fault = Fault::UnderLoad(0.28);
+    for (base, store) in each(&FLEETS[..3], &STORES) {
         for seed in 0..6 {
-            let (outcome, what) = play(base, Fault::UnderLoad(0.28), store, seed);
+            let (outcome, what) = play(Scenario {
+                fault,
+                store,
+                seed,
+                ..base
+            });
             assert!(!outcome.has_lost_all_versions, "{what}");
             let states = outcome.states.iter().map(|(state, _)| state);
             assert!(
@@ -107,12 +110,15 @@
 #[test]
 fn a_version_that_fails_under_load_is_not_completed() {
     // Guards against a completion before any upstream of the new version was loaded.
-    for (base, store) in FLEETS
-        .iter()
-        .flat_map(|base| STORES.map(|store| (base, store)))
-    {
+    let fault = Fault::UnderLoad(0.28);
+    for (base, store) in each(&FLEETS, &STORES) {
         for seed in 0..2 {
-            let (outcome, what) = play(base, Fault::UnderLoad(0.28), store, seed);
+            let (outcome, what) = play(Scenario {
+                fault,
+                store,
+                seed,
+                ..base
+            });
             assert!(!outcome.has(RolloutState::Completed), "{what}");
             assert!(f64::from(outcome.sent) <= outcome.allowed, "{what}");
         }
@@ -128,19 +134,19 @@
         StoreFault::LostAnswers,
         StoreFault::LateAnswers(2.0),
     ];
-    for (base, store) in FLEETS
-        .iter()
-        .flat_map(|base| stores.map(|store| (base, store)))
-    {
+    for (base, store) in each(&FLEETS, &stores) {
         for seed in 0..2 {
-            let (outcome, what) = play(base, Fault::None, store, seed);
+            let (outcome, what) = play(Scenario {
+                store,
+                seed,
+                ..base
+            });
             assert!(outcome.is_completed_by(base.secs), "{what}");
         }
     }
 }
 
-/// Counts the outcomes of many roll-outs; `BUCKTHORNCROSS_ROLLOUTS` plays so many of each, by
-/// fleets of all sizes.
+/// `BUCKTHORNCROSS_ROLLOUTS` plays so many of each, by fleets of all sizes, to count outcomes.
 #[test]
 fn no_rollout_ends_in_both_states() {
     let cases = std::env::var("BUCKTHORNCROSS_ROLLOUTS").ok();
@@ -155,28 +161,30 @@
         Fault::UnderLoad(0.15),
         Fault::OneKind(0.5),
     ];
-    for (base, fault) in fleets
-        .iter()
-        .flat_map(|base| faults.map(|fault| (base, fault)))
-    {
+    for (base, fault) in each(fleets, &faults) {
         for store in STORES {
-            let tally = tally(base, fault, store, cases);
+            let tally = tally(
+                Scenario {
+                    fault,
+                    store,
+                    ..base
+                },
+                cases,
+            );
             println!("{:3} {fault:?} {store:?}: {tally:?}", base.daemons);
             assert_eq!((tally.both, tally.no_version), (0, 0));
         }
     }
 }
 
-fn tally(base: &Scenario, fault: Fault, store: StoreFault, cases: u64) -> Tally {
+fn tally(base: Scenario, cases: u64) -> Tally {
     let mut tally = Tally::default();
     for seed in 0..cases {
         let growth = if seed % 3 == 2 { 1.4 } else { 1.0 };
         let scenario = Scenario {
-            fault,
-            store,
             growth,
             seed,
-            ..*base
+            ..base
         };
         tally.add(&scenario, &Fleet::new(scenario).play());
     }
--- a/components/dispatch/tests/support/rollout_fleet.rs
+++ b/components/dispatch/tests/support/rollout_fleet.rs
@@ -411,11 +411,7 @@
         }
         trial.set_upstreams(self.scenario.upstreams);
         let step = trial.step(time(now), &summary.fleet, 1.0);
-        let state = match step.verdict {
-            Verdict::Open => None,
-            Verdict::Good => Some(RolloutState::Completed),
-            Verdict::Failing | Verdict::Slow => Some(RolloutState::Reverted),
-        };
+        let state = step.verdict.final_state();
         daemon.gate = Some(step.gate);
         let is_newly_wanted =
             state.is_some_and(|state| daemon.writer.want(time(now), state, trial.state()));
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -70,7 +70,12 @@
                 }
             };
             let is_of_order = revision.0 > order.revision && record.to == *order.to;
-            if is_of_order && record.state > rollout.trial.state() {
+            if !is_of_order {
+                continue;
+            }
+            rollout.writer.on_recorded(record.state);
+            if rollout.trial.set_state(record.state) {
+                let order = rollout.trial.order();
                 tracing::info!(service = &*order.service, to = &*order.to, state = %record.state,
                     "rollouts: state written");
                 if record.state == RolloutState::Completed && rollout.trial.verdict().is_bad() {
@@ -81,10 +86,6 @@
                     );
                 }
             }
-            if is_of_order {
-                rollout.trial.set_state(record.state);
-                rollout.writer.on_recorded(record.state);
-            }
         }
     }
 
@@ -141,13 +142,8 @@
             rollout.trial.mark_bad(Verdict::Failing);
         }
         let step = rollout.trial.step(now, fleet, known.serving_capacity);
-        let state = match step.verdict {
-            Verdict::Open => None,
-            Verdict::Good => Some(RolloutState::Completed),
-            Verdict::Failing | Verdict::Slow => Some(RolloutState::Reverted),
-        };
         let mut is_newly_bad = false;
-        if let Some(state) = state
+        if let Some(state) = step.verdict.final_state()
             && rollout.writer.want(now, state, rollout.trial.state())
         {
             is_newly_bad = step.verdict.is_bad();
