Let streamed watch batches name no time at which they were current

Change: the field is the time of the request that a batch answers, absent where the service streams; a batch without one validates nothing.

--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -177,11 +177,13 @@
             } => {
                 let reply = SyncReply::Changes { after, at, changes };
                 self.apply_reply(now, reply, Source::Store);
-                self.peering.note_claim(Claim {
-                    held: at,
-                    at: current_at,
-                });
-                self.update_validated_at();
+                if let Some(current_at) = current_at {
+                    self.peering.note_claim(Claim {
+                        held: at,
+                        at: current_at,
+                    });
+                    self.update_validated_at();
+                }
             }
             Event::StoreHealth(health) => self.handle_store_health(now, health),
             Event::Called(purpose, outcome) => self.handle_call_result(now, &purpose, &outcome),
--- a/components/fleet/src/event.rs
+++ b/components/fleet/src/event.rs
@@ -30,8 +30,8 @@
         after: Revision,
         at: Revision,
         changes: Vec<Change>,
-        /// A moment at which the store held nothing newer than `at`.
-        current_at: Time,
+        /// A moment at which the store held nothing newer than `at`, if one is known.
+        current_at: Option<Time>,
     },
     /// The store answered the watching thread, or why it did not.
     StoreHealth(Result<(), String>),
--- a/components/fleet/src/watcher.rs
+++ b/components/fleet/src/watcher.rs
@@ -305,7 +305,8 @@
                 return false;
             }
             // A batch without changes shows that the copy is current.
-            let current_at = self.clock.now() - Span::from(batch.validated_at.elapsed());
+            let now = self.clock.now();
+            let current_at = batch.requested_at.map(|at| now - Span::from(at.elapsed()));
             let event = Event::Changed {
                 after,
                 at,
--- a/components/store/src/etcd/decode.rs
+++ b/components/store/src/etcd/decode.rs
@@ -1,7 +1,5 @@
 //! Decoding of the gateway's JSON replies and errors.
 
-use std::time::Instant;
-
 use bytes::Bytes;
 use keyvalue::{
     Answer, CallError, KeyValue, LeaseId, ModRevision, OpReply, Outcome, Reply, Request, TxnReply,
@@ -59,7 +57,7 @@
     Ok(WatchBatch {
         revision,
         events: events.collect::<Result<_, _>>()?,
-        validated_at: Instant::now(),
+        requested_at: None,
     })
 }
 
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -59,9 +59,9 @@
     pub revision: ModRevision,
     /// The changes, oldest first; empty if the service only reports its revision.
     pub events: Vec<WatchEvent>,
-    /// Time as of which no change is missing. If the service is polled, this is when the poll was sent,
-    /// since its reply may have been delayed; if it streams, when the changes were read.
-    pub validated_at: Instant,
+    /// When the request that this batch answers was sent; no earlier change is missing. `None` if
+    /// the service streams: a streamed batch may have been delayed for any time.
+    pub requested_at: Option<Instant>,
 }
 
 /// Why a watch ended. Unless it was stopped, the caller restarts it after its last revision.
