--- a/components/fleet/src/snapshot.rs
+++ b/components/fleet/src/snapshot.rs
@@ -136,13 +136,15 @@
         }
     }
 
-    /// Adds a page. The snapshot has the revision of its first page; later changes are requested
-    /// afterwards.
+    /// Adds a page. The snapshot has the lowest revision of its pages, which is usually that of the
+    /// first one; a peer that restarts between two pages may hold an older copy. Later changes are
+    /// requested afterwards.
     pub fn take(&mut self, at: Revision, items: Vec<Change>, has_more: bool) -> DownloadStep {
         let listing = self.listing.get_or_insert(Listing {
             at,
             items: Vec::new(),
         });
+        listing.at = listing.at.min(at);
         let last_key = items.last().map(|item| item.key.clone());
         listing.items.extend(items);
         match last_key.filter(|_| has_more) {
--- a/components/fleet/tests/it/snapshots.rs
+++ b/components/fleet/tests/it/snapshots.rs
@@ -96,3 +96,25 @@
         }
     }
 }
+
+/// A peer restarts with an older copy between two pages: the snapshot counted as being of the first
+/// page's revision, and lacked the changes that the second page did not hold yet.
+#[test]
+fn a_snapshot_is_no_newer_than_its_oldest_page() {
+    let item = |key: &str, revision| Change {
+        revision: Revision(revision),
+        key: key.to_owned(),
+        value: Some(Bytes::from_static(b"x")),
+    };
+    let mut download = SnapshotDownload::new(([127, 0, 0, 1], 1).into());
+    let first = download.take(Revision(9), vec![item("a", 2)], true);
+    assert!(matches!(first, DownloadStep::More(_)));
+    let DownloadStep::Complete(listing) = download.take(Revision(7), vec![item("b", 3)], false)
+    else {
+        panic!("two pages");
+    };
+    let mut copied = Mirror::default();
+    copied.take_listing(listing);
+    let missed = copied.apply(Revision(7), Revision(9), vec![item("b", 8)]);
+    assert_eq!(missed, Ok(vec![item("b", 8)]));
+}
