Count suspensions of the host in the daemon's clock

A host that was suspended refused routes that had been added meanwhile with 404, for as long after it woke up as its copy had still counted as current before; peers' claims were too new by the length of the suspension until they had measured its clock anew.

Cause: std::time::Instant reads CLOCK_MONOTONIC, which stands still while the host is suspended.

Change: Clock reads CLOCK_BOOTTIME (through nix, which calls the C library). A watch response carries such a reading as the time of its request and is converted forward; it was dated back from its arrival by an age on the clock that stands still. Timers of the event loop stay on the monotonic clock: what waits only fires later.

--- a/components/fleet/src/watcher.rs
+++ b/components/fleet/src/watcher.rs
@@ -305,8 +305,7 @@
                 return false;
             }
             // A batch without changes shows that the copy is current.
-            let now = self.clock.now();
-            let current_at = batch.requested_at.map(|at| now - Span::from(at.elapsed()));
+            let current_at = batch.requested_at.map(|at| self.clock.at(at));
             let event = Event::Changed {
                 after,
                 at,
--- a/components/fleet/tests/it/memory.rs
+++ b/components/fleet/tests/it/memory.rs
@@ -191,7 +191,7 @@
             let batch = WatchBatch {
                 revision: ModRevision(keys.revision),
                 events: events.cloned().collect(),
-                requested_at: Some(Instant::now() - self.answer_delay()),
+                requested_at: Some(BootInstant::now() - self.answer_delay()),
             };
             from = ModRevision(keys.revision + 1);
             drop(keys);
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -9,7 +9,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
 
 use keyvalue::{ModRevision, Outcome, Range, Request, WatchEvent};
 use types::prelude::*;
@@ -61,7 +60,7 @@
     pub events: Vec<WatchEvent>,
     /// When the request that this batch answers was sent; no earlier change is missing. `None` if
     /// the service streams: a streamed batch may have been delayed for any time.
-    pub requested_at: Option<Instant>,
+    pub requested_at: Option<BootInstant>,
 }
 
 /// Why a watch ended. Unless it was stopped, the caller restarts it after its last revision.
--- a/components/types/src/prelude.rs
+++ b/components/types/src/prelude.rs
@@ -6,5 +6,5 @@
     OperatorName, Region, RequestId, Revision, SessionId, UpstreamId,
 };
 pub use crate::run::{Priority, RunState};
-pub use crate::time::{Clock, Span, Time, WallTime};
+pub use crate::time::{BootInstant, Clock, Span, Time, WallTime};
 pub use crate::version::{ModelName, VersionId, VersionName};
--- a/components/types/src/time.rs
+++ b/components/types/src/time.rs
@@ -7,8 +7,9 @@
 use std::fmt;
 use std::ops::{Add, Sub};
 use std::str::FromStr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -228,11 +229,44 @@
     }
 }
 
+/// A reading of the host's monotonic clock that includes the time while the host was suspended.
+///
+/// [`std::time::Instant`] leaves that time out: whatever a daemon knew before its host was suspended
+/// would look as recent afterwards as before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BootInstant(Duration);
+
+impl BootInstant {
+    /// Reads the clock.
+    ///
+    /// # Panics
+    /// If the operating system does not have this clock; Linux does.
+    #[must_use]
+    pub fn now() -> Self {
+        let since_boot = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        Self(since_boot.expect("a clock since boot").into())
+    }
+
+    /// Returns the time since an earlier reading, or zero if that one is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Span {
+        self.0.saturating_sub(earlier.0).into()
+    }
+}
+
+impl Sub<Duration> for BootInstant {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+}
+
 /// Reads the host's clocks. Held by code at the edges of the program, which takes in events and
 /// serves probes; code that makes decisions is passed a [`Time`].
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: BootInstant,
 }
 
 impl Clock {
@@ -240,14 +274,21 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: BootInstant::now(),
         }
     }
 
     /// Returns the present time of the monotonic clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(Span::from(self.start.elapsed()).as_micros())
+        self.at(BootInstant::now())
+    }
+
+    /// Returns this clock's time at a reading of the host's clock; [`Time::ZERO`] if that was before
+    /// its start.
+    #[must_use]
+    pub fn at(&self, instant: BootInstant) -> Time {
+        Time::ZERO + instant.since(self.start)
     }
 
     /// Returns the present time of the host's wall clock.
