Count requests, not connections, in the test of a broken stream

Cause: the test counted connections. After a broken answer the daemon probes the upstream for whether it still listens, with connections that carry no request; on a busy host the probe came before the count was read. With a pause of 0.3 s before the check the old test failed each time it was run (3 connections); the new one, which counts requests that were read, passes with the same pause. The check is the same: the request ran once.

--- a/components/traffic/tests/it/streams.rs
+++ b/components/traffic/tests/it/streams.rs
@@ -13,20 +13,24 @@
 /// Streams the events after `after` up to `last`, then completes or breaks off within an event.
 fn serve_stream(served: &mut Served, after: u64, last: u64, completes: bool) {
     while let Some(request) = served.request() {
-        let asked = field(&request, "after").and_then(|id| id.parse().ok());
-        served.write(&stream_head(id_of(&request), 90));
-        let first = asked.unwrap_or(after) + 1;
-        (first..=last).for_each(|id| served.write(&event(id)));
-        match completes {
-            true => served.write(END),
-            false => {
-                served.write("1f\r\nid: 99\nda");
-                return;
-            }
+        stream(served, &request, after, last, completes);
+        if !completes {
+            return;
         }
     }
 }
 
+fn stream(served: &mut Served, request: &str, after: u64, last: u64, completes: bool) {
+    let asked = field(request, "after").and_then(|id| id.parse().ok());
+    served.write(&stream_head(id_of(request), 90));
+    let first = asked.unwrap_or(after) + 1;
+    (first..=last).for_each(|id| served.write(&event(id)));
+    match completes {
+        true => served.write(END),
+        false => served.write("1f\r\nid: 99\nda"),
+    }
+}
+
 #[test]
 fn relays_a_stream_event_by_event() {
     let address = upstream(|served| serve_stream(served, 0, 5, true));
@@ -80,8 +84,11 @@
     let runs = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&runs);
     let address = upstream(move |served| {
-        count.fetch_add(1, Ordering::SeqCst);
-        serve_stream(served, 0, 3, false);
+        // A connection without a request is a probe for whether the upstream still listens.
+        if let Some(request) = served.request() {
+            count.fetch_add(1, Ordering::SeqCst);
+            stream(served, &request, 0, 3, false);
+        }
     });
     let running = serving(Retry::Stream { resumable: false }, &[address, address]);
     let text = running.caller().ask("r1");
