Test that claims for newer revisions do not validate a copy that lags behind

Suspicion on MAX_SENT: two claims a message, so that a daemon three changes behind gets none for what it holds. Held against the invariant: its copy stays validated as of its own last claim, grows stale, and the daemon then watches the store itself whoever else does (fleet/tests/it/succession.rs: a_daemon_with_a_stale_copy_watches_whoever_else_does). The new test passes on the code as it is; with Claims::validated_at taking any claim instead of those up to the held revision it must fail, which no_claim_validates_a_copy_past_a_missing_change checks by simulation.

--- a/components/fleet/tests/it/claims.rs
+++ b/components/fleet/tests/it/claims.rs
@@ -377,3 +377,32 @@
     assert_eq!(claims.validated_at(Revision(6)), Some(at(1)));
     assert_eq!(claims.validated_at(Revision(7)), Some(at(2)));
 }
+
+/// A daemon several changes behind gets claims for newer revisions only. One that counted as current
+/// by them would not watch the store itself, and refuse what it lacks as unknown.
+#[test]
+fn claims_for_newer_revisions_do_not_validate_an_older_copy() {
+    let at = |secs| Time::ZERO + Span::from_secs(secs);
+    let own = Claim {
+        held: Revision(1),
+        at: at(1),
+    };
+    let (mut receiver, mut sender) = (Claims::default(), Claims::default());
+    receiver.add(own);
+    for secs in 1..=20 {
+        let held = Revision(secs);
+        sender.add(Claim { held, at: at(secs) });
+        let run = Incarnation(1);
+        let reading = ClockReading {
+            run,
+            clock_ms: secs * 1_000,
+        };
+        let (clock, _) = peers::ClockOffsetBound::measured(reading, at(secs), at(secs));
+        let sent = sender.for_peer(&clock).expect("claims");
+        assert_eq!(receiver.merge(at(secs), run, &sent), 0);
+        let validated_at = receiver.validated_at(own.held);
+        assert!(validated_at <= Some(own.at), "{validated_at:?}");
+    }
+    let held = receiver.validated_at(Revision(20));
+    assert!(held > Some(at(19)), "{held:?}");
+}
