--- a/components/fleet/tests/it/freshness.rs
+++ b/components/fleet/tests/it/freshness.rs
@@ -217,3 +217,47 @@
         });
     }
 }
+
+/// Orders a roll-out at two daemons, of which the second receives messages late, and then cuts the
+/// first off from the store.
+fn roll_out_by_second(memory: &MemoryStore, delay: Duration) -> (Daemon, Daemon) {
+    memory.set("upstream/a", Some("v1"));
+    memory.set("upstream/b", Some("v2"));
+    memory.set("table", Some("1"));
+    let seed = free_address();
+    let first = daemon_at(0, StoreLink::to(memory), seed, Vec::new());
+    let listens = free_address();
+    let mut second_settings = settings(1, listens, vec![seed]);
+    second_settings.advertise = Some(slow_link(listens, delay));
+    second_settings.in_force_within = Span::from_secs(1);
+    let second = start(StoreLink::to(memory), second_settings);
+    wait_until("the second knows the first", || {
+        second.table() == Some(1) && second.dump()["daemons"] == 2
+    });
+    memory.set("order/service", Some("v2 within 6"));
+    wait_until("acknowledged", || {
+        memory.get("state/service").as_deref() == Some("running v2")
+    });
+    first
+        .link
+        .is_cut
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    (first, second)
+}
+
+/// A daemon that had stood still completed a version by evidence from before, though its peers had
+/// found it bad meanwhile.
+#[test]
+fn only_a_daemon_with_recent_messages_completes_a_version() {
+    let state = |memory: &MemoryStore| memory.get("state/service");
+    let memory = MemoryStore::default();
+    let daemons = roll_out_by_second(&memory, Duration::ZERO);
+    wait_until("completed", || {
+        state(&memory).as_deref() == Some("completed v2")
+    });
+    drop(daemons);
+    let memory = MemoryStore::default();
+    let _daemons = roll_out_by_second(&memory, Duration::from_millis(900));
+    std::thread::sleep(Duration::from_secs(8));
+    assert_eq!(state(&memory).as_deref(), Some("running v2"));
+}
