Revert "Let only daemons with recent messages complete a version"

What the logs show: the daemon that completed the version had been frozen from 16.33 to 18.88 s, but ran for 0.9 s before it judged, and its evidence did not move in that time. A restarted collector of evidence knows only what is reported to it from then on, restarted daemons report from zero, and a sum with fewer answers than the one before counts as older: the fleet's evidence stands still until a new sum has more. Beside that, a suspicion at the end counts failures only: 3 of 8 slow answers, 14 of 258 for the old version, were no suspicion.

The test of the condition goes with it.

--- a/components/fleet/src/control/freshness.rs
+++ b/components/fleet/src/control/freshness.rs
@@ -75,14 +75,6 @@
         !is_unreachable && age > within * (STALE_AFTER + STALE_STAGGER * position)
     }
 
-    /// Whether peers' messages arrive without long delay, so that what they reported is known. A
-    /// daemon that stood still knows only what they reported before.
-    pub(super) fn hears_recent_messages(&self, now: Time) -> bool {
-        let heard_as_of = self.peering.peers_heard_as_of().unwrap_or_default();
-        let max_age = self.settings.in_force_within.as_secs_f64() * STALE_AFTER;
-        self.peering.daemons() == 1 || now.since(heard_as_of).as_secs_f64() <= max_age
-    }
-
     /// Decides whether this daemon watches the store.
     pub(super) fn decide_watch_mode(&mut self, now: Time) {
         let input = SuccessionInput {
--- a/components/fleet/src/control/rollouts.rs
+++ b/components/fleet/src/control/rollouts.rs
@@ -46,7 +46,6 @@
                 serving_capacity: ready.serving_capacity(),
                 new_upstreams: ready.new,
                 is_marked_bad: summary.is_bad,
-                is_recent: self.hears_recent_messages(now),
                 staying: self.peering.staying(order.revision),
             };
             let stepped = self.rollouts.step(now, &service, findings);
--- a/components/fleet/src/freshness.rs
+++ b/components/fleet/src/freshness.rs
@@ -51,24 +51,19 @@
 
 /// The claims that a daemon knows, including its own.
 #[derive(Debug, Clone, Default)]
-pub struct Claims {
-    /// The newest claims of different revisions.
-    known: Vec<Claim>,
-    /// The newest moment of a peer's claim.
-    peers_heard_as_of: Option<Time>,
-}
+pub struct Claims(Vec<Claim>);
 
 impl Claims {
     /// Adds a claim unless a known one implies it.
     pub fn add(&mut self, claim: Claim) {
-        if self.known.iter().any(|known| known.covers(&claim)) {
+        if self.0.iter().any(|known| known.covers(&claim)) {
             return;
         }
-        self.known.retain(|known| !claim.covers(known));
-        self.known.push(claim);
-        self.known
+        self.0.retain(|known| !claim.covers(known));
+        self.0.push(claim);
+        self.0
             .sort_unstable_by_key(|known| std::cmp::Reverse(known.at));
-        self.known.truncate(MAX_CLAIMS);
+        self.0.truncate(MAX_CLAIMS);
     }
 
     /// Merges a peer's claims. Returns how many were dropped because they cannot refer to the clock
@@ -83,33 +78,25 @@
                 dropped += 1;
                 continue;
             }
-            let at = Time::ZERO + Span::from_millis(dated.clock_ms);
-            self.peers_heard_as_of = self.peers_heard_as_of.max(Some(at));
             self.add(Claim {
                 held: dated.held,
-                at,
+                at: Time::ZERO + Span::from_millis(dated.clock_ms),
             });
         }
         dropped
     }
 
-    /// A moment after which some peer sent a message that has arrived, however long messages take.
-    #[must_use]
-    pub fn peers_heard_as_of(&self) -> Option<Time> {
-        self.peers_heard_as_of
-    }
-
     /// Latest moment at which a copy of revision `held` was known to be current.
     #[must_use]
     pub fn validated_at(&self, held: Revision) -> Option<Time> {
-        let claims = self.known.iter().filter(|claim| claim.held <= held);
+        let claims = self.0.iter().filter(|claim| claim.held <= held);
         claims.map(|claim| claim.at).max()
     }
 
     /// The newest claims dated by a peer's clock, given the bound on its offset.
     #[must_use]
     pub fn for_peer(&self, clock: &ClockOffsetBound) -> Option<Freshness> {
-        let readings = self.known.iter().take(MAX_SENT);
+        let readings = self.0.iter().take(MAX_SENT);
         let readings = readings.filter_map(|claim| Some((claim.held, clock.reading_at(claim.at)?)));
         let readings = readings.collect::<Vec<_>>();
         let (_, first) = readings.first()?;
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -32,11 +32,6 @@
         self.claims.validated_at(held)
     }
 
-    /// A moment after which some peer sent a message that has arrived.
-    pub(crate) fn peers_heard_as_of(&self) -> Option<Time> {
-        self.claims.peers_heard_as_of()
-    }
-
     /// Sends a heartbeat to a few peers; `own_watch_works` is whether this daemon's watch of the
     /// store is answered.
     pub(crate) fn send_heartbeat(
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -36,8 +36,6 @@
     /// Upstreams of the new version.
     pub(crate) new_upstreams: usize,
     pub(crate) is_marked_bad: bool,
-    /// Whether what peers found recently would be known.
-    pub(crate) is_recent: bool,
     /// Sessions that some daemon saw in progress on another version.
     pub(crate) staying: BTreeSet<u32>,
 }
@@ -145,10 +143,7 @@
         }
         let step = rollout.trial.step(now, fleet, known.serving_capacity);
         let mut is_newly_bad = false;
-        // A completion cannot be taken back, so it must not be based on old evidence.
-        let may_record = step.verdict.is_bad() || known.is_recent;
         if let Some(state) = step.verdict.final_state()
-            && may_record
             && rollout.writer.want(now, state, rollout.trial.state())
         {
             is_newly_bad = step.verdict.is_bad();
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -97,17 +97,11 @@
         })
     }
 
-    /// Decodes a version, followed by `within` and the seconds until the decision if given.
     fn order(&self, key: &str, value: &Bytes, revision: u64) -> Result<RolloutOrder, DecodeError> {
-        let text = String::from_utf8_lossy(value);
-        let (to, secs) = match text.split_once(" within ") {
-            Some((to, secs)) => (to, secs.parse().expect("a number")),
-            None => (&*text, 60),
-        };
         Ok(RolloutOrder {
             service: Arc::from(key.trim_start_matches("order/")),
-            to: Arc::from(to),
-            decision_timeout: Span::from_secs(secs),
+            to: Arc::from(&*String::from_utf8_lossy(value)),
+            decision_timeout: Span::from_secs(60),
             revision,
         })
     }
