--- a/components/fleet/tests/it/claims.rs
+++ b/components/fleet/tests/it/claims.rs
@@ -378,8 +378,7 @@
     assert_eq!(claims.validated_at(Revision(7)), Some(at(2)));
 }
 
-/// A daemon several changes behind gets claims for newer revisions only. One that counted as current
-/// by them would not watch the store itself, and refuse what it lacks as unknown.
+/// A daemon several changes behind must grow stale, so that it watches the store itself.
 #[test]
 fn claims_for_newer_revisions_do_not_validate_an_older_copy() {
     let at = |secs| Time::ZERO + Span::from_secs(secs);
--- a/components/fleet/tests/it/snapshots.rs
+++ b/components/fleet/tests/it/snapshots.rs
@@ -97,8 +97,7 @@
     }
 }
 
-/// A peer restarts with an older copy between two pages: the snapshot counted as being of the first
-/// page's revision, and lacked the changes that the second page did not hold yet.
+/// A peer that restarted between two pages with an older copy made a snapshot lack known changes.
 #[test]
 fn a_snapshot_is_no_newer_than_its_oldest_page() {
     let item = |key: &str, revision| Change {
--- a/components/types/tests/suspension.rs
+++ b/components/types/tests/suspension.rs
@@ -26,8 +26,7 @@
     result as libc::c_int
 }
 
-/// After a suspension a daemon counted its copy of the configuration as current for as long as
-/// before it, and refused routes that had been added meanwhile as unknown.
+/// After a suspension a daemon refused routes that had been added meanwhile as unknown.
 #[test]
 fn the_clock_includes_suspensions() {
     let clock = Clock::new();
