Wait in tests until a roll-out is in use

Cause, shown by a run: the test sends a plan with a roll-out and then a request, and the request can overtake the plan; it is then no evidence. With the two lines swapped the test panics in the same way, at the same place. Other tests that send a plan with a roll-out have the same race, so the harness waits until the state dump shows as many roll-outs as the plan has. No check is changed.

Measured: all 49 tests of traffic/tests/it pass; the listed test passed 55 of 55 runs beside 16 busy processes after the change (82 of 82 before it, so the failure was rare).

--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -389,6 +389,7 @@
 
     /// Sends a plan with these upstreams.
     pub fn send_plan_of(&self, retry: Retry, upstreams: Vec<Arc<Upstream>>, gates: Vec<Gate>) {
+        let rollouts = gates.len();
         let plan = Plan {
             table: Some(Arc::new(table(retry))),
             upstreams,
@@ -400,6 +401,18 @@
         };
         let sent = self.handle.commands.send(Command::Plan(Arc::new(plan)));
         sent.expect("the event loop runs");
+        // A caller's request may overtake the plan, and would be no evidence on a roll-out.
+        while self.rollouts() != rollouts {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Returns the number of roll-outs in the state dump.
+    fn rollouts(&self) -> usize {
+        let answer = self.get("/state");
+        let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+        let dump = serde_json::from_str::<serde_json::Value>(body).expect("JSON");
+        dump["rollouts"].as_array().expect("a list").len()
     }
 
     /// Connects a caller.
