Wait in tests until the event loop has applied a command

Cause: the test sends the plan and then the validation as commands and a caller's request at once; the request can overtake either, and a daemon without a configuration, or with one that may be out of date, answers 503 truthfully.

Change: the harness waits after each command until the queue is empty. The event loop takes a command and applies it without giving way, so a later request finds it applied. It replaces the wait for roll-outs; no check is changed.

--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -376,8 +376,16 @@
             rate_limits,
             ..traffic::PeerState::default()
         };
-        let sent = self.handle.commands.send(Command::PeerState(peer_state));
-        sent.expect("the loop runs");
+        self.apply(Command::PeerState(peer_state));
+    }
+
+    /// Sends a command and waits until it is applied, so that no later request overtakes it.
+    fn apply(&self, command: Command) {
+        let commands = &self.handle.commands;
+        commands.send(command).expect("the event loop runs");
+        while !commands.is_empty() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Sends a plan with upstreams at these addresses.
@@ -389,7 +397,6 @@
 
     /// Sends a plan with these upstreams.
     pub fn send_plan_of(&self, retry: Retry, upstreams: Vec<Arc<Upstream>>, gates: Vec<Gate>) {
-        let rollouts = gates.len();
         let plan = Plan {
             table: Some(Arc::new(table(retry))),
             upstreams,
@@ -399,20 +406,7 @@
             unreadable_upstreams: 0,
             is_ready: true,
         };
-        let sent = self.handle.commands.send(Command::Plan(Arc::new(plan)));
-        sent.expect("the event loop runs");
-        // A caller's request may overtake the plan, and would be no evidence on a roll-out.
-        while self.rollouts() != rollouts {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
-    /// Returns the number of roll-outs in the state dump.
-    fn rollouts(&self) -> usize {
-        let answer = self.get("/state");
-        let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
-        let dump = serde_json::from_str::<serde_json::Value>(body).expect("JSON");
-        dump["rollouts"].as_array().expect("a list").len()
+        self.apply(Command::Plan(Arc::new(plan)));
     }
 
     /// Connects a caller.
