Continue from the known sum when a daemon starts to collect a roll-out's evidence

Cause: all daemons restart in turn. Collectors add up the reports of the processes that run, and of a sum and a smaller one the smaller counts as older. A daemon that starts to collect lacks what daemons counted before they restarted, so its sum stays below the known one for seconds, and the evidence of the whole fleet stands still: all judged by the same 18 to 23 requests while a hundred had been sent.

Change: a collector whose sum lags behind the one known half a second to a second ago continues from the known sum: it forgets all reports, takes each daemon's next report as its starting point and adds only growth. Nothing is added twice, since the starting points are later than the known sum; the few answers between the two are missing. Outstanding requests of the known sum count until every daemon has reported.

Test: the_sum_grows_while_daemons_restart_in_turn, nine daemons of which one restarts each 1.2 s.

--- a/components/dispatch/src/aggregation.rs
+++ b/components/dispatch/src/aggregation.rs
@@ -15,6 +15,8 @@
 
 /// Roll-outs remembered; beyond it the oldest are dropped.
 const MAX_ORDERS: usize = 8;
+/// Time in which every daemon's first report arrives, in ms.
+const FIRST_REPORTS_MS: u32 = 1_000;
 /// Most sessions taken from one message.
 const MAX_SESSIONS_PER_MESSAGE: usize = 4_096;
 
@@ -69,12 +71,23 @@
     }
 }
 
+/// What one daemon collected of a roll-out.
+///
+/// The sum of all reports lacks what daemons counted before they restarted, unless this daemon got
+/// their reports then. A daemon that starts to collect in the middle of a roll-out has not, so it
+/// continues from the sum it knows, and adds only what daemons count after their first report to
+/// it. No answer is added twice, and a few between that sum and the first reports are missing.
 #[derive(Debug, Default)]
 struct OrderEvidence {
     reports: BTreeMap<DaemonId, Evidence>,
-    /// Counts that daemons reported before they restarted.
-    before_restarts: Evidence,
+    /// Counts that are not of the processes in `reports`, or of their time before `counted`.
+    base: Evidence,
+    /// Part of each report that `base` covers.
+    counted: BTreeMap<DaemonId, Evidence>,
+    /// Since when this daemon continues from a known sum, as time since the order in ms.
+    continued_at_ms: Option<u32>,
     summary: Option<RolloutSummary>,
+    progress: SummaryProgress,
     staying: BTreeSet<u32>,
     /// Number of staying sessions already announced.
     announced: usize,
@@ -84,18 +97,70 @@
     /// Replaces a daemon's report. A smaller one comes from a daemon that restarted; its counts
     /// from before still count.
     fn replace(&mut self, from: DaemonId, report: Evidence) {
-        let previous = self.reports.insert(from, report);
-        if let Some(mut previous) =
-            previous.filter(|previous| answer_count(previous) > answer_count(&report))
-        {
-            previous.new.forget_out();
-            previous.old.forget_out();
-            self.before_restarts.new.add(&previous.new);
-            self.before_restarts.old.add(&previous.old);
+        let Some(previous) = self.reports.insert(from.clone(), report) else {
+            if self.continued_at_ms.is_some() {
+                self.counted.insert(from, report);
+            }
+            return;
+        };
+        if answer_count(&previous) > answer_count(&report) {
+            let counted = self.counted.remove(&from).unwrap_or_default();
+            self.base.add(&previous.since(&counted).without_out());
+        }
+    }
+
+    /// Returns the sum of the base and of all reports.
+    fn sum(&self, order: u64) -> Evidence {
+        let mut sum = Evidence { order, ..self.base };
+        for (daemon, report) in &self.reports {
+            match self.counted.get(daemon) {
+                Some(counted) => sum.add(&report.since(counted)),
+                None => sum.add(report),
+            }
+        }
+        sum
+    }
+
+    /// Continues from the known sum if this daemon's lags behind it by more than a delay of reports
+    /// explains.
+    fn catch_up(&mut self, me: &DaemonId, own: &Evidence) {
+        let known = self.summary.as_ref().map(|summary| summary.fleet);
+        let known = known.unwrap_or_default();
+        let earlier = self.progress.update(own.elapsed_ms, answer_count(&known));
+        let collects = self.reports.len() > 1;
+        if collects && answer_count(&self.sum(own.order)) < earlier {
+            self.reports = BTreeMap::from([(me.clone(), *own)]);
+            self.counted.clone_from(&self.reports);
+            self.base = known;
+            self.continued_at_ms = Some(own.elapsed_ms);
+        }
+        let has_all_reports = |since| own.elapsed_ms >= since + FIRST_REPORTS_MS;
+        if self.continued_at_ms.is_some_and(has_all_reports) {
+            self.base = self.base.without_out();
         }
     }
 }
 
+/// Growth of the known sum over time.
+#[derive(Debug, Default)]
+struct SummaryProgress {
+    /// Time since the order in ms, in the steps in which daemons report it.
+    elapsed_ms: u32,
+    /// Number of answers in the sum when this step and the one before began.
+    counts: [u64; 2],
+}
+
+impl SummaryProgress {
+    /// Records the sum's number of answers; returns that of the step before.
+    fn update(&mut self, elapsed_ms: u32, count: u64) -> u64 {
+        if elapsed_ms > self.elapsed_ms {
+            self.elapsed_ms = elapsed_ms;
+            self.counts = [count, self.counts[0]];
+        }
+        self.counts[1]
+    }
+}
+
 /// Collected evidence, by the order's revision.
 #[derive(Debug, Default)]
 pub struct EvidenceAggregator {
@@ -147,15 +212,8 @@
     pub fn fleet(&mut self, me: &DaemonId, own: &Evidence) -> RolloutSummary {
         let order = self.order(own.order);
         order.replace(me.clone(), *own);
-        let mut sum = Evidence {
-            order: own.order,
-            ..order.before_restarts
-        };
-        for report in order.reports.values() {
-            sum.new.add(&report.new);
-            sum.old.add(&report.old);
-            sum.elapsed_ms = sum.elapsed_ms.max(report.elapsed_ms);
-        }
+        order.catch_up(me, own);
+        let sum = order.sum(own.order);
         let is_bad = order.summary.as_ref().is_some_and(|summary| summary.is_bad);
         self.merge_summary(&RolloutSummary { fleet: sum, is_bad });
         let summary = self.order(own.order).summary.clone();
--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -155,6 +155,21 @@
         }
     }
 
+    /// Adds another daemon's counts.
+    pub fn add(&mut self, other: &Self) {
+        self.elapsed_ms = self.elapsed_ms.max(other.elapsed_ms);
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+
+    /// Returns the counts without those of outstanding requests.
+    #[must_use]
+    pub fn without_out(mut self) -> Self {
+        self.new.forget_out();
+        self.old.forget_out();
+        self
+    }
+
     /// Time since the daemon learned of the order.
     #[must_use]
     pub fn elapsed(&self) -> Span {
