Count an answer as slow when it is overdue, not when it begins

Cause, from the logs: of what the version got in its last second before the judgement, about 40 in 100 answers took over three times as long as expected, 10 in 100 of the old version's; the evidence held 4 of 30, 5 of 26 and 4 of 38. An answer counted as slow when it began, which a slow one does late: fast ones of the same moment had been counted, slow ones were outstanding. Those that callers gave up before they began (deadlines of 0.8 to 1.5 s) never counted.

Change: an answer that has not begun after three times the expected time counts as slow then. Where nothing has come from the upstream since the request was sent it waits, since a crash or a cut is no slowness.

Test: an_answer_that_has_not_begun_in_time_counts_as_slow; an outstanding and then abandoned answer counted as nothing before.

--- a/components/dispatch/src/evidence.rs
+++ b/components/dispatch/src/evidence.rs
@@ -13,6 +13,17 @@
 /// share of slow answers does after about ten.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// Returns the time from which an answer that has not started counts as slow.
+#[must_use]
+pub fn slow_after(load: &Load) -> Span {
+    Span::from_secs_f64(slow_after_ms(load) / 1_000.0)
+}
+
+fn slow_after_ms(load: &Load) -> f64 {
+    let expected_ms = load.wait_ms + load.expected_uncached_ms;
+    SLOW_FACTOR * expected_ms.max(1.0)
+}
+
 /// Outcomes of one version's requests, counted since the order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ArmCounts {
@@ -24,9 +35,9 @@
     pub bad: u32,
     /// Answers that broke off or never came.
     pub broken: u32,
-    /// Answers that started, whether or not they ended.
+    /// Answers that started, whether or not they ended, or that are slow to start.
     pub begun: u32,
-    /// Those of them that started much later than expected.
+    /// Those of them that started much later than expected, or have not started by then.
     pub slow: u32,
     /// Requests outstanding now.
     pub out: u32,
@@ -48,12 +59,17 @@
     /// look slow because its new upstreams have no prompts cached yet.
     pub fn record_answer_start(&mut self, measured_ms: f64, load: &Load) {
         self.begun += 1;
-        let expected_ms = load.wait_ms + load.expected_uncached_ms;
-        if measured_ms > SLOW_FACTOR * expected_ms.max(1.0) {
+        if measured_ms > slow_after_ms(load) {
             self.slow += 1;
         }
     }
 
+    /// Records an answer that has not started within [`slow_after`].
+    pub fn record_slow_answer(&mut self) {
+        self.begun += 1;
+        self.slow += 1;
+    }
+
     /// Returns the counts since an earlier moment; outstanding requests stay as they are.
     #[must_use]
     pub fn since(&self, earlier: &Self) -> Self {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -28,7 +28,7 @@
 pub use budget::{RetryBudget, RetryLimits, RetryReason};
 pub use cascade::{Cascade, Draft};
 pub use choose::{Choice, NoUpstream};
-pub use evidence::{Arm, ArmCounts, Evidence, REQUEST_KINDS, request_kind};
+pub use evidence::{Arm, ArmCounts, Evidence, REQUEST_KINDS, request_kind, slow_after};
 pub use health::UpstreamOutcome;
 pub use lapsed::LapsedUpstreams;
 pub use peer_loads::PeerLoads;
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -8,6 +8,7 @@
 use types::prelude::*;
 
 use crate::arm::Arm;
+use crate::awaited::AwaitedKey;
 use crate::exchange::Request;
 use crate::shared::Shared;
 
@@ -20,6 +21,8 @@
     content: Content,
     load: Load,
     arm: Option<Arm>,
+    /// Set where the answer is evidence on a rollout.
+    awaited: Option<AwaitedKey>,
     sent_at: Time,
     began_at: Option<Time>,
     outcome: UpstreamOutcome,
@@ -46,6 +49,9 @@
         }
         drop(upstreams);
         let arm = Arm::for_request(shared, choice, request, !has_failed);
+        let evidence = arm.as_ref().filter(|arm| arm.is_evidence);
+        let mut awaited = shared.awaited.borrow_mut();
+        let awaited = evidence.map(|arm| awaited.add(now, arm, choice.index, &choice.load));
         let content = request.content;
         let customer = request.customer.as_ref().map(|c| c.name.clone());
         let mut attempts = shared.attempts.borrow_mut();
@@ -59,6 +65,7 @@
             content,
             load: choice.load,
             arm,
+            awaited,
             sent_at: now,
             began_at: None,
             outcome: UpstreamOutcome::Cancelled,
@@ -88,7 +95,7 @@
         drop(upstreams);
         self.began_at = Some(now);
         self.note_running();
-        if self.arm.as_ref().is_some_and(|arm| arm.is_evidence) {
+        if self.take_awaited() {
             self.count(|counts| counts.record_answer_start(elapsed_ms, &self.load));
         }
     }
@@ -138,6 +145,12 @@
         self.outcome = outcome;
     }
 
+    /// Stops waiting for the answer to begin; returns whether its start is still to be counted.
+    fn take_awaited(&mut self) -> bool {
+        let key = self.awaited.take();
+        key.is_some_and(|key| self.shared.awaited.borrow_mut().remove(key))
+    }
+
     fn count(&self, f: impl FnOnce(&mut ArmCounts)) {
         if let Some(arm) = &self.arm {
             arm.count(&self.shared, f);
@@ -157,6 +170,7 @@
             self.content,
             attempt_end(self.outcome),
         );
+        self.take_awaited();
         self.count(|counts| counts.out = counts.out.saturating_sub(1));
         let Some(arm) = self.arm.take().filter(|arm| arm.is_evidence) else {
             return;
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -14,6 +14,7 @@
 mod arm;
 mod attempt;
 mod attempt_guard;
+mod awaited;
 mod caller;
 mod config;
 mod crashes;
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -169,6 +169,7 @@
         upstreams: RefCell::new(upstreams),
         pool: RefCell::new(Pool::default()),
         attempts: RefCell::default(),
+        awaited: RefCell::default(),
         broken_answers: RefCell::default(),
         probing: RefCell::default(),
         probe_tx,
@@ -315,6 +316,7 @@
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
+        shared.count_slow_answers();
         shared.count_broken_answers();
     }
 }
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -16,6 +16,7 @@
 use types::prelude::*;
 
 use crate::arm::BrokenAnswer;
+use crate::awaited::AwaitedAnswers;
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::plan::{Plan, Validation};
@@ -126,6 +127,8 @@
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// Attempts in flight at each upstream, and recent ones.
     pub(crate) attempts: RefCell<Attempts<UpstreamIndex>>,
+    /// Answers on a rollout that have not begun.
+    pub(crate) awaited: RefCell<AwaitedAnswers>,
     /// Broken answers that are not counted yet in a rollout.
     pub(crate) broken_answers: RefCell<Vec<BrokenAnswer>>,
     /// Upstreams that are being probed for whether they still listen.
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -257,3 +257,37 @@
     let new = observed["service"].new.sum();
     assert_eq!((new.sent, new.bad, new.out), (2, 1, 0));
 }
+
+/// Guards against a slow version that looks fast while its slow answers are outstanding.
+#[test]
+fn an_answer_that_has_not_begun_in_time_counts_as_slow() {
+    let slow = upstream(|served| {
+        while let Some(request) = served.request() {
+            if id_of(&request) == "slow" {
+                served.wait_closed();
+                return;
+            }
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = start();
+    running.send_plan(Retry::Never, &[slow], vec![gate_of_all()]);
+    let mut waiting = running.caller();
+    waiting.send(&post("slow", "x"));
+    let new = || {
+        let observed = running.handle.observed.evidence();
+        let new = observed.get("service").map(|evidence| evidence.new.sum());
+        new.unwrap_or_default()
+    };
+    wait_until("a request is outstanding", || new().out == 1);
+    let mut sent = 0;
+    wait_until("the outstanding answer is slow", || {
+        sent += 1;
+        running.caller().ask(&format!("a{sent}"));
+        new().slow > 0
+    });
+    assert_eq!((new().out, new().slow, new().begun), (1, 1, sent + 1));
+    drop(waiting);
+    wait_until("the caller's leaving is noticed", || new().out == 0);
+    assert_eq!((new().slow, new().begun), (1, sent + 1));
+}
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -208,6 +208,15 @@
     address
 }
 
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let from = std::time::Instant::now();
+    while !holds() {
+        assert!(from.elapsed() < TEST_TIMEOUT, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A running event loop with its addresses.
 pub struct TestLoop {
     pub handle: Handle,
