Complete a version only after half a second of all traffic

Cause, from the logs: the version fails once it gets all of the traffic, not while one of its four upstreams is fully loaded. It got everything once the rest fitted the bound, and that same moment was the judgement if it lay in the last 1.5 s: the completion was recorded 0.2 s after the gate opened, with no answer from under it.

Change: a good verdict asks for the completion only after half a second at the full share, at the latest half a second before the end as before. Until it is recorded, the version is judged on, and a fault found then reverts it.

Tests: a_version_that_fails_only_with_all_traffic_is_not_completed and a_version_that_fails_with_all_traffic_is_rarely_completed; without the condition both fail (Completed instead of none; 38 of 40 completed, now under a tenth).

A completion that is late by a second harms nobody, a bad one cannot be undone.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -5,7 +5,8 @@
 //! requests that a bad version may get is enforced by count, whatever the judgement. The new
 //! version has a small canary share, then for some seconds the share that loads a few of its
 //! upstreams as much as everything will load all of them, and gets everything once all requests
-//! still to come fit into the bound, a second or two before the time is up ([`exposure`]). The
+//! still to come fit into the bound, a second or two before the time is up ([`exposure`]). It is
+//! completed after some time of that, because a completed version cannot be reverted. The
 //! judgement compares both versions over the same time, because upstreams also fail for other
 //! reasons ([`judge`]).
 
@@ -21,7 +22,7 @@
 
 use crate::evidence::Evidence;
 pub use exposure::TrialLimits;
-use exposure::{Exposure, LATEST_DECISION_MARGIN, RequestRate};
+use exposure::{Exposure, FULL_SHARE_TEST, LATEST_DECISION_MARGIN, RequestRate};
 pub use gate::{Gate, Permit};
 use judge::{Certainty, FailureScope, Fault, FaultConfirmation, fails_more, find_fault};
 
@@ -87,8 +88,10 @@
 pub struct TrialStep {
     /// How to divide traffic.
     pub gate: Gate,
-    /// Judgement of the new version.
+    /// Judgement of the new version. A good one may still become bad until it is recorded.
     pub verdict: Verdict,
+    /// The final state to record now.
+    pub final_state: Option<RolloutState>,
 }
 
 /// One roll-out as this daemon sees it.
@@ -263,9 +266,19 @@
                 staying: Arc::clone(&self.staying),
             },
             verdict: self.verdict,
+            final_state: self.final_state(now),
         }
     }
 
+    /// Returns the final state to record now.
+    fn final_state(&self, now: Time) -> Option<RolloutState> {
+        let has_full_share = self.share_level.share >= 1.0;
+        let is_tested = has_full_share && now.since(self.share_level.since) >= FULL_SHARE_TEST;
+        let may_complete = is_tested || self.left(now) <= LATEST_DECISION_MARGIN;
+        let state = self.verdict.final_state();
+        state.filter(|state| *state != RolloutState::Completed || may_complete)
+    }
+
     fn progress(&self, now: Time) -> f64 {
         let within = self.order.decision_timeout.as_secs_f64().max(1.0);
         self.elapsed(now).as_secs_f64() / within
--- a/components/dispatch/src/trial/exposure.rs
+++ b/components/dispatch/src/trial/exposure.rs
@@ -23,6 +23,9 @@
 const LAST_USABLE_EXPOSURE_SHARE: f64 = 0.95;
 /// Exposure kept from the canary for the load test, as time at the full share.
 const LOAD_TEST_RESERVE: Span = Span::from_millis(350);
+/// Least time at the full share before a completion is recorded, except shortly before the end.
+/// Some versions fail only once they get all of the traffic, whatever the load of each upstream.
+pub(super) const FULL_SHARE_TEST: Span = Span::from_millis(500);
 /// Time before the end from which the version is expected to get everything when a load test
 /// begins.
 const COMPLETION_TIME: Span = Span::from_millis(1_200);
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -125,6 +125,24 @@
     }
 }
 
+/// Guards against completions of versions that fail only once they get all of the traffic.
+#[test]
+fn a_version_that_fails_with_all_traffic_is_rarely_completed() {
+    let mut total = Tally::default();
+    for (base, store) in each(&FLEETS, &STORES[..2]) {
+        for seed in 0..4 {
+            let scenario = Scenario {
+                fault: Fault::AllTraffic(0.5),
+                store,
+                seed,
+                ..base
+            };
+            total.add(&scenario, &Fleet::new(scenario).play());
+        }
+    }
+    assert!(total.completed * 10 <= total.played, "{total:?}");
+}
+
 #[test]
 fn a_good_version_is_completed_in_time_by_a_store_that_is_slow_to_answer() {
     // Guards against tests of a new version that leave no time for the write.
@@ -160,6 +178,8 @@
         Fault::UnderLoad(0.28),
         Fault::UnderLoad(0.15),
         Fault::OneKind(0.5),
+        Fault::AllTraffic(0.5),
+        Fault::AllTraffic(0.28),
     ];
     for (base, fault) in each(fleets, &faults) {
         for store in STORES {
--- a/components/dispatch/tests/support/rollout_fleet.rs
+++ b/components/dispatch/tests/support/rollout_fleet.rs
@@ -40,6 +40,8 @@
     UnderLoad(f64),
     /// This share of the requests that may be retried fails.
     OneKind(f64),
+    /// This share of the requests fails once the version gets all of them.
+    AllTraffic(f64),
 }
 
 /// How the store answers writes.
@@ -308,6 +310,8 @@
             Fault::UnderLoad(_) => 0.0,
             Fault::OneKind(share) if kind == 1 => share,
             Fault::OneKind(_) => 0.0,
+            Fault::AllTraffic(share) if matches!(permit, Permit::Only(_)) => share,
+            Fault::AllTraffic(_) => 0.0,
         }
     }
 
@@ -411,7 +415,7 @@
         }
         trial.set_upstreams(self.scenario.upstreams);
         let step = trial.step(time(now), &summary.fleet, 1.0);
-        let state = step.verdict.final_state();
+        let state = step.final_state;
         daemon.gate = Some(step.gate);
         let is_newly_wanted =
             state.is_some_and(|state| daemon.writer.want(time(now), state, trial.state()));
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -391,6 +391,25 @@
     assert_eq!(trial.step(at(18.45), &bad, 1.0).verdict, Verdict::Failing);
 }
 
+/// Guards against a completion at the moment at which the version first gets everything.
+#[test]
+fn a_version_that_fails_only_with_all_traffic_is_not_completed() {
+    let good = evidence(arm(160, 0, 1.0), arm(1_840, 10, 1.0));
+    let started = || {
+        let mut trial = trial(Time::ZERO);
+        assert_eq!(trial.step(at(18.5), &good, 1.0).gate.share, 0.045);
+        let step = trial.step(at(18.6), &good, 1.0);
+        assert_eq!((step.gate.share, step.final_state), (1.0, None));
+        trial
+    };
+    let bad = evidence(arm(175, 15, 1.0), arm(1_840, 10, 1.0));
+    let step = started().step(at(18.9), &bad, 1.0);
+    assert_eq!(step.final_state, Some(RolloutState::Reverted));
+    let more = evidence(arm(200, 0, 1.0), arm(1_840, 10, 1.0));
+    let step = started().step(at(19.1), &more, 1.0);
+    assert_eq!(step.final_state, Some(RolloutState::Completed));
+}
+
 #[test]
 fn good_answers_at_an_earlier_share_do_not_hide_a_version_that_turns_bad() {
     // A version was good for 450 answers. Once it has the full share, one answer in seven fails.
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -143,7 +143,7 @@
         }
         let step = rollout.trial.step(now, fleet, known.serving_capacity);
         let mut is_newly_bad = false;
-        if let Some(state) = step.verdict.final_state()
+        if let Some(state) = step.final_state
             && rollout.writer.want(now, state, rollout.trial.state())
         {
             is_newly_bad = step.verdict.is_bad();
