Tidy the two changes of a roll-out's evidence

Comments in the field's terms; a borrow ends where it is used; a time since the order cannot overflow. No behaviour changes. Tests of dispatch and traffic pass.

--- a/components/dispatch/src/aggregation.rs
+++ b/components/dispatch/src/aggregation.rs
@@ -71,20 +71,21 @@
     }
 }
 
-/// What one daemon collected of a roll-out.
+/// Evidence on one roll-out that this daemon collected.
 ///
-/// The sum of all reports lacks what daemons counted before they restarted, unless this daemon got
-/// their reports then. A daemon that starts to collect in the middle of a roll-out has not, so it
-/// continues from the sum it knows, and adds only what daemons count after their first report to
-/// it. No answer is added twice, and a few between that sum and the first reports are missing.
+/// The sum of all reports lacks what daemons counted before they restarted, unless this daemon
+/// received their earlier reports. A daemon that becomes a collector in the middle of a roll-out
+/// did not, so it continues from the last known sum and adds only what daemons count after their
+/// first report to it. No answer is added twice; the few between that sum and the first reports are
+/// missing.
 #[derive(Debug, Default)]
 struct OrderEvidence {
     reports: BTreeMap<DaemonId, Evidence>,
-    /// Counts that are not of the processes in `reports`, or of their time before `counted`.
+    /// Counts of processes that ended, and of those in `reports` up to `counted`.
     base: Evidence,
-    /// Part of each report that `base` covers.
+    /// Part of each report that `base` includes.
     counted: BTreeMap<DaemonId, Evidence>,
-    /// Since when this daemon continues from a known sum, as time since the order in ms.
+    /// When this daemon last continued from the known sum, as time since the order in ms.
     continued_at_ms: Option<u32>,
     summary: Option<RolloutSummary>,
     progress: SummaryProgress,
@@ -121,8 +122,8 @@
         sum
     }
 
-    /// Continues from the known sum if this daemon's lags behind it by more than a delay of reports
-    /// explains.
+    /// Continues from the known sum if this daemon's own is smaller than that was half a second
+    /// ago, by which time every report should have arrived.
     fn catch_up(&mut self, me: &DaemonId, own: &Evidence) {
         let known = self.summary.as_ref().map(|summary| summary.fleet);
         let known = known.unwrap_or_default();
@@ -134,7 +135,7 @@
             self.base = known;
             self.continued_at_ms = Some(own.elapsed_ms);
         }
-        let has_all_reports = |since| own.elapsed_ms >= since + FIRST_REPORTS_MS;
+        let has_all_reports = |since| own.elapsed_ms.saturating_sub(since) >= FIRST_REPORTS_MS;
         if self.continued_at_ms.is_some_and(has_all_reports) {
             self.base = self.base.without_out();
         }
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -50,8 +50,10 @@
         drop(upstreams);
         let arm = Arm::for_request(shared, choice, request, !has_failed);
         let evidence = arm.as_ref().filter(|arm| arm.is_evidence);
-        let mut awaited = shared.awaited.borrow_mut();
-        let awaited = evidence.map(|arm| awaited.add(now, arm, choice.index, &choice.load));
+        let awaited = evidence.map(|arm| {
+            let mut awaited = shared.awaited.borrow_mut();
+            awaited.add(now, arm, choice.index, &choice.load)
+        });
         let content = request.content;
         let customer = request.customer.as_ref().map(|c| c.name.clone());
         let mut attempts = shared.attempts.borrow_mut();
