Do not complete a version that is suspected of slowness

For failures a suspicion is enough when the time is up, since a completed version cannot be reverted; for slowness it was not looked at.

Change: when the time is up a suspicion of either fault reverts the version, by the rule that holds once most of the exposure is used up: the full excess of 0.15, three slow answers and 2.5 standard errors.

Test: a_version_suspected_of_slowness_is_not_completed_when_time_is_up, 6 of 21 slow answers where 17 of 281 of the old version's are; it was completed before. Three of 21 are no suspicion.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -83,6 +83,15 @@
     }
 }
 
+impl From<Fault> for Verdict {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Failing => Self::Failing,
+            Fault::Slow => Self::Slow,
+        }
+    }
+}
+
 /// Result of a step of the trial.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TrialStep {
@@ -290,20 +299,20 @@
     }
 
     fn judge(&mut self, now: Time, fleet: &Evidence) -> Verdict {
-        match self.fault(now, fleet) {
-            Some(Fault::Failing) => return Verdict::Failing,
-            Some(Fault::Slow) => return Verdict::Slow,
-            None => {}
+        if let Some(fault) = self.fault(now, fleet) {
+            return fault.into();
         }
         let has_full_share = self.share_level.share >= 1.0;
         let serves_alone = fleet.old.sum().out == 0 && has_full_share;
         let has_lasted = now.since(self.share_level.since) >= MIN_FULL_SHARE_TIME;
         let is_due = serves_alone && has_lasted || self.is_time_up(now, fleet);
-        match is_due {
-            true if is_suspect(fleet) => Verdict::Failing,
-            true => Verdict::Good,
-            false => Verdict::Open,
+        if !is_due {
+            return Verdict::Open;
         }
+        // A fault of a rare kind of request shows only three or four times at a small share, and a
+        // completed version cannot be reverted. A good one reverted on a suspicion is only delayed.
+        let suspicion = find_fault(fleet, FailureScope::Reported, Certainty::Suspicion);
+        suspicion.map_or(Verdict::Good, Verdict::from)
     }
 
     /// Whether the roll-out must be decided now to be recorded in time.
@@ -440,12 +449,7 @@
 }
 
 /// Whether the new version reports more failures than chance explains, though too few for a
-/// detection.
-///
-/// Such a version is not completed when its time is up. A fault of a rare kind of request shows
-/// only three or four times at a small share, a completed version cannot be reverted, and callers
-/// meet its failures until the operators act. A good version that is reverted on such a suspicion
-/// is only delayed.
+/// detection. Its share is not raised then.
 fn is_suspect(fleet: &Evidence) -> bool {
     fails_more(fleet, Certainty::Suspicion)
 }
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -625,6 +625,20 @@
     assert_eq!(trial.step(at(15.6), &three, 1.0).verdict, Verdict::Failing);
 }
 
+/// Guards against the completion of a version that is slow on a part of its requests, too few of
+/// which have come for a detection.
+#[test]
+fn a_version_suspected_of_slowness_is_not_completed_when_time_is_up() {
+    let seen = evidence(slow(15, 6), slow(264, 17));
+    assert_eq!(
+        trial(Time::ZERO).step(at(18.4), &seen, 1.0).verdict,
+        Verdict::Open
+    );
+    assert_eq!(verdict_at_the_end(&seen), Verdict::Slow);
+    let few = evidence(slow(18, 3), slow(264, 17));
+    assert_eq!(verdict_at_the_end(&few), Verdict::Good);
+}
+
 #[test]
 fn an_excess_within_chance_is_no_suspicion() {
     // Most of the exposure is used up, and the new version has three more bad answers in 300
