--- a/components/dispatch/tests/aggregation.rs
+++ b/components/dispatch/tests/aggregation.rs
@@ -110,8 +110,7 @@
 
 const STEP_MS: u32 = 100;
 
-/// Guards against evidence that stands still because a restarted collector lacks what daemons
-/// counted before they restarted.
+/// A restarted collector lacks what daemons counted before they restarted.
 #[test]
 fn the_sum_grows_while_daemons_restart_in_turn() {
     const DAEMONS: usize = 9;
--- a/components/dispatch/tests/rollouts.rs
+++ b/components/dispatch/tests/rollouts.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// Guards against completions of versions that fail only once they get all of the traffic.
+/// A completion recorded before the version has had all of the traffic cannot be undone.
 #[test]
 fn a_version_that_fails_with_all_traffic_is_rarely_completed() {
     let mut total = Tally::default();
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -391,7 +391,7 @@
     assert_eq!(trial.step(at(18.45), &bad, 1.0).verdict, Verdict::Failing);
 }
 
-/// Guards against a completion at the moment at which the version first gets everything.
+/// A completion recorded as soon as the version gets everything, before its first answers.
 #[test]
 fn a_version_that_fails_only_with_all_traffic_is_not_completed() {
     let good = evidence(arm(160, 0, 1.0), arm(1_840, 10, 1.0));
@@ -625,8 +625,7 @@
     assert_eq!(trial.step(at(15.6), &three, 1.0).verdict, Verdict::Failing);
 }
 
-/// Guards against the completion of a version that is slow on a part of its requests, too few of
-/// which have come for a detection.
+/// A version that is slow on a part of its requests, with too few answers for a detection.
 #[test]
 fn a_version_suspected_of_slowness_is_not_completed_when_time_is_up() {
     let seen = evidence(slow(15, 6), slow(264, 17));
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -258,7 +258,7 @@
     assert_eq!((new.sent, new.bad, new.out), (2, 1, 0));
 }
 
-/// Guards against a slow version that looks fast while its slow answers are outstanding.
+/// A slow version looks fast while its slow answers are outstanding.
 #[test]
 fn an_answer_that_has_not_begun_in_time_counts_as_slow() {
     let slow = upstream(|served| {
