--- a/components/engine/src/call.rs
+++ b/components/engine/src/call.rs
@@ -110,7 +110,7 @@
         let until = call
             .expires_at
             .min(Instant::now() + self.cfg.connect_timeout.to_duration());
-        match timeout_at(until, connect(call.upstream, WIRE_OPTIONS)).await {
+        match timeout_at(until, connect(call.upstream, None, WIRE_OPTIONS)).await {
             Ok(Ok(wire)) => Ok(wire),
             Ok(Err(e)) => Err(AttemptError::NotSent(e.to_string())),
             Err(_) => Err(AttemptError::NotSent("no connection in time".to_owned())),
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -207,6 +207,7 @@
     let traffic = traffic::Config {
         callers: any,
         status: any,
+        source: None,
         ready_path: "/ready".to_owned(),
         failure_domain: settings.failure_domain.clone(),
         max_caller_connections: 10,
--- a/components/http1/src/wire.rs
+++ b/components/http1/src/wire.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::future::{pending, poll_fn};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -37,12 +37,19 @@
     buf: RefCell<BytesMut>,
 }
 
-/// Opens a connection.
+/// Opens a connection, from a local address if one is given.
 ///
 /// # Errors
-/// If the peer cannot be reached.
-pub async fn connect(address: SocketAddr, options: WireOptions) -> io::Result<Wire> {
+/// If the peer cannot be reached or the local address is not one of this host.
+pub async fn connect(
+    address: SocketAddr,
+    source: Option<IpAddr>,
+    options: WireOptions,
+) -> io::Result<Wire> {
     let socket = TcpSocket::new_v4()?;
+    if let Some(source) = source {
+        socket.bind((source, 0).into())?;
+    }
     let stream = socket.connect(address).await?;
     Wire::new(stream, options)
 }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -269,7 +269,7 @@
         spec: &Upstream,
     ) -> Result<Wire, Failure> {
         self.shared.metrics.connects.inc();
-        let opening = connect(spec.address, UPSTREAM_WIRE);
+        let opening = connect(spec.address, self.shared.cfg.source, UPSTREAM_WIRE);
         match tokio::time::timeout(CONNECT_TIMEOUT.to_duration(), opening).await {
             Ok(Ok(wire)) => Ok(wire),
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
--- a/components/traffic/src/config.rs
+++ b/components/traffic/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings of the event loop.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use dispatch::{Policy, RetryLimits};
 use poison::SharedSuspects;
@@ -14,6 +14,8 @@
     pub callers: SocketAddr,
     /// Address that serves readiness, metrics and the state.
     pub status: SocketAddr,
+    /// Address that connections to upstreams leave from; chosen by the kernel if absent.
+    pub source: Option<IpAddr>,
     /// Path of the readiness check.
     pub ready_path: String,
     /// The failure domain of this daemon.
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -230,6 +230,7 @@
     let cfg = Config {
         callers: any,
         status: any,
+        source: None,
         ready_path: "/ready".to_owned(),
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_caller_connections: 100,
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -1,6 +1,6 @@
 //! Command-line arguments of the daemon.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -70,6 +70,10 @@
     /// between (default: the listening address)
     #[argh(option)]
     pub advertise: Option<SocketAddr>,
+    /// address that connections to upstreams leave from, on a host that has several (default:
+    /// chosen by the kernel)
+    #[argh(option)]
+    pub source: Option<IpAddr>,
     /// log filter such as info,traffic=warn (default info)
     #[argh(option, default = "telemetry::logs::DEFAULT_FILTER.to_owned()")]
     pub log: String,
--- a/daemon/src/cmd/platform.rs
+++ b/daemon/src/cmd/platform.rs
@@ -27,6 +27,7 @@
         policy,
         fleet: options.fleet.clone(),
         advertise: options.advertise,
+        source: options.source,
         dropped_logs: logs.dropped(),
     };
     let daemon = platform::start(&settings, options)?;
