--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod requirements;
 mod state_writer;
 mod trial;
+mod tunnel_peers;
 mod upstreams;
 
 pub use aggregation::{EvidenceAggregator, RolloutMessage, RolloutMessageError, RolloutSummary};
@@ -40,6 +41,7 @@
 pub use requirements::{PromptPart, Requirements};
 pub use state_writer::StateWriter;
 pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
+pub use tunnel_peers::{TunnelNeed, TunnelPeer, TunnelPeers};
 pub use upstreams::{
     AnswerStart, LastSeen, Load, SharedLoad, Ticket, UpstreamIndex, Upstreams, instance_key,
 };
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -329,6 +329,13 @@
         }
     }
 
+    /// When anything was last read from an upstream.
+    #[must_use]
+    pub fn heard_at(&self, index: UpstreamIndex) -> Time {
+        let entry = self.entries.get(&index);
+        entry.map_or(Time::ZERO, |entry| entry.heard_at)
+    }
+
     /// How long an upstream has sent nothing on any connection, counted from `since` at the
     /// earliest.
     #[must_use]
--- a/components/dispatch/tests/paths.rs
+++ b/components/dispatch/tests/paths.rs
@@ -39,6 +39,6 @@
     let all = upstreams(2);
     let mut paths = Paths::default();
     paths.record_lost(all[0], &service, DirectFailure::TimedOut, at(1_000));
-    assert_eq!(paths.path(all[0]), Path::ThroughPeer);
-    assert_eq!(paths.path(all[1]), Path::Direct);
+    assert_eq!(paths.path(all[0], &service), Path::ThroughPeer);
+    assert_eq!(paths.path(all[1], &service), Path::Direct);
 }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -449,6 +449,7 @@
             .send_heartbeat(now, copy, watches, loads, rate_limits);
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
+            tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
             validation: self.validation(),
         };
--- a/components/fleet/src/freshness.rs
+++ b/components/fleet/src/freshness.rs
@@ -41,7 +41,7 @@
 }
 
 /// Claims for one receiver.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Freshness {
     /// The receiver's process, to whose clock the claims refer.
     pub run: Incarnation,
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -85,6 +85,9 @@
     /// or while that clock is not known yet.
     #[serde(skip)]
     pub freshness: Option<Freshness>,
+    /// Port at which the sender accepts tunnels; absent from releases without them.
+    #[serde(skip)]
+    pub tunnel_port: Option<u16>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -125,6 +128,16 @@
         Ok(bytes.into())
     }
 
+    /// Appends the port for tunnels, which follows behind the freshness claims.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_tunnels(encoded: &Bytes, port: u16) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = encoded.to_vec();
+        bytes.extend(postcard::to_allocvec(&Some(port))?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -135,7 +148,10 @@
         // An unreadable extension does not invalidate the fields before it.
         let extension = postcard::take_from_bytes::<Extension>(rest);
         let (extension, rest) = extension.unwrap_or_default();
-        heartbeat.freshness = postcard::from_bytes(rest).ok();
+        if let Ok((freshness, rest)) = postcard::take_from_bytes::<Freshness>(rest) {
+            heartbeat.freshness = Some(freshness);
+            heartbeat.tunnel_port = postcard::from_bytes(rest).unwrap_or_default();
+        }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
         heartbeat.rate_limits.truncate(MAX_RATE_LIMITS);
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod snapshot;
 mod start;
 mod succession;
+mod tunnel_offers;
 mod watcher;
 
 pub use codec::{Codec, DecodeError, StateRecord};
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -3,12 +3,14 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use dispatch::{
     Advertisement, Evidence, EvidenceAggregator, Fleet, PeerLoads, RolloutMessage, RolloutSummary,
+    TunnelPeer,
 };
-use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, State};
+use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, Sender, State};
 use mirror::{Revision, SyncReply, SyncRequest};
 use peers::{Handle, Inbound, Part, Payload};
 use poison::ContentUpdates;
@@ -19,6 +21,7 @@
 use crate::freshness::Claims;
 use crate::gossip::{self, GossipKind, GossipView, Peer};
 use crate::heartbeat::{Heartbeat, PeerStates, watch_rank};
+use crate::tunnel_offers::TunnelOffers;
 
 mod heartbeat;
 
@@ -56,6 +59,9 @@
     aggregator: EvidenceAggregator,
     /// Rate limits advertised by peers and not yet taken by the control thread.
     rate_limits: Vec<Advertisement>,
+    tunnel_offers: TunnelOffers,
+    /// Port at which this daemon accepts tunnels.
+    tunnel_port: u16,
     ticks: u32,
     /// Whether the next heartbeat goes out at the next tick, to every failure domain.
     must_send_heartbeat: bool,
@@ -92,7 +98,8 @@
 }
 
 impl Peering {
-    pub(crate) fn new(members: Membership, handle: Handle) -> Self {
+    /// Creates the state of a daemon that accepts tunnels at a port.
+    pub(crate) fn new(members: Membership, handle: Handle, tunnel_port: u16) -> Self {
         Self {
             members,
             handle,
@@ -103,6 +110,8 @@
             claims: Claims::default(),
             aggregator: EvidenceAggregator::default(),
             rate_limits: Vec::new(),
+            tunnel_offers: TunnelOffers::default(),
+            tunnel_port,
             ticks: 0,
             must_send_heartbeat: false,
         }
@@ -166,7 +175,7 @@
                     self.apply_outcome(outcome);
                     Followup::Nothing
                 }
-                Payload::Part { part, body } => self.handle_part(now, from.id, part, &body),
+                Payload::Part { part, body } => self.handle_part(now, from, part, &body),
             },
             Inbound::Ask {
                 from,
@@ -183,10 +192,15 @@
         }
     }
 
-    fn handle_part(&mut self, now: Time, from: DaemonId, part: Part, body: &Bytes) -> Followup {
+    fn handle_part(&mut self, now: Time, sender: Sender, part: Part, body: &Bytes) -> Followup {
+        let from = sender.id;
         match part {
             Part::Standing => match Heartbeat::decode(body) {
                 Ok(heartbeat) => {
+                    if let Some(port) = heartbeat.tunnel_port {
+                        let address = SocketAddr::new(sender.address.ip(), port);
+                        self.tunnel_offers.note(now, &from, address);
+                    }
                     let report_ttl = self.report_ttl();
                     self.peer_states.take(now, &from, &heartbeat, report_ttl);
                     self.merge_claims(now, &from, &heartbeat);
@@ -220,6 +234,11 @@
         self.rate_limits.extend(advertised.into_iter().take(room));
     }
 
+    /// The peers that offer tunnels to upstreams.
+    pub(crate) fn tunnel_peers(&mut self) -> Arc<Vec<TunnelPeer>> {
+        self.tunnel_offers.peers(&self.members)
+    }
+
     /// Takes the rate limits that peers advertised since the last call.
     pub(crate) fn take_rate_limits(&mut self) -> Vec<Advertisement> {
         std::mem::take(&mut self.rate_limits)
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -13,7 +13,8 @@
 
 impl Peering {
     pub(super) fn merge_claims(&mut self, now: Time, from: &DaemonId, heartbeat: &Heartbeat) {
-        let Some(received) = &heartbeat.freshness else {
+        let received = heartbeat.freshness.as_ref();
+        let Some(received) = received.filter(|received| !received.claims.is_empty()) else {
             return;
         };
         let dropped = self.claims.merge(now, self.handle.run(), received);
@@ -65,6 +66,7 @@
             rate_limits,
             sent_at: Some(self.sent_at(now)),
             freshness: None,
+            tunnel_port: None,
         };
         match heartbeat.encode() {
             Ok(body) => self.send_heartbeat_to_targets(now, &body, kind),
@@ -78,10 +80,11 @@
         for address in self.recipients(now, kind) {
             let clock = self.handle.clock_of(address);
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
-            let body = match freshness {
-                Some(freshness) => Heartbeat::encode_for(heartbeat, &freshness),
-                None => Ok(heartbeat.clone()),
-            };
+            // The port follows behind the claims, so they are never left out.
+            let freshness = freshness.unwrap_or_default();
+            let body = Heartbeat::encode_for(heartbeat, &freshness);
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_tunnels(&body, self.tunnel_port));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -57,7 +57,8 @@
     clock: Clock,
 ) -> Result<Running, FleetError> {
     let (events, rx) = flume::bounded(MAX_EVENTS);
-    let peering = join(&settings, clock, events.clone())?;
+    let tunnel_port = traffic.tunnels.port();
+    let peering = join(&settings, clock, tunnel_port, events.clone())?;
     let progress = Arc::new(Progress::default());
     let (modes, modes_rx) = flume::unbounded();
     let is_seed = is_seed(&settings, peering.address());
@@ -157,6 +158,7 @@
 fn join(
     settings: &Settings,
     clock: Clock,
+    tunnel_port: u16,
     events: flume::Sender<Event>,
 ) -> Result<Peering, FleetError> {
     let incarnation = Incarnation(clock.wall().0);
@@ -191,7 +193,7 @@
         timing: membership::Timing::default(),
         budget: membership::Budget::default(),
     });
-    Ok(Peering::new(members, handle))
+    Ok(Peering::new(members, handle, tunnel_port))
 }
 
 impl Running {
--- a/components/fleet/tests/it/freshness.rs
+++ b/components/fleet/tests/it/freshness.rs
@@ -31,6 +31,7 @@
     let traffic = traffic::Handle {
         callers: none,
         status: none,
+        tunnels: none,
         commands,
         observed: Observed::default(),
         suspects: poison::SharedSuspects::default(),
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -208,6 +208,11 @@
         callers: any,
         status: any,
         source: None,
+        tunnels: traffic::TunnelConfig {
+            listen: any,
+            key: traffic::FleetKey([7; 16]),
+            max_served: 10,
+        },
         ready_path: "/ready".to_owned(),
         failure_domain: settings.failure_domain.clone(),
         max_caller_connections: 10,
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -1,6 +1,6 @@
 //! What daemons learn from each other's heartbeats.
 
-use fleet::{Heartbeat, PeerStates, StoreReport};
+use fleet::{Freshness, Heartbeat, PeerStates, StoreReport};
 use mirror::Revision;
 use types::prelude::*;
 
@@ -20,6 +20,7 @@
         rate_limits: Vec::new(),
         sent_at: None,
         freshness: None,
+        tunnel_port: None,
     }
 }
 
@@ -184,3 +185,18 @@
     states.expire(at(22_400), REPORT_TTL);
     assert!(states.has_watcher());
 }
+
+/// A daemon of the release before would have taken the port for a freshness claim.
+#[test]
+fn the_port_for_tunnels_follows_the_fields_of_earlier_releases() {
+    let claims = Freshness::default();
+    let before = holding(4).encode().expect("fits");
+    let before = Heartbeat::encode_for(&before, &claims).expect("fits");
+    let now = Heartbeat::encode_with_tunnels(&before, 7_341).expect("fits");
+    assert!(now.starts_with(&before));
+    let decoded = Heartbeat::decode(&now).expect("its form");
+    assert_eq!(decoded.freshness, Some(claims));
+    assert_eq!(decoded.tunnel_port, Some(7_341));
+    let decoded = Heartbeat::decode(&before).expect("its form");
+    assert_eq!(decoded.tunnel_port, None);
+}
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -59,6 +59,7 @@
             clock_ms: 70_000,
         }),
         freshness: None,
+        tunnel_port: None,
     }
 }
 
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Head`] is a parsed request or response head over its raw bytes. [`Framing`] states where
 //! the body after a head ends. [`BodyReader`] extracts the body from the bytes that arrived, and
 //! [`events::Splitter`] splits a body into server-sent events. [`Wire`] is one connection with
-//! the bytes read from it so far. [`Pool`] keeps idle connections to upstreams.
+//! the bytes read from it so far, as they are or in [`mod@frames`]. [`Pool`] keeps idle connections to upstreams.
 //! [`read_response_head`] and [`read_whole`] read an upstream's response, and [`mod@write`] encodes
 //! messages.
 //!
@@ -13,6 +13,7 @@
 
 mod body;
 pub mod events;
+pub mod frames;
 mod framing;
 mod head;
 mod pool;
--- a/components/http1/src/wire.rs
+++ b/components/http1/src/wire.rs
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::frames::Frames;
+
 /// Space reserved for one read, in bytes. An event has a few hundred bytes and a prompt a few
 /// thousand; larger bodies take several reads.
 const READ_BYTES: usize = 8 * 1024;
@@ -35,6 +37,8 @@
 pub struct Wire {
     stream: RefCell<TcpStream>,
     buf: RefCell<BytesMut>,
+    /// Decodes what is read, on a connection whose bytes arrive in frames.
+    frames: Option<RefCell<Frames>>,
 }
 
 /// Opens a connection, from a local address if one is given.
@@ -72,9 +76,25 @@
         Ok(Self {
             stream: RefCell::new(stream),
             buf: RefCell::default(),
+            frames: None,
         })
     }
 
+    /// Reads frames from now on, and ends with the frame that marks the end.
+    #[must_use]
+    pub fn framed(self) -> Self {
+        Self {
+            frames: Some(RefCell::default()),
+            ..self
+        }
+    }
+
+    /// Whether the connection leads through a peer, in frames.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        self.frames.is_some()
+    }
+
     /// Bytes that were read and not yet consumed.
     pub fn buf(&self) -> std::cell::RefMut<'_, BytesMut> {
         self.buf.borrow_mut()
@@ -92,10 +112,26 @@
     /// one. A further read after each event of a stream, which finds nothing, would be one system
     /// call in four.
     fn poll_fill(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let Some(frames) = &self.frames else {
+            return self.poll_read(cx, &mut self.buf.borrow_mut());
+        };
+        let mut frames = frames.borrow_mut();
+        loop {
+            if let Some(frame) = frames.next_frame()? {
+                self.buf.borrow_mut().extend_from_slice(&frame);
+                return Poll::Ready(Ok(frame.len()));
+            }
+            let read = ready!(self.poll_read(cx, &mut frames.encoded))?;
+            if read == 0 {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+
+    fn poll_read(&self, cx: &mut Context<'_>, buf: &mut BytesMut) -> Poll<io::Result<usize>> {
         let mut stream = self.stream.borrow_mut();
-        let mut buf = self.buf.borrow_mut();
         buf.reserve(READ_BYTES);
-        let read = pin!(stream.read_buf(&mut *buf));
+        let read = pin!(stream.read_buf(buf));
         read.poll(cx)
     }
 
@@ -121,9 +157,13 @@
         }
     }
 
-    /// Whether the connection is open and there are no bytes to read.
+    /// Whether the connection is open and there are no bytes to read. One in frames serves a single
+    /// exchange, so it is never idle.
     #[must_use]
     pub fn is_idle(&self) -> bool {
+        if self.is_framed() {
+            return false;
+        }
         let waiting = self.try_fill();
         let would_block = matches!(&waiting, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
         would_block && self.buf.borrow().is_empty()
@@ -149,6 +189,12 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Resets the connection, so that the peer cannot take its end for that of a message.
+    pub fn reset(self) {
+        // On a connection that is closed already there is nothing to reset.
+        let _ = SockRef::from(&*self.stream.borrow()).set_linger(Some(Duration::ZERO));
+    }
+
     /// Closes the connection so that the peer still gets everything that was written.
     ///
     /// Closing a socket with unread bytes resets it, and the reset may discard an answer that the
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -1,28 +1,23 @@
 //! One send of a request to one upstream.
 
-use std::io::ErrorKind;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use dispatch::{Advertised, Choice, RetryReason, UpstreamIndex, UpstreamOutcome};
 use http1::write::push_length;
-use http1::{
-    BodyReader, Framing, Head, Kind, Wire, WireOptions, connect, read_response_head, read_whole,
-};
+use http1::{BodyReader, Framing, Head, Kind, Wire, read_response_head, read_whole};
 use routes::Upstream;
 use types::prelude::*;
 
 use crate::answer::Whole;
 use crate::attempt_guard::AttemptGuard;
+use crate::connect::ConnectFailure;
 use crate::exchange::Request;
 use crate::relay::{SILENCE_POLL, give_up_reason};
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
 
-/// A live upstream accepts a connection within milliseconds; one behind a network partition never
-/// answers.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 /// Longest response head accepted from an upstream, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
 /// Longest whole response body accepted from an upstream, in bytes.
@@ -34,16 +29,13 @@
 const SILENT_SHARE: f64 = 0.7;
 /// The rank that upstreams treat as ordinary; lower ranks go first.
 const ORDINARY_RANK: u8 = 5;
-/// An upstream's connection is closed when sent bytes stay unacknowledged for this long.
-const UPSTREAM_WIRE: WireOptions = WireOptions {
-    user_timeout: Duration::from_millis(1_500),
-    keepalive: Duration::from_secs(1),
-};
 
 /// Result of one send.
 pub(crate) enum SendResult<T> {
     /// Nothing arrived at the upstream.
     Unreachable,
+    /// This daemon lost its path to the upstream while the request was there; it may be retried.
+    PathLost,
     /// The upstream did not process the request and will not.
     NotRun(&'static str),
     /// The upstream may have processed the request.
@@ -67,6 +59,8 @@
 enum Failure {
     /// Nothing arrived at the upstream.
     Unreachable,
+    /// The path to the upstream was lost, and the request may be retried.
+    PathLost,
     /// The upstream was silent for too long.
     Silent,
     /// The connection broke.
@@ -80,6 +74,8 @@
     fn outcome<T>(self) -> (UpstreamOutcome, SendResult<T>) {
         match self {
             Self::Unreachable => (UpstreamOutcome::Unreachable, SendResult::Unreachable),
+            // A lost path says nothing about the upstream.
+            Self::PathLost => (UpstreamOutcome::Cancelled, SendResult::PathLost),
             Self::Silent => (UpstreamOutcome::Silent, SendResult::MayHaveRun("silent")),
             Self::Broken(why) => (UpstreamOutcome::Incomplete, SendResult::MayHaveRun(why)),
             Self::Quarantined => (
@@ -98,6 +94,8 @@
     pub(crate) reader: BodyReader,
     /// Whether to switch to another upstream when this one is silent.
     pub(crate) may_switch: bool,
+    /// Whether another upstream may go on with the stream.
+    may_resume: bool,
     index: UpstreamIndex,
     shared: Rc<Shared<T>>,
     guard: AttemptGuard<T>,
@@ -115,6 +113,12 @@
         self.guard.note_heard();
     }
 
+    /// Whether the path to the upstream is lost, with nothing heard on it since, and the stream may
+    /// be resumed on another.
+    pub(crate) fn is_path_lost(&self, heard_at: Time) -> bool {
+        self.may_resume && self.guard.is_path_silent(heard_at)
+    }
+
     /// Why the upstream is abandoned for another; none if it isn't.
     pub(crate) fn give_up_reason(
         &self,
@@ -152,6 +156,8 @@
     pub(crate) may_switch: bool,
     /// Whether this is the half-open trial of a quarantined content.
     pub(crate) is_trial: bool,
+    /// The peer through which the request goes, for the log.
+    pub(crate) peer: &'a RefCell<Option<DaemonId>>,
 }
 
 impl<T: Translator> Attempt<'_, T> {
@@ -164,6 +170,7 @@
         let (wire, answer) = match self.request_head(choice.index, &spec, &guard).await {
             Ok(answer) => answer,
             Err(failure) => {
+                let failure = self.blame_path(&guard, failure);
                 let (outcome, sent) = failure.outcome();
                 guard.end(outcome);
                 return sent;
@@ -185,6 +192,7 @@
                 wire,
                 reader,
                 may_switch: false,
+                may_resume: self.request.route.retry.is_allowed(),
                 index: choice.index,
                 shared: Rc::clone(self.shared),
                 guard,
@@ -200,13 +208,12 @@
     async fn request_head(
         &self,
         index: UpstreamIndex,
-        spec: &Upstream,
+        spec: &Arc<Upstream>,
         guard: &AttemptGuard<T>,
     ) -> Result<(Wire, AnswerHead), Failure> {
         self.shared.metrics.attempts.inc();
-        let bytes = self.encode(&spec.id);
-        if let Some(wire) = self.take_pooled(index) {
-            match self.send_on(&wire, &bytes, guard).await {
+        if let Some(wire) = self.take_pooled(index, spec) {
+            match self.send_on(&wire, spec, guard).await {
                 Ok(answer) => return Ok((wire, answer)),
                 // The upstream may have silently dropped the idle connection: the next send on it
                 // is reset though the upstream is healthy.
@@ -216,8 +223,8 @@
                 Err(failure) => return Err(failure),
             }
         }
-        let wire = self.open_connection(index, spec).await?;
-        let answer = self.send_on(&wire, &bytes, guard).await?;
+        let wire = self.open_connection(index, spec, guard).await?;
+        let answer = self.send_on(&wire, spec, guard).await?;
         Ok((wire, answer))
     }
 
@@ -230,27 +237,34 @@
     async fn resend(
         &self,
         index: UpstreamIndex,
-        spec: &Upstream,
+        spec: &Arc<Upstream>,
         guard: &AttemptGuard<T>,
         why: &'static str,
     ) -> Result<(Wire, AnswerHead), Failure> {
         if self.is_quarantined() || !self.may_resend(index) {
             return Err(Failure::Broken(why));
         }
-        let Ok(wire) = self.open_connection(index, spec).await else {
+        let Ok(wire) = self.open_connection(index, spec, guard).await else {
             return Err(Failure::Broken(why));
         };
-        let answer = self.send_on(&wire, &self.encode(&spec.id), guard).await?;
+        let answer = self.send_on(&wire, spec, guard).await?;
         Ok((wire, answer))
     }
 
     /// Takes a pooled connection, unless the request may not be retried: when a pooled connection
     /// breaks, the other end may have closed it before or after it got the request, and a new one
-    /// costs only a millisecond.
-    fn take_pooled(&self, index: UpstreamIndex) -> Option<Wire> {
+    /// costs only a millisecond. One to an upstream whose path may be lost isn't used either, since
+    /// only a new connection shows it.
+    fn take_pooled(&self, index: UpstreamIndex, spec: &Upstream) -> Option<Wire> {
         if !self.request.route.retry.is_allowed() {
             return None;
         }
+        let heard_at = self.shared.upstreams.borrow().heard_at(index);
+        let paths = self.shared.paths.borrow();
+        if !paths.trusts_open_connection(index, &spec.service, heard_at) {
+            return None;
+        }
+        drop(paths);
         self.shared.pool.borrow_mut().take(self.shared.now(), index)
     }
 
@@ -266,31 +280,45 @@
     async fn open_connection(
         &self,
         index: UpstreamIndex,
-        spec: &Upstream,
+        spec: &Arc<Upstream>,
+        guard: &AttemptGuard<T>,
     ) -> Result<Wire, Failure> {
-        self.shared.metrics.connects.inc();
-        let opening = connect(spec.address, self.shared.cfg.source, UPSTREAM_WIRE);
-        match tokio::time::timeout(CONNECT_TIMEOUT.to_duration(), opening).await {
-            Ok(Ok(wire)) => Ok(wire),
-            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+        match self.shared.connect_upstream(index, spec).await {
+            Ok(connection) => {
+                if let Some(tunnel) = connection.tunnel {
+                    self.peer.replace(Some(tunnel.peer.clone()));
+                    guard.note_tunnel(tunnel);
+                }
+                Ok(connection.wire)
+            }
+            Err(ConnectFailure::Refused) => {
                 self.shared.upstream_refuses(index);
                 Err(Failure::Unreachable)
             }
-            Ok(Err(_)) | Err(_) => Err(Failure::Unreachable),
+            Err(ConnectFailure::Unreachable) => Err(Failure::Unreachable),
         }
     }
 
     async fn send_on(
         &self,
         wire: &Wire,
-        bytes: &[u8],
+        spec: &Upstream,
         guard: &AttemptGuard<T>,
     ) -> Result<AnswerHead, Failure> {
-        let written = wire.write_all(bytes).await;
+        let written = wire.write_all(&self.encode(&spec.id)).await;
         written.map_err(|_| Failure::Broken("broke while it was sent"))?;
         self.answer_head(wire, guard).await
     }
 
+    /// Blames a broken connection on the path rather than on the upstream where the path is lost.
+    fn blame_path(&self, guard: &AttemptGuard<T>, failure: Failure) -> Failure {
+        let may_be_path = matches!(failure, Failure::Broken(_) | Failure::Silent);
+        match may_be_path && self.is_path_lost(guard) {
+            true => Failure::PathLost,
+            false => failure,
+        }
+    }
+
     /// Why an answer is not accepted; none if it is.
     fn refusal(
         &self,
@@ -382,6 +410,9 @@
                 biased;
                 done = &mut read => return done,
                 _ = ticker.tick() => {
+                    if self.is_path_lost(guard) {
+                        return Err(Failure::PathLost);
+                    }
                     if self.may_switch && self.is_silent_too_long(guard) {
                         return Err(Failure::Silent);
                     }
@@ -404,6 +435,12 @@
                 .is_some()
     }
 
+    /// Whether the request waits on a path that is lost, and may be retried on another.
+    fn is_path_lost(&self, guard: &AttemptGuard<T>) -> bool {
+        let is_allowed = self.request.route.retry.is_allowed();
+        is_allowed && guard.is_path_silent(guard.sent_at())
+    }
+
     /// Whether the upstream has been silent long enough to switch to another.
     fn is_silent_too_long(&self, guard: &AttemptGuard<T>) -> bool {
         let route = &self.request.route;
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -1,5 +1,6 @@
 //! Accounting for one attempt at an upstream, from its start to its end.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 use crate::awaited::AwaitedKey;
 use crate::exchange::Request;
 use crate::shared::Shared;
+use crate::tunnel::client::TunnelLease;
 
 /// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as cancelled.
 pub(crate) struct AttemptGuard<T> {
@@ -23,7 +25,9 @@
     arm: Option<Arm>,
     /// Set where the answer is evidence on a rollout.
     awaited: Option<AwaitedKey>,
-    sent_at: Time,
+    sent_at: Cell<Time>,
+    /// Set where the request goes through a peer.
+    tunnel: RefCell<Option<TunnelLease<T>>>,
     began_at: Option<Time>,
     outcome: UpstreamOutcome,
 }
@@ -68,7 +72,8 @@
             load: choice.load,
             arm,
             awaited,
-            sent_at: now,
+            sent_at: Cell::new(now),
+            tunnel: RefCell::default(),
             began_at: None,
             outcome: UpstreamOutcome::Cancelled,
         };
@@ -82,7 +87,7 @@
     /// Notes the first output of the answer itself.
     pub(crate) fn note_first_output(&mut self, model: Option<&Arc<str>>) {
         let now = self.shared.now();
-        let elapsed_ms = now.since(self.sent_at).as_secs_f64() * 1_000.0;
+        let elapsed_ms = now.since(self.sent_at.get()).as_secs_f64() * 1_000.0;
         let mut upstreams = self.shared.upstreams.borrow_mut();
         upstreams.record_answer_start(
             now,
@@ -112,27 +117,58 @@
     /// Notes that something was read from the upstream.
     pub(crate) fn note_heard(&self) {
         let now = self.shared.now();
-        self.shared
-            .upstreams
-            .borrow_mut()
-            .record_received(now, self.index);
+        let mut upstreams = self.shared.upstreams.borrow_mut();
+        upstreams.record_received(now, self.index);
+        if self.is_tunnelled() {
+            return;
+        }
+        let mut paths = self.shared.paths.borrow_mut();
+        if paths.lost() > 0
+            && let Some(spec) = upstreams.spec(self.index)
+        {
+            paths.record_heard(now, self.index, &spec.service);
+        }
+    }
+
+    /// Notes that the request goes through a peer. It is sent only now: opening the tunnel took a
+    /// moment that says nothing about the upstream.
+    pub(crate) fn note_tunnel(&self, tunnel: TunnelLease<T>) {
+        self.sent_at.set(self.shared.now());
+        self.tunnel.replace(Some(tunnel));
+    }
+
+    fn is_tunnelled(&self) -> bool {
+        self.tunnel.borrow().is_some()
+    }
+
+    /// Whether the direct path to the upstream is lost, with nothing heard on it since `heard_at`.
+    pub(crate) fn is_path_silent(&self, heard_at: Time) -> bool {
+        let paths = self.shared.paths.borrow();
+        if paths.lost() == 0 || self.is_tunnelled() {
+            return false;
+        }
+        let upstreams = self.shared.upstreams.borrow();
+        let spec = upstreams.spec(self.index);
+        spec.is_some_and(|spec| {
+            paths.is_silent(self.shared.now(), self.index, &spec.service, heard_at)
+        })
     }
 
     /// When the request was sent.
     pub(crate) fn sent_at(&self) -> Time {
-        self.sent_at
+        self.sent_at.get()
     }
 
     /// How long the request has been outstanding.
     pub(crate) fn outstanding_for(&self) -> Span {
-        self.shared.now().since(self.sent_at)
+        self.shared.now().since(self.sent_at.get())
     }
 
     /// How long the upstream has been silent on all connections.
     pub(crate) fn upstream_silent_for(&self) -> Span {
         let now = self.shared.now();
         let upstreams = self.shared.upstreams.borrow();
-        upstreams.silent_for(now, self.index, self.sent_at)
+        upstreams.silent_for(now, self.index, self.sent_at.get())
     }
 
     /// Time within which the first output can be expected: the estimate, and twice as much again
--- a/components/traffic/src/config.rs
+++ b/components/traffic/src/config.rs
@@ -7,6 +7,19 @@
 use telemetry::logs::Dropped;
 use types::prelude::*;
 
+use crate::tunnel::message::FleetKey;
+
+/// Settings of tunnels between daemons.
+#[derive(Debug, Clone)]
+pub struct TunnelConfig {
+    /// Listen address for peers' tunnels; port 0 picks a free port.
+    pub listen: SocketAddr,
+    /// Key shared by the fleet's daemons.
+    pub key: FleetKey,
+    /// Largest number of tunnels served at a time, from the process's file descriptors.
+    pub max_served: usize,
+}
+
 /// Settings of the event loop.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -16,6 +29,8 @@
     pub status: SocketAddr,
     /// Address that connections to upstreams leave from; chosen by the kernel if absent.
     pub source: Option<IpAddr>,
+    /// Tunnels between daemons.
+    pub tunnels: TunnelConfig,
     /// Path of the readiness check.
     pub ready_path: String,
     /// The failure domain of this daemon.
--- /dev/null
+++ b/components/traffic/src/connect.rs
@@ -0,0 +1,207 @@
+//! Opening connections to upstreams: directly, or through a peer where the path is lost.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dispatch::{DirectFailure, Path, UpstreamIndex};
+use http1::{Wire, WireOptions, connect};
+use routes::Upstream;
+use tokio::time::timeout;
+use types::prelude::*;
+
+use crate::shared::Shared;
+use crate::tunnel::client::{Connection, TunnelFailure};
+
+/// A live upstream accepts a connection within milliseconds; one behind a network partition never
+/// answers.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a peer is asked while a direct connection is still being opened.
+const PEER_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which a lost path is probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// An upstream's connection is closed when sent bytes stay unacknowledged for this long.
+pub(crate) const UPSTREAM_WIRE: WireOptions = WireOptions {
+    user_timeout: Duration::from_millis(1_500),
+    keepalive: Duration::from_secs(1),
+};
+
+/// Why no connection was opened. Nothing was sent to the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    /// The upstream refuses connections: its program has stopped.
+    Refused,
+    /// Neither this daemon nor a peer reached the upstream.
+    Unreachable,
+}
+
+impl ConnectFailure {
+    fn of(direct: DirectFailure) -> Self {
+        match direct {
+            DirectFailure::Reset => Self::Refused,
+            DirectFailure::TimedOut => Self::Unreachable,
+        }
+    }
+}
+
+impl<T> Shared<T> {
+    /// Connects to an upstream. A peer is asked when the direct connection fails or takes long, and
+    /// at once where the path is known to be lost.
+    pub(crate) async fn connect_upstream(
+        self: &Rc<Self>,
+        index: UpstreamIndex,
+        spec: &Arc<Upstream>,
+    ) -> Result<Connection<T>, ConnectFailure> {
+        if !self.may_ask_peers(index) {
+            let opened = self.connect_directly(spec.address).await;
+            return match opened {
+                Ok(wire) => Ok(self.direct(index, spec, wire)),
+                Err(failure) => Err(ConnectFailure::of(failure)),
+            };
+        }
+        let path = self.paths.borrow().path(index, &spec.service);
+        if path == Path::ThroughPeer {
+            let asked_at = self.now();
+            if let Ok(connection) = self.open_tunnel(spec).await {
+                self.note_lost(index, spec, DirectFailure::TimedOut, asked_at);
+                return Ok(connection);
+            }
+        }
+        self.connect_with_fallback(index, spec).await
+    }
+
+    fn may_ask_peers(&self, index: UpstreamIndex) -> bool {
+        let has_peers = !self.tunnel_peers.borrow().is_empty();
+        has_peers && self.paths.borrow().may_ask_peers(self.now(), index)
+    }
+
+    /// Opens a direct connection, and a tunnel if that fails or takes long.
+    async fn connect_with_fallback(
+        self: &Rc<Self>,
+        index: UpstreamIndex,
+        spec: &Arc<Upstream>,
+    ) -> Result<Connection<T>, ConnectFailure> {
+        let began_at = self.now();
+        let mut direct = pin!(self.connect_directly(spec.address));
+        let failure = match timeout(PEER_DELAY, &mut direct).await {
+            Ok(Ok(wire)) => return Ok(self.direct(index, spec, wire)),
+            Ok(Err(failure)) => Some(failure),
+            Err(_) => None,
+        };
+        let mut tunnel = pin!(self.open_tunnel(spec));
+        let (failure, tunnelled) = match failure {
+            Some(failure) => (failure, tunnel.await),
+            None => tokio::select! {
+                biased;
+                opened = &mut direct => match opened {
+                    Ok(wire) => return Ok(self.direct(index, spec, wire)),
+                    Err(failure) => (failure, tunnel.await),
+                },
+                Ok(connection) = &mut tunnel => (DirectFailure::TimedOut, Ok(connection)),
+            },
+        };
+        match tunnelled {
+            Ok(connection) => {
+                self.note_lost(index, spec, failure, began_at);
+                Ok(connection)
+            }
+            Err(why) => {
+                if why != TunnelFailure::NoPeer {
+                    let now = self.now();
+                    self.paths.borrow_mut().record_unreached(now, index);
+                }
+                Err(ConnectFailure::of(failure))
+            }
+        }
+    }
+
+    fn direct(&self, index: UpstreamIndex, spec: &Upstream, wire: Wire) -> Connection<T> {
+        self.note_reached(index, spec);
+        Connection { wire, tunnel: None }
+    }
+
+    pub(crate) async fn connect_directly(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Wire, DirectFailure> {
+        self.metrics.connects.inc();
+        let opening = connect(address, self.cfg.source, UPSTREAM_WIRE);
+        match timeout(CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(wire)) => Ok(wire),
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Err(DirectFailure::Reset),
+            Ok(Err(_)) | Err(_) => Err(DirectFailure::TimedOut),
+        }
+    }
+
+    /// Whether an upstream that refuses a direct connection has stopped, as far as peers know.
+    pub(crate) async fn has_stopped(
+        self: &Rc<Self>,
+        index: UpstreamIndex,
+        spec: &Arc<Upstream>,
+    ) -> bool {
+        if !self.may_ask_peers(index) {
+            return true;
+        }
+        let asked_at = self.now();
+        match self.open_tunnel(spec).await {
+            Ok(_) => {
+                self.note_lost(index, spec, DirectFailure::Reset, asked_at);
+                false
+            }
+            Err(_) => true,
+        }
+    }
+
+    pub(crate) fn note_reached(&self, index: UpstreamIndex, spec: &Upstream) {
+        let now = self.now();
+        let mut paths = self.paths.borrow_mut();
+        if paths.record_reached(now, index, &spec.service) {
+            let lost = paths.lost();
+            tracing::info!(upstream = %spec.id, service = &*spec.service, lost, "paths: regained");
+        }
+    }
+
+    fn note_lost(
+        &self,
+        index: UpstreamIndex,
+        spec: &Upstream,
+        failure: DirectFailure,
+        since: Time,
+    ) {
+        let mut paths = self.paths.borrow_mut();
+        if paths.record_lost(index, &spec.service, failure, since) {
+            let lost = paths.lost();
+            tracing::warn!(
+                upstream = %spec.id,
+                service = &*spec.service,
+                ?failure,
+                lost,
+                "paths: lost, peers reach the upstream"
+            );
+        }
+    }
+}
+
+/// Probes lost paths one after the other, and the next one at once after one that works.
+pub(crate) async fn probe_lost_paths<T: 'static>(shared: Rc<Shared<T>>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        while let Some(index) = shared.next_probe() {
+            let spec = shared.upstreams.borrow().spec(index).cloned();
+            let Some(spec) = spec else { break };
+            if shared.connect_directly(spec.address).await.is_err() {
+                break;
+            }
+            shared.note_reached(index, &spec);
+        }
+    }
+}
+
+impl<T> Shared<T> {
+    fn next_probe(&self) -> Option<UpstreamIndex> {
+        self.paths.borrow_mut().next_probe()
+    }
+}
--- a/components/traffic/src/crashes.rs
+++ b/components/traffic/src/crashes.rs
@@ -2,8 +2,9 @@
 //!
 //! A broken connection may be a crash, a network partition or one lost connection. So the upstream
 //! is probed at once for whether it still listens: the host of a stopped program refuses
-//! connections. Where the host itself is gone nothing refuses, and the upstream's entry leaves the
-//! list some seconds later.
+//! connections. Peers are asked as well, since a firewall on the path may refuse in its place. Where
+//! the host itself is gone nothing refuses, and the upstream's entry leaves the list some seconds
+//! later.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,7 +51,8 @@
         let shared = Rc::clone(&shared);
         tokio::task::spawn_local(async move {
             let index = upstream.index;
-            if probe_refused(upstream.spec.address).await {
+            let refuses = probe_refused(upstream.spec.address).await;
+            if refuses && shared.has_stopped(index, &upstream.spec).await {
                 let latest = shared.upstreams.borrow().last_seen(index);
                 shared.record_upstream_crash(&latest.unwrap_or(upstream), Sign::Refuses);
             }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod log;
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -71,6 +72,8 @@
     chosen_by: Load,
     /// The upstream that has the request now.
     outstanding: Option<UpstreamIndex>,
+    /// The peer through which it went there, if it did.
+    peer: RefCell<Option<DaemonId>>,
     sends: u32,
     /// Attempts that reached no upstream.
     unreachable: u32,
@@ -113,6 +116,7 @@
             tried: Vec::new(),
             chosen_by: Load::default(),
             outstanding: None,
+            peer: RefCell::default(),
             sends: 0,
             unreachable: 0,
             runs: 0,
@@ -222,6 +226,7 @@
         }
         self.tried.push(choice.index);
         self.outstanding = Some(choice.index);
+        self.peer.replace(None);
         self.chosen_by = choice.load;
         self.sends += 1;
         let attempt = Attempt {
@@ -234,6 +239,7 @@
             has_failed: self.has_failed,
             may_switch: self.may_switch(),
             is_trial: self.is_trial,
+            peer: &self.peer,
         };
         let sent = attempt.send(choice).await;
         self.handle_outcome(sent).await
@@ -248,6 +254,10 @@
                 self.unreachable += 1;
                 Next::TryAnother
             }
+            SendResult::PathLost => {
+                self.record_try(index, "path lost");
+                self.try_on_another_path()
+            }
             SendResult::NotRun(what) => {
                 self.record_try(index, what);
                 Next::Retry(RetryReason::Failure)
@@ -282,6 +292,14 @@
         }
     }
 
+    /// Sends the request again after the path to its upstream was lost. Nothing is known to have
+    /// arrived there, so it counts as unreachable, and takes no retry.
+    fn try_on_another_path(&mut self) -> Next {
+        self.sends -= 1;
+        self.unreachable += 1;
+        Next::TryAnother
+    }
+
     fn retry_or_give_up(&mut self, why: &'static str) -> Next {
         self.has_failed = true;
         match self.request.route.retry.is_allowed() {
@@ -333,18 +351,30 @@
                 self.record_try(index, "caller gone");
                 Next::Finished(Finish::caller_gone())
             }
+            RelayEnd::PathLost => {
+                self.record_try(index, "path lost within its stream");
+                stream.finish(UpstreamOutcome::Cancelled);
+                self.note_version(index);
+                self.runs -= 1;
+                self.try_on_another_path()
+            }
             RelayEnd::Broken(why, outcome) => {
                 self.record_try(index, why);
                 stream.finish(outcome);
-                if self.relay.has_begun() && self.version.is_none() {
-                    let upstreams = self.shared.upstreams.borrow();
-                    self.version = upstreams.spec(index).map(|spec| spec.version.clone());
-                }
+                self.note_version(index);
                 self.retry_or_give_up(why)
             }
         }
     }
 
+    /// Notes the version of a stream that broke off, on which it is resumed.
+    fn note_version(&mut self, index: UpstreamIndex) {
+        if self.relay.has_begun() && self.version.is_none() {
+            let upstreams = self.shared.upstreams.borrow();
+            self.version = upstreams.spec(index).map(|spec| spec.version.clone());
+        }
+    }
+
     /// Remembers the version that a session is on.
     fn pin(&self, index: UpstreamIndex, used_until: Time) {
         let Some(session) = self.request.ask.session else {
--- a/components/traffic/src/exchange/log.rs
+++ b/components/traffic/src/exchange/log.rs
@@ -54,6 +54,10 @@
         let ms = self.shared.now().since(self.request.arrived_at).as_millis();
         let wait = self.chosen_by.wait_ms.round();
         let work = self.chosen_by.expected_ms.round();
-        format!("{id} {version}{model} (wait {wait} work {work}): {what} at {ms}ms")
+        let peer = self.peer.borrow();
+        let peer = peer
+            .as_ref()
+            .map_or(String::new(), |peer| format!(" through {peer}"));
+        format!("{id} {version}{model}{peer} (wait {wait} work {work}): {what} at {ms}ms")
     }
 }
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! All connections are tasks of one thread, so nothing here is locked and no request is handed from
 //! thread to thread. A request is read whole ([`caller`]), taken through its attempts
-//! ([`exchange`]), each on a pooled connection to an upstream ([`attempt`]), and its answer is
+//! ([`exchange`]), each on a pooled connection to an upstream ([`attempt`]) or one through a peer
+//! ([`tunnel`]), and its answer is
 //! relayed whole or event by event ([`relay`]). The decisions on the way are made by the `dispatch`
 //! component. A [`Translator`] maps header names on the wire.
 //!
@@ -17,6 +18,7 @@
 mod awaited;
 mod caller;
 mod config;
+mod connect;
 mod crashes;
 mod exchange;
 mod metrics;
@@ -29,10 +31,12 @@
 mod shared;
 mod status;
 mod translate;
+mod tunnel;
 
-pub use config::Config;
+pub use config::{Config, TunnelConfig};
 pub use metrics::Metrics;
 pub use plan::{Plan, Validation};
 pub use server::{Command, Handle, PeerState, StartError, start};
 pub use shared::{Observed, Stage};
 pub use translate::{Ask, AskError, Execution, Forwarding, Prompt, Reply, Translator};
+pub use tunnel::message::FleetKey;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -59,6 +59,12 @@
     pub repeats: Counter,
     /// Connections opened to upstreams.
     pub connects: Counter,
+    /// Connections opened to upstreams through peers.
+    pub tunnels_opened: Counter,
+    /// Connections opened to upstreams for peers.
+    pub tunnels_served: Counter,
+    /// Upstreams that this daemon reaches only through peers.
+    pub lost_paths: Gauge,
     /// Upstreams that crashed while requests were in flight there.
     pub upstream_ends: Counter,
     /// Upstreams that advertise a rate limit.
@@ -92,6 +98,9 @@
             attempts: Counter::default(),
             repeats: Counter::default(),
             connects: Counter::default(),
+            tunnels_opened: Counter::default(),
+            tunnels_served: Counter::default(),
+            lost_paths: Gauge::default(),
             upstream_ends: Counter::default(),
             limited_upstreams: Gauge::default(),
             limited_sends: Counter::default(),
@@ -137,6 +146,7 @@
             self.upstream_ends.clone(),
         );
         self.register_rate_limits();
+        self.register_tunnels();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
@@ -156,6 +166,25 @@
         );
     }
 
+    fn register_tunnels(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "tunnels_opened",
+            "Connections opened to upstreams through peers",
+            self.tunnels_opened.clone(),
+        );
+        r.register(
+            "tunnels_served",
+            "Connections opened to upstreams for peers",
+            self.tunnels_served.clone(),
+        );
+        r.register(
+            "lost_paths",
+            "Upstreams that are reached only through peers",
+            self.lost_paths.clone(),
+        );
+    }
+
     fn register_rate_limits(&mut self) {
         let r = &mut self.registry;
         r.register(
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -42,6 +42,8 @@
     CallerGone,
     /// The upstream broke off; the events delivered so far are whole.
     Broken(&'static str, UpstreamOutcome),
+    /// The path to the upstream was lost; the events delivered so far are whole.
+    PathLost,
 }
 
 /// The stream to one caller, across upstreams.
@@ -107,9 +109,13 @@
                 next = next(stream, &mut splitter) => next,
                 _ = ticker.tick() => match stream.give_up_reason(request, heard_at, has_event) {
                     Some(why) if stream.may_switch => NextRead::Broken(why, UpstreamOutcome::Silent),
+                    _ if stream.is_path_lost(heard_at) => return RelayEnd::PathLost,
                     _ => continue,
                 },
             };
+            if matches!(next, NextRead::Broken(..)) && stream.is_path_lost(heard_at) {
+                return RelayEnd::PathLost;
+            }
             heard_at = shared.now();
             stream.note_heard();
             let events = match next {
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertisement, LastSeen, Upstreams};
+use dispatch::{Advertisement, LastSeen, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamInstance};
 use rand::SeedableRng;
@@ -20,12 +20,14 @@
 
 use crate::caller;
 use crate::config::Config;
+use crate::connect::probe_lost_paths;
 use crate::crashes;
 use crate::metrics::Metrics;
 use crate::plan::{Plan, Validation};
 use crate::shared::{Observed, Shared, Stage};
 use crate::status;
 use crate::translate::Translator;
+use crate::tunnel;
 
 /// Interval at which expired pooled connections and old attempt records are dropped.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
@@ -55,6 +57,8 @@
     pub validation: Option<Validation>,
     /// Rate limits of upstreams that other daemons advertise.
     pub rate_limits: Vec<Advertisement>,
+    /// Peers that offer tunnels.
+    pub tunnel_peers: Arc<Vec<TunnelPeer>>,
 }
 
 /// A command to the event loop.
@@ -93,6 +97,8 @@
     pub callers: SocketAddr,
     /// Address that serves readiness, metrics and the state.
     pub status: SocketAddr,
+    /// Address on which it listens for peers' tunnels.
+    pub tunnels: SocketAddr,
     /// Sends commands to it.
     pub commands: flume::Sender<Command>,
     /// What it observed of rollouts, and its loads.
@@ -140,10 +146,15 @@
     thread.spawn(run).map_err(StartError::Thread)?;
     let started = started_rx.recv();
     let ended_early = || Err(StartError::Thread(std::io::ErrorKind::Other.into()));
-    let (callers, status) = started.unwrap_or_else(|_| ended_early())?;
+    let Listening {
+        callers,
+        status,
+        tunnels,
+    } = started.unwrap_or_else(|_| ended_early())?;
     Ok(Handle {
         callers,
         status,
+        tunnels,
         commands: tx,
         observed,
         suspects,
@@ -167,6 +178,9 @@
         metrics: Metrics::new(),
         plan: RefCell::default(),
         upstreams: RefCell::new(upstreams),
+        paths: RefCell::default(),
+        tunnel_peers: RefCell::default(),
+        served_tunnels: Cell::new(0),
         pool: RefCell::new(Pool::default()),
         attempts: RefCell::default(),
         awaited: RefCell::default(),
@@ -184,31 +198,63 @@
     })
 }
 
-/// The addresses listened on, for callers and for status.
-type Started = Result<(SocketAddr, SocketAddr), StartError>;
+/// The addresses listened on.
+struct Listening {
+    callers: SocketAddr,
+    status: SocketAddr,
+    tunnels: SocketAddr,
+}
+
+/// The sockets listened on.
+struct Listeners {
+    callers: TcpListener,
+    status: TcpListener,
+    tunnels: TcpListener,
+}
+
+fn listen_all(cfg: &Config) -> Result<(Listeners, Listening), StartError> {
+    let (callers, callers_at) = listen(cfg.callers)?;
+    let (status, status_at) = listen(cfg.status)?;
+    let (tunnels, tunnels_at) = listen(cfg.tunnels.listen)?;
+    let listening = Listening {
+        callers: callers_at,
+        status: status_at,
+        tunnels: tunnels_at,
+    };
+    let listeners = Listeners {
+        callers,
+        status,
+        tunnels,
+    };
+    Ok((listeners, listening))
+}
 
 async fn serve<T: Translator>(
     shared: Rc<Shared<T>>,
     commands: flume::Receiver<Command>,
-    started: flume::Sender<Started>,
+    started: flume::Sender<Result<Listening, StartError>>,
 ) {
-    let listeners = listen(shared.cfg.callers).and_then(|c| Ok((c, listen(shared.cfg.status)?)));
-    let ((callers, at), (status_listener, status_at)) = match listeners {
-        Ok(listeners) => listeners,
+    let (listeners, listening) = match listen_all(&shared.cfg) {
+        Ok(started) => started,
         Err(e) => {
             // The starting thread waits for this result.
             let _ = started.send(Err(e));
             return;
         }
     };
-    let _ = started.send(Ok((at, status_at)));
-    tokio::task::spawn_local(accept_callers(Rc::clone(&shared), callers));
-    tokio::task::spawn_local(accept_status(Rc::clone(&shared), status_listener));
+    let _ = started.send(Ok(listening));
+    tokio::task::spawn_local(accept_callers(Rc::clone(&shared), listeners.callers));
+    tokio::task::spawn_local(accept_status(Rc::clone(&shared), listeners.status));
+    tokio::task::spawn_local(tunnel::server::accept(
+        Rc::clone(&shared),
+        listeners.tunnels,
+    ));
+    tokio::task::spawn_local(probe_lost_paths(Rc::clone(&shared)));
     tokio::task::spawn_local(tidy_periodically(Rc::clone(&shared)));
     tokio::task::spawn_local(publish_state(Rc::clone(&shared)));
     // On a task of its own, because the future the runtime blocks on is polled with every event.
-    let listening = tokio::task::spawn_local(run_commands(Rc::clone(&shared), commands));
-    match listening.await {
+    let running = tokio::task::spawn_local(run_commands(Rc::clone(&shared), commands));
+    match running.await {
         Ok(commands) => drain(&shared, &commands).await,
         Err(e) => tracing::error!("traffic: the command task failed: {e}"),
     }
@@ -237,6 +283,10 @@
                 .borrow_mut()
                 .set_remote_loads(&peer_state.loads);
             shared.validation.set(peer_state.validation);
+            shared
+                .tunnel_peers
+                .borrow_mut()
+                .set(peer_state.tunnel_peers);
             shared.merge_rate_limits(&peer_state.rate_limits);
         }
         Command::Crashed(instances) => instances
@@ -305,6 +355,10 @@
         let upstreams = shared.upstreams.borrow();
         let mut pool = shared.pool.borrow_mut();
         pool.purge(now, |index| upstreams.spec(index).is_some());
+        shared
+            .paths
+            .borrow_mut()
+            .retain(now, |index| upstreams.spec(index).is_some());
         shared.attempts.borrow_mut().expire(now);
         shared.tidy_quarantine(now);
     }
@@ -316,6 +370,8 @@
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
+        let lost = i64::try_from(shared.paths.borrow().lost()).unwrap_or(i64::MAX);
+        shared.metrics.lost_paths.set(lost);
         shared.count_slow_answers();
         shared.count_broken_answers();
     }
@@ -340,7 +396,8 @@
         if now >= closing_at && shared.stage() < Stage::Closing {
             shared.stage.send_replace(Stage::Closing);
         }
-        let is_empty = shared.requests_in_flight.get() == 0 && shared.caller_connections.get() == 0;
+        let has_requests = shared.requests_in_flight.get() > 0 || shared.served_tunnels.get() > 0;
+        let is_empty = !has_requests && shared.caller_connections.get() == 0;
         if now >= deadline || (now >= closing_at && is_empty) {
             break;
         }
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, Evidence, Gate, LastSeen, Pins, RetryBudget, RetryReason, SharedLoad,
-    UpstreamIndex, Upstreams,
+    Advertisement, Evidence, Gate, LastSeen, Paths, Pins, RetryBudget, RetryReason, SharedLoad,
+    TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts, Content};
@@ -124,6 +124,10 @@
     /// The version last validated as the newest, and when.
     pub(crate) validation: Cell<Option<Validation>>,
     pub(crate) upstreams: RefCell<Upstreams>,
+    pub(crate) paths: RefCell<Paths>,
+    pub(crate) tunnel_peers: RefCell<TunnelPeers>,
+    /// Tunnels open for peers.
+    pub(crate) served_tunnels: Cell<usize>,
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// Attempts in flight at each upstream, and recent ones.
     pub(crate) attempts: RefCell<Attempts<UpstreamIndex>>,
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -38,6 +38,10 @@
     requests: usize,
     held_bytes: u64,
     kept_connections: usize,
+    /// Upstreams reached only through peers.
+    lost_paths: usize,
+    /// Tunnels open for peers.
+    served_tunnels: usize,
     sessions: usize,
     /// Rate limits that upstreams advertise, by upstream.
     rate_limits: BTreeMap<String, Rate>,
@@ -148,6 +152,8 @@
         requests: shared.requests_in_flight.get(),
         held_bytes: shared.held_body_bytes.get(),
         kept_connections: shared.pool.borrow().len(),
+        lost_paths: shared.paths.borrow().lost(),
+        served_tunnels: shared.served_tunnels.get(),
         sessions: shared.pins.borrow().len(),
         rate_limits: shared.upstreams.borrow().limited().collect(),
         barred_contents: quarantined.len(),
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -231,6 +231,11 @@
         callers: any,
         status: any,
         source: None,
+        tunnels: traffic::TunnelConfig {
+            listen: any,
+            key: traffic::FleetKey([7; 16]),
+            max_served: 10,
+        },
         ready_path: "/ready".to_owned(),
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_caller_connections: 100,
