--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -129,6 +129,15 @@
         let _ = self.stream.write_all(text.as_bytes());
     }
 
+    /// Makes the end of the connection a reset.
+    pub fn reset(&mut self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        let linger = socket.set_linger(Some(Duration::ZERO));
+        linger.expect("an open connection");
+        // What was written arrives before the reset.
+        std::thread::sleep(Duration::from_millis(50));
+    }
+
     /// Waits until the other side closes.
     pub fn wait_closed(&mut self) {
         let mut rest = [0; 256];
@@ -226,6 +235,11 @@
 
 /// Starts an event loop without a configuration.
 pub fn start() -> TestLoop {
+    start_with_key(traffic::FleetKey([7; 16]))
+}
+
+/// Starts an event loop of the fleet with this key, without a configuration.
+fn start_with_key(key: traffic::FleetKey) -> TestLoop {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let cfg = Config {
         callers: any,
@@ -233,7 +247,7 @@
         source: None,
         tunnels: traffic::TunnelConfig {
             listen: any,
-            key: traffic::FleetKey([7; 16]),
+            key,
             max_served: 10,
         },
         ready_path: "/ready".to_owned(),
@@ -262,7 +276,16 @@
 
 /// Starts an event loop with one route of this kind and upstreams at these addresses.
 pub fn serving(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
-    let running = start();
+    serving_with_key(retry, upstreams, traffic::FleetKey([7; 16]))
+}
+
+/// Starts one of the fleet with this key.
+pub fn serving_with_key(
+    retry: Retry,
+    upstreams: &[SocketAddr],
+    key: traffic::FleetKey,
+) -> TestLoop {
+    let running = start_with_key(key);
     running.send_plan(retry, upstreams, Vec::new());
     running.validate_current(Some(Time::NEVER));
     running
@@ -381,6 +404,16 @@
         self.send_peer_state(Some(validation(0, Time::NEVER)), vec![limit]);
     }
 
+    /// Reports the peers that offer tunnels.
+    pub fn send_tunnel_peers(&self, peers: Vec<dispatch::TunnelPeer>) {
+        let peer_state = traffic::PeerState {
+            validation: Some(validation(0, Time::NEVER)),
+            tunnel_peers: Arc::new(peers),
+            ..traffic::PeerState::default()
+        };
+        self.apply(Command::PeerState(peer_state));
+    }
+
     fn send_peer_state(
         &self,
         validation: Option<Validation>,
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -9,3 +9,4 @@
 mod quarantine;
 mod shutdown;
 mod streams;
+mod tunnels;
