Keep connections to upstreams through a silence of two seconds

What callers saw: a sound upstream that fell silent for a second or so and went on lost all requests that it worked on; 502 for those that must not run twice.

Cause: TCP_USER_TIMEOUT was 1.5 s. It bounds unacknowledged bytes, and on Linux it also decides when keep-alive probes give up, whatever their count: with a probe after 1 s the connection ended 2 s after the last packet.

Evidence: both new tests drop packets at the upstream by a socket filter, for 2.2 s under a request in work and for 1.7 s under one on its way.

The short timeout was there to notice lost paths; these are found when a connection is opened, in 0.1 to 0.3 s, and streams on a silent engine resume after 1.5 pauses as before.

--- a/components/http1/src/wire.rs
+++ b/components/http1/src/wire.rs
@@ -26,7 +26,8 @@
 /// Timeouts after which a connection to a silent peer is closed.
 #[derive(Debug, Clone, Copy)]
 pub struct WireOptions {
-    /// Longest time that sent bytes may stay unacknowledged.
+    /// Longest time that sent bytes may stay unacknowledged. The kernel gives up keep-alive probes
+    /// by it too, whatever their number.
     pub user_timeout: Duration,
     /// Idle time before the first keep-alive probe, and the interval between probes.
     pub keepalive: Duration,
--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -23,9 +23,10 @@
 const PEER_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which a lost path is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// An upstream's connection is closed when sent bytes stay unacknowledged for this long.
-pub(crate) const UPSTREAM_WIRE: WireOptions = WireOptions {
-    user_timeout: Duration::from_millis(1_500),
+/// An upstream's connection is closed when sent bytes, or keep-alive probes, stay unacknowledged for
+/// this long. A sound upstream may be silent for a second or two.
+const UPSTREAM_WIRE: WireOptions = WireOptions {
+    user_timeout: Duration::from_secs(3),
     keepalive: Duration::from_secs(1),
 };
 
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -17,8 +17,7 @@
 
 /// Multiple of the longest pause that is on time. When an engine is silent on all connections for
 /// longer, the stream resumes elsewhere. A live engine may be silent for two or three seconds while
-/// it prefills long prompts; a lost host shows earlier, when the kernel's keepalive probes go
-/// unanswered.
+/// it prefills long prompts.
 const MUTE_PAUSES: f64 = 1.5;
 /// Multiple of the longest pause that is on time. When a stream alone is silent for longer, it
 /// resumes elsewhere though its engine is alive: the engine has preempted it, and a re-prefill
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -129,6 +129,20 @@
         let _ = self.stream.write_all(text.as_bytes());
     }
 
+    /// Drops all packets that arrive from now on, so that nothing is acknowledged.
+    pub fn fall_silent(&self) {
+        // Returns 0 bytes to keep of any packet.
+        let drop_all = [socket2::SockFilter::new(0x06, 0, 0, 0)];
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.attach_filter(&drop_all).expect("an open connection");
+    }
+
+    /// Takes packets again.
+    pub fn go_on(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.detach_filter().expect("a filter");
+    }
+
     /// Makes the end of the connection a reset.
     pub fn reset(&mut self) {
         let socket = socket2::SockRef::from(&self.stream);
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -8,5 +8,6 @@
 mod limits;
 mod quarantine;
 mod shutdown;
+mod silence;
 mod streams;
 mod tunnels;
