--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -56,22 +56,26 @@
         index: UpstreamIndex,
         spec: &Arc<Upstream>,
     ) -> Result<Connection<T>, ConnectFailure> {
-        if !self.may_ask_peers(index) {
-            let opened = self.connect_directly(spec.address).await;
-            return match opened {
-                Ok(wire) => Ok(self.direct(index, spec, wire)),
-                Err(failure) => Err(ConnectFailure::of(failure)),
-            };
-        }
+        let may_ask_peers = self.may_ask_peers(index);
         let path = self.paths.borrow().path(index, &spec.service);
-        if path == Path::ThroughPeer {
-            let asked_at = self.now();
-            if let Ok(connection) = self.open_tunnel(spec).await {
-                self.note_lost(index, spec, DirectFailure::TimedOut, asked_at);
-                return Ok(connection);
+        if may_ask_peers && path == Path::Direct {
+            return self.connect_with_fallback(index, spec).await;
+        }
+        let asked_at = self.now();
+        if may_ask_peers && let Ok(connection) = self.open_tunnel(spec).await {
+            self.note_lost(index, spec, DirectFailure::TimedOut, asked_at);
+            return Ok(connection);
+        }
+        match self.connect_directly(spec.address).await {
+            Ok(wire) => Ok(self.direct(index, spec, wire)),
+            Err(failure) => {
+                if may_ask_peers {
+                    let now = self.now();
+                    self.paths.borrow_mut().record_unreached(now, index);
+                }
+                Err(ConnectFailure::of(failure))
             }
         }
-        self.connect_with_fallback(index, spec).await
     }
 
     fn may_ask_peers(&self, index: UpstreamIndex) -> bool {
