Let the daemons that collect a roll-out's evidence write its state first

Cause: every daemon judges a roll-out and writes its state in turns of 0.2 s by rank of name. The evidence is summed by the first two daemons in the watch order, whose names rank anywhere, so a daemon that had not heard the newest sums wrote before them.

Change: the turns follow the watch order; the collectors are its first.

Evidence: the new test has five daemons of which the first by name isn't the first in the watch order; before, the latter had not tried to write when the state stood (0 of 1), now it has.

--- a/components/dispatch/src/state_writer.rs
+++ b/components/dispatch/src/state_writer.rs
@@ -6,7 +6,7 @@
 use routes::RolloutState;
 use types::prelude::*;
 
-/// Delay per rank by name before a daemon writes a state: one write is enough, and the condition on
+/// Delay per rank before a daemon writes a state: one write is enough, and the condition on
 /// the key makes further ones harmless.
 const WRITE_DELAY_PER_RANK: Span = Span::from_millis(200);
 /// Delay before a write is retried.
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Returns the state that is to be written now and marks its write as started; `rank` is this
-    /// daemon's rank by name among those present.
+    /// Returns the state that is to be written now and marks its write as started; lower ranks
+    /// write first.
     pub fn start_write(&mut self, now: Time, rank: u64) -> Option<RolloutState> {
         let (state, since) = self.wanted?;
         let turn_at = since + WRITE_DELAY_PER_RANK.times(rank);
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -422,11 +422,12 @@
         self.must_plan |= self.planner.lapsed.expire(now);
         self.ticks = self.ticks.wrapping_add(1);
         self.step_rollouts(now, true);
-        let rank = self.peering.rank();
+        // The first watchers collect the evidence, so theirs is the newest.
+        let rank = self.peering.watch_rank() as u64;
         for (purpose, req) in self.rollouts.writes(now, rank, &self.codec, &self.mirror) {
             self.call(purpose, req);
         }
-        self.sync_quarantines(now, rank);
+        self.sync_quarantines(now, self.peering.rank());
         let daemons = self.peering.daemons();
         self.must_plan |= daemons != self.daemons;
         self.daemons = daemons;
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -181,7 +181,7 @@
             .collect()
     }
 
-    /// Writes that are due; `rank` is this daemon's rank by name among those present.
+    /// Writes that are due; `rank` is this daemon's rank in the watch order.
     pub(crate) fn writes(
         &mut self,
         now: Time,
--- a/components/fleet/tests/it/control.rs
+++ b/components/fleet/tests/it/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::harness::*;
 
@@ -113,6 +114,37 @@
     }
 }
 
+/// A daemon with older evidence completed a version that those who collect it had found failing.
+#[test]
+fn the_daemons_that_collect_evidence_write_states_first() {
+    let memory = seeded_store();
+    memory.set("upstream/u2", Some("v2"));
+    let (seed, any) = (free_address(), SocketAddr::from(([127, 0, 0, 1], 0)));
+    let daemons = (0..5).map(|n| {
+        let peers = if n == 0 { seed } else { any };
+        daemon_at(n, StoreLink::to(&memory), peers, vec![seed])
+    });
+    let daemons = daemons.collect::<Vec<_>>();
+    wait_until("all known", || {
+        daemons.iter().all(|daemon| daemon.state("daemons") == 5)
+    });
+    wait_until("ready", || daemons.iter().all(Daemon::is_ready));
+    let watch_order = |n: &usize| {
+        xxh3_64(
+            settings(*n, free_address(), Vec::new())
+                .me
+                .as_str()
+                .as_bytes(),
+        )
+    };
+    let first = (0..daemons.len()).min_by_key(watch_order).expect("some");
+    assert_ne!(first, 0, "the first by name would write first in any case");
+    memory.set("order/service", Some("v2"));
+    wait_until("written", || memory.get("state/service").is_some());
+    let tried = daemons[first].link.state_writes.load(Ordering::SeqCst);
+    assert_eq!(tried, 1);
+}
+
 #[test]
 fn a_rollout_is_acknowledged_and_divides_traffic() {
     let memory = seeded_store();
--- a/components/fleet/tests/it/memory.rs
+++ b/components/fleet/tests/it/memory.rs
@@ -94,6 +94,8 @@
     pub keys_read: Arc<AtomicUsize>,
     /// Delay of answers to watches, in ms.
     pub answer_delay_ms: Arc<AtomicUsize>,
+    /// Number of writes of roll-outs' states that were tried.
+    pub state_writes: Arc<AtomicUsize>,
     /// Timeout of each read.
     pub read_timeouts: Arc<Mutex<Vec<Span>>>,
 }
@@ -141,6 +143,10 @@
                 Reply::Range(items)
             }
             Request::Txn(txn) => {
+                let puts_state =
+                    |op: &Op| matches!(op, Op::Put(put) if put.key.starts_with("state/"));
+                let state_writes = txn.success.iter().filter(|op| puts_state(op)).count();
+                self.state_writes.fetch_add(state_writes, Ordering::SeqCst);
                 let holds = txn.compare.iter().all(|compare| match compare {
                     Compare::Absent(key) => !keys.items.contains_key(key),
                     Compare::ModRevision(key, revision) => {
