--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -290,3 +290,28 @@
     assert_eq!(running.metric("buckthorncross_upstream_ends_total"), 0);
     assert_eq!(running.metric("buckthorncross_barred_contents"), 0);
 }
+
+/// A connection that a cut had reset, on a path that is refused since, counted as a crash of the
+/// upstream.
+#[test]
+fn a_connection_that_breaks_on_a_reset_path_is_no_crash() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let direct = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        drop(listener);
+        let mut served = Served::new(stream);
+        served.request();
+        served.reset();
+    });
+    let (address, _) = counting_upstream();
+    let (running, peer) = cut_off(Retry::Never, direct, address);
+    let mut caller = running.caller();
+    assert_eq!(status_of(&caller.ask("r1")), 502);
+    wait_until("the path is lost", || {
+        running.get("/state").contains("\"lost_paths\":1")
+    });
+    assert_eq!(running.metric("buckthorncross_upstream_ends_total"), 0);
+    assert_eq!(status_of(&caller.ask("r2")), 200);
+    assert_eq!(peer.metric("buckthorncross_tunnels_served_total"), 2);
+}
