Divide among brittle upstreams those that a request may still go to

In a fleet of hundreds each daemon sends to a part of the upstreams that are brittle. The part was taken from all that are listed, so a daemon whose only upstream had failed, or ran another version than the request may use, refused it as having no room. It is taken from those that the request may still go to. The new test failed before (Busy at the second choice) and passes. Names and order of some code only otherwise.

--- a/components/dispatch/src/brittle.rs
+++ b/components/dispatch/src/brittle.rs
@@ -31,7 +31,7 @@
 /// Time without a sign of brittleness after which a service is no longer taken as brittle.
 const LIFTED_AFTER: Span = Span::from_secs(1);
 
-/// What an answer says about its upstream's brittleness.
+/// What an answer advertises about its upstream's brittleness.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum Brittleness {
     /// It is not brittle.
@@ -47,8 +47,8 @@
 #[derive(Debug, Clone, Copy)]
 struct BrittleService {
     max_rejections: Rate,
-    /// When the latest request whose answer said so was sent.
-    said_at: Time,
+    /// When the latest request whose answer advertised it was sent.
+    advertised_at: Time,
 }
 
 /// The brittle services, and this daemon's part of the fleet that sends to them.
@@ -92,32 +92,33 @@
 }
 
 impl Upstreams {
-    /// Records what an answer, whose request was sent at `sent_at`, says about brittleness. Returns
-    /// whether the service is brittle now and was not before, or the other way round.
+    /// Records the brittleness in an answer whose request was sent at `sent_at`. Returns whether the
+    /// service has become brittle or has ceased to be.
     pub fn observe_brittleness(
         &mut self,
         index: UpstreamIndex,
         sent_at: Time,
-        said: Brittleness,
+        advertised: Brittleness,
     ) -> bool {
         let Some(entry) = self.entries.get(&index) else {
             return false;
         };
         let service = &entry.spec.service;
         let known = self.brittle.services.get(service).copied();
-        match said {
+        match advertised {
             Brittleness::Invalid => false,
             Brittleness::MaxRejections(max_rejections) => {
-                let said_at = known.map_or(sent_at, |known| known.said_at.max(sent_at));
+                let advertised_at = known.map_or(sent_at, |known| known.advertised_at.max(sent_at));
                 let brittle = BrittleService {
                     max_rejections,
-                    said_at,
+                    advertised_at,
                 };
                 self.brittle.services.insert(Arc::clone(service), brittle);
                 known.is_none()
             }
             Brittleness::Nothing => {
-                let is_over = known.is_some_and(|known| sent_at >= known.said_at + LIFTED_AFTER);
+                let is_over =
+                    known.is_some_and(|known| sent_at >= known.advertised_at + LIFTED_AFTER);
                 is_over && self.brittle.services.remove(service).is_some()
             }
         }
@@ -156,9 +157,7 @@
         let Some(brittle) = self.brittle.services.get(service) else {
             return Ok(());
         };
-        let own = self.own_part(service, *brittle);
-        candidates.retain(|(index, _)| own.iter().any(|(own, _)| own == index));
-        let senders = own.first().map_or(1.0, |(_, senders)| *senders);
+        let senders = self.retain_own_part(*brittle, candidates);
         let paused = candidates
             .iter()
             .map(|(_, entry)| entry.window.paused_until);
@@ -170,29 +169,26 @@
         }
     }
 
-    /// The upstreams of a brittle service that this daemon may send to, with the number of daemons
-    /// that may send to each.
+    /// Retains the upstreams that this daemon sends to, and returns how many daemons send to each.
     ///
     /// A large fleet is divided among the upstreams, in turn by the daemons' places, so that those
-    /// of one upstream find room there with a request each.
-    fn own_part(&self, service: &str, brittle: BrittleService) -> Vec<(UpstreamIndex, f64)> {
+    /// of one upstream find room there with a request each. The upstreams that a request may still
+    /// go to are divided, so it finds another when one has failed.
+    fn retain_own_part(
+        &self,
+        brittle: BrittleService,
+        candidates: &mut Vec<(UpstreamIndex, &Entry)>,
+    ) -> f64 {
         let BrittleServices { daemons, place, .. } = self.brittle;
-        let listed = self.by_service.get(service).into_iter().flatten();
-        let listed = listed.filter_map(|index| Some((*index, self.entries.get(index)?)));
-        let mut listed = listed
-            .filter(|(_, entry)| !entry.is_leaving)
-            .collect::<Vec<_>>();
-        listed.sort_by_key(|(_, entry)| xxh3_64(entry.spec.id.as_str().as_bytes()));
-        let room = listed
-            .iter()
-            .map(|(_, entry)| BrittleServices::room(brittle, entry));
-        let count = listed.len();
-        let each = (room.sum::<f64>() / daemons as f64) as usize;
-        let each = each.clamp(1, count.max(1));
-        let senders = (daemons * each) as f64 / count.max(1) as f64;
-        let own = (place..place + each).map(|n| n % count.max(1));
-        own.filter_map(|n| Some((listed.get(n)?.0, senders.max(1.0))))
-            .collect()
+        candidates.sort_by_key(|(_, entry)| xxh3_64(entry.spec.id.as_str().as_bytes()));
+        let count = candidates.len();
+        let rooms = candidates.iter();
+        let rooms = rooms.map(|(_, entry)| BrittleServices::room(brittle, entry));
+        let each = (rooms.sum::<f64>() / daemons as f64) as usize;
+        let each = each.clamp(1, count);
+        candidates.rotate_left(place % count);
+        candidates.truncate(each);
+        ((daemons * each) as f64 / count as f64).max(1.0)
     }
 }
 
--- a/components/dispatch/tests/brittle.rs
+++ b/components/dispatch/tests/brittle.rs
@@ -91,13 +91,13 @@
     daemons: Vec<Upstreams>,
     servers: Vec<Server>,
     waiting: Vec<Waiting>,
-    said: Brittleness,
+    advertised: Brittleness,
     rng: SmallRng,
     outcome: Outcome,
 }
 
 impl Fleet {
-    fn new(daemons: usize, servers: usize, said: Brittleness) -> Self {
+    fn new(daemons: usize, servers: usize, advertised: Brittleness) -> Self {
         let specs = (0..servers).map(|n| spec(n, 1)).collect::<Vec<_>>();
         let id = |n: usize| DaemonId::new(&format!("d{n}")).expect("a name");
         let ids = (0..daemons).map(id).collect::<Vec<_>>();
@@ -113,7 +113,7 @@
             daemons: ids.iter().map(daemon).collect(),
             servers: (0..servers).map(|_| Server::default()).collect(),
             waiting: Vec::new(),
-            said,
+            advertised,
             rng: SmallRng::seed_from_u64(7),
             outcome: Outcome::default(),
         }
@@ -158,7 +158,7 @@
         let server = &mut self.servers[server];
         if server.running.len() >= SLOTS as usize {
             server.rejected_ms.push(ms);
-            upstreams.observe_brittleness(index, at(ms), self.said);
+            upstreams.observe_brittleness(index, at(ms), self.advertised);
             upstreams.record_rejection(at(ms), index);
             upstreams.record_end(at(ms), index, ticket, UpstreamOutcome::Refused);
             return;
@@ -179,7 +179,7 @@
                 .extract_if(.., |running| running.ends_ms <= ms)
             {
                 let upstreams = &mut self.daemons[done.daemon];
-                upstreams.observe_brittleness(done.index, done.sent_at, self.said);
+                upstreams.observe_brittleness(done.index, done.sent_at, self.advertised);
                 upstreams.record_end(at(ms), done.index, done.ticket, UpstreamOutcome::Good);
                 self.outcome.served += 1;
             }
@@ -273,7 +273,7 @@
 
 /// Answers that overtake each other would lift the limit, or keep it for ever.
 #[test]
-fn brittleness_ends_with_a_later_request_whose_answer_does_not_say_so() {
+fn brittleness_ends_with_a_later_request_whose_answer_does_not_advertise_it() {
     let mut upstreams = Upstreams::default();
     upstreams.configure(&[spec(0, 1)]);
     let id = UpstreamId::new("u0").expect("a name");
@@ -307,3 +307,30 @@
     }
     assert!(matches!(fleet.choose(152, 0), Err(NoUpstream::Busy { .. })));
 }
+
+/// A daemon whose only upstream had failed would have refused all requests.
+#[test]
+fn a_request_goes_on_to_another_upstream_in_a_fleet_of_hundreds() {
+    let fleet = Fleet::new(300, 8, brittle());
+    let mut upstreams = fleet.daemons.into_iter().next().expect("some");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let first = upstreams.find(&UpstreamId::new("u0").expect("a name"), Some(WallTime(1)));
+    upstreams.observe_brittleness(first.expect("listed").index, at(0), brittle());
+    let mut tried = Vec::new();
+    for _ in 0..8 {
+        let requirements = Requirements {
+            service: &Arc::from("plain"),
+            model: None,
+            parts: &[],
+            prompt_tokens: 0,
+            permit: &Permit::Any,
+            isolated: false,
+            exclude: &tried,
+            local_domain: &FailureDomain::new("east").expect("a name"),
+        };
+        let choice = upstreams.choose(at(0), &requirements, &mut rng);
+        let index = choice.expect("another one").index;
+        assert!(!tried.contains(&index));
+        tried.push(index);
+    }
+}
--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -194,19 +194,19 @@
 pub(crate) async fn probe_lost_paths<T: 'static>(shared: Rc<Shared<T>>) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        while let Some(index) = shared.next_probe() {
-            let spec = shared.upstreams.borrow().spec(index).cloned();
-            let Some(spec) = spec else { break };
-            if shared.connect_directly(spec.address).await.is_err() {
-                break;
-            }
-            shared.note_reached(index, &spec);
-        }
+        while probe_next(&shared).await {}
     }
 }
 
-impl<T> Shared<T> {
-    fn next_probe(&self) -> Option<UpstreamIndex> {
-        self.paths.borrow_mut().next_probe()
+/// Probes the next lost path; true if it works.
+async fn probe_next<T>(shared: &Shared<T>) -> bool {
+    let next = shared.paths.borrow_mut().next_probe();
+    let Some(index) = next else { return false };
+    let spec = shared.upstreams.borrow().spec(index).cloned();
+    let Some(spec) = spec else { return false };
+    let is_reached = shared.connect_directly(spec.address).await.is_ok();
+    if is_reached {
+        shared.note_reached(index, &spec);
     }
+    is_reached
 }
--- a/components/traffic/src/rate_limits.rs
+++ b/components/traffic/src/rate_limits.rs
@@ -25,20 +25,20 @@
         }
     }
 
-    /// Applies what an answer says about its upstream's brittleness.
+    /// Applies the brittleness that an answer advertises.
     pub(crate) fn observe_brittleness(
         &self,
         index: UpstreamIndex,
         sent_at: Time,
-        said: Brittleness,
+        advertised: Brittleness,
     ) {
-        if said == Brittleness::Invalid {
+        if advertised == Brittleness::Invalid {
             self.metrics.invalid_rate_limits.inc();
         }
         let mut upstreams = self.upstreams.borrow_mut();
-        if upstreams.observe_brittleness(index, sent_at, said) {
+        if upstreams.observe_brittleness(index, sent_at, advertised) {
             let service = upstreams.spec(index).map(|spec| &*spec.service);
-            tracing::info!(service, ?said, "upstreams: brittleness changed");
+            tracing::info!(service, ?advertised, "upstreams: brittleness changed");
         }
     }
 
--- a/components/traffic/src/tunnel/server.rs
+++ b/components/traffic/src/tunnel/server.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{DirectFailure, Path, UpstreamIndex};
 use http1::Wire;
 use http1::frames::{END_FRAME, Frames, push_frame};
 use routes::Upstream;
-use std::sync::Arc;
 use tokio::net::TcpListener;
 
 use super::TUNNEL_WIRE;
