Do not poll a tunnel's opening again after it has failed

What callers saw: their connection ended without an answer, where peers had said no before the direct connection to an upstream was given up.

Cause: the select in which a direct connection and a tunnel are opened side by side dropped a failed opening and went on to await it, which panics. The task of that caller's connection ended; the daemon went on.

The new test failed before (no answer) and passes.

Change: the failure is kept until the direct connection has ended as well.

--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -105,7 +105,13 @@
                     Ok(wire) => return Ok(self.direct(index, spec, wire)),
                     Err(failure) => (failure, tunnel.await),
                 },
-                Ok(connection) = &mut tunnel => (DirectFailure::TimedOut, Ok(connection)),
+                tunnelled = &mut tunnel => match tunnelled {
+                    Ok(connection) => (DirectFailure::TimedOut, Ok(connection)),
+                    Err(why) => match direct.await {
+                        Ok(wire) => return Ok(self.direct(index, spec, wire)),
+                        Err(failure) => (failure, Err(why)),
+                    },
+                },
             },
         };
         match tunnelled {
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -85,6 +85,22 @@
     assert_eq!(running.metric("buckthorncross_upstream_ends_total"), 0);
 }
 
+/// A request panicked when the peers had said no before its direct connection was given up.
+#[test]
+fn a_request_is_refused_when_peers_say_no_before_the_direct_connection_fails() {
+    let (address, runs) = counting_upstream();
+    let hanging = hanging_address();
+    let (running, peer) = cut_off(Retry::Never, hanging.address, address);
+    peer.send_plan_of(
+        Retry::Never,
+        vec![listed_upstream("other", address)],
+        Vec::new(),
+    );
+    let text = running.caller().ask("r1");
+    assert_eq!(status_of(&text), 503);
+    assert_eq!(runs.load(Ordering::SeqCst), 0);
+}
+
 /// Callers of a host whose connections to upstreams hung were refused after 2.4 s.
 #[test]
 fn a_host_whose_connections_hang_serves_through_a_peer() {
