Tidy the tunnels after a second reading

Change, behaviour as it was: a send that reached nobody is accounted for in one place, whether nothing was connected or the path was lost; both failed ways to connect note it through one function. Functions that keep no Arc take a plain reference, as they did before. The port for tunnels is appended to a heartbeat in place, where each was copied a second time for each receiver. Merging no claims was a no-op already, so its guard is gone. The simulated fleet of brittle upstreams chooses in one place. Two doc comments are wrapped, three tests have one line, one test is renamed; assertions are unchanged.

--- a/components/dispatch/src/paths.rs
+++ b/components/dispatch/src/paths.rs
@@ -130,7 +130,7 @@
         silent.is_none_or(|silent| !silent.is_lost() && heard_at >= silent.latest_at)
     }
 
-    /// Whether a request that waits on a direct connection waits in vain: the path was lost to
+    /// Whether a request that waits on a direct connection is to be given up: the path was lost to
     /// silence, and nothing was read there since.
     #[must_use]
     pub fn is_silent(
--- a/components/dispatch/tests/brittle.rs
+++ b/components/dispatch/tests/brittle.rs
@@ -119,7 +119,12 @@
         }
     }
 
-    fn choose(&mut self, ms: u64, daemon: usize) -> Result<(UpstreamIndex, Load), NoUpstream> {
+    fn choose(
+        &mut self,
+        ms: u64,
+        daemon: usize,
+        exclude: &[UpstreamIndex],
+    ) -> Result<(UpstreamIndex, Load), NoUpstream> {
         let requirements = Requirements {
             service: &Arc::from("plain"),
             model: None,
@@ -127,7 +132,7 @@
             prompt_tokens: 0,
             permit: &Permit::Any,
             isolated: false,
-            exclude: &[],
+            exclude,
             local_domain: &FailureDomain::new("east").expect("a name"),
         };
         let choice = self.daemons[daemon].choose(at(ms), &requirements, &mut self.rng)?;
@@ -145,7 +150,7 @@
     /// Sends a request, or lets it wait for room.
     fn send(&mut self, ms: u64, request: Waiting) {
         let daemon = request.daemon;
-        let Ok((index, load)) = self.choose(ms, daemon) else {
+        let Ok((index, load)) = self.choose(ms, daemon, &[]) else {
             if ms < request.until_ms {
                 self.waiting.push(request);
             }
@@ -297,39 +302,33 @@
     fleet.finish(WORK_MS);
     let upstreams = &mut fleet.daemons[0];
     upstreams.configure(&[spec(0, 2)]);
-    let (first, load) = fleet.choose(100, 0).expect("room for one");
+    let (first, load) = fleet.choose(100, 0, &[]).expect("room for one");
     let ticket = fleet.daemons[0].record_start(at(100), first, &load, &[]);
-    assert!(matches!(fleet.choose(101, 0), Err(NoUpstream::Busy { .. })));
+    assert!(matches!(
+        fleet.choose(101, 0, &[]),
+        Err(NoUpstream::Busy { .. })
+    ));
     fleet.daemons[0].record_end(at(140), first, ticket, UpstreamOutcome::Good);
     for ms in [150, 151] {
-        let (index, load) = fleet.choose(ms, 0).expect("room for two");
+        let (index, load) = fleet.choose(ms, 0, &[]).expect("room for two");
         fleet.daemons[0].record_start(at(ms), index, &load, &[]);
     }
-    assert!(matches!(fleet.choose(152, 0), Err(NoUpstream::Busy { .. })));
+    assert!(matches!(
+        fleet.choose(152, 0, &[]),
+        Err(NoUpstream::Busy { .. })
+    ));
 }
 
 /// A daemon whose only upstream had failed would have refused all requests.
 #[test]
 fn a_request_goes_on_to_another_upstream_in_a_fleet_of_hundreds() {
-    let fleet = Fleet::new(300, 8, brittle());
-    let mut upstreams = fleet.daemons.into_iter().next().expect("some");
-    let mut rng = SmallRng::seed_from_u64(1);
+    let mut fleet = Fleet::new(300, 8, brittle());
+    let upstreams = &mut fleet.daemons[0];
     let first = upstreams.find(&UpstreamId::new("u0").expect("a name"), Some(WallTime(1)));
     upstreams.observe_brittleness(first.expect("listed").index, at(0), brittle());
     let mut tried = Vec::new();
     for _ in 0..8 {
-        let requirements = Requirements {
-            service: &Arc::from("plain"),
-            model: None,
-            parts: &[],
-            prompt_tokens: 0,
-            permit: &Permit::Any,
-            isolated: false,
-            exclude: &tried,
-            local_domain: &FailureDomain::new("east").expect("a name"),
-        };
-        let choice = upstreams.choose(at(0), &requirements, &mut rng);
-        let index = choice.expect("another one").index;
+        let (index, _) = fleet.choose(0, 0, &tried).expect("another one");
         assert!(!tried.contains(&index));
         tried.push(index);
     }
--- a/components/dispatch/tests/paths.rs
+++ b/components/dispatch/tests/paths.rs
@@ -43,7 +43,7 @@
     assert_eq!(paths.path(all[1], &service), Path::Direct);
 }
 
-/// Each of hundreds of upstreams would be tried in vain before it is reached through a peer.
+/// Each of hundreds of upstreams would time out before it is reached through a peer.
 #[test]
 fn all_paths_of_a_service_are_lost_when_several_are_silent() {
     let service = Arc::from("service");
@@ -91,7 +91,7 @@
 
 /// Streams on a lost path waited for the longest pause of their route before they were resumed.
 #[test]
-fn a_request_on_a_path_lost_to_silence_waits_in_vain() {
+fn a_request_on_a_path_lost_to_silence_is_given_up() {
     let service = Arc::from("service");
     let all = upstreams(1);
     let mut paths = Paths::default();
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -132,8 +132,8 @@
     ///
     /// # Errors
     /// Never for a message of this version.
-    pub fn encode_with_tunnels(encoded: &Bytes, port: u16) -> Result<Bytes, HeartbeatError> {
-        let mut bytes = encoded.to_vec();
+    pub fn encode_with_tunnels(encoded: Bytes, port: u16) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = Vec::from(encoded);
         bytes.extend(postcard::to_allocvec(&Some(port))?);
         Ok(bytes.into())
     }
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -13,8 +13,7 @@
 
 impl Peering {
     pub(super) fn merge_claims(&mut self, now: Time, from: &DaemonId, heartbeat: &Heartbeat) {
-        let received = heartbeat.freshness.as_ref();
-        let Some(received) = received.filter(|received| !received.claims.is_empty()) else {
+        let Some(received) = &heartbeat.freshness else {
             return;
         };
         let dropped = self.claims.merge(now, self.handle.run(), received);
@@ -83,8 +82,7 @@
             // The port follows behind the claims, so they are never left out.
             let freshness = freshness.unwrap_or_default();
             let body = Heartbeat::encode_for(heartbeat, &freshness);
-            let body =
-                body.and_then(|body| Heartbeat::encode_with_tunnels(&body, self.tunnel_port));
+            let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -192,7 +192,7 @@
     let claims = Freshness::default();
     let before = holding(4).encode().expect("fits");
     let before = Heartbeat::encode_for(&before, &claims).expect("fits");
-    let now = Heartbeat::encode_with_tunnels(&before, 7_341).expect("fits");
+    let now = Heartbeat::encode_with_tunnels(before.clone(), 7_341).expect("fits");
     assert!(now.starts_with(&before));
     let decoded = Heartbeat::decode(&now).expect("its form");
     assert_eq!(decoded.freshness, Some(claims));
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -3,9 +3,9 @@
 //! [`Head`] is a parsed request or response head over its raw bytes. [`Framing`] states where
 //! the body after a head ends. [`BodyReader`] extracts the body from the bytes that arrived, and
 //! [`events::Splitter`] splits a body into server-sent events. [`Wire`] is one connection with
-//! the bytes read from it so far, as they are or in [`mod@frames`]. [`Pool`] keeps idle connections to upstreams.
-//! [`read_response_head`] and [`read_whole`] read an upstream's response, and [`mod@write`] encodes
-//! messages.
+//! the bytes read from it so far, as they are or in [`mod@frames`]. [`Pool`] keeps idle connections
+//! to upstreams. [`read_response_head`] and [`read_whole`] read an upstream's response, and
+//! [`mod@write`] encodes messages.
 //!
 //! Parsing is strict. If two parties disagree on where a message ends, a caller can smuggle a
 //! second request behind its first. Everything that could be read in two ways is therefore an
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -208,7 +208,7 @@
     async fn request_head(
         &self,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
         guard: &AttemptGuard<T>,
     ) -> Result<(Wire, AnswerHead), Failure> {
         self.shared.metrics.attempts.inc();
@@ -237,7 +237,7 @@
     async fn resend(
         &self,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
         guard: &AttemptGuard<T>,
         why: &'static str,
     ) -> Result<(Wire, AnswerHead), Failure> {
@@ -280,7 +280,7 @@
     async fn open_connection(
         &self,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
         guard: &AttemptGuard<T>,
     ) -> Result<Wire, Failure> {
         match self.shared.connect_upstream(index, spec).await {
--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{DirectFailure, Path, UpstreamIndex};
@@ -54,7 +53,7 @@
     pub(crate) async fn connect_upstream(
         self: &Rc<Self>,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
     ) -> Result<Connection<T>, ConnectFailure> {
         let may_ask_peers = self.may_ask_peers(index);
         let path = self.paths.borrow().path(index, &spec.service);
@@ -70,8 +69,7 @@
             Ok(wire) => Ok(self.direct(index, spec, wire)),
             Err(failure) => {
                 if may_ask_peers {
-                    let now = self.now();
-                    self.paths.borrow_mut().record_unreached(now, index);
+                    self.note_unreached(index);
                 }
                 Err(ConnectFailure::of(failure))
             }
@@ -87,7 +85,7 @@
     async fn connect_with_fallback(
         self: &Rc<Self>,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
     ) -> Result<Connection<T>, ConnectFailure> {
         let began_at = self.now();
         let mut direct = pin!(self.connect_directly(spec.address));
@@ -121,8 +119,7 @@
             }
             Err(why) => {
                 if why != TunnelFailure::NoPeer {
-                    let now = self.now();
-                    self.paths.borrow_mut().record_unreached(now, index);
+                    self.note_unreached(index);
                 }
                 Err(ConnectFailure::of(failure))
             }
@@ -151,7 +148,7 @@
     pub(crate) async fn has_stopped(
         self: &Rc<Self>,
         index: UpstreamIndex,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
     ) -> bool {
         if !self.may_ask_peers(index) {
             return true;
@@ -175,6 +172,11 @@
         }
     }
 
+    fn note_unreached(&self, index: UpstreamIndex) {
+        let now = self.now();
+        self.paths.borrow_mut().record_unreached(now, index);
+    }
+
     fn note_lost(
         &self,
         index: UpstreamIndex,
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -251,13 +251,11 @@
         match sent {
             SendResult::Unreachable => {
                 self.record_try(index, "unreachable");
-                self.sends -= 1;
-                self.unreachable += 1;
-                Next::TryAnother
+                self.try_another()
             }
             SendResult::PathLost => {
                 self.record_try(index, "path lost");
-                self.try_on_another_path()
+                self.try_another()
             }
             SendResult::NotRun(what) => {
                 self.record_try(index, what);
@@ -293,9 +291,9 @@
         }
     }
 
-    /// Sends the request again after the path to its upstream was lost. Nothing is known to have
-    /// arrived there, so it counts as unreachable, and takes no retry.
-    fn try_on_another_path(&mut self) -> Next {
+    /// Sends the request elsewhere after a send of which nothing is known to have arrived; it counts
+    /// as unreachable, and takes no retry.
+    fn try_another(&mut self) -> Next {
         self.sends -= 1;
         self.unreachable += 1;
         Next::TryAnother
@@ -357,7 +355,7 @@
                 stream.finish(UpstreamOutcome::Cancelled);
                 self.note_version(index);
                 self.runs -= 1;
-                self.try_on_another_path()
+                self.try_another()
             }
             RelayEnd::Broken(why, outcome) => {
                 self.record_try(index, why);
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -4,9 +4,8 @@
 //! All connections are tasks of one thread, so nothing here is locked and no request is handed from
 //! thread to thread. A request is read whole ([`caller`]), taken through its attempts
 //! ([`exchange`]), each on a pooled connection to an upstream ([`attempt`]) or one through a peer
-//! ([`tunnel`]), and its answer is
-//! relayed whole or event by event ([`relay`]). The decisions on the way are made by the `dispatch`
-//! component. A [`Translator`] maps header names on the wire.
+//! ([`tunnel`]), and its answer is relayed whole or event by event ([`relay`]). The decisions on the
+//! way are made by the `dispatch` component. A [`Translator`] maps header names on the wire.
 //!
 //! The control thread sends a [`Plan`] whenever the configuration, the upstreams or a rollout
 //! changes, and reads back what was observed of rollouts ([`Observed`]).
--- a/components/traffic/src/tunnel/client.rs
+++ b/components/traffic/src/tunnel/client.rs
@@ -1,7 +1,6 @@
 //! Opening a tunnel to an upstream through one of the peers.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{TunnelNeed, TunnelPeer};
@@ -72,7 +71,7 @@
     /// takes long.
     pub(crate) async fn open_tunnel(
         self: &Rc<Self>,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
     ) -> Result<Connection<T>, TunnelFailure> {
         let deadline = Instant::now() + OPENING_TIMEOUT;
         let mut asked = Vec::new();
@@ -123,7 +122,7 @@
     async fn ask_for_tunnel(
         self: &Rc<Self>,
         peer: TunnelPeer,
-        spec: &Arc<Upstream>,
+        spec: &Upstream,
     ) -> Result<Connection<T>, Verdict> {
         let lease = TunnelLease::new(self, &peer.id);
         let verdict = self.exchange_opening(&peer, spec).await;
--- a/components/traffic/src/tunnel/server.rs
+++ b/components/traffic/src/tunnel/server.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{DirectFailure, Path, UpstreamIndex};
@@ -125,7 +124,7 @@
 async fn connect<T>(
     shared: &Shared<T>,
     index: UpstreamIndex,
-    spec: &Arc<Upstream>,
+    spec: &Upstream,
 ) -> Result<Wire, Verdict> {
     let opened = shared.connect_directly(spec.address).await;
     let failure = match opened {
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -46,8 +46,7 @@
     }
 }
 
-/// An event loop that reaches upstreams only at `unreachable`, and a peer that reaches them at
-/// `upstream`.
+/// An event loop that lists an upstream as `unreachable`, and a peer that lists it as `upstream`.
 fn cut_off(retry: Retry, unreachable: SocketAddr, upstream: SocketAddr) -> (TestLoop, TestLoop) {
     let peer = serving(retry, &[upstream]);
     let running = serving(retry, &[unreachable]);
@@ -292,8 +291,7 @@
     }
 }
 
-/// Upstreams that only this host cannot reach would count as crashed, and quarantine the contents
-/// that were sent there.
+/// Upstreams that only this host cannot reach would count as crashed.
 #[test]
 fn a_reset_path_is_no_crash_of_the_upstream() {
     let (address, _) = counting_upstream();
@@ -307,8 +305,7 @@
     assert_eq!(running.metric("buckthorncross_barred_contents"), 0);
 }
 
-/// A connection that a cut had reset, on a path that is refused since, counted as a crash of the
-/// upstream.
+/// A connection that a cut had reset counted as a crash of the upstream.
 #[test]
 fn a_connection_that_breaks_on_a_reset_path_is_no_crash() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/daemon/tests/isolated.rs
+++ b/daemon/tests/isolated.rs
@@ -5,8 +5,7 @@
 
 use soak::{Faults, Options};
 
-/// Callers of daemons that had lost their paths to all upstreams were refused while all others were
-/// served.
+/// Callers of daemons that had lost their paths to all upstreams were refused.
 #[test]
 fn callers_of_daemons_without_a_path_to_upstreams_are_served() {
     let outcome = soak::run(&Options {
