Failing tests: a part of prompts that crashes upstreams

Reproduced at the decisions (a simulated fleet, poison/tests/fleet/parts.rs) and with real processes (daemon/tests/prompt_parts.rs). The soak's poison request may now be different each time with a shared crashing part, first or later in the prompt, beside ordinary streams that share its customer and its other parts; both are counted: sends later than 3 s after the fifth crash, and ordinary streams served from 6 s after it against those before.

The existing runs of one and the same poison request are unchanged.

--- a/components/poison/tests/fleet.rs
+++ b/components/poison/tests/fleet.rs
@@ -4,6 +4,8 @@
 //! `BUCKTHORNCROSS_PLAY_SEEDS=60 cargo test --release -p poison --test fleet -- --nocapture` runs
 //! more seeds and prints the figures.
 
+#[path = "fleet/parts.rs"]
+mod parts;
 #[path = "support/simulation.rs"]
 mod simulation;
 
--- a/components/poison/tests/support/simulation.rs
+++ b/components/poison/tests/support/simulation.rs
@@ -3,7 +3,8 @@
 //! Each daemon has the product's tables and knows only what it sees and what it is sent. Requests
 //! are sent to an upstream, wait there, start, and are answered some seconds later. An upstream
 //! that crashes breaks all of them, and they go to other upstreams while attempts are left. A
-//! culprit crashes its upstream a moment after it starts.
+//! culprit crashes its upstream a moment after it starts. It is a request, or a part of prompts
+//! which many requests carry.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -38,6 +39,10 @@
     pub culprit_gap: Span,
     /// Whether all culprits are of one customer.
     pub of_one: bool,
+    /// Where the culprits are parts of prompts; none if they are requests.
+    pub position: Option<Position>,
+    /// Upstreams that run a version which crashes by itself, and its crashes per second.
+    pub bad_version: Option<(usize, f64)>,
     /// Upper bound of the wait at an upstream, in ms.
     pub wait_ms: u64,
     /// Whether an upstream shows when it starts to process a request.
@@ -61,6 +66,8 @@
             culprit_per_s: 3.0,
             culprit_gap: Span::ZERO,
             of_one: false,
+            position: None,
+            bad_version: None,
             wait_ms: 400,
             shows_start: true,
             update_loss: 0.0,
@@ -68,6 +75,15 @@
     }
 }
 
+/// Position in the prompt of a part that crashes upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Position {
+    /// It stands first, before a part that ordinary requests carry as well.
+    First,
+    /// It follows a first part that ordinary requests carry as well.
+    Later,
+}
+
 /// Outcome of a simulation.
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
@@ -76,6 +92,14 @@
     /// Attempts of a culprit later than three seconds after its third crash; the most of any
     /// culprit.
     pub late_sends: usize,
+    /// Upstreams that one culprit crashed; the most of any culprit.
+    pub crashes_of_one: usize,
+    /// Attempts of a culprit later than a second after its fifth crash; the most of any culprit.
+    pub sends_after_five: usize,
+    /// Ordinary requests that arrived while culprits were sent, and long enough before the end.
+    pub beside: usize,
+    /// Of these, those that were answered.
+    pub served_beside: usize,
     /// Ordinary requests.
     pub requests: usize,
     /// Of these, those whose upstream crashed at least once.
@@ -88,6 +112,14 @@
 const CUSTOMERS: usize = 10;
 const RESTART_AFTER: Span = Span::from_millis(3_500);
 const DETECTION_WINDOW: Span = Span::from_secs(3);
+/// When culprits are first sent, and for how long.
+const CULPRITS_FROM: Span = Span::from_secs(10);
+const CULPRITS_FOR: Span = Span::from_secs(20);
+/// First parts of ordinary prompts, and the parts that may follow.
+const FIRST_PARTS: u64 = 3;
+const LATER_PARTS: u64 = 200;
+/// Id of the first culprit that is a part.
+const CULPRIT_PART: u64 = 1_000_000;
 const GOSSIP_INTERVAL: Span = Span::from_millis(100);
 const MESSAGE_DELAY: Span = Span::from_millis(5);
 
@@ -110,8 +142,11 @@
 #[derive(Debug, Clone)]
 struct Request {
     content: Content,
+    /// Shared parts of the prompt.
+    parts: Vec<u64>,
     customer: Option<Arc<str>>,
     culprit: Option<usize>,
+    arrives_at: Time,
     daemon: usize,
     attempt_number: u32,
     at: Option<(UpstreamStart, poison::AttemptId)>,
@@ -141,6 +176,7 @@
     culprit_sends: BTreeMap<usize, Vec<Time>>,
     refused: BTreeSet<Content>,
     hit: BTreeSet<Content>,
+    answered: BTreeSet<Content>,
     count: usize,
 }
 
@@ -180,6 +216,7 @@
             culprit_sends: BTreeMap::new(),
             refused: BTreeSet::new(),
             hit: BTreeSet::new(),
+            answered: BTreeSet::new(),
             count: 0,
             scenario,
         };
@@ -192,14 +229,25 @@
         let all = Span::from_secs(self.scenario.seconds);
         for at in self.times(self.scenario.requests_per_s, Span::ZERO, all) {
             let content = self.content(None);
-            self.arrive(at, content, None, false);
+            let parts = self.parts(None);
+            self.arrive(at, content, parts, None, false);
         }
         for culprit in 0..self.scenario.culprits {
-            let from = Span::from_secs(10) + self.scenario.culprit_gap.times(culprit as u64);
-            let to = from + Span::from_secs(20);
+            let from = CULPRITS_FROM + self.scenario.culprit_gap.times(culprit as u64);
+            let to = from + CULPRITS_FOR;
             for at in self.times(self.scenario.culprit_per_s, from, to) {
-                let content = self.content(Some(culprit));
-                self.arrive(at, content, Some(culprit), false);
+                let is_part = self.scenario.position.is_some();
+                let content = self.content(Some(culprit).filter(|_| !is_part));
+                let parts = self.parts(Some(culprit).filter(|_| is_part));
+                self.arrive(at, content, parts, Some(culprit), false);
+            }
+        }
+        if let Some((upstreams, per_s)) = self.scenario.bad_version {
+            for upstream in 0..upstreams {
+                let crashes = self.times(per_s, Span::ZERO, all);
+                crashes
+                    .into_iter()
+                    .for_each(|at| self.schedule(at, Event::Crashes(upstream)));
             }
         }
         let crashes_per_s = self.scenario.crashes_per_s * self.scenario.upstreams as f64;
@@ -234,7 +282,30 @@
         Content::of("alice", "host", "POST", "/a", text.as_bytes())
     }
 
-    fn arrive(&mut self, at: Time, content: Content, culprit: Option<usize>, is_retry: bool) {
+    /// The shared parts of a prompt, with the culprit among them if it is a part.
+    fn parts(&mut self, culprit: Option<usize>) -> Vec<u64> {
+        let Some(position) = self.scenario.position else {
+            return Vec::new();
+        };
+        let first = self.rng.random_range(0..FIRST_PARTS);
+        // Some parts are in one of ten requests, most in one of a few hundred.
+        let draw = self.rng.random::<f64>().powi(3);
+        let later = FIRST_PARTS + (draw * LATER_PARTS as f64) as u64;
+        match (culprit, position) {
+            (None, _) => vec![first, later],
+            (Some(culprit), Position::First) => vec![CULPRIT_PART + culprit as u64, later],
+            (Some(culprit), Position::Later) => vec![first, CULPRIT_PART + culprit as u64],
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        at: Time,
+        content: Content,
+        parts: Vec<u64>,
+        culprit: Option<usize>,
+        is_retry: bool,
+    ) {
         let daemon = self.rng.random_range(0..self.scenario.daemons);
         let customer = match culprit {
             Some(_) if self.scenario.of_one => 0,
@@ -243,8 +314,10 @@
         };
         self.requests.push(Request {
             content,
+            parts,
             customer: Some(Arc::from(format!("c{customer}"))),
             culprit,
+            arrives_at: at,
             daemon,
             attempt_number: 0,
             at: None,
@@ -356,7 +429,7 @@
         let request = self.requests[n].clone();
         if request.culprit.is_none() && !request.is_retry {
             let at = self.now + Span::from_millis(300);
-            self.arrive(at, request.content, None, true);
+            self.arrive(at, request.content, request.parts, None, true);
         }
     }
 
@@ -401,6 +474,7 @@
         let Request {
             daemon, content, ..
         } = self.requests[n];
+        self.answered.insert(content);
         let daemon = &mut self.daemons[daemon];
         daemon
             .attempts
@@ -475,8 +549,36 @@
             let sends = self.culprit_sends.get(culprit).into_iter().flatten();
             sends.filter(|at| **at > *third + DETECTION_WINDOW).count()
         });
+        let after_five = self.culprit_crashes.iter().map(|(culprit, times)| {
+            let Some(fifth) = times.get(4) else { return 0 };
+            let sends = self.culprit_sends.get(culprit).into_iter().flatten();
+            let sends = sends.filter(|at| **at > *fifth + Span::from_secs(1));
+            sends.count()
+        });
+        let from = Time::ZERO + CULPRITS_FROM;
+        let until = from
+            + CULPRITS_FOR
+            + self
+                .scenario
+                .culprit_gap
+                .times(self.scenario.culprits as u64);
+        let is_beside = |r: &&Request| {
+            r.culprit.is_none() && !r.is_retry && r.arrives_at >= from && r.arrives_at < until
+        };
+        let beside = self.requests.iter().filter(is_beside);
         Outcome {
             crashes: self.culprit_crashes.values().map(Vec::len).sum(),
+            crashes_of_one: self
+                .culprit_crashes
+                .values()
+                .map(Vec::len)
+                .max()
+                .unwrap_or(0),
+            sends_after_five: after_five.max().unwrap_or(0),
+            beside: beside.clone().count(),
+            served_beside: beside
+                .filter(|r| self.answered.contains(&r.content))
+                .count(),
             late_sends: late.max().unwrap_or(0),
             requests: self.count,
             hit: self.hit.len(),
--- a/daemon/tests/apart.rs
+++ b/daemon/tests/apart.rs
@@ -43,7 +43,7 @@
         workers: 3,
         callers: 2,
         faults: Faults::Any,
-        sends_poison: false,
+        poison: None,
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         other: None,
--- a/daemon/tests/isolated.rs
+++ b/daemon/tests/isolated.rs
@@ -15,7 +15,7 @@
         workers: 4,
         callers: 24,
         faults: Faults::Isolated,
-        sends_poison: false,
+        poison: None,
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         other: None,
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Faults, Options};
+use soak::{Faults, Options, Poison};
 
 /// Runs a seed with a crashing request among its faults and checks all invariants.
 fn run_seed(seed: u64, faults_duration: u64, faults: Faults) {
@@ -14,7 +14,7 @@
         workers: 8,
         callers: 4,
         faults,
-        sends_poison: true,
+        poison: Some(Poison::Request),
         limited: 0,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
         other: None,
--- a/daemon/tests/ratelimit.rs
+++ b/daemon/tests/ratelimit.rs
@@ -13,7 +13,7 @@
         daemons,
         workers: 6,
         callers: 12,
-        sends_poison: false,
+        poison: None,
         limited,
         faults,
         program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -21,7 +21,7 @@
             workers: 3,
             callers: 6,
             faults: Faults::Any,
-            sends_poison: false,
+            poison: None,
             limited: 0,
             program: PathBuf::from(env!("CARGO_BIN_EXE_buckthorncrossd")),
             other: None,
