--- a/bench/src/cmd/decide/barring.rs
+++ b/bench/src/cmd/decide/barring.rs
@@ -66,7 +66,7 @@
 fn lost_request(rng: &mut SmallRng) -> CrashedAttempt {
     let body = rng.random::<u64>().to_le_bytes();
     CrashedAttempt {
-        content: Content::of("customer-7", "host.example", "POST", "/drafts/7", &body),
+        contents: Content::of("customer-7", "host.example", "POST", "/drafts/7", &body).into(),
         customer: None,
         had_started: true,
         ran: Span::from_millis(rng.random_range(10..3_000)),
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -30,6 +30,8 @@
 mod quarantine;
 mod rollouts;
 
+pub(crate) use quarantine::SuspectGossip;
+
 /// Interval at which all periodic work is done.
 const TICK: Duration = Duration::from_millis(100);
 /// Daemons with an entry in the store: enough that one survives when most of a fleet is killed at
@@ -73,8 +75,7 @@
     /// The daemons that share upstreams' rate limits.
     pub(crate) fleet: Arc<dispatch::Fleet>,
     pub(crate) queue_delay: QueueDelay,
-    /// Earliest time of the next gossip about request contents.
-    pub(crate) next_suspect_gossip_at: Time,
+    pub(crate) suspect_gossip: SuspectGossip,
 }
 
 /// Who delivered a change; logged under the variant's name.
@@ -107,6 +108,9 @@
                 Waited::Answer(answer) => self.handle_peer_answer(self.clock.now(), answer),
                 Waited::Tick => {}
             }
+            if self.suspect_gossip.due_at().is_some() {
+                self.gossip_suspects(self.clock.now());
+            }
             let now = Instant::now();
             if now >= next_tick {
                 self.tick();
@@ -118,12 +122,13 @@
         self.peering.leave(self.clock.now());
     }
 
-    /// Time of the next tick, or earlier if a request to a peer is due before.
+    /// Time of the next tick, or earlier if a message to peers is due before.
     fn wake_at(&self, next_tick: Instant) -> Instant {
         let now = self.clock.now();
         let ask_at = self.peer_sync.next_request_at();
-        let ask_in = ask_at.map(|at| now.until(at).to_duration());
-        ask_in.map_or(next_tick, |left| next_tick.min(Instant::now() + left))
+        let due_at = ask_at.into_iter().chain(self.suspect_gossip.due_at()).min();
+        let due_in = due_at.map(|at| now.until(at).to_duration());
+        due_in.map_or(next_tick, |left| next_tick.min(Instant::now() + left))
     }
 
     fn catch_up(&mut self, now: Time) {
@@ -194,6 +199,7 @@
                 self.queue_delay.note(now, arrived_at);
                 self.handle_inbound(now, inbound);
             }
+            Event::Suspected => self.gossip_suspects(now),
             Event::Stop => {}
         }
     }
--- a/components/fleet/src/control/quarantine.rs
+++ b/components/fleet/src/control/quarantine.rs
@@ -11,6 +11,30 @@
 /// Updates on contents are sent at most this often; the first one after a pause goes out at once.
 const MIN_GOSSIP_INTERVAL: Span = Span::from_millis(50);
 
+/// When updates on contents go to peers.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectGossip {
+    next_at: Time,
+    /// Whether updates may wait until then.
+    is_owed: bool,
+}
+
+impl SuspectGossip {
+    /// When waiting updates are due; none if nothing waits.
+    pub(super) fn due_at(&self) -> Option<Time> {
+        self.is_owed.then_some(self.next_at)
+    }
+
+    /// Whether updates may go out now; if not, they are due later.
+    fn is_due(&mut self, now: Time) -> bool {
+        self.is_owed = now < self.next_at;
+        if !self.is_owed {
+            self.next_at = now + MIN_GOSSIP_INTERVAL;
+        }
+        !self.is_owed
+    }
+}
+
 impl<C: Codec> Control<C> {
     /// Merges a peer's updates on contents and forwards what is new at once.
     ///
@@ -28,10 +52,9 @@
 
     /// Gossips new updates on contents and logs changes of the quarantine.
     pub(super) fn gossip_suspects(&mut self, now: Time) {
-        if now < self.next_suspect_gossip_at {
+        if !self.suspect_gossip.is_due(now) {
             return;
         }
-        self.next_suspect_gossip_at = now + MIN_GOSSIP_INTERVAL;
         let mut suspects = self.traffic.suspects.lock();
         let updates = suspects.take_updates(now);
         let changes = suspects.take_changes();
@@ -61,7 +84,8 @@
                     let crashes = entry.crashes.into_iter();
                     let crashes =
                         crashes.map(|crash| (crash.upstream, Span::from_millis(crash.ran_ms)));
-                    suspects.restore(now, content, entry.customer.as_ref(), crashes);
+                    let (customer, companions) = (entry.customer.as_ref(), &entry.companions);
+                    suspects.restore(now, content, customer, crashes, companions);
                 }
                 Some(Err(e)) => tracing::warn!(%content, "poison: {e}"),
                 None => drop(suspects.lift_quarantine(now, content)),
--- a/components/fleet/src/event.rs
+++ b/components/fleet/src/event.rs
@@ -39,6 +39,8 @@
     Called(Purpose, Outcome),
     /// A message or request of another daemon.
     Peer { inbound: Inbound, arrived_at: Time },
+    /// Updates on suspected request contents wait for other daemons.
+    Suspected,
     /// Stop the control thread.
     Stop,
 }
--- a/components/fleet/src/quarantine.rs
+++ b/components/fleet/src/quarantine.rs
@@ -37,6 +37,9 @@
     /// The upstreams that crashed, each with the time for which it had been processing the content.
     #[serde(rename = "ends")]
     pub crashes: Vec<QuarantineCrash>,
+    /// For a part of prompts: other parts without which requests are not refused.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub companions: Vec<Content>,
 }
 
 /// An upstream that crashed while it was processing a content.
@@ -64,6 +67,7 @@
             customer: entry.customer.clone(),
             since,
             crashes: crashes.collect(),
+            companions: entry.companions.clone(),
         }
     }
 
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -8,13 +8,14 @@
 use membership::{Config, Membership};
 use mirror::Mirror;
 use peers::{Key, Keys, Peers};
+use poison::SharedSuspects;
 use store::Store;
 use traffic::Command;
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::codec::Codec;
-use crate::control::Control;
+use crate::control::{Control, SuspectGossip};
 use crate::error::FleetError;
 use crate::event::{Event, Purpose};
 use crate::peer_sync::PeerSync;
@@ -79,8 +80,8 @@
     };
     spawn("watch", move || watcher.run())?;
     let calls = spawn_calls(store, events.clone())?;
-    let commands = traffic.commands.clone();
-    let stopped = traffic.stopped.clone();
+    gossip_at_once(&traffic.suspects, events.clone());
+    let (commands, stopped) = (traffic.commands.clone(), traffic.stopped.clone());
     let key = format!("{}{}", codec.daemon_prefix(), settings.me);
     let control = Control {
         mirror: Mirror::default(),
@@ -105,7 +106,7 @@
         daemons: 1,
         fleet: Arc::default(),
         queue_delay: QueueDelay::default(),
-        next_suspect_gossip_at: Time::ZERO,
+        suspect_gossip: SuspectGossip::default(),
         settings,
         codec,
         clock,
@@ -119,6 +120,14 @@
     })
 }
 
+/// Lets the event loop's updates on suspected contents go out without waiting for the next tick.
+fn gossip_at_once(suspects: &SharedSuspects, events: flume::Sender<Event>) {
+    suspects.listen(move || {
+        // With a full queue the next tick sends the updates.
+        let _ = events.try_send(Event::Suspected);
+    });
+}
+
 /// Starts the thread that makes calls of the store, one after the other.
 fn spawn_calls(
     store: Arc<dyn Store>,
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -253,7 +253,7 @@
             started_at: None,
         };
         let under = CrashedAttempt {
-            content,
+            contents: content.into(),
             customer: None,
             had_started: true,
             ran: Span::from_millis(90),
--- a/components/poison/src/attempts.rs
+++ b/components/poison/src/attempts.rs
@@ -11,7 +11,7 @@
 
 use types::prelude::*;
 
-use crate::content::Content;
+use crate::content::{Content, Contents};
 
 /// Ended attempts are kept this long, since an upstream's entry leaves the list some four seconds
 /// after its crash.
@@ -48,11 +48,11 @@
     NotStarted,
 }
 
-/// A content that was in flight at an upstream when it crashed.
+/// An attempt that was in flight at an upstream when it crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashedAttempt {
-    /// The content that was in flight.
-    pub content: Content,
+    /// The contents of its request.
+    pub contents: Contents,
     /// The customer that sent the request.
     pub customer: Option<Arc<str>>,
     /// Whether the upstream had shown that it started to process it, by the first part of an
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone)]
 struct Attempt {
     id: AttemptId,
-    content: Content,
+    contents: Contents,
     customer: Option<Arc<str>>,
     sent_at: Time,
     had_started: bool,
@@ -101,7 +101,7 @@
             false => ended_at,
         };
         Some(CrashedAttempt {
-            content: self.content,
+            contents: self.contents.clone(),
             customer: self.customer.clone(),
             had_started: self.had_started,
             ran: stopped_at.since(self.began_at),
@@ -143,12 +143,12 @@
 }
 
 impl<U: Copy + Eq + Hash> Attempts<U> {
-    /// Records that a customer's content is sent to an upstream.
+    /// Records that a customer's request is sent to an upstream.
     pub fn sent(
         &mut self,
         now: Time,
         upstream: U,
-        content: Content,
+        contents: impl Into<Contents>,
         customer: Option<Arc<str>>,
     ) -> AttemptId {
         let id = AttemptId(self.next_id);
@@ -159,7 +159,7 @@
         }
         at_upstream.attempts.push(Attempt {
             id,
-            content,
+            contents: contents.into(),
             customer,
             sent_at: now,
             had_started: false,
@@ -236,7 +236,7 @@
             let is_given_up = attempt
                 .ended
                 .is_some_and(|(how, _)| how == AttemptEnd::GivenUp);
-            is_given_up && contents.contains(&attempt.content)
+            is_given_up && attempt.contents.iter().any(|own| contents.contains(&own))
         };
         let not_crashed = self
             .by_upstream
--- a/components/poison/src/content.rs
+++ b/components/poison/src/content.rs
@@ -1,19 +1,26 @@
-//! Identity of a request's content, the same for every attempt, retry and daemon.
+//! What of a request may crash upstreams, the same for every attempt, retry and daemon: its whole
+//! content, and the parts of its prompt that other requests carry as well.
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use sha2::{Digest, Sha256};
 
 /// Bytes of a content's id: enough that nobody finds two contents with the same id by trying.
 const ID_BYTES: usize = 16;
+/// First bytes of the id of a prompt's part, which no hash is expected to begin with.
+const PART_TAG: [u8; 8] = *b"\0prompt\0";
+/// Parts of one prompt tracked at most.
+const MAX_PARTS: usize = 16;
 
-/// Identifies what a request asks for: customer, host, method, path and body.
+/// Identifies what a request asks for, or a part of its prompt.
 ///
-/// It is a cryptographic hash of bytes that callers send, so nobody can craft a request with the
-/// id of another customer's content. What is added on the way is not part of it: the attempt's
-/// id, the deadline, the chosen model.
+/// For a whole request it is a cryptographic hash of customer, host, method, path and body, so
+/// nobody can craft a request with the id of another customer's content. What is added on the way
+/// is not part of it: the attempt's id, the deadline, the chosen model. A part of a prompt has the
+/// same id in the requests of all customers.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
@@ -41,6 +48,71 @@
         bytes.copy_from_slice(&digest[..ID_BYTES]);
         Self(bytes)
     }
+
+    /// Returns the id of a prompt's part.
+    #[must_use]
+    pub fn of_part(part: u64) -> Self {
+        let mut bytes = [0; ID_BYTES];
+        bytes[..PART_TAG.len()].copy_from_slice(&PART_TAG);
+        bytes[PART_TAG.len()..].copy_from_slice(&part.to_be_bytes());
+        Self(bytes)
+    }
+
+    /// Whether this is a part of prompts rather than a whole request.
+    #[must_use]
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_TAG)
+    }
+}
+
+/// The contents of one request: the request as a whole, and the shared parts of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Contents {
+    whole: Content,
+    parts: Arc<[Content]>,
+}
+
+impl Contents {
+    /// Combines a request's content with the ids of the shared parts of its prompt, of which a
+    /// bounded number is kept.
+    #[must_use]
+    pub fn new(whole: Content, parts: impl IntoIterator<Item = u64>) -> Self {
+        let parts = parts.into_iter().take(MAX_PARTS).map(Content::of_part);
+        Self {
+            whole,
+            parts: parts.collect(),
+        }
+    }
+
+    /// The request as a whole.
+    #[must_use]
+    pub fn whole(&self) -> Content {
+        self.whole
+    }
+
+    /// The request as a whole, then the parts of its prompt.
+    pub fn iter(&self) -> impl Iterator<Item = Content> {
+        std::iter::once(self.whole).chain(self.parts.iter().copied())
+    }
+
+    /// Whether the request is or carries a content.
+    #[must_use]
+    pub fn contains(&self, content: Content) -> bool {
+        self.iter().any(|own| own == content)
+    }
+}
+
+impl fmt::Display for Contents {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.whole)?;
+        self.parts.iter().try_for_each(|part| write!(f, "+{part}"))
+    }
+}
+
+impl From<Content> for Contents {
+    fn from(whole: Content) -> Self {
+        Self::new(whole, [])
+    }
 }
 
 impl fmt::Display for Content {
--- a/components/poison/src/policy.rs
+++ b/components/poison/src/policy.rs
@@ -15,6 +15,12 @@
 /// doubles it.
 const QUARANTINE_S: f64 = 30.0;
 
+/// Crashes under one part of prompts after which it is hardly tried any more: operators lift its
+/// quarantine, or the trials of [`LONG_QUARANTINE_S`] do.
+const MAX_PART_CRASHES: usize = 5;
+/// Quarantine of a part after so many crashes, in seconds.
+const LONG_QUARANTINE_S: f64 = 3_600.0;
+
 /// Settings for the quarantine of contents.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -41,12 +47,26 @@
 }
 
 impl PoisonPolicy {
-    /// How long a content is quarantined after this many crashes.
+    /// How long a request's content is quarantined after this many crashes.
     pub(crate) fn quarantine_duration(&self, crashes: usize) -> Span {
-        /// Bounds the quarantine: thirty seconds grow to sixteen minutes at most.
-        const MAX_DOUBLINGS: usize = 5;
         let extra = crashes.saturating_sub(self.least_ends as usize);
-        let factor = f64::from(1_u32 << extra.min(MAX_DOUBLINGS));
-        Span::from_secs_f64(self.bar_s * factor)
+        doubled(self.bar_s, extra)
+    }
+
+    /// How long a part of prompts is quarantined after this many crashes. Different requests carry
+    /// it, so that trials go on for as long as it is in use.
+    pub(crate) fn part_quarantine_duration(&self, crashes: usize) -> Span {
+        match crashes.checked_sub(MAX_PART_CRASHES) {
+            None => self.quarantine_duration(crashes),
+            Some(extra) => doubled(LONG_QUARANTINE_S, extra),
+        }
     }
 }
+
+/// A time in seconds, doubled as often as said, within bounds: thirty seconds grow to sixteen
+/// minutes at most.
+fn doubled(seconds: f64, times: usize) -> Span {
+    const MAX_DOUBLINGS: usize = 5;
+    let factor = f64::from(1_u32 << times.min(MAX_DOUBLINGS));
+    Span::from_secs_f64(seconds * factor)
+}
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -3,11 +3,16 @@
 //! Each daemon merges all updates, so that one crash each at three daemons counts as three, and
 //! judges by itself: the same updates lead to the same quarantines. When a quarantine expires, one
 //! daemon at a time sends the content once more, and the outcome of this half-open trial decides.
+//!
+//! A content is a whole request or a part of prompts. A part that crashes upstreams comes in many
+//! requests at once, so it is held back from its first crash on until it is known to be harmless
+//! ([`holding`]).
 
 mod answered;
 mod attribution;
 mod crashes;
 mod evidence;
+mod holding;
 mod outbox;
 
 use std::collections::{BTreeSet, HashMap};
@@ -17,7 +22,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempts::CrashedAttempt;
-use crate::content::Content;
+use crate::content::{Content, Contents};
 use crate::policy::PoisonPolicy;
 use crate::updates::{ContentEvent, ContentUpdate, ContentUpdates, UpstreamInstance};
 use answered::RecentlyAnswered;
@@ -31,6 +36,9 @@
 /// A content that had been processed for longer did not crash its upstream: one that crashes
 /// upstreams does so when they start to process it.
 const MAX_RAN: Span = Span::from_secs(3);
+/// The same bound for a part of prompts once an upstream shows that it started: crashing parts do
+/// so at once, and many requests carry the harmless ones.
+const MAX_PART_RAN: Span = Span::from_millis(500);
 /// Crashes are kept for this long after they happened, or after their content's quarantine expired.
 const CRASHES_KEPT: Span = Span::from_secs(600);
 /// Reports of crashes from before a content was cleared may arrive this much later.
@@ -42,6 +50,11 @@
 /// Delay between the trials of two daemons after a quarantine expires, so that every daemon has
 /// heard of the first trial before the next would start.
 const TRIAL_SPACING: Span = Span::from_millis(500);
+/// A peer's trial counts as this much older at each hop. A message loses the age of its way, so that
+/// a trial would otherwise seem new again and circulate.
+const TRIAL_HOP_AGE: Span = Span::from_millis(20);
+/// A trial is forwarded up to this age.
+const TRIAL_FORWARDED_FOR: Span = Span::from_secs(1);
 /// Bound on these delays in a large fleet.
 const MAX_TRIAL_SPREAD: Span = Span::from_secs(60);
 
@@ -59,6 +72,22 @@
     },
 }
 
+impl Admission {
+    /// The stricter of two decisions on one request.
+    fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Quarantined { until: a }, Self::Quarantined { until: b }) => {
+                Self::Quarantined { until: a.max(b) }
+            }
+            (strict @ Self::Quarantined { .. }, _) | (_, strict @ Self::Quarantined { .. }) => {
+                strict
+            }
+            (Self::Trial, _) | (_, Self::Trial) => Self::Trial,
+            (Self::Open, Self::Open) => Self::Open,
+        }
+    }
+}
+
 /// A quarantined content, for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quarantine {
@@ -72,6 +101,9 @@
     pub until: Time,
     /// Upstreams that crashed under it, and how long it had been processed there.
     pub crashes: Vec<(UpstreamInstance, Span)>,
+    /// Parts that cannot be told from a quarantined part: only requests that carry them as well are
+    /// refused.
+    pub companions: Vec<Content>,
 }
 
 /// A change of the set of quarantined contents.
@@ -140,10 +172,50 @@
         }
     }
 
+    /// Decides whether a request may be sent now, by all of its contents.
+    #[must_use]
+    pub fn admission_of(
+        &self,
+        now: Time,
+        contents: &Contents,
+        customer: Option<&str>,
+    ) -> Admission {
+        let quarantined = self.applying(contents, customer);
+        let admissions = quarantined.map(|content| self.admission(now, content));
+        admissions.fold(Admission::Open, Admission::stricter)
+    }
+
+    /// The contents of a request whose quarantine applies to it.
+    fn applying<'a>(
+        &'a self,
+        contents: &'a Contents,
+        customer: Option<&'a str>,
+    ) -> impl Iterator<Item = Content> + 'a {
+        let contents_of = (!self.suspects.is_empty()).then(|| contents.iter());
+        contents_of.into_iter().flatten().filter(move |content| {
+            let suspect = self.suspects.get(content);
+            let quarantined = suspect.filter(|suspect| suspect.quarantined_since.is_some());
+            quarantined.is_some_and(|suspect| suspect.applies_to(contents, customer))
+        })
+    }
+
+    /// The quarantined part of a request's prompt for which it is refused, if it is refused for one.
+    #[must_use]
+    pub fn quarantined_part(&self, contents: &Contents, customer: Option<&str>) -> Option<Content> {
+        self.applying(contents, customer)
+            .find(|content| content.is_part())
+    }
+
     /// How long after a quarantine's expiry this daemon may send the trial.
     fn trial_delay(&self, content: Content) -> Span {
-        let spread = TRIAL_SPACING.times(self.daemons.saturating_sub(1) as u64);
-        let spread = spread.min(MAX_TRIAL_SPREAD).as_micros();
+        self.turn_delay(content, TRIAL_SPACING, MAX_TRIAL_SPREAD)
+    }
+
+    /// How long this daemon waits for others that may send a content first: `spacing` between two
+    /// daemons, `max_spread` over all of them.
+    fn turn_delay(&self, content: Content, spacing: Span, max_spread: Span) -> Span {
+        let spread = spacing.times(self.daemons.saturating_sub(1) as u64);
+        let spread = spread.min(max_spread).as_micros();
         let draw = xxh3_64(content.to_string().as_bytes()) ^ self.daemon_hash;
         Span(draw % (spread + 1))
     }
@@ -162,6 +234,15 @@
         self.suspects.contains_key(&content)
     }
 
+    /// Records that this daemon sends a request as the trial after quarantines of its contents
+    /// expired.
+    pub fn trial_sent_of(&mut self, now: Time, contents: &Contents, customer: Option<&str>) {
+        let tried = self.applying(contents, customer).collect::<Vec<_>>();
+        for content in tried {
+            self.trial_sent(now, content);
+        }
+    }
+
     /// Records that this daemon sends a content as the trial after its quarantine expired.
     pub fn trial_sent(&mut self, now: Time, content: Content) {
         self.merge(now, content, ContentEvent::Trial, now);
@@ -177,22 +258,32 @@
         self.crashes.record(upstream, now);
         for attempt in attempts {
             let ran_ms = u32::try_from(attempt.ran.as_millis()).unwrap_or(u32::MAX);
-            let event = ContentEvent::Crashed {
-                upstream: upstream.clone(),
-                customer: attempt.customer.clone(),
-                had_started: attempt.had_started,
-                ran_ms,
-            };
-            self.merge(now, attempt.content, event, now);
+            let clears_parts = attempt.had_started && attempt.ran > MAX_PART_RAN;
+            let contents = attempt.contents.iter();
+            for content in contents.filter(|content| !(clears_parts && content.is_part())) {
+                let event = ContentEvent::Crashed {
+                    upstream: upstream.clone(),
+                    customer: attempt.customer.clone(),
+                    had_started: attempt.had_started,
+                    ran_ms,
+                };
+                self.merge(now, content, event, now);
+            }
         }
         self.reevaluate(now);
     }
 
-    /// Records that this daemon got a complete answer to a content.
-    pub fn answered(&mut self, now: Time, content: Content) {
-        self.answered.record(now, content);
-        if self.suspects.contains_key(&content) {
-            self.merge(now, content, ContentEvent::Answered, now);
+    /// Records that this daemon got a complete answer to a request with these contents.
+    pub fn answered(&mut self, now: Time, contents: impl Into<Contents>) {
+        let mut has_changed = false;
+        for content in contents.into().iter() {
+            self.answered.record(now, content);
+            if self.suspects.contains_key(&content) {
+                self.merge(now, content, ContentEvent::Answered, now);
+                has_changed = true;
+            }
+        }
+        if has_changed {
             self.reevaluate(now);
         }
     }
@@ -210,6 +301,7 @@
         content: Content,
         customer: Option<&Arc<str>>,
         crashes: impl IntoIterator<Item = (UpstreamInstance, Span)>,
+        companions: &[Content],
     ) {
         let known = self.suspects.get(&content);
         if known.is_some_and(|suspect| suspect.quarantined_since.is_some()) {
@@ -217,11 +309,15 @@
         }
         for (upstream, ran) in crashes {
             let crash = Crash {
+                customer: customer.cloned(),
                 had_started: true,
                 ran,
                 at: now,
             };
-            self.add_crash(content, customer, &upstream, crash);
+            for companion in companions {
+                self.add_crash(*companion, &upstream, crash.clone());
+            }
+            self.add_crash(content, &upstream, crash);
         }
         if let Some(suspect) = self.suspects.get_mut(&content) {
             suspect.is_restored = true;
@@ -265,7 +361,11 @@
             age_ms,
         } in updates.0
         {
-            let at = now - Span::from_millis(u64::from(age_ms));
+            let hop_age = match event {
+                ContentEvent::Trial => TRIAL_HOP_AGE,
+                _ => Span::ZERO,
+            };
+            let at = now - (Span::from_millis(u64::from(age_ms)) + hop_age);
             if let ContentEvent::Crashed { upstream, .. } = &event {
                 self.crashes.record(upstream, at);
                 crashed.insert(upstream.clone());
@@ -296,11 +396,12 @@
                 ran_ms,
             } => {
                 let crash = Crash {
+                    customer: customer.clone(),
                     had_started: *had_started,
                     ran: Span::from_millis(u64::from(*ran_ms)),
                     at,
                 };
-                self.add_crash(content, customer.as_ref(), upstream, crash)
+                self.add_crash(content, upstream, crash)
             }
             ContentEvent::Answered | ContentEvent::Lifted => self.clear(content, at),
             ContentEvent::Trial => {
@@ -308,7 +409,7 @@
                 suspect.is_some_and(|suspect| {
                     let is_newer = suspect.trial_at.is_none_or(|known| known < at);
                     suspect.trial_at = suspect.trial_at.max(Some(at));
-                    is_newer
+                    is_newer && now.since(at) < TRIAL_FORWARDED_FOR
                 })
             }
         };
@@ -318,13 +419,7 @@
     }
 
     /// Adds a crash to a content's evidence. Returns whether that changed anything.
-    fn add_crash(
-        &mut self,
-        content: Content,
-        customer: Option<&Arc<str>>,
-        upstream: &UpstreamInstance,
-        crash: Crash,
-    ) -> bool {
+    fn add_crash(&mut self, content: Content, upstream: &UpstreamInstance, crash: Crash) -> bool {
         if crash.ran > MAX_RAN || self.cleared_until(&content, crash.at).is_some() {
             return false;
         }
@@ -332,7 +427,8 @@
             self.make_room();
         }
         let suspect = self.suspects.entry(content).or_default();
-        suspect.customer = customer.cloned();
+        suspect.is_part = content.is_part();
+        suspect.customer = crash.customer.clone();
         suspect.add(upstream.clone(), crash)
     }
 
@@ -383,6 +479,12 @@
         self.outbox.push(now, content, event, at);
     }
 
+    /// Whether updates wait to be sent to other daemons.
+    #[must_use]
+    pub fn has_updates(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
     /// Takes the updates to send to other daemons now.
     pub fn take_updates(&mut self, now: Time) -> ContentUpdates {
         let suspects = &self.suspects;
--- a/components/poison/src/suspects/attribution.rs
+++ b/components/poison/src/suspects/attribution.rs
@@ -35,7 +35,16 @@
         while let Some(content) = self.least_likely(&culprits) {
             culprits.add(content, &self.suspects[&content]);
         }
+        let companions = self.companions(&culprits);
         for (content, suspect) in &mut self.suspects {
+            let explained = match suspect.is_part {
+                true => &culprits.explained_by_parts,
+                false => &culprits.explained,
+            };
+            let mut crashes = suspect.crashes.keys();
+            suspect.is_explained = crashes.all(|upstream| explained.contains(upstream));
+            let companions = companions.get(content);
+            suspect.companions = companions.cloned().unwrap_or_default();
             match (
                 suspect.quarantined_since,
                 culprits.contents.contains(content),
@@ -56,8 +65,24 @@
             .retain(|_, suspect| !suspect.crashes.is_empty());
     }
 
+    /// For each part of prompts among the culprits, the other parts that cannot be told from it: they
+    /// were in flight at all of its crashes as well.
+    fn companions(&self, culprits: &Culprits) -> HashMap<Content, Vec<Content>> {
+        let parts = culprits.contents.iter().filter(|content| content.is_part());
+        let with_companions = parts.map(|part| {
+            let suspect = &self.suspects[part];
+            let others = self.suspects.iter();
+            let others = others.filter(|(other, _)| other.is_part() && *other != part);
+            let companions = others.filter(|(_, other)| suspect.is_always_with(other));
+            let mut companions = companions.map(|(other, _)| *other).collect::<Vec<_>>();
+            companions.sort_unstable();
+            (*part, companions)
+        });
+        with_companions.collect()
+    }
+
     /// Of the contents whose crashes chance does not explain, the one with the least likely
-    /// crashes.
+    /// crashes; of two with the same, a whole request rather than a part of its prompt.
     fn least_likely(&self, culprits: &Culprits) -> Option<Content> {
         let others = self.suspects.iter();
         let others = others.filter(|(content, _)| !culprits.contents.contains(*content));
@@ -69,7 +94,10 @@
             let chance = suspect.chance(&culprits.explained, &self.crashes)?;
             (chance <= threshold.chance).then_some((chance / threshold.chance, *content))
         });
-        let least_likely = candidates.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let least_likely = candidates.min_by(|(a_chance, a), (b_chance, b)| {
+            let by_chance = a_chance.total_cmp(b_chance);
+            by_chance.then((a.is_part(), a).cmp(&(b.is_part(), b)))
+        });
         least_likely.map(|(_, content)| content)
     }
 
@@ -106,14 +134,20 @@
     contents: BTreeSet<Content>,
     /// Crashes that these contents explain.
     explained: BTreeSet<UpstreamInstance>,
+    /// Those of them that a part of prompts explains. A single request does not clear the parts of
+    /// its own prompt.
+    explained_by_parts: BTreeSet<UpstreamInstance>,
     by_customer: HashMap<Arc<str>, usize>,
 }
 
 impl Culprits {
     fn add(&mut self, content: Content, suspect: &Suspect) {
-        let crashes = suspect.counted();
-        self.explained
-            .extend(crashes.map(|(upstream, _)| upstream.clone()));
+        let upstreams = suspect.counted().map(|(upstream, _)| upstream.clone());
+        let upstreams = upstreams.collect::<Vec<_>>();
+        if suspect.is_part {
+            self.explained_by_parts.extend(upstreams.iter().cloned());
+        }
+        self.explained.extend(upstreams);
         self.contents.insert(content);
         if let Some(customer) = &suspect.customer {
             *self.by_customer.entry(customer.clone()).or_default() += 1;
--- a/components/poison/src/suspects/evidence.rs
+++ b/components/poison/src/suspects/evidence.rs
@@ -13,7 +13,7 @@
 
 use super::Quarantine;
 use super::crashes::UpstreamCrashes;
-use crate::content::Content;
+use crate::content::{Content, Contents};
 use crate::policy::PoisonPolicy;
 use crate::updates::UpstreamInstance;
 
@@ -34,8 +34,10 @@
 const BYSTANDER_RAN_S: f64 = 0.5;
 
 /// A crash of an upstream while a content was in flight there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Crash {
+    /// The customer whose request it was.
+    pub(crate) customer: Option<Arc<str>>,
     /// Whether the upstream had shown that it started to process the content.
     pub(crate) had_started: bool,
     /// How long the content had been processed there.
@@ -52,6 +54,8 @@
 /// The evidence against one content.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Suspect {
+    /// Whether it is a part of prompts rather than a whole request.
+    pub(crate) is_part: bool,
     pub(crate) customer: Option<Arc<str>>,
     pub(crate) crashes: BTreeMap<UpstreamInstance, Crash>,
     /// When a daemon last sent it as a trial.
@@ -60,6 +64,11 @@
     pub(crate) quarantined_since: Option<Time>,
     /// Whether its quarantine was read from the store, and holds without local evidence.
     pub(crate) is_restored: bool,
+    /// Whether quarantined contents explain all of its crashes.
+    pub(crate) is_explained: bool,
+    /// Other parts that were in flight at all of its crashes: while it is quarantined, only
+    /// requests that carry them as well are refused.
+    pub(crate) companions: Vec<Content>,
 }
 
 impl Suspect {
@@ -69,8 +78,8 @@
         if let Some(known) = self.crashes.get_mut(&upstream) {
             let is_better = (!crash.had_started, crash.ran) < (!known.had_started, known.ran);
             if is_better {
-                known.had_started = crash.had_started;
-                known.ran = crash.ran;
+                let at = known.at;
+                *known = Crash { at, ..crash };
             }
             return is_better;
         }
@@ -111,7 +120,34 @@
 
     /// When its quarantine expires.
     pub(crate) fn expires_at(&self, policy: &PoisonPolicy) -> Time {
-        self.last_crash_at() + policy.quarantine_duration(self.count())
+        let duration = match self.is_part {
+            true => policy.part_quarantine_duration(self.count()),
+            false => policy.quarantine_duration(self.count()),
+        };
+        self.last_crash_at() + duration
+    }
+
+    /// The customer whose requests crashed the upstreams; none if there were several.
+    pub(crate) fn only_customer(&self) -> Option<&Arc<str>> {
+        let mut customers = self.counted().map(|(_, crash)| crash.customer.as_ref());
+        let first = customers.next()??;
+        customers.all(|other| other == Some(first)).then_some(first)
+    }
+
+    /// Whether its quarantine applies to a request that carries it.
+    ///
+    /// Callers name the parts of their prompts. Until a second customer's request has crashed an
+    /// upstream, the part is quarantined for the first one only.
+    pub(crate) fn applies_to(&self, contents: &Contents, customer: Option<&str>) -> bool {
+        let is_own = |only: &Arc<str>| customer == Some(&**only);
+        let is_of_customer = !self.is_part || self.only_customer().is_none_or(is_own);
+        is_of_customer && self.companions.iter().all(|part| contents.contains(*part))
+    }
+
+    /// Whether another content was in flight at all crashes of this one.
+    pub(crate) fn is_always_with(&self, other: &Self) -> bool {
+        let mut crashes = self.counted();
+        crashes.all(|(upstream, _)| other.crashes.contains_key(upstream))
     }
 
     /// Its quarantine as shown to operators, if it is quarantined.
@@ -124,6 +160,7 @@
             since: self.quarantined_since?,
             until: self.expires_at(policy),
             crashes: crashes.collect(),
+            companions: self.companions.clone(),
         })
     }
 
--- a/components/poison/src/suspects/outbox.rs
+++ b/components/poison/src/suspects/outbox.rs
@@ -15,9 +15,12 @@
 const MAX_WAITING: usize = 256;
 /// Updates sent in one message, of some 60 bytes each.
 const MAX_PER_MESSAGE: usize = 64;
-/// A crash or trial is not sent a second time for this long, which exceeds the time that a message
-/// takes between two daemons.
+/// A crash is not sent a second time for this long, which exceeds the time that a message takes
+/// between two daemons.
 const CRASH_SENT_KEPT: Span = Span::from_secs(10);
+/// The same for trials, of which the next one may follow soon. One that is still forwarded after
+/// this time has aged at each hop, and is dropped.
+const TRIAL_SENT_KEPT: Span = Span::from_millis(500);
 /// The same for answers and lifted quarantines, which recur: a content is answered again and again,
 /// and each answer may clear crashes that came since.
 const CLEARING_SENT_KEPT: Span = Span::from_secs(1);
@@ -47,9 +50,10 @@
 #[derive(Debug, Default)]
 struct Sent {
     expires_at: HashMap<u64, Time>,
-    /// Keys and expiry of crashes and trials, and below of answers and lifted quarantines, the
+    /// Keys and expiry of crashes, below of trials, and of answers and lifted quarantines, the
     /// earliest first.
     crashes: VecDeque<(u64, Time)>,
+    trials: VecDeque<(u64, Time)>,
     clearings: VecDeque<(u64, Time)>,
 }
 
@@ -67,9 +71,8 @@
             return false;
         }
         let (order, expires_at) = match event {
-            ContentEvent::Crashed { .. } | ContentEvent::Trial => {
-                (&mut self.crashes, now + CRASH_SENT_KEPT)
-            }
+            ContentEvent::Crashed { .. } => (&mut self.crashes, now + CRASH_SENT_KEPT),
+            ContentEvent::Trial => (&mut self.trials, now + TRIAL_SENT_KEPT),
             ContentEvent::Answered | ContentEvent::Lifted => {
                 (&mut self.clearings, now + CLEARING_SENT_KEPT)
             }
@@ -80,7 +83,7 @@
     }
 
     fn expire(&mut self, now: Time) {
-        for order in [&mut self.crashes, &mut self.clearings] {
+        for order in [&mut self.crashes, &mut self.trials, &mut self.clearings] {
             while let Some((key, _)) =
                 order.pop_front_if(|(_, expires_at)| now.has_reached(*expires_at))
             {
@@ -121,6 +124,10 @@
         }
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Takes the updates to send now; `crash_count` gives the number of crashes of a content.
     ///
     /// Trials and clearings go first, then the contents with the most crashes, and what finds no
--- a/components/poison/tests/attempts.rs
+++ b/components/poison/tests/attempts.rs
@@ -15,7 +15,7 @@
 
 fn crashed_under(name: &str, ran_ms: u64) -> CrashedAttempt {
     CrashedAttempt {
-        content: content(name),
+        contents: content(name).into(),
         customer: None,
         had_started: true,
         ran: Span::from_millis(ran_ms),
--- a/components/poison/tests/fleet/parts.rs
+++ b/components/poison/tests/fleet/parts.rs
@@ -34,6 +34,7 @@
         all.crashes_of_one = all.crashes_of_one.max(one.crashes_of_one);
         all.sends_after_five = all.sends_after_five.max(one.sends_after_five);
         all.late_sends = all.late_sends.max(one.late_sends);
+        all.withdrawn += one.withdrawn;
         all.beside += one.beside;
         all.served_beside += one.served_beside;
         all.requests += one.requests;
@@ -111,6 +112,36 @@
     check("crashes beside it", &scenario, 8);
 }
 
+#[test]
+fn a_part_is_quarantined_beside_the_loss_of_a_failure_domain() {
+    let scenario = Scenario {
+        rack_losses: Some((Span::from_secs(7), 0.3)),
+        ..scenario(Position::Later)
+    };
+    check("a failure domain lost beside it", &scenario, 8);
+}
+
+#[test]
+fn a_part_is_quarantined_beside_a_version_that_crashes() {
+    let scenario = Scenario {
+        bad_version: Some((2, 0.2)),
+        ..scenario(Position::First)
+    };
+    check("a bad version beside it", &scenario, 8);
+}
+
+#[test]
+fn a_part_of_one_customer_is_quarantined_in_a_large_fleet() {
+    let scenario = Scenario {
+        daemons: 88,
+        upstreams: 90,
+        requests_per_s: 300.0,
+        of_one: true,
+        ..scenario(Position::First)
+    };
+    check("first, one customer, 88 daemons", &scenario, 2);
+}
+
 #[test]
 fn no_part_is_quarantined_for_crashes_by_themselves() {
     for (name, scenario) in crashing_scenarios() {
--- a/components/poison/tests/gossip.rs
+++ b/components/poison/tests/gossip.rs
@@ -76,7 +76,7 @@
     /// Crashes an upstream while it processes new requests of one daemon.
     fn crash(&mut self, upstream: usize, daemon: usize, requests: usize) {
         let crashed = (0..requests).map(|n| CrashedAttempt {
-            content: content(upstream, daemon, n),
+            contents: content(upstream, daemon, n).into(),
             customer: None,
             had_started: true,
             ran: Span::from_millis(900),
--- a/components/poison/tests/support/simulation.rs
+++ b/components/poison/tests/support/simulation.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use poison::{
-    Admission, AttemptEnd, Attempts, Content, ContentUpdates, PoisonPolicy, Suspects,
+    Admission, AttemptEnd, Attempts, Content, ContentUpdates, Contents, PoisonPolicy, Suspects,
     UpstreamInstance,
 };
 use rand::{Rng, RngExt, SeedableRng};
@@ -96,6 +96,8 @@
     pub crashes_of_one: usize,
     /// Attempts of a culprit later than a second after its fifth crash; the most of any culprit.
     pub sends_after_five: usize,
+    /// Ordinary requests that were taken back from an upstream for a suspected part.
+    pub withdrawn: usize,
     /// Ordinary requests that arrived while culprits were sent, and long enough before the end.
     pub beside: usize,
     /// Of these, those that were answered.
@@ -121,13 +123,22 @@
 /// Id of the first culprit that is a part.
 const CULPRIT_PART: u64 = 1_000_000;
 const GOSSIP_INTERVAL: Span = Span::from_millis(100);
+/// Least interval between a daemon's messages.
+const MIN_GOSSIP_INTERVAL: Span = Span::from_millis(50);
 const MESSAGE_DELAY: Span = Span::from_millis(5);
+/// How long a request is held back at most.
+const MAX_HOLD: Span = Span::from_secs(3);
+const POLL: Span = Span::from_millis(10);
+/// Interval at which a daemon looks at requests that have not started.
+const WAIT_CHECK: Span = Span::from_millis(50);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrives(usize),
     Sent(usize),
     Starts(usize, u32),
+    /// A daemon looks whether a request that has not started should go on waiting.
+    Checked(usize, u32),
     Answered(usize, u32),
     /// An upstream crashes without a culprit.
     Crashes(usize),
@@ -135,6 +146,8 @@
     CrashesUnder(UpstreamStart, usize),
     Restarts(usize),
     SendsUpdates(usize),
+    /// A daemon learned something that others should know soon.
+    HasUpdates(usize),
     ReceivesUpdates(usize, usize),
     RackLoss,
 }
@@ -150,13 +163,24 @@
     daemon: usize,
     attempt_number: u32,
     at: Option<(UpstreamStart, poison::AttemptId)>,
+    sent_at: Time,
+    has_started: bool,
+    /// Until when it may be held back.
+    hold_until: Option<Time>,
     is_retry: bool,
 }
 
+impl Request {
+    fn contents(&self) -> Contents {
+        Contents::new(self.content, self.parts.iter().copied())
+    }
+}
+
 /// An upstream and the number of its instance.
 type UpstreamStart = (usize, u64);
 
 struct Daemon {
+    next_gossip_at: Time,
     suspects: Suspects,
     attempts: Attempts<UpstreamStart>,
 }
@@ -177,6 +201,7 @@
     refused: BTreeSet<Content>,
     hit: BTreeSet<Content>,
     answered: BTreeSet<Content>,
+    withdrawn: BTreeSet<Content>,
     count: usize,
 }
 
@@ -199,6 +224,7 @@
             let mut suspects = Suspects::new(PoisonPolicy::default(), &format!("d{n}"));
             suspects.set_fleet(scenario.daemons, scenario.upstreams);
             Daemon {
+                next_gossip_at: Time::ZERO,
                 suspects,
                 attempts: Attempts::default(),
             }
@@ -217,6 +243,7 @@
             refused: BTreeSet::new(),
             hit: BTreeSet::new(),
             answered: BTreeSet::new(),
+            withdrawn: BTreeSet::new(),
             count: 0,
             scenario,
         };
@@ -309,8 +336,8 @@
         let daemon = self.rng.random_range(0..self.scenario.daemons);
         let customer = match culprit {
             Some(_) if self.scenario.of_one => 0,
-            Some(culprit) => culprit,
-            None => self.rng.random_range(0..CUSTOMERS),
+            Some(culprit) if self.scenario.position.is_none() => culprit,
+            _ => self.rng.random_range(0..CUSTOMERS),
         };
         self.requests.push(Request {
             content,
@@ -321,6 +348,9 @@
             daemon,
             attempt_number: 0,
             at: None,
+            sent_at: at,
+            has_started: false,
+            hold_until: None,
             is_retry,
         });
         self.schedule(at, Event::Arrives(self.requests.len() - 1));
@@ -343,6 +373,7 @@
             }
             Event::Sent(n) => self.send(n),
             Event::Starts(n, attempt_number) => self.start(n, attempt_number),
+            Event::Checked(n, attempt_number) => self.check_waiting(n, attempt_number),
             Event::Answered(n, attempt_number) => self.answer(n, attempt_number),
             Event::Crashes(upstream) => self.crash_upstream(upstream),
             Event::CrashesUnder((upstream, start), culprit) => {
@@ -362,6 +393,7 @@
                 self.send_updates(daemon);
                 self.schedule_after(GOSSIP_INTERVAL, Event::SendsUpdates(daemon));
             }
+            Event::HasUpdates(daemon) => self.send_updates(daemon),
             Event::ReceivesUpdates(daemon, message) => {
                 let updates = self.messages[message].clone();
                 self.daemons[daemon]
@@ -381,16 +413,13 @@
     }
 
     fn send(&mut self, n: usize) {
-        let Request {
-            content,
-            daemon,
-            culprit,
-            ..
-        } = self.requests[n];
+        let request = self.requests[n].clone();
+        let (daemon, culprit, content) = (request.daemon, request.culprit, request.content);
+        let (contents, customer) = (request.contents(), request.customer.as_deref());
         let suspects = &mut self.daemons[daemon].suspects;
-        match suspects.admission(self.now, content) {
+        match suspects.admission_of(self.now, &contents, customer) {
             Admission::Open => {}
-            Admission::Trial => suspects.trial_sent(self.now, content),
+            Admission::Trial => suspects.trial_sent_of(self.now, &contents, customer),
             Admission::Quarantined { .. } => {
                 if culprit.is_none() {
                     self.refused.insert(content);
@@ -398,6 +427,15 @@
                 return;
             }
         }
+        let hold_until = request.hold_until.unwrap_or(self.now + MAX_HOLD);
+        self.requests[n].hold_until = Some(hold_until);
+        let held_until = suspects.held_until(self.now, &contents, customer);
+        if let Some(until) = held_until.filter(|_| self.now < hold_until) {
+            return self.schedule(until.min(self.now + POLL), Event::Sent(n));
+        }
+        suspects.probe_sent(self.now, &contents, customer);
+        self.send_updates(daemon);
+        self.requests[n].hold_until = None;
         let up = (0..self.upstreams.len()).filter(|u| self.upstreams[*u].1);
         let up = up.collect::<Vec<_>>();
         if up.is_empty() || self.requests[n].attempt_number >= MAX_ATTEMPTS {
@@ -414,13 +452,46 @@
         let customer = self.requests[n].customer.clone();
         let attempt = self.daemons[daemon]
             .attempts
-            .sent(self.now, upstream, content, customer);
+            .sent(self.now, upstream, contents, customer);
         let request = &mut self.requests[n];
         request.attempt_number += 1;
         request.at = Some((upstream, attempt));
+        request.sent_at = self.now;
+        request.has_started = false;
         let attempt_number = request.attempt_number;
         let wait = Span::from_millis(self.rng.random_range(5..self.scenario.wait_ms));
         self.schedule_after(wait, Event::Starts(n, attempt_number));
+        self.schedule_after(WAIT_CHECK, Event::Checked(n, attempt_number));
+    }
+
+    /// Takes a request back that no upstream has started, if one of its contents is quarantined or
+    /// suspected by now.
+    fn check_waiting(&mut self, n: usize, attempt_number: u32) {
+        let Some((upstream, attempt)) = self.current_attempt(n, attempt_number) else {
+            return;
+        };
+        let request = &self.requests[n];
+        if request.has_started {
+            return;
+        }
+        let (contents, customer) = (request.contents(), request.customer.as_deref());
+        let daemon = &mut self.daemons[request.daemon];
+        let admission = daemon.suspects.admission_of(self.now, &contents, customer);
+        let is_quarantined = matches!(admission, Admission::Quarantined { .. });
+        let sent_at = request.sent_at;
+        let suspects = &daemon.suspects;
+        if is_quarantined || suspects.should_withdraw(self.now, &contents, customer, sent_at) {
+            let end = AttemptEnd::GivenUp;
+            daemon
+                .attempts
+                .attempt_ended(self.now, upstream, attempt, end);
+            self.requests[n].at = None;
+            if self.requests[n].culprit.is_none() {
+                self.withdrawn.insert(self.requests[n].content);
+            }
+            return self.schedule(self.now, Event::Sent(n));
+        }
+        self.schedule_after(WAIT_CHECK, Event::Checked(n, attempt_number));
     }
 
     /// Callers of an ordinary request that failed retry once; a culprit's callers keep sending
@@ -449,6 +520,7 @@
             return;
         };
         let daemon = self.requests[n].daemon;
+        self.requests[n].has_started = self.scenario.shows_start;
         if self.scenario.shows_start {
             self.daemons[daemon]
                 .attempts
@@ -471,15 +543,13 @@
             return;
         };
         self.requests[n].at = None;
-        let Request {
-            daemon, content, ..
-        } = self.requests[n];
-        self.answered.insert(content);
-        let daemon = &mut self.daemons[daemon];
+        let request = self.requests[n].clone();
+        self.answered.insert(request.content);
+        let daemon = &mut self.daemons[request.daemon];
         daemon
             .attempts
             .attempt_ended(self.now, upstream, attempt, AttemptEnd::Answered);
-        daemon.suspects.answered(self.now, content);
+        daemon.suspects.answered(self.now, request.contents());
     }
 
     fn crash_upstream(&mut self, upstream: usize) {
@@ -507,12 +577,13 @@
                 self.hit.insert(request.content);
             }
         }
-        for daemon in daemons {
-            let daemon = &mut self.daemons[daemon];
+        for number in daemons {
+            let daemon = &mut self.daemons[number];
             let crashed = daemon.attempts.upstream_crashed(now, upstream, Time::ZERO);
             daemon
                 .suspects
                 .upstream_crashed(now, &instance, &crashed.unwrap_or_default());
+            self.send_updates(number);
         }
         in_flight
             .into_iter()
@@ -521,10 +592,15 @@
     }
 
     fn send_updates(&mut self, daemon: usize) {
+        let next_at = self.daemons[daemon].next_gossip_at;
+        if self.now < next_at {
+            return self.schedule(next_at, Event::HasUpdates(daemon));
+        }
         let updates = self.daemons[daemon].suspects.take_updates(self.now);
         if updates.0.is_empty() {
             return;
         }
+        self.daemons[daemon].next_gossip_at = self.now + MIN_GOSSIP_INTERVAL;
         self.messages.push(updates);
         let message = self.messages.len() - 1;
         let others = (0..self.scenario.daemons).filter(|other| *other != daemon);
@@ -575,6 +651,7 @@
                 .max()
                 .unwrap_or(0),
             sends_after_five: after_five.max().unwrap_or(0),
+            withdrawn: self.withdrawn.len(),
             beside: beside.clone().count(),
             served_beside: beside
                 .filter(|r| self.answered.contains(&r.content))
--- a/components/poison/tests/suspects.rs
+++ b/components/poison/tests/suspects.rs
@@ -31,7 +31,7 @@
 
 fn crashed_under(name: &str, ran_ms: u64) -> CrashedAttempt {
     CrashedAttempt {
-        content: content(name),
+        contents: content(name).into(),
         customer: None,
         had_started: true,
         ran: Span::from_millis(ran_ms),
@@ -280,7 +280,7 @@
         suspects.upstream_crashed(at(0), &upstream(n), &[]);
     }
     let ends = (0..3).map(|n| (upstream(n), Span::from_millis(900)));
-    suspects.restore(at(0), content("poison"), None, ends);
+    suspects.restore(at(0), content("poison"), None, ends, &[]);
     assert!(is_quarantined(&suspects, at(100), "poison"));
     assert!(suspects.take_updates(at(100)).0.is_empty());
     suspects.answered(at(200), content("poison"));
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dispatch::{Advertised, Brittleness, Choice, RetryReason, UpstreamIndex, UpstreamOutcome};
 use http1::write::push_length;
@@ -14,7 +15,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::connect::ConnectFailure;
 use crate::exchange::Request;
-use crate::relay::{SILENCE_POLL, give_up_reason};
+use crate::relay::give_up_reason;
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
 
@@ -27,6 +28,8 @@
 /// Share of the route's objective after which a silent upstream of a plain service is abandoned for
 /// another.
 const SILENT_SHARE: f64 = 0.7;
+/// Interval at which a request that waits for its answer is looked at.
+const WAIT_POLL: Duration = Duration::from_millis(50);
 /// The rank that upstreams treat as ordinary; lower ranks go first.
 const ORDINARY_RANK: u8 = 5;
 
@@ -65,8 +68,10 @@
     Silent,
     /// The connection broke.
     Broken(&'static str),
-    /// The content was quarantined while the request waited.
+    /// One of its contents was quarantined while the request waited.
     Quarantined,
+    /// An upstream crashed under a part of its prompt while the request waited.
+    Withdrawn,
 }
 
 impl Failure {
@@ -82,6 +87,10 @@
                 UpstreamOutcome::Cancelled,
                 SendResult::MayHaveRun("barred while it waited"),
             ),
+            Self::Withdrawn => (
+                UpstreamOutcome::Cancelled,
+                SendResult::MayHaveRun("taken back for a suspected part of its prompt"),
+            ),
         }
     }
 }
@@ -154,6 +163,8 @@
     pub(crate) has_failed: bool,
     /// Whether to switch to another upstream when this one is silent.
     pub(crate) may_switch: bool,
+    /// Whether the request may be retried after this attempt.
+    pub(crate) has_attempt_left: bool,
     /// Whether this is the half-open trial of a quarantined content.
     pub(crate) is_trial: bool,
     /// The peer through which the request goes, for the log.
@@ -412,7 +423,7 @@
         guard: &AttemptGuard<T>,
     ) -> Result<AnswerHead, Failure> {
         let mut read = std::pin::pin!(self.matching_head(wire));
-        let mut ticker = tokio::time::interval(SILENCE_POLL);
+        let mut ticker = tokio::time::interval(WAIT_POLL);
         loop {
             tokio::select! {
                 biased;
@@ -427,6 +438,9 @@
                     if self.is_quarantined() {
                         return Err(Failure::Quarantined);
                     }
+                    if self.should_withdraw(guard) {
+                        return Err(Failure::Withdrawn);
+                    }
                 }
             }
         }
@@ -436,11 +450,16 @@
     /// upstreams before the update on the quarantine would crash them one after another as their
     /// turn comes.
     fn is_quarantined(&self) -> bool {
-        !self.is_trial
-            && self
-                .shared
-                .quarantined_until(self.request.content)
-                .is_some()
+        !self.is_trial && self.shared.is_quarantined(self.request)
+    }
+
+    /// Whether the request should be taken back from an upstream that has not started it, since
+    /// upstreams may crash under a part of its prompt.
+    fn should_withdraw(&self, guard: &AttemptGuard<T>) -> bool {
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
+        let (now, sent_at) = (self.shared.now(), guard.sent_at());
+        let suspects = self.shared.cfg.suspects.lock();
+        self.has_attempt_left && suspects.should_withdraw(now, contents, customer, sent_at)
     }
 
     /// Whether the request waits on a path that is lost, and may be retried on another.
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use dispatch::{AnswerStart, ArmCounts, Choice, Load, Ticket, UpstreamIndex, UpstreamOutcome};
-use poison::{AttemptEnd, AttemptId, Content};
+use poison::{AttemptEnd, AttemptId, Contents};
 use types::prelude::*;
 
 use crate::arm::Arm;
@@ -20,7 +20,7 @@
     index: UpstreamIndex,
     ticket: Ticket,
     attempt: AttemptId,
-    content: Content,
+    contents: Contents,
     load: Load,
     arm: Option<Arm>,
     /// Set where the answer is evidence on a rollout.
@@ -58,17 +58,17 @@
             let mut awaited = shared.awaited.borrow_mut();
             awaited.add(now, arm, choice.index, &choice.load)
         });
-        let content = request.content;
+        let contents = request.contents.clone();
         let customer = request.customer.as_ref().map(|c| c.name.clone());
         let mut attempts = shared.attempts.borrow_mut();
-        let attempt = attempts.sent(now, choice.index, content, customer);
+        let attempt = attempts.sent(now, choice.index, contents.clone(), customer);
         drop(attempts);
         let guard = Self {
             shared: Rc::clone(shared),
             index: choice.index,
             ticket,
             attempt,
-            content,
+            contents,
             load: choice.load,
             arm,
             awaited,
@@ -205,7 +205,7 @@
         self.shared.attempt_ended(
             self.index,
             self.attempt,
-            self.content,
+            &self.contents,
             attempt_end(self.outcome),
         );
         self.take_awaited();
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http1::{Framing, Head, Kind, Wire};
-use poison::Content;
+use poison::{Content, Contents};
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
 
@@ -134,10 +134,11 @@
         Err((reply, why)) => return refuse(&ask.attempt, reply, why).await,
     };
     let content = content_of(&head, routed.customer.as_deref(), &body.bytes);
+    let contents = Contents::new(content, shared_parts(&ask));
     let request = Request {
         head,
         ask,
-        content,
+        contents,
         table: routed.table,
         route: routed.route,
         customer: routed.customer,
@@ -273,6 +274,13 @@
     Content::of(customer, host, method, target, body)
 }
 
+/// The parts of a request's prompt that other requests may carry as well: all but the last.
+fn shared_parts(ask: &Ask) -> impl Iterator<Item = u64> {
+    let parts = ask.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id)
+}
+
 /// The target's path without its query.
 fn path_of(head: &Head) -> &str {
     let Kind::Request { target, .. } = &head.kind else {
--- a/components/traffic/src/crashes.rs
+++ b/components/traffic/src/crashes.rs
@@ -11,7 +11,7 @@
 
 use dispatch::{LastSeen, UpstreamIndex};
 use http1::probe_refused;
-use poison::{AttemptEnd, AttemptId, Content, CrashedAttempt, UpstreamInstance};
+use poison::{AttemptEnd, AttemptId, Contents, CrashedAttempt, UpstreamInstance};
 use tokio::sync::mpsc::UnboundedReceiver;
 use types::prelude::*;
 
@@ -62,12 +62,12 @@
 }
 
 impl<T> Shared<T> {
-    /// Notes that an attempt of a content has ended.
+    /// Notes that an attempt of a request with these contents has ended.
     pub(crate) fn attempt_ended(
         &self,
         index: UpstreamIndex,
         attempt: AttemptId,
-        content: Content,
+        contents: &Contents,
         end: AttemptEnd,
     ) {
         let now = self.now();
@@ -78,7 +78,7 @@
             end => end,
         };
         if end == AttemptEnd::Answered {
-            self.cfg.suspects.lock().answered(now, content);
+            self.cfg.suspects.lock().answered(now, contents.clone());
         }
         let crashed = self
             .attempts
@@ -87,7 +87,10 @@
         // A dropped draft of a content with crash evidence may still crash the upstream.
         let needs_probe = match end {
             AttemptEnd::Broken => true,
-            AttemptEnd::GivenUp => self.cfg.suspects.lock().has_crashes(content),
+            AttemptEnd::GivenUp => {
+                let suspects = self.cfg.suspects.lock();
+                contents.iter().any(|content| suspects.has_crashes(content))
+            }
             _ => false,
         };
         if let Some(crashed) = crashed {
@@ -170,7 +173,7 @@
         let spec = &upstream.spec;
         let named = crashed.iter().take(MAX_LOGGED_CONTENTS);
         let named =
-            named.map(|crashed| format!("{} {}ms", crashed.content, crashed.ran.as_millis()));
+            named.map(|crashed| format!("{} {}ms", crashed.contents, crashed.ran.as_millis()));
         tracing::warn!(
             upstream = spec.id.as_str(),
             service = &*spec.service,
@@ -184,13 +187,18 @@
             .suspects
             .lock()
             .upstream_crashed(self.now(), &upstream.instance(), crashed);
+        self.cfg.suspects.notify();
         self.probe_earlier(crashed);
     }
 
     /// Probes upstreams at which the same contents were given up before they were suspected: if no
     /// other request was in flight there, their crash breaks no connection.
     fn probe_earlier(&self, crashed: &[CrashedAttempt]) {
-        let contents = crashed.iter().map(|crashed| crashed.content).collect();
+        let suspects = self.cfg.suspects.lock();
+        let contents = crashed.iter().flat_map(|crashed| crashed.contents.iter());
+        let contents = contents.filter(|content| suspects.has_crashes(*content));
+        let contents = contents.collect();
+        drop(suspects);
         let earlier = self.attempts.borrow().given_up(&contents);
         earlier.into_iter().for_each(|index| self.probe(index));
     }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -9,7 +9,7 @@
 
 use dispatch::{Cascade, Load, NoUpstream, RetryReason, UpstreamIndex, UpstreamOutcome};
 use http1::{Head, Wire};
-use poison::Content;
+use poison::Contents;
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,12 +41,19 @@
     pub(crate) route: Arc<Route>,
     pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) body: Body<T>,
-    pub(crate) content: Content,
+    pub(crate) contents: Contents,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
     pub(crate) keeps_alive: bool,
 }
 
+impl<T> Request<T> {
+    /// Name of the customer that sent it.
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| &*customer.name)
+    }
+}
+
 /// What to do after an attempt.
 enum Next {
     Finished(Finish),
@@ -148,6 +155,7 @@
         loop {
             if self.is_suspect() {
                 self.shared.await_probes().await;
+                self.wait_while_held().await;
             }
             if let Some(until) = self.quarantined_until() {
                 return self.refuse_quarantined(until).await;
@@ -204,7 +212,10 @@
 
     /// Refuses a request with a quarantined content at once.
     async fn refuse_quarantined(&mut self, until: Time) -> Finish {
-        let why = "upstreams crashed under its content";
+        let why = match self.log_quarantined_part() {
+            true => "upstreams crashed under a part of its prompt",
+            false => "upstreams crashed under its content",
+        };
         if self.relay.has_begun() {
             return Finish::cut(why);
         }
@@ -239,6 +250,7 @@
             has_delivered: self.relay.has_begun(),
             has_failed: self.has_failed,
             may_switch: self.may_switch(),
+            has_attempt_left: self.has_attempt_left(),
             is_trial: self.is_trial,
             peer: &self.peer,
         };
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -16,6 +16,12 @@
 const MAX_WAIT_SHARE: f64 = 0.4;
 /// Interval at which it looks for one.
 const ROOM_POLL: Duration = Duration::from_millis(10);
+/// How long a request waits at most for others to show whether a suspected part of its prompt
+/// crashes upstreams, and the share of its time that this may take.
+const MAX_HOLD: Span = Span::from_secs(3);
+const MAX_HOLD_SHARE: f64 = 0.5;
+/// Interval at which it looks whether they have.
+const HOLD_POLL: Duration = Duration::from_millis(10);
 
 impl<T: Translator> Exchange<'_, T> {
     /// Until when the request's content is quarantined; none if it isn't. Takes the half-open trial
@@ -29,30 +35,66 @@
             return None;
         }
         let now = self.shared.now();
-        let content = self.request.content;
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
         let mut suspects = self.shared.cfg.suspects.lock();
-        match suspects.admission(now, content) {
+        match suspects.admission_of(now, contents, customer) {
             Admission::Open => None,
             Admission::Quarantined { until } => Some(until),
             Admission::Trial => {
-                suspects.trial_sent(now, content);
+                suspects.trial_sent_of(now, contents, customer);
                 self.is_trial = true;
                 None
             }
         }
     }
 
-    /// Whether its content was quarantined while the request was in flight.
+    /// Whether one of its contents was quarantined while the request was in flight.
     pub(super) fn is_quarantined(&self) -> bool {
-        self.shared
-            .quarantined_until(self.request.content)
-            .is_some()
+        self.shared.is_quarantined(self.request)
     }
 
-    /// Whether its content is close to being quarantined.
+    /// Whether its content is close to being quarantined, or a part of its prompt is suspected.
     pub(super) fn is_suspect(&self) -> bool {
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
         let suspects = self.shared.cfg.suspects.lock();
-        suspects.is_suspect(self.request.content)
+        suspects.is_suspect_of(contents, customer)
+    }
+
+    /// Waits while other requests show whether a suspected part of the prompt crashes upstreams.
+    pub(super) async fn wait_while_held(&self) {
+        let now = self.shared.now();
+        let left = now.until(self.request.deadline).as_secs_f64();
+        let max_hold = Span::from_secs_f64(left * MAX_HOLD_SHARE).min(MAX_HOLD);
+        let deadline = now + max_hold;
+        while self.is_held() && !self.shared.now().has_reached(deadline) {
+            tokio::time::sleep(HOLD_POLL).await;
+        }
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
+        let now = self.shared.now();
+        let mut suspects = self.shared.cfg.suspects.lock();
+        suspects.probe_sent(now, contents, customer);
+        drop(suspects);
+        self.shared.cfg.suspects.notify();
+    }
+
+    fn is_held(&self) -> bool {
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
+        let suspects = self.shared.cfg.suspects.lock();
+        let held_until = suspects.held_until(self.shared.now(), contents, customer);
+        held_until.is_some()
+    }
+
+    /// Logs the quarantined part of the prompt for which the request is refused; false if there is
+    /// none.
+    pub(super) fn log_quarantined_part(&self) -> bool {
+        let (contents, customer) = (&self.request.contents, self.request.customer_name());
+        let part = self.shared.cfg.suspects.lock();
+        let part = part.quarantined_part(contents, customer);
+        if let Some(part) = part {
+            let id = &*self.request.ask.attempt;
+            tracing::info!(id, %part, "requests: a part of the prompt is quarantined");
+        }
+        part.is_some()
     }
 
     /// Chooses an upstream for a model.
@@ -108,8 +150,12 @@
     /// Whether to switch away from a silent upstream: only while another attempt is left in case an
     /// upstream breaks.
     pub(super) fn may_switch(&self) -> bool {
+        self.has_attempt_left() && self.shared.cfg.policy.timing.leaves_silent
+    }
+
+    /// Whether the request may be sent again after one more run.
+    pub(super) fn has_attempt_left(&self) -> bool {
         let is_allowed = self.request.route.retry.is_allowed();
-        let is_allowed = is_allowed && self.shared.cfg.policy.timing.leaves_silent;
         is_allowed && self.runs + 1 < self.request.route.max_attempts
     }
 
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -30,7 +30,7 @@
 /// Longest pause that is on time where the route names none.
 const DEFAULT_PAUSE: Span = Span::from_secs(2);
 /// Interval at which silence is checked.
-pub(crate) const SILENCE_POLL: Duration = Duration::from_millis(100);
+const SILENCE_POLL: Duration = Duration::from_millis(100);
 
 /// How relaying from one upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -85,7 +85,7 @@
             first_ms = first,
             ms = now.since(request.arrived_at).as_millis(),
             events = self.events,
-            content = %request.content,
+            content = %request.contents.whole(),
             session = request.ask.session.map(|session| format!("{session:016x}")),
             "requests: ended"
         );
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -9,7 +9,7 @@
     TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
-use poison::{Admission, Attempts, Content};
+use poison::{Admission, Attempts};
 use rand::rngs::SmallRng;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -18,6 +18,7 @@
 use crate::arm::BrokenAnswer;
 use crate::awaited::AwaitedAnswers;
 use crate::config::Config;
+use crate::exchange::Request;
 use crate::metrics::Metrics;
 use crate::plan::{Plan, Validation};
 
@@ -248,13 +249,12 @@
         f(budget)
     }
 
-    /// Until when a request content is quarantined; none if it isn't.
-    pub(crate) fn quarantined_until(&self, content: Content) -> Option<Time> {
+    /// Whether one of a request's contents is quarantined.
+    pub(crate) fn is_quarantined(&self, request: &Request<T>) -> bool {
+        let (contents, customer) = (&request.contents, request.customer_name());
         let suspects = self.cfg.suspects.lock();
-        match suspects.admission(self.now(), content) {
-            Admission::Quarantined { until } => Some(until),
-            Admission::Open | Admission::Trial => None,
-        }
+        let admission = suspects.admission_of(self.now(), contents, customer);
+        matches!(admission, Admission::Quarantined { .. })
     }
 
     /// Converts a time to the runtime's clock.
