Tell a crash from the end of an answer that ends with its connection

An answer with neither a length nor chunks ends with its connection.

After such an end the upstream is looked at: an idle connection to it that is still open shows that it lives, or a new one does that is still open 10 ms later, and is kept for the next request. One that refuses or closes has crashed: the answer is broken, a stream is resumed where the route allows, and the crash counts. An upstream that is leaving may close on purpose.

--- a/components/http1/src/pool.rs
+++ b/components/http1/src/pool.rs
@@ -52,6 +52,21 @@
         None
     }
 
+    /// Whether an idle connection to an upstream is still open.
+    #[must_use]
+    pub fn has_open(&self, upstream: K) -> bool {
+        let connections = self.idle.get(&upstream).into_iter().flatten();
+        let mut wires = connections.map(|connection| &connection.wire);
+        wires.any(Wire::is_idle)
+    }
+
+    /// Adds a connection that has carried no request yet.
+    pub fn put_unused(&mut self, now: Time, upstream: K, wire: Wire) {
+        if wire.is_idle() {
+            self.add(upstream, wire, now + DEFAULT_KEEP_ALIVE);
+        }
+    }
+
     /// Adds a connection after a complete response with this head, unless it must be closed.
     pub fn put(&mut self, now: Time, upstream: K, wire: Wire, head: &Head) {
         if !head.keeps_alive() || !wire.is_idle() {
@@ -60,12 +75,15 @@
         let span = advertised_keep_alive(head).map_or(DEFAULT_KEEP_ALIVE, |advertised| {
             advertised - KEEP_ALIVE_MARGIN
         });
+        if span > Span::ZERO {
+            self.add(upstream, wire, now + span);
+        }
+    }
+
+    fn add(&mut self, upstream: K, wire: Wire, expires_at: Time) {
         let connections = self.idle.entry(upstream).or_default();
-        if span > Span::ZERO && connections.len() < MAX_IDLE_PER_UPSTREAM {
-            connections.push(IdleConnection {
-                wire,
-                expires_at: now + span,
-            });
+        if connections.len() < MAX_IDLE_PER_UPSTREAM {
+            connections.push(IdleConnection { wire, expires_at });
         }
     }
 
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -33,6 +33,9 @@
 /// The rank that upstreams treat as ordinary; lower ranks go first.
 const ORDINARY_RANK: u8 = 5;
 
+/// Why an answer that ended with its connection is not complete.
+pub(crate) const CRASHED_AT_END: &str = "its upstream crashed as its answer ended";
+
 /// Result of one send.
 pub(crate) enum SendResult<T> {
     /// Nothing arrived at the upstream.
@@ -117,6 +120,11 @@
         self.guard.note_first_output(self.model.as_ref());
     }
 
+    /// Whether the stream ended with its connection because the upstream crashed.
+    pub(crate) async fn has_crashed_at_end(&self) -> bool {
+        self.shared.has_crashed_at_end(self.index).await
+    }
+
     /// Notes that something was read.
     pub(crate) fn note_heard(&self) {
         self.guard.note_heard();
@@ -522,6 +530,10 @@
             guard.end(UpstreamOutcome::Incomplete);
             return SendResult::MayHaveRun("broke within its answer");
         };
+        if reader.ends_with_connection() && self.shared.has_crashed_at_end(index).await {
+            guard.end(UpstreamOutcome::Incomplete);
+            return SendResult::MayHaveRun(CRASHED_AT_END);
+        }
         let is_success = head.status() < 500;
         guard.end(if is_success {
             UpstreamOutcome::Good
--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a peer is asked while a direct connection is still being opened.
 const PEER_DELAY: Duration = Duration::from_millis(100);
+/// Time within which all connections of a program that crashes are closed.
+const CLOSE_DELAY: Duration = Duration::from_millis(10);
 /// Interval at which a lost path is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// An upstream's connection is closed when sent bytes, or keep-alive probes, stay unacknowledged for
@@ -198,6 +200,40 @@
     }
 }
 
+impl<T> Shared<T> {
+    /// Whether an upstream, one of whose answers has just ended with its connection, has crashed. A
+    /// program that crashes closes its connections like one that has finished an answer; all of
+    /// them, and it takes no new ones.
+    pub(crate) async fn has_crashed_at_end(self: &Rc<Self>, index: UpstreamIndex) -> bool {
+        tokio::time::sleep(CLOSE_DELAY).await;
+        let spec = self.upstreams.borrow().spec(index).cloned();
+        let is_leaving = self.upstreams.borrow().is_leaving(index);
+        let Some(spec) = spec.filter(|_| !is_leaving) else {
+            return self.attempts.borrow().has_crashed(index);
+        };
+        if self.attempts.borrow().has_crashed(index) {
+            return true;
+        }
+        if self.pool.borrow().has_open(index) {
+            return false;
+        }
+        match self.connect_upstream(index, &spec).await {
+            Ok(connection) => {
+                let closed = connection.wire.closed(usize::MAX);
+                let has_crashed = timeout(CLOSE_DELAY, closed).await.is_ok();
+                let mut pool = self.pool.borrow_mut();
+                pool.put_unused(self.now(), index, connection.wire);
+                has_crashed
+            }
+            Err(ConnectFailure::Refused) => {
+                self.upstream_refuses(index);
+                true
+            }
+            Err(ConnectFailure::Unreachable) => false,
+        }
+    }
+}
+
 /// Probes lost paths one after the other, and the next one at once after one that works.
 pub(crate) async fn probe_lost_paths<T: 'static>(shared: Rc<Shared<T>>) {
     loop {
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -9,7 +9,7 @@
 use types::prelude::*;
 
 use crate::answer::{push_connection, push_head};
-use crate::attempt::Stream;
+use crate::attempt::{CRASHED_AT_END, Stream};
 use crate::attempt_guard::AttemptGuard;
 use crate::exchange::Request;
 use crate::shared::Shared;
@@ -57,6 +57,8 @@
 enum NextRead {
     Events(Vec<Event>),
     End,
+    /// The connection ended after a whole event, and the stream with it.
+    EndOfConnection,
     Broken(&'static str, UpstreamOutcome),
 }
 
@@ -119,7 +121,12 @@
             stream.note_heard();
             let events = match next {
                 NextRead::Events(events) => events,
-                NextRead::End => return self.end(caller, stream, has_event, keeps_alive).await,
+                NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
+                    return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
+                }
+                NextRead::End | NextRead::EndOfConnection => {
+                    return self.end(caller, stream, has_event, keeps_alive).await;
+                }
                 NextRead::Broken(why, outcome) => return RelayEnd::Broken(why, outcome),
             };
             if !has_event {
@@ -223,7 +230,12 @@
             return end_reason(splitter);
         }
         match stream.wire.fill().await {
-            Ok(0) if stream.reader.ends_with_connection() => return end_reason(splitter),
+            Ok(0) if stream.reader.ends_with_connection() => {
+                return match end_reason(splitter) {
+                    NextRead::End => NextRead::EndOfConnection,
+                    broken => broken,
+                };
+            }
             Ok(0) | Err(_) => {
                 return NextRead::Broken("cut within its stream", UpstreamOutcome::Incomplete);
             }
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod bounds;
 mod crashes;
+mod endings;
 mod limits;
 mod quarantine;
 mod shutdown;
