Failing test: rates that upstreams advertise lie idle while one daemon has the callers

A balancer may hand most new connections to one daemon for some seconds. All that is divided evenly by the number of daemons then starves it; of the retry budget only the allowance is. Not mended: shares that follow the load need a message between daemons that cannot let two of them use one share.

--- a/components/ratelimit/tests/it/fleet.rs
+++ b/components/ratelimit/tests/it/fleet.rs
@@ -85,6 +85,29 @@
     }
 }
 
+// Guards against shares of a rate that lie idle while one daemon has the callers.
+#[test]
+fn limits_are_used_while_one_daemon_gets_most_requests() {
+    let limits = || (0..12).map(|n| Some(2.0 + f64::from(n) / 10.0)).collect();
+    let used = |scenario: &Scenario| {
+        let outcomes = limited_outcomes(scenario);
+        let used = outcomes.iter().map(|(_, outcome)| outcome.limited);
+        used.sum::<usize>() as f64
+    };
+    for scenario in scenarios(|scenario| {
+        scenario.limits = limits();
+        scenario.requests_per_s = 30.0;
+    }) {
+        let skewed = Scenario {
+            skewed: Some((8, 30)),
+            ..scenario.clone()
+        };
+        check_all(&skewed);
+        let share = used(&skewed) / used(&scenario);
+        assert!(share >= 0.75, "{share} of the usual requests, {skewed:?}");
+    }
+}
+
 #[test]
 fn a_limit_is_kept_though_messages_between_daemons_are_lost() {
     scenarios(|scenario| scenario.lost = 0.5).for_each(|scenario| check_all(&scenario));
--- a/components/ratelimit/tests/it/world.rs
+++ b/components/ratelimit/tests/it/world.rs
@@ -22,6 +22,9 @@
 const SMALL_FLEET: usize = 16;
 const GOSSIP_FANOUT: usize = 4;
 
+/// Share of the requests that one daemon gets while they are skewed.
+const SKEWED_SHARE: f64 = 0.9;
+
 /// What is simulated.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -44,6 +47,8 @@
     pub join_every: Option<Span>,
     /// Second at which all daemons are killed and restart.
     pub killed_all_at: Option<u64>,
+    /// Span of seconds in which one daemon gets nine of ten requests.
+    pub skewed: Option<(u64, u64)>,
 }
 
 impl Default for Scenario {
@@ -60,6 +65,7 @@
             cut: None,
             join_every: None,
             killed_all_at: None,
+            skewed: None,
         }
     }
 }
@@ -359,7 +365,12 @@
         let mut count = mean as usize;
         count += usize::from(self.rng.random_bool(mean.fract()));
         for _ in 0..count {
-            let daemon = self.rng.random_range(0..self.daemons.len());
+            let skewed = self.scenario.skewed;
+            let is_skewed = skewed.is_some_and(|(from, to)| now >= secs(from) && now < secs(to));
+            let daemon = match is_skewed && self.rng.random_bool(SKEWED_SHARE) {
+                true => 0,
+                false => self.rng.random_range(0..self.daemons.len()),
+            };
             let this = &self.daemons[daemon];
             if !this.is_up {
                 continue;
