--- a/components/poison/src/policy.rs
+++ b/components/poison/src/policy.rs
@@ -15,8 +15,8 @@
 /// doubles it.
 const QUARANTINE_S: f64 = 30.0;
 
-/// Crashes under one part of prompts after which it is hardly tried any more: operators lift its
-/// quarantine, or the trials of [`LONG_QUARANTINE_S`] do.
+/// Crashes under one part of prompts after which its quarantine lasts [`LONG_QUARANTINE_S`]:
+/// operators know by then.
 const MAX_PART_CRASHES: usize = 5;
 /// Quarantine of a part after so many crashes, in seconds.
 const LONG_QUARANTINE_S: f64 = 3_600.0;
@@ -63,8 +63,7 @@
     }
 }
 
-/// A time in seconds, doubled as often as said, within bounds: thirty seconds grow to sixteen
-/// minutes at most.
+/// Doubles a duration in seconds, five times at most: thirty seconds grow to sixteen minutes.
 fn doubled(seconds: f64, times: usize) -> Span {
     const MAX_DOUBLINGS: usize = 5;
     let factor = f64::from(1_u32 << times.min(MAX_DOUBLINGS));
--- a/components/poison/src/suspects.rs
+++ b/components/poison/src/suspects.rs
@@ -258,9 +258,9 @@
         self.crashes.record(upstream, now);
         for attempt in attempts {
             let ran_ms = u32::try_from(attempt.ran.as_millis()).unwrap_or(u32::MAX);
-            let clears_parts = attempt.had_started && attempt.ran > MAX_PART_RAN;
+            let is_long_started = attempt.had_started && attempt.ran > MAX_PART_RAN;
             let contents = attempt.contents.iter();
-            for content in contents.filter(|content| !(clears_parts && content.is_part())) {
+            for content in contents.filter(|content| !(is_long_started && content.is_part())) {
                 let event = ContentEvent::Crashed {
                     upstream: upstream.clone(),
                     customer: attempt.customer.clone(),
