--- a/components/poison/tests/parts.rs
+++ b/components/poison/tests/parts.rs
@@ -109,7 +109,7 @@
     assert!(!is_refused(&restarted, at(10), &[CRASHING, BESIDE], "bob"));
 }
 
-// Guards against a sound part that a daemon with less evidence wrote to the store.
+// A daemon with less evidence wrote a sound part to the store.
 #[test]
 fn a_part_that_was_just_answered_is_not_adopted_from_the_store() {
     let mut suspects = suspects();
@@ -159,7 +159,7 @@
     assert!(!should_withdraw(&request(11, &[OTHER]), at(250), at(50)));
 }
 
-// Guards against daemons that hear of the first probe only, and send all they hold at the second.
+// Daemons that hear of the first probe only send all that they hold back at the second.
 #[test]
 fn each_probe_is_told_to_other_daemons() {
     let mut suspects = suspects();
--- a/components/ratelimit/tests/it/fleet.rs
+++ b/components/ratelimit/tests/it/fleet.rs
@@ -85,7 +85,7 @@
     }
 }
 
-// Guards against shares of a rate that lie idle while one daemon has the callers.
+// The shares of other daemons are idle while one has the callers.
 #[test]
 fn limits_are_used_while_one_daemon_gets_most_requests() {
     let limits = || (0..12).map(|n| Some(2.0 + f64::from(n) / 10.0)).collect();
--- a/components/traffic/tests/it/endings.rs
+++ b/components/traffic/tests/it/endings.rs
@@ -76,7 +76,7 @@
     assert!(text.ends_with(END), "{text}");
 }
 
-// Guards against a crash between two events that reads as the end of the stream.
+// A crash between two events looks like the end of the stream.
 #[test]
 fn a_stream_that_ends_with_a_crash_is_resumed() {
     for _ in 0..4 {
@@ -116,7 +116,7 @@
     }
 }
 
-// Guards against a crash that clears the suspicion of the request which caused it.
+// A crash that counts as an answer clears the request that caused it.
 #[test]
 fn a_request_whose_crashes_end_its_streams_is_quarantined() {
     let requests = Arc::new(AtomicUsize::new(0));
--- a/daemon/tests/prompt_parts.rs
+++ b/daemon/tests/prompt_parts.rs
@@ -36,7 +36,7 @@
     run_seed(58, Poison::LaterPart, Faults::Calm);
 }
 
-// Guards against a quarantine that is lost with the daemons which learned it.
+// A quarantine is lost with the daemons that know it.
 #[test]
 fn a_quarantined_part_outlives_daemon_restarts() {
     run_seed(59, Poison::LaterPart, Faults::Any);
