Add up the outcomes of simulated seeds in one place

Two tests of the simulated fleet merged the worst and the sums of their seeds by the same lines; Outcome::add serves both.

--- a/components/poison/tests/fleet.rs
+++ b/components/poison/tests/fleet.rs
@@ -36,11 +36,7 @@
             ..scenario.clone()
         });
         assert!(one.late_sends <= LATE_SENDS, "{name}, seed {seed}: {one:?}");
-        all.crashes = all.crashes.max(one.crashes);
-        all.late_sends = all.late_sends.max(one.late_sends);
-        all.requests += one.requests;
-        all.hit += one.hit;
-        all.refused += one.refused;
+        all.add(&one);
     }
     println!("{name}: {all:?}");
     assert!(
--- a/components/poison/tests/fleet/parts.rs
+++ b/components/poison/tests/fleet/parts.rs
@@ -30,16 +30,7 @@
             seed,
             ..scenario.clone()
         });
-        all.crashes = all.crashes.max(one.crashes);
-        all.crashes_of_one = all.crashes_of_one.max(one.crashes_of_one);
-        all.sends_after_five = all.sends_after_five.max(one.sends_after_five);
-        all.late_sends = all.late_sends.max(one.late_sends);
-        all.withdrawn += one.withdrawn;
-        all.beside += one.beside;
-        all.served_beside += one.served_beside;
-        all.requests += one.requests;
-        all.hit += one.hit;
-        all.refused += one.refused;
+        all.add(&one);
     }
     println!("{name}: {all:?}");
     all
--- a/components/poison/tests/support/simulation.rs
+++ b/components/poison/tests/support/simulation.rs
@@ -110,6 +110,22 @@
     pub refused: usize,
 }
 
+impl Outcome {
+    /// Adds another seed: the worst of crashes and sends, and sums of the request counts.
+    pub fn add(&mut self, one: &Self) {
+        self.crashes = self.crashes.max(one.crashes);
+        self.late_sends = self.late_sends.max(one.late_sends);
+        self.crashes_of_one = self.crashes_of_one.max(one.crashes_of_one);
+        self.sends_after_five = self.sends_after_five.max(one.sends_after_five);
+        self.withdrawn += one.withdrawn;
+        self.beside += one.beside;
+        self.served_beside += one.served_beside;
+        self.requests += one.requests;
+        self.hit += one.hit;
+        self.refused += one.refused;
+    }
+}
+
 const MAX_ATTEMPTS: u32 = 3;
 const CUSTOMERS: usize = 10;
 const RESTART_AFTER: Span = Span::from_millis(3_500);
