Failing tests: first tries while one daemon gets most requests

Reproduced in simulated fleets whose refused callers come back through another daemon at once, as the platform's callers do; the tests so far had callers that pause or do not come back, and pass.

--- a/components/dispatch/tests/brittle.rs
+++ b/components/dispatch/tests/brittle.rs
@@ -24,8 +24,12 @@
 const MAX_WAIT_MS: u64 = 120;
 /// Length of a simulated run, in ms.
 const RUN_MS: u64 = 12_000;
-/// Time from which a burst lasts until the end, in ms.
+/// Time from which a burst, or a crowd at one daemon, lasts until the end, in ms.
 const BURST_MS: u64 = 4_000;
+/// Time from which first tries count while one daemon is crowded, in ms.
+const CROWD_COUNTS_MS: u64 = 8_000;
+/// Share of the requests that a crowded daemon gets.
+const CROWDED_SHARE: f64 = 0.9;
 
 fn at(ms: u64) -> Time {
     Time::ZERO + Span::from_millis(ms)
@@ -57,7 +61,8 @@
 /// A request that waits at its daemon.
 struct Waiting {
     daemon: usize,
-    until_ms: u64,
+    arrived_ms: u64,
+    is_retry: bool,
 }
 
 /// One simulated upstream.
@@ -85,6 +90,20 @@
     sent: usize,
     served: usize,
     worst_second: usize,
+    /// Before one daemon is crowded, and from [`CROWD_COUNTS_MS`] on.
+    first_tries: [FirstTries; 2],
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct FirstTries {
+    asked: usize,
+    served: usize,
+}
+
+impl FirstTries {
+    fn share(self) -> f64 {
+        self.served as f64 / self.asked.max(1) as f64
+    }
 }
 
 struct Fleet {
@@ -92,6 +111,9 @@
     servers: Vec<Server>,
     waiting: Vec<Waiting>,
     advertised: Brittleness,
+    /// Whether one daemon gets most requests from [`BURST_MS`] on, and refused ones are tried once
+    /// more at another daemon, at once.
+    is_crowded: bool,
     rng: SmallRng,
     outcome: Outcome,
 }
@@ -114,6 +136,7 @@
             servers: (0..servers).map(|_| Server::default()).collect(),
             waiting: Vec::new(),
             advertised,
+            is_crowded: false,
             rng: SmallRng::seed_from_u64(7),
             outcome: Outcome::default(),
         }
@@ -142,17 +165,50 @@
     /// A caller's request arrives at some daemon.
     fn arrive(&mut self, ms: u64) {
         self.outcome.sent += 1;
-        let daemon = self.rng.random_range(0..self.daemons.len());
-        let until_ms = ms + MAX_WAIT_MS;
-        self.send(ms, Waiting { daemon, until_ms });
+        let is_crowded = self.is_crowded && ms >= BURST_MS;
+        let daemon = match is_crowded && self.rng.random_bool(CROWDED_SHARE) {
+            true => 0,
+            false => self.rng.random_range(0..self.daemons.len()),
+        };
+        if let Some(first_tries) = self.first_tries(ms) {
+            first_tries.asked += 1;
+        }
+        let request = Waiting {
+            daemon,
+            arrived_ms: ms,
+            is_retry: false,
+        };
+        self.send(ms, request);
+    }
+
+    /// The count of first tries that one which arrived at `ms` belongs to.
+    fn first_tries(&mut self, ms: u64) -> Option<&mut FirstTries> {
+        match ms {
+            ..BURST_MS => Some(&mut self.outcome.first_tries[0]),
+            BURST_MS..CROWD_COUNTS_MS => None,
+            CROWD_COUNTS_MS.. => Some(&mut self.outcome.first_tries[1]),
+        }
+    }
+
+    /// A daemon refuses a request.
+    fn refuse(&mut self, ms: u64, request: &Waiting) {
+        if self.is_crowded && !request.is_retry {
+            let retry = Waiting {
+                daemon: self.rng.random_range(0..self.daemons.len()),
+                arrived_ms: ms,
+                is_retry: true,
+            };
+            self.send(ms, retry);
+        }
     }
 
     /// Sends a request, or lets it wait for room.
     fn send(&mut self, ms: u64, request: Waiting) {
         let daemon = request.daemon;
         let Ok((index, load)) = self.choose(ms, daemon, &[]) else {
-            if ms < request.until_ms {
-                self.waiting.push(request);
+            match ms < request.arrived_ms + MAX_WAIT_MS {
+                true => self.waiting.push(request),
+                false => self.refuse(ms, &request),
             }
             return;
         };
@@ -175,6 +231,11 @@
             sent_at: at(ms),
             ends_ms: ms + WORK_MS,
         });
+        if !request.is_retry
+            && let Some(first_tries) = self.first_tries(request.arrived_ms)
+        {
+            first_tries.served += 1;
+        }
     }
 
     fn finish(&mut self, ms: u64) {
@@ -257,6 +318,23 @@
     assert!(outcome.worst_second <= MAX_REJECTIONS, "{outcome:?}");
 }
 
+/// The daemon with the callers had one part of the room, and refused what the others could send.
+#[test]
+fn first_tries_are_served_while_one_daemon_gets_most_requests_for_brittle_upstreams() {
+    for (daemons, servers) in [(6, 4), (12, 12), (40, 12), (88, 5), (300, 8)] {
+        let mut fleet = Fleet::new(daemons, servers, brittle());
+        fleet.is_crowded = true;
+        let outcome = fleet.play(0.3, 1.0);
+        let [before, crowded] = outcome.first_tries;
+        let share = crowded.share() / before.share();
+        assert!(share >= 0.75, "{share}, {daemons} daemons: {outcome:?}");
+        assert!(
+            outcome.worst_second <= MAX_REJECTIONS,
+            "{daemons} daemons: {outcome:?}"
+        );
+    }
+}
+
 /// Admission would leave brittle upstreams idle.
 #[test]
 fn brittle_upstreams_serve_an_ordinary_load() {
--- a/components/ratelimit/tests/it/fleet.rs
+++ b/components/ratelimit/tests/it/fleet.rs
@@ -3,7 +3,7 @@
 
 use types::prelude::*;
 
-use crate::world::{Outcome, Scenario, simulate};
+use crate::world::{Outcome, Scenario, simulate, simulate_first_tries};
 
 const FLEETS: [usize; 4] = [6, 20, 88, 300];
 
@@ -108,6 +108,36 @@
     }
 }
 
+/// Checks that first tries are served at least three quarters as often as before while one daemon
+/// gets most requests, from four seconds on.
+fn check_first_tries(scenario: &Scenario) {
+    let skewed = Scenario {
+        limits: vec![Some(24.0); 12],
+        requests_per_s: 220.0,
+        advertised: (5, 38),
+        skewed: Some((18, 38)),
+        retries: true,
+        ..scenario.clone()
+    };
+    check_all(&skewed);
+    let [before, crowded] = simulate_first_tries(&skewed, [(12, 18), (22, 38)]);
+    let share = crowded.share() / before.share();
+    assert!(share >= 0.75, "{before:?}, {crowded:?}, {skewed:?}");
+}
+
+// Refused callers come back through the other daemons at once, whose shares are then in use.
+#[test]
+fn first_tries_are_served_while_one_daemon_gets_most_requests_and_refused_ones_try_others() {
+    scenarios(|_| {}).for_each(|scenario| check_first_tries(&scenario));
+}
+
+// A daemon that leaves the balancer's rotation hands the crowd on to another one.
+#[test]
+fn first_tries_are_served_while_the_daemon_that_gets_most_requests_changes() {
+    scenarios(|scenario| scenario.skew_moves_every = Some(Span::from_secs(4)))
+        .for_each(|scenario| check_first_tries(&scenario));
+}
+
 // While fleets change, a share that is lent may get a second owner.
 #[test]
 fn limits_are_kept_while_shares_are_lent_in_a_changing_fleet() {
--- a/components/ratelimit/tests/it/world.rs
+++ b/components/ratelimit/tests/it/world.rs
@@ -52,6 +52,10 @@
     pub killed_all_at: Option<u64>,
     /// Span of seconds in which one daemon gets nine of ten requests.
     pub skewed: Option<(u64, u64)>,
+    /// Interval at which another daemon gets them.
+    pub skew_moves_every: Option<Span>,
+    /// Whether a refused request is tried once more at another daemon, at once.
+    pub retries: bool,
 }
 
 impl Default for Scenario {
@@ -69,6 +73,8 @@
             join_every: None,
             killed_all_at: None,
             skewed: None,
+            skew_moves_every: None,
+            retries: false,
         }
     }
 }
@@ -93,6 +99,19 @@
     }
 }
 
+/// First tries of requests in a span of seconds.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FirstTries {
+    pub asked: usize,
+    pub served: usize,
+}
+
+impl FirstTries {
+    pub fn share(self) -> f64 {
+        self.served as f64 / self.asked.max(1) as f64
+    }
+}
+
 struct Daemon {
     id: DaemonId,
     limits: RateLimits,
@@ -142,6 +161,8 @@
     loans: Vec<LoanMessage>,
     next_event: u64,
     arrivals: Vec<Vec<(Time, bool)>>,
+    /// First tries by the second in which they were made.
+    first_tries: BTreeMap<u64, FirstTries>,
 }
 
 fn secs(seconds: u64) -> Time {
@@ -150,6 +171,29 @@
 
 /// Simulates a scenario and returns the outcome for each upstream.
 pub fn simulate(scenario: &Scenario) -> Vec<Outcome> {
+    let simulation = run(scenario);
+    let arrivals = simulation.arrivals.iter();
+    arrivals
+        .map(|arrivals| outcome(scenario, arrivals))
+        .collect()
+}
+
+/// Simulates a scenario and returns the first tries in each of these spans of seconds.
+pub fn simulate_first_tries<const N: usize>(
+    scenario: &Scenario,
+    spans: [(u64, u64); N],
+) -> [FirstTries; N] {
+    let simulation = run(scenario);
+    spans.map(|(from, to)| {
+        let seconds = simulation.first_tries.range(from..to);
+        seconds.fold(FirstTries::default(), |sum, (_, second)| FirstTries {
+            asked: sum.asked + second.asked,
+            served: sum.served + second.served,
+        })
+    })
+}
+
+fn run(scenario: &Scenario) -> Simulation<'_> {
     let mut simulation = Simulation {
         scenario,
         rng: ChaCha8Rng::seed_from_u64(scenario.seed),
@@ -159,6 +203,7 @@
         loans: Vec::new(),
         next_event: 0,
         arrivals: vec![Vec::new(); scenario.limits.len()],
+        first_tries: BTreeMap::new(),
     };
     for _ in 0..scenario.daemons {
         simulation.join(Time::ZERO);
@@ -195,10 +240,7 @@
         simulation.requests(now);
         now = now + STEP;
     }
-    let limits = scenario.limits.iter().zip(&simulation.arrivals);
-    limits
-        .map(|(_, arrivals)| outcome(scenario, arrivals))
-        .collect()
+    simulation
 }
 
 impl Simulation<'_> {
@@ -422,46 +464,74 @@
         let mut count = mean as usize;
         count += usize::from(self.rng.random_bool(mean.fract()));
         for _ in 0..count {
-            let skewed = self.scenario.skewed;
-            let is_skewed = skewed.is_some_and(|(from, to)| now >= secs(from) && now < secs(to));
-            let daemon = match is_skewed && self.rng.random_bool(SKEWED_SHARE) {
-                true => 0,
-                false => self.rng.random_range(0..self.daemons.len()),
-            };
-            let this = &self.daemons[daemon];
-            if !this.is_up {
-                continue;
+            let daemon = self.entry_daemon(now);
+            let is_served = self.request(now, daemon);
+            let second = now.since(Time::ZERO).as_millis() / 1_000;
+            let first_tries = self.first_tries.entry(second).or_default();
+            first_tries.asked += 1;
+            first_tries.served += usize::from(is_served);
+            if !is_served && self.scenario.retries {
+                let other = self.rng.random_range(0..self.daemons.len());
+                self.request(now, other);
             }
-            let local = this.local_time(now);
-            let open = (0..self.scenario.limits.len())
-                .filter(|u| this.limits.admission(local, instance(*u)) == Admission::Open)
-                .collect::<Vec<_>>();
-            if open.is_empty() {
-                self.daemons[daemon].deficit.record(local);
-                continue;
-            }
-            let upstream = open[self.rng.random_range(0..open.len())];
-            let this = &mut self.daemons[daemon];
-            this.limits.take(local, instance(upstream));
-            let informed_at = this.informed_at.get(&upstream);
-            let is_informed =
-                informed_at.is_some_and(|at| now.since(*at) >= Span::from_millis(500));
-            let daemon_started_at = this.started_at;
-            self.arrivals[upstream].push((now, is_informed));
-            let slow = self.rng.random_bool(0.1);
-            let max_ms = if slow { 3_000 } else { 100 };
-            let at = now + Span::from_millis(self.rng.random_range(5..max_ms));
-            self.push(
-                at,
-                Event::Answer {
-                    daemon,
-                    daemon_started_at,
-                    upstream,
-                    sent_at: now,
-                },
-            );
         }
     }
+
+    /// Chooses the daemon that gets a new request.
+    fn entry_daemon(&mut self, now: Time) -> usize {
+        let crowded = self.scenario.skewed.and_then(|(from, to)| {
+            let is_skewed = now >= secs(from) && now < secs(to);
+            let moves_every = self.scenario.skew_moves_every;
+            let moves = moves_every.map_or(0, |every| {
+                now.since(secs(from)).as_millis() / every.as_millis()
+            });
+            is_skewed.then_some(moves as usize % self.daemons.len())
+        });
+        match crowded.filter(|_| self.rng.random_bool(SKEWED_SHARE)) {
+            Some(daemon) => daemon,
+            None => self.rng.random_range(0..self.daemons.len()),
+        }
+    }
+
+    /// A request arrives at a daemon; returns whether it is sent to an upstream.
+    fn request(&mut self, now: Time, daemon: usize) -> bool {
+        let this = &self.daemons[daemon];
+        if !this.is_up {
+            return false;
+        }
+        let local = this.local_time(now);
+        let open = (0..self.scenario.limits.len())
+            .filter(|u| this.limits.admission(local, instance(*u)) == Admission::Open)
+            .collect::<Vec<_>>();
+        if open.is_empty() {
+            self.daemons[daemon].deficit.record(local);
+            return false;
+        }
+        let upstream = open[self.rng.random_range(0..open.len())];
+        self.daemons[daemon].limits.take(local, instance(upstream));
+        self.send(now, daemon, upstream);
+        true
+    }
+
+    fn send(&mut self, now: Time, daemon: usize, upstream: usize) {
+        let this = &self.daemons[daemon];
+        let informed_at = this.informed_at.get(&upstream);
+        let is_informed = informed_at.is_some_and(|at| now.since(*at) >= Span::from_millis(500));
+        let daemon_started_at = this.started_at;
+        self.arrivals[upstream].push((now, is_informed));
+        let slow = self.rng.random_bool(0.1);
+        let max_ms = if slow { 3_000 } else { 100 };
+        let at = now + Span::from_millis(self.rng.random_range(5..max_ms));
+        self.push(
+            at,
+            Event::Answer {
+                daemon,
+                daemon_started_at,
+                upstream,
+                sent_at: now,
+            },
+        );
+    }
 }
 
 fn instance(upstream: usize) -> InstanceKey {
