--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::affinity::{AffinityTargets, known_cached_tokens, prefixes_of, shared_tokens};
+use crate::leases::LeaseOffer;
 use crate::policy::PlacingPolicy;
 use crate::requirements::Requirements;
 use crate::trial::Permit;
@@ -43,6 +44,15 @@
     pub load: Load,
     /// Hashes of the prompt prefixes that the upstream will have cached.
     pub prefixes: Vec<u64>,
+    /// The lease that it needs; `None` if this daemon's own share suffices.
+    pub lease: Option<LeaseOffer>,
+}
+
+/// The upstreams that a request was not sent to yet.
+pub(crate) struct Untried<'a> {
+    pub(crate) upstreams: Vec<(UpstreamIndex, &'a Entry)>,
+    /// Number of upstreams that the request may be sent to, with those that were tried.
+    permitted: usize,
 }
 
 /// Why no upstream was chosen.
@@ -68,6 +78,12 @@
 }
 
 impl NoUpstream {
+    /// Whether this daemon has no share left of what upstreams allow all daemons together.
+    #[must_use]
+    pub fn is_without_share(self) -> bool {
+        matches!(self, Self::Limited { .. } | Self::Busy { .. })
+    }
+
     /// Describes the reason in a message to the caller.
     #[must_use]
     pub fn reason(self) -> &'static str {
@@ -95,44 +111,69 @@
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> Result<Choice, NoUpstream> {
+        let mut untried = self.untried(requirements)?;
+        self.retain_admitted(now, &mut untried.upstreams)?;
+        let has_room = self.retain_with_room(now, requirements.service, &mut untried.upstreams);
+        has_room.map_err(|until| NoUpstream::Busy { until })?;
+        Ok(self.choose_among(now, untried, requirements, rng))
+    }
+
+    /// Returns the upstreams that a request may be sent to and was not sent to yet.
+    pub(crate) fn untried(
+        &self,
+        requirements: &Requirements<'_>,
+    ) -> Result<Untried<'_>, NoUpstream> {
         let listed = self.permitted(requirements);
         let permitted = listed.filter(|(_, entry)| entry.takes_requests());
-        let permitted = permitted.collect::<Vec<_>>();
-        if permitted.is_empty() {
+        let mut upstreams = permitted.collect::<Vec<_>>();
+        let permitted = upstreams.len();
+        if permitted == 0 {
             return Err(match self.permitted(requirements).next() {
                 Some(_) => NoUpstream::Evacuated,
                 None => NoUpstream::Unknown,
             });
         }
-        let untried = permitted
-            .iter()
-            .filter(|(i, _)| !requirements.exclude.contains(i));
-        let mut untried = untried.copied().collect::<Vec<_>>();
-        if untried.is_empty() {
-            return Err(NoUpstream::Tried);
+        upstreams.retain(|(i, _)| !requirements.exclude.contains(i));
+        match upstreams.is_empty() {
+            true => Err(NoUpstream::Tried),
+            false => Ok(Untried {
+                upstreams,
+                permitted,
+            }),
         }
-        self.retain_admitted(now, &mut untried)?;
-        let has_room = self.retain_with_room(now, requirements.service, &mut untried);
-        has_room.map_err(|until| NoUpstream::Busy { until })?;
+    }
+
+    /// Chooses among the upstreams that may get the request now.
+    pub(crate) fn choose_among(
+        &self,
+        now: Time,
+        untried: Untried<'_>,
+        requirements: &Requirements<'_>,
+        rng: &mut impl Rng,
+    ) -> Choice {
         let ejects_outliers = self.policy.sets_aside;
         let is_available = |entry: &Entry| {
             let is_backoff_over = now.has_reached(entry.backoff_until);
             is_backoff_over && (!ejects_outliers || !entry.health.is_ejected(now))
         };
-        let available = untried.iter().filter(|(_, entry)| is_available(entry));
+        let Untried {
+            upstreams,
+            permitted,
+        } = untried;
+        let available = upstreams.iter().filter(|(_, entry)| is_available(entry));
         let available = available.copied().collect::<Vec<_>>();
         let mut eligible = if available.is_empty() {
-            untried
+            upstreams
         } else {
             available
         };
         if let Permit::Subset(_, share) = requirements.permit {
-            retain_subset(&mut eligible, *share, permitted.len());
+            retain_subset(&mut eligible, *share, permitted);
         }
         if requirements.isolated {
             retain_least_loaded(&mut eligible);
         }
-        Ok(self.cheapest(now, &eligible, requirements, rng))
+        self.cheapest(now, &eligible, requirements, rng)
     }
 
     /// Iterates over the listed upstreams that a request may be sent to, those in evacuated failure
@@ -198,6 +239,7 @@
             index,
             load,
             prefixes,
+            lease: None,
         }
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod evidence;
 mod health;
 mod lapsed;
+mod leases;
 mod paths;
 mod peer_loads;
 mod pins;
@@ -24,13 +25,14 @@
 mod prefill;
 mod rate_limits;
 mod requirements;
+mod shortage;
 mod state_writer;
 mod trial;
 mod tunnel_peers;
 mod upstreams;
 
 pub use aggregation::{EvidenceAggregator, RolloutMessage, RolloutMessageError, RolloutSummary};
-pub use brittle::Brittleness;
+pub use brittle::{BrittleAdvertisement, Brittleness};
 pub use budget::{RetryBudget, RetryLimits, RetryReason};
 pub use cascade::{Cascade, Draft};
 pub use choose::{Choice, NoUpstream};
@@ -38,15 +40,17 @@
 pub use evidence::{Arm, ArmCounts, Evidence, REQUEST_KINDS, request_kind, slow_after};
 pub use health::UpstreamOutcome;
 pub use lapsed::LapsedUpstreams;
+pub use leases::{LeaseOffer, LeasedBound, LentRequest};
 pub use paths::{DirectFailure, Path, Paths};
 pub use peer_loads::PeerLoads;
 pub use pins::Pins;
 pub use policy::{CascadePolicy, PlacingPolicy, Policy, PolicyError, RetryPolicy, TimingPolicy};
 pub use ratelimit::{
-    Advertised, Advertisement, Change as RateLimitChange, DaemonKey, Fleet, LoanKind, LoanMessage,
-    LoanMessages,
+    Advertised, Advertisement, Change as RateLimitChange, DaemonKey, Fleet, LeaseReply, LoanKind,
+    LoanMessage, LoanMessages,
 };
 pub use requirements::{PromptPart, Requirements};
+pub use shortage::{ReachedBound, Shortage};
 pub use state_writer::StateWriter;
 pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
 pub use tunnel_peers::{TunnelNeed, TunnelPeer, TunnelPeers};
--- a/components/dispatch/src/tunnel_peers.rs
+++ b/components/dispatch/src/tunnel_peers.rs
@@ -12,6 +12,7 @@
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
+use ratelimit::DaemonKey;
 use types::prelude::*;
 
 /// Pause in which a peer that could not help with a service is not asked again for it.
@@ -47,6 +48,7 @@
 #[derive(Debug, Default)]
 pub struct TunnelPeers {
     peers: Arc<Vec<TunnelPeer>>,
+    addresses: HashMap<DaemonKey, SocketAddr>,
     in_flight: BTreeMap<DaemonId, usize>,
     ejected: HashMap<(DaemonId, Arc<str>), Time>,
 }
@@ -54,9 +56,21 @@
 impl TunnelPeers {
     /// Replaces the list of peers.
     pub fn set(&mut self, peers: Arc<Vec<TunnelPeer>>) {
+        if Arc::ptr_eq(&self.peers, &peers) {
+            return;
+        }
+        let addresses = peers.iter();
+        let addresses = addresses.map(|peer| (DaemonKey::from(&peer.id), peer.address));
+        self.addresses = addresses.collect();
         self.peers = peers;
     }
 
+    /// Returns the address at which a daemon accepts tunnels.
+    #[must_use]
+    pub fn address(&self, daemon: DaemonKey) -> Option<SocketAddr> {
+        self.addresses.get(&daemon).copied()
+    }
+
     /// Whether no peer offers tunnels.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use poison::UpstreamInstance;
-use ratelimit::{Deficit, InstanceKey, RateLimits};
+use ratelimit::{Deficit, InstanceKey, Lenders, RateLimits};
 use routes::{Upstream, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -113,6 +113,10 @@
     pub(crate) instance: InstanceKey,
     pub(crate) health: Health,
     pub(crate) in_flight: u32,
+    /// Those of them that were sent by other daemons' shares.
+    pub(crate) leased: u32,
+    /// Requests of other daemons in flight there that were sent by this daemon's share.
+    pub(crate) lent: u32,
     /// This daemon's requests there whose answers have not started.
     pub(crate) backlog: Backlog,
     /// The load by other daemons, as last reported.
@@ -185,6 +189,8 @@
     prefill_times: HashMap<Arc<str>, PrefillTimes>,
     /// Rate limits that upstreams advertise.
     pub(crate) limits: RateLimits,
+    /// When other daemons may lend requests by their shares.
+    pub(crate) lenders: Lenders,
     /// Requests refused lately since all upstreams of their service were at their limits.
     pub(crate) deficits: HashMap<Arc<str>, Deficit>,
     pub(crate) brittle: BrittleServices,
@@ -279,6 +285,8 @@
             instance: instance_key(&spec.id, spec.started_at),
             health: Health::default(),
             in_flight: 0,
+            leased: 0,
+            lent: 0,
             backlog: Backlog::default(),
             remote: RemoteLoad::default(),
             heard_at: Time::ZERO,
@@ -315,14 +323,41 @@
         self.entries.get(&index).map(|entry| &entry.spec)
     }
 
-    /// Records that a request is sent to an upstream; the returned ticket identifies it from
-    /// then on.
+    /// Records that a request is sent to an upstream by this daemon's share; the returned ticket
+    /// identifies it from then on.
     pub fn record_start(
         &mut self,
         now: Time,
         index: UpstreamIndex,
         load: &Load,
         prefixes: &[u64],
+    ) -> Ticket {
+        if let Some(entry) = self.entries.get(&index) {
+            self.limits.take(now, entry.instance);
+        }
+        self.add_in_flight(now, index, load, prefixes)
+    }
+
+    /// Records that a request is sent to an upstream by another daemon's share.
+    pub fn record_leased_start(
+        &mut self,
+        now: Time,
+        index: UpstreamIndex,
+        load: &Load,
+        prefixes: &[u64],
+    ) -> Ticket {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.leased += 1;
+        }
+        self.add_in_flight(now, index, load, prefixes)
+    }
+
+    fn add_in_flight(
+        &mut self,
+        now: Time,
+        index: UpstreamIndex,
+        load: &Load,
+        prefixes: &[u64],
     ) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -332,7 +367,6 @@
         if entry.in_flight == 0 {
             entry.busy_since = now;
         }
-        self.limits.take(now, entry.instance);
         entry.in_flight += 1;
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.note_chosen();
@@ -399,6 +433,14 @@
         }
     }
 
+    /// Records the end of a request that was sent by another daemon's share, before its end as any
+    /// request.
+    pub fn record_leased_end(&mut self, index: UpstreamIndex) {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.leased = entry.leased.saturating_sub(1);
+        }
+    }
+
     /// Records the end of a request.
     pub fn record_end(
         &mut self,
--- a/components/dispatch/tests/brittle.rs
+++ b/components/dispatch/tests/brittle.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use dispatch::{
-    Brittleness, Load, NoUpstream, Permit, Requirements, Ticket, UpstreamIndex, UpstreamOutcome,
-    Upstreams,
+    Brittleness, Choice, DaemonKey, LentRequest, Load, NoUpstream, Permit, Requirements, Ticket,
+    UpstreamIndex, UpstreamOutcome, Upstreams,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -28,6 +28,10 @@
 const BURST_MS: u64 = 4_000;
 /// Time from which first tries count while one daemon is crowded, in ms.
 const CROWD_COUNTS_MS: u64 = 8_000;
+/// Interval at which a request that waits asks other daemons, in ms.
+const ASK_MS: u64 = 50;
+/// Other daemons that are asked for one request at most.
+const MAX_ASKED: usize = 4;
 /// Share of the requests that a crowded daemon gets.
 const CROWDED_SHARE: f64 = 0.9;
 
@@ -49,6 +53,23 @@
     })
 }
 
+/// Runs a choice for a request.
+fn with_requirements<R>(
+    exclude: &[UpstreamIndex],
+    choose: impl FnOnce(&Requirements<'_>) -> R,
+) -> R {
+    choose(&Requirements {
+        service: &Arc::from("plain"),
+        model: None,
+        parts: &[],
+        prompt_tokens: 0,
+        permit: &Permit::Any,
+        isolated: false,
+        exclude,
+        local_domain: &FailureDomain::new("east").expect("a name"),
+    })
+}
+
 /// A request at an upstream.
 struct Running {
     daemon: usize,
@@ -56,6 +77,8 @@
     index: UpstreamIndex,
     sent_at: Time,
     ends_ms: u64,
+    /// The daemon whose share it was sent by, if it is another one's.
+    lease: Option<(usize, LentRequest)>,
 }
 
 /// A request that waits at its daemon.
@@ -63,6 +86,8 @@
     daemon: usize,
     arrived_ms: u64,
     is_retry: bool,
+    /// When other daemons are asked again.
+    asks_ms: u64,
 }
 
 /// One simulated upstream.
@@ -108,6 +133,7 @@
 
 struct Fleet {
     daemons: Vec<Upstreams>,
+    keys: Vec<DaemonKey>,
     servers: Vec<Server>,
     waiting: Vec<Waiting>,
     advertised: Brittleness,
@@ -133,6 +159,7 @@
         };
         Self {
             daemons: ids.iter().map(daemon).collect(),
+            keys: ids.iter().map(DaemonKey::from).collect(),
             servers: (0..servers).map(|_| Server::default()).collect(),
             waiting: Vec::new(),
             advertised,
@@ -148,20 +175,39 @@
         daemon: usize,
         exclude: &[UpstreamIndex],
     ) -> Result<(UpstreamIndex, Load), NoUpstream> {
-        let requirements = Requirements {
-            service: &Arc::from("plain"),
-            model: None,
-            parts: &[],
-            prompt_tokens: 0,
-            permit: &Permit::Any,
-            isolated: false,
-            exclude,
-            local_domain: &FailureDomain::new("east").expect("a name"),
-        };
-        let choice = self.daemons[daemon].choose(at(ms), &requirements, &mut self.rng)?;
+        let this = &self.daemons[daemon];
+        let rng = &mut self.rng;
+        let choice = with_requirements(exclude, |required| this.choose(at(ms), required, rng))?;
         Ok((choice.index, choice.load))
     }
 
+    /// Asks other daemons for a request by their shares.
+    fn lease(
+        &mut self,
+        ms: u64,
+        daemon: usize,
+        exclude: &[UpstreamIndex],
+    ) -> Option<(Choice, usize, LentRequest)> {
+        for _ in 0..MAX_ASKED {
+            let (this, rng) = (&self.daemons[daemon], &mut self.rng);
+            let choice = with_requirements(exclude, |required| {
+                this.choose_leased(at(ms), required, |_| true, rng)
+            })?;
+            let offer = choice.lease.expect("an offer");
+            let lender = self.keys.iter().position(|known| *known == offer.lender);
+            let lender = lender.expect("a daemon");
+            let spec = Arc::clone(this.spec(choice.index).expect("listed"));
+            let upstreams = &mut self.daemons[lender];
+            let (reply, lent) = upstreams.lend(at(ms), &spec.id, spec.started_at, offer.bound);
+            let upstreams = &mut self.daemons[daemon];
+            upstreams.record_lease_reply(at(ms), choice.index, offer.lender, reply.ready_at);
+            if let Some(lent) = lent {
+                return Some((choice, lender, lent));
+            }
+        }
+        None
+    }
+
     /// A caller's request arrives at some daemon.
     fn arrive(&mut self, ms: u64) {
         self.outcome.sent += 1;
@@ -177,6 +223,7 @@
             daemon,
             arrived_ms: ms,
             is_retry: false,
+            asks_ms: ms,
         };
         self.send(ms, request);
     }
@@ -197,15 +244,29 @@
                 daemon: self.rng.random_range(0..self.daemons.len()),
                 arrived_ms: ms,
                 is_retry: true,
+                asks_ms: ms,
             };
             self.send(ms, retry);
         }
     }
 
     /// Sends a request, or lets it wait for room.
-    fn send(&mut self, ms: u64, request: Waiting) {
+    fn send(&mut self, ms: u64, mut request: Waiting) {
         let daemon = request.daemon;
-        let Ok((index, load)) = self.choose(ms, daemon, &[]) else {
+        let (index, ticket, lease) = if let Ok((index, load)) = self.choose(ms, daemon, &[]) {
+            let upstreams = &mut self.daemons[daemon];
+            let ticket = upstreams.record_start(at(ms), index, &load, &[]);
+            (index, ticket, None)
+        } else if ms >= request.asks_ms
+            && let Some((choice, lender, lent)) = self.lease(ms, daemon, &[])
+        {
+            let upstreams = &mut self.daemons[daemon];
+            let ticket = upstreams.record_leased_start(at(ms), choice.index, &choice.load, &[]);
+            (choice.index, ticket, Some((lender, lent)))
+        } else {
+            if ms >= request.asks_ms {
+                request.asks_ms = ms + ASK_MS;
+            }
             match ms < request.arrived_ms + MAX_WAIT_MS {
                 true => self.waiting.push(request),
                 false => self.refuse(ms, &request),
@@ -213,14 +274,22 @@
             return;
         };
         let upstreams = &mut self.daemons[daemon];
-        let ticket = upstreams.record_start(at(ms), index, &load, &[]);
         let id = upstreams.spec(index).expect("listed").id.to_string();
         let server: usize = id[1..].parse().expect("a number");
         let server = &mut self.servers[server];
         if server.running.len() >= SLOTS as usize {
             server.rejected_ms.push(ms);
             upstreams.observe_brittleness(index, at(ms), self.advertised);
-            upstreams.record_rejection(at(ms), index);
+            match lease {
+                Some(_) => upstreams.record_leased_rejection(at(ms), index),
+                None => upstreams.record_rejection(at(ms), index),
+            }
+            if let Some((lender, lent)) = lease {
+                upstreams.record_leased_end(index);
+                self.daemons[lender].record_rejection(at(ms), lent.index);
+                self.daemons[lender].record_lent_end(lent.index);
+            }
+            let upstreams = &mut self.daemons[daemon];
             upstreams.record_end(at(ms), index, ticket, UpstreamOutcome::Refused);
             return;
         }
@@ -230,6 +299,7 @@
             index,
             sent_at: at(ms),
             ends_ms: ms + WORK_MS,
+            lease,
         });
         if !request.is_retry
             && let Some(first_tries) = self.first_tries(request.arrived_ms)
@@ -246,14 +316,25 @@
             {
                 let upstreams = &mut self.daemons[done.daemon];
                 upstreams.observe_brittleness(done.index, done.sent_at, self.advertised);
+                if let Some((lender, lent)) = done.lease {
+                    upstreams.record_leased_end(done.index);
+                    self.daemons[lender].record_lent_end(lent.index);
+                }
+                let upstreams = &mut self.daemons[done.daemon];
                 upstreams.record_end(at(ms), done.index, done.ticket, UpstreamOutcome::Good);
                 self.outcome.served += 1;
             }
         }
     }
 
-    /// Reports the load of all daemons to each.
+    /// Reports the load of all daemons to each, and which services are brittle.
     fn report(&mut self, ms: u64) {
+        let ads = self.daemons.iter();
+        let ads = ads.flat_map(|daemon| daemon.advertise_brittleness(at(ms)));
+        if let Some(ad) = ads.min_by_key(|ad| ad.age_ms) {
+            let daemons = self.daemons.iter_mut();
+            daemons.for_each(|daemon| daemon.merge_brittleness(at(ms), &ad));
+        }
         let own = self.daemons.iter().map(|daemon| daemon.own_loads(at(ms)));
         let own = own.collect::<Vec<_>>();
         let mut sums = HashMap::<u32, (f64, u32)>::new();
@@ -406,7 +487,9 @@
     upstreams.observe_brittleness(first.expect("listed").index, at(0), brittle());
     let mut tried = Vec::new();
     for _ in 0..8 {
-        let (index, _) = fleet.choose(0, 0, &tried).expect("another one");
+        let own = fleet.choose(0, 0, &tried).ok().map(|(index, _)| index);
+        let leased = || Some(fleet.lease(0, 0, &tried)?.0.index);
+        let index = own.or_else(leased).expect("another one");
         assert!(!tried.contains(&index));
         tried.push(index);
     }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -455,12 +455,14 @@
         let watches = self.watch_works(now);
         let loads = self.traffic.observed.loads();
         let rate_limits = self.traffic.observed.rate_limits();
+        let brittle = self.traffic.observed.brittle();
         let copy = self.mirror_state();
         self.peering
-            .send_heartbeat(now, copy, watches, loads, rate_limits);
+            .send_heartbeat(now, copy, watches, loads, rate_limits, brittle);
         self.peering.send_loans(self.traffic.observed.take_loans());
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
+            brittle: self.peering.take_brittle(),
             tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
             validation: self.validation(),
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use dispatch::{Advertisement, RolloutSummary, SharedLoad};
+use dispatch::{Advertisement, BrittleAdvertisement, RolloutSummary, SharedLoad};
 use mirror::Revision;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -27,6 +27,8 @@
 const MAX_LOADS: usize = 1_024;
 /// Rate limits accepted from one heartbeat at most.
 const MAX_RATE_LIMITS: usize = 64;
+/// Brittle services accepted from one heartbeat at most.
+const MAX_BRITTLE: usize = 32;
 /// Daemons of one kind named in one heartbeat at most: two watchers are enough, the rest allows for
 /// overlaps.
 const MAX_REPORTS: usize = 4;
@@ -88,6 +90,9 @@
     /// Port at which the sender accepts tunnels; absent from releases without them.
     #[serde(skip)]
     pub tunnel_port: Option<u16>,
+    /// Brittle services, as far as the sender knows; absent from releases that do not send them.
+    #[serde(skip)]
+    pub brittle: Vec<BrittleAdvertisement>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -138,6 +143,19 @@
         Ok(bytes.into())
     }
 
+    /// Appends the brittle services, which follow behind the port for tunnels.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_brittle(
+        encoded: Bytes,
+        brittle: &[BrittleAdvertisement],
+    ) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(brittle)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -150,7 +168,11 @@
         let (extension, rest) = extension.unwrap_or_default();
         if let Ok((freshness, rest)) = postcard::take_from_bytes::<Freshness>(rest) {
             heartbeat.freshness = Some(freshness);
-            heartbeat.tunnel_port = postcard::from_bytes(rest).unwrap_or_default();
+            let port = postcard::take_from_bytes::<Option<u16>>(rest);
+            let (port, rest) = port.unwrap_or_default();
+            heartbeat.tunnel_port = port;
+            heartbeat.brittle = postcard::from_bytes(rest).unwrap_or_default();
+            heartbeat.brittle.truncate(MAX_BRITTLE);
         }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Advertisement, DaemonKey, Evidence, EvidenceAggregator, Fleet, LoanMessage, LoanMessages,
-    PeerLoads, RolloutMessage, RolloutSummary, TunnelPeer,
+    Advertisement, BrittleAdvertisement, DaemonKey, Evidence, EvidenceAggregator, Fleet,
+    LoanMessage, LoanMessages, PeerLoads, RolloutMessage, RolloutSummary, TunnelPeer,
 };
 use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, Sender, State};
 use mirror::{Revision, SyncReply, SyncRequest};
@@ -59,6 +59,8 @@
     aggregator: EvidenceAggregator,
     /// Rate limits advertised by peers and not yet taken by the control thread.
     rate_limits: Vec<Advertisement>,
+    /// Brittle services advertised by peers and not yet taken by the control thread.
+    brittle: Vec<BrittleAdvertisement>,
     tunnel_offers: TunnelOffers,
     /// Port at which this daemon accepts tunnels.
     tunnel_port: u16,
@@ -112,6 +114,7 @@
             claims: Claims::default(),
             aggregator: EvidenceAggregator::default(),
             rate_limits: Vec::new(),
+            brittle: Vec::new(),
             tunnel_offers: TunnelOffers::default(),
             tunnel_port,
             ticks: 0,
@@ -210,6 +213,7 @@
                         self.aggregator.merge_summary(rollout);
                     }
                     self.note_rate_limits(heartbeat.rate_limits);
+                    self.note_brittle(heartbeat.brittle);
                     self.loads.update(now, from, heartbeat.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -235,6 +239,16 @@
         Followup::Nothing
     }
 
+    fn note_brittle(&mut self, advertised: Vec<BrittleAdvertisement>) {
+        let room = MAX_RATE_LIMITS.saturating_sub(self.brittle.len());
+        self.brittle.extend(advertised.into_iter().take(room));
+    }
+
+    /// Takes the brittle services that peers advertised since the last call.
+    pub(crate) fn take_brittle(&mut self) -> Vec<BrittleAdvertisement> {
+        std::mem::take(&mut self.brittle)
+    }
+
     fn note_rate_limits(&mut self, advertised: Vec<Advertisement>) {
         let room = MAX_RATE_LIMITS.saturating_sub(self.rate_limits.len());
         self.rate_limits.extend(advertised.into_iter().take(room));
@@ -242,7 +256,7 @@
 
     /// The peers that offer tunnels to upstreams.
     pub(crate) fn tunnel_peers(&mut self) -> Arc<Vec<TunnelPeer>> {
-        self.tunnel_offers.peers(&self.members)
+        self.tunnel_offers.peers(&self.members, self.tunnel_port)
     }
 
     /// Takes the rate limits that peers advertised since the last call.
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -1,7 +1,7 @@
 //! Sending heartbeats, several times a second, and the freshness claims they carry.
 
 use bytes::Bytes;
-use dispatch::{Advertisement, SharedLoad};
+use dispatch::{Advertisement, BrittleAdvertisement, SharedLoad};
 use mirror::Revision;
 use peers::{Part, Payload};
 use types::prelude::*;
@@ -41,6 +41,7 @@
         own_watch_works: bool,
         loads: Vec<SharedLoad>,
         rate_limits: Vec<Advertisement>,
+        brittle: Vec<BrittleAdvertisement>,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_full = self.ticks.is_multiple_of(FULL_HEARTBEAT_TICKS)
@@ -66,16 +67,23 @@
             sent_at: Some(self.sent_at(now)),
             freshness: None,
             tunnel_port: None,
+            brittle,
         };
         match heartbeat.encode() {
-            Ok(body) => self.send_heartbeat_to_targets(now, &body, kind),
+            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat.brittle, kind),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
 
     /// Sends an encoded heartbeat to a few peers, adding for each the freshness claims dated by
     /// that peer's clock.
-    fn send_heartbeat_to_targets(&mut self, now: Time, heartbeat: &Bytes, kind: GossipKind) {
+    fn send_heartbeat_to_targets(
+        &mut self,
+        now: Time,
+        heartbeat: &Bytes,
+        brittle: &[BrittleAdvertisement],
+        kind: GossipKind,
+    ) {
         for address in self.recipients(now, kind) {
             let clock = self.handle.clock_of(address);
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
@@ -83,6 +91,7 @@
             let freshness = freshness.unwrap_or_default();
             let body = Heartbeat::encode_for(heartbeat, &freshness);
             let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
+            let body = body.and_then(|body| Heartbeat::encode_with_brittle(body, brittle));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/src/tunnel_offers.rs
+++ b/components/fleet/src/tunnel_offers.rs
@@ -37,18 +37,25 @@
         }
     }
 
-    /// The peers that are present and offer tunnels.
-    pub(crate) fn peers(&mut self, members: &Membership) -> Arc<Vec<TunnelPeer>> {
+    /// The peers that are present, with the addresses at which they accept tunnels. Those whose
+    /// heartbeats this daemon does not get are expected at the port that it uses itself.
+    pub(crate) fn peers(&mut self, members: &Membership, own_port: u16) -> Arc<Vec<TunnelPeer>> {
         let is_present = |id: &DaemonId| {
             let member = members.member(id);
             member.is_some_and(|member| member.record.state.is_present())
         };
         self.offers.retain(|id, _| is_present(id));
-        let peers = self.offers.iter().filter_map(|(id, offer)| {
+        let own_ip = members.local().address.ip();
+        let present = members.members().map(|member| &member.record);
+        let present = present.filter(|record| record.state.is_present());
+        let peers = present.filter_map(|record| {
+            let offered = self.offers.get(&record.id).map(|offer| offer.address);
+            let ip = record.address.ip();
+            let expected = (ip != own_ip).then_some(SocketAddr::new(ip, own_port));
             Some(TunnelPeer {
-                id: id.clone(),
-                address: offer.address,
-                failure_domain: members.member(id)?.record.failure_domain.clone(),
+                id: record.id.clone(),
+                address: offered.or(expected)?,
+                failure_domain: record.failure_domain.clone(),
             })
         });
         let peers = peers.collect::<Vec<_>>();
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -21,6 +21,7 @@
         sent_at: None,
         freshness: None,
         tunnel_port: None,
+        brittle: Vec::new(),
     }
 }
 
@@ -200,3 +201,26 @@
     let decoded = Heartbeat::decode(&before).expect("its form");
     assert_eq!(decoded.tunnel_port, None);
 }
+
+/// A daemon of the release before would have taken brittle services for the port.
+#[test]
+fn brittle_services_follow_the_fields_of_earlier_releases() {
+    let before = Heartbeat::encode_for(&holding(4).encode().expect("fits"), &Freshness::default());
+    let before = Heartbeat::encode_with_tunnels(before.expect("fits"), 7_341).expect("fits");
+    let brittle = dispatch::BrittleAdvertisement {
+        service: 7,
+        max_rejections: 4.0,
+        age_ms: 20,
+    };
+    let now = Heartbeat::encode_with_brittle(before.clone(), &[brittle]).expect("fits");
+    assert!(now.starts_with(&before));
+    let decoded = Heartbeat::decode(&now).expect("its form");
+    assert_eq!(decoded.tunnel_port, Some(7_341));
+    assert_eq!(decoded.brittle, [brittle]);
+    assert!(
+        Heartbeat::decode(&before)
+            .expect("its form")
+            .brittle
+            .is_empty()
+    );
+}
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -60,6 +60,7 @@
         }),
         freshness: None,
         tunnel_port: None,
+        brittle: Vec::new(),
     }
 }
 
--- a/components/ratelimit/src/cold.rs
+++ b/components/ratelimit/src/cold.rs
@@ -8,8 +8,9 @@
 use types::prelude::*;
 
 use crate::advertised::InstanceKey;
-use crate::fleet::Fleet;
+use crate::fleet::{DaemonKey, Fleet};
 use crate::share::Share;
+use crate::table::LimitShare;
 
 /// Part of what is tolerated beyond the rate that the senders' bursts may take. The rest is for
 /// daemons that don't know the same fleet yet, and for requests that are delayed on their way.
@@ -62,6 +63,19 @@
         self.share.of(now, self.bound.rate, self.bound.senders())
     }
 
+    /// The other daemons that have a share of the rate.
+    pub(crate) fn other_senders(&self, instance: InstanceKey, fleet: &Fleet) -> &[DaemonKey] {
+        self.share.others(instance, fleet, self.bound.senders())
+    }
+
+    /// Returns the rate and this daemon's part of it.
+    pub(crate) fn shares(&self, now: Time) -> LimitShare {
+        LimitShare {
+            rate: self.bound.rate,
+            own: self.rate(now).unwrap_or(Rate(0.0)),
+        }
+    }
+
     /// Sends nothing until the requests that were sent before do not count any more.
     pub(crate) fn pause(&mut self, now: Time) {
         self.open_at = now + WINDOW;
--- a/components/ratelimit/src/fleet.rs
+++ b/components/ratelimit/src/fleet.rs
@@ -45,6 +45,21 @@
         self.others.iter().filter(|other| **other < self.me).count()
     }
 
+    /// The daemons by their places in that order.
+    #[must_use]
+    pub fn in_order(&self) -> Vec<DaemonKey> {
+        let mut daemons = self.others.clone();
+        daemons.push(self.me);
+        daemons.sort_unstable();
+        daemons
+    }
+
+    /// Key of this daemon.
+    #[must_use]
+    pub fn me(&self) -> DaemonKey {
+        self.me
+    }
+
     /// Number of daemons, including this one.
     #[must_use]
     pub fn size(&self) -> usize {
--- a/components/ratelimit/src/limit.rs
+++ b/components/ratelimit/src/limit.rs
@@ -5,6 +5,7 @@
 use crate::advertised::{Advertisement, Change, InstanceKey};
 use crate::fleet::{DaemonKey, Fleet, senders};
 use crate::share::Share;
+use crate::table::LimitShare;
 
 /// Least rate of requests, however low the limit: the upstream's answers are the only sign that
 /// the limit is lifted.
@@ -53,6 +54,18 @@
         self.share.of(now, at_least_min(rate), self.senders())
     }
 
+    /// The other daemons that have a share of the rate.
+    pub(crate) fn other_senders(&self, instance: InstanceKey, fleet: &Fleet) -> &[DaemonKey] {
+        self.share.others(instance, fleet, self.senders())
+    }
+
+    /// Returns the rate and this daemon's part of it.
+    pub(crate) fn shares(&self, now: Time) -> Option<LimitShare> {
+        let rate = self.rate?;
+        let own = self.share(now).unwrap_or(Rate(0.0));
+        Some(LimitShare { rate, own })
+    }
+
     /// Number of daemons among which the rate is divided.
     fn senders(&self) -> usize {
         self.rate.map_or(0, |rate| senders(rate, self.share.fleet))
--- a/components/ratelimit/src/share.rs
+++ b/components/ratelimit/src/share.rs
@@ -1,5 +1,7 @@
 //! One daemon's share of a rate that the whole fleet keeps at one upstream.
 
+use std::cell::OnceCell;
+
 use types::prelude::*;
 
 use crate::advertised::InstanceKey;
@@ -39,6 +41,8 @@
     lent_to: Option<DaemonKey>,
     lent_until: Time,
     borrowed: Vec<Borrowed>,
+    /// The other daemons that have a share, once they are needed.
+    others: OnceCell<Vec<DaemonKey>>,
 }
 
 impl Share {
@@ -53,9 +57,21 @@
             lent_to: None,
             lent_until: now,
             borrowed: Vec::new(),
+            others: OnceCell::new(),
         }
     }
 
+    /// The other daemons that have a share of a rate that is divided among `senders` daemons.
+    pub(crate) fn others(
+        &self,
+        instance: InstanceKey,
+        fleet: &Fleet,
+        senders: usize,
+    ) -> &[DaemonKey] {
+        self.others
+            .get_or_init(|| fleet.other_senders(instance, senders))
+    }
+
     /// Returns this daemon's part of a rate that is divided among `senders` daemons: its own share if
     /// it is one of them and has not lent it, and those that it has borrowed.
     pub(crate) fn of(&self, now: Time, rate: Rate, senders: usize) -> Option<Rate> {
@@ -92,6 +108,7 @@
     /// Refills the bucket by the rate of this daemon before a change. The tokens of a new share
     /// accrue from now on, since its former owner may just have used them.
     pub(crate) fn refill(&mut self, now: Time, before: Option<Rate>) {
+        self.others.take();
         match before {
             Some(rate) => self.bucket.refill(now, rate),
             None => {
--- a/components/ratelimit/src/table.rs
+++ b/components/ratelimit/src/table.rs
@@ -7,7 +7,8 @@
 
 use crate::advertised::{Advertised, Advertisement, Change, InstanceKey};
 use crate::cold::{ColdBound, ColdLimit};
-use crate::fleet::{Fleet, SETTLING_TIME};
+use crate::fleet::{DaemonKey, Fleet, SETTLING_TIME};
+use crate::leases::LeaseReply;
 use crate::limit::Limit;
 
 /// A limit that no answer has confirmed for this long is dropped.
@@ -21,6 +22,9 @@
 /// Most limits kept; there are fewer upstreams.
 const MAX_LIMITS: usize = 16_384;
 
+/// Time for which a daemon that does not know a limit is not asked for a share of it.
+const UNKNOWN_LIMIT_PAUSE: Span = Span::from_secs(1);
+
 /// Whether a request may be sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -33,6 +37,15 @@
     },
 }
 
+/// A limit of the whole fleet, and this daemon's part of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitShare {
+    /// Requests a second, from all daemons together.
+    pub rate: Rate,
+    /// Requests a second from this daemon.
+    pub own: Rate,
+}
+
 /// Rounds a rate as in an advertisement, so that all daemons compare the same value.
 fn rounded(rate: Rate) -> Rate {
     Rate(f64::from(
@@ -67,6 +80,12 @@
         }
     }
 
+    /// Key of this daemon in the fleet.
+    #[must_use]
+    pub fn fleet_key(&self) -> DaemonKey {
+        self.fleet.me()
+    }
+
     /// Records what an answer advertises whose request was sent at `sent_at`; returns what
     /// changed.
     ///
@@ -211,6 +230,57 @@
         }
     }
 
+    /// Sends one request of another daemon by this daemon's share, if it has a token.
+    ///
+    /// A daemon that knows no limit of the upstream denies it: it has just started, or the limit has
+    /// just been lifted.
+    pub fn lend(&mut self, now: Time, instance: InstanceKey) -> LeaseReply {
+        if self.shares(now, instance).is_none() {
+            return LeaseReply {
+                is_granted: false,
+                ready_at: now + UNKNOWN_LIMIT_PAUSE,
+            };
+        }
+        let is_granted = self.admission(now, instance) == Admission::Open;
+        if is_granted {
+            self.take(now, instance);
+        }
+        let ready_at = match self.admission(now, instance) {
+            Admission::Open => now,
+            Admission::Limited { until } => until,
+        };
+        LeaseReply {
+            is_granted,
+            ready_at,
+        }
+    }
+
+    /// The other daemons that have shares of an upstream's limit; while it is cold and has a limit,
+    /// those that have shares of both.
+    #[must_use]
+    pub fn other_senders(&self, now: Time, instance: InstanceKey) -> &[DaemonKey] {
+        let limit = self.limits.get(&instance);
+        let limit = limit.filter(|limit| limit.rate.is_some());
+        let limited = limit.map(|limit| limit.other_senders(instance, &self.fleet));
+        let cold = self.cold.get(&instance);
+        let cold = cold.filter(|limit| limit.is_cold(now));
+        let cold = cold.map(|limit| limit.other_senders(instance, &self.fleet));
+        let both = limited.into_iter().chain(cold);
+        both.min_by_key(|senders| senders.len()).unwrap_or_default()
+    }
+
+    /// Returns the limit that an upstream has now, the cold one if it has both, and this daemon's
+    /// part of it.
+    #[must_use]
+    pub fn shares(&self, now: Time, instance: InstanceKey) -> Option<LimitShare> {
+        let cold = self.cold.get(&instance);
+        let cold = cold.filter(|limit| limit.is_cold(now));
+        match cold {
+            Some(limit) => Some(limit.shares(now)),
+            None => self.limits.get(&instance)?.shares(now),
+        }
+    }
+
     /// Returns an upstream's limit.
     #[must_use]
     pub fn rate(&self, instance: InstanceKey) -> Option<Rate> {
--- a/components/ratelimit/tests/it/fleet.rs
+++ b/components/ratelimit/tests/it/fleet.rs
@@ -26,7 +26,10 @@
 }
 
 fn limited_outcomes(scenario: &Scenario) -> Vec<(f64, Outcome)> {
-    let outcomes = simulate(scenario);
+    limited(scenario, simulate(scenario))
+}
+
+fn limited(scenario: &Scenario, outcomes: Vec<Outcome>) -> Vec<(f64, Outcome)> {
     let limits = scenario.limits.iter().zip(outcomes);
     limits
         .filter_map(|(l, outcome)| Some(((*l)?, outcome)))
@@ -35,8 +38,12 @@
 
 /// Checks all requests, including those by daemons that no answer had informed of the limit.
 fn check_all(scenario: &Scenario) {
-    for (limit, outcome) in limited_outcomes(scenario) {
-        let allowed = Outcome::allowed(limit);
+    check_outcomes(scenario, &limited_outcomes(scenario));
+}
+
+fn check_outcomes(scenario: &Scenario, outcomes: &[(f64, Outcome)]) {
+    for (limit, outcome) in outcomes {
+        let allowed = Outcome::allowed(*limit);
         assert!(
             outcome.worst <= allowed,
             "{limit}/s: {outcome:?}, {scenario:?}"
@@ -119,8 +126,9 @@
         retries: true,
         ..scenario.clone()
     };
-    check_all(&skewed);
-    let [before, crowded] = simulate_first_tries(&skewed, [(12, 18), (22, 38)]);
+    let (outcomes, first_tries) = simulate_first_tries(&skewed, [(12, 18), (22, 38)]);
+    check_outcomes(&skewed, &limited(&skewed, outcomes));
+    let [before, crowded] = first_tries;
     let share = crowded.share() / before.share();
     assert!(share >= 0.75, "{before:?}, {crowded:?}, {skewed:?}");
 }
--- a/components/ratelimit/tests/it/world.rs
+++ b/components/ratelimit/tests/it/world.rs
@@ -11,8 +11,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ratelimit::{
-    Admission, Advertised, Advertisement, DaemonKey, Deficit, Fleet, InstanceKey, LoanMessage,
-    RateLimits,
+    Admission, Advertised, Advertisement, DaemonKey, Deficit, Fleet, InstanceKey, Lenders,
+    LoanMessage, RateLimits,
 };
 use types::prelude::*;
 
@@ -25,6 +25,11 @@
 const SMALL_FLEET: usize = 16;
 const GOSSIP_FANOUT: usize = 4;
 
+/// Other daemons that are asked for one request at most.
+const MAX_ASKED: usize = 4;
+/// Time for which a daemon that does not reply is not asked.
+const EJECTION: Span = Span::from_secs(1);
+
 /// Share of the requests that one daemon gets while they are skewed.
 const SKEWED_SHARE: f64 = 0.9;
 
@@ -115,6 +120,7 @@
 struct Daemon {
     id: DaemonId,
     limits: RateLimits,
+    lenders: Lenders,
     deficit: Deficit,
     started_at: Time,
     is_up: bool,
@@ -156,6 +162,7 @@
     scenario: &'a Scenario,
     rng: ChaCha8Rng,
     daemons: Vec<Daemon>,
+    by_key: BTreeMap<DaemonKey, usize>,
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     messages: Vec<Vec<Advertisement>>,
     loans: Vec<LoanMessage>,
@@ -171,26 +178,31 @@
 
 /// Simulates a scenario and returns the outcome for each upstream.
 pub fn simulate(scenario: &Scenario) -> Vec<Outcome> {
-    let simulation = run(scenario);
-    let arrivals = simulation.arrivals.iter();
-    arrivals
-        .map(|arrivals| outcome(scenario, arrivals))
-        .collect()
+    outcomes(scenario, &run(scenario))
 }
 
-/// Simulates a scenario and returns the first tries in each of these spans of seconds.
+/// Simulates a scenario; returns the outcome for each upstream, and the first tries in each of these
+/// spans of seconds.
 pub fn simulate_first_tries<const N: usize>(
     scenario: &Scenario,
     spans: [(u64, u64); N],
-) -> [FirstTries; N] {
+) -> (Vec<Outcome>, [FirstTries; N]) {
     let simulation = run(scenario);
-    spans.map(|(from, to)| {
+    let first_tries = spans.map(|(from, to)| {
         let seconds = simulation.first_tries.range(from..to);
         seconds.fold(FirstTries::default(), |sum, (_, second)| FirstTries {
             asked: sum.asked + second.asked,
             served: sum.served + second.served,
         })
-    })
+    });
+    (outcomes(scenario, &simulation), first_tries)
+}
+
+fn outcomes(scenario: &Scenario, simulation: &Simulation<'_>) -> Vec<Outcome> {
+    let arrivals = simulation.arrivals.iter();
+    arrivals
+        .map(|arrivals| outcome(scenario, arrivals))
+        .collect()
 }
 
 fn run(scenario: &Scenario) -> Simulation<'_> {
@@ -198,6 +210,7 @@
         scenario,
         rng: ChaCha8Rng::seed_from_u64(scenario.seed),
         daemons: Vec::new(),
+        by_key: BTreeMap::new(),
         events: BinaryHeap::new(),
         messages: Vec::new(),
         loans: Vec::new(),
@@ -259,9 +272,12 @@
             let at = self.learn_time(now);
             self.daemons[other].learn_queue.push((at, new));
         }
+        let id = DaemonId::new(&format!("daemon-{new}")).expect("a name");
+        self.by_key.insert(DaemonKey::from(&id), new);
         self.daemons.push(Daemon {
-            id: DaemonId::new(&format!("daemon-{new}")).expect("a name"),
+            id,
             limits: RateLimits::default(),
+            lenders: Lenders::default(),
             deficit: Deficit::default(),
             started_at: now,
             is_up: true,
@@ -284,6 +300,7 @@
     fn restart(&mut self, now: Time, daemon: usize) {
         let this = &mut self.daemons[daemon];
         this.limits = RateLimits::default();
+        this.lenders = Lenders::default();
         this.deficit = Deficit::default();
         this.started_at = now;
         this.is_up = true;
@@ -427,10 +444,7 @@
             messages.extend(daemon.limits.ask_for_loans(local, &instances, deficit));
         }
         for (key, message) in messages {
-            let daemons = self.daemons.iter();
-            let mut keys = daemons.map(|daemon| DaemonKey::from(&daemon.id));
-            let to = keys.position(|other| other == key).expect("a daemon");
-            self.send_loan(now, from, to, message);
+            self.send_loan(now, from, self.by_key[&key], message);
         }
     }
 
@@ -504,8 +518,12 @@
             .filter(|u| this.limits.admission(local, instance(*u)) == Admission::Open)
             .collect::<Vec<_>>();
         if open.is_empty() {
-            self.daemons[daemon].deficit.record(local);
-            return false;
+            let Some(upstream) = self.lease(now, daemon) else {
+                self.daemons[daemon].deficit.record(local);
+                return false;
+            };
+            self.send(now, daemon, upstream);
+            return true;
         }
         let upstream = open[self.rng.random_range(0..open.len())];
         self.daemons[daemon].limits.take(local, instance(upstream));
@@ -513,6 +531,51 @@
         true
     }
 
+    /// Asks other daemons for a request by their shares; returns the upstream to which one is
+    /// granted.
+    fn lease(&mut self, now: Time, daemon: usize) -> Option<usize> {
+        for _ in 0..MAX_ASKED {
+            let this = &self.daemons[daemon];
+            let local = this.local_time(now);
+            let upstreams = 0..self.scenario.limits.len();
+            let offers = upstreams.flat_map(|upstream| {
+                let lenders = this.limits.other_senders(local, instance(upstream));
+                lenders.iter().map(move |lender| (upstream, *lender))
+            });
+            let is_ready = |(upstream, lender): &(usize, DaemonKey)| {
+                this.lenders.is_ready(local, *lender, instance(*upstream))
+            };
+            let offers = offers.filter(is_ready).collect::<Vec<_>>();
+            if offers.is_empty() {
+                return None;
+            }
+            let (upstream, lender) = offers[self.rng.random_range(0..offers.len())];
+            if self.ask(now, daemon, lender, upstream) {
+                return Some(upstream);
+            }
+        }
+        None
+    }
+
+    /// Asks another daemon for a request; returns whether it is granted.
+    fn ask(&mut self, now: Time, from: usize, lender: DaemonKey, upstream: usize) -> bool {
+        let to = self.by_key[&lender];
+        let local = self.daemons[from].local_time(now);
+        let is_lost = self.scenario.lost > 0.0 && self.rng.random_bool(self.scenario.lost);
+        if is_lost || self.is_cut(now, from, to) || !self.daemons[to].is_up {
+            let lenders = &mut self.daemons[from].lenders;
+            lenders.eject(local, lender, local + EJECTION);
+            return false;
+        }
+        let to = &mut self.daemons[to];
+        let at_lender = to.local_time(now);
+        let reply = to.limits.lend(at_lender, instance(upstream));
+        let ready_at = local + reply.ready_at.since(at_lender);
+        let lenders = &mut self.daemons[from].lenders;
+        lenders.record_reply(local, lender, instance(upstream), ready_at);
+        reply.is_granted
+    }
+
     fn send(&mut self, now: Time, daemon: usize, upstream: usize) {
         let this = &self.daemons[daemon];
         let informed_at = this.informed_at.get(&upstream);
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::relay::give_up_reason;
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
+use crate::tunnel::lease::Lease;
 
 /// Longest response head accepted from an upstream, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -184,8 +185,9 @@
 
 impl<T: Translator> Attempt<'_, T> {
     /// Sends the request. Waits for the head of a stream, or for the end of any other answer.
-    pub(crate) async fn send(&self, choice: Choice) -> SendResult<T> {
-        let mut guard = AttemptGuard::start(self.shared, &choice, self.request, self.has_failed);
+    pub(crate) async fn send(&self, choice: Choice, lease: Option<Lease>) -> SendResult<T> {
+        let (shared, request) = (self.shared, self.request);
+        let mut guard = AttemptGuard::start(shared, &choice, lease, request, self.has_failed);
         let Some(spec) = self.shared.upstreams.borrow().spec(choice.index).cloned() else {
             return SendResult::Unreachable;
         };
@@ -200,7 +202,7 @@
         };
         guard.note_heard();
         self.observe_limits(choice.index, &guard, &answer.reply);
-        if let Some((outcome, sent)) = self.refusal(choice.index, &answer) {
+        if let Some((outcome, sent)) = self.refusal(choice.index, &guard, &answer) {
             guard.end(outcome);
             return sent;
         }
@@ -353,14 +355,12 @@
     fn refusal(
         &self,
         index: UpstreamIndex,
+        guard: &AttemptGuard<T>,
         answer: &AnswerHead,
     ) -> Option<(UpstreamOutcome, SendResult<T>)> {
         match answer.reply.execution {
             Execution::NotRun => {
-                self.shared
-                    .upstreams
-                    .borrow_mut()
-                    .record_rejection(self.shared.now(), index);
+                guard.note_rejected();
                 if let Some(wait) = answer.reply.retry_after {
                     self.shared.back_off(index, wait);
                 }
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -13,6 +13,7 @@
 use crate::exchange::Request;
 use crate::shared::Shared;
 use crate::tunnel::client::TunnelLease;
+use crate::tunnel::lease::Lease;
 
 /// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as cancelled.
 pub(crate) struct AttemptGuard<T> {
@@ -28,6 +29,8 @@
     sent_at: Cell<Time>,
     /// Set where the request goes through a peer.
     tunnel: RefCell<Option<TunnelLease<T>>>,
+    /// Set where the request goes by another daemon's share.
+    lease: RefCell<Option<Lease>>,
     began_at: Option<Time>,
     outcome: UpstreamOutcome,
 }
@@ -42,12 +45,17 @@
     pub(crate) fn start(
         shared: &Rc<Shared<T>>,
         choice: &Choice,
+        lease: Option<Lease>,
         request: &Request<T>,
         has_failed: bool,
     ) -> Self {
         let now = shared.now();
         let mut upstreams = shared.upstreams.borrow_mut();
-        let ticket = upstreams.record_start(now, choice.index, &choice.load, &choice.prefixes);
+        let (index, load, prefixes) = (choice.index, &choice.load, &choice.prefixes);
+        let ticket = match lease {
+            Some(_) => upstreams.record_leased_start(now, index, load, prefixes),
+            None => upstreams.record_start(now, index, load, prefixes),
+        };
         if upstreams.rate_limit(choice.index).is_some() {
             shared.metrics.limited_sends.inc();
         }
@@ -76,6 +84,7 @@
             awaited,
             sent_at: Cell::new(now),
             tunnel: RefCell::default(),
+            lease: RefCell::new(lease),
             began_at: None,
             outcome: UpstreamOutcome::Cancelled,
         };
@@ -156,6 +165,19 @@
         })
     }
 
+    /// Notes that the upstream rejected the request for want of room.
+    pub(crate) fn note_rejected(&self) {
+        let now = self.shared.now();
+        let mut upstreams = self.shared.upstreams.borrow_mut();
+        match &mut *self.lease.borrow_mut() {
+            Some(lease) => {
+                upstreams.record_leased_rejection(now, self.index);
+                lease.reject();
+            }
+            None => upstreams.record_rejection(now, self.index),
+        }
+    }
+
     /// When the request was sent.
     pub(crate) fn sent_at(&self) -> Time {
         self.sent_at.get()
@@ -202,6 +224,9 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut upstreams = self.shared.upstreams.borrow_mut();
+        if self.lease.take().is_some() {
+            upstreams.record_leased_end(self.index);
+        }
         upstreams.record_end(now, self.index, self.ticket, self.outcome);
         drop(upstreams);
         self.shared.attempt_ended(
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -181,6 +181,7 @@
     /// Fails a request for which no upstream can be chosen, with the time at which one can.
     async fn refuse(&mut self, no: NoUpstream) -> Finish {
         let now = self.shared.now();
+        self.report_shortage(no);
         let wait = match no {
             NoUpstream::Limited { until } => {
                 self.shared.metrics.limited_requests.inc();
@@ -235,8 +236,8 @@
 
     async fn attempt(&mut self) -> Next {
         let model = self.model_name().cloned();
-        let choice = match self.choose_when_free(model.as_ref()).await {
-            Ok(choice) => choice,
+        let (choice, lease) = match self.choose_when_free(model.as_ref()).await {
+            Ok(chosen) => chosen,
             Err(no) => return Next::NoneAvailable(no),
         };
         if self.sends + self.unreachable > 0 {
@@ -260,7 +261,7 @@
             is_trial: self.is_trial,
             peer: &self.peer,
         };
-        let sent = attempt.send(choice).await;
+        let sent = attempt.send(choice, lease).await;
         self.handle_outcome(sent).await
     }
 
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -11,11 +11,16 @@
 
 use super::{Exchange, MAX_EXTRA_SENDS};
 use crate::translate::Translator;
+use crate::tunnel::lease::Lease;
 
 /// Share of the route's objective for which a request waits for an upstream with room.
 const MAX_WAIT_SHARE: f64 = 0.4;
 /// Interval at which it looks for one.
 const ROOM_POLL: Duration = Duration::from_millis(10);
+/// Interval at which a request that waits for room asks other daemons for a share.
+const ASK_INTERVAL: Span = Span::from_millis(50);
+/// Most other daemons that are asked for a share at a time.
+const MAX_LENDERS_ASKED: usize = 4;
 /// How long a request waits at most for others to show whether a suspected part of its prompt
 /// crashes upstreams, and the share of its time that this may take.
 const MAX_HOLD: Span = Span::from_secs(3);
@@ -103,9 +108,23 @@
         model: Option<&Arc<str>>,
         tried: &[UpstreamIndex],
     ) -> Result<Choice, NoUpstream> {
+        self.with_requirements(model, tried, |requirements| {
+            let now = self.shared.now();
+            let upstreams = self.shared.upstreams.borrow();
+            upstreams.choose(now, requirements, &mut *self.shared.rng.borrow_mut())
+        })
+    }
+
+    /// Runs `f` with what the request requires of an upstream.
+    fn with_requirements<R>(
+        &self,
+        model: Option<&Arc<str>>,
+        tried: &[UpstreamIndex],
+        f: impl FnOnce(&Requirements<'_>) -> R,
+    ) -> R {
         let permit = self.permit();
         let prompt = self.request.ask.prompt.as_ref();
-        let requirements = Requirements {
+        f(&Requirements {
             service: &self.service,
             model,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
@@ -114,31 +133,71 @@
             isolated: self.is_trial || self.is_suspect(),
             exclude: tried,
             local_domain: &self.shared.cfg.failure_domain,
-        };
-        let now = self.shared.now();
-        let upstreams = self.shared.upstreams.borrow();
-        upstreams.choose(now, &requirements, &mut *self.shared.rng.borrow_mut())
+        })
     }
 
-    /// Chooses an upstream for a model, and waits a moment for one with room: waiting here does a
-    /// brittle upstream no harm.
+    /// Chooses an upstream for a model. Where this daemon has no share of it left, other daemons are
+    /// asked for one. Waits a moment for an upstream with room: waiting here does a brittle one no
+    /// harm.
     pub(super) async fn choose_when_free(
         &self,
         model: Option<&Arc<str>>,
-    ) -> Result<Choice, NoUpstream> {
+    ) -> Result<(Choice, Option<Lease>), NoUpstream> {
         let objective = self.request.route.objective.as_secs_f64();
         let max_wait = Span::from_secs_f64(objective * MAX_WAIT_SHARE);
         let deadline = self.shared.now() + max_wait;
+        let mut ask_at = self.shared.now();
         loop {
-            let choice = self.choose(model, &self.tried);
-            let is_busy = matches!(choice, Err(NoUpstream::Busy { .. }));
+            let no = match self.choose(model, &self.tried) {
+                Ok(choice) => return Ok((choice, None)),
+                Err(no) => no,
+            };
+            if no.is_without_share() && self.shared.now().has_reached(ask_at) {
+                if let Some((choice, lease)) = self.lease(model).await {
+                    return Ok((choice, Some(lease)));
+                }
+                ask_at = self.shared.now() + ASK_INTERVAL;
+            }
+            let is_busy = matches!(no, NoUpstream::Busy { .. });
             if !is_busy || self.shared.now().has_reached(deadline) {
-                return choice;
+                return Err(no);
             }
             tokio::time::sleep(ROOM_POLL).await;
         }
     }
 
+    /// Chooses an upstream to which another daemon lends the request.
+    async fn lease(&self, model: Option<&Arc<str>>) -> Option<(Choice, Lease)> {
+        for _ in 0..MAX_LENDERS_ASKED {
+            let choice = self.choose_leased(model)?;
+            if let Some(lease) = self.shared.take_lease(&choice, choice.lease?).await {
+                return Some((choice, lease));
+            }
+        }
+        None
+    }
+
+    fn choose_leased(&self, model: Option<&Arc<str>>) -> Option<Choice> {
+        self.with_requirements(model, &self.tried, |requirements| {
+            let now = self.shared.now();
+            let peers = self.shared.tunnel_peers.borrow();
+            let can_ask = |daemon| peers.address(daemon).is_some();
+            let upstreams = self.shared.upstreams.borrow();
+            let rng = &mut *self.shared.rng.borrow_mut();
+            upstreams.choose_leased(now, requirements, can_ask, rng)
+        })
+    }
+
+    /// Adds to the report how much the bound for which the request is refused leaves to this daemon.
+    pub(super) fn report_shortage(&mut self, no: NoUpstream) {
+        let model = self.model_name();
+        let shortage = self.with_requirements(model, &self.tried, |requirements| {
+            let upstreams = self.shared.upstreams.borrow();
+            upstreams.shortage(self.shared.now(), requirements, no)
+        });
+        self.report.shortage = shortage;
+    }
+
     /// Expected time until a model's first event.
     pub(super) fn expected_first_event(&self, model: usize) -> Option<Span> {
         let model = self.request.route.models.get(model)?;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -77,6 +77,12 @@
     pub borrowed_shares: Counter,
     /// Shares of rate limits that it lent, each renewal counted.
     pub lent_shares: Counter,
+    /// Requests for leases by this daemon.
+    pub leases_asked: Counter,
+    /// Leases granted to this daemon.
+    pub leases_taken: Counter,
+    /// Leases that it granted.
+    pub leases_lent: Counter,
     /// Answers with a rate limit that cannot be read.
     pub invalid_rate_limits: Counter,
     /// Requests in flight.
@@ -115,6 +121,9 @@
             limited_requests: Counter::default(),
             borrowed_shares: Counter::default(),
             lent_shares: Counter::default(),
+            leases_asked: Counter::default(),
+            leases_taken: Counter::default(),
+            leases_lent: Counter::default(),
             invalid_rate_limits: Counter::default(),
             in_flight: Gauge::default(),
             barred_contents: Gauge::default(),
@@ -158,6 +167,7 @@
             self.upstream_ends.clone(),
         );
         self.register_rate_limits();
+        self.register_leases();
         self.register_tunnels();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
@@ -188,6 +198,25 @@
         );
     }
 
+    fn register_leases(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "leases_asked",
+            "Requests for which another daemon's share of a bound was asked for",
+            self.leases_asked.clone(),
+        );
+        r.register(
+            "leases_taken",
+            "Requests sent by other daemons' shares",
+            self.leases_taken.clone(),
+        );
+        r.register(
+            "leases_lent",
+            "Requests that other daemons sent by this daemon's shares",
+            self.leases_lent.clone(),
+        );
+    }
+
     fn register_tunnels(&mut self) {
         let r = &mut self.registry;
         r.register(
--- a/components/traffic/src/rate_limits.rs
+++ b/components/traffic/src/rate_limits.rs
@@ -1,8 +1,8 @@
 //! Limits that upstreams advertise: observed, merged, lent, logged and counted.
 
 use dispatch::{
-    Advertised, Advertisement, Brittleness, DaemonKey, LoanKind, LoanMessage, RateLimitChange,
-    UpstreamIndex,
+    Advertised, Advertisement, BrittleAdvertisement, Brittleness, DaemonKey, LoanKind, LoanMessage,
+    RateLimitChange, UpstreamIndex,
 };
 use types::prelude::*;
 
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Merges the brittle services that other daemons advertise.
+    pub(crate) fn merge_brittleness(&self, ads: &[BrittleAdvertisement]) {
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        ads.iter()
+            .for_each(|ad| upstreams.merge_brittleness(now, ad));
+    }
+
     /// Handles another daemon's message about loans of shares, and publishes the answer.
     pub(crate) fn handle_loan(&self, from: DaemonKey, message: &LoanMessage) {
         let now = self.now();
@@ -83,6 +91,8 @@
         let mut upstreams = self.upstreams.borrow_mut();
         self.observed
             .set_rate_limits(upstreams.advertise_rate_limits(self.now()));
+        self.observed
+            .set_brittle(upstreams.advertise_brittleness(self.now()));
         self.observed.add_loans(upstreams.ask_for_loans(self.now()));
         let limited = i64::try_from(upstreams.rate_limits().len()).unwrap_or(i64::MAX);
         self.metrics.limited_upstreams.set(limited);
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dispatch::Shortage;
 use types::prelude::*;
 
 use crate::exchange::Request;
@@ -46,6 +47,8 @@
     /// A short description of each attempt.
     tries: String,
     service: Option<Arc<str>>,
+    /// The bound for which the request was refused.
+    pub(crate) shortage: Option<Shortage>,
     pub(crate) events: u64,
 }
 
@@ -82,6 +85,7 @@
             outcome = ?finish.outcome,
             status = finish.status,
             why = finish.why,
+            shortage = self.shortage.map(|shortage| shortage.to_string()),
             first_ms = first,
             ms = now.since(request.arrived_at).as_millis(),
             events = self.events,
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertisement, DaemonKey, LastSeen, LoanMessage, TunnelPeer, Upstreams};
+use dispatch::{
+    Advertisement, BrittleAdvertisement, DaemonKey, LastSeen, LoanMessage, TunnelPeer, Upstreams,
+};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamInstance};
 use rand::SeedableRng;
@@ -57,6 +59,8 @@
     pub validation: Option<Validation>,
     /// Rate limits of upstreams that other daemons advertise.
     pub rate_limits: Vec<Advertisement>,
+    /// Brittle services that other daemons advertise.
+    pub brittle: Vec<BrittleAdvertisement>,
     /// Peers that offer tunnels.
     pub tunnel_peers: Arc<Vec<TunnelPeer>>,
 }
@@ -184,6 +188,7 @@
         paths: RefCell::default(),
         tunnel_peers: RefCell::default(),
         served_tunnels: Cell::new(0),
+        lent: Cell::new(0),
         pool: RefCell::new(Pool::default()),
         attempts: RefCell::default(),
         awaited: RefCell::default(),
@@ -291,6 +296,7 @@
                 .borrow_mut()
                 .set(peer_state.tunnel_peers);
             shared.merge_rate_limits(&peer_state.rate_limits);
+            shared.merge_brittleness(&peer_state.brittle);
         }
         Command::Loan(from, message) => shared.handle_loan(from, &message),
         Command::Crashed(instances) => instances
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, DaemonKey, Evidence, Gate, LastSeen, LoanMessage, LoanMessages, Paths, Pins,
-    RetryBudget, RetryReason, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
+    Advertisement, BrittleAdvertisement, DaemonKey, Evidence, Gate, LastSeen, LoanMessage,
+    LoanMessages, Paths, Pins, RetryBudget, RetryReason, SharedLoad, TunnelPeers, UpstreamIndex,
+    Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts};
@@ -46,6 +47,7 @@
     staying: BTreeMap<u64, BTreeSet<u32>>,
     loads: Vec<SharedLoad>,
     rate_limits: Vec<Advertisement>,
+    brittle: Vec<BrittleAdvertisement>,
     loans: LoanMessages,
 }
 
@@ -93,6 +95,16 @@
         self.lock().rate_limits.clone()
     }
 
+    /// Returns the brittle services to advertise to other daemons.
+    #[must_use]
+    pub fn brittle(&self) -> Vec<BrittleAdvertisement> {
+        self.lock().brittle.clone()
+    }
+
+    pub(crate) fn set_brittle(&self, brittle: Vec<BrittleAdvertisement>) {
+        self.lock().brittle = brittle;
+    }
+
     /// Takes the messages about loans of rate limits that are to be sent to other daemons.
     #[must_use]
     pub fn take_loans(&self) -> LoanMessages {
@@ -145,6 +157,8 @@
     pub(crate) tunnel_peers: RefCell<TunnelPeers>,
     /// Tunnels open for peers.
     pub(crate) served_tunnels: Cell<usize>,
+    /// Requests that peers have in flight by this daemon's shares of upstreams' room.
+    pub(crate) lent: Cell<usize>,
     pub(crate) pool: RefCell<Pool<UpstreamIndex>>,
     /// Attempts in flight at each upstream, and recent ones.
     pub(crate) attempts: RefCell<Attempts<UpstreamIndex>>,
--- a/components/traffic/src/tunnel.rs
+++ b/components/traffic/src/tunnel.rs
@@ -12,6 +12,7 @@
 //! only has to wait for those in progress.
 
 pub(crate) mod client;
+pub(crate) mod lease;
 pub(crate) mod message;
 pub(crate) mod server;
 
--- a/components/traffic/src/tunnel/server.rs
+++ b/components/traffic/src/tunnel/server.rs
@@ -1,17 +1,21 @@
-//! Tunnels for peers that have lost their path to an upstream.
+//! Tunnels for peers that have lost their path to an upstream, and leases for those that have no
+//! share left.
 
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dispatch::{DirectFailure, Path, UpstreamIndex};
 use http1::Wire;
 use http1::frames::{END_FRAME, Frames, push_frame};
 use routes::Upstream;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use super::TUNNEL_WIRE;
-use super::message::{MAX_MESSAGE_BYTES, Opening, Verdict};
+use super::lease;
+use super::message::{LeaseRequest, MAX_MESSAGE_BYTES, Opening, Verdict};
 use crate::shared::{Shared, Stage};
 
 /// Time within which the opening message must arrive.
@@ -57,19 +61,25 @@
 }
 
 async fn serve<T>(shared: &Rc<Shared<T>>, peer: Wire) {
-    let is_full = shared.served_tunnels.get() >= shared.cfg.tunnels.max_served;
-    let _open = OpenTunnel::new(shared);
-    let opening = tokio::time::timeout(OPENING_TIMEOUT, read_opening(&peer)).await;
-    let Ok(Ok(opening)) = opening else {
+    let first = tokio::time::timeout(OPENING_TIMEOUT, read_frame(&peer)).await;
+    let Ok(Ok(first)) = first else {
         return;
     };
+    if let Some(request) = LeaseRequest::decode(&first, shared.cfg.tunnels.key) {
+        return lease::serve(shared, peer, &request).await;
+    }
+    let Ok(opening) = postcard::from_bytes::<Opening>(&first) else {
+        return;
+    };
+    let is_full = shared.served_tunnels.get() >= shared.cfg.tunnels.max_served;
+    let _open = OpenTunnel::new(shared);
     let opened = match is_full || shared.stage() == Stage::Closing {
         true => Err(Verdict::Busy),
         false => open(shared, &opening).await,
     };
     let verdict = opened.as_ref().err().copied();
     let verdict = verdict.unwrap_or(Verdict::Connected);
-    if send_verdict(&peer, verdict).await.is_err() {
+    if send_frame(&peer, &verdict).await.is_err() {
         return;
     }
     match opened {
@@ -81,7 +91,8 @@
     }
 }
 
-async fn read_opening(peer: &Wire) -> io::Result<Opening> {
+/// Reads the first frame of a connection.
+async fn read_frame(peer: &Wire) -> io::Result<Bytes> {
     let mut frames = Frames::default();
     loop {
         if peer.fill().await? == 0 {
@@ -89,7 +100,7 @@
         }
         frames.push(&peer.buf().split());
         if let Some(frame) = frames.next_frame()? {
-            return postcard::from_bytes(&frame).map_err(io::Error::other);
+            return Ok(frame.into());
         }
         if frames.len() > MAX_MESSAGE_BYTES {
             return Err(io::ErrorKind::InvalidData.into());
@@ -97,8 +108,9 @@
     }
 }
 
-async fn send_verdict(peer: &Wire, verdict: Verdict) -> io::Result<()> {
-    let encoded = postcard::to_allocvec(&verdict).map_err(io::Error::other)?;
+/// Sends a message as one frame.
+pub(crate) async fn send_frame(peer: &Wire, message: &impl Serialize) -> io::Result<()> {
+    let encoded = postcard::to_allocvec(message).map_err(io::Error::other)?;
     let mut out = Vec::new();
     push_frame(&mut out, &encoded);
     peer.write_all(&out).await
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the event loop between callers and scripted upstreams.
 
 mod harness;
+mod leases;
 
 mod answers;
 mod bounds;
