Replace loans of shares by leases of single requests

Cause: two mechanisms moved shares of upstreams' rates between daemons. Loans lent a share for two seconds if it was idle; they gave nothing where refused callers made every share busy, and leases serve all that loans served.

Change: loans, their messages, counters and deficits are gone.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -46,8 +46,7 @@
 pub use pins::Pins;
 pub use policy::{CascadePolicy, PlacingPolicy, Policy, PolicyError, RetryPolicy, TimingPolicy};
 pub use ratelimit::{
-    Advertised, Advertisement, Change as RateLimitChange, DaemonKey, Fleet, LeaseReply, LoanKind,
-    LoanMessage, LoanMessages,
+    Advertised, Advertisement, Change as RateLimitChange, DaemonKey, Fleet, LeaseReply,
 };
 pub use requirements::{PromptPart, Requirements};
 pub use shortage::{ReachedBound, Shortage};
--- a/components/dispatch/src/rate_limits.rs
+++ b/components/dispatch/src/rate_limits.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use ratelimit::{
-    Admission, Advertised, Advertisement, Change, DaemonKey, Fleet, InstanceKey, LoanMessage,
-    LoanMessages, RateLimits,
-};
+use ratelimit::{Admission, Advertised, Advertisement, Change, Fleet, InstanceKey, RateLimits};
 use routes::Upstream;
 use types::prelude::*;
 
@@ -74,38 +71,6 @@
         self.limits.advertise(now)
     }
 
-    /// Counts a request that was refused since all upstreams of its service were at their limits.
-    pub fn record_deficit(&mut self, now: Time, service: &Arc<str>) {
-        let deficit = self.deficits.entry(Arc::clone(service)).or_default();
-        deficit.record(now);
-    }
-
-    /// Returns messages that ask other daemons for their shares of limits, where this one needs more.
-    pub fn ask_for_loans(&mut self, now: Time) -> LoanMessages {
-        let mut messages = self.limits.renew_loans(now);
-        for (service, deficit) in &self.deficits {
-            let Some(rate) = deficit.rate(now) else {
-                continue;
-            };
-            let indices = self.by_service.get(service).into_iter().flatten();
-            let entries = indices.filter_map(|index| self.entries.get(index));
-            let instances = entries.filter(|entry| entry.takes_requests());
-            let instances = instances.map(|entry| entry.instance).collect::<Vec<_>>();
-            messages.extend(self.limits.ask_for_loans(now, &instances, rate));
-        }
-        messages
-    }
-
-    /// Handles another daemon's message about loans; returns the answer, if there is one.
-    pub fn handle_loan_message(
-        &mut self,
-        now: Time,
-        from: DaemonKey,
-        message: &LoanMessage,
-    ) -> Option<LoanMessage> {
-        self.limits.handle_loan_message(now, from, message)
-    }
-
     /// Takes a token for one more request to an upstream, if its rate limit allows it.
     pub fn try_acquire(&mut self, now: Time, index: UpstreamIndex) -> bool {
         let Some(entry) = self.entries.get(&index) else {
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use poison::UpstreamInstance;
-use ratelimit::{Deficit, InstanceKey, Lenders, RateLimits};
+use ratelimit::{InstanceKey, Lenders, RateLimits};
 use routes::{Upstream, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -191,8 +191,6 @@
     pub(crate) limits: RateLimits,
     /// When other daemons may lend requests by their shares.
     pub(crate) lenders: Lenders,
-    /// Requests refused lately since all upstreams of their service were at their limits.
-    pub(crate) deficits: HashMap<Arc<str>, Deficit>,
     pub(crate) brittle: BrittleServices,
     pub(crate) cold: ColdStarts,
     pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -209,10 +209,6 @@
             Followup::Nothing => {}
             Followup::ApplyReply(reply) => self.apply_reply(now, reply, Source::Peer),
             Followup::MergeContentUpdates(updates) => self.merge_content_updates(now, updates),
-            Followup::HandleLoan(from, message) => {
-                // The event loop may have ended before this thread when the process stops.
-                let _ = self.traffic.commands.send(Command::Loan(from, message));
-            }
             Followup::ServeMirror(from, request, reply) => {
                 self.serve_mirror(now, &from, &request, reply);
             }
@@ -459,7 +455,6 @@
         let copy = self.mirror_state();
         self.peering
             .send_heartbeat(now, copy, watches, loads, rate_limits, brittle);
-        self.peering.send_loans(self.traffic.observed.take_loans());
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
             brittle: self.peering.take_brittle(),
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Advertisement, BrittleAdvertisement, DaemonKey, Evidence, EvidenceAggregator, Fleet,
-    LoanMessage, LoanMessages, PeerLoads, RolloutMessage, RolloutSummary, TunnelPeer,
+    Advertisement, BrittleAdvertisement, Evidence, EvidenceAggregator, Fleet, PeerLoads,
+    RolloutMessage, RolloutSummary, TunnelPeer,
 };
 use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, Sender, State};
 use mirror::{Revision, SyncReply, SyncRequest};
@@ -87,8 +87,6 @@
     ApplyReply(SyncReply),
     /// Merge a peer's updates on request contents.
     MergeContentUpdates(ContentUpdates),
-    /// Handle a peer's message about loans of rate limits.
-    HandleLoan(DaemonKey, LoanMessage),
 }
 
 /// Whether a daemon has a share of upstreams' rate limits: it is present, or went silent so
@@ -230,10 +228,8 @@
                 Ok(updates) => return Followup::MergeContentUpdates(updates),
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
             },
-            Part::Limits => match postcard::from_bytes(body) {
-                Ok(message) => return Followup::HandleLoan((&from).into(), message),
-                Err(e) => tracing::warn!(peer = %from, "peers: invalid message on a loan: {e}"),
-            },
+            // Loans of shares, by the previous release: they end by themselves.
+            Part::Limits => {}
             other => tracing::warn!(peer = %from, "peers: unexpected message part {other:?}"),
         }
         Followup::Nothing
@@ -311,30 +307,6 @@
         }
     }
 
-    /// Sends messages about loans of rate limits. One to a daemon that is not known is dropped: the
-    /// borrower asks again.
-    pub(crate) fn send_loans(&self, messages: LoanMessages) {
-        if messages.is_empty() {
-            return;
-        }
-        let members = self.members.members().map(|member| &member.record);
-        let addresses = members.map(|record| (DaemonKey::from(&record.id), record.address));
-        let addresses = addresses.collect::<HashMap<_, _>>();
-        for (to, message) in messages {
-            let body = match postcard::to_allocvec(&message) {
-                Ok(body) => Bytes::from(body),
-                Err(e) => {
-                    tracing::error!("rate limits: {e}");
-                    continue;
-                }
-            };
-            if let Some(address) = addresses.get(&to) {
-                let part = Part::Limits;
-                self.handle.send(*address, Payload::Part { part, body });
-            }
-        }
-    }
-
     fn send_gossip(&mut self, now: Time, part: Part, body: &Bytes, kind: GossipKind) {
         for address in self.recipients(now, kind) {
             let body = body.clone();
--- a/components/ratelimit/src/cold.rs
+++ b/components/ratelimit/src/cold.rs
@@ -59,8 +59,8 @@
     }
 
     /// Returns this daemon's share of the rate, if it is a sender.
-    fn rate(&self, now: Time) -> Option<Rate> {
-        self.share.of(now, self.bound.rate, self.bound.senders())
+    fn rate(&self) -> Option<Rate> {
+        self.share.of(self.bound.rate, self.bound.senders())
     }
 
     /// The other daemons that have a share of the rate.
@@ -69,10 +69,10 @@
     }
 
     /// Returns the rate and this daemon's part of it.
-    pub(crate) fn shares(&self, now: Time) -> LimitShare {
+    pub(crate) fn shares(&self) -> LimitShare {
         LimitShare {
             rate: self.bound.rate,
-            own: self.rate(now).unwrap_or(Rate(0.0)),
+            own: self.rate().unwrap_or(Rate(0.0)),
         }
     }
 
@@ -84,21 +84,21 @@
     pub(crate) fn set(&mut self, now: Time, bound: ColdBound, until: Time) {
         self.until = until;
         if bound != self.bound {
-            let before = self.rate(now);
+            let before = self.rate();
             self.bound = bound;
             self.share.refill(now, before);
         }
     }
 
     pub(crate) fn set_fleet(&mut self, now: Time, instance: InstanceKey, fleet: &Fleet) {
-        let before = self.rate(now);
+        let before = self.rate();
         self.share.set_fleet(instance, fleet);
         self.share.refill(now, before);
     }
 
     /// Returns when this daemon may send next.
     pub(crate) fn ready_at(&self, now: Time, settled_at: Time) -> Time {
-        let ready_at = match self.rate(now) {
+        let ready_at = match self.rate() {
             Some(rate) => {
                 let ready_at = self.share.ready_at(now, rate);
                 ready_at.max(settled_at).max(self.open_at)
@@ -109,7 +109,7 @@
     }
 
     pub(crate) fn take(&mut self, now: Time) {
-        if let Some(rate) = self.rate(now) {
+        if let Some(rate) = self.rate() {
             self.share.take(now, rate);
         }
     }
--- a/components/ratelimit/src/lib.rs
+++ b/components/ratelimit/src/lib.rs
@@ -8,7 +8,6 @@
 //!   fleet ([`Fleet`]); all other daemons send it nothing. Daemons that know the same fleet agree
 //!   without a message.
 //! - Each sender has a token bucket with an equal share of the rate and a burst of one request.
-//! - A sender whose share is idle lends it to a daemon that needs more ([`LoanMessage`]).
 //! - A daemon without a token asks a sender for a single request ([`Lenders`]).
 //! - Daemons exchange limits as [`Advertisement`]s with a version, raised by the daemon that gets
 //!   an answer with a changed limit. Reordered and duplicate ones are dropped by their version.
@@ -26,7 +25,6 @@
 mod fleet;
 mod leases;
 mod limit;
-mod loans;
 mod share;
 mod table;
 
@@ -34,5 +32,4 @@
 pub use cold::ColdBound;
 pub use fleet::{DaemonKey, Fleet, SETTLING_TIME};
 pub use leases::{LeaseReply, Lenders};
-pub use loans::{Deficit, LoanKind, LoanMessage, LoanMessages};
 pub use table::{Admission, LimitShare, RateLimits};
--- a/components/ratelimit/src/limit.rs
+++ b/components/ratelimit/src/limit.rs
@@ -49,9 +49,9 @@
     }
 
     /// Returns this daemon's share of the rate, if it is a sender.
-    fn share(&self, now: Time) -> Option<Rate> {
+    fn share(&self) -> Option<Rate> {
         let rate = self.rate?;
-        self.share.of(now, at_least_min(rate), self.senders())
+        self.share.of(at_least_min(rate), self.senders())
     }
 
     /// The other daemons that have a share of the rate.
@@ -60,9 +60,9 @@
     }
 
     /// Returns the rate and this daemon's part of it.
-    pub(crate) fn shares(&self, now: Time) -> Option<LimitShare> {
+    pub(crate) fn shares(&self) -> Option<LimitShare> {
         let rate = self.rate?;
-        let own = self.share(now).unwrap_or(Rate(0.0));
+        let own = self.share().unwrap_or(Rate(0.0));
         Some(LimitShare { rate, own })
     }
 
@@ -103,7 +103,7 @@
 
     /// Applies a change that affects this daemon's share.
     fn change_share(&mut self, now: Time, change: impl FnOnce(&mut Self)) {
-        let before = self.share(now);
+        let before = self.share();
         change(self);
         self.share.refill(now, before);
     }
@@ -114,7 +114,7 @@
         if now < settled_at {
             return Some(settled_at);
         }
-        match self.share(now) {
+        match self.share() {
             Some(rate) => Some(self.share.ready_at(now, rate)),
             None if self.is_prober(now) => Some(now),
             // Some sender has a token after about this time.
@@ -136,58 +136,13 @@
         self.share.rank == senders + turn as usize % others
     }
 
-    /// Records that a request found no upstream with a token.
-    pub(crate) fn record_lack(&mut self, now: Time) {
-        self.share.record_lack(now);
-    }
-
-    /// Returns the daemons to ask for their shares now, and records that they are asked.
-    pub(crate) fn ask(
-        &mut self,
-        now: Time,
-        instance: InstanceKey,
-        fleet: &Fleet,
-    ) -> Vec<DaemonKey> {
-        self.share.asked_at = Some(now);
-        fleet.other_senders(instance, self.senders())
-    }
-
-    /// When this daemon last asked for shares.
-    pub(crate) fn asked_at(&self) -> Option<Time> {
-        self.share.asked_at
-    }
-
-    /// Whether it is time to ask other daemons for their shares, should this one need them.
-    pub(crate) fn may_ask(&self, now: Time) -> bool {
-        self.share.may_ask(now)
-    }
-
-    /// Whether this daemon still needs the shares that it has borrowed.
-    pub(crate) fn needs_loans(&self, now: Time) -> bool {
-        self.rate.is_some() && self.share.needs_loans(now)
-    }
-
-    /// Lends this daemon's share if it is idle; returns whether it is lent.
-    pub(crate) fn lend(&mut self, now: Time, to: DaemonKey) -> bool {
-        let Some(rate) = self.rate else {
-            return false;
-        };
-        let own = self.share.own(at_least_min(rate), self.senders());
-        own.is_some_and(|own| self.share.lend(now, own, to))
-    }
-
-    /// Accepts another daemon's share that was asked for at `asked_at`.
-    pub(crate) fn borrow(&mut self, now: Time, owner: DaemonKey, asked_at: Time) {
-        self.change_share(now, |limit| limit.share.borrow(now, owner, asked_at));
-    }
-
     /// Counts a request that is sent.
     pub(crate) fn take(&mut self, now: Time) {
         if self.rate.is_none() {
             return;
         }
         self.sent += 1;
-        match self.share(now) {
+        match self.share() {
             Some(rate) => self.share.take(now, rate),
             None => self.probed_at = Some(now),
         }
--- a/components/ratelimit/src/table.rs
+++ b/components/ratelimit/src/table.rs
@@ -276,8 +276,8 @@
         let cold = self.cold.get(&instance);
         let cold = cold.filter(|limit| limit.is_cold(now));
         match cold {
-            Some(limit) => Some(limit.shares(now)),
-            None => self.limits.get(&instance)?.shares(now),
+            Some(limit) => Some(limit.shares()),
+            None => self.limits.get(&instance)?.shares(),
         }
     }
 
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -185,8 +185,6 @@
         let wait = match no {
             NoUpstream::Limited { until } => {
                 self.shared.metrics.limited_requests.inc();
-                let mut upstreams = self.shared.upstreams.borrow_mut();
-                upstreams.record_deficit(now, &self.service);
                 now.until(until)
             }
             NoUpstream::Busy { until } => now.until(until),
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -73,10 +73,6 @@
     pub limited_sends: Counter,
     /// Requests refused because every suitable upstream was at its rate limit.
     pub limited_requests: Counter,
-    /// Shares of rate limits that this daemon borrowed, each renewal counted.
-    pub borrowed_shares: Counter,
-    /// Shares of rate limits that it lent, each renewal counted.
-    pub lent_shares: Counter,
     /// Requests for leases by this daemon.
     pub leases_asked: Counter,
     /// Leases granted to this daemon.
@@ -119,8 +115,6 @@
             limited_upstreams: Gauge::default(),
             limited_sends: Counter::default(),
             limited_requests: Counter::default(),
-            borrowed_shares: Counter::default(),
-            lent_shares: Counter::default(),
             leases_asked: Counter::default(),
             leases_taken: Counter::default(),
             leases_lent: Counter::default(),
@@ -253,16 +247,6 @@
             "Requests refused since every upstream for them was at its rate limit",
             self.limited_requests.clone(),
         );
-        r.register(
-            "borrowed_shares",
-            "Shares of rate limits borrowed from other daemons, each renewal counted",
-            self.borrowed_shares.clone(),
-        );
-        r.register(
-            "lent_shares",
-            "Shares of rate limits lent to other daemons, each renewal counted",
-            self.lent_shares.clone(),
-        );
         r.register(
             "invalid_rate_limits",
             "Answers with a rate limit that cannot be read",
--- a/components/traffic/src/rate_limits.rs
+++ b/components/traffic/src/rate_limits.rs
@@ -1,8 +1,7 @@
-//! Limits that upstreams advertise: observed, merged, lent, logged and counted.
+//! Limits that upstreams advertise: observed, merged, logged and counted.
 
 use dispatch::{
-    Advertised, Advertisement, BrittleAdvertisement, Brittleness, DaemonKey, LoanKind, LoanMessage,
-    RateLimitChange, UpstreamIndex,
+    Advertised, Advertisement, BrittleAdvertisement, Brittleness, RateLimitChange, UpstreamIndex,
 };
 use types::prelude::*;
 
@@ -72,20 +71,6 @@
             .for_each(|ad| upstreams.merge_brittleness(now, ad));
     }
 
-    /// Handles another daemon's message about loans of shares, and publishes the answer.
-    pub(crate) fn handle_loan(&self, from: DaemonKey, message: &LoanMessage) {
-        let now = self.now();
-        let mut upstreams = self.upstreams.borrow_mut();
-        let answer = upstreams.handle_loan_message(now, from, message);
-        let (counter, shares) = match (message.kind, &answer) {
-            (LoanKind::Grant, _) => (&self.metrics.borrowed_shares, message.instances.len()),
-            (LoanKind::Ask, Some(grant)) => (&self.metrics.lent_shares, grant.instances.len()),
-            (LoanKind::Ask, None) => return,
-        };
-        counter.inc_by(shares as u64);
-        self.observed.add_loans(answer.map(|answer| (from, answer)));
-    }
-
     /// Publishes the rate limits that the control thread is to advertise.
     pub(crate) fn publish_rate_limits(&self) {
         let mut upstreams = self.upstreams.borrow_mut();
@@ -93,7 +78,6 @@
             .set_rate_limits(upstreams.advertise_rate_limits(self.now()));
         self.observed
             .set_brittle(upstreams.advertise_brittleness(self.now()));
-        self.observed.add_loans(upstreams.ask_for_loans(self.now()));
         let limited = i64::try_from(upstreams.rate_limits().len()).unwrap_or(i64::MAX);
         self.metrics.limited_upstreams.set(limited);
     }
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,9 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{
-    Advertisement, BrittleAdvertisement, DaemonKey, LastSeen, LoanMessage, TunnelPeer, Upstreams,
-};
+use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamInstance};
 use rand::SeedableRng;
@@ -72,8 +70,6 @@
     Plan(Arc<Plan>),
     /// Merge the state of other daemons.
     PeerState(PeerState),
-    /// Handle another daemon's message about loans of rate limits.
-    Loan(DaemonKey, LoanMessage),
     /// These upstreams crashed, as reported by other daemons.
     Crashed(Vec<UpstreamInstance>),
     /// Finish the requests in flight, then exit.
@@ -298,7 +294,6 @@
             shared.merge_rate_limits(&peer_state.rate_limits);
             shared.merge_brittleness(&peer_state.brittle);
         }
-        Command::Loan(from, message) => shared.handle_loan(from, &message),
         Command::Crashed(instances) => instances
             .iter()
             .for_each(|instance| shared.peer_reported_crash(instance)),
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -5,9 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, BrittleAdvertisement, DaemonKey, Evidence, Gate, LastSeen, LoanMessage,
-    LoanMessages, Paths, Pins, RetryBudget, RetryReason, SharedLoad, TunnelPeers, UpstreamIndex,
-    Upstreams,
+    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pins, RetryBudget,
+    RetryReason, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts};
@@ -37,9 +36,6 @@
 /// Rollout orders whose staying sessions are remembered.
 const MAX_ROLLOUT_ORDERS: usize = 8;
 
-/// Messages about loans that wait for the control thread; what does not fit is asked for again.
-const MAX_LOAN_MESSAGES: usize = 1_024;
-
 /// Values that the event loop publishes to the control thread.
 #[derive(Debug, Default)]
 struct Published {
@@ -48,7 +44,6 @@
     loads: Vec<SharedLoad>,
     rate_limits: Vec<Advertisement>,
     brittle: Vec<BrittleAdvertisement>,
-    loans: LoanMessages,
 }
 
 /// What the event loop publishes to the control thread: evidence on rollouts, and its loads and
@@ -105,18 +100,6 @@
         self.lock().brittle = brittle;
     }
 
-    /// Takes the messages about loans of rate limits that are to be sent to other daemons.
-    #[must_use]
-    pub fn take_loans(&self) -> LoanMessages {
-        std::mem::take(&mut self.lock().loans)
-    }
-
-    pub(crate) fn add_loans(&self, messages: impl IntoIterator<Item = (DaemonKey, LoanMessage)>) {
-        let mut published = self.lock();
-        let room = MAX_LOAN_MESSAGES.saturating_sub(published.loans.len());
-        published.loans.extend(messages.into_iter().take(room));
-    }
-
     pub(crate) fn set_rate_limits(&self, rate_limits: Vec<Advertisement>) {
         self.lock().rate_limits = rate_limits;
     }
