Leases: bound the time for which a request asks other daemons

Four peers behind a cut would have held up a request for 0.4 s before its refusal. It asks no further one after 0.1 s.

--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -21,6 +21,8 @@
 const ASK_INTERVAL: Span = Span::from_millis(50);
 /// Most other daemons that are asked for a share at a time.
 const MAX_LENDERS_ASKED: usize = 4;
+/// Time after which no further one is asked: a request that nobody lends is refused at once.
+const MAX_LEASE_WAIT: Span = Span::from_millis(100);
 /// How long a request waits at most for others to show whether a suspected part of its prompt
 /// crashes upstreams, and the share of its time that this may take.
 const MAX_HOLD: Span = Span::from_secs(3);
@@ -168,7 +170,11 @@
 
     /// Chooses an upstream to which another daemon lends the request.
     async fn lease(&self, model: Option<&Arc<str>>) -> Option<(Choice, Lease)> {
+        let deadline = self.shared.now() + MAX_LEASE_WAIT;
         for _ in 0..MAX_LENDERS_ASKED {
+            if self.shared.now().has_reached(deadline) {
+                return None;
+            }
             let choice = self.choose_leased(model)?;
             if let Some(lease) = self.shared.take_lease(&choice, choice.lease?).await {
                 return Some((choice, lease));
