--- a/components/ratelimit/src/table.rs
+++ b/components/ratelimit/src/table.rs
@@ -22,8 +22,13 @@
 /// Most limits kept; there are fewer upstreams.
 const MAX_LIMITS: usize = 16_384;
 
-/// Time for which a daemon that does not know a limit is not asked for a share of it.
-const UNKNOWN_LIMIT_PAUSE: Span = Span::from_secs(1);
+/// Time for which a daemon that lends nothing by its share of a limit is not asked for it.
+const NO_SHARE_PAUSE: Span = Span::from_secs(1);
+
+/// Time for which shares of cold upstreams are not lent after daemons have disappeared. They may be
+/// behind a partition, where others have taken over the same shares; used to the full on both sides,
+/// these are more than a cold upstream tolerates.
+const PARTITION_PAUSE: Span = Span::from_secs(60);
 
 /// Whether a request may be sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +65,8 @@
     cold: BTreeMap<InstanceKey, ColdLimit>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) settled_at: Time,
+    /// Shares of cold upstreams are not lent before this time.
+    cold_leases_from: Time,
     /// The limit that was last advertised in turn.
     cursor: Option<InstanceKey>,
 }
@@ -71,6 +78,9 @@
             return;
         }
         self.settled_at = Time::ZERO + SETTLING_TIME;
+        if fleet.size() < self.fleet.size() {
+            self.cold_leases_from = now + PARTITION_PAUSE;
+        }
         self.fleet = Arc::clone(fleet);
         for (instance, limit) in &mut self.limits {
             limit.set_fleet(now, *instance, fleet);
@@ -233,12 +243,13 @@
     /// Sends one request of another daemon by this daemon's share, if it has a token.
     ///
     /// A daemon that knows no limit of the upstream denies it: it has just started, or the limit has
-    /// just been lifted.
+    /// just been lifted. One that has lost sight of others denies it at a cold upstream.
     pub fn lend(&mut self, now: Time, instance: InstanceKey) -> LeaseReply {
-        if self.shares(now, instance).is_none() {
+        let is_cold = self.is_cold(now, instance);
+        if self.shares(now, instance).is_none() || (is_cold && now < self.cold_leases_from) {
             return LeaseReply {
                 is_granted: false,
-                ready_at: now + UNKNOWN_LIMIT_PAUSE,
+                ready_at: now + NO_SHARE_PAUSE,
             };
         }
         let is_granted = self.admission(now, instance) == Admission::Open;
--- a/components/ratelimit/tests/it/cold.rs
+++ b/components/ratelimit/tests/it/cold.rs
@@ -1,12 +1,12 @@
 //! Checks that fleets of 6 to 300 daemons send cold upstreams no more than these tolerate in any
 //! second, from when they turn cold.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ratelimit::{Admission, ColdBound, Fleet, InstanceKey, RateLimits};
+use ratelimit::{Admission, ColdBound, DaemonKey, Fleet, InstanceKey, Lenders, RateLimits};
 use types::prelude::*;
 
 const FLEETS: [usize; 5] = [6, 20, 78, 150, 300];
@@ -23,6 +23,9 @@
 const COLD_FOR: Span = Span::from_secs(3);
 /// Longest time until a daemon knows that an upstream is cold.
 const MAX_LAG_MS: u64 = 400;
+/// Other daemons that are asked for one request at most, and the longest time that this takes.
+const MAX_ASKED: usize = 4;
+const MAX_LEASE_MS: u64 = 100;
 /// Longest time until daemons know of one that has started.
 const MAX_LEARN_MS: u64 = 4_500;
 
@@ -46,6 +49,7 @@
 struct Daemon {
     id: DaemonId,
     limits: RateLimits,
+    lenders: Lenders,
     started_at: Time,
     up_from: Time,
     knows: BTreeSet<usize>,
@@ -57,6 +61,7 @@
     scenario: Scenario,
     rng: ChaCha8Rng,
     daemons: Vec<Daemon>,
+    by_key: BTreeMap<DaemonKey, usize>,
     arrivals: Vec<Vec<Time>>,
 }
 
@@ -74,6 +79,7 @@
             scenario,
             rng: ChaCha8Rng::seed_from_u64(scenario.seed),
             daemons: Vec::new(),
+            by_key: BTreeMap::new(),
             arrivals: vec![Vec::new(); scenario.upstreams],
         };
         for _ in 0..scenario.daemons {
@@ -89,9 +95,11 @@
     fn join(&mut self, now: Time) {
         let new = self.daemons.len();
         let id = DaemonId::new(&format!("daemon-{new}")).expect("a name");
+        self.by_key.insert(DaemonKey::from(&id), new);
         self.daemons.push(Daemon {
             id,
             limits: RateLimits::default(),
+            lenders: Lenders::default(),
             started_at: now,
             up_from: now,
             knows: BTreeSet::new(),
@@ -119,6 +127,7 @@
         let known_at = known_at.collect();
         let daemon = &mut self.daemons[number];
         daemon.limits = RateLimits::default();
+        daemon.lenders = Lenders::default();
         daemon.started_at = now;
         daemon.up_from = now;
         daemon.knows.clear();
@@ -181,6 +190,7 @@
             .filter(|u| daemon.limits.admission(local, instance(*u)) == Admission::Open);
         let open = open.collect::<Vec<_>>();
         if open.is_empty() {
+            self.lease(now, number);
             return;
         }
         let upstream = open[self.rng.random_range(0..open.len())];
@@ -188,6 +198,44 @@
         let on_its_way = Span::from_millis(self.rng.random_range(1..30));
         self.arrivals[upstream].push(now + on_its_way);
     }
+
+    /// Sends a request by the share of another daemon, if one grants it.
+    fn lease(&mut self, now: Time, number: usize) {
+        for _ in 0..MAX_ASKED {
+            let daemon = &self.daemons[number];
+            let local_now = local(daemon, now);
+            let offers = (0..self.scenario.upstreams).flat_map(|upstream| {
+                let instance = instance(upstream);
+                let lenders = daemon.limits.other_senders(local_now, instance).iter();
+                lenders.map(move |lender| (upstream, *lender))
+            });
+            let is_ready = |(upstream, lender): &(usize, DaemonKey)| {
+                let instance = instance(*upstream);
+                daemon.lenders.is_ready(local_now, *lender, instance)
+            };
+            let offers = offers.filter(is_ready).collect::<Vec<_>>();
+            if offers.is_empty() {
+                return;
+            }
+            let (upstream, key) = offers[self.rng.random_range(0..offers.len())];
+            let lender = &mut self.daemons[self.by_key[&key]];
+            if now < lender.up_from {
+                let lenders = &mut self.daemons[number].lenders;
+                lenders.eject(local_now, key, local_now + Span::from_secs(1));
+                continue;
+            }
+            let at_lender = local(lender, now);
+            let reply = lender.limits.lend(at_lender, instance(upstream));
+            let ready_at = local_now + reply.ready_at.since(at_lender);
+            let lenders = &mut self.daemons[number].lenders;
+            lenders.record_reply(local_now, key, instance(upstream), ready_at);
+            if reply.is_granted {
+                let on_its_way = self.delay(MAX_LEASE_MS);
+                self.arrivals[upstream].push(now + on_its_way);
+                return;
+            }
+        }
+    }
 }
 
 fn local(daemon: &Daemon, now: Time) -> Time {
@@ -302,6 +350,17 @@
     check(scenarios(|s| s.skew = 0.9));
 }
 
+// The daemon with the callers had one sender's share of few upstreams.
+#[test]
+fn cold_upstreams_are_used_while_one_daemon_gets_most_requests() {
+    let even = check(scenarios(|_| {}));
+    let skewed = check(scenarios(|s| s.skew = 0.9));
+    for ((scenario, skewed), (_, even)) in skewed.iter().zip(&even) {
+        let share = skewed.used / even.used;
+        assert!(share >= 0.75, "{share} of the usual, {scenario:?}");
+    }
+}
+
 #[test]
 fn cold_upstreams_are_spared_while_daemons_restart() {
     check(scenarios(|s| s.kill_every = Some(Span::from_millis(300))));
