--- a/components/dispatch/src/leases.rs
+++ b/components/dispatch/src/leases.rs
@@ -14,7 +14,7 @@
 use crate::brittle::{BUSY_PAUSE, LIFTED_AFTER, RoomShares};
 use crate::choose::Choice;
 use crate::requirements::Requirements;
-use crate::upstreams::{Entry, UpstreamIndex, Upstreams};
+use crate::upstreams::{Entry, Load, Ticket, UpstreamIndex, Upstreams};
 
 /// Time for which a daemon that lends nothing at an upstream is not asked for it.
 const NO_SHARE_PAUSE: Span = Span::from_secs(1);
@@ -182,6 +182,28 @@
         }
     }
 
+    /// Records that a request is sent to an upstream by another daemon's share.
+    pub fn record_leased_start(
+        &mut self,
+        now: Time,
+        index: UpstreamIndex,
+        load: &Load,
+        prefixes: &[u64],
+    ) -> Ticket {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.leased += 1;
+        }
+        self.add_in_flight(now, index, load, prefixes)
+    }
+
+    /// Records the end of a request that was sent by another daemon's share, before its end as any
+    /// request.
+    pub fn record_leased_end(&mut self, index: UpstreamIndex) {
+        if let Some(entry) = self.entries.get_mut(&index) {
+            entry.leased = entry.leased.saturating_sub(1);
+        }
+    }
+
     /// Records the end of a request that another daemon sent by this daemon's share of an upstream's
     /// room.
     pub fn record_lent_end(&mut self, index: UpstreamIndex) {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod health;
 mod lapsed;
 mod leases;
+mod means;
 mod paths;
 mod peer_loads;
 mod pins;
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -14,20 +14,16 @@
 use crate::brittle::{BrittleServices, Window};
 use crate::cold::{ColdStarts, ColdUntil, apply_cold_time};
 use crate::health::{Health, UpstreamOutcome};
+use crate::means::{DEFAULT_PLAIN_MS, MEAN_WEIGHT, ServiceMeans, means_of};
 use crate::policy::PlacingPolicy;
 use crate::prefill::PrefillTimes;
 
 /// Prefixes remembered per upstream; an engine's cache holds some hundred of them.
 const MAX_PREFIXES: usize = 2_048;
-/// Expected time of a plain service's answer before the first one, in ms.
-const DEFAULT_PLAIN_MS: f64 = 50.0;
 /// Part of an engine's time to the first event that does not depend on the prompt, in ms.
 pub(crate) const ENGINE_BASE_MS: f64 = 20.0;
 /// Prefills of fewer tokens are not sampled: they say little about the time per token.
 const MIN_SAMPLE_TOKENS: u32 = 500;
-/// Weight of a new sample in the means of a service.
-const MEAN_WEIGHT: f64 = 0.05;
-
 /// Identifies one instance of an upstream while it is listed or has outstanding requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamIndex(u64);
@@ -169,14 +165,6 @@
     pub(crate) in_flight: u32,
 }
 
-/// Moving means over the upstreams of a service.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ServiceMeans {
-    pub(crate) plain_ms: f64,
-    good: f64,
-    bad: f64,
-}
-
 /// The upstreams as one daemon knows them.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -336,21 +324,7 @@
         self.add_in_flight(now, index, load, prefixes)
     }
 
-    /// Records that a request is sent to an upstream by another daemon's share.
-    pub fn record_leased_start(
-        &mut self,
-        now: Time,
-        index: UpstreamIndex,
-        load: &Load,
-        prefixes: &[u64],
-    ) -> Ticket {
-        if let Some(entry) = self.entries.get_mut(&index) {
-            entry.leased += 1;
-        }
-        self.add_in_flight(now, index, load, prefixes)
-    }
-
-    fn add_in_flight(
+    pub(crate) fn add_in_flight(
         &mut self,
         now: Time,
         index: UpstreamIndex,
@@ -431,14 +405,6 @@
         }
     }
 
-    /// Records the end of a request that was sent by another daemon's share, before its end as any
-    /// request.
-    pub fn record_leased_end(&mut self, index: UpstreamIndex) {
-        if let Some(entry) = self.entries.get_mut(&index) {
-            entry.leased = entry.leased.saturating_sub(1);
-        }
-    }
-
     /// Records the end of a request.
     pub fn record_end(
         &mut self,
@@ -508,32 +474,3 @@
         means.map_or(DEFAULT_PLAIN_MS, |means| means.plain_ms)
     }
 }
-
-fn means_of<'a>(
-    means: &'a mut HashMap<Arc<str>, ServiceMeans>,
-    service: &Arc<str>,
-) -> &'a mut ServiceMeans {
-    means.entry(service.clone()).or_insert(ServiceMeans {
-        plain_ms: DEFAULT_PLAIN_MS,
-        good: 1.0,
-        bad: 0.0,
-    })
-}
-
-impl ServiceMeans {
-    fn record(&mut self, outcome: UpstreamOutcome) {
-        let (good, bad) = match outcome {
-            UpstreamOutcome::Good => (1.0, 0.0),
-            UpstreamOutcome::Failed | UpstreamOutcome::Incomplete | UpstreamOutcome::Silent => {
-                (0.0, 1.0)
-            }
-            _ => return,
-        };
-        self.good += MEAN_WEIGHT * (good - self.good);
-        self.bad += MEAN_WEIGHT * (bad - self.bad);
-    }
-
-    fn failure_share(&self) -> f64 {
-        self.bad / (self.good + self.bad).max(f64::EPSILON)
-    }
-}
--- a/components/dispatch/tests/limits.rs
+++ b/components/dispatch/tests/limits.rs
@@ -35,19 +35,23 @@
     Time::ZERO + Span::from_millis(ms)
 }
 
+fn requirements<'a>(service: &'a Arc<str>, near: &'a FailureDomain) -> Requirements<'a> {
+    Requirements {
+        service,
+        model: None,
+        parts: &[],
+        prompt_tokens: 0,
+        permit: &Permit::Any,
+        isolated: false,
+        exclude: &[],
+        local_domain: near,
+    }
+}
+
 impl Setup {
     /// Asks another daemon for a request by its share; returns whether it is granted.
     fn lease(&self, now: Time, lender: &mut Self) -> bool {
-        let requirements = Requirements {
-            service: &self.service,
-            model: None,
-            parts: &[],
-            prompt_tokens: 0,
-            permit: &Permit::Any,
-            isolated: false,
-            exclude: &[],
-            local_domain: &self.near,
-        };
+        let requirements = requirements(&self.service, &self.near);
         let mut rng = self.rng.clone();
         let choice = self
             .upstreams
@@ -78,16 +82,7 @@
 
     /// Sends a request that ends as given.
     fn send(&mut self, now: Time, outcome: UpstreamOutcome) -> Result<UpstreamIndex, NoUpstream> {
-        let requirements = Requirements {
-            service: &self.service,
-            model: None,
-            parts: &[],
-            prompt_tokens: 0,
-            permit: &Permit::Any,
-            isolated: false,
-            exclude: &[],
-            local_domain: &self.near,
-        };
+        let requirements = requirements(&self.service, &self.near);
         let choice = self.upstreams.choose(now, &requirements, &mut self.rng)?;
         let ticket = self
             .upstreams
