--- a/components/dispatch/src/brittle.rs
+++ b/components/dispatch/src/brittle.rs
@@ -175,6 +175,12 @@
         self.upstreams.iter().position(|(known, _)| *known == index)
     }
 
+    /// Whether this daemon has a share of an upstream's room.
+    fn is_owner(&self, index: UpstreamIndex) -> bool {
+        let position = self.position(index);
+        position.is_some_and(|position| self.division.contains(self.fleet.place, position))
+    }
+
     pub(crate) fn max_rejections(&self) -> Rate {
         self.brittle.max_rejections
     }
@@ -198,8 +204,7 @@
 
     /// Whether this daemon may lend a request by its share of an upstream's room.
     pub(crate) fn can_lend(&self, now: Time, index: UpstreamIndex, entry: &Entry) -> bool {
-        let position = self.position(index);
-        position.is_some_and(|position| self.division.contains(self.fleet.place, position))
+        self.is_owner(index)
             && has_room(now, entry, self.brittle, self.division.senders)
             && has_free_slot(entry)
     }
@@ -216,11 +221,8 @@
     /// The room of all daemons at an upstream, and this daemon's share of it, in requests.
     pub(crate) fn shares(&self, index: UpstreamIndex, entry: &Entry) -> (f64, f64) {
         let room = BrittleServices::room(self.brittle, entry);
-        let position = self.position(index);
-        let place = self.fleet.place;
-        let is_owner = position.is_some_and(|position| self.division.contains(place, position));
         let share = (room / self.division.senders).max(1.0);
-        (room, if is_owner { share } else { 0.0 })
+        (room, if self.is_owner(index) { share } else { 0.0 })
     }
 }
 
--- a/components/dispatch/src/leases.rs
+++ b/components/dispatch/src/leases.rs
@@ -108,7 +108,7 @@
         owners.map(|lender| LeaseOffer { lender, bound }).collect()
     }
 
-    /// Records a lender's reply, or that it did not reply in time.
+    /// Records when a lender may grant the next request to an upstream.
     pub fn record_lease_reply(
         &mut self,
         now: Time,
--- a/components/ratelimit/src/table.rs
+++ b/components/ratelimit/src/table.rs
@@ -61,10 +61,10 @@
 /// The limits that one daemon knows.
 #[derive(Debug, Default)]
 pub struct RateLimits {
-    pub(crate) limits: BTreeMap<InstanceKey, Limit>,
+    limits: BTreeMap<InstanceKey, Limit>,
     cold: BTreeMap<InstanceKey, ColdLimit>,
-    pub(crate) fleet: Arc<Fleet>,
-    pub(crate) settled_at: Time,
+    fleet: Arc<Fleet>,
+    settled_at: Time,
     /// Shares of cold upstreams are not lent before this time.
     cold_leases_from: Time,
     /// The limit that was last advertised in turn.
