Say of each further send of a request how the retry budget was charged

Cause: logs could not tell the hypotheses of the incident apart: whether a further send took a retry, of which budget, how much of it was spent, and among how many daemons the allowance was divided.

Change: `requests: sent again` and a kept connection that broke carry the charge (granted, refused or not counted) with the budget's use; `requests: ended` has the one that was refused; /state lists the budgets, and buckthorncross_retries_total counts further sends by charge. No decision changes.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -7,6 +7,7 @@
 //! some are cut off.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use types::prelude::*;
 
@@ -35,6 +36,32 @@
     LargerModel,
 }
 
+/// How much of a retry budget is used at one daemon.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUse {
+    /// Retries in the window.
+    pub spent: u32,
+    /// Retries that this daemon may make in a window.
+    pub limit: f64,
+    /// The part of the limit that is this daemon's share of the fixed allowance.
+    pub allowance: f64,
+    /// Requests in the window.
+    pub requests: u32,
+    /// Number of daemons that share the allowance.
+    pub daemons: usize,
+}
+
+impl fmt::Display for BudgetUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} of {:.1} retries spent here, {:.1} of them allowed to one of {} daemons, the rest for \
+             {} requests",
+            self.spent, self.limit, self.allowance, self.daemons, self.requests
+        )
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct WindowStep {
     ends_at: Time,
@@ -64,6 +91,12 @@
         }
     }
 
+    /// Creates the budget of a process that started at a time.
+    #[must_use]
+    pub fn after_start(limits: RetryLimits, policy: RetryPolicy, _started_at: Time) -> Self {
+        Self::new(limits, policy)
+    }
+
     /// Sets how many daemons share the allowance.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
@@ -76,24 +109,31 @@
 
     /// Takes one retry from the budget; returns whether it is allowed.
     pub fn try_acquire(&mut self, now: Time, reason: RetryReason) -> bool {
+        let usage = self.usage(now, reason);
+        let is_allowed = f64::from(usage.spent) + 1.0 <= usage.limit;
+        if is_allowed {
+            self.step(now).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns how much of the budget for retries of this kind is used.
+    pub fn usage(&mut self, now: Time, reason: RetryReason) -> BudgetUse {
         let share = match reason {
             RetryReason::Failure => self.policy.used_share,
             RetryReason::LargerModel => self.policy.used_share * self.policy.choice_share,
         };
         self.step(now);
-        let requests = self
-            .steps
-            .iter()
-            .map(|s| f64::from(s.requests))
-            .sum::<f64>();
-        let retries = self.steps.iter().map(|s| f64::from(s.retries)).sum::<f64>();
-        let allowance = self.limits.allowance / self.daemons as f64;
-        let bound = share * (self.limits.ratio * requests + allowance);
-        let is_allowed = retries + 1.0 <= bound;
-        if is_allowed {
-            self.step(now).retries += 1;
+        let requests = self.steps.iter().map(|s| s.requests).sum::<u32>();
+        let spent = self.steps.iter().map(|s| s.retries).sum::<u32>();
+        let allowance = share * self.limits.allowance / self.daemons as f64;
+        BudgetUse {
+            spent,
+            limit: share * self.limits.ratio * f64::from(requests) + allowance,
+            allowance,
+            requests,
+            daemons: self.daemons,
         }
-        is_allowed
     }
 
     /// Returns the current step, after dropping those that left the window.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use aggregation::{EvidenceAggregator, RolloutMessage, RolloutMessageError, RolloutSummary};
 pub use brittle::{BrittleAdvertisement, Brittleness};
-pub use budget::{RetryBudget, RetryLimits, RetryReason};
+pub use budget::{BudgetUse, RetryBudget, RetryLimits, RetryReason};
 pub use cascade::{Cascade, Draft};
 pub use choose::{Choice, NoUpstream};
 pub use cold::ColdTolerance;
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::connect::ConnectFailure;
 use crate::exchange::Request;
 use crate::relay::give_up_reason;
+use crate::retries::ChargeKind;
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
 use crate::tunnel::lease::Lease;
@@ -301,7 +302,16 @@
         }
         let now = self.shared.now();
         let has_send_left = self.shared.upstreams.borrow_mut().try_acquire(now, index);
-        has_send_left && self.shared.take_retry(self.service, RetryReason::Failure)
+        if !has_send_left {
+            return false;
+        }
+        let charge = self.shared.take_retry(self.service, RetryReason::Failure);
+        tracing::info!(
+            id = &*self.request.ask.attempt,
+            budget = %charge,
+            "requests: a kept connection broke"
+        );
+        charge.kind == ChargeKind::Granted
     }
 
     async fn open_connection(
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -313,6 +313,7 @@
     fn try_another(&mut self) -> Next {
         self.sends -= 1;
         self.unreachable += 1;
+        self.report.charge = Some(self.shared.uncounted_retry(&self.service));
         Next::TryAnother
     }
 
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -10,6 +10,7 @@
 use types::prelude::*;
 
 use super::{Exchange, MAX_EXTRA_SENDS};
+use crate::retries::ChargeKind;
 use crate::translate::Translator;
 use crate::tunnel::lease::Lease;
 
@@ -257,7 +258,7 @@
         }
     }
 
-    pub(super) fn larger_model(&self, confidence: Option<u8>) -> Option<usize> {
+    pub(super) fn larger_model(&mut self, confidence: Option<u8>) -> Option<usize> {
         // A half-open trial is sent once, so its draft is kept.
         if self.is_trial || self.relay.has_begun() || self.runs >= self.request.route.max_attempts {
             return None;
@@ -274,17 +275,20 @@
         let expected = |index| self.expected_first_event(index);
         let cascade = Cascade::new(self.shared.cfg.policy.cascade);
         let larger = cascade.next(now, models, draft, expected)?;
-        let is_paid = self
-            .shared
-            .take_retry(&self.service, RetryReason::LargerModel);
-        is_paid.then_some(larger)
+        self.take_retry(RetryReason::LargerModel).then_some(larger)
     }
 
-    pub(super) fn may_retry(&self, reason: RetryReason) -> bool {
+    pub(super) fn may_retry(&mut self, reason: RetryReason) -> bool {
         let max_attempts = self.request.route.max_attempts;
         let has_room = self.runs < max_attempts && self.sends < max_attempts + MAX_EXTRA_SENDS;
         // The escalation took its retry when the smaller model's answer was dropped.
-        has_room
-            && (reason == RetryReason::LargerModel || self.shared.take_retry(&self.service, reason))
+        has_room && (reason == RetryReason::LargerModel || self.take_retry(reason))
+    }
+
+    /// Takes a retry from the service's budget; returns whether one was left.
+    fn take_retry(&mut self, reason: RetryReason) -> bool {
+        let charge = self.shared.take_retry(&self.service, reason);
+        self.report.charge = Some(charge);
+        charge.kind == ChargeKind::Granted
     }
 }
--- a/components/traffic/src/exchange/log.rs
+++ b/components/traffic/src/exchange/log.rs
@@ -29,6 +29,7 @@
             version = spec.map(|spec| &*spec.version),
             model = self.model_index,
             sends = self.sends,
+            budget = self.report.charge.map(|charge| charge.to_string()),
             after_event = self.relay.last_event(),
             ms = self.shared.now().since(self.request.arrived_at).as_millis(),
             "{what}"
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod report;
 mod request;
+mod retries;
 mod server;
 mod shared;
 mod status;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::registry::Registry;
 use types::prelude::*;
 
+use crate::retries::ChargeKind;
+
 const PREFIX: &str = "buckthorncross";
 /// Lowest histogram bound, in seconds: a plain answer takes some milliseconds.
 const SHORTEST_S: f64 = 0.005;
@@ -44,11 +46,18 @@
     outcome: Outcome,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ChargeLabel {
+    charge: ChargeKind,
+}
+
 /// Counters and histograms, served as text.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabel, Counter>,
+    /// Further sends of requests, by how the retry budget was charged.
+    retries: Family<ChargeLabel, Counter>,
     /// Time from a request's arrival to the first byte of its answer.
     first_byte: Histogram,
     /// Time from a request's arrival to its end.
@@ -103,6 +112,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
+            retries: Family::default(),
             first_byte: Histogram::new(buckets()),
             whole: Histogram::new(buckets()),
             attempts: Counter::default(),
@@ -149,7 +159,6 @@
             "Requests sent to upstreams",
             self.attempts.clone(),
         );
-        r.register("repeats", "Attempts beyond the first", self.repeats.clone());
         r.register(
             "connects",
             "Connections opened to upstreams",
@@ -160,6 +169,7 @@
             "Upstreams that ended while requests of this daemon ran there",
             self.upstream_ends.clone(),
         );
+        self.register_retries();
         self.register_rate_limits();
         self.register_leases();
         self.register_tunnels();
@@ -192,6 +202,16 @@
         );
     }
 
+    fn register_retries(&mut self) {
+        let r = &mut self.registry;
+        r.register("repeats", "Attempts beyond the first", self.repeats.clone());
+        r.register(
+            "retries",
+            "Further sends of requests, by how the retry budget was charged",
+            self.retries.clone(),
+        );
+    }
+
     fn register_leases(&mut self) {
         let r = &mut self.registry;
         r.register(
@@ -263,6 +283,11 @@
         self.whole.observe(whole.as_secs_f64());
     }
 
+    /// Records how a further send of a request was charged.
+    pub(crate) fn record_charge(&self, charge: ChargeKind) {
+        self.retries.get_or_create(&ChargeLabel { charge }).inc();
+    }
+
     /// Encodes the metrics in the Prometheus text format; `dropped_log_lines` is the logger's
     /// total.
     pub fn text(&self, dropped_log_lines: u64) -> String {
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -7,6 +7,7 @@
 
 use crate::exchange::Request;
 use crate::metrics::Outcome;
+use crate::retries::{Charge, ChargeKind};
 use crate::shared::Shared;
 
 /// How a request ended.
@@ -49,6 +50,8 @@
     service: Option<Arc<str>>,
     /// The bound for which the request was refused.
     pub(crate) shortage: Option<Shortage>,
+    /// How the last further send was charged to the retry budget.
+    pub(crate) charge: Option<Charge>,
     pub(crate) events: u64,
 }
 
@@ -75,6 +78,7 @@
         let first = self
             .first_byte_at
             .map(|at| at.since(request.arrived_at).as_millis());
+        let refused = self.charge.filter(|c| c.kind == ChargeKind::Refused);
         tracing::info!(
             id = &*request.ask.attempt,
             route = &*request.route.name,
@@ -86,6 +90,7 @@
             status = finish.status,
             why = finish.why,
             shortage = self.shortage.map(|shortage| shortage.to_string()),
+            budget = refused.map(|charge| charge.to_string()),
             first_ms = first,
             ms = now.since(request.arrived_at).as_millis(),
             events = self.events,
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -6,7 +6,7 @@
 
 use dispatch::{
     Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pins, RetryBudget,
-    RetryReason, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
+    SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts};
@@ -246,28 +246,6 @@
         }
     }
 
-    /// Counts a caller's request towards the retry budget of a service.
-    pub(crate) fn count_request(&self, service: &Arc<str>) {
-        let now = self.now();
-        self.with_budget(service, |budget| budget.record_request(now));
-    }
-
-    /// Takes a retry from the budget of a service; false if none is left.
-    pub(crate) fn take_retry(&self, service: &Arc<str>, reason: RetryReason) -> bool {
-        let now = self.now();
-        self.with_budget(service, |budget| budget.try_acquire(now, reason))
-    }
-
-    fn with_budget<R>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let mut budget = RetryBudget::new(self.cfg.retries, self.cfg.policy.repeats);
-            budget.set_daemons(self.plan.borrow().daemons);
-            budget
-        });
-        f(budget)
-    }
-
     /// Whether one of a request's contents is quarantined.
     pub(crate) fn is_quarantined(&self, request: &Request<T>) -> bool {
         let (contents, customer) = (&request.contents, request.customer_name());
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -47,6 +47,8 @@
     /// Tunnels open for peers.
     served_tunnels: usize,
     sessions: usize,
+    /// Use of the retry budgets, by service.
+    retry_budgets: BTreeMap<String, String>,
     /// Rate limits that upstreams advertise, by upstream.
     rate_limits: BTreeMap<String, Rate>,
     barred_contents: usize,
@@ -164,6 +166,7 @@
         lost_paths: shared.paths.borrow().lost(),
         served_tunnels: shared.served_tunnels.get(),
         sessions: shared.pins.borrow().len(),
+        retry_budgets: shared.describe_budgets(),
         rate_limits: shared.upstreams.borrow().limited().collect(),
         barred_contents: quarantined.len(),
         barred: quarantined
