--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -248,13 +248,26 @@
     pub status: SocketAddr,
 }
 
+/// Retry limits under which retries are not refused.
+const AMPLE_RETRIES: RetryLimits = RetryLimits {
+    ratio: 1.0,
+    allowance: 100.0,
+    window: Span::from_secs(10),
+};
+/// Retry limits that allow none.
+const NO_RETRIES: RetryLimits = RetryLimits {
+    ratio: 0.0,
+    allowance: 0.0,
+    ..AMPLE_RETRIES
+};
+
 /// Starts an event loop without a configuration.
 pub fn start() -> TestLoop {
-    start_with_key(traffic::FleetKey([7; 16]))
+    start_with(traffic::FleetKey([7; 16]), AMPLE_RETRIES)
 }
 
 /// Starts an event loop of the fleet with this key, without a configuration.
-fn start_with_key(key: traffic::FleetKey) -> TestLoop {
+fn start_with(key: traffic::FleetKey, retries: RetryLimits) -> TestLoop {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let cfg = Config {
         callers: any,
@@ -270,11 +283,7 @@
         max_caller_connections: 100,
         max_held_body_bytes: ByteSize(1 << 20),
         policy: Policy::default(),
-        retries: RetryLimits {
-            ratio: 1.0,
-            allowance: 100.0,
-            window: Span::from_secs(10),
-        },
+        retries,
         suspects: poison::SharedSuspects::default(),
         cold_tolerance: dispatch::ColdTolerance::default(),
         max_staleness: Span::from_secs(2),
@@ -301,7 +310,21 @@
     upstreams: &[SocketAddr],
     key: traffic::FleetKey,
 ) -> TestLoop {
-    let running = start_with_key(key);
+    serving_with(retry, upstreams, key, AMPLE_RETRIES)
+}
+
+/// Starts one whose service has no retry left.
+pub fn serving_without_retries(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
+    serving_with(retry, upstreams, traffic::FleetKey([7; 16]), NO_RETRIES)
+}
+
+fn serving_with(
+    retry: Retry,
+    upstreams: &[SocketAddr],
+    key: traffic::FleetKey,
+    retries: RetryLimits,
+) -> TestLoop {
+    let running = start_with(key, retries);
     running.send_plan(retry, upstreams, Vec::new());
     running.validate_current(Some(Time::NEVER));
     running
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod evacuations;
 mod limits;
 mod quarantine;
+mod retries;
 mod shutdown;
 mod silence;
 mod streams;
