Retry budget: no part of the allowance for a process that has just started

Cause: a daemon's use of the fixed allowance is forgotten with its process and still counts at the upstreams, and each start granted the part anew; for a moment even the whole allowance, as a process that knows nobody counts itself as the only daemon. A daemon behind a partition took the others' parts, and those that stayed took over at once what leaving ones had just spent.

Change: a process earns retries by its own requests at once, and takes part in the allowance only after a window and the time in which it learns of its peers.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -5,10 +5,16 @@
 //! failure or to a larger model. Each daemon keeps to that share of its own requests and its part
 //! of a fixed allowance, so the sum over all daemons keeps the bound without messages, even while
 //! some are cut off.
+//!
+//! What a process has spent is forgotten when it ends, and still counts at the upstreams until the
+//! window has passed. Its successor earns retries by its own requests at once, but takes no part of
+//! the allowance before the window has passed and it knows its peers: then all processes that have
+//! spent a part within any window ran at the same time, and each divided by the others.
 
 use std::collections::VecDeque;
 use std::fmt;
 
+use ratelimit::SETTLING_TIME;
 use types::prelude::*;
 
 use crate::policy::RetryPolicy;
@@ -67,6 +73,8 @@
     ends_at: Time,
     requests: u32,
     retries: u32,
+    /// Most daemons that shared the allowance.
+    daemons: usize,
 }
 
 /// Requests and retries of one service at one daemon.
@@ -77,10 +85,14 @@
     steps: VecDeque<WindowStep>,
     /// Number of daemons that share the allowance.
     daemons: usize,
+    /// Most daemons that shared it since the last use of the budget.
+    most_daemons: usize,
+    /// This daemon has no part of the allowance before this time.
+    allowance_from: Time,
 }
 
 impl RetryBudget {
-    /// Creates a budget without any requests.
+    /// Creates the budget of a daemon without a predecessor, before its first request.
     #[must_use]
     pub fn new(limits: RetryLimits, policy: RetryPolicy) -> Self {
         Self {
@@ -88,18 +100,25 @@
             policy,
             steps: VecDeque::new(),
             daemons: 1,
+            most_daemons: 1,
+            allowance_from: Time::ZERO,
         }
     }
 
-    /// Creates the budget of a process that started at a time.
+    /// Creates the budget of a process that started at a time, perhaps as the successor of another.
     #[must_use]
-    pub fn after_start(limits: RetryLimits, policy: RetryPolicy, _started_at: Time) -> Self {
-        Self::new(limits, policy)
+    pub fn after_start(limits: RetryLimits, policy: RetryPolicy, started_at: Time) -> Self {
+        Self {
+            allowance_from: started_at + limits.window + SETTLING_TIME,
+            ..Self::new(limits, policy)
+        }
     }
 
-    /// Sets how many daemons share the allowance.
+    /// Sets how many daemons share the allowance. The parts of those that have left are taken over
+    /// when a window has passed: they may just have been spent.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
+        self.most_daemons = self.most_daemons.max(self.daemons);
     }
 
     /// Records a caller's request.
@@ -124,15 +143,20 @@
             RetryReason::LargerModel => self.policy.used_share * self.policy.choice_share,
         };
         self.step(now);
+        let daemons = self.steps.iter().map(|s| s.daemons).max();
+        let daemons = daemons.unwrap_or(self.daemons);
         let requests = self.steps.iter().map(|s| s.requests).sum::<u32>();
         let spent = self.steps.iter().map(|s| s.retries).sum::<u32>();
-        let allowance = share * self.limits.allowance / self.daemons as f64;
+        let allowance = match now.has_reached(self.allowance_from) {
+            true => share * self.limits.allowance / daemons as f64,
+            false => 0.0,
+        };
         BudgetUse {
             spent,
             limit: share * self.limits.ratio * f64::from(requests) + allowance,
             allowance,
             requests,
-            daemons: self.daemons,
+            daemons,
         }
     }
 
@@ -154,6 +178,9 @@
             });
         }
         let last = self.steps.len() - 1;
-        &mut self.steps[last]
+        let step = &mut self.steps[last];
+        step.daemons = step.daemons.max(self.most_daemons);
+        self.most_daemons = self.daemons;
+        step
     }
 }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -22,6 +22,7 @@
 use crate::queue_delay::QueueDelay;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
+use crate::sharing::{REGISTERED_DAEMONS, sharing_daemons};
 use crate::snapshot::SnapshotServer;
 use crate::succession::{MEMBERSHIP_SETTLED_AFTER, Succession};
 use crate::watcher::{Mode, WatchControl};
@@ -34,9 +35,6 @@
 
 /// Interval at which all periodic work is done.
 const TICK: Duration = Duration::from_millis(100);
-/// Daemons with an entry in the store: enough that one survives when most of a fleet is killed at
-/// once.
-const REGISTERED_DAEMONS: usize = 6;
 /// A daemon that has reached no peer by its configured seeds this long after its start writes an
 /// entry to the store so that its peers find it.
 const ALONE_AFTER: Span = Span::from_millis(1_500);
@@ -72,6 +70,8 @@
     pub(crate) must_plan: bool,
     pub(crate) was_ready: bool,
     pub(crate) daemons: usize,
+    /// Number of daemons that share the fleet's bounds.
+    pub(crate) sharing_daemons: usize,
     /// The daemons that share upstreams' rate limits.
     pub(crate) fleet: Arc<dispatch::Fleet>,
     pub(crate) queue_delay: QueueDelay,
@@ -437,6 +437,9 @@
         let daemons = self.peering.daemons();
         self.must_plan |= daemons != self.daemons;
         self.daemons = daemons;
+        let sharing_daemons = self.count_sharing(now);
+        self.must_plan |= sharing_daemons != self.sharing_daemons;
+        self.sharing_daemons = sharing_daemons;
         let fleet = self.peering.fleet(now);
         if *self.fleet != fleet {
             self.fleet = Arc::new(fleet);
@@ -444,6 +447,17 @@
         }
     }
 
+    fn count_sharing(&self, now: Time) -> usize {
+        let prefix = self.codec.daemon_prefix();
+        let listed = self.mirror.prefixed(prefix);
+        let unknown = listed.filter(|(key, ..)| {
+            let id = DaemonId::new(&key[prefix.len()..]);
+            id.is_ok_and(|id| !self.peering.shares_bounds(now, &id))
+        });
+        let unknown = unknown.filter_map(|(_, _, value)| DaemonEntry::decode(value).ok());
+        sharing_daemons(self.peering.fleet(now).size(), unknown)
+    }
+
     /// Sends a heartbeat, and sends the event loop the peers' load and how current its plan is. The
     /// plan goes first, because the validation of freshness refers to it.
     fn share_status(&mut self, now: Time) {
@@ -501,6 +515,7 @@
             evacuated: Arc::clone(self.planner.evacuated()),
             gates: self.rollouts.gates(),
             daemons: self.daemons,
+            sharing_daemons: self.sharing_daemons,
             fleet: Arc::clone(&self.fleet),
             unreadable_upstreams: self.planner.unreadable(),
             is_ready,
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -268,6 +268,13 @@
         Fleet::new(&self.members.local().id, peers)
     }
 
+    /// Whether a daemon is this one or a peer that shares the fleet's bounds.
+    pub(crate) fn shares_bounds(&self, now: Time, id: &DaemonId) -> bool {
+        let member = self.members.member(id);
+        *id == self.members.local().id
+            || member.is_some_and(|member| shares_rate_limits(now, member))
+    }
+
     fn apply_outcome(&mut self, outcome: Outcome) {
         for envelope in outcome.send {
             self.handle
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -104,6 +104,7 @@
         must_plan: false,
         was_ready: false,
         daemons: 1,
+        sharing_daemons: 1,
         fleet: Arc::default(),
         queue_delay: QueueDelay::default(),
         suspect_gossip: SuspectGossip::default(),
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -1,7 +1,9 @@
 //! Which daemons share upstreams' rate limits, and compatibility of heartbeats between releases.
 
 use dispatch::Advertisement;
-use fleet::{Freshness, Heartbeat, SentAt, WireClaim, shares_rate_limits};
+use fleet::{
+    DaemonEntry, Freshness, Heartbeat, SentAt, WireClaim, shares_rate_limits, sharing_daemons,
+};
 use membership::{Member, MemberRecord, ReportVersion, State};
 use mirror::Revision;
 use ratelimit::InstanceKey;
@@ -41,6 +43,35 @@
     assert!(!of(State::Left));
 }
 
+fn entries(count: usize, fleet: usize) -> impl Iterator<Item = DaemonEntry> {
+    let address = ([127, 0, 0, 1], 1).into();
+    let entry = DaemonEntry {
+        address,
+        fleet,
+        keys: 0,
+    };
+    std::iter::repeat_n(entry, count)
+}
+
+/// A daemon that starts behind a partition would take the whole fleet's bounds for its own.
+#[test]
+fn daemons_that_were_never_heard_of_count_as_the_store_lists_them() {
+    // Nobody else is listed.
+    assert_eq!(sharing_daemons(1, entries(0, 0)), 1);
+    // It starts, and knows none of the 300 daemons yet, six of which have entries.
+    assert!(sharing_daemons(1, entries(6, 300)) >= 300);
+    // Two halves, and three regions, that were all restarted behind the partition.
+    assert_eq!(sharing_daemons(150, entries(6, 150)), 300);
+    assert_eq!(
+        sharing_daemons(100, entries(6, 100).chain(entries(6, 100))),
+        300
+    );
+    // Every daemon is alone, and has an entry of its own.
+    assert_eq!(sharing_daemons(1, entries(299, 1)), 300);
+    // Small fleets have an entry for each daemon.
+    assert_eq!(sharing_daemons(3, entries(3, 3)), 6);
+}
+
 fn heartbeat() -> Heartbeat {
     Heartbeat {
         held: Revision(300),
--- a/components/traffic/src/plan.rs
+++ b/components/traffic/src/plan.rs
@@ -29,6 +29,9 @@
     pub gates: Vec<Gate>,
     /// Number of daemons in the fleet.
     pub daemons: usize,
+    /// Number of daemons that share bounds of the whole fleet: those present, and those that may be
+    /// behind a partition.
+    pub sharing_daemons: usize,
     /// The daemons that share upstreams' rate limits.
     pub fleet: Arc<Fleet>,
     /// Number of upstream entries that cannot be read.
--- a/components/traffic/src/retries.rs
+++ b/components/traffic/src/retries.rs
@@ -6,6 +6,7 @@
 
 use dispatch::{BudgetUse, RetryBudget, RetryReason};
 use prometheus_client::encoding::EncodeLabelValue;
+use types::prelude::*;
 
 use crate::shared::Shared;
 
@@ -83,8 +84,9 @@
     fn with_budget<R>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let mut budget = RetryBudget::new(self.cfg.retries, self.cfg.policy.repeats);
-            budget.set_daemons(self.plan.borrow().daemons);
+            let (limits, policy) = (self.cfg.retries, self.cfg.policy.repeats);
+            let mut budget = RetryBudget::after_start(limits, policy, Time::ZERO);
+            budget.set_daemons(self.plan.borrow().sharing_daemons);
             budget
         });
         f(budget)
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -202,7 +202,7 @@
             self.unlisted(gone);
         }
         for budget in self.budgets.borrow_mut().values_mut() {
-            budget.set_daemons(plan.daemons);
+            budget.set_daemons(plan.sharing_daemons);
         }
         let mut suspects = self.cfg.suspects.lock();
         suspects.set_fleet(plan.daemons, plan.upstreams.len());
