Take a retry for a send after a lost path

Upstreams got sends that no budget had granted: a request that waited on a path that was then lost, or whose stream had begun there, went on to another upstream as if nothing had arrived.

Cause: an attempt whose path was lost was counted as one that reached nobody. It had been written whole, and within a stream its arrival is certain.

Change: it takes a retry, and no run of its route, since a lost path is no failure of the upstream. A request for which none is left is answered as of unknown outcome: it was refused as not run before, which it may be wrong about.

--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -42,7 +42,7 @@
 pub(crate) enum SendResult<T> {
     /// Nothing arrived at the upstream.
     Unreachable,
-    /// This daemon lost its path to the upstream while the request was there; it may be retried.
+    /// This daemon lost its path to the upstream, which may have the request; it may be retried.
     PathLost,
     /// The upstream did not process the request and will not.
     NotRun(&'static str),
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -85,8 +85,10 @@
     /// The peer through which it went there, if it did.
     peer: RefCell<Option<DaemonId>>,
     sends: u32,
-    /// Attempts that reached no upstream.
+    /// Attempts that reached no upstream, or whose path was lost.
     unreachable: u32,
+    /// Whether an upstream may have processed an attempt whose path was lost.
+    has_lost_path: bool,
     /// Attempts that an upstream may have processed; these count towards the route's bound.
     runs: u32,
     /// Whether one of these attempts failed.
@@ -129,6 +131,7 @@
             peer: RefCell::default(),
             sends: 0,
             unreachable: 0,
+            has_lost_path: false,
             runs: 0,
             has_failed: false,
             is_trial: false,
@@ -170,7 +173,7 @@
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
                 Next::Retry(reason) => self.is_quarantined() || self.may_retry(reason),
-                Next::TryAnother => self.unreachable < MAX_UNREACHABLE,
+                Next::TryAnother => self.may_try_another(),
             };
             if !may_go_on {
                 return self.give_up("no retry is left").await;
@@ -207,7 +210,7 @@
         if let Some(failure) = self.failure.take() {
             return self.relay_whole(failure, Outcome::UpstreamFailure).await;
         }
-        if self.runs > 0 {
+        if self.may_have_run() {
             return self.send_reply(LocalReply::OutcomeUnknown, why).await;
         }
         let retry_after = add_jitter(wait.max(BUSY_RETRY), &mut *self.shared.rng.borrow_mut());
@@ -225,13 +228,17 @@
             return Finish::cut(why);
         }
         let retry_after = self.shared.now().until(until);
-        let reply = match self.runs {
-            0 => LocalReply::Quarantined { retry_after },
-            _ => LocalReply::Crashed { retry_after },
+        let reply = match self.may_have_run() {
+            false => LocalReply::Quarantined { retry_after },
+            true => LocalReply::Crashed { retry_after },
         };
         self.send_reply(reply, why).await
     }
 
+    fn may_have_run(&self) -> bool {
+        self.runs > 0 || self.has_lost_path
+    }
+
     async fn attempt(&mut self) -> Next {
         let model = self.model_name().cloned();
         let (choice, lease) = match self.choose_when_free(model.as_ref()).await {
@@ -272,7 +279,7 @@
             }
             SendResult::PathLost => {
                 self.record_try(index, "path lost");
-                self.try_another()
+                self.retry_elsewhere()
             }
             SendResult::NotRun(what) => {
                 self.record_try(index, what);
@@ -308,8 +315,8 @@
         }
     }
 
-    /// Sends the request elsewhere after a send of which nothing is known to have arrived; it counts
-    /// as unreachable, and takes no retry.
+    /// Sends the request elsewhere after a send of which nothing arrived; it counts as unreachable,
+    /// and takes no retry.
     fn try_another(&mut self) -> Next {
         self.sends -= 1;
         self.unreachable += 1;
@@ -317,6 +324,22 @@
         Next::TryAnother
     }
 
+    /// Sends the request elsewhere after its path was lost. That is no failure of the upstream, so it
+    /// counts as unreachable; but the request may have arrived there, so it takes a retry.
+    fn retry_elsewhere(&mut self) -> Next {
+        self.sends -= 1;
+        self.unreachable += 1;
+        self.has_lost_path = true;
+        match self.may_try_another() {
+            true => Next::Retry(RetryReason::Failure),
+            false => Next::GiveUp("too many paths were lost"),
+        }
+    }
+
+    fn may_try_another(&self) -> bool {
+        self.unreachable < MAX_UNREACHABLE
+    }
+
     fn retry_or_give_up(&mut self, why: &'static str) -> Next {
         self.has_failed = true;
         match self.request.route.retry.is_allowed() {
@@ -373,7 +396,7 @@
                 stream.finish(UpstreamOutcome::Cancelled);
                 self.note_version(index);
                 self.runs -= 1;
-                self.try_another()
+                self.retry_elsewhere()
             }
             RelayEnd::Broken(why, outcome) => {
                 self.record_try(index, why);
