Retry budget: requests that waited in a frozen process count from before the pause

Upstreams could get more retries than the operators allow after hosts stood still: 1,425 where 1,410 are allowed, half of six daemons frozen for 2 s three times, at 150 requests a second.

Cause: callers' requests that waited are read, and were counted, in one moment. Within the window that begins there a daemon counts up to a fifth more requests than callers sent in it.

Change: the event loop notes when it runs; what is read after half a second without a sign of life counts from the beginning of the pause, the earliest time at which it may have been sent.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -126,6 +126,21 @@
         self.step(now).requests += 1;
     }
 
+    /// Records a caller's request that may have waited since a time at which none was read, because
+    /// the process stood still. It counts from then on: together with those of the others, requests
+    /// that waited would allow more retries than were asked for in any window.
+    pub fn record_delayed_request(&mut self, now: Time, since: Time) {
+        let width = self.step_width();
+        self.step(now);
+        let begun = self.steps.partition_point(|s| s.ends_at <= since + width);
+        if let Some(step) = begun
+            .checked_sub(1)
+            .and_then(|last| self.steps.get_mut(last))
+        {
+            step.requests += 1;
+        }
+    }
+
     /// Takes one retry from the budget; returns whether it is allowed.
     pub fn try_acquire(&mut self, now: Time, reason: RetryReason) -> bool {
         let usage = self.usage(now, reason);
@@ -160,6 +175,10 @@
         }
     }
 
+    fn step_width(&self) -> Span {
+        Span(self.limits.window.0 / WINDOW_STEPS)
+    }
+
     /// Returns the current step, after dropping those that left the window.
     fn step(&mut self, now: Time) -> &mut WindowStep {
         let window = self.limits.window;
@@ -170,7 +189,7 @@
         {
             self.steps.pop_front();
         }
-        let width = Span(window.0 / WINDOW_STEPS);
+        let width = self.step_width();
         if self.steps.back().is_none_or(|step| now >= step.ends_at) {
             self.steps.push_back(WindowStep {
                 ends_at: now + width,
--- a/components/dispatch/tests/budget_fleet.rs
+++ b/components/dispatch/tests/budget_fleet.rs
@@ -220,6 +220,12 @@
         index % 2 == 0 && spans.any(|(from, until)| (at(*from)..at(*until)).contains(&now))
     }
 
+    /// When a host that has just gone on stood still.
+    fn frozen_at(&self, now: Time) -> Time {
+        let starts = self.scenario.frozen.iter().map(|(from, _)| at(*from));
+        starts.filter(|from| *from <= now).max().unwrap_or(now)
+    }
+
     /// Lets a caller send a request to a daemon that listens.
     fn request(&mut self, now: Time) {
         self.requests.push(now);
@@ -249,8 +255,12 @@
             if self.hosts[index].held == 0 || self.is_frozen(now, index) {
                 continue;
             }
+            let since = self.frozen_at(now);
             for _ in 0..std::mem::take(&mut self.hosts[index].held) {
-                self.read(now, index);
+                if let Some(process) = &mut self.hosts[index].process {
+                    process.budget.record_delayed_request(now, since);
+                    self.send(now, index);
+                }
             }
         }
     }
--- a/components/traffic/src/retries.rs
+++ b/components/traffic/src/retries.rs
@@ -43,7 +43,13 @@
     /// Counts a caller's request towards the retry budget of a service.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
-        self.with_budget(service, |budget| budget.record_request(now));
+        let mut pauses = self.pauses.borrow_mut();
+        pauses.record_awake(now);
+        let waited_since = pauses.waited_since(now);
+        self.with_budget(service, |budget| match waited_since {
+            Some(since) => budget.record_delayed_request(now, since),
+            None => budget.record_request(now),
+        });
     }
 
     /// Takes a retry from the budget of a service.
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -193,6 +193,7 @@
         probe_tx,
         pins: RefCell::default(),
         budgets: RefCell::new(HashMap::new()),
+        pauses: RefCell::default(),
         rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
         observed,
         stage: watch::Sender::new(Stage::Serving),
@@ -372,6 +373,7 @@
 async fn publish_state<T>(shared: Rc<Shared<T>>) {
     loop {
         tokio::time::sleep(PUBLISH_INTERVAL).await;
+        shared.pauses.borrow_mut().record_awake(shared.now());
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pins, RetryBudget,
-    SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
+    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pauses, Pins,
+    RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts};
@@ -155,6 +155,7 @@
     pub(crate) probe_tx: UnboundedSender<LastSeen>,
     pub(crate) pins: RefCell<Pins>,
     pub(crate) budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    pub(crate) pauses: RefCell<Pauses>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) observed: Observed,
     pub(crate) stage: watch::Sender<Stage>,
