Retry budget: escalations give way while failed requests find no retry

Change: for a second after a failed request found no retry, answers are kept as they are.

Test, new: escalations_give_way_while_failed_requests_find_no_retry.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -21,6 +21,9 @@
 
 /// Number of steps in which the window slides.
 const WINDOW_STEPS: u64 = 20;
+/// How long escalations take no retries after a failed request found none left: a better answer is
+/// worth less than one at all, and would be given up for an upstream that may fail as well.
+const FAILURES_FIRST_FOR: Span = Span::from_secs(1);
 
 /// The operators' bound on retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -89,6 +92,8 @@
     most_daemons: usize,
     /// This daemon has no part of the allowance before this time.
     allowance_from: Time,
+    /// Escalations take no retries before this time.
+    escalations_from: Time,
 }
 
 impl RetryBudget {
@@ -102,6 +107,7 @@
             daemons: 1,
             most_daemons: 1,
             allowance_from: Time::ZERO,
+            escalations_from: Time::ZERO,
         }
     }
 
@@ -147,6 +153,8 @@
         let is_allowed = f64::from(usage.spent) + 1.0 <= usage.limit;
         if is_allowed {
             self.step(now).retries += 1;
+        } else if reason == RetryReason::Failure {
+            self.escalations_from = now + FAILURES_FIRST_FOR;
         }
         is_allowed
     }
@@ -155,6 +163,7 @@
     pub fn usage(&mut self, now: Time, reason: RetryReason) -> BudgetUse {
         let share = match reason {
             RetryReason::Failure => self.policy.used_share,
+            RetryReason::LargerModel if now < self.escalations_from => 0.0,
             RetryReason::LargerModel => self.policy.used_share * self.policy.choice_share,
         };
         self.step(now);
--- a/components/dispatch/tests/budget.rs
+++ b/components/dispatch/tests/budget.rs
@@ -136,3 +136,20 @@
     }
     assert!(kept <= 2, "{kept} of 50 unsure answers were kept");
 }
+
+/// Escalations would use up the retries of requests that failed, and give up answers for upstreams
+/// that fail.
+#[test]
+fn escalations_give_way_while_failed_requests_find_no_retry() {
+    let mut budget = budget(1);
+    (0..100).for_each(|_| budget.record_request(at(0)));
+    assert_eq!(count_allowed(&mut budget, at(1), RetryReason::Failure), 65);
+    // The window has passed, and every second request fails.
+    (0..100).for_each(|_| budget.record_request(at(10_700)));
+    assert!(budget.try_acquire(at(10_700), RetryReason::LargerModel));
+    while budget.try_acquire(at(10_800), RetryReason::Failure) {}
+    (0..100).for_each(|_| budget.record_request(at(11_000)));
+    assert!(!budget.try_acquire(at(11_700), RetryReason::LargerModel));
+    assert!(budget.try_acquire(at(11_700), RetryReason::Failure));
+    assert!(budget.try_acquire(at(11_900), RetryReason::LargerModel));
+}
