Bound the memory of answers that are held, and end streams that go on beyond what was asked for

An upstream in trouble may send bytes without end until its caller closes; many at once took the memory of a small host, each up to its own bound: 8 MiB a body, 256 KiB an event. Callers of a stream of well-formed events without end were occupied until their deadline, and a kept connection on which bytes followed an answer kept its buffers full until it expired.

Answers to other requests are skipped without holding them. A stream may have one event for each token asked for, and sixteen more.

--- a/components/dispatch/tests/budget_fleet.rs
+++ b/components/dispatch/tests/budget_fleet.rs
@@ -217,7 +217,7 @@
 
     fn is_frozen(&self, now: Time, index: usize) -> bool {
         let mut spans = self.scenario.frozen.iter();
-        index % 2 == 0 && spans.any(|(from, until)| (at(*from)..at(*until)).contains(&now))
+        index.is_multiple_of(2) && spans.any(|(from, until)| (at(*from)..at(*until)).contains(&now))
     }
 
     /// When a host that has just gone on stood still.
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -22,7 +22,7 @@
 use crate::queue_delay::QueueDelay;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
-use crate::sharing::{REGISTERED_DAEMONS, sharing_daemons};
+use crate::sharing::{FleetSize, REGISTERED_DAEMONS, sharing_daemons};
 use crate::snapshot::SnapshotServer;
 use crate::succession::{MEMBERSHIP_SETTLED_AFTER, Succession};
 use crate::watcher::{Mode, WatchControl};
@@ -69,9 +69,7 @@
     pub(crate) ticks: u32,
     pub(crate) must_plan: bool,
     pub(crate) was_ready: bool,
-    pub(crate) daemons: usize,
-    /// Number of daemons that share the fleet's bounds.
-    pub(crate) sharing_daemons: usize,
+    pub(crate) size: FleetSize,
     /// The daemons that share upstreams' rate limits.
     pub(crate) fleet: Arc<dispatch::Fleet>,
     pub(crate) queue_delay: QueueDelay,
@@ -434,12 +432,12 @@
             self.call(purpose, req);
         }
         self.sync_quarantines(now, self.peering.rank());
-        let daemons = self.peering.daemons();
-        self.must_plan |= daemons != self.daemons;
-        self.daemons = daemons;
-        let sharing_daemons = self.count_sharing(now);
-        self.must_plan |= sharing_daemons != self.sharing_daemons;
-        self.sharing_daemons = sharing_daemons;
+        let size = FleetSize {
+            present: self.peering.daemons(),
+            sharing: self.count_sharing(now),
+        };
+        self.must_plan |= size != self.size;
+        self.size = size;
         let fleet = self.peering.fleet(now);
         if *self.fleet != fleet {
             self.fleet = Arc::new(fleet);
@@ -514,8 +512,8 @@
             upstreams: self.planner.upstreams(),
             evacuated: Arc::clone(self.planner.evacuated()),
             gates: self.rollouts.gates(),
-            daemons: self.daemons,
-            sharing_daemons: self.sharing_daemons,
+            daemons: self.size.present,
+            sharing_daemons: self.size.sharing,
             fleet: Arc::clone(&self.fleet),
             unreadable_upstreams: self.planner.unreadable(),
             is_ready,
--- a/components/fleet/src/control/freshness.rs
+++ b/components/fleet/src/control/freshness.rs
@@ -67,11 +67,11 @@
         let validated_at = self.validated_at.unwrap_or_default();
         let age = now.since(validated_at).as_secs_f64();
         let within = self.settings.in_force_within.as_secs_f64();
-        let position = self.peering.watch_rank() as f64 / self.daemons.max(1) as f64;
+        let position = self.peering.watch_rank() as f64 / self.size.present.max(1) as f64;
         let is_unreachable = self
             .peering
             .peer_states()
-            .is_store_unreachable(self.daemons);
+            .is_store_unreachable(self.size.present);
         !is_unreachable && age > within * (STALE_AFTER + STALE_STAGGER * position)
     }
 
@@ -104,7 +104,7 @@
         let peers = self.peering.peer_states();
         match self.store_works {
             false if peers.has_watcher() => self.store_answered(now),
-            true if peers.is_store_unreachable(self.daemons) => {
+            true if peers.is_store_unreachable(self.size.present) => {
                 self.store_failed("no daemon gets an answer from the store");
             }
             _ => {}
--- a/components/fleet/src/control/rollouts.rs
+++ b/components/fleet/src/control/rollouts.rs
@@ -66,7 +66,7 @@
 
     /// Whether this daemon reports at this tick on an order that it has known for `known_for`.
     fn is_report_due(&self, known_for: Span) -> bool {
-        let by_fleet = u32::try_from(self.daemons / DAEMONS_PER_TICK).unwrap_or(u32::MAX);
+        let by_fleet = u32::try_from(self.size.present / DAEMONS_PER_TICK).unwrap_or(u32::MAX);
         let every = match known_for < FAST_REPORT_PERIOD {
             true => REPORT_TICKS,
             false => REPORT_TICKS.max(by_fleet),
--- a/components/fleet/src/sharing.rs
+++ b/components/fleet/src/sharing.rs
@@ -10,6 +10,23 @@
 /// once.
 pub(crate) const REGISTERED_DAEMONS: usize = 6;
 
+/// Numbers of daemons, as one of them knows them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct FleetSize {
+    /// Daemons that are present, this one included.
+    pub(crate) present: usize,
+    /// Daemons that share the fleet's bounds.
+    pub(crate) sharing: usize,
+}
+
+impl FleetSize {
+    /// A daemon that knows no other.
+    pub(crate) const ALONE: Self = Self {
+        present: 1,
+        sharing: 1,
+    };
+}
+
 /// Number of daemons that share the fleet's bounds: the `known` ones, this one included, and those
 /// that the entries of `unknown` daemons stand for.
 #[must_use]
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -26,6 +26,7 @@
 use crate::queue_delay::QueueDelay;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
+use crate::sharing::FleetSize;
 use crate::snapshot::SnapshotServer;
 use crate::succession::Succession;
 use crate::watcher::{Mode, Progress, WatchControl, Watcher};
@@ -103,8 +104,7 @@
         ticks: xxh3_64(settings.me.as_str().as_bytes()) as u32,
         must_plan: false,
         was_ready: false,
-        daemons: 1,
-        sharing_daemons: 1,
+        size: FleetSize::ALONE,
         fleet: Arc::default(),
         queue_delay: QueueDelay::default(),
         suspect_gossip: SuspectGossip::default(),
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -237,6 +237,7 @@
         failure_domain: settings.failure_domain.clone(),
         max_caller_connections: 10,
         max_held_body_bytes: ByteSize(1_000),
+        max_held_answer_bytes: ByteSize(1_000),
         policy: Policy::default(),
         retries: RetryLimits {
             ratio: 1.0,
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -103,6 +103,12 @@
         })
     }
 
+    /// Bytes of an incomplete event that are buffered.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_rest(&self) -> bool {
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -27,5 +27,5 @@
 pub use head::{Head, HeadError, Kind, is_hop_by_hop};
 pub use pool::Pool;
 pub use probe::probe_refused;
-pub use response::{ResponseError, read_response_head, read_whole};
+pub use response::{ResponseError, discard_body, read_response_head, read_whole};
 pub use wire::{Wire, WireOptions, connect};
--- a/components/http1/src/pool.rs
+++ b/components/http1/src/pool.rs
@@ -87,10 +87,11 @@
         }
     }
 
-    /// Closes connections that have expired or whose upstream is not `known`.
+    /// Closes connections that have expired, broken or got bytes, or whose upstream is not `known`.
     pub fn purge(&mut self, now: Time, known: impl Fn(K) -> bool) {
         self.idle.retain(|upstream, connections| {
-            connections.retain(|connection| now < connection.expires_at);
+            connections
+                .retain(|connection| now < connection.expires_at && connection.wire.is_idle());
             !connections.is_empty() && known(*upstream)
         });
     }
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 
 use crate::body::{BodyError, BodyReader, Progress};
 use crate::framing::{Framing, FramingError};
@@ -27,7 +27,7 @@
     /// The body does not match its framing.
     #[error(transparent)]
     Body(#[from] BodyError),
-    /// The body exceeds this many bytes.
+    /// The body has more bytes than are accepted.
     #[error("the body has more than {0} bytes")]
     TooLarge(usize),
 }
@@ -52,29 +52,56 @@
     }
 }
 
-/// Reads a body to its end.
+/// Reads a body to its end, as long as `accepts` its length so far.
 ///
 /// # Errors
-/// If the body is truncated, malformed or too large.
+/// If the body is truncated, malformed or not accepted.
 pub async fn read_whole(
     wire: &Wire,
     reader: &mut BodyReader,
-    max_body: usize,
+    mut accepts: impl FnMut(usize) -> bool,
 ) -> Result<BytesMut, ResponseError> {
     let mut body = BytesMut::new();
+    while let Some(data) = next_part(wire, reader).await? {
+        if !accepts(body.len() + data.len()) {
+            return Err(ResponseError::TooLarge(body.len()));
+        }
+        body.extend_from_slice(&data);
+    }
+    Ok(body)
+}
+
+/// Reads a body of at most `max_body` bytes to its end without holding it.
+///
+/// # Errors
+/// If the body is truncated, malformed or too large.
+pub async fn discard_body(
+    wire: &Wire,
+    reader: &mut BodyReader,
+    max_body: usize,
+) -> Result<(), ResponseError> {
+    let mut len = 0;
+    while let Some(data) = next_part(wire, reader).await? {
+        len += data.len();
+        if len > max_body {
+            return Err(ResponseError::TooLarge(max_body));
+        }
+    }
+    Ok(())
+}
+
+/// Waits for the next bytes of a body; `None` at its end.
+async fn next_part(wire: &Wire, reader: &mut BodyReader) -> Result<Option<Bytes>, ResponseError> {
     loop {
         let progress = reader.read(&mut wire.buf())?;
         match progress {
-            Progress::Done => return Ok(body),
-            Progress::Data(data) => body.extend_from_slice(&data),
+            Progress::Done => return Ok(None),
+            Progress::Data(data) => return Ok(Some(data)),
             Progress::NeedMore => match wire.fill().await? {
-                0 if reader.ends_with_connection() => return Ok(body),
+                0 if reader.ends_with_connection() => return Ok(None),
                 0 => return Err(ResponseError::Closed),
                 _ => {}
             },
         }
-        if body.len() > max_body {
-            return Err(ResponseError::TooLarge(max_body));
-        }
     }
 }
--- a/components/traffic/src/answer.rs
+++ b/components/traffic/src/answer.rs
@@ -6,11 +6,15 @@
 use rand::{Rng, RngExt};
 use types::prelude::*;
 
+use crate::held::HeldAnswer;
+
 /// An upstream's whole answer.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Whole {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
+    /// Counts the body while it is held.
+    pub(crate) _held: HeldAnswer,
 }
 
 /// A reply of this daemon itself.
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -7,7 +7,10 @@
 
 use dispatch::{Advertised, Brittleness, Choice, RetryReason, UpstreamIndex, UpstreamOutcome};
 use http1::write::push_length;
-use http1::{BodyReader, Framing, Head, Kind, Wire, read_response_head, read_whole};
+use http1::{
+    BodyReader, Framing, Head, Kind, ResponseError, Wire, discard_body, read_response_head,
+    read_whole,
+};
 use routes::Upstream;
 use types::prelude::*;
 
@@ -25,6 +28,8 @@
 const MAX_HEAD: usize = 16 * 1024;
 /// Longest whole response body accepted from an upstream, in bytes.
 const MAX_BODY: usize = 8 * 1024 * 1024;
+/// Longest body that is skipped of an answer to another request, in bytes.
+const MAX_STRAY_BODY: usize = 1024 * 1024;
 /// Answers to other requests that are skipped before a connection is abandoned.
 const MAX_STRAY_ANSWERS: u32 = 4;
 /// Share of the route's objective after which a silent upstream of a plain service is abandoned for
@@ -534,7 +539,8 @@
                     framing,
                 });
             }
-            discard_body(wire, framing).await?;
+            let discarded = discard_body(wire, &mut BodyReader::new(framing), MAX_STRAY_BODY).await;
+            discarded.map_err(|_| Failure::Broken("broke within another's answer"))?;
         }
         Err(Failure::Broken("broke before its answer"))
     }
@@ -547,9 +553,17 @@
         mut reader: BodyReader,
         guard: AttemptGuard<T>,
     ) -> SendResult<T> {
-        let Ok(body) = read_whole(&wire, &mut reader, MAX_BODY).await else {
-            guard.end(UpstreamOutcome::Incomplete);
-            return SendResult::MayHaveRun("broke within its answer");
+        let mut held = self.shared.held_answers.begin();
+        let accepts = |len| len <= MAX_BODY && held.set_len(len);
+        let body = match read_whole(&wire, &mut reader, accepts).await {
+            Ok(body) => body,
+            Err(e) => {
+                guard.end(UpstreamOutcome::Incomplete);
+                return SendResult::MayHaveRun(match e {
+                    ResponseError::TooLarge(_) => "its answer was too large",
+                    _ => "broke within its answer",
+                });
+            }
         };
         if reader.ends_with_connection() && self.shared.has_crashed_at_end(index).await {
             guard.end(UpstreamOutcome::Incomplete);
@@ -568,6 +582,7 @@
         let whole = Whole {
             head,
             body: body.freeze(),
+            _held: held,
         };
         match is_success {
             true => SendResult::Whole(whole),
@@ -575,10 +590,3 @@
         }
     }
 }
-
-async fn discard_body(wire: &Wire, framing: Framing) -> Result<(), Failure> {
-    let mut reader = BodyReader::new(framing);
-    let read = read_whole(wire, &mut reader, MAX_BODY).await;
-    let read = read.map(drop);
-    read.map_err(|_| Failure::Broken("broke within another's answer"))
-}
--- a/components/traffic/src/config.rs
+++ b/components/traffic/src/config.rs
@@ -39,6 +39,8 @@
     pub max_caller_connections: usize,
     /// Largest total of request bodies held, from the process's memory.
     pub max_held_body_bytes: ByteSize,
+    /// Largest total of upstreams' answers held, from the process's memory.
+    pub max_held_answer_bytes: ByteSize,
     /// Policy of all decisions, with its bounds.
     pub policy: Policy,
     /// Limits of the retry budgets.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -398,6 +398,12 @@
                 self.runs -= 1;
                 self.retry_elsewhere()
             }
+            RelayEnd::TooLong => {
+                let why = "more events than were asked for";
+                self.record_try(index, why);
+                stream.finish(UpstreamOutcome::Incomplete);
+                Next::GiveUp(why)
+            }
             RelayEnd::Broken(why, outcome) => {
                 self.record_try(index, why);
                 stream.finish(outcome);
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -20,6 +20,7 @@
 mod connect;
 mod crashes;
 mod exchange;
+mod held;
 mod metrics;
 mod plan;
 mod rate_limits;
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::attempt::{CRASHED_AT_END, Stream};
 use crate::attempt_guard::AttemptGuard;
 use crate::exchange::Request;
+use crate::held::HeldAnswer;
 use crate::shared::Shared;
 use crate::translate::Translator;
 
@@ -29,6 +30,8 @@
 const FIRST_SLACK_SHARE: f64 = 0.8;
 /// Longest pause that is on time where the route names none.
 const DEFAULT_PAUSE: Span = Span::from_secs(2);
+/// Events of a stream beyond one for each token of output, such as its end.
+const EXTRA_EVENTS: u64 = 16;
 /// Interval at which silence is checked.
 const SILENCE_POLL: Duration = Duration::from_millis(100);
 
@@ -43,6 +46,8 @@
     Broken(&'static str, UpstreamOutcome),
     /// The path to the upstream was lost; the events delivered so far are whole.
     PathLost,
+    /// The upstream sent more events than were asked for; those delivered so far are whole.
+    TooLong,
 }
 
 /// The stream to one caller, across upstreams.
@@ -100,6 +105,8 @@
         keeps_alive: bool,
     ) -> RelayEnd {
         let mut splitter = Splitter::default();
+        let mut held = shared.held_answers.begin();
+        let max_events = max_events(request);
         let mut has_event = false;
         let mut heard_at = shared.now();
         // One timer for the whole stream: one for each event would be a tenth of its cost.
@@ -107,7 +114,7 @@
         loop {
             let next = tokio::select! {
                 biased;
-                next = next(stream, &mut splitter) => next,
+                next = next(stream, &mut splitter, &mut held) => next,
                 _ = ticker.tick() => match stream.give_up_reason(request, heard_at, has_event) {
                     Some(why) if stream.may_switch => NextRead::Broken(why, UpstreamOutcome::Silent),
                     _ if stream.is_path_lost(heard_at) => return RelayEnd::PathLost,
@@ -119,7 +126,7 @@
             }
             heard_at = shared.now();
             stream.note_heard();
-            let events = match next {
+            let mut events = match next {
                 NextRead::Events(events) => events,
                 NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
                     return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
@@ -138,10 +145,16 @@
                 self.first_at = Some(shared.now());
                 push_stream_head(&mut out, stream, keeps_alive);
             }
+            let left = max_events.map_or(u64::MAX, |max| max.saturating_sub(self.delivered));
+            let is_too_long = events.len() as u64 > left;
+            events.truncate(usize::try_from(left).unwrap_or(usize::MAX));
             let is_in_order = self.append(&mut out, events);
             if caller.write_all(&out).await.is_err() {
                 return RelayEnd::CallerGone;
             }
+            if is_too_long {
+                return RelayEnd::TooLong;
+            }
             if !is_in_order {
                 return RelayEnd::Broken(
                     "an event was missing or repeated",
@@ -200,8 +213,22 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Most events that a request's answer can have: one for each token of output that it asks for, and
+/// some that hold none.
+fn max_events<T>(request: &Request<T>) -> Option<u64> {
+    let prompt = request.ask.prompt.as_ref();
+    let tokens = prompt.map(|prompt| u64::from(prompt.max_output));
+    tokens
+        .filter(|tokens| *tokens > 0)
+        .map(|tokens| tokens + EXTRA_EVENTS)
+}
+
 /// Waits until at least one whole event has arrived or the stream ended.
-async fn next<T>(stream: &mut Stream<T>, splitter: &mut Splitter) -> NextRead {
+async fn next<T>(
+    stream: &mut Stream<T>,
+    splitter: &mut Splitter,
+    held: &mut HeldAnswer,
+) -> NextRead {
     loop {
         let mut has_ended = false;
         loop {
@@ -221,7 +248,11 @@
                 }
             }
         }
-        match take_events(splitter) {
+        let taken = take_events(splitter);
+        if !held.set_len(splitter.buffered()) {
+            return NextRead::Broken("an event was too large", UpstreamOutcome::Incomplete);
+        }
+        match taken {
             Ok(events) if !events.is_empty() => return NextRead::Events(events),
             Ok(_) => {}
             Err(why) => return NextRead::Broken(why, UpstreamOutcome::Incomplete),
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -22,6 +22,7 @@
 use crate::config::Config;
 use crate::connect::probe_lost_paths;
 use crate::crashes;
+use crate::held::HeldAnswers;
 use crate::metrics::Metrics;
 use crate::plan::{Plan, Validation};
 use crate::shared::{Observed, Shared, Stage};
@@ -173,6 +174,7 @@
 ) -> Rc<Shared<T>> {
     let upstreams = Upstreams::new(cfg.policy.placing);
     let upstreams = upstreams.with_cold_tolerance(cfg.cold_tolerance);
+    let held_answers = HeldAnswers::new(cfg.max_held_answer_bytes);
     Rc::new(Shared {
         cfg,
         translator,
@@ -200,6 +202,7 @@
         requests_in_flight: Cell::new(0),
         caller_connections: Cell::new(0),
         held_body_bytes: Cell::new(0),
+        held_answers,
     })
 }
 
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
@@ -19,6 +20,7 @@
 use crate::awaited::AwaitedAnswers;
 use crate::config::Config;
 use crate::exchange::Request;
+use crate::held::HeldAnswers;
 use crate::metrics::Metrics;
 use crate::plan::{Plan, Validation};
 
@@ -165,6 +167,7 @@
     pub(crate) caller_connections: Cell<usize>,
     /// Bytes of request bodies held in memory.
     pub(crate) held_body_bytes: Cell<u64>,
+    pub(crate) held_answers: Rc<HeldAnswers>,
 }
 
 impl<T> Shared<T> {
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -41,6 +41,7 @@
     callers: usize,
     requests: usize,
     held_bytes: u64,
+    held_answer_bytes: u64,
     kept_connections: usize,
     /// Upstreams reached only through peers.
     lost_paths: usize,
@@ -162,6 +163,7 @@
         callers: shared.caller_connections.get(),
         requests: shared.requests_in_flight.get(),
         held_bytes: shared.held_body_bytes.get(),
+        held_answer_bytes: shared.held_answers.bytes(),
         kept_connections: shared.pool.borrow().len(),
         lost_paths: shared.paths.borrow().lost(),
         served_tunnels: shared.served_tunnels.get(),
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -130,6 +130,11 @@
         let _ = self.stream.write_all(text.as_bytes());
     }
 
+    /// Writes text; false once the other side has closed.
+    pub fn try_write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     /// Drops all packets that arrive from now on, so that nothing is acknowledged.
     pub fn fall_silent(&self) {
         // Returns 0 bytes to keep of any packet.
@@ -248,6 +253,8 @@
     pub status: SocketAddr,
 }
 
+/// Most bytes of answers that an event loop holds.
+pub const MAX_HELD_ANSWERS: u64 = 1 << 20;
 /// Retry limits under which retries are not refused.
 const AMPLE_RETRIES: RetryLimits = RetryLimits {
     ratio: 100.0,
@@ -282,6 +289,7 @@
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_caller_connections: 100,
         max_held_body_bytes: ByteSize(1 << 20),
+        max_held_answer_bytes: ByteSize(MAX_HELD_ANSWERS),
         policy: Policy::default(),
         retries,
         suspects: poison::SharedSuspects::default(),
@@ -542,6 +550,14 @@
             .expect(name)
     }
 
+    /// Returns a number of the state.
+    pub fn state_number(&self, name: &str) -> u64 {
+        let text = self.get("/state");
+        let (_, rest) = text.split_once(&format!("\"{name}\":")).expect(name);
+        let digits = rest.split(|c: char| !c.is_ascii_digit()).next();
+        digits.and_then(|digits| digits.parse().ok()).expect(name)
+    }
+
     /// Returns the response of the status address to a GET.
     pub fn get(&self, path: &str) -> String {
         let mut stream = TcpStream::connect(self.status).expect("listening");
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod crashes;
 mod endings;
+mod endless;
 mod evacuations;
 mod limits;
 mod quarantine;
