--- a/components/dispatch/tests/budget.rs
+++ b/components/dispatch/tests/budget.rs
@@ -137,8 +137,7 @@
     assert!(kept <= 2, "{kept} of 50 unsure answers were kept");
 }
 
-/// Escalations would use up the retries of requests that failed, and give up answers for upstreams
-/// that fail.
+/// Escalations would use up the retries of requests that failed.
 #[test]
 fn escalations_give_way_while_failed_requests_find_no_retry() {
     let mut budget = budget(1);
--- a/components/traffic/tests/it/endless.rs
+++ b/components/traffic/tests/it/endless.rs
@@ -65,8 +65,7 @@
     pages.expect("a number") * 4_096
 }
 
-/// Sends requests that get bytes without end from many callers, asks for ordinary answers meanwhile,
-/// and returns the answers to the former.
+/// Asks for ordinary answers while many callers get bytes without end, and returns the latter.
 fn ask_endless(running: &TestLoop, ask_others: impl Fn(&str)) -> Vec<String> {
     let mut callers = (0..CALLERS).map(|_| running.caller()).collect::<Vec<_>>();
     for (n, caller) in callers.iter_mut().enumerate() {
