--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -432,20 +432,21 @@
             self.call(purpose, req);
         }
         self.sync_quarantines(now, self.peering.rank());
+        let fleet = self.peering.fleet(now);
         let size = FleetSize {
             present: self.peering.daemons(),
-            sharing: self.count_sharing(now),
+            sharing: self.count_sharing(now, &fleet),
         };
         self.must_plan |= size != self.size;
         self.size = size;
-        let fleet = self.peering.fleet(now);
         if *self.fleet != fleet {
             self.fleet = Arc::new(fleet);
             self.must_plan = true;
         }
     }
 
-    fn count_sharing(&self, now: Time) -> usize {
+    /// Number of daemons that share the fleet's bounds: the known `fleet` and those never heard of.
+    fn count_sharing(&self, now: Time, fleet: &dispatch::Fleet) -> usize {
         let prefix = self.codec.daemon_prefix();
         let listed = self.mirror.prefixed(prefix);
         let unknown = listed.filter(|(key, ..)| {
@@ -453,7 +454,7 @@
             id.is_ok_and(|id| !self.peering.shares_bounds(now, &id))
         });
         let unknown = unknown.filter_map(|(_, _, value)| DaemonEntry::decode(value).ok());
-        sharing_daemons(self.peering.fleet(now).size(), unknown)
+        sharing_daemons(fleet.size(), unknown)
     }
 
     /// Sends a heartbeat, and sends the event loop the peers' load and how current its plan is. The
