--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -30,8 +30,8 @@
 /// Besides its time, a re-prefill costs some 4% of the price of an answer to a long prompt, and
 /// evicts what the engine had cached.
 const RE_PREFILL_COST_MS_PER_1000: f64 = 50.0;
-/// Share of the retry budget that is used. The rest covers the counts that restarted daemons
-/// lose, and the width of a window step, which blurs the window by a twentieth.
+/// Share of the retry budget that is used. The rest covers retries that arrive some time after they
+/// were granted, and the width of a window step, which blurs the window by a twentieth.
 const USED_BUDGET_SHARE: f64 = 0.93;
 /// Share of the used budget that escalations to a larger model may take; the rest is reserved
 /// for retries after failures.
