--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -149,14 +149,24 @@
 
     /// Takes one retry from the budget; returns whether it is allowed.
     pub fn try_acquire(&mut self, now: Time, reason: RetryReason) -> bool {
-        let usage = self.usage(now, reason);
-        let is_allowed = f64::from(usage.spent) + 1.0 <= usage.limit;
-        if is_allowed {
-            self.step(now).retries += 1;
-        } else if reason == RetryReason::Failure {
-            self.escalations_from = now + FAILURES_FIRST_FOR;
+        self.acquire(now, reason).is_ok()
+    }
+
+    /// Takes one retry from the budget, and returns how much of it is used then.
+    ///
+    /// # Errors
+    /// When no retry is left, with how much of the budget is used.
+    pub fn acquire(&mut self, now: Time, reason: RetryReason) -> Result<BudgetUse, BudgetUse> {
+        let mut usage = self.usage(now, reason);
+        if f64::from(usage.spent) + 1.0 > usage.limit {
+            if reason == RetryReason::Failure {
+                self.escalations_from = now + FAILURES_FIRST_FOR;
+            }
+            return Err(usage);
         }
-        is_allowed
+        self.step(now).retries += 1;
+        usage.spent += 1;
+        Ok(usage)
     }
 
     /// Returns how much of the budget for retries of this kind is used.
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -318,8 +318,7 @@
     /// Sends the request elsewhere after a send of which nothing arrived; it counts as unreachable,
     /// and takes no retry.
     fn try_another(&mut self) -> Next {
-        self.sends -= 1;
-        self.unreachable += 1;
+        self.count_unreachable();
         self.report.charge = Some(self.shared.uncounted_retry(&self.service));
         Next::TryAnother
     }
@@ -327,8 +326,7 @@
     /// Sends the request elsewhere after its path was lost. That is no failure of the upstream, so it
     /// counts as unreachable; but the request may have arrived there, so it takes a retry.
     fn retry_elsewhere(&mut self) -> Next {
-        self.sends -= 1;
-        self.unreachable += 1;
+        self.count_unreachable();
         self.has_lost_path = true;
         match self.may_try_another() {
             true => Next::Retry(RetryReason::Failure),
@@ -336,6 +334,12 @@
         }
     }
 
+    /// Counts the last send as one that reached no upstream.
+    fn count_unreachable(&mut self) {
+        self.sends -= 1;
+        self.unreachable += 1;
+    }
+
     fn may_try_another(&self) -> bool {
         self.unreachable < MAX_UNREACHABLE
     }
--- a/components/traffic/src/retries.rs
+++ b/components/traffic/src/retries.rs
@@ -55,13 +55,10 @@
     /// Takes a retry from the budget of a service.
     pub(crate) fn take_retry(&self, service: &Arc<str>, reason: RetryReason) -> Charge {
         let now = self.now();
-        let (is_granted, usage) = self.with_budget(service, |budget| {
-            let is_granted = budget.try_acquire(now, reason);
-            (is_granted, budget.usage(now, reason))
-        });
-        let kind = match is_granted {
-            true => ChargeKind::Granted,
-            false => ChargeKind::Refused,
+        let acquired = self.with_budget(service, |budget| budget.acquire(now, reason));
+        let (kind, usage) = match acquired {
+            Ok(usage) => (ChargeKind::Granted, usage),
+            Err(usage) => (ChargeKind::Refused, usage),
         };
         self.metrics.record_charge(kind);
         Charge { kind, usage }
