Connections: a fleet keeps at most half of what an upstream accepts idle

Cause: each daemon kept up to 8 idle connections to an upstream, whatever the service's limit on connections and the number of daemons. 58 daemons kept up to 464 where 410 are accepted.

Change: a daemon keeps its part of half of the limit, at most 8 as before. Measured on real sockets by a test that fails without the change: 20 daemons, 10 connections, none kept.

--- a/components/engine/src/call.rs
+++ b/components/engine/src/call.rs
@@ -9,7 +9,8 @@
 use http::{HeaderMap, Method};
 use http1::write::{push_field, push_length, push_map};
 use http1::{
-    BodyReader, Head, Pool, Progress, ResponseError, Wire, WireOptions, connect, read_response_head,
+    BodyReader, Head, MAX_IDLE_PER_UPSTREAM, Pool, Progress, ResponseError, Wire, WireOptions,
+    connect, read_response_head,
 };
 use tokio::time::{Instant, timeout_at};
 use types::prelude::*;
@@ -161,8 +162,9 @@
             idle.purged_at = now;
             idle.pool.purge(now, |_| true);
         }
+        let (upstream, wire) = (response.upstream, response.wire);
         idle.pool
-            .put(now, response.upstream, response.wire, &response.head);
+            .put(now, upstream, wire, &response.head, MAX_IDLE_PER_UPSTREAM);
     }
 }
 
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -25,7 +25,7 @@
 pub use body::{BodyError, BodyReader, Progress};
 pub use framing::{Framing, FramingError};
 pub use head::{Head, HeadError, Kind, is_hop_by_hop};
-pub use pool::Pool;
+pub use pool::{MAX_IDLE_PER_UPSTREAM, Pool, max_idle};
 pub use probe::probe_refused;
 pub use response::{ResponseError, discard_body, read_response_head, read_whole};
 pub use wire::{Wire, WireOptions, connect};
--- a/components/http1/src/pool.rs
+++ b/components/http1/src/pool.rs
@@ -9,7 +9,10 @@
 use crate::wire::Wire;
 
 /// Most idle connections per upstream. Covers one daemon's share of the peak of a quiet day.
-const MAX_IDLE_PER_UPSTREAM: usize = 8;
+pub const MAX_IDLE_PER_UPSTREAM: usize = 8;
+/// Share of an upstream's connections that all daemons together keep idle. The rest is left to
+/// requests in flight.
+const IDLE_SHARE: f64 = 0.5;
 /// Keep-alive timeout if the upstream does not advertise one.
 const DEFAULT_KEEP_ALIVE: Span = Span::from_secs(4);
 /// Subtracted from the keep-alive timeout that the upstream advertises, for the transit time and
@@ -17,6 +20,18 @@
 /// connection is lost if it must not be retried.
 const KEEP_ALIVE_MARGIN: Span = Span::from_millis(700);
 
+/// Returns how many idle connections to an upstream one of `daemons` keeps, where the upstream
+/// accepts `max_connections` from all of them together.
+///
+/// An upstream resets connections beyond its limit, with the requests on them. The result is 0
+/// where there are more daemons than connections to keep.
+#[must_use]
+pub fn max_idle(max_connections: u32, daemons: usize) -> usize {
+    let kept = f64::from(max_connections) * IDLE_SHARE;
+    let share = kept / daemons.max(1) as f64;
+    (share as usize).min(MAX_IDLE_PER_UPSTREAM)
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     wire: Wire,
@@ -60,15 +75,16 @@
         wires.any(Wire::is_idle)
     }
 
-    /// Adds a connection that has carried no request yet.
-    pub fn put_unused(&mut self, now: Time, upstream: K, wire: Wire) {
+    /// Adds a connection that has carried no request yet, unless `max_idle` are kept already.
+    pub fn put_unused(&mut self, now: Time, upstream: K, wire: Wire, max_idle: usize) {
         if wire.is_idle() {
-            self.add(upstream, wire, now + DEFAULT_KEEP_ALIVE);
+            self.add(upstream, wire, now + DEFAULT_KEEP_ALIVE, max_idle);
         }
     }
 
-    /// Adds a connection after a complete response with this head, unless it must be closed.
-    pub fn put(&mut self, now: Time, upstream: K, wire: Wire, head: &Head) {
+    /// Adds a connection after a complete response with this head, unless it must be closed or
+    /// `max_idle` are kept already.
+    pub fn put(&mut self, now: Time, upstream: K, wire: Wire, head: &Head, max_idle: usize) {
         if !head.keeps_alive() || !wire.is_idle() {
             return;
         }
@@ -76,13 +92,16 @@
             advertised - KEEP_ALIVE_MARGIN
         });
         if span > Span::ZERO {
-            self.add(upstream, wire, now + span);
+            self.add(upstream, wire, now + span, max_idle);
         }
     }
 
-    fn add(&mut self, upstream: K, wire: Wire, expires_at: Time) {
+    fn add(&mut self, upstream: K, wire: Wire, expires_at: Time, max_idle: usize) {
+        if max_idle == 0 {
+            return;
+        }
         let connections = self.idle.entry(upstream).or_default();
-        if connections.len() < MAX_IDLE_PER_UPSTREAM {
+        if connections.len() < max_idle {
             connections.push(IdleConnection { wire, expires_at });
         }
     }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -161,9 +161,8 @@
     pub(crate) fn finish(self, outcome: UpstreamOutcome) {
         self.guard.end(outcome);
         if outcome == UpstreamOutcome::Good && !self.reader.ends_with_connection() {
-            let now = self.shared.now();
-            let mut pool = self.shared.pool.borrow_mut();
-            pool.put(now, self.index, self.wire, &self.head);
+            self.shared
+                .keep_connection(self.index, self.wire, &self.head);
         }
     }
 }
@@ -576,8 +575,7 @@
             UpstreamOutcome::Failed
         });
         if !reader.ends_with_connection() {
-            let mut pool = self.shared.pool.borrow_mut();
-            pool.put(self.shared.now(), index, wire, &head);
+            self.shared.keep_connection(index, wire, &head);
         }
         let whole = Whole {
             head,
--- a/components/traffic/src/connect.rs
+++ b/components/traffic/src/connect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dispatch::{DirectFailure, Path, UpstreamIndex};
-use http1::{Wire, WireOptions, connect};
+use http1::{Head, MAX_IDLE_PER_UPSTREAM, Wire, WireOptions, connect, max_idle};
 use routes::Upstream;
 use tokio::time::timeout;
 use types::prelude::*;
@@ -201,6 +201,27 @@
 }
 
 impl<T> Shared<T> {
+    /// Keeps a connection for the next request to an upstream, after a complete answer with this
+    /// head.
+    pub(crate) fn keep_connection(&self, index: UpstreamIndex, wire: Wire, head: &Head) {
+        let max_idle = self.max_idle(index);
+        let mut pool = self.pool.borrow_mut();
+        pool.put(self.now(), index, wire, head, max_idle);
+    }
+
+    /// Most idle connections that this daemon keeps to an upstream: its part of what the upstream
+    /// accepts from the fleet.
+    fn max_idle(&self, index: UpstreamIndex) -> usize {
+        let plan = self.plan();
+        let upstreams = self.upstreams.borrow();
+        let service = upstreams
+            .spec(index)
+            .and_then(|spec| plan.table.as_ref()?.service(&spec.service));
+        service.map_or(MAX_IDLE_PER_UPSTREAM, |service| {
+            max_idle(service.max_connections, plan.sharing_daemons)
+        })
+    }
+
     /// Whether an upstream, one of whose answers has just ended with its connection, has crashed. A
     /// program that crashes closes its connections like one that has finished an answer; all of
     /// them, and it takes no new ones.
@@ -221,8 +242,9 @@
             Ok(connection) => {
                 let closed = connection.wire.closed(usize::MAX);
                 let has_crashed = timeout(CLOSE_DELAY, closed).await.is_ok();
+                let max_idle = self.max_idle(index);
                 let mut pool = self.pool.borrow_mut();
-                pool.put_unused(self.now(), index, connection.wire);
+                pool.put_unused(self.now(), index, connection.wire, max_idle);
                 has_crashed
             }
             Err(ConnectFailure::Refused) => {
--- a/components/traffic/tests/it/bounds.rs
+++ b/components/traffic/tests/it/bounds.rs
@@ -237,3 +237,31 @@
         "a third of 1.5 s at most: {short}"
     );
 }
+
+/// Connections kept by a large fleet use up what an upstream accepts, and requests are reset.
+#[test]
+fn keeps_no_connection_beyond_its_share_of_the_upstreams_limit() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&open);
+    let address = upstream(move |served| {
+        count.fetch_add(1, Ordering::SeqCst);
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+        count.fetch_sub(1, Ordering::SeqCst);
+    });
+    let running = start();
+    let upstreams = vec![listed_upstream("u1", address)];
+    let mut plan = plan(Retry::Never, upstreams);
+    // The service's upstreams accept 10 connections.
+    plan.sharing_daemons = 20;
+    running.apply_plan(plan);
+    running.validate_current(Some(Time::NEVER));
+    let mut caller = running.caller();
+    for n in 0..6 {
+        assert!(caller.ask(&format!("r{n}")).ends_with("world"));
+    }
+    wait_until("all connections are closed", || {
+        open.load(Ordering::SeqCst) == 0
+    });
+}
