Second attempts: also while a version is rolled out

Cause: answers that are evidence on a roll-out were never left early, and a daemon mostly hears nothing else from an engine, so they stayed evidence until they were late.

Change: leaving counts as it did later before: as a slow answer where the engine is heard from, as a broken one where it is not.

--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -217,12 +217,8 @@
 
     /// Whether to leave the upstream, which has not started to answer, since a second attempt would
     /// be on time.
-    ///
-    /// Answers that are evidence on a roll-out are waited for until they count as slow; otherwise
-    /// a slow version would never be found out.
     pub(crate) fn is_second_attempt_due(&self, request: &Request<T>) -> bool {
-        let is_enabled = self.shared.cfg.policy.timing.second_attempt_on_time;
-        if !is_enabled || self.is_awaited() {
+        if !self.shared.cfg.policy.timing.second_attempt_on_time {
             return false;
         }
         let upstreams = self.shared.upstreams.borrow();
@@ -240,8 +236,8 @@
         leave_at.is_some_and(|at| self.shared.now().has_reached(at))
     }
 
-    /// What leaving the upstream for a second attempt shows of it: nothing, if it answers others
-    /// meanwhile.
+    /// What leaving the upstream for a second attempt shows of it: nothing if it answers others
+    /// meanwhile, in which case the request counts as slow in a roll-out by now.
     pub(crate) fn outcome_of_leaving(&self) -> UpstreamOutcome {
         match self.upstream_silent_for() < self.outstanding_for() {
             true => UpstreamOutcome::Cancelled,
@@ -249,12 +245,6 @@
         }
     }
 
-    /// Whether its start is still to be counted as evidence on a roll-out.
-    fn is_awaited(&self) -> bool {
-        let awaited = self.shared.awaited.borrow();
-        self.awaited.is_some_and(|key| awaited.contains(key))
-    }
-
     /// Notes that the upstream is left before its answer has started.
     pub(crate) fn note_left(&self) {
         self.record_first_event(|first_events, service, objective, elapsed| {
--- a/components/traffic/src/awaited.rs
+++ b/components/traffic/src/awaited.rs
@@ -57,11 +57,6 @@
         key
     }
 
-    /// Whether an answer has neither begun nor been counted as slow.
-    pub(crate) fn contains(&self, key: AwaitedKey) -> bool {
-        self.by_key.contains_key(&key)
-    }
-
     /// Removes an answer; returns whether it was not counted as slow.
     pub(crate) fn remove(&mut self, key: AwaitedKey) -> bool {
         self.by_key.remove(&key).is_some()
