Revert second attempts that start earlier: no gain for callers

Cause: late short prompts mostly had left a silent engine at 0.9 of their objective, with a new first event 66 ms later.

Change: taken out again, both forms.

--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -110,8 +110,6 @@
 pub struct TimingPolicy {
     /// Whether a request leaves a silent upstream for another.
     pub leaves_silent: bool,
-    /// Whether it leaves early enough for the second attempt to be on time.
-    pub second_attempt_on_time: bool,
     /// Whether requests carry a rank by which engines decide which to process first.
     pub ranks: bool,
     /// Whether a request that arrives before the first configuration waits a moment for it.
@@ -158,7 +156,6 @@
     fn default() -> Self {
         Self {
             leaves_silent: true,
-            second_attempt_on_time: true,
             ranks: true,
             waits_for_configuration: true,
         }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::connect::ConnectFailure;
 use crate::exchange::Request;
-use crate::relay::{GiveUp, give_up_reason};
+use crate::relay::give_up_reason;
 use crate::retries::ChargeKind;
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
@@ -76,8 +76,8 @@
     Leaving,
     /// The path to the upstream was lost, and the request may be retried.
     PathLost,
-    /// The upstream was silent for too long, which shows this of it.
-    Silent(UpstreamOutcome),
+    /// The upstream was silent for too long.
+    Silent,
     /// The connection broke.
     Broken(&'static str),
     /// One of its contents was quarantined while the request waited.
@@ -94,7 +94,7 @@
             Self::Leaving => (UpstreamOutcome::Cancelled, SendResult::Unreachable),
             // A lost path says nothing about the upstream.
             Self::PathLost => (UpstreamOutcome::Cancelled, SendResult::PathLost),
-            Self::Silent(outcome) => (outcome, SendResult::MayHaveRun("silent")),
+            Self::Silent => (UpstreamOutcome::Silent, SendResult::MayHaveRun("silent")),
             Self::Broken(why) => (UpstreamOutcome::Incomplete, SendResult::MayHaveRun(why)),
             Self::Quarantined => (
                 UpstreamOutcome::Cancelled,
@@ -146,22 +146,15 @@
         self.may_resume && self.guard.is_path_silent(heard_at)
     }
 
-    /// Abandons the upstream for another if it may and should; returns why.
-    pub(crate) fn give_up(
+    /// Why the upstream is abandoned for another; none if it isn't.
+    pub(crate) fn give_up_reason(
         &self,
         request: &Request<T>,
         heard_at: Time,
         has_event: bool,
-    ) -> Option<GiveUp> {
-        if !self.may_switch {
-            return None;
-        }
+    ) -> Option<&'static str> {
         let silent = self.shared.now().since(heard_at);
-        let give_up = give_up_reason(request, &self.guard, silent, has_event)?;
-        if !has_event {
-            self.guard.note_left();
-        }
-        Some(give_up)
+        give_up_reason(request, &self.guard, silent, has_event)
     }
 
     /// Ends the attempt. The connection returns to the pool after a complete stream.
@@ -365,7 +358,7 @@
 
     /// Blames a broken connection on the path rather than on the upstream where the path is lost.
     fn blame_path(&self, guard: &AttemptGuard<T>, failure: Failure) -> Failure {
-        let may_be_path = matches!(failure, Failure::Broken(_) | Failure::Silent(_));
+        let may_be_path = matches!(failure, Failure::Broken(_) | Failure::Silent);
         match may_be_path && self.is_path_lost(guard) {
             true => Failure::PathLost,
             false => failure,
@@ -472,9 +465,8 @@
                     if self.is_path_lost(guard) {
                         return Err(Failure::PathLost);
                     }
-                    if let Some(outcome) = self.outcome_of_silence(guard) {
-                        guard.note_left();
-                        return Err(Failure::Silent(outcome));
+                    if self.may_switch && self.is_silent_too_long(guard) {
+                        return Err(Failure::Silent);
                     }
                     if self.is_quarantined() {
                         return Err(Failure::Quarantined);
@@ -509,21 +501,16 @@
         is_allowed && guard.is_path_silent(guard.sent_at())
     }
 
-    /// What the upstream's silence shows of it, if it lasts long enough to switch to another.
-    fn outcome_of_silence(&self, guard: &AttemptGuard<T>) -> Option<UpstreamOutcome> {
-        if !self.may_switch {
-            return None;
-        }
+    /// Whether the upstream has been silent long enough to switch to another.
+    fn is_silent_too_long(&self, guard: &AttemptGuard<T>) -> bool {
         let route = &self.request.route;
         let silent = guard.outstanding_for();
         if !route.retry.is_stream() {
             let objective = route.objective.as_secs_f64();
             let share = Span::from_secs_f64(objective * SILENT_SHARE);
-            let is_too_long = silent > share.max(guard.first_output_within());
-            return is_too_long.then_some(UpstreamOutcome::Silent);
+            return silent > share.max(guard.first_output_within());
         }
-        let give_up = give_up_reason(self.request, guard, silent, false)?;
-        Some(give_up.outcome)
+        give_up_reason(self.request, guard, silent, false).is_some()
     }
 
     /// Reads response heads until one answers this request.
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -4,10 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{
-    AnswerStart, ArmCounts, Choice, FirstEvents, Load, SilentAttempt, Ticket, UpstreamIndex,
-    UpstreamOutcome,
-};
+use dispatch::{AnswerStart, ArmCounts, Choice, Load, Ticket, UpstreamIndex, UpstreamOutcome};
 use poison::{AttemptEnd, AttemptId, Contents};
 use types::prelude::*;
 
@@ -35,8 +32,6 @@
     /// Set where the request goes by another daemon's share.
     lease: RefCell<Option<Lease>>,
     began_at: Option<Time>,
-    /// Objective for the first event; none where the answer is no stream.
-    objective: Option<Span>,
     outcome: UpstreamOutcome,
 }
 
@@ -91,11 +86,6 @@
             tunnel: RefCell::default(),
             lease: RefCell::new(lease),
             began_at: None,
-            objective: request
-                .route
-                .retry
-                .is_stream()
-                .then_some(request.route.objective),
             outcome: UpstreamOutcome::Cancelled,
         };
         guard.count(|counts| {
@@ -122,9 +112,6 @@
         );
         drop(upstreams);
         self.began_at = Some(now);
-        self.record_first_event(|first_events, service, objective, elapsed| {
-            first_events.record(service, objective, elapsed);
-        });
         self.note_running();
         if self.take_awaited() {
             self.count(|counts| counts.record_answer_start(elapsed_ms, &self.load));
@@ -215,53 +202,6 @@
         Span::from_secs_f64(ms / 1_000.0)
     }
 
-    /// Whether to leave the upstream, which has not started to answer, since a second attempt would
-    /// be on time.
-    pub(crate) fn is_second_attempt_due(&self, request: &Request<T>) -> bool {
-        if !self.shared.cfg.policy.timing.second_attempt_on_time {
-            return false;
-        }
-        let upstreams = self.shared.upstreams.borrow();
-        let (Some(objective), Some(spec)) = (self.objective, upstreams.spec(self.index)) else {
-            return false;
-        };
-        let first_events = self.shared.first_events.borrow();
-        let leave_at = first_events.leave_at(&SilentAttempt {
-            service: &spec.service,
-            objective,
-            arrived_at: request.arrived_at,
-            sent_at: self.sent_at.get(),
-            expected: self.first_output_within(),
-        });
-        leave_at.is_some_and(|at| self.shared.now().has_reached(at))
-    }
-
-    /// What leaving the upstream for a second attempt shows of it: nothing if it answers others
-    /// meanwhile, in which case the request counts as slow in a roll-out by now.
-    pub(crate) fn outcome_of_leaving(&self) -> UpstreamOutcome {
-        match self.upstream_silent_for() < self.outstanding_for() {
-            true => UpstreamOutcome::Cancelled,
-            false => UpstreamOutcome::Silent,
-        }
-    }
-
-    /// Notes that the upstream is left before its answer has started.
-    pub(crate) fn note_left(&self) {
-        self.record_first_event(|first_events, service, objective, elapsed| {
-            first_events.record_left(service, objective, elapsed);
-        });
-    }
-
-    /// Records the time to the first event, where the answer is a stream.
-    fn record_first_event(&self, record: impl FnOnce(&mut FirstEvents, &Arc<str>, Span, Span)) {
-        let upstreams = self.shared.upstreams.borrow();
-        if let (Some(objective), Some(spec)) = (self.objective, upstreams.spec(self.index)) {
-            let mut first_events = self.shared.first_events.borrow_mut();
-            let elapsed = self.outstanding_for();
-            record(&mut first_events, &spec.service, objective, elapsed);
-        }
-    }
-
     /// Sets how the attempt ended; dropping the guard counts it.
     pub(crate) fn end(mut self, outcome: UpstreamOutcome) {
         self.outcome = outcome;
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -115,8 +115,8 @@
             let next = tokio::select! {
                 biased;
                 next = next(stream, &mut splitter, &mut held) => next,
-                _ = ticker.tick() => match stream.give_up(request, heard_at, has_event) {
-                    Some(GiveUp { why, outcome }) => NextRead::Broken(why, outcome),
+                _ = ticker.tick() => match stream.give_up_reason(request, heard_at, has_event) {
+                    Some(why) if stream.may_switch => NextRead::Broken(why, UpstreamOutcome::Silent),
                     _ if stream.is_path_lost(heard_at) => return RelayEnd::PathLost,
                     _ => continue,
                 },
@@ -293,29 +293,13 @@
     Ok(events)
 }
 
-/// Why a silent upstream is abandoned for another, and what that shows of it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct GiveUp {
-    pub(crate) why: &'static str,
-    pub(crate) outcome: UpstreamOutcome,
-}
-
-impl GiveUp {
-    fn silent(why: &'static str) -> Self {
-        Self {
-            why,
-            outcome: UpstreamOutcome::Silent,
-        }
-    }
-}
-
 /// Why a silent upstream is abandoned for another; none if it isn't.
 pub(crate) fn give_up_reason<T>(
     request: &Request<T>,
     guard: &AttemptGuard<T>,
     silent: Span,
     has_event: bool,
-) -> Option<GiveUp> {
+) -> Option<&'static str> {
     let route = &request.route;
     let pause = route.max_pause.unwrap_or(DEFAULT_PAUSE).as_secs_f64();
     let slack = route.objective.as_secs_f64() * FIRST_SLACK_SHARE;
@@ -327,15 +311,9 @@
         }
     };
     if silent > stalled {
-        return Some(GiveUp::silent("stalled"));
-    }
-    if !has_event && guard.is_second_attempt_due(request) {
-        return Some(GiveUp {
-            why: "left for a second attempt",
-            outcome: guard.outcome_of_leaving(),
-        });
+        return Some("stalled");
     }
     let mute_limit = expected.max(Span::from_secs_f64(pause * MUTE_PAUSES));
     let is_upstream_mute = guard.upstream_silent_for().min(silent) > mute_limit;
-    is_upstream_mute.then_some(GiveUp::silent("silent on all connections"))
+    is_upstream_mute.then_some("silent on all connections")
 }
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -187,7 +187,6 @@
         tunnel_peers: RefCell::default(),
         served_tunnels: Cell::new(0),
         lent: Cell::new(0),
-        first_events: RefCell::default(),
         pool: RefCell::new(Pool::default()),
         attempts: RefCell::default(),
         awaited: RefCell::default(),
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, BrittleAdvertisement, Evidence, FirstEvents, Gate, LastSeen, Paths, Pauses,
-    Pins, RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
+    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pauses, Pins,
+    RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
 use poison::{Admission, Attempts};
@@ -138,8 +138,6 @@
     /// The version last validated as the newest, and when.
     pub(crate) validation: Cell<Option<Validation>>,
     pub(crate) upstreams: RefCell<Upstreams>,
-    /// How long attempts take to the first event.
-    pub(crate) first_events: RefCell<FirstEvents>,
     pub(crate) paths: RefCell<Paths>,
     pub(crate) tunnel_peers: RefCell<TunnelPeers>,
     /// Tunnels open for peers.
