--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -104,6 +104,21 @@
         }
         &self.targets[0].service
     }
+
+    /// Checks that the route has a service to send to and a prefix that can match.
+    ///
+    /// # Errors
+    /// States what is invalid.
+    pub fn validate(&self) -> Result<(), TableError> {
+        if self.targets.iter().all(|target| target.weight == 0) {
+            return Err(TableError::NoTarget(self.name.clone()));
+        }
+        let prefix = &self.prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(TableError::BadPrefix(self.name.clone(), prefix.clone()));
+        }
+        Ok(())
+    }
 }
 
 /// Configuration of a service, without its upstreams.
@@ -172,7 +187,7 @@
     ) -> Result<Self, TableError> {
         let mut hosts = HashMap::<Arc<str>, Vec<Arc<Route>>>::new();
         for route in routes {
-            check(&route)?;
+            route.validate()?;
             hosts
                 .entry(route.host.clone())
                 .or_default()
@@ -222,14 +237,3 @@
         self.hosts.values().flatten()
     }
 }
-
-fn check(route: &Route) -> Result<(), TableError> {
-    if route.targets.iter().all(|target| target.weight == 0) {
-        return Err(TableError::NoTarget(route.name.clone()));
-    }
-    let prefix = &route.prefix;
-    if !prefix.starts_with('/') || !prefix.ends_with('/') {
-        return Err(TableError::BadPrefix(route.name.clone(), prefix.clone()));
-    }
-    Ok(())
-}
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -23,6 +23,8 @@
     Dev(Dev),
     /// Serves on the users' platform.
     Platform(Platform),
+    /// Checks a configuration of the users' platform.
+    Check(Check),
 }
 
 /// Serves with the settings of a file.
@@ -79,6 +81,52 @@
     pub log: String,
 }
 
+/// Checks a configuration of the users' platform before it is sent. Exit code: 0 without errors and
+/// warnings, 1 with some, 2 if the file can't be read or is not JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// configuration, in JSON; - for standard input
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// configuration in force, to compare with; - for standard input
+    #[argh(option)]
+    pub in_force: Option<PathBuf>,
+    /// settings file of a daemon, whose retry budget attempts are compared with
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// number of upstreams of a service, as SERVICE=NUMBER; may be repeated
+    #[argh(option)]
+    pub upstreams: Vec<UpstreamCount>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// The number of upstreams of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamCount {
+    /// Name of the service.
+    pub service: String,
+    /// Number of its upstreams.
+    pub count: u32,
+}
+
+impl std::str::FromStr for UpstreamCount {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (service, count) = text.rsplit_once('=').unwrap_or((text, ""));
+        let count = count.parse().map_err(|_| {
+            format!("{text:?} is not SERVICE=NUMBER with the number of a service's upstreams")
+        })?;
+        Ok(Self {
+            service: service.to_owned(),
+            count,
+        })
+    }
+}
+
 /// The sample catalogues.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sample {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -4,11 +4,42 @@
 mod cmd;
 mod policy;
 
-fn main() -> eyre::Result<()> {
-    let args: cli::Args = argh::from_env();
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Exit code of a wrong command line.
+const USAGE: u8 = 1;
+
+fn main() -> eyre::Result<ExitCode> {
+    let words = std::env::args().skip(1).collect::<Vec<_>>();
+    let words = words.iter().map(String::as_str).collect::<Vec<_>>();
+    let args = match cli::Args::from_args(&["buckthorncrossd"], &words) {
+        Ok(args) => args,
+        Err(exit) => return Ok(end_early(&exit, &words)),
+    };
     match args.command {
-        cli::Command::Run(options) => cmd::run::run(&options),
-        cli::Command::Dev(options) => cmd::dev::run(&options),
-        cli::Command::Platform(options) => cmd::platform::run(&options),
+        cli::Command::Run(options) => cmd::run::run(&options)?,
+        cli::Command::Dev(options) => cmd::dev::run(&options)?,
+        cli::Command::Platform(options) => cmd::platform::run(&options)?,
+        cli::Command::Check(options) => return cmd::check::run(&options),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints the help that was asked for, or what is wrong with the command line. `check` says by the
+/// exit code 1 that there are findings, so that its command line has the code of unreadable input.
+fn end_early(exit: &argh::EarlyExit, words: &[&str]) -> ExitCode {
+    if exit.status.is_ok() {
+        println!("{}", exit.output);
+        return ExitCode::SUCCESS;
+    }
+    eprintln!(
+        "{}\nRun buckthorncrossd --help for more information.",
+        exit.output
+    );
+    match words.first() {
+        Some(&"check") => ExitCode::from(cmd::check::UNREADABLE),
+        _ => ExitCode::from(USAGE),
     }
 }
