--- a/components/lint/src/diff.rs
+++ b/components/lint/src/diff.rs
@@ -175,8 +175,16 @@
         in_force: is_old.then(|| shown::key(key)),
         proposed: (!is_old).then(|| shown::key(key)),
     };
-    changes.extend(old.keys.difference(&new.keys).map(|key| key_change(key, true)));
-    changes.extend(new.keys.difference(&old.keys).map(|key| key_change(key, false)));
+    changes.extend(
+        old.keys
+            .difference(&new.keys)
+            .map(|key| key_change(key, true)),
+    );
+    changes.extend(
+        new.keys
+            .difference(&old.keys)
+            .map(|key| key_change(key, false)),
+    );
     changes
 }
 
@@ -258,7 +266,10 @@
     fields([
         ("connections", text(service.max_connections)),
         ("slots", engine.and_then(|engine| text(engine.slots))),
-        ("memory in tokens", engine.and_then(|engine| text(engine.memory))),
+        (
+            "memory in tokens",
+            engine.and_then(|engine| text(engine.memory)),
+        ),
         ("cold time", cold.and_then(|cold| text(cold.duration))),
         ("cold rate", cold.and_then(|cold| text(cold.rate.0))),
     ])
--- a/components/lint/src/finding.rs
+++ b/components/lint/src/finding.rs
@@ -94,7 +94,9 @@
     #[error("this entry of service {0} is never used: a later one has the same name")]
     ReplacedService(Arc<str>),
     /// Another customer lists the same key later.
-    #[error("key {key} of customer {customer} is never matched: it belongs to customer {owner}, which lists it later")]
+    #[error(
+        "key {key} of customer {customer} is never matched: it belongs to customer {owner}, which lists it later"
+    )]
     OverriddenKey {
         /// The first characters of the key.
         key: String,
@@ -169,7 +171,9 @@
         max_pause: Span,
     },
     /// A route has more attempts than retries are allowed.
-    #[error("route {route} has {attempts} attempts, and the retry budget allows a request {allowed}")]
+    #[error(
+        "route {route} has {attempts} attempts, and the retry budget allows a request {allowed}"
+    )]
     AttemptsOverBudget {
         /// Name of the route.
         route: Arc<str>,
@@ -179,7 +183,9 @@
         allowed: u32,
     },
     /// A route has more attempts than there are upstreams.
-    #[error("route {route} has {attempts} attempts, and service {service} has {upstreams} upstreams")]
+    #[error(
+        "route {route} has {attempts} attempts, and service {service} has {upstreams} upstreams"
+    )]
     AttemptsOverUpstreams {
         /// Name of the route.
         route: Arc<str>,
--- a/components/lint/src/limits.rs
+++ b/components/lint/src/limits.rs
@@ -49,7 +49,9 @@
         report(Field::HeadTimeout, &|| zero("the time for a request head"));
     }
     if limits.idle == Span::ZERO {
-        report(Field::Idle, &|| zero("the time that a connection may be idle"));
+        report(Field::Idle, &|| {
+            zero("the time that a connection may be idle")
+        });
     }
 }
 
@@ -57,10 +59,14 @@
     let name = &route.name;
     let (timeout, objective) = (route.timeout, route.objective);
     if timeout == Span::ZERO {
-        report(Field::Timeout, &|| zero(&format!("route {name}: the timeout")));
+        report(Field::Timeout, &|| {
+            zero(&format!("route {name}: the timeout"))
+        });
     }
     if objective == Span::ZERO {
-        report(Field::Objective, &|| zero(&format!("route {name}: the objective")));
+        report(Field::Objective, &|| {
+            zero(&format!("route {name}: the objective"))
+        });
     }
     if Span::ZERO < timeout && timeout < objective {
         report(Field::Timeout, &|| Problem::TimeoutUnderObjective {
@@ -75,7 +81,9 @@
     if !route.retry.is_stream() {
         report(Field::MaxPause, &|| Problem::StreamLimit(Arc::clone(name)));
     } else if max_pause == Span::ZERO {
-        report(Field::MaxPause, &|| zero(&format!("route {name}: the longest pause")));
+        report(Field::MaxPause, &|| {
+            zero(&format!("route {name}: the longest pause"))
+        });
     } else if Span::ZERO < timeout && timeout < max_pause {
         report(Field::MaxPause, &|| Problem::TimeoutUnderPause {
             route: Arc::clone(name),
@@ -130,16 +138,22 @@
     let name = &service.name;
     let connections = service.max_connections;
     if connections == 0 {
-        report(Field::MaxConnections, &|| zero(&format!("service {name}: the connections")));
+        report(Field::MaxConnections, &|| {
+            zero(&format!("service {name}: the limit on connections"))
+        });
     }
     let Some(engine) = service.engine else {
         return;
     };
     if engine.slots == 0 {
-        report(Field::Slots, &|| zero(&format!("service {name}: the slots")));
+        report(Field::Slots, &|| {
+            zero(&format!("service {name}: the number of slots"))
+        });
     }
     if engine.memory == Tokens(0) {
-        report(Field::Memory, &|| zero(&format!("service {name}: the memory")));
+        report(Field::Memory, &|| {
+            zero(&format!("service {name}: the memory"))
+        });
     }
     if 0 < connections && connections < engine.slots {
         report(Field::MaxConnections, &|| Problem::SlotsOverConnections {
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -103,6 +103,20 @@
     pub json: bool,
 }
 
+/// Moves a `-` that stands for standard input behind the options, after `--`. `argh` would take it
+/// for an option.
+pub fn with_stdin_last<'a>(words: &[&'a str]) -> Vec<&'a str> {
+    let takes_value = |word| ["--in-force", "--settings", "--upstreams"].contains(&word);
+    let is_file = |place: usize| words[place] == "-" && !takes_value(words[place - 1]);
+    let stdin = (1..words.len()).find(|place| words[0] == "check" && is_file(*place));
+    let mut ordered = words.to_vec();
+    if let Some(place) = stdin.filter(|_| !words.contains(&"--")) {
+        ordered.remove(place);
+        ordered.extend(["--", "-"]);
+    }
+    ordered
+}
+
 /// The number of upstreams of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamCount {
--- a/daemon/src/cmd/check.rs
+++ b/daemon/src/cmd/check.rs
@@ -76,14 +76,18 @@
 
 fn known(options: &Check) -> eyre::Result<Known> {
     let settings = options.settings.as_deref().map(Settings::from_file);
-    let bounds = settings.transpose()?.map(|settings| settings.contract_bounds);
+    let bounds = settings
+        .transpose()?
+        .map(|settings| settings.contract_bounds);
     let upstreams = options.upstreams.iter();
     Ok(Known {
         retries: bounds.map(|bounds| RetryBound {
             ratio: bounds.retry_ratio(),
             allowance: bounds.retry_allowance(),
         }),
-        upstreams: upstreams.map(|known| (known.service.clone(), known.count)).collect(),
+        upstreams: upstreams
+            .map(|known| (known.service.clone(), known.count))
+            .collect(),
     })
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -14,7 +14,8 @@
 fn main() -> eyre::Result<ExitCode> {
     let words = std::env::args().skip(1).collect::<Vec<_>>();
     let words = words.iter().map(String::as_str).collect::<Vec<_>>();
-    let args = match cli::Args::from_args(&["buckthorncrossd"], &words) {
+    let ordered = cli::with_stdin_last(&words);
+    let args = match cli::Args::from_args(&["buckthorncrossd"], &ordered) {
         Ok(args) => args,
         Err(exit) => return Ok(end_early(&exit, &words)),
     };
