--- a/daemon/src/cmd/check.rs
+++ b/daemon/src/cmd/check.rs
@@ -76,9 +76,9 @@
 
 fn known(options: &Check) -> eyre::Result<Known> {
     let settings = options.settings.as_deref().map(Settings::from_file);
-    let bounds = settings
-        .transpose()?
-        .map(|settings| settings.contract_bounds);
+    // The error's text has its cause already.
+    let settings = settings.transpose().map_err(|e| eyre::eyre!("{e}"))?;
+    let bounds = settings.map(|settings| settings.contract_bounds);
     let upstreams = options.upstreams.iter();
     Ok(Known {
         retries: bounds.map(|bounds| RetryBound {
