--- a/components/lint/src/diff.rs
+++ b/components/lint/src/diff.rs
@@ -102,7 +102,7 @@
     differences: &Listed<Difference>,
 ) -> Option<Finding> {
     let is_older = proposed.version <= in_force.version && !differences.is_empty();
-    is_older.then(|| Finding {
+    is_older.then_some(Finding {
         place: Place {
             entry: Entry::Configuration,
             field: Some(Field::Version),
