Check: arguments that are not UTF-8 give an error again

Cause: main read std::env::args, which panics (exit code 101) on an argument that is not UTF-8; argh::from_env, used before, printed an error. Change: such an argument gives the same error text as before, and exit code 1, or 2 for check.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -4,6 +4,7 @@
 mod cmd;
 mod policy;
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -12,7 +13,14 @@
 const USAGE: u8 = 1;
 
 fn main() -> eyre::Result<ExitCode> {
-    let words = std::env::args().skip(1).collect::<Vec<_>>();
+    let words = std::env::args_os().skip(1).map(OsString::into_string);
+    let words = match words.collect::<Result<Vec<_>, _>>() {
+        Ok(words) => words,
+        Err(word) => {
+            eprintln!("Invalid utf8: {}", word.to_string_lossy());
+            return Ok(ExitCode::from(usage_code(std::env::args_os().nth(1))));
+        }
+    };
     let words = words.iter().map(String::as_str).collect::<Vec<_>>();
     let ordered = cli::with_stdin_last(&words);
     let args = match cli::Args::from_args(&["buckthorncrossd"], &ordered) {
@@ -39,8 +47,12 @@
         "{}\nRun buckthorncrossd --help for more information.",
         exit.output
     );
-    match words.first() {
-        Some(&"check") => ExitCode::from(cmd::check::UNREADABLE),
-        _ => ExitCode::from(USAGE),
+    ExitCode::from(usage_code(words.first().map(OsString::from)))
+}
+
+fn usage_code(command: Option<OsString>) -> u8 {
+    match command {
+        Some(command) if command == "check" => cmd::check::UNREADABLE,
+        _ => USAGE,
     }
 }
