--- a/components/lint/src/diff.rs
+++ b/components/lint/src/diff.rs
@@ -249,7 +249,7 @@
         ("services", text(shown::targets(route))),
         ("attempts", text(route.max_attempts)),
         ("anonymous", yes_or_no(route.allows_anonymous)),
-        ("shadowed by", shadowed_by.and_then(text)),
+        ("shadowed by", shadowed_by.map(shown::name)),
     ])
 }
 
--- a/components/lint/src/lib.rs
+++ b/components/lint/src/lib.rs
@@ -21,6 +21,7 @@
 pub use finding::{Entry, Field, Finding, Place, Problem};
 pub use known::{Known, RetryBound};
 pub use listed::Listed;
+pub use shown::shown_key;
 
 use routes::Configuration;
 
--- a/components/lint/src/shown.rs
+++ b/components/lint/src/shown.rs
@@ -5,15 +5,32 @@
 /// Characters of a key that are shown.
 const SHOWN_CHARS: usize = 4;
 
-/// The first characters of a key. Of a key that is no longer than those, only the first is shown.
-pub(crate) fn key(key: &ApiKey) -> String {
-    let text = key.as_str();
+/// Characters of another entry's name that are shown. A name may be as long as the file, and each of
+/// thousands of entries may refer to it.
+const SHOWN_NAME_CHARS: usize = 100;
+
+/// The first characters of a key's text. Of one that is no longer than those, only the first is
+/// shown.
+#[must_use]
+pub fn shown_key(text: &str) -> String {
     let is_longer = text.chars().nth(SHOWN_CHARS).is_some();
     let count = if is_longer { SHOWN_CHARS } else { 1 };
     let shown = text.chars().take(count).collect::<String>();
     format!("{shown}…")
 }
 
+pub(crate) fn key(key: &ApiKey) -> String {
+    shown_key(key.as_str())
+}
+
+/// The name of another entry, shortened if it is long.
+pub(crate) fn name(name: &str) -> String {
+    match name.char_indices().nth(SHOWN_NAME_CHARS) {
+        Some((end, _)) => format!("{}…", &name[..end]),
+        None => name.to_owned(),
+    }
+}
+
 pub(crate) fn retry(retry: Retry) -> &'static str {
     match retry {
         Retry::Any => "idempotent",
