--- a/components/lint/src/listed.rs
+++ b/components/lint/src/listed.rs
@@ -2,8 +2,8 @@
 
 use crate::finding::{Entry, Field, Finding, Place, Problem};
 
-/// Most findings that are listed. A file may be wrong in each of a million keys, and nobody reads
-/// more.
+/// Most findings that are listed. A file may be wrong in each of a million keys, which would
+/// take unbounded memory and output.
 pub(crate) const MAX_FINDINGS: usize = 200;
 /// Most differences that are listed; two configurations of the design size may differ in each of
 /// their 1,000 customers.
--- a/daemon/src/cmd/check/text.rs
+++ b/daemon/src/cmd/check/text.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Escapes control characters. A name in the file may hold some, and a terminal would obey them.
+/// Escapes control characters. A name in the file may hold some, which a terminal would interpret.
 pub(super) fn printable(text: &str) -> String {
     let mut printable = String::with_capacity(text.len());
     for c in text.chars() {
