Dispatch: an entry with another address or service is another instance

An upstream that tells no start and came back at another address kept the state of its former run, and requests used connections to the former address. An entry that named another service under the same id and start left the upstream in the list of the former service: 52 of 100 requests went there.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -103,6 +103,14 @@
     InstanceKey(xxh3_64_with_seed(id.as_str().as_bytes(), started_at) as u32)
 }
 
+/// Whether two entries of an upstream are of one run of its program, at one address and for one
+/// service.
+fn is_same_instance(known: &Upstream, listed: &Upstream) -> bool {
+    known.started_at == listed.started_at
+        && known.address == listed.address
+        && known.service == listed.service
+}
+
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) spec: Arc<Upstream>,
@@ -223,11 +231,11 @@
         Some(entry.last_seen(index))
     }
 
-    /// Finds an instance of an upstream by its id and start.
+    /// Finds an instance of an upstream by its id and start. Of several, it is the last one listed.
     #[must_use]
     pub fn find(&self, id: &UpstreamId, started_at: Option<WallTime>) -> Option<LastSeen> {
         let is_match = |entry: &Entry| entry.spec.id == *id && entry.spec.started_at == started_at;
-        let mut entries = self.entries.iter();
+        let mut entries = self.entries.iter().rev();
         let (index, entry) = entries.find(|(_, entry)| is_match(entry))?;
         Some(entry.last_seen(*index))
     }
@@ -245,13 +253,14 @@
     ///
     /// An upstream that restarts under its id gets an entry of its own, since the state of the
     /// former instance does not apply to it: cached prompts, backlog, health, leaving, and pooled
-    /// connections, which are stored by index.
+    /// connections, which are stored by index. The same holds for one whose entry names another
+    /// address or service: it may tell no start, and is kept in the list of its service.
     fn upsert(&mut self, now: Time, spec: &Arc<Upstream>) {
         let is_draining = spec.state == UpstreamState::Draining;
         let is_evacuated = self.evacuated.contains(&spec.failure_domain);
         let known = self.by_id.get(&spec.id);
         let known = known.and_then(|index| self.entries.get_mut(index));
-        if let Some(entry) = known.filter(|entry| entry.spec.started_at == spec.started_at) {
+        if let Some(entry) = known.filter(|entry| is_same_instance(&entry.spec, spec)) {
             entry.is_listed = true;
             // An entry that lapsed while the store was unreachable comes back with its
             // upstream, so being listed as ready again undoes the effect of its absence.
