Fleet: bounded warnings about entries of another writer; an entry without a start is another run

An entry without a start kept the start of the run before, so a later run whose clock was set back was ignored for good (fleet control::a_run_without_a_start_ ends_the_one_before failed before). An overwritten entry that was kept as lapsed is dropped.

--- a/components/dispatch/src/lapsed.rs
+++ b/components/dispatch/src/lapsed.rs
@@ -71,6 +71,11 @@
         self.lapsed.remove(id);
     }
 
+    /// Drops the entry of this id, under which something else was written.
+    pub fn forget(&mut self, id: &str) {
+        self.lapsed.retain(|lapsed, _| lapsed.as_str() != id);
+    }
+
     /// Drops the entries that were not listed again in time; returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
         let before = self.lapsed.len();
--- a/components/dispatch/tests/lapsed.rs
+++ b/components/dispatch/tests/lapsed.rs
@@ -61,3 +61,17 @@
     lapsed.record_removed(at(11), upstream("one"));
     assert_eq!(lapsed.iter().count(), 0);
 }
+
+/// Another program wrote under the key of an upstream whose entry had lapsed. The upstream stayed in
+/// use for as long as its own entry might have come back.
+#[test]
+fn an_entry_that_was_overwritten_has_not_lapsed() {
+    let mut lapsed = LapsedUpstreams::new(Span::from_secs(2));
+    lapsed.store_failed();
+    lapsed.record_removed(Time::ZERO, upstream("one"));
+    assert_eq!(lapsed.iter().count(), 1);
+    lapsed.forget("another");
+    assert_eq!(lapsed.iter().count(), 1);
+    lapsed.forget("one");
+    assert_eq!(lapsed.iter().count(), 0);
+}
--- a/components/fleet/src/codec.rs
+++ b/components/fleet/src/codec.rs
@@ -52,6 +52,12 @@
     /// When the value is invalid.
     fn upstream(&self, id: &str, value: &Bytes) -> Result<Upstream, DecodeError>;
 
+    /// The state that an upstream's entry names, if it is an unknown one. Such an upstream gets no
+    /// new requests.
+    fn unknown_state(&self, _value: &Bytes) -> Option<String> {
+        None
+    }
+
     /// Decodes a roll-out order; `revision` is the store's revision of the key.
     ///
     /// # Errors
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod codec;
 mod control;
 mod entry;
+mod entry_warnings;
 mod error;
 mod event;
 mod freshness;
@@ -34,6 +35,7 @@
 
 pub use codec::{Codec, DecodeError, StateRecord};
 pub use entry::{DaemonEntry, DaemonEntryError};
+pub use entry_warnings::EntryWarnings;
 pub use error::FleetError;
 pub use freshness::{Claim, Claims, Freshness, WireClaim};
 pub use gossip::{GossipKind, GossipView, Peer, is_small};
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -11,6 +11,7 @@
 use types::prelude::*;
 
 use crate::codec::Codec;
+use crate::entry_warnings::EntryWarnings;
 
 /// The decoded entries of the mirror.
 pub(crate) struct Planner {
@@ -20,6 +21,7 @@
     upstreams: BTreeMap<String, Arc<Upstream>>,
     /// Ids whose entry in the store is not a valid upstream.
     unreadable: BTreeSet<String>,
+    warnings: EntryWarnings,
     /// Failure domains that get no new requests.
     evacuated: Arc<BTreeSet<FailureDomain>>,
     pub(crate) lapsed: LapsedUpstreams,
@@ -32,6 +34,7 @@
             is_readable: true,
             upstreams: BTreeMap::new(),
             unreadable: BTreeSet::new(),
+            warnings: EntryWarnings::default(),
             evacuated: Arc::default(),
             lapsed: LapsedUpstreams::new(relisted_within),
         }
@@ -165,6 +168,7 @@
     ) -> bool {
         self.unreadable.remove(id);
         let Some(value) = value else {
+            self.warnings.forget(id);
             let gone = self.upstreams.remove(id);
             if let Some(upstream) = gone {
                 if is_logged {
@@ -175,23 +179,62 @@
             return true;
         };
         match codec.upstream(id, value) {
-            Ok(upstream) => self.list_upstream(id, upstream, is_logged),
+            Ok(upstream) => {
+                self.warn_if_unusable(now, codec, id, &upstream, value);
+                self.list_upstream(id, upstream, is_logged);
+            }
             Err(e) => {
                 // Bytes of another writer describe no upstream, so the one listed before under this
-                // key is removed; its entry has not lapsed.
-                tracing::error!("upstreams: an entry cannot be read and is left out: {e}");
+                // key is removed; its entry has not lapsed, nor has one that was kept as lapsed.
+                if let Some(left_out) = self.warnings.record(now, id, &e.problem) {
+                    tracing::error!(
+                        left_out,
+                        "upstreams: an entry cannot be read and is left out: {e}"
+                    );
+                }
                 self.upstreams.remove(id);
+                self.lapsed.forget(id);
                 self.unreadable.insert(id.to_owned());
             }
         }
         true
     }
 
+    /// Warns of an upstream that gets no requests since its entry names an unknown state or service.
+    fn warn_if_unusable(
+        &mut self,
+        now: Time,
+        codec: &impl Codec,
+        id: &str,
+        upstream: &Upstream,
+        value: &Bytes,
+    ) {
+        let is_ready = upstream.state == UpstreamState::Ready;
+        let state = (!is_ready).then(|| codec.unknown_state(value)).flatten();
+        let service = &upstream.service;
+        let is_named = |table: &Arc<RouteTable>| table.service(service).is_some();
+        let problem = match state {
+            Some(state) => format!("unknown state {state:?}"),
+            None if self.table.as_ref().is_some_and(|table| !is_named(table)) => {
+                format!("service {service:?} is not configured")
+            }
+            None => return self.warnings.forget(id),
+        };
+        if let Some(left_out) = self.warnings.record(now, id, &problem) {
+            tracing::warn!(
+                upstream = id,
+                left_out,
+                "upstreams: an entry gets no requests: {problem}"
+            );
+        }
+    }
+
     /// Lists an upstream by its entry.
     ///
     /// An entry of a former instance that arrives after one of the current instance under the same
-    /// id is ignored: it would bring back the upstream's former address and version.
-    fn list_upstream(&mut self, id: &str, mut upstream: Upstream, is_logged: bool) {
+    /// id is ignored: it would bring back the upstream's former address and version. An entry without
+    /// a start is another run's: runs cannot be ordered by it.
+    fn list_upstream(&mut self, id: &str, upstream: Upstream, is_logged: bool) {
         let held = self.upstreams.get(id).and_then(|held| held.started_at);
         if upstream.started_at.is_some() && upstream.started_at < held {
             tracing::warn!(
@@ -200,7 +243,6 @@
             );
             return;
         }
-        upstream.started_at = upstream.started_at.or(held);
         if is_logged {
             log_listed(&upstream);
         }
--- a/components/fleet/tests/it/control.rs
+++ b/components/fleet/tests/it/control.rs
@@ -268,6 +268,23 @@
     });
 }
 
+/// A run without a start follows one with a start, and a later one has an earlier start since its
+/// clock was set back. While the first start was still held against it, it was never listed.
+#[test]
+fn a_run_without_a_start_ends_the_one_before() {
+    let memory = seeded_store();
+    memory.set("upstream/u1", Some("v2@8"));
+    let daemons = daemons(1, &memory);
+    let versions = || daemons[0].state("versions").to_string();
+    wait_until("listed", || versions() == r#"{"service v2":1}"#);
+    memory.set("upstream/u1", Some("v3"));
+    wait_until("without a start", || versions() == r#"{"service v3":1}"#);
+    memory.set("upstream/u1", Some("v4@7"));
+    memory.set("upstream/u2", Some("v5"));
+    wait_until("seen", || daemons[0].state("upstreams") == 2);
+    assert_eq!(versions(), r#"{"service v4":1,"service v5":1}"#);
+}
+
 #[test]
 fn the_first_read_of_a_silent_store_is_retried_soon() {
     // A fleet was killed while the store was silent and restarted before it was back: the first
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod control;
+mod entry_warnings;
 mod evacuations;
 mod freshness;
 mod gossip;
