Tests of entries of other runs and writers, decoders fuzzed; impossible numbers do no harm

Two faults, each found by a test that failed: a quarantine entry with a time beyond the range of Span ended the control thread by an overflow, and a daemon's entry could tell of any number of daemons, so that no share of the fleet's bounds was left.

--- a/components/fleet/src/entry.rs
+++ b/components/fleet/src/entry.rs
@@ -8,6 +8,10 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+/// Most daemons of a fleet that an entry may tell of. With a larger number, which another program
+/// wrote, daemons would have hardly any share of the fleet's bounds.
+const MAX_FLEET: usize = 100_000;
+
 /// A daemon's entry in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DaemonEntry {
@@ -42,7 +46,8 @@
                 keys: fields.next()?.parse().ok()?,
             })
         };
-        parse().ok_or_else(|| DaemonEntryError(text.to_owned()))
+        let entry = parse().filter(|entry| entry.fleet <= MAX_FLEET);
+        entry.ok_or_else(|| DaemonEntryError(text.to_owned()))
     }
 }
 
@@ -58,7 +63,7 @@
     /// Whether the fleet or the store has at least doubled or halved since the entry was written.
     #[must_use]
     pub fn is_outdated(&self, fleet: usize, keys: usize) -> bool {
-        let differs = |now: usize, then: usize| now >= then * 2 || now * 2 <= then;
+        let differs = |now: usize, then: usize| now / 2 >= then || then / 2 >= now;
         differs(fleet, self.fleet) || differs(keys, self.keys.max(1))
     }
 }
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod entry_warnings;
 mod evacuations;
 mod freshness;
+mod fuzz;
 mod gossip;
 mod harness;
 mod heartbeats;
--- a/components/fleet/tests/it/quarantine.rs
+++ b/components/fleet/tests/it/quarantine.rs
@@ -107,3 +107,23 @@
     let daemons = ready_daemons(1, &memory);
     assert!(!daemons[0].quarantines(poison));
 }
+
+/// Another program's entry has the form of a quarantine and times that nothing can have run for. The
+/// control thread ended by an overflow.
+#[test]
+fn a_quarantine_entry_with_impossible_times_does_no_harm() {
+    let memory = seeded_store();
+    let poison = content("poison");
+    let crash = |n: u32| {
+        format!(r#"{{"upstream":{{"id":"u{n}","started_at":null}},"ran-ms":18446744073709551615}}"#)
+    };
+    let crashes = (0..3).map(crash).collect::<Vec<_>>().join(",");
+    let entry = format!(r#"{{"customer":null,"since":18446744073709551615,"ends":[{crashes}]}}"#);
+    fleet::QuarantineEntry::decode(entry.as_bytes()).expect("of the entries' form");
+    let daemons = ready_daemons(1, &memory);
+    memory.set(&format!("bar/{poison}"), Some(&entry));
+    memory.set("upstream/u2", Some("v1"));
+    wait_until("the next change is applied", || {
+        daemons[0].state("upstreams") == 2
+    });
+}
--- a/components/poison/tests/suspects.rs
+++ b/components/poison/tests/suspects.rs
@@ -339,3 +339,23 @@
     quarantine(&mut suspects, "poison");
     assert!(!is_quarantined(&suspects, at(1_000), "poison"));
 }
+
+/// An upstream restarts under its id after each crash. Three runs that crashed under one request
+/// counted as one crash, so it was not quarantined; or one run that two daemons report counted twice.
+#[test]
+fn runs_of_one_upstream_crash_separately() {
+    let run = |started_at: Option<u64>| UpstreamInstance {
+        id: UpstreamId::new("u1").expect("a name"),
+        started_at: started_at.map(WallTime),
+    };
+    let [mut one, mut other] = [suspects("d1"), suspects("d2")];
+    for started_at in [Some(7), Some(8)] {
+        for daemon in [&mut one, &mut other] {
+            daemon.upstream_crashed(at(0), &run(started_at), &[crashed_under("poison", 90)]);
+        }
+    }
+    one.merge_updates(at(20), other.take_updates(at(10)));
+    assert!(!is_quarantined(&one, at(30), "poison"), "two runs crashed");
+    one.upstream_crashed(at(40), &run(None), &[crashed_under("poison", 90)]);
+    assert!(is_quarantined(&one, at(50), "poison"), "three runs crashed");
+}
--- a/components/ratelimit/tests/it/main.rs
+++ b/components/ratelimit/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod fleet;
+mod fuzz;
 mod leases;
 mod table;
 mod world;
--- a/components/types/src/time.rs
+++ b/components/types/src/time.rs
@@ -104,16 +104,16 @@
         Self(micros)
     }
 
-    /// Creates a span from milliseconds.
+    /// Creates a span from milliseconds; the longest span if they are more than that.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
-    /// Creates a span from whole seconds.
+    /// Creates a span from whole seconds; the longest span if they are more than that.
     #[must_use]
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * MICROS_PER_SECOND)
+        Self(secs.saturating_mul(MICROS_PER_SECOND))
     }
 
     /// Creates a span from seconds; negative and non-finite numbers become zero.
