--- a/components/callers/src/connection.rs
+++ b/components/callers/src/connection.rs
@@ -80,7 +80,7 @@
         Err(_) => return refuse(wire, &ReadError::Body).await,
     };
     let until = Instant::now() + shared.limits.body_timeout.to_duration();
-    let body = match read_body(wire, &head, framing, bounds.body, until).await {
+    let body = match read_body(wire, &head, framing, bounds.body, until, |_| true).await {
         Ok(body) => body,
         Err(error) => return refuse(wire, &error).await,
     };
@@ -171,6 +171,7 @@
         ReadError::Head(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         ReadError::HeadTooSlow | ReadError::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
         ReadError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ReadError::BodyRefused => StatusCode::SERVICE_UNAVAILABLE,
     };
     let options = ResponseOptions {
         keeps_alive: false,
--- a/components/callers/src/reading.rs
+++ b/components/callers/src/reading.rs
@@ -41,6 +41,9 @@
     /// The body exceeds the limit.
     #[error("the body is longer than this daemon takes")]
     BodyTooLarge,
+    /// There is no memory for the rest of the body.
+    #[error("there is no memory for the rest of the body")]
+    BodyRefused,
 }
 
 impl From<io::Error> for ReadError {
@@ -83,7 +86,8 @@
     done.unwrap_or(Err(ReadError::HeadTooSlow))
 }
 
-/// Reads the body after a head, of at most `max` bytes, until the deadline `until`.
+/// Reads the body after a head, of at most `max` bytes, until the deadline `until`. `accepts` is
+/// told how many bytes are held whenever there are more, and may refuse them.
 ///
 /// # Errors
 /// States why no body was read.
@@ -93,6 +97,7 @@
     framing: Framing,
     max: u64,
     until: Instant,
+    accepts: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, ReadError> {
     if matches!(framing, Framing::Length(length) if length > max) {
         return Err(ReadError::BodyTooLarge);
@@ -100,11 +105,16 @@
     if head.has_token("expect", "100-continue") && framing != Framing::Empty {
         wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let done = tokio::time::timeout_at(until, read_to_end(wire, framing, max)).await;
+    let done = tokio::time::timeout_at(until, read_to_end(wire, framing, max, accepts)).await;
     done.unwrap_or(Err(ReadError::BodyTooSlow))
 }
 
-async fn read_to_end(wire: &Wire, framing: Framing, max: u64) -> Result<Bytes, ReadError> {
+async fn read_to_end(
+    wire: &Wire,
+    framing: Framing,
+    max: u64,
+    mut accepts: impl FnMut(usize) -> bool,
+) -> Result<Bytes, ReadError> {
     let mut reader = BodyReader::new(framing);
     let mut body = BytesMut::new();
     loop {
@@ -115,6 +125,9 @@
                 if (body.len() + data.len()) as u64 > max {
                     return Err(ReadError::BodyTooLarge);
                 }
+                if !accepts(body.len() + data.len()) {
+                    return Err(ReadError::BodyRefused);
+                }
                 body.extend_from_slice(&data);
             }
             Progress::NeedMore => {
--- a/components/traffic/src/answer.rs
+++ b/components/traffic/src/answer.rs
@@ -31,6 +31,11 @@
     NotRun {
         retry_after: Span,
     },
+    /// There is no memory for the rest of the body; the request was not processed, and a retry is
+    /// worthwhile after this pause.
+    MemoryFull {
+        retry_after: Span,
+    },
     /// The request was not processed, since upstreams crashed under the same content; a retry is
     /// worthwhile after this pause.
     Quarantined {
@@ -57,7 +62,7 @@
             Self::BodyTooLarge => 413,
             Self::HeadTooLarge => 431,
             Self::OutcomeUnknown | Self::Crashed { .. } => 502,
-            Self::NotRun { .. } | Self::Quarantined { .. } => 503,
+            Self::NotRun { .. } | Self::MemoryFull { .. } | Self::Quarantined { .. } => 503,
             Self::Timeout => 504,
         }
     }
@@ -71,7 +76,9 @@
             Self::BodyTooLarge => "Content Too Large",
             Self::HeadTooLarge => "Request Header Fields Too Large",
             Self::OutcomeUnknown | Self::Crashed { .. } => "Bad Gateway",
-            Self::NotRun { .. } | Self::Quarantined { .. } => "Service Unavailable",
+            Self::NotRun { .. } | Self::MemoryFull { .. } | Self::Quarantined { .. } => {
+                "Service Unavailable"
+            }
             Self::Timeout => "Gateway Timeout",
         }
     }
@@ -85,6 +92,7 @@
                 | Self::BodyTooSlow
                 | Self::BodyTooLarge
                 | Self::HeadTooLarge
+                | Self::MemoryFull { .. }
         )
     }
 
@@ -92,6 +100,7 @@
     fn retry_after(self) -> Option<Span> {
         match self {
             Self::NotRun { retry_after }
+            | Self::MemoryFull { retry_after }
             | Self::Quarantined { retry_after }
             | Self::Crashed { retry_after } => Some(retry_after),
             _ => None,
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -298,7 +298,7 @@
     took: Span,
 ) {
     let outcome = match reply {
-        LocalReply::NotRun { .. } => Outcome::Refused,
+        LocalReply::NotRun { .. } | LocalReply::MemoryFull { .. } => Outcome::Refused,
         _ => Outcome::Rejected,
     };
     shared.metrics.ended(outcome, None, took);
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -93,6 +93,8 @@
     runs: u32,
     /// Whether one of these attempts failed.
     has_failed: bool,
+    /// A whole answer or a reply is being written. Nothing may follow a part of it.
+    has_answered: bool,
     /// Whether this is the half-open trial of its quarantined content; it is sent only once.
     is_trial: bool,
     /// Index into the route's models, where the daemon chooses the model.
@@ -134,6 +136,7 @@
             has_lost_path: false,
             runs: 0,
             has_failed: false,
+            has_answered: false,
             is_trial: false,
             model_index: Cascade::first(models),
             version: None,
@@ -149,7 +152,9 @@
         let deadline = self.shared.instant(self.request.deadline);
         match tokio::time::timeout_at(deadline, self.attempts()).await {
             Ok(finish) => finish,
-            Err(_) if self.relay.has_begun() => Finish::cut("the deadline passed"),
+            Err(_) if self.relay.has_begun() || self.has_answered => {
+                Finish::cut("the deadline passed")
+            }
             Err(_) => {
                 self.send_reply(LocalReply::Timeout, "the deadline passed")
                     .await
@@ -446,6 +451,7 @@
         let keeps_alive = self.keeps_alive();
         self.report.first_byte_at = Some(self.shared.now());
         let bytes = whole.encode(keeps_alive);
+        self.has_answered = true;
         if self.wire.write_all(&bytes).await.is_err() {
             return Finish::caller_gone();
         }
@@ -466,6 +472,7 @@
             LocalReply::Quarantined { .. } | LocalReply::Crashed { .. } => Outcome::Barred,
             _ => Outcome::Rejected,
         };
+        self.has_answered = true;
         if self
             .wire
             .write_all(&reply.encode(keeps_alive))
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -32,6 +32,13 @@
 const DEFAULT_PAUSE: Span = Span::from_secs(2);
 /// Events of a stream beyond one for each token of output, such as its end.
 const EXTRA_EVENTS: u64 = 16;
+/// Time for which the caller may leave data unread before its upstream may have cut the answer off.
+const UNREAD_TIMEOUT: Span = Span::from_secs(1);
+/// Time after that in which the end of the upstream's data may be due to it: what was sent before is
+/// still read.
+const CUT_OFF_WITHIN: Span = Span::from_secs(5);
+/// Why an answer is not complete that ended like one.
+const CUT_OFF_UNREAD: &str = "ended while it was left unread";
 /// Interval at which silence is checked.
 const SILENCE_POLL: Duration = Duration::from_millis(100);
 
@@ -56,6 +63,8 @@
     last: Option<u64>,
     delivered: u64,
     first_at: Option<Time>,
+    /// Until when an end of the upstream's data may be due to the caller, which read slowly.
+    cut_off_until: Time,
 }
 
 /// What the upstream sent next.
@@ -74,6 +83,7 @@
             last: resume_after,
             delivered: 0,
             first_at: None,
+            cut_off_until: Time::ZERO,
         }
     }
 
@@ -104,6 +114,8 @@
         stream: &mut Stream<T>,
         keeps_alive: bool,
     ) -> RelayEnd {
+        // What the caller left unread before is another upstream's.
+        self.cut_off_until = Time::ZERO;
         let mut splitter = Splitter::default();
         let mut held = shared.held_answers.begin();
         let max_events = max_events(request);
@@ -128,12 +140,20 @@
             stream.note_heard();
             let mut events = match next {
                 NextRead::Events(events) => events,
+                // An end between two events looks like that of the stream.
+                NextRead::EndOfConnection if self.may_be_cut_off(shared) => {
+                    return RelayEnd::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled);
+                }
                 NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
                     return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
                 }
                 NextRead::End | NextRead::EndOfConnection => {
                     return self.end(caller, stream, has_event, keeps_alive).await;
                 }
+                // A slow caller is no failure of the upstream.
+                NextRead::Broken(why, _) if self.may_be_cut_off(shared) => {
+                    return RelayEnd::Broken(why, UpstreamOutcome::Cancelled);
+                }
                 NextRead::Broken(why, outcome) => return RelayEnd::Broken(why, outcome),
             };
             if !has_event {
@@ -149,7 +169,7 @@
             let is_too_long = events.len() as u64 > left;
             events.truncate(usize::try_from(left).unwrap_or(usize::MAX));
             let is_in_order = self.append(&mut out, events);
-            if caller.write_all(&out).await.is_err() {
+            if self.deliver(shared, caller, &out).await.is_err() {
                 return RelayEnd::CallerGone;
             }
             if is_too_long {
@@ -164,6 +184,27 @@
         }
     }
 
+    /// Writes data to the caller, and notes if it left data unread for long.
+    async fn deliver<T>(
+        &mut self,
+        shared: &Shared<T>,
+        caller: &Wire,
+        data: &[u8],
+    ) -> std::io::Result<()> {
+        let from = shared.now();
+        caller.write_all(data).await?;
+        let now = shared.now();
+        if now.since(from) >= UNREAD_TIMEOUT {
+            self.cut_off_until = now + CUT_OFF_WITHIN;
+        }
+        Ok(())
+    }
+
+    /// Whether the upstream may have cut the answer off since the caller left it unread.
+    fn may_be_cut_off<T>(&self, shared: &Shared<T>) -> bool {
+        shared.now() < self.cut_off_until
+    }
+
     /// Appends events in order; false at the first that does not follow the last one.
     ///
     /// An upstream may resume at the wrong event. The caller would get one twice or miss one, and
--- a/components/traffic/src/request.rs
+++ b/components/traffic/src/request.rs
@@ -40,6 +40,9 @@
             ReadError::HeadTooSlow => LocalReply::HeadTooSlow,
             ReadError::BodyTooSlow => LocalReply::BodyTooSlow,
             ReadError::BodyTooLarge => LocalReply::BodyTooLarge,
+            ReadError::BodyRefused => LocalReply::MemoryFull {
+                retry_after: MEMORY_FULL_RETRY,
+            },
         })
     }
 }
@@ -75,21 +78,42 @@
     Ok(callers::read_head(wire, &bounds, leaving).await?)
 }
 
-/// A request body, counted in the bytes that the daemon holds until it is dropped.
-pub(crate) struct Body<T> {
-    pub(crate) bytes: Bytes,
+/// Bytes of a request's body, counted in those that the daemon holds until they are dropped. They
+/// count as they arrive: callers that send slowly hold as much as others.
+struct HeldBody<T> {
     shared: Rc<Shared<T>>,
+    bytes: u64,
+}
+
+impl<T> HeldBody<T> {
+    /// Sets how many bytes are held; false if there is no memory for so many.
+    fn set_len(&mut self, len: usize) -> bool {
+        let bytes = len as u64;
+        let all = self.shared.held_body_bytes.get() - self.bytes + bytes;
+        if all > self.shared.cfg.max_held_body_bytes.0 {
+            return false;
+        }
+        self.shared.held_body_bytes.set(all);
+        self.bytes = bytes;
+        true
+    }
 }
 
-impl<T> Drop for Body<T> {
+impl<T> Drop for HeldBody<T> {
     fn drop(&mut self) {
         let held = self.shared.held_body_bytes.get();
         self.shared
             .held_body_bytes
-            .set(held.saturating_sub(self.bytes.len() as u64));
+            .set(held.saturating_sub(self.bytes));
     }
 }
 
+/// A request body, which counts until it is dropped.
+pub(crate) struct Body<T> {
+    pub(crate) bytes: Bytes,
+    _held: HeldBody<T>,
+}
+
 /// Reads the body that follows a head, until `deadline`.
 pub(crate) async fn read_body<T>(
     shared: &Rc<Shared<T>>,
@@ -100,15 +124,11 @@
 ) -> Result<Body<T>, NoRequest> {
     let max = bounds_of(shared).body;
     let until = shared.instant(deadline);
-    let bytes = callers::read_body(wire, head, framing, max, until).await?;
-    let held = shared.held_body_bytes.get() + bytes.len() as u64;
-    if held > shared.cfg.max_held_body_bytes.0 {
-        let retry_after = MEMORY_FULL_RETRY;
-        return Err(NoRequest::Answer(LocalReply::NotRun { retry_after }));
-    }
-    shared.held_body_bytes.set(held);
-    Ok(Body {
-        bytes,
+    let mut held = HeldBody {
         shared: Rc::clone(shared),
-    })
+        bytes: 0,
+    };
+    let accepts = |len| held.set_len(len);
+    let bytes = callers::read_body(wire, head, framing, max, until, accepts).await?;
+    Ok(Body { bytes, _held: held })
 }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -135,6 +135,21 @@
         self.stream.write_all(text.as_bytes()).is_ok()
     }
 
+    /// Writes text; false once nothing of it was taken for so long, or the other side has closed.
+    pub fn write_within(&mut self, text: &str, timeout: Duration) -> bool {
+        let stream = &self.stream;
+        stream.set_write_timeout(Some(timeout)).expect("a span");
+        self.try_write(text)
+    }
+
+    /// Limits what is sent and not read yet.
+    pub fn limit_send_buffer(&self, bytes: usize) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket
+            .set_send_buffer_size(bytes)
+            .expect("an open connection");
+    }
+
     /// Drops all packets that arrive from now on, so that nothing is acknowledged.
     pub fn fall_silent(&self) {
         // Returns 0 bytes to keep of any packet.
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -14,5 +14,6 @@
 mod retries;
 mod shutdown;
 mod silence;
+mod slow;
 mod streams;
 mod tunnels;
