--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -138,22 +138,14 @@
             }
             heard_at = shared.now();
             stream.note_heard();
-            let mut events = match next {
+            let mut events = match self.without_cut_off(shared, next) {
                 NextRead::Events(events) => events,
-                // An end between two events looks like that of the stream.
-                NextRead::EndOfConnection if self.may_be_cut_off(shared) => {
-                    return RelayEnd::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled);
-                }
                 NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
                     return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
                 }
                 NextRead::End | NextRead::EndOfConnection => {
                     return self.end(caller, stream, has_event, keeps_alive).await;
                 }
-                // A slow caller is no failure of the upstream.
-                NextRead::Broken(why, _) if self.may_be_cut_off(shared) => {
-                    return RelayEnd::Broken(why, UpstreamOutcome::Cancelled);
-                }
                 NextRead::Broken(why, outcome) => return RelayEnd::Broken(why, outcome),
             };
             if !has_event {
@@ -200,9 +192,20 @@
         Ok(())
     }
 
-    /// Whether the upstream may have cut the answer off since the caller left it unread.
-    fn may_be_cut_off<T>(&self, shared: &Shared<T>) -> bool {
-        shared.now() < self.cut_off_until
+    /// Takes an end of the data as broken off if the upstream may have cut it off since the caller
+    /// left it unread. Between two events that looks like the end of the stream; and a slow caller is
+    /// no failure of the upstream.
+    fn without_cut_off<T>(&self, shared: &Shared<T>, next: NextRead) -> NextRead {
+        if shared.now() >= self.cut_off_until {
+            return next;
+        }
+        match next {
+            NextRead::EndOfConnection => {
+                NextRead::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled)
+            }
+            NextRead::Broken(why, _) => NextRead::Broken(why, UpstreamOutcome::Cancelled),
+            other => other,
+        }
     }
 
     /// Appends events in order; false at the first that does not follow the last one.
