Dispatch: a run whose entry names another address is not reported as gone

Cause: an entry with another address or service under the same id and start is another instance since, so the former one was reported as gone. If one of its connections had broken, that counted as a crash of a run that goes on. Change: only a run that is no longer listed under its start is reported.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -213,9 +213,16 @@
         for spec in listed {
             self.upsert(now, spec);
         }
+        // A run whose entry names another address or service now has not ended: reported as gone,
+        // it would count as crashed if one of its connections broke before.
+        let starts = listed.iter().map(|spec| (&spec.id, spec.started_at));
+        let starts = starts.collect::<HashMap<_, _>>();
+        let has_moved = |spec: &Upstream| {
+            spec.started_at.is_some() && starts.get(&spec.id) == Some(&spec.started_at)
+        };
         let mut gone = Vec::new();
         for (index, entry) in &mut self.entries {
-            if !entry.is_listed && !entry.is_leaving {
+            if !entry.is_listed && !entry.is_leaving && !has_moved(&entry.spec) {
                 gone.push(entry.last_seen(*index));
             }
             entry.is_leaving |= !entry.is_listed;
--- a/components/dispatch/tests/runs.rs
+++ b/components/dispatch/tests/runs.rs
@@ -265,3 +265,23 @@
     assert_ne!(index, former);
     assert!(setup.upstreams.is_leaving(former));
 }
+
+/// A run's entry names another address. The run was reported as gone, which counts as its crash if one
+/// of its connections broke before; a run that tells no start may have ended.
+#[test]
+fn a_run_at_another_address_is_not_gone() {
+    for started_at in [Some(7), None] {
+        let mut setup = Setup::new(started_at);
+        let moved = Upstream {
+            address: ([127, 0, 0, 1], 2).into(),
+            ..Upstream::clone(&upstream(0, started_at))
+        };
+        let listed = [Arc::new(moved), upstream(1, Some(1))];
+        let gone = setup.upstreams.configure(at(0), &listed);
+        assert_eq!(
+            gone.len(),
+            usize::from(started_at.is_none()),
+            "{started_at:?}"
+        );
+    }
+}
