Relay: a crash while an answer is unread counts as a crash; refused bodies tested

Cause: in the 5 s after a caller left data unread, every break of its upstream counted as given up, so a crash was not probed and left no evidence against the request. The refusal of a body for want of memory had no test: the harness's limit was above what its 100 connections can send. Change: a break in that time is probed; a crash is recorded as incomplete. The harness sets 500,000 bytes aside for bodies instead of 1 MiB, and the bound that a test asserts is lowered with it.

--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -138,7 +138,7 @@
             }
             heard_at = shared.now();
             stream.note_heard();
-            let mut events = match self.without_cut_off(shared, next) {
+            let mut events = match self.without_cut_off(shared, stream, next).await {
                 NextRead::Events(events) => events,
                 NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
                     return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
@@ -194,12 +194,23 @@
 
     /// Takes an end of the data as broken off if the upstream may have cut it off since the caller
     /// left it unread. Between two events that looks like the end of the stream; and a slow caller is
-    /// no failure of the upstream.
-    fn without_cut_off<T>(&self, shared: &Shared<T>, next: NextRead) -> NextRead {
+    /// no failure of the upstream. A crash still counts as one: otherwise requests that crash
+    /// upstreams would leave no evidence when their callers read slowly.
+    async fn without_cut_off<T: Translator>(
+        &self,
+        shared: &Shared<T>,
+        stream: &Stream<T>,
+        next: NextRead,
+    ) -> NextRead {
         if shared.now() >= self.cut_off_until {
             return next;
         }
         match next {
+            NextRead::EndOfConnection | NextRead::Broken(_, UpstreamOutcome::Incomplete)
+                if stream.has_crashed_at_end().await =>
+            {
+                NextRead::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete)
+            }
             NextRead::EndOfConnection => {
                 NextRead::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled)
             }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -268,6 +268,8 @@
     pub status: SocketAddr,
 }
 
+/// Most bytes of request bodies held: fewer than the daemon's connections can send.
+pub const MAX_HELD_BODIES: u64 = 500_000;
 /// Most bytes of answers that an event loop holds.
 pub const MAX_HELD_ANSWERS: u64 = 1 << 20;
 /// Retry limits under which retries are not refused.
@@ -303,7 +305,7 @@
         ready_path: "/ready".to_owned(),
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_caller_connections: 100,
-        max_held_body_bytes: ByteSize(1 << 20),
+        max_held_body_bytes: ByteSize(MAX_HELD_BODIES),
         max_held_answer_bytes: ByteSize(MAX_HELD_ANSWERS),
         policy: Policy::default(),
         retries,
--- a/components/traffic/tests/it/slow.rs
+++ b/components/traffic/tests/it/slow.rs
@@ -1,7 +1,7 @@
 //! Callers that read or send slowly, and upstreams that cut off what stays unread.
 
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use routes::Retry;
@@ -60,7 +60,7 @@
 }
 
 /// An upstream that streams large events, and cuts a stream off once it stays unread for a second.
-fn impatient(framing: Framing, cut: Cut) -> SocketAddr {
+fn cutting_off(framing: Framing, cut: Cut) -> SocketAddr {
     upstream(move |served| {
         served.limit_send_buffer(64 * 1_024);
         while let Some(request) = served.request() {
@@ -110,7 +110,7 @@
 fn an_answer_that_is_cut_off_unread_is_no_success() {
     for framing in [Framing::Chunks, Framing::Connection] {
         for cut in [Cut::Reset, Cut::End, Cut::BetweenEvents] {
-            let running = serving(NOT_RESUMABLE, &[impatient(framing, cut)]);
+            let running = serving(NOT_RESUMABLE, &[cutting_off(framing, cut)]);
             let text = read_late(&running, "r1");
             let events = count_events(&text);
             let is_part = !events.is_empty() && events.len() < EVENTS as usize;
@@ -130,7 +130,7 @@
 fn an_answer_that_is_cut_off_unread_is_resumed() {
     for framing in [Framing::Chunks, Framing::Connection] {
         for cut in [Cut::Reset, Cut::End, Cut::BetweenEvents] {
-            let addresses = [0, 1].map(|_| impatient(framing, cut));
+            let addresses = [0, 1].map(|_| cutting_off(framing, cut));
             let running = serving(RESUMABLE, &addresses);
             let text = read_late(&running, "r1");
             let all = (1..=EVENTS).collect::<Vec<_>>();
@@ -140,6 +140,32 @@
     }
 }
 
+/// An upstream crashes while a caller leaves its answer unread. That was taken for a cut, so requests
+/// that crash upstreams left no evidence when their callers read slowly.
+#[test]
+fn a_crash_while_an_answer_is_unread_is_a_crash() {
+    for framing in [Framing::Chunks, Framing::Connection] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        std::thread::spawn(move || {
+            let (stream, _) = listener.accept().expect("a connection");
+            drop(listener);
+            let mut served = Served::new(stream);
+            served.limit_send_buffer(64 * 1_024);
+            let request = served.request().expect("a request");
+            served.write(&framing.head(id_of(&request)));
+            let mut ids = 1..=EVENTS;
+            ids.all(|id| served.write_within(&framing.event(id), Duration::from_secs(1)));
+        });
+        let running = serving(NOT_RESUMABLE, &[address]);
+        let text = read_late(&running, "r1");
+        assert!(!text.ends_with(END), "{framing:?}: complete");
+        wait_until("the crash counts", || {
+            running.metric("buckthorncross_upstream_ends_total") == 1
+        });
+    }
+}
+
 /// Callers that do not read held whole answers beyond the memory set aside, until their deadline.
 #[test]
 fn answers_to_callers_that_do_not_read_are_bounded_and_counted() {
@@ -238,7 +264,7 @@
     wait_until("the bodies count", || {
         running.state_number("held_bytes") >= sent
     });
-    assert!(running.state_number("held_bytes") <= 1 << 20);
+    assert!(running.state_number("held_bytes") <= MAX_HELD_BODIES);
     let text = running.caller().ask("o1");
     assert!(text.ends_with("world"), "{text}");
     for caller in &mut slow {
@@ -249,6 +275,42 @@
     wait_until("released", || running.state_number("held_bytes") == 0);
 }
 
+/// Bodies beyond the memory set aside are refused while they arrive. What a refused one had counted
+/// would be missing for others if it weren't given back.
+#[test]
+fn a_body_without_memory_for_its_rest_is_refused_and_given_back() {
+    let address = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving(Retry::Any, &[address]);
+    let mut slow = (0..80).map(|_| running.caller()).collect::<Vec<_>>();
+    for (n, caller) in slow.iter_mut().enumerate() {
+        let whole =
+            post(&format!("s{n}"), &"x".repeat(9_000)).replace("9000\r\nprompt", "3000\r\nprompt");
+        caller.send(&whole[..whole.len() - 1_000]);
+    }
+    let mut statuses = Vec::new();
+    for caller in &mut slow {
+        let mut bytes = Vec::new();
+        let _ = caller.stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        statuses.push(status_of(&text));
+        if status_of(&text) == 503 {
+            assert!(text.contains("Retry-After: "), "{text}");
+            assert!(text.contains("Connection: close"), "{text}");
+        }
+    }
+    assert!(
+        statuses.contains(&503) && statuses.contains(&408),
+        "{statuses:?}"
+    );
+    wait_until("released", || running.state_number("held_bytes") == 0);
+    let text = running.caller().ask("o1");
+    assert!(text.ends_with("world"), "{text}");
+}
+
 /// An upstream that sends its answer byte by byte held its caller for as long as it liked.
 #[test]
 fn a_slow_answer_ends_with_the_callers_deadline() {
