--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -2,8 +2,10 @@
 
 mod claims;
 mod control;
+mod entry_warnings;
 mod evacuations;
 mod freshness;
+mod fuzz;
 mod gossip;
 mod harness;
 mod heartbeats;
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -135,6 +135,21 @@
         self.stream.write_all(text.as_bytes()).is_ok()
     }
 
+    /// Writes text; false once nothing of it was taken for so long, or the other side has closed.
+    pub fn write_within(&mut self, text: &str, timeout: Duration) -> bool {
+        let stream = &self.stream;
+        stream.set_write_timeout(Some(timeout)).expect("a span");
+        self.try_write(text)
+    }
+
+    /// Limits what is sent and not read yet.
+    pub fn limit_send_buffer(&self, bytes: usize) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket
+            .set_send_buffer_size(bytes)
+            .expect("an open connection");
+    }
+
     /// Drops all packets that arrive from now on, so that nothing is acknowledged.
     pub fn fall_silent(&self) {
         // Returns 0 bytes to keep of any packet.
@@ -253,6 +268,8 @@
     pub status: SocketAddr,
 }
 
+/// Most bytes of request bodies held: fewer than the daemon's connections can send.
+pub const MAX_HELD_BODIES: u64 = 500_000;
 /// Most bytes of answers that an event loop holds.
 pub const MAX_HELD_ANSWERS: u64 = 1 << 20;
 /// Retry limits under which retries are not refused.
@@ -288,7 +305,7 @@
         ready_path: "/ready".to_owned(),
         failure_domain: FailureDomain::new("east").expect("a name"),
         max_caller_connections: 100,
-        max_held_body_bytes: ByteSize(1 << 20),
+        max_held_body_bytes: ByteSize(MAX_HELD_BODIES),
         max_held_answer_bytes: ByteSize(MAX_HELD_ANSWERS),
         policy: Policy::default(),
         retries,
