Overload control: decisions for plain services, in a crate of their own

Cause: each daemon sends a plain service two or three requests a second and cannot tell that the service is offered more than it serves.

--- /dev/null
+++ b/components/overload/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the public interface.
+
+mod fleet;
+mod reports;
+mod shares;
+mod simulation;
