Overload control: traffic asks before a request is sent, fleet carries the reports

Only requests to services without an engine are asked for; the report follows the brittle services in the heartbeat. The policy entry overload.refuses switches it off.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod prefill;
 mod rate_limits;
 mod requirements;
+mod sends;
 mod shortage;
 mod state_writer;
 mod trial;
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -3,6 +3,7 @@
 //! A policy file may override single entries of the defaults, so that a mechanism can be
 //! switched off and compared on the same build under the same load.
 
+use overload::OverloadPolicy;
 use poison::PoisonPolicy;
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +56,8 @@
     pub timing: TimingPolicy,
     /// When a request content that crashes upstreams is quarantined.
     pub poison: PoisonPolicy,
+    /// Whether requests to congested plain services are refused.
+    pub overload: OverloadPolicy,
 }
 
 /// Settings for the choice of the model. Confidences range from 0 to 100; a bound above 100 is
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -17,6 +17,7 @@
 use crate::means::{DEFAULT_PLAIN_MS, MEAN_WEIGHT, ServiceMeans, means_of};
 use crate::policy::PlacingPolicy;
 use crate::prefill::PrefillTimes;
+use crate::sends::SendCounts;
 
 /// Prefixes remembered per upstream; an engine's cache holds some hundred of them.
 const MAX_PREFIXES: usize = 2_048;
@@ -134,11 +135,18 @@
     is_listed: bool,
     /// Its failure domain gets no new requests.
     pub(crate) is_evacuated: bool,
+    /// Sends for admission control.
+    pub(crate) sends: SendCounts,
     /// When it stops being cold.
     pub(crate) cold_until: ColdUntil,
 }
 
 impl Entry {
+    /// Whether it still runs, as far as is known.
+    pub(crate) fn is_current(&self) -> bool {
+        self.is_listed && !self.is_replaced
+    }
+
     fn last_seen(&self, index: UpstreamIndex) -> LastSeen {
         LastSeen {
             index,
@@ -284,6 +292,7 @@
             is_replaced: false,
             is_listed: true,
             is_evacuated,
+            sends: SendCounts::default(),
             cold_until: ColdUntil::default(),
         };
         apply_cold_time(&mut self.limits, &self.cold, now, &mut entry, false);
@@ -339,6 +348,7 @@
         if entry.in_flight == 0 {
             entry.busy_since = now;
         }
+        entry.sends.count_in_flight(now, entry.in_flight);
         entry.in_flight += 1;
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.note_chosen();
@@ -416,6 +426,8 @@
         let Some(entry) = self.entries.get_mut(&index) else {
             return;
         };
+        entry.sends.count_in_flight(now, entry.in_flight);
+        entry.sends.count_end(outcome);
         entry.in_flight = entry.in_flight.saturating_sub(1);
         if outcome == UpstreamOutcome::Good {
             entry.window.record_answer();
--- a/components/dispatch/tests/policy.rs
+++ b/components/dispatch/tests/policy.rs
@@ -15,6 +15,8 @@
     assert_eq!(policy.cascade.keep_from, 40);
     assert_eq!(policy.placing, Policy::default().placing);
     assert_eq!(read("{}"), Ok(Policy::default()));
+    let off = read("overload: {refuses: false}").expect("right");
+    assert!(!off.overload.refuses && Policy::default().overload.refuses);
 }
 
 #[test]
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -93,6 +93,9 @@
     /// Brittle services, as far as the sender knows; absent from releases that do not send them.
     #[serde(skip)]
     pub brittle: Vec<BrittleAdvertisement>,
+    /// The sender's encoded [`overload::Report`]; empty from releases that do not send it.
+    #[serde(skip)]
+    pub overload: Vec<u8>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -156,6 +159,16 @@
         Ok(bytes.into())
     }
 
+    /// Appends the report on overload, which follows behind the brittle services.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_overload(encoded: Bytes, report: &[u8]) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(report)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -171,8 +184,13 @@
             let port = postcard::take_from_bytes::<Option<u16>>(rest);
             let (port, rest) = port.unwrap_or_default();
             heartbeat.tunnel_port = port;
-            heartbeat.brittle = postcard::from_bytes(rest).unwrap_or_default();
+            let brittle = postcard::take_from_bytes(rest);
+            let (brittle, rest) = brittle.unwrap_or_default();
+            heartbeat.brittle = brittle;
             heartbeat.brittle.truncate(MAX_BRITTLE);
+            let overload = postcard::take_from_bytes(rest);
+            let (overload, _) = overload.unwrap_or_default();
+            heartbeat.overload = overload;
         }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons: membership, heartbeats, changes of the mirror, roll-outs and
 //! quarantine.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +12,7 @@
 };
 use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, Sender, State};
 use mirror::{Revision, SyncReply, SyncRequest};
+use overload::{FleetView, PeerReports, Report};
 use peers::{Handle, Inbound, Part, Payload};
 use poison::ContentUpdates;
 use rand::RngExt;
@@ -61,6 +62,8 @@
     rate_limits: Vec<Advertisement>,
     /// Brittle services advertised by peers and not yet taken by the control thread.
     brittle: Vec<BrittleAdvertisement>,
+    /// Peers' reports on overload.
+    overload: PeerReports,
     tunnel_offers: TunnelOffers,
     /// Port at which this daemon accepts tunnels.
     tunnel_port: u16,
@@ -113,6 +116,7 @@
             aggregator: EvidenceAggregator::default(),
             rate_limits: Vec::new(),
             brittle: Vec::new(),
+            overload: PeerReports::default(),
             tunnel_offers: TunnelOffers::default(),
             tunnel_port,
             ticks: 0,
@@ -212,6 +216,7 @@
                     }
                     self.note_rate_limits(heartbeat.rate_limits);
                     self.note_brittle(heartbeat.brittle);
+                    self.note_overload(now, &from, &heartbeat.overload);
                     self.loads.update(now, from, heartbeat.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -235,6 +240,30 @@
         Followup::Nothing
     }
 
+    /// Keeps a peer's report on overload. A peer that sends none, or whose failure domain is not
+    /// known, is one of those that the known ones stand for.
+    fn note_overload(&mut self, now: Time, from: &DaemonId, report: &[u8]) {
+        let Some(member) = self.members.member(from).filter(|_| !report.is_empty()) else {
+            return;
+        };
+        let domain = member.record.failure_domain.clone();
+        match Report::decode(report) {
+            Ok(report) => self.overload.update(now, from.clone(), domain, report),
+            Err(e) => tracing::debug!(peer = %from, "peers: invalid report on overload: {e}"),
+        }
+    }
+
+    /// The reports on overload that are valid, and the number of daemons in each failure domain.
+    pub(crate) fn overload_view(&mut self, now: Time) -> FleetView {
+        let own = self.members.local().failure_domain.clone();
+        let mut present = BTreeMap::from([(own.clone(), 1)]);
+        let members = self.members.members().map(|member| &member.record);
+        for record in members.filter(|record| record.state.is_present()) {
+            *present.entry(record.failure_domain.clone()).or_default() += 1;
+        }
+        self.overload.view(now, &present, &own)
+    }
+
     fn note_brittle(&mut self, advertised: Vec<BrittleAdvertisement>) {
         let room = MAX_RATE_LIMITS.saturating_sub(self.brittle.len());
         self.brittle.extend(advertised.into_iter().take(room));
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -42,6 +42,7 @@
         loads: Vec<SharedLoad>,
         rate_limits: Vec<Advertisement>,
         brittle: Vec<BrittleAdvertisement>,
+        overload: Vec<u8>,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_full = self.ticks.is_multiple_of(FULL_HEARTBEAT_TICKS)
@@ -68,9 +69,10 @@
             freshness: None,
             tunnel_port: None,
             brittle,
+            overload,
         };
         match heartbeat.encode() {
-            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat.brittle, kind),
+            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
@@ -80,8 +82,8 @@
     fn send_heartbeat_to_targets(
         &mut self,
         now: Time,
-        heartbeat: &Bytes,
-        brittle: &[BrittleAdvertisement],
+        encoded: &Bytes,
+        heartbeat: &Heartbeat,
         kind: GossipKind,
     ) {
         for address in self.recipients(now, kind) {
@@ -89,9 +91,12 @@
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
             // The port follows behind the claims, so they are never left out.
             let freshness = freshness.unwrap_or_default();
-            let body = Heartbeat::encode_for(heartbeat, &freshness);
+            let body = Heartbeat::encode_for(encoded, &freshness);
             let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
-            let body = body.and_then(|body| Heartbeat::encode_with_brittle(body, brittle));
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_brittle(body, &heartbeat.brittle));
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_overload(body, &heartbeat.overload));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -92,6 +92,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        overload: Vec::new(),
     }
 }
 
@@ -139,3 +140,26 @@
     };
     assert_eq!(Heartbeat::decode(&one).expect("its form"), expected);
 }
+
+/// Guards against releases that do not read each other's heartbeats.
+#[test]
+fn the_report_on_overload_follows_the_brittle_services() {
+    let any = heartbeat().encode().expect("fits");
+    let one = Heartbeat::encode_for(&any, &Freshness::default()).expect("fits");
+    let one = Heartbeat::encode_with_tunnels(one, 7).expect("fits");
+    let before = Heartbeat::encode_with_brittle(one, &[]).expect("fits");
+    let old = Heartbeat::decode(&before).expect("its form");
+    assert!(old.overload.is_empty());
+    let report = [1; overload::MAX_REPORT_BYTES];
+    let new = Heartbeat::encode_with_overload(before.clone(), &report).expect("fits");
+    assert!(new.starts_with(&before));
+    assert!(new.len() <= before.len() + 256);
+    let expected = Heartbeat {
+        overload: report.to_vec(),
+        ..old
+    };
+    assert_eq!(Heartbeat::decode(&new).expect("its form"), expected);
+    // Fields of a later release are ignored.
+    let longer = [new.as_ref(), &[7, 7, 7]].concat();
+    assert_eq!(Heartbeat::decode(&longer).expect("its form"), expected);
+}
--- a/components/overload/src/limit.rs
+++ b/components/overload/src/limit.rs
@@ -21,12 +21,15 @@
 /// Highest limit, as a multiple of the offered rate. Without it, a limit that is about to end would
 /// rise for so long that it does not act when the load comes back.
 const MAX_OVER_OFFERED: f64 = 2.0;
-/// Least limit, as a share of the completed rate while all slots are busy, which is what the
-/// upstreams can do. What daemons know is a second old or more, in which the limit would go on
+/// Least limit, as a share of the completed rate, which while the slots are busy is what the upstreams
+/// can do. What daemons know is a second old or more, in which the limit would go on
 /// falling after the queues have emptied: without a bound, it fell to a fifth of the capacity.
 const MIN_OF_CAPACITY: f64 = 0.85;
-/// The same while not all slots are busy, and the completed rate is less than the upstreams can do.
-const MIN_OF_COMPLETED: f64 = 0.5;
+/// The same while a good part of the slots is free: the upstreams can do more than they complete, and
+/// a limit below that would refuse requests for nothing.
+const MIN_WHILE_FREE: f64 = 1.2;
+/// Share of the slots below which that holds.
+const FREE_BELOW: f64 = 0.75;
 /// Share by which one adjustment draws the limit to the completed rate, while all slots are busy and
 /// the limit acts. By the requests in flight alone, which lag by a second, the limit swings between
 /// 0.6 and 1 of the capacity, and those of different daemons drift apart.
@@ -99,14 +102,14 @@
                 self.per_s *= (sums.completed / self.per_s).powf(PULL);
             }
             self.per_s *= factor(sums, slots);
-            let part = match is_busy(sums, slots) {
-                true => MIN_OF_CAPACITY,
-                false => MIN_OF_COMPLETED,
-            };
-            let least = (sums.completed * part).max(MIN_LIMIT);
+            let least = (sums.completed * MIN_OF_CAPACITY).max(MIN_LIMIT);
             let most = (sums.offered * MAX_OVER_OFFERED).max(least);
             self.per_s = self.per_s.clamp(least, most);
         }
+        // At each update, since the offered and the completed rate of a sample vary together.
+        if sums.in_flight < f64::from(slots) * FREE_BELOW {
+            self.per_s = self.per_s.max(sums.completed * MIN_WHILE_FREE);
+        }
         if self.per_s <= sums.offered * ENDS_ABOVE {
             self.high_since = None;
             return true;
--- a/components/overload/src/overload.rs
+++ b/components/overload/src/overload.rs
@@ -1,6 +1,6 @@
 //! Decisions on requests to plain services.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
@@ -126,7 +126,7 @@
 #[derive(Debug, Default)]
 pub struct Overload {
     policy: OverloadPolicy,
-    services: HashMap<Arc<str>, Service>,
+    services: BTreeMap<Arc<str>, Service>,
     updated_at: Option<Time>,
     /// Whether there has been a report of another daemon.
     has_heard: bool,
--- a/components/overload/src/peer_reports.rs
+++ b/components/overload/src/peer_reports.rs
@@ -1,6 +1,6 @@
 //! The reports of the other daemons, as long as they are valid.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use types::prelude::*;
@@ -58,7 +58,7 @@
 /// The latest report of each other daemon.
 #[derive(Debug, Default)]
 pub struct PeerReports {
-    by_daemon: HashMap<DaemonId, Known>,
+    by_daemon: BTreeMap<DaemonId, Known>,
 }
 
 impl PeerReports {
--- a/components/overload/src/service.rs
+++ b/components/overload/src/service.rs
@@ -1,6 +1,6 @@
 //! One daemon's counts of a service, and what it decides by.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use types::prelude::*;
 
@@ -15,6 +15,10 @@
 
 /// Time over which rates are averaged.
 const RATE_TIME: Span = Span::from_secs(1);
+/// The same for the requests in flight where every daemon is known. They say earlier what to do, but
+/// a sample of the daemons says less of them: with half a second, 300 daemons serve 0.76 of the
+/// capacity in time, and 0.82 with a second.
+const IN_FLIGHT_TIME: Span = Span::from_millis(500);
 /// Time over which a flow's usual rate is averaged.
 const USUAL_TIME: Span = Span::from_secs(20);
 /// Time over which it is averaged while the service is limited: a burst must not become usual while
@@ -66,7 +70,7 @@
     completed: DecayingRate,
     rejected: WindowRate,
     in_flight: f64,
-    flows: HashMap<FlowKey, FlowState>,
+    flows: BTreeMap<FlowKey, FlowState>,
     /// Whether a peer limits its requests.
     peers_limit: bool,
     pub(crate) limit: Option<Limit>,
@@ -75,7 +79,7 @@
     /// Probability of a flow that is not known yet.
     pub(crate) mean_probability: f64,
     pub(crate) used_at: Time,
-    loads: HashMap<FlowKey, FlowLoad>,
+    loads: BTreeMap<FlowKey, FlowLoad>,
     probabilities: Vec<f64>,
 }
 
@@ -87,14 +91,14 @@
             completed: DecayingRate::default(),
             rejected: WindowRate::default(),
             in_flight: 0.0,
-            flows: HashMap::new(),
+            flows: BTreeMap::new(),
             peers_limit: false,
             limit: None,
             sums: Sums::default(),
             slots: 0,
             mean_probability: 1.0,
             used_at: Time::ZERO,
-            loads: HashMap::new(),
+            loads: BTreeMap::new(),
             probabilities: Vec::new(),
         }
     }
@@ -141,7 +145,9 @@
         self.offered.update(elapsed, RATE_TIME);
         self.completed.update(elapsed, RATE_TIME);
         self.rejected.update(now);
-        self.in_flight += (sends.in_flight - self.in_flight) * weight(elapsed, RATE_TIME);
+        let is_whole = view.known() + 1 >= view.present();
+        let in_flight_time = if is_whole { IN_FLIGHT_TIME } else { RATE_TIME };
+        self.in_flight += (sends.in_flight - self.in_flight) * weight(elapsed, in_flight_time);
         let usual_time = match self.limit {
             Some(_) => USUAL_TIME_LIMITED,
             None => USUAL_TIME,
@@ -151,8 +157,8 @@
         }
         self.flows
             .retain(|_, flow| now.since(flow.last_at) < FORGET_AFTER);
-        let reports = view.reports().filter_map(|r| r.service(self.hash));
-        self.peers_limit = reports.fold(false, |any, report| any || report.is_congested);
+        let mut reports = view.reports().filter_map(|r| r.service(self.hash));
+        self.peers_limit = reports.any(|report| report.is_congested);
     }
 
     /// Works out the probability of each flow under the limit.
--- a/components/overload/src/sums.rs
+++ b/components/overload/src/sums.rs
@@ -1,6 +1,6 @@
 //! The fleet's load on a service, from this daemon's counts and the reports of others.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::flow::FlowKey;
 use crate::peer_reports::FleetView;
@@ -105,7 +105,7 @@
 pub(crate) fn sum_flows(
     view: &FleetView,
     own: &ServiceReport,
-    into: &mut HashMap<FlowKey, FlowLoad>,
+    into: &mut BTreeMap<FlowKey, FlowLoad>,
 ) {
     into.clear();
     let scaling = Scaling::of(view);
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -169,6 +169,7 @@
     pub(crate) fn note_rejected(&self) {
         let now = self.shared.now();
         let mut upstreams = self.shared.upstreams.borrow_mut();
+        upstreams.count_rejection(self.index);
         match &mut *self.lease.borrow_mut() {
             Some(lease) => {
                 upstreams.record_leased_rejection(now, self.index);
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use dispatch::{Cascade, Load, NoUpstream, RetryReason, UpstreamIndex, UpstreamOutcome};
 use http1::{Head, Wire};
+use overload::Refusal;
 use poison::Contents;
 use routes::{Customer, Route, RouteTable};
 use types::prelude::*;
@@ -68,6 +69,8 @@
     GiveUp(&'static str),
     /// No upstream can be chosen.
     NoneAvailable(NoUpstream),
+    /// Its service is congested: it is refused at once.
+    Overloaded(Refusal),
 }
 
 /// A request in progress, over all of its attempts.
@@ -99,6 +102,8 @@
     model_index: Option<usize>,
     /// The version that sent the events delivered so far; a resumed stream stays on it.
     version: Option<Arc<str>>,
+    /// Whether its service has admitted it; its retries are then exempt.
+    is_admitted: bool,
     relay: Relay,
     /// The last failure answer of an upstream, relayed if no later attempt succeeds.
     failure: Option<Whole>,
@@ -137,6 +142,8 @@
             is_trial: false,
             model_index: Cascade::first(models),
             version: None,
+            // A caller that resumes a stream has been admitted before.
+            is_admitted: request.ask.resume_after.is_some(),
             relay: Relay::new(request.ask.resume_after),
             failure: None,
             report,
@@ -171,6 +178,7 @@
                 Next::Finished(finish) => return finish,
                 Next::GiveUp(why) => return self.give_up(why).await,
                 Next::NoneAvailable(no) => return self.refuse(no).await,
+                Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
                 Next::Retry(reason) => self.is_quarantined() || self.may_retry(reason),
                 Next::TryAnother => self.may_try_another(),
@@ -197,6 +205,14 @@
         self.give_up_after(no.reason(), wait).await
     }
 
+    /// Refuses a request to a congested service before any of it was sent.
+    async fn refuse_overloaded(&mut self, refusal: Refusal) -> Finish {
+        self.report.overload = Some(refusal);
+        let retry_after = self.shared.overload_retry_after(self.request);
+        let reply = LocalReply::NotRun { retry_after };
+        self.send_reply(reply, "the service is overloaded").await
+    }
+
     async fn give_up(&mut self, why: &'static str) -> Finish {
         self.give_up_after(why, Span::ZERO).await
     }
@@ -240,6 +256,13 @@
     }
 
     async fn attempt(&mut self) -> Next {
+        // A half-open trial counts as sent once it is chosen.
+        if !self.is_admitted && !self.is_trial {
+            if let Err(refusal) = self.shared.admit(&self.service, self.request) {
+                return Next::Overloaded(refusal);
+            }
+            self.is_admitted = true;
+        }
         let model = self.model_name().cloned();
         let (choice, lease) = match self.choose_when_free(model.as_ref()).await {
             Ok(chosen) => chosen,
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 mod held;
 mod metrics;
+mod overload_control;
 mod plan;
 mod rate_limits;
 mod relay;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and latency histograms of the event loop.
 
 use std::cell::RefCell;
+use std::sync::atomic::AtomicU64;
 
+use overload::ServiceStatus;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -51,6 +53,11 @@
     charge: ChargeKind,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
 /// Counters and histograms, served as text.
 #[derive(Debug)]
 pub struct Metrics {
@@ -90,6 +97,14 @@
     pub leases_lent: Counter,
     /// Answers with a rate limit that cannot be read.
     pub invalid_rate_limits: Counter,
+    /// Requests refused since their plain service is congested.
+    pub overload_refusals: Counter,
+    /// Requests a second that callers offer to a plain service, over the fleet.
+    overload_offered: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// Sends a second to a plain service, while it is congested.
+    overload_limit: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// Requests in flight for each slot of a plain service, over the fleet.
+    overload_load: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Quarantined contents.
@@ -129,6 +144,10 @@
             leases_taken: Counter::default(),
             leases_lent: Counter::default(),
             invalid_rate_limits: Counter::default(),
+            overload_refusals: Counter::default(),
+            overload_offered: Family::default(),
+            overload_limit: Family::default(),
+            overload_load: Family::default(),
             in_flight: Gauge::default(),
             barred_contents: Gauge::default(),
             unreadable: Gauge::default(),
@@ -172,6 +191,7 @@
         self.register_retries();
         self.register_rate_limits();
         self.register_leases();
+        self.register_overload();
         self.register_tunnels();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
@@ -212,6 +232,53 @@
         );
     }
 
+    fn register_overload(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "overload_refusals",
+            "Requests refused since their plain service is congested",
+            self.overload_refusals.clone(),
+        );
+        r.register(
+            "overload_offered",
+            "Requests a second that the fleet's callers send to a plain service",
+            self.overload_offered.clone(),
+        );
+        r.register(
+            "overload_limit",
+            "Requests a second that the fleet sends to a congested plain service",
+            self.overload_limit.clone(),
+        );
+        r.register(
+            "overload_load",
+            "Requests in flight for each slot of a plain service",
+            self.overload_load.clone(),
+        );
+    }
+
+    /// Sets the fleet's load on each plain service.
+    pub(crate) fn set_overload<'a>(
+        &self,
+        services: impl Iterator<Item = (&'a str, ServiceStatus)>,
+    ) {
+        // A service that gets no requests any more is left out.
+        self.overload_offered.clear();
+        self.overload_limit.clear();
+        self.overload_load.clear();
+        for (name, status) in services {
+            let label = ServiceLabel {
+                service: name.to_owned(),
+            };
+            let load = status.in_flight / f64::from(status.slots.max(1));
+            let offered = self.overload_offered.get_or_create(&label);
+            offered.set(status.offered.0);
+            self.overload_load.get_or_create(&label).set(load);
+            if let Some(limit) = status.limit {
+                self.overload_limit.get_or_create(&label).set(limit.0);
+            }
+        }
+    }
+
     fn register_leases(&mut self) {
         let r = &mut self.registry;
         r.register(
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use dispatch::Shortage;
+use overload::Refusal;
 use types::prelude::*;
 
 use crate::exchange::Request;
@@ -50,6 +51,8 @@
     service: Option<Arc<str>>,
     /// The bound for which the request was refused.
     pub(crate) shortage: Option<Shortage>,
+    /// The limit for which the request was refused.
+    pub(crate) overload: Option<Refusal>,
     /// How the last further send was charged to the retry budget.
     pub(crate) charge: Option<Charge>,
     pub(crate) events: u64,
@@ -90,6 +93,7 @@
             status = finish.status,
             why = finish.why,
             shortage = self.shortage.map(|shortage| shortage.to_string()),
+            overload = self.overload.map(|refusal| refusal.to_string()),
             budget = refused.map(|charge| charge.to_string()),
             first_ms = first,
             ms = now.since(request.arrived_at).as_millis(),
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -9,6 +9,7 @@
 
 use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
+use overload::{FleetView, Overload};
 use poison::{SharedSuspects, UpstreamInstance};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -60,6 +61,8 @@
     pub rate_limits: Vec<Advertisement>,
     /// Brittle services that other daemons advertise.
     pub brittle: Vec<BrittleAdvertisement>,
+    /// Reports on overload of other daemons.
+    pub overload: FleetView,
     /// Peers that offer tunnels.
     pub tunnel_peers: Arc<Vec<TunnelPeer>>,
 }
@@ -174,6 +177,7 @@
 ) -> Rc<Shared<T>> {
     let upstreams = Upstreams::new(cfg.policy.placing);
     let upstreams = upstreams.with_cold_tolerance(cfg.cold_tolerance);
+    let overload = Overload::new(cfg.policy.overload);
     let held_answers = HeldAnswers::new(cfg.max_held_answer_bytes);
     Rc::new(Shared {
         cfg,
@@ -196,6 +200,9 @@
         pins: RefCell::default(),
         budgets: RefCell::new(HashMap::new()),
         pauses: RefCell::default(),
+        overload: RefCell::new(overload),
+        overload_view: RefCell::default(),
+        overload_updated_at: Cell::default(),
         rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
         observed,
         stage: watch::Sender::new(Stage::Serving),
@@ -297,6 +304,7 @@
                 .set(peer_state.tunnel_peers);
             shared.merge_rate_limits(&peer_state.rate_limits);
             shared.merge_brittleness(&peer_state.brittle);
+            shared.overload_view.replace(peer_state.overload);
         }
         Command::Crashed(instances) => instances
             .iter()
@@ -380,6 +388,7 @@
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
+        shared.update_overload();
         let lost = i64::try_from(shared.paths.borrow().lost()).unwrap_or(i64::MAX);
         shared.metrics.lost_paths.set(lost);
         shared.count_slow_answers();
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -10,6 +10,7 @@
     RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
+use overload::{FleetView, Overload};
 use poison::{Admission, Attempts};
 use rand::rngs::SmallRng;
 use tokio::sync::mpsc::UnboundedSender;
@@ -46,6 +47,7 @@
     loads: Vec<SharedLoad>,
     rate_limits: Vec<Advertisement>,
     brittle: Vec<BrittleAdvertisement>,
+    overload: Vec<u8>,
 }
 
 /// What the event loop publishes to the control thread: evidence on rollouts, and its loads and
@@ -98,6 +100,16 @@
         self.lock().brittle.clone()
     }
 
+    /// Returns this daemon's encoded report on overload; empty while that is switched off.
+    #[must_use]
+    pub fn overload(&self) -> Vec<u8> {
+        self.lock().overload.clone()
+    }
+
+    pub(crate) fn set_overload(&self, overload: Vec<u8>) {
+        self.lock().overload = overload;
+    }
+
     pub(crate) fn set_brittle(&self, brittle: Vec<BrittleAdvertisement>) {
         self.lock().brittle = brittle;
     }
@@ -158,6 +170,12 @@
     pub(crate) pins: RefCell<Pins>,
     pub(crate) budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     pub(crate) pauses: RefCell<Pauses>,
+    /// Admission to plain services.
+    pub(crate) overload: RefCell<Overload>,
+    /// What other daemons report for it.
+    pub(crate) overload_view: RefCell<FleetView>,
+    /// When sends were last counted for it.
+    pub(crate) overload_updated_at: Cell<Time>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) observed: Observed,
     pub(crate) stage: watch::Sender<Stage>,
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -473,6 +473,16 @@
         self.apply(Command::PeerState(peer_state));
     }
 
+    /// Reports what peers report on overload.
+    pub fn send_overload_view(&self, view: overload::FleetView) {
+        let peer_state = traffic::PeerState {
+            validation: Some(validation(0, Time::NEVER)),
+            overload: view,
+            ..traffic::PeerState::default()
+        };
+        self.apply(Command::PeerState(peer_state));
+    }
+
     fn send_peer_state(
         &self,
         validation: Option<Validation>,
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod evacuations;
 mod limits;
+mod overload;
 mod quarantine;
 mod retries;
 mod shutdown;
