--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -462,13 +462,9 @@
     fn share_status(&mut self, now: Time) {
         self.plan();
         let watches = self.watch_works(now);
-        let loads = self.traffic.observed.loads();
-        let rate_limits = self.traffic.observed.rate_limits();
-        let brittle = self.traffic.observed.brittle();
-        let overload = self.traffic.observed.overload();
         let copy = self.mirror_state();
-        self.peering
-            .send_heartbeat(now, copy, watches, loads, rate_limits, brittle, overload);
+        let observed = &self.traffic.observed;
+        self.peering.send_heartbeat(now, copy, watches, observed);
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
             brittle: self.peering.take_brittle(),
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -1,9 +1,9 @@
 //! Sending heartbeats, several times a second, and the freshness claims they carry.
 
 use bytes::Bytes;
-use dispatch::{Advertisement, BrittleAdvertisement, SharedLoad};
 use mirror::Revision;
 use peers::{Part, Payload};
+use traffic::Observed;
 use types::prelude::*;
 
 use super::{FULL_HEARTBEAT_TICKS, MirrorState, Peering};
@@ -33,16 +33,13 @@
     }
 
     /// Sends a heartbeat to a few peers; `own_watch_works` is whether this daemon's watch of the
-    /// store is answered.
+    /// store is answered, and `observed` has what the event loop reports.
     pub(crate) fn send_heartbeat(
         &mut self,
         now: Time,
         mirror: MirrorState,
         own_watch_works: bool,
-        loads: Vec<SharedLoad>,
-        rate_limits: Vec<Advertisement>,
-        brittle: Vec<BrittleAdvertisement>,
-        overload: Vec<u8>,
+        observed: &Observed,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_full = self.ticks.is_multiple_of(FULL_HEARTBEAT_TICKS)
@@ -63,13 +60,13 @@
             watchers,
             store_unreachable: self.peer_states.store_unreachable(now),
             rollouts: self.aggregator.summaries(),
-            loads,
-            rate_limits,
+            loads: observed.loads(),
+            rate_limits: observed.rate_limits(),
             sent_at: Some(self.sent_at(now)),
             freshness: None,
             tunnel_port: None,
-            brittle,
-            overload,
+            brittle: observed.brittle(),
+            overload: observed.overload(),
         };
         match heartbeat.encode() {
             Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
--- a/components/overload/benches/decide.rs
+++ b/components/overload/benches/decide.rs
@@ -47,7 +47,8 @@
         overload.update(at(tick * 100), &view, sends, |_| 6);
         let report = overload.report().encode(rng);
         let report = Report::decode(&report).expect("its own form");
-        view.domains[0].reports = vec![Arc::new(report); KNOWN];
+        let report = Arc::new(report);
+        view.domains[0].reports = (0..KNOWN).map(|_| Arc::clone(&report)).collect();
     }
     (overload, view)
 }
