--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -142,8 +142,9 @@
             is_trial: false,
             model_index: Cascade::first(models),
             version: None,
-            // A caller that resumes a stream has been admitted before.
-            is_admitted: request.ask.resume_after.is_some(),
+            // A caller that resumes a stream has been admitted before. On other routes, the header
+            // would let any caller pass.
+            is_admitted: request.ask.resume_after.is_some() && request.route.retry.is_stream(),
             relay: Relay::new(request.ask.resume_after),
             failure: None,
             report,
