--- a/components/overload/src/limit.rs
+++ b/components/overload/src/limit.rs
@@ -37,8 +37,7 @@
 /// Least limit, in requests a second: a limit of nothing could not rise by factors.
 const MIN_LIMIT: f64 = 0.5;
 /// Standard deviations by which the requests in flight at a sample of the daemons have to exceed the
-/// target. The sum over 30 of 88 daemons varies by a tenth, that of a lone daemon by a multiple. With
-/// two, one of 88 daemons refused a request at half of the capacity.
+/// target: a sum that is scaled up from few daemons exceeds it by chance.
 const SAMPLE_DEVIATIONS: f64 = 3.0;
 
 /// The limit on the fleet's sends to one service.
