--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -1,9 +1,9 @@
 //! Sending heartbeats, several times a second, and the freshness claims they carry.
 
 use bytes::Bytes;
-use dispatch::{Advertisement, BrittleAdvertisement, SharedLoad};
 use mirror::Revision;
 use peers::{Part, Payload};
+use traffic::Observed;
 use types::prelude::*;
 
 use super::{FULL_HEARTBEAT_TICKS, MirrorState, Peering};
@@ -33,15 +33,13 @@
     }
 
     /// Sends a heartbeat to a few peers; `own_watch_works` is whether this daemon's watch of the
-    /// store is answered.
+    /// store is answered, and `observed` has what the event loop reports.
     pub(crate) fn send_heartbeat(
         &mut self,
         now: Time,
         mirror: MirrorState,
         own_watch_works: bool,
-        loads: Vec<SharedLoad>,
-        rate_limits: Vec<Advertisement>,
-        brittle: Vec<BrittleAdvertisement>,
+        observed: &Observed,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_full = self.ticks.is_multiple_of(FULL_HEARTBEAT_TICKS)
@@ -62,15 +60,16 @@
             watchers,
             store_unreachable: self.peer_states.store_unreachable(now),
             rollouts: self.aggregator.summaries(),
-            loads,
-            rate_limits,
+            loads: observed.loads(),
+            rate_limits: observed.rate_limits(),
             sent_at: Some(self.sent_at(now)),
             freshness: None,
             tunnel_port: None,
-            brittle,
+            brittle: observed.brittle(),
+            overload: observed.overload(),
         };
         match heartbeat.encode() {
-            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat.brittle, kind),
+            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
@@ -80,8 +79,8 @@
     fn send_heartbeat_to_targets(
         &mut self,
         now: Time,
-        heartbeat: &Bytes,
-        brittle: &[BrittleAdvertisement],
+        encoded: &Bytes,
+        heartbeat: &Heartbeat,
         kind: GossipKind,
     ) {
         for address in self.recipients(now, kind) {
@@ -89,9 +88,12 @@
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
             // The port follows behind the claims, so they are never left out.
             let freshness = freshness.unwrap_or_default();
-            let body = Heartbeat::encode_for(heartbeat, &freshness);
+            let body = Heartbeat::encode_for(encoded, &freshness);
             let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
-            let body = body.and_then(|body| Heartbeat::encode_with_brittle(body, brittle));
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_brittle(body, &heartbeat.brittle));
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_overload(body, &heartbeat.overload));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
