--- a/components/fleet/tests/it/fuzz.rs
+++ b/components/fleet/tests/it/fuzz.rs
@@ -35,6 +35,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        overload: Vec::new(),
     };
     let bytes = heartbeat.encode().expect("fits");
     let bytes = Heartbeat::encode_for(&bytes, &Freshness::default()).expect("fits");
