Pace of upstreams: crate, and routing's estimate moved to it

Cause: engines run at 0.55 to 1.2 of the nominal pace, and a daemon sends each a request in ten seconds. What routing knew of an upstream's speed was its own, in feedback.rs.

--- a/components/routing/src/feedback.rs
+++ b/components/routing/src/feedback.rs
@@ -16,8 +16,6 @@
 const MAX_EJECTED_SHARE: f64 = 0.5;
 /// Weight of the newest report in the pool's mean of the load by other daemons.
 const MEAN_OTHERS_WEIGHT: f64 = 0.05;
-/// Weight of the newest answer in the pool's mean pace.
-const POOL_PACE_WEIGHT: f64 = 0.02;
 /// Ratio to the pool's pace from which a slow upstream is ejected.
 const SLOW_EJECTION_RATIO: f64 = 2.5;
 /// Maximum number of targets that an upstream may report as loaded; further ones are ignored.
@@ -83,13 +81,15 @@
         pace: Span,
         rng: &mut impl Rng,
     ) {
-        let pool_pace = self.update_pool_pace(target, pace);
+        let ratio = self.ratio_to_pool(target, pace);
         let Some(entry) = self.entry_mut(index) else {
             return;
         };
         entry.upstream.health.record_answer(now);
-        entry.upstream.record_pace(pace);
-        let is_slow = entry.upstream.slowness(pool_pace) >= SLOW_EJECTION_RATIO;
+        if let Some(ratio) = ratio {
+            entry.upstream.record_pace(now, ratio);
+        }
+        let is_slow = entry.upstream.slowness(now) >= SLOW_EJECTION_RATIO;
         let domain = usize::from(entry.upstream.domain);
         self.domains[domain].record_answer();
         if is_slow {
@@ -97,21 +97,10 @@
         }
     }
 
-    /// Adds an answer's pace to its pool's mean and returns the mean. The value is bounded, so that
-    /// one outlier moves the mean only a little.
-    fn update_pool_pace(&mut self, target: TargetIndex, pace: Span) -> f64 {
-        let Some(pool) = self.pools.get_mut(target.as_usize()) else {
-            return 0.0;
-        };
-        let micros = pace.as_micros() as f64;
-        if pool.mean_per_token <= 0.0 {
-            pool.mean_per_token = micros;
-        }
-        pool.pace_samples = pool.pace_samples.saturating_add(1);
-        let weight = POOL_PACE_WEIGHT.max(1.0 / f64::from(pool.pace_samples));
-        let bounded = micros.clamp(pool.mean_per_token / 2.0, pool.mean_per_token * 2.0);
-        pool.mean_per_token += weight * (bounded - pool.mean_per_token);
-        pool.mean_per_token
+    /// Adds an answer's time per token to its pool's usual one, and returns its ratio to that.
+    fn ratio_to_pool(&mut self, target: TargetIndex, per_token: Span) -> Option<f64> {
+        let pool = self.pools.get_mut(target.as_usize())?;
+        pool.per_token.record(per_token.as_micros() as f64)
     }
 
     fn record_failure(
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -5,6 +5,7 @@
 //! the daemon's subset, and when one of them is removed the next one moves up. The order of the
 //! ring is the same in all daemons, so that they agree on a prefix's home upstreams.
 
+use pace::Baseline;
 use types::prelude::*;
 
 use crate::demand::UpstreamIndex;
@@ -104,10 +105,8 @@
     pub(crate) slots: u64,
     /// Decayed mean of other daemons' requests per slot.
     pub(crate) mean_others: f64,
-    /// Decayed mean time between tokens, in microseconds.
-    pub(crate) mean_per_token: f64,
-    /// Number of answers in that mean.
-    pub(crate) pace_samples: u32,
+    /// Usual time between tokens, in microseconds.
+    pub(crate) per_token: Baseline,
 }
 
 impl Pool {
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -2,15 +2,14 @@
 
 use std::net::SocketAddr;
 
+use pace::Estimate;
 use types::prelude::*;
 
 use crate::demand::{LoadReport, TargetIndex};
 use crate::health::Health;
 
-/// Weight of the newest observation in the decayed mean pace.
-const PACE_WEIGHT: f64 = 0.2;
-/// Minimum number of observations before the pace is used.
-const MIN_PACE_SAMPLES: u32 = 3;
+/// Samples on which a pace must rest to be used.
+const MIN_PACE_SAMPLES: f64 = 2.5;
 /// Time constant with which the weight of a report decays.
 const REPORT_DECAY: Span = Span::from_millis(500);
 
@@ -59,8 +58,7 @@
     pub(crate) domain: u16,
     pub(crate) poll_at: Time,
     reported: Option<Reported>,
-    per_token: f64,
-    pace_samples: u32,
+    pace: Estimate,
 }
 
 impl Upstream {
@@ -74,8 +72,7 @@
             domain,
             poll_at: Time::ZERO,
             reported: None,
-            per_token: 0.0,
-            pace_samples: 0,
+            pace: Estimate::default(),
             spec,
         }
     }
@@ -154,28 +151,21 @@
         own + others * weight + mean_others * (1.0 - weight)
     }
 
-    /// Records the time between tokens of an answer.
-    pub(crate) fn record_pace(&mut self, per_token: Span) {
-        let micros = per_token.as_micros() as f64;
-        self.per_token = if self.pace_samples == 0 {
-            micros
-        } else {
-            self.per_token + PACE_WEIGHT * (micros - self.per_token)
-        };
-        self.pace_samples = self.pace_samples.saturating_add(1);
+    /// Records the ratio of an answer's time per token to the pool's.
+    pub(crate) fn record_pace(&mut self, now: Time, ratio: f64) {
+        self.pace.record(now, ratio);
     }
 
     /// Ratio of its time per token to the pool's; 1 while too little is known.
-    pub(crate) fn slowness(&self, pool_per_token: f64) -> f64 {
-        if self.pace_samples < MIN_PACE_SAMPLES || pool_per_token <= 0.0 {
-            return 1.0;
+    pub(crate) fn slowness(&self, now: Time) -> f64 {
+        match self.pace.weight(now) < MIN_PACE_SAMPLES {
+            true => 1.0,
+            false => 1.0 / self.pace.pace().get(),
         }
-        (self.per_token / pool_per_token).clamp(0.5, 20.0)
     }
 
     /// Forgets its pace, so that it is judged anew after an ejection.
     pub(crate) fn reset_pace(&mut self) {
-        self.pace_samples = 0;
-        self.per_token = 0.0;
+        self.pace = Estimate::default();
     }
 }
