Dispatch: slow engines get fewer requests

Cause: nobody knows which engines are slow.

Change: samples in record_answer_start; the expected time and the outstanding requests of an engine that is slow (below 0.68, until above 0.8) are divided by its pace in the cost.

--- a/components/dispatch/src/backlog.rs
+++ b/components/dispatch/src/backlog.rs
@@ -8,6 +8,8 @@
 struct Waiting {
     ticket: u64,
     expected_ms: f64,
+    /// Whether it is known which part of the prompt is cached.
+    is_cache_known: bool,
 }
 
 /// Requests that an upstream has not started to answer, in the order in which they were sent.
@@ -19,13 +21,14 @@
 }
 
 impl Backlog {
-    pub(crate) fn push(&mut self, now: Time, ticket: u64, expected_ms: f64) {
+    pub(crate) fn push(&mut self, now: Time, ticket: u64, expected_ms: f64, is_cache_known: bool) {
         if self.waiting.is_empty() {
             self.oldest_started_at = now;
         }
         self.waiting.push_back(Waiting {
             ticket,
             expected_ms,
+            is_cache_known,
         });
     }
 
@@ -37,6 +40,12 @@
         }
     }
 
+    /// Whether it was known which part of a waiting request's prompt is cached.
+    pub(crate) fn is_cache_known(&self, ticket: u64) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|waiting| waiting.ticket == ticket && waiting.is_cache_known)
+    }
+
     /// Expected time until the upstream starts on a new request, in ms.
     pub(crate) fn wait_ms(&self, now: Time) -> f64 {
         let Some(oldest) = self.waiting.front() else {
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -299,10 +299,8 @@
     let re_prefill =
         f64::from(load.uncached_shared_tokens) / 1_000.0 * policy.read_again_ms_per_1000;
     let silence = entry.silent_ms(now) * policy.silence_share;
-    (load.wait_ms + load.expected_ms + outstanding * per_request_ms) * slowdown
-        + cross_domain
-        + re_prefill
-        + silence
+    let work_ms = (load.expected_ms + outstanding * per_request_ms) / entry.pace.get();
+    (load.wait_ms + work_ms) * slowdown + cross_domain + re_prefill + silence
 }
 
 /// Retains the upstreams with the fewest outstanding requests.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod lapsed;
 mod leases;
 mod means;
+mod pace;
 mod paths;
 mod pauses;
 mod peer_loads;
@@ -33,6 +34,10 @@
 mod tunnel_peers;
 mod upstreams;
 
+pub use ::pace::{
+    MAX_REPORTS as MAX_PACE_REPORTS, Pace, PaceChange, PaceReport, PaceSummary, PaceUpdate,
+    ReporterKey, Rotation as PaceRotation, UpdateVersion, UpstreamKey,
+};
 pub use aggregation::{EvidenceAggregator, RolloutMessage, RolloutMessageError, RolloutSummary};
 pub use brittle::{BrittleAdvertisement, Brittleness};
 pub use budget::{BudgetUse, RetryBudget, RetryLimits, RetryReason};
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -92,6 +92,8 @@
     pub far_ms: f64,
     /// Extra cost of prefilling a thousand shared tokens again, in ms.
     pub read_again_ms_per_1000: f64,
+    /// Whether slow engines get fewer requests.
+    pub uses_pace: bool,
 }
 
 /// Settings for the use of the fleet's retry budget.
@@ -139,6 +141,7 @@
             silence_share: SILENCE_COST_FACTOR,
             far_ms: CROSS_DOMAIN_COST_MS,
             read_again_ms_per_1000: RE_PREFILL_COST_MS_PER_1000,
+            uses_pace: true,
         }
     }
 }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use pace::{Baseline, Pace, Paces};
 use poison::UpstreamInstance;
 use ratelimit::{InstanceKey, Lenders, RateLimits};
 use routes::{Upstream, UpstreamState};
@@ -15,6 +16,7 @@
 use crate::cold::{ColdStarts, ColdUntil, apply_cold_time};
 use crate::health::{Health, UpstreamOutcome};
 use crate::means::{DEFAULT_PLAIN_MS, MEAN_WEIGHT, ServiceMeans, means_of};
+use crate::pace::ANSWER_KINDS;
 use crate::policy::PlacingPolicy;
 use crate::prefill::PrefillTimes;
 
@@ -136,6 +138,10 @@
     pub(crate) is_evacuated: bool,
     /// When it stops being cold.
     pub(crate) cold_until: ColdUntil,
+    /// Its share of the requests relative to others: its pace while it is slow, or else 1.
+    pub(crate) pace: Pace,
+    /// When the last answer to a long prompt began there.
+    pub(crate) long_prefill_until: Time,
 }
 
 impl Entry {
@@ -181,6 +187,9 @@
     pub(crate) lenders: Lenders,
     pub(crate) brittle: BrittleServices,
     pub(crate) cold: ColdStarts,
+    pub(crate) paces: Paces,
+    /// Ratios of measured to expected times that are usual, by model and kind of answer.
+    pub(crate) usual: HashMap<Arc<str>, [Baseline; ANSWER_KINDS]>,
     pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
     next_index: u64,
     next_ticket: u64,
@@ -213,6 +222,7 @@
             entry.is_leaving |= !entry.is_listed;
         }
         self.forget_idle();
+        self.list_paces();
         gone
     }
 
@@ -285,6 +295,8 @@
             is_listed: true,
             is_evacuated,
             cold_until: ColdUntil::default(),
+            pace: Pace::USUAL,
+            long_prefill_until: Time::ZERO,
         };
         apply_cold_time(&mut self.limits, &self.cold, now, &mut entry, false);
         self.entries.insert(index, entry);
@@ -340,7 +352,11 @@
             entry.busy_since = now;
         }
         entry.in_flight += 1;
-        entry.backlog.push(now, ticket.0, load.expected_ms);
+        let known = prefixes.last();
+        let is_cache_known = known.is_none_or(|prefix| entry.prefixes.contains_key(prefix));
+        entry
+            .backlog
+            .push(now, ticket.0, load.expected_ms, is_cache_known);
         entry.health.note_chosen();
         if entry.prefixes.len() + prefixes.len() > MAX_PREFIXES {
             entry.prefixes.clear();
@@ -378,6 +394,7 @@
         let Some(entry) = self.entries.get_mut(&start.index) else {
             return;
         };
+        let is_cache_known = entry.backlog.is_cache_known(start.ticket.0);
         entry.backlog.remove(now, start.ticket.0);
         entry.heard_at = now;
         let load = start.load;
@@ -387,6 +404,7 @@
             self.record_cold_sample(&service, start.elapsed_ms / expected_ms);
             return;
         }
+        self.record_pace(now, start, is_cache_known);
         match start.model {
             Some(model)
                 if load.uncached_tokens >= MIN_SAMPLE_TOKENS && load.wait_ms < ENGINE_BASE_MS =>
