--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -465,12 +465,14 @@
         let loads = self.traffic.observed.loads();
         let rate_limits = self.traffic.observed.rate_limits();
         let brittle = self.traffic.observed.brittle();
+        self.peering.set_own_paces(self.traffic.observed.paces());
         let copy = self.mirror_state();
         self.peering
             .send_heartbeat(now, copy, watches, loads, rate_limits, brittle);
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
             brittle: self.peering.take_brittle(),
+            paces: self.peering.take_paces(),
             tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
             validation: self.validation(),
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -14,7 +14,9 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use dispatch::{Advertisement, BrittleAdvertisement, RolloutSummary, SharedLoad};
+use dispatch::{
+    Advertisement, BrittleAdvertisement, MAX_PACE_REPORTS, PaceReport, RolloutSummary, SharedLoad,
+};
 use mirror::Revision;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -93,6 +95,10 @@
     /// Brittle services, as far as the sender knows; absent from releases that do not send them.
     #[serde(skip)]
     pub brittle: Vec<BrittleAdvertisement>,
+    /// Some of the sender's samples of upstreams' paces; absent while it knows of no upstream whose
+    /// pace differs, and from releases that do not send them.
+    #[serde(skip)]
+    pub paces: Vec<PaceReport>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -156,6 +162,22 @@
         Ok(bytes.into())
     }
 
+    /// Appends samples of upstreams' paces, which follow behind the brittle services.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_paces(
+        encoded: Bytes,
+        paces: &[PaceReport],
+    ) -> Result<Bytes, HeartbeatError> {
+        if paces.is_empty() {
+            return Ok(encoded);
+        }
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(paces)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -171,8 +193,12 @@
             let port = postcard::take_from_bytes::<Option<u16>>(rest);
             let (port, rest) = port.unwrap_or_default();
             heartbeat.tunnel_port = port;
-            heartbeat.brittle = postcard::from_bytes(rest).unwrap_or_default();
+            let brittle = postcard::take_from_bytes(rest);
+            let (brittle, rest): (Vec<BrittleAdvertisement>, _) = brittle.unwrap_or_default();
+            heartbeat.brittle = brittle;
             heartbeat.brittle.truncate(MAX_BRITTLE);
+            heartbeat.paces = postcard::from_bytes(rest).unwrap_or_default();
+            heartbeat.paces.truncate(MAX_PACE_REPORTS);
         }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Advertisement, BrittleAdvertisement, Evidence, EvidenceAggregator, Fleet, PeerLoads,
-    RolloutMessage, RolloutSummary, TunnelPeer,
+    Advertisement, BrittleAdvertisement, Evidence, EvidenceAggregator, Fleet, PaceReport,
+    PaceRotation, PaceUpdate, PeerLoads, ReporterKey, RolloutMessage, RolloutSummary, TunnelPeer,
+    UpdateVersion,
 };
 use membership::{Event as MemberEvent, Member, MemberRecord, Membership, Outcome, Sender, State};
 use mirror::{Revision, SyncReply, SyncRequest};
@@ -17,10 +18,11 @@
 use rand::RngExt;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::freshness::Claims;
 use crate::gossip::{self, GossipKind, GossipView, Peer};
-use crate::heartbeat::{Heartbeat, PeerStates, watch_rank};
+use crate::heartbeat::{Heartbeat, PeerStates, SentAt, watch_rank};
 use crate::tunnel_offers::TunnelOffers;
 
 mod heartbeat;
@@ -43,6 +45,8 @@
 const MAX_PARTITION: Span = Span::from_secs(600);
 /// Advertised rate limits queued for the next tick; peers advertise again what does not fit.
 const MAX_RATE_LIMITS: usize = 1_024;
+/// Updates of paces queued for the next tick: more than a daemon gets heartbeats between two ticks.
+const MAX_PACE_UPDATES: usize = 64;
 /// New daemons are logged one by one up to this many at a time.
 const MAX_LOGGED: usize = 4;
 
@@ -61,6 +65,12 @@
     rate_limits: Vec<Advertisement>,
     /// Brittle services advertised by peers and not yet taken by the control thread.
     brittle: Vec<BrittleAdvertisement>,
+    /// Paces reported by peers and not yet taken by the control thread.
+    paces: Vec<PaceUpdate>,
+    /// This daemon's samples of upstreams' paces, sorted by upstream.
+    own_paces: Arc<[PaceReport]>,
+    /// Which of them the next heartbeat reports.
+    pace_rotation: PaceRotation,
     tunnel_offers: TunnelOffers,
     /// Port at which this daemon accepts tunnels.
     tunnel_port: u16,
@@ -113,6 +123,9 @@
             aggregator: EvidenceAggregator::default(),
             rate_limits: Vec::new(),
             brittle: Vec::new(),
+            paces: Vec::new(),
+            own_paces: Arc::default(),
+            pace_rotation: PaceRotation::default(),
             tunnel_offers: TunnelOffers::default(),
             tunnel_port,
             ticks: 0,
@@ -212,6 +225,7 @@
                     }
                     self.note_rate_limits(heartbeat.rate_limits);
                     self.note_brittle(heartbeat.brittle);
+                    self.note_paces(&from, heartbeat.sent_at, heartbeat.paces);
                     self.loads.update(now, from, heartbeat.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -240,6 +254,31 @@
         self.brittle.extend(advertised.into_iter().take(room));
     }
 
+    /// Queues a peer's reports. They are ordered by when the heartbeat was sent.
+    fn note_paces(&mut self, from: &DaemonId, sent_at: Option<SentAt>, reports: Vec<PaceReport>) {
+        let Some(SentAt { run, clock_ms }) = sent_at else {
+            return;
+        };
+        if reports.is_empty() || self.paces.len() >= MAX_PACE_UPDATES {
+            return;
+        }
+        self.paces.push(PaceUpdate {
+            reporter: ReporterKey(xxh3_64(from.as_str().as_bytes())),
+            version: UpdateVersion { run, clock_ms },
+            reports,
+        });
+    }
+
+    /// Sets the samples of upstreams' paces that heartbeats report.
+    pub(crate) fn set_own_paces(&mut self, paces: Arc<[PaceReport]>) {
+        self.own_paces = paces;
+    }
+
+    /// Takes the paces that peers reported since the last call.
+    pub(crate) fn take_paces(&mut self) -> Vec<PaceUpdate> {
+        std::mem::take(&mut self.paces)
+    }
+
     /// Takes the brittle services that peers advertised since the last call.
     pub(crate) fn take_brittle(&mut self) -> Vec<BrittleAdvertisement> {
         std::mem::take(&mut self.brittle)
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -68,9 +68,10 @@
             freshness: None,
             tunnel_port: None,
             brittle,
+            paces: self.pace_rotation.take(&self.own_paces),
         };
         match heartbeat.encode() {
-            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat.brittle, kind),
+            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
@@ -80,8 +81,8 @@
     fn send_heartbeat_to_targets(
         &mut self,
         now: Time,
-        heartbeat: &Bytes,
-        brittle: &[BrittleAdvertisement],
+        encoded: &Bytes,
+        heartbeat: &Heartbeat,
         kind: GossipKind,
     ) {
         for address in self.recipients(now, kind) {
@@ -89,9 +90,11 @@
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
             // The port follows behind the claims, so they are never left out.
             let freshness = freshness.unwrap_or_default();
-            let body = Heartbeat::encode_for(heartbeat, &freshness);
+            let body = Heartbeat::encode_for(encoded, &freshness);
             let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
-            let body = body.and_then(|body| Heartbeat::encode_with_brittle(body, brittle));
+            let body =
+                body.and_then(|body| Heartbeat::encode_with_brittle(body, &heartbeat.brittle));
+            let body = body.and_then(|body| Heartbeat::encode_with_paces(body, &heartbeat.paces));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -22,6 +22,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
@@ -224,3 +225,30 @@
             .is_empty()
     );
 }
+
+/// A daemon of the release before would have taken paces for brittle services, and a fleet before
+/// even engines would pay for bytes that say nothing.
+#[test]
+fn paces_follow_the_fields_of_earlier_releases_and_only_where_there_are_any() {
+    let before = Heartbeat::encode_for(&holding(4).encode().expect("fits"), &Freshness::default());
+    let before = Heartbeat::encode_with_tunnels(before.expect("fits"), 7_341).expect("fits");
+    let before = Heartbeat::encode_with_brittle(before, &[]).expect("fits");
+    let none = Heartbeat::encode_with_paces(before.clone(), &[]).expect("fits");
+    assert_eq!(none, before);
+    let decoded = Heartbeat::decode(&none).expect("its form");
+    assert!(decoded.paces.is_empty());
+    let report = |key| {
+        let key = dispatch::UpstreamKey(u32::MAX - key);
+        dispatch::PaceReport::new(key, dispatch::Pace::MAX, 31.0)
+    };
+    let paces = (0..16).map(report).collect::<Vec<_>>();
+    let now = Heartbeat::encode_with_paces(before.clone(), &paces).expect("fits");
+    assert!(now.starts_with(&before));
+    assert!(now.len() - before.len() <= 256);
+    let decoded = Heartbeat::decode(&now).expect("its form");
+    assert_eq!(decoded.tunnel_port, Some(7_341));
+    assert_eq!(decoded.paces, paces);
+    // What is cut off or of another form is left out.
+    let cut = Heartbeat::decode(&now[..now.len() - 1]).expect("its form");
+    assert!(cut.paces.is_empty());
+}
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -92,6 +92,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 mod held;
 mod metrics;
+mod paces;
 mod plan;
 mod rate_limits;
 mod relay;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms of the event loop.
 
 use std::cell::RefCell;
+use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text};
 use prometheus_client::metrics::counter::Counter;
@@ -100,6 +101,12 @@
     pub evacuated_domains: Gauge,
     /// Upstreams that are cold.
     pub cold_upstreams: Gauge,
+    /// The lowest pace of an engine.
+    pub lowest_pace: Gauge<f64, AtomicU64>,
+    /// The highest pace of an engine.
+    pub highest_pace: Gauge<f64, AtomicU64>,
+    /// Engines that are slow.
+    pub slow_upstreams: Gauge,
     dropped_log_lines: Counter,
     scratch: RefCell<String>,
 }
@@ -134,6 +141,9 @@
             unreadable: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_upstreams: Gauge::default(),
+            lowest_pace: Gauge::default(),
+            highest_pace: Gauge::default(),
+            slow_upstreams: Gauge::default(),
             dropped_log_lines: Counter::default(),
             scratch: RefCell::default(),
         };
@@ -173,6 +183,7 @@
         self.register_rate_limits();
         self.register_leases();
         self.register_tunnels();
+        self.register_paces();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
@@ -212,6 +223,25 @@
         );
     }
 
+    fn register_paces(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "lowest_pace",
+            "Lowest pace of an engine relative to others; 1 is usual",
+            self.lowest_pace.clone(),
+        );
+        r.register(
+            "highest_pace",
+            "Highest pace of an engine relative to others; 1 is usual",
+            self.highest_pace.clone(),
+        );
+        r.register(
+            "slow_upstreams",
+            "Engines that are slow and get fewer requests",
+            self.slow_upstreams.clone(),
+        );
+    }
+
     fn register_leases(&mut self) {
         let r = &mut self.registry;
         r.register(
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, TunnelPeer, Upstreams};
+use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, PaceUpdate, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamInstance};
 use rand::SeedableRng;
@@ -60,6 +60,8 @@
     pub rate_limits: Vec<Advertisement>,
     /// Brittle services that other daemons advertise.
     pub brittle: Vec<BrittleAdvertisement>,
+    /// Paces of upstreams that other daemons report.
+    pub paces: Vec<PaceUpdate>,
     /// Peers that offer tunnels.
     pub tunnel_peers: Arc<Vec<TunnelPeer>>,
 }
@@ -297,6 +299,7 @@
                 .set(peer_state.tunnel_peers);
             shared.merge_rate_limits(&peer_state.rate_limits);
             shared.merge_brittleness(&peer_state.brittle);
+            shared.merge_paces(&peer_state.paces);
         }
         Command::Crashed(instances) => instances
             .iter()
@@ -380,6 +383,7 @@
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
+        shared.publish_paces();
         let lost = i64::try_from(shared.paths.borrow().lost()).unwrap_or(i64::MAX);
         shared.metrics.lost_paths.set(lost);
         shared.count_slow_answers();
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dispatch::{
-    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pauses, Pins,
+    Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, PaceReport, Paths, Pauses, Pins,
     RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
 };
 use http1::Pool;
@@ -46,6 +46,7 @@
     loads: Vec<SharedLoad>,
     rate_limits: Vec<Advertisement>,
     brittle: Vec<BrittleAdvertisement>,
+    paces: Arc<[PaceReport]>,
 }
 
 /// What the event loop publishes to the control thread: evidence on rollouts, and its loads and
@@ -98,6 +99,16 @@
         self.lock().brittle.clone()
     }
 
+    /// Returns this daemon's samples of upstreams' paces, sorted by upstream.
+    #[must_use]
+    pub fn paces(&self) -> Arc<[PaceReport]> {
+        Arc::clone(&self.lock().paces)
+    }
+
+    pub(crate) fn set_paces(&self, paces: Vec<PaceReport>) {
+        self.lock().paces = paces.into();
+    }
+
     pub(crate) fn set_brittle(&self, brittle: Vec<BrittleAdvertisement>) {
         self.lock().brittle = brittle;
     }
