--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -2,7 +2,7 @@
 //!
 //! For engines, the cost of an upstream is the expected time until the first event: the requests
 //! sent there whose answers have not started, and the part of the prompt that the engine must
-//! prefill. All daemons agree on a preferred engine of each shared prefix by rendezvous hashing, so
+//! prefill, both by its pace if it is slow. All daemons agree on a preferred engine of each shared prefix by rendezvous hashing, so
 //! a prefix cached there for one daemon's request serves its peers' requests too. If the preferred
 //! engine has a long backlog, another one is cheaper and is chosen. For plain services, the cost
 //! follows from the outstanding requests. A few random candidates are compared as well, so that
@@ -299,8 +299,11 @@
     let re_prefill =
         f64::from(load.uncached_shared_tokens) / 1_000.0 * policy.read_again_ms_per_1000;
     let silence = entry.silent_ms(now) * policy.silence_share;
-    let work_ms = (load.expected_ms + outstanding * per_request_ms) / entry.pace.get();
-    (load.wait_ms + work_ms) * slowdown + cross_domain + re_prefill + silence
+    let pace = entry.pace.get();
+    (load.wait_ms + load.expected_ms / pace + outstanding * per_request_ms / pace) * slowdown
+        + cross_domain
+        + re_prefill
+        + silence
 }
 
 /// Retains the upstreams with the fewest outstanding requests.
