--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -2,7 +2,8 @@
 //!
 //! For engines, the cost of an upstream is the expected time until the first event: the requests
 //! sent there whose answers have not started, and the part of the prompt that the engine must
-//! prefill, both by its pace if it is slow. All daemons agree on a preferred engine of each shared prefix by rendezvous hashing, so
+//! prefill, which counts by the engine's pace if it is slow. All daemons agree on a preferred
+//! engine of each shared prefix by rendezvous hashing, so
 //! a prefix cached there for one daemon's request serves its peers' requests too. If the preferred
 //! engine has a long backlog, another one is cheaper and is chosen. For plain services, the cost
 //! follows from the outstanding requests. A few random candidates are compared as well, so that
