--- a/components/pace/src/table.rs
+++ b/components/pace/src/table.rs
@@ -30,8 +30,8 @@
 /// Weight below which an upstream is not taken as slow: fewer samples may all be of one burst of late
 /// answers.
 const MIN_SLOW_WEIGHT: f64 = 8.0;
-/// Pace below which an upstream turns slow. In simulated fleets before even engines, those that many
-/// prompts prefer seem to run at 0.7 to 0.8 for moments, since they have a queue.
+/// Pace below which an upstream turns slow. In simulated fleets before even engines, those with a queue
+/// seemed to run at 0.7 to 0.8 for some seconds.
 const SLOW_BELOW: f64 = 0.68;
 /// Pace above which a slow upstream has recovered. The gap keeps an estimate near the bound from
 /// moving prompts to and fro.
