Routing: eject an upstream that turns slow after healthy traffic

The decaying weight let long healthy traffic outweigh slow answers, and an upstream with few answers never reached the minimum weight. Former answers weigh 4 at most and do not age, so the newest weighs 0.2; the minimum is a plain count of answers.

Tests: ejection after 500 healthy answers, and with an answer each 30 s (both failed before); one late answer at a rarely used upstream does not eject it (fails if former answers age). routing: 24 passed.

--- a/components/pace/src/estimate.rs
+++ b/components/pace/src/estimate.rs
@@ -87,6 +87,11 @@
         self.weight * self.decay(now)
     }
 
+    /// Whether no sample was recorded.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.weight <= 0.0
+    }
+
     /// The mean pace of the samples; the usual one without any.
     #[must_use]
     pub fn pace(&self) -> Pace {
@@ -102,8 +107,9 @@
         (self.log_sum * factor, self.weight * factor)
     }
 
-    /// Reduces the weight to a bound; the mean stays.
-    pub(crate) fn cap_weight(&mut self, max: f64) {
+    /// Reduces the weight to a bound; the mean stays. The next sample then weighs at least
+    /// `1 / (max + 1)`, however many there were before.
+    pub fn cap_weight(&mut self, max: f64) {
         if self.weight > max {
             self.log_sum *= max / self.weight;
             self.weight = max;
--- a/components/routing/src/feedback.rs
+++ b/components/routing/src/feedback.rs
@@ -87,9 +87,9 @@
         };
         entry.upstream.health.record_answer(now);
         if let Some(ratio) = ratio {
-            entry.upstream.record_pace(now, ratio);
+            entry.upstream.record_pace(ratio);
         }
-        let is_slow = entry.upstream.slowness(now) >= SLOW_EJECTION_RATIO;
+        let is_slow = entry.upstream.slowness() >= SLOW_EJECTION_RATIO;
         let domain = usize::from(entry.upstream.domain);
         self.domains[domain].record_answer();
         if is_slow {
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -279,7 +279,7 @@
         let upstream = &entry.upstream;
         let after = load + 1.0 / f64::from(upstream.slots);
         let queued = QUEUE_COST * (after - self.queue_load()).max(0.0);
-        let slowness = upstream.slowness(self.now);
+        let slowness = upstream.slowness();
         let distance = match entry.keys.distance {
             Distance::SameDomain => 0.0,
             Distance::SameRegion => OTHER_DOMAIN_COST,
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -8,8 +8,11 @@
 use crate::demand::{LoadReport, TargetIndex};
 use crate::health::Health;
 
-/// Samples on which a pace must rest to be used.
-const MIN_PACE_SAMPLES: f64 = 2.5;
+/// Minimum number of answers before the pace is used.
+const MIN_PACE_SAMPLES: u32 = 3;
+/// Weight of all former answers together, so that the newest one weighs 0.2. Without a bound, an
+/// upstream that turned slow after long healthy traffic was not ejected for many answers.
+const MAX_FORMER_WEIGHT: f64 = 4.0;
 /// Time constant with which the weight of a report decays.
 const REPORT_DECAY: Span = Span::from_millis(500);
 
@@ -59,6 +62,7 @@
     pub(crate) poll_at: Time,
     reported: Option<Reported>,
     pace: Estimate,
+    pace_samples: u32,
 }
 
 impl Upstream {
@@ -73,6 +77,7 @@
             poll_at: Time::ZERO,
             reported: None,
             pace: Estimate::default(),
+            pace_samples: 0,
             spec,
         }
     }
@@ -152,13 +157,18 @@
     }
 
     /// Records the ratio of an answer's time per token to the pool's.
-    pub(crate) fn record_pace(&mut self, now: Time, ratio: f64) {
-        self.pace.record(now, ratio);
+    ///
+    /// All answers bear the same time, so that none decays with age: a single late answer of an
+    /// upstream that is used rarely would otherwise outweigh all former ones.
+    pub(crate) fn record_pace(&mut self, ratio: f64) {
+        self.pace.record(Time::ZERO, ratio);
+        self.pace.cap_weight(MAX_FORMER_WEIGHT);
+        self.pace_samples = self.pace_samples.saturating_add(1);
     }
 
     /// Ratio of its time per token to the pool's; 1 while too little is known.
-    pub(crate) fn slowness(&self, now: Time) -> f64 {
-        match self.pace.weight(now) < MIN_PACE_SAMPLES {
+    pub(crate) fn slowness(&self) -> f64 {
+        match self.pace_samples < MIN_PACE_SAMPLES {
             true => 1.0,
             false => 1.0 / self.pace.pace().get(),
         }
@@ -167,5 +177,6 @@
     /// Forgets its pace, so that it is judged anew after an ejection.
     pub(crate) fn reset_pace(&mut self) {
         self.pace = Estimate::default();
+        self.pace_samples = 0;
     }
 }
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -293,6 +293,66 @@
     assert_eq!(f.router.eligible_count(f.target), 4);
 }
 
+// With an unbounded weight of former answers, an upstream that served long and well would have to
+// be slow for most of a minute before it is ejected.
+#[test]
+fn can_eject_an_upstream_that_turns_slow_after_long_healthy_traffic() {
+    let mut f = Fixture::new(&["a", "a", "a", "a"]);
+    let slow = W0;
+    let request = f.request(&[], &[]);
+    for _ in 0..500 {
+        f.router.started(slow, &request);
+        f.finish(slow, answered(10));
+        f.now = f.now + Span::from_millis(100);
+    }
+    assert!(!f.router.upstream(slow).unwrap().health().is_ejected());
+    for _ in 0..10 {
+        f.router.started(slow, &request);
+        f.finish(slow, answered(50));
+        f.now = f.now + Span::from_millis(100);
+        if f.router.upstream(slow).unwrap().health().is_ejected() {
+            return;
+        }
+    }
+    panic!("not ejected after ten slow answers");
+}
+
+// If the minimum number of answers decayed with time, an upstream that is used rarely would never
+// have enough of them.
+#[test]
+fn can_eject_a_slow_upstream_that_is_used_rarely() {
+    let mut f = Fixture::new(&["a", "a", "a", "a"]);
+    let slow = W0;
+    let usual = UpstreamIndex(1);
+    let request = f.request(&[], &[]);
+    for _ in 0..10 {
+        for _ in 0..50 {
+            f.router.started(usual, &request);
+            f.finish(usual, answered(10));
+        }
+        f.router.started(slow, &request);
+        f.finish(slow, answered(50));
+        f.advance(30);
+        if f.router.upstream(slow).unwrap().health().is_ejected() {
+            return;
+        }
+    }
+    panic!("not ejected after ten slow answers");
+}
+
+// If answers decayed with time, a single late one would eject an upstream that is used rarely.
+#[test]
+fn can_keep_a_rarely_used_upstream_after_one_late_answer() {
+    let mut f = Fixture::new(&["a", "a", "a", "a"]);
+    let request = f.request(&[], &[]);
+    for millis in [10, 10, 10, 10, 10, 10, 100] {
+        f.router.started(W0, &request);
+        f.finish(W0, answered(millis));
+        f.advance(120);
+    }
+    assert!(!f.router.upstream(W0).unwrap().health().is_ejected());
+}
+
 #[test]
 fn can_avoid_an_unreachable_failure_domain() {
     // After four upstreams of a failure domain were unreachable, the rest are avoided without an
