Pace: skip upstreams without samples, bound the models remembered

The paces of all listed upstreams were computed twice a second on the event loop, also of those without own samples and reports, whose pace is the usual one already. The map of usual ratios had no bound; it is cleared when it holds 1,024 models.

--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -19,6 +19,9 @@
 /// Expected times from which answers belong to the next kind, in ms. The error of the expected time
 /// depends on the prompt's length.
 const KIND_STARTS_MS: [f64; 2] = [60.0, LONG_PREFILL_MS];
+/// Models whose usual ratios are remembered. When there are more, all are learned anew, so that
+/// names of former models do not stay for ever.
+const MAX_MODELS: usize = 1_024;
 /// Kinds of answers of one model.
 pub(crate) const ANSWER_KINDS: usize = KIND_STARTS_MS.len() + 1;
 
@@ -68,6 +71,9 @@
         let key = entry.key();
         let kind = KIND_STARTS_MS.iter();
         let kind = kind.take_while(|from| load.expected_ms >= **from).count();
+        if self.usual.len() >= MAX_MODELS && !self.usual.contains_key(model) {
+            self.usual.clear();
+        }
         let usual = self.usual.entry(Arc::clone(model)).or_default();
         let ratio = usual[kind].record(start.elapsed_ms / load.expected_ms);
         if let Some(ratio) = ratio {
--- a/components/pace/src/table.rs
+++ b/components/pace/src/table.rs
@@ -102,6 +102,11 @@
     }
 
     fn refresh(&mut self, now: Time) {
+        // Without samples the pace is the usual one already. This runs on the event loop for all
+        // listed upstreams, and a daemon of a large fleet has samples of few of them.
+        if self.reported.is_empty() && self.own.is_empty() {
+            return;
+        }
         self.reported
             .retain(|held| now.since(held.received_at) < REPORT_LIFETIME);
         let (own_sum, own_weight) = self.own.sums(now);
