--- a/components/dispatch/tests/pace_choice.rs
+++ b/components/dispatch/tests/pace_choice.rs
@@ -3,16 +3,19 @@
 use std::sync::Arc;
 
 use dispatch::{
-    Pace, PaceReport, PaceUpdate, Permit, PromptPart, ReporterKey, Requirements, UpdateVersion,
-    UpstreamIndex, UpstreamKey, Upstreams, instance_key,
+    Pace, PaceReport, PaceUpdate, Permit, PlacingPolicy, PromptPart, ReporterKey, Requirements,
+    UpdateVersion, UpstreamIndex, UpstreamKey, Upstreams, instance_key,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routes::{Upstream, UpstreamState};
 use types::prelude::*;
 
-fn upstreams() -> Upstreams {
-    let mut upstreams = Upstreams::default();
+fn upstreams(uses_pace: bool) -> Upstreams {
+    let mut upstreams = Upstreams::new(PlacingPolicy {
+        uses_pace,
+        ..PlacingPolicy::default()
+    });
     let listed = (0..12).map(|id| {
         Arc::new(Upstream {
             id: UpstreamId::new(&format!("u{id}")).expect("a name"),
@@ -49,11 +52,21 @@
 }
 
 fn choice(upstreams: &Upstreams, now: Time, shared: u32, seed: u64) -> UpstreamIndex {
+    choice_for(upstreams, now, [1, 2], shared, seed)
+}
+
+fn choice_for(
+    upstreams: &Upstreams,
+    now: Time,
+    ids: [u64; 2],
+    shared: u32,
+    seed: u64,
+) -> UpstreamIndex {
     let part = |id, tokens| PromptPart { id, tokens };
     let requirements = Requirements {
         service: &Arc::from("model"),
         model: Some(&Arc::from("small")),
-        parts: &[part(1, shared), part(2, 300)],
+        parts: &[part(ids[0], shared), part(ids[1], 300)],
         prompt_tokens: shared + 300,
         permit: &Permit::Any,
         isolated: false,
@@ -68,7 +81,7 @@
 // A small difference would otherwise make another engine prefill the shared part again.
 #[test]
 fn a_prompt_stays_where_it_is_cached_unless_the_engine_is_clearly_slower() {
-    let mut upstreams = upstreams();
+    let mut upstreams = upstreams(true);
     let at = |secs| Time::ZERO + Span::from_secs(secs);
     let home = choice(&upstreams, at(0), 300, 1);
     let id = upstreams.spec(home).expect("listed").id.clone();
@@ -85,3 +98,24 @@
     let leaves = (2..20).filter(|seed| choice(&upstreams, at(2), 300, *seed) != home);
     assert!(leaves.count() > 9);
 }
+
+// Operators switch the use of paces off to get the former choices; a report that still counted would
+// keep requests away from an engine.
+#[test]
+fn a_policy_that_ignores_pace_chooses_as_without_reports() {
+    let at = |secs| Time::ZERO + Span::from_secs(secs);
+    let unaware = upstreams(true);
+    let [mut ignoring, mut aware] = [false, true].map(upstreams);
+    for (number, pace) in (0..12).zip([0.3, 1.0, 3.0, 0.5].into_iter().cycle()) {
+        let id = UpstreamId::new(&format!("u{number}")).expect("a name");
+        report(&mut ignoring, at(number), &id, pace);
+        report(&mut aware, at(number), &id, pace);
+    }
+    let choices = |upstreams: &Upstreams| {
+        // Each prompt has its own preferred engine.
+        let of_seed = |seed| choice_for(upstreams, at(11), [2 * seed, 2 * seed + 1], 300, seed);
+        (0..400).map(of_seed).collect::<Vec<_>>()
+    };
+    assert_eq!(choices(&ignoring), choices(&unaware));
+    assert_ne!(choices(&aware), choices(&unaware));
+}
