--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -462,6 +462,7 @@
     fn share_status(&mut self, now: Time) {
         self.plan();
         let watches = self.watch_works(now);
+        self.peering.set_own_paces(self.traffic.observed.paces());
         let copy = self.mirror_state();
         let observed = &self.traffic.observed;
         self.peering.send_heartbeat(now, copy, watches, observed);
@@ -469,6 +470,7 @@
             rate_limits: self.peering.take_rate_limits(),
             brittle: self.peering.take_brittle(),
             overload: self.peering.overload_view(now),
+            paces: self.peering.take_paces(),
             tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
             validation: self.validation(),
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -14,7 +14,9 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use dispatch::{Advertisement, BrittleAdvertisement, RolloutSummary, SharedLoad};
+use dispatch::{
+    Advertisement, BrittleAdvertisement, MAX_PACE_REPORTS, PaceReport, RolloutSummary, SharedLoad,
+};
 use mirror::Revision;
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -96,6 +98,10 @@
     /// The sender's encoded [`overload::Report`]; empty from releases that do not send it.
     #[serde(skip)]
     pub overload: Vec<u8>,
+    /// Some of the sender's samples of upstreams' paces; absent while it knows of no upstream whose
+    /// pace differs, and from releases that do not send them.
+    #[serde(skip)]
+    pub paces: Vec<PaceReport>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -169,6 +175,22 @@
         Ok(bytes.into())
     }
 
+    /// Appends samples of upstreams' paces, which follow behind the report on overload.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_paces(
+        encoded: Bytes,
+        paces: &[PaceReport],
+    ) -> Result<Bytes, HeartbeatError> {
+        if paces.is_empty() {
+            return Ok(encoded);
+        }
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(paces)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -189,8 +211,10 @@
             heartbeat.brittle = brittle;
             heartbeat.brittle.truncate(MAX_BRITTLE);
             let overload = postcard::take_from_bytes(rest);
-            let (overload, _) = overload.unwrap_or_default();
+            let (overload, rest): (Vec<u8>, _) = overload.unwrap_or_default();
             heartbeat.overload = overload;
+            heartbeat.paces = postcard::from_bytes(rest).unwrap_or_default();
+            heartbeat.paces.truncate(MAX_PACE_REPORTS);
         }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -67,6 +67,7 @@
             tunnel_port: None,
             brittle: observed.brittle(),
             overload: observed.overload(),
+            paces: self.pace_rotation.take(&self.own_paces),
         };
         match heartbeat.encode() {
             Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
@@ -94,6 +95,7 @@
                 body.and_then(|body| Heartbeat::encode_with_brittle(body, &heartbeat.brittle));
             let body =
                 body.and_then(|body| Heartbeat::encode_with_overload(body, &heartbeat.overload));
+            let body = body.and_then(|body| Heartbeat::encode_with_paces(body, &heartbeat.paces));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/tests/it/fuzz.rs
+++ b/components/fleet/tests/it/fuzz.rs
@@ -36,6 +36,7 @@
         tunnel_port: None,
         brittle: Vec::new(),
         overload: Vec::new(),
+        paces: Vec::new(),
     };
     let bytes = heartbeat.encode().expect("fits");
     let bytes = Heartbeat::encode_for(&bytes, &Freshness::default()).expect("fits");
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -93,6 +93,7 @@
         tunnel_port: None,
         brittle: Vec::new(),
         overload: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -23,6 +23,7 @@
 mod held;
 mod metrics;
 mod overload_control;
+mod paces;
 mod plan;
 mod rate_limits;
 mod relay;
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, TunnelPeer, Upstreams};
+use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, PaceUpdate, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use overload::{FleetView, Overload};
 use poison::{SharedSuspects, UpstreamInstance};
@@ -63,6 +63,8 @@
     pub brittle: Vec<BrittleAdvertisement>,
     /// Reports on overload of other daemons.
     pub overload: FleetView,
+    /// Paces of upstreams that other daemons report.
+    pub paces: Vec<PaceUpdate>,
     /// Peers that offer tunnels.
     pub tunnel_peers: Arc<Vec<TunnelPeer>>,
 }
@@ -307,6 +309,7 @@
             shared.merge_brittleness(&peer_state.brittle);
             shared.overload_view.replace(peer_state.overload);
             shared.overload_view_at.set(shared.now());
+            shared.merge_paces(&peer_state.paces);
         }
         Command::Crashed(instances) => instances
             .iter()
@@ -391,6 +394,7 @@
         shared.observed.set_loads(loads);
         shared.publish_rate_limits();
         shared.update_overload();
+        shared.publish_paces();
         let lost = i64::try_from(shared.paths.borrow().lost()).unwrap_or(i64::MAX);
         shared.metrics.lost_paths.set(lost);
         shared.count_slow_answers();
