Even load of small plain services from averages of peers (in progress)

Cause: counts at one instant are older than an answer takes, and crossing failure domains costs twelve requests. Change: crate balance, wired into dispatch, traffic and fleet; policy placing.evens_load.

--- /dev/null
+++ b/components/balance/tests/fleet.rs
@@ -0,0 +1,157 @@
+//! Requests that wait while a slot is free elsewhere, in simulated fleets that play the same
+//! arrivals by different ways to choose.
+
+mod simulation;
+
+use simulation::{Outcome, Scenario, Way, run};
+use types::prelude::*;
+
+const SEEDS: u64 = 3;
+/// Error of a share of some 9,000 requests, which wait in runs.
+const NOISE: f64 = 0.02;
+
+fn at(secs: u64) -> Time {
+    Time::ZERO + Span::from_secs(secs)
+}
+
+/// Plays a scenario by a way with several seeds.
+fn play(scenario: &Scenario, way: Way) -> Outcome {
+    let mut all = Outcome::default();
+    for seed in 1..=SEEDS {
+        all.add(run(
+            &Scenario {
+                seed,
+                ..scenario.clone()
+            },
+            way,
+        ));
+    }
+    all
+}
+
+/// Plays a scenario by several ways, each in a thread, and prints the figures.
+fn compare<const N: usize>(what: &str, scenario: &Scenario, ways: [Way; N]) -> [Outcome; N] {
+    let outcomes = std::thread::scope(|scope| {
+        let plays = ways.map(|way| scope.spawn(move || play(scenario, way)));
+        plays.map(|played| played.join().expect("a play"))
+    });
+    for (way, outcome) in ways.iter().zip(&outcomes) {
+        println!(
+            "{what}, {} daemons, {} upstreams: {way:?}: waited {:.3}, far {:.2}, p99 {:.0} ms, rejected {}",
+            scenario.daemons,
+            scenario.upstreams,
+            outcome.waited_share(),
+            outcome.far_share(),
+            outcome.p99_ms(),
+            outcome.rejected
+        );
+    }
+    outcomes
+}
+
+/// Asserts that fewer requests wait than by the present choice and by a random one.
+fn assert_better(what: &str, scenario: &Scenario, gain: f64) {
+    let [balanced, present, random] =
+        compare(what, scenario, [Way::Balanced, Way::Present, Way::Random]);
+    let waited = balanced.waited_share();
+    for (other, outcome) in [("present", &present), ("random", &random)] {
+        let most = outcome.waited_share() - gain;
+        assert!(
+            waited <= most,
+            "{what}: {waited:.3}, {other} {:.3}",
+            outcome.waited_share()
+        );
+    }
+    let rejected = present.rejected.min(random.rejected);
+    assert!(
+        balanced.rejected <= rejected,
+        "{what}: {} rejected",
+        balanced.rejected
+    );
+}
+
+fn scenarios(daemons: usize) -> [(&'static str, Scenario); 9] {
+    let base = Scenario {
+        daemons,
+        ..Scenario::default()
+    };
+    let with = |change: fn(&mut Scenario)| {
+        let mut scenario = base.clone();
+        change(&mut scenario);
+        scenario
+    };
+    [
+        ("undisturbed", base.clone()),
+        (
+            "late and reordered",
+            with(|s| s.delay = Span::from_millis(900)),
+        ),
+        ("half lost", with(|s| s.lost = 0.5)),
+        ("restart", with(|s| s.restarts_at = Some(at(9)))),
+        ("false report", with(|s| s.lies = true)),
+        ("frozen daemons", with(|s| s.frozen = Some((at(6), at(10))))),
+        ("partition", with(|s| s.halves = Some((at(5), at(15))))),
+        ("leave and join", with(|s| s.away = Some((at(6), at(11))))),
+        ("callers in one domain", with(|s| s.skewed = 2.0)),
+    ]
+}
+
+/// Daemons that know most of their peers would not use it.
+#[test]
+fn a_small_fleet_waits_half_as_often_as_by_the_present_choice() {
+    for (what, scenario) in scenarios(6) {
+        assert_better(what, &scenario, 0.1);
+    }
+}
+
+/// Old reports would steer all daemons to the same upstream.
+#[test]
+fn a_fleet_of_forty_waits_less_often() {
+    for (what, scenario) in scenarios(40) {
+        assert_better(what, &scenario, 0.0);
+    }
+}
+
+/// With few requests of each daemon nothing is known in time; the choice must be no worse.
+#[test]
+fn a_large_fleet_waits_no_more_often() {
+    for daemons in [88, 300] {
+        for (what, scenario) in scenarios(daemons).into_iter().take(5) {
+            assert_better(what, &scenario, -NOISE);
+        }
+    }
+}
+
+#[test]
+#[ignore = "sweep"]
+fn sweep() {
+    std::thread::scope(|scope| {
+        for daemons in [40, 88, 300] {
+            scope.spawn(move || {
+                let mut all = Outcome::default();
+                for seed in 1..=8 {
+                    all.add(run(&Scenario { daemons, seed, ..Scenario::default() }, Way::Balanced));
+                }
+                println!("SWEEP {daemons} {:.3} far {:.2} p99 {:.0}", all.waited_share(), all.far_share(), all.p99_ms());
+                let mut all = Outcome::default();
+                for seed in 1..=8 {
+                    all.add(run(&Scenario { daemons, seed, ..Scenario::default() }, Way::Present));
+                }
+                println!("PRESENT {daemons} {:.3} far {:.2} p99 {:.0}", all.waited_share(), all.far_share(), all.p99_ms());
+            });
+        }
+    });
+}
+
+/// The figures of the design note.
+#[test]
+#[ignore = "prints the figures of the ways that were weighed"]
+fn ways() {
+    for daemons in [6, 40, 88, 300] {
+        let scenario = Scenario {
+            daemons,
+            ..Scenario::default()
+        };
+        compare("ways", &scenario, Way::ALL);
+    }
+}
--- a/components/dispatch/src/brittle.rs
+++ b/components/dispatch/src/brittle.rs
@@ -330,6 +330,7 @@
     /// in.
     pub fn record_rejection(&mut self, now: Time, index: UpstreamIndex) {
         let daemons = self.brittle.daemons as f64;
+        self.record_full(now, index);
         self.record_leased_rejection(now, index);
         let Some(entry) = self.entries.get_mut(&index) else {
             return;
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -173,6 +173,9 @@
         if requirements.isolated {
             retain_least_loaded(&mut eligible);
         }
+        if let Some(choice) = self.choose_even(now, &eligible, requirements, rng) {
+            return choice;
+        }
         self.cheapest(now, &eligible, requirements, rng)
     }
 
@@ -266,7 +269,7 @@
             + shared / 1_000.0 * self.policy.read_again_ms_per_1000
     }
 
-    fn plain_load(&self, entry: &Entry, requirements: &Requirements<'_>) -> Load {
+    pub(crate) fn plain_load(&self, entry: &Entry, requirements: &Requirements<'_>) -> Load {
         let expected_ms = self.plain_ms(requirements.service);
         let outstanding = entry.in_flight + entry.remote.in_flight;
         let slots = entry.spec.slots.max(1);
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod choose;
 mod cold;
 mod evacuation;
+mod even_load;
 mod evidence;
 mod health;
 mod lapsed;
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -82,6 +82,8 @@
     pub uses_homes: bool,
     /// Whether the outstanding requests of other daemons count.
     pub counts_others: bool,
+    /// Whether the load of plain services with few slots is evened out, see the crate `balance`.
+    pub evens_load: bool,
     /// Whether failing upstreams are ejected.
     pub sets_aside: bool,
     /// Share of a prompt's prefill time that is charged for each stream running beside it.
@@ -134,6 +136,7 @@
         Self {
             uses_homes: true,
             counts_others: true,
+            evens_load: true,
             sets_aside: true,
             harm_share: PREFILL_DELAY_SHARE,
             silence_share: SILENCE_COST_FACTOR,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -13,6 +13,7 @@
 use crate::backlog::Backlog;
 use crate::brittle::{BrittleServices, Window};
 use crate::cold::{ColdStarts, ColdUntil, apply_cold_time};
+use crate::even_load::{EntryBalance, EvenLoad};
 use crate::health::{Health, UpstreamOutcome};
 use crate::means::{DEFAULT_PLAIN_MS, MEAN_WEIGHT, ServiceMeans, means_of};
 use crate::policy::PlacingPolicy;
@@ -117,6 +118,8 @@
     pub(crate) backlog: Backlog,
     /// The load by other daemons, as last reported.
     pub(crate) remote: RemoteLoad,
+    /// What the choice by even load knows of it.
+    pub(crate) balance: EntryBalance,
     /// When anything was last read from it.
     pub(crate) heard_at: Time,
     /// Since when this daemon has had requests outstanding there without a break.
@@ -181,6 +184,7 @@
     pub(crate) lenders: Lenders,
     pub(crate) brittle: BrittleServices,
     pub(crate) cold: ColdStarts,
+    pub(crate) even_load: EvenLoad,
     pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
     next_index: u64,
     next_ticket: u64,
@@ -275,6 +279,7 @@
             lent: 0,
             backlog: Backlog::default(),
             remote: RemoteLoad::default(),
+            balance: EntryBalance::new(now),
             heard_at: Time::ZERO,
             busy_since: Time::ZERO,
             prefixes: HashMap::new(),
@@ -340,6 +345,9 @@
             entry.busy_since = now;
         }
         entry.in_flight += 1;
+        entry
+            .balance
+            .record_start(now, entry.in_flight, prefixes.is_empty());
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.note_chosen();
         if entry.prefixes.len() + prefixes.len() > MAX_PREFIXES {
@@ -417,6 +425,7 @@
             return;
         };
         entry.in_flight = entry.in_flight.saturating_sub(1);
+        entry.balance.record_end(now, entry.in_flight);
         if outcome == UpstreamOutcome::Good {
             entry.window.record_answer();
         }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -15,7 +15,7 @@
 use crate::event::{Event, Purpose};
 use crate::freshness::Claim;
 use crate::peer_sync::PeerSync;
-use crate::peering::{Followup, Peering};
+use crate::peering::{Followup, OwnReports, Peering};
 use crate::planner::Planner;
 use crate::presence::Presence;
 use crate::quarantine::QuarantineSync;
@@ -462,17 +462,21 @@
     fn share_status(&mut self, now: Time) {
         self.plan();
         let watches = self.watch_works(now);
-        let loads = self.traffic.observed.loads();
-        let rate_limits = self.traffic.observed.rate_limits();
-        let brittle = self.traffic.observed.brittle();
+        let observed = &self.traffic.observed;
+        let reports = OwnReports {
+            loads: observed.loads(),
+            rate_limits: observed.rate_limits(),
+            brittle: observed.brittle(),
+            averages: observed.averages(),
+        };
         let copy = self.mirror_state();
-        self.peering
-            .send_heartbeat(now, copy, watches, loads, rate_limits, brittle);
+        self.peering.send_heartbeat(now, copy, watches, reports);
         let peer_state = PeerState {
             rate_limits: self.peering.take_rate_limits(),
             brittle: self.peering.take_brittle(),
             tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
+            averages: self.peering.peer_averages(now),
             validation: self.validation(),
         };
         // The event loop may have ended before this thread when the process stops.
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -13,6 +13,7 @@
 
 use std::collections::HashMap;
 
+use balance::AverageLoad;
 use bytes::Bytes;
 use dispatch::{Advertisement, BrittleAdvertisement, RolloutSummary, SharedLoad};
 use mirror::Revision;
@@ -93,6 +94,10 @@
     /// Brittle services, as far as the sender knows; absent from releases that do not send them.
     #[serde(skip)]
     pub brittle: Vec<BrittleAdvertisement>,
+    /// The sender's average requests in flight at plain services, by upstream; absent from releases
+    /// that do not send them.
+    #[serde(skip)]
+    pub averages: Vec<AverageLoad>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -156,6 +161,19 @@
         Ok(bytes.into())
     }
 
+    /// Appends the average loads, which follow behind the brittle services.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_averages(
+        encoded: Bytes,
+        averages: &[AverageLoad],
+    ) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(averages)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -171,8 +189,13 @@
             let port = postcard::take_from_bytes::<Option<u16>>(rest);
             let (port, rest) = port.unwrap_or_default();
             heartbeat.tunnel_port = port;
-            heartbeat.brittle = postcard::from_bytes(rest).unwrap_or_default();
+            let brittle = postcard::take_from_bytes(rest);
+            let (brittle, rest) = brittle.unwrap_or_default();
+            heartbeat.brittle = brittle;
             heartbeat.brittle.truncate(MAX_BRITTLE);
+            let averages = postcard::take_from_bytes(rest);
+            heartbeat.averages = averages.map(|(averages, _)| averages).unwrap_or_default();
+            heartbeat.averages.truncate(balance::MAX_LOADS);
         }
         heartbeat.sent_at = extension.sent_at;
         heartbeat.rate_limits = extension.rate_limits;
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use balance::{PeerLoad, Reports};
 use bytes::Bytes;
 use dispatch::{
     Advertisement, BrittleAdvertisement, Evidence, EvidenceAggregator, Fleet, PeerLoads,
@@ -25,6 +26,8 @@
 
 mod heartbeat;
 
+pub(crate) use heartbeat::OwnReports;
+
 /// How long a peer's heartbeat is valid in a small fleet: until three messages in a row are
 /// missing.
 const REPORT_TTL_SMALL_FLEET: Span = Span::from_millis(700);
@@ -54,6 +57,7 @@
     arrived: Vec<DaemonId>,
     gossip_view: GossipView,
     loads: PeerLoads,
+    averages: Reports,
     peer_states: PeerStates,
     claims: Claims,
     aggregator: EvidenceAggregator,
@@ -108,6 +112,7 @@
             arrived: Vec::new(),
             gossip_view: GossipView::default(),
             loads: PeerLoads::default(),
+            averages: Reports::default(),
             peer_states: PeerStates::default(),
             claims: Claims::default(),
             aggregator: EvidenceAggregator::default(),
@@ -212,6 +217,7 @@
                     }
                     self.note_rate_limits(heartbeat.rate_limits);
                     self.note_brittle(heartbeat.brittle);
+                    self.averages.update(now, from.clone(), heartbeat.averages);
                     self.loads.update(now, from, heartbeat.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -395,6 +401,15 @@
         loads
     }
 
+    /// Average requests in flight from all other daemons at plain services, by upstream.
+    pub(crate) fn peer_averages(&mut self, now: Time) -> HashMap<u32, PeerLoad> {
+        let me = &self.members.local().id;
+        let others = self.members.members().map(|member| &member.record);
+        let present = others.filter(|record| record.state.is_present() && record.id != *me);
+        let present = present.map(|record| (&record.id, &record.failure_domain));
+        self.averages.sums(now, present)
+    }
+
     /// Records this daemon's evidence on a roll-out and returns the fleet's.
     pub(crate) fn aggregate(&mut self, own: &Evidence) -> RolloutSummary {
         let me = self.members.local().id.clone();
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Sending heartbeats, several times a second, and the freshness claims they carry.
 
+use balance::AverageLoad;
 use bytes::Bytes;
 use dispatch::{Advertisement, BrittleAdvertisement, SharedLoad};
 use mirror::Revision;
@@ -11,6 +12,19 @@
 use crate::gossip::GossipKind;
 use crate::heartbeat::{Heartbeat, SentAt, StoreReport};
 
+/// What this daemon reports on upstreams.
+#[derive(Debug)]
+pub(crate) struct OwnReports {
+    /// Its requests in flight.
+    pub(crate) loads: Vec<SharedLoad>,
+    /// Rate limits that upstreams advertise.
+    pub(crate) rate_limits: Vec<Advertisement>,
+    /// Brittle services.
+    pub(crate) brittle: Vec<BrittleAdvertisement>,
+    /// Its average requests in flight at plain services.
+    pub(crate) averages: Vec<AverageLoad>,
+}
+
 impl Peering {
     pub(super) fn merge_claims(&mut self, now: Time, from: &DaemonId, heartbeat: &Heartbeat) {
         let Some(received) = &heartbeat.freshness else {
@@ -39,9 +53,7 @@
         now: Time,
         mirror: MirrorState,
         own_watch_works: bool,
-        loads: Vec<SharedLoad>,
-        rate_limits: Vec<Advertisement>,
-        brittle: Vec<BrittleAdvertisement>,
+        reports: OwnReports,
     ) {
         self.ticks = self.ticks.wrapping_add(1);
         let is_full = self.ticks.is_multiple_of(FULL_HEARTBEAT_TICKS)
@@ -62,15 +74,16 @@
             watchers,
             store_unreachable: self.peer_states.store_unreachable(now),
             rollouts: self.aggregator.summaries(),
-            loads,
-            rate_limits,
+            loads: reports.loads,
+            rate_limits: reports.rate_limits,
             sent_at: Some(self.sent_at(now)),
             freshness: None,
             tunnel_port: None,
-            brittle,
+            brittle: reports.brittle,
+            averages: reports.averages,
         };
         match heartbeat.encode() {
-            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat.brittle, kind),
+            Ok(body) => self.send_heartbeat_to_targets(now, &body, &heartbeat, kind),
             Err(e) => tracing::error!("peers: {e}"),
         }
     }
@@ -80,8 +93,8 @@
     fn send_heartbeat_to_targets(
         &mut self,
         now: Time,
-        heartbeat: &Bytes,
-        brittle: &[BrittleAdvertisement],
+        encoded: &Bytes,
+        heartbeat: &Heartbeat,
         kind: GossipKind,
     ) {
         for address in self.recipients(now, kind) {
@@ -89,9 +102,12 @@
             let freshness = clock.and_then(|clock| self.claims.for_peer(&clock));
             // The port follows behind the claims, so they are never left out.
             let freshness = freshness.unwrap_or_default();
-            let body = Heartbeat::encode_for(heartbeat, &freshness);
+            let body = Heartbeat::encode_for(encoded, &freshness);
             let body = body.and_then(|body| Heartbeat::encode_with_tunnels(body, self.tunnel_port));
+            let brittle = &heartbeat.brittle;
             let body = body.and_then(|body| Heartbeat::encode_with_brittle(body, brittle));
+            let averages = &heartbeat.averages;
+            let body = body.and_then(|body| Heartbeat::encode_with_averages(body, averages));
             match body {
                 Ok(body) => {
                     let part = Part::Standing;
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -22,6 +22,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        averages: Vec::new(),
     }
 }
 
--- a/components/fleet/tests/it/rate_limits.rs
+++ b/components/fleet/tests/it/rate_limits.rs
@@ -1,5 +1,7 @@
 //! Which daemons share upstreams' rate limits, and compatibility of heartbeats between releases.
 
+use balance::AverageLoad;
+use bytes::Bytes;
 use dispatch::Advertisement;
 use fleet::{
     DaemonEntry, Freshness, Heartbeat, SentAt, WireClaim, shares_rate_limits, sharing_daemons,
@@ -92,6 +94,7 @@
         freshness: None,
         tunnel_port: None,
         brittle: Vec::new(),
+        averages: Vec::new(),
     }
 }
 
@@ -139,3 +142,40 @@
     };
     assert_eq!(Heartbeat::decode(&one).expect("its form"), expected);
 }
+
+/// A heartbeat with the averages behind all other fields.
+fn with_averages(averages: &[AverageLoad]) -> Bytes {
+    let any = heartbeat().encode().expect("fits");
+    let one = Heartbeat::encode_for(&any, &Freshness::default()).expect("fits");
+    let one = Heartbeat::encode_with_tunnels(one, 7).expect("fits");
+    let one = Heartbeat::encode_with_brittle(one, &[]).expect("fits");
+    Heartbeat::encode_with_averages(one, averages).expect("fits")
+}
+
+/// Averages would be lost, or read as another field, beside daemons of the release before them.
+#[test]
+fn average_loads_follow_behind_all_other_fields() {
+    let load = AverageLoad::new(9, 1.5).expect("not zero");
+    let bytes = with_averages(&[load]);
+    assert_eq!(
+        Heartbeat::decode(&bytes).expect("its form").averages,
+        [load]
+    );
+    let empty = with_averages(&[]);
+    let before = empty.slice(..empty.len() - 1);
+    assert!(bytes.starts_with(&before));
+    let read = Heartbeat::decode(&before).expect("its form");
+    assert_eq!((read.averages, read.tunnel_port), (Vec::new(), Some(7)));
+    let cut = bytes.slice(..bytes.len() - 1);
+    let read = Heartbeat::decode(&cut).expect("its form");
+    assert_eq!((read.averages, read.tunnel_port), (Vec::new(), Some(7)));
+}
+
+/// Heartbeats would grow beyond what a daemon may use for control.
+#[test]
+fn average_loads_take_at_most_256_bytes() {
+    let loads = (0..1_000).filter_map(|n| AverageLoad::new(u32::MAX - n, 2_000.0));
+    let selected = balance::select(loads.collect());
+    let added = with_averages(&selected).len() - with_averages(&[]).len() + 1;
+    assert!(added <= 256, "{added} bytes");
+}
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and latency histograms of the event loop.
 
 use std::cell::RefCell;
+use std::sync::atomic::AtomicU64;
 
+use dispatch::Upstreams;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -46,6 +48,11 @@
     outcome: Outcome,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ChargeLabel {
     charge: ChargeKind,
@@ -100,6 +107,9 @@
     pub evacuated_domains: Gauge,
     /// Upstreams that are cold.
     pub cold_upstreams: Gauge,
+    /// Load per slot of a service's busiest upstream over the mean.
+    skews: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    avoidable_rejections: Counter,
     dropped_log_lines: Counter,
     scratch: RefCell<String>,
 }
@@ -134,6 +144,8 @@
             unreadable: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_upstreams: Gauge::default(),
+            skews: Family::default(),
+            avoidable_rejections: Counter::default(),
             dropped_log_lines: Counter::default(),
             scratch: RefCell::default(),
         };
@@ -173,6 +185,7 @@
         self.register_rate_limits();
         self.register_leases();
         self.register_tunnels();
+        self.register_balance();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
@@ -250,6 +263,35 @@
         );
     }
 
+    fn register_balance(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "load_skew",
+            "Load per slot of a plain service's busiest upstream over the mean",
+            self.skews.clone(),
+        );
+        r.register(
+            "avoidable_rejections",
+            "Requests rejected for lack of capacity while another upstream was believed to have some",
+            self.avoidable_rejections.clone(),
+        );
+    }
+
+    /// Sets the metrics of even load; services without load are left out.
+    pub(crate) fn set_balance(&self, upstreams: &Upstreams, now: Time) {
+        self.skews.clear();
+        for (service, skew) in upstreams.skews(now) {
+            let service = service.to_string();
+            self.skews
+                .get_or_create(&ServiceLabel { service })
+                .set(skew);
+        }
+        let counted = self.avoidable_rejections.get();
+        let rejections = upstreams.avoidable_rejections();
+        self.avoidable_rejections
+            .inc_by(rejections.saturating_sub(counted));
+    }
+
     fn register_rate_limits(&mut self) {
         let r = &mut self.registry;
         r.register(
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::PeerLoad;
 use dispatch::{Advertisement, BrittleAdvertisement, LastSeen, TunnelPeer, Upstreams};
 use http1::{Pool, Wire, WireOptions};
 use poison::{SharedSuspects, UpstreamInstance};
@@ -54,6 +55,8 @@
 pub struct PeerState {
     /// Load that all other daemons together have in flight, by upstream.
     pub loads: HashMap<u32, (f64, u32)>,
+    /// Average load of all other daemons at plain services, by upstream.
+    pub averages: HashMap<u32, PeerLoad>,
     /// The configuration version last validated as current.
     pub validation: Option<Validation>,
     /// Rate limits of upstreams that other daemons advertise.
@@ -286,10 +289,10 @@
     match command {
         Command::Plan(plan) => shared.set_plan(plan),
         Command::PeerState(peer_state) => {
-            shared
-                .upstreams
-                .borrow_mut()
-                .set_remote_loads(&peer_state.loads);
+            let mut upstreams = shared.upstreams.borrow_mut();
+            upstreams.set_remote_loads(&peer_state.loads);
+            upstreams.set_peer_averages(&peer_state.averages);
+            drop(upstreams);
             shared.validation.set(peer_state.validation);
             shared
                 .tunnel_peers
@@ -379,6 +382,8 @@
         shared.pauses.borrow_mut().record_awake(shared.now());
         let loads = shared.upstreams.borrow().own_loads(shared.now());
         shared.observed.set_loads(loads);
+        let averages = shared.upstreams.borrow().own_averages(shared.now());
+        shared.observed.set_averages(averages);
         shared.publish_rate_limits();
         let lost = i64::try_from(shared.paths.borrow().lost()).unwrap_or(i64::MAX);
         shared.metrics.lost_paths.set(lost);
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use balance::AverageLoad;
 use dispatch::{
     Advertisement, BrittleAdvertisement, Evidence, Gate, LastSeen, Paths, Pauses, Pins,
     RetryBudget, SharedLoad, TunnelPeers, UpstreamIndex, Upstreams,
@@ -44,6 +45,7 @@
     evidence: BTreeMap<Arc<str>, Evidence>,
     staying: BTreeMap<u64, BTreeSet<u32>>,
     loads: Vec<SharedLoad>,
+    averages: Vec<AverageLoad>,
     rate_limits: Vec<Advertisement>,
     brittle: Vec<BrittleAdvertisement>,
 }
@@ -86,6 +88,12 @@
         self.lock().loads.clone()
     }
 
+    /// Returns the averages of this daemon's requests in flight at plain services' upstreams.
+    #[must_use]
+    pub fn averages(&self) -> Vec<AverageLoad> {
+        self.lock().averages.clone()
+    }
+
     /// Returns the rate limits of upstreams to advertise to other daemons.
     #[must_use]
     pub fn rate_limits(&self) -> Vec<Advertisement> {
@@ -110,6 +118,10 @@
         self.lock().loads = loads;
     }
 
+    pub(crate) fn set_averages(&self, averages: Vec<AverageLoad>) {
+        self.lock().averages = averages;
+    }
+
     pub(crate) fn update_evidence(
         &self,
         service: &Arc<str>,
@@ -201,6 +213,7 @@
         upstreams.set_evacuated(now, &plan.evacuated);
         let gone = upstreams.configure(now, &plan.upstreams);
         upstreams.set_fleet(now, &plan.fleet);
+        upstreams.set_daemons(plan.daemons);
         drop(upstreams);
         for gone in gone {
             self.unlisted(gone);
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -115,6 +115,9 @@
             let cold = shared.upstreams.borrow().count_cold(shared.now());
             let cold = i64::try_from(cold).unwrap_or(i64::MAX);
             shared.metrics.cold_upstreams.set(cold);
+            shared
+                .metrics
+                .set_balance(&shared.upstreams.borrow(), shared.now());
             let dropped = shared.cfg.dropped_logs.lines();
             (200, shared.metrics.text(dropped))
         }
