Even load: restarts, engines, cold upstreams, rejections

Cause: a restarted instance counted as never used, so every daemon chose it next; prompts without shared parts marked engines as plain upstreams; a cold upstream counted as idle; rejections of services that are not balanced counted as avoidable; leased rejections did not count at all.

Change: a new instance counts as used when it is listed; Load says whether the upstream is an engine, and engines and services that are not balanced are neither chosen, reported nor counted; cold upstreams are avoided like full ones; both kinds of rejection are recorded in one place.

Result: six new tests in dispatch's even_load, five of which failed before (a_rejection_counts_once guards the new place), and an_upstream_that_restarts_is_not_overrun in balance's fleet, which failed before.

--- a/components/balance/benches/choose.rs
+++ b/components/balance/benches/choose.rs
@@ -20,6 +20,7 @@
                     others: loads[i],
                     slots: 6,
                     is_full: false,
+                    is_cold: false,
                 };
                 choose(count, &near, 0.7, candidate, &mut rng)
             });
--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// Whether it rejected a request so recently that it is taken to be full.
     pub is_full: bool,
+    /// Whether it is cold: it is slow, and has few requests because it is avoided.
+    pub is_cold: bool,
 }
 
 impl Candidate {
@@ -62,14 +64,19 @@
         !self.is_full && f64::from(self.own) + self.others < f64::from(self.slots.max(1))
     }
 
+    /// Whether it is avoided while there is another one.
+    fn is_avoided(&self) -> bool {
+        self.is_full || self.is_cold
+    }
+
     fn keeps_up(&self) -> bool {
         let load = (f64::from(self.own) + self.others) / f64::from(self.slots.max(1));
-        !self.is_full && load < KEEPS_UP_BELOW
+        !self.is_avoided() && load < KEEPS_UP_BELOW
     }
 
     fn key(&self, mean: f64) -> (bool, bool, u32, Time) {
         let is_overloaded = self.others_per_slot() > mean + MAX_EXCESS;
-        (self.is_full, is_overloaded, self.own, self.used_at)
+        (self.is_avoided(), is_overloaded, self.own, self.used_at)
     }
 }
 
--- a/components/balance/tests/fleet.rs
+++ b/components/balance/tests/fleet.rs
@@ -1,9 +1,9 @@
 //! Requests that wait while a slot is free elsewhere, in simulated fleets that play the same
-//! arrivals by different ways to choose.
+//! arrivals by different strategies to choose.
 
 mod simulation;
 
-use simulation::{Outcome, Scenario, Way, run};
+use simulation::{Outcome, Scenario, Strategy, run};
 use types::prelude::*;
 
 const SEEDS: u64 = 3;
@@ -14,8 +14,8 @@
     Time::ZERO + Span::from_secs(secs)
 }
 
-/// Plays a scenario by a way with several seeds.
-fn play(scenario: &Scenario, way: Way) -> Outcome {
+/// Plays a scenario by a strategy with several seeds.
+fn play(scenario: &Scenario, strategy: Strategy) -> Outcome {
     let mut all = Outcome::default();
     for seed in 1..=SEEDS {
         all.add(run(
@@ -23,21 +23,25 @@
                 seed,
                 ..scenario.clone()
             },
-            way,
+            strategy,
         ));
     }
     all
 }
 
-/// Plays a scenario by several ways, each in a thread, and prints the figures.
-fn compare<const N: usize>(what: &str, scenario: &Scenario, ways: [Way; N]) -> [Outcome; N] {
+/// Plays a scenario by several strategies, each in a thread, and prints the figures.
+fn compare<const N: usize>(
+    what: &str,
+    scenario: &Scenario,
+    strategies: [Strategy; N],
+) -> [Outcome; N] {
     let outcomes = std::thread::scope(|scope| {
-        let plays = ways.map(|way| scope.spawn(move || play(scenario, way)));
+        let plays = strategies.map(|strategy| scope.spawn(move || play(scenario, strategy)));
         plays.map(|played| played.join().expect("a play"))
     });
-    for (way, outcome) in ways.iter().zip(&outcomes) {
+    for (strategy, outcome) in strategies.iter().zip(&outcomes) {
         println!(
-            "{what}, {} daemons, {} upstreams: {way:?}: waited {:.3}, far {:.2}, p99 {:.0} ms, rejected {}",
+            "{what}, {} daemons, {} upstreams: {strategy:?}: waited {:.3}, far {:.2}, p99 {:.0} ms, rejected {}",
             scenario.daemons,
             scenario.upstreams,
             outcome.waited_share(),
@@ -51,8 +55,11 @@
 
 /// Asserts that fewer requests wait than by the present choice and by a random one.
 fn assert_better(what: &str, scenario: &Scenario, gain: f64) {
-    let [balanced, present, random] =
-        compare(what, scenario, [Way::Balanced, Way::Present, Way::Random]);
+    let [balanced, present, random] = compare(
+        what,
+        scenario,
+        [Strategy::Balanced, Strategy::Present, Strategy::Random],
+    );
     let waited = balanced.waited_share();
     for (other, outcome) in [("present", &present), ("random", &random)] {
         let most = outcome.waited_share() - gain;
@@ -88,7 +95,7 @@
         ),
         ("half lost", with(|s| s.lost = 0.5)),
         ("restart", with(|s| s.restarts_at = Some(at(9)))),
-        ("false report", with(|s| s.lies = true)),
+        ("false report", with(|s| s.false_reports = true)),
         ("frozen daemons", with(|s| s.frozen = Some((at(6), at(10))))),
         ("partition", with(|s| s.halves = Some((at(5), at(15))))),
         ("leave and join", with(|s| s.away = Some((at(6), at(11))))),
@@ -130,6 +137,20 @@
     assert_better("undisturbed", &scenario, -NOISE);
 }
 
+/// All daemons of a large fleet would choose an instance that has restarted for their next request,
+/// more requests than its slots and its queue hold.
+#[test]
+fn an_upstream_that_restarts_is_not_overrun() {
+    let scenario = Scenario {
+        daemons: 300,
+        restarts_at: Some(at(9)),
+        length: Span::from_secs(11),
+        ..Scenario::default()
+    };
+    let [balanced] = compare("short restart", &scenario, [Strategy::Balanced]);
+    assert_eq!(balanced.rejected, 0);
+}
+
 /// A service with many slots for each daemon would not be chosen as before.
 #[test]
 fn a_fleet_of_six_chooses_as_before() {
@@ -137,20 +158,24 @@
         daemons: 6,
         ..Scenario::default()
     };
-    let [balanced, present] = compare("few daemons", &scenario, [Way::Balanced, Way::Present]);
+    let [balanced, present] = compare(
+        "few daemons",
+        &scenario,
+        [Strategy::Balanced, Strategy::Present],
+    );
     assert_eq!(balanced.waited, present.waited);
     assert_eq!(balanced.far, present.far);
 }
 
 /// The figures of the design note.
 #[test]
-#[ignore = "prints the figures of the ways that were weighed"]
-fn ways() {
+#[ignore = "prints the figures of the strategies that were weighed"]
+fn strategies() {
     for daemons in [6, 40, 88, 300] {
         let scenario = Scenario {
             daemons,
             ..Scenario::default()
         };
-        compare("ways", &scenario, Way::ALL);
+        compare("strategies", &scenario, Strategy::ALL);
     }
 }
--- a/components/balance/tests/simulation/mod.rs
+++ b/components/balance/tests/simulation/mod.rs
@@ -24,7 +24,7 @@
 
 /// How daemons choose.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Way {
+pub enum Strategy {
     /// The choice of `dispatch` with this part switched off.
     Present,
     /// Any upstream.
@@ -47,7 +47,7 @@
     Exact,
 }
 
-impl Way {
+impl Strategy {
     pub const ALL: [Self; 10] = [
         Self::Present,
         Self::Random,
@@ -80,7 +80,7 @@
     /// When the first upstream restarts.
     pub restarts_at: Option<Time>,
     /// Whether the first daemon reports all that a report can hold at the first upstream.
-    pub lies: bool,
+    pub false_reports: bool,
     /// While a third of the daemons send no heartbeats and no requests.
     pub frozen: Option<(Time, Time)>,
     /// While two halves don't hear each other.
@@ -104,7 +104,7 @@
             lost: 0.0,
             delay: Span::from_millis(60),
             restarts_at: None,
-            lies: false,
+            false_reports: false,
             frozen: None,
             halves: None,
             away: None,
@@ -227,7 +227,7 @@
 
 struct World<'a> {
     scenario: &'a Scenario,
-    way: Way,
+    strategy: Strategy,
     rng: ChaCha8Rng,
     arrivals: Vec<Arrival>,
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
@@ -279,9 +279,9 @@
     all
 }
 
-/// Plays a scenario by a way to choose.
-pub fn run(scenario: &Scenario, way: Way) -> Outcome {
-    let mut world = World::new(scenario, way);
+/// Plays a scenario by a strategy to choose.
+pub fn run(scenario: &Scenario, strategy: Strategy) -> Outcome {
+    let mut world = World::new(scenario, strategy);
     while let Some(Reverse((now, _, event))) = world.events.pop() {
         if now > Time::ZERO + scenario.length {
             break;
@@ -292,13 +292,13 @@
 }
 
 impl<'a> World<'a> {
-    fn new(scenario: &'a Scenario, way: Way) -> Self {
+    fn new(scenario: &'a Scenario, strategy: Strategy) -> Self {
         let domains =
             (0..scenario.domains).map(|d| FailureDomain::new(&format!("d{d}")).expect("a name"));
         let ids = (0..scenario.daemons).map(|d| DaemonId::new(&format!("r{d}")).expect("a name"));
         let mut world = Self {
             scenario,
-            way,
+            strategy,
             rng: ChaCha8Rng::seed_from_u64(scenario.seed + 1_000),
             arrivals: arrivals(scenario),
             events: BinaryHeap::new(),
@@ -361,9 +361,9 @@
     }
 
     fn dispatch_of(&self) -> Option<Dispatch> {
-        let evens_load = match self.way {
-            Way::Present => false,
-            Way::Balanced => true,
+        let evens_load = match self.strategy {
+            Strategy::Present => false,
+            Strategy::Balanced => true,
             _ => return None,
         };
         let policy = PlacingPolicy {
@@ -550,7 +550,7 @@
         if self.is_absent(now, index) {
             return;
         }
-        if matches!(self.way, Way::Present | Way::Balanced) {
+        if matches!(self.strategy, Strategy::Present | Strategy::Balanced) {
             self.update(now, index);
         }
         let is_small = self.scenario.daemons <= 16;
@@ -600,7 +600,7 @@
 
     fn message(&self, now: Time, index: usize) -> Message {
         let daemon = &self.daemons[index];
-        let lies = self.scenario.lies && index == 0;
+        let is_false = self.scenario.false_reports && index == 0;
         let mut counts = daemon.own.clone();
         let upstreams = daemon.dispatch.as_ref().map(|d| &d.upstreams);
         let mut averages = upstreams.map_or(Vec::new(), |upstreams| upstreams.own_averages(now));
@@ -608,7 +608,7 @@
             .dispatch
             .as_ref()
             .map_or(Vec::new(), |d| d.upstreams.own_loads(now));
-        if lies {
+        if is_false {
             counts[0] = u32::from(u16::MAX);
             if let Some(dispatch) = &daemon.dispatch {
                 let spec = dispatch
@@ -697,14 +697,14 @@
                 .min_by(|a, b| load(*a).total_cmp(&load(*b)))
                 .unwrap_or(0)
         };
-        match self.way {
-            Way::Present | Way::Balanced => self.dispatch(now, index, request),
-            Way::Random => rng.random_range(0..n),
-            Way::Instant => two(rng, &|u| daemon.scaled_count(now, self.scenario.daemons, u)),
-            Way::OwnOnly => (0..n)
+        match self.strategy {
+            Strategy::Present | Strategy::Balanced => self.dispatch(now, index, request),
+            Strategy::Random => rng.random_range(0..n),
+            Strategy::Instant => two(rng, &|u| daemon.scaled_count(now, self.scenario.daemons, u)),
+            Strategy::OwnOnly => (0..n)
                 .min_by_key(|u| (daemon.own[*u], daemon.used_at[*u]))
                 .unwrap_or(0),
-            Way::Leases => {
+            Strategy::Leases => {
                 let load = |u: usize| {
                     let leased = (0..SLOTS)
                         .filter(|s| (u * SLOTS + s) % self.scenario.daemons == index % (n * SLOTS));
@@ -712,16 +712,16 @@
                 };
                 least(rng, &load)
             }
-            Way::Subset => {
+            Strategy::Subset => {
                 let other = index % n;
                 let pair = [other, (other + 1 + index / n % (n - 1)) % n];
                 pair.into_iter()
                     .min_by_key(|u| (daemon.own[*u], daemon.used_at[*u]))
                     .unwrap_or(0)
             }
-            Way::InAnswers => two(rng, &|u| daemon.answered_load(now, u)),
-            Way::LateBinding => two(rng, &exact),
-            Way::Exact => least(rng, &exact),
+            Strategy::InAnswers => two(rng, &|u| daemon.answered_load(now, u)),
+            Strategy::LateBinding => two(rng, &exact),
+            Strategy::Exact => least(rng, &exact),
         }
     }
 
--- a/components/dispatch/src/brittle.rs
+++ b/components/dispatch/src/brittle.rs
@@ -330,7 +330,6 @@
     /// in.
     pub fn record_rejection(&mut self, now: Time, index: UpstreamIndex) {
         let daemons = self.brittle.daemons as f64;
-        self.record_full(now, index);
         self.record_leased_rejection(now, index);
         let Some(entry) = self.entries.get_mut(&index) else {
             return;
@@ -345,6 +344,7 @@
     /// Records that an upstream rejected, for want of room, a request that another daemon's share
     /// let in: that one pauses.
     pub fn record_leased_rejection(&mut self, now: Time, index: UpstreamIndex) {
+        self.record_full(now, index);
         if let Some(entry) = self.entries.get_mut(&index) {
             entry.window.answers = 0;
             entry.window.leases_paused_until = now + MIN_PAUSE;
--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -259,6 +259,7 @@
             expected_uncached_ms: ENGINE_BASE_MS
                 + self.prefill_ms(requirements.model, f64::from(requirements.prompt_tokens)),
             wait_ms: entry.backlog.wait_ms(now) + entry.remote.backlog_ms,
+            is_engine: requirements.model.is_some(),
         }
     }
 
@@ -280,6 +281,7 @@
             expected_ms,
             expected_uncached_ms: expected_ms,
             wait_ms: f64::from(waiting) * expected_ms / f64::from(slots),
+            is_engine: requirements.model.is_some(),
         }
     }
 }
--- a/components/dispatch/src/even_load.rs
+++ b/components/dispatch/src/even_load.rs
@@ -20,22 +20,24 @@
     full_until: Time,
     /// When reports on this instance can be expected.
     reported_from: Time,
-    /// Whether a request without a prompt was sent there.
-    is_plain: bool,
+    /// Whether the latest request was sent there as to an engine.
+    is_engine: bool,
 }
 
 impl EntryBalance {
     /// Creates the state of an instance that is new at this daemon.
     pub(crate) fn new(now: Time) -> Self {
         Self {
+            // As if used now: one that was never used would be the next choice of all daemons.
+            used_at: now,
             reported_from: now + balance::REPORT_LIFETIME,
             ..Self::default()
         }
     }
 
-    pub(crate) fn record_start(&mut self, now: Time, in_flight: u32, is_plain: bool) {
+    pub(crate) fn record_start(&mut self, now: Time, in_flight: u32, is_engine: bool) {
         self.used_at = now;
-        self.is_plain = is_plain;
+        self.is_engine = is_engine;
         self.average.set(now, in_flight);
     }
 
@@ -54,21 +56,32 @@
     avoidable_rejections: u64,
 }
 
+impl EvenLoad {
+    /// Returns the load by other daemons of a service whose upstreams are balanced.
+    fn balanced(&self, service: &str) -> Option<&ServiceLoad> {
+        let load = self.services.get(service)?;
+        balance::applies(load.slots(), self.daemons).then_some(load)
+    }
+}
+
 impl Upstreams {
     /// Sets the number of daemons in the fleet.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.even_load.daemons = daemons;
     }
 
-    /// Returns the averages of this daemon's requests in flight at upstreams of plain services, for
-    /// the other daemons: the largest that fit into a report.
+    /// Returns the averages of this daemon's requests in flight at upstreams of balanced services,
+    /// for the other daemons: the largest that fit into a report.
     #[must_use]
     pub fn own_averages(&self, now: Time) -> Vec<AverageLoad> {
         if !self.policy.evens_load {
             return Vec::new();
         }
-        let plain = self.entries.values().filter(|entry| entry.balance.is_plain);
-        let loads = plain
+        let balanced = self.entries.values().filter(|entry| {
+            let service = self.even_load.balanced(&entry.spec.service);
+            !entry.balance.is_engine && service.is_some()
+        });
+        let loads = balanced
             .filter_map(|entry| AverageLoad::new(entry.instance.0, entry.balance.average.get(now)));
         balance::select(loads.collect())
     }
@@ -99,13 +112,11 @@
         requirements: &Requirements<'_>,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        if !self.policy.evens_load || !requirements.parts.is_empty() {
-            return None;
-        }
-        let service = self.even_load.services.get(requirements.service)?;
-        if !balance::applies(service.slots(), self.even_load.daemons) {
+        if !self.policy.evens_load || requirements.model.is_some() || !requirements.parts.is_empty()
+        {
             return None;
         }
+        let service = self.even_load.balanced(requirements.service)?;
         let near = eligible.iter().enumerate();
         let near =
             near.filter(|(_, (_, entry))| entry.spec.failure_domain == *requirements.local_domain);
@@ -126,17 +137,20 @@
         if !self.policy.evens_load {
             return;
         }
-        let Some(service) = self.entries.get(&index).map(|e| e.spec.service.clone()) else {
+        let rejecting = self.entries.get(&index);
+        let Some(rejecting) = rejecting.filter(|entry| !entry.balance.is_engine) else {
+            return;
+        };
+        let service = &rejecting.spec.service;
+        let Some(load) = self.even_load.balanced(service) else {
             return;
         };
-        let others = self.by_service.get(&service).into_iter().flatten();
+        let others = self.by_service.get(service).into_iter().flatten();
         let others = others.filter(|other| **other != index);
         let mut others = others.filter_map(|other| self.entries.get(other));
-        let load = self.even_load.services.get(&service).copied();
-        let load = load.unwrap_or_default();
         let is_avoidable = others.any(|entry| {
             let is_usable = entry.takes_requests() && !entry.is_leaving;
-            is_usable && candidate(now, entry, &load).has_capacity()
+            is_usable && candidate(now, entry, load).has_capacity()
         });
         if is_avoidable {
             self.even_load.avoidable_rejections += 1;
@@ -164,6 +178,7 @@
             let entries = self.by_service.get(service)?.iter();
             let entries = entries.filter_map(|index| self.entries.get(index));
             let usable = entries.filter(|entry| entry.takes_requests() && !entry.is_leaving);
+            let usable = usable.filter(|entry| !entry.balance.is_engine);
             let loads = usable.map(|entry| {
                 let others = balance::estimate(entry.balance.peers, entry.spec.slots, load);
                 (entry.balance.average.get(now) + others, entry.spec.slots)
@@ -187,5 +202,6 @@
         others,
         slots: entry.spec.slots,
         is_full: now < entry.balance.full_until,
+        is_cold: entry.is_cold(now),
     }
 }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -42,6 +42,8 @@
     pub expected_uncached_ms: f64,
     /// Expected time until the upstream starts on the request, in ms.
     pub wait_ms: f64,
+    /// Whether the upstream is an engine.
+    pub is_engine: bool,
 }
 
 /// Identifies a request that was sent to an upstream.
@@ -347,7 +349,7 @@
         entry.in_flight += 1;
         entry
             .balance
-            .record_start(now, entry.in_flight, prefixes.is_empty());
+            .record_start(now, entry.in_flight, load.is_engine);
         entry.backlog.push(now, ticket.0, load.expected_ms);
         entry.health.note_chosen();
         if entry.prefixes.len() + prefixes.len() > MAX_PREFIXES {
--- a/components/dispatch/tests/even_load.rs
+++ b/components/dispatch/tests/even_load.rs
@@ -58,9 +58,14 @@
     }
 
     fn choose(&mut self, now: Time) -> UpstreamIndex {
+        self.choose_for(now, None)
+    }
+
+    /// Sends a request, to an engine if it names a model.
+    fn choose_for(&mut self, now: Time, model: Option<&Arc<str>>) -> UpstreamIndex {
         let requirements = Requirements {
             service: &Arc::from("app"),
-            model: None,
+            model,
             parts: &[],
             prompt_tokens: 0,
             permit: &Permit::Any,
@@ -125,6 +130,84 @@
     assert_eq!(setup.choose(at(2_050)), rejecting);
 }
 
+/// The same if another daemon's share let the request in.
+#[test]
+fn an_upstream_that_rejected_a_leased_request_is_avoided_for_a_moment() {
+    let mut setup = Setup::new(true, 40);
+    let rejecting = setup.find(0, 1);
+    let now = at(2_000);
+    setup.upstreams.record_leased_rejection(now, rejecting);
+    assert_eq!(setup.upstreams.avoidable_rejections(), 1);
+    for n in 0..6 {
+        assert_ne!(setup.choose(at(2_049)), rejecting, "request {n}");
+    }
+    assert_eq!(setup.choose(at(2_050)), rejecting);
+}
+
+/// A rejection would be counted twice, as one of this daemon's and as a leased one.
+#[test]
+fn a_rejection_counts_once() {
+    let mut setup = Setup::new(true, 40);
+    let rejecting = setup.find(0, 1);
+    for n in 1..=3 {
+        setup.upstreams.record_rejection(at(2_000), rejecting);
+        assert_eq!(setup.upstreams.avoidable_rejections(), n);
+    }
+}
+
+/// Operators would read rejections by services whose load is not evened out.
+#[test]
+fn rejections_of_other_services_do_not_count() {
+    let mut few = Setup::new(true, 12);
+    let index = few.choose(at(2_000));
+    few.upstreams.record_rejection(at(2_000), index);
+    assert_eq!(few.upstreams.avoidable_rejections(), 0);
+    let mut engines = Setup::new(true, 40);
+    let index = engines.choose_for(at(2_000), Some(&Arc::from("m")));
+    engines.upstreams.record_rejection(at(2_000), index);
+    assert_eq!(engines.upstreams.avoidable_rejections(), 0);
+}
+
+/// Engines would be reported and chosen as upstreams of a plain service for prompts without parts
+/// that other requests share.
+#[test]
+fn engines_are_neither_reported_nor_evened_out() {
+    let model = Arc::from("m");
+    let mut engines = Setup::new(true, 40);
+    let mut never = Setup::new(true, 0);
+    engines.set_peers(&[(0, 30.0), (2, 30.0)]);
+    for n in 0..50 {
+        let chosen = engines.choose_for(at(n), Some(&model));
+        assert_eq!(chosen, never.choose_for(at(n), Some(&model)), "request {n}");
+    }
+    assert!(engines.upstreams.own_averages(at(2_000)).is_empty());
+}
+
+/// Reports on services that no daemon evens out would take the place of others.
+#[test]
+fn services_that_are_not_evened_out_are_not_reported() {
+    let mut few = Setup::new(true, 12);
+    few.choose(at(0));
+    assert!(few.upstreams.own_averages(at(2_000)).is_empty());
+}
+
+/// A cold upstream, which is used least, would get most requests while it is slow.
+#[test]
+fn cold_upstreams_are_avoided() {
+    let mut setup = Setup::new(true, 40);
+    let mut listed = (0..4).map(|id| upstream(id, 1)).collect::<Vec<_>>();
+    let mut cold = Upstream::clone(&upstream(0, 2));
+    cold.warm_up_remaining = Span::from_secs(5);
+    listed[0] = Arc::new(cold);
+    setup.upstreams.configure(at(2_000), &listed);
+    setup.upstreams.set_peer_averages(&HashMap::new());
+    let cold = setup.find(0, 2);
+    for n in 0..8 {
+        assert_ne!(setup.choose(at(2_500 + n)), cold, "request {n}");
+    }
+    assert_eq!(setup.choose(at(7_001)), cold);
+}
+
 /// The load of an instance that is gone would keep requests from the next one.
 #[test]
 fn reports_on_a_former_instance_count_for_nothing() {
