--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -230,7 +230,7 @@
     has_ended.recv_timeout(TEST_TIMEOUT).expect("it is closed");
 }
 
-/// Two hosts that both think the other has a path would pass a request to and fro.
+/// Two hosts that both think the other has a path would pass a request back and forth.
 #[test]
 fn two_hosts_without_a_path_refuse_a_request_as_not_run() {
     let (_kept, refusing) = refusing_address();
