--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -174,6 +174,9 @@
         if requirements.isolated {
             retain_least_loaded(&mut eligible);
         }
+        if let Some(choice) = self.choose_even(now, &eligible, requirements, rng) {
+            return choice;
+        }
         self.cheapest(now, &eligible, requirements, rng)
     }
 
@@ -257,6 +260,7 @@
             expected_uncached_ms: ENGINE_BASE_MS
                 + self.prefill_ms(requirements.model, f64::from(requirements.prompt_tokens)),
             wait_ms: entry.backlog.wait_ms(now) + entry.remote.backlog_ms,
+            is_engine: requirements.model.is_some(),
         }
     }
 
@@ -267,7 +271,7 @@
             + shared / 1_000.0 * self.policy.read_again_ms_per_1000
     }
 
-    fn plain_load(&self, entry: &Entry, requirements: &Requirements<'_>) -> Load {
+    pub(crate) fn plain_load(&self, entry: &Entry, requirements: &Requirements<'_>) -> Load {
         let expected_ms = self.plain_ms(requirements.service);
         let outstanding = entry.in_flight + entry.remote.in_flight;
         let slots = entry.spec.slots.max(1);
@@ -278,6 +282,7 @@
             expected_ms,
             expected_uncached_ms: expected_ms,
             wait_ms: f64::from(waiting) * expected_ms / f64::from(slots),
+            is_engine: requirements.model.is_some(),
         }
     }
 }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -14,6 +14,7 @@
 use crate::backlog::Backlog;
 use crate::brittle::{BrittleServices, Window};
 use crate::cold::{ColdStarts, ColdUntil, apply_cold_time};
+use crate::even_load::{EntryBalance, EvenLoad};
 use crate::health::{Health, UpstreamOutcome};
 use crate::means::{DEFAULT_PLAIN_MS, MEAN_WEIGHT, ServiceMeans, means_of};
 use crate::pace::ANSWER_KINDS;
@@ -44,6 +45,8 @@
     pub expected_uncached_ms: f64,
     /// Expected time until the upstream starts on the request, in ms.
     pub wait_ms: f64,
+    /// Whether the upstream is an engine.
+    pub is_engine: bool,
 }
 
 /// Identifies a request that was sent to an upstream.
@@ -128,6 +131,8 @@
     pub(crate) backlog: Backlog,
     /// The load by other daemons, as last reported.
     pub(crate) remote: RemoteLoad,
+    /// What the choice by even load knows of it.
+    pub(crate) balance: EntryBalance,
     /// When anything was last read from it.
     pub(crate) heard_at: Time,
     /// Since when this daemon has had requests outstanding there without a break.
@@ -206,6 +211,7 @@
     pub(crate) paces: Paces,
     /// Ratios of measured to expected times that are usual, by model and kind of answer.
     pub(crate) usual: HashMap<Arc<str>, [Baseline; ANSWER_KINDS]>,
+    pub(crate) even_load: EvenLoad,
     pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
     next_index: u64,
     next_ticket: u64,
@@ -309,6 +315,7 @@
             lent: 0,
             backlog: Backlog::default(),
             remote: RemoteLoad::default(),
+            balance: EntryBalance::new(now),
             heard_at: Time::ZERO,
             busy_since: Time::ZERO,
             prefixes: HashMap::new(),
@@ -383,6 +390,9 @@
         entry
             .backlog
             .push(now, ticket.0, load.expected_ms, is_cache_known);
+        entry
+            .balance
+            .record_start(now, entry.in_flight, load.is_engine);
         entry.health.note_chosen();
         if entry.prefixes.len() + prefixes.len() > MAX_PREFIXES {
             entry.prefixes.clear();
@@ -463,6 +473,7 @@
         entry.sends.count_in_flight(now, entry.in_flight);
         entry.sends.count_end(outcome);
         entry.in_flight = entry.in_flight.saturating_sub(1);
+        entry.balance.record_end(now, entry.in_flight);
         if outcome == UpstreamOutcome::Good {
             entry.window.record_answer();
         }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -473,6 +473,7 @@
             paces: self.peering.take_paces(),
             tunnel_peers: self.peering.tunnel_peers(),
             loads: self.peering.peer_loads(now),
+            averages: self.peering.peer_averages(now),
             validation: self.validation(),
         };
         // The event loop may have ended before this thread when the process stops.
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -13,6 +13,7 @@
 
 use std::collections::HashMap;
 
+use balance::AverageLoad;
 use bytes::Bytes;
 use dispatch::{
     Advertisement, BrittleAdvertisement, MAX_PACE_REPORTS, PaceReport, RolloutSummary, SharedLoad,
@@ -102,6 +103,10 @@
     /// pace differs, and from releases that do not send them.
     #[serde(skip)]
     pub paces: Vec<PaceReport>,
+    /// The sender's average requests in flight at plain services, by upstream; absent from releases
+    /// that do not send them.
+    #[serde(skip)]
+    pub averages: Vec<AverageLoad>,
 }
 
 /// The fields that follow the first version of the message. Its own fields are fixed; newer ones
@@ -175,7 +180,7 @@
         Ok(bytes.into())
     }
 
-    /// Appends samples of upstreams' paces, which follow behind the report on overload.
+    /// Appends samples of upstreams' paces, which follow behind the average loads.
     ///
     /// # Errors
     /// Never for a message of this version.
@@ -191,6 +196,19 @@
         Ok(bytes.into())
     }
 
+    /// Appends the average loads, which follow behind the report on overload.
+    ///
+    /// # Errors
+    /// Never for a message of this version.
+    pub fn encode_with_averages(
+        encoded: Bytes,
+        averages: &[AverageLoad],
+    ) -> Result<Bytes, HeartbeatError> {
+        let mut bytes = Vec::from(encoded);
+        bytes.extend(postcard::to_allocvec(averages)?);
+        Ok(bytes.into())
+    }
+
     /// Decodes a heartbeat, also of an older or newer version.
     ///
     /// # Errors
@@ -213,6 +231,10 @@
             let overload = postcard::take_from_bytes(rest);
             let (overload, rest): (Vec<u8>, _) = overload.unwrap_or_default();
             heartbeat.overload = overload;
+            let averages = postcard::take_from_bytes(rest);
+            let (averages, rest): (Vec<AverageLoad>, _) = averages.unwrap_or_default();
+            heartbeat.averages = averages;
+            heartbeat.averages.truncate(balance::MAX_LOADS);
             heartbeat.paces = postcard::from_bytes(rest).unwrap_or_default();
             heartbeat.paces.truncate(MAX_PACE_REPORTS);
         }
--- a/components/fleet/src/peering.rs
+++ b/components/fleet/src/peering.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use balance::{PeerLoad, Reports};
 use bytes::Bytes;
 use dispatch::{
     Advertisement, BrittleAdvertisement, Evidence, EvidenceAggregator, Fleet, PaceReport,
@@ -59,6 +60,7 @@
     arrived: Vec<DaemonId>,
     gossip_view: GossipView,
     loads: PeerLoads,
+    averages: Reports,
     peer_states: PeerStates,
     claims: Claims,
     aggregator: EvidenceAggregator,
@@ -121,6 +123,7 @@
             arrived: Vec::new(),
             gossip_view: GossipView::default(),
             loads: PeerLoads::default(),
+            averages: Reports::default(),
             peer_states: PeerStates::default(),
             claims: Claims::default(),
             aggregator: EvidenceAggregator::default(),
@@ -231,6 +234,7 @@
                     self.note_brittle(heartbeat.brittle);
                     self.note_overload(now, &from, &heartbeat.overload);
                     self.note_paces(&from, heartbeat.sent_at, heartbeat.paces);
+                    self.averages.update(now, from.clone(), heartbeat.averages);
                     self.loads.update(now, from, heartbeat.loads);
                 }
                 Err(e) => tracing::warn!(peer = %from, "peers: {e}"),
@@ -463,6 +467,15 @@
         loads
     }
 
+    /// Average requests in flight from all other daemons at plain services, by upstream.
+    pub(crate) fn peer_averages(&mut self, now: Time) -> HashMap<u32, PeerLoad> {
+        let me = &self.members.local().id;
+        let others = self.members.members().map(|member| &member.record);
+        let present = others.filter(|record| record.state.is_present() && record.id != *me);
+        let present = present.map(|record| (&record.id, &record.failure_domain));
+        self.averages.sums(now, present)
+    }
+
     /// Records this daemon's evidence on a roll-out and returns the fleet's.
     pub(crate) fn aggregate(&mut self, own: &Evidence) -> RolloutSummary {
         let me = self.members.local().id.clone();
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -67,6 +67,7 @@
             tunnel_port: None,
             brittle: observed.brittle(),
             overload: observed.overload(),
+            averages: observed.averages(),
             paces: self.pace_rotation.take(&self.own_paces),
         };
         match heartbeat.encode() {
@@ -95,6 +96,8 @@
                 body.and_then(|body| Heartbeat::encode_with_brittle(body, &heartbeat.brittle));
             let body =
                 body.and_then(|body| Heartbeat::encode_with_overload(body, &heartbeat.overload));
+            let averages = &heartbeat.averages;
+            let body = body.and_then(|body| Heartbeat::encode_with_averages(body, averages));
             let body = body.and_then(|body| Heartbeat::encode_with_paces(body, &heartbeat.paces));
             match body {
                 Ok(body) => {
--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -24,6 +24,7 @@
         brittle: Vec::new(),
         overload: Vec::new(),
         paces: Vec::new(),
+        averages: Vec::new(),
     }
 }
 
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::sync::atomic::AtomicU64;
 
+use dispatch::Upstreams;
 use overload::ServiceStatus;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text};
 use prometheus_client::metrics::counter::Counter;
@@ -49,13 +50,13 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ChargeLabel {
-    charge: ChargeKind,
+struct ServiceLabel {
+    service: String,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ServiceLabel {
-    service: String,
+struct ChargeLabel {
+    charge: ChargeKind,
 }
 
 /// Counters and histograms, served as text.
@@ -121,6 +122,9 @@
     pub highest_pace: Gauge<f64, AtomicU64>,
     /// Engines that are slow.
     pub slow_upstreams: Gauge,
+    /// Load per slot of a service's busiest upstream over the mean.
+    skews: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    avoidable_rejections: Counter,
     dropped_log_lines: Counter,
     scratch: RefCell<String>,
 }
@@ -162,6 +166,8 @@
             lowest_pace: Gauge::default(),
             highest_pace: Gauge::default(),
             slow_upstreams: Gauge::default(),
+            skews: Family::default(),
+            avoidable_rejections: Counter::default(),
             dropped_log_lines: Counter::default(),
             scratch: RefCell::default(),
         };
@@ -203,6 +209,7 @@
         self.register_overload();
         self.register_tunnels();
         self.register_paces();
+        self.register_balance();
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
@@ -346,6 +353,35 @@
         );
     }
 
+    fn register_balance(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "load_skew",
+            "Load per slot of a plain service's busiest upstream over the mean",
+            self.skews.clone(),
+        );
+        r.register(
+            "avoidable_rejections",
+            "Requests rejected for lack of capacity while another upstream was believed to have some",
+            self.avoidable_rejections.clone(),
+        );
+    }
+
+    /// Sets the metrics of even load; services without load are left out.
+    pub(crate) fn set_balance(&self, upstreams: &Upstreams, now: Time) {
+        self.skews.clear();
+        for (service, skew) in upstreams.skews(now) {
+            let service = service.to_string();
+            self.skews
+                .get_or_create(&ServiceLabel { service })
+                .set(skew);
+        }
+        let counted = self.avoidable_rejections.get();
+        let rejections = upstreams.avoidable_rejections();
+        self.avoidable_rejections
+            .inc_by(rejections.saturating_sub(counted));
+    }
+
     fn register_rate_limits(&mut self) {
         let r = &mut self.registry;
         r.register(
