--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -210,6 +210,10 @@
         self.register_tunnels();
         self.register_paces();
         self.register_balance();
+        self.register_state();
+    }
+
+    fn register_state(&mut self) {
         let r = &mut self.registry;
         r.register("in_flight", "Requests in hand", self.in_flight.clone());
         r.register(
