--- a/components/fleet/tests/it/heartbeats.rs
+++ b/components/fleet/tests/it/heartbeats.rs
@@ -228,13 +228,15 @@
     );
 }
 
-/// A daemon of the release before would have taken paces for brittle services, and a fleet before
-/// even engines would pay for bytes that say nothing.
+/// A daemon of the release before would have taken paces for another field, and a fleet in front of
+/// even engines would pay for bytes that hold nothing.
 #[test]
 fn paces_follow_the_fields_of_earlier_releases_and_only_where_there_are_any() {
     let before = Heartbeat::encode_for(&holding(4).encode().expect("fits"), &Freshness::default());
     let before = Heartbeat::encode_with_tunnels(before.expect("fits"), 7_341).expect("fits");
     let before = Heartbeat::encode_with_brittle(before, &[]).expect("fits");
+    let before = Heartbeat::encode_with_overload(before, &[]).expect("fits");
+    let before = Heartbeat::encode_with_averages(before, &[]).expect("fits");
     let none = Heartbeat::encode_with_paces(before.clone(), &[]).expect("fits");
     assert_eq!(none, before);
     let decoded = Heartbeat::decode(&none).expect("its form");
--- a/components/pace/src/table.rs
+++ b/components/pace/src/table.rs
@@ -30,14 +30,14 @@
 /// Weight below which an upstream is not taken as slow: fewer samples may all be of one burst of late
 /// answers.
 const MIN_SLOW_WEIGHT: f64 = 8.0;
-/// Pace below which an upstream turns slow. In simulated fleets before even engines, those with a queue
-/// seemed to run at 0.7 to 0.8 for some seconds.
+/// Pace below which an upstream turns slow. In simulated fleets in front of even engines, those with
+/// a queue seemed to run at 0.7 to 0.8 for some seconds.
 const SLOW_BELOW: f64 = 0.68;
 /// Pace above which a slow upstream has recovered. The gap keeps an estimate near the bound from
-/// moving prompts to and fro.
+/// moving prompts back and forth.
 const RECOVERED_ABOVE: f64 = 0.8;
-/// Difference from the usual pace from which reports are sent at all, so that a fleet before even
-/// upstreams sends nothing.
+/// Difference from the usual pace from which reports are sent at all, so that a fleet in front of
+/// even upstreams sends nothing.
 const SENT_FROM_DIFFERENCE: f64 = 0.1;
 /// Interval at which the merged paces are computed. Doing it for each request would cost a power of
 /// two for each of up to 16 reports on every candidate.
