--- a/components/balance/tests/fleet.rs
+++ b/components/balance/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Requests that wait while a slot is free elsewhere, in simulated fleets that play the same
 //! arrivals by different strategies to choose.
 
+#[path = "support/simulation.rs"]
 mod simulation;
 
 use simulation::{Outcome, Scenario, Strategy, run};
--- a/components/dispatch/src/even_load.rs
+++ b/components/dispatch/src/even_load.rs
@@ -96,7 +96,7 @@
         for entry in self.entries.values_mut() {
             let load = loads.get(&entry.instance.0).copied().unwrap_or_default();
             entry.balance.peers = load;
-            if entry.takes_requests() && !entry.is_leaving {
+            if entry.takes_requests() {
                 let service = services.entry(entry.spec.service.clone()).or_default();
                 service.add(load, entry.spec.slots);
             }
@@ -148,10 +148,8 @@
         let others = self.by_service.get(service).into_iter().flatten();
         let others = others.filter(|other| **other != index);
         let mut others = others.filter_map(|other| self.entries.get(other));
-        let is_avoidable = others.any(|entry| {
-            let is_usable = entry.takes_requests() && !entry.is_leaving;
-            is_usable && candidate(now, entry, load).has_capacity()
-        });
+        let is_avoidable = others
+            .any(|entry| entry.takes_requests() && candidate(now, entry, load).has_capacity());
         if is_avoidable {
             self.even_load.avoidable_rejections += 1;
         }
@@ -171,13 +169,12 @@
     /// evened out and that has any load.
     #[must_use]
     pub fn skews(&self, now: Time) -> BTreeMap<Arc<str>, f64> {
-        let services = self.even_load.services.iter();
-        let services =
-            services.filter(|(_, load)| balance::applies(load.slots(), self.even_load.daemons));
-        let skews = services.filter_map(|(service, load)| {
+        let services = self.even_load.services.keys();
+        let skews = services.filter_map(|service| {
+            let load = self.even_load.balanced(service)?;
             let entries = self.by_service.get(service)?.iter();
             let entries = entries.filter_map(|index| self.entries.get(index));
-            let usable = entries.filter(|entry| entry.takes_requests() && !entry.is_leaving);
+            let usable = entries.filter(|entry| entry.takes_requests());
             let usable = usable.filter(|entry| !entry.balance.is_engine);
             let loads = usable.map(|entry| {
                 let others = balance::estimate(entry.balance.peers, entry.spec.slots, load);
--- a/components/fleet/src/heartbeat.rs
+++ b/components/fleet/src/heartbeat.rs
@@ -122,6 +122,13 @@
 #[error("invalid heartbeat: {0}")]
 pub struct HeartbeatError(#[from] postcard::Error);
 
+/// Appends a field to an encoded heartbeat.
+fn append<T: Serialize + ?Sized>(encoded: Bytes, field: &T) -> Result<Bytes, HeartbeatError> {
+    let mut bytes = Vec::from(encoded);
+    bytes.extend(postcard::to_allocvec(field)?);
+    Ok(bytes.into())
+}
+
 impl Heartbeat {
     /// Encodes the part that is the same for every receiver.
     ///
@@ -165,9 +172,7 @@
         encoded: Bytes,
         brittle: &[BrittleAdvertisement],
     ) -> Result<Bytes, HeartbeatError> {
-        let mut bytes = Vec::from(encoded);
-        bytes.extend(postcard::to_allocvec(brittle)?);
-        Ok(bytes.into())
+        append(encoded, brittle)
     }
 
     /// Appends the report on overload, which follows behind the brittle services.
@@ -175,9 +180,7 @@
     /// # Errors
     /// Never for a message of this version.
     pub fn encode_with_overload(encoded: Bytes, report: &[u8]) -> Result<Bytes, HeartbeatError> {
-        let mut bytes = Vec::from(encoded);
-        bytes.extend(postcard::to_allocvec(report)?);
-        Ok(bytes.into())
+        append(encoded, report)
     }
 
     /// Appends samples of upstreams' paces, which follow behind the average loads.
@@ -191,9 +194,7 @@
         if paces.is_empty() {
             return Ok(encoded);
         }
-        let mut bytes = Vec::from(encoded);
-        bytes.extend(postcard::to_allocvec(paces)?);
-        Ok(bytes.into())
+        append(encoded, paces)
     }
 
     /// Appends the average loads, which follow behind the report on overload.
@@ -204,9 +205,7 @@
         encoded: Bytes,
         averages: &[AverageLoad],
     ) -> Result<Bytes, HeartbeatError> {
-        let mut bytes = Vec::from(encoded);
-        bytes.extend(postcard::to_allocvec(averages)?);
-        Ok(bytes.into())
+        append(encoded, averages)
     }
 
     /// Decodes a heartbeat, also of an older or newer version.
