Log who ended a stream before its end, and what was left

What callers saw: streams that end in their middle. A line with the outcome CutShort gave one reason, "no retry is left", for the request's own bounds, for unreachable upstreams and for the budget, and said nothing of what could still have completed the stream; one that was cut at the end of the grace period had no line at all.

Each such line now has ended_by (upstream, daemon, path, deadline, caller, shutdown), left (runs, sends, unreachable upstreams, room, time, retries) and the newest configuration; the reasons are told apart; buckthorncross_cut_streams counts by who ended. No decision is changed.

--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -10,6 +10,7 @@
 use types::prelude::*;
 
 use crate::answer::{LocalReply, add_jitter};
+use crate::ending::EndedBy;
 use crate::exchange::{Exchange, Request};
 use crate::metrics::Outcome;
 use crate::report::Finish;
@@ -55,7 +56,7 @@
     let mut stages = shared.stage.subscribe();
     let leaving = async {
         // The sender lives as long as the event loop.
-        let _ = stages.wait_for(|stage| *stage == Stage::Closing).await;
+        let _ = stages.wait_for(|stage| *stage >= Stage::Closing).await;
     };
     match read_head(shared, wire, leaving).await {
         Ok(head) => {
@@ -154,17 +155,24 @@
 /// Runs a request for as long as its caller stays connected.
 async fn run<T: Translator>(shared: &Rc<Shared<T>>, wire: &Wire, request: Request<T>) -> bool {
     let mut exchange = Exchange::new(shared, wire, &request);
+    let mut stages = shared.stage.subscribe();
     let finish = tokio::select! {
         biased;
         finish = exchange.run() => finish,
         () = wire.closed(MAX_PIPELINED) => Finish::caller_gone(),
+        _ = stages.wait_for(|stage| *stage == Stage::Ended) => {
+            Finish::cut(EndedBy::Shutdown, "the grace period is over")
+        }
     };
-    let report = exchange.report();
+    let report = exchange.report(&finish);
     drop(exchange);
     report.log(shared, &request, &finish);
     let first_byte = report.first_byte_at.map(|at| at.since(request.arrived_at));
     let whole = shared.now().since(request.arrived_at);
     shared.metrics.ended(finish.outcome, first_byte, whole);
+    if let (Some(ended_by), Some(_)) = (finish.ended_by, report.remaining) {
+        shared.metrics.record_cut_stream(ended_by);
+    }
     finish.keeps_alive
 }
 
@@ -198,7 +206,7 @@
     head: &Head,
     ask: &Ask,
 ) -> Result<Routed, (LocalReply, &'static str)> {
-    if shared.stage() == Stage::Closing {
+    if shared.stage() >= Stage::Closing {
         let retry_after = add_jitter(LEAVING_RETRY, &mut *shared.rng.borrow_mut());
         return Err((LocalReply::NotRun { retry_after }, "this daemon is leaving"));
     }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::{LocalReply, Whole, add_jitter};
 use crate::attempt::{Attempt, SendResult};
+use crate::ending::EndedBy;
 use crate::metrics::Outcome;
 use crate::relay::{Relay, RelayEnd};
 use crate::report::{Finish, Report};
@@ -107,6 +108,8 @@
     /// Whether its service has admitted it; its retries are then exempt.
     is_admitted: bool,
     relay: Relay,
+    /// Who broke off its stream, where it began and is not complete.
+    broken_by: EndedBy,
     /// The last failure answer of an upstream, relayed if no later attempt succeeds.
     failure: Option<Whole>,
     report: Report,
@@ -149,6 +152,7 @@
             // would let any caller pass.
             is_admitted: request.ask.resume_after.is_some() && request.route.retry.is_stream(),
             relay: Relay::new(request.ask.resume_after),
+            broken_by: EndedBy::Upstream,
             failure: None,
             report,
         }
@@ -161,7 +165,7 @@
         match tokio::time::timeout_at(deadline, self.attempts()).await {
             Ok(finish) => finish,
             Err(_) if self.relay.has_begun() || self.has_answered => {
-                Finish::cut("the deadline passed")
+                Finish::cut(EndedBy::Deadline, "the deadline passed")
             }
             Err(_) => {
                 self.send_reply(LocalReply::Timeout, "the deadline passed")
@@ -186,11 +190,12 @@
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
-                Next::Retry(reason) => self.is_quarantined() || self.may_retry(reason),
+                Next::Retry(_) if self.is_quarantined() => Ok(()),
+                Next::Retry(reason) => self.may_retry(reason),
                 Next::TryAnother => self.may_try_another(),
             };
-            if !may_go_on {
-                return self.give_up("no retry is left").await;
+            if let Err(why) = may_go_on {
+                return self.give_up(why).await;
             }
         }
     }
@@ -227,7 +232,7 @@
     /// retry is not worthwhile before `wait` has passed.
     async fn give_up_after(&mut self, why: &'static str, wait: Span) -> Finish {
         if self.relay.has_begun() {
-            return Finish::cut(why);
+            return Finish::cut(self.broken_by, why);
         }
         if let Some(failure) = self.failure.take() {
             return self.relay_whole(failure, Outcome::UpstreamFailure).await;
@@ -247,7 +252,7 @@
             false => "upstreams crashed under its content",
         };
         if self.relay.has_begun() {
-            return Finish::cut(why);
+            return Finish::cut(EndedBy::Daemon, why);
         }
         let retry_after = self.shared.now().until(until);
         let reply = match self.may_have_run() {
@@ -358,8 +363,8 @@
         self.count_unreachable();
         self.has_lost_path = true;
         match self.may_try_another() {
-            true => Next::Retry(RetryReason::Failure),
-            false => Next::GiveUp("too many paths were lost"),
+            Ok(()) => Next::Retry(RetryReason::Failure),
+            Err(why) => Next::GiveUp(why),
         }
     }
 
@@ -369,8 +374,11 @@
         self.unreachable += 1;
     }
 
-    fn may_try_another(&self) -> bool {
-        self.unreachable < MAX_UNREACHABLE
+    fn may_try_another(&self) -> Result<(), &'static str> {
+        match self.unreachable < MAX_UNREACHABLE {
+            true => Ok(()),
+            false => Err("too many upstreams were unreachable"),
+        }
     }
 
     fn retry_or_give_up(&mut self, why: &'static str) -> Next {
@@ -417,6 +425,7 @@
                     outcome: Outcome::Answered,
                     status: 200,
                     why: "",
+                    ended_by: None,
                     keeps_alive,
                 })
             }
@@ -429,17 +438,24 @@
                 stream.finish(UpstreamOutcome::Cancelled);
                 self.note_version(index);
                 self.runs -= 1;
+                self.broken_by = EndedBy::Path;
                 self.retry_elsewhere()
             }
             RelayEnd::TooLong => {
                 let why = "more events than were asked for";
                 self.record_try(index, why);
                 stream.finish(UpstreamOutcome::Incomplete);
+                self.broken_by = EndedBy::Daemon;
                 Next::GiveUp(why)
             }
             RelayEnd::Broken(why, outcome) => {
                 self.record_try(index, why);
                 stream.finish(outcome);
+                self.broken_by = match outcome {
+                    UpstreamOutcome::Silent => EndedBy::Daemon,
+                    UpstreamOutcome::Cancelled => EndedBy::Caller,
+                    _ => EndedBy::Upstream,
+                };
                 self.note_version(index);
                 self.retry_or_give_up(why)
             }
@@ -483,6 +499,7 @@
             outcome,
             status: whole.head.status(),
             why: "",
+            ended_by: None,
             keeps_alive,
         }
     }
@@ -509,6 +526,7 @@
             outcome,
             status: reply.status(),
             why,
+            ended_by: None,
             keeps_alive,
         }
     }
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -278,11 +278,26 @@
         self.take_retry(RetryReason::LargerModel).then_some(larger)
     }
 
-    pub(super) fn may_retry(&mut self, reason: RetryReason) -> bool {
-        let max_attempts = self.request.route.max_attempts;
-        let has_room = self.runs < max_attempts && self.sends < max_attempts + MAX_EXTRA_SENDS;
+    /// Takes a retry for one more send, or returns why there is none.
+    pub(super) fn may_retry(&mut self, reason: RetryReason) -> Result<(), &'static str> {
+        self.has_send_left()?;
         // The escalation took its retry when the smaller model's answer was dropped.
-        has_room && (reason == RetryReason::LargerModel || self.take_retry(reason))
+        match reason == RetryReason::LargerModel || self.take_retry(reason) {
+            true => Ok(()),
+            false => Err("no retry is left"),
+        }
+    }
+
+    /// Whether the request's own bounds allow one more send; if not, which of them is reached.
+    fn has_send_left(&self) -> Result<(), &'static str> {
+        let max_attempts = self.request.route.max_attempts;
+        if self.runs >= max_attempts {
+            return Err("no attempt is left");
+        }
+        if self.sends >= max_attempts + MAX_EXTRA_SENDS {
+            return Err("no send is left");
+        }
+        Ok(())
     }
 
     /// Takes a retry from the service's budget; returns whether one was left.
--- a/components/traffic/src/exchange/log.rs
+++ b/components/traffic/src/exchange/log.rs
@@ -2,20 +2,37 @@
 
 use dispatch::UpstreamIndex;
 
-use super::Exchange;
-use crate::report::Report;
+use super::{Exchange, MAX_EXTRA_SENDS};
+use crate::ending::Remaining;
+use crate::report::{Finish, Report};
 use crate::translate::Translator;
 
 impl<T: Translator> Exchange<'_, T> {
-    pub(crate) fn report(&self) -> Report {
+    /// The report on the request, which has ended.
+    pub(crate) fn report(&self, finish: &Finish) -> Report {
         let mut report = self.report.clone();
         report.events = self.relay.delivered();
+        if self.relay.has_begun() && finish.ended_by.is_some() {
+            report.remaining = Some(self.remaining());
+        }
         if let Some(index) = self.outstanding {
             report.add(self.describe(index, "still out"));
         }
         report
     }
 
+    fn remaining(&self) -> Remaining {
+        let max_attempts = self.request.route.max_attempts;
+        Remaining {
+            runs: (self.runs, max_attempts),
+            sends: (self.sends, max_attempts + MAX_EXTRA_SENDS),
+            unreachable: self.unreachable,
+            retries: self.shared.retry_usage(&self.service),
+            shortage: self.choose(self.model_name(), &self.tried).err(),
+            time: self.shared.now().until(self.request.deadline),
+        }
+    }
+
     /// Logs where the request is now: once for each stream that starts and each further send.
     ///
     /// When a host is killed or loses power, the line at a request's end never comes; without this
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -19,6 +19,7 @@
 mod config;
 mod connect;
 mod crashes;
+mod ending;
 mod exchange;
 mod held;
 mod metrics;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 use types::prelude::*;
 
+use crate::ending::EndedBy;
 use crate::retries::ChargeKind;
 
 const PREFIX: &str = "buckthorncross";
@@ -59,11 +60,18 @@
     charge: ChargeKind,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndedByLabel {
+    by: EndedBy,
+}
+
 /// Counters and histograms, served as text.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabel, Counter>,
+    /// Streams that had begun and did not come to their end.
+    cut_streams: Family<EndedByLabel, Counter>,
     /// Further sends of requests, by how the retry budget was charged.
     retries: Family<ChargeLabel, Counter>,
     /// Time from a request's arrival to the first byte of its answer.
@@ -137,6 +145,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
+            cut_streams: Family::default(),
             retries: Family::default(),
             first_byte: Histogram::new(buckets()),
             whole: Histogram::new(buckets()),
@@ -187,6 +196,11 @@
             "Until an answer begins",
             self.first_byte.clone(),
         );
+        r.register(
+            "cut_streams",
+            "Streams that had begun and did not come to their end, by who ended them",
+            self.cut_streams.clone(),
+        );
         r.register("whole_seconds", "Until an answer ends", self.whole.clone());
         r.register(
             "attempts",
@@ -419,6 +433,11 @@
         self.whole.observe(whole.as_secs_f64());
     }
 
+    /// Records that a stream did not come to its end.
+    pub(crate) fn record_cut_stream(&self, by: EndedBy) {
+        self.cut_streams.get_or_create(&EndedByLabel { by }).inc();
+    }
+
     /// Records how a further send of a request was charged.
     pub(crate) fn record_charge(&self, charge: ChargeKind) {
         self.retries.get_or_create(&ChargeLabel { charge }).inc();
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -6,6 +6,7 @@
 use overload::Refusal;
 use types::prelude::*;
 
+use crate::ending::{EndedBy, Remaining};
 use crate::exchange::Request;
 use crate::metrics::Outcome;
 use crate::retries::{Charge, ChargeKind};
@@ -17,6 +18,8 @@
     pub(crate) outcome: Outcome,
     pub(crate) status: u16,
     pub(crate) why: &'static str,
+    /// Set where the answer did not come to its end.
+    pub(crate) ended_by: Option<EndedBy>,
     pub(crate) keeps_alive: bool,
 }
 
@@ -27,16 +30,18 @@
             outcome: Outcome::CallerGone,
             status: 0,
             why: "the caller disconnected",
+            ended_by: Some(EndedBy::Caller),
             keeps_alive: false,
         }
     }
 
     /// A stream was cut short.
-    pub(crate) fn cut(why: &'static str) -> Self {
+    pub(crate) fn cut(ended_by: EndedBy, why: &'static str) -> Self {
         Self {
             outcome: Outcome::CutShort,
             status: 200,
             why,
+            ended_by: Some(ended_by),
             keeps_alive: false,
         }
     }
@@ -56,6 +61,8 @@
     /// How the last further send was charged to the retry budget.
     pub(crate) charge: Option<Charge>,
     pub(crate) events: u64,
+    /// What was left, where a stream ended before its end.
+    pub(crate) remaining: Option<Remaining>,
 }
 
 impl Report {
@@ -92,6 +99,9 @@
             outcome = ?finish.outcome,
             status = finish.status,
             why = finish.why,
+            ended_by = finish.ended_by.map(|by| format!("{by:?}")),
+            left = self.remaining.map(|remaining| remaining.to_string()),
+            newest_table = self.remaining.and_then(|_| shared.table_version()),
             shortage = self.shortage.map(|shortage| shortage.to_string()),
             overload = self.overload.map(|refusal| refusal.to_string()),
             budget = refused.map(|charge| charge.to_string()),
--- a/components/traffic/src/retries.rs
+++ b/components/traffic/src/retries.rs
@@ -66,13 +66,18 @@
 
     /// Records a further send that takes no retry.
     pub(crate) fn uncounted_retry(&self, service: &Arc<str>) -> Charge {
-        let now = self.now();
         let kind = ChargeKind::NotCounted;
         self.metrics.record_charge(kind);
-        let usage = self.with_budget(service, |budget| budget.usage(now, RetryReason::Failure));
+        let usage = self.retry_usage(service);
         Charge { kind, usage }
     }
 
+    /// Returns how much of a service's budget for failures is used.
+    pub(crate) fn retry_usage(&self, service: &Arc<str>) -> BudgetUse {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.usage(now, RetryReason::Failure))
+    }
+
     /// Describes the retry budgets, by service.
     pub(crate) fn describe_budgets(&self) -> BTreeMap<String, String> {
         let now = self.now();
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -336,7 +336,7 @@
             biased;
             // A load balancer also uses daemons that are not ready when too few are; a closed port
             // sends callers elsewhere at once.
-            _ = stages.wait_for(|stage| *stage == Stage::Closing) => return,
+            _ = stages.wait_for(|stage| *stage >= Stage::Closing) => return,
             (stream, _) = callers::accept(&listener) => stream,
         };
         // A connection beyond the limit is closed unread, which shows the caller that its request
@@ -433,8 +433,14 @@
         }
         tokio::time::sleep(EXIT_POLL).await;
     }
+    let requests = shared.requests_in_flight.get();
+    shared.stage.send_replace(Stage::Ended);
+    if requests > 0 {
+        // Those that are cut log their ends.
+        tokio::time::sleep(EXIT_POLL).await;
+    }
     tracing::info!(
-        requests = shared.requests_in_flight.get(),
+        requests,
         callers = shared.caller_connections.get(),
         "traffic: shutdown finished"
     );
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -35,6 +35,8 @@
     Leaving,
     /// Accepts no new connections and closes idle ones.
     Closing,
+    /// The grace period is over: what is left ends.
+    Ended,
 }
 
 /// Rollout orders whose staying sessions are remembered.
@@ -222,6 +224,12 @@
         Arc::clone(&self.plan.borrow())
     }
 
+    /// Version of the configuration in use.
+    pub(crate) fn table_version(&self) -> Option<u64> {
+        let plan = self.plan.borrow();
+        plan.table.as_ref().map(|table| table.version.0)
+    }
+
     /// Whether the configuration may lack a change that should be in force by now.
     pub(crate) fn may_be_stale(&self) -> bool {
         let bound = self.cfg.max_staleness;
