Failing tests: a run that is alive is ended before its replacement is certain

What callers saw: a stream that ends in its middle, or a failure in place of an answer, though the upstream was alive, other attempts were left and so was time.

--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -418,6 +418,20 @@
     table.expect("a proper table")
 }
 
+/// A configuration of another version, which lacks the customers of the others.
+pub fn table_without_customers(version: u64) -> RouteTable {
+    let retry = Retry::Stream { resumable: true };
+    let former = table(retry);
+    RouteTable::new(
+        TableVersion(version),
+        former.limits,
+        vec![route(retry)],
+        former.services().cloned().collect(),
+        Some([].into()),
+    )
+    .expect("a proper table")
+}
+
 /// A plan with these upstreams.
 pub fn plan(retry: Retry, upstreams: Vec<Arc<Upstream>>) -> Plan {
     Plan {
@@ -650,6 +664,19 @@
         }
     }
 
+    /// Reads the rest of a stream whose head was read, until its end or that of the connection.
+    pub fn read_to_end_of_answer(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let mut byte = [0; 1];
+        while !bytes.ends_with(END.as_bytes()) {
+            match self.stream.read(&mut byte) {
+                Ok(1) => bytes.push(byte[0]),
+                _ => break,
+            }
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Reads until a text has arrived.
     pub fn read_until(&mut self, text: &str) {
         let mut bytes = Vec::new();
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod overload;
 mod quarantine;
+mod replacements;
 mod retries;
 mod shutdown;
 mod silence;
