End a run that is alive only once another upstream takes its place

What callers saw: a stream that ends in its middle, with attempts and seconds left, or a failure in place of an answer, while the upstream was alive.

Cause: a silent run was ended first. Whether the request had an attempt and a retry left, and whether another upstream had room and would take it, was found out after that; where it had not, the caller had lost a run that could have gone on. Likewise a draft with a low confidence was dropped before a larger model was sure to run. Class: break before make.

Change: a silent run, before its answer or within its stream, and a run on a path that is lost, go on while a replacement is looked for. It is ended once the request has an attempt and a retry left, an upstream was chosen, and that one has begun its answer or not refused the request for 150 ms (a draft: 50 ms). If the run goes on meanwhile, the other send is ended. A replacement takes a retry from the budget as before, and both have the request for that moment only. Where there is none the run is kept, with a line that says why, and another look follows after 250 ms. A stream that gets bytes and never a whole event is still given up.

A whole answer that arrives for a stream in progress is a failure now: it was written into the stream.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -60,6 +60,14 @@
     pub daemons: usize,
 }
 
+impl BudgetUse {
+    /// Whether no retry is left.
+    #[must_use]
+    pub fn is_exhausted(&self) -> bool {
+        f64::from(self.spent) + 1.0 > self.limit
+    }
+}
+
 impl fmt::Display for BudgetUse {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -158,7 +166,7 @@
     /// When no retry is left, with how much of the budget is used.
     pub fn acquire(&mut self, now: Time, reason: RetryReason) -> Result<BudgetUse, BudgetUse> {
         let mut usage = self.usage(now, reason);
-        if f64::from(usage.spent) + 1.0 > usage.limit {
+        if usage.is_exhausted() {
             if reason == RetryReason::Failure {
                 self.escalations_from = now + FAILURES_FIRST_FOR;
             }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request to one upstream.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +19,7 @@
 use crate::exchange::Request;
 use crate::relay::give_up_reason;
 use crate::retries::ChargeKind;
+use crate::run::Run;
 use crate::shared::Shared;
 use crate::translate::{Execution, Forwarding, Reply, Translator};
 use crate::tunnel::lease::Lease;
@@ -32,8 +32,8 @@
 const MAX_STRAY_BODY: usize = 1024 * 1024;
 /// Answers to other requests that are skipped before a connection is abandoned.
 const MAX_STRAY_ANSWERS: u32 = 4;
-/// Share of the route's objective after which a silent upstream of a plain service is abandoned for
-/// another.
+/// Share of the route's objective after which another upstream is looked for in place of a silent one
+/// of a plain service.
 const SILENT_SHARE: f64 = 0.7;
 /// Interval at which a request that waits for its answer is looked at.
 const WAIT_POLL: Duration = Duration::from_millis(50);
@@ -44,7 +44,18 @@
 pub(crate) const CRASHED_AT_END: &str = "its upstream crashed as its answer ended";
 
 /// Result of one send.
-pub(crate) enum SendResult<T> {
+pub(crate) type SendResult<T> = Result<Answer<T>, SendFailure>;
+
+/// An upstream's answer.
+pub(crate) enum Answer<T> {
+    /// A whole answer with a status below 500.
+    Whole(Whole),
+    /// A stream that has started.
+    Stream(Box<Stream<T>>),
+}
+
+/// Why a send has no answer.
+pub(crate) enum SendFailure {
     /// Nothing arrived at the upstream.
     Unreachable,
     /// This daemon lost its path to the upstream, which may have the request; it may be retried.
@@ -55,10 +66,6 @@
     MayHaveRun(&'static str),
     /// A whole answer with a status of 500 or above.
     Failed(Whole),
-    /// A whole answer with a status below 500.
-    Whole(Whole),
-    /// The upstream started a stream.
-    Stream(Box<Stream<T>>),
 }
 
 /// The head of an upstream's answer.
@@ -76,8 +83,6 @@
     Leaving,
     /// The path to the upstream was lost, and the request may be retried.
     PathLost,
-    /// The upstream was silent for too long.
-    Silent,
     /// The connection broke.
     Broken(&'static str),
     /// One of its contents was quarantined while the request waited.
@@ -88,21 +93,20 @@
 
 impl Failure {
     /// What this shows of the upstream, and of the request.
-    fn outcome<T>(self) -> (UpstreamOutcome, SendResult<T>) {
+    fn outcome(self) -> (UpstreamOutcome, SendFailure) {
         match self {
-            Self::Unreachable => (UpstreamOutcome::Unreachable, SendResult::Unreachable),
-            Self::Leaving => (UpstreamOutcome::Cancelled, SendResult::Unreachable),
+            Self::Unreachable => (UpstreamOutcome::Unreachable, SendFailure::Unreachable),
+            Self::Leaving => (UpstreamOutcome::Cancelled, SendFailure::Unreachable),
             // A lost path says nothing about the upstream.
-            Self::PathLost => (UpstreamOutcome::Cancelled, SendResult::PathLost),
-            Self::Silent => (UpstreamOutcome::Silent, SendResult::MayHaveRun("silent")),
-            Self::Broken(why) => (UpstreamOutcome::Incomplete, SendResult::MayHaveRun(why)),
+            Self::PathLost => (UpstreamOutcome::Cancelled, SendFailure::PathLost),
+            Self::Broken(why) => (UpstreamOutcome::Incomplete, SendFailure::MayHaveRun(why)),
             Self::Quarantined => (
                 UpstreamOutcome::Cancelled,
-                SendResult::MayHaveRun("barred while it waited"),
+                SendFailure::MayHaveRun("barred while it waited"),
             ),
             Self::Withdrawn => (
                 UpstreamOutcome::Cancelled,
-                SendResult::MayHaveRun("taken back for a suspected part of its prompt"),
+                SendFailure::MayHaveRun("taken back for a suspected part of its prompt"),
             ),
         }
     }
@@ -114,7 +118,7 @@
     pub(crate) confidence: Option<u8>,
     pub(crate) wire: Wire,
     pub(crate) reader: BodyReader,
-    /// Whether to switch to another upstream when this one is silent.
+    /// Whether another upstream is looked for when this one is silent.
     pub(crate) may_switch: bool,
     /// Whether another upstream may go on with the stream.
     may_resume: bool,
@@ -135,6 +139,10 @@
         self.shared.has_crashed_at_end(self.index).await
     }
 
+    pub(crate) fn now(&self) -> Time {
+        self.shared.now()
+    }
+
     /// Notes that something was read.
     pub(crate) fn note_heard(&self) {
         self.guard.note_heard();
@@ -146,7 +154,7 @@
         self.may_resume && self.guard.is_path_silent(heard_at)
     }
 
-    /// Why the upstream is abandoned for another; none if it isn't.
+    /// Why another upstream is looked for in place of this one; none if it isn't.
     pub(crate) fn give_up_reason(
         &self,
         request: &Request<T>,
@@ -171,51 +179,49 @@
 pub(crate) struct Attempt<'a, T> {
     pub(crate) shared: &'a Rc<Shared<T>>,
     pub(crate) request: &'a Request<T>,
-    pub(crate) service: &'a Arc<str>,
-    pub(crate) model: Option<&'a Arc<str>>,
+    pub(crate) service: Arc<str>,
+    pub(crate) model: Option<Arc<str>>,
     pub(crate) resume_after: Option<u64>,
     /// Whether the caller has events of an earlier attempt.
     pub(crate) has_delivered: bool,
     /// Whether an earlier attempt of the request failed.
     pub(crate) has_failed: bool,
-    /// Whether to switch to another upstream when this one is silent.
-    pub(crate) may_switch: bool,
     /// Whether the request may be retried after this attempt.
     pub(crate) has_attempt_left: bool,
     /// Whether this is the half-open trial of a quarantined content.
     pub(crate) is_trial: bool,
-    /// The peer through which the request goes, for the log.
-    pub(crate) peer: &'a RefCell<Option<DaemonId>>,
+    pub(crate) run: Rc<Run>,
 }
 
 impl<T: Translator> Attempt<'_, T> {
     /// Sends the request. Waits for the head of a stream, or for the end of any other answer.
     pub(crate) async fn send(&self, choice: Choice, lease: Option<Lease>) -> SendResult<T> {
         let (shared, request) = (self.shared, self.request);
-        let mut guard = AttemptGuard::start(shared, &choice, lease, request, self.has_failed);
+        let run = Rc::clone(&self.run);
+        let mut guard = AttemptGuard::start(shared, &choice, lease, request, self.has_failed, run);
         let Some(spec) = self.shared.upstreams.borrow().spec(choice.index).cloned() else {
-            return SendResult::Unreachable;
+            return Err(SendFailure::Unreachable);
         };
         let (wire, answer) = match self.request_head(choice.index, &spec, &guard).await {
             Ok(answer) => answer,
             Err(failure) => {
                 let failure = self.blame_path(&guard, failure);
-                let (outcome, sent) = failure.outcome();
+                let (outcome, failure) = failure.outcome();
                 guard.end(outcome);
-                return sent;
+                return Err(failure);
             }
         };
         guard.note_heard();
         self.observe_limits(choice.index, &guard, &answer.reply);
-        if let Some((outcome, sent)) = self.refusal(choice.index, &guard, &answer) {
+        if let Some((outcome, failure)) = self.refusal(choice.index, &guard, &answer) {
             guard.end(outcome);
-            return sent;
+            return Err(failure);
         }
         guard.note_running();
         let reader = BodyReader::new(answer.framing);
         let is_success = (200..300).contains(&answer.head.status());
         if is_success && self.request.route.retry.is_stream() {
-            return SendResult::Stream(Box::new(Stream {
+            return Ok(Answer::Stream(Box::new(Stream {
                 head: answer.head,
                 confidence: answer.reply.confidence,
                 wire,
@@ -225,10 +231,10 @@
                 index: choice.index,
                 shared: Rc::clone(self.shared),
                 guard,
-                model: self.model.cloned(),
-            }));
+                model: self.model.clone(),
+            })));
         }
-        guard.note_first_output(self.model);
+        guard.note_first_output(self.model.as_ref());
         self.read_whole_answer(choice.index, wire, answer.head, reader, guard)
             .await
     }
@@ -273,6 +279,7 @@
         if self.is_quarantined() || !self.may_resend(index) {
             return Err(Failure::Broken(why));
         }
+        self.run.note_reconnecting();
         let Ok(wire) = self.open_connection(index, spec, guard).await else {
             return Err(Failure::Broken(why));
         };
@@ -309,7 +316,7 @@
         if !has_send_left {
             return false;
         }
-        let charge = self.shared.take_retry(self.service, RetryReason::Failure);
+        let charge = self.shared.take_retry(&self.service, RetryReason::Failure);
         tracing::info!(
             id = &*self.request.ask.attempt,
             budget = %charge,
@@ -327,7 +334,7 @@
         match self.shared.connect_upstream(index, spec).await {
             Ok(connection) => {
                 if let Some(tunnel) = connection.tunnel {
-                    self.peer.replace(Some(tunnel.peer.clone()));
+                    self.run.peer.replace(Some(tunnel.peer.clone()));
                     guard.note_tunnel(tunnel);
                 }
                 Ok(connection.wire)
@@ -351,6 +358,7 @@
         if !self.shared.upstreams.borrow().takes_requests(index) {
             return Err(Failure::Leaving);
         }
+        self.run.note_written();
         let written = wire.write_all(&self.encode(&spec.id)).await;
         written.map_err(|_| Failure::Broken("broke while it was sent"))?;
         self.answer_head(wire, guard).await
@@ -358,7 +366,7 @@
 
     /// Blames a broken connection on the path rather than on the upstream where the path is lost.
     fn blame_path(&self, guard: &AttemptGuard<T>, failure: Failure) -> Failure {
-        let may_be_path = matches!(failure, Failure::Broken(_) | Failure::Silent);
+        let may_be_path = matches!(failure, Failure::Broken(_));
         match may_be_path && self.is_path_lost(guard) {
             true => Failure::PathLost,
             false => failure,
@@ -371,17 +379,17 @@
         index: UpstreamIndex,
         guard: &AttemptGuard<T>,
         answer: &AnswerHead,
-    ) -> Option<(UpstreamOutcome, SendResult<T>)> {
+    ) -> Option<(UpstreamOutcome, SendFailure)> {
         match answer.reply.execution {
             Execution::NotRun => {
                 guard.note_rejected();
                 if let Some(wait) = answer.reply.retry_after {
                     self.shared.back_off(index, wait);
                 }
-                return Some((UpstreamOutcome::Refused, SendResult::NotRun("refused")));
+                return Some((UpstreamOutcome::Refused, SendFailure::NotRun("refused")));
             }
             Execution::OtherInstance => {
-                return Some((UpstreamOutcome::Replaced, SendResult::NotRun("replaced")));
+                return Some((UpstreamOutcome::Replaced, SendFailure::NotRun("replaced")));
             }
             Execution::Ran => {}
         }
@@ -389,7 +397,7 @@
         let is_own = answer.reply.is_signed && !answer.reply.is_reencoded;
         let why = "not the upstream's own answer";
         (is_success && !is_own)
-            .then_some((UpstreamOutcome::Incomplete, SendResult::MayHaveRun(why)))
+            .then_some((UpstreamOutcome::Incomplete, SendFailure::MayHaveRun(why)))
     }
 
     /// Applies the limits that an answer of this instance carries. Only an answer that the upstream
@@ -423,7 +431,7 @@
             timeout: self.shared.now().until(self.request.deadline),
             upstream,
             customer: customer.map(|customer| &*customer.name),
-            model: self.model.map(|model| &**model),
+            model: self.model.as_deref(),
             resume_after: self.resume_after,
             rank: self.rank(),
         };
@@ -465,8 +473,8 @@
                     if self.is_path_lost(guard) {
                         return Err(Failure::PathLost);
                     }
-                    if self.may_switch && self.is_silent_too_long(guard) {
-                        return Err(Failure::Silent);
+                    if let Some(why) = self.silence(guard) {
+                        self.run.report_silence(why);
                     }
                     if self.is_quarantined() {
                         return Err(Failure::Quarantined);
@@ -501,16 +509,15 @@
         is_allowed && guard.is_path_silent(guard.sent_at())
     }
 
-    /// Whether the upstream has been silent long enough to switch to another.
-    fn is_silent_too_long(&self, guard: &AttemptGuard<T>) -> bool {
+    /// Why another upstream is looked for in place of this one; none if it isn't.
+    fn silence(&self, guard: &AttemptGuard<T>) -> Option<&'static str> {
         let route = &self.request.route;
         let silent = guard.outstanding_for();
-        if !route.retry.is_stream() {
-            let objective = route.objective.as_secs_f64();
-            let share = Span::from_secs_f64(objective * SILENT_SHARE);
-            return silent > share.max(guard.first_output_within());
+        if route.retry.is_stream() {
+            return give_up_reason(self.request, guard, silent, false);
         }
-        give_up_reason(self.request, guard, silent, false).is_some()
+        let share = Span::from_secs_f64(route.objective.as_secs_f64() * SILENT_SHARE);
+        (silent > share.max(guard.first_output_within())).then_some("silent")
     }
 
     /// Reads response heads until one answers this request.
@@ -558,15 +565,15 @@
             Ok(body) => body,
             Err(e) => {
                 guard.end(UpstreamOutcome::Incomplete);
-                return SendResult::MayHaveRun(match e {
+                return Err(SendFailure::MayHaveRun(match e {
                     ResponseError::TooLarge(_) => "its answer was too large",
                     _ => "broke within its answer",
-                });
+                }));
             }
         };
         if reader.ends_with_connection() && self.shared.has_crashed_at_end(index).await {
             guard.end(UpstreamOutcome::Incomplete);
-            return SendResult::MayHaveRun(CRASHED_AT_END);
+            return Err(SendFailure::MayHaveRun(CRASHED_AT_END));
         }
         let is_success = head.status() < 500;
         guard.end(if is_success {
@@ -583,8 +590,10 @@
             _held: held,
         };
         match is_success {
-            true => SendResult::Whole(whole),
-            false => SendResult::Failed(whole),
+            // It can't follow the events that the caller has.
+            true if self.has_delivered => Err(SendFailure::MayHaveRun("answered without a stream")),
+            true => Ok(Answer::Whole(whole)),
+            false => Err(SendFailure::Failed(whole)),
         }
     }
 }
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -11,11 +11,13 @@
 use crate::arm::Arm;
 use crate::awaited::AwaitedKey;
 use crate::exchange::Request;
+use crate::run::Run;
 use crate::shared::Shared;
 use crate::tunnel::client::TunnelLease;
 use crate::tunnel::lease::Lease;
 
-/// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as cancelled.
+/// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as its exchange
+/// says, or as cancelled.
 pub(crate) struct AttemptGuard<T> {
     shared: Rc<Shared<T>>,
     index: UpstreamIndex,
@@ -32,7 +34,9 @@
     /// Set where the request goes by another daemon's share.
     lease: RefCell<Option<Lease>>,
     began_at: Option<Time>,
-    outcome: UpstreamOutcome,
+    /// How it ended; none while it lasts.
+    outcome: Option<UpstreamOutcome>,
+    run: Rc<Run>,
 }
 
 impl<T> AttemptGuard<T> {
@@ -48,6 +52,7 @@
         lease: Option<Lease>,
         request: &Request<T>,
         has_failed: bool,
+        run: Rc<Run>,
     ) -> Self {
         let now = shared.now();
         let mut upstreams = shared.upstreams.borrow_mut();
@@ -86,7 +91,8 @@
             tunnel: RefCell::default(),
             lease: RefCell::new(lease),
             began_at: None,
-            outcome: UpstreamOutcome::Cancelled,
+            outcome: None,
+            run,
         };
         guard.count(|counts| {
             counts.sent += 1;
@@ -205,7 +211,7 @@
 
     /// Sets how the attempt ended; dropping the guard counts it.
     pub(crate) fn end(mut self, outcome: UpstreamOutcome) {
-        self.outcome = outcome;
+        self.outcome = Some(outcome);
     }
 
     /// Stops waiting for the answer to begin; returns whether its start is still to be counted.
@@ -224,24 +230,25 @@
 impl<T> Drop for AttemptGuard<T> {
     fn drop(&mut self) {
         let now = self.shared.now();
+        let outcome = self.outcome.unwrap_or_else(|| self.run.abandoned_as());
         let mut upstreams = self.shared.upstreams.borrow_mut();
         if self.lease.take().is_some() {
             upstreams.record_leased_end(self.index);
         }
-        upstreams.record_end(now, self.index, self.ticket, self.outcome);
+        upstreams.record_end(now, self.index, self.ticket, outcome);
         drop(upstreams);
         self.shared.attempt_ended(
             self.index,
             self.attempt,
             &self.contents,
-            attempt_end(self.outcome),
+            attempt_end(outcome),
         );
         self.take_awaited();
         self.count(|counts| counts.out = counts.out.saturating_sub(1));
         let Some(arm) = self.arm.take().filter(|arm| arm.is_evidence) else {
             return;
         };
-        match self.outcome {
+        match outcome {
             UpstreamOutcome::Good => arm.count(&self.shared, |counts| counts.good += 1),
             UpstreamOutcome::Failed => arm.count(&self.shared, |counts| counts.bad += 1),
             UpstreamOutcome::Silent => arm.count(&self.shared, |counts| counts.broken += 1),
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -2,12 +2,13 @@
 
 mod choose;
 mod log;
+mod replace;
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dispatch::{Cascade, Load, NoUpstream, RetryReason, UpstreamIndex, UpstreamOutcome};
+use dispatch::{Cascade, Choice, NoUpstream, UpstreamIndex, UpstreamOutcome};
+use futures::future::LocalBoxFuture;
 use http1::{Head, Wire};
 use overload::Refusal;
 use poison::Contents;
@@ -16,14 +17,16 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::{LocalReply, Whole, add_jitter};
-use crate::attempt::{Attempt, SendResult};
+use crate::attempt::{Answer, Attempt, SendFailure, SendResult, Stream};
 use crate::ending::EndedBy;
 use crate::metrics::Outcome;
-use crate::relay::{Relay, RelayEnd};
+use crate::relay::{Inbound, Relay, RelayEnd, Silence};
 use crate::report::{Finish, Report};
 use crate::request::Body;
+use crate::run::Run;
 use crate::shared::{Shared, Stage};
 use crate::translate::{Ask, Translator};
+use crate::tunnel::lease::Lease;
 
 /// Least pause before a retry that a caller is sent when no upstream could take its request: a busy
 /// one has finished something by then.
@@ -63,7 +66,7 @@
 enum Next {
     Finished(Finish),
     /// It was not processed, or may be retried: try another upstream, at the cost of a retry.
-    Retry(RetryReason),
+    Retry,
     /// Nothing arrived at the upstream: try another, at no cost to the retry budget.
     TryAnother,
     /// Stop: it failed or its outcome is unknown, and it must not be retried.
@@ -74,6 +77,22 @@
     Overloaded(Refusal),
 }
 
+/// A send in progress.
+struct Sending<'a, T> {
+    run: Rc<Run>,
+    sending: LocalBoxFuture<'a, SendResult<T>>,
+}
+
+/// Where an attempt is.
+enum Step<'a, T> {
+    /// The request is at an upstream.
+    Awaiting(Sending<'a, T>),
+    /// The send has a result.
+    Answered(Rc<Run>, SendResult<T>),
+    /// Nothing of it is in progress.
+    Done(Next),
+}
+
 /// A request in progress, over all of its attempts.
 pub(crate) struct Exchange<'a, T> {
     shared: &'a Rc<Shared<T>>,
@@ -82,12 +101,8 @@
     service: Arc<str>,
     placement_hash: u64,
     tried: Vec<UpstreamIndex>,
-    /// The load by which the last upstream was chosen.
-    chosen_by: Load,
-    /// The upstream that has the request now.
-    outstanding: Option<UpstreamIndex>,
-    /// The peer through which it went there, if it did.
-    peer: RefCell<Option<DaemonId>>,
+    /// The sends in progress.
+    outstanding: Vec<Rc<Run>>,
     sends: u32,
     /// Attempts that reached no upstream, or whose path was lost.
     unreachable: u32,
@@ -108,6 +123,8 @@
     /// Whether its service has admitted it; its retries are then exempt.
     is_admitted: bool,
     relay: Relay,
+    /// Why a silent run was last kept.
+    kept_for: Option<&'static str>,
     /// Who broke off its stream, where it began and is not complete.
     broken_by: EndedBy,
     /// The last failure answer of an upstream, relayed if no later attempt succeeds.
@@ -136,9 +153,7 @@
             service,
             placement_hash,
             tried: Vec::new(),
-            chosen_by: Load::default(),
-            outstanding: None,
-            peer: RefCell::default(),
+            outstanding: Vec::new(),
             sends: 0,
             unreachable: 0,
             has_lost_path: false,
@@ -152,6 +167,7 @@
             // would let any caller pass.
             is_admitted: request.ask.resume_after.is_some() && request.route.retry.is_stream(),
             relay: Relay::new(request.ask.resume_after),
+            kept_for: None,
             broken_by: EndedBy::Upstream,
             failure: None,
             report,
@@ -190,8 +206,8 @@
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
-                Next::Retry(_) if self.is_quarantined() => Ok(()),
-                Next::Retry(reason) => self.may_retry(reason),
+                Next::Retry if self.is_quarantined() => Ok(()),
+                Next::Retry => self.may_retry(),
                 Next::TryAnother => self.may_try_another(),
             };
             if let Err(why) = may_go_on {
@@ -274,78 +290,98 @@
             }
             self.is_admitted = true;
         }
-        let model = self.model_name().cloned();
-        let (choice, lease) = match self.choose_when_free(model.as_ref()).await {
+        let (choice, lease) = match self.choose_when_free(self.model_name()).await {
             Ok(chosen) => chosen,
             Err(no) => return Next::NoneAvailable(no),
         };
+        let mut step = Step::Awaiting(self.start(choice, lease, self.model_index));
+        loop {
+            step = match step {
+                Step::Awaiting(sending) => self.await_answer(sending).await,
+                Step::Answered(run, sent) => self.handle_outcome(run, sent).await,
+                Step::Done(next) => return next,
+            };
+        }
+    }
+
+    /// Starts a send to an upstream. It proceeds while it is awaited.
+    fn start(
+        &mut self,
+        choice: Choice,
+        lease: Option<Lease>,
+        model_index: Option<usize>,
+    ) -> Sending<'a, T> {
+        let run = Rc::new(Run::new(choice.index, choice.load, model_index));
         if self.sends + self.unreachable > 0 {
-            self.log_progress("requests: sent again", choice.index);
+            self.log_progress("requests: sent again", &run);
         }
         self.tried.push(choice.index);
-        self.outstanding = Some(choice.index);
-        self.peer.replace(None);
-        self.chosen_by = choice.load;
+        self.outstanding.push(Rc::clone(&run));
         self.sends += 1;
         let attempt = Attempt {
             shared: self.shared,
             request: self.request,
-            service: &self.service,
-            model: model.as_ref(),
+            service: Arc::clone(&self.service),
+            model: self.model(model_index).cloned(),
             resume_after: self.relay.last_event(),
             has_delivered: self.relay.has_begun(),
             has_failed: self.has_failed,
-            may_switch: self.may_switch(),
             has_attempt_left: self.has_attempt_left(),
             is_trial: self.is_trial,
-            peer: &self.peer,
+            run: Rc::clone(&run),
         };
-        let sent = attempt.send(choice, lease).await;
-        self.handle_outcome(sent).await
+        Sending {
+            run,
+            sending: Box::pin(async move { attempt.send(choice, lease).await }),
+        }
     }
 
-    async fn handle_outcome(&mut self, sent: SendResult<T>) -> Next {
-        let index = self.tried[self.tried.len() - 1];
+    async fn handle_outcome(&mut self, run: Rc<Run>, sent: SendResult<T>) -> Step<'a, T> {
         match sent {
-            SendResult::Unreachable => {
-                self.record_try(index, "unreachable");
+            Err(failure) => Step::Done(self.record_failure(&run, failure)),
+            Ok(Answer::Whole(whole)) => {
+                self.record_try(&run, "answered");
+                self.runs += 1;
+                Step::Done(Next::Finished(
+                    self.relay_whole(whole, Outcome::Answered).await,
+                ))
+            }
+            Ok(Answer::Stream(stream)) => {
+                self.runs += 1;
+                match self.escalate(&run, stream.confidence).await {
+                    Some(step) => step,
+                    None => self.relay_stream(&run, *stream).await,
+                }
+            }
+        }
+    }
+
+    /// Records a send without an answer, and returns what follows from it.
+    fn record_failure(&mut self, run: &Run, failure: SendFailure) -> Next {
+        match failure {
+            SendFailure::Unreachable => {
+                self.record_try(run, "unreachable");
                 self.try_another()
             }
-            SendResult::PathLost => {
-                self.record_try(index, "path lost");
+            SendFailure::PathLost => {
+                self.record_try(run, "path lost");
                 self.retry_elsewhere()
             }
-            SendResult::NotRun(what) => {
-                self.record_try(index, what);
-                Next::Retry(RetryReason::Failure)
+            SendFailure::NotRun(what) => {
+                self.record_try(run, what);
+                Next::Retry
             }
-            SendResult::MayHaveRun(what) => {
-                self.record_try(index, what);
+            SendFailure::MayHaveRun(what) => {
+                self.record_try(run, what);
                 self.runs += 1;
                 self.retry_or_give_up(what)
             }
-            SendResult::Failed(whole) => {
-                self.record_try(index, "failed");
+            SendFailure::Failed(whole) => {
+                self.record_try(run, "failed");
                 self.runs += 1;
                 self.failure = Some(whole);
                 self.retry_or_give_up("the upstream failed")
             }
-            SendResult::Whole(whole) => {
-                self.record_try(index, "answered");
-                self.runs += 1;
-                Next::Finished(self.relay_whole(whole, Outcome::Answered).await)
-            }
-            SendResult::Stream(stream) => {
-                self.runs += 1;
-                if let Some(larger) = self.larger_model(stream.confidence) {
-                    let confidence = stream.confidence.unwrap_or_default();
-                    self.record_try(index, &format!("dropped as unsure ({confidence})"));
-                    self.model_index = Some(larger);
-                    self.tried.clear();
-                    return Next::Retry(RetryReason::LargerModel);
-                }
-                self.relay_stream(index, *stream).await
-            }
         }
     }
 
@@ -360,15 +396,20 @@
     /// Sends the request elsewhere after its path was lost. That is no failure of the upstream, so it
     /// counts as unreachable; but the request may have arrived there, so it takes a retry.
     fn retry_elsewhere(&mut self) -> Next {
-        self.count_unreachable();
-        self.has_lost_path = true;
+        self.count_lost_path();
         match self.may_try_another() {
-            Ok(()) => Next::Retry(RetryReason::Failure),
+            Ok(()) => Next::Retry,
             Err(why) => Next::GiveUp(why),
         }
     }
 
-    /// Counts the last send as one that reached no upstream.
+    /// Counts a send whose path was lost.
+    fn count_lost_path(&mut self) {
+        self.count_unreachable();
+        self.has_lost_path = true;
+    }
+
+    /// Counts a send as one that reached no upstream.
     fn count_unreachable(&mut self) {
         self.sends -= 1;
         self.unreachable += 1;
@@ -384,79 +425,82 @@
     fn retry_or_give_up(&mut self, why: &'static str) -> Next {
         self.has_failed = true;
         match self.request.route.retry.is_allowed() {
-            true => Next::Retry(RetryReason::Failure),
+            true => Next::Retry,
             false => Next::GiveUp(why),
         }
     }
 
-    async fn relay_stream(
-        &mut self,
-        index: UpstreamIndex,
-        mut stream: crate::attempt::Stream<T>,
-    ) -> Next {
-        self.log_progress("requests: streaming", index);
+    async fn relay_stream(&mut self, run: &Run, stream: Stream<T>) -> Step<'a, T> {
+        self.log_progress("requests: streaming", run);
         let idle = self.shared.cfg.session_idle;
-        self.pin(index, self.request.deadline + idle);
+        self.pin(run.index, self.request.deadline + idle);
         let keeps_alive = self.keeps_alive();
-        let leaves_silent = self.shared.cfg.policy.timing.leaves_silent;
-        let is_allowed = self.request.route.retry.is_allowed();
-        stream.may_switch =
-            leaves_silent && is_allowed && self.runs < self.request.route.max_attempts;
-        let end = self
-            .relay
-            .run(
-                self.shared,
-                self.wire,
-                self.request,
-                &mut stream,
-                keeps_alive,
-            )
-            .await;
-        self.pin(index, self.shared.now() + idle);
-        self.report.first_byte_at = self.relay.first_at();
+        let mut inbound = Inbound::new(self.shared, stream);
+        inbound.stream.may_switch = self.leaves_silent();
+        loop {
+            let (shared, caller, request) = (self.shared, self.wire, self.request);
+            let relayed = self
+                .relay
+                .run(shared, caller, request, &mut inbound, keeps_alive);
+            let silence = match relayed.await {
+                Ok(end) => {
+                    self.pin(run.index, self.shared.now() + idle);
+                    return Step::Done(self.end_stream(run, inbound.stream, end, keeps_alive));
+                }
+                Err(silence) => silence,
+            };
+            if let Some(step) = self.replace_stream(run, &mut inbound, silence).await {
+                self.end_replaced(run, inbound.stream, silence);
+                self.pin(run.index, self.shared.now() + idle);
+                return step;
+            }
+        }
+    }
+
+    /// Ends the stream of an upstream, and returns what follows.
+    fn end_stream(
+        &mut self,
+        run: &Run,
+        stream: Stream<T>,
+        end: RelayEnd,
+        keeps_alive: bool,
+    ) -> Next {
         match end {
             RelayEnd::Complete => {
                 let what = stream
                     .confidence
                     .map(|confidence| format!("streamed ({confidence})"));
-                self.record_try(index, what.as_deref().unwrap_or("streamed"));
+                self.record_try(run, what.as_deref().unwrap_or("streamed"));
                 stream.finish(UpstreamOutcome::Good);
-                Next::Finished(Finish {
-                    outcome: Outcome::Answered,
-                    status: 200,
-                    why: "",
-                    ended_by: None,
-                    keeps_alive,
-                })
+                Next::Finished(Finish::answered(keeps_alive))
             }
             RelayEnd::CallerGone => {
-                self.record_try(index, "caller gone");
+                self.record_try(run, "caller gone");
                 Next::Finished(Finish::caller_gone())
             }
             RelayEnd::PathLost => {
-                self.record_try(index, "path lost within its stream");
+                self.record_try(run, Silence::Path.describe());
                 stream.finish(UpstreamOutcome::Cancelled);
-                self.note_version(index);
+                self.note_version(run.index);
                 self.runs -= 1;
                 self.broken_by = EndedBy::Path;
                 self.retry_elsewhere()
             }
             RelayEnd::TooLong => {
                 let why = "more events than were asked for";
-                self.record_try(index, why);
+                self.record_try(run, why);
                 stream.finish(UpstreamOutcome::Incomplete);
                 self.broken_by = EndedBy::Daemon;
                 Next::GiveUp(why)
             }
             RelayEnd::Broken(why, outcome) => {
-                self.record_try(index, why);
+                self.record_try(run, why);
                 stream.finish(outcome);
                 self.broken_by = match outcome {
-                    UpstreamOutcome::Silent => EndedBy::Daemon,
                     UpstreamOutcome::Cancelled => EndedBy::Caller,
                     _ => EndedBy::Upstream,
                 };
-                self.note_version(index);
+                self.note_version(run.index);
                 self.retry_or_give_up(why)
             }
         }
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -31,7 +31,7 @@
 /// Interval at which it looks whether they have.
 const HOLD_POLL: Duration = Duration::from_millis(10);
 
-impl<T: Translator> Exchange<'_, T> {
+impl<'a, T: Translator> Exchange<'a, T> {
     /// Until when the request's content is quarantined; none if it isn't. Takes the half-open trial
     /// when the quarantine has expired.
     ///
@@ -213,10 +213,10 @@
         Some(Span::from_secs_f64(ms / 1_000.0))
     }
 
-    /// Whether to switch away from a silent upstream: only while another attempt is left in case an
-    /// upstream breaks.
-    pub(super) fn may_switch(&self) -> bool {
-        self.has_attempt_left() && self.shared.cfg.policy.timing.leaves_silent
+    /// Whether another upstream is looked for when one is silent.
+    pub(super) fn leaves_silent(&self) -> bool {
+        let is_allowed = self.request.route.retry.is_allowed();
+        is_allowed && self.shared.cfg.policy.timing.leaves_silent
     }
 
     /// Whether the request may be sent again after one more run.
@@ -251,14 +251,20 @@
         gate.permit(self.placement_hash, pinned)
     }
 
-    pub(super) fn model_name(&self) -> Option<&Arc<str>> {
-        match self.model_index {
+    pub(super) fn model_name(&self) -> Option<&'a Arc<str>> {
+        self.model(self.model_index)
+    }
+
+    /// The model with this index, or the one that the caller names.
+    pub(super) fn model(&self, index: Option<usize>) -> Option<&'a Arc<str>> {
+        match index {
             Some(index) => self.request.route.models.get(index),
             None => self.request.ask.model.as_ref(),
         }
     }
 
-    pub(super) fn larger_model(&mut self, confidence: Option<u8>) -> Option<usize> {
+    /// The larger model that a request with a draft of this confidence should go to.
+    pub(super) fn larger_model(&self, confidence: Option<u8>) -> Option<usize> {
         // A half-open trial is sent once, so its draft is kept.
         if self.is_trial || self.relay.has_begun() || self.runs >= self.request.route.max_attempts {
             return None;
@@ -274,34 +280,33 @@
         let now = self.shared.now();
         let expected = |index| self.expected_first_event(index);
         let cascade = Cascade::new(self.shared.cfg.policy.cascade);
-        let larger = cascade.next(now, models, draft, expected)?;
-        self.take_retry(RetryReason::LargerModel).then_some(larger)
+        cascade.next(now, models, draft, expected)
     }
 
     /// Takes a retry for one more send, or returns why there is none.
-    pub(super) fn may_retry(&mut self, reason: RetryReason) -> Result<(), &'static str> {
-        self.has_send_left()?;
-        // The escalation took its retry when the smaller model's answer was dropped.
-        match reason == RetryReason::LargerModel || self.take_retry(reason) {
+    pub(super) fn may_retry(&mut self) -> Result<(), &'static str> {
+        self.has_send_left(self.runs, self.sends)?;
+        match self.take_retry(RetryReason::Failure) {
             true => Ok(()),
             false => Err("no retry is left"),
         }
     }
 
-    /// Whether the request's own bounds allow one more send; if not, which of them is reached.
-    fn has_send_left(&self) -> Result<(), &'static str> {
+    /// Whether the request's own bounds allow one more send after so many; if not, which of them is
+    /// reached.
+    pub(super) fn has_send_left(&self, runs: u32, sends: u32) -> Result<(), &'static str> {
         let max_attempts = self.request.route.max_attempts;
-        if self.runs >= max_attempts {
+        if runs >= max_attempts {
             return Err("no attempt is left");
         }
-        if self.sends >= max_attempts + MAX_EXTRA_SENDS {
+        if sends >= max_attempts + MAX_EXTRA_SENDS {
             return Err("no send is left");
         }
         Ok(())
     }
 
     /// Takes a retry from the service's budget; returns whether one was left.
-    fn take_retry(&mut self, reason: RetryReason) -> bool {
+    pub(super) fn take_retry(&mut self, reason: RetryReason) -> bool {
         let charge = self.shared.take_retry(&self.service, reason);
         self.report.charge = Some(charge);
         charge.kind == ChargeKind::Granted
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -31,6 +31,7 @@
 mod report;
 mod request;
 mod retries;
+mod run;
 mod server;
 mod shared;
 mod status;
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -65,6 +65,24 @@
     by: EndedBy,
 }
 
+/// What became of a replacement of a run that was alive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum ReplacementResult {
+    /// Another upstream took its place.
+    Taken,
+    /// The run went on before another upstream had begun.
+    Overtaken,
+    /// Another upstream refused the request.
+    Refused,
+    /// No attempt, retry or other upstream was left.
+    Unavailable,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReplacementLabel {
+    result: ReplacementResult,
+}
+
 /// Counters and histograms, served as text.
 #[derive(Debug)]
 pub struct Metrics {
@@ -72,6 +90,8 @@
     requests: Family<OutcomeLabel, Counter>,
     /// Streams that had begun and did not come to their end.
     cut_streams: Family<EndedByLabel, Counter>,
+    /// Replacements of runs that were alive.
+    replacements: Family<ReplacementLabel, Counter>,
     /// Further sends of requests, by how the retry budget was charged.
     retries: Family<ChargeLabel, Counter>,
     /// Time from a request's arrival to the first byte of its answer.
@@ -146,6 +166,7 @@
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
             cut_streams: Family::default(),
+            replacements: Family::default(),
             retries: Family::default(),
             first_byte: Histogram::new(buckets()),
             whole: Histogram::new(buckets()),
@@ -265,6 +286,11 @@
             "Further sends of requests, by how the retry budget was charged",
             self.retries.clone(),
         );
+        r.register(
+            "replacements",
+            "Looks for another upstream in place of a silent run or a draft, by result",
+            self.replacements.clone(),
+        );
     }
 
     fn register_overload(&mut self) {
@@ -438,6 +464,12 @@
         self.cut_streams.get_or_create(&EndedByLabel { by }).inc();
     }
 
+    /// Records what became of a replacement.
+    pub(crate) fn record_replacement(&self, result: ReplacementResult) {
+        let label = ReplacementLabel { result };
+        self.replacements.get_or_create(&label).inc();
+    }
+
     /// Records how a further send of a request was charged.
     pub(crate) fn record_charge(&self, charge: ChargeKind) {
         self.retries.get_or_create(&ChargeLabel { charge }).inc();
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -1,23 +1,27 @@
 //! Relaying a stream event by event, across as many upstreams as it takes.
 
+mod inbound;
+
 use std::time::Duration;
 
 use dispatch::UpstreamOutcome;
-use http1::events::{Event, Splitter};
+use http1::Wire;
+use http1::events::Event;
 use http1::write::{LAST_CHUNK, push_chunk};
-use http1::{Progress, Wire};
 use types::prelude::*;
 
 use crate::answer::{push_connection, push_head};
 use crate::attempt::{CRASHED_AT_END, Stream};
 use crate::attempt_guard::AttemptGuard;
 use crate::exchange::Request;
-use crate::held::HeldAnswer;
 use crate::shared::Shared;
 use crate::translate::Translator;
 
+pub(crate) use inbound::Inbound;
+use inbound::NextRead;
+
 /// Multiple of the longest pause that is on time. When an engine is silent on all connections for
-/// longer, the stream resumes elsewhere. A live engine may be silent for two or three seconds while
+/// longer, the stream resumes elsewhere if it can. A live engine may be silent for two or three seconds while
 /// it prefills long prompts.
 const MUTE_PAUSES: f64 = 1.5;
 /// Multiple of the longest pause that is on time. When a stream alone is silent for longer, it
@@ -57,23 +61,31 @@
     TooLong,
 }
 
+/// What is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Silence {
+    /// The upstream, and in which way.
+    Upstream(&'static str),
+    /// The path to it, which is lost.
+    Path,
+}
+
+impl Silence {
+    /// Describes it in the log.
+    pub(crate) fn describe(self) -> &'static str {
+        match self {
+            Self::Upstream(why) => why,
+            Self::Path => "path lost within its stream",
+        }
+    }
+}
+
 /// The stream to one caller, across upstreams.
 #[derive(Debug)]
 pub(crate) struct Relay {
     last: Option<u64>,
     delivered: u64,
     first_at: Option<Time>,
-    /// Until when an end of the upstream's data may be due to the caller, which read slowly.
-    cut_off_until: Time,
-}
-
-/// What the upstream sent next.
-enum NextRead {
-    Events(Vec<Event>),
-    End,
-    /// The connection ended after a whole event, and the stream with it.
-    EndOfConnection,
-    Broken(&'static str, UpstreamOutcome),
 }
 
 impl Relay {
@@ -83,7 +95,6 @@
             last: resume_after,
             delivered: 0,
             first_at: None,
-            cut_off_until: Time::ZERO,
         }
     }
 
@@ -105,120 +116,78 @@
         self.delivered
     }
 
-    /// Relays the stream of one upstream.
+    /// Relays the stream of one upstream until it ends.
+    ///
+    /// # Errors
+    /// When it falls silent. It may be relayed on.
     pub(crate) async fn run<T: Translator>(
         &mut self,
         shared: &Shared<T>,
         caller: &Wire,
         request: &Request<T>,
-        stream: &mut Stream<T>,
+        inbound: &mut Inbound<T>,
         keeps_alive: bool,
-    ) -> RelayEnd {
-        // What the caller left unread before is another upstream's.
-        self.cut_off_until = Time::ZERO;
-        let mut splitter = Splitter::default();
-        let mut held = shared.held_answers.begin();
+    ) -> Result<RelayEnd, Silence> {
         let max_events = max_events(request);
-        let mut has_event = false;
-        let mut heard_at = shared.now();
         // One timer for the whole stream: one for each event would be a tenth of its cost.
         let mut ticker = tokio::time::interval(SILENCE_POLL);
         loop {
             let next = tokio::select! {
                 biased;
-                next = next(stream, &mut splitter, &mut held) => next,
-                _ = ticker.tick() => match stream.give_up_reason(request, heard_at, has_event) {
-                    Some(why) if stream.may_switch => NextRead::Broken(why, UpstreamOutcome::Silent),
-                    _ if stream.is_path_lost(heard_at) => return RelayEnd::PathLost,
-                    _ => continue,
+                next = inbound.next() => next,
+                _ = ticker.tick() => match silence(shared, request, inbound) {
+                    Some(_) if inbound.is_within_event(shared.now()) => NextRead::ENDLESS_EVENT,
+                    Some(silence) => return Err(silence),
+                    None => continue,
                 },
             };
-            if matches!(next, NextRead::Broken(..)) && stream.is_path_lost(heard_at) {
-                return RelayEnd::PathLost;
+            let is_broken = matches!(next, NextRead::Broken(..));
+            if is_broken && inbound.stream.is_path_lost(inbound.heard_at) {
+                return Ok(RelayEnd::PathLost);
             }
-            heard_at = shared.now();
-            stream.note_heard();
-            let mut events = match self.without_cut_off(shared, stream, next).await {
+            inbound.heard_at = shared.now();
+            inbound.stream.note_heard();
+            let mut events = match without_cut_off(shared, inbound, next).await {
                 NextRead::Events(events) => events,
-                NextRead::EndOfConnection if stream.has_crashed_at_end().await => {
-                    return RelayEnd::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete);
+                NextRead::EndOfConnection if inbound.stream.has_crashed_at_end().await => {
+                    return Ok(RelayEnd::Broken(
+                        CRASHED_AT_END,
+                        UpstreamOutcome::Incomplete,
+                    ));
                 }
                 NextRead::End | NextRead::EndOfConnection => {
-                    return self.end(caller, stream, has_event, keeps_alive).await;
+                    return Ok(self.end(caller, inbound, keeps_alive).await);
                 }
-                NextRead::Broken(why, outcome) => return RelayEnd::Broken(why, outcome),
+                NextRead::Broken(why, outcome) => return Ok(RelayEnd::Broken(why, outcome)),
             };
-            if !has_event {
-                has_event = true;
-                stream.note_first_event();
+            if !inbound.has_event {
+                inbound.has_event = true;
+                inbound.stream.note_first_event();
             }
             let mut out = Vec::new();
             if !self.has_begun() {
                 self.first_at = Some(shared.now());
-                push_stream_head(&mut out, stream, keeps_alive);
+                push_stream_head(&mut out, &inbound.stream, keeps_alive);
             }
             let left = max_events.map_or(u64::MAX, |max| max.saturating_sub(self.delivered));
             let is_too_long = events.len() as u64 > left;
             events.truncate(usize::try_from(left).unwrap_or(usize::MAX));
             let is_in_order = self.append(&mut out, events);
-            if self.deliver(shared, caller, &out).await.is_err() {
-                return RelayEnd::CallerGone;
+            if deliver(shared, caller, inbound, &out).await.is_err() {
+                return Ok(RelayEnd::CallerGone);
             }
             if is_too_long {
-                return RelayEnd::TooLong;
+                return Ok(RelayEnd::TooLong);
             }
             if !is_in_order {
-                return RelayEnd::Broken(
+                return Ok(RelayEnd::Broken(
                     "an event was missing or repeated",
                     UpstreamOutcome::Incomplete,
-                );
+                ));
             }
         }
     }
 
-    /// Writes data to the caller, and notes if it left data unread for long.
-    async fn deliver<T>(
-        &mut self,
-        shared: &Shared<T>,
-        caller: &Wire,
-        data: &[u8],
-    ) -> std::io::Result<()> {
-        let from = shared.now();
-        caller.write_all(data).await?;
-        let now = shared.now();
-        if now.since(from) >= UNREAD_TIMEOUT {
-            self.cut_off_until = now + CUT_OFF_WITHIN;
-        }
-        Ok(())
-    }
-
-    /// Takes an end of the data as broken off if the upstream may have cut it off since the caller
-    /// left it unread. Between two events that looks like the end of the stream; and a slow caller is
-    /// no failure of the upstream. A crash still counts as one: otherwise requests that crash
-    /// upstreams would leave no evidence when their callers read slowly.
-    async fn without_cut_off<T: Translator>(
-        &self,
-        shared: &Shared<T>,
-        stream: &Stream<T>,
-        next: NextRead,
-    ) -> NextRead {
-        if shared.now() >= self.cut_off_until {
-            return next;
-        }
-        match next {
-            NextRead::EndOfConnection | NextRead::Broken(_, UpstreamOutcome::Incomplete)
-                if stream.has_crashed_at_end().await =>
-            {
-                NextRead::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete)
-            }
-            NextRead::EndOfConnection => {
-                NextRead::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled)
-            }
-            NextRead::Broken(why, _) => NextRead::Broken(why, UpstreamOutcome::Cancelled),
-            other => other,
-        }
-    }
-
     /// Appends events in order; false at the first that does not follow the last one.
     ///
     /// An upstream may resume at the wrong event. The caller would get one twice or miss one, and
@@ -239,19 +208,13 @@
         true
     }
 
-    async fn end<T>(
-        &mut self,
-        caller: &Wire,
-        stream: &Stream<T>,
-        has_event: bool,
-        keeps_alive: bool,
-    ) -> RelayEnd {
+    async fn end<T>(&mut self, caller: &Wire, inbound: &Inbound<T>, keeps_alive: bool) -> RelayEnd {
         let mut out = Vec::new();
         if !self.has_begun() {
-            if !has_event && self.last.is_none() {
+            if !inbound.has_event && self.last.is_none() {
                 return RelayEnd::Broken("ended without an event", UpstreamOutcome::Incomplete);
             }
-            push_stream_head(&mut out, stream, keeps_alive);
+            push_stream_head(&mut out, &inbound.stream, keeps_alive);
         }
         out.extend_from_slice(LAST_CHUNK);
         match caller.write_all(&out).await {
@@ -261,6 +224,64 @@
     }
 }
 
+/// What is silent, so that another upstream is looked for; none if nothing is.
+fn silence<T>(shared: &Shared<T>, request: &Request<T>, inbound: &Inbound<T>) -> Option<Silence> {
+    if !shared.now().has_reached(inbound.silence_from) {
+        return None;
+    }
+    let Inbound {
+        stream,
+        heard_at,
+        has_event,
+        ..
+    } = inbound;
+    let why = stream.give_up_reason(request, *heard_at, *has_event);
+    match why.filter(|_| stream.may_switch) {
+        Some(why) => Some(Silence::Upstream(why)),
+        None => stream.is_path_lost(*heard_at).then_some(Silence::Path),
+    }
+}
+
+/// Writes data to the caller, and notes if it left data unread for long.
+async fn deliver<T>(
+    shared: &Shared<T>,
+    caller: &Wire,
+    inbound: &mut Inbound<T>,
+    data: &[u8],
+) -> std::io::Result<()> {
+    let from = shared.now();
+    caller.write_all(data).await?;
+    let now = shared.now();
+    if now.since(from) >= UNREAD_TIMEOUT {
+        inbound.cut_off_until = now + CUT_OFF_WITHIN;
+    }
+    Ok(())
+}
+
+/// Takes an end of the data as broken off if the upstream may have cut it off since the caller
+/// left it unread. Between two events that looks like the end of the stream; and a slow caller is
+/// no failure of the upstream. A crash still counts as one: otherwise requests that crash
+/// upstreams would leave no evidence when their callers read slowly.
+async fn without_cut_off<T: Translator>(
+    shared: &Shared<T>,
+    inbound: &Inbound<T>,
+    next: NextRead,
+) -> NextRead {
+    if shared.now() >= inbound.cut_off_until {
+        return next;
+    }
+    match next {
+        NextRead::EndOfConnection | NextRead::Broken(_, UpstreamOutcome::Incomplete)
+            if inbound.stream.has_crashed_at_end().await =>
+        {
+            NextRead::Broken(CRASHED_AT_END, UpstreamOutcome::Incomplete)
+        }
+        NextRead::EndOfConnection => NextRead::Broken(CUT_OFF_UNREAD, UpstreamOutcome::Cancelled),
+        NextRead::Broken(why, _) => NextRead::Broken(why, UpstreamOutcome::Cancelled),
+        other => other,
+    }
+}
+
 fn push_stream_head<T>(out: &mut Vec<u8>, stream: &Stream<T>, keeps_alive: bool) {
     push_head(out, &stream.head);
     out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
@@ -278,77 +299,7 @@
         .map(|tokens| tokens + EXTRA_EVENTS)
 }
 
-/// Waits until at least one whole event has arrived or the stream ended.
-async fn next<T>(
-    stream: &mut Stream<T>,
-    splitter: &mut Splitter,
-    held: &mut HeldAnswer,
-) -> NextRead {
-    loop {
-        let mut has_ended = false;
-        loop {
-            let progress = stream.reader.read(&mut stream.wire.buf());
-            match progress {
-                Ok(Progress::Data(data)) => splitter.push(&data),
-                Ok(Progress::NeedMore) => break,
-                Ok(Progress::Done) => {
-                    has_ended = true;
-                    break;
-                }
-                Err(_) => {
-                    return NextRead::Broken(
-                        "garbled within its stream",
-                        UpstreamOutcome::Incomplete,
-                    );
-                }
-            }
-        }
-        let taken = take_events(splitter);
-        if !held.set_len(splitter.buffered()) {
-            return NextRead::Broken("an event was too large", UpstreamOutcome::Incomplete);
-        }
-        match taken {
-            Ok(events) if !events.is_empty() => return NextRead::Events(events),
-            Ok(_) => {}
-            Err(why) => return NextRead::Broken(why, UpstreamOutcome::Incomplete),
-        }
-        if has_ended {
-            return end_reason(splitter);
-        }
-        match stream.wire.fill().await {
-            Ok(0) if stream.reader.ends_with_connection() => {
-                return match end_reason(splitter) {
-                    NextRead::End => NextRead::EndOfConnection,
-                    broken => broken,
-                };
-            }
-            Ok(0) | Err(_) => {
-                return NextRead::Broken("cut within its stream", UpstreamOutcome::Incomplete);
-            }
-            Ok(_) => {}
-        }
-    }
-}
-
-fn end_reason(splitter: &Splitter) -> NextRead {
-    match splitter.has_rest() {
-        true => NextRead::Broken("ended within an event", UpstreamOutcome::Incomplete),
-        false => NextRead::End,
-    }
-}
-
-fn take_events(splitter: &mut Splitter) -> Result<Vec<Event>, &'static str> {
-    let mut events = Vec::new();
-    while let Some(event) = splitter
-        .next_event()
-        .map_err(|_| "an event was too large")?
-    {
-        events.push(event);
-    }
-    Ok(events)
-}
-
-/// Why a silent upstream is abandoned for another; none if it isn't.
+/// Why another upstream is looked for in place of a silent one; none if it isn't.
 pub(crate) fn give_up_reason<T>(
     request: &Request<T>,
     guard: &AttemptGuard<T>,
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -24,6 +24,17 @@
 }
 
 impl Finish {
+    /// The caller has a whole answer.
+    pub(crate) fn answered(keeps_alive: bool) -> Self {
+        Self {
+            outcome: Outcome::Answered,
+            status: 200,
+            why: "",
+            ended_by: None,
+            keeps_alive,
+        }
+    }
+
     /// The caller disconnected.
     pub(crate) fn caller_gone() -> Self {
         Self {
--- a/components/traffic/src/retries.rs
+++ b/components/traffic/src/retries.rs
@@ -68,14 +68,14 @@
     pub(crate) fn uncounted_retry(&self, service: &Arc<str>) -> Charge {
         let kind = ChargeKind::NotCounted;
         self.metrics.record_charge(kind);
-        let usage = self.retry_usage(service);
+        let usage = self.retry_usage(service, RetryReason::Failure);
         Charge { kind, usage }
     }
 
-    /// Returns how much of a service's budget for failures is used.
-    pub(crate) fn retry_usage(&self, service: &Arc<str>) -> BudgetUse {
+    /// Returns how much of a service's budget is used.
+    pub(crate) fn retry_usage(&self, service: &Arc<str>, reason: RetryReason) -> BudgetUse {
         let now = self.now();
-        self.with_budget(service, |budget| budget.usage(now, RetryReason::Failure))
+        self.with_budget(service, |budget| budget.usage(now, reason))
     }
 
     /// Describes the retry budgets, by service.
