--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -133,6 +133,7 @@
 
     /// Notes that something was read from the upstream.
     pub(crate) fn note_heard(&self) {
+        self.run.abandon(UpstreamOutcome::Cancelled);
         let now = self.shared.now();
         let mut upstreams = self.shared.upstreams.borrow_mut();
         upstreams.record_received(now, self.index);
--- a/components/traffic/src/exchange/replace.rs
+++ b/components/traffic/src/exchange/replace.rs
@@ -105,6 +105,7 @@
                 Replaced::Refused => {}
                 Replaced::Unavailable(no) => self.log_kept(&current.run, why, no),
             }
+            current.run.abandon(UpstreamOutcome::Silent);
             look_at = Instant::now() + LOOK_INTERVAL.to_duration();
         }
     }
@@ -139,6 +140,9 @@
             Replaced::Refused => {}
             Replaced::Unavailable(no) => self.log_kept(run, silence.describe(), no),
         }
+        if silence != Silence::Path {
+            run.abandon(UpstreamOutcome::Silent);
+        }
         inbound.silence_from = self.shared.now() + LOOK_INTERVAL;
         None
     }
--- a/components/traffic/src/run.rs
+++ b/components/traffic/src/run.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Sets what it shows of the upstream that the exchange ends it.
+    /// Sets what it shows of the upstream if the exchange ends it.
     pub(crate) fn abandon(&self, outcome: UpstreamOutcome) {
         self.abandoned_as.set(outcome);
     }
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -303,3 +303,28 @@
     let ended = is_closed.recv_timeout(TEST_TIMEOUT);
     assert!(ended.is_ok(), "the replacement still runs");
 }
+
+/// A version whose upstreams hang showed no failure while no retry was left to replace their runs.
+#[test]
+fn a_run_that_is_silent_until_its_deadline_counts_against_its_version() {
+    for retry in [Retry::Any, RESUMABLE] {
+        let hanging = upstream(move |served| {
+            let request = served.request().expect("one");
+            if retry.is_stream() {
+                served.write(&stream_head(id_of(&request), 90));
+                served.write(&event(1));
+            }
+            served.wait_closed();
+        });
+        let running = serving_without_retries(retry, &[hanging]);
+        running.send_plan(retry, &[hanging], vec![gate_of_all()]);
+        let mut caller = running.caller();
+        caller.send(&post("r1", "hello").replace("wait: 9000", "wait: 4500"));
+        wait_until("its deadline", || {
+            running.state_number("requests") == 0
+                && running.handle.observed.evidence().contains_key("service")
+        });
+        let evidence = running.handle.observed.evidence()["service"].new.sum();
+        assert_eq!(evidence.broken, 1, "{retry:?}: {evidence:?}");
+    }
+}
