--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -490,6 +490,19 @@
         }
     }
 
+    /// Records that an upstream has been silent for too long on a request, which goes on.
+    pub fn record_silence(&mut self, now: Time, index: UpstreamIndex) {
+        let Some(entry) = self.entries.get_mut(&index) else {
+            return;
+        };
+        let means = means_of(&mut self.means, &entry.spec.service);
+        means.record(UpstreamOutcome::Silent);
+        let peers_share = means.failure_share();
+        entry
+            .health
+            .record(now, UpstreamOutcome::Silent, peers_share);
+    }
+
     /// Returns this daemon's outstanding requests for the other daemons; idle upstreams are
     /// left out.
     #[must_use]
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::connect::ConnectFailure;
 use crate::exchange::Request;
-use crate::relay::give_up_reason;
+use crate::relay::silence_reason;
 use crate::retries::ChargeKind;
 use crate::run::Run;
 use crate::shared::Shared;
@@ -119,7 +119,7 @@
     pub(crate) wire: Wire,
     pub(crate) reader: BodyReader,
     /// Whether another upstream is looked for when this one is silent.
-    pub(crate) may_switch: bool,
+    pub(crate) leaves_silent: bool,
     /// Whether another upstream may go on with the stream.
     may_resume: bool,
     index: UpstreamIndex,
@@ -143,6 +143,11 @@
         self.shared.now()
     }
 
+    /// Notes that the upstream has been silent for too long. The stream goes on.
+    pub(crate) fn note_silent(&self) {
+        self.guard.note_silent();
+    }
+
     /// Notes that something was read.
     pub(crate) fn note_heard(&self) {
         self.guard.note_heard();
@@ -155,14 +160,14 @@
     }
 
     /// Why another upstream is looked for in place of this one; none if it isn't.
-    pub(crate) fn give_up_reason(
+    pub(crate) fn silence_reason(
         &self,
         request: &Request<T>,
         heard_at: Time,
         has_event: bool,
     ) -> Option<&'static str> {
         let silent = self.shared.now().since(heard_at);
-        give_up_reason(request, &self.guard, silent, has_event)
+        silence_reason(request, &self.guard, silent, has_event)
     }
 
     /// Ends the attempt. The connection returns to the pool after a complete stream.
@@ -186,6 +191,8 @@
     pub(crate) has_delivered: bool,
     /// Whether an earlier attempt of the request failed.
     pub(crate) has_failed: bool,
+    /// Whether another upstream is looked for when this one is silent.
+    pub(crate) leaves_silent: bool,
     /// Whether the request may be retried after this attempt.
     pub(crate) has_attempt_left: bool,
     /// Whether this is the half-open trial of a quarantined content.
@@ -197,8 +204,7 @@
     /// Sends the request. Waits for the head of a stream, or for the end of any other answer.
     pub(crate) async fn send(&self, choice: Choice, lease: Option<Lease>) -> SendResult<T> {
         let (shared, request) = (self.shared, self.request);
-        let run = Rc::clone(&self.run);
-        let mut guard = AttemptGuard::start(shared, &choice, lease, request, self.has_failed, run);
+        let mut guard = AttemptGuard::start(shared, &choice, lease, request, self.has_failed);
         let Some(spec) = self.shared.upstreams.borrow().spec(choice.index).cloned() else {
             return Err(SendFailure::Unreachable);
         };
@@ -212,6 +218,7 @@
             }
         };
         guard.note_heard();
+        self.run.note_began();
         self.observe_limits(choice.index, &guard, &answer.reply);
         if let Some((outcome, failure)) = self.refusal(choice.index, &guard, &answer) {
             guard.end(outcome);
@@ -226,7 +233,7 @@
                 confidence: answer.reply.confidence,
                 wire,
                 reader,
-                may_switch: false,
+                leaves_silent: false,
                 may_resume: self.request.route.retry.is_allowed(),
                 index: choice.index,
                 shared: Rc::clone(self.shared),
@@ -358,9 +365,9 @@
         if !self.shared.upstreams.borrow().takes_requests(index) {
             return Err(Failure::Leaving);
         }
-        self.run.note_written();
         let written = wire.write_all(&self.encode(&spec.id)).await;
         written.map_err(|_| Failure::Broken("broke while it was sent"))?;
+        self.run.note_written();
         self.answer_head(wire, guard).await
     }
 
@@ -473,9 +480,7 @@
                     if self.is_path_lost(guard) {
                         return Err(Failure::PathLost);
                     }
-                    if let Some(why) = self.silence(guard) {
-                        self.run.report_silence(why);
-                    }
+                    self.note_silence(guard);
                     if self.is_quarantined() {
                         return Err(Failure::Quarantined);
                     }
@@ -509,12 +514,21 @@
         is_allowed && guard.is_path_silent(guard.sent_at())
     }
 
+    /// Notes whether another upstream is to be looked for in place of this one.
+    fn note_silence(&self, guard: &AttemptGuard<T>) {
+        let silence = self.silence(guard).filter(|_| self.leaves_silent);
+        if silence.is_some() && self.has_attempt_left {
+            guard.note_silent();
+        }
+        self.run.set_silence(silence);
+    }
+
     /// Why another upstream is looked for in place of this one; none if it isn't.
     fn silence(&self, guard: &AttemptGuard<T>) -> Option<&'static str> {
         let route = &self.request.route;
         let silent = guard.outstanding_for();
         if route.retry.is_stream() {
-            return give_up_reason(self.request, guard, silent, false);
+            return silence_reason(self.request, guard, silent, false);
         }
         let share = Span::from_secs_f64(route.objective.as_secs_f64() * SILENT_SHARE);
         (silent > share.max(guard.first_output_within())).then_some("silent")
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -11,13 +11,11 @@
 use crate::arm::Arm;
 use crate::awaited::AwaitedKey;
 use crate::exchange::Request;
-use crate::run::Run;
 use crate::shared::Shared;
 use crate::tunnel::client::TunnelLease;
 use crate::tunnel::lease::Lease;
 
-/// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as its exchange
-/// says, or as cancelled.
+/// Accounts for one attempt at an upstream when dropped. Without an outcome it counts as cancelled.
 pub(crate) struct AttemptGuard<T> {
     shared: Rc<Shared<T>>,
     index: UpstreamIndex,
@@ -34,9 +32,9 @@
     /// Set where the request goes by another daemon's share.
     lease: RefCell<Option<Lease>>,
     began_at: Option<Time>,
-    /// How it ended; none while it lasts.
-    outcome: Option<UpstreamOutcome>,
-    run: Rc<Run>,
+    /// Whether its silence was counted.
+    is_silence_counted: Cell<bool>,
+    outcome: UpstreamOutcome,
 }
 
 impl<T> AttemptGuard<T> {
@@ -52,7 +50,6 @@
         lease: Option<Lease>,
         request: &Request<T>,
         has_failed: bool,
-        run: Rc<Run>,
     ) -> Self {
         let now = shared.now();
         let mut upstreams = shared.upstreams.borrow_mut();
@@ -91,8 +88,8 @@
             tunnel: RefCell::default(),
             lease: RefCell::new(lease),
             began_at: None,
-            outcome: None,
-            run,
+            is_silence_counted: Cell::default(),
+            outcome: UpstreamOutcome::Cancelled,
         };
         guard.count(|counts| {
             counts.sent += 1;
@@ -133,7 +130,6 @@
 
     /// Notes that something was read from the upstream.
     pub(crate) fn note_heard(&self) {
-        self.run.abandon(UpstreamOutcome::Cancelled);
         let now = self.shared.now();
         let mut upstreams = self.shared.upstreams.borrow_mut();
         upstreams.record_received(now, self.index);
@@ -148,6 +144,20 @@
         }
     }
 
+    /// Notes that the upstream has been silent for too long. The attempt goes on.
+    pub(crate) fn note_silent(&self) {
+        if self.is_silence_counted.replace(true) {
+            return;
+        }
+        let now = self.shared.now();
+        let mut upstreams = self.shared.upstreams.borrow_mut();
+        upstreams.record_silence(now, self.index);
+        drop(upstreams);
+        if self.arm.as_ref().is_some_and(|arm| arm.is_evidence) {
+            self.count(|counts| counts.broken += 1);
+        }
+    }
+
     /// Notes that the request goes through a peer. It is sent only now: opening the tunnel took a
     /// moment that says nothing about the upstream.
     pub(crate) fn note_tunnel(&self, tunnel: TunnelLease<T>) {
@@ -212,7 +222,7 @@
 
     /// Sets how the attempt ended; dropping the guard counts it.
     pub(crate) fn end(mut self, outcome: UpstreamOutcome) {
-        self.outcome = Some(outcome);
+        self.outcome = outcome;
     }
 
     /// Stops waiting for the answer to begin; returns whether its start is still to be counted.
@@ -231,7 +241,7 @@
 impl<T> Drop for AttemptGuard<T> {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let outcome = self.outcome.unwrap_or_else(|| self.run.abandoned_as());
+        let outcome = self.outcome;
         let mut upstreams = self.shared.upstreams.borrow_mut();
         if self.lease.take().is_some() {
             upstreams.record_leased_end(self.index);
@@ -249,6 +259,9 @@
         let Some(arm) = self.arm.take().filter(|arm| arm.is_evidence) else {
             return;
         };
+        if self.is_silence_counted.get() {
+            return;
+        }
         match outcome {
             UpstreamOutcome::Good => arm.count(&self.shared, |counts| counts.good += 1),
             UpstreamOutcome::Failed => arm.count(&self.shared, |counts| counts.bad += 1),
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -10,7 +10,6 @@
 use types::prelude::*;
 
 use crate::answer::{LocalReply, add_jitter};
-use crate::ending::EndedBy;
 use crate::exchange::{Exchange, Request};
 use crate::metrics::Outcome;
 use crate::report::Finish;
@@ -160,9 +159,7 @@
         biased;
         finish = exchange.run() => finish,
         () = wire.closed(MAX_PIPELINED) => Finish::caller_gone(),
-        _ = stages.wait_for(|stage| *stage == Stage::Ended) => {
-            Finish::cut(EndedBy::Shutdown, "the grace period is over")
-        }
+        _ = stages.wait_for(|stage| *stage == Stage::Ended) => Finish::stopped(),
     };
     let report = exchange.report(&finish);
     drop(exchange);
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -1,8 +1,10 @@
 //! One request, from its first attempt to its end.
 
 mod choose;
+mod escalate;
 mod log;
 mod replace;
+mod silence;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,6 +29,8 @@
 use crate::shared::{Shared, Stage};
 use crate::translate::{Ask, Translator};
 use crate::tunnel::lease::Lease;
+pub(crate) use silence::NextLook;
+use silence::Resumption;
 
 /// Least pause before a retry that a caller is sent when no upstream could take its request: a busy
 /// one has finished something by then.
@@ -77,16 +81,16 @@
     Overloaded(Refusal),
 }
 
-/// A send in progress.
-struct Sending<'a, T> {
+/// A send in progress. It proceeds while its result is awaited.
+struct SendInProgress<'a, T> {
     run: Rc<Run>,
-    sending: LocalBoxFuture<'a, SendResult<T>>,
+    result: LocalBoxFuture<'a, SendResult<T>>,
 }
 
 /// Where an attempt is.
 enum Step<'a, T> {
     /// The request is at an upstream.
-    Awaiting(Sending<'a, T>),
+    Awaiting(SendInProgress<'a, T>),
     /// The send has a result.
     Answered(Rc<Run>, SendResult<T>),
     /// Nothing of it is in progress.
@@ -123,6 +127,8 @@
     /// Whether its service has admitted it; its retries are then exempt.
     is_admitted: bool,
     relay: Relay,
+    /// Whether it took a retry for a send that did not arrive.
+    has_spare_retry: bool,
     /// Why a silent run was last kept.
     kept_for: Option<&'static str>,
     /// Who broke off its stream, where it began and is not complete.
@@ -167,6 +173,7 @@
             // would let any caller pass.
             is_admitted: request.ask.resume_after.is_some() && request.route.retry.is_stream(),
             relay: Relay::new(request.ask.resume_after),
+            has_spare_retry: false,
             kept_for: None,
             broken_by: EndedBy::Upstream,
             failure: None,
@@ -294,7 +301,8 @@
             Ok(chosen) => chosen,
             Err(no) => return Next::NoneAvailable(no),
         };
-        let mut step = Step::Awaiting(self.start(choice, lease, self.model_index));
+        let first = self.start(choice, lease, self.model_index, self.runs);
+        let mut step = Step::Awaiting(first);
         loop {
             step = match step {
                 Step::Awaiting(sending) => self.await_answer(sending).await,
@@ -304,13 +312,14 @@
         }
     }
 
-    /// Starts a send to an upstream. It proceeds while it is awaited.
+    /// Starts a send to an upstream, after so many attempts that may have been processed.
     fn start(
         &mut self,
         choice: Choice,
         lease: Option<Lease>,
         model_index: Option<usize>,
-    ) -> Sending<'a, T> {
+        runs: u32,
+    ) -> SendInProgress<'a, T> {
         let run = Rc::new(Run::new(choice.index, choice.load, model_index));
         if self.sends + self.unreachable > 0 {
             self.log_progress("requests: sent again", &run);
@@ -326,13 +335,14 @@
             resume_after: self.relay.last_event(),
             has_delivered: self.relay.has_begun(),
             has_failed: self.has_failed,
-            has_attempt_left: self.has_attempt_left(),
+            leaves_silent: self.leaves_silent(),
+            has_attempt_left: self.has_attempt_left(runs),
             is_trial: self.is_trial,
             run: Rc::clone(&run),
         };
-        Sending {
+        SendInProgress {
             run,
-            sending: Box::pin(async move { attempt.send(choice, lease).await }),
+            result: Box::pin(async move { attempt.send(choice, lease).await }),
         }
     }
 
@@ -436,7 +446,9 @@
         self.pin(run.index, self.request.deadline + idle);
         let keeps_alive = self.keeps_alive();
         let mut inbound = Inbound::new(self.shared, stream);
-        inbound.stream.may_switch = self.leaves_silent();
+        inbound.stream.leaves_silent = self.leaves_silent();
+        // Where the stream broke, what was sent to another upstream before.
+        let mut next = None;
         loop {
             let (shared, caller, request) = (self.shared, self.wire, self.request);
             let relayed = self
@@ -445,14 +457,21 @@
             let silence = match relayed.await {
                 Ok(end) => {
                     self.pin(run.index, self.shared.now() + idle);
-                    return Step::Done(self.end_stream(run, inbound.stream, end, keeps_alive));
+                    let after = self.end_stream(run, inbound.stream, end, keeps_alive);
+                    return next.unwrap_or(Step::Done(after));
                 }
                 Err(silence) => silence,
             };
-            if let Some(step) = self.replace_stream(run, &mut inbound, silence).await {
-                self.end_replaced(run, inbound.stream, silence);
-                self.pin(run.index, self.shared.now() + idle);
-                return step;
+            match self.resume_elsewhere(run, &mut inbound, silence).await {
+                Resumption::GoesOn => {}
+                Resumption::Taken(step) => {
+                    self.end_replaced(run, inbound.stream, silence);
+                    self.pin(run.index, self.shared.now() + idle);
+                    return step;
+                }
+                Resumption::Broke(step) => {
+                    next = Some(step);
+                }
             }
         }
     }
@@ -497,6 +516,7 @@
                 self.record_try(run, why);
                 stream.finish(outcome);
                 self.broken_by = match outcome {
+                    UpstreamOutcome::Silent => EndedBy::Daemon,
                     UpstreamOutcome::Cancelled => EndedBy::Caller,
                     _ => EndedBy::Upstream,
                 };
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -170,7 +170,7 @@
     }
 
     /// Chooses an upstream to which another daemon lends the request.
-    async fn lease(&self, model: Option<&Arc<str>>) -> Option<(Choice, Lease)> {
+    pub(super) async fn lease(&self, model: Option<&Arc<str>>) -> Option<(Choice, Lease)> {
         let deadline = self.shared.now() + MAX_LEASE_WAIT;
         for _ in 0..MAX_LENDERS_ASKED {
             if self.shared.now().has_reached(deadline) {
@@ -219,10 +219,10 @@
         is_allowed && self.shared.cfg.policy.timing.leaves_silent
     }
 
-    /// Whether the request may be sent again after one more run.
-    pub(super) fn has_attempt_left(&self) -> bool {
+    /// Whether the request may be sent again after so many runs and one more.
+    pub(super) fn has_attempt_left(&self, runs: u32) -> bool {
         let is_allowed = self.request.route.retry.is_allowed();
-        is_allowed && self.runs + 1 < self.request.route.max_attempts
+        is_allowed && runs + 1 < self.request.route.max_attempts
     }
 
     /// The versions that the request may be sent to now.
@@ -307,6 +307,9 @@
 
     /// Takes a retry from the service's budget; returns whether one was left.
     pub(super) fn take_retry(&mut self, reason: RetryReason) -> bool {
+        if std::mem::take(&mut self.has_spare_retry) {
+            return true;
+        }
         let charge = self.shared.take_retry(&self.service, reason);
         self.report.charge = Some(charge);
         charge.kind == ChargeKind::Granted
--- a/components/traffic/src/exchange/replace.rs
+++ b/components/traffic/src/exchange/replace.rs
@@ -1,4 +1,4 @@
-//! Another upstream in place of one whose run is alive.
+//! Make before break: another upstream in place of one whose run is alive.
 //!
 //! A run that is silent may still go on, and a draft is an answer. So either is ended only once
 //! another upstream is certain to take its place: the request has an attempt and a retry left, an
@@ -6,279 +6,190 @@
 //! moment. Both have the request for that moment; it is short, so that no engine works on what
 //! another one continues.
 
-use std::convert::Infallible;
-use std::future::{Future, pending};
-use std::pin::{Pin, pin};
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use dispatch::{Choice, RetryReason, UpstreamOutcome};
-use tokio::time::{Instant, sleep_until};
+use dispatch::{Choice, NoUpstream, RetryReason, UpstreamIndex};
 use types::prelude::*;
 
-use super::{Exchange, Sending, Step};
-use crate::attempt::Stream;
-use crate::ending::EndedBy;
+use super::{Exchange, Step};
+use crate::attempt::{Answer, SendFailure};
 use crate::metrics::ReplacementResult;
-use crate::relay::{Inbound, Silence};
 use crate::run::Run;
 use crate::translate::Translator;
 use crate::tunnel::lease::Lease;
 
-/// How long a silent run goes on beside the one that takes its place, unless that begins before.
-const SILENT_OVERLAP: Span = Span::from_millis(150);
-/// How long a draft is kept beside the larger model's run.
-const DRAFT_OVERLAP: Span = Span::from_millis(50);
-/// Pause before another upstream is looked for again.
-const LOOK_INTERVAL: Span = Span::from_millis(250);
-
-/// What is to take the place of a run.
-struct Wanted {
-    reason: RetryReason,
-    model_index: Option<usize>,
+/// How a run is to be replaced.
+pub(super) struct ReplacementPlan {
+    pub(super) reason: RetryReason,
+    pub(super) model_index: Option<usize>,
+    /// The upstream of the present run, if the replacement may go there for want of another. It gets
+    /// the request only once the present run has ended.
+    pub(super) own_upstream: Option<UpstreamIndex>,
     /// Attempts that an upstream may have processed, once the present run has ended.
-    runs: u32,
+    pub(super) runs: u32,
     /// Sends that count, once the present run has ended.
-    sends: u32,
+    pub(super) sends: u32,
     /// How long the present run goes on beside it.
-    overlap: Span,
+    pub(super) overlap: Span,
 }
 
-/// What became of a replacement; `R` is the progress of the present run.
-enum Replaced<'a, T, R> {
+/// What became of a replacement; `G` is how the present run goes on, and `B` how it broke.
+pub(super) enum Replaced<'a, T, G, B> {
     /// Another upstream has the request; the present run is to be ended.
     Taken(Step<'a, T>),
     /// The present run went on first.
-    WentOn(R),
+    WentOn(G),
+    /// The present run broke first. The replacement, if one was sent, is the only run now.
+    Broke(B, Option<Step<'a, T>>),
     /// Another upstream refused it; the present run goes on.
     Refused,
     /// There is none, and why; the present run goes on.
     Unavailable(&'static str),
 }
 
-impl<T, R> Replaced<'_, T, R> {
+impl<T, G, B> Replaced<'_, T, G, B> {
     fn result(&self) -> ReplacementResult {
         match self {
-            Self::Taken(_) => ReplacementResult::Taken,
-            Self::WentOn(_) => ReplacementResult::Overtaken,
+            Self::Taken(_) | Self::Broke(_, Some(_)) => ReplacementResult::Taken,
+            Self::WentOn(_) => ReplacementResult::WentOn,
             Self::Refused => ReplacementResult::Refused,
-            Self::Unavailable(_) => ReplacementResult::Unavailable,
+            Self::Broke(_, None) | Self::Unavailable(_) => ReplacementResult::Unavailable,
         }
     }
 }
 
 impl<'a, T: Translator> Exchange<'a, T> {
-    /// Waits for the answer to a send. When its upstream falls silent, another one may take its
-    /// place.
-    pub(super) async fn await_answer(&mut self, mut current: Sending<'a, T>) -> Step<'a, T> {
-        let mut look_at = Instant::now();
-        let leaves_silent = self.leaves_silent();
-        loop {
-            let run = &current.run;
-            let silence = async {
-                if !leaves_silent {
-                    return pending().await;
-                }
-                sleep_until(look_at).await;
-                run.silent().await
-            };
-            let why = tokio::select! {
-                biased;
-                sent = &mut current.sending => return Step::Answered(current.run, sent),
-                why = silence => why,
-            };
-            let wanted = Wanted {
-                reason: RetryReason::Failure,
-                model_index: run.model_index,
-                runs: self.runs + 1,
-                sends: self.sends,
-                overlap: SILENT_OVERLAP,
-            };
-            match self.replace(wanted, current.sending.as_mut()).await {
-                Replaced::Taken(step) => {
-                    self.record_try(&current.run, why);
-                    current.run.abandon(UpstreamOutcome::Silent);
-                    self.runs += 1;
-                    self.broken_by = EndedBy::Daemon;
-                    return step;
-                }
-                Replaced::WentOn(sent) => return Step::Answered(current.run, sent),
-                Replaced::Refused => {}
-                Replaced::Unavailable(no) => self.log_kept(&current.run, why, no),
-            }
-            current.run.abandon(UpstreamOutcome::Silent);
-            look_at = Instant::now() + LOOK_INTERVAL.to_duration();
-        }
-    }
-
-    /// Looks for another upstream that resumes a silent stream; `None` if the stream goes on where
-    /// it is.
-    pub(super) async fn replace_stream(
-        &mut self,
-        run: &Run,
-        inbound: &mut Inbound<T>,
-        silence: Silence,
-    ) -> Option<Step<'a, T>> {
-        self.note_version(run.index);
-        // A send on a lost path is no attempt.
-        let uncounted = u32::from(silence == Silence::Path);
-        let wanted = Wanted {
-            reason: RetryReason::Failure,
-            model_index: run.model_index,
-            runs: self.runs - uncounted,
-            sends: self.sends - uncounted,
-            overlap: SILENT_OVERLAP,
-        };
-        let replaced = match silence {
-            Silence::Path if self.may_try_another().is_err() => {
-                Replaced::Unavailable("too many upstreams were unreachable")
-            }
-            _ => self.replace(wanted, pin!(inbound.fill())).await,
-        };
-        match replaced {
-            Replaced::Taken(step) => return Some(step),
-            Replaced::WentOn(()) => return None,
-            Replaced::Refused => {}
-            Replaced::Unavailable(no) => self.log_kept(run, silence.describe(), no),
-        }
-        if silence != Silence::Path {
-            run.abandon(UpstreamOutcome::Silent);
-        }
-        inbound.silence_from = self.shared.now() + LOOK_INTERVAL;
-        None
-    }
-
-    /// Ends a stream that another upstream resumes.
-    pub(super) fn end_replaced(&mut self, run: &Run, stream: Stream<T>, silence: Silence) {
-        self.record_try(run, silence.describe());
-        match silence {
-            Silence::Upstream(_) => {
-                stream.finish(UpstreamOutcome::Silent);
-                self.broken_by = EndedBy::Daemon;
-            }
-            Silence::Path => {
-                stream.finish(UpstreamOutcome::Cancelled);
-                self.runs -= 1;
-                self.count_lost_path();
-                self.broken_by = EndedBy::Path;
-            }
-        }
-    }
-
-    /// Sends a request whose draft has a low confidence to a larger model; `None` if no upstream
-    /// takes it, and the draft is the answer.
-    pub(super) async fn escalate(
-        &mut self,
-        draft: &Run,
-        confidence: Option<u8>,
-    ) -> Option<Step<'a, T>> {
-        let larger = self.larger_model(confidence)?;
-        let tried = std::mem::take(&mut self.tried);
-        loop {
-            let wanted = Wanted {
-                reason: RetryReason::LargerModel,
-                model_index: Some(larger),
-                runs: self.runs,
-                sends: self.sends,
-                overlap: DRAFT_OVERLAP,
-            };
-            match self.replace(wanted, pin!(pending::<Infallible>())).await {
-                Replaced::Taken(step) => {
-                    let confidence = confidence.unwrap_or_default();
-                    self.record_try(draft, &format!("dropped as unsure ({confidence})"));
-                    self.model_index = Some(larger);
-                    return Some(step);
-                }
-                Replaced::Refused => {}
-                Replaced::WentOn(never) => match never {},
-                Replaced::Unavailable(no) => {
-                    self.log_kept(draft, "a draft", no);
-                    break;
-                }
-            }
-        }
-        self.tried.extend(tried);
-        None
-    }
-
     /// Sends the request to another upstream beside its present run, until one of them has it.
-    async fn replace<R>(
+    pub(super) async fn replace<G, B>(
         &mut self,
-        wanted: Wanted,
-        progress: Pin<&mut (impl Future<Output = R> + ?Sized)>,
-    ) -> Replaced<'a, T, R> {
-        let replaced = self.try_replace(wanted, progress).await;
+        plan: ReplacementPlan,
+        progress: Pin<&mut (impl Future<Output = Result<G, B>> + ?Sized)>,
+    ) -> Replaced<'a, T, G, B> {
+        let replaced = self.try_replace(plan, progress).await;
         self.shared.metrics.record_replacement(replaced.result());
         replaced
     }
 
-    async fn try_replace<R>(
+    async fn try_replace<G, B>(
         &mut self,
-        wanted: Wanted,
-        mut progress: Pin<&mut (impl Future<Output = R> + ?Sized)>,
-    ) -> Replaced<'a, T, R> {
-        if let Err(why) = self.may_replace(&wanted) {
+        plan: ReplacementPlan,
+        mut progress: Pin<&mut (impl Future<Output = Result<G, B>> + ?Sized)>,
+    ) -> Replaced<'a, T, G, B> {
+        if let Err(why) = self.may_replace(&plan) {
             return Replaced::Unavailable(why);
         }
         let chosen = tokio::select! {
             biased;
-            went_on = &mut progress => return Replaced::WentOn(went_on),
-            chosen = self.choose_replacement(wanted.model_index) => chosen,
+            progress = &mut progress => return match progress {
+                Ok(went_on) => Replaced::WentOn(went_on),
+                Err(broke) => Replaced::Broke(broke, None),
+            },
+            chosen = self.choose_replacement(&plan) => chosen,
         };
         let (choice, lease) = match chosen {
             Ok(chosen) => chosen,
             Err(why) => return Replaced::Unavailable(why),
         };
-        if !self.take_retry(wanted.reason) {
+        if !self.take_retry(plan.reason) {
             return Replaced::Unavailable("no retry is left");
         }
-        self.has_failed |= wanted.reason == RetryReason::Failure;
-        let mut next = self.start(choice, lease, wanted.model_index);
+        self.has_failed |= plan.reason == RetryReason::Failure;
+        let is_own_upstream = plan.own_upstream == Some(choice.index);
+        let mut next = self.start(choice, lease, plan.model_index, plan.runs);
+        if is_own_upstream {
+            return Replaced::Taken(Step::Awaiting(next));
+        }
         let run = Rc::clone(&next.run);
         tokio::select! {
             biased;
-            sent = &mut next.sending => match sent {
-                Ok(answer) => Replaced::Taken(Step::Answered(run, Ok(answer))),
-                Err(failure) => {
-                    // The present run goes on, so nothing follows from the failure.
-                    let _ = self.record_failure(&run, failure);
+            sent = &mut next.result => match sent {
+                Ok(Answer::Whole(_)) if plan.reason == RetryReason::LargerModel => {
+                    self.runs += 1;
+                    self.record_try(&run, "answered without a stream");
                     Replaced::Refused
                 }
+                Ok(answer) => Replaced::Taken(Step::Answered(run, Ok(answer))),
+                Err(failure) => self.record_refusal(&run, failure),
             },
-            went_on = &mut progress => {
-                self.runs += 1;
-                self.record_try(&run, "ended, since the former run went on");
-                Replaced::WentOn(went_on)
-            }
-            () = run.taken_for(wanted.overlap) => Replaced::Taken(Step::Awaiting(next)),
+            progress = &mut progress => match progress {
+                Ok(went_on) => {
+                    self.end_needless(&run);
+                    Replaced::WentOn(went_on)
+                }
+                Err(broke) => Replaced::Broke(broke, Some(Step::Awaiting(next))),
+            },
+            () = run.accepted_for(plan.overlap) => Replaced::Taken(Step::Awaiting(next)),
         }
     }
 
+    /// Records that a replacement has no answer. The present run goes on, so nothing follows.
+    fn record_refusal<G, B>(&mut self, run: &Run, failure: SendFailure) -> Replaced<'a, T, G, B> {
+        self.has_spare_retry = matches!(failure, SendFailure::Unreachable);
+        let _ = self.record_failure(run, failure);
+        Replaced::Refused
+    }
+
+    /// Records that a replacement is ended, since the present run went on.
+    fn end_needless(&mut self, run: &Run) {
+        match run.is_written() {
+            true => self.runs += 1,
+            false => self.has_spare_retry = true,
+        }
+        self.record_try(run, "ended, since the former run went on");
+    }
+
     /// Whether the request may have one more run in place of the present one; if not, why.
-    fn may_replace(&self, wanted: &Wanted) -> Result<(), &'static str> {
+    fn may_replace(&self, plan: &ReplacementPlan) -> Result<(), &'static str> {
         if self.is_trial {
             return Err("it is a trial of its content");
         }
-        self.has_send_left(wanted.runs, wanted.sends)?;
-        let usage = self.shared.retry_usage(&self.service, wanted.reason);
-        match usage.is_exhausted() {
+        if self.is_quarantined() || self.is_suspect() {
+            return Err("its content may crash upstreams");
+        }
+        self.has_send_left(plan.runs, plan.sends)?;
+        self.may_try_another()?;
+        let usage = self.shared.retry_usage(&self.service, plan.reason);
+        match usage.is_exhausted() && !self.has_spare_retry {
             true => Err("no retry is left"),
             false => Ok(()),
         }
     }
 
+    /// Chooses an upstream that has room now: the present run makes waiting for one needless.
     async fn choose_replacement(
         &self,
-        model_index: Option<usize>,
+        plan: &ReplacementPlan,
     ) -> Result<(Choice, Option<Lease>), &'static str> {
-        if self.is_suspect() {
-            self.shared.await_probes().await;
-            self.wait_while_held().await;
-        }
-        if self.is_quarantined() {
-            return Err("its content is quarantined");
-        }
-        let model = self.model(model_index);
-        let chosen = self.choose_when_free(model).await;
-        chosen.map_err(|no| no.reason())
+        let model = self.model(plan.model_index);
+        let no = match self.choose(model, &self.tried) {
+            Ok(choice) => return Ok((choice, None)),
+            Err(NoUpstream::Tried) if plan.own_upstream.is_some() => {
+                return self.choose_own(model, plan);
+            }
+            Err(no) => no,
+        };
+        let leased = match no.is_without_share() {
+            true => self.lease(model).await,
+            false => None,
+        };
+        let leased = leased.map(|(choice, lease)| (choice, Some(lease)));
+        leased.ok_or(no.reason())
+    }
+
+    /// Chooses the upstream of the present run.
+    fn choose_own(
+        &self,
+        model: Option<&Arc<str>>,
+        plan: &ReplacementPlan,
+    ) -> Result<(Choice, Option<Lease>), &'static str> {
+        let is_other = |index: &UpstreamIndex| plan.own_upstream != Some(*index);
+        let others = self.tried.iter().copied().filter(is_other);
+        let choice = self.choose(model, &others.collect::<Vec<_>>());
+        choice
+            .map(|choice| (choice, None))
+            .map_err(|no| no.reason())
     }
 }
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -71,7 +71,7 @@
     /// Another upstream took its place.
     Taken,
     /// The run went on before another upstream had begun.
-    Overtaken,
+    WentOn,
     /// Another upstream refused the request.
     Refused,
     /// No attempt, retry or other upstream was left.
@@ -288,7 +288,7 @@
         );
         r.register(
             "replacements",
-            "Looks for another upstream in place of a silent run or a draft, by result",
+            "Replacements of silent runs and drafts by another upstream, by result",
             self.replacements.clone(),
         );
     }
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -136,8 +136,7 @@
                 biased;
                 next = inbound.next() => next,
                 _ = ticker.tick() => match silence(shared, request, inbound) {
-                    Some(_) if inbound.is_within_event(shared.now()) => NextRead::ENDLESS_EVENT,
-                    Some(silence) => return Err(silence),
+                    Some(silence) => inbound.given_up(shared.now(), silence)?,
                     None => continue,
                 },
             };
@@ -226,7 +225,7 @@
 
 /// What is silent, so that another upstream is looked for; none if nothing is.
 fn silence<T>(shared: &Shared<T>, request: &Request<T>, inbound: &Inbound<T>) -> Option<Silence> {
-    if !shared.now().has_reached(inbound.silence_from) {
+    if !inbound.next_look.is_due(shared.now()) {
         return None;
     }
     let Inbound {
@@ -235,8 +234,8 @@
         has_event,
         ..
     } = inbound;
-    let why = stream.give_up_reason(request, *heard_at, *has_event);
-    match why.filter(|_| stream.may_switch) {
+    let why = stream.silence_reason(request, *heard_at, *has_event);
+    match why.filter(|_| stream.leaves_silent) {
         Some(why) => Some(Silence::Upstream(why)),
         None => stream.is_path_lost(*heard_at).then_some(Silence::Path),
     }
@@ -300,7 +299,7 @@
 }
 
 /// Why another upstream is looked for in place of a silent one; none if it isn't.
-pub(crate) fn give_up_reason<T>(
+pub(crate) fn silence_reason<T>(
     request: &Request<T>,
     guard: &AttemptGuard<T>,
     silent: Span,
--- a/components/traffic/src/relay/inbound.rs
+++ b/components/traffic/src/relay/inbound.rs
@@ -6,12 +6,18 @@
 use types::prelude::*;
 
 use crate::attempt::Stream;
+use crate::exchange::NextLook;
 use crate::held::HeldAnswer;
 use crate::shared::Shared;
 
+use super::Silence;
+
 /// Time after which an upstream that sent bytes counts as silent.
 const RECEIVING_TIME: Span = Span::from_secs(1);
 
+/// Longest event that may arrive for as long as the stream may, in bytes.
+const MAX_SLOW_EVENT: usize = 64 * 1024;
+
 /// What the upstream sent next.
 pub(super) enum NextRead {
     Events(Vec<Event>),
@@ -21,12 +27,6 @@
     Broken(&'static str, UpstreamOutcome),
 }
 
-impl NextRead {
-    /// Bytes keep coming, and no event ends.
-    pub(super) const ENDLESS_EVENT: Self =
-        Self::Broken("an event without end", UpstreamOutcome::Incomplete);
-}
-
 /// The stream of one upstream. Its state outlasts a pause in relaying it.
 pub(crate) struct Inbound<T> {
     pub(crate) stream: Stream<T>,
@@ -41,8 +41,8 @@
     received_at: Time,
     /// Until when an end of the upstream's data may be due to the caller, which read slowly.
     pub(super) cut_off_until: Time,
-    /// Its silence is not reported before this time.
-    pub(crate) silence_from: Time,
+    /// Its silence is not reported before that.
+    pub(crate) next_look: NextLook,
 }
 
 impl<T> Inbound<T> {
@@ -56,20 +56,38 @@
             heard_at: shared.now(),
             received_at: Time::ZERO,
             cut_off_until: Time::ZERO,
-            silence_from: Time::ZERO,
+            next_look: NextLook::now(),
         }
     }
 
-    /// Whether bytes have arrived lately that complete no event.
-    pub(super) fn is_within_event(&self, now: Time) -> bool {
-        self.received_at > self.heard_at && now.since(self.received_at) < RECEIVING_TIME
+    /// Ends a silent stream that keeps sending more bytes of one event than any has.
+    ///
+    /// # Errors
+    /// Returns the silence of any other stream.
+    pub(super) fn given_up(&self, now: Time, silence: Silence) -> Result<NextRead, Silence> {
+        let is_receiving = now.since(self.received_at) < RECEIVING_TIME;
+        let is_endless = is_receiving && self.splitter.buffered() > MAX_SLOW_EVENT;
+        match is_endless && silence != Silence::Path {
+            true => Ok(NextRead::Broken(
+                "an event without end",
+                UpstreamOutcome::Silent,
+            )),
+            false => Err(silence),
+        }
     }
 
     /// Reads on until there is something to relay. May be dropped and called again.
-    pub(crate) async fn fill(&mut self) {
-        if self.read.is_none() {
-            self.read = Some(self.read_next().await);
-        }
+    ///
+    /// # Errors
+    /// When the stream broke off, which is yet to be relayed.
+    pub(crate) async fn fill(&mut self) -> Result<(), ()> {
+        let read = match self.read.take() {
+            Some(read) => read,
+            None => self.read_next().await,
+        };
+        let is_broken = matches!(read, NextRead::Broken(..));
+        self.read = Some(read);
+        if is_broken { Err(()) } else { Ok(()) }
     }
 
     /// Takes what the upstream sent next.
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -46,6 +46,17 @@
         }
     }
 
+    /// The daemon stopped before the request had its answer.
+    pub(crate) fn stopped() -> Self {
+        Self {
+            outcome: Outcome::CutShort,
+            status: 0,
+            why: "the grace period is over",
+            ended_by: Some(EndedBy::Shutdown),
+            keeps_alive: false,
+        }
+    }
+
     /// A stream was cut short.
     pub(crate) fn cut(ended_by: EndedBy, why: &'static str) -> Self {
         Self {
--- a/components/traffic/src/run.rs
+++ b/components/traffic/src/run.rs
@@ -1,8 +1,9 @@
-//! One send of a request, as its exchange sees it while the send is in progress.
+//! One send of a request, as its exchange sees it while the send is in progress. The send itself is
+//! an [`Attempt`](crate::attempt::Attempt).
 
 use std::cell::{Cell, RefCell};
 
-use dispatch::{Load, UpstreamIndex, UpstreamOutcome};
+use dispatch::{Load, UpstreamIndex};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 use types::prelude::*;
@@ -17,13 +18,13 @@
     pub(crate) model_index: Option<usize>,
     /// The peer through which the request goes, if it does.
     pub(crate) peer: RefCell<Option<DaemonId>>,
-    /// Why the upstream counts as silent before its answer.
+    /// Why the upstream counts as silent; none once its answer has begun.
     silence: Cell<Option<&'static str>>,
+    /// Whether its answer has begun.
+    has_begun: Cell<bool>,
     /// When the request was last written.
     written_at: Cell<Option<Instant>>,
     changed: Notify,
-    /// What it shows of the upstream if the exchange ends it.
-    abandoned_as: Cell<UpstreamOutcome>,
 }
 
 impl Run {
@@ -34,19 +35,35 @@
             model_index,
             peer: RefCell::default(),
             silence: Cell::default(),
+            has_begun: Cell::default(),
             written_at: Cell::default(),
             changed: Notify::new(),
-            abandoned_as: Cell::new(UpstreamOutcome::Cancelled),
         }
     }
 
-    /// Reports that the upstream has been silent for too long.
-    pub(crate) fn report_silence(&self, why: &'static str) {
-        self.silence.set(Some(why));
+    /// Sets why the upstream counts as silent, before its answer.
+    pub(crate) fn set_silence(&self, why: Option<&'static str>) {
+        self.silence.set(why);
+        if why.is_some() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Notes that the answer has begun.
+    pub(crate) fn note_began(&self) {
+        self.has_begun.set(true);
+        self.silence.set(None);
         self.changed.notify_one();
     }
 
-    /// Waits until the upstream has been silent for too long; returns why.
+    /// Waits until the answer has begun.
+    pub(crate) async fn began(&self) {
+        while !self.has_begun.get() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Waits until the upstream counts as silent; returns why.
     pub(crate) async fn silent(&self) -> &'static str {
         loop {
             if let Some(why) = self.silence.get() {
@@ -56,7 +73,7 @@
         }
     }
 
-    /// Notes that the request is about to be written on a connection that is open.
+    /// Notes that the request was written.
     pub(crate) fn note_written(&self) {
         self.written_at.set(Some(Instant::now()));
         self.changed.notify_one();
@@ -67,8 +84,13 @@
         self.written_at.set(None);
     }
 
-    /// Waits until the request was written and was not refused for this long.
-    pub(crate) async fn taken_for(&self, span: Span) {
+    /// Whether the upstream may have the request.
+    pub(crate) fn is_written(&self) -> bool {
+        self.written_at.get().is_some()
+    }
+
+    /// Waits until the request was written and not refused for this long.
+    pub(crate) async fn accepted_for(&self, span: Span) {
         loop {
             let Some(written_at) = self.written_at.get() else {
                 self.changed.notified().await;
@@ -81,13 +103,4 @@
             sleep_until(until).await;
         }
     }
-
-    /// Sets what it shows of the upstream if the exchange ends it.
-    pub(crate) fn abandon(&self, outcome: UpstreamOutcome) {
-        self.abandoned_as.set(outcome);
-    }
-
-    pub(crate) fn abandoned_as(&self) -> UpstreamOutcome {
-        self.abandoned_as.get()
-    }
 }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -164,13 +164,18 @@
         socket.detach_filter().expect("a filter");
     }
 
-    /// Makes the end of the connection a reset.
+    /// Makes the end of the connection a reset, after what was written has arrived.
     pub fn reset(&mut self) {
+        self.reset_on_close();
+        // What was written arrives before the reset.
+        std::thread::sleep(Duration::from_millis(50));
+    }
+
+    /// Makes the end of the connection a reset.
+    pub fn reset_on_close(&mut self) {
         let socket = socket2::SockRef::from(&self.stream);
         let linger = socket.set_linger(Some(Duration::ZERO));
         linger.expect("an open connection");
-        // What was written arrives before the reset.
-        std::thread::sleep(Duration::from_millis(50));
     }
 
     /// Waits until the other side closes.
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -13,8 +13,6 @@
 const RESUMABLE: Retry = Retry::Stream { resumable: true };
 /// Longer than an upstream may be silent before another one is looked for.
 const SILENCE: Duration = Duration::from_millis(4_000);
-/// Time in which an upstream sees that its connection was closed.
-const CLOSE_TIME: Duration = Duration::from_millis(400);
 
 /// Number of requests that an upstream got.
 #[derive(Clone, Default)]
@@ -83,7 +81,7 @@
                 Refusal::Rejects => served.write(&format!(
                     "HTTP/1.1 503 Busy\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
                 )),
-                Refusal::Resets => return served.reset(),
+                Refusal::Resets => return served.reset_on_close(),
                 Refusal::Fails => served.write(&format!(
                     "HTTP/1.1 500 Failed\r\nid: {id}\r\nsigned: 1\r\nContent-Length: 0\r\n\r\n"
                 )),
@@ -251,30 +249,31 @@
 /// The old and the new upstream would both run a stream to its end.
 #[test]
 fn a_replaced_stream_ends_at_its_former_upstream() {
+    let (got, has_got) = mpsc::channel::<()>();
+    let has_got = std::sync::Mutex::new(has_got);
     let (closed, is_closed) = mpsc::channel();
+    let is_closed = std::sync::Mutex::new(is_closed);
     let silent = upstream(move |served| {
         let request = served.request().expect("one");
         served.write(&stream_head(id_of(&request), 90));
         served.write(&event(1));
         served.wait_closed();
-        closed.send(std::time::Instant::now()).expect("awaited");
+        let was_sent = has_got.lock().expect("sound").try_recv().is_ok();
+        closed.send(was_sent).expect("awaited");
     });
-    let (got, has_got) = mpsc::channel();
     // It accepts the request and begins late, as an engine with a queue does.
     let other = upstream(move |served| {
         let request = served.request().expect("one");
-        got.send(std::time::Instant::now()).expect("awaited");
-        std::thread::sleep(Duration::from_millis(1_000));
+        got.send(()).expect("awaited");
+        let is_closed = is_closed.lock().expect("sound");
+        let was_sent = is_closed.recv_timeout(TEST_TIMEOUT).expect("closed");
+        assert!(was_sent, "the former run ended first");
         served.write(&stream_head(id_of(&request), 90));
         (2..=3).for_each(|id| served.write(&event(id)));
         served.write(END);
     });
     let running = serving(RESUMABLE, &[silent]);
     assert_completed(begin(&running, silent, &[other]));
-    let closed_at = is_closed.recv_timeout(TEST_TIMEOUT).expect("closed");
-    let sent_at = has_got.recv_timeout(TEST_TIMEOUT).expect("sent");
-    let overlap = closed_at.saturating_duration_since(sent_at);
-    assert!(overlap < CLOSE_TIME, "both ran for {overlap:?}");
 }
 
 /// A run that went on while its replacement had not begun was ended all the same.
@@ -306,7 +305,7 @@
 
 /// A version whose upstreams hang showed no failure while no retry was left to replace their runs.
 #[test]
-fn a_run_that_is_silent_until_its_deadline_counts_against_its_version() {
+fn a_silent_run_counts_against_its_version_while_it_goes_on() {
     for retry in [Retry::Any, RESUMABLE] {
         let hanging = upstream(move |served| {
             let request = served.request().expect("one");
@@ -319,12 +318,136 @@
         let running = serving_without_retries(retry, &[hanging]);
         running.send_plan(retry, &[hanging], vec![gate_of_all()]);
         let mut caller = running.caller();
-        caller.send(&post("r1", "hello").replace("wait: 9000", "wait: 4500"));
-        wait_until("its deadline", || {
-            running.state_number("requests") == 0
-                && running.handle.observed.evidence().contains_key("service")
+        caller.send(&post("r1", "hello"));
+        let evidence = || running.handle.observed.evidence();
+        wait_until("its silence counts", || {
+            evidence().contains_key("service") && evidence()["service"].new.sum().broken == 1
         });
-        let evidence = running.handle.observed.evidence()["service"].new.sum();
+        assert_eq!(running.state_number("requests"), 1, "{retry:?}");
+        drop(caller);
+        wait_until("its end", || running.state_number("requests") == 0);
+        let evidence = evidence()["service"].new.sum();
         assert_eq!(evidence.broken, 1, "{retry:?}: {evidence:?}");
     }
 }
+
+/// New requests went to a silent upstream for as long as the run there was kept.
+#[test]
+fn an_upstream_with_a_silent_run_gets_no_new_requests() {
+    let silent = upstream(|served| {
+        if served.request().is_some() {
+            served.wait_closed();
+        }
+    });
+    let running = serving_without_retries(Retry::Any, &[silent]);
+    running.send_plan(Retry::Any, &[silent], vec![gate_of_all()]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    wait_until("its silence counts", || {
+        let evidence = running.handle.observed.evidence();
+        evidence.contains_key("service") && evidence["service"].new.sum().broken == 1
+    });
+    let sound = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    running.send_plan(Retry::Any, &[silent, sound], Vec::new());
+    let text = running.caller().ask("r2");
+    assert!(text.ends_with("world"), "{text}");
+}
+
+/// The former run broke while its replacement had the request, and took that with it.
+#[test]
+fn a_replacement_outlives_the_run_that_it_replaces() {
+    for retry in [Retry::Any, RESUMABLE] {
+        let (got, has_got) = mpsc::channel::<()>();
+        let has_got = std::sync::Mutex::new(has_got);
+        let (first, is_first) = mpsc::channel::<()>();
+        let silent = upstream(move |served| {
+            let request = served.request().expect("one");
+            if retry.is_stream() {
+                served.write(&stream_head(id_of(&request), 90));
+                served.write(&event(1));
+            }
+            first.send(()).expect("awaited");
+            let other_got = has_got.lock().expect("sound");
+            other_got.recv_timeout(TEST_TIMEOUT).expect("it arrives");
+            served.reset();
+        });
+        let runs = Runs::default();
+        let count = runs.clone();
+        let other = upstream(move |served| {
+            let request = served.request().expect("one");
+            count.add();
+            got.send(()).expect("awaited");
+            std::thread::sleep(Duration::from_millis(600));
+            match retry.is_stream() {
+                true => {
+                    served.write(&stream_head(id_of(&request), 90));
+                    (2..=3).for_each(|id| served.write(&event(id)));
+                    served.write(END);
+                }
+                false => served.write(&answer(id_of(&request), "world")),
+            }
+        });
+        let running = serving(retry, &[silent]);
+        let mut caller = running.caller();
+        caller.send(&post("r1", "hello"));
+        is_first.recv_timeout(TEST_TIMEOUT).expect("it arrives");
+        running.send_plan(retry, &[silent, other], Vec::new());
+        let text = caller.answer();
+        match retry.is_stream() {
+            true => assert_eq!(events_of(&text), [1, 2, 3], "{text}"),
+            false => assert!(text.ends_with("world"), "{text}"),
+        }
+        assert_eq!(runs.get(), 1, "{retry:?}");
+        let granted = "buckthorncross_retries_total{charge=\"Granted\"}";
+        assert_eq!(running.metric(granted), 1, "{retry:?}");
+    }
+}
+
+/// An answer whose head had come late was ended for another one before its body was read.
+#[test]
+fn an_answer_that_has_begun_is_not_replaced() {
+    let (got, has_got) = mpsc::channel::<()>();
+    let slow = upstream(move |served| {
+        let request = served.request().expect("one");
+        got.send(()).expect("awaited");
+        std::thread::sleep(Duration::from_millis(3_400));
+        let text = answer(id_of(&request), "world");
+        let (head, body) = text.split_at(text.len() - 5);
+        served.write(head);
+        std::thread::sleep(Duration::from_millis(1_500));
+        served.write(body);
+    });
+    let (other, others) = refusing(Refusal::Rejects);
+    let running = serving(Retry::Any, &[slow]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    has_got.recv_timeout(TEST_TIMEOUT).expect("it arrives");
+    running.send_plan(Retry::Any, &[slow, other], Vec::new());
+    let text = caller.answer();
+    assert!(text.ends_with("world"), "{text}");
+    assert_eq!(others.get(), 0);
+}
+
+/// An event that arrived in pieces over a bad link ended its stream.
+#[test]
+fn a_slow_event_does_not_end_its_stream() {
+    let slow = upstream(|served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        for byte in event(2).chars() {
+            served.write(&byte.to_string());
+            std::thread::sleep(Duration::from_millis(180));
+        }
+        served.write(&event(3));
+        served.write(END);
+    });
+    let running = serving_without_retries(RESUMABLE, &[slow]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    assert_eq!(events_of(&caller.answer()), [1, 2, 3]);
+}
