Chat streams: end a silent one only once another engine can go on with it

What callers saw: a stream whose engine was silent for 10 s ended as failed, though its deadline was tens of seconds away and the engine was alive: where no retry was left, where the service has one engine, and where the work must not run twice, so that no other attempt could follow at all.

Cause: the silence was the read timeout of the connection. Whether the request may be attempted again, and by which engine, was decided after that. Class: break before make.

Change: the read timeout of a stream is its deadline, as for whole answers. After 10 s without an event, an attempt is ended once the request may be attempted again, its retry budget has a retry, its version is still permitted, its content is not quarantined, and another engine can be picked; until then there is a look each 500 ms. The engine that was silent is then the last choice of the next attempt. Attempts, budget and billing are as before, and no two attempts run at a time.

What remains: the engine picked may still refuse, after the silent attempt has ended; the request then goes on with its next attempt.

--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Whether a content may be sent, and not only as a trial.
+    pub(crate) fn is_open(&self, content: &CustomerContent) -> bool {
+        let now = self.clock.now();
+        let admission = self.suspects.lock().admission(now, content.content);
+        matches!(admission, Admission::Open)
+    }
+
     /// Records that a content is sent to an upstream.
     pub(crate) fn attempt_started(
         &self,
--- a/components/node/src/traffic/chat.rs
+++ b/components/node/src/traffic/chat.rs
@@ -19,8 +19,10 @@
 
 /// Retry-After sent to a caller when the catalogue may be out of date.
 const STALE_CATALOGUE_RETRY_AFTER: Span = Span::from_secs(1);
-/// Longest pause between two tokens before an engine counts as stalled.
+/// Longest pause between two tokens before another engine is looked for.
 const STALL_TIMEOUT: Span = Span::from_secs(10);
+/// Interval at which one is looked for while there is none.
+const LOOK_INTERVAL: Span = Span::from_millis(500);
 
 /// A checked request with all that its run needs.
 pub(crate) struct Job {
--- a/components/node/src/traffic/chat/answer.rs
+++ b/components/node/src/traffic/chat/answer.rs
@@ -8,7 +8,7 @@
 use engine::{Answer, AttemptError, ChatAnswer, ChatRequest, Client, EngineLoad};
 use externals::Sample;
 use quality::Confidence;
-use requests::attempt::{AttemptEnd, Usage};
+use requests::attempt::{AttemptEnd, UnknownCause, Usage};
 use requests::claim::RecordedAnswer;
 use requests::life::{Attempted, Request};
 use routing::{LoadReport, Outcome, UpstreamIndex};
@@ -19,7 +19,7 @@
 use super::run::outcome_of;
 use super::transcript::Transcript;
 use super::version::ChosenVersion;
-use super::{Job, STALL_TIMEOUT};
+use super::{Job, LOOK_INTERVAL, STALL_TIMEOUT};
 use crate::measured::{self, TokenTimes};
 use crate::rating::{self, AnswerInfo};
 use crate::traffic::claim::header_list;
@@ -152,11 +152,13 @@
         outcome_of(end, first.since(began), per_token)
     }
 
-    /// Makes one attempt; a stream is relayed to the caller as it arrives.
+    /// Makes one attempt; a stream is relayed to the caller as it arrives. A silent one is ended once
+    /// another can take its place.
     pub(crate) async fn attempt(
         &mut self,
         address: SocketAddr,
         request: &mut Request<Attempted>,
+        can_replace: &impl Fn(&Request<Attempted>) -> bool,
     ) -> AttemptEnd {
         self.attempts += 1;
         self.first_token = None;
@@ -168,18 +170,13 @@
             self.job.head.request, shared.incarnation, self.attempts
         );
         let timeout = request.time_left(shared.now());
-        let read_timeout = if self.job.params.stream {
-            STALL_TIMEOUT
-        } else {
-            timeout
-        };
         let body = self.body();
         let stream = self.job.params.stream;
         let call = ChatRequest {
             attempt: &name,
             body,
             timeout,
-            read_timeout,
+            read_timeout: timeout,
             stream,
             is_idempotent: request.spec().idempotent,
         };
@@ -188,12 +185,15 @@
             biased;
             answered = client.chat(address, &call) => answered,
             () = cancellation(self.responder, request.spec()) => return AttemptEnd::CallerGone,
+            () = stalled(|| can_replace(request)), if stream => {
+                return AttemptEnd::Unknown(UnknownCause::TimedOut);
+            }
         };
         match answered {
             Ok(ChatAnswer::Whole(answer)) => self.take_whole(answer, &name),
             Ok(ChatAnswer::Stream(stream)) => {
                 self.load = stream.load();
-                self.relay_stream(stream, &name, request).await
+                self.relay_stream(stream, &name, request, can_replace).await
             }
             Err(error) => self.failed_end(&error),
         }
@@ -382,6 +382,14 @@
     }
 }
 
+/// Waits until nothing has come for a while and another attempt can take the place of this one.
+pub(super) async fn stalled(can_replace: impl Fn() -> bool) {
+    tokio::time::sleep(STALL_TIMEOUT.to_duration()).await;
+    while !can_replace() {
+        tokio::time::sleep(LOOK_INTERVAL.to_duration()).await;
+    }
+}
+
 /// One server-sent event.
 fn event(data: &Value) -> Bytes {
     Bytes::from(format!("data: {data}\n\n"))
--- a/components/node/src/traffic/chat/run.rs
+++ b/components/node/src/traffic/chat/run.rs
@@ -245,10 +245,13 @@
         let now = self.shared().now();
         let mut router = lock(&self.shared().router);
         let target = router.target_index(&Target::Version(version.clone()))?;
-        let fresh = router.pick(now, &self.demand(target, tried), &mut rand::rng());
         // An upstream that failed before is better than none: its fault may have passed.
-        let mut pick_any = || router.pick(now, &self.demand(target, &[]), &mut rand::rng());
-        let index = fresh.or_else(|_| pick_any()).ok()?;
+        let last = tried.last().map_or(&[][..], std::slice::from_ref);
+        let mut excluded = [tried, last, &[]].into_iter();
+        let index = excluded.find_map(|tried| {
+            let demand = self.demand(target, tried);
+            router.pick(now, &demand, &mut rand::rng()).ok()
+        })?;
         let demand = self.demand(target, tried);
         let is_interactive = self.job.priority == Priority::Interactive;
         let must_preempt = is_interactive && router.should_preempt_batch(now, index);
@@ -260,6 +263,25 @@
         Some(picked)
     }
 
+    /// Whether another attempt can take the place of one at this upstream.
+    fn can_replace(
+        &self,
+        request: &Request<Attempted>,
+        version: &VersionId,
+        picked: &PickedUpstream,
+    ) -> bool {
+        let (shared, entry) = (self.shared(), &self.job.resolved.name);
+        let now = shared.now();
+        let may_replace = shared.with_budget(entry, |budget| request.may_replace(now, budget));
+        let is_open = shared.quarantine.is_open(&self.job.content);
+        if !may_replace || !is_open || !self.is_still_permitted(version) {
+            return false;
+        }
+        let demand = self.demand(picked.target, std::slice::from_ref(&picked.index));
+        let picked = lock(&shared.router).pick(now, &demand, &mut rand::rng());
+        picked.is_ok()
+    }
+
     fn demand<'a>(&'a self, target: TargetIndex, tried: &'a [UpstreamIndex]) -> RouteRequest<'a> {
         RouteRequest {
             target,
@@ -279,7 +301,11 @@
         relay.set_upstream(picked.index);
         let (quarantine, content) = (&self.shared().quarantine, &self.job.content);
         let attempt_id = quarantine.attempt_started(picked, content);
-        let end = relay.attempt(picked.address, &mut request).await;
+        let version = &relay.trying().version;
+        let can_replace = |request: &_| self.can_replace(request, version, picked);
+        let end = relay
+            .attempt(picked.address, &mut request, &can_replace)
+            .await;
         quarantine
             .attempt_ended(picked, content, attempt_id, &end)
             .await;
--- a/components/node/src/traffic/chat/stream.rs
+++ b/components/node/src/traffic/chat/stream.rs
@@ -8,7 +8,7 @@
 use requests::step::{OnCallerGone, on_caller_gone};
 use types::prelude::*;
 
-use super::answer::Relay;
+use super::answer::{Relay, stalled};
 use crate::admission::Preemptible;
 use crate::traffic::upstream::cancellation;
 
@@ -23,6 +23,7 @@
         mut stream: Box<Stream>,
         attempt: &str,
         request: &mut Request<Attempted>,
+        can_replace: &impl Fn(&Request<Attempted>) -> bool,
     ) -> AttemptEnd {
         let before = self.delivered_chunks;
         let id = self.answer_id();
@@ -32,6 +33,7 @@
                 biased;
                 next = stream.next_event() => next,
                 () = cancellation(self.responder, request.spec()) => return AttemptEnd::CallerGone,
+                () = stalled(|| can_replace(request)) => return self.truncated_end(),
             };
             let forwarded = match next {
                 Ok(Event::Delta { data, text }) => {
@@ -78,6 +80,10 @@
     /// the next attempt resumes after the tokens relayed so far.
     fn preempted_end(&mut self) -> AttemptEnd {
         self.was_preempted = true;
+        self.truncated_end()
+    }
+
+    fn truncated_end(&self) -> AttemptEnd {
         AttemptEnd::Truncated {
             received: Tokens(self.delivered_chunks),
             shown: self.has_begun,
--- a/components/node/tests/it.rs
+++ b/components/node/tests/it.rs
@@ -12,4 +12,5 @@
     mod serve;
     mod sessions;
     mod shutdown;
+    mod stalls;
 }
--- a/components/requests/src/budget.rs
+++ b/components/requests/src/budget.rs
@@ -37,15 +37,20 @@
 
     /// Takes one retry from the budget; false if less than one is left.
     pub fn take(&mut self, now: Time) -> bool {
-        self.add(STEADY_RETRY_RATE.over(now.since(self.refilled_at)));
-        self.refilled_at = self.refilled_at.max(now);
-        let allowed = self.saved >= 1.0;
+        let allowed = self.has_retry(now);
         if allowed {
             self.saved -= 1.0;
         }
         allowed
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&mut self, now: Time) -> bool {
+        self.add(STEADY_RETRY_RATE.over(now.since(self.refilled_at)));
+        self.refilled_at = self.refilled_at.max(now);
+        self.saved >= 1.0
+    }
+
     /// Retries left in the budget, for the dump.
     #[must_use]
     pub fn saved(&self) -> f64 {
--- a/components/requests/src/life.rs
+++ b/components/requests/src/life.rs
@@ -260,6 +260,12 @@
         Ok(self)
     }
 
+    /// Whether another attempt may take this one's place, which is silent but may still go on.
+    #[must_use]
+    pub fn may_replace(&self, now: Time, budget: &mut RetryBudget) -> bool {
+        step::may_replace(&self.core.spec, &self.core.progress, now, budget)
+    }
+
     /// Records that a byte of the answer was sent to the caller.
     pub fn show(&mut self) {
         self.core.progress.shown = true;
--- a/components/requests/src/step.rs
+++ b/components/requests/src/step.rs
@@ -232,6 +232,21 @@
         && budget.take(now)
 }
 
+/// Whether another attempt may take the place of one that is silent but may still go on. Takes
+/// nothing from the budget.
+#[must_use]
+pub fn may_replace(
+    spec: &RequestSpec,
+    progress: &Progress,
+    now: Time,
+    budget: &mut RetryBudget,
+) -> bool {
+    spec.idempotent
+        && (spec.resumable || !progress.shown)
+        && may_begin_attempt(spec, progress, now)
+        && budget.has_retry(now)
+}
+
 /// What to do with an attempt when the caller disconnects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OnCallerGone {
--- a/components/requests/tests/life.rs
+++ b/components/requests/tests/life.rs
@@ -188,3 +188,35 @@
     let next = req.end(&upstream(2), &WHOLE, NOW, &mut budget);
     assert!(matches!(next, Next::Answered(_)));
 }
+
+/// A silent attempt was ended for another one that the retry budget then refused.
+#[test]
+fn a_silent_attempt_is_not_replaced_without_a_retry() {
+    let req = first_attempt(spec(true, true));
+    let mut budget = RetryBudget::new(NOW);
+    assert!(req.may_replace(NOW, &mut budget));
+    let saved = budget.saved();
+    assert!(req.may_replace(NOW, &mut budget));
+    assert!(budget.saved() >= saved, "a look takes no retry");
+    while budget.take(NOW) {}
+    assert!(!req.may_replace(NOW, &mut budget));
+}
+
+/// A silent attempt was ended though its work may not be attempted again.
+#[test]
+fn a_silent_attempt_is_not_replaced_where_no_other_may_follow() {
+    let mut budget = RetryBudget::new(NOW);
+    let mut shown = first_attempt(spec(true, false));
+    assert!(shown.may_replace(NOW, &mut budget));
+    shown.show();
+    assert!(!shown.may_replace(NOW, &mut budget));
+    let late = NOW + Span::from_secs(10);
+    assert!(!first_attempt(spec(true, true)).may_replace(late, &mut budget));
+    let mut req = first_attempt(spec(true, true));
+    for _ in 1..MAX_ATTEMPTS {
+        assert!(req.may_replace(NOW, &mut budget));
+        let (waiting, _) = expect_retry(end(req, &AttemptEnd::NotSent));
+        req = waiting.attempt(upstream(1));
+    }
+    assert!(!req.may_replace(NOW, &mut budget));
+}
