Leave a peer that leaves out of new tunnels

What callers saw: a request sent through a peer that had got its stop command was cut at the end of the peer's grace period, though another peer could have served it to its end.

Cause: a leaving daemon refused tunnels only once it closed to callers, 2.8 s after the stop command. Callers come through load balancers, which need that time to notice; a peer is told at once and asks the next one.

Change: a daemon refuses new tunnels from its stop command on.

Where the leaving daemon is the only peer with a path, requests are refused as not run for 2.8 s longer than before.

--- a/components/traffic/src/tunnel/server.rs
+++ b/components/traffic/src/tunnel/server.rs
@@ -73,7 +73,7 @@
     };
     let is_full = shared.served_tunnels.get() >= shared.cfg.tunnels.max_served;
     let _open = OpenTunnel::new(shared);
-    let opened = match is_full || shared.stage() >= Stage::Closing {
+    let opened = match is_full || shared.stage() >= Stage::Leaving {
         true => Err(Verdict::Busy),
         false => open(shared, &opening).await,
     };
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -6,10 +6,11 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
 
 use dispatch::TunnelPeer;
 use routes::Retry;
-use traffic::FleetKey;
+use traffic::{Command, FleetKey};
 use types::prelude::*;
 
 use crate::harness::*;
@@ -30,7 +31,7 @@
     socket.listen(0).expect("listening");
     let address = socket.local_addr().expect("bound").as_socket();
     let address = address.expect("of IPv4");
-    let connect = || TcpStream::connect_timeout(&address, std::time::Duration::from_millis(200));
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200));
     let queue = (0..4).filter_map(|_| connect().ok()).collect();
     HangingAddress {
         address,
@@ -328,3 +329,68 @@
     assert_eq!(status_of(&caller.ask("r2")), 200);
     assert_eq!(peer.metric("buckthorncross_tunnels_served_total"), 2);
 }
+
+/// An upstream that sends three events of a stream with pauses before the second and the third.
+fn pausing_upstream(pause: Duration) -> (SocketAddr, Arc<AtomicUsize>) {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        count.fetch_add(1, Ordering::SeqCst);
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        for id in 2..=3 {
+            std::thread::sleep(pause);
+            served.write(&event(id));
+        }
+        served.write(END);
+    });
+    (address, runs)
+}
+
+fn stop(running: &TestLoop) {
+    let commands = &running.handle.commands;
+    commands.send(Command::Stop).expect("it runs");
+}
+
+/// A peer that leaves would cut the streams that go through it. The longer pause is one in which
+/// another upstream is looked for.
+#[test]
+fn a_stream_through_a_peer_that_leaves_goes_on() {
+    for pause in [1_500, 3_400] {
+        let (address, runs) = pausing_upstream(Duration::from_millis(pause));
+        let (_kept, refusing) = refusing_address();
+        let (running, peer) = cut_off(RESUMABLE, refusing, address);
+        let mut caller = running.caller();
+        caller.send(&post("r1", "hello"));
+        caller.read_until("data: e1");
+        stop(&peer);
+        let text = caller.read_to_end_of_answer();
+        assert_eq!(events_of(&text), [2, 3], "{text}");
+        assert!(text.ends_with(END), "{text}");
+        assert_eq!(runs.load(Ordering::SeqCst), 1);
+    }
+}
+
+/// A request was sent through a peer that leaves, which cut it at the end of its grace period, though
+/// another peer could have served it to its end.
+#[test]
+fn a_peer_that_leaves_is_left_out() {
+    let (address, _) = counting_upstream();
+    let (_kept, refusing) = refusing_address();
+    let (running, leaving) = cut_off(Retry::Never, refusing, address);
+    let staying = serving(Retry::Never, &[address]);
+    let staying_offer = TunnelPeer {
+        id: DaemonId::new("staying").expect("a name"),
+        ..offer(&staying)
+    };
+    stop(&leaving);
+    wait_until("it leaves", || leaving.readiness() == 503);
+    running.send_tunnel_peers(vec![offer(&leaving), staying_offer]);
+    let mut caller = running.caller();
+    for n in 0..12 {
+        assert_eq!(status_of(&caller.ask(&format!("r{n}"))), 200);
+    }
+    assert_eq!(leaving.metric("buckthorncross_tunnels_served_total"), 0);
+    assert_eq!(staying.metric("buckthorncross_tunnels_served_total"), 12);
+}
