Tests: silent streams beside a leaving daemon, a removed route and a roll-out

A silent stream is replaced while its daemon leaves, and after a plan has removed its route, customer and upstream; and one of a version that a decided roll-out leaves goes on while the new version refuses it.

--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -432,6 +432,19 @@
     .expect("a proper table")
 }
 
+/// A configuration of another version, without routes and customers.
+pub fn table_without_routes(version: u64) -> RouteTable {
+    let former = table(Retry::Any);
+    RouteTable::new(
+        TableVersion(version),
+        former.limits,
+        Vec::new(),
+        former.services().cloned().collect(),
+        Some([].into()),
+    )
+    .expect("a proper table")
+}
+
 /// A plan with these upstreams.
 pub fn plan(retry: Retry, upstreams: Vec<Arc<Upstream>>) -> Plan {
     Plan {
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -303,3 +303,69 @@
     let ended = is_closed.recv_timeout(TEST_TIMEOUT);
     assert!(ended.is_ok(), "the replacement still runs");
 }
+
+/// An upstream that falls silent after the first event and reports when its connection is closed.
+fn silent_for_good() -> (SocketAddr, mpsc::Receiver<()>) {
+    let (closed, is_closed) = mpsc::channel();
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.wait_closed();
+        closed.send(()).expect("awaited");
+    });
+    (address, is_closed)
+}
+
+/// A daemon that leaves would keep a silent stream to the end of its grace period, and cut it there.
+#[test]
+fn a_silent_stream_is_replaced_while_the_daemon_leaves() {
+    let (silent, is_closed) = silent_for_good();
+    let (other, others) = serving_the_rest();
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[other]);
+    let commands = &running.handle.commands;
+    commands.send(Command::Stop).expect("it runs");
+    assert_completed(caller);
+    assert_eq!(others.get(), 1);
+    is_closed.recv_timeout(TEST_TIMEOUT).expect("it is closed");
+}
+
+/// A silent stream would be lost with the route, the customer and the upstream that it began with.
+#[test]
+fn a_silent_stream_is_replaced_after_its_route_customer_and_upstream_are_removed() {
+    let (silent, is_closed) = silent_for_good();
+    let (other, others) = serving_the_rest();
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[]);
+    running.apply_plan(traffic::Plan {
+        table: Some(Arc::new(table_without_routes(2))),
+        ..plan(RESUMABLE, vec![listed_upstream("new", other)])
+    });
+    assert_eq!(status_of(&running.caller().ask("r2")), 404);
+    assert_completed(caller);
+    assert_eq!(others.get(), 1);
+    is_closed.recv_timeout(TEST_TIMEOUT).expect("it is closed");
+}
+
+/// A silent stream was ended for a version to which a decided roll-out leads, but which refused it.
+#[test]
+fn a_silent_stream_of_a_version_that_is_left_goes_on_while_the_new_one_refuses_it() {
+    let (silent, runs) = silent_for_a_while();
+    let (other, others) = refusing(Refusal::Rejects);
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[]);
+    let of_new_version = routes::Upstream {
+        version: Arc::from("v2"),
+        ..(*listed_upstream("new", other)).clone()
+    };
+    let gate = dispatch::Gate {
+        to: Arc::from("v2"),
+        ..gate_of_all()
+    };
+    let listed = vec![listed_upstream("u0", silent), Arc::new(of_new_version)];
+    running.send_plan_of(RESUMABLE, listed, vec![gate]);
+    assert_completed(caller);
+    assert_eq!(runs.get(), 1);
+    assert!(others.get() >= 1);
+}
