--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertised, Gate, Policy, PromptPart, RetryLimits};
+use dispatch::{Advertised, Brittleness, Gate, Policy, PromptPart, RetryLimits};
 use http1::Head;
 use routes::{
     ApiKey, Customer, Limits, Retry, Route, RouteTable, Service, TableVersion, Target, Upstream,
@@ -73,7 +73,7 @@
             },
             confidence: head.text("sure").and_then(|sure| sure.parse().ok()),
             rate_limit: rate_limit(head),
-            brittleness: dispatch::Brittleness::Nothing,
+            brittleness: brittleness(head),
             retry_after: head
                 .text("again")
                 .and_then(|ms| ms.parse().ok())
@@ -91,6 +91,13 @@
     }
 }
 
+fn brittleness(head: &Head) -> Brittleness {
+    let rate = head.text("brittle").and_then(|rate| rate.parse().ok());
+    rate.map_or(Brittleness::Nothing, |rate| {
+        Brittleness::MaxRejections(Rate(rate))
+    })
+}
+
 /// An accepted connection, seen from the upstream.
 pub struct Served {
     stream: TcpStream,
--- a/components/traffic/tests/it/leases.rs
+++ b/components/traffic/tests/it/leases.rs
@@ -4,15 +4,18 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use dispatch::{Fleet, TunnelPeer};
 use http1::frames::push_frame;
-use routes::Retry;
+use routes::{Retry, Upstream};
 use traffic::Plan;
 use types::prelude::*;
 
 use crate::harness::*;
 
+const RESUMABLE: Retry = Retry::Stream { resumable: true };
+
 fn daemon(name: &str) -> DaemonId {
     DaemonId::new(name).expect("a name")
 }
@@ -100,3 +103,65 @@
     assert_eq!(running.metric("buckthorncross_leases_taken_total"), 0);
     assert_eq!(received.load(Ordering::SeqCst), 0);
 }
+
+/// A brittle upstream with room for two streams. Those whose id begins with `slow` pause within.
+fn brittle_upstream() -> SocketAddr {
+    upstream(|served| {
+        while let Some(request) = served.request() {
+            let id = id_of(&request);
+            let head = stream_head(id, 90);
+            served.write(&head.replace("signed", "brittle: 1\r\nsigned"));
+            served.write(&event(1));
+            if id.starts_with("slow") {
+                std::thread::sleep(Duration::from_millis(1_500));
+            }
+            (2..=3).for_each(|id| served.write(&event(id)));
+            served.write(END);
+        }
+    })
+}
+
+/// Sends an event loop the plan of one of two daemons before a brittle upstream.
+fn join_brittle(running: &TestLoop, address: SocketAddr) {
+    let of_two_slots = Upstream {
+        slots: 2,
+        ..(*listed_upstream("u0", address)).clone()
+    };
+    let fleet = Fleet::new(&daemon("me"), std::iter::once(&daemon("peer")));
+    running.apply_plan(Plan {
+        fleet: Arc::new(fleet),
+        ..plan(RESUMABLE, vec![Arc::new(of_two_slots)])
+    });
+}
+
+/// A run by a peer's share would end with the peer.
+#[test]
+fn a_run_by_a_peers_share_goes_on_when_the_peer_is_gone() {
+    let address = brittle_upstream();
+    let running = serving(RESUMABLE, &[address]);
+    join_brittle(&running, address);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    send_peer(&running, listener.local_addr().expect("bound"));
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1_024]);
+            let mut granted = Vec::new();
+            push_frame(&mut granted, &[1, 0]);
+            let _ = stream.write_all(&granted);
+        }
+    });
+    (0..3).for_each(|n| {
+        running.caller().ask(&format!("quick-{n}"));
+    });
+    let mut callers = (0..2).map(|_| running.caller()).collect::<Vec<_>>();
+    for (n, caller) in callers.iter_mut().enumerate() {
+        caller.send(&post(&format!("slow-{n}"), "hello"));
+        caller.read_until("data: e1");
+    }
+    assert_eq!(running.metric("buckthorncross_leases_taken_total"), 1);
+    for caller in &mut callers {
+        let text = caller.read_to_end_of_answer();
+        assert_eq!(events_of(&text), [2, 3], "{text}");
+        assert!(text.ends_with(END), "{text}");
+    }
+}
