Let a request that was taken back wait for its retry

What callers saw: a request that waited at a sound upstream failed with 502 after an upstream had crashed under a part of its prompt, with seconds and attempts left.

Cause: such a request is taken back 100 ms after the crash, before a retry is granted, and failed if none was left at that moment. All requests with the part are taken back at once, so the budget is used up just then. Class: break before make.

It is not kept at its upstream instead: it may crash that one, with the answers of others in progress there, and the bound on such crashes holds whatever the budget says.

Evidence: replacements::a_request_that_is_taken_back_waits_for_a_retry, with a budget that has a retry once further requests have come: 502 before.

Change: it waits for a retry as long as it may be held for the part anyway: 3 s, and half of its time. Attempts and budget are as before.

--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -64,6 +64,8 @@
     NotRun(&'static str),
     /// The upstream may have processed the request.
     MayHaveRun(&'static str),
+    /// It was taken back from an upstream that may have processed it; it may be retried.
+    Withdrawn(&'static str),
     /// A whole answer with a status of 500 or above.
     Failed(Whole),
 }
@@ -106,7 +108,7 @@
             ),
             Self::Withdrawn => (
                 UpstreamOutcome::Cancelled,
-                SendFailure::MayHaveRun("taken back for a suspected part of its prompt"),
+                SendFailure::Withdrawn("taken back for a suspected part of its prompt"),
             ),
         }
     }
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -67,6 +67,8 @@
     Finished(Finish),
     /// It was not processed, or may be retried: try another upstream, at the cost of a retry.
     Retry,
+    /// It was taken back from a sound upstream: try another as soon as a retry is left.
+    RetryWhenGranted,
     /// Nothing arrived at the upstream: try another, at no cost to the retry budget.
     TryAnother,
     /// Stop: it failed or its outcome is unknown, and it must not be retried.
@@ -206,8 +208,9 @@
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
-                Next::Retry if self.is_quarantined() => Ok(()),
+                Next::Retry | Next::RetryWhenGranted if self.is_quarantined() => Ok(()),
                 Next::Retry => self.may_retry(),
+                Next::RetryWhenGranted => self.await_retry().await,
                 Next::TryAnother => self.may_try_another(),
             };
             if let Err(why) = may_go_on {
@@ -376,6 +379,12 @@
                 self.runs += 1;
                 self.retry_or_give_up(what)
             }
+            SendFailure::Withdrawn(what) => {
+                self.record_try(run, what);
+                self.runs += 1;
+                self.has_failed = true;
+                Next::RetryWhenGranted
+            }
             SendFailure::Failed(whole) => {
                 self.record_try(run, "failed");
                 self.runs += 1;
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -25,7 +25,8 @@
 /// Time after which no further one is asked: a request that nobody lends is refused at once.
 const MAX_LEASE_WAIT: Span = Span::from_millis(100);
 /// How long a request waits at most for others to show whether a suspected part of its prompt
-/// crashes upstreams, and the share of its time that this may take.
+/// crashes upstreams, or for a retry after it was taken back for one, and the share of its time that
+/// this may take.
 const MAX_HOLD: Span = Span::from_secs(3);
 const MAX_HOLD_SHARE: f64 = 0.5;
 /// Interval at which it looks whether they have.
@@ -70,10 +71,7 @@
 
     /// Waits while other requests show whether a suspected part of the prompt crashes upstreams.
     pub(super) async fn wait_while_held(&self) {
-        let now = self.shared.now();
-        let left = now.until(self.request.deadline).as_secs_f64();
-        let max_hold = Span::from_secs_f64(left * MAX_HOLD_SHARE).min(MAX_HOLD);
-        let deadline = now + max_hold;
+        let deadline = self.max_held_until();
         while self.is_held() && !self.shared.now().has_reached(deadline) {
             tokio::time::sleep(HOLD_POLL).await;
         }
@@ -85,6 +83,13 @@
         self.shared.cfg.suspects.notify();
     }
 
+    /// Until when the request is held at most.
+    fn max_held_until(&self) -> Time {
+        let now = self.shared.now();
+        let left = now.until(self.request.deadline).as_secs_f64();
+        now + Span::from_secs_f64(left * MAX_HOLD_SHARE).min(MAX_HOLD)
+    }
+
     fn is_held(&self) -> bool {
         let (contents, customer) = (&self.request.contents, self.request.customer_name());
         let suspects = self.shared.cfg.suspects.lock();
@@ -292,6 +297,21 @@
         }
     }
 
+    /// Takes a retry for a request that was taken back from a sound upstream. Waits for one where none
+    /// is left: the request has not failed, and many are taken back at once.
+    pub(super) async fn await_retry(&mut self) -> Result<(), &'static str> {
+        let deadline = self.max_held_until();
+        while self.has_no_retry() && !self.shared.now().has_reached(deadline) {
+            tokio::time::sleep(HOLD_POLL).await;
+        }
+        self.may_retry()
+    }
+
+    fn has_no_retry(&self) -> bool {
+        let usage = self.shared.retry_usage(&self.service, RetryReason::Failure);
+        usage.is_exhausted()
+    }
+
     /// Whether the request's own bounds allow one more send after so many; if not, which of them is
     /// reached.
     pub(super) fn has_send_left(&self, runs: u32, sends: u32) -> Result<(), &'static str> {
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -29,10 +29,13 @@
         let attempt = head.text("id").ok_or(AskError::NotOnce("id"))?;
         let timeout = head.text("wait").and_then(|ms| ms.parse().ok());
         let prompt = head.text("prompt").map(|tokens| Prompt {
-            parts: vec![PromptPart {
-                id: 1,
-                tokens: tokens.parse().unwrap_or_default(),
-            }],
+            parts: shared_part(head)
+                .into_iter()
+                .chain([PromptPart {
+                    id: 1,
+                    tokens: tokens.parse().unwrap_or_default(),
+                }])
+                .collect(),
             tokens: tokens.parse().unwrap_or_default(),
             max_output: 10,
         });
@@ -91,6 +94,12 @@
     }
 }
 
+/// The part of a prompt that other requests carry as well.
+fn shared_part(head: &Head) -> Option<PromptPart> {
+    let id = head.text("shared")?.parse().ok()?;
+    Some(PromptPart { id, tokens: 10 })
+}
+
 fn brittleness(head: &Head) -> Brittleness {
     let rate = head.text("brittle").and_then(|rate| rate.parse().ok());
     rate.map_or(Brittleness::Nothing, |rate| {
@@ -271,6 +280,7 @@
 /// A running event loop with its addresses.
 pub struct TestLoop {
     pub handle: Handle,
+    pub clock: Clock,
     pub callers: SocketAddr,
     pub status: SocketAddr,
 }
@@ -323,8 +333,10 @@
         grace_period: Span::from_secs(8),
         dropped_logs: Dropped::default(),
     };
-    let handle = traffic::start(cfg, TestTranslator, Clock::new()).expect("starts");
+    let clock = Clock::new();
+    let handle = traffic::start(cfg, TestTranslator, clock).expect("starts");
     TestLoop {
+        clock,
         callers: handle.callers,
         status: handle.status,
         handle,
@@ -345,6 +357,15 @@
     serving_with(retry, upstreams, key, AMPLE_RETRIES)
 }
 
+/// Starts one that may make at most one retry for two requests.
+pub fn serving_with_half_retries(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
+    let half = RetryLimits {
+        ratio: 0.5,
+        ..NO_RETRIES
+    };
+    serving_with(retry, upstreams, traffic::FleetKey([7; 16]), half)
+}
+
 /// Starts one whose service has no retry left.
 pub fn serving_without_retries(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
     serving_with(retry, upstreams, traffic::FleetKey([7; 16]), NO_RETRIES)
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -369,3 +369,50 @@
     assert_eq!(runs.get(), 1);
     assert!(others.get() >= 1);
 }
+
+/// A request that was taken back for a suspected part of its prompt failed when no retry was left at
+/// that moment.
+#[test]
+fn a_request_that_is_taken_back_waits_for_a_retry() {
+    const PART: u64 = 77;
+    let (got, has_got) = mpsc::channel();
+    let silent = upstream(move |served| {
+        let Some(request) = served.request() else {
+            return;
+        };
+        got.send(id_of(&request).to_owned()).expect("awaited");
+        served.wait_closed();
+    });
+    let other = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving_with_half_retries(Retry::Any, &[silent]);
+    let mut caller = running.caller();
+    let request = post("r1", "hello").replace("prompt", &format!("shared: {PART}\r\nprompt"));
+    caller.send(&request);
+    has_got.recv_timeout(TEST_TIMEOUT).expect("it arrives");
+    running.send_plan_of(Retry::Any, vec![listed_upstream("new", other)], Vec::new());
+    let crashed = poison::CrashedAttempt {
+        contents: poison::Contents::new(poison::Content::of("", "", "", "", b"x"), [PART]),
+        customer: None,
+        had_started: false,
+        ran: types::prelude::Span::ZERO,
+    };
+    let instance = poison::UpstreamInstance {
+        id: types::prelude::UpstreamId::new("gone").expect("a name"),
+        started_at: None,
+    };
+    let now = running.clock.now();
+    let mut suspects = running.handle.suspects.lock();
+    suspects.upstream_crashed(now, &instance, &[crashed]);
+    drop(suspects);
+    // It is taken back meanwhile. The requests after it make the retry that it takes.
+    std::thread::sleep(Duration::from_millis(400));
+    for n in 2..6 {
+        assert_eq!(status_of(&running.caller().ask(&format!("r{n}"))), 200);
+    }
+    let text = caller.answer();
+    assert!(text.ends_with("world"), "{text}");
+}
