--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Advertised, Gate, Policy, PromptPart, RetryLimits};
+use dispatch::{Advertised, Brittleness, Gate, Policy, PromptPart, RetryLimits};
 use http1::Head;
 use routes::{
     ApiKey, Customer, Limits, Retry, Route, RouteTable, Service, TableVersion, Target, Upstream,
@@ -29,10 +29,13 @@
         let attempt = head.text("id").ok_or(AskError::NotOnce("id"))?;
         let timeout = head.text("wait").and_then(|ms| ms.parse().ok());
         let prompt = head.text("prompt").map(|tokens| Prompt {
-            parts: vec![PromptPart {
-                id: 1,
-                tokens: tokens.parse().unwrap_or_default(),
-            }],
+            parts: shared_part(head)
+                .into_iter()
+                .chain([PromptPart {
+                    id: 1,
+                    tokens: tokens.parse().unwrap_or_default(),
+                }])
+                .collect(),
             tokens: tokens.parse().unwrap_or_default(),
             max_output: 10,
         });
@@ -73,7 +76,7 @@
             },
             confidence: head.text("sure").and_then(|sure| sure.parse().ok()),
             rate_limit: rate_limit(head),
-            brittleness: dispatch::Brittleness::Nothing,
+            brittleness: brittleness(head),
             retry_after: head
                 .text("again")
                 .and_then(|ms| ms.parse().ok())
@@ -91,6 +94,19 @@
     }
 }
 
+/// The part of a prompt that other requests carry as well.
+fn shared_part(head: &Head) -> Option<PromptPart> {
+    let id = head.text("shared")?.parse().ok()?;
+    Some(PromptPart { id, tokens: 10 })
+}
+
+fn brittleness(head: &Head) -> Brittleness {
+    let rate = head.text("brittle").and_then(|rate| rate.parse().ok());
+    rate.map_or(Brittleness::Nothing, |rate| {
+        Brittleness::MaxRejections(Rate(rate))
+    })
+}
+
 /// An accepted connection, seen from the upstream.
 pub struct Served {
     stream: TcpStream,
@@ -269,6 +285,7 @@
 /// A running event loop with its addresses.
 pub struct TestLoop {
     pub handle: Handle,
+    pub clock: Clock,
     pub callers: SocketAddr,
     pub status: SocketAddr,
 }
@@ -321,8 +338,10 @@
         grace_period: Span::from_secs(8),
         dropped_logs: Dropped::default(),
     };
-    let handle = traffic::start(cfg, TestTranslator, Clock::new()).expect("starts");
+    let clock = Clock::new();
+    let handle = traffic::start(cfg, TestTranslator, clock).expect("starts");
     TestLoop {
+        clock,
         callers: handle.callers,
         status: handle.status,
         handle,
@@ -343,6 +362,15 @@
     serving_with(retry, upstreams, key, AMPLE_RETRIES)
 }
 
+/// Starts one that may make at most one retry for two requests.
+pub fn serving_with_half_retries(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
+    let half = RetryLimits {
+        ratio: 0.5,
+        ..NO_RETRIES
+    };
+    serving_with(retry, upstreams, traffic::FleetKey([7; 16]), half)
+}
+
 /// Starts one whose service has no retry left.
 pub fn serving_without_retries(retry: Retry, upstreams: &[SocketAddr]) -> TestLoop {
     serving_with(retry, upstreams, traffic::FleetKey([7; 16]), NO_RETRIES)
@@ -449,6 +477,19 @@
     .expect("a proper table")
 }
 
+/// A configuration of another version, without routes and customers.
+pub fn table_without_routes(version: u64) -> RouteTable {
+    let former = table(Retry::Any);
+    RouteTable::new(
+        TableVersion(version),
+        former.limits,
+        Vec::new(),
+        former.services().cloned().collect(),
+        Some([].into()),
+    )
+    .expect("a proper table")
+}
+
 /// A plan with these upstreams.
 pub fn plan(retry: Retry, upstreams: Vec<Arc<Upstream>>) -> Plan {
     Plan {
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -451,3 +451,116 @@
     caller.send(&post("r1", "hello"));
     assert_eq!(events_of(&caller.answer()), [1, 2, 3]);
 }
+
+/// An upstream that falls silent after the first event and reports when its connection is closed.
+fn silent_for_good() -> (SocketAddr, mpsc::Receiver<()>) {
+    let (closed, is_closed) = mpsc::channel();
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.wait_closed();
+        closed.send(()).expect("awaited");
+    });
+    (address, is_closed)
+}
+
+/// A daemon that leaves would keep a silent stream to the end of its grace period, and cut it there.
+#[test]
+fn a_silent_stream_is_replaced_while_the_daemon_leaves() {
+    let (silent, is_closed) = silent_for_good();
+    let (other, others) = serving_the_rest();
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[other]);
+    let commands = &running.handle.commands;
+    commands.send(Command::Stop).expect("it runs");
+    assert_completed(caller);
+    assert_eq!(others.get(), 1);
+    is_closed.recv_timeout(TEST_TIMEOUT).expect("it is closed");
+}
+
+/// A silent stream would be lost with the route, the customer and the upstream that it began with.
+#[test]
+fn a_silent_stream_is_replaced_after_its_route_customer_and_upstream_are_removed() {
+    let (silent, is_closed) = silent_for_good();
+    let (other, others) = serving_the_rest();
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[]);
+    running.apply_plan(traffic::Plan {
+        table: Some(Arc::new(table_without_routes(2))),
+        ..plan(RESUMABLE, vec![listed_upstream("new", other)])
+    });
+    assert_eq!(status_of(&running.caller().ask("r2")), 404);
+    assert_completed(caller);
+    assert_eq!(others.get(), 1);
+    is_closed.recv_timeout(TEST_TIMEOUT).expect("it is closed");
+}
+
+/// A silent stream was ended for a version to which a decided roll-out leads, but which refused it.
+#[test]
+fn a_silent_stream_of_a_version_that_is_left_goes_on_while_the_new_one_refuses_it() {
+    let (silent, runs) = silent_for_a_while();
+    let (other, others) = refusing(Refusal::Rejects);
+    let running = serving(RESUMABLE, &[silent]);
+    let caller = begin(&running, silent, &[]);
+    let of_new_version = routes::Upstream {
+        version: Arc::from("v2"),
+        ..(*listed_upstream("new", other)).clone()
+    };
+    let gate = dispatch::Gate {
+        to: Arc::from("v2"),
+        ..gate_of_all()
+    };
+    let listed = vec![listed_upstream("u0", silent), Arc::new(of_new_version)];
+    running.send_plan_of(RESUMABLE, listed, vec![gate]);
+    assert_completed(caller);
+    assert_eq!(runs.get(), 1);
+    assert!(others.get() >= 1);
+}
+
+/// A request that was taken back for a suspected part of its prompt failed when no retry was left at
+/// that moment.
+#[test]
+fn a_request_that_is_taken_back_waits_for_a_retry() {
+    const PART: u64 = 77;
+    let (got, has_got) = mpsc::channel();
+    let silent = upstream(move |served| {
+        let Some(request) = served.request() else {
+            return;
+        };
+        got.send(id_of(&request).to_owned()).expect("awaited");
+        served.wait_closed();
+    });
+    let other = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    let running = serving_with_half_retries(Retry::Any, &[silent]);
+    let mut caller = running.caller();
+    let request = post("r1", "hello").replace("prompt", &format!("shared: {PART}\r\nprompt"));
+    caller.send(&request);
+    has_got.recv_timeout(TEST_TIMEOUT).expect("it arrives");
+    running.send_plan_of(Retry::Any, vec![listed_upstream("new", other)], Vec::new());
+    let crashed = poison::CrashedAttempt {
+        contents: poison::Contents::new(poison::Content::of("", "", "", "", b"x"), [PART]),
+        customer: None,
+        had_started: false,
+        ran: types::prelude::Span::ZERO,
+    };
+    let instance = poison::UpstreamInstance {
+        id: types::prelude::UpstreamId::new("gone").expect("a name"),
+        started_at: None,
+    };
+    let now = running.clock.now();
+    let mut suspects = running.handle.suspects.lock();
+    suspects.upstream_crashed(now, &instance, &[crashed]);
+    drop(suspects);
+    // It is taken back meanwhile. The requests after it make the retry that it takes.
+    std::thread::sleep(Duration::from_millis(400));
+    for n in 2..6 {
+        assert_eq!(status_of(&running.caller().ask(&format!("r{n}"))), 200);
+    }
+    let text = caller.answer();
+    assert!(text.ends_with("world"), "{text}");
+}
