Failing test: a silent stream is ended for upstreams that refuse it late

What callers saw: a stream cut short, or a 502, with seconds and attempts left, though the upstream of the present run was alive.

All at loads above 50 on 8 cores, where the stand-in workers answered some 100 to 900 ms late. The test needs no load.

--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -13,6 +13,8 @@
 const RESUMABLE: Retry = Retry::Stream { resumable: true };
 /// Longer than an upstream may be silent before another one is looked for.
 const SILENCE: Duration = Duration::from_millis(4_000);
+/// Time after which an upstream that is overloaded refuses a request.
+const LATE_REFUSAL: Duration = Duration::from_millis(250);
 /// Time in which an upstream sees that its connection was closed.
 const CLOSE_TIME: Duration = Duration::from_millis(400);
 
@@ -142,6 +144,23 @@
     }
 }
 
+/// A silent stream was ended for upstreams that refused it later than at once.
+#[test]
+fn a_silent_stream_goes_on_while_other_upstreams_refuse_it_late() {
+    let (silent, _) = silent_for_a_while();
+    let late = upstream(|served| {
+        while let Some(request) = served.request() {
+            std::thread::sleep(LATE_REFUSAL);
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 503 Busy\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+    });
+    let running = serving(RESUMABLE, &[silent]);
+    assert_completed(begin(&running, silent, &[late, late]));
+}
+
 /// A silent stream was ended though the upstreams that were to resume it could not be reached.
 #[test]
 fn a_silent_stream_goes_on_while_other_upstreams_are_unreachable() {
