--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dispatch::{Cascade, Choice, NoUpstream, UpstreamIndex, UpstreamOutcome};
 use futures::future::LocalBoxFuture;
@@ -38,6 +39,8 @@
 /// Least pause before a retry while all upstreams for a request are evacuated: a failure domain is
 /// empty for seconds at least.
 const EVACUATED_RETRY: Span = Span::from_secs(2);
+/// Interval at which a stream that has begun looks for an upstream with a share left.
+const SHARE_POLL: Duration = Duration::from_millis(100);
 /// Sends of one request beyond the attempts that its route allows. Refusals are cheap, but each
 /// takes a retry from the service's budget.
 const MAX_EXTRA_SENDS: u32 = 2;
@@ -212,12 +215,21 @@
             let may_go_on = match next {
                 Next::Finished(finish) => return finish,
                 Next::GiveUp(why) => return self.give_up(why).await,
+                Next::NoneAvailable(no) if self.relay.has_begun() && no.is_without_share() => {
+                    tokio::time::sleep(SHARE_POLL).await;
+                    Ok(())
+                }
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
                 Next::Retry | Next::RetryWhenGranted if self.is_quarantined() => Ok(()),
+                // What its caller has of a stream is worth nothing without the rest.
+                Next::Retry if self.relay.has_begun() => {
+                    self.await_retry(self.request.deadline).await
+                }
                 Next::Retry => self.may_retry(),
-                Next::RetryWhenGranted => self.await_retry().await,
+                // It has not failed, and many are taken back at once.
+                Next::RetryWhenGranted => self.await_retry(self.max_held_until()).await,
                 Next::TryAnother => self.may_try_another(),
             };
             if let Err(why) = may_go_on {
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -29,6 +29,8 @@
 /// this may take.
 const MAX_HOLD: Span = Span::from_secs(3);
 const MAX_HOLD_SHARE: f64 = 0.5;
+/// Interval at which a request that waits for a retry looks for one.
+const RETRY_POLL: Duration = Duration::from_millis(20);
 /// Interval at which it looks whether they have.
 const HOLD_POLL: Duration = Duration::from_millis(10);
 
@@ -84,7 +86,7 @@
     }
 
     /// Until when the request is held at most.
-    fn max_held_until(&self) -> Time {
+    pub(super) fn max_held_until(&self) -> Time {
         let now = self.shared.now();
         let left = now.until(self.request.deadline).as_secs_f64();
         now + Span::from_secs_f64(left * MAX_HOLD_SHARE).min(MAX_HOLD)
@@ -297,19 +299,18 @@
         }
     }
 
-    /// Takes a retry for a request that was taken back from a sound upstream. Waits for one where none
-    /// is left: the request has not failed, and many are taken back at once.
-    pub(super) async fn await_retry(&mut self) -> Result<(), &'static str> {
-        let deadline = self.max_held_until();
+    /// Takes a retry for one more send. Waits for one, where none is left, until a deadline.
+    pub(super) async fn await_retry(&mut self, deadline: Time) -> Result<(), &'static str> {
+        self.has_send_left(self.runs, self.sends)?;
         while self.has_no_retry() && !self.shared.now().has_reached(deadline) {
-            tokio::time::sleep(HOLD_POLL).await;
+            tokio::time::sleep(RETRY_POLL).await;
         }
         self.may_retry()
     }
 
     fn has_no_retry(&self) -> bool {
         let usage = self.shared.retry_usage(&self.service, RetryReason::Failure);
-        usage.is_exhausted()
+        usage.is_exhausted() && !self.has_spare_retry
     }
 
     /// Whether the request's own bounds allow one more send after so many; if not, which of them is
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -13,6 +13,8 @@
 const RESUMABLE: Retry = Retry::Stream { resumable: true };
 /// Longer than an upstream may be silent before another one is looked for.
 const SILENCE: Duration = Duration::from_millis(4_000);
+/// Time after which an upstream that is overloaded refuses a request.
+const LATE_REFUSAL: Duration = Duration::from_millis(250);
 
 /// Number of requests that an upstream got.
 #[derive(Clone, Default)]
@@ -140,6 +142,23 @@
     }
 }
 
+/// A silent stream was ended for upstreams that refused it later than at once.
+#[test]
+fn a_silent_stream_goes_on_while_other_upstreams_refuse_it_late() {
+    let (silent, _) = silent_for_a_while();
+    let late = upstream(|served| {
+        while let Some(request) = served.request() {
+            std::thread::sleep(LATE_REFUSAL);
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 503 Busy\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+    });
+    let running = serving(RESUMABLE, &[silent]);
+    assert_completed(begin(&running, silent, &[late, late]));
+}
+
 /// A silent stream was ended though the upstreams that were to resume it could not be reached.
 #[test]
 fn a_silent_stream_goes_on_while_other_upstreams_are_unreachable() {
@@ -564,3 +583,26 @@
     let text = caller.answer();
     assert!(text.ends_with("world"), "{text}");
 }
+
+/// A stream that broke was cut at once when no retry was left at that moment.
+#[test]
+fn a_stream_that_broke_waits_for_a_retry() {
+    let broken = upstream(|served| {
+        let request = served.request().expect("one");
+        served.write(&stream_head(id_of(&request), 90));
+        served.write(&event(1));
+        served.reset();
+    });
+    let (other, others) = serving_the_rest();
+    let running = serving_with_half_retries(RESUMABLE, &[broken]);
+    let mut caller = begin(&running, broken, &[other]);
+    wait_until("it broke", || {
+        running.get("/metrics").contains("attempts_total 1")
+    });
+    for n in 0..2 {
+        assert!(running.caller().ask(&format!("o{n}")).ends_with(END));
+    }
+    let text = caller.read_to_end_of_answer();
+    assert_eq!(events_of(&text), [2, 3], "{text}");
+    assert!(others.get() >= 1);
+}
