A draft goes past upstreams that are unreachable

Cause, inferred: since drafts are kept until another upstream takes the request, a larger model's first send that reached nobody ended the look for one. Before, such a send was followed by the next.

Change: only a send that may have run ends the look. The retry taken serves the next.

--- a/components/traffic/src/exchange/escalate.rs
+++ b/components/traffic/src/exchange/escalate.rs
@@ -26,7 +26,7 @@
         let overlap = Span::from_millis(timing.draft_overlap_ms.into());
         let mut own_upstream = Some(draft.index);
         loop {
-            let (runs, unreachable) = (self.runs, self.unreachable);
+            let runs = self.runs;
             let plan = ReplacementPlan {
                 reason: RetryReason::LargerModel,
                 model_index: Some(larger),
@@ -43,8 +43,8 @@
                     self.model_index = Some(larger);
                     return Some(step);
                 }
-                // Another upstream may have room.
-                Replaced::Refused if (runs, unreachable) == (self.runs, self.unreachable) => {}
+                // Another upstream may take it.
+                Replaced::Refused if runs == self.runs => {}
                 Replaced::Refused => break,
                 Replaced::Unavailable(no) => {
                     self.log_kept(draft, "a draft", no);
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -606,3 +606,31 @@
     assert_eq!(events_of(&text), [2, 3], "{text}");
     assert!(others.get() >= 1);
 }
+
+/// Drafts of a low confidence were the answer beside upstreams that had just crashed.
+#[test]
+fn a_draft_is_replaced_past_upstreams_that_are_unreachable() {
+    let sound = || {
+        upstream(|served| {
+            while let Some(request) = served.request() {
+                let is_large = field(&request, "model") == Some("large");
+                let sure = if is_large { 80 } else { 10 };
+                served.write(&stream_head(id_of(&request), sure));
+                if !is_large {
+                    return served.wait_closed();
+                }
+                (1..=3).for_each(|id| served.write(&event(id)));
+                served.write(END);
+            }
+        })
+    };
+    for _ in 0..6 {
+        let first = sound();
+        let crashed = (0..3).map(|_| refusing_address()).collect::<Vec<_>>();
+        let crashed = crashed.iter().map(|(_, address)| *address);
+        let all = crashed.chain([first, sound()]).collect::<Vec<_>>();
+        let running = serving(RESUMABLE, &all);
+        let text = running.caller().ask("r1");
+        assert!(text.contains("sure: 80"), "{text}");
+    }
+}
