Second reading: one check for a retry left, one plan for silent runs, one health record

Whether a retry is left, a spare one included, was worked out by the replacement of a run and by the wait for a retry; the plan for a silent run was written for answers and for streams; silence counted against an upstream's health by a copy of what an attempt's end does. A local variable and an overlong comment line were left over from forms that went.

Change: has_no_retry, plan_for_silent and Entry::record_health serve both sides. Tests: one upstream that counts its requests in place of three, one reading of broken answers in place of two, one line of comment before a test.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -166,6 +166,17 @@
         self.is_listed && !self.is_replaced
     }
 
+    fn record_health(
+        &mut self,
+        now: Time,
+        outcome: UpstreamOutcome,
+        means: &mut HashMap<Arc<str>, ServiceMeans>,
+    ) {
+        let means = means_of(means, &self.spec.service);
+        means.record(outcome);
+        self.health.record(now, outcome, means.failure_share());
+    }
+
     fn last_seen(&self, index: UpstreamIndex) -> LastSeen {
         LastSeen {
             index,
@@ -478,11 +489,7 @@
             entry.window.record_answer();
         }
         entry.backlog.remove(now, ticket.0);
-        let service = entry.spec.service.clone();
-        let means = means_of(&mut self.means, &service);
-        means.record(outcome);
-        let peers_share = means.failure_share();
-        entry.health.record(now, outcome, peers_share);
+        entry.record_health(now, outcome, &mut self.means);
         entry.is_replaced |= outcome == UpstreamOutcome::Replaced;
         entry.is_leaving |= entry.is_replaced;
         if entry.in_flight == 0 && !entry.is_listed {
@@ -495,12 +502,7 @@
         let Some(entry) = self.entries.get_mut(&index) else {
             return;
         };
-        let means = means_of(&mut self.means, &entry.spec.service);
-        means.record(UpstreamOutcome::Silent);
-        let peers_share = means.failure_share();
-        entry
-            .health
-            .record(now, UpstreamOutcome::Silent, peers_share);
+        entry.record_health(now, UpstreamOutcome::Silent, &mut self.means);
     }
 
     /// Returns this daemon's outstanding requests for the other daemons; idle upstreams are
--- a/components/traffic/src/attempt_guard.rs
+++ b/components/traffic/src/attempt_guard.rs
@@ -241,18 +241,17 @@
 impl<T> Drop for AttemptGuard<T> {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let outcome = self.outcome;
         let mut upstreams = self.shared.upstreams.borrow_mut();
         if self.lease.take().is_some() {
             upstreams.record_leased_end(self.index);
         }
-        upstreams.record_end(now, self.index, self.ticket, outcome);
+        upstreams.record_end(now, self.index, self.ticket, self.outcome);
         drop(upstreams);
         self.shared.attempt_ended(
             self.index,
             self.attempt,
             &self.contents,
-            attempt_end(outcome),
+            attempt_end(self.outcome),
         );
         self.take_awaited();
         self.count(|counts| counts.out = counts.out.saturating_sub(1));
@@ -262,7 +261,7 @@
         if self.is_silence_counted.get() {
             return;
         }
-        match outcome {
+        match self.outcome {
             UpstreamOutcome::Good => arm.count(&self.shared, |counts| counts.good += 1),
             UpstreamOutcome::Failed => arm.count(&self.shared, |counts| counts.bad += 1),
             UpstreamOutcome::Silent => arm.count(&self.shared, |counts| counts.broken += 1),
--- a/components/traffic/src/exchange/choose.rs
+++ b/components/traffic/src/exchange/choose.rs
@@ -302,14 +302,14 @@
     /// Takes a retry for one more send. Waits for one, where none is left, until a deadline.
     pub(super) async fn await_retry(&mut self, deadline: Time) -> Result<(), &'static str> {
         self.has_send_left(self.runs, self.sends)?;
-        while self.has_no_retry() && !self.shared.now().has_reached(deadline) {
+        while self.has_no_retry(RetryReason::Failure) && !self.shared.now().has_reached(deadline) {
             tokio::time::sleep(RETRY_POLL).await;
         }
         self.may_retry()
     }
 
-    fn has_no_retry(&self) -> bool {
-        let usage = self.shared.retry_usage(&self.service, RetryReason::Failure);
+    pub(super) fn has_no_retry(&self, reason: RetryReason) -> bool {
+        let usage = self.shared.retry_usage(&self.service, reason);
         usage.is_exhausted() && !self.has_spare_retry
     }
 
--- a/components/traffic/src/exchange/replace.rs
+++ b/components/traffic/src/exchange/replace.rs
@@ -151,8 +151,7 @@
         }
         self.has_send_left(plan.runs, plan.sends)?;
         self.may_try_another()?;
-        let usage = self.shared.retry_usage(&self.service, plan.reason);
-        match usage.is_exhausted() && !self.has_spare_retry {
+        match self.has_no_retry(plan.reason) {
             true => Err("no retry is left"),
             false => Ok(()),
         }
--- a/components/traffic/src/exchange/silence.rs
+++ b/components/traffic/src/exchange/silence.rs
@@ -74,14 +74,7 @@
                 sent = &mut current.result => return Step::Answered(current.run, sent),
                 why = silence => why,
             };
-            let plan = ReplacementPlan {
-                reason: RetryReason::Failure,
-                model_index: run.model_index,
-                own_upstream: None,
-                runs: self.runs + 1,
-                sends: self.sends,
-                overlap: self.silent_overlap(),
-            };
+            let plan = self.plan_for_silent(run, self.runs + 1, self.sends);
             let replaced = {
                 let progress = pin!(progress_of(run, &mut current.result));
                 self.replace(plan, progress).await
@@ -107,9 +100,17 @@
         }
     }
 
-    fn silent_overlap(&self) -> Span {
+    /// How a silent run is to be replaced, with the attempts and sends that count once it has ended.
+    fn plan_for_silent(&self, run: &Run, runs: u32, sends: u32) -> ReplacementPlan {
         let timing = &self.shared.cfg.policy.timing;
-        Span::from_millis(timing.silent_overlap_ms.into())
+        ReplacementPlan {
+            reason: RetryReason::Failure,
+            model_index: run.model_index,
+            own_upstream: None,
+            runs,
+            sends,
+            overlap: Span::from_millis(timing.silent_overlap_ms.into()),
+        }
     }
 
     /// Looks for another upstream that resumes a silent stream.
@@ -122,14 +123,7 @@
         self.note_version(run.index);
         // A send on a lost path is no attempt.
         let uncounted = u32::from(silence == Silence::Path);
-        let plan = ReplacementPlan {
-            reason: RetryReason::Failure,
-            model_index: run.model_index,
-            own_upstream: None,
-            runs: self.runs - uncounted,
-            sends: self.sends - uncounted,
-            overlap: self.silent_overlap(),
-        };
+        let plan = self.plan_for_silent(run, self.runs - uncounted, self.sends - uncounted);
         if uncounted == 0 && self.has_send_left(plan.runs, plan.sends).is_ok() {
             inbound.stream.note_silent();
         }
--- a/components/traffic/src/relay.rs
+++ b/components/traffic/src/relay.rs
@@ -21,8 +21,8 @@
 use inbound::NextRead;
 
 /// Multiple of the longest pause that is on time. When an engine is silent on all connections for
-/// longer, the stream resumes elsewhere if it can. A live engine may be silent for two or three seconds while
-/// it prefills long prompts.
+/// longer, the stream resumes elsewhere if it can. A live engine may be silent for two or three
+/// seconds while it prefills long prompts.
 const MUTE_PAUSES: f64 = 1.5;
 /// Multiple of the longest pause that is on time. When a stream alone is silent for longer, it
 /// resumes elsewhere though its engine is alive: the engine has preempted it, and a re-prefill
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -30,37 +30,45 @@
     }
 }
 
-/// An upstream that falls silent after the first event of a stream, and then completes it.
-fn silent_for_a_while() -> (SocketAddr, Runs) {
+/// An upstream that counts the requests that it gets, and serves each by a script until that returns
+/// false.
+fn counting(
+    serve: impl Fn(&mut Served, &str) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Runs) {
     let runs = Runs::default();
     let count = runs.clone();
     let address = upstream(move |served| {
         while let Some(request) = served.request() {
             count.add();
-            served.write(&stream_head(id_of(&request), 90));
-            served.write(&event(1));
-            std::thread::sleep(SILENCE);
-            (2..=3).for_each(|id| served.write(&event(id)));
-            served.write(END);
+            if !serve(served, &request) {
+                return;
+            }
         }
     });
     (address, runs)
 }
 
+/// An upstream that falls silent after the first event of a stream, and then completes it.
+fn silent_for_a_while() -> (SocketAddr, Runs) {
+    counting(|served, request| {
+        served.write(&stream_head(id_of(request), 90));
+        served.write(&event(1));
+        std::thread::sleep(SILENCE);
+        (2..=3).for_each(|id| served.write(&event(id)));
+        served.write(END);
+        true
+    })
+}
+
 /// An upstream that serves the rest of a stream.
 fn serving_the_rest() -> (SocketAddr, Runs) {
-    let runs = Runs::default();
-    let count = runs.clone();
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.add();
-            served.write(&stream_head(id_of(&request), 90));
-            let after = field(&request, "after").and_then(|id| id.parse().ok());
-            (after.unwrap_or(0) + 1..=3).for_each(|id| served.write(&event(id)));
-            served.write(END);
-        }
-    });
-    (address, runs)
+    counting(|served, request| {
+        served.write(&stream_head(id_of(request), 90));
+        let after = field(request, "after").and_then(|id| id.parse().ok());
+        (after.unwrap_or(0) + 1..=3).for_each(|id| served.write(&event(id)));
+        served.write(END);
+        true
+    })
 }
 
 /// How an upstream turns requests away.
@@ -73,24 +81,19 @@
 
 /// An upstream that takes no request.
 fn refusing(refusal: Refusal) -> (SocketAddr, Runs) {
-    let runs = Runs::default();
-    let count = runs.clone();
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.add();
-            let id = id_of(&request);
-            match refusal {
-                Refusal::Rejects => served.write(&format!(
-                    "HTTP/1.1 503 Busy\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
-                )),
-                Refusal::Resets => return served.reset_on_close(),
-                Refusal::Fails => served.write(&format!(
-                    "HTTP/1.1 500 Failed\r\nid: {id}\r\nsigned: 1\r\nContent-Length: 0\r\n\r\n"
-                )),
-            }
+    counting(move |served, request| {
+        let id = id_of(request);
+        match refusal {
+            Refusal::Rejects => served.write(&format!(
+                "HTTP/1.1 503 Busy\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+            )),
+            Refusal::Resets => served.reset_on_close(),
+            Refusal::Fails => served.write(&format!(
+                "HTTP/1.1 500 Failed\r\nid: {id}\r\nsigned: 1\r\nContent-Length: 0\r\n\r\n"
+            )),
         }
-    });
-    (address, runs)
+        !matches!(refusal, Refusal::Resets)
+    })
 }
 
 /// Starts an event loop that sends a caller's request to the first upstream, and knows the others
@@ -170,8 +173,7 @@
     assert_eq!(runs.get(), 1);
 }
 
-/// A silent stream was ended after its upstream was unlisted, the configuration changed, or the
-/// daemon got its stop command.
+/// A silent stream was ended beside an unlisted upstream, a new configuration, or a stop command.
 #[test]
 fn a_silent_stream_goes_on_beside_planned_work() {
     for work in ["unlisted", "reconfigured", "stopping"] {
@@ -322,6 +324,14 @@
     assert!(ended.is_ok(), "the replacement still runs");
 }
 
+/// Answers of the new version that broke off or never came.
+fn broken_answers(running: &TestLoop) -> u32 {
+    let evidence = running.handle.observed.evidence();
+    evidence
+        .get("service")
+        .map_or(0, |evidence| evidence.new.sum().broken)
+}
+
 /// A version whose upstreams hang showed no failure while no retry was left to replace their runs.
 #[test]
 fn a_silent_run_counts_against_its_version_while_it_goes_on() {
@@ -338,15 +348,11 @@
         running.send_plan(retry, &[hanging], vec![gate_of_all()]);
         let mut caller = running.caller();
         caller.send(&post("r1", "hello"));
-        let evidence = || running.handle.observed.evidence();
-        wait_until("its silence counts", || {
-            evidence().contains_key("service") && evidence()["service"].new.sum().broken == 1
-        });
+        wait_until("its silence counts", || broken_answers(&running) == 1);
         assert_eq!(running.state_number("requests"), 1, "{retry:?}");
         drop(caller);
         wait_until("its end", || running.state_number("requests") == 0);
-        let evidence = evidence()["service"].new.sum();
-        assert_eq!(evidence.broken, 1, "{retry:?}: {evidence:?}");
+        assert_eq!(broken_answers(&running), 1, "{retry:?}");
     }
 }
 
@@ -362,10 +368,7 @@
     running.send_plan(Retry::Any, &[silent], vec![gate_of_all()]);
     let mut caller = running.caller();
     caller.send(&post("r1", "hello"));
-    wait_until("its silence counts", || {
-        let evidence = running.handle.observed.evidence();
-        evidence.contains_key("service") && evidence["service"].new.sum().broken == 1
-    });
+    wait_until("its silence counts", || broken_answers(&running) == 1);
     let sound = upstream(|served| {
         while let Some(request) = served.request() {
             served.write(&answer(id_of(&request), "world"));
@@ -537,8 +540,7 @@
     assert!(others.get() >= 1);
 }
 
-/// A request that was taken back for a suspected part of its prompt failed when no retry was left at
-/// that moment.
+/// A request that was taken back for a suspected part failed when no retry was left at that moment.
 #[test]
 fn a_request_that_is_taken_back_waits_for_a_retry() {
     const PART: u64 = 77;
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -353,10 +353,10 @@
     commands.send(Command::Stop).expect("it runs");
 }
 
-/// A peer that leaves would cut the streams that go through it. The longer pause is one in which
-/// another upstream is looked for.
+/// A peer that leaves would cut the streams that go through it.
 #[test]
 fn a_stream_through_a_peer_that_leaves_goes_on() {
+    // In the longer pause another upstream is looked for.
     for pause in [1_500, 3_400] {
         let (address, runs) = pausing_upstream(Duration::from_millis(pause));
         let (_kept, refusing) = refusing_address();
@@ -372,8 +372,7 @@
     }
 }
 
-/// A request was sent through a peer that leaves, which cut it at the end of its grace period, though
-/// another peer could have served it to its end.
+/// A request went through a peer that leaves and cut it, though another peer could have served it.
 #[test]
 fn a_peer_that_leaves_is_left_out() {
     let (address, _) = counting_upstream();
