--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -200,6 +200,7 @@
         self.world, self.name, self.service, self.zone = world, name, service, zone
         self.slots, self.version, self.process, self.port = slots, version, process, port
         self.sequence = 0
+        self.born = None  # Unix milliseconds of its start, where its entry says so
         self.told = []  # (seconds, what, id, more)
 
     def read(self):
@@ -208,9 +209,8 @@
             self.told.append((at, what, attempt, more))
             self.world.record(f"worker {self.name}: {what} {attempt} {more}")
 
-    def list(self, state="ready"):
-        """Writes the worker's entry; the time of return is that of the acknowledgement."""
-        self.sequence += 1
+    def entry(self, state="ready"):
+        """The worker's entry."""
         entry = {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
@@ -221,7 +221,14 @@
             "cold-remaining-ms": 0,
             "sequence-number": self.sequence,
         }
-        self.world.store.put("servers/" + self.name, entry)
+        if self.born is not None:
+            entry["born"] = self.born
+        return entry
+
+    def list(self, state="ready"):
+        """Writes the worker's entry; the time of return is that of the acknowledgement."""
+        self.sequence += 1
+        self.world.store.put("servers/" + self.name, self.entry(state))
         self.world.record(f"worker {self.name} is listed as {state}")
 
     def unlist(self):
