--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -18,6 +18,7 @@
 DAEMON = os.path.join(ROOT, "target", "release", "buckthorncrossd")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+LONGEST_RUN_S = 110
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
@@ -382,6 +383,9 @@
 
 def run(case, folder):
     """Runs a case and exits with its result."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda number, _: sys.exit(COULD_NOT_RUN))
+    signal.alarm(LONGEST_RUN_S)
     world = World(folder)
     try:
         result = case(world)
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -6,6 +6,10 @@
                             half is sent at once, the rest after MS ms
   /.../stream/EVENTS/MS/N   a stream of EVENTS events of N bytes, one each MS ms, in chunks
   /.../ustream/EVENTS/MS/N  the same without a length: the stream ends with its connection
+  /.../pstream/EVENTS/MS/N/AFTER/SILENT
+                            a stream that is preempted once: after its event AFTER nothing comes for
+                            SILENT ms
+With `full_after_ms`, it is full: it queues each request for so long and then rejects it.
 """
 import json
 import os
@@ -66,10 +70,15 @@
         answer = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {NAME}\r\nContent-Length: 0\r\n\r\n"
         sock.sendall(answer.encode())
         return True
+    if "full_after_ms" in SETTINGS:
+        time.sleep(SETTINGS["full_after_ms"] / 1000)
+        tell("rejects", attempt, path)
+        sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        return True
     tell("runs", attempt, path)
     base = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {NAME}.{attempt}\r\n"
     words = path.strip("/").split("/")
-    for kind in ("plain", "unframed", "stream", "ustream"):
+    for kind in KINDS:
         if kind in words:
             numbers = [int(word) for word in words[words.index(kind) + 1 :]]
             keeps = KINDS[kind](sock, base, attempt, fields, *numbers)
@@ -112,6 +121,18 @@
     return True
 
 
+def pstream(sock, base, attempt, fields, count, ms, size, after, silent_ms):
+    sock.sendall(f"{base}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    for number in events(fields, count):
+        time.sleep(ms / 1000)
+        data = event(attempt, number, size)
+        sock.sendall(b"%x\r\n" % len(data) + data + b"\r\n")
+        if number == after:
+            time.sleep(silent_ms / 1000)
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
 def ustream(sock, base, attempt, fields, count, ms, size):
     sock.sendall(f"{base}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n".encode())
     for number in events(fields, count):
@@ -120,7 +141,13 @@
     return False
 
 
-KINDS = {"plain": plain, "unframed": unframed, "stream": stream, "ustream": ustream}
+KINDS = {
+    "plain": plain,
+    "unframed": unframed,
+    "stream": stream,
+    "ustream": ustream,
+    "pstream": pstream,
+}
 
 
 def main():
