--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -1,167 +1,112 @@
-"""A worker's process: answers requests, and tells of its runs on standard output.
-
-Its one argument is a JSON object: `name` is its id. The request's path says what it does:
-  /.../plain/MS/BYTES       works MS ms and answers with BYTES bytes, with a length
-  /.../unframed/MS/BYTES    the same without a length: the answer ends with its connection. The first
-                            half is sent at once, the rest after MS ms
-  /.../stream/EVENTS/MS/N   a stream of EVENTS events of N bytes, one each MS ms, in chunks
-  /.../ustream/EVENTS/MS/N  the same without a length: the stream ends with its connection
-  /.../pstream/EVENTS/MS/N/AFTER/SILENT
-                            a stream that is preempted once: after its event AFTER nothing comes for
-                            SILENT ms
-With `full_after_ms`, it is full: it queues each request for so long and then rejects it.
+"""Stand-in for one worker, in a process of its own.
+
+It writes one JSON line to standard output for each thing that it does. A request says in its query
+how it is to be served: `ms` (time from head to end), `framing` (length, chunked or close), `events`
+(a stream of so many events) or else `bytes` (length of the body), and `read_after_ms` (how long the
+worker leaves the request's body unread).
 """
+
+import asyncio
 import json
-import os
-import socket
 import sys
-import threading
 import time
+from urllib.parse import parse_qs, urlsplit
 
-SETTINGS = json.loads(sys.argv[1])
-NAME = SETTINGS["name"]
-LOCK = threading.Lock()
+from worker_bytes import body_of
 
+ID = sys.argv[1]
+HOST, PORT = sys.argv[2].rsplit(":", 1)
+SERVICE = sys.argv[3]
+# Models that it serves; a request that names another one is answered with 421.
+MODELS = sys.argv[4].split(",") if len(sys.argv) > 4 else None
 
-def tell(what, attempt, more=""):
-    with LOCK:
-        sys.stdout.write(json.dumps([time.monotonic(), what, attempt, more]) + "\n")
-        sys.stdout.flush()
 
+def say(what, **fields):
+    line = {"t": round(time.time(), 4), "worker": ID, "service": SERVICE, "what": what, **fields}
+    sys.stdout.write(json.dumps(line) + "\n")
+    sys.stdout.flush()
 
-def body_of(attempt, size):
-    """The body that belongs to one request."""
-    text = f"{attempt} by {NAME}\n".encode()
-    return (text * (size // len(text) + 1))[:size]
 
-
-def serve(sock):
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    with sock, sock.makefile("rb") as file:
-        try:
-            while serve_one(sock, file):
-                pass
-        except OSError:
-            pass
+async def read_head(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    method, target, _ = head[0].split(" ", 2)
+    fields = {}
+    for line in head[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.strip().lower()] = value.strip()
+    return method, target, fields
 
 
-def serve_one(sock, file):
-    line = file.readline().decode()
-    if not line:
-        return False
-    _, path, _ = line.split()
-    fields = {}
-    while True:
-        line = file.readline().decode()
-        if line in ("\r\n", ""):
-            break
-        name, value = line.split(":", 1)
-        fields[name.strip().lower()] = value.strip()
-    file.read(int(fields.get("content-length", 0)))
-    if path == "/health":
-        sock.sendall(f"HTTP/1.1 200 OK\r\nInstance-Id: {NAME}\r\nContent-Length: 0\r\n\r\n".encode())
-        return True
-    if path == "/v1/report":
-        report = b'{"inference-phase":"combined","model-catalog":[],"busy":false}'
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(report) + report)
+async def serve(reader, writer):
+    try:
+        while await serve_one(reader, writer):
+            pass
+    except (asyncio.IncompleteReadError, ConnectionError):
+        pass
+    finally:
+        writer.close()
+
+
+async def serve_one(reader, writer):
+    method, target, fields = await read_head(reader)
+    url = urlsplit(target)
+    query = {k: v[0] for k, v in parse_qs(url.query).items()}
+    await asyncio.sleep(float(query.get("read_after_ms", 0)) / 1000)
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    if url.path == "/health":
+        writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n".encode())
         return True
     attempt = fields.get("attempt-id", "")
-    if fields.get("expected-instance", NAME) != NAME:
-        answer = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {NAME}\r\nContent-Length: 0\r\n\r\n"
-        sock.sendall(answer.encode())
+    if fields.get("expected-instance", ID) != ID:
+        say("misdirected", attempt=attempt)
+        head = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode())
         return True
-    if "full_after_ms" in SETTINGS:
-        time.sleep(SETTINGS["full_after_ms"] / 1000)
-        tell("rejects", attempt, path)
-        sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+    if MODELS and fields.get("model-name") not in MODELS:
+        say("unknown model", attempt=attempt, model=fields.get("model-name"))
+        head = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode())
         return True
-    tell("runs", attempt, path)
-    base = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {NAME}.{attempt}\r\n"
-    words = path.strip("/").split("/")
-    for kind in KINDS:
-        if kind in words:
-            numbers = [int(word) for word in words[words.index(kind) + 1 :]]
-            keeps = KINDS[kind](sock, base, attempt, fields, *numbers)
-            tell("answered", attempt)
-            return keeps
-    return False
-
-
-def plain(sock, base, attempt, _, ms, size):
-    time.sleep(ms / 1000)
-    sock.sendall(f"{base}Content-Length: {size}\r\n\r\n".encode() + body_of(attempt, size))
-    return True
-
-
-def unframed(sock, base, attempt, _, ms, size):
-    body = body_of(attempt, size)
-    half = size // 2
-    sock.sendall(f"{base}Connection: close\r\n\r\n".encode() + body[:half])
-    time.sleep(ms / 1000)
-    sock.sendall(body[half:])
-    return False
-
-
-def events(fields, count):
-    first = int(fields.get("last-event-id", 0)) + 1
-    return range(first, count + 1)
-
-
-def event(attempt, number, size):
-    return f"id: {number}\ndata: {attempt}-{number}-".encode() + b"x" * size + b"\n\n"
-
-
-def stream(sock, base, attempt, fields, count, ms, size):
-    sock.sendall(f"{base}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
-    for number in events(fields, count):
-        time.sleep(ms / 1000)
-        data = event(attempt, number, size)
-        sock.sendall(b"%x\r\n" % len(data) + data + b"\r\n")
-    sock.sendall(b"0\r\n\r\n")
-    return True
-
-
-def pstream(sock, base, attempt, fields, count, ms, size, after, silent_ms):
-    sock.sendall(f"{base}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
-    for number in events(fields, count):
-        time.sleep(ms / 1000)
-        data = event(attempt, number, size)
-        sock.sendall(b"%x\r\n" % len(data) + data + b"\r\n")
-        if number == after:
-            time.sleep(silent_ms / 1000)
-    sock.sendall(b"0\r\n\r\n")
-    return True
-
-
-def ustream(sock, base, attempt, fields, count, ms, size):
-    sock.sendall(f"{base}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n".encode())
-    for number in events(fields, count):
-        time.sleep(ms / 1000)
-        sock.sendall(event(attempt, number, size))
-    return False
-
-
-KINDS = {
-    "plain": plain,
-    "unframed": unframed,
-    "stream": stream,
-    "ustream": ustream,
-    "pstream": pstream,
-}
-
-
-def main():
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(("127.0.0.1", SETTINGS.get("port", 0)))
-    listener.listen(128)
-    print(listener.getsockname()[1], flush=True)
-    while True:
-        sock, _ = listener.accept()
-        threading.Thread(target=serve, args=(sock,), daemon=True).start()
-
-
-try:
-    main()
-except KeyboardInterrupt:
-    os._exit(0)
+    after = int(fields.get("last-event-id", 0))
+    say("runs", attempt=attempt, method=method, target=target, tenant=fields.get("tenant-name"),
+        model=fields.get("model-name"), after=after, body=len(body))
+    ms, framing = float(query.get("ms", 20)), query.get("framing", "length")
+    if "events" in query:
+        count = int(query["events"])
+        parts = [f"id: {i}\ndata: {attempt}-{i}\n\n".encode() for i in range(after + 1, count + 1)]
+        kind = "text/event-stream"
+    else:
+        whole = body_of(attempt, int(query.get("bytes", 800)))
+        half = len(whole) // 2
+        parts, kind = [whole[:half], whole[half:]], "application/octet-stream"
+    head = (f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nAttempt-Id: {attempt}\r\n"
+            f"Server-Signature: sig-{ID}-{attempt}\r\nConfidence: 95\r\n")
+    if framing == "length":
+        head += f"Content-Length: {sum(map(len, parts))}\r\n"
+    elif framing == "chunked":
+        head += "Transfer-Encoding: chunked\r\n"
+    else:
+        head += "Connection: close\r\n"
+    writer.write(head.encode() + b"\r\n")
+    pause = ms / 1000 / max(1, len(parts))
+    for number, part in enumerate(parts):
+        if number:
+            await asyncio.sleep(pause)
+        writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
+        await writer.drain()
+    if framing == "chunked":
+        writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    say("answered", attempt=attempt)
+    return framing != "close"
+
+
+async def main():
+    server = await asyncio.start_server(serve, HOST, int(PORT))
+    say("listens")
+    async with server:
+        await server.serve_forever()
+
+
+asyncio.run(main())
