--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A daemon is told to stop while a client still sends the body of its request."""
+"""A waiting watch is cut just before a worker's entry is removed."""
 
 import pathlib
 import sys
@@ -7,84 +7,68 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
-from deployment import KEY, TROUBLE, CannotRun, ask, config, main, route  # noqa: E402
+from deployment import TROUBLE, CannotRun, ask, config, main, route  # noqa: E402
 
-import http.client  # noqa: E402
-
-# The body arrives in pieces for so long after SIGTERM.
-BODY_ENDS_S = 4.5
-PIECES = 20
-EVENTS, WORK_MS = 40, 4500
-GRACE_S = 8.0
+DRAIN_S = 2.0
+# How long the leaving worker serves on after its entry was removed: drain-timeout-ms and a little.
+SERVES_ON_S = 2.15
 # Longer than stability-window-ms.
 CALM_S = 4.0
 
 
-def upload(site, daemon, attempt, over_s):
-    """Sends a request whose body comes in chunks over some seconds; returns what became of it."""
-    conn = http.client.HTTPConnection(*daemon["callers"], timeout=20)
-    site.record(f"client begins {attempt} to {daemon['name']}")
-    try:
-        path = f"/draft/x?events={EVENTS}&framing=chunked&ms={WORK_MS}"
-        conn.putrequest("POST", path, skip_host=True, skip_accept_encoding=True)
-        for name, value in {"Host": "site.example", "Attempt-Id": attempt,
-                            "Authorization": f"Token {KEY}", "Deadline-Remaining": "20000",
-                            "Transfer-Encoding": "chunked"}.items():
-            conn.putheader(name, value)
-        conn.endheaders()
-        for _ in range(PIECES):
-            time.sleep(over_s / PIECES)
-            conn.send(b"258\r\n" + b"p" * 600 + b"\r\n")
-        conn.send(b"0\r\n\r\n")
-        sent_at = time.time()
-        site.record(f"client has sent the last byte of {attempt}")
-        response = conn.getresponse()
-        body = response.read()
-        site.record(f"client got {attempt}: status {response.status}, complete, {len(body)} bytes")
-        return response.status, True, sent_at
-    except http.client.IncompleteRead as e:
-        site.record(f"client got {attempt}: cut after {e.partial.count(b'data:')} of {EVENTS} events")
-        return 200, False, sent_at
-    except (OSError, http.client.HTTPException) as e:
-        site.record(f"client got {attempt}: no answer ({e!r})")
-        return None, False, sent_at
-    finally:
-        conn.close()
-
-
 def case(site):
     site.store.put("op/config", config(7, [
-        route("draft", "streaming", "tariff-llm",
-              **{"timeout-ms": 25000, "target-latency-ms": 3000, "target-itl-ms": 1500}),
-    ], ["tariff-llm"]))
-    site.worker("i-one", "tariff-llm")
+        route("book", "non_idempotent", "counter-app", **{"max-attempts": 1}),
+    ], ["counter-app"]))
+    site.worker("i-one", "counter-app")
+    site.worker("i-two", "counter-app")
     first = site.daemon("frontend-1")
     site.daemon("frontend-2", seeds=[first["control"]])
+    site.daemon("frontend-3", seeds=[first["control"]])
     site.wait_ready()
     time.sleep(CALM_S)
-    results = {}
+    stop = threading.Event()
+    answers = {}
 
     def client(number):
-        attempt = f"a{number}"
-        results[attempt] = upload(site, first, attempt, 0.5 + BODY_ENDS_S)
+        count = 0
+        while not stop.is_set():
+            attempt = f"c{number}-{count}"
+            daemon = site.daemons[number % len(site.daemons)]
+            answers[attempt] = ask(site, daemon, attempt, "/book/x?ms=100", method="POST")
+            count += 1
 
-    clients = [threading.Thread(target=client, args=(n,)) for n in range(4)]
+    clients = [threading.Thread(target=client, args=(n,)) for n in range(6)]
     for thread in clients:
         thread.start()
-    time.sleep(0.5)
-    term_at = time.time()
+    time.sleep(1.0)
     if TROUBLE:
-        first["process"].terminate()
-        site.record("daemon frontend-1 gets SIGTERM")
+        site.store.cut_waiting_watches()
+        site.record("store  the watches that wait are cut")
+    time.sleep(0.02)
+    site.store.delete("servers/i-one")
+    gone_at = time.time()
+    site.record("store  servers/i-one is removed")
+    time.sleep(gone_at + SERVES_ON_S - time.time())
+    site.workers["i-one"].terminate()
+    site.record("worker i-one exits")
+    time.sleep(1.0)
+    stop.set()
     for thread in clients:
         thread.join()
-    broken = []
-    for attempt, (status, complete, sent_at) in sorted(results.items()):
-        if site.runs(attempt) and not complete:
-            after = sent_at - term_at
-            broken.append(f"LOST: {attempt}, whose last byte was sent {after:.1f} s after the SIGTERM, "
-                          "was passed on to a worker and its connection ended without a whole answer")
-    return broken
+    runs = [line for line in site.lines if line["worker"] == "i-one" and line["what"] == "runs"]
+    if not runs:
+        raise CannotRun("i-one got no request")
+    last = max(line["t"] for line in runs) - gone_at
+    site.record(f"the last request reached i-one {last:.3f} s after its entry was removed")
+    late = [line["attempt"] for line in runs if line["t"] - gone_at > DRAIN_S]
+    for attempt in late:
+        site.record(f"late: {attempt}, its client got {answers[attempt]}")
+    if not late:
+        return []
+    lost = sum(answers[attempt].status != 200 for attempt in late)
+    return [f"DRAIN: {len(late)} requests reached i-one over {DRAIN_S} s after it was gone, the last "
+            f"one after {last:.3f} s; {lost} of them ran and were lost"]
 
 
 main(HERE, case)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -79,10 +79,10 @@
         self.processes.append(process)
         return process
 
-    def worker(self, name, service, zone="kaloor-hall", address=None, models=(), **fields):
+    def worker(self, name, service, zone="kaloor-hall", address=None, options=(), **fields):
         address = address or f"{HOST}:{free_port()}"
         command = [sys.executable, str(pathlib.Path(__file__).with_name("worker.py")), name, address,
-                   service, *([",".join(models)] if models else [])]
+                   service, *options]
         process = self.spawn(command, stdout=subprocess.PIPE, text=True)
         listening = threading.Event()
 
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -2,10 +2,12 @@
 
 It writes one JSON line to standard output for each thing that it does. A request says in its query
 how it is to be served: `ms` (time from head to end), `framing` (length, chunked or close), `events`
-(a stream of so many events) or else `bytes` (length of the body), and `read_after_ms` (how long the
-worker leaves the request's body unread).
+(a stream of so many events) or else `bytes` (length of the body), `silent_after` and `silent_ms` (after
+so many events of a stream nothing comes for so long), `read_after_ms` (how long the request's body is
+left unread).
 """
 
+import argparse
 import asyncio
 import json
 import sys
@@ -14,11 +16,17 @@
 
 from worker_bytes import body_of
 
-ID = sys.argv[1]
-HOST, PORT = sys.argv[2].rsplit(":", 1)
-SERVICE = sys.argv[3]
+parser = argparse.ArgumentParser()
+parser.add_argument("id")
+parser.add_argument("address")
+parser.add_argument("service")
 # Models that it serves; a request that names another one is answered with 421.
-MODELS = sys.argv[4].split(",") if len(sys.argv) > 4 else None
+parser.add_argument("--models", type=lambda text: text.split(","))
+# It is full: it keeps each request in its queue for so long and then says that it didn't run it.
+parser.add_argument("--full-after-ms", type=float)
+ARGS = parser.parse_args()
+ID, SERVICE, MODELS = ARGS.id, ARGS.service, ARGS.models
+HOST, PORT = ARGS.address.rsplit(":", 1)
 
 
 def say(what, **fields):
@@ -68,6 +76,12 @@
         head = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n"
         writer.write(head.encode())
         return True
+    if ARGS.full_after_ms is not None:
+        say("queues", attempt=attempt)
+        await asyncio.sleep(ARGS.full_after_ms / 1000)
+        say("rejects", attempt=attempt)
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        return True
     after = int(fields.get("last-event-id", 0))
     say("runs", attempt=attempt, method=method, target=target, tenant=fields.get("tenant-name"),
         model=fields.get("model-name"), after=after, body=len(body))
@@ -93,6 +107,9 @@
     for number, part in enumerate(parts):
         if number:
             await asyncio.sleep(pause)
+        if "silent_after" in query and after + number == int(query["silent_after"]):
+            say("is silent", attempt=attempt)
+            await asyncio.sleep(float(query["silent_ms"]) / 1000)
         writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
         await writer.drain()
     if framing == "chunked":
