--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -4,6 +4,8 @@
 import json
 import os
 import pathlib
+import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -29,14 +31,27 @@
 }
 
 
+# Ports that were given out.
+GIVEN = set()
+
+
 class CannotRun(Exception):
     """The case could not be brought about."""
 
 
 def free_port(host=HOST):
-    with socket.socket() as s:
-        s.bind((host, 0))
-        return s.getsockname()[1]
+    """A free port below those that the kernel gives to clients' connections."""
+    for _ in range(200):
+        port = random.randrange(12000, 30000)
+        with socket.socket() as s:
+            try:
+                s.bind((host, port))
+            except OSError:
+                continue
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return port
+    raise CannotRun("no port is free")
 
 
 def route(name, kind, service, **fields):
@@ -113,7 +128,7 @@
         self.store.put(f"servers/{name}", self.entries[name])
         self.record(f"store  servers/{name} state {self.entries[name]['state']}")
 
-    def daemon(self, name, zone="kaloor-hall", memory_mb=110, seeds=None, store=None):
+    def daemon(self, name, zone="kaloor-hall", seeds=None):
         ports = [free_port() for _ in range(4)]
         control = f"{HOST}:{ports[2]}"
         settings = {
@@ -124,12 +139,12 @@
                                  "control-plane": control},
             "internal-port-range": [ports[3], ports[3]],
             "seed-nodes": [control] if seeds is None else seeds, "bootstrap": True,
-            "limits": {"cpu-quota": 0.25, "cpu-cores": 1, "memory-limit-mb": memory_mb,
+            "limits": {"cpu-quota": 0.25, "cpu-cores": 1, "memory-limit-mb": 110,
                        "file-descriptors": 4100, "link-bandwidth-mbps": 1000.0,
                        "disk-quota-mb": 0},
             "discovery-source": "platform", "entry-type": "virtual_ip",
             "heartbeat-interval-ms": 1200, "contract-bounds": BOUNDS,
-            "platform-settings": {"address": store or self.store.address, "form": "kv",
+            "platform-settings": {"address": self.store.address, "form": "kv",
                                   "writes-per-s": 400, "reads-per-s": 2000,
                                   "history-retention-s": 20, "max-value-bytes": 1048576,
                                   "min-ttl-ms": 1000},
@@ -165,23 +180,10 @@
         except OSError:
             return False
 
-    def memory_mb(self, daemon, field="VmRSS"):
-        status = pathlib.Path(f"/proc/{daemon['process'].pid}/status").read_text()
-        line = next(l for l in status.splitlines() if l.startswith(field + ":"))
-        return int(line.split()[1]) / 1024
-
-    def state(self, daemon):
-        conn = http.client.HTTPConnection(*daemon["ready"], timeout=2)
-        conn.request("GET", "/state")
-        return json.loads(conn.getresponse().read())
-
     def runs(self, attempt):
         with self.lock:
             return [l for l in self.lines if l["what"] == "runs" and l["attempt"] == attempt]
 
-    def log(self, daemon):
-        return (self.temp / f"{daemon['name']}.log").read_text()
-
     def end(self):
         for process in self.processes:
             if process.poll() is None:
@@ -192,6 +194,7 @@
                     pass
             process.wait()
         self.record_file.close()
+        shutil.rmtree(self.temp, ignore_errors=True)
 
 
 class Answer:
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -3,8 +3,7 @@
 It writes one JSON line to standard output for each thing that it does. A request says in its query
 how it is to be served: `ms` (time from head to end), `framing` (length, chunked or close), `events`
 (a stream of so many events) or else `bytes` (length of the body), `silent_after` and `silent_ms` (after
-so many events of a stream nothing comes for so long), `read_after_ms` (how long the request's body is
-left unread).
+so many events of a stream nothing comes for so long).
 """
 
 import argparse
@@ -20,12 +19,10 @@
 parser.add_argument("id")
 parser.add_argument("address")
 parser.add_argument("service")
-# Models that it serves; a request that names another one is answered with 421.
-parser.add_argument("--models", type=lambda text: text.split(","))
 # It is full: it keeps each request in its queue for so long and then says that it didn't run it.
 parser.add_argument("--full-after-ms", type=float)
 ARGS = parser.parse_args()
-ID, SERVICE, MODELS = ARGS.id, ARGS.service, ARGS.models
+ID, SERVICE = ARGS.id, ARGS.service
 HOST, PORT = ARGS.address.rsplit(":", 1)
 
 
@@ -60,7 +57,6 @@
     method, target, fields = await read_head(reader)
     url = urlsplit(target)
     query = {k: v[0] for k, v in parse_qs(url.query).items()}
-    await asyncio.sleep(float(query.get("read_after_ms", 0)) / 1000)
     body = await reader.readexactly(int(fields.get("content-length", 0)))
     if url.path == "/health":
         writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n".encode())
@@ -71,11 +67,6 @@
         head = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n"
         writer.write(head.encode())
         return True
-    if MODELS and fields.get("model-name") not in MODELS:
-        say("unknown model", attempt=attempt, model=fields.get("model-name"))
-        head = f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {ID}\r\nContent-Length: 0\r\n\r\n"
-        writer.write(head.encode())
-        return True
     if ARGS.full_after_ms is not None:
         say("queues", attempt=attempt)
         await asyncio.sleep(ARGS.full_after_ms / 1000)
