--- a/review/common/store.py
+++ b/review/common/store.py
@@ -5,6 +5,7 @@
 
 import base64
 import json
+import socketserver
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -13,6 +14,16 @@
 PAGE_ITEMS = 500
 
 
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def server_bind(self):
+        # Without the library's lookup of the host's name, which may wait for a network.
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
+
 class Store:
     def __init__(self, host):
         self.changed = threading.Condition()
@@ -40,8 +51,7 @@
             def do_DELETE(self):
                 store.handle(self, "DELETE")
 
-        self.server = ThreadingHTTPServer((host, 0), Handler)
-        self.server.daemon_threads = True
+        self.server = Server((host, 0), Handler)
         self.address = "%s:%d" % self.server.server_address[:2]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
