upstreams: logs and metrics tell which removed entries stay in use

Hypotheses: the entry is kept as lapsed; the removal arrives late, since a cut watch backs off; requests that were chosen before it are sent late. The logs had one line 'upstreams: removed' for an entry that is dropped and for one that stays in use.

Change: that line says for how long the upstream stays in use (kept_ms), the state and the metrics count the entries that do (lapsed_upstreams).

--- a/components/dispatch/src/lapsed.rs
+++ b/components/dispatch/src/lapsed.rs
@@ -55,15 +55,18 @@
         }
     }
 
-    /// Records an entry that disappeared. It is kept for a while if it may only have lapsed.
-    pub fn record_removed(&mut self, now: Time, upstream: Arc<Upstream>) {
+    /// Records an entry that disappeared. It is kept for a while if it may only have lapsed; returns
+    /// until when.
+    pub fn record_removed(&mut self, now: Time, upstream: Arc<Upstream>) -> Option<Time> {
         let until = match self.is_store_unreachable {
             true => now + self.relisted_within + WATCH_DELAY,
             false => self.grace_until,
         };
-        if now < until {
-            self.lapsed.insert(upstream.id.clone(), (upstream, until));
+        if now >= until {
+            return None;
         }
+        self.lapsed.insert(upstream.id.clone(), (upstream, until));
+        Some(until)
     }
 
     /// Records an entry that is listed.
@@ -83,6 +86,18 @@
         self.lapsed.len() != before
     }
 
+    /// Number of entries that may be listed again.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lapsed.len()
+    }
+
+    /// Whether no entry may be listed again.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lapsed.is_empty()
+    }
+
     /// Iterates over the entries that may be listed again.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.lapsed.values().map(|(upstream, _)| upstream)
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -518,6 +518,7 @@
             sharing_daemons: self.size.sharing,
             fleet: Arc::clone(&self.fleet),
             unreadable_upstreams: self.planner.unreadable(),
+            lapsed_upstreams: self.planner.lapsed.len(),
             is_ready,
         };
         // The event loop may have ended before this thread when the process stops.
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -171,10 +171,11 @@
             self.warnings.forget(id);
             let gone = self.upstreams.remove(id);
             if let Some(upstream) = gone {
+                let kept_until = self.lapsed.record_removed(now, upstream);
                 if is_logged {
-                    tracing::info!(upstream = id, "upstreams: removed");
+                    let kept_ms = kept_until.map(|until| now.until(until).as_millis());
+                    tracing::info!(upstream = id, kept_ms, "upstreams: removed");
                 }
-                self.lapsed.record_removed(now, upstream);
             }
             return true;
         };
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -140,6 +140,8 @@
     pub barred_contents: Gauge,
     /// Upstream entries that cannot be read.
     pub unreadable: Gauge,
+    /// Upstreams in use whose entry disappeared and may only have lapsed.
+    pub lapsed_upstreams: Gauge,
     /// Failure domains whose upstreams get no new requests.
     pub evacuated_domains: Gauge,
     /// Upstreams that are cold.
@@ -191,6 +193,7 @@
             in_flight: Gauge::default(),
             barred_contents: Gauge::default(),
             unreadable: Gauge::default(),
+            lapsed_upstreams: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_upstreams: Gauge::default(),
             lowest_pace: Gauge::default(),
@@ -261,6 +264,11 @@
             "Entries of upstreams that cannot be read and are left out",
             self.unreadable.clone(),
         );
+        r.register(
+            "lapsed_upstreams",
+            "Upstreams in use whose entry disappeared and may only have lapsed",
+            self.lapsed_upstreams.clone(),
+        );
         r.register(
             "evacuated_domains",
             "Failure domains whose upstreams get no new requests",
--- a/components/traffic/src/plan.rs
+++ b/components/traffic/src/plan.rs
@@ -36,6 +36,8 @@
     pub fleet: Arc<Fleet>,
     /// Number of upstream entries that cannot be read.
     pub unreadable_upstreams: usize,
+    /// Number of upstreams in use whose entry disappeared and may only have lapsed.
+    pub lapsed_upstreams: usize,
     /// Whether enough is known to serve.
     pub is_ready: bool,
 }
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -266,6 +266,8 @@
         self.publish_staying(&plan);
         let unreadable = i64::try_from(plan.unreadable_upstreams).unwrap_or(i64::MAX);
         self.metrics.unreadable.set(unreadable);
+        let lapsed = i64::try_from(plan.lapsed_upstreams).unwrap_or(i64::MAX);
+        self.metrics.lapsed_upstreams.set(lapsed);
         let evacuated = i64::try_from(plan.evacuated.len()).unwrap_or(i64::MAX);
         self.metrics.evacuated_domains.set(evacuated);
         *self.plan.borrow_mut() = plan;
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -32,6 +32,8 @@
     /// Number of upstreams by service and version.
     versions: BTreeMap<String, usize>,
     unreadable_upstreams: usize,
+    /// Upstreams in use whose entry disappeared and may only have lapsed.
+    lapsed_upstreams: usize,
     /// Failure domains whose upstreams get no new requests.
     evacuated: Vec<&'a str>,
     /// Upstreams that are cold.
@@ -158,6 +160,7 @@
         upstreams: plan.upstreams.len(),
         versions: versions(&plan),
         unreadable_upstreams: plan.unreadable_upstreams,
+        lapsed_upstreams: plan.lapsed_upstreams,
         evacuated: plan.evacuated.iter().map(FailureDomain::as_str).collect(),
         cold: shared.upstreams.borrow().count_cold(now),
         daemons: plan.daemons,
