upstreams: an entry lapses only in an outage that is long enough for its lease to end

A worker whose entry was removed just after the waiting watches were cut got requests for 2.1 s, until it exited; some of these were lost (502).

Cause: an entry that disappears while the store counts as unreachable, or up to 2.1 s after it answers again, was kept as lapsed. Any failed watch counted as such an outage, however short, also at daemons that don't watch and hear of it. But the lease of a live upstream ends three heartbeat intervals after its last heartbeat, so no lease can end in an outage shorter than two, less what heartbeats are late.

The same cause on related paths: a daemon that alone is cut off from the store took removals that it heard from its peers for lapsed entries, for as long as it was cut off, though the upstreams reached the store all the while; now the store is available if it answers any daemon.

Change: LapsedUpstreams knows until when no lease can have ended: once the store was available for as long as every live upstream takes to renew its entry, from the latest moment at which it is known to have answered any daemon (the freshness claims, dated by the receiver's clock). An entry that disappears before that was removed by an upstream that leaves. An outage with short breaks counts as one: leases that were not renewed in the breaks may end in it, or soon after it.

Evidence: the new tests fail without the condition (no_lease_ends_in_an_outage_shorter_than_the_leases, repeated_short_outages_keep_no_entry, an_upstream_that_leaves_after_a_cut_watch_is_dropped, a_daemon_without_the_store_drops_an_upstream_that_left). What must hold is tested beside them and passes before and after: entries that lapse in an outage of 2.5 s, in one with breaks, and soon after one are kept.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -48,7 +48,7 @@
 pub use cold::ColdTolerance;
 pub use evidence::{Arm, ArmCounts, Evidence, REQUEST_KINDS, request_kind, slow_after};
 pub use health::UpstreamOutcome;
-pub use lapsed::LapsedUpstreams;
+pub use lapsed::{EntryLease, LapsedUpstreams};
 pub use leases::{LeaseOffer, LeasedBound, LentRequest};
 pub use paths::{DirectFailure, Path, Paths};
 pub use pauses::Pauses;
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -239,7 +239,7 @@
             }
             Err(why) => {
                 self.peering.note_store_failure(now, self.mirror_state());
-                self.store_failed(&why);
+                self.store_failed(now, &why);
             }
         }
     }
@@ -249,15 +249,15 @@
             tracing::info!("store: regained");
         }
         self.store_works = true;
-        self.planner.lapsed.store_answered(now);
+        self.update_store_availability(now);
     }
 
-    fn store_failed(&mut self, why: &str) {
+    fn store_failed(&mut self, now: Time, why: &str) {
         if self.store_works {
             tracing::warn!(at = self.mirror.at().0, "store: lost: {why}");
         }
         self.store_works = false;
-        self.planner.lapsed.store_failed();
+        self.update_store_availability(now);
     }
 
     fn handle_call_result(&mut self, now: Time, purpose: &Purpose, outcome: &Outcome) {
@@ -415,6 +415,7 @@
         self.peering.tick(now);
         self.update_validated_at();
         self.decide_watch_mode(now);
+        self.update_store_availability(now);
         let (fleet, keys) = (self.peering.daemons(), self.mirror.len());
         if self.needs_entry(now)
             && let Some((purpose, req)) = self.presence.tick(now, fleet, keys)
--- a/components/fleet/src/control/freshness.rs
+++ b/components/fleet/src/control/freshness.rs
@@ -105,9 +105,22 @@
         match self.store_works {
             false if peers.has_watcher() => self.store_answered(now),
             true if peers.is_store_unreachable(self.size.present) => {
-                self.store_failed("no daemon gets an answer from the store");
+                self.store_failed(now, "no daemon gets an answer from the store");
             }
             _ => {}
         }
     }
+
+    /// Records whether the store answers any daemon. Upstreams renew their entries as long as it
+    /// does, also while this daemon alone is cut off from it.
+    pub(super) fn update_store_availability(&mut self, now: Time) {
+        let lapsed = &mut self.planner.lapsed;
+        match self.store_works || self.peering.peer_states().has_watcher() {
+            true => lapsed.store_answered(now),
+            false => lapsed.store_failed(),
+        }
+        if let Some(at) = self.peering.store_available_at() {
+            lapsed.store_available_at(now, at);
+        }
+    }
 }
--- a/components/fleet/src/freshness.rs
+++ b/components/fleet/src/freshness.rs
@@ -93,6 +93,12 @@
         claims.map(|claim| claim.at).max()
     }
 
+    /// Latest moment at which the store is known to have answered any daemon.
+    #[must_use]
+    pub fn latest(&self) -> Option<Time> {
+        self.0.first().map(|claim| claim.at)
+    }
+
     /// The newest claims dated by a peer's clock, given the bound on its offset.
     #[must_use]
     pub fn for_peer(&self, clock: &ClockOffsetBound) -> Option<Freshness> {
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -32,6 +32,11 @@
         self.claims.validated_at(held)
     }
 
+    /// Latest moment at which the store is known to have answered any daemon.
+    pub(crate) fn store_available_at(&self) -> Option<Time> {
+        self.claims.latest()
+    }
+
     /// Sends a heartbeat to a few peers; `own_watch_works` is whether this daemon's watch of the
     /// store is answered, and `observed` has what the event loop reports.
     pub(crate) fn send_heartbeat(
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dispatch::LapsedUpstreams;
+use dispatch::{EntryLease, LapsedUpstreams};
 use mirror::{Change, Mirror};
 use routes::UpstreamState;
 use routes::{RouteTable, TableVersion, Upstream};
@@ -28,7 +28,7 @@
 }
 
 impl Planner {
-    pub(crate) fn new(relisted_within: Span) -> Self {
+    pub(crate) fn new(upstream_lease: EntryLease) -> Self {
         Self {
             table: None,
             is_readable: true,
@@ -36,7 +36,7 @@
             unreadable: BTreeSet::new(),
             warnings: EntryWarnings::default(),
             evacuated: Arc::default(),
-            lapsed: LapsedUpstreams::new(relisted_within),
+            lapsed: LapsedUpstreams::new(upstream_lease),
         }
     }
 
--- a/components/fleet/src/settings.rs
+++ b/components/fleet/src/settings.rs
@@ -27,9 +27,8 @@
     pub in_force_within: Span,
     /// Limits on the traffic that a bad version may get.
     pub trial: dispatch::TrialLimits,
-    /// Upstream entries that lapsed while the store was unreachable are listed again within this
-    /// time.
-    pub relisted_within: Span,
+    /// How upstreams keep their entries in the store.
+    pub upstream_lease: dispatch::EntryLease,
     /// Shortest lease that the store grants.
     pub shortest_lease: Span,
 }
--- a/components/fleet/src/start.rs
+++ b/components/fleet/src/start.rs
@@ -86,7 +86,7 @@
     let key = format!("{}{}", codec.daemon_prefix(), settings.me);
     let control = Control {
         mirror: Mirror::default(),
-        planner: Planner::new(settings.relisted_within),
+        planner: Planner::new(settings.upstream_lease),
         rollouts: Rollouts::new(settings.trial),
         presence: Presence::new(key, peering.address(), settings.shortest_lease),
         quarantine_sync: QuarantineSync::default(),
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -215,7 +215,11 @@
             exposure: 0.1,
             allowance: 30.0,
         },
-        relisted_within: Span::from_secs(2),
+        upstream_lease: dispatch::EntryLease {
+            ttl: Span::from_millis(3_600),
+            renewed_within: Span::from_millis(1_800),
+            relisted_within: Span::from_secs(2),
+        },
         shortest_lease: Span::from_secs(1),
     }
 }
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod harness;
 mod heartbeats;
+mod lapsed;
 mod memory;
 mod quarantine;
 mod rate_limits;
--- a/components/fleet/tests/it/memory.rs
+++ b/components/fleet/tests/it/memory.rs
@@ -86,6 +86,8 @@
     memory: MemoryStore,
     /// Fails every call while set.
     pub is_cut: Arc<AtomicBool>,
+    /// Number of times that waiting watches were closed.
+    closings: Arc<AtomicUsize>,
     /// Number of watches started.
     pub watches: Arc<AtomicUsize>,
     /// Number of reads of all keys.
@@ -109,6 +111,14 @@
         }
     }
 
+    /// Closes the watches that wait without an answer.
+    pub fn close_watches(&self) {
+        self.closings.fetch_add(1, Ordering::SeqCst);
+        // A watch checks under the lock, so none misses this.
+        drop(self.memory.0.0.lock().expect("sound"));
+        self.memory.0.1.notify_all();
+    }
+
     fn answer_delay(&self) -> Duration {
         Duration::from_millis(self.answer_delay_ms.load(Ordering::SeqCst) as u64)
     }
@@ -187,10 +197,12 @@
     fn watch(&self, watch: &Watch, sink: &mut Sink<'_>) -> WatchEnd {
         self.watches.fetch_add(1, Ordering::SeqCst);
         let mut from = watch.from;
+        let closings = self.closings.load(Ordering::SeqCst);
+        let is_open = || self.closings.load(Ordering::SeqCst) == closings;
         while !watch.stop.load(Ordering::SeqCst) {
             let (keys, changed) = &*self.memory.0;
             let keys = keys.lock().expect("sound");
-            let is_old = |keys: &mut Keys| keys.revision < from.0;
+            let is_old = |keys: &mut Keys| keys.revision < from.0 && is_open();
             let waited = changed.wait_timeout_while(keys, WATCH_WAIT, is_old);
             let (keys, _) = waited.expect("sound");
             let events = keys.log.iter().filter(|event| event.revision >= from);
@@ -204,6 +216,9 @@
             if self.check().is_err() {
                 return WatchEnd::Broken("cut".to_owned());
             }
+            if !is_open() {
+                return WatchEnd::Broken("closed".to_owned());
+            }
             if !sink(batch) {
                 return WatchEnd::Stopped;
             }
