traffic: a failed run of a larger model is retried at the draft's upstream

What callers saw: 502 for a request whose draft had a low confidence, where the larger model's upstream failed after the draft had been dropped and the service has no third upstream. The draft's own upstream was there all the while.

Cause: the draft's upstream counts as tried, as one that failed does, so that the larger model is asked elsewhere first; it stayed tried afterwards.

Change: once another upstream has taken the request, the draft's upstream may get it again.

--- a/components/traffic/src/exchange/escalate.rs
+++ b/components/traffic/src/exchange/escalate.rs
@@ -41,6 +41,8 @@
                     let confidence = confidence.unwrap_or_default();
                     self.record_try(draft, &format!("dropped as unsure ({confidence})"));
                     self.model_index = Some(larger);
+                    // The draft's upstream has not failed, unless it has the request again.
+                    self.tried.remove(0);
                     return Some(step);
                 }
                 // Another upstream may take it.
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -267,6 +267,36 @@
     }
 }
 
+/// The larger model's upstream failed after the draft was dropped, and the request was given up with
+/// the draft's upstream left.
+#[test]
+fn a_failed_larger_run_is_retried_at_the_drafts_upstream() {
+    let failures = Arc::new(AtomicUsize::new(0));
+    let address = upstream(move |served| {
+        let request = served.request().expect("one");
+        let is_large = field(&request, "model") == Some("large");
+        if is_large && failures.fetch_add(1, Ordering::SeqCst) == 0 {
+            // Until the draft is dropped.
+            std::thread::sleep(Duration::from_millis(500));
+            return;
+        }
+        served.write(&stream_head(
+            id_of(&request),
+            if is_large { 80 } else { 10 },
+        ));
+        if is_large {
+            (1..=2).for_each(|id| served.write(&event(id)));
+            served.write(END);
+        } else {
+            served.wait_closed();
+        }
+    });
+    let running = serving(RESUMABLE, &[address, address]);
+    let text = running.caller().ask("r1");
+    assert_eq!(events_of(&text), [1, 2], "{text}");
+    assert!(text.ends_with(END), "{text}");
+}
+
 /// The old and the new upstream would both run a stream to its end.
 #[test]
 fn a_replaced_stream_ends_at_its_former_upstream() {
