readiness: a daemon is ready while the entries of all upstreams have lapsed

Cause: readiness asked for a listed upstream, and those in use whose entry has lapsed are not listed.

Change: readiness asks for an upstream in use.

--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -253,7 +253,8 @@
 
     /// Whether enough is known to serve requests.
     pub(crate) fn is_ready(&self, mirror: &Mirror) -> bool {
-        mirror.is_filled() && self.table.is_some() && !self.upstreams.is_empty()
+        let has_upstreams = !self.upstreams.is_empty() || !self.lapsed.is_empty();
+        mirror.is_filled() && self.table.is_some() && has_upstreams
     }
 }
 
--- a/components/fleet/tests/it/lapsed.rs
+++ b/components/fleet/tests/it/lapsed.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::harness::*;
 
 /// Longer than leases of live upstreams last without the store.
@@ -80,7 +82,8 @@
     }
 }
 
-/// Leases lapse in an outage of the store, and their upstreams serve on.
+/// Leases lapse in an outage of the store, and their upstreams serve on. Without them no daemon was
+/// ready.
 #[test]
 fn upstreams_whose_leases_lapse_in_an_outage_stay_in_use() {
     let (memory, daemons) = fleet(3);
@@ -96,7 +99,10 @@
     for daemon in &daemons {
         wait_until("lapsed", || {
             let dump = daemon.dump();
-            assert_eq!(dump["upstreams"], 2);
+            assert_eq!(
+                (&dump["upstreams"], &dump["is_ready"]),
+                (&json!(2), &json!(true))
+            );
             dump["lapsed_upstreams"] == 2
         });
     }
