traffic: a request is routed again once its body has arrived

Requests whose bodies end 7 s after SIGTERM are passed on to a worker and cut 0.6 s later; their work may not be repeated. Told beside it: a request whose last byte came 5 s after its key was revoked ran.

Cause: stage, route and key are looked up before the body is read, which may take seconds, and not after it.

Change: where the daemon has begun to close meanwhile, or has another configuration, they are looked up again once the body is there. Such a request is refused at once as not run, with Retry-After.

--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -89,6 +89,15 @@
     customer: Option<Arc<Customer>>,
 }
 
+impl Routed {
+    /// Whether the daemon still takes requests, under the same configuration.
+    fn is_current<T>(&self, shared: &Shared<T>) -> bool {
+        let plan = shared.plan();
+        let is_same = |table| Arc::ptr_eq(table, &self.table);
+        shared.stage() < Stage::Closing && plan.table.as_ref().is_some_and(is_same)
+    }
+}
+
 async fn serve_request<T: Translator>(shared: &Rc<Shared<T>>, wire: &Wire, head: Head) -> bool {
     let arrived_at = shared.now();
     let keeps_alive = head.keeps_alive();
@@ -130,10 +139,16 @@
         Err(NoRequest::Closed) => return false,
         Err(NoRequest::Answer(reply)) => return refuse(&ask.attempt, reply, "body").await,
     };
+    let routed = match routed {
+        // A body may take seconds to arrive.
+        Ok(routed) if !routed.is_current(shared) => find_route(shared, &head, &ask),
+        routed => routed,
+    };
     let routed = match routed {
         Ok(routed) => routed,
         Err((reply, why)) => return refuse(&ask.attempt, reply, why).await,
     };
+    let deadline = arrived_at + timeout_of(&ask, &routed.route);
     let content = content_of(&head, routed.customer.as_deref(), &body.bytes);
     let contents = Contents::new(content, shared_parts(&ask));
     let request = Request {
