traffic: an upstream that lacks a model is not taken for a replaced one

One request for a model that no worker has was answered 421 by each in turn, and 20 s later 0 of 30 proper requests of the service were served (503, 'no upstream is listed that may run it').

Cause: every 421 counted as another instance at the upstream's address, which is final. An upstream answers so for a model that it doesn't have, too.

Change: it is another instance's if the request names no model, or one that this upstream has answered with. Otherwise the upstream is avoided for that model for 2 s, like an ejected one, and stays in use. At most 16 models of each are remembered.

Evidence: a_request_for_an_unknown_model_shuts_no_upstream_out fails without the change; an_upstream_that_no_longer_has_its_model_is_replaced holds before and after; an_upstream_that_rejects_a_model_is_avoided_for_it: at most 5 of 30 requests reach it.

--- a/components/dispatch/src/choose.rs
+++ b/components/dispatch/src/choose.rs
@@ -155,7 +155,9 @@
         let ejects_outliers = self.policy.sets_aside;
         let is_available = |entry: &Entry| {
             let is_backoff_over = now.has_reached(entry.backoff_until);
-            is_backoff_over && (!ejects_outliers || !entry.health.is_ejected(now))
+            is_backoff_over
+                && !entry.rejects_model(now, requirements.model)
+                && (!ejects_outliers || !entry.health.is_ejected(now))
         };
         let Untried {
             upstreams,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -22,6 +22,10 @@
 use crate::prefill::PrefillTimes;
 use crate::sends::SendCounts;
 
+/// Models that one upstream answered with, or rejected, that are remembered; an engine holds a few.
+const MAX_MODELS: usize = 16;
+/// How long an upstream that rejected a model is avoided for it.
+const MODEL_REJECTION: Span = Span::from_secs(2);
 /// Prefixes remembered per upstream; an engine's cache holds some hundred of them.
 const MAX_PREFIXES: usize = 2_048;
 /// Part of an engine's time to the first event that does not depend on the prompt, in ms.
@@ -147,6 +151,10 @@
     pub(crate) is_leaving: bool,
     /// Another instance has its address, so this one is gone even if it is still listed.
     is_replaced: bool,
+    /// Models that it has answered with, at most [`MAX_MODELS`].
+    answered_models: Vec<Arc<str>>,
+    /// Models that it rejected, at most [`MAX_MODELS`], and until when it is avoided for them.
+    rejected_models: Vec<(Arc<str>, Time)>,
     is_listed: bool,
     /// Its failure domain gets no new requests.
     pub(crate) is_evacuated: bool,
@@ -177,6 +185,21 @@
         self.health.record(now, outcome, means.failure_share());
     }
 
+    fn note_model(&mut self, model: Option<&Arc<str>>) {
+        let known = &mut self.answered_models;
+        if let Some(model) = model.filter(|model| !known.contains(model))
+            && known.len() < MAX_MODELS
+        {
+            known.push(Arc::clone(model));
+        }
+    }
+
+    /// Whether it rejected a model a moment ago.
+    pub(crate) fn rejects_model(&self, now: Time, model: Option<&Arc<str>>) -> bool {
+        let mut rejected = self.rejected_models.iter();
+        rejected.any(|(rejected, until)| model == Some(rejected) && now < *until)
+    }
+
     fn last_seen(&self, index: UpstreamIndex) -> LastSeen {
         LastSeen {
             index,
@@ -334,6 +357,8 @@
             window: Window::default(),
             is_leaving: is_draining,
             is_replaced: false,
+            answered_models: Vec::new(),
+            rejected_models: Vec::new(),
             is_listed: true,
             is_evacuated,
             sends: SendCounts::default(),
@@ -436,12 +461,36 @@
         now.since(heard_at.unwrap_or_default().max(since))
     }
 
+    /// Records that an upstream does not take requests for this model, or for none where none is
+    /// named; returns whether another instance has its address. One that never answered with the
+    /// model may only lack it, and is avoided for it for a while.
+    pub fn record_misdirected(
+        &mut self,
+        now: Time,
+        index: UpstreamIndex,
+        model: Option<&Arc<str>>,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(&index) else {
+            return true;
+        };
+        let Some(model) = model.filter(|model| !entry.answered_models.contains(model)) else {
+            return true;
+        };
+        let rejected = &mut entry.rejected_models;
+        rejected.retain(|(known, until)| known != model && now < *until);
+        if rejected.len() < MAX_MODELS {
+            rejected.push((Arc::clone(model), now + MODEL_REJECTION));
+        }
+        false
+    }
+
     /// Records the start of an answer.
     pub fn record_answer_start(&mut self, now: Time, start: &AnswerStart<'_>) {
         let Some(entry) = self.entries.get_mut(&start.index) else {
             return;
         };
         let is_cache_known = entry.backlog.is_cache_known(start.ticket.0);
+        entry.note_model(start.model);
         entry.backlog.remove(now, start.ticket.0);
         entry.heard_at = now;
         let load = start.load;
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -398,7 +398,14 @@
                 return Some((UpstreamOutcome::Refused, SendFailure::NotRun("refused")));
             }
             Execution::OtherInstance => {
-                return Some((UpstreamOutcome::Replaced, SendFailure::NotRun("replaced")));
+                let now = self.shared.now();
+                let mut upstreams = self.shared.upstreams.borrow_mut();
+                let is_replaced = upstreams.record_misdirected(now, index, self.model.as_ref());
+                let outcome = match is_replaced {
+                    true => UpstreamOutcome::Replaced,
+                    false => UpstreamOutcome::Cancelled,
+                };
+                return Some((outcome, SendFailure::NotRun("misdirected")));
             }
             Execution::Ran => {}
         }
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -291,3 +291,90 @@
     wait_until("the caller's leaving is noticed", || new().out == 0);
     assert_eq!((new().slow, new().begun), (1, sent + 1));
 }
+
+/// One request for a model that no upstream has shut out all upstreams of the service for good.
+#[test]
+fn a_request_for_an_unknown_model_shuts_no_upstream_out() {
+    let engine = || {
+        upstream(|served| {
+            while let Some(request) = served.request() {
+                let id = id_of(&request);
+                if field(&request, "model") == Some("retired") {
+                    served.write(&format!(
+                        "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+                    ));
+                    continue;
+                }
+                served.write(&stream_head(id, 90));
+                served.write(&event(1));
+                served.write(END);
+            }
+        })
+    };
+    let running = serving(Retry::Stream { resumable: true }, &[engine(), engine()]);
+    let mut caller = running.caller();
+    for n in 0..4 {
+        let unknown = post(&format!("u{n}"), "hello").replace("key:", "model: retired\r\nkey:");
+        caller.send(&unknown);
+        assert_eq!(status_of(&caller.answer()), 503);
+        assert_eq!(events_of(&caller.ask(&format!("r{n}"))), [1]);
+    }
+}
+
+/// An upstream that answered for a model and rejects it now has another instance at its address.
+#[test]
+fn an_upstream_that_no_longer_has_its_model_is_replaced() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&requests);
+    let replaced = upstream(move |served| {
+        while let Some(request) = served.request() {
+            let id = id_of(&request);
+            if counted.fetch_add(1, Ordering::SeqCst) > 0 {
+                served.write(&format!(
+                    "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+                ));
+                continue;
+            }
+            served.write(&stream_head(id, 90));
+            served.write(&event(1));
+            served.write(END);
+        }
+    });
+    let running = serving(Retry::Stream { resumable: true }, &[replaced]);
+    let mut caller = running.caller();
+    assert_eq!(events_of(&caller.ask("r0")), [1]);
+    for n in 1..5 {
+        assert_eq!(status_of(&caller.ask(&format!("r{n}"))), 503);
+    }
+    assert_eq!(requests.load(Ordering::SeqCst), 2);
+}
+
+/// An upstream whose address another instance has since before it answered got every request first.
+#[test]
+fn an_upstream_that_rejects_a_model_is_avoided_for_it() {
+    let rejections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&rejections);
+    let rejecting = upstream(move |served| {
+        while let Some(request) = served.request() {
+            counted.fetch_add(1, Ordering::SeqCst);
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+    });
+    let healthy = upstream(|served| {
+        while let Some(request) = served.request() {
+            served.write(&stream_head(id_of(&request), 90));
+            served.write(&event(1));
+            served.write(END);
+        }
+    });
+    let running = serving(Retry::Stream { resumable: true }, &[rejecting, healthy]);
+    let mut caller = running.caller();
+    for n in 0..30 {
+        assert_eq!(events_of(&caller.ask(&format!("r{n}"))), [1]);
+    }
+    let rejections = rejections.load(Ordering::SeqCst);
+    assert!(rejections <= 5, "{rejections} of 30 requests");
+}
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -43,7 +43,7 @@
             attempt: Arc::from(attempt),
             timeout: timeout.map(Span::from_millis),
             key: head.text("key").map(ApiKey::new),
-            model: None,
+            model: head.text("model").map(Arc::from),
             prompt,
             session: None,
             resume_after: head.text("after").and_then(|id| id.parse().ok()),
