tests: free addresses of the fleet's tests lie below the ports of connections

Cause: the test takes a port from the kernel, closes it and listens on it later; 32768 to 60999 are the ports that the kernel gives to connections as well, and other tests of the same program open many, with the new ones of lapsed entries more than before.

Change: free addresses are drawn from 12000 to 29999 and tried. The checks are unchanged.

--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -10,6 +10,7 @@
 use fleet::{Codec, DecodeError, Running, Settings, StateRecord};
 use http1::Head;
 use poison::{Admission, Content, CrashedAttempt, SharedSuspects, UpstreamInstance};
+use rand::RngExt;
 use routes::{
     Limits, RolloutOrder, RolloutState, RouteTable, TableVersion, Upstream, UpstreamState,
 };
@@ -182,10 +183,16 @@
         .collect()
 }
 
-/// An address that is not in use.
+/// An address that is not in use, below the ports that the kernel gives to connections: one of
+/// another test may take such a port before it is listened on.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("bound")
+    let mut rng = rand::rng();
+    let mut ports = std::iter::repeat_with(|| rng.random_range(12_000..30_000));
+    let addresses = ports
+        .by_ref()
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let is_free = |address: &SocketAddr| std::net::TcpListener::bind(address).is_ok();
+    addresses.find(is_free).expect("a free port")
 }
 
 /// Starts a daemon without seeds.
