--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -139,12 +139,7 @@
         Err(NoRequest::Closed) => return false,
         Err(NoRequest::Answer(reply)) => return refuse(&ask.attempt, reply, "body").await,
     };
-    let routed = match routed {
-        // A body may take seconds to arrive.
-        Ok(routed) if !routed.is_current(shared) => find_route(shared, &head, &ask),
-        routed => routed,
-    };
-    let routed = match routed {
+    let routed = match refresh_route(shared, &head, &ask, routed) {
         Ok(routed) => routed,
         Err((reply, why)) => return refuse(&ask.attempt, reply, why).await,
     };
@@ -252,6 +247,20 @@
     })
 }
 
+/// Looks a route up again if the daemon has begun to close, or has another configuration, since the
+/// head arrived: a body may take seconds.
+fn refresh_route<T>(
+    shared: &Shared<T>,
+    head: &Head,
+    ask: &Ask,
+    routed: Result<Routed, (LocalReply, &'static str)>,
+) -> Result<Routed, (LocalReply, &'static str)> {
+    match routed {
+        Ok(routed) if !routed.is_current(shared) => find_route(shared, head, ask),
+        routed => routed,
+    }
+}
+
 /// Refuses a request for a route or key that the configuration does not hold.
 ///
 /// An answer that it is unknown is final: the caller does not retry. Where the configuration may
