--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -188,7 +188,7 @@
 pub fn free_address() -> SocketAddr {
     let mut rng = rand::rng();
     let mut ports = std::iter::repeat_with(|| rng.random_range(12_000..30_000));
-    let addresses = ports
+    let mut addresses = ports
         .by_ref()
         .map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
     let is_free = |address: &SocketAddr| std::net::TcpListener::bind(address).is_ok();
