traffic: a rejected model counts as a refusal of the request

An attempt that was answered 421 for its model counted as given up, which an upstream's later crash is held against. The upstream didn't begin it: it counts as not started, as any other refusal. Found by reading; the tests of answers pass (18).

--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -403,7 +403,7 @@
                 let is_replaced = upstreams.record_misdirected(now, index, self.model.as_ref());
                 let outcome = match is_replaced {
                     true => UpstreamOutcome::Replaced,
-                    false => UpstreamOutcome::Cancelled,
+                    false => UpstreamOutcome::Refused,
                 };
                 return Some((outcome, SendFailure::NotRun("misdirected")));
             }
