tests, dispatch: one copy of what the change wrote again

A counting upstream stood in three tests, the tunnel to a cut-off upstream and an event of an open stream in two, the answer 421 in three; record_misdirected returned a flag that its one caller turned into an outcome; two functions for different things had one name; five tests had comments of two lines.

Change: counting_upstream is in the harness, cut_off and open_event are called where they were written again, record_misdirected returns the outcome, the getter is store_last_answered_at. Behaviour, bounds and assertions are unchanged.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -462,26 +462,26 @@
     }
 
     /// Records that an upstream does not take requests for this model, or for none where none is
-    /// named; returns whether another instance has its address. One that never answered with the
-    /// model may only lack it, and is avoided for it for a while.
+    /// named; returns how the request ended. One that never answered with the model may only lack
+    /// it, and is avoided for it for a while; any other has another instance at its address.
     pub fn record_misdirected(
         &mut self,
         now: Time,
         index: UpstreamIndex,
         model: Option<&Arc<str>>,
-    ) -> bool {
+    ) -> UpstreamOutcome {
         let Some(entry) = self.entries.get_mut(&index) else {
-            return true;
+            return UpstreamOutcome::Replaced;
         };
         let Some(model) = model.filter(|model| !entry.answered_models.contains(model)) else {
-            return true;
+            return UpstreamOutcome::Replaced;
         };
         let rejected = &mut entry.rejected_models;
         rejected.retain(|(known, until)| known != model && now < *until);
         if rejected.len() < MAX_MODELS {
             rejected.push((Arc::clone(model), now + MODEL_REJECTION));
         }
-        false
+        UpstreamOutcome::Refused
     }
 
     /// Records the start of an answer.
--- a/components/dispatch/tests/lapsed.rs
+++ b/components/dispatch/tests/lapsed.rs
@@ -128,8 +128,7 @@
     }
 }
 
-/// An outage in which leases end drops no live upstream, whether it is whole or the store answers for
-/// moments that are too short for all upstreams to renew their entries.
+/// An outage with breaks too short for all upstreams to renew their entries drops no live one.
 #[test]
 fn leases_may_end_in_an_outage_with_short_breaks() {
     let mut whole = available_until(9_000);
--- a/components/engine/tests/it/calls.rs
+++ b/components/engine/tests/it/calls.rs
@@ -87,8 +87,7 @@
     assert_eq!(service.effects()["booking-1"], 1);
 }
 
-/// An upstream that stops within the head of its answer and closes: a caller would take an empty or
-/// short body for the whole answer.
+/// A caller would take an empty or short body for the whole answer.
 #[test]
 fn errors_on_heads_cut_short() {
     let framings = [
--- a/components/fleet/src/control/freshness.rs
+++ b/components/fleet/src/control/freshness.rs
@@ -119,7 +119,7 @@
             true => lapsed.store_answered(now),
             false => lapsed.store_failed(),
         }
-        if let Some(at) = self.peering.store_available_at() {
+        if let Some(at) = self.peering.store_last_answered_at() {
             lapsed.store_available_at(now, at);
         }
     }
--- a/components/fleet/src/peering/heartbeat.rs
+++ b/components/fleet/src/peering/heartbeat.rs
@@ -33,7 +33,7 @@
     }
 
     /// Latest moment at which the store is known to have answered any daemon.
-    pub(crate) fn store_available_at(&self) -> Option<Time> {
+    pub(crate) fn store_last_answered_at(&self) -> Option<Time> {
         self.claims.latest()
     }
 
--- a/components/fleet/tests/it/lapsed.rs
+++ b/components/fleet/tests/it/lapsed.rs
@@ -25,6 +25,13 @@
     (memory, daemons)
 }
 
+/// Closes the watches that wait, without an answer.
+fn close_watches(daemons: &[Daemon]) {
+    for daemon in daemons {
+        daemon.link.close_watches();
+    }
+}
+
 /// Waits until the daemons use one upstream, and checks that none keeps one as lapsed meanwhile.
 fn wait_until_dropped(daemons: &[Daemon]) {
     for daemon in daemons {
@@ -36,14 +43,11 @@
     }
 }
 
-/// Watches that wait were cut once, and an upstream that left just after stayed in use until it
-/// exited.
+/// An upstream that left just after the watches were cut once stayed in use until it exited.
 #[test]
 fn an_upstream_that_leaves_after_a_cut_watch_is_dropped() {
     let (memory, daemons) = fleet(3);
-    for daemon in &daemons {
-        daemon.link.close_watches();
-    }
+    close_watches(&daemons);
     memory.set("upstream/u1", None);
     wait_until_dropped(&daemons);
 }
@@ -53,14 +57,10 @@
 fn an_upstream_that_leaves_while_watches_are_cut_often_is_dropped() {
     let (memory, daemons) = fleet(3);
     for _ in 0..12 {
-        for daemon in &daemons {
-            daemon.link.close_watches();
-        }
+        close_watches(&daemons);
         std::thread::sleep(Duration::from_millis(250));
     }
-    for daemon in &daemons {
-        daemon.link.close_watches();
-    }
+    close_watches(&daemons);
     memory.set("upstream/u1", None);
     wait_until_dropped(&daemons);
 }
@@ -82,8 +82,7 @@
     }
 }
 
-/// Leases lapse in an outage of the store, and their upstreams serve on. Without them no daemon was
-/// ready.
+/// Without upstreams whose leases lapse in an outage of the store no daemon was ready.
 #[test]
 fn upstreams_whose_leases_lapse_in_an_outage_stay_in_use() {
     let (memory, daemons) = fleet(3);
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -400,11 +400,7 @@
             Execution::OtherInstance => {
                 let now = self.shared.now();
                 let mut upstreams = self.shared.upstreams.borrow_mut();
-                let is_replaced = upstreams.record_misdirected(now, index, self.model.as_ref());
-                let outcome = match is_replaced {
-                    true => UpstreamOutcome::Replaced,
-                    false => UpstreamOutcome::Refused,
-                };
+                let outcome = upstreams.record_misdirected(now, index, self.model.as_ref());
                 return Some((outcome, SendFailure::NotRun("misdirected")));
             }
             Execution::Ran => {}
--- a/components/traffic/tests/it/answers.rs
+++ b/components/traffic/tests/it/answers.rs
@@ -292,6 +292,16 @@
     assert_eq!((new().slow, new().begun), (1, sent + 1));
 }
 
+/// An answer to a request for another instance or model.
+fn misdirected(id: &str) -> String {
+    format!("HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// A stream of one event.
+fn one_event(id: &str) -> String {
+    stream_head(id, 90) + &event(1) + END
+}
+
 /// One request for a model that no upstream has shut out all upstreams of the service for good.
 #[test]
 fn a_request_for_an_unknown_model_shuts_no_upstream_out() {
@@ -300,14 +310,10 @@
             while let Some(request) = served.request() {
                 let id = id_of(&request);
                 if field(&request, "model") == Some("retired") {
-                    served.write(&format!(
-                        "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
-                    ));
+                    served.write(&misdirected(id));
                     continue;
                 }
-                served.write(&stream_head(id, 90));
-                served.write(&event(1));
-                served.write(END);
+                served.write(&one_event(id));
             }
         })
     };
@@ -330,14 +336,10 @@
         while let Some(request) = served.request() {
             let id = id_of(&request);
             if counted.fetch_add(1, Ordering::SeqCst) > 0 {
-                served.write(&format!(
-                    "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
-                ));
+                served.write(&misdirected(id));
                 continue;
             }
-            served.write(&stream_head(id, 90));
-            served.write(&event(1));
-            served.write(END);
+            served.write(&one_event(id));
         }
     });
     let running = serving(Retry::Stream { resumable: true }, &[replaced]);
@@ -358,16 +360,12 @@
         while let Some(request) = served.request() {
             counted.fetch_add(1, Ordering::SeqCst);
             let id = id_of(&request);
-            served.write(&format!(
-                "HTTP/1.1 421 Other\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
-            ));
+            served.write(&misdirected(id));
         }
     });
     let healthy = upstream(|served| {
         while let Some(request) = served.request() {
-            served.write(&stream_head(id_of(&request), 90));
-            served.write(&event(1));
-            served.write(END);
+            served.write(&one_event(id_of(&request)));
         }
     });
     let running = serving(Retry::Stream { resumable: true }, &[rejecting, healthy]);
--- a/components/traffic/tests/it/cut_heads.rs
+++ b/components/traffic/tests/it/cut_heads.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use dispatch::TunnelPeer;
 use routes::Retry;
-use types::prelude::*;
 
+use crate::endings::open_event;
 use crate::harness::*;
+use crate::tunnels::cut_off;
 
 const RESUMABLE: Retry = Retry::Stream { resumable: true };
 const NOT_RESUMABLE: Retry = Retry::Stream { resumable: false };
@@ -49,8 +49,7 @@
     }
 }
 
-/// Places to cut a head at: after the status line, between fields, within names and values, before
-/// the blank line and within it.
+/// Places to cut a head at: in and after the status line, each field and the blank line.
 fn cuts(head: &str) -> Vec<usize> {
     let lines = head.match_indices("\r\n").map(|(at, _)| at + 2);
     let line_starts = lines.filter(|start| *start < head.len());
@@ -135,9 +134,7 @@
 }
 
 fn events(count: u64) -> String {
-    (1..=count)
-        .map(|id| format!("id: {id}\ndata: e{id}\n\n"))
-        .collect()
+    (1..=count).map(open_event).collect()
 }
 
 fn assert_is_no_success(text: &str, cut: Cut) {
@@ -234,13 +231,7 @@
         ] {
             let upstream = Upstream::cutting_first(cut, &content);
             let (_kept, refusing) = refusing_address();
-            let peer = serving(retry, &[upstream.address]);
-            let running = serving(retry, &[refusing]);
-            running.send_tunnel_peers(vec![TunnelPeer {
-                id: DaemonId::new("peer").expect("a name"),
-                address: peer.handle.tunnels,
-                failure_domain: FailureDomain::new("east").expect("a name"),
-            }]);
+            let (running, _peer) = cut_off(retry, refusing, upstream.address);
             assert_is_no_success(&running.caller().ask("r1"), cut);
             assert!(upstream.has_cut(), "{cut:?}");
         }
--- a/components/traffic/tests/it/endings.rs
+++ b/components/traffic/tests/it/endings.rs
@@ -15,7 +15,8 @@
     format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\nsure: 90\r\n\r\n")
 }
 
-fn open_event(id: u64) -> String {
+/// Encodes an event of such an answer.
+pub fn open_event(id: u64) -> String {
     format!("id: {id}\ndata: e{id}\n\n")
 }
 
--- a/components/traffic/tests/it/evacuations.rs
+++ b/components/traffic/tests/it/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use routes::{Retry, Upstream};
 use types::prelude::*;
@@ -19,23 +19,10 @@
     })
 }
 
-/// An upstream that answers, and counts its requests.
-fn counting() -> (SocketAddr, Arc<AtomicUsize>) {
-    let received = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&received);
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.fetch_add(1, Ordering::SeqCst);
-            served.write(&answer(id_of(&request), "world"));
-        }
-    });
-    (address, received)
-}
-
 // The upstreams of a failure domain that an operator wants empty went on getting requests.
 #[test]
 fn sends_nothing_to_an_evacuated_domain_until_that_is_lifted() {
-    let ((east, at_east), (west, at_west)) = (counting(), counting());
+    let ((east, at_east), (west, at_west)) = (counting_upstream(), counting_upstream());
     let running = serving(Retry::Any, &[]);
     let listed = || vec![in_domain("u0", east, "east"), in_domain("u1", west, "west")];
     running.send_evacuating_plan(Retry::Any, listed(), &["west", "nowhere"]);
@@ -53,7 +40,7 @@
 
 #[test]
 fn refuses_at_once_when_every_domain_is_evacuated() {
-    let (east, at_east) = counting();
+    let (east, at_east) = counting_upstream();
     let running = serving(Retry::Any, &[]);
     running.send_evacuating_plan(Retry::Any, vec![in_domain("u0", east, "east")], &["east"]);
     let refused = running.caller().ask("r1");
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -3,6 +3,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use dispatch::{Advertised, Brittleness, Gate, Policy, PromptPart, RetryLimits};
@@ -273,6 +274,19 @@
     address
 }
 
+/// Starts an upstream that answers whole, and counts its requests.
+pub fn counting_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&requests);
+    let address = upstream(move |served| {
+        while let Some(request) = served.request() {
+            count.fetch_add(1, Ordering::SeqCst);
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    (address, requests)
+}
+
 /// Waits until a condition holds.
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let from = std::time::Instant::now();
--- a/components/traffic/tests/it/replacements.rs
+++ b/components/traffic/tests/it/replacements.rs
@@ -267,8 +267,7 @@
     }
 }
 
-/// The larger model's upstream failed after the draft was dropped, and the request was given up with
-/// the draft's upstream left.
+/// A request whose draft had been dropped was given up with the draft's upstream left.
 #[test]
 fn a_failed_larger_run_is_retried_at_the_drafts_upstream() {
     let failures = Arc::new(AtomicUsize::new(0));
--- a/components/traffic/tests/it/shutdown.rs
+++ b/components/traffic/tests/it/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use routes::Retry;
@@ -51,19 +51,6 @@
     assert!(std::net::TcpStream::connect(running.callers).is_err());
 }
 
-/// An upstream that answers at once, and counts its requests.
-fn counting_upstream() -> (std::net::SocketAddr, Arc<AtomicUsize>) {
-    let requests = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&requests);
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            counted.fetch_add(1, Ordering::SeqCst);
-            served.write(&answer(id_of(&request), "world"));
-        }
-    });
-    (address, requests)
-}
-
 /// A request whose body ended long after the stop command was sent to an upstream, and cut there.
 #[test]
 fn a_request_whose_body_ends_after_the_daemon_closed_is_refused() {
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -48,26 +48,17 @@
 }
 
 /// An event loop that lists an upstream as `unreachable`, and a peer that lists it as `upstream`.
-fn cut_off(retry: Retry, unreachable: SocketAddr, upstream: SocketAddr) -> (TestLoop, TestLoop) {
+pub fn cut_off(
+    retry: Retry,
+    unreachable: SocketAddr,
+    upstream: SocketAddr,
+) -> (TestLoop, TestLoop) {
     let peer = serving(retry, &[upstream]);
     let running = serving(retry, &[unreachable]);
     running.send_tunnel_peers(vec![offer(&peer)]);
     (running, peer)
 }
 
-/// An upstream that answers whole, and counts its runs.
-fn counting_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
-    let runs = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&runs);
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.fetch_add(1, Ordering::SeqCst);
-            served.write(&answer(id_of(&request), "world"));
-        }
-    });
-    (address, runs)
-}
-
 /// Callers of a host whose connections to upstreams were reset got 503 after 25 ms.
 #[test]
 fn a_host_whose_connections_are_reset_serves_through_a_peer() {
