http1: a response whose status is outside of 100 to 599 is malformed

The product's own interface sent the body with a 502.

Cause: the head's parser takes any three digits, and readers of answers compare with single bounds (below 500, 2xx, 1xx), between which a code below 100 passes as an answer of a sound upstream.

Change: the parser rejects such a head, as it does other malformed ones; it is the one that reads answers for relaying, streams, drafts, tunnels, load reports, orders and the soak.

Fields with a blank or a control byte in the name or value, status lines of two or four digits and with two blanks: rejected before, the tests stay.

--- a/components/engine/tests/it/main.rs
+++ b/components/engine/tests/it/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the client against stand-ins for engines and plain services.
 
 mod attempts;
+mod broken_heads;
 mod calls;
 mod event_loop;
+mod raw;
--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -1,6 +1,6 @@
 //! Parses the heads of requests and responses.
 
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -8,6 +8,9 @@
 /// Most fields of one head. Callers and upstreams send about a dozen.
 const MAX_FIELDS: usize = 64;
 
+/// Valid status codes (RFC 9110, 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Hop-by-hop fields, which apply to one connection only (RFC 9110, 7.6.1).
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -56,6 +59,9 @@
     /// The head is not valid HTTP/1.
     #[error("the head cannot be read: {0}")]
     Malformed(httparse::Error),
+    /// The status code is outside of 100 to 599 (RFC 9110, 15).
+    #[error("the status code {0} is invalid")]
+    InvalidStatus(u16),
 }
 
 /// A parsed head, whose fields refer to its raw bytes.
@@ -93,7 +99,8 @@
     /// Removes a response head from the front of `buf`, or returns `None` while it is incomplete.
     ///
     /// # Errors
-    /// If the head is too large or malformed. The connection cannot be used afterwards.
+    /// If the head is too large or malformed, or has no valid status. The connection cannot be used
+    /// afterwards.
     pub fn take_response(buf: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut res = httparse::Response::new(&mut fields);
@@ -101,9 +108,11 @@
         let httparse::Status::Complete(len) = status else {
             return incomplete(buf, max_bytes);
         };
-        let kind = Kind::Response {
-            status: res.code.unwrap_or_default(),
-        };
+        let status = res.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(HeadError::InvalidStatus(status));
+        }
+        let kind = Kind::Response { status };
         let is_http11 = res.version == Some(1);
         let ranges = ranges_of(buf, res.headers);
         Self::split(buf, len, max_bytes, kind, is_http11, ranges).map(Some)
--- a/components/http1/tests/messages.rs
+++ b/components/http1/tests/messages.rs
@@ -45,6 +45,41 @@
     assert!(Head::take_request(&mut buf, 4_096).is_err());
 }
 
+/// An answer of status 000 reached callers.
+#[test]
+fn a_status_outside_of_100_to_599_is_rejected() {
+    for status in ["000", "001", "099", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} OK\r\n\r\n");
+        let result = Head::take_response(&mut BytesMut::from(&*text), 4_096);
+        let code = status.parse().expect("a number");
+        assert_eq!(result.err(), Some(HeadError::InvalidStatus(code)));
+    }
+    for status in ["100", "599"] {
+        let text = format!("HTTP/1.1 {status} OK\r\n\r\n");
+        let result = Head::take_response(&mut BytesMut::from(&*text), 4_096);
+        assert!(result.is_ok_and(|head| head.is_some()), "{status}");
+    }
+}
+
+/// A line that one reader drops may mark the end of the body for another.
+#[test]
+fn a_response_with_a_malformed_field_is_rejected() {
+    for field in [
+        "Content-Length : 5",
+        "Content Length: 5",
+        "Content-Length\u{1}: 5",
+        "Content-Length\0: 5",
+        "Content-Length\t: 5",
+        " Content-Length: 5",
+        "Content-Length: 5\0",
+        "Content-Length",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\nA: b\r\n{field}\r\n\r\n");
+        let result = Head::take_response(&mut BytesMut::from(&*text), 4_096);
+        assert!(result.is_err(), "{field:?}");
+    }
+}
+
 #[test]
 fn ambiguous_body_lengths_are_rejected() {
     // Guards against request smuggling: a caller sends a length and a transfer coding, or two
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod bounds;
+mod broken_heads;
 mod crashes;
 mod cut_heads;
 mod endings;
