http1: interim responses are skipped where heads are read

What callers saw: nothing was reported. On the product's own interface the caller of a plain service whose upstream sends 100, 102 or 103 first got that as the answer, with an empty body; chats, load reports and orders failed with its status.

Cause: only the platform's event loop skipped them, after the head had been read.

Change: read_response_head returns the head of the final response, and fails after more than four interim ones.

Evidence: can_skip_interim_answers and errors_on_interim_answers_without_end of engine fail on the code before (the answer was "100" with no body); endless::interim_answers_without_end_are_given_up of traffic held and holds.

--- a/components/engine/tests/it/main.rs
+++ b/components/engine/tests/it/main.rs
@@ -4,4 +4,5 @@
 mod broken_heads;
 mod calls;
 mod event_loop;
+mod interim;
 mod raw;
--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -197,6 +197,12 @@
         }
     }
 
+    /// Whether a response is interim: the final one follows (RFC 9110, 15.2).
+    #[must_use]
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status())
+    }
+
     /// Whether the sender keeps the connection open for another message (keep-alive).
     #[must_use]
     pub fn keeps_alive(&self) -> bool {
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -9,6 +9,9 @@
 use crate::head::{Head, HeadError};
 use crate::wire::Wire;
 
+/// Most interim responses (status 1xx) before the final one.
+const MAX_INTERIM: u32 = 4;
+
 /// Why no complete response was read.
 #[derive(Debug, thiserror::Error)]
 pub enum ResponseError {
@@ -27,24 +30,37 @@
     /// The body does not match its framing.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// No final response came after this many interim ones.
+    #[error("more than {MAX_INTERIM} interim responses came before the final one")]
+    TooManyInterim,
     /// The body has more bytes than are accepted.
     #[error("the body has more than {0} bytes")]
     TooLarge(usize),
 }
 
-/// Waits for a response head and determines the framing of its body.
+/// Waits for the head of a final response and determines the framing of its body. Interim responses
+/// are skipped.
 ///
 /// # Errors
-/// If no valid head arrives. The connection cannot be used afterwards.
+/// If no valid head arrives, or too many interim responses before it. The connection cannot be used
+/// afterwards.
 pub async fn read_response_head(
     wire: &Wire,
     max_head: usize,
 ) -> Result<(Head, Framing), ResponseError> {
+    let mut interim = 0;
     loop {
         let taken = Head::take_response(&mut wire.buf(), max_head)?;
         if let Some(head) = taken {
-            let framing = Framing::of(&head)?;
-            return Ok((head, framing));
+            if !head.is_interim() {
+                let framing = Framing::of(&head)?;
+                return Ok((head, framing));
+            }
+            interim += 1;
+            if interim > MAX_INTERIM {
+                return Err(ResponseError::TooManyInterim);
+            }
+            continue;
         }
         if wire.fill().await? == 0 {
             return Err(ResponseError::Closed);
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -548,9 +548,6 @@
             let read = read_response_head(wire, MAX_HEAD).await;
             let broken = |_| Failure::Broken("broke before its answer");
             let (head, framing) = read.map_err(broken)?;
-            if (100..200).contains(&head.status()) {
-                continue;
-            }
             let reply = self.shared.translator.reply(&head);
             let is_own = match &reply.attempt {
                 Some(id) => **id == *self.request.ask.attempt,
