tests: bytes without end in chunk lines, at the product's own interface and from a peer

It holds here and held before any change: heads, folded fields, interim answers, bodies with a length, in chunks and until the close, skipped answers, events and streams (endless of traffic, already there), and now the lines of chunks and trailers, the answers to the product's own interface, load reports and chats among them (endless of engine), and what a peer sends in place of a tunnel, before and after it says that the upstream is connected (tunnels of traffic).

--- a/components/engine/tests/it/main.rs
+++ b/components/engine/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod broken_heads;
 mod calls;
 mod early;
+mod endless;
 mod event_loop;
 mod interim;
 mod raw;
--- a/components/traffic/tests/it/endless.rs
+++ b/components/traffic/tests/it/endless.rs
@@ -128,7 +128,13 @@
 #[test]
 fn heads_without_end_are_given_up() {
     let begin = |id: &str| format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\n");
-    for piece in ["long: 0123456789abcdef0123456789abcdef\r\n", "x"] {
+    for piece in [
+        "long: 0123456789abcdef0123456789abcdef\r\n",
+        "x",
+        "x: y\r\n z\r\n",
+        "\r",
+        "\0",
+    ] {
         let address = endless_upstream(begin, piece, 1 << 20);
         let running = serving(Retry::Never, &[address]);
         let answers = ask_endless(&running, |id| ask_whole(&running, id));
@@ -136,6 +142,23 @@
     }
 }
 
+/// Chunk extensions and trailers that never end would hold their callers, or the host's memory.
+#[test]
+fn lines_of_chunks_without_end_are_given_up() {
+    let begins: [(fn(&str) -> String, &str); 3] = [
+        (|id| stream_head(id, 99) + "1;", "x"),
+        (|id| stream_head(id, 99), "0"),
+        (|id| stream_head(id, 99) + "0\r\n", "name: value\r\n"),
+    ];
+    for (begin, piece) in begins {
+        for retry in [Retry::Never, Retry::Stream { resumable: false }] {
+            let address = endless_upstream(begin, piece, 1 << 20);
+            let text = serving(retry, &[address]).caller().ask("e1");
+            assert_eq!(status_of(&text), 502, "{piece:?} {retry:?}: {text}");
+        }
+    }
+}
+
 /// Interim answers without end would hold their callers.
 #[test]
 fn interim_answers_without_end_are_given_up() {
--- a/components/traffic/tests/it/tunnels.rs
+++ b/components/traffic/tests/it/tunnels.rs
@@ -40,9 +40,13 @@
 }
 
 fn offer(of: &TestLoop) -> TunnelPeer {
+    offer_at(of.handle.tunnels)
+}
+
+fn offer_at(address: SocketAddr) -> TunnelPeer {
     TunnelPeer {
         id: DaemonId::new("peer").expect("a name"),
-        address: of.handle.tunnels,
+        address,
         failure_domain: FailureDomain::new("east").expect("a name"),
     }
 }
@@ -202,6 +206,31 @@
     assert_eq!(runs.load(Ordering::SeqCst), 1);
 }
 
+/// Bytes without end of a peer would fill the memory, or hold a caller.
+#[test]
+fn bytes_without_end_of_a_peer_are_given_up() {
+    let connected: &[u8] = &[0, 0, 0, 1, 0];
+    let frame: &[u8] = &[0, 0, 0, 4, b'a', b'a', b'a', b'a'];
+    let blocks: [&[u8]; 5] = [&[0xff; 64], &[0; 64], &[1; 64], b"name: value\r\n", frame];
+    for block in blocks {
+        for begin in [&[][..], connected] {
+            let begin = begin.to_vec();
+            let peer = upstream(move |served| {
+                let block = block.repeat(1_000);
+                let mut is_open = served.try_write_bytes(&begin);
+                while is_open {
+                    is_open = served.try_write_bytes(&block);
+                }
+            });
+            let (_kept, refusing) = refusing_address();
+            let running = serving(Retry::Never, &[refusing]);
+            running.send_tunnel_peers(vec![offer_at(peer)]);
+            let text = running.caller().ask("r1");
+            assert!([502, 503].contains(&status_of(&text)), "{block:?}: {text}");
+        }
+    }
+}
+
 /// An upstream would work on for a caller that left a host without a path.
 #[test]
 fn a_caller_that_leaves_ends_the_run_behind_the_peer() {
