traffic: requests in progress at the end of the grace period get a final answer

Cause: the end of the grace period dropped a request with its connection; no other end of a request is without an answer.

Change: it is answered with 502, or 503 with Retry-After if it was never sent, unless its answer has begun. The event loop gives these answers up to 0.2 s of the 0.4 s that are left for the exit.

--- a/components/traffic/src/answer.rs
+++ b/components/traffic/src/answer.rs
@@ -8,6 +8,10 @@
 
 use crate::held::HeldAnswer;
 
+/// Least pause before a retry that a caller is sent when this daemon is leaving: another one can
+/// serve it at once.
+const LEAVING_RETRY: Span = Span::from_millis(50);
+
 /// An upstream's whole answer.
 #[derive(Debug)]
 pub(crate) struct Whole {
@@ -53,6 +57,13 @@
 }
 
 impl LocalReply {
+    /// The reply to a request that this daemon refuses because it is leaving.
+    pub(crate) fn leaving(rng: &mut impl Rng) -> Self {
+        Self::NotRun {
+            retry_after: add_jitter(LEAVING_RETRY, rng),
+        }
+    }
+
     pub(crate) fn status(self) -> u16 {
         match self {
             Self::Malformed => 400,
--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -38,9 +38,6 @@
 const FLEET_START_TIME: Span = Span::from_secs(3);
 /// Interval at which a first configuration is checked for.
 const TABLE_POLL: Duration = Duration::from_millis(10);
-/// Least pause before a retry that a caller is sent when this daemon is leaving: another one can
-/// serve it at once.
-const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Bytes of a pipelined request that are kept while another is served.
 const MAX_PIPELINED: usize = 16 * 1024;
 
@@ -167,9 +164,13 @@
     let mut stages = shared.stage.subscribe();
     let finish = tokio::select! {
         biased;
-        finish = exchange.run() => finish,
-        () = wire.closed(MAX_PIPELINED) => Finish::caller_gone(),
-        _ = stages.wait_for(|stage| *stage == Stage::Ended) => Finish::stopped(),
+        finish = exchange.run() => Some(finish),
+        () = wire.closed(MAX_PIPELINED) => Some(Finish::caller_gone()),
+        _ = stages.wait_for(|stage| *stage == Stage::Ended) => None,
+    };
+    let finish = match finish {
+        Some(finish) => finish,
+        None => exchange.stop().await,
     };
     let report = exchange.report(&finish);
     drop(exchange);
@@ -214,8 +215,8 @@
     ask: &Ask,
 ) -> Result<Routed, (LocalReply, &'static str)> {
     if shared.stage() >= Stage::Closing {
-        let retry_after = add_jitter(LEAVING_RETRY, &mut *shared.rng.borrow_mut());
-        return Err((LocalReply::NotRun { retry_after }, "this daemon is leaving"));
+        let reply = LocalReply::leaving(&mut *shared.rng.borrow_mut());
+        return Err((reply, "this daemon is leaving"));
     }
     let plan = shared.plan();
     let Some(table) = &plan.table else {
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod escalate;
+mod leaving;
 mod log;
 mod replace;
 mod silence;
--- a/components/traffic/src/report.rs
+++ b/components/traffic/src/report.rs
@@ -47,11 +47,11 @@
     }
 
     /// The daemon stopped before the request had its answer.
-    pub(crate) fn stopped() -> Self {
+    pub(crate) fn stopped(why: &'static str) -> Self {
         Self {
             outcome: Outcome::CutShort,
             status: 0,
-            why: "the grace period is over",
+            why,
             ended_by: Some(EndedBy::Shutdown),
             keeps_alive: false,
         }
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -43,8 +43,10 @@
 const READINESS_NOTICE: Duration = Duration::from_millis(2_800);
 /// Interval at which shutdown progress is checked.
 const EXIT_POLL: Duration = Duration::from_millis(50);
-/// Part of the grace period that is left for the process to exit.
+/// Part of the grace period that is left for the last answers and for the process to exit.
 const EXIT_MARGIN: Span = Span::from_millis(400);
+/// Part of that in which requests that are still in progress get their answers.
+const LAST_ANSWERS_TIME: Span = Span::from_millis(200);
 /// A caller's connection is closed when sent bytes stay unacknowledged for this long.
 const CALLER_WIRE: WireOptions = WireOptions {
     user_timeout: Duration::from_secs(5),
@@ -435,8 +437,8 @@
     }
     let requests = shared.requests_in_flight.get();
     shared.stage.send_replace(Stage::Ended);
-    if requests > 0 {
-        // Those that are cut log their ends.
+    let answered_by = shared.now() + LAST_ANSWERS_TIME;
+    while shared.requests_in_flight.get() > 0 && !shared.now().has_reached(answered_by) {
         tokio::time::sleep(EXIT_POLL).await;
     }
     tracing::info!(
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -688,9 +688,7 @@
 
     /// Connects a caller.
     pub fn caller(&self) -> Caller {
-        let stream = TcpStream::connect(self.callers).expect("listening");
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a span");
-        Caller { stream }
+        Caller::connect(self.callers).expect("listening")
     }
 
     /// Returns the status of the readiness check.
@@ -746,6 +744,16 @@
 }
 
 impl Caller {
+    /// Connects to an event loop.
+    ///
+    /// # Errors
+    /// If it does not listen.
+    pub fn connect(callers: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(callers)?;
+        stream.set_read_timeout(Some(TEST_TIMEOUT))?;
+        Ok(Self { stream })
+    }
+
     /// Sends text as it is.
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("open");
--- a/components/traffic/tests/it/shutdown.rs
+++ b/components/traffic/tests/it/shutdown.rs
@@ -1,8 +1,10 @@
 //! Shutdown.
 
-use std::io::Read;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use routes::Retry;
@@ -11,7 +13,7 @@
 
 use crate::harness::*;
 
-fn slow_upstream() -> std::net::SocketAddr {
+fn slow_upstream() -> SocketAddr {
     upstream(|served| {
         while let Some(request) = served.request() {
             std::thread::sleep(Duration::from_millis(500));
@@ -94,6 +96,139 @@
     assert_eq!(requests.load(Ordering::SeqCst), 0);
 }
 
+/// An upstream that takes this long for each request, and counts them.
+fn upstream_taking(span: Duration) -> (SocketAddr, Arc<AtomicUsize>) {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&requests);
+    let address = upstream(move |served| {
+        while let Some(request) = served.request() {
+            count.fetch_add(1, Ordering::SeqCst);
+            std::thread::sleep(span);
+            served.write(&answer(id_of(&request), "world"));
+        }
+    });
+    (address, requests)
+}
+
+fn stop(running: &TestLoop) {
+    let commands = &running.handle.commands;
+    commands.send(Command::Stop).expect("it runs");
+    wait_until("leaving", || running.readiness() == 503);
+}
+
+/// Requests that were still in progress at the end of the grace period got no answer.
+#[test]
+fn a_request_in_progress_at_the_end_of_the_grace_period_gets_an_answer() {
+    for retry in [
+        Retry::Never,
+        Retry::Any,
+        Retry::Stream { resumable: true },
+        Retry::Stream { resumable: false },
+    ] {
+        let (address, requests) = upstream_taking(TEST_TIMEOUT);
+        let running = serving(retry, &[address]);
+        let mut callers = (0..4).map(|_| running.caller()).collect::<Vec<_>>();
+        for (n, caller) in callers.iter_mut().enumerate() {
+            caller.send(&post(&format!("r{n}"), "hello"));
+        }
+        wait_until("sent", || requests.load(Ordering::SeqCst) == 4);
+        stop(&running);
+        for mut caller in callers {
+            let text = caller.read_to_end();
+            assert_eq!(status_of(&text), 502, "{retry:?}: {text}");
+            assert_eq!(field(&text, "Connection"), Some("close"), "{text}");
+        }
+        let stopped = running.handle.stopped.recv_timeout(TEST_TIMEOUT);
+        assert_eq!(stopped, Err(flume::RecvTimeoutError::Disconnected));
+    }
+}
+
+/// Callers of a planned stop at a time.
+const CROWD: usize = 40;
+/// Requests that the upstreams of a planned stop run at a time.
+const SLOTS: usize = 16;
+
+/// An upstream with few slots, which takes this long for each request and notes whose it got.
+fn crowded_upstream(span: Duration) -> (SocketAddr, Arc<Mutex<HashSet<String>>>) {
+    let got = Arc::new(Mutex::new(HashSet::new()));
+    let noted = Arc::clone(&got);
+    let (free, slots) = flume::bounded(SLOTS);
+    (0..SLOTS).for_each(|_| free.send(()).expect("room"));
+    let address = upstream(move |served| {
+        while let Some(request) = served.request() {
+            let id = id_of(&request).to_owned();
+            noted.lock().expect("sound").insert(id.clone());
+            slots.recv().expect("a slot");
+            std::thread::sleep(span);
+            free.send(()).expect("room");
+            served.write(&answer(&id, "world"));
+        }
+    });
+    (address, got)
+}
+
+/// Sends requests on kept connections until no new connection is accepted, and returns those that were written whole and got no answer.
+fn ask_until_closed(callers: SocketAddr, name: usize) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    let mut caller: Option<Caller> = None;
+    for n in 0.. {
+        let id = format!("r{name}-{n}");
+        let request = post(&id, "hello").replace("wait: 9000", "wait: 6500");
+        let mut open = match caller.take() {
+            Some(open) => open,
+            None => match Caller::connect(callers) {
+                Ok(open) => open,
+                Err(_) => return unanswered,
+            },
+        };
+        let (begin, end) = split_in_body(&request);
+        let mut is_written = open.stream.write_all(begin.as_bytes()).is_ok();
+        if name.is_multiple_of(2) {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        is_written = is_written && open.stream.write_all(end.as_bytes()).is_ok();
+        let text = open.answer();
+        match status_of(&text) {
+            0 if is_written => unanswered.push(id),
+            503 => std::thread::sleep(Duration::from_millis(100)),
+            _ if field(&text, "Connection") == Some("close") => {}
+            0 => {}
+            _ => caller = Some(open),
+        }
+    }
+    unanswered
+}
+
+/// Requests that came late in the grace period were sent to upstreams, and cut there without an
+/// answer.
+#[test]
+fn no_request_ends_without_an_answer_in_a_planned_stop() {
+    let spans = [1_200, 2_500, 3_800, 5_000].map(Duration::from_millis);
+    let stops = spans.map(|span| {
+        [Retry::Never, Retry::Any].map(|retry| {
+            std::thread::spawn(move || {
+                let (address, got) = crowded_upstream(span);
+                let running = serving(retry, &[address]);
+                let callers = running.callers;
+                let asking = (0..CROWD)
+                    .map(|n| std::thread::spawn(move || ask_until_closed(callers, n)))
+                    .collect::<Vec<_>>();
+                std::thread::sleep(span.mul_f64(2.2));
+                stop(&running);
+                let mut cut = Vec::new();
+                for asking in asking {
+                    cut.extend(asking.join().expect("done"));
+                }
+                cut.retain(|id| got.lock().expect("sound").contains(id));
+                assert!(cut.is_empty(), "{retry:?} {span:?}: {cut:?}");
+            })
+        })
+    });
+    for stopped in stops.into_iter().flatten() {
+        stopped.join().expect("no request was cut");
+    }
+}
+
 /// Splits a request two bytes before its end.
 fn split_in_body(request: &str) -> (String, String) {
     let (begin, end) = request.split_at(request.len() - 2);
