traffic: a stopping daemon refuses requests that may not end within the grace period

Cause: for 2.8 s after the stop command requests were taken whatever they might need, also when their body had come late, and they were sent again after a refusal at any time.

Change: before each send of a request without output, a stopping daemon compares what is left of the grace period with the request's deadline, and with what its route's requests lately took: all of them where it may not be repeated, nine tenths where it may. One that does not fit is refused as not run with Retry-After.

Evidence, on the code before: a_request_that_cannot_end_within_the_grace_period_is_refused, a_request_whose_body_ends_late_in_the_grace_period_is_refused and a_request_is_not_sent_again_late_in_the_grace_period failed (closed without an answer). Held before: a_request_that_can_end_within_the_grace_period_is_served and a_request_whose_deadline_ends_within_the_grace_period_is_served.

--- a/components/traffic/src/caller.rs
+++ b/components/traffic/src/caller.rs
@@ -162,6 +162,7 @@
 async fn run<T: Translator>(shared: &Rc<Shared<T>>, wire: &Wire, request: Request<T>) -> bool {
     let mut exchange = Exchange::new(shared, wire, &request);
     let mut stages = shared.stage.subscribe();
+    let began_at = shared.now();
     let finish = tokio::select! {
         biased;
         finish = exchange.run() => Some(finish),
@@ -172,6 +173,7 @@
         Some(finish) => finish,
         None => exchange.stop().await,
     };
+    exchange.record_duration(began_at, &finish);
     let report = exchange.report(&finish);
     drop(exchange);
     report.log(shared, &request, &finish);
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -85,6 +85,8 @@
     NoneAvailable(NoUpstream),
     /// Its service is congested: it is refused at once.
     Overloaded(Refusal),
+    /// It would not end before this daemon does.
+    Leaving,
 }
 
 /// A send in progress. It proceeds while its result is awaited.
@@ -222,6 +224,7 @@
                 }
                 Next::NoneAvailable(no) => return self.refuse(no).await,
                 Next::Overloaded(refusal) => return self.refuse_overloaded(refusal).await,
+                Next::Leaving => return self.refuse_leaving().await,
                 // A content quarantined in the meantime takes no retry: the next pass refuses it.
                 Next::Retry | Next::RetryWhenGranted if self.is_quarantined() => Ok(()),
                 // What its caller has of a stream is worth nothing without the rest.
@@ -306,6 +309,9 @@
     }
 
     async fn attempt(&mut self) -> Next {
+        if !self.relay.has_begun() && !self.fits_grace_period() {
+            return Next::Leaving;
+        }
         // A half-open trial counts as sent once it is chosen.
         if !self.is_admitted && !self.is_trial {
             if let Err(refusal) = self.shared.admit(&self.service, self.request) {
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -19,6 +19,7 @@
 mod config;
 mod connect;
 mod crashes;
+mod durations;
 mod ending;
 mod exchange;
 mod held;
--- a/components/traffic/src/server.rs
+++ b/components/traffic/src/server.rs
@@ -37,9 +37,9 @@
 /// Interval at which loads are published to the control thread, which sends them to the other
 /// daemons.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
-/// How long new requests are accepted after the stop command: load balancers keep sending until two
-/// readiness checks in a row, a second apart, were answered with no. A later request might not
-/// finish within the grace period, so it is refused and retried elsewhere.
+/// How long new requests are accepted after the stop command, if they may end within the grace
+/// period: load balancers keep sending until two readiness checks in a row, a second apart, were
+/// answered with no.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_800);
 /// Interval at which shutdown progress is checked.
 const EXIT_POLL: Duration = Duration::from_millis(50);
@@ -214,6 +214,8 @@
         rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
         observed,
         stage: watch::Sender::new(Stage::Serving),
+        ends_at: Cell::new(Time::NEVER),
+        durations: RefCell::default(),
         requests_in_flight: Cell::new(0),
         caller_connections: Cell::new(0),
         held_body_bytes: Cell::new(0),
@@ -387,6 +389,7 @@
             .borrow_mut()
             .retain(now, |index| upstreams.spec(index).is_some());
         shared.attempts.borrow_mut().expire(now);
+        shared.durations.borrow_mut().expire(now);
         shared.tidy_quarantine(now);
     }
 }
@@ -414,6 +417,7 @@
 async fn drain<T>(shared: &Shared<T>, commands: &flume::Receiver<Command>) {
     let stop_at = shared.now();
     let deadline = stop_at + (shared.cfg.grace_period - EXIT_MARGIN);
+    shared.ends_at.set(deadline);
     shared.stage.send_replace(Stage::Leaving);
     tracing::info!(
         requests = shared.requests_in_flight.get(),
--- a/components/traffic/src/shared.rs
+++ b/components/traffic/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::arm::BrokenAnswer;
 use crate::awaited::AwaitedAnswers;
 use crate::config::Config;
+use crate::durations::Durations;
 use crate::exchange::Request;
 use crate::held::HeldAnswers;
 use crate::metrics::Metrics;
@@ -206,6 +207,10 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) observed: Observed,
     pub(crate) stage: watch::Sender<Stage>,
+    /// When the event loop ends; never, as long as it serves.
+    pub(crate) ends_at: Cell<Time>,
+    /// How long callers' requests lately took.
+    pub(crate) durations: RefCell<Durations>,
     /// Callers' requests in flight.
     pub(crate) requests_in_flight: Cell<usize>,
     /// Open connections from callers.
--- a/components/traffic/tests/it/shutdown.rs
+++ b/components/traffic/tests/it/shutdown.rs
@@ -116,6 +116,97 @@
     wait_until("leaving", || running.readiness() == 503);
 }
 
+fn assert_is_refused(text: &str) {
+    assert_eq!(status_of(text), 503, "{text}");
+    assert!(field(text, "Retry-After").is_some(), "{text}");
+}
+
+/// A request that could not end within the grace period was sent to an upstream, and cut there.
+#[test]
+fn a_request_that_cannot_end_within_the_grace_period_is_refused() {
+    for retry in [Retry::Never, Retry::Any] {
+        let (address, requests) = upstream_taking(Duration::from_secs(6));
+        let running = serving(retry, &[address]);
+        let text = running.caller().ask("r1");
+        assert!(text.ends_with("world"), "{text}");
+        stop(&running);
+        std::thread::sleep(Duration::from_millis(2_200));
+        assert_is_refused(&running.caller().ask("r2"));
+        assert_eq!(requests.load(Ordering::SeqCst), 1);
+    }
+}
+
+/// A request whose body ended late in the grace period was sent to an upstream, and cut there.
+#[test]
+fn a_request_whose_body_ends_late_in_the_grace_period_is_refused() {
+    let (address, requests) = upstream_taking(Duration::from_secs(6));
+    let running = serving(Retry::Never, &[address]);
+    let text = running.caller().ask("r1");
+    assert!(text.ends_with("world"), "{text}");
+    stop(&running);
+    let mut caller = running.caller();
+    let (begin, end) = split_in_body(&post("r2", "hello"));
+    caller.send(&begin);
+    std::thread::sleep(Duration::from_millis(2_200));
+    caller.send(&end);
+    assert_is_refused(&caller.answer());
+    assert_eq!(requests.load(Ordering::SeqCst), 1);
+}
+
+/// A request that an upstream had refused late in the grace period was sent to another one, and cut
+/// there.
+#[test]
+fn a_request_is_not_sent_again_late_in_the_grace_period() {
+    let refusing = upstream(|served| {
+        while let Some(request) = served.request() {
+            std::thread::sleep(Duration::from_secs(4));
+            let id = id_of(&request);
+            served.write(&format!(
+                "HTTP/1.1 503 No\r\nid: {id}\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+    });
+    let running = serving(Retry::Never, &[refusing]);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello"));
+    wait_until("sent", || {
+        running.metric("buckthorncross_attempts_total") == 1
+    });
+    stop(&running);
+    let (address, requests) = upstream_taking(Duration::from_secs(6));
+    running.send_plan(Retry::Never, &[refusing, address], Vec::new());
+    assert_is_refused(&caller.answer());
+    assert_eq!(requests.load(Ordering::SeqCst), 0);
+}
+
+/// Requests that fit into what is left of the grace period are served while load balancers still
+/// send them.
+#[test]
+fn a_request_that_can_end_within_the_grace_period_is_served() {
+    for retry in [Retry::Never, Retry::Any] {
+        let (address, _) = upstream_taking(Duration::from_millis(600));
+        let running = serving(retry, &[address]);
+        assert_eq!(status_of(&running.caller().ask("r1")), 200);
+        stop(&running);
+        for n in 0..3 {
+            let text = running.caller().ask(&format!("late-{n}"));
+            assert!(text.ends_with("world"), "{text}");
+        }
+    }
+}
+
+/// A caller whose own deadline ends before the grace period does gets its answer in any case.
+#[test]
+fn a_request_whose_deadline_ends_within_the_grace_period_is_served() {
+    let (address, _) = upstream_taking(Duration::from_secs(4));
+    let running = serving(Retry::Never, &[address]);
+    stop(&running);
+    let mut caller = running.caller();
+    caller.send(&post("r1", "hello").replace("wait: 9000", "wait: 5000"));
+    let text = caller.answer();
+    assert!(text.ends_with("world"), "{text}");
+}
+
 /// Requests that were still in progress at the end of the grace period got no answer.
 #[test]
 fn a_request_in_progress_at_the_end_of_the_grace_period_gets_an_answer() {
