externals: one odd entry does not hide the list of hosts

What callers saw: nothing was reported.

Cause: the list was decoded as a whole.

Change: entries are decoded one by one, and those that can't be read are left out.

Evidence, on the code before: can_read_hosts_among_odd_entries failed at the first of 12 entries ("invalid socket address syntax"). Held before: errors_on_an_invalid_status (000 to 999 are failures of all three services) and errors_on_bytes_without_end.

Measured after: the three tests pass.

--- a/components/externals/src/hosts.rs
+++ b/components/externals/src/hosts.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use types::prelude::*;
 
 use crate::call::{PlatformError, get};
@@ -30,7 +31,8 @@
 
 #[derive(Deserialize)]
 struct HostsBody {
-    hosts: Vec<Host>,
+    /// Entries as they are: one that cannot be read does not hide the others.
+    hosts: Vec<Box<RawValue>>,
 }
 
 /// A client of the list of hosts.
@@ -46,11 +48,20 @@
         Self { address }
     }
 
-    /// Reads all hosts on the list.
+    /// Reads all hosts on the list. Entries that cannot be read are left out.
     ///
     /// # Errors
     /// If the list refuses or fails.
     pub fn read(&self) -> Result<Vec<Host>, PlatformError> {
-        Ok(get::<HostsBody>(self.address, "/hosts", TIMEOUT)?.hosts)
+        let body = get::<HostsBody>(self.address, "/hosts", TIMEOUT)?;
+        let entries = body.hosts.iter();
+        let hosts = entries.filter_map(|entry| match serde_json::from_str(entry.get()) {
+            Ok(host) => Some(host),
+            Err(e) => {
+                tracing::debug!("hosts: an entry cannot be read and is left out: {e}");
+                None
+            }
+        });
+        Ok(hosts.collect())
     }
 }
