externals: the timeout of a call bounds the whole answer

What callers saw: nothing was reported. A list of hosts that comes bit by bit without end held the only thread that reads it, and the daemon stopped following the list; the rater and the weight store held a thread of the pool each.

Cause: the timeout was that of single reads.

Change: it is that of the whole call too.

Evidence, on the code before: errors_on_an_answer_that_never_ends had no result after 60 s, twelve times the timeout.

Measured after: it passes with the other 8 tests, in 13 s.

--- a/components/externals/src/call.rs
+++ b/components/externals/src/call.rs
@@ -52,6 +52,7 @@
     builder
         .connect_timeout(CONNECT_TIMEOUT.to_duration())
         .read_timeout(timeout.to_duration())
+        .timeout((CONNECT_TIMEOUT + timeout).to_duration())
         .proxy_settings(ProxySettings::builder().build())
         .follow_redirects(false)
 }
--- a/components/externals/tests/broken.rs
+++ b/components/externals/tests/broken.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use externals::{HostList, PlatformError, Rater, Sample, WeightStore};
 
@@ -141,3 +142,22 @@
         assert!(taken < 3 * MAX_READ, "{what}: {taken} bytes");
     }
 }
+
+/// A service that sends an answer bit by bit would hold the thread that reads it for days.
+#[test]
+fn errors_on_an_answer_that_never_ends() {
+    let address = server(|stream| {
+        let mut is_open = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").is_ok();
+        while is_open {
+            std::thread::sleep(Duration::from_millis(20));
+            is_open = stream.write_all(b" ").is_ok();
+        }
+    });
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || tx.send(HostList::new(address).read()));
+    let read = rx.recv_timeout(Duration::from_secs(60));
+    assert!(
+        matches!(read, Ok(Err(PlatformError::Failed(_)))),
+        "{read:?}"
+    );
+}
