tool: answers are read within a bound

What callers saw: nothing was reported. The operators' tool read whatever came as an answer, or as the body of an error, into memory.

Cause: json() and text() of the library have no bound.

Change: all answers are read by one function, of at most 64 MiB.

Evidence, on the code before: errors_on_bytes_without_end took 536,870,912 bytes, where its server stops (128 MiB allowed). errors_on_an_invalid_status held.

Measured after: both pass, with the tests of tool.rs.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the operators' API.
 
+use std::io::Read;
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Must exceed the time that the daemon waits for an edit's outcome.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest body of an answer, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
 const MAX_OUTCOME_POLLS: u32 = 10;
 const OUTCOME_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -68,17 +71,13 @@
     /// Sends a GET request and parses the JSON body of the reply.
     pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
         let response = self.fetch(path)?;
-        Ok(response
-            .json()
-            .wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
+        Ok(read_json(response).wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
     }
 
     /// Sends a GET request and returns the body of the reply as text.
     pub(crate) fn get_text(&self, path: &str) -> Result<String, Failure> {
         let response = self.fetch(path)?;
-        Ok(response
-            .text()
-            .wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
+        Ok(read_text(response).wrap_err_with(|| format!("{path}: the answer cannot be read"))?)
     }
 
     fn fetch(&self, path: &str) -> Result<Response, Failure> {
@@ -169,9 +168,29 @@
 }
 
 fn read_edit(response: Response) -> Result<EditReply, Failure> {
-    Ok(response
-        .json()
-        .wrap_err("the answer to the edit cannot be read")?)
+    Ok(read_json(response).wrap_err("the answer to the edit cannot be read")?)
+}
+
+fn read_json<T: DeserializeOwned>(response: Response) -> eyre::Result<T> {
+    Ok(serde_json::from_slice(&read_body(response)?)?)
+}
+
+fn read_text(response: Response) -> eyre::Result<String> {
+    Ok(String::from_utf8_lossy(&read_body(response)?).into_owned())
+}
+
+/// Reads a body of at most [`MAX_BODY_BYTES`].
+fn read_body(response: Response) -> eyre::Result<Vec<u8>> {
+    let (_, _, reader) = response.split();
+    let mut body = Vec::new();
+    reader
+        .take(MAX_BODY_BYTES as u64 + 1)
+        .read_to_end(&mut body)?;
+    eyre::ensure!(
+        body.len() <= MAX_BODY_BYTES,
+        "it has more than {MAX_BODY_BYTES} bytes"
+    );
+    Ok(body)
 }
 
 fn check_status(response: Response) -> Result<Response, Failure> {
@@ -179,7 +198,7 @@
     if status.is_success() {
         return Ok(response);
     }
-    let text = response.text().unwrap_or_default();
+    let text = read_text(response).unwrap_or_default();
     match serde_json::from_str::<ErrorReply>(&text) {
         Ok(reply) => Err(Failure::Refused(Box::new(reply.error))),
         Err(_) => Err(eyre::eyre!(
--- /dev/null
+++ b/tests/broken.rs
@@ -0,0 +1,79 @@
+//! The tool before a server whose answers are broken or have no end.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Most bytes that the tool may read of an answer without end.
+const MAX_READ: usize = 128 << 20;
+/// Bytes after which such an answer ends all the same.
+const ENOUGH: usize = 512 << 20;
+/// One command for each way in which the tool reads an answer.
+const COMMANDS: [&[&str]; 3] = [
+    &["status"],
+    &["catalogue", "get", "customers/acme"],
+    &["bills"],
+];
+
+/// Starts a server that follows a script on each connection, by the request that it has read.
+fn server(script: impl Fn(&mut TcpStream, &str) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buf = [0; 4096];
+            if let Ok(read @ 1..) = stream.read(&mut buf) {
+                script(&mut stream, &String::from_utf8_lossy(&buf[..read]));
+            }
+        }
+    });
+    address
+}
+
+fn run(server: SocketAddr, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthorncross"));
+    command.args(["--server", &server.to_string(), "--token", "secret-token"]);
+    command.args(words).output().unwrap()
+}
+
+#[test]
+fn errors_on_an_invalid_status() {
+    for status in ["000", "099", "600", "999", "20", "2000"] {
+        let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}");
+        let address = server(move |stream, _| {
+            let _ = stream.write_all(answer.as_bytes());
+        });
+        for words in COMMANDS {
+            let output = run(address, words);
+            assert!(!output.status.success(), "{status} {words:?}: {output:?}");
+            assert!(output.stdout.is_empty(), "{status} {words:?}: {output:?}");
+        }
+    }
+}
+
+/// Answers without end would fill the operator's memory.
+#[test]
+fn errors_on_bytes_without_end() {
+    for status in [200, 500] {
+        for words in COMMANDS {
+            let taken = Arc::new(AtomicUsize::new(0));
+            let count = Arc::clone(&taken);
+            let address = server(move |stream, _| {
+                let head = format!("HTTP/1.1 {status} X\r\n\r\n");
+                let block = " ".repeat(64 << 10);
+                let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+                while is_open && count.load(Ordering::SeqCst) < ENOUGH {
+                    is_open = stream.write_all(block.as_bytes()).is_ok();
+                    count.fetch_add(block.len(), Ordering::SeqCst);
+                }
+            });
+            let output = run(address, words);
+            assert!(!output.status.success(), "{status} {words:?}");
+            assert!(output.stdout.is_empty(), "{status} {words:?}");
+            let taken = taken.load(Ordering::SeqCst);
+            assert!(taken < MAX_READ, "{status} {words:?}: {taken} bytes");
+        }
+    }
+}
