tool: a broken answer to an edit leaves its outcome unknown

What callers saw: nothing was reported. An operator whose edit got an answer that is no daemon's (a status above 599, an interim one, a body cut short or no JSON, a 500 of something between) was told that it had failed and nothing was changed; it may have been applied.

Cause: the outcome was asked for where the connection broke or the daemon called it unknown, not where the answer could not be read.

Change: it is asked for then too, by the edit's id; an answer of 300 to 499 in another form stays a failure.

Evidence, on the code before: a_broken_answer_to_an_edit_is_an_unknown_outcome failed at "600" (exit code 1); an answer of 000 held.

Measured after: the 3 tests of broken.rs and the 6 of tool.rs pass.

--- a/src/client.rs
+++ b/src/client.rs
@@ -109,12 +109,10 @@
             .json(&call.body)
             .wrap_err("the entry cannot be written as JSON")?;
         let reason = match req.send() {
-            Ok(response) => match check_status(response) {
-                Ok(response) => return read_edit(response),
-                Err(Failure::Refused(body)) if body.code == ErrorCode::OutcomeUnknown => {
-                    body.message
-                }
-                Err(failure) => return Err(failure),
+            Ok(response) => match read_edit(response) {
+                Ok(reply) => return Ok(reply),
+                Err(NoReply::Unknown(reason)) => reason,
+                Err(NoReply::Failed(failure)) => return Err(failure),
             },
             Err(e) if was_never_sent(&e) => return Err(self.unreachable(&e)),
             Err(e) => e.to_string(),
@@ -167,8 +165,27 @@
     }
 }
 
-fn read_edit(response: Response) -> Result<EditReply, Failure> {
-    Ok(read_json(response).wrap_err("the answer to the edit cannot be read")?)
+/// Why there is no reply to an edit.
+enum NoReply {
+    /// It has failed.
+    Failed(Failure),
+    /// It may have been applied, for this reason.
+    Unknown(String),
+}
+
+fn read_edit(response: Response) -> Result<EditReply, NoReply> {
+    let status = response.status();
+    let is_of_another_server = status.is_redirection() || status.is_client_error();
+    let read = check_status(response).and_then(|response| {
+        Ok(read_json(response).wrap_err("the answer to the edit cannot be read")?)
+    });
+    read.map_err(|failure| match failure {
+        Failure::Refused(body) if body.code == ErrorCode::OutcomeUnknown => {
+            NoReply::Unknown(body.message)
+        }
+        Failure::Other(e) if !is_of_another_server => NoReply::Unknown(format!("{e:#}")),
+        failure => NoReply::Failed(failure),
+    })
 }
 
 fn read_json<T: DeserializeOwned>(response: Response) -> eyre::Result<T> {
--- a/tests/broken.rs
+++ b/tests/broken.rs
@@ -77,3 +77,39 @@
         }
     }
 }
+
+/// An edit that a broken answer left open was reported as failed, though it was applied.
+#[test]
+fn a_broken_answer_to_an_edit_is_an_unknown_outcome() {
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("broken.yaml");
+    let text = "# revision customers/acme 7\nentries:\n  customers/acme:\n    kind: customer\n    \
+                owner: licensing\n    key_sha256: []\n";
+    std::fs::write(&file, text).unwrap();
+    let broken = [
+        "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"edit_id\"",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\noops",
+        "no answer at all\r\n\r\n",
+    ];
+    for broken in broken {
+        let address = server(move |stream, request| {
+            let path = request.split(' ').nth(1).unwrap_or_default();
+            let answer = match path.rsplit_once("/edits/") {
+                Some((_, id)) => {
+                    let body = format!(r#"{{"edit_id":"{id}","state":"applied","revision":8}}"#);
+                    format!(
+                        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    )
+                }
+                None => broken.to_owned(),
+            };
+            let _ = stream.write_all(answer.as_bytes());
+        });
+        let output = run(address, &["catalogue", "put", &file.display().to_string()]);
+        assert!(output.status.success(), "{broken:?}: {output:?}");
+    }
+}
