--- a/components/traffic/src/durations.rs
+++ b/components/traffic/src/durations.rs
@@ -46,11 +46,16 @@
         let recent = self.by_route.get_mut(route)?;
         recent.renew(now);
         let mut all = recent.former.clone();
-        // Both have the same bounds.
+        // Fails only for histograms of different bounds.
         all.add(&recent.current).ok()?;
         (!all.is_empty()).then(|| Span::from_millis(all.value_at_quantile(share)))
     }
 
+    /// Number of routes with recent requests.
+    pub(crate) fn len(&self) -> usize {
+        self.by_route.len()
+    }
+
     /// Drops routes without recent requests.
     pub(crate) fn expire(&mut self, now: Time) {
         let is_recent = |recent: &Recent| now.since(recent.began_at) < WINDOW.times(2);
@@ -68,7 +73,7 @@
 
 impl Recent {
     fn new(now: Time) -> Option<Self> {
-        // Fails only for bounds that make no sense.
+        // Fails only for bounds that are out of order.
         let empty = Histogram::new_with_max(MAX_MS, DIGITS).ok()?;
         Some(Self {
             current: empty.clone(),
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -50,6 +50,8 @@
     /// Tunnels open for peers.
     served_tunnels: usize,
     sessions: usize,
+    /// Routes whose requests' durations are known.
+    timed_routes: usize,
     /// Use of the retry budgets, by service.
     retry_budgets: BTreeMap<String, String>,
     /// Rate limits that upstreams advertise, by upstream.
@@ -175,6 +177,7 @@
         lost_paths: shared.paths.borrow().lost(),
         served_tunnels: shared.served_tunnels.get(),
         sessions: shared.pins.borrow().len(),
+        timed_routes: shared.durations.borrow().len(),
         retry_budgets: shared.describe_budgets(),
         rate_limits: shared.upstreams.borrow().limited().collect(),
         barred_contents: quarantined.len(),
--- a/components/traffic/tests/it/shutdown.rs
+++ b/components/traffic/tests/it/shutdown.rs
@@ -187,6 +187,7 @@
         let (address, _) = upstream_taking(Duration::from_millis(600));
         let running = serving(retry, &[address]);
         assert_eq!(status_of(&running.caller().ask("r1")), 200);
+        assert_eq!(running.state_number("timed_routes"), 1);
         stop(&running);
         for n in 0..3 {
             let text = running.caller().ask(&format!("late-{n}"));
