--- a/components/engine/tests/it/early.rs
+++ b/components/engine/tests/it/early.rs
@@ -13,8 +13,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     Reset,
-    EndThenReset,
-    EndThenRead,
+    CloseThenReset,
+    CloseThenRead,
 }
 
 /// A server that answers without a length before it has read a long request.
@@ -27,7 +27,7 @@
         }
         std::thread::sleep(Duration::from_millis(200));
         // Closing with unread bytes resets the connection.
-        if end == End::EndThenRead {
+        if end == End::CloseThenRead {
             let mut rest = [0; 4096];
             while matches!(connection.read(&mut rest), Ok(n) if n > 0) {}
         }
@@ -38,10 +38,10 @@
 #[test]
 fn errors_on_an_early_answer_that_is_cut_off() {
     let body = Bytes::from(vec![b'x'; 1 << 20]);
-    for end in [End::Reset, End::EndThenReset] {
+    for end in [End::Reset, End::CloseThenReset] {
         let answer = plain(early(end), body.clone());
         assert!(answer.is_err(), "{end:?}: {answer:?}");
     }
-    let answer = plain(early(End::EndThenRead), body);
+    let answer = plain(early(End::CloseThenRead), body);
     assert_eq!(&*answer.unwrap().body, b"half");
 }
--- a/components/traffic/tests/it/early_answers.rs
+++ b/components/traffic/tests/it/early_answers.rs
@@ -23,14 +23,14 @@
     /// It is reset.
     Reset,
     /// The upstream ends its data, and resets the connection a moment later.
-    EndThenReset,
+    CloseThenReset,
     /// The upstream ends its data, and neither reads on nor closes the connection.
-    EndThenSilence,
+    CloseThenSilence,
     /// The upstream ends its data, and reads the rest of the request.
-    EndThenRead,
+    CloseThenRead,
 }
 
-const BROKEN_ENDS: [End; 3] = [End::Reset, End::EndThenReset, End::EndThenSilence];
+const BROKEN_ENDS: [End; 3] = [End::Reset, End::CloseThenReset, End::CloseThenSilence];
 
 /// An upstream that answers with a text as soon as it has the request's head.
 fn early(end: End, text: &str) -> SocketAddr {
@@ -48,16 +48,16 @@
                 std::thread::sleep(Duration::from_millis(100));
                 served.reset();
             }
-            End::EndThenReset => {
+            End::CloseThenReset => {
                 served.end_data();
                 std::thread::sleep(Duration::from_millis(250));
                 served.reset();
             }
-            End::EndThenSilence => {
+            End::CloseThenSilence => {
                 served.end_data();
                 std::thread::sleep(TEST_TIMEOUT);
             }
-            End::EndThenRead => {
+            End::CloseThenRead => {
                 served.end_data();
                 std::thread::sleep(Duration::from_millis(50));
                 served.wait_closed();
@@ -156,14 +156,14 @@
 /// An upstream may answer before it has read the request, as long as it reads on.
 #[test]
 fn an_early_answer_is_complete_once_the_request_was_read() {
-    let running = serving_long_bodies(Retry::Never, &[early(End::EndThenRead, "whole")]);
+    let running = serving_long_bodies(Retry::Never, &[early(End::CloseThenRead, "whole")]);
     let text = upload(&running, "r1");
     assert!(text.ends_with("whole"), "{text}");
-    let running = serving_long_bodies(NOT_RESUMABLE, &[early(End::EndThenRead, &open_event(1))]);
+    let running = serving_long_bodies(NOT_RESUMABLE, &[early(End::CloseThenRead, &open_event(1))]);
     let text = upload(&running, "r1");
     assert!(text.ends_with(END), "{text}");
     let (_kept, refusing) = refusing_address();
-    let whole = early(End::EndThenRead, "whole");
+    let whole = early(End::CloseThenRead, "whole");
     let (running, _peer) = cut_off(Retry::Never, refusing, whole);
     allow_long_bodies(&running, Retry::Never, &[refusing]);
     let text = upload(&running, "r1");
--- a/components/traffic/tests/it/endless.rs
+++ b/components/traffic/tests/it/endless.rs
@@ -38,12 +38,11 @@
     }
 }
 
+/// Encodes the begin of an answer to the request with this id.
+type Begin = fn(&str) -> String;
+
 /// An upstream that answers `begin` and then a piece without end.
-fn endless_upstream(
-    begin: fn(&str) -> String,
-    piece: &'static str,
-    burst: usize,
-) -> std::net::SocketAddr {
+fn endless_upstream(begin: Begin, piece: &'static str, burst: usize) -> std::net::SocketAddr {
     upstream(move |served| {
         while let Some(request) = served.request() {
             if is_endless(&request) {
@@ -145,7 +144,7 @@
 /// Chunk extensions and trailers that never end would hold their callers, or the host's memory.
 #[test]
 fn lines_of_chunks_without_end_are_given_up() {
-    let begins: [(fn(&str) -> String, &str); 3] = [
+    let begins: [(Begin, &str); 3] = [
         (|id| stream_head(id, 99) + "1;", "x"),
         (|id| stream_head(id, 99), "0"),
         (|id| stream_head(id, 99) + "0\r\n", "name: value\r\n"),
