http1: a peer that has closed its side may pause for two seconds before it takes more

A program that answers early and reads on may be held up for a second or so, as a sound upstream may be silent for as long; its answer would have been lost.

--- a/components/http1/src/wire.rs
+++ b/components/http1/src/wire.rs
@@ -28,7 +28,7 @@
 /// Interval at which it is checked whether sent bytes were acknowledged.
 const ACK_POLL: Duration = Duration::from_millis(10);
 /// Time within which a peer that has closed its side must take more of what was sent.
-const ACK_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+const ACK_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Timeouts after which a connection to a silent peer is closed.
 #[derive(Debug, Clone, Copy)]
