--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
-"""A daemon is killed and started again while two replicas of the store serve its first reads, of
-which one is two seconds behind, just after a change of the configuration."""
+"""All daemons are killed at one moment and started again just after a change of the configuration,
+while a replica of the store that is two seconds behind serves a part of their first reads."""
 
 import asyncio
 import copy
@@ -21,18 +21,18 @@
 # "With serializable-read = 1, a read [...] may be seconds old."
 BEHIND_S = 2.5
 SETTLED_S = 8.0
+DOWN_S = 0.5
 WATCHED_S = 15.0
 
 
 class TwoReplicas(Store):
-    """The store; reads that may be old are served by a replica that is behind and one that isn't, in
-    turn. `at` is the store's revision in all answers."""
+    """The store. Of the reads that may be old, those of a listing's first page are served by a replica
+    that is behind, all others by one that isn't. `at` is the store's revision in all answers."""
 
     def __init__(self, record):
         super().__init__()
         self.record = record
         self.history = []
-        self.old_reads = 0
 
     async def put(self, key, value, lease=0):
         revision = await super().put(key, value, lease)
@@ -48,8 +48,7 @@
         prefix, after = query.get("prefix", ""), query.get("after", "")
         items, replica = self.items, "current"
         if query.get("serializable-read") == "1":
-            self.old_reads += 1
-            if self.old_reads % 2 == 1:
+            if prefix == "" and not after:
                 items = self.items_as_of(time.monotonic() - BEHIND_S)
                 replica = f"{BEHIND_S} s behind"
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
@@ -92,8 +91,6 @@
         await fleet.start()
         await asyncio.sleep(SETTLED_S)
 
-        # The last daemon isn't one of the three seeds.
-        victim = fleet.daemons[-1]
         added = route("added", "/added/", "idempotent", "new-app", **{"max-attempts": 2})
         revision = await store.put("op/config", configuration(9, "new-app", [added]))
         acked = time.monotonic()
@@ -103,14 +100,12 @@
         await late.start()
         record.line("a worker of new-app is added")
         if TROUBLE:
-            await victim.kill()
-            record.say(f"daemon {victim.number} is killed")
-            # The turn of the replicas is set so that the one that is behind serves the first page of the
-            # listing. Otherwise it would be so in half of the runs.
-            store.old_reads = 1
-            await asyncio.sleep(0.3)
-            await victim.start()
-            record.line(f"daemon {victim.number} is started again")
+            await asyncio.gather(*[daemon.kill() for daemon in fleet.daemons])
+            record.say("all daemons are killed")
+            await asyncio.sleep(DOWN_S)
+            for daemon in fleet.daemons:
+                await daemon.start()
+            record.line("all daemons are started again")
         started = time.monotonic()
         await fleet.wait_ready()
 
@@ -136,9 +131,10 @@
                     else:
                         served += 1
             await asyncio.sleep(0.2)
-        state = await victim.state()
-        record.say(f"daemon {victim.number} at the end: version {state['table_version']}, "
-                   f"last known to be current {state['proven_ms']} ms ago")
+        for daemon in fleet.daemons:
+            state = await daemon.state()
+            record.say(f"daemon {daemon.number} at the end: version {state['table_version']}, "
+                       f"last known to be current {state['proven_ms']} ms ago")
     finally:
         await fleet.stop()
     record.say(f"CONFIG: {len(stale)} requests run by the service that version 9 took them from, by daemons "
--- a/review/kit2/standins.py
+++ b/review/kit2/standins.py
@@ -83,7 +83,7 @@
         self.compacted_to = 0
         self.leases = {}
         self.next_lease = 7000
-        self.changed = asyncio.Condition()
+        self.signal = asyncio.get_running_loop().create_future()
         self.calls = []
         self.address = None
 
@@ -95,27 +95,27 @@
 
     async def put(self, key, value, lease=0):
         """Writes an item, or deletes it if the value is None; returns the revision."""
-        async with self.changed:
-            self.revision += 1
-            if value is None:
-                self.items.pop(key, None)
-                event = {"key": key, "revision": self.revision, "compacted": True}
-            else:
-                if not isinstance(value, bytes):
-                    value = json.dumps(value).encode()
-                created = self.items.get(key, {}).get("creation-revision", self.revision)
-                event = {
-                    "key": key,
-                    "value": base64.b64encode(value).decode(),
-                    "revision": self.revision,
-                    "creation-revision": created,
-                    "lease-id": lease,
-                }
-                self.items[key] = event
-            self.log.append(event)
-            del self.log[:-HISTORY_ENTRIES]
-            self.changed.notify_all()
-            return self.revision
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+            event = {"key": key, "revision": self.revision, "compacted": True}
+        else:
+            if not isinstance(value, bytes):
+                value = json.dumps(value).encode()
+            created = self.items.get(key, {}).get("creation-revision", self.revision)
+            event = {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "revision": self.revision,
+                "creation-revision": created,
+                "lease-id": lease,
+            }
+            self.items[key] = event
+        self.log.append(event)
+        del self.log[:-HISTORY_ENTRIES]
+        self.signal.set_result(None)
+        self.signal = asyncio.get_running_loop().create_future()
+        return self.revision
 
     async def expire(self):
         while True:
@@ -202,11 +202,11 @@
             left = until - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            signal = self.signal
+            try:
+                await asyncio.wait_for(asyncio.shield(signal), left)
+            except asyncio.TimeoutError:
+                pass
 
     async def txn(self, txn):
         for row in txn.get("precondition", []):
