--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -13,6 +14,8 @@
 from pathlib import Path
 from urllib.request import urlopen
 
+PORTS = (18000, 31000)
+
 ROOT = Path(os.environ.get("REPO") or Path(__file__).resolve().parents[2])
 
 BOUNDS = {
@@ -50,12 +53,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Finds free ports below those that the system hands out to connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -70,14 +78,17 @@
 
     def __init__(self, fleet, number, memory_mb):
         self.fleet, self.number, self.memory_mb = fleet, number, memory_mb
+        self.process = None
+        self.settings = fleet.folder / f"local-{number}.yaml"
+        self.log = fleet.folder / f"daemon-{number}.log"
+        self.choose_ports()
+
+    def choose_ports(self):
         ports = free_ports(4)
         self.callers = f"127.0.0.1:{ports[0]}"
         self.ready = f"127.0.0.1:{ports[1]}"
         self.peers = f"127.0.0.1:{ports[2]}"
         self.tunnel_port = ports[3]
-        self.process = None
-        self.settings = fleet.folder / f"local-{number}.yaml"
-        self.log = fleet.folder / f"daemon-{number}.log"
 
     def write_settings(self):
         text = {
@@ -172,17 +183,29 @@
         for number in range(1, count + 1):
             self.daemons.append(Daemon(self, number, memory_mb))
 
-    async def start(self, within=15.0):
-        for daemon in self.daemons:
-            await daemon.start()
-        await self.wait_ready(within)
+    async def start(self):
+        """Starts the daemons. A port that was free may have been taken; then others are tried."""
+        for tries_left in (2, 1, 0):
+            for daemon in self.daemons:
+                await daemon.start()
+            try:
+                return await self.wait_ready(8.0)
+            except TimeoutError as e:
+                print(e, flush=True)
+                if tries_left == 0:
+                    raise
+            for daemon in self.daemons:
+                if daemon.process.returncode is None:
+                    await daemon.kill()
+                daemon.choose_ports()
 
     async def wait_ready(self, within=15.0):
         until = time.monotonic() + within
         for daemon in self.daemons:
             while not await daemon.is_ready():
                 if time.monotonic() > until:
-                    raise TimeoutError(f"daemon {daemon.number} isn't ready")
+                    last = daemon.log.read_text().splitlines()[-3:]
+                    raise TimeoutError(f"daemon {daemon.number} isn't ready: {last}")
                 await asyncio.sleep(0.05)
 
     async def stop(self):
