traffic: a refusal that the upstream didn't confirm is not relayed

Cause: upstreams state "not run" by a field of its own, but an answer without it was relayed with its status, and there 408, 421, 429 and 503 are promises. 429 and 408 even counted as good answers. 421 counted as not run whoever sent it.

Change: such an answer is a failure that may have run. It is retried where that is allowed, held against its upstream, and replaced by a 502 without signature, with the upstream's Retry-After where a retry is allowed. 421 counts as not run if another instance answered or if it states it.

--- a/components/node/src/traffic/plain.rs
+++ b/components/node/src/traffic/plain.rs
@@ -4,7 +4,7 @@
 use callers::{Head, Method, Request, Responder, StatusCode};
 use engine::{PlainAnswer, PlainRequest};
 use limits::AdmissionRequest;
-use requests::attempt::{AttemptEnd, Usage};
+use requests::attempt::{AttemptEnd, Usage, promises_not_run};
 use requests::claim::RecordedAnswer;
 use requests::life::{Answered, Arrived, Next, Refused, RequestSpec, Waiting};
 use requests::refusal::Code;
@@ -240,6 +240,10 @@
         Ok(answer) if answer.status >= 502 && job.idempotent => {
             (AttemptEnd::UpstreamError(answer.status), None)
         }
+        // A caller would take it for a promise that its request was not processed.
+        Ok(answer) if promises_not_run(answer.status) && !job.idempotent => {
+            (AttemptEnd::UpstreamError(answer.status), None)
+        }
         Ok(answer) => (
             AttemptEnd::Complete {
                 usage: Usage::default(),
--- a/components/node/tests/it/claims.rs
+++ b/components/node/tests/it/claims.rs
@@ -103,6 +103,28 @@
     assert_eq!(effects(&harness, "b1"), 1);
 }
 
+// A caller that gets one of these statuses sends its booking again, under another id.
+#[test]
+fn a_booking_that_ran_is_not_answered_as_not_run() {
+    let harness = start(1);
+    for status in [408, 421, 429, 503] {
+        for desk in harness.platform.plain.values() {
+            desk.fail_next(PlainFault::FailWith(status));
+        }
+        let id = format!("b{status}");
+        let seen = book(&harness, 0, &id);
+        assert_eq!(
+            (seen.status, seen.run.as_deref()),
+            (504, Some("unknown")),
+            "{status}"
+        );
+        assert_eq!(effects(&harness, &id), 1, "{status}");
+        for desk in harness.platform.plain.values() {
+            desk.set_faults(|faults| faults.next.clear());
+        }
+    }
+}
+
 // A refusal from before the work started is safe to retry at another upstream, which books once.
 #[test]
 fn can_book_elsewhere_after_a_refusal_before_the_work() {
--- a/components/requests/src/attempt.rs
+++ b/components/requests/src/attempt.rs
@@ -76,6 +76,12 @@
     }
 }
 
+/// Whether callers take this status for a promise that their request was not processed.
+#[must_use]
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 425 | 429 | 503)
+}
+
 /// Combines the run states of two attempts: yes outweighs unknown, unknown outweighs no.
 #[must_use]
 pub fn combine_run_states(a: RunState, b: RunState) -> RunState {
--- a/components/requests/src/step.rs
+++ b/components/requests/src/step.rs
@@ -6,7 +6,7 @@
 
 use types::prelude::*;
 
-use crate::attempt::{AttemptEnd, Usage, combine_run_states};
+use crate::attempt::{AttemptEnd, Usage, combine_run_states, promises_not_run};
 use crate::budget::RetryBudget;
 use crate::life::RequestSpec;
 use crate::refusal::{Code, NotRunProof, Refusal};
@@ -149,7 +149,7 @@
 
 /// Whether another upstream would answer with the same error.
 fn is_permanent(status: u16) -> bool {
-    (400..500).contains(&status) && !matches!(status, 408 | 425 | 429)
+    (400..500).contains(&status) && !promises_not_run(status)
 }
 
 fn after_complete_answer(
--- a/components/standins/src/plain.rs
+++ b/components/standins/src/plain.rs
@@ -59,6 +59,8 @@
     Refuse(bool),
     /// Replies 500 after the effect.
     Fail,
+    /// Replies with this status after the effect.
+    FailWith(u16),
 }
 
 /// A running stand-in plain service.
@@ -188,6 +190,7 @@
         match fault {
             PlainFault::ResetAfter => None,
             PlainFault::Fail => Some(Reply::json(500, &body)),
+            PlainFault::FailWith(status) => Some(Reply::json(status, &body)),
             _ => Some(Reply::json(200, &body).with("x-request-id", id)),
         }
     }
--- a/components/traffic/src/answer.rs
+++ b/components/traffic/src/answer.rs
@@ -51,7 +51,10 @@
         retry_after: Span,
     },
     /// The request was sent, and it is unknown whether it was processed.
-    OutcomeUnknown,
+    OutcomeUnknown {
+        /// When a retry is worthwhile, where the request allows one and an upstream named a time.
+        retry_after: Option<Span>,
+    },
     /// The deadline passed.
     Timeout,
 }
@@ -72,7 +75,7 @@
             Self::HeadTooSlow | Self::BodyTooSlow => 408,
             Self::BodyTooLarge => 413,
             Self::HeadTooLarge => 431,
-            Self::OutcomeUnknown | Self::Crashed { .. } => 502,
+            Self::OutcomeUnknown { .. } | Self::Crashed { .. } => 502,
             Self::NotRun { .. } | Self::MemoryFull { .. } | Self::Quarantined { .. } => 503,
             Self::Timeout => 504,
         }
@@ -86,7 +89,7 @@
             Self::HeadTooSlow | Self::BodyTooSlow => "Request Timeout",
             Self::BodyTooLarge => "Content Too Large",
             Self::HeadTooLarge => "Request Header Fields Too Large",
-            Self::OutcomeUnknown | Self::Crashed { .. } => "Bad Gateway",
+            Self::OutcomeUnknown { .. } | Self::Crashed { .. } => "Bad Gateway",
             Self::NotRun { .. } | Self::MemoryFull { .. } | Self::Quarantined { .. } => {
                 "Service Unavailable"
             }
@@ -114,6 +117,7 @@
             | Self::MemoryFull { retry_after }
             | Self::Quarantined { retry_after }
             | Self::Crashed { retry_after } => Some(retry_after),
+            Self::OutcomeUnknown { retry_after } => retry_after,
             _ => None,
         }
     }
--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -43,12 +43,17 @@
 /// Why an answer that ended with its connection is not complete.
 pub(crate) const CRASHED_AT_END: &str = "its upstream crashed as its answer ended";
 
+/// Whether callers take this status for a promise that their request was not processed.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Result of one send.
 pub(crate) type SendResult<T> = Result<Answer<T>, SendFailure>;
 
 /// An upstream's answer.
 pub(crate) enum Answer<T> {
-    /// A whole answer with a status below 500.
+    /// A whole answer with a status below 500 that doesn't mean that the request was not processed.
     Whole(Whole),
     /// A stream that has started.
     Stream(Box<Stream<T>>),
@@ -66,7 +71,12 @@
     MayHaveRun(&'static str),
     /// It was taken back from an upstream that may have processed it; it may be retried.
     Withdrawn(&'static str),
-    /// A whole answer with a status of 500 or above.
+    /// An answer whose status means that the request was not processed, and which doesn't say so.
+    UnconfirmedRefusal {
+        /// When the upstream wants the request to be retried.
+        retry_after: Option<Span>,
+    },
+    /// Any other whole answer.
     Failed(Whole),
 }
 
@@ -244,8 +254,15 @@
             })));
         }
         guard.note_first_output(self.model.as_ref());
-        self.read_whole_answer(choice.index, wire, answer.head, reader, guard)
-            .await
+        let retry_after = answer.reply.retry_after;
+        let read = self.read_whole_answer(choice.index, wire, answer.head, reader, guard);
+        match read.await {
+            Err(SendFailure::Failed(whole)) if promises_not_run(whole.head.status()) => {
+                self.shared.metrics.unconfirmed_refusals.inc();
+                Err(SendFailure::UnconfirmedRefusal { retry_after })
+            }
+            sent => sent,
+        }
     }
 
     /// Sends the request and reads the head of the answer, on a pooled connection if there is one.
@@ -370,7 +387,7 @@
         let written = wire.write_all(&self.encode(&spec.id)).await;
         written.map_err(|_| Failure::Broken("broke while it was sent"))?;
         self.run.note_written();
-        self.answer_head(wire, guard).await
+        self.answer_head(wire, &spec.id, guard).await
     }
 
     /// Blames a broken connection on the path rather than on the upstream where the path is lost.
@@ -473,9 +490,10 @@
     async fn answer_head(
         &self,
         wire: &Wire,
+        upstream: &UpstreamId,
         guard: &AttemptGuard<T>,
     ) -> Result<AnswerHead, Failure> {
-        let mut read = std::pin::pin!(self.matching_head(wire));
+        let mut read = std::pin::pin!(self.matching_head(wire, upstream));
         let mut ticker = tokio::time::interval(WAIT_POLL);
         loop {
             tokio::select! {
@@ -543,12 +561,16 @@
     ///
     /// An answer can arrive late or twice on a pooled connection; without comparing ids, the caller
     /// would get another caller's answer.
-    async fn matching_head(&self, wire: &Wire) -> Result<AnswerHead, Failure> {
+    async fn matching_head(
+        &self,
+        wire: &Wire,
+        upstream: &UpstreamId,
+    ) -> Result<AnswerHead, Failure> {
         for _ in 0..MAX_STRAY_ANSWERS {
             let read = read_response_head(wire, MAX_HEAD).await;
             let broken = |_| Failure::Broken("broke before its answer");
             let (head, framing) = read.map_err(broken)?;
-            let reply = self.shared.translator.reply(&head);
+            let reply = self.shared.translator.reply(&head, upstream);
             let is_own = match &reply.attempt {
                 Some(id) => **id == *self.request.ask.attempt,
                 // A refusal may come without an id; a success never does.
@@ -591,7 +613,7 @@
             guard.end(UpstreamOutcome::Incomplete);
             return Err(SendFailure::MayHaveRun(CRASHED_AT_END));
         }
-        let is_success = head.status() < 500;
+        let is_success = head.status() < 500 && !promises_not_run(head.status());
         guard.end(if is_success {
             UpstreamOutcome::Good
         } else {
--- a/components/traffic/src/exchange.rs
+++ b/components/traffic/src/exchange.rs
@@ -143,6 +143,8 @@
     broken_by: EndedBy,
     /// The last failure answer of an upstream, relayed if no later attempt succeeds.
     failure: Option<Whole>,
+    /// When the last upstream that refused it without a confirmation wants it to be retried.
+    retry_after: Option<Span>,
     report: Report,
 }
 
@@ -185,6 +187,7 @@
             kept_for: None,
             broken_by: EndedBy::Upstream,
             failure: None,
+            retry_after: None,
             report,
         }
     }
@@ -280,7 +283,10 @@
             return self.relay_whole(failure, Outcome::UpstreamFailure).await;
         }
         if self.may_have_run() {
-            return self.send_reply(LocalReply::OutcomeUnknown, why).await;
+            let is_retry_allowed = self.request.route.retry.is_allowed();
+            let retry_after = self.retry_after.filter(|_| is_retry_allowed);
+            let reply = LocalReply::OutcomeUnknown { retry_after };
+            return self.send_reply(reply, why).await;
         }
         let retry_after = add_jitter(wait.max(BUSY_RETRY), &mut *self.shared.rng.borrow_mut());
         self.send_reply(LocalReply::NotRun { retry_after }, why)
@@ -414,6 +420,13 @@
                 self.has_failed = true;
                 Next::RetryWhenGranted
             }
+            SendFailure::UnconfirmedRefusal { retry_after } => {
+                let why = "refused, though it may have run";
+                self.record_try(run, why);
+                self.runs += 1;
+                self.retry_after = retry_after;
+                self.retry_or_give_up(why)
+            }
             SendFailure::Failed(whole) => {
                 self.record_try(run, "failed");
                 self.runs += 1;
@@ -601,7 +614,7 @@
         let outcome = match reply {
             LocalReply::NotRun { .. } => Outcome::Refused,
             LocalReply::Timeout => Outcome::Timeout,
-            LocalReply::OutcomeUnknown => Outcome::Unclear,
+            LocalReply::OutcomeUnknown { .. } => Outcome::Unclear,
             LocalReply::Quarantined { .. } | LocalReply::Crashed { .. } => Outcome::Barred,
             _ => Outcome::Rejected,
         };
--- a/components/traffic/src/exchange/leaving.rs
+++ b/components/traffic/src/exchange/leaving.rs
@@ -52,7 +52,7 @@
             return Finish::stopped(OVER);
         }
         let reply = match self.was_sent() {
-            true => LocalReply::OutcomeUnknown,
+            true => LocalReply::OutcomeUnknown { retry_after: None },
             false => LocalReply::leaving(&mut *self.shared.rng.borrow_mut()),
         };
         self.send_reply(reply, OVER).await
--- a/components/traffic/src/metrics.rs
+++ b/components/traffic/src/metrics.rs
@@ -124,6 +124,8 @@
     pub leases_taken: Counter,
     /// Leases that it granted.
     pub leases_lent: Counter,
+    /// Answers whose status means that the request was not processed, and which do not say so.
+    pub unconfirmed_refusals: Counter,
     /// Answers with a rate limit that cannot be read.
     pub invalid_rate_limits: Counter,
     /// Requests refused since their plain service is congested.
@@ -185,6 +187,7 @@
             leases_asked: Counter::default(),
             leases_taken: Counter::default(),
             leases_lent: Counter::default(),
+            unconfirmed_refusals: Counter::default(),
             invalid_rate_limits: Counter::default(),
             overload_refusals: Counter::default(),
             overload_offered: Family::default(),
@@ -241,6 +244,11 @@
             "Upstreams that ended while requests of this daemon ran there",
             self.upstream_ends.clone(),
         );
+        r.register(
+            "unconfirmed_refusals",
+            "Answers of upstreams that mean not processed by their status and do not say so",
+            self.unconfirmed_refusals.clone(),
+        );
         self.register_retries();
         self.register_rate_limits();
         self.register_leases();
--- a/components/traffic/src/translate.rs
+++ b/components/traffic/src/translate.rs
@@ -111,6 +111,6 @@
     /// which the connection writes itself.
     fn forward(&self, forwarding: &Forwarding<'_>, out: &mut Vec<u8>);
 
-    /// Reads an upstream's head.
-    fn reply(&self, head: &Head) -> Reply;
+    /// Reads the head of a reply to a request that was meant for `upstream`.
+    fn reply(&self, head: &Head, upstream: &UpstreamId) -> Reply;
 }
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -66,11 +66,12 @@
         out.extend_from_slice(fields.as_bytes());
     }
 
-    fn reply(&self, head: &Head) -> Reply {
+    fn reply(&self, head: &Head, _: &UpstreamId) -> Reply {
         Reply {
             attempt: head.text("id").map(Arc::from),
             is_signed: head.get("signed").is_some(),
             execution: match head.status() {
+                _ if head.get("ran").is_some() => Execution::Ran,
                 421 => Execution::OtherInstance,
                 503 => Execution::NotRun,
                 _ => Execution::Ran,
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod overload;
 mod quarantine;
+mod refusals;
 mod replacements;
 mod retries;
 mod shutdown;
