--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -145,7 +145,7 @@
 
     fn forward(&self, _: &Forwarding<'_>, _: &mut Vec<u8>) {}
 
-    fn reply(&self, _: &Head) -> traffic::Reply {
+    fn reply(&self, _: &Head, _: &UpstreamId) -> traffic::Reply {
         traffic::Reply {
             attempt: None,
             is_signed: false,
