--- a/components/fleet/src/watcher.rs
+++ b/components/fleet/src/watcher.rs
@@ -229,7 +229,8 @@
         }
         let listing = self.read("", SMALL_STORE, timeout, true)?;
         let is_small = listing.items.len() < SMALL_STORE as usize;
-        let is_too_old = listing.items.is_empty();
+        // Its age is unknown: a page held no key.
+        let is_too_old = listing.at == Revision::default();
         if is_small && !is_too_old {
             return self.publish(listing);
         }
--- a/components/fleet/tests/it/control.rs
+++ b/components/fleet/tests/it/control.rs
@@ -221,6 +221,18 @@
     assert!(alone.link.keys_read.load(Ordering::SeqCst) >= 3);
 }
 
+/// A daemon whose first listing may lack any change stayed without a copy.
+#[test]
+fn a_listing_of_unknown_age_is_read_again() {
+    let memory = seeded_store();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = StoreLink::to(&memory);
+    link.serves_old_copies.store(true, Ordering::SeqCst);
+    let alone = daemon_at(1, link, any, vec![free_address()]);
+    wait_until("ready", || alone.is_ready());
+    assert_eq!(alone.link.whole_reads.load(Ordering::SeqCst), 1);
+}
+
 #[test]
 fn a_daemon_with_stale_seeds_reads_the_store_itself() {
     let memory = seeded_store();
--- a/components/fleet/tests/it/memory.rs
+++ b/components/fleet/tests/it/memory.rs
@@ -100,6 +100,8 @@
     pub answer_delay_ms: Arc<AtomicUsize>,
     /// Number of writes of roll-outs' states that were tried.
     pub state_writes: Arc<AtomicUsize>,
+    /// Answers reads that may be old as of revision 0: any change may be missing.
+    pub serves_old_copies: Arc<AtomicBool>,
     /// Timeout of each read.
     pub read_timeouts: Arc<Mutex<Vec<Span>>>,
 }
@@ -138,8 +140,10 @@
         self.check()?;
         let (keys, changed) = &*self.memory.0;
         let mut keys = keys.lock().expect("sound");
+        let mut is_old = false;
         let reply = match req {
             Request::Range(range) => {
+                is_old = range.serializable && self.serves_old_copies.load(Ordering::SeqCst);
                 let limit = match range.limit {
                     0 => usize::MAX,
                     limit => limit as usize,
@@ -185,10 +189,11 @@
             Request::LeaseKeepAlive(_) => Reply::LeaseRenewed(Some(Span::from_secs(1))),
             Request::LeaseRevoke(_) => Reply::LeaseRevoked,
         };
-        Ok(Answer {
-            revision: ModRevision(keys.revision),
-            reply,
-        })
+        let revision = match is_old {
+            true => ModRevision(0),
+            false => ModRevision(keys.revision),
+        };
+        Ok(Answer { revision, reply })
     }
 
     fn read(&self, range: Range, timeout: Span) -> Outcome {
