rollouts: a version whose order is replaced undecided is barred

Cause: of a replaced order only what had been found bad or reverted was carried over; its version was neither barred nor judged. The version that had served everything got a canary when it was ordered back, so it was barred until then. And a daemon that started later knew nothing of earlier orders.

Change: a replaced, undecided version gets no requests. An order for the stable version is a rollback without a canary or a judgement. Both sets are written beside each state in the same call, read by daemons that start or missed an order. The states of present orders are read before new orders, since they decide what holds of the versions. Gate::admits no longer lets a stream be resumed on a barred version while another one has a share.

a_reverted_version_stays_barred_when_another_is_ordered asked that a version whose order was replaced while it ran is free ("v3 was not taken back"): that is this fault. It now asks all four versions, and only the one that was never ordered may get requests.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -61,7 +61,7 @@
 pub use requirements::{PromptPart, Requirements};
 pub use shortage::{ReachedBound, Shortage};
 pub use state_writer::StateWriter;
-pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict};
+pub use trial::{Gate, Permit, Trial, TrialLimits, TrialStep, Verdict, VersionHistory};
 pub use tunnel_peers::{TunnelNeed, TunnelPeer, TunnelPeers};
 pub use upstreams::{
     AnswerStart, LastSeen, Load, SharedLoad, Ticket, UpstreamIndex, Upstreams, instance_key,
--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -12,6 +12,7 @@
 
 mod exposure;
 mod gate;
+mod history;
 mod judge;
 
 use std::collections::BTreeSet;
@@ -24,6 +25,7 @@
 pub use exposure::TrialLimits;
 use exposure::{Exposure, FULL_SHARE_TEST, LATEST_DECISION_MARGIN, RequestRate};
 pub use gate::{Gate, Permit};
+pub use history::VersionHistory;
 use judge::{Certainty, FailureScope, Fault, FaultConfirmation, fails_more, find_fault};
 
 /// Delay after the order until the new version gets its first requests: by then every daemon
@@ -113,7 +115,9 @@
     peers_ahead: Span,
     /// Sessions that stay on their version, by [`Gate::mark`].
     staying: Arc<BTreeSet<u32>>,
-    /// The new version, and those reverted before.
+    /// What the roll-outs before this order left.
+    history: VersionHistory,
+    /// The new version, and those that get no requests because of the history.
     barred: Arc<[Arc<str>]>,
     /// State as recorded in the store.
     state: RolloutState,
@@ -154,6 +158,7 @@
     pub fn new(now: Time, order: RolloutOrder, limits: TrialLimits) -> Self {
         let barred = Arc::from([order.to.clone()]);
         Self {
+            history: VersionHistory::default(),
             barred,
             order,
             limits,
@@ -170,22 +175,46 @@
         }
     }
 
-    /// Carries over the excluded versions of the roll-out that this order replaces: what that one
-    /// reverted stays excluded, unless it is ordered now.
+    /// Creates the trial of an order that replaces an earlier one.
     #[must_use]
     pub fn carry_over_barred(mut self, earlier: &Self) -> Self {
-        let is_barred = match earlier.state {
-            RolloutState::Running => earlier.verdict.is_bad(),
-            RolloutState::Completed => false,
-            RolloutState::Reverted => true,
-        };
-        let skipped = usize::from(!is_barred);
-        let reverted = earlier.barred.iter().skip(skipped);
-        let reverted = reverted.filter(|version| **version != self.order.to);
-        self.barred = self.barred.iter().chain(reverted).cloned().collect();
+        self.merge_history(&earlier.history_after());
         self
     }
 
+    /// Adds what is known from the roll-outs before this order. Returns whether any of it is new.
+    pub fn merge_history(&mut self, history: &VersionHistory) -> bool {
+        let mut merged = self.history.clone();
+        merged.merge(history);
+        if merged == self.history {
+            return false;
+        }
+        let barred = merged.barred.iter();
+        let barred = barred.filter(|version| **version != self.order.to);
+        let to = std::iter::once(&self.order.to);
+        self.barred = to.chain(barred).cloned().collect();
+        self.history = merged;
+        true
+    }
+
+    /// What was known before this order.
+    #[must_use]
+    pub fn history(&self) -> &VersionHistory {
+        &self.history
+    }
+
+    /// What an order that replaces this one starts from.
+    #[must_use]
+    pub fn history_after(&self) -> VersionHistory {
+        self.history.after(&self.order.to, self.state)
+    }
+
+    /// Whether the order leads back to a version that served all requests before. There is nothing
+    /// to judge then, and the only other versions are those that it is to replace.
+    fn is_rollback(&self) -> bool {
+        self.history.is_stable(&self.order.to)
+    }
+
     /// Returns the order.
     #[must_use]
     pub fn order(&self) -> &RolloutOrder {
@@ -247,7 +276,7 @@
 
     /// Marks the new version as bad, as a peer found.
     pub fn mark_bad(&mut self, verdict: Verdict) {
-        if !self.verdict.is_bad() {
+        if !self.verdict.is_bad() && !self.is_rollback() {
             self.verdict = verdict;
         }
     }
@@ -299,6 +328,13 @@
     }
 
     fn judge(&mut self, now: Time, fleet: &Evidence) -> Verdict {
+        // Upstreams of the other versions stop at its completion; until then they end what they run.
+        if self.is_rollback() {
+            return match self.left(now) <= DECISION_MARGIN {
+                true => Verdict::Good,
+                false => Verdict::Open,
+            };
+        }
         if let Some(fault) = self.fault(now, fleet) {
             return fault.into();
         }
@@ -409,6 +445,7 @@
         match self.state {
             RolloutState::Completed => return 1.0,
             RolloutState::Reverted => return 0.0,
+            RolloutState::Running if self.is_rollback() => return 1.0,
             RolloutState::Running => {}
         }
         if self.verdict.is_bad() || now.since(self.known_since) < CANARY_DELAY {
--- a/components/dispatch/src/trial/gate.rs
+++ b/components/dispatch/src/trial/gate.rs
@@ -37,10 +37,10 @@
     pub service: Arc<str>,
     /// The new version.
     pub to: Arc<str>,
-    /// The new version, and those of earlier orders that were reverted.
+    /// The new version, and those of earlier orders that were reverted or replaced while undecided.
     ///
-    /// The upstreams of a reverted version leave only seconds later. If the next order came before
-    /// that and excluded only its own version, sessions would go to the bad one.
+    /// The upstreams of a reverted version leave only seconds later, those of a replaced one stay. If
+    /// the next order excluded only its own version, sessions would go to the bad one.
     pub barred: Arc<[Arc<str>]>,
     /// The store's revision of the order.
     pub order: u64,
@@ -63,7 +63,7 @@
         match self.share {
             share if share >= 1.0 => *version == self.to,
             share if share <= 0.0 => !self.barred.contains(version),
-            _ => true,
+            _ => *version == self.to || !self.barred.contains(version),
         }
     }
 
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use dispatch::{Arm, ArmCounts, Evidence, Gate, Load, Permit, Trial, TrialLimits, Verdict};
+use dispatch::{
+    Arm, ArmCounts, Evidence, Gate, Load, Permit, Trial, TrialLimits, Verdict, VersionHistory,
+};
 use routes::{RolloutOrder, RolloutState};
 use types::prelude::*;
 
@@ -684,14 +686,150 @@
     assert_eq!(allowed, [true, false, false]);
     // Ordering the version again starts a new trial of it.
     let again = Trial::new(at(5.0), next("v2"), LIMITS).carry_over_barred(&second);
-    let third = Trial::new(at(5.0), next("v4"), LIMITS);
-    assert!(
-        allows(&mut third.carry_over_barred(&again), "v3"),
-        "v3 was not taken back"
-    );
+    let mut third = Trial::new(at(5.0), next("v4"), LIMITS).carry_over_barred(&again);
+    let allowed = ["v1", "v2", "v3", "v4"].map(|version| allows(&mut third, version));
+    assert_eq!(allowed, [true, false, false, false]);
     // A completed version is not excluded.
     let mut good = trial(Time::ZERO);
     good.set_state(RolloutState::Completed);
     let mut after = Trial::new(at(5.0), next("v3"), LIMITS).carry_over_barred(&good);
     assert!(allows(&mut after, "v2"));
 }
+
+fn next_order(to: &str, revision: u64) -> RolloutOrder {
+    RolloutOrder {
+        to: Arc::from(to),
+        revision,
+        ..order()
+    }
+}
+
+/// The history of a service whose upstreams were all of one version.
+fn served_by(version: &str) -> VersionHistory {
+    VersionHistory {
+        stable: [Arc::from(version)].into(),
+        ..VersionHistory::default()
+    }
+}
+
+/// Those of the versions in use that get a session's requests, whatever version it is on.
+fn served<const N: usize>(gate: &Gate, in_use: [&'static str; N]) -> Vec<&'static str> {
+    let versions = in_use.map(Arc::<str>::from);
+    let sessions = [0, u64::MAX / 100, u64::MAX / 2, u64::MAX];
+    let is_served = |version: &Arc<str>| {
+        let pins = versions.iter().map(Some).chain([None]);
+        let mut permits = pins.flat_map(|pin| sessions.map(|session| gate.permit(session, pin)));
+        permits.any(|permit| permit.allows(version))
+    };
+    let served = versions.iter().zip(in_use);
+    let served = served.filter(|(version, _)| is_served(version));
+    served.map(|(_, name)| name).collect()
+}
+
+/// Versions of which upstreams run.
+const IN_USE: [&str; 3] = ["v1", "v2", "v3"];
+
+/// A bad version got as many requests as the old one once another version was ordered.
+#[test]
+fn a_version_whose_order_is_replaced_undecided_gets_no_requests() {
+    for replaced_at in [0.1, 2.0, 4.0, 15.0, 18.5] {
+        let mut first = trial(Time::ZERO);
+        first.merge_history(&served_by("v1"));
+        let open = evidence(arm(60, 3, 1.0), arm(400, 5, 1.0));
+        first.step(at(replaced_at), &open, 1.0);
+        let second = Trial::new(at(replaced_at), next_order("v3", 9), LIMITS);
+        let mut second = second.carry_over_barred(&first);
+        for tenth in 0..190 {
+            let now = at(replaced_at + f64::from(tenth) / 10.0);
+            let gate = second.step(now, &open, 1.0).gate;
+            assert!(
+                !served(&gate, ["v1", "v2", "v3"]).contains(&"v2"),
+                "{now:?}"
+            );
+            assert!(!gate.admits(&Arc::from("v2")), "{now:?}");
+        }
+    }
+}
+
+/// Of three orders in a row, only the last version and the one before them all are sent requests.
+#[test]
+fn versions_of_several_replaced_orders_get_no_requests() {
+    let mut first = trial(Time::ZERO);
+    first.merge_history(&served_by("v1"));
+    let second = Trial::new(at(2.0), next_order("v3", 9), LIMITS).carry_over_barred(&first);
+    let third = Trial::new(at(4.0), next_order("v4", 11), LIMITS);
+    let mut third = third.carry_over_barred(&second);
+    let none = evidence(arm(0, 0, 1.0), arm(0, 0, 1.0));
+    let in_use = ["v1", "v2", "v3", "v4"];
+    assert_eq!(
+        served(&third.step(at(4.0), &none, 1.0).gate, in_use),
+        ["v1"]
+    );
+    assert_eq!(
+        served(&third.step(at(8.0), &none, 1.0).gate, in_use),
+        ["v1", "v4"]
+    );
+}
+
+/// Nearly all requests went to the bad version when the old one was ordered back.
+#[test]
+fn an_order_back_to_the_old_version_gives_it_everything_at_once() {
+    let mut first = trial(Time::ZERO);
+    first.merge_history(&served_by("v1"));
+    let mut back = Trial::new(at(2.0), next_order("v1", 9), LIMITS).carry_over_barred(&first);
+    // Some of its answers fail, as upstreams of any version do at times.
+    let failing = evidence(arm(60, 30, 1.0), arm(0, 0, 1.0));
+    for tenth in 0..200 {
+        let step = back.step(at(2.0 + f64::from(tenth) / 10.0), &failing, 1.0);
+        assert_eq!(served(&step.gate, ["v1", "v2"]), ["v1"], "{tenth}");
+        assert!(!step.verdict.is_bad(), "{tenth}");
+        let is_decided = step.final_state == Some(RolloutState::Completed);
+        assert_eq!(is_decided, tenth >= 185, "{tenth}");
+    }
+    back.mark_bad(Verdict::Failing);
+    assert_eq!(
+        served(&back.step(at(23.0), &failing, 1.0).gate, IN_USE),
+        ["v1"]
+    );
+    // The version that was given up stays barred, and the old one is none of the replaced ones.
+    let mut next = Trial::new(at(23.0), next_order("v3", 11), LIMITS).carry_over_barred(&back);
+    assert_eq!(
+        served(&next.step(at(23.0), &failing, 1.0).gate, IN_USE),
+        ["v1"]
+    );
+}
+
+/// A version that is ordered anew gets its canary, whether it was reverted or replaced before.
+#[test]
+fn a_replaced_version_that_is_ordered_anew_gets_its_canary() {
+    let mut first = trial(Time::ZERO);
+    first.merge_history(&served_by("v1"));
+    let second = Trial::new(at(2.0), next_order("v3", 9), LIMITS).carry_over_barred(&first);
+    let again = Trial::new(at(4.0), next_order("v2", 11), LIMITS);
+    let mut again = again.carry_over_barred(&second);
+    let none = evidence(arm(0, 0, 1.0), arm(0, 0, 1.0));
+    assert_eq!(
+        served(&again.step(at(4.0), &none, 1.0).gate, IN_USE),
+        ["v1"]
+    );
+    assert_eq!(
+        served(&again.step(at(8.0), &none, 1.0).gate, IN_USE),
+        ["v1", "v2"]
+    );
+}
+
+/// A version that was completed serves while the next one is tried, and may be ordered back.
+#[test]
+fn a_completed_version_is_the_stable_one() {
+    let mut first = trial(Time::ZERO);
+    first.merge_history(&served_by("v1"));
+    first.set_state(RolloutState::Completed);
+    let mut second = Trial::new(at(30.0), next_order("v3", 9), LIMITS).carry_over_barred(&first);
+    let none = evidence(arm(0, 0, 1.0), arm(0, 0, 1.0));
+    assert!(served(&second.step(at(30.0), &none, 1.0).gate, IN_USE).contains(&"v2"));
+    let mut back = Trial::new(at(32.0), next_order("v2", 11), LIMITS).carry_over_barred(&second);
+    assert_eq!(
+        served(&back.step(at(32.0), &none, 1.0).gate, IN_USE),
+        ["v2"]
+    );
+}
--- a/components/fleet/src/codec.rs
+++ b/components/fleet/src/codec.rs
@@ -1,6 +1,7 @@
 //! The interface to the names of keys and the encoding of values in the store.
 
 use bytes::Bytes;
+use dispatch::VersionHistory;
 use routes::{RolloutOrder, RolloutState, RouteTable, Upstream};
 use types::prelude::*;
 
@@ -23,6 +24,17 @@
     pub state: RolloutState,
 }
 
+/// What was known of a service's versions when an order came, as written to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryRecord {
+    /// The store's revision of the order.
+    pub order: u64,
+    /// The version that the order leads to.
+    pub to: String,
+    /// What the roll-outs before the order left.
+    pub history: VersionHistory,
+}
+
 /// Names of the store's keys and encoding of their values.
 pub trait Codec: Send + 'static {
     /// Key of the configuration.
@@ -35,6 +47,8 @@
     fn evacuation_prefix(&self) -> &str;
     /// Key of the state of a service's roll-out.
     fn state_key(&self, service: &str) -> String;
+    /// Key of the history of a service's versions.
+    fn history_key(&self, service: &str) -> String;
     /// Prefix of daemons' keys, followed by the daemon's name.
     fn daemon_prefix(&self) -> &str;
     /// Prefix of quarantine entries' keys, followed by the request content.
@@ -78,4 +92,13 @@
 
     /// Encodes the state of a roll-out.
     fn encode_state(&self, order: &RolloutOrder, state: RolloutState) -> Bytes;
+
+    /// Decodes the history of a service's versions.
+    ///
+    /// # Errors
+    /// When the value is invalid.
+    fn history(&self, key: &str, value: &Bytes) -> Result<HistoryRecord, DecodeError>;
+
+    /// Encodes the history of a service's versions.
+    fn encode_history(&self, record: &HistoryRecord) -> Bytes;
 }
--- a/components/fleet/src/control.rs
+++ b/components/fleet/src/control.rs
@@ -379,7 +379,9 @@
             );
         }
         self.apply_quarantine_changes(now, changes);
-        self.rollouts.refresh(now, &self.codec, &self.mirror);
+        let versions = |service: &str| self.planner.versions(service);
+        self.rollouts
+            .refresh(now, &self.codec, &self.mirror, versions);
         let prefix = self.codec.daemon_prefix().to_owned();
         if changes.iter().any(|change| change.key.starts_with(&prefix)) {
             self.set_seeds(&prefix);
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -33,7 +33,7 @@
 mod tunnel_offers;
 mod watcher;
 
-pub use codec::{Codec, DecodeError, StateRecord};
+pub use codec::{Codec, DecodeError, HistoryRecord, StateRecord};
 pub use entry::{DaemonEntry, DaemonEntryError};
 pub use entry_warnings::EntryWarnings;
 pub use error::FleetError;
--- a/components/fleet/src/planner.rs
+++ b/components/fleet/src/planner.rs
@@ -64,6 +64,13 @@
             .collect()
     }
 
+    /// Versions of a service's upstreams.
+    pub(crate) fn versions(&self, service: &str) -> BTreeSet<Arc<str>> {
+        let upstreams = self.upstreams.values().chain(self.lapsed.iter());
+        let upstreams = upstreams.filter(|upstream| *upstream.service == *service);
+        upstreams.map(|upstream| upstream.version.clone()).collect()
+    }
+
     /// Failure domains that get no new requests.
     pub(crate) fn evacuated(&self) -> &Arc<BTreeSet<FailureDomain>> {
         &self.evacuated
--- a/components/fleet/src/rollouts.rs
+++ b/components/fleet/src/rollouts.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dispatch::{Evidence, Gate, StateWriter, Trial, TrialLimits, Verdict};
+use dispatch::{Evidence, Gate, StateWriter, Trial, TrialLimits, Verdict, VersionHistory};
 use keyvalue::{Compare, ModRevision, Op, Put, Request, Txn};
 use mirror::Mirror;
 use routes::{RolloutOrder, RolloutState};
 use types::prelude::*;
 
-use crate::codec::Codec;
+use crate::codec::{Codec, HistoryRecord, StateRecord};
 use crate::event::Purpose;
 
 /// A roll-out and the state that is to be written for it.
@@ -48,28 +48,34 @@
         }
     }
 
-    /// Reads orders and states from the mirror.
-    pub(crate) fn refresh(&mut self, now: Time, codec: &impl Codec, mirror: &Mirror) {
+    /// Reads orders, states and histories from the mirror. `versions` lists the versions of a
+    /// service's upstreams.
+    pub(crate) fn refresh(
+        &mut self,
+        now: Time,
+        codec: &impl Codec,
+        mirror: &Mirror,
+        versions: impl Fn(&str) -> BTreeSet<Arc<str>>,
+    ) {
+        // The state in which an order was replaced decides what holds of its version.
+        self.read_states(codec, mirror);
         for (key, revision, value) in mirror.prefixed(codec.order_prefix()) {
             match codec.order(key, value, revision.0) {
-                Ok(order) => self.take_order(now, order),
+                Ok(order) => self.take_order(now, order, codec, mirror, &versions),
                 Err(e) => tracing::error!("rollouts: an order cannot be read: {e}"),
             }
         }
+        self.read_states(codec, mirror);
+        self.read_histories(codec, mirror);
+    }
+
+    fn read_states(&mut self, codec: &impl Codec, mirror: &Mirror) {
         for rollout in self.by_service.values_mut() {
             let order = rollout.trial.order();
-            let key = codec.state_key(&order.service);
-            let Some((revision, value)) = mirror.get(&key) else {
+            let Some((revision, record)) = recorded_state(codec, mirror, &order.service) else {
                 continue;
             };
-            let record = match codec.state(&key, value) {
-                Ok(record) => record,
-                Err(e) => {
-                    tracing::error!("rollouts: a state cannot be read: {e}");
-                    continue;
-                }
-            };
-            let is_of_order = revision.0 > order.revision && record.to == *order.to;
+            let is_of_order = revision > order.revision && record.to == *order.to;
             if !is_of_order {
                 continue;
             }
@@ -89,20 +95,48 @@
         }
     }
 
-    fn take_order(&mut self, now: Time, order: RolloutOrder) {
-        let held = self.by_service.get(&order.service);
-        if held.is_some_and(|held| held.trial.order().revision >= order.revision) {
+    /// Adds what other daemons knew when the present orders came.
+    fn read_histories(&mut self, codec: &impl Codec, mirror: &Mirror) {
+        for (service, rollout) in &mut self.by_service {
+            let order = rollout.trial.order().revision;
+            let recorded = recorded_history(codec, mirror, service);
+            let recorded = recorded.filter(|record| record.order == order);
+            if recorded.is_some_and(|record| rollout.trial.merge_history(&record.history)) {
+                log_history(service, rollout.trial.history());
+            }
+        }
+    }
+
+    fn take_order(
+        &mut self,
+        now: Time,
+        order: RolloutOrder,
+        codec: &impl Codec,
+        mirror: &Mirror,
+        versions: impl Fn(&str) -> BTreeSet<Arc<str>>,
+    ) {
+        let service = order.service.clone();
+        let held = self.by_service.get(&service).map(|held| &held.trial);
+        if held.is_some_and(|held| held.order().revision >= order.revision) {
             return;
         }
         tracing::info!(service = &*order.service, to = &*order.to, within = %order.decision_timeout,
             "rollouts: ordered");
-        let service = order.service.clone();
-        let trial = Trial::new(now, order, self.limits);
+        let state = recorded_state(codec, mirror, &service);
+        let recorded = recorded_history(codec, mirror, &service);
+        let recorded = recorded.filter(|record| record.order < order.revision);
+        let history = match (held, recorded) {
+            (held, Some(record)) if held.is_none_or(|h| h.order().revision < record.order) => {
+                history_after(record, state)
+            }
+            (Some(held), _) => held.history_after(),
+            (None, _) => first_history(&order, state, versions(&service)),
+        };
+        log_history(&service, &history);
+        let mut trial = Trial::new(now, order, self.limits);
+        trial.merge_history(&history);
         let rollout = Rollout {
-            trial: match held {
-                Some(held) => trial.carry_over_barred(&held.trial),
-                None => trial,
-            },
+            trial,
             gate: None,
             writer: StateWriter::new(now),
         };
@@ -206,7 +240,7 @@
             // decided meanwhile has another revision.
             let txn = Txn {
                 compare: vec![Compare::ModRevision(key, held)],
-                success: vec![Op::Put(put)],
+                success: vec![Op::Put(put), Op::Put(put_history(codec, &rollout.trial))],
                 failure: Vec::new(),
             };
             writes.push((Purpose::State(service.to_string()), Request::Txn(txn)));
@@ -222,6 +256,85 @@
     }
 }
 
+/// The state of a service's last roll-out and its revision, as written to the store.
+fn recorded_state(
+    codec: &impl Codec,
+    mirror: &Mirror,
+    service: &str,
+) -> Option<(u64, StateRecord)> {
+    let key = codec.state_key(service);
+    let (revision, value) = mirror.get(&key)?;
+    let record = codec.state(&key, value);
+    let record = record.inspect_err(|e| tracing::error!("rollouts: a state cannot be read: {e}"));
+    Some((revision.0, record.ok()?))
+}
+
+/// The history of a service's versions, as written to the store.
+fn recorded_history(codec: &impl Codec, mirror: &Mirror, service: &str) -> Option<HistoryRecord> {
+    let key = codec.history_key(service);
+    let (_, value) = mirror.get(&key)?;
+    let record = codec.history(&key, value);
+    let record = record.inspect_err(|e| tracing::error!("rollouts: a history cannot be read: {e}"));
+    record.ok()
+}
+
+/// What the order of a record left, by the state in which it was replaced.
+fn history_after(record: HistoryRecord, state: Option<(u64, StateRecord)>) -> VersionHistory {
+    let is_of_order =
+        |(revision, state): &(u64, StateRecord)| *revision > record.order && state.to == record.to;
+    let state = state.filter(is_of_order);
+    let state = state.map_or(RolloutState::Running, |(_, state)| state.state);
+    record.history.after(&Arc::from(record.to), state)
+}
+
+/// What is known of a service's versions without a history: how its last roll-out ended, and the
+/// version of its upstreams if there is only one.
+fn first_history(
+    order: &RolloutOrder,
+    state: Option<(u64, StateRecord)>,
+    mut versions: BTreeSet<Arc<str>>,
+) -> VersionHistory {
+    let before = state.filter(|(revision, _)| *revision < order.revision);
+    let before = before.map(|(_, state)| (Arc::<str>::from(state.to), state.state));
+    versions.remove(&order.to);
+    if let Some((to, _)) = &before {
+        versions.remove(to);
+    }
+    let mut history = VersionHistory::default();
+    if versions.len() == 1 {
+        history.stable = versions;
+    }
+    match before {
+        Some((to, state)) => history.after(&to, state),
+        None => history,
+    }
+}
+
+fn log_history(service: &str, history: &VersionHistory) {
+    let VersionHistory { barred, stable } = history;
+    tracing::info!(
+        service,
+        ?barred,
+        ?stable,
+        "rollouts: versions before the order"
+    );
+}
+
+/// Writes the history beside each state, for daemons that start or missed an earlier order.
+fn put_history(codec: &impl Codec, trial: &Trial) -> Put {
+    let order = trial.order();
+    let record = HistoryRecord {
+        order: order.revision,
+        to: order.to.to_string(),
+        history: trial.history().clone(),
+    };
+    Put {
+        key: codec.history_key(&order.service),
+        value: codec.encode_history(&record),
+        lease: None,
+    }
+}
+
 /// Outcome of one step of a roll-out.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct StepOutcome {
--- a/components/fleet/tests/it/harness.rs
+++ b/components/fleet/tests/it/harness.rs
@@ -1,13 +1,14 @@
 //! Daemons around a store in memory.
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dispatch::{Policy, RetryLimits};
-use fleet::{Codec, DecodeError, Running, Settings, StateRecord};
+use dispatch::{Policy, RetryLimits, VersionHistory};
+use fleet::{Codec, DecodeError, HistoryRecord, Running, Settings, StateRecord};
 use http1::Head;
 use poison::{Admission, Content, CrashedAttempt, SharedSuspects, UpstreamInstance};
 use rand::RngExt;
@@ -134,6 +135,38 @@
     fn encode_state(&self, order: &RolloutOrder, state: RolloutState) -> Bytes {
         Bytes::from(format!("{state} {}", order.to))
     }
+
+    fn history_key(&self, service: &str) -> String {
+        format!("history/{service}")
+    }
+
+    /// Decodes the order's revision, its version, and the barred and stable versions.
+    fn history(&self, _: &str, value: &Bytes) -> Result<HistoryRecord, DecodeError> {
+        let text = String::from_utf8_lossy(value).into_owned();
+        let parts = text.split(' ').collect::<Vec<_>>();
+        let versions = |part: &str| {
+            let versions = part.split(',').filter(|version| !version.is_empty());
+            versions.map(Arc::from).collect()
+        };
+        Ok(HistoryRecord {
+            order: parts[0].parse().expect("a revision"),
+            to: parts[1].to_owned(),
+            history: VersionHistory {
+                barred: versions(parts[2]),
+                stable: versions(parts[3]),
+            },
+        })
+    }
+
+    fn encode_history(&self, record: &HistoryRecord) -> Bytes {
+        let join = |versions: &BTreeSet<Arc<str>>| {
+            let versions = versions.iter().map(|version| &**version);
+            versions.collect::<Vec<_>>().join(",")
+        };
+        let VersionHistory { barred, stable } = &record.history;
+        let (barred, stable) = (join(barred), join(stable));
+        Bytes::from(format!("{} {} {barred} {stable}", record.order, record.to))
+    }
 }
 
 struct NoTranslator;
--- a/components/fleet/tests/it/main.rs
+++ b/components/fleet/tests/it/main.rs
@@ -13,5 +13,6 @@
 mod memory;
 mod quarantine;
 mod rate_limits;
+mod replaced_orders;
 mod snapshots;
 mod succession;
--- a/components/traffic/src/status.rs
+++ b/components/traffic/src/status.rs
@@ -40,6 +40,7 @@
     cold: usize,
     daemons: usize,
     rollouts: Vec<(&'a str, &'a str, f64)>,
+    barred_versions: BTreeMap<&'a str, Vec<&'a str>>,
     callers: usize,
     requests: usize,
     held_bytes: u64,
@@ -150,6 +151,15 @@
     versions
 }
 
+/// Versions that get no requests whatever the share of the ordered one, by service.
+fn barred_versions(plan: &Plan) -> BTreeMap<&str, Vec<&str>> {
+    let gates = plan.gates.iter().map(|gate| {
+        let barred = gate.barred.iter().filter(|version| **version != gate.to);
+        (&*gate.service, barred.map(|version| &**version).collect())
+    });
+    gates.collect()
+}
+
 fn dump<T>(shared: &Shared<T>, is_ready: bool) -> String {
     let plan = shared.plan();
     let gates = plan.gates.iter();
@@ -169,6 +179,7 @@
         rollouts: gates
             .map(|gate| (&*gate.service, &*gate.to, gate.share))
             .collect(),
+        barred_versions: barred_versions(&plan),
         callers: shared.caller_connections.get(),
         requests: shared.requests_in_flight.get(),
         held_bytes: shared.held_body_bytes.get(),
