traffic: an answer needs the attempt's id and the upstream's signature

A success without an id held its request until the deadline.

Cause: id and signature were asked of successes only; anything else without an id counted as the present request's answer.

Change: an answer without an id ends the send as broken unless it states that the request did not run; one without a signature is not relayed, whatever its status.

--- a/components/traffic/src/attempt.rs
+++ b/components/traffic/src/attempt.rs
@@ -422,11 +422,9 @@
             }
             Execution::Ran => {}
         }
-        let is_success = (200..300).contains(&answer.head.status());
         let is_own = answer.reply.is_signed && !answer.reply.is_reencoded;
         let why = "not the upstream's own answer";
-        (is_success && !is_own)
-            .then_some((UpstreamOutcome::Incomplete, SendFailure::MayHaveRun(why)))
+        (!is_own).then_some((UpstreamOutcome::Incomplete, SendFailure::MayHaveRun(why)))
     }
 
     /// Applies the limits that an answer of this instance carries. Only an answer that the upstream
@@ -573,8 +571,11 @@
             let reply = self.shared.translator.reply(&head, upstream);
             let is_own = match &reply.attempt {
                 Some(id) => **id == *self.request.ask.attempt,
-                // A refusal may come without an id; a success never does.
-                None => !(200..300).contains(&head.status()),
+                // The request's own answer may never come on a connection with foreign bytes.
+                None if reply.execution == Execution::Ran => {
+                    return Err(Failure::Broken("answered without the request's id"));
+                }
+                None => true,
             };
             if is_own {
                 return Ok(AnswerHead {
--- a/components/traffic/tests/it/main.rs
+++ b/components/traffic/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod endings;
 mod endless;
 mod evacuations;
+mod foreign_answers;
 mod limits;
 mod overload;
 mod quarantine;
