rollouts: a rollback begins once its version has upstreams

Cause: the share of a rollback didn't ask what its upstreams can take.

Change: it gets everything as soon as it has an upstream. carry_over_barred, which only tests used since, lives in the tests.

--- a/components/dispatch/src/trial.rs
+++ b/components/dispatch/src/trial.rs
@@ -175,13 +175,6 @@
         }
     }
 
-    /// Creates the trial of an order that replaces an earlier one.
-    #[must_use]
-    pub fn carry_over_barred(mut self, earlier: &Self) -> Self {
-        self.merge_history(&earlier.history_after());
-        self
-    }
-
     /// Adds what is known from the roll-outs before this order. Returns whether any of it is new.
     pub fn merge_history(&mut self, history: &VersionHistory) -> bool {
         let mut merged = self.history.clone();
@@ -445,7 +438,7 @@
         match self.state {
             RolloutState::Completed => return 1.0,
             RolloutState::Reverted => return 0.0,
-            RolloutState::Running if self.is_rollback() => return 1.0,
+            RolloutState::Running if self.is_rollback() && can_serve > 0.0 => return 1.0,
             RolloutState::Running => {}
         }
         if self.verdict.is_bad() || now.since(self.known_since) < CANARY_DELAY {
--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -17,6 +17,18 @@
     }
 }
 
+trait Replaces {
+    /// The trial of an order that replaces an earlier one.
+    fn carry_over_barred(self, earlier: &Self) -> Self;
+}
+
+impl Replaces for Trial {
+    fn carry_over_barred(mut self, earlier: &Self) -> Self {
+        self.merge_history(&earlier.history_after());
+        self
+    }
+}
+
 const LIMITS: TrialLimits = TrialLimits {
     exposure: 0.15,
     allowance: 30.0,
@@ -799,6 +811,20 @@
     );
 }
 
+/// No request would be served if the version that is ordered back has no upstream any more.
+#[test]
+fn an_order_back_to_a_version_without_upstreams_waits_for_them() {
+    let mut first = trial(Time::ZERO);
+    first.merge_history(&VersionHistory {
+        stable: ["v1", "v3"].map(Arc::from).into(),
+        ..VersionHistory::default()
+    });
+    let mut back = Trial::new(at(2.0), next_order("v1", 9), LIMITS).carry_over_barred(&first);
+    let none = evidence(arm(0, 0, 1.0), arm(0, 0, 1.0));
+    assert_eq!(served(&back.step(at(2.0), &none, 0.0).gate, IN_USE), ["v3"]);
+    assert_eq!(served(&back.step(at(3.0), &none, 1.0).gate, IN_USE), ["v1"]);
+}
+
 /// A version that is ordered anew gets its canary, whether it was reverted or replaced before.
 #[test]
 fn a_replaced_version_that_is_ordered_anew_gets_its_canary() {
