tests: one upstream that counts and answers, in the harness

Cause: refusals.rs and foreign_answers.rs each wrote the loop of the harness's counting_upstream again.

Change: counting_upstream_with in the harness serves all three; three comments of tests in one line. No assertion, bound or literal expectation is changed. No code of the product is touched.

--- a/components/dispatch/tests/trial.rs
+++ b/components/dispatch/tests/trial.rs
@@ -754,10 +754,7 @@
         for tenth in 0..190 {
             let now = at(replaced_at + f64::from(tenth) / 10.0);
             let gate = second.step(now, &open, 1.0).gate;
-            assert!(
-                !served(&gate, ["v1", "v2", "v3"]).contains(&"v2"),
-                "{now:?}"
-            );
+            assert!(!served(&gate, IN_USE).contains(&"v2"), "{now:?}");
             assert!(!gate.admits(&Arc::from("v2")), "{now:?}");
         }
     }
--- a/components/fleet/tests/it/replaced_orders.rs
+++ b/components/fleet/tests/it/replaced_orders.rs
@@ -104,8 +104,7 @@
     });
 }
 
-/// A daemon that saw neither the completion of a version nor the next order in time would bar the
-/// only version left.
+/// A daemon that was cut off at a version's completion would bar the only version left.
 #[test]
 fn a_version_that_was_completed_out_of_sight_is_not_barred() {
     let memory = seeded_store();
--- a/components/traffic/tests/it/foreign_answers.rs
+++ b/components/traffic/tests/it/foreign_answers.rs
@@ -16,34 +16,19 @@
 /// Statuses of answers that no field confirms.
 const STATUSES: [u16; 9] = [200, 301, 400, 404, 408, 421, 429, 500, 503];
 
-/// An upstream that processes each request, and whose answers have these fields for an id; the
-/// connections stay open.
-fn upstream_with(
-    status: u16,
-    fields: impl Fn(&str) -> String + Send + Sync + 'static,
-) -> (SocketAddr, Arc<AtomicUsize>) {
-    let runs = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&runs);
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.fetch_add(1, Ordering::SeqCst);
-            let fields = fields(id_of(&request));
-            served.write(&format!(
-                "HTTP/1.1 {status} X\r\nran: 1\r\n{fields}Content-Length: 5\r\n\r\nother"
-            ));
-        }
-    });
-    (address, runs)
+/// Encodes an answer to a processed request, with these fields.
+fn answer_with(status: u16, fields: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\nran: 1\r\n{fields}Content-Length: 5\r\n\r\nother")
 }
 
 /// An upstream whose answers lack the id.
 fn without_id(status: u16) -> (SocketAddr, Arc<AtomicUsize>) {
-    upstream_with(status, |_| "signed: 1\r\n".to_owned())
+    counting_upstream_with(move |_| answer_with(status, "signed: 1\r\n"))
 }
 
 /// An upstream whose answers lack the signature.
 fn unsigned(status: u16) -> (SocketAddr, Arc<AtomicUsize>) {
-    upstream_with(status, |id| format!("id: {id}\r\n"))
+    counting_upstream_with(move |id| answer_with(status, &format!("id: {id}\r\n")))
 }
 
 /// Starts an upstream that answers with a status, and returns its count of requests.
--- a/components/traffic/tests/it/harness.rs
+++ b/components/traffic/tests/it/harness.rs
@@ -303,12 +303,19 @@
 
 /// Starts an upstream that answers whole, and counts its requests.
 pub fn counting_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
+    counting_upstream_with(|id| answer(id, "world"))
+}
+
+/// Starts an upstream that answers a request by its id, and counts its requests.
+pub fn counting_upstream_with(
+    answer: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Arc<AtomicUsize>) {
     let requests = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&requests);
     let address = upstream(move |served| {
         while let Some(request) = served.request() {
             count.fetch_add(1, Ordering::SeqCst);
-            served.write(&answer(id_of(&request), "world"));
+            served.write(&answer(id_of(&request)));
         }
     });
     (address, requests)
--- a/components/traffic/tests/it/refusals.rs
+++ b/components/traffic/tests/it/refusals.rs
@@ -25,15 +25,7 @@
 
 /// An upstream that processes each request and answers with this status, and counts them.
 fn upstream_that_runs_and_answers(status: u16) -> (SocketAddr, Arc<AtomicUsize>) {
-    let runs = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&runs);
-    let address = upstream(move |served| {
-        while let Some(request) = served.request() {
-            count.fetch_add(1, Ordering::SeqCst);
-            served.write(&answer_after_run(status, id_of(&request)));
-        }
-    });
-    (address, runs)
+    counting_upstream_with(move |id| answer_after_run(status, id))
 }
 
 fn assert_promises_nothing(text: &str, status: u16) {
@@ -72,7 +64,7 @@
     }
 }
 
-/// A caller may send such a request again, and is told when.
+/// The caller may retry, and is told when.
 #[test]
 fn a_request_that_failed_everywhere_is_not_answered_as_not_run() {
     for status in PROMISES {
